--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: figures beside plain baselines, with bounds on counts and ratios."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,37 @@
+"""Runs every benchmark module; ``make bench`` calls it.
+
+Usage: ``python -m bench [module ...]``. A benchmark module stands in this folder
+and has ``measure() -> list[Figure]``.
+"""
+
+__all__ = ["main"]
+
+import importlib
+import sys
+
+from bench.report import print_figures, violations
+
+MODULES: tuple[str, ...] = ()
+
+
+def main(names: list[str]) -> int:
+    """Measure the named modules, or all, and return the exit code.
+
+    Args:
+        names: Module names within ``bench``; empty for all.
+
+    Returns:
+        0 when every bound holds, else 1.
+    """
+    failed = []
+    for name in names or MODULES:
+        print(f"# {name}", flush=True)
+        figures = importlib.import_module(f"bench.{name}").measure()
+        print_figures(figures)
+        failed += violations(figures)
+    print(f"bench: out_of_bounds={len(failed)}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/wigeonscale/config/__init__.py
@@ -0,0 +1,1 @@
+"""INI settings of the daemons, checked at the border."""
--- /dev/null
+++ b/wigeonscale/errors.py
@@ -0,0 +1,180 @@
+"""The closed list of error kinds, the exception tree and the table to answers.
+
+Every failure that reaches a caller, an operator or a peer has one
+:class:`ErrorKind`. :data:`ANSWERS` maps each kind to the HTTP answer given for it.
+"""
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "ErrorKind",
+    "RunState",
+    "SettingsError",
+    "WigeonscaleError",
+    "error_from_kind",
+]
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class ErrorKind(StrEnum):
+    """Why a request, command or order was not carried out."""
+
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    UNSUPPORTED_MEDIA_TYPE = "unsupported-media-type"
+    UNKNOWN_KEY = "unknown-key"
+    FORBIDDEN = "forbidden"
+    NO_MATCHING_RULE = "no-matching-rule"
+    REFUSED_BY_RULE = "refused-by-rule"
+    UNKNOWN_MODEL = "unknown-model"
+    NOT_FOUND = "not-found"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency-key-required"
+    IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
+    IN_PROGRESS = "in-progress"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    ANSWER_EXPIRED = "answer-expired"
+    LIMIT_EXCEEDED = "limit-exceeded"
+    OVERLOADED = "overloaded"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    CANCELLED = "cancelled"
+    NO_BACKEND = "no-backend"
+    BACKEND_FAILED = "backend-failed"
+    BACKEND_LEAVING = "backend-leaving"
+    STALE_INCARNATION = "stale-incarnation"
+    STALE_EPOCH = "stale-epoch"
+    STALE_TERM = "stale-term"
+    LEASE_EXPIRED = "lease-expired"
+    STOPPING = "stopping"
+    NOT_LEADER = "not-leader"
+    NO_QUORUM = "no-quorum"
+    REVISION_CONFLICT = "revision-conflict"
+    INVALID_DOCUMENT = "invalid-document"
+    INVALID_SETTINGS = "invalid-settings"
+    CORRUPT_LOG = "corrupt-log"
+    INTERNAL = "internal"
+
+
+class RunState(StrEnum):
+    """Whether the work of a request was begun by a backend server."""
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The HTTP answer for one error kind.
+
+    Attributes:
+        status: HTTP status code.
+        retryable: Whether the same request may succeed later, so that a
+            ``Retry-After`` header is due.
+    """
+
+    status: int
+    retryable: bool
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, False),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, False),
+    ErrorKind.UNSUPPORTED_MEDIA_TYPE: Answer(415, False),
+    ErrorKind.UNKNOWN_KEY: Answer(401, False),
+    ErrorKind.FORBIDDEN: Answer(403, False),
+    ErrorKind.NO_MATCHING_RULE: Answer(404, False),
+    ErrorKind.REFUSED_BY_RULE: Answer(403, False),
+    ErrorKind.UNKNOWN_MODEL: Answer(404, False),
+    ErrorKind.NOT_FOUND: Answer(404, False),
+    ErrorKind.IDEMPOTENCY_KEY_REQUIRED: Answer(400, False),
+    ErrorKind.IDEMPOTENCY_KEY_REUSED: Answer(422, False),
+    ErrorKind.IN_PROGRESS: Answer(409, True),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(409, False),
+    ErrorKind.ANSWER_EXPIRED: Answer(410, False),
+    ErrorKind.LIMIT_EXCEEDED: Answer(429, True),
+    ErrorKind.OVERLOADED: Answer(503, True),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, True),
+    ErrorKind.CANCELLED: Answer(499, False),
+    ErrorKind.NO_BACKEND: Answer(503, True),
+    ErrorKind.BACKEND_FAILED: Answer(502, True),
+    ErrorKind.BACKEND_LEAVING: Answer(503, True),
+    ErrorKind.STALE_INCARNATION: Answer(503, True),
+    ErrorKind.STALE_EPOCH: Answer(503, True),
+    ErrorKind.STALE_TERM: Answer(409, False),
+    ErrorKind.LEASE_EXPIRED: Answer(503, True),
+    ErrorKind.STOPPING: Answer(503, True),
+    ErrorKind.NOT_LEADER: Answer(421, True),
+    ErrorKind.NO_QUORUM: Answer(503, True),
+    ErrorKind.REVISION_CONFLICT: Answer(409, False),
+    ErrorKind.INVALID_DOCUMENT: Answer(422, False),
+    ErrorKind.INVALID_SETTINGS: Answer(422, False),
+    ErrorKind.CORRUPT_LOG: Answer(500, False),
+    ErrorKind.INTERNAL: Answer(500, False),
+}
+
+
+class WigeonscaleError(Exception):
+    """Base of every error that the project raises on purpose.
+
+    Args:
+        kind: One of the closed list of kinds.
+        message: What happened, naming the offending value.
+        run_state: Whether the work behind the request was begun.
+        retry_after: Seconds after which a retry is worth while, or None.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        run_state: RunState = RunState.NOT_RUN,
+        retry_after: float | None = None,
+    ):
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.run_state = run_state
+        self.retry_after = retry_after
+
+
+class SettingsError(WigeonscaleError):
+    """A settings file or rules document that cannot be accepted.
+
+    Args:
+        message: Names file, section, key, value and what is allowed.
+        kind: ``INVALID_SETTINGS`` or ``INVALID_DOCUMENT``.
+    """
+
+    def __init__(self, message: str, *, kind: ErrorKind = ErrorKind.INVALID_SETTINGS):
+        super().__init__(kind, message)
+
+
+def error_from_kind(
+    kind: str,
+    message: str,
+    *,
+    run_state: str = RunState.UNKNOWN,
+    retry_after: float | None = None,
+) -> WigeonscaleError:
+    """Return the error for a kind received from a peer.
+
+    Args:
+        kind: Wire form of an :class:`ErrorKind`; an unknown one gives ``INTERNAL``.
+        message: Text for people.
+        run_state: Wire form of a :class:`RunState`; an unknown one gives ``UNKNOWN``.
+        retry_after: Seconds, or None.
+
+    Returns:
+        An error ready to raise.
+    """
+    known_kind = ErrorKind(kind) if kind in set(ErrorKind) else ErrorKind.INTERNAL
+    known_state = RunState(run_state) if run_state in set(RunState) else None
+    return WigeonscaleError(
+        known_kind,
+        message,
+        run_state=known_state or RunState.UNKNOWN,
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/wigeonscale/ports/__init__.py
@@ -0,0 +1,24 @@
+"""What the inside of the project asks of the outside, as protocols."""
+
+__all__ = [
+    "Clock",
+    "Engine",
+    "EngineInfo",
+    "EngineLoad",
+    "EngineResult",
+    "EngineStep",
+    "HttpAnswer",
+    "Service",
+    "SystemClock",
+]
+
+from wigeonscale.ports.backends import (
+    Engine,
+    EngineInfo,
+    EngineLoad,
+    EngineResult,
+    EngineStep,
+    HttpAnswer,
+    Service,
+)
+from wigeonscale.ports.clock import Clock, SystemClock
--- /dev/null
+++ b/wigeonscale/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Ordered when-then rules: the document and its matching."""
--- /dev/null
+++ b/wigeonscale/testing/case.py
@@ -0,0 +1,71 @@
+"""The base class of every test: runs coroutines to their end."""
+
+__all__ = ["AsyncRunTest", "AsyncTestCase"]
+
+import asyncio
+import inspect
+
+import testtools
+
+CASE_TIMEOUT_S = 120.0
+
+
+class AsyncRunTest(testtools.RunTest):
+    """Runs one test on its own event loop and fails it on tasks left over."""
+
+    def _run_core(self):
+        with asyncio.Runner() as runner:
+            self._runner = runner
+            super()._run_core()
+
+    def _run_user(self, fn, *args, **kwargs):
+        def run_to_end():
+            result = fn(*args, **kwargs)
+            if inspect.iscoroutine(result):
+                return self._runner.run(_within(result, CASE_TIMEOUT_S))
+            return result
+
+        return super()._run_user(run_to_end)
+
+    def _run_cleanups(self, result):
+        outcome = super()._run_cleanups(result)
+        leftover = self._run_user(self._check_no_tasks_left)
+        if self.exception_caught in (outcome, leftover):
+            return self.exception_caught
+        return None
+
+    async def _check_no_tasks_left(self):
+        await asyncio.sleep(0)
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        names = sorted(str(task.get_coro()) for task in left)
+        if names:
+            raise AssertionError(f"tasks left over at the end of the test: {names}")
+
+
+async def _within(coro, seconds):
+    # Not wait_for: it would add a task of its own to those left over.
+    async with asyncio.timeout(seconds):
+        return await coro
+
+
+class AsyncTestCase(testtools.TestCase):
+    """A test case whose tests and clean-ups may be coroutine functions.
+
+    ``prepare`` is awaited before each test. ``addCleanup`` takes coroutine
+    functions too. Plain synchronous tests work unchanged.
+    """
+
+    run_tests_with = AsyncRunTest
+
+    async def prepare(self) -> None:
+        """Set up what needs the event loop; override as needed."""
+
+    def _run_test_method(self, result):
+        method = self._get_test_method()
+        if not inspect.iscoroutinefunction(method):
+            return method()
+        return self._run_async(method)
+
+    async def _run_async(self, method):
+        await self.prepare()
+        await method()
--- /dev/null
+++ b/wigeonscale/testing/clock.py
@@ -0,0 +1,54 @@
+"""A clock that tests move by hand."""
+
+__all__ = ["ManualClock"]
+
+import asyncio
+import heapq
+import itertools
+
+
+class ManualClock:
+    """Implements the clock port; time passes only in :meth:`advance`.
+
+    Args:
+        start: First reading of :meth:`now`, in seconds.
+    """
+
+    def __init__(self, *, start: float = 1000.0):
+        self._now = start
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future]] = []
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self._now
+
+    def wall(self) -> float:
+        """Return the wall-clock time in seconds since the epoch."""
+        return 1.7e9 + self._now
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait until the clock was advanced by ``seconds``."""
+        if seconds <= 0:
+            await asyncio.sleep(0)
+            return
+        fut = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._sleepers, (self._now + seconds, next(self._order), fut))
+        await fut
+
+    async def advance(self, seconds: float) -> None:
+        """Move time on, waking sleepers in order and letting them run."""
+        end = self._now + seconds
+        await self._settle()
+        while self._sleepers and self._sleepers[0][0] <= end:
+            due, _, fut = heapq.heappop(self._sleepers)
+            self._now = max(self._now, due)
+            if not fut.done():
+                fut.set_result(None)
+            await self._settle()
+        self._now = end
+        await self._settle()
+
+    async def _settle(self, rounds: int = 20) -> None:
+        for _ in range(rounds):
+            await asyncio.sleep(0)
