Add checked INI settings for every role

Cause: each daemon needs its settings before it listens, and a wrong one must be named by file, section, key, value and what is allowed. Ruled out: a pydantic model beside each dataclass (every key would stand twice). Change: one frozen dataclass a role whose annotations carry type, range and the words for "allowed"; pydantic checks them at the border; unknown sections and keys, and contradictions between keys, are errors. Conclusion: load_settings(path, role) stands.

--- a/wigeonscale/config/__init__.py
+++ b/wigeonscale/config/__init__.py
@@ -1,1 +1,20 @@
 """INI settings of the daemons, checked at the border."""
+
+__all__ = [
+    "ROLES",
+    "AgentSettings",
+    "ControlSettings",
+    "EntrySettings",
+    "NodeSettings",
+    "Peer",
+    "load_settings",
+]
+
+from wigeonscale.config.keys import Peer
+from wigeonscale.config.load import ROLES, load_settings
+from wigeonscale.config.settings import (
+    AgentSettings,
+    ControlSettings,
+    EntrySettings,
+    NodeSettings,
+)
--- /dev/null
+++ b/wigeonscale/config/keys.py
@@ -0,0 +1,166 @@
+"""Types of settings keys: what each kind of value allows, in code and in words."""
+
+__all__ = [
+    "AddressList",
+    "Allowed",
+    "BackendUrl",
+    "ListenAddress",
+    "LogLevel",
+    "NodeName",
+    "Peer",
+    "PeerList",
+    "TokenDigest",
+    "allowed_text",
+    "byte_count",
+    "count",
+    "fraction",
+    "seconds",
+]
+
+import ipaddress
+import re
+import typing
+from dataclasses import dataclass
+from typing import Annotated, Literal
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator, BeforeValidator, Field
+
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+LARGEST_PORT = 65535
+ADDRESS_EXAMPLE = "ip:port, such as 127.0.0.1:8080"
+
+
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """States in words what a key allows; stands in the key's annotation."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A control replica as settings name it.
+
+    Attributes:
+        name: Node name of the replica.
+        address: ``ip:port`` of its gRPC server.
+    """
+
+    name: str
+    address: str
+
+
+def allowed_text(annotation: object) -> str:
+    """Return in words what a key with this annotation allows."""
+    for extra in typing.get_args(annotation)[1:]:
+        if isinstance(extra, Allowed):
+            return extra.text
+    return str(annotation)
+
+
+def seconds(low: float, high: float) -> object:
+    """Return the type of a duration in seconds within a range."""
+    words = Allowed(f"seconds from {low:g} to {high:g}")
+    return Annotated[float, Field(ge=low, le=high, allow_inf_nan=False), words]
+
+
+def count(low: int, high: int) -> object:
+    """Return the type of a whole number within a range."""
+    words = Allowed(f"a whole number from {low} to {high}")
+    return Annotated[int, Field(ge=low, le=high), words]
+
+
+def byte_count(low: int, high: int) -> object:
+    """Return the type of a size in bytes within a range."""
+    words = Allowed(f"bytes, a whole number from {low} to {high}")
+    return Annotated[int, Field(ge=low, le=high), words]
+
+
+def fraction(low: float, high: float) -> object:
+    """Return the type of a ratio within a range."""
+    words = Allowed(f"a ratio from {low:g} to {high:g}")
+    return Annotated[float, Field(ge=low, le=high, allow_inf_nan=False), words]
+
+
+def _listen_address(value: str) -> str:
+    return _checked_address(value, lowest_port=0)
+
+
+def _peer_address(value: str) -> str:
+    return _checked_address(value, lowest_port=1)
+
+
+def _checked_address(value: str, lowest_port: int) -> str:
+    host, _, port = value.rpartition(":")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError("port is not a number")
+    if not lowest_port <= int(port) <= LARGEST_PORT:
+        raise ValueError("port out of range")
+    return value
+
+
+def _split_list(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    return tuple(item.strip() for item in value.split(","))
+
+
+def _without_duplicates(value: tuple) -> tuple:
+    if len(set(value)) != len(value):
+        raise ValueError("an item stands twice")
+    return value
+
+
+def _parse_peer(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    name, _, address = value.partition("@")
+    if not re.match(NAME_PATTERN, name):
+        raise ValueError("no name before @")
+    return Peer(name=name, address=_peer_address(address))
+
+
+def _check_backend_url(value: str) -> str:
+    url = urlsplit(value)
+    if url.scheme != "http" or not url.hostname or url.path not in ("", "/"):
+        raise ValueError("not a plain http URL")
+    _peer_address(url.netloc)
+    return value.rstrip("/")
+
+
+NodeName = Annotated[
+    str,
+    Field(pattern=NAME_PATTERN),
+    Allowed("1 to 63 letters, digits, dots, dashes or underscores"),
+]
+LogLevel = Annotated[
+    Literal["DEBUG", "INFO", "WARNING", "ERROR"],
+    Allowed("DEBUG, INFO, WARNING or ERROR"),
+]
+ListenAddress = Annotated[
+    str, AfterValidator(_listen_address), Allowed(f"{ADDRESS_EXAMPLE}; port 0: any")
+]
+AddressList = Annotated[
+    tuple[Annotated[str, AfterValidator(_peer_address)], ...],
+    BeforeValidator(_split_list),
+    AfterValidator(_without_duplicates),
+    Allowed(f"a comma list, each once, of {ADDRESS_EXAMPLE}"),
+]
+PeerList = Annotated[
+    tuple[Annotated[Peer, BeforeValidator(_parse_peer)], ...],
+    BeforeValidator(_split_list),
+    AfterValidator(_without_duplicates),
+    Allowed("a comma list, each once, of name@ip:port, such as c1@127.0.0.1:7001"),
+]
+BackendUrl = Annotated[
+    str,
+    AfterValidator(_check_backend_url),
+    Allowed("http://ip:port without a path, such as http://127.0.0.1:9000"),
+]
+TokenDigest = Annotated[
+    str,
+    Field(pattern="^([0-9a-f]{64})?$"),
+    Allowed("a SHA-256 digest of 64 lower-case hex digits, or empty for none"),
+]
--- /dev/null
+++ b/wigeonscale/config/load.py
@@ -0,0 +1,183 @@
+"""Reads an INI settings file into the checked settings of one role."""
+
+__all__ = ["ROLES", "load_settings"]
+
+import configparser
+import dataclasses
+import difflib
+import functools
+from collections.abc import Iterator
+
+from pydantic import TypeAdapter, ValidationError
+
+from wigeonscale.config.keys import allowed_text
+from wigeonscale.config.settings import (
+    AgentSettings,
+    ControlSettings,
+    EntrySettings,
+    NodeSettings,
+)
+from wigeonscale.errors import SettingsError
+
+ROLES: dict[str, type[NodeSettings]] = {
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+    "control": ControlSettings,
+}
+# Keys that stand in a section shared by all roles; the others stand in the role's.
+SHARED_KEYS = {
+    "name": ("node", "name"),
+    "domain": ("node", "domain"),
+    "region": ("node", "region"),
+    "log_level": ("log", "level"),
+}
+
+
+def load_settings(
+    path: str, role: str
+) -> EntrySettings | AgentSettings | ControlSettings:
+    """Read and check the settings of one role.
+
+    Args:
+        path: Path of the INI file.
+        role: ``entry``, ``agent`` or ``control``.
+
+    Returns:
+        Settings in which every key is present and within its range.
+
+    Raises:
+        SettingsError: Names file, section, key, value and what is allowed, for
+            every problem found, one a line.
+
+    Example:
+        >>> cfg = load_settings("entry.ini", "entry")  # doctest: +SKIP
+        >>> cfg.listen  # doctest: +SKIP
+        '10.0.0.1:8000'
+    """
+    if role not in ROLES:
+        raise SettingsError(f"role {role!r}: allowed: {', '.join(ROLES)}")
+    values = _read_sections(path)
+    cls = ROLES[role]
+    problems = list(_unknown_names(values, cls, role))
+    cfg = _build(values, cls, role, problems)
+    if cfg is not None:
+        problems += _contradictions(cfg, role)
+    if problems:
+        raise SettingsError("\n".join(f"{path}: {problem}" for problem in problems))
+    return cfg
+
+
+def _read_sections(path: str) -> dict[str, dict[str, str]]:
+    # The default section is renamed away: [DEFAULT] is an unknown section here.
+    parser = configparser.ConfigParser(
+        interpolation=None, delimiters=("=",), default_section="\0"
+    )
+    try:
+        with open(path, encoding="utf-8") as stream:
+            parser.read_file(stream, source=path)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: cannot be read: {exc}") from exc
+    except configparser.Error as exc:
+        raise SettingsError(f"{path}: not an INI file: {exc.message}") from exc
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+@functools.cache
+def _places(cls: type[NodeSettings], role: str) -> dict[tuple[str, str], str]:
+    """Return the settings attribute for each (section, key)."""
+    names = [field.name for field in dataclasses.fields(cls)]
+    return {SHARED_KEYS.get(name, (role, name)): name for name in names}
+
+
+def _unknown_names(
+    values: dict[str, dict[str, str]], cls: type[NodeSettings], role: str
+) -> Iterator[str]:
+    places = _places(cls, role)
+    sections = sorted({section for section, _ in places})
+    for section, keys in values.items():
+        if section not in sections:
+            yield f"[{section}]: unknown section; allowed: {', '.join(sections)}"
+            continue
+        known = sorted(key for place, key in places if place == section)
+        for key in keys:
+            if key not in known:
+                hint = _hint(key, known)
+                yield f"[{section}] {key} = {keys[key]!r}: unknown key; {hint}"
+
+
+def _hint(key: str, known: list[str]) -> str:
+    close = difflib.get_close_matches(key, known, n=1)
+    meant = f"perhaps {close[0]}; " if close else ""
+    return f"{meant}allowed: {', '.join(known)}"
+
+
+def _build(
+    values: dict[str, dict[str, str]],
+    cls: type[NodeSettings],
+    role: str,
+    problems: list[str],
+) -> NodeSettings | None:
+    places = _places(cls, role)
+    given = {
+        name: values[section][key]
+        for (section, key), name in places.items()
+        if key in values.get(section, {})
+    }
+    try:
+        return _adapter(cls).validate_python(given)
+    except ValidationError as exc:
+        place_of = {name: place for place, name in places.items()}
+        # A list has one error an item: name the key once.
+        names = dict.fromkeys(error["loc"][0] for error in exc.errors())
+        for name in names:
+            problems.append(_problem(cls, name, place_of[name], given))
+        return None
+
+
+@functools.cache
+def _adapter(cls: type[NodeSettings]) -> TypeAdapter:
+    return TypeAdapter(cls)
+
+
+def _problem(
+    cls: type[NodeSettings], name: str, place: tuple[str, str], given: dict[str, str]
+) -> str:
+    section, key = place
+    found = f"{key} = {given[name]!r}" if name in given else f"{key}: missing"
+    field = next(field for field in dataclasses.fields(cls) if field.name == name)
+    return f"[{section}] {found}; allowed: {allowed_text(field.type)}"
+
+
+def _contradictions(cfg: NodeSettings, role: str) -> Iterator[str]:
+    if cfg.heartbeat_s * 2 > cfg.lease_s:
+        yield (
+            f"[{role}] heartbeat_s = {cfg.heartbeat_s:g}; allowed: at most half of"
+            f" lease_s = {cfg.lease_s:g}"
+        )
+    if isinstance(cfg, AgentSettings):
+        yield from _agent_contradictions(cfg)
+    if isinstance(cfg, ControlSettings):
+        yield from _control_contradictions(cfg)
+
+
+def _agent_contradictions(cfg: AgentSettings) -> Iterator[str]:
+    if cfg.kind == "service" and not cfg.service:
+        yield "[agent] service: missing; allowed: a name when kind = service"
+    if cfg.kind == "engine" and cfg.service:
+        yield f"[agent] service = {cfg.service!r}; allowed: empty when kind = engine"
+
+
+def _control_contradictions(cfg: ControlSettings) -> Iterator[str]:
+    names = [peer.name for peer in cfg.peers]
+    if cfg.name not in names:
+        yield (
+            f"[control] peers = {', '.join(names)!r}; allowed: a list with this node,"
+            f" {cfg.name!r}"
+        )
+    if len(set(names)) != len(names):
+        yield f"[control] peers = {', '.join(names)!r}; allowed: each name once"
+    if cfg.election_timeout_s < 2 * cfg.heartbeat_s:
+        yield (
+            f"[control] election_timeout_s = {cfg.election_timeout_s:g}; allowed: at"
+            f" least twice heartbeat_s = {cfg.heartbeat_s:g}"
+        )
--- /dev/null
+++ b/wigeonscale/config/settings.py
@@ -0,0 +1,144 @@
+"""The settings of each role: every key with type, unit, default and range."""
+
+__all__ = ["AgentSettings", "ControlSettings", "EntrySettings", "NodeSettings"]
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from wigeonscale.config.keys import (
+    AddressList,
+    Allowed,
+    BackendUrl,
+    ListenAddress,
+    LogLevel,
+    NodeName,
+    PeerList,
+    TokenDigest,
+    byte_count,
+    count,
+    fraction,
+    seconds,
+)
+
+DataFolder = Annotated[str, Field(min_length=1), Allowed("the path of a folder")]
+ServiceName = Annotated[
+    str,
+    Field(pattern="^([A-Za-z0-9][A-Za-z0-9._-]{0,62})?$"),
+    Allowed("the name of a plain service; needed when kind = service, else empty"),
+]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NodeSettings:
+    """What every role needs to know.
+
+    Attributes:
+        name: Name of this node, unique in the deployment.
+        domain: Failure domain of its VM.
+        region: Region of its VM.
+        log_level: Least level of the log lines written.
+        http: Address of the health, metrics and admin pages.
+        stop_timeout_s: Longest graceful shutdown, in seconds.
+    """
+
+    name: NodeName
+    domain: NodeName
+    region: NodeName = "default"
+    log_level: LogLevel = "INFO"
+    http: ListenAddress
+    stop_timeout_s: seconds(0, 3600) = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings(NodeSettings):
+    """Settings of ``wigeond entry``.
+
+    Attributes:
+        listen: Address for callers.
+        control: Addresses of the control replicas' gRPC servers.
+        body_limit_bytes: Largest request body.
+        subset: Backends per target among which this entry chooses.
+        lease_s: Longest time to serve without word from a majority, in seconds.
+        heartbeat_s: Interval of heartbeats to control and agents, in seconds.
+        open_timeout_s: Longest wait for a dispatch to be accepted, in seconds.
+        default_deadline_s: Deadline of a request that names none, in seconds.
+        retry_ratio: Retries allowed as a share of recent requests.
+        max_streams: Requests in progress at once.
+    """
+
+    listen: ListenAddress
+    control: AddressList
+    body_limit_bytes: byte_count(1024, 64 * 1024 * 1024) = 1024 * 1024
+    subset: count(1, 1000) = 8
+    lease_s: seconds(0.1, 60) = 3.0
+    heartbeat_s: seconds(0.01, 20) = 0.5
+    open_timeout_s: seconds(0.01, 300) = 5.0
+    default_deadline_s: seconds(0.1, 86400) = 120.0
+    retry_ratio: fraction(0, 1) = 0.1
+    max_streams: count(1, 100_000) = 5000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentSettings(NodeSettings):
+    """Settings of ``wigeond agent``.
+
+    Attributes:
+        grpc: Address of the agent's gRPC server.
+        control: Addresses of the control replicas' gRPC servers.
+        kind: Whether the backend server is a model engine or a plain service.
+        backend: URL of the backend server.
+        service: Name of the plain service; empty for an engine.
+        slots: Requests that run at once.
+        queue_limit: Requests that wait at most.
+        keep_answers_bytes: Most bytes of answers kept until they are taken.
+        keep_answers_s: Longest time to keep an answer, in seconds.
+        repair_timeout_s: Longest wait for a lost stage's spare, in seconds.
+        lease_s: Longest time to serve without word from a majority, in seconds.
+        heartbeat_s: Interval of heartbeats to control, in seconds.
+    """
+
+    grpc: ListenAddress
+    control: AddressList
+    kind: Annotated[Literal["engine", "service"], Allowed("engine or service")]
+    backend: BackendUrl
+    service: ServiceName = ""
+    slots: count(1, 10_000) = 32
+    queue_limit: count(0, 100_000) = 256
+    keep_answers_bytes: byte_count(0, 1024**3) = 16 * 1024 * 1024
+    keep_answers_s: seconds(0, 86400) = 120.0
+    repair_timeout_s: seconds(0, 600) = 10.0
+    lease_s: seconds(0.1, 60) = 3.0
+    heartbeat_s: seconds(0.01, 20) = 0.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings(NodeSettings):
+    """Settings of ``wigeond control``.
+
+    Attributes:
+        grpc: Address of the replica's gRPC server.
+        data: Data folder for log and snapshots.
+        peers: Every control replica, this one included.
+        election_timeout_s: Silence of the leader before an election, in seconds.
+        heartbeat_s: Interval of the leader's heartbeats, in seconds.
+        lease_s: Time without a majority after which a leader steps down, in seconds.
+        down_after_s: Silence after which a backend's incarnation ends, in seconds.
+        snapshot_entries: Log entries between two snapshots.
+        claim_age_s: Age at which a claim expires, in seconds.
+        loads: Weight loads in progress at once.
+        admin_token_digest: SHA-256 digest of the operators' token; empty: none asked.
+    """
+
+    grpc: ListenAddress
+    data: DataFolder
+    peers: PeerList
+    election_timeout_s: seconds(0.05, 60) = 1.0
+    heartbeat_s: seconds(0.01, 20) = 0.2
+    lease_s: seconds(0.1, 60) = 3.0
+    down_after_s: seconds(0.1, 600) = 1.5
+    snapshot_entries: count(1, 10_000_000) = 2000
+    claim_age_s: seconds(1, 30 * 86400) = 86400.0
+    loads: count(1, 1000) = 4
+    admin_token_digest: TokenDigest = ""
