--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a small deployment on loopback, used and checked."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,106 @@
+"""Starts a deployment, uses it, checks every answer and stops it.
+
+Usage: ``python -m demo``. The last line says PASS or FAIL; the exit code is 0
+only for PASS.
+"""
+
+__all__ = ["main"]
+
+import asyncio
+import os
+import pathlib
+import sys
+import time
+
+from demo.checks import Verdict, judge
+from demo.deployment import RULES, Deployment, deploy, wait_ready
+from demo.load import Outcome, make_tasks, run_tasks
+from demo.processes import stop_all
+
+TASKS_BEFORE = 112
+TASKS_AFTER = 112
+CHANGED_RULES = RULES.replace("the archive is closed", "the archive has moved")
+
+
+def main() -> int:
+    """Run the demonstration and return the exit code."""
+    folder = pathlib.Path("run") / f"demo-{time.strftime('%H%M%S')}-{os.getpid()}"
+    folder.mkdir(parents=True)
+    print(f"demo: settings, logs and traces in {folder}", flush=True)
+    return asyncio.run(_run(folder.resolve()))
+
+
+async def _run(folder: pathlib.Path) -> int:
+    dep = await deploy(folder)
+    try:
+        outcomes = await _use(dep)
+    except (TimeoutError, RuntimeError) as exc:
+        await stop_all(dep.children)
+        print(f"demo: FAIL {type(exc).__name__}: {exc}")
+        return 1
+    bad_stops = await stop_all(dep.children)
+    verdict = judge(outcomes, dep)
+    verdict.problems += [f"did not stop cleanly: {name}" for name in bad_stops]
+    return _report(verdict, leftovers=len(bad_stops))
+
+
+async def _use(dep: Deployment) -> list[Outcome]:
+    await _apply(dep, RULES, "rules-1")
+    for index, _ in enumerate(dep.entries):
+        await wait_ready(f"{dep.entries[index]}/readyz")
+    await _wait_pipelines(dep)
+    print("demo: ready, sending the first half", flush=True)
+    outcomes = await run_tasks(make_tasks(TASKS_BEFORE), dep.entries)
+    await _apply(dep, CHANGED_RULES, "rules-2")
+    print("demo: rules changed, sending the second half", flush=True)
+    second = make_tasks(TASKS_AFTER, first=TASKS_BEFORE)
+    outcomes += await run_tasks(second, dep.entries)
+    print(await _ctl(dep, "report", "burn"), flush=True)
+    return outcomes
+
+
+async def _apply(dep: Deployment, text: str, name: str) -> None:
+    path = dep.folder / f"{name}.rules"
+    path.write_text(text)
+    print((await _ctl(dep, "rules", "apply", str(path))).strip(), flush=True)
+
+
+async def _wait_pipelines(dep: Deployment) -> None:
+    async with asyncio.timeout(60):
+        while (await _ctl(dep, "pipelines", "--json")).count('"ready": true') < 2:
+            await asyncio.sleep(0.2)
+
+
+async def _ctl(dep: Deployment, *args: str) -> str:
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "wigeonscale.cli.wigeonctl",
+        "--control",
+        ",".join(dep.controls),
+        *args,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    out, _ = await proc.communicate()
+    if proc.returncode != 0:
+        raise RuntimeError(f"wigeonctl {' '.join(args)}: {out.decode().strip()}")
+    return out.decode()
+
+
+def _report(verdict: Verdict, *, leftovers: int) -> int:
+    for problem in verdict.problems:
+        print(f"demo: {problem}")
+    passed = not verdict.problems and verdict.repeated_effects == 0
+    print(
+        f"demo: {'PASS' if passed else 'FAIL'} requests={verdict.requests}"
+        f" whole={verdict.whole}"
+        f" layer_order={verdict.ordered}/{verdict.sequences}"
+        f" repeated_effects={verdict.repeated_effects}"
+        f" unknown={verdict.unknown} leftovers={leftovers}"
+    )
+    return 0 if passed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/demo/checks.py
@@ -0,0 +1,129 @@
+"""Checks every answer against what the engines and the service recorded."""
+
+__all__ = ["Verdict", "judge"]
+
+import json
+import pathlib
+from dataclasses import dataclass, field
+
+from wigeonscale.testing.fake_engine import expected_tokens
+from wigeonscale.testing.traces import layer_order_violations, read_trace
+
+from demo.deployment import LAYERS, Deployment
+from demo.load import Kind, Outcome
+
+REFUSAL_STATUS = {
+    Kind.REFUSED_KEY: 401,
+    Kind.REFUSED_MODEL: 404,
+    Kind.REFUSED_RULE: 403,
+    Kind.MALFORMED: 400,
+}
+GENERATIONS = (Kind.STREAM, Kind.PLAIN, Kind.TAKE_UP)
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What the checks found.
+
+    Attributes:
+        requests: Requests sent.
+        whole: Requests that got the whole, correct answer or a true refusal.
+        ordered: Generated sequences whose layers ran in order.
+        sequences: Generated sequences.
+        repeated_effects: Effects of the service seen more than once.
+        unknown: Answers that said ``unknown``.
+        problems: One line each.
+    """
+
+    requests: int = 0
+    whole: int = 0
+    ordered: int = 0
+    sequences: int = 0
+    repeated_effects: int = 0
+    unknown: int = 0
+    problems: list[str] = field(default_factory=list)
+
+
+def judge(outcomes: list[Outcome], dep: Deployment) -> Verdict:
+    """Hold all outcomes against the traces.
+
+    Args:
+        outcomes: What the callers saw.
+        dep: The deployment whose traces are read.
+
+    Returns:
+        The counts and every problem.
+    """
+    verdict = Verdict()
+    effects = _effects(dep.service_trace)
+    for outcome in outcomes:
+        problem = _problem(outcome, effects)
+        verdict.requests += outcome.requests
+        verdict.unknown += outcome.runs.count("unknown")
+        if problem:
+            where = f"{outcome.task.kind} {outcome.task.number}"
+            verdict.problems.append(f"{where}: {problem}")
+        else:
+            verdict.whole += outcome.requests
+    verdict.repeated_effects = sum(n - 1 for n in effects.values() if n > 1)
+    _judge_layers(verdict, dep)
+    return verdict
+
+
+def _judge_layers(verdict: Verdict, dep: Deployment) -> None:
+    records = [rec for path in dep.engine_traces for rec in read_trace(path)]
+    verdict.sequences = len({rec["sequence"] for rec in records})
+    violations = layer_order_violations(records, layers=LAYERS)
+    verdict.ordered = verdict.sequences - len({v.sequence for v in violations})
+    verdict.problems += [f"layer order: {violation}" for violation in violations]
+
+
+def _effects(path: pathlib.Path | None) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for line in path.read_text().splitlines() if path and path.exists() else []:
+        key = json.loads(line).get("key")
+        if key:
+            counts[key] = counts.get(key, 0) + 1
+    return counts
+
+
+def _problem(outcome: Outcome, effects: dict[str, int]) -> str:
+    kind = outcome.task.kind
+    if outcome.error:
+        return outcome.error
+    if kind in REFUSAL_STATUS:
+        return _refusal_problem(outcome, REFUSAL_STATUS[kind])
+    if any(status != 200 for status in outcome.statuses):
+        return f"statuses {outcome.statuses}, answers {outcome.bodies}"
+    if kind in GENERATIONS:
+        return _text_problem(outcome)
+    if kind is Kind.NOTE_TWICE:
+        return _note_problem(outcome, effects)
+    return ""
+
+
+def _refusal_problem(outcome: Outcome, status: int) -> str:
+    if outcome.statuses != [status]:
+        return f"statuses {outcome.statuses} where {status} was due: {outcome.bodies}"
+    if outcome.runs != ["not-run"]:
+        return f"refusal says {outcome.runs} where not-run was due"
+    return ""
+
+
+def _text_problem(outcome: Outcome) -> str:
+    task = outcome.task
+    want = expected_tokens(task.prompt, LAYERS, task.max_tokens)
+    if "".join(outcome.tokens) != "".join(want):
+        return f"got {outcome.tokens} where {want} was due"
+    if outcome.declared != len(want):
+        return f"last event says {outcome.declared} tokens of {len(want)}"
+    return ""
+
+
+def _note_problem(outcome: Outcome, effects: dict[str, int]) -> str:
+    ran = effects.get(f"note-{outcome.task.number}", 0)
+    if ran != 1:
+        return f"note ran {ran} times"
+    if len(set(outcome.bodies)) != 1:
+        return f"two answers differ: {outcome.bodies}"
+    return ""
--- /dev/null
+++ b/demo/load.py
@@ -0,0 +1,275 @@
+"""The demonstration's callers: a mixed load over both entries."""
+
+__all__ = ["Caller", "Kind", "Outcome", "Task", "make_tasks", "run_tasks"]
+
+import asyncio
+import itertools
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import aiohttp
+
+from demo.deployment import KEYS, MODEL
+
+AT_ONCE = 8
+REQUEST_TIMEOUT_S = 60.0
+TAKE_UP_AFTER = 3  # tokens read before a stream is left
+
+
+class Kind(StrEnum):
+    """What a task of the load does."""
+
+    STREAM = "stream"
+    PLAIN = "plain"
+    TAKE_UP = "take-up"
+    LOOKUP = "lookup"
+    NOTE_TWICE = "note-twice"
+    REFUSED_KEY = "refused-key"
+    REFUSED_MODEL = "refused-model"
+    REFUSED_RULE = "refused-rule"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """One task of the load; ``number`` makes its content unlike all others."""
+
+    number: int
+    kind: Kind
+    prompt: str = ""
+    max_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What callers saw of one task.
+
+    Attributes:
+        task: The task.
+        requests: Requests it made.
+        statuses: Their HTTP statuses.
+        runs: Their ``Wigeonscale-Run`` headers.
+        tokens: Texts of the answer's tokens, or the whole text as one.
+        declared: Token count of the last event; None when there was none.
+        bodies: Raw answers of calls to plain services.
+        error: What went wrong for the caller, or empty.
+    """
+
+    task: Task
+    requests: int = 0
+    statuses: list[int] = field(default_factory=list)
+    runs: list[str] = field(default_factory=list)
+    tokens: list[str] = field(default_factory=list)
+    declared: int | None = None
+    bodies: list[bytes] = field(default_factory=list)
+    error: str = ""
+
+
+PATTERN = (
+    Kind.STREAM,
+    Kind.PLAIN,
+    Kind.LOOKUP,
+    Kind.NOTE_TWICE,
+    Kind.STREAM,
+    Kind.TAKE_UP,
+    Kind.REFUSED_RULE,
+    Kind.PLAIN,
+    Kind.STREAM,
+    Kind.REFUSED_KEY,
+    Kind.NOTE_TWICE,
+    Kind.REFUSED_MODEL,
+    Kind.STREAM,
+    Kind.MALFORMED,
+)
+
+
+def make_tasks(count: int, first: int = 0) -> list[Task]:
+    """Return ``count`` tasks that go through all kinds.
+
+    Args:
+        count: How many tasks.
+        first: Number of the first task.
+
+    Returns:
+        Tasks, the same for the same arguments.
+    """
+    kinds = itertools.cycle(PATTERN)
+    return [
+        Task(
+            number=number,
+            kind=next(kinds),
+            prompt=f"please check manuscript page {number} of the chapter",
+            max_tokens=8 + number % 17,
+        )
+        for number in range(first, first + count)
+    ]
+
+
+async def run_tasks(tasks: list[Task], entries: list[str]) -> list[Outcome]:
+    """Run tasks, ``AT_ONCE`` at a time, and return their outcomes in order.
+
+    Args:
+        tasks: The tasks.
+        entries: Base URLs of the entries, used in turn.
+
+    Returns:
+        One outcome a task.
+    """
+    gate = asyncio.Semaphore(AT_ONCE)
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+
+        async def run(task: Task) -> Outcome:
+            async with gate:
+                return await Caller(http=http, entries=entries, task=task).run()
+
+        return list(await asyncio.gather(*(run(task) for task in tasks)))
+
+
+class Caller:
+    """Carries out one task and keeps what it saw.
+
+    Args:
+        http: HTTP session.
+        entries: Base URLs of the entries.
+        task: The task.
+    """
+
+    def __init__(self, *, http: aiohttp.ClientSession, entries: list[str], task: Task):
+        self._http = http
+        self._here = entries[task.number % len(entries)]
+        self._there = entries[(task.number + 1) % len(entries)]
+        self._task = task
+        self._out = Outcome(task=task)
+        names = sorted(KEYS)
+        key = KEYS[names[task.number % len(names)]]
+        self._headers = {"Authorization": f"Bearer {key}"}
+
+    async def run(self) -> Outcome:
+        """Carry out the task.
+
+        Returns:
+            What the caller saw; errors of the connection are kept in it.
+        """
+        steps = {
+            Kind.STREAM: self._stream,
+            Kind.PLAIN: self._plain,
+            Kind.TAKE_UP: self._take_up,
+            Kind.LOOKUP: self._lookup,
+            Kind.NOTE_TWICE: self._note_twice,
+            Kind.REFUSED_KEY: self._refused_key,
+            Kind.REFUSED_MODEL: self._refused_model,
+            Kind.REFUSED_RULE: self._refused_rule,
+            Kind.MALFORMED: self._malformed,
+        }
+        try:
+            await steps[self._task.kind]()
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as exc:
+            self._out.error = f"{type(exc).__name__}: {exc}"
+        return self._out
+
+    def _count(self, answer: aiohttp.ClientResponse) -> None:
+        self._out.requests += 1
+        self._out.statuses.append(answer.status)
+        self._out.runs.append(answer.headers.get("Wigeonscale-Run", ""))
+
+    def _body(self, *, stream: bool, model: str = MODEL) -> dict:
+        return {
+            "model": model,
+            "prompt": self._task.prompt,
+            "max_tokens": self._task.max_tokens,
+            "stream": stream,
+        }
+
+    def _post(self, path: str, json_body: dict, **headers: str):
+        url = self._here + path
+        return self._http.post(url, json=json_body, headers=self._headers | headers)
+
+    async def _stream(self) -> None:
+        async with self._post("/v1/completions", self._body(stream=True)) as ans:
+            self._count(ans)
+            await self._read_events(ans)
+
+    async def _read_events(self, answer, most: int | None = None) -> None:
+        async for line in answer.content:
+            if not line.startswith(b"data: ") or line.startswith(b"data: [DONE]"):
+                continue
+            event = json.loads(line[len(b"data: ") :])
+            if "error" in event:
+                self._out.error = str(event["error"])
+                return
+            text = event["choices"][0].get("text", "") if event["choices"] else ""
+            if text:
+                self._out.tokens.append(text)
+            if event.get("usage"):
+                self._out.declared = event["usage"]["completion_tokens"]
+            if most is not None and len(self._out.tokens) >= most:
+                return
+
+    async def _plain(self) -> None:
+        messages = [{"role": "user", "content": self._task.prompt}]
+        body = {
+            "model": MODEL,
+            "messages": messages,
+            "max_tokens": self._task.max_tokens,
+        }
+        async with self._post("/v1/chat/completions", body) as ans:
+            self._count(ans)
+            answer = await ans.json()
+        self._out.tokens.append(answer["choices"][0]["message"]["content"])
+        self._out.declared = answer["usage"]["completion_tokens"]
+
+    async def _take_up(self) -> None:
+        async with self._post("/v1/completions", self._body(stream=True)) as ans:
+            self._count(ans)
+            request_id = ans.headers["Wigeonscale-Request"]
+            await self._read_events(ans, most=TAKE_UP_AFTER)
+        taken = len(self._out.tokens)
+        url = f"{self._there}/v1/requests/{request_id}?from={taken}"
+        async with self._http.get(url, headers=self._headers) as ans:
+            self._count(ans)
+            await self._read_events(ans)
+
+    async def _lookup(self) -> None:
+        url = f"{self._here}/directory/entries/{self._task.number}"
+        async with self._http.get(url, headers=self._headers) as ans:
+            self._count(ans)
+            self._out.bodies.append(await ans.read())
+
+    async def _note_twice(self) -> None:
+        headers = self._headers | {"Idempotency-Key": f"note-{self._task.number}"}
+        body = {"to": f"department {self._task.number}"}
+
+        async def send(entry: str) -> None:
+            url = f"{entry}/directory/notes"
+            async with self._http.post(url, json=body, headers=headers) as ans:
+                self._count(ans)
+                self._out.bodies.append(await ans.read())
+
+        await asyncio.gather(send(self._here), send(self._there))
+
+    async def _expect_refusal(self, path: str, body: dict, **headers: str) -> None:
+        async with self._post(path, body, **headers) as ans:
+            self._count(ans)
+            self._out.bodies.append(await ans.read())
+
+    async def _refused_key(self) -> None:
+        headers = {"Authorization": "Bearer nobody"}
+        await self._expect_refusal(
+            "/v1/completions", self._body(stream=False), **headers
+        )
+
+    async def _refused_model(self) -> None:
+        body = self._body(stream=False, model="absent")
+        await self._expect_refusal("/v1/completions", body)
+
+    async def _refused_rule(self) -> None:
+        await self._expect_refusal("/directory/closed", {"number": self._task.number})
+
+    async def _malformed(self) -> None:
+        url = f"{self._here}/v1/completions"
+        headers = self._headers | {"Content-Type": "application/json"}
+        async with self._http.post(url, data=b'{"model": ', headers=headers) as ans:
+            self._count(ans)
+            self._out.bodies.append(await ans.read())
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,103 @@
+"""Starts the demonstration's processes and stops them by SIGTERM."""
+
+__all__ = ["Child", "free_ports", "start", "stop_all"]
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+from dataclasses import dataclass
+
+STOP_TIMEOUT_S = 40.0
+
+
+@dataclass(slots=True)
+class Child:
+    """One started process.
+
+    Attributes:
+        name: Name used in messages and as the stem of its log file.
+        proc: The process.
+        log: File that holds its standard output and error.
+    """
+
+    name: str
+    proc: asyncio.subprocess.Process
+    log: pathlib.Path
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free TCP ports on loopback, all different.
+
+    Args:
+        count: How many ports.
+
+    Returns:
+        Port numbers that were free a moment ago.
+    """
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+async def start(name: str, folder: pathlib.Path, module: str, *args: str) -> Child:
+    """Start ``python -m module args`` with its output in a log file.
+
+    Args:
+        name: Name of the process.
+        folder: Folder of the log file.
+        module: Module to run.
+        *args: Command-line arguments.
+
+    Returns:
+        The started process.
+    """
+    log = folder / f"{name}.log"
+    with log.open("wb") as out:
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *args,
+            stdout=out,
+            stderr=out,
+            stdin=asyncio.subprocess.DEVNULL,
+            env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        )
+    return Child(name=name, proc=proc, log=log)
+
+
+async def stop_all(children: list[Child]) -> list[str]:
+    """Stop processes by SIGTERM, in the given order, and wait for their end.
+
+    Args:
+        children: The processes to stop.
+
+    Returns:
+        Names of those that had ended before, ended with another code than 0 or
+        had to be killed.
+    """
+    bad = []
+    for child in children:
+        if not await _stop(child):
+            bad.append(f"{child.name} (exit code {child.proc.returncode})")
+    return bad
+
+
+async def _stop(child: Child) -> bool:
+    if child.proc.returncode is not None:
+        return False
+    child.proc.send_signal(signal.SIGTERM)
+    try:
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            code = await child.proc.wait()
+    except TimeoutError:
+        child.proc.kill()
+        await child.proc.wait()
+        return False
+    return code == 0
