Land the adapters and the daemons' runtime

Cause: the other packages need channels, logs, metrics, health and the graceful stop before they can be wired. Change: gRPC options and TLS stand in channels.py (each channel with a connection of its own, no transport retries), JSON-lines logs, one closed list of metrics, the health page, run_until_stopped with bounded stop steps.

--- /dev/null
+++ b/wigeonscale/adapters/__init__.py
@@ -0,0 +1,25 @@
+"""Adapters: gRPC, HTTP, logs and metrics behind the project's own names."""
+
+__all__ = [
+    "METRICS",
+    "OK",
+    "Metrics",
+    "TlsFiles",
+    "bound_address",
+    "log_fields",
+    "new_server",
+    "open_channel",
+    "server_tls_context",
+    "setup_logging",
+    "start_http",
+]
+
+from wigeonscale.adapters.channels import (
+    TlsFiles,
+    new_server,
+    open_channel,
+    server_tls_context,
+)
+from wigeonscale.adapters.health import bound_address, start_http
+from wigeonscale.adapters.logs import log_fields, setup_logging
+from wigeonscale.adapters.metrics import METRICS, OK, Metrics
--- /dev/null
+++ b/wigeonscale/adapters/channels.py
@@ -0,0 +1,132 @@
+"""gRPC channels and servers between the project's processes, and their TLS.
+
+Keepalive, message limits and reconnection stand here and nowhere else.
+"""
+
+__all__ = ["TlsFiles", "open_channel", "new_server", "server_tls_context"]
+
+import pathlib
+import ssl
+from dataclasses import dataclass
+
+import grpc
+
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+KEEPALIVE_MS = 10_000
+KEEPALIVE_TIMEOUT_MS = 5_000
+MIN_PING_INTERVAL_MS = 5_000
+MIN_RECONNECT_MS = 100
+MAX_RECONNECT_MS = 1_000
+
+_COMMON_OPTIONS = (
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+)
+_CHANNEL_OPTIONS = (
+    *_COMMON_OPTIONS,
+    # Otherwise a new channel shares the old one's connection, which may be silent.
+    ("grpc.use_local_subchannel_pool", 1),
+    # What may be sent again is decided by the caller, never by the transport.
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", MIN_RECONNECT_MS),
+    ("grpc.min_reconnect_backoff_ms", MIN_RECONNECT_MS),
+    ("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_MS),
+)
+_SERVER_OPTIONS = (
+    *_COMMON_OPTIONS,
+    ("grpc.http2.min_ping_interval_without_data_ms", MIN_PING_INTERVAL_MS),
+    # Two processes on one port would answer for each other.
+    ("grpc.so_reuseport", 0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """Paths of the PEM files for mutual TLS.
+
+    Attributes:
+        ca: Certificates of the authority that signs every process of the system.
+        cert: This process's certificate; names its IP address.
+        key: Private key of ``cert``.
+    """
+
+    ca: str
+    cert: str
+    key: str
+
+
+def open_channel(address: str, *, tls: TlsFiles | None = None) -> grpc.aio.Channel:
+    """Return a channel with a connection of its own to a peer.
+
+    Args:
+        address: ``ip:port`` of the peer's gRPC server.
+        tls: Files for mutual TLS; None for plain TCP.
+
+    Returns:
+        A channel, to be closed by the caller. It connects on first use.
+    """
+    if tls is None:
+        return grpc.aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+    creds = grpc.ssl_channel_credentials(
+        root_certificates=_read(tls.ca),
+        private_key=_read(tls.key),
+        certificate_chain=_read(tls.cert),
+    )
+    return grpc.aio.secure_channel(address, creds, options=_CHANNEL_OPTIONS)
+
+
+def new_server(
+    address: str, *, tls: TlsFiles | None = None
+) -> tuple[grpc.aio.Server, str]:
+    """Return a server that is bound but not started.
+
+    Args:
+        address: ``ip:port`` to listen on; port 0 takes a free one.
+        tls: Files for mutual TLS; clients without a certificate of the same
+            authority are refused. None for plain TCP.
+
+    Returns:
+        The server and the bound ``ip:port``.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+    server = grpc.aio.server(options=_SERVER_OPTIONS)
+    try:
+        if tls is None:
+            port = server.add_insecure_port(address)
+        else:
+            port = server.add_secure_port(address, _server_credentials(tls))
+    except RuntimeError as exc:
+        raise OSError(f"cannot listen on {address}: {exc}") from exc
+    return server, f"{address.rpartition(':')[0]}:{port}"
+
+
+def server_tls_context(tls: TlsFiles) -> ssl.SSLContext:
+    """Return the context of an HTTP server that asks clients for a certificate.
+
+    Args:
+        tls: PEM files of the process.
+
+    Returns:
+        A context for aiohttp's ``ssl_context``.
+    """
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=tls.ca)
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(tls.cert, tls.key)
+    return context
+
+
+def _server_credentials(tls: TlsFiles) -> grpc.ServerCredentials:
+    return grpc.ssl_server_credentials(
+        [(_read(tls.key), _read(tls.cert))],
+        root_certificates=_read(tls.ca),
+        require_client_auth=True,
+    )
+
+
+def _read(path: str) -> bytes:
+    return pathlib.Path(path).read_bytes()
--- /dev/null
+++ b/wigeonscale/adapters/logs.py
@@ -0,0 +1,104 @@
+"""Logs as JSON lines on standard error."""
+
+__all__ = ["JsonLinesFormatter", "log_fields", "setup_logging"]
+
+import datetime
+import json
+import logging
+import sys
+from typing import TextIO
+
+_RESERVED = frozenset({"time", "level", "logger", "node", "message", "traceback"})
+
+
+class JsonLinesFormatter(logging.Formatter):
+    """Formats a record as one line of JSON.
+
+    Fields given by ``extra={"fields": {...}}`` stand beside the fixed ones; a
+    fixed one wins.
+
+    Args:
+        node: Name of the process, put on each line.
+    """
+
+    def __init__(self, *, node: str):
+        super().__init__()
+        self._node = node
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as one line without a newline.
+
+        Args:
+            record: The record to format.
+
+        Returns:
+            A JSON object.
+        """
+        fields = getattr(record, "fields", None) or {}
+        line = {
+            "time": _utc(record.created),
+            "level": record.levelname,
+            "logger": record.name,
+            "node": self._node,
+            "message": record.getMessage(),
+        }
+        line |= {key: fields[key] for key in fields if key not in _RESERVED}
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str, ensure_ascii=False)
+
+
+def log_fields(
+    *,
+    request_id: str = "",
+    organisation: str = "",
+    kind: str = "",
+    outcome: str = "",
+    **others: object,
+) -> dict[str, dict[str, object]]:
+    """Return the ``extra`` argument of a log call.
+
+    Args:
+        request_id: Id of the caller's request.
+        organisation: Organisation of the caller.
+        kind: Error kind.
+        outcome: What became of the request.
+        **others: Further fields, as JSON values.
+
+    Returns:
+        A mapping for ``extra``; empty fields are left out.
+
+    Example:
+        >>> log_fields(request_id="r1", outcome="whole")
+        {'fields': {'request_id': 'r1', 'outcome': 'whole'}}
+    """
+    fields = {
+        "request_id": request_id,
+        "organisation": organisation,
+        "kind": kind,
+        "outcome": outcome,
+        **others,
+    }
+    return {"fields": {key: value for key, value in fields.items() if value != ""}}
+
+
+def setup_logging(level: str, node: str, *, stream: TextIO | None = None) -> None:
+    """Send all logs of the process to one stream as JSON lines.
+
+    Args:
+        level: Name of the lowest level that is logged.
+        node: Name of the process.
+        stream: Where to; None for standard error.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonLinesFormatter(node=node))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    # One line a scrape says nothing that the metrics do not.
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
+
+
+def _utc(created: float) -> str:
+    stamp = datetime.datetime.fromtimestamp(created, datetime.UTC)
+    return stamp.isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- /dev/null
+++ b/wigeonscale/adapters/metrics.py
@@ -0,0 +1,225 @@
+"""Every metric of every daemon, in one place, with a closed set of labels."""
+
+__all__ = ["METRICS", "Counter", "Gauge", "Histogram", "Metrics", "OK"]
+
+import aioprometheus
+
+# Label value for "no error" where the label is an error kind.
+OK = "ok"
+
+# Seconds. The burn report reads its objectives off these bounds.
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.042,
+    0.1,
+    0.25,
+    0.5,
+    1.1,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+
+
+class _Metric:
+    """A collector whose label names are fixed when it is made."""
+
+    _collector_type: type[aioprometheus.collectors.Collector]
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        doc: str,
+        registry: aioprometheus.Registry,
+        labels: tuple[str, ...] = (),
+        **options: object,
+    ):
+        self.name = f"wigeonscale_{name}"
+        self._labels = frozenset(labels)
+        self._collector = self._collector_type(
+            self.name, doc, registry=registry, **options
+        )
+
+    def _check(self, labels: dict[str, str]) -> dict[str, str]:
+        if labels.keys() != self._labels:
+            raise ValueError(
+                f"metric {self.name}: labels {sorted(labels)} given,"
+                f" {sorted(self._labels)} allowed"
+            )
+        return labels
+
+
+class Counter(_Metric):
+    """A count that only grows."""
+
+    _collector_type = aioprometheus.Counter
+
+    def add(self, amount: float = 1, **labels: str) -> None:
+        """Add to the count.
+
+        Args:
+            amount: How much, not negative.
+            **labels: A value for each label of the metric.
+
+        Raises:
+            ValueError: If a label is missing or unknown, or the amount negative.
+        """
+        self._collector.add(self._check(labels), amount)
+
+    def value(self, **labels: str) -> float:
+        """Return the count for these labels; 0 if nothing was counted."""
+        return self._collector.values.get(self._check(labels), 0)
+
+
+class Gauge(_Metric):
+    """A value that goes up and down."""
+
+    _collector_type = aioprometheus.Gauge
+
+    def set(self, value: float, **labels: str) -> None:
+        """Set the value.
+
+        Args:
+            value: New value.
+            **labels: A value for each label of the metric.
+
+        Raises:
+            ValueError: If a label is missing or unknown.
+        """
+        self._collector.set(self._check(labels), value)
+
+    def value(self, **labels: str) -> float:
+        """Return the value for these labels; 0 if none was set."""
+        return self._collector.values.get(self._check(labels), 0)
+
+
+class Histogram(_Metric):
+    """Counts of observations by upper bound."""
+
+    _collector_type = aioprometheus.Histogram
+
+    def observe(self, value: float, **labels: str) -> None:
+        """Count one observation.
+
+        Args:
+            value: Observed value.
+            **labels: A value for each label of the metric.
+
+        Raises:
+            ValueError: If a label is missing or unknown.
+        """
+        self._collector.observe(self._check(labels), value)
+
+    def count(self, **labels: str) -> int:
+        """Return how many observations were made for these labels."""
+        found = self._collector.values.get(self._check(labels))
+        return int(self._collector.get(labels)["count"]) if found is not None else 0
+
+
+class Metrics:
+    """The metrics of one process.
+
+    Label values come from closed sets as well: error kinds, organisations and
+    rules of the document in force, names of commands.
+
+    Attributes:
+        registry: The registry that ``/metrics`` renders.
+
+    Notes:
+        One update costs a few microseconds; on the token path update once a
+        batch with the batch's size.
+    """
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self._make_caller_metrics()
+        self._make_agent_metrics()
+        self._make_control_metrics()
+
+    def _make_caller_metrics(self) -> None:
+        self.requests = self._counter(
+            "requests_total",
+            "Requests answered, by error kind ('ok' for none).",
+            "organisation",
+            "kind",
+        )
+        self.first_token_s = self._histogram(
+            "first_token_seconds", "From request to first token.", "organisation"
+        )
+        self.token_gap_s = self._histogram(
+            "token_gap_seconds", "Between tokens of one answer.", "organisation"
+        )
+        self.request_s = self._histogram(
+            "request_seconds", "From request to end of answer.", "organisation"
+        )
+        self.tokens = self._counter(
+            "tokens_total", "Tokens written to callers.", "organisation"
+        )
+        self.open_streams = self._gauge("open_streams", "Answers being written.")
+        self.retries = self._counter(
+            "retries_total", "Dispatches tried again, by cause.", "kind"
+        )
+        self.attaches = self._counter(
+            "attaches_total", "Answers taken up again after a silent connection."
+        )
+
+    def _make_agent_metrics(self) -> None:
+        self.dispatches = self._counter(
+            "dispatches_total", "Dispatches ended, by error kind.", "kind"
+        )
+        self.running = self._gauge("running", "Requests being worked on.")
+        self.queued = self._gauge("queued", "Requests waiting for a slot.")
+        self.iterations = self._counter(
+            "iterations_total", "Engine iterations of the own stage."
+        )
+        self.iteration_s = self._histogram(
+            "iteration_seconds", "One iteration through the whole chain."
+        )
+        self.repairs = self._counter(
+            "repairs_total", "Streams taken over by a new epoch, by result.", "kind"
+        )
+        self.orders = self._counter(
+            "orders_total", "Orders received, by error kind.", "kind"
+        )
+
+    def _make_control_metrics(self) -> None:
+        self.lease_valid = self._gauge("lease_valid", "1 while the lease holds.")
+        self.revision = self._gauge("revision", "Configuration revision in force.")
+        self.reconnects = self._counter(
+            "control_reconnects_total", "Watch streams opened again, by cause.", "cause"
+        )
+        self.commands = self._counter(
+            "commands_total", "Commands committed, by type and kind.", "command", "kind"
+        )
+        self.commit_s = self._histogram(
+            "commit_seconds", "From proposal to applied command."
+        )
+        self.watchers = self._gauge("watchers", "Watch streams open here.")
+        self.leading = self._gauge("leading", "1 while this replica leads.")
+        self.term = self._gauge("term", "Current term of the replica.")
+        self.applied_index = self._gauge("applied_index", "Last applied log index.")
+        self.incarnations_ended = self._counter(
+            "incarnations_ended_total", "Agents declared gone, by cause.", "cause"
+        )
+
+    def _counter(self, name: str, doc: str, *labels: str) -> Counter:
+        return Counter(name=name, doc=doc, labels=labels, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str, *labels: str) -> Gauge:
+        return Gauge(name=name, doc=doc, labels=labels, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str, *labels: str) -> Histogram:
+        return Histogram(
+            name=name,
+            doc=doc,
+            labels=labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+
+METRICS = Metrics()
--- /dev/null
+++ b/wigeonscale/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: wiring only."""
--- /dev/null
+++ b/wigeonscale/daemons/runtime.py
@@ -0,0 +1,143 @@
+"""Runs a daemon until it is told to stop, then stops it gracefully."""
+
+__all__ = ["EXIT_CUT", "EXIT_FAILED", "EXIT_OK", "StopStep", "run_until_stopped"]
+
+import asyncio
+import logging
+import signal
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
+
+from wigeonscale.adapters.logs import log_fields
+
+EXIT_OK = 0
+EXIT_FAILED = 1  # a task of the daemon failed
+EXIT_CUT = 3  # the graceful stop reached its bound; 2 is for wrong settings
+
+# Each step that is left when the bound is reached still gets this long.
+CUT_GRACE_S = 2.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class StopStep:
+    """One step of a graceful stop.
+
+    Attributes:
+        name: Short name for the log.
+        run: Does the step; cancelled when the bound is reached.
+        cut: Done after ``run`` was cut at the bound, for example to tell the
+            callers; None for nothing.
+    """
+
+    name: str
+    run: Callable[[], Awaitable[object]]
+    cut: Callable[[], Awaitable[object]] | None = None
+
+
+async def run_until_stopped(
+    *,
+    tasks: Mapping[str, Coroutine[object, object, object]],
+    stop_steps: Sequence[StopStep],
+    stop_timeout_s: float,
+    stop: asyncio.Event | None = None,
+    signals: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGINT),
+) -> int:
+    """Run coroutines until a signal, then the stop steps in their order.
+
+    The coroutines go on while the stop steps run, and are cancelled at the end.
+    A coroutine that ends by an exception stops the daemon too.
+
+    Args:
+        tasks: Coroutines of the daemon by name.
+        stop_steps: What to do, in order, once the daemon shall stop.
+        stop_timeout_s: Seconds that all the steps may take together.
+        stop: Set by the signals, or by others to stop the daemon; None makes one.
+        signals: Signals that stop the daemon; empty leaves them alone. Repeated
+            signals change nothing.
+
+    Returns:
+        ``EXIT_OK``, ``EXIT_FAILED`` or ``EXIT_CUT``, for ``sys.exit``.
+    """
+    stop = stop or asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in signals:
+        loop.add_signal_handler(signum, stop.set)
+    running = {
+        asyncio.create_task(coro, name=name): name for name, coro in tasks.items()
+    }
+    try:
+        failed = await _wait_for_stop(running, stop)
+        logger.info("stopping", extra=log_fields(outcome="stopping"))
+        stop.set()
+        cut = await _run_steps(stop_steps, stop_timeout_s)
+    finally:
+        await _cancel(running)
+        for signum in signals:
+            loop.remove_signal_handler(signum)
+    code = EXIT_FAILED if failed else EXIT_CUT if cut else EXIT_OK
+    logger.info("stopped", extra=log_fields(outcome="stopped", exit_code=code))
+    return code
+
+
+async def _wait_for_stop(running: dict[asyncio.Task, str], stop: asyncio.Event) -> bool:
+    """Return whether a task failed before the stop."""
+    waiter = asyncio.create_task(stop.wait())
+    pending = {waiter, *running}
+    try:
+        while waiter in pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any([_has_failed(task) for task in done - {waiter}]):
+                return True
+        return False
+    finally:
+        waiter.cancel()
+        await asyncio.gather(waiter, return_exceptions=True)
+
+
+def _has_failed(task: asyncio.Task) -> bool:
+    exc = None if task.cancelled() else task.exception()
+    if exc is not None:
+        logger.error("task %s failed", task.get_name(), exc_info=exc)
+    return exc is not None
+
+
+async def _run_steps(steps: Sequence[StopStep], timeout_s: float) -> bool:
+    """Return whether a step was cut at the bound."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + timeout_s
+    any_cut = False
+    for step in steps:
+        left_s = end - loop.time()
+        limit_s = left_s if left_s > 0 else CUT_GRACE_S
+        if await _finishes(step.name, step.run, limit_s):
+            continue
+        any_cut = True
+        if step.cut is not None:
+            await _finishes(f"{step.name} (cut)", step.cut, CUT_GRACE_S)
+    return any_cut
+
+
+async def _finishes(
+    name: str, run: Callable[[], Awaitable[object]], limit_s: float
+) -> bool:
+    limit = asyncio.timeout(limit_s)
+    try:
+        async with limit:
+            await run()
+    except Exception:
+        if limit.expired():
+            logger.warning("stop step %s cut after %.1f s", name, limit_s)
+            return False
+        # The steps after it must still be done.
+        logger.exception("stop step %s failed", name)
+    return True
+
+
+async def _cancel(running: dict[asyncio.Task, str]) -> None:
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
--- /dev/null
+++ b/wigeonscale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Watching control: configuration, members, lease and commands."""
