--- /dev/null
+++ b/wigeonscale/placement/__init__.py
@@ -0,0 +1,14 @@
+"""Decides which engines form which chains, and in which order layers load."""
+
+__all__ = [
+    "ChainPlan",
+    "EngineSpec",
+    "Plan",
+    "StagePlan",
+    "chain_rate",
+    "plan_chains",
+]
+
+from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan, StagePlan
+from wigeonscale.placement.planner import plan_chains
+from wigeonscale.placement.rates import chain_rate
--- /dev/null
+++ b/wigeonscale/placement/model.py
@@ -0,0 +1,91 @@
+"""Plain data of placement: engines, stages, chains and plans."""
+
+__all__ = ["ChainPlan", "EngineSpec", "Plan", "StagePlan"]
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """What placement knows of one announced engine.
+
+    Attributes:
+        agent_id: Stable name of the backend server.
+        incarnation: Changes at each start of its agent.
+        address: ip:port of its agent.
+        domain: Failure domain.
+        region: Region; a chain never crosses regions.
+        model: Model whose layers it can hold.
+        accelerator: Kind of accelerator, for reports.
+        layer_rate: Layer-steps per second over all sequences.
+        layer_capacity: Layers that fit in its memory.
+        link_rate: Steps per second that its link carries.
+        first_layer: First loaded layer, inclusive.
+        last_layer: Last loaded layer, inclusive; less than the first for none.
+        draining: Whether it is leaving and gets no new stage.
+    """
+
+    agent_id: str
+    incarnation: int
+    address: str
+    domain: str
+    region: str = "default"
+    model: str = ""
+    accelerator: str = "generic"
+    layer_rate: float = 1000.0
+    layer_capacity: int = 8
+    link_rate: float = 10000.0
+    first_layer: int = 0
+    last_layer: int = -1
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StagePlan:
+    """A contiguous range of layers on one engine; both ends inclusive."""
+
+    agent_id: str
+    incarnation: int
+    address: str
+    domain: str
+    first_layer: int
+    last_layer: int
+
+    @property
+    def layers(self) -> int:
+        """Number of layers of the stage."""
+        return self.last_layer - self.first_layer + 1
+
+
+@dataclass(frozen=True, slots=True)
+class ChainPlan:
+    """One replica of a pipeline.
+
+    Attributes:
+        chain_id: Never used again once the chain is removed.
+        pipeline: Name of the pipeline.
+        epoch: Grows with every change of the stages.
+        stages: Stages in layer order; the first is the head.
+        rate: Planned sequence-steps per second.
+    """
+
+    chain_id: str
+    pipeline: str
+    epoch: int
+    stages: tuple[StagePlan, ...]
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Result of planning.
+
+    Attributes:
+        chains: Every chain that shall stand.
+        changed: Those of ``chains`` that are new or have a new epoch.
+        removed: Ids of the chains that shall stand no longer.
+    """
+
+    chains: tuple[ChainPlan, ...] = ()
+    changed: tuple[ChainPlan, ...] = ()
+    removed: tuple[str, ...] = ()
--- /dev/null
+++ b/wigeonscale/placement/rates.py
@@ -0,0 +1,124 @@
+"""Rates of stages and chains, and the best split of layers over engines.
+
+A stage of ``n`` layers passes ``min(layer_rate / n, link_rate)`` steps per second:
+computing and sending overlap, so the slower of the two decides. A chain passes what
+its slowest stage passes. A chain of one stage sends no hidden state; its link does
+not count.
+"""
+
+__all__ = ["chain_rate", "layers_at", "split_layers", "stage_rate"]
+
+from collections.abc import Mapping, Sequence
+
+from wigeonscale.placement.model import EngineSpec, StagePlan
+
+# Guards floor(layer_rate / rate) against rounding of layer_rate / n.
+ROUNDING = 1e-9
+
+
+def stage_rate(engine: EngineSpec, layers: int, *, alone: bool = False) -> float:
+    """Return the steps per second of ``layers`` layers on one engine.
+
+    Args:
+        engine: The engine.
+        layers: Number of layers, at least 1.
+        alone: Whether the engine holds the whole model, so that no link counts.
+    """
+    rate = engine.layer_rate / layers
+    return rate if alone else min(rate, engine.link_rate)
+
+
+def chain_rate(stages: Sequence[StagePlan], engines: Mapping[str, EngineSpec]) -> float:
+    """Return the steps per second of a chain's slowest stage.
+
+    Args:
+        stages: Stages of the chain.
+        engines: Engines by agent id.
+    """
+    alone = len(stages) == 1
+    return min(
+        stage_rate(engines[stage.agent_id], stage.layers, alone=alone)
+        for stage in stages
+    )
+
+
+def layers_at(engine: EngineSpec, rate: float) -> int:
+    """Return how many layers an engine carries at a chain rate, in a chain of many."""
+    if engine.link_rate < rate * (1 - ROUNDING):
+        return 0
+    return min(engine.layer_capacity, int(engine.layer_rate / rate + ROUNDING))
+
+
+def split_layers(
+    engines: Sequence[EngineSpec], layers: int, *, stages: int = 0
+) -> list[tuple[EngineSpec, int]]:
+    """Split a model over engines so that the slowest stage is as fast as can be.
+
+    Among splits of the best rate it takes one with the fewest stages.
+
+    Args:
+        engines: Engines that may be used.
+        layers: Number of layers of the model.
+        stages: Exact number of stages; 0 for free choice.
+
+    Returns:
+        Pairs of engine and number of layers, in no particular order; empty when the
+        engines cannot hold the model.
+
+    Notes:
+        The best rate is the ``layers``-th largest of all ``min(layer_rate / n,
+        link_rate)`` with ``n`` up to the capacity, because these values fall with
+        ``n``. Cost O(engines * capacity * log).
+    """
+    whole = _split_over_one(engines, layers) if stages in (0, 1) else []
+    many = [] if stages == 1 else _split_over_many(engines, layers, stages)
+    if not whole or not many:
+        return whole or many
+    whole_rate = stage_rate(whole[0][0], layers, alone=True)
+    many_rate = min(stage_rate(engine, count) for engine, count in many)
+    return whole if whole_rate >= many_rate else many
+
+
+def _split_over_one(engines, layers):
+    able = [engine for engine in engines if engine.layer_capacity >= layers]
+    if not able:
+        return []
+    return [(max(able, key=lambda engine: engine.layer_rate), layers)]
+
+
+def _split_over_many(engines, layers, stages):
+    for rate in _rates_falling(engines):
+        counts = [(layers_at(engine, rate), engine) for engine in engines]
+        counts = [pair for pair in counts if pair[0] > 0]
+        counts.sort(key=lambda pair: -pair[0])
+        if stages:
+            counts = counts[:stages]
+        if stages and (len(counts) < stages or layers < stages):
+            continue
+        if sum(count for count, _ in counts) >= layers:
+            return _trim(counts, layers, stages)
+    return []
+
+
+def _rates_falling(engines):
+    rates = {
+        stage_rate(engine, count)
+        for engine in engines
+        for count in range(1, engine.layer_capacity + 1)
+    }
+    return sorted((rate for rate in rates if rate > 0), reverse=True)
+
+
+def _trim(counts, layers, stages):
+    # Takes the roomiest engines first; a fixed number of stages keeps one layer for
+    # each engine still to come.
+    split = []
+    left = layers
+    for index, (count, engine) in enumerate(counts):
+        reserve = stages - index - 1 if stages else 0
+        take = min(count, left - reserve)
+        if take <= 0:
+            break
+        split.append((engine, take))
+        left -= take
+    return split
