Add routing and limits: choice, prefixes, budget, fair queue

Cause: entry and agent need the decisions under load behind fixed interfaces before their own work can use them.

Change: LoadTable, CandidatePool, Chooser, PrefixView and RetryBudget in routing; OrganisationLimits, FairQueue, WaitEstimator, check_deadline and ConcurrencyGuard in limits. All are plain state with a clock argument.

Ruled out: forgetting an organisation's record at its last release (the rate limit then never held: 400 of 400 requests let in at 10 times the rate in test_rate_is_held_over_time); idle records are swept instead.

--- /dev/null
+++ b/wigeonscale/limits/__init__.py
@@ -0,0 +1,16 @@
+"""Admission: limits per organisation, fair queueing and refusal under overload."""
+
+__all__ = [
+    "ConcurrencyGuard",
+    "FairQueue",
+    "OrganisationLimits",
+    "Permit",
+    "WaitEstimator",
+    "check_deadline",
+]
+
+from wigeonscale.limits.deadline import check_deadline
+from wigeonscale.limits.estimate import WaitEstimator
+from wigeonscale.limits.fair_queue import FairQueue
+from wigeonscale.limits.guard import ConcurrencyGuard
+from wigeonscale.limits.organisations import OrganisationLimits, Permit
--- /dev/null
+++ b/wigeonscale/limits/organisations.py
@@ -0,0 +1,161 @@
+"""Limits per organisation, each entry holding its share."""
+
+__all__ = ["OrganisationLimits", "Permit"]
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.limits.estimate import WaitEstimator
+from wigeonscale.ports import Clock
+
+BURST_S = 1.0
+MIN_SWEEP = 64
+DEFAULT_HOLD_S = 1.0
+
+
+class Permit:
+    """The right to one request in progress; give it back with :meth:`release`.
+
+    Args:
+        release: Called once, at the first release.
+    """
+
+    def __init__(self, *, release: Callable[[], None]):
+        self._release: Callable[[], None] | None = release
+
+    def release(self) -> None:
+        """Give the permit back; further calls do nothing."""
+        release, self._release = self._release, None
+        if release is not None:
+            release()
+
+    def __enter__(self) -> "Permit":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.release()
+
+
+@dataclass(slots=True)
+class _Usage:
+    hold: WaitEstimator
+    updated: float
+    in_progress: int = 0
+    # Part of the burst already used, in requests; it drains at the rate.
+    used: float = 0.0
+    rate: float = 0.0
+
+    def drain(self, now: float) -> None:
+        self.used = max(0.0, self.used - (now - self.updated) * self.rate)
+        self.updated = now
+
+    def is_idle(self, now: float) -> bool:
+        self.drain(now)
+        return self.in_progress == 0 and self.used == 0.0
+
+
+class OrganisationLimits:
+    """Holds each organisation to its requests in progress and per second.
+
+    An entry enforces limit / entries, with the count of entries that it now
+    knows, so that no request waits for another process.
+
+    Args:
+        clock: Clock port.
+        entries: Returns the number of entries that serve callers.
+
+    Notes:
+        Constant time per request, amortised over the sweeps. Memory is one record
+        per organisation with requests in progress or a burst not yet drained, and
+        at most as many idle ones.
+    """
+
+    def __init__(self, *, clock: Clock, entries: Callable[[], int] = lambda: 1):
+        self._clock = clock
+        self._entries = entries
+        self._usages: dict[str, _Usage] = {}
+        self._sweep_at = MIN_SWEEP
+
+    def acquire(
+        self, organisation: str, *, concurrency: int = 0, rate: float = 0.0
+    ) -> Permit:
+        """Take the right to one request.
+
+        Args:
+            organisation: Name of the caller's organisation.
+            concurrency: Its requests in progress over all entries; 0: no limit.
+            rate: Its requests per second over all entries; 0: no limit.
+
+        Returns:
+            The permit, to be released when the request has ended.
+
+        Raises:
+            WigeonscaleError: ``LIMIT_EXCEEDED`` with ``retry_after``.
+        """
+        now = self._clock.now()
+        usage = self._usage(organisation, now)
+        entries = max(1, self._entries())
+        self._check_concurrency(organisation, usage, concurrency, entries)
+        self._check_rate(organisation, usage, rate, entries, now)
+        usage.in_progress += 1
+        return Permit(release=lambda: self._release(usage, now))
+
+    def in_progress(self, organisation: str) -> int:
+        """Return the requests of the organisation in progress here."""
+        usage = self._usages.get(organisation)
+        return usage.in_progress if usage else 0
+
+    def __len__(self) -> int:
+        return len(self._usages)
+
+    def _usage(self, organisation: str, now: float) -> _Usage:
+        usage = self._usages.get(organisation)
+        if usage is None:
+            self._sweep(now)
+            hold = WaitEstimator(clock=self._clock, initial_s=DEFAULT_HOLD_S)
+            usage = self._usages[organisation] = _Usage(hold=hold, updated=now)
+        return usage
+
+    def _sweep(self, now: float) -> None:
+        if len(self._usages) < self._sweep_at:
+            return
+        idle = [name for name, usage in self._usages.items() if usage.is_idle(now)]
+        for name in idle:
+            del self._usages[name]
+        self._sweep_at = max(MIN_SWEEP, 2 * len(self._usages))
+
+    def _check_concurrency(self, organisation, usage, concurrency, entries) -> None:
+        if concurrency <= 0:
+            return
+        # Rounded up: an entry that could never let the organisation in is worse
+        # than a total that exceeds the limit by less than the number of entries.
+        here = math.ceil(concurrency / entries)
+        if usage.in_progress >= here:
+            raise WigeonscaleError(
+                ErrorKind.LIMIT_EXCEEDED,
+                f"organisation {organisation} has {usage.in_progress} requests in "
+                f"progress at this entry, its share of {concurrency} is {here}",
+                retry_after=usage.hold.wait(1, here),
+            )
+
+    def _check_rate(self, organisation, usage, rate, entries, now) -> None:
+        if rate <= 0.0:
+            return
+        here = rate / entries
+        burst = max(1.0, here * BURST_S)
+        usage.rate = here
+        usage.drain(now)
+        if usage.used + 1.0 > burst + 1e-9:
+            raise WigeonscaleError(
+                ErrorKind.LIMIT_EXCEEDED,
+                f"organisation {organisation} exceeds its share of {here:g} requests "
+                f"per second at this entry",
+                retry_after=(usage.used + 1.0 - burst) / here,
+            )
+        usage.used += 1.0
+
+    def _release(self, usage: _Usage, started: float) -> None:
+        usage.in_progress -= 1
+        usage.hold.finished(self._clock.now() - started)
--- /dev/null
+++ b/wigeonscale/limits/tests/test_estimate.py
@@ -0,0 +1,56 @@
+import random
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.limits import WaitEstimator, check_deadline
+from wigeonscale.testing import AsyncTestCase, ManualClock
+
+
+class WaitEstimatorTest(AsyncTestCase):
+    def test_wait_is_queue_over_rate(self):
+        estimator = WaitEstimator(clock=ManualClock())
+        for _ in range(10):
+            estimator.finished(2.0)
+        self.assertAlmostEqual(5.0, estimator.wait(10, 4))
+        self.assertEqual(0.0, estimator.wait(0, 4))
+
+    def test_follows_a_change(self):
+        estimator = WaitEstimator(clock=ManualClock(), initial_s=50.0)
+        estimator.finished(1.0)
+        self.assertAlmostEqual(1.0, estimator.service_s)
+        for _ in range(200):
+            estimator.finished(3.0)
+        self.assertAlmostEqual(3.0, estimator.service_s, places=2)
+
+
+class CheckDeadlineTest(AsyncTestCase):
+    def test_in_time_passes(self):
+        check_deadline(wait_s=1.0, service_s=1.0, deadline_s=2.0)
+        check_deadline(wait_s=100.0, service_s=1.0, deadline_s=None)
+
+    def refusal(self, **kwargs):
+        exc = self.assertRaises(WigeonscaleError, check_deadline, **kwargs)
+        self.assertEqual(ErrorKind.OVERLOADED, exc.kind)
+        self.assertEqual("not-run", exc.run_state)
+        return exc
+
+    def test_retry_after_is_when_the_backlog_leaves_room(self):
+        exc = self.refusal(wait_s=10.0, service_s=1.0, deadline_s=4.0)
+        self.assertAlmostEqual(7.0, exc.retry_after)
+
+    def test_deadline_below_service_is_no_reason_to_wait_longer(self):
+        exc = self.refusal(wait_s=2.0, service_s=30.0, deadline_s=4.0)
+        self.assertAlmostEqual(2.0, exc.retry_after)
+
+    def test_refused_come_back_spread(self):
+        rng = random.Random(1)
+        times = {
+            round(
+                self.refusal(
+                    wait_s=9.0, service_s=1.0, deadline_s=4.0, rng=rng
+                ).retry_after,
+                3,
+            )
+            for _ in range(20)
+        }
+        self.assertGreater(len(times), 10)
+        self.assertTrue(all(6.0 <= seconds <= 12.0 for seconds in times))
--- /dev/null
+++ b/wigeonscale/routing/chooser.py
@@ -0,0 +1,133 @@
+"""The choice of one candidate for one request."""
+
+__all__ = ["Chooser"]
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from wigeonscale.routing.load import LoadTable
+from wigeonscale.routing.prefixes import PrefixView, prefix_digest
+from wigeonscale.routing.subset import Candidate, CandidatePool, rendezvous_weight
+
+DEFAULT_SUBSET = 8
+POOLS_KEPT = 256
+LOAD_RATIO_BOUND = 1.25
+LOAD_SLACK = 0.25
+
+
+class Chooser:
+    """Power of two choices on a bounded subset, with prefix affinity.
+
+    A request with a prefix goes to a backend server that holds the prefix, or
+    else to the one that rendezvous hashing gives, as long as its load is at most
+    ``LOAD_RATIO_BOUND`` times that of the better of two random candidates.
+
+    Args:
+        table: Load of the agents.
+        rng: Source of the random choices; its first number seeds the subset.
+        subset: Candidates used per target.
+        view: Prefixes known to be held; None for affinity by hash alone.
+
+    Notes:
+        A choice costs one hash per member of the subset when it has a prefix, else
+        constant time, in a :class:`CandidatePool` that is updated incrementally or
+        in a tuple: pass the same tuple object until the candidates change, since
+        a new one, as any other sequence, costs one hash per candidate.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: LoadTable,
+        rng: random.Random,
+        subset: int = DEFAULT_SUBSET,
+        view: PrefixView | None = None,
+    ):
+        self._table = table
+        self._rng = rng
+        self._size = subset
+        self._view = view
+        self._seed = rng.getrandbits(128).to_bytes(16, "big")
+        self._pools: OrderedDict[int, tuple[Sequence[Candidate], CandidatePool]]
+        self._pools = OrderedDict()
+
+    def new_pool(self, candidates: Sequence[Candidate] = ()) -> CandidatePool:
+        """Return a pool with this chooser's subset size and seed."""
+        return CandidatePool(seed=self._seed, size=self._size, candidates=candidates)
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate] | CandidatePool,
+        *,
+        prefix: bytes = b"",
+        avoid: frozenset[str] = frozenset(),
+    ) -> Candidate | None:
+        """Return the candidate for one request.
+
+        Args:
+            candidates: Where the request may go.
+            prefix: The prompt, or its first bytes; empty for no affinity.
+            avoid: Ids of agents not to use.
+
+        Returns:
+            The choice, or None when no candidate is usable.
+        """
+        usable = self._usable(candidates, avoid)
+        if not usable:
+            return None
+        balanced = self._least_loaded_of_two(usable)
+        if not prefix:
+            return balanced
+        preferred = self._preferred(usable, prefix_digest(prefix))
+        return preferred if self._load_allows(preferred, balanced) else balanced
+
+    def _usable(self, candidates, avoid: frozenset[str]) -> list[Candidate]:
+        pool = self._pool(candidates)
+        usable = [c for c in pool.subset if self._is_usable(c, avoid)]
+        if usable or len(pool) <= self._size:
+            return usable
+        # All of the subset is out, as after a lost domain: look at the others.
+        return [c for c in pool.ranked(4 * self._size) if self._is_usable(c, avoid)]
+
+    def _is_usable(self, candidate: Candidate, avoid: frozenset[str]) -> bool:
+        agent_id = candidate.agent_id
+        return agent_id not in avoid and not self._table.leaving(agent_id)
+
+    def _pool(self, candidates) -> CandidatePool:
+        if isinstance(candidates, CandidatePool):
+            return candidates
+        if not isinstance(candidates, tuple):
+            return self.new_pool(candidates)
+        known = self._pools.get(id(candidates))
+        if known is not None:
+            self._pools.move_to_end(id(candidates))
+            return known[1]
+        pool = self.new_pool(candidates)
+        # The tuple is kept too, so that its id cannot become another's.
+        self._pools[id(candidates)] = (candidates, pool)
+        if len(self._pools) > POOLS_KEPT:
+            self._pools.popitem(last=False)
+        return pool
+
+    def _least_loaded_of_two(self, usable: list[Candidate]) -> Candidate:
+        if len(usable) == 1:
+            return usable[0]
+        first, second = self._rng.sample(usable, 2)
+        return min(first, second, key=self._cost)
+
+    def _preferred(self, usable: list[Candidate], digest: bytes) -> Candidate:
+        if self._view is not None:
+            holders = [c for c in usable if self._view.holds(c.agent_id, digest)]
+            if holders:
+                return min(holders, key=self._cost)
+        return max(usable, key=lambda c: rendezvous_weight(digest, c.key, c.rate))
+
+    def _load_allows(self, preferred: Candidate, balanced: Candidate) -> bool:
+        bound = LOAD_RATIO_BOUND * self._cost(balanced)
+        return self._cost(preferred) <= bound + LOAD_SLACK / balanced.rate
+
+    def _cost(self, candidate: Candidate) -> float:
+        # Occupancy over rate: time until a new request is served, up to a factor.
+        backlog = self._table.backlog(candidate.agent_id)
+        return (backlog + 1) / max(candidate.rate, 1e-9)
--- /dev/null
+++ b/wigeonscale/routing/tests/test_load.py
@@ -0,0 +1,55 @@
+from types import SimpleNamespace
+
+from wigeonscale.routing import LoadTable
+from wigeonscale.testing import AsyncTestCase, ManualClock
+
+
+def load_word(*, running=0, queued=0, slots=4, wait_s=0.0, leaving=False):
+    return SimpleNamespace(
+        running=running, queued=queued, slots=slots, wait_s=wait_s, leaving=leaving
+    )
+
+
+class LoadTableTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.table = LoadTable(clock=self.clock)
+
+    def test_unknown_agent_has_no_wait(self):
+        self.assertEqual(0.0, self.table.score("a"))
+
+    def test_own_requests_count_without_a_word(self):
+        for _ in range(3):
+            self.table.started("a")
+        self.table.finished("a")
+        self.assertEqual(2, self.table.in_flight("a"))
+        self.assertEqual(2, self.table.backlog("a"))
+
+    def test_word_holds_the_load_of_all_entries(self):
+        self.table.word("a", load_word(running=4, queued=4, wait_s=2.0))
+        self.assertEqual(8, self.table.backlog("a"))
+        self.assertAlmostEqual(2.5, self.table.score("a"))
+
+    def test_starts_since_the_word_are_added(self):
+        self.table.started("a")
+        self.table.word("a", load_word(running=3))
+        self.table.started("a")
+        self.assertEqual(4, self.table.backlog("a"))
+        self.table.finished("a")
+        self.table.finished("a")
+        self.assertEqual(2, self.table.backlog("a"))
+
+    async def test_late_word_is_set_against_the_load_at_its_time(self):
+        self.table.started("a")
+        await self.clock.advance(2.0)
+        self.table.started("a")
+        await self.clock.advance(1.0)
+        self.table.word("a", load_word(running=5), age_s=2.0)
+        self.assertEqual(6, self.table.backlog("a"))
+
+    def test_leaving_and_forget(self):
+        self.table.word("a", load_word(leaving=True))
+        self.assertTrue(self.table.leaving("a"))
+        self.table.forget("a")
+        self.assertFalse(self.table.leaving("a"))
--- /dev/null
+++ b/wigeonscale/routing/tests/test_prefixes.py
@@ -0,0 +1,49 @@
+from wigeonscale.routing import PrefixView, prefix_digest
+from wigeonscale.testing import AsyncTestCase
+
+
+class PrefixViewTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.view = PrefixView()
+
+    def held(self, *digests):
+        return [digest for digest in digests if self.view.holds("a", digest)]
+
+    def test_follows_events(self):
+        self.view.event("a", 1, b"x", held=True)
+        self.view.event("a", 2, b"y", held=True)
+        self.view.event("a", 3, b"x", held=False)
+        self.assertEqual([b"y"], self.held(b"x", b"y"))
+
+    def test_gap_forgets_what_no_later_event_confirms(self):
+        self.view.event("a", 1, b"x", held=True)
+        self.view.event("a", 3, b"y", held=True)
+        self.assertEqual([b"y"], self.held(b"x", b"y"))
+        self.view.event("a", 4, b"x", held=True)
+        self.assertEqual([b"x", b"y"], self.held(b"x", b"y"))
+
+    def test_late_event_from_before_a_gap_is_not_believed(self):
+        self.view.event("a", 1, b"x", held=True)
+        self.view.event("a", 4, b"y", held=True)
+        self.view.event("a", 2, b"x", held=True)
+        self.assertEqual([], self.held(b"x"))
+
+    def test_agents_are_apart(self):
+        self.view.event("a", 1, b"x", held=True)
+        self.view.event("b", 9, b"y", held=True)
+        self.assertEqual([b"x"], self.held(b"x", b"y"))
+        self.view.forget("a")
+        self.assertEqual([], self.held(b"x"))
+
+    def test_memory_is_bounded(self):
+        for number in range(5000):
+            self.view.event("a", number, b"%d" % number, held=True)
+        self.assertEqual([], self.held(b"0"))
+        self.assertEqual([b"4999"], self.held(b"4999"))
+
+    def test_digest_is_of_the_first_bytes(self):
+        shared = b"p" * 256
+        self.assertEqual(prefix_digest(shared + b"1"), prefix_digest(shared + b"2"))
+        self.assertNotEqual(prefix_digest(b"one"), prefix_digest(b"two"))
+        self.assertEqual(b"", prefix_digest(b""))
