Land ControlClient: watch, lease, commands, floor

Cause: entries and agents need configuration, members and a freshness lease from any control replica, and one way to submit commands. Change: a watcher keeps at most two connections (the second at once on silence), a lease by echo and age, a configuration that never goes back, a submitter that keeps one operation id over resends, a floor from a majority.

--- a/wigeonscale/adapters/__init__.py
+++ b/wigeonscale/adapters/__init__.py
@@ -12,6 +12,7 @@
     "server_tls_context",
     "setup_logging",
     "start_http",
+    "wait_connected",
 ]
 
 from wigeonscale.adapters.channels import (
@@ -19,6 +20,7 @@
     new_server,
     open_channel,
     server_tls_context,
+    wait_connected,
 )
 from wigeonscale.adapters.health import bound_address, start_http
 from wigeonscale.adapters.logs import log_fields, setup_logging
--- a/wigeonscale/adapters/channels.py
+++ b/wigeonscale/adapters/channels.py
@@ -3,7 +3,13 @@
 Keepalive, message limits and reconnection stand here and nowhere else.
 """
 
-__all__ = ["TlsFiles", "open_channel", "new_server", "server_tls_context"]
+__all__ = [
+    "TlsFiles",
+    "new_server",
+    "open_channel",
+    "server_tls_context",
+    "wait_connected",
+]
 
 import pathlib
 import ssl
@@ -41,6 +47,10 @@
     # Two processes on one port would answer for each other.
     ("grpc.so_reuseport", 0),
 )
+_FAILED_STATES = (
+    grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+    grpc.ChannelConnectivity.SHUTDOWN,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +88,23 @@
     return grpc.aio.secure_channel(address, creds, options=_CHANNEL_OPTIONS)
 
 
+async def wait_connected(channel: grpc.aio.Channel) -> None:
+    """Connect a channel, giving up at the first failure.
+
+    Args:
+        channel: The channel; while it is not connected nothing was sent on it.
+
+    Raises:
+        ConnectionError: If the peer refused or the channel was closed.
+    """
+    state = channel.get_state(try_to_connect=True)
+    while state is not grpc.ChannelConnectivity.READY:
+        if state in _FAILED_STATES:
+            raise ConnectionError(f"channel is in state {state.name}")
+        await channel.wait_for_state_change(state)
+        state = channel.get_state(try_to_connect=True)
+
+
 def new_server(
     address: str, *, tls: TlsFiles | None = None
 ) -> tuple[grpc.aio.Server, str]:
--- /dev/null
+++ b/wigeonscale/membership/connection.py
@@ -0,0 +1,153 @@
+"""One watch connection to one control replica."""
+
+__all__ = ["DisconnectCause", "WatchConnection"]
+
+import asyncio
+import enum
+import logging
+from collections.abc import Callable
+
+import grpc
+
+from wigeonscale.adapters.channels import TlsFiles, open_channel
+from wigeonscale.membership.members import MembersView
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+MICROSECONDS = 1_000_000
+MAX_QUEUED = 256
+
+logger = logging.getLogger(__name__)
+
+
+class DisconnectCause(enum.StrEnum):
+    """Why a watch connection ended."""
+
+    LOST = "lost"
+    SILENT = "silent"
+    NO_LEASE = "no-lease"
+    OLDER_REVISION = "older-revision"
+    CONFIG_MISMATCH = "config-mismatch"
+    MEMBERS_OUT_OF_ORDER = "members-out-of-order"
+    SUPERSEDED = "superseded"
+
+
+class WatchConnection:
+    """State of one watch stream; :meth:`run` is its task.
+
+    Attributes:
+        address: Replica's ``ip:port``.
+        members: Backends and chains as told on this stream; None until told.
+        opened_at: Own time of opening, in seconds.
+        answered_at: Own sending time of the latest heartbeat that was answered, or
+            the time of opening. A stream that is silent in one direction, or that
+            delivers old answers, falls behind here.
+        last_sent_us: Own time of the latest heartbeat, in microseconds.
+        cause: Why it ended, once it has.
+
+    Args:
+        address: Replica's ``ip:port``.
+        clock: Clock of this process.
+        heartbeat_s: Interval of heartbeats, in seconds.
+        hello: First message of the stream.
+        on_event: Called with this connection and each event; returns a cause to
+            end the connection, else None.
+        applied_revision: Returns the configuration revision in force here.
+        tls: Files for mutual TLS; None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: Clock,
+        heartbeat_s: float,
+        hello: wire.Hello,
+        on_event: Callable[
+            ["WatchConnection", wire.WatchEvent], DisconnectCause | None
+        ],
+        applied_revision: Callable[[], int],
+        tls: TlsFiles | None = None,
+    ):
+        self.address = address
+        self.members: MembersView | None = None
+        self.opened_at = clock.now()
+        self.answered_at = self.opened_at
+        self.last_sent_us = 0
+        self.cause: DisconnectCause | None = None
+        self._clock = clock
+        self._heartbeat_s = heartbeat_s
+        self._on_event = on_event
+        self._applied_revision = applied_revision
+        self._tls = tls
+        self._queue: asyncio.Queue[wire.WatchRequest] = asyncio.Queue(MAX_QUEUED)
+        self.send(wire.WatchRequest(hello=hello))
+
+    def send(self, req: wire.WatchRequest) -> None:
+        """Queue a message for the replica.
+
+        Args:
+            req: The message; dropped when the stream takes nothing any more, since
+                its silence then ends it.
+        """
+        try:
+            self._queue.put_nowait(req)
+        except asyncio.QueueFull:
+            logger.warning("watch stream to %s takes no messages", self.address)
+
+    def answered(self, echo_us: int) -> None:
+        """Note that the replica answered a heartbeat.
+
+        Args:
+            echo_us: Sending time of that heartbeat, in microseconds.
+        """
+        if echo_us <= self.last_sent_us:
+            self.answered_at = max(self.answered_at, echo_us / MICROSECONDS)
+
+    async def run(self) -> None:
+        """Keep the stream until it ends; then :attr:`cause` tells why."""
+        async with open_channel(self.address, tls=self._tls) as channel:
+            call = wire_pb2_grpc.ControlStub(channel).Watch()
+            writers = [
+                asyncio.create_task(self._write(call)),
+                asyncio.create_task(self._beat()),
+            ]
+            try:
+                cause = await self._read(call)
+            finally:
+                call.cancel()
+                for task in writers:
+                    task.cancel()
+                await asyncio.gather(*writers, return_exceptions=True)
+            self.cause = self.cause or cause
+
+    async def _read(self, call: grpc.aio.StreamStreamCall) -> DisconnectCause:
+        try:
+            async for event in call:
+                cause = self._handle(event)
+                if cause is not None:
+                    return cause
+        except grpc.aio.AioRpcError as exc:
+            logger.info("watch stream to %s lost: %s", self.address, exc.code())
+        return DisconnectCause.LOST
+
+    def _handle(self, event: wire.WatchEvent) -> DisconnectCause | None:
+        try:
+            return self._on_event(self, event)
+        except Exception:
+            logger.exception("event from %s not handled", self.address)
+            return None
+
+    async def _write(self, call: grpc.aio.StreamStreamCall) -> None:
+        while True:
+            await call.write(await self._queue.get())
+
+    async def _beat(self) -> None:
+        while True:
+            self.last_sent_us = int(self._clock.now() * MICROSECONDS)
+            beat = wire.Heartbeat(
+                sent_us=self.last_sent_us, applied_revision=self._applied_revision()
+            )
+            self.send(wire.WatchRequest(heartbeat=beat))
+            await self._clock.sleep(self._heartbeat_s)
--- /dev/null
+++ b/wigeonscale/membership/floor.py
@@ -0,0 +1,75 @@
+"""Asks a majority of control replicas for the floor of fencing numbers."""
+
+__all__ = ["ask_floor"]
+
+import asyncio
+import logging
+import random
+from collections.abc import Sequence
+
+import grpc
+
+from wigeonscale.adapters.channels import TlsFiles, open_channel
+from wigeonscale.membership.backoff import Backoff
+from wigeonscale.membership.timeouts import within
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+ASK_TIMEOUT_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+async def ask_floor(
+    *,
+    addresses: Sequence[str],
+    clock: Clock,
+    rng: random.Random,
+    tls: TlsFiles | None = None,
+) -> tuple[int, int]:
+    """Return the largest log position over a majority of the replicas.
+
+    Any order that was committed before the call lies at or below the result,
+    since its majority and this one share a replica.
+
+    Args:
+        addresses: Addresses of all voters.
+        clock: Clock of this process.
+        rng: Source of jitter between rounds.
+        tls: Files for mutual TLS; None for plain TCP.
+
+    Returns:
+        Term and index. Waits, round after round, until a majority answers.
+    """
+    majority = len(addresses) // 2 + 1
+    backoff = Backoff(rng=rng)
+    while True:
+        replies = await asyncio.gather(
+            *(_ask(address, clock, tls) for address in addresses)
+        )
+        # By node, since two addresses may lead to one replica.
+        floors = {
+            reply.node_id: (reply.term, reply.index)
+            for reply in replies
+            if reply is not None
+        }
+        if len(floors) >= majority:
+            return max(floors.values())
+        logger.info("floor: %d of %d replicas answered", len(floors), len(addresses))
+        await clock.sleep(backoff.next_wait())
+
+
+async def _ask(
+    address: str, clock: Clock, tls: TlsFiles | None
+) -> wire.FloorReply | None:
+    async with open_channel(address, tls=tls) as channel:
+        stub = wire_pb2_grpc.ControlStub(channel)
+        try:
+            return await within(clock, ASK_TIMEOUT_S, _floor(stub))
+        except (grpc.aio.AioRpcError, TimeoutError):
+            return None
+
+
+async def _floor(stub: wire_pb2_grpc.ControlStub) -> wire.FloorReply:
+    return await stub.Floor(wire.FloorRequest())
--- /dev/null
+++ b/wigeonscale/membership/members.py
@@ -0,0 +1,129 @@
+"""What a watcher knows of backends and chains, kept incrementally."""
+
+__all__ = ["MembersView"]
+
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class _Index:
+    """Groups of messages by a key, for example chains by pipeline."""
+
+    def __init__(self):
+        self._groups: dict[str, dict[str, object]] = {}
+        self._lists: dict[str, tuple] = {}
+
+    def add(self, group: str, name: str, message: object) -> None:
+        self._groups.setdefault(group, {})[name] = message
+        self._lists.pop(group, None)
+
+    def remove(self, group: str, name: str) -> None:
+        members = self._groups.get(group, {})
+        members.pop(name, None)
+        if not members:
+            self._groups.pop(group, None)
+        self._lists.pop(group, None)
+
+    def list_of(self, group: str) -> tuple:
+        if group not in self._lists:
+            if group not in self._groups:
+                return ()
+            self._lists[group] = tuple(self._groups[group].values())
+        return self._lists[group]
+
+
+class MembersView:
+    """Backends, chains and spares as of one log index.
+
+    Notes:
+        An update costs in proportion to itself. ``chains_of`` and
+        ``backends_of`` build their tuple once after a change of that pipeline or
+        service and then return the same one.
+    """
+
+    def __init__(self):
+        self.index = 0
+        self._backends: dict[str, wire.Backend] = {}
+        self._chains: dict[str, wire.Chain] = {}
+        self._spares: Sequence[wire.Stage] = ()
+        self._by_service = _Index()
+        self._by_pipeline = _Index()
+
+    @property
+    def backends(self) -> Mapping[str, wire.Backend]:
+        """Announced backends by agent id."""
+        return MappingProxyType(self._backends)
+
+    @property
+    def chains(self) -> Mapping[str, wire.Chain]:
+        """Pipeline replicas by chain id, ready or not."""
+        return MappingProxyType(self._chains)
+
+    @property
+    def spares(self) -> Sequence[wire.Stage]:
+        """Engines that stand in no chain."""
+        return self._spares
+
+    def chains_of(self, pipeline: str) -> tuple[wire.Chain, ...]:
+        """Return the chains of a pipeline, ready or not.
+
+        Args:
+            pipeline: Name of the pipeline.
+
+        Returns:
+            Its chains; empty when there are none.
+        """
+        return self._by_pipeline.list_of(pipeline)
+
+    def backends_of(self, service: str) -> tuple[wire.Backend, ...]:
+        """Return the backends of a plain service, draining ones too.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            Its backends; empty when there are none.
+        """
+        return self._by_service.list_of(service)
+
+    def apply(self, update: wire.MembersUpdate) -> None:
+        """Take in one update.
+
+        Args:
+            update: A delta, or a full one that replaces all that was known.
+        """
+        if update.full:
+            self.__init__()
+        for agent_id in update.removed_backends:
+            self._remove_backend(agent_id)
+        for chain_id in update.removed_chains:
+            self._remove_chain(chain_id)
+        for backend in update.backends:
+            self._set_backend(backend)
+        for chain in update.chains:
+            self._set_chain(chain)
+        self._spares = update.spares
+        self.index = update.index
+
+    def _set_backend(self, backend: wire.Backend) -> None:
+        self._remove_backend(backend.agent_id)
+        self._backends[backend.agent_id] = backend
+        if backend.kind == wire.SERVICE:
+            self._by_service.add(backend.service, backend.agent_id, backend)
+
+    def _remove_backend(self, agent_id: str) -> None:
+        old = self._backends.pop(agent_id, None)
+        if old is not None and old.kind == wire.SERVICE:
+            self._by_service.remove(old.service, agent_id)
+
+    def _set_chain(self, chain: wire.Chain) -> None:
+        self._remove_chain(chain.chain_id)
+        self._chains[chain.chain_id] = chain
+        self._by_pipeline.add(chain.pipeline, chain.chain_id, chain)
+
+    def _remove_chain(self, chain_id: str) -> None:
+        old = self._chains.pop(chain_id, None)
+        if old is not None:
+            self._by_pipeline.remove(old.pipeline, chain_id)
--- /dev/null
+++ b/wigeonscale/membership/submitter.py
@@ -0,0 +1,279 @@
+"""Submits commands to the leader over one open stream."""
+
+__all__ = ["Submitter"]
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Sequence
+
+import grpc
+
+from wigeonscale.adapters.channels import TlsFiles, open_channel, wait_connected
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError, error_from_kind
+from wigeonscale.membership.backoff import Backoff
+from wigeonscale.membership.timeouts import within
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+# A stream with a command waiting and no answer for this long counts as silent.
+SILENT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+BACKOFF_BASE_S = 0.02
+BACKOFF_CAP_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class _StreamLostError(Exception):
+    """The stream ended; whether the command was taken is not known."""
+
+
+class _Attempt:
+    """One command over all its attempts."""
+
+    def __init__(self, *, command: wire.Command):
+        self.command = command
+        self.maybe_taken = False
+
+    @property
+    def run_state(self) -> RunState:
+        return RunState.UNKNOWN if self.maybe_taken else RunState.NOT_RUN
+
+
+class _Stream:
+    """One open Submit stream with the commands that wait on it."""
+
+    def __init__(self, *, address: str, channel: grpc.aio.Channel, clock: Clock):
+        self.address = address
+        self._channel = channel
+        self._clock = clock
+        self._heard_at = clock.now()
+        self._call = wire_pb2_grpc.ControlStub(channel).Submit()
+        self._waiting: dict[int, asyncio.Future[wire.SubmitReply]] = {}
+        self._last_id = 0
+        self._write_lock = asyncio.Lock()
+        self._reader = asyncio.create_task(self._read())
+
+    @property
+    def is_open(self) -> bool:
+        return not self._reader.done()
+
+    @property
+    def is_silent(self) -> bool:
+        return self._clock.now() - self._heard_at >= SILENT_S
+
+    async def ask(self, attempt: _Attempt) -> wire.SubmitReply:
+        self._last_id += 1
+        req = wire.SubmitRequest(call_id=self._last_id, command=attempt.command)
+        fut = asyncio.get_running_loop().create_future()
+        if not self._waiting:
+            self._heard_at = self._clock.now()
+        self._waiting[req.call_id] = fut
+        try:
+            async with self._write_lock:
+                if not self.is_open:
+                    raise _StreamLostError
+                attempt.maybe_taken = True
+                await self._call.write(req)
+            return await fut
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            raise _StreamLostError from exc
+        finally:
+            self._waiting.pop(req.call_id, None)
+
+    async def close(self) -> None:
+        self._call.cancel()
+        self._reader.cancel()
+        await asyncio.gather(self._reader, return_exceptions=True)
+        await self._channel.close()
+
+    async def _read(self) -> None:
+        try:
+            async for reply in self._call:
+                self._heard_at = self._clock.now()
+                fut = self._waiting.get(reply.call_id)
+                if fut is not None and not fut.done():
+                    fut.set_result(reply)
+        except grpc.aio.AioRpcError as exc:
+            logger.info("submit stream to %s lost: %s", self.address, exc.code())
+        finally:
+            for fut in self._waiting.values():
+                if not fut.done():
+                    fut.set_exception(_StreamLostError())
+
+
+class Submitter:
+    """Submits commands, many at a time, and follows the leader.
+
+    Args:
+        addresses: Replicas' addresses.
+        clock: Clock of this process.
+        rng: Source of jitter.
+        tls: Files for mutual TLS; None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[str],
+        clock: Clock,
+        rng: random.Random,
+        tls: TlsFiles | None = None,
+    ):
+        self._addresses = rng.sample(list(addresses), len(addresses))
+        self._clock = clock
+        self._rng = rng
+        self._tls = tls
+        self._target = self._addresses[0]
+        self._stream: _Stream | None = None
+        self._connecting = asyncio.Lock()
+        self._closed = False
+
+    async def submit(
+        self, command: wire.Command, timeout_s: float = 3.0
+    ) -> wire.CommandResult:
+        """Submit one command and return its result.
+
+        The command keeps one operation id over all resends, so that it takes
+        effect at most once.
+
+        Args:
+            command: The command; an empty operation id is filled in.
+            timeout_s: Limit of all attempts together, in seconds.
+
+        Returns:
+            The result; for a claim that was not granted, the standing record.
+
+        Raises:
+            WigeonscaleError: The command's own error, or ``NO_QUORUM`` when no
+                leader answered in time: run state ``NOT_RUN`` only when no replica
+                can have taken the command, else ``UNKNOWN``.
+        """
+        if not command.operation_id:
+            command.operation_id = uuid.uuid4().hex
+        attempt = _Attempt(command=command)
+        try:
+            result = await within(
+                self._clock, timeout_s, self._submit_until_done(attempt)
+            )
+        except TimeoutError:
+            raise _no_quorum(attempt, timeout_s) from None
+        _raise_refusal(result)
+        return result
+
+    async def close(self) -> None:
+        """Close the stream; commands in flight end as lost."""
+        self._closed = True
+        if self._stream is not None:
+            await self._stream.close()
+            self._stream = None
+
+    async def _submit_until_done(self, attempt: _Attempt) -> wire.CommandResult:
+        backoff = Backoff(rng=self._rng, base_s=BACKOFF_BASE_S, cap_s=BACKOFF_CAP_S)
+        while True:
+            if self._closed:
+                raise WigeonscaleError(
+                    ErrorKind.STOPPING,
+                    f"command {attempt.command.operation_id}: client closed",
+                    run_state=attempt.run_state,
+                )
+            result = await self._try_once(attempt)
+            if result is not None:
+                return result
+            await self._clock.sleep(backoff.next_wait())
+
+    async def _try_once(self, attempt: _Attempt) -> wire.CommandResult | None:
+        stream = await self._open_stream()
+        if stream is None:
+            return None
+        maybe_taken_before = attempt.maybe_taken
+        try:
+            reply = await within(self._clock, SILENT_S, stream.ask(attempt))
+        except _StreamLostError:
+            await self._abandon(stream)
+            return None
+        except TimeoutError:
+            if stream.is_silent:
+                await self._abandon(stream)
+            return None
+        if reply.result.kind == ErrorKind.NOT_LEADER:
+            attempt.maybe_taken = maybe_taken_before
+            await self._follow(stream, reply.leader)
+            return None
+        if reply.result.kind == ErrorKind.NO_QUORUM:
+            await self._abandon(stream)
+            return None
+        return reply.result
+
+    async def _open_stream(self) -> _Stream | None:
+        async with self._connecting:
+            if self._stream is not None and self._stream.is_open:
+                return self._stream
+            if self._stream is not None:
+                await self._stream.close()
+                self._stream = None
+            address = self._target
+            channel = open_channel(address, tls=self._tls)
+            if not await self._connects(channel):
+                self._target = self._after(address)
+                return None
+            self._stream = _Stream(address=address, channel=channel, clock=self._clock)
+            return self._stream
+
+    async def _connects(self, channel: grpc.aio.Channel) -> bool:
+        try:
+            await within(self._clock, CONNECT_TIMEOUT_S, wait_connected(channel))
+        except (ConnectionError, TimeoutError):
+            await channel.close()
+            return False
+        except asyncio.CancelledError:
+            await channel.close()
+            raise
+        return True
+
+    async def _abandon(self, stream: _Stream) -> None:
+        """Leave a stream for the next replica."""
+        await self._leave(stream, self._after(stream.address))
+
+    async def _follow(self, stream: _Stream, leader: str) -> None:
+        """Leave a replica that does not lead for the one that it names."""
+        await self._leave(stream, leader or self._after(stream.address))
+
+    async def _leave(self, stream: _Stream, target: str) -> None:
+        async with self._connecting:
+            if stream is not self._stream:
+                return
+            self._stream = None
+            self._target = target
+        await stream.close()
+
+    def _after(self, address: str) -> str:
+        if address not in self._addresses:
+            return self._addresses[0]
+        place = self._addresses.index(address) + 1
+        return self._addresses[place % len(self._addresses)]
+
+
+def _no_quorum(attempt: _Attempt, timeout_s: float) -> WigeonscaleError:
+    return WigeonscaleError(
+        ErrorKind.NO_QUORUM,
+        f"command {attempt.command.operation_id}: no leader answered"
+        f" in {timeout_s:g} s",
+        run_state=attempt.run_state,
+        retry_after=timeout_s,
+    )
+
+
+def _raise_refusal(result: wire.CommandResult) -> None:
+    if not result.kind or _is_standing_claim(result):
+        return
+    is_certain = result.kind != ErrorKind.INTERNAL
+    run_state = RunState.NOT_RUN if is_certain else RunState.UNKNOWN
+    raise error_from_kind(result.kind, result.message, run_state=run_state)
+
+
+def _is_standing_claim(result: wire.CommandResult) -> bool:
+    return result.HasField("claim") and result.kind != ErrorKind.IDEMPOTENCY_KEY_REUSED
--- /dev/null
+++ b/wigeonscale/membership/watcher.py
@@ -0,0 +1,200 @@
+"""Keeps one good watch connection, opening a second when the first goes quiet."""
+
+__all__ = ["Watcher"]
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Sequence
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.metrics import Metrics
+from wigeonscale.membership.backoff import Backoff
+from wigeonscale.membership.connection import DisconnectCause, WatchConnection
+from wigeonscale.membership.lease import Lease
+from wigeonscale.ports import Clock
+
+# Heartbeats without an answer after which a connection counts as silent.
+SILENT_HEARTBEATS = 3
+# A new connection is asked for less patience, since a lease is running out.
+NEW_SILENT_HEARTBEATS = 2
+# Share of the lease without confirmation after which another replica is tried,
+# though the current one answers. A leader change takes less than this.
+UNCONFIRMED_SHARE = 2 / 3
+UNCONFIRMED_JITTER = 1 / 6
+REVIEWS_PER_HEARTBEAT = 4
+
+logger = logging.getLogger(__name__)
+
+
+class Watcher:
+    """Opens watch connections and decides which of them is the attached one.
+
+    At most two are open: the attached one, and a candidate that is tried when
+    there is none or when it is silent or unconfirmed. The candidate takes over
+    with the first grant that lengthens the lease.
+
+    Attributes:
+        attached: The connection in use, or None.
+
+    Args:
+        addresses: Replicas' addresses.
+        clock: Clock of this process.
+        rng: Source of jitter and of the order in which replicas are tried.
+        lease: Lease that grants lengthen.
+        lease_s: Time of the lease, in seconds.
+        heartbeat_s: Interval of heartbeats, in seconds.
+        open_connection: Returns a new connection to an address.
+        on_attached: Called with each connection that takes over.
+        metrics: Where connections are counted.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[str],
+        clock: Clock,
+        rng: random.Random,
+        lease: Lease,
+        lease_s: float,
+        heartbeat_s: float,
+        open_connection: Callable[[str], WatchConnection],
+        on_attached: Callable[[WatchConnection], None],
+        metrics: Metrics,
+    ):
+        self.attached: WatchConnection | None = None
+        self._addresses = rng.sample(list(addresses), len(addresses))
+        self._clock = clock
+        self._lease = lease
+        self._lease_s = lease_s
+        self._heartbeat_s = heartbeat_s
+        self._open_connection = open_connection
+        self._on_attached = on_attached
+        self._metrics = metrics
+        self._backoff = Backoff(rng=rng)
+        self._unconfirmed_s = lease_s * (
+            UNCONFIRMED_SHARE + rng.uniform(0, UNCONFIRMED_JITTER)
+        )
+        self._candidate: WatchConnection | None = None
+        self._next_address = 0
+        self._next_attempt_at = clock.now()
+        self._tasks: dict[WatchConnection, asyncio.Task] = {}
+        self._wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Keep connections until cancelled."""
+        ticker = asyncio.create_task(self._tick())
+        try:
+            while True:
+                self._review()
+                await self._wake.wait()
+                self._wake.clear()
+        finally:
+            tasks = [ticker, *self._tasks.values()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def confirmed_by(self, conn: WatchConnection) -> None:
+        """Note that a grant on this connection lengthened the lease.
+
+        Args:
+            conn: The connection; it takes over if it is the candidate and has
+                told its members.
+        """
+        if conn is self.attached:
+            self._next_attempt_at = min(self._next_attempt_at, self._clock.now())
+            # Not at once, so that a replica that fails again and again is not
+            # asked again and again.
+            if self._clock.now() > conn.opened_at + self._lease_s:
+                self._backoff.reset()
+        if conn is self._candidate and conn.members is not None:
+            self._attach(conn)
+            self._wake.set()
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep(self._heartbeat_s / REVIEWS_PER_HEARTBEAT)
+            self._wake.set()
+
+    def _review(self) -> None:
+        self._drop_ended()
+        if self._candidate is not None:
+            self._review_candidate(self._candidate)
+        elif self._needs_another() and self._clock.now() >= self._next_attempt_at:
+            self._open_candidate()
+
+    def _drop_ended(self) -> None:
+        for conn in [conn for conn, task in self._tasks.items() if task.done()]:
+            task = self._tasks.pop(conn)
+            if not task.cancelled() and task.exception() is not None:
+                logger.error("watch connection failed", exc_info=task.exception())
+            if conn in (self.attached, self._candidate):
+                self._lose(conn, conn.cause or DisconnectCause.LOST)
+
+    def _review_candidate(self, conn: WatchConnection) -> None:
+        if not self._needs_another():
+            self._lose(conn, DisconnectCause.SUPERSEDED)
+            return
+        now = self._clock.now()
+        if now - conn.answered_at > NEW_SILENT_HEARTBEATS * self._heartbeat_s:
+            self._lose(conn, DisconnectCause.SILENT)
+        elif now - conn.opened_at > self._unconfirmed_s:
+            self._lose(conn, DisconnectCause.NO_LEASE)
+
+    def _needs_another(self) -> bool:
+        return self.attached is None or self._is_silent() or self._is_unconfirmed()
+
+    def _is_silent(self) -> bool:
+        quiet_s = self._clock.now() - self.attached.answered_at
+        return quiet_s > SILENT_HEARTBEATS * self._heartbeat_s
+
+    def _is_unconfirmed(self) -> bool:
+        return self._clock.now() - self._lease.confirmed_at > self._unconfirmed_s
+
+    def _open_candidate(self) -> None:
+        conn = self._open_connection(self._take_address())
+        self._candidate = conn
+        task = asyncio.create_task(conn.run())
+        task.add_done_callback(lambda _: self._wake.set())
+        self._tasks[conn] = task
+
+    def _take_address(self) -> str:
+        address = self._addresses[self._next_address % len(self._addresses)]
+        self._next_address += 1
+        in_use = self.attached is not None and address == self.attached.address
+        if in_use and len(self._addresses) > 1:
+            return self._take_address()
+        return address
+
+    def _attach(self, conn: WatchConnection) -> None:
+        old, self.attached = self.attached, conn
+        self._candidate = None
+        self._on_attached(conn)
+        if old is not None:
+            self._close(old, DisconnectCause.SUPERSEDED)
+
+    def _lose(self, conn: WatchConnection, cause: DisconnectCause) -> None:
+        self._close(conn, cause)
+        if conn is self.attached:
+            self.attached = None
+        else:
+            self._candidate = None
+        wait_s = self._backoff.next_wait()
+        if self.attached is not None and not self._is_silent():
+            # The attached replica heals by itself after a leader change; all its
+            # watchers asking the others meanwhile would only load these.
+            wait_s += self._lease_s
+        self._next_attempt_at = self._clock.now() + wait_s
+
+    def _close(self, conn: WatchConnection, cause: DisconnectCause) -> None:
+        conn.cause = conn.cause or cause
+        task = self._tasks.get(conn)
+        if task is not None:
+            task.cancel()
+        self._metrics.reconnects.add(cause=conn.cause)
+        logger.info(
+            "watch connection to %s closed",
+            conn.address,
+            extra=log_fields(kind=conn.cause),
+        )
