Land fakes of engine and plain service, and their HTTP ports

Cause: the agent's work needs both ends of the backend ports. Ruled out: telling the engine the model's layer count; no order carries it, so the fake gives hidden state and token and the stage picks. aiohttp sends PUT and DELETE again on a broken connection; switched off.

--- /dev/null
+++ b/wigeonscale/adapters/engine_http.py
@@ -0,0 +1,237 @@
+"""The engine port over HTTP: the client, and the routes that a fake serves.
+
+Paths: ``GET /info``, ``POST /run``, ``POST /cancel``, ``GET`` and ``PUT
+/cache/{sequence}``, ``GET /load``, ``GET /cache-events?after=N``, ``POST /order``.
+Hidden states travel as base64 in JSON.
+"""
+
+__all__ = ["HttpEngine", "engine_routes"]
+
+import base64
+import dataclasses
+import urllib.parse
+from collections.abc import Sequence
+
+import aiohttp
+from aiohttp import web
+
+from wigeonscale.errors import (
+    ANSWERS,
+    ErrorKind,
+    RunState,
+    WigeonscaleError,
+    error_from_kind,
+)
+from wigeonscale.ports import (
+    Engine,
+    EngineInfo,
+    EngineLoad,
+    EngineResult,
+    EngineStep,
+)
+
+INFO_TIMEOUT_S = 2.0
+RUN_TIMEOUT_S = 20.0
+ORDER_TIMEOUT_S = 600.0
+
+
+class HttpEngine:
+    """Implements the engine port by HTTP calls.
+
+    Args:
+        url: Base URL of the engine.
+        session: Client session; the caller closes it.
+        run_timeout_s: Seconds after which an iteration counts as failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        session: aiohttp.ClientSession,
+        run_timeout_s: float = RUN_TIMEOUT_S,
+    ):
+        self._url = url.rstrip("/")
+        self._session = session
+        self._run_timeout_s = run_timeout_s
+
+    async def info(self) -> EngineInfo:
+        """Return what the engine says of itself."""
+        doc = await self._ask("GET", "/info", timeout_s=INFO_TIMEOUT_S)
+        known = {field.name for field in dataclasses.fields(EngineInfo)}
+        values = {name: value for name, value in doc.items() if name in known}
+        values["adapters"] = tuple(values.get("adapters", ()))
+        return EngineInfo(**values)
+
+    async def run(self, steps: Sequence[EngineStep]) -> list[EngineResult]:
+        """Run one iteration and return one result per step, in order."""
+        body = {"steps": [_step_to_json(step) for step in steps]}
+        doc = await self._ask("POST", "/run", body, timeout_s=self._run_timeout_s)
+        results = [_result_from_json(item) for item in doc["results"]]
+        if [r.sequence_id for r in results] != [s.sequence_id for s in steps]:
+            raise _failure(f"{self._url} answered for other sequences than asked")
+        return results
+
+    async def cancel(self, sequence_ids: Sequence[str]) -> None:
+        """Forget sequences and free their cache."""
+        body = {"sequences": list(sequence_ids)}
+        await self._ask("POST", "/cancel", body, timeout_s=INFO_TIMEOUT_S)
+
+    async def export_cache(self, sequence_id: str) -> bytes:
+        """Return the KV cache of a sequence."""
+        path = f"/cache/{urllib.parse.quote(sequence_id, safe='')}"
+        doc = await self._ask("GET", path, timeout_s=self._run_timeout_s)
+        return base64.b64decode(doc["cache"])
+
+    async def import_cache(self, sequence_id: str, epoch: int, cache: bytes) -> None:
+        """Install a KV cache exported by another engine with the same layers."""
+        path = f"/cache/{urllib.parse.quote(sequence_id, safe='')}"
+        body = {"epoch": epoch, "cache": base64.b64encode(cache).decode()}
+        await self._ask("PUT", path, body, timeout_s=self._run_timeout_s)
+
+    async def load(self) -> EngineLoad:
+        """Return the engine's load report; it lags."""
+        doc = await self._ask("GET", "/load", timeout_s=INFO_TIMEOUT_S)
+        return EngineLoad(
+            running=int(doc["running"]),
+            queued=int(doc["queued"]),
+            cached_prefixes=int(doc.get("cached_prefixes", 0)),
+        )
+
+    async def cache_events(self, after: int) -> list[dict]:
+        """Return cache events with a number above ``after``."""
+        path = f"/cache-events?after={after}"
+        return (await self._ask("GET", path, timeout_s=INFO_TIMEOUT_S))["events"]
+
+    async def order(
+        self, *, term: int, sequence: int, action: str, args: dict[str, object]
+    ) -> None:
+        """Carry out an order with its fencing number."""
+        body = {"term": term, "sequence": sequence, "action": action, "args": args}
+        await self._ask("POST", "/order", body, timeout_s=ORDER_TIMEOUT_S)
+
+    async def _ask(
+        self, method: str, path: str, body: dict | None = None, *, timeout_s: float
+    ) -> dict:
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.request(
+                method, self._url + path, json=body, timeout=timeout
+            ) as answer:
+                doc = await answer.json()
+                status = answer.status
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            raise _failure(f"{method} {self._url}{path}: {exc!r}") from exc
+        if status == 200:
+            return doc
+        error = doc.get("error", {})
+        raise error_from_kind(
+            error.get("kind", ErrorKind.BACKEND_FAILED),
+            error.get("message", f"{method} {self._url}{path}: status {status}"),
+        )
+
+
+def _failure(message: str) -> WigeonscaleError:
+    return WigeonscaleError(
+        ErrorKind.BACKEND_FAILED, message, run_state=RunState.UNKNOWN
+    )
+
+
+def _step_to_json(step: EngineStep) -> dict:
+    return {
+        "sequence_id": step.sequence_id,
+        "epoch": step.epoch,
+        "position": step.position,
+        "count": step.count,
+        "first": step.first,
+        "hidden": base64.b64encode(step.hidden).decode(),
+        "priority": step.priority,
+    }
+
+
+def _step_from_json(doc: dict) -> EngineStep:
+    return EngineStep(**{**doc, "hidden": base64.b64decode(doc["hidden"])})
+
+
+def _result_to_json(result: EngineResult) -> dict:
+    return {
+        "sequence_id": result.sequence_id,
+        "position": result.position,
+        "hidden": base64.b64encode(result.hidden).decode(),
+        "token_id": result.token_id,
+        "token_text": result.token_text,
+        "end": result.end,
+        "error": result.error,
+    }
+
+
+def _result_from_json(doc: dict) -> EngineResult:
+    return EngineResult(**{**doc, "hidden": base64.b64decode(doc["hidden"])})
+
+
+def engine_routes(engine: Engine) -> list[web.RouteDef]:
+    """Return the HTTP routes that serve an engine port.
+
+    Args:
+        engine: The engine behind the routes.
+
+    Returns:
+        Routes for an aiohttp application.
+    """
+
+    async def info(req: web.Request) -> web.Response:
+        return web.json_response(dataclasses.asdict(await engine.info()))
+
+    async def run(req: web.Request) -> web.Response:
+        steps = [_step_from_json(doc) for doc in (await req.json())["steps"]]
+        results = await engine.run(steps)
+        return web.json_response({"results": [_result_to_json(r) for r in results]})
+
+    async def cancel(req: web.Request) -> web.Response:
+        await engine.cancel((await req.json())["sequences"])
+        return web.json_response({})
+
+    async def export_cache(req: web.Request) -> web.Response:
+        cache = await engine.export_cache(req.match_info["sequence"])
+        return web.json_response({"cache": base64.b64encode(cache).decode()})
+
+    async def import_cache(req: web.Request) -> web.Response:
+        doc = await req.json()
+        cache = base64.b64decode(doc["cache"])
+        await engine.import_cache(req.match_info["sequence"], doc["epoch"], cache)
+        return web.json_response({})
+
+    async def load(req: web.Request) -> web.Response:
+        return web.json_response(dataclasses.asdict(await engine.load()))
+
+    async def cache_events(req: web.Request) -> web.Response:
+        events = await engine.cache_events(int(req.query["after"]))
+        return web.json_response({"events": events})
+
+    async def order(req: web.Request) -> web.Response:
+        doc = await req.json()
+        await engine.order(**doc)
+        return web.json_response({})
+
+    return [
+        web.get("/info", _answering(info)),
+        web.post("/run", _answering(run)),
+        web.post("/cancel", _answering(cancel)),
+        web.get("/cache/{sequence}", _answering(export_cache)),
+        web.put("/cache/{sequence}", _answering(import_cache)),
+        web.get("/load", _answering(load)),
+        web.get("/cache-events", _answering(cache_events)),
+        web.post("/order", _answering(order)),
+    ]
+
+
+def _answering(handler):
+    async def answer(req: web.Request) -> web.Response:
+        try:
+            return await handler(req)
+        except WigeonscaleError as exc:
+            error = {"kind": str(exc.kind), "message": exc.message}
+            status = ANSWERS[exc.kind].status
+            return web.json_response({"error": error}, status=status)
+
+    return answer
--- /dev/null
+++ b/wigeonscale/adapters/service_http.py
@@ -0,0 +1,103 @@
+"""The plain-service port over HTTP."""
+
+__all__ = ["HttpService", "single_attempt_session"]
+
+from collections.abc import Sequence
+
+import aiohttp
+import yarl
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports import HttpAnswer
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+# Headers that aiohttp would otherwise add to what the caller sent.
+AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+
+def single_attempt_session() -> aiohttp.ClientSession:
+    """Return a session that sends every request at most once.
+
+    Notes:
+        aiohttp sends PUT and DELETE again by itself when the connection breaks
+        before the answer. It has no public switch against it; its own test client
+        clears the same attribute.
+    """
+    session = aiohttp.ClientSession(
+        auto_decompress=False, skip_auto_headers=AUTO_HEADERS
+    )
+    session._retry_connection = False
+    return session
+
+
+class HttpService:
+    """Implements the service port by HTTP calls, each made exactly once.
+
+    Args:
+        url: Base URL of the service.
+        session: From :func:`single_attempt_session`; the caller closes it.
+    """
+
+    def __init__(self, *, url: str, session: aiohttp.ClientSession):
+        self._url = url.rstrip("/")
+        self._session = session
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: Sequence[tuple[str, str]],
+        body: bytes,
+        timeout_s: float = 60.0,
+    ) -> HttpAnswer:
+        """Make one call and return its answer.
+
+        Raises:
+            WigeonscaleError: ``BACKEND_FAILED``, with run state ``NOT_RUN`` only
+                when no connection was made.
+        """
+        passed = [(n, v) for n, v in headers if n.lower() not in HOP_HEADERS]
+        url = yarl.URL(self._url + path, encoded=True)
+        try:
+            async with self._session.request(
+                method,
+                url,
+                headers=passed,
+                data=body or None,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+            ) as answer:
+                return HttpAnswer(
+                    status=answer.status,
+                    headers=tuple(
+                        (n, v)
+                        for n, v in answer.headers.items()
+                        if n.lower() not in HOP_HEADERS
+                    ),
+                    body=await answer.read(),
+                )
+        except aiohttp.ClientConnectorError as exc:
+            raise _failure(
+                f"no connection to {self._url}: {exc}", RunState.NOT_RUN
+            ) from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise _failure(f"{method} {url}: {exc!r}", RunState.UNKNOWN) from exc
+
+
+def _failure(message: str, run_state: RunState) -> WigeonscaleError:
+    return WigeonscaleError(ErrorKind.BACKEND_FAILED, message, run_state=run_state)
--- /dev/null
+++ b/wigeonscale/pipelines/constants.py
@@ -0,0 +1,44 @@
+"""Constants that both ends of a dispatch and of a pipeline step agree on."""
+
+__all__ = [
+    "ENGINE_CALLS_IN_FLIGHT",
+    "ENGINE_STEP_TIMEOUT_S",
+    "EXTRA_ITERATIONS",
+    "INITIAL_CREDIT",
+    "LEAVING_GRACE_S",
+    "MAX_BATCH",
+    "PROBE_AFTER_S",
+    "REPAIR_BACKOFF_S",
+    "SEQUENCE_IDLE_S",
+    "SILENCE_S",
+]
+
+INITIAL_CREDIT = 256
+"""Tokens that an ``Open`` or ``Attach`` allows before the first ``Credit``."""
+
+MAX_BATCH = 256
+"""Most sequences in one engine iteration."""
+
+EXTRA_ITERATIONS = 1
+"""Iterations in flight beyond one per stage, so that no stage waits for a hop."""
+
+ENGINE_CALLS_IN_FLIGHT = 2
+"""Calls open to one engine; the second hides the first one's way back."""
+
+ENGINE_STEP_TIMEOUT_S = 20.0
+"""Seconds after which an engine call counts as failed."""
+
+PROBE_AFTER_S = 0.2
+"""Seconds without a message after which a link asks its peer for a sign of life."""
+
+SILENCE_S = 0.5
+"""Seconds without a message after which a link opens another connection."""
+
+REPAIR_BACKOFF_S = 0.25
+"""Seconds before a failed sequence is tried again on the same chain epoch."""
+
+SEQUENCE_IDLE_S = 120.0
+"""Seconds after which a stage forgets a sequence that got no step."""
+
+LEAVING_GRACE_S = 2.0
+"""Seconds for which a leaving stage still begins sequences of its old chain."""
--- /dev/null
+++ b/wigeonscale/testing/fake_engine.py
@@ -0,0 +1,294 @@
+"""A small model engine whose tokens show every missed, doubled or reordered step.
+
+Each layer keeps a running digest of all it has seen of a sequence, as a KV cache
+does. A token therefore depends on the prompt, on every layer in order and on every
+position in order.
+
+Usage: ``python -m wigeonscale.testing.fake_engine --listen 127.0.0.1:0 --model M``.
+"""
+
+__all__ = ["FakeEngine", "expected_tokens", "main", "serve_engine"]
+
+import argparse
+import asyncio
+import dataclasses
+import hashlib
+import json
+import time
+from collections.abc import Callable, Sequence
+
+from aiohttp import web
+
+from wigeonscale.adapters.engine_http import engine_routes
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.pipelines.tokens import tokenise
+from wigeonscale.ports import EngineInfo, EngineLoad, EngineResult, EngineStep
+
+
+def _digest(*parts: str) -> str:
+    return hashlib.blake2b("|".join(parts).encode(), digest_size=8).hexdigest()
+
+
+def _run_layers(cache: dict[int, str], first: int, last: int, hidden: str) -> str:
+    for layer in range(first, last + 1):
+        cache[layer] = _digest(cache.get(layer, ""), str(layer), hidden)
+        hidden = cache[layer]
+    return hidden
+
+
+def _token_text(hidden: str) -> str:
+    return f"t{hidden[:8]} "
+
+
+def expected_tokens(
+    prompt: str | bytes, layers: int, max_tokens: int, end_share: int = 0
+) -> list[str]:
+    """Return the texts of the tokens that a correct run gives.
+
+    Args:
+        prompt: The prompt as the entry passed it on.
+        layers: Layers of the model, counted from 0.
+        max_tokens: Most tokens of the answer.
+        end_share: As given to the engines; see :class:`FakeEngine`.
+
+    Returns:
+        The whole answer, token by token.
+    """
+    raw = prompt.encode() if isinstance(prompt, str) else prompt
+    cache: dict[int, str] = {}
+    hidden = ""
+    for piece in tokenise(raw):
+        hidden = _run_layers(cache, 0, layers - 1, piece)
+    texts: list[str] = []
+    while len(texts) < max_tokens:
+        texts.append(_token_text(hidden))
+        if int(hidden[-4:], 16) < end_share:
+            break
+        hidden = _run_layers(cache, 0, layers - 1, texts[-1])
+    return texts
+
+
+class FakeEngine:
+    """Implements the engine port in memory.
+
+    Args:
+        name: Name written into the trace.
+        info: What the engine says of itself; ``version`` and loaded range change
+            with orders.
+        step_s: Seconds that one iteration takes, however many sequences it has.
+        load_s: Seconds that a load order takes.
+        trace: Called with one record per sequence step, or None.
+        end_share: Of 65,536 tokens, how many end their sequence.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        info: EngineInfo,
+        step_s: float = 0.0,
+        load_s: float = 0.0,
+        trace: Callable[[dict], None] | None = None,
+        end_share: int = 0,
+    ):
+        self.name = name
+        self.state = info
+        self.step_s = step_s
+        self.load_s = load_s
+        self.end_share = end_share
+        self.orders: list[tuple[int, int, str]] = []
+        self.caches: dict[str, dict[int, str]] = {}
+        self.iterations = 0
+        self.failing = False
+        self._trace = trace
+        self._fence = (0, 0)
+        self._busy = asyncio.Lock()
+
+    async def info(self) -> EngineInfo:
+        """Return what the engine says of itself."""
+        self._check_alive()
+        return self.state
+
+    async def run(self, steps: Sequence[EngineStep]) -> list[EngineResult]:
+        """Run one iteration; iterations run one after the other."""
+        self._check_alive()
+        async with self._busy:
+            self.iterations += 1
+            if self.step_s:
+                await asyncio.sleep(self.step_s)
+            return [self._run_step(step) for step in steps]
+
+    async def cancel(self, sequence_ids: Sequence[str]) -> None:
+        """Forget sequences and free their cache."""
+        for sequence_id in sequence_ids:
+            self.caches.pop(sequence_id, None)
+
+    async def export_cache(self, sequence_id: str) -> bytes:
+        """Return the KV cache of a sequence."""
+        return json.dumps(self.caches.get(sequence_id, {})).encode()
+
+    async def import_cache(self, sequence_id: str, epoch: int, cache: bytes) -> None:
+        """Install a KV cache exported by another engine with the same layers."""
+        loaded = {int(layer): digest for layer, digest in json.loads(cache).items()}
+        self.caches[sequence_id] = loaded
+
+    async def load(self) -> EngineLoad:
+        """Return the engine's load report."""
+        return EngineLoad(running=len(self.caches), queued=0)
+
+    async def cache_events(self, after: int) -> list[dict]:
+        """Return no events: the fake caches no prefixes."""
+        return []
+
+    async def order(
+        self, *, term: int, sequence: int, action: str, args: dict[str, object]
+    ) -> None:
+        """Carry out an order, refusing an old fencing number if it checks them."""
+        if self.state.checks_fencing and (term, sequence) < self._fence:
+            raise WigeonscaleError(
+                ErrorKind.STALE_TERM,
+                f"order ({term}, {sequence}) is older than {self._fence}",
+            )
+        self._fence = max(self._fence, (term, sequence))
+        if action == "load":
+            await asyncio.sleep(self.load_s)
+            self._install(args)
+        self.orders.append((term, sequence, action))
+
+    def _install(self, args: dict[str, object]) -> None:
+        self.caches.clear()
+        self.state = dataclasses.replace(
+            self.state,
+            first_layer=int(args["first_layer"]),
+            last_layer=int(args["last_layer"]),
+            version=str(args.get("version", "")),
+            adapters=tuple(filter(None, [str(args.get("adapter", ""))])),
+        )
+
+    def _check_alive(self) -> None:
+        if self.failing:
+            raise WigeonscaleError(
+                ErrorKind.BACKEND_FAILED,
+                f"engine {self.name} fails",
+                run_state=RunState.UNKNOWN,
+            )
+
+    def _run_step(self, step: EngineStep) -> EngineResult:
+        first, last = self.state.first_layer, self.state.last_layer
+        if step.first:
+            self.caches[step.sequence_id] = {}
+        cache = self.caches.get(step.sequence_id)
+        if cache is None:
+            return _failed(step, f"no KV cache for sequence {step.sequence_id}")
+        inputs = json.loads(step.hidden)
+        if len(inputs) != step.count:
+            return _failed(step, f"{len(inputs)} inputs for {step.count} positions")
+        outputs = [_run_layers(cache, first, last, piece) for piece in inputs]
+        self._record(step, first, last)
+        # The engine does not know whether its stage is the last, so it gives both.
+        number = int(outputs[-1][-4:], 16)
+        return EngineResult(
+            step.sequence_id,
+            step.position,
+            hidden=json.dumps(outputs).encode(),
+            token_id=number,
+            token_text=_token_text(outputs[-1]),
+            end=number < self.end_share,
+        )
+
+    def _record(self, step: EngineStep, first: int, last: int) -> None:
+        if self._trace is None:
+            return
+        self._trace(
+            {
+                "engine": self.name,
+                "sequence": step.sequence_id,
+                "epoch": step.epoch,
+                "position": step.position,
+                "count": step.count,
+                "layers": [first, last],
+                "at_ns": time.monotonic_ns(),
+            }
+        )
+
+
+def _failed(step: EngineStep, why: str) -> EngineResult:
+    return EngineResult(step.sequence_id, step.position, error=why)
+
+
+async def serve_engine(
+    engine: FakeEngine, host: str = "127.0.0.1", port: int = 0
+) -> tuple[web.AppRunner, str]:
+    """Serve an engine over HTTP.
+
+    Returns:
+        The runner, to be cleaned up by the caller, and the engine's URL.
+    """
+    app = web.Application(client_max_size=1 << 28)
+    app.add_routes(engine_routes(engine))
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port)
+    await site.start()
+    bound = runner.addresses[0]
+    return runner, f"http://{bound[0]}:{bound[1]}"
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Serve one fake engine until the process is ended."""
+    parser = argparse.ArgumentParser(prog="fake_engine", description=__doc__)
+    parser.add_argument("--listen", required=True, help="ip:port")
+    parser.add_argument("--model", required=True)
+    parser.add_argument("--name", default="")
+    parser.add_argument("--layer-capacity", type=int, default=8)
+    parser.add_argument("--layer-rate", type=float, default=1000.0)
+    parser.add_argument("--link-rate", type=float, default=10000.0)
+    parser.add_argument("--accelerator", default="generic")
+    parser.add_argument("--slots", type=int, default=32)
+    parser.add_argument("--ignore-fencing", action="store_true")
+    parser.add_argument("--step-ms", type=float, default=0.0)
+    parser.add_argument("--load-ms", type=float, default=0.0)
+    parser.add_argument("--end-share", type=int, default=0)
+    parser.add_argument("--trace", default="", help="file for JSON lines")
+    args = parser.parse_args(argv)
+    asyncio.run(_serve(args))
+
+
+async def _serve(args: argparse.Namespace) -> None:
+    host, _, port = args.listen.rpartition(":")
+    engine = FakeEngine(
+        name=args.name or args.listen,
+        info=EngineInfo(
+            model=args.model,
+            accelerator=args.accelerator,
+            layer_rate=args.layer_rate,
+            layer_capacity=args.layer_capacity,
+            slots=args.slots,
+            checks_fencing=not args.ignore_fencing,
+            link_rate=args.link_rate,
+        ),
+        step_s=args.step_ms / 1000.0,
+        load_s=args.load_ms / 1000.0,
+        trace=line_writer(args.trace) if args.trace else None,
+        end_share=args.end_share,
+    )
+    runner, url = await serve_engine(engine, host, int(port))
+    print(f"engine {engine.name} at {url}", flush=True)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+
+
+def line_writer(path: str) -> Callable[[dict], None]:
+    """Return a function that appends records to a file as JSON lines."""
+    file = open(path, "a", buffering=1, encoding="utf-8")
+
+    def write(record: dict) -> None:
+        file.write(json.dumps(record) + "\n")
+
+    return write
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeonscale/testing/fake_service.py
@@ -0,0 +1,93 @@
+"""A small plain service that logs every effect it has.
+
+Usage: ``python -m wigeonscale.testing.fake_service --listen 127.0.0.1:0 --name N``.
+"""
+
+__all__ = ["main", "serve_service"]
+
+import argparse
+import asyncio
+import hashlib
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from wigeonscale.testing.fake_engine import line_writer
+
+
+async def serve_service(
+    *,
+    name: str,
+    trace: Callable[[dict], None],
+    host: str = "127.0.0.1",
+    port: int = 0,
+    delay_s: float = 0.0,
+) -> tuple[web.AppRunner, str]:
+    """Serve a plain service that answers every path.
+
+    Args:
+        name: Name of the service.
+        trace: Called with one record per call, before the answer.
+        host: IP address to listen on.
+        port: Port to listen on; 0 for any.
+        delay_s: Seconds between the effect and the answer.
+
+    Returns:
+        The runner, to be cleaned up by the caller, and the service's URL.
+    """
+
+    async def call(req: web.Request) -> web.Response:
+        body = await req.read()
+        record = {
+            "service": name,
+            "method": req.method,
+            "path": req.path_qs,
+            "key": req.headers.get("Idempotency-Key", ""),
+            "digest": hashlib.sha256(body).hexdigest(),
+            "at_ns": time.monotonic_ns(),
+        }
+        trace(record)
+        await asyncio.sleep(delay_s)
+        return web.json_response(
+            {"service": name, "path": req.path_qs, "digest": record["digest"]}
+        )
+
+    app = web.Application(client_max_size=1 << 26)
+    app.router.add_route("*", "/{path:.*}", call)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    bound = runner.addresses[0]
+    return runner, f"http://{bound[0]}:{bound[1]}"
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Serve one fake service until the process is ended."""
+    parser = argparse.ArgumentParser(prog="fake_service", description=__doc__)
+    parser.add_argument("--listen", required=True, help="ip:port")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--delay-ms", type=float, default=0.0)
+    parser.add_argument("--trace", default="", help="file for JSON lines")
+    args = parser.parse_args(argv)
+    asyncio.run(_serve(args))
+
+
+async def _serve(args: argparse.Namespace) -> None:
+    host, _, port = args.listen.rpartition(":")
+    runner, url = await serve_service(
+        name=args.name,
+        trace=line_writer(args.trace) if args.trace else lambda record: None,
+        host=host,
+        port=int(port),
+        delay_s=args.delay_ms / 1000.0,
+    )
+    print(f"service {args.name} at {url}", flush=True)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+
+
+if __name__ == "__main__":
+    main()
