--- /dev/null
+++ b/wigeonscale/rules/persistent.py
@@ -0,0 +1,136 @@
+"""A mapping that shares its unchanged parts with the mappings made from it."""
+
+__all__ = ["MapDraft", "PersistentMap"]
+
+import zlib
+from collections.abc import Iterator, Mapping
+
+BITS_PER_LEVEL = 4
+FANOUT = 1 << BITS_PER_LEVEL
+HASH_BITS = 32
+# Entries in a leaf before it splits: small enough that copying one is cheap.
+LEAF_SIZE = 16
+REMOVED = object()
+
+
+class PersistentMap(Mapping):
+    """An immutable mapping from text keys, as a hash trie.
+
+    Args:
+        entries: First contents.
+
+    Notes:
+        Lookup and :meth:`updated` cost O(log n) a key; see Bagwell, "Ideal Hash
+        Trees" (2001). The hash is CRC-32, so that the shape does not depend on the
+        process.
+    """
+
+    __slots__ = ("_root", "_size")
+
+    def __init__(self, *, entries: Mapping[str, object] | None = None):
+        self._root = _node_updated({}, dict(entries or {}), 0)
+        self._size = len(entries or {})
+
+    def __getitem__(self, key: str) -> object:
+        node = self._root
+        code = zlib.crc32(key.encode("utf-8", "surrogatepass"))
+        while type(node) is tuple:
+            node = node[code % FANOUT]
+            code >>= BITS_PER_LEVEL
+        return node[key]
+
+    def __iter__(self) -> Iterator[str]:
+        nodes = [self._root]
+        while nodes:
+            node = nodes.pop()
+            if type(node) is tuple:
+                nodes.extend(node)
+            else:
+                yield from node
+
+    def __len__(self) -> int:
+        return self._size
+
+    def updated(self, changes: Mapping[str, object]) -> "PersistentMap":
+        """Return this mapping with changes applied.
+
+        Args:
+            changes: New value by key, or ``REMOVED``.
+
+        Returns:
+            A new mapping; this one stays as it is.
+        """
+        if not changes:
+            return self
+        size = self._size
+        for key, value in changes.items():
+            size += (value is not REMOVED) - (key in self)
+        new = PersistentMap()
+        new._root = _node_updated(self._root, dict(changes), 0)
+        new._size = size
+        return new
+
+
+def _node_updated(node: tuple | dict, changes: dict, shift: int) -> tuple | dict:
+    if type(node) is tuple:
+        return _branch_updated(node, changes, shift)
+    leaf = node | changes
+    leaf = {key: value for key, value in leaf.items() if value is not REMOVED}
+    if len(leaf) <= LEAF_SIZE or shift >= HASH_BITS:
+        return leaf
+    return _branch_updated(({},) * FANOUT, leaf, shift)
+
+
+def _branch_updated(node: tuple, changes: dict, shift: int) -> tuple:
+    groups: dict[int, dict] = {}
+    for key, value in changes.items():
+        code = zlib.crc32(key.encode("utf-8", "surrogatepass"))
+        groups.setdefault((code >> shift) % FANOUT, {})[key] = value
+    children = list(node)
+    for place, group in groups.items():
+        children[place] = _node_updated(children[place], group, shift + BITS_PER_LEVEL)
+    return tuple(children)
+
+
+class MapDraft:
+    """Collects changes to a :class:`PersistentMap`.
+
+    Args:
+        base: The mapping to start from.
+    """
+
+    __slots__ = ("_base", "_changes")
+
+    def __init__(self, *, base: PersistentMap):
+        self._base = base
+        self._changes: dict[str, object] = {}
+
+    def get(self, key: str, default: object = None) -> object:
+        """Return the value under a key, or the default."""
+        value = self._changes.get(key)
+        if value is None:
+            return self._base.get(key, default)
+        return default if value is REMOVED else value
+
+    def __contains__(self, key: str) -> bool:
+        return self.get(key) is not None
+
+    def __getitem__(self, key: str) -> object:
+        value = self.get(key)
+        if value is None:
+            raise KeyError(key)
+        return value
+
+    def __setitem__(self, key: str, value: object) -> None:
+        self._changes[key] = value
+
+    def __delitem__(self, key: str) -> None:
+        self._changes[key] = REMOVED
+
+    def values(self) -> Iterator[object]:
+        """Return all values; costs as much as the mapping is large."""
+        return iter(self.freeze().values())
+
+    def freeze(self) -> PersistentMap:
+        """Return the base with the changes applied."""
+        return self._base.updated(self._changes)
