--- /dev/null
+++ b/wigeonscale/membership/tests/test_client.py
@@ -0,0 +1,305 @@
+import asyncio
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.membership.tests.fake_control import (
+    FakeControlCase,
+    config_update,
+    document_of,
+)
+from wigeonscale.wire import wire_pb2 as wire
+
+HEARTBEAT_S = 0.5
+OWN = wire.Backend(agent_id="n1", incarnation=5)
+
+
+class WatchTest(FakeControlCase):
+    async def test_ready_with_lease_document_and_members(self):
+        (fake,) = await self.start_fakes(revision=4)
+        fake.backends = [OWN]
+        client, _, _ = await self.attached(fake)
+        self.assertTrue(client.lease_valid())
+        self.assertEqual(4, client.revision)
+        self.assertEqual(document_of(4).text, client.document.text)
+        self.assertEqual(["n1"], list(client.members.backends))
+        self.assertEqual(1, self.metrics.lease_valid.value())
+
+    async def test_not_ready_without_a_lease(self):
+        (fake,) = await self.start_fakes()
+        fake.age_us = 10_000_000
+        client = self.start_client(fake)
+        await self.until(lambda: client.revision == 1)
+        await self.advance_until(lambda: fake.hellos.qsize() > 1)
+        self.assertFalse(client.lease_valid())
+        self.assertFalse(client._ready.is_set())
+
+    async def test_lease_runs_out_and_subscribers_hear_it(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        changes = []
+        client.changes.subscribe(changes.append)
+        fake.answers = False
+        await self.clock.advance(2.9)
+        self.assertTrue(client.lease_valid())
+        await self.clock.advance(0.2)
+        self.assertFalse(client.lease_valid())
+        self.assertIn("lease", changes)
+
+    async def test_delta_comes_into_force(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        await fake.push(config_update(2, base=1))
+        await self.until(lambda: client.revision == 2)
+        self.assertEqual(document_of(2).digest, client.document.digest)
+
+    async def test_grant_ahead_of_the_document_waits_for_it(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        fake.revision = 2
+        granted_at = client._lease.confirmed_at
+        await self.clock.advance(HEARTBEAT_S)
+        await self.until(lambda: client._lease._waiting)
+        self.assertEqual(granted_at, client._lease.confirmed_at)
+        await fake.push(config_update(2, base=1))
+        await self.until(lambda: client._lease.confirmed_at > granted_at)
+
+    async def test_older_revision_is_refused_and_another_replica_tried(self):
+        new, old = await self.start_fakes(2)
+        new.revision = 7
+        client, _, _ = await self.attached(new, lease_s=3.0)
+        client._watcher._addresses[:] = [old.address, new.address, new.address]
+        client._watcher._next_address = 0
+        await new.stop()
+        await self.advance_until(lambda: not old.hellos.empty())
+        self.assertEqual(7, old.hellos.get_nowait().known_revision)
+        confirmed_at = client._lease.confirmed_at
+        await self.advance_until(
+            lambda: self.metrics.reconnects.value(cause="older-revision") > 0
+        )
+        self.assertEqual(7, client.revision)
+        self.assertEqual(document_of(7).digest, client.document.digest)
+        self.assertEqual(confirmed_at, client._lease.confirmed_at)
+        await self.until(lambda: old.open_streams == 0)
+
+    async def test_grant_of_an_older_revision_gives_no_lease(self):
+        (fake,) = await self.start_fakes(revision=7)
+        client, _, _ = await self.attached(fake)
+        confirmed_at = client._lease.confirmed_at
+        fake.revision = 6
+        await self.clock.advance(HEARTBEAT_S)
+        await self.until(lambda: fake.open_streams == 0)
+        self.assertEqual(confirmed_at, client._lease.confirmed_at)
+
+    async def expect_whole_document_asked(self, event):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        fake.revision = 3
+        await fake.push(event)
+        await self.until(lambda: fake.open_streams == 0)
+        self.assertEqual(1, client.revision)
+        self.assertEqual(document_of(1).digest, client.document.digest)
+        await self.advance_until(lambda: not fake.hellos.empty())
+        self.assertEqual(0, fake.hellos.get_nowait().known_revision)
+        await self.until(lambda: client.revision == 3)
+
+    async def test_delta_on_another_base(self):
+        await self.expect_whole_document_asked(config_update(3, base=2))
+
+    async def test_delta_with_a_wrong_digest(self):
+        event = config_update(3, base=1, digest="0" * 64)
+        await self.expect_whole_document_asked(event)
+
+    async def test_delta_that_cannot_be_parsed(self):
+        change = wire.SectionChange(name="rule x", text="[rule x]\nthen = fly\n")
+        event = config_update(3, base=1, changes=[change])
+        await self.expect_whole_document_asked(event)
+
+    async def test_unexpected_events_change_nothing(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+
+        def fail(change):
+            raise ValueError("planted")
+
+        client.changes.subscribe(fail)
+        for event in (
+            wire.WatchEvent(),
+            wire.WatchEvent(ended=wire.IncarnationEnded(incarnation=1)),
+            wire.WatchEvent(order=wire.Order(order_id="o1")),
+            wire.WatchEvent(lease=wire.LeaseGrant(echo_us=2**62, revision=1)),
+            config_update(2, base=1),
+        ):
+            await fake.push(event)
+        await self.until(lambda: client.revision == 2)
+        fake.revision = 2
+        await self.clock.advance(2.9)
+        self.assertTrue(client.lease_valid())
+        self.assertEqual(1, fake.open_streams)
+
+
+class SilenceTest(FakeControlCase):
+    async def go_silent(self, first, others, noise=None):
+        """Return after how many seconds a second replica was asked."""
+        first.answers = False
+        began = self.clock.now()
+        while all(other.hellos.empty() for other in others):
+            if noise is not None:
+                await first.push(noise)
+            await self.clock.advance(HEARTBEAT_S / 4)
+            await asyncio.sleep(0.02)
+            self.assertLess(self.clock.now() - began, 10)
+        return self.clock.now() - began
+
+    async def test_second_connection_after_three_heartbeats(self):
+        fakes = await self.start_fakes(2)
+        client, first, others = await self.attached(*fakes)
+        took_s = await self.go_silent(first, others)
+        self.assertLessEqual(took_s, 3.5 * HEARTBEAT_S)
+        self.assertGreater(took_s, 2.5 * HEARTBEAT_S)
+        await self.until(lambda: first.open_streams == 0)
+        self.assertTrue(client.lease_valid())
+        self.assertEqual(1, others[0].open_streams)
+
+    async def test_one_way_silence_is_seen_through_other_events(self):
+        fakes = await self.start_fakes(2)
+        client, first, others = await self.attached(*fakes)
+        noise = wire.WatchEvent(members=wire.MembersUpdate(index=2))
+        took_s = await self.go_silent(first, others, noise)
+        self.assertLessEqual(took_s, 3.5 * HEARTBEAT_S)
+        await self.until(lambda: client._watcher.attached.address != first.address)
+
+    async def test_silent_connection_is_kept_until_the_other_gives_a_lease(self):
+        fakes = await self.start_fakes(2)
+        client, first, others = await self.attached(*fakes)
+        others[0].answers = False
+        await self.go_silent(first, others)
+        self.assertEqual(1, first.open_streams)
+        first.answers = True
+        await self.advance_until(lambda: others[0].open_streams == 0)
+        self.assertEqual(1, first.open_streams)
+        self.assertTrue(client.lease_valid())
+
+    async def test_single_replica_gets_a_second_connection(self):
+        (fake,) = await self.start_fakes()
+        await self.attached(fake)
+        await self.go_silent(fake, [fake])
+        self.assertEqual(2, fake.open_streams)
+
+    async def test_replica_without_a_majority_is_left(self):
+        fakes = await self.start_fakes(2)
+        client, first, _ = await self.attached(*fakes)
+        isolated_at = self.clock.now()
+        last_valid = True
+        while client._watcher.attached.address == first.address:
+            first.age_us = int((self.clock.now() - isolated_at) * 1e6)
+            await self.clock.advance(HEARTBEAT_S / 4)
+            await asyncio.sleep(0.02)
+            last_valid = last_valid and client.lease_valid()
+            self.assertLess(self.clock.now() - isolated_at, 10)
+        self.assertTrue(last_valid, "the lease ran out before the change")
+        await self.until(lambda: first.open_streams == 0)
+
+    async def test_lost_replica_is_replaced_before_the_lease_is_out(self):
+        fakes = await self.start_fakes(3)
+        client, first, others = await self.attached(*fakes)
+        await first.stop()
+        await self.advance_until(lambda: any(each.open_streams for each in others))
+        await self.until(lambda: client._watcher.attached is not None)
+        self.assertTrue(client.lease_valid())
+
+
+class AgentTest(FakeControlCase):
+    async def received(self, fake, kind):
+        req = await self.within_limit(fake.received.get())
+        self.assertEqual(kind, req.WhichOneof("body"))
+        return getattr(req, kind)
+
+    async def test_announces_where_it_is_attached(self):
+        fakes = await self.start_fakes(2)
+        own = wire.Backend()
+        own.CopyFrom(OWN)
+        client, first, (other,) = await self.attached(
+            *fakes, role="agent", announce=lambda: own
+        )
+        self.assertEqual(OWN, await self.received(first, "announce"))
+        own.draining = True
+        client.announce_changed()
+        self.assertTrue((await self.received(first, "announce")).draining)
+        self.assertTrue(other.received.empty())
+        await first.stop()
+        await self.advance_until(lambda: not other.received.empty())
+        self.assertTrue((await self.received(other, "announce")).draining)
+
+    async def test_lost_announcement_is_made_again(self):
+        (fake,) = await self.start_fakes()
+        await self.attached(fake, role="agent", announce=lambda: OWN)
+        await self.received(fake, "announce")
+        await self.advance_until(lambda: not fake.received.empty())
+        self.assertEqual(OWN, await self.received(fake, "announce"))
+
+    async def test_shown_announcement_is_not_made_again(self):
+        (fake,) = await self.start_fakes()
+        fake.backends = [OWN]
+        await self.attached(fake, role="agent", announce=lambda: OWN)
+        await self.received(fake, "announce")
+        for _ in range(20):
+            await self.clock.advance(HEARTBEAT_S)
+            await asyncio.sleep(0.002)
+        self.assertTrue(fake.received.empty())
+
+    async def test_order_results_come_back(self):
+        async def on_order(order):
+            if order.order_id == "broken":
+                raise ValueError("planted")
+            if order.order_id == "stale":
+                raise WigeonscaleError(ErrorKind.STALE_TERM, "term 1 < 2")
+            return wire.OrderResult(order_id=order.order_id, done=True)
+
+        (fake,) = await self.start_fakes()
+        await self.attached(fake, role="agent", on_order=on_order)
+        want = {"good": "", "stale": "stale-term", "broken": "internal"}
+        for order_id, kind in want.items():
+            await fake.push(wire.WatchEvent(order=wire.Order(order_id=order_id)))
+            result = await self.received(fake, "order_result")
+            self.assertEqual(
+                (order_id, not kind, kind), (result.order_id, result.done, result.kind)
+            )
+
+    async def test_long_order_holds_nothing_up(self):
+        release = asyncio.Event()
+
+        async def on_order(order):
+            await release.wait()
+            return wire.OrderResult(order_id=order.order_id, done=True)
+
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake, role="agent", on_order=on_order)
+        for number in range(17):
+            order = wire.Order(order_id=f"o{number}")
+            await fake.push(wire.WatchEvent(order=order))
+        refused = await self.received(fake, "order_result")
+        self.assertEqual(("o16", "overloaded"), (refused.order_id, refused.kind))
+        await fake.push(config_update(2, base=1))
+        await self.until(lambda: client.revision == 2)
+        release.set()
+        self.assertTrue((await self.received(fake, "order_result")).done)
+
+    async def test_ended_incarnation_is_told(self):
+        ended = []
+        (fake,) = await self.start_fakes()
+        await self.attached(fake, role="agent", on_ended=ended.append)
+        event = wire.WatchEvent(ended=wire.IncarnationEnded(incarnation=5))
+        await fake.push(event)
+        await self.until(lambda: ended == [5])
+
+    async def test_suspicions_are_told_once_a_heartbeat(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        for _ in range(3):
+            client.suspect("a1", 1)
+        client.suspect("a1", 2)
+        first = await self.received(fake, "suspect")
+        second = await self.received(fake, "suspect")
+        self.assertEqual((1, 2), (first.incarnation, second.incarnation))
+        await self.clock.advance(HEARTBEAT_S)
+        client.suspect("a1", 1)
+        self.assertEqual(1, (await self.received(fake, "suspect")).incarnation)
--- /dev/null
+++ b/wigeonscale/membership/tests/test_submitter.py
@@ -0,0 +1,150 @@
+import asyncio
+import random
+
+from testtools import ExpectedException
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.membership.submitter import Submitter
+from wigeonscale.membership.tests.fake_control import FakeControlCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def reply_with(**fields):
+    def reply(req):
+        return wire.SubmitReply(
+            call_id=req.call_id, result=wire.CommandResult(**fields)
+        )
+
+    return reply
+
+
+def not_leader(leader=""):
+    def reply(req):
+        result = wire.CommandResult(kind="not-leader")
+        return wire.SubmitReply(call_id=req.call_id, result=result, leader=leader)
+
+    return reply
+
+
+class SubmitterTest(FakeControlCase):
+    def new_submitter(self, *addresses):
+        submitter = Submitter(
+            addresses=addresses, clock=self.clock, rng=random.Random(1)
+        )
+        self.addCleanup(submitter.close)
+        # Known order of addresses, for the scripts below.
+        submitter._addresses[:] = addresses
+        submitter._target = addresses[0]
+        return submitter
+
+    async def result_of(self, submitter, command=None):
+        """Submit while time passes, and return the result or the error."""
+        task = asyncio.create_task(submitter.submit(command or wire.Command()))
+        await self.advance_until(task.done, step_s=0.05)
+        return task.exception() or task.result()
+
+    async def test_several_in_flight_on_one_stream(self):
+        (fake,) = await self.start_fakes()
+        held = []
+        fake.on_command = held.append
+        submitter = self.new_submitter(fake.address)
+        tasks = [
+            asyncio.create_task(submitter.submit(wire.Command(operation_id=f"op{n}")))
+            for n in range(5)
+        ]
+        await self.until(lambda: len(held) == 5)
+        for req in reversed(held):
+            index = int(req.command.operation_id[2:])
+            await fake.reply(reply_with(index=index)(req))
+        results = await self.within_limit(asyncio.gather(*tasks))
+        self.assertEqual([0, 1, 2, 3, 4], [each.index for each in results])
+
+    async def test_follows_the_leader(self):
+        follower, leader = await self.start_fakes(2)
+        follower.on_command = not_leader(leader.address)
+        leader.on_command = reply_with(index=8)
+        submitter = self.new_submitter(follower.address, follower.address)
+        self.assertEqual(8, (await self.result_of(submitter)).index)
+        self.assertEqual(8, (await self.result_of(submitter)).index)
+        self.assertEqual((1, 2), (len(follower.commands), len(leader.commands)))
+
+    async def test_resends_with_the_same_operation_id(self):
+        lost, other = await self.start_fakes(2)
+        lost.on_command = lambda req: 1 / 0
+        submitter = self.new_submitter(lost.address, other.address)
+        await self.result_of(submitter)
+        sent = [each.operation_id for each in lost.commands + other.commands]
+        self.assertEqual(2, len(sent))
+        self.assertEqual(1, len(set(sent)))
+        self.assertNotEqual("", sent[0])
+
+    async def test_silent_stream_is_left_for_the_next_replica(self):
+        silent, other = await self.start_fakes(2)
+        silent.on_command = lambda req: None
+        submitter = self.new_submitter(silent.address, other.address)
+        result = await self.result_of(submitter, wire.Command(operation_id="op"))
+        self.assertEqual(wire.CommandResult(), result)
+        self.assertEqual(
+            ["op", "op"],
+            [each.operation_id for each in silent.commands + other.commands],
+        )
+
+    async def expect_no_quorum(self, submitter, run_state):
+        exc = await self.result_of(submitter)
+        self.assertIsInstance(exc, WigeonscaleError)
+        self.assertEqual((ErrorKind.NO_QUORUM, run_state), (exc.kind, exc.run_state))
+
+    async def test_never_sent_is_not_run(self):
+        (fake,) = await self.start_fakes()
+        await fake.stop()
+        submitter = self.new_submitter(fake.address)
+        await self.expect_no_quorum(submitter, RunState.NOT_RUN)
+
+    async def test_refused_by_followers_only_is_not_run(self):
+        (fake,) = await self.start_fakes()
+        fake.on_command = not_leader()
+        submitter = self.new_submitter(fake.address)
+        await self.expect_no_quorum(submitter, RunState.NOT_RUN)
+
+    async def test_lost_without_an_answer_is_unknown(self):
+        lost, follower = await self.start_fakes(2)
+        lost.on_command = lambda req: 1 / 0
+        follower.on_command = not_leader()
+        submitter = self.new_submitter(lost.address, follower.address)
+        await self.expect_no_quorum(submitter, RunState.UNKNOWN)
+
+    async def test_no_quorum_at_the_leader_is_unknown(self):
+        (fake,) = await self.start_fakes()
+        fake.on_command = reply_with(kind="no-quorum")
+        submitter = self.new_submitter(fake.address)
+        await self.expect_no_quorum(submitter, RunState.UNKNOWN)
+
+    async def test_refusal_is_raised(self):
+        (fake,) = await self.start_fakes()
+        fake.on_command = reply_with(kind="revision-conflict", message="3 is not 4")
+        submitter = self.new_submitter(fake.address)
+        exc = await self.result_of(submitter)
+        want = (ErrorKind.REVISION_CONFLICT, "3 is not 4", RunState.NOT_RUN)
+        self.assertEqual(want, (exc.kind, exc.message, exc.run_state))
+
+    async def test_standing_claim_is_returned(self):
+        (fake,) = await self.start_fakes()
+        record = wire.ClaimRecord(state=wire.RAN)
+        fake.on_command = reply_with(claim=record, granted=False)
+        submitter = self.new_submitter(fake.address)
+        self.assertEqual(wire.RAN, (await self.result_of(submitter)).claim.state)
+
+    async def test_reused_key_is_raised(self):
+        (fake,) = await self.start_fakes()
+        record = wire.ClaimRecord(state=wire.RAN)
+        fake.on_command = reply_with(claim=record, kind="idempotency-key-reused")
+        exc = await self.result_of(self.new_submitter(fake.address))
+        self.assertEqual(ErrorKind.IDEMPOTENCY_KEY_REUSED, exc.kind)
+
+    async def test_closed_submitter_refuses(self):
+        (fake,) = await self.start_fakes()
+        submitter = self.new_submitter(fake.address)
+        await submitter.close()
+        with ExpectedException(WigeonscaleError, "command .*: client closed"):
+            await self.within_limit(submitter.submit(wire.Command()))
+        self.assertEqual([], fake.commands)
