--- /dev/null
+++ b/wigeonscale/replication/admission.py
@@ -0,0 +1,135 @@
+"""Who may vote: first start, lost disks and new members.
+
+A replica with an empty folder cannot know whether it starts for the first time or
+lost its disk. It asks all other voters: only when each of them answers and none
+ever had a log does the cluster start for the first time. All, not a majority: two
+replicas that lost their disks while the third is out of reach must not begin an
+empty log over an accepted configuration.
+
+A replica that lost its disk, or found it broken, has a new storage id and no vote
+until the leader, once it has caught up, commits a change of members that names
+that storage id. Neither does it count for that commit.
+"""
+
+__all__ = ["admit_when_due", "caught_up", "note_admission", "run_first_start"]
+
+import asyncio
+import logging
+from dataclasses import replace
+
+from wigeonscale.replication.commit import append_as_leader
+from wigeonscale.replication.files import Admission, VoteState
+from wigeonscale.replication.model import EntryKind, Member
+from wigeonscale.replication.state import PeerState, ReplicaState
+from wigeonscale.replication.voters import members_to_wire
+from wigeonscale.replication.waiting import within
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+
+async def run_first_start(core: ReplicaState) -> None:
+    """Find out whether an empty folder is a first start or a lost disk."""
+    while core.storage.vote.admission is Admission.NEW:
+        replies = await asyncio.gather(
+            *(_ask_for_log(core, peer) for peer in core.peers.values())
+        )
+        async with core.lock:
+            await _decide(core, replies)
+        await core.clock.sleep(core.options.heartbeat_s)
+
+
+async def note_lost_disk(core: ReplicaState) -> None:
+    """Wait to be admitted, since a log exists; the caller holds the lock."""
+    vote = core.storage.vote
+    if vote.admission is not Admission.NEW:
+        return
+    logger.warning("replica %s has lost its disk and has no vote", core.node_id)
+    await core.storage.save_vote(replace(vote, admission=Admission.AWAITING))
+
+
+async def note_admission(core: ReplicaState) -> None:
+    """Vote again once a committed change names this disk; holds the lock."""
+    vote = core.storage.vote
+    if vote.admission is not Admission.AWAITING:
+        return
+    for member in core.members_at(core.applied_index):
+        if member.node_id == core.node_id and _is_admitted(member, vote.storage_id):
+            logger.info("replica %s is admitted and votes again", core.node_id)
+            await core.storage.save_vote(replace(vote, admission=Admission.ADMITTED))
+
+
+def admit_when_due(core: ReplicaState, peer: PeerState) -> None:
+    """Append the change that gives a peer its vote, once it has caught up.
+
+    Args:
+        core: State of the leader.
+        peer: Peer that just replied.
+    """
+    member = peer.member
+    if _is_admitted(member, peer.storage_id) or (peer.admitted and member.voting):
+        return
+    if not caught_up(core, peer) or not members_settled(core):
+        return
+    admitted = replace(member, voting=True, storage_id=peer.storage_id)
+    logger.info("replica %s is to be admitted", member.node_id)
+    append_members(
+        core,
+        tuple(admitted if m.node_id == member.node_id else m for m in core.members),
+    )
+
+
+def caught_up(core: ReplicaState, peer: PeerState) -> bool:
+    """Return whether a peer holds all that is committed."""
+    return peer.match_index >= core.commit_index
+
+
+def members_settled(core: ReplicaState) -> bool:
+    """Return whether a leader may begin a change of members.
+
+    Notes:
+        One change at a time, and only after an entry of the leader's own term is
+        committed; otherwise two disjoint majorities could form.
+    """
+    own_term = core.commit_index >= core.term_start_index
+    return own_term and core.members_index <= core.commit_index
+
+
+def append_members(core: ReplicaState, members: tuple[Member, ...]) -> int:
+    """Append a change of members and return its index."""
+    data = wire.VoterSet(voters=members_to_wire(members)).SerializeToString()
+    return append_as_leader(core, EntryKind.MEMBERS, data)
+
+
+def _is_admitted(member, storage_id):
+    return member.voting and member.storage_id == storage_id
+
+
+async def _ask_for_log(core, peer):
+    req = wire.VoteRequest(node_id=core.node_id, pre_vote=True)
+    try:
+        return await within(core.clock, core.append_timeout_s, peer.link.vote(req))
+    except (TimeoutError, ConnectionError):
+        await peer.link.reset()
+        return None
+
+
+async def _decide(core, replies):
+    vote = core.storage.vote
+    if vote.admission is not Admission.NEW:
+        return
+    if any(reply is not None and reply.had_log for reply in replies):
+        await note_lost_disk(core)
+        return
+    if any(reply is None for reply in replies):
+        return
+    # Had this replica voted before it lost its disk, that term is among these.
+    highest = max((reply.term for reply in replies), default=0)
+    logger.info("replica %s starts for the first time", core.node_id)
+    await core.storage.save_vote(
+        VoteState(
+            term=highest + 1 if highest else 0,
+            storage_id=vote.storage_id,
+            admission=Admission.ADMITTED,
+        )
+    )
--- /dev/null
+++ b/wigeonscale/replication/commit.py
@@ -0,0 +1,161 @@
+"""Commit, application and snapshots."""
+
+__all__ = [
+    "advance_commit",
+    "advance_round",
+    "append_as_leader",
+    "apply_up_to",
+    "run_snapshots",
+    "run_sync",
+]
+
+import logging
+import math
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.replication.files import Snapshot
+from wigeonscale.replication.model import EntryKind, Role
+from wigeonscale.replication.state import ReplicaState
+from wigeonscale.replication.voters import majority_value
+from wigeonscale.wire import wire_pb2 as wire
+
+KEPT_SHARE = 4  # a quarter of a snapshot's entries stay for followers that lag
+
+logger = logging.getLogger(__name__)
+
+
+def append_as_leader(core: ReplicaState, kind: EntryKind, data: bytes) -> int:
+    """Append one entry in memory and let it be synced and sent.
+
+    Returns:
+        Index of the entry.
+    """
+    index = core.storage.last_index + 1
+    entry = wire.LogEntry(index=index, term=core.term, kind=kind, data=data)
+    core.storage.append([entry])
+    core.note_members([entry])
+    core.unsynced.set()
+    if not core.options.sync_before_send:
+        core.wake_peers()
+    return index
+
+
+async def run_sync(core: ReplicaState) -> None:
+    """Sync what this replica appends as leader; runs beside replication."""
+    while True:
+        await core.unsynced.wait()
+        core.unsynced.clear()
+        await core.storage.sync()
+        if core.leading:
+            advance_commit(core)
+            core.wake_peers()
+
+
+def advance_commit(core: ReplicaState) -> None:
+    """Commit and apply what a majority has made durable.
+
+    Notes:
+        Only entries of the leader's own term are counted; earlier ones are
+        committed by them.
+    """
+
+    def durable_at(node_id):
+        if node_id == core.node_id:
+            return core.storage.synced_index
+        peer = core.peers.get(node_id)
+        return peer.match_index if peer and peer.admitted else 0
+
+    index = int(majority_value(core.members, durable_at))
+    if index <= core.commit_index or core.storage.term_at(index) != core.term:
+        return
+    apply_up_to(core, index)
+    core.wake_peers()
+    if all(member.node_id != core.node_id for member in core.members_at(index)):
+        logger.info("replica %s was removed and steps down", core.node_id)
+        core.role = Role.FOLLOWER
+        core.fail_waiting(f"replica {core.node_id} was removed")
+
+
+def advance_round(core: ReplicaState) -> None:
+    """Note the newest instant at which a majority still followed this leader."""
+
+    def followed_at(node_id):
+        if node_id == core.node_id:
+            return core.clock.now()
+        peer = core.peers.get(node_id)
+        return peer.acked_at if peer and peer.admitted else -math.inf
+
+    core.majority_at = max(core.majority_at, majority_value(core.members, followed_at))
+    # Before its first own commit a leader may not know all that was committed.
+    if core.applied_index >= core.term_start_index:
+        core.note_fresh(core.majority_at)
+
+
+def apply_up_to(core: ReplicaState, commit_index: int) -> None:
+    """Advance the commit index and apply what it covers."""
+    core.commit_index = max(core.commit_index, commit_index)
+    before = core.applied_index
+    while core.applied_index < core.commit_index:
+        entry = core.storage.entry(core.applied_index + 1)
+        result = _apply(core, entry)
+        core.applied_index = entry.index
+        core.applied_term = entry.term
+        _answer_proposer(core, entry, result)
+    if core.applied_index > before:
+        _publish(core)
+    covered = core.storage.snapshot.index if core.storage.snapshot else 0
+    if core.applied_index - covered >= core.options.snapshot_entries:
+        core.snapshot_due.set()
+
+
+async def run_snapshots(core: ReplicaState) -> None:
+    """Take a snapshot and drop old entries whenever one is due."""
+    while True:
+        await core.snapshot_due.wait()
+        core.snapshot_due.clear()
+        index = core.applied_index
+        try:
+            data = core.machine.snapshot()
+        except Exception:
+            logger.exception("no snapshot could be taken at entry %d", index)
+            continue
+        snapshot = Snapshot(
+            index=index,
+            term=core.applied_term,
+            members=core.members_at(index),
+            data=data,
+        )
+        keep_from = index + 1 - core.options.snapshot_entries // KEPT_SHARE
+        await core.storage.save_snapshot(snapshot, keep_from)
+
+
+def _apply(core, entry):
+    if entry.kind != EntryKind.COMMAND:
+        return None
+    try:
+        return core.machine.apply(entry.index, entry.term, entry.data)
+    except Exception as exc:
+        # Every replica fails alike, so going on keeps them equal.
+        logger.exception("entry %d could not be applied", entry.index)
+        return WigeonscaleError(
+            ErrorKind.INTERNAL,
+            f"entry {entry.index} could not be applied: {exc!r}",
+            run_state=RunState.UNKNOWN,
+        )
+
+
+def _answer_proposer(core, entry, result):
+    term, fut = core.waiting.pop(entry.index, (None, None))
+    if fut is None or fut.done() or term != entry.term:
+        return
+    if isinstance(result, WigeonscaleError):
+        fut.set_exception(result)
+    else:
+        fut.set_result(result)
+
+
+def _publish(core):
+    try:
+        core.on_applied.on_next(core.applied_index)
+    except Exception:
+        logger.exception("a subscriber to applied entries failed")
--- /dev/null
+++ b/wigeonscale/replication/election.py
@@ -0,0 +1,219 @@
+"""Election: timeouts, pre-vote, votes and the leader's lease."""
+
+__all__ = [
+    "adopt_term",
+    "adopt_term_of_reply",
+    "check_term",
+    "handle_vote",
+    "run_elections",
+    "step_down",
+]
+
+import asyncio
+import logging
+from dataclasses import replace
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.replication.commit import advance_round, append_as_leader
+from wigeonscale.replication.files import Admission
+from wigeonscale.replication.model import EntryKind, Role
+from wigeonscale.replication.state import PeerState, ReplicaState
+from wigeonscale.replication.voters import quorum_size
+from wigeonscale.replication.waiting import within
+from wigeonscale.wire import wire_pb2 as wire
+
+JITTER = 0.5  # share of the election timeout added at random
+MAX_TERM = 1 << 53
+RETRY_SHARE = 0.25  # of the election timeout, between two tries without a winner
+
+logger = logging.getLogger(__name__)
+
+
+async def run_elections(core: ReplicaState) -> None:
+    """Campaign when no leader is heard; step down when no majority is."""
+    timeout = _draw(core, core.options.election_timeout_s)
+    while True:
+        if core.leading:
+            await _check_lease(core)
+            await core.clock.sleep(core.options.heartbeat_s)
+            continue
+        left = core.timer_from + timeout - core.clock.now()
+        if left > 0 or not core.may_vote:
+            await core.clock.sleep(max(left, core.options.heartbeat_s))
+            continue
+        await _campaign(core)
+        core.timer_from = core.clock.now()
+        retry_s = core.options.election_timeout_s * RETRY_SHARE
+        timeout = _draw(core, core.options.election_timeout_s)
+        if not core.leading and not core.heard_leader_lately:
+            timeout = _draw(core, retry_s)
+
+
+async def adopt_term(core: ReplicaState, term: int) -> None:
+    """Follow a higher term; the caller holds the lock."""
+    if term <= core.term:
+        return
+    step_down(core, f"term {term} began")
+    await core.storage.save_vote(replace(core.storage.vote, term=term, voted_for=""))
+
+
+async def adopt_term_of_reply(core: ReplicaState, term: int) -> None:
+    """Follow the term of a peer's reply when it is higher."""
+    if core.term < term <= MAX_TERM:
+        async with core.lock:
+            await adopt_term(core, term)
+
+
+def check_term(term: int) -> None:
+    """Refuse a term that no replica reaches.
+
+    Raises:
+        WigeonscaleError: ``BAD_REQUEST``.
+    """
+    if not 0 <= term <= MAX_TERM:
+        raise WigeonscaleError(
+            ErrorKind.BAD_REQUEST, f"term {term} is not within 0..{MAX_TERM}"
+        )
+
+
+def step_down(core: ReplicaState, reason: str) -> None:
+    """Stop leading or campaigning, at once."""
+    if core.role is Role.FOLLOWER:
+        return
+    logger.info("replica %s steps down: %s", core.node_id, reason)
+    core.role = Role.FOLLOWER
+    core.leader_id = ""
+    core.leader_address = ""
+    core.timer_from = core.clock.now()
+    core.fail_waiting(f"replica {core.node_id} stopped leading: {reason}")
+
+
+async def handle_vote(core: ReplicaState, req: wire.VoteRequest) -> wire.VoteReply:
+    """Answer a candidate, or a replica that asks whether the log ever began."""
+    check_term(req.term)
+    async with core.lock:
+        if req.node_id in core.peers:
+            core.peers[req.node_id].heard_at = core.clock.now()
+        granted = await _grant(core, req)
+        return wire.VoteReply(
+            node_id=core.node_id,
+            term=core.term,
+            granted=granted,
+            had_log=_had_log(core),
+        )
+
+
+async def _grant(core, req):
+    # A leader in reach is not unseated, neither by a returning replica nor by one
+    # that was removed.
+    if core.heard_leader_lately or not core.may_vote:
+        return False
+    if req.pre_vote:
+        return req.term > core.term and _is_up_to_date(core, req)
+    await adopt_term(core, req.term)
+    vote = core.storage.vote
+    if req.term < vote.term or not _is_up_to_date(core, req):
+        return False
+    if vote.voted_for not in ("", req.node_id):
+        return False
+    if vote.voted_for == "":
+        await core.storage.save_vote(replace(vote, voted_for=req.node_id))
+    core.timer_from = core.clock.now()
+    return True
+
+
+def _is_up_to_date(core, req):
+    storage = core.storage
+    theirs = (req.last_term, req.last_index)
+    return theirs >= (storage.last_term, storage.last_index)
+
+
+def _had_log(core):
+    awaiting = core.storage.vote.admission is Admission.AWAITING
+    return awaiting or core.storage.last_index > 0
+
+
+async def _check_lease(core):
+    advance_round(core)
+    silence = core.clock.now() - core.majority_at
+    if silence > core.options.election_timeout_s:
+        step_down(core, f"no majority answered for {silence:.3f} s")
+
+
+async def _campaign(core):
+    core.leader_id = ""
+    core.leader_address = ""
+    if not await _gather_votes(core, core.term + 1, pre_vote=True):
+        return
+    async with core.lock:
+        if core.heard_leader_lately or core.leading or not core.may_vote:
+            return
+        term = core.term + 1
+        core.role = Role.CANDIDATE
+        await core.storage.save_vote(
+            replace(core.storage.vote, term=term, voted_for=core.node_id)
+        )
+    asked_at = core.clock.now()
+    won = await _gather_votes(core, term, pre_vote=False)
+    async with core.lock:
+        if core.role is not Role.CANDIDATE or core.term != term:
+            return
+        core.role = Role.FOLLOWER
+        if won:
+            _begin_leading(core, asked_at)
+
+
+def _begin_leading(core, asked_at):
+    logger.info("replica %s leads term %d", core.node_id, core.term)
+    core.role = Role.LEADER
+    core.leader_id = core.node_id
+    core.leader_address = core.address
+    core.majority_at = asked_at
+    for peer in core.peers.values():
+        peer.begin_term(last_index=core.storage.last_index)
+    core.term_start_index = core.storage.last_index + 1
+    append_as_leader(core, EntryKind.NO_OP, b"")
+
+
+async def _gather_votes(core, term, *, pre_vote):
+    """Return whether a majority, this replica included, grants its vote."""
+    members = core.members
+    if all(m.node_id != core.node_id or not m.voting for m in members):
+        return False
+    req = wire.VoteRequest(
+        node_id=core.node_id,
+        term=term,
+        last_index=core.storage.last_index,
+        last_term=core.storage.last_term,
+        pre_vote=pre_vote,
+    )
+    missing = quorum_size(members) - 1
+    voters = [peer for peer in core.peers.values() if peer.member.voting]
+    tasks = {asyncio.create_task(_ask(core, peer, req)) for peer in voters}
+    pending = tasks
+    try:
+        while 0 < missing <= len(pending):
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            missing -= sum(task.result() for task in done)
+    finally:
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+    return missing <= 0
+
+
+async def _ask(core: ReplicaState, peer: PeerState, req: wire.VoteRequest) -> bool:
+    try:
+        reply = await within(core.clock, core.append_timeout_s, peer.link.vote(req))
+    except (TimeoutError, ConnectionError):
+        await peer.link.reset()
+        return False
+    peer.heard_at = core.clock.now()
+    await adopt_term_of_reply(core, reply.term)
+    return reply.granted and (req.pre_vote or reply.term == req.term)
+
+
+def _draw(core, seconds):
+    return seconds * (1 + JITTER * core.rng.random())
--- /dev/null
+++ b/wigeonscale/replication/files.py
@@ -0,0 +1,222 @@
+"""What the files of a replica hold, how it is encoded and what loading finds."""
+
+__all__ = [
+    "LOG_NAME",
+    "SNAPSHOT_NAME",
+    "VOTE_NAME",
+    "Admission",
+    "LoadedFiles",
+    "Snapshot",
+    "VoteState",
+    "encode_snapshot",
+    "encode_vote",
+    "load_files",
+]
+
+import json
+from dataclasses import asdict, dataclass, field
+from enum import StrEnum
+
+from google.protobuf.message import DecodeError
+
+from wigeonscale.replication.folder import Folder
+from wigeonscale.replication.model import EntryKind, Member
+from wigeonscale.replication.records import decode_single, encode_record, scan_records
+from wigeonscale.replication.voters import members_from_wire, members_to_wire
+from wigeonscale.wire import wire_pb2 as wire
+
+VOTE_NAME = "vote"
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+
+
+class Admission(StrEnum):
+    """Whether a replica may vote."""
+
+    NEW = "new"  # empty folder: a first start or a lost disk, not known yet
+    AWAITING = "awaiting"  # forgot what it acknowledged, so it has no vote
+    ADMITTED = "admitted"
+
+
+@dataclass(frozen=True, slots=True)
+class VoteState:
+    """What a replica must never forget between two messages.
+
+    Attributes:
+        term: Highest term seen.
+        voted_for: Candidate voted for in that term, or empty.
+        storage_id: Identity of this disk, new after each loss.
+        admission: Whether the replica may vote.
+    """
+
+    term: int = 0
+    voted_for: str = ""
+    storage_id: str = ""
+    admission: Admission = Admission.NEW
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """State of the machine after one log position."""
+
+    index: int = 0
+    term: int = 0
+    members: tuple[Member, ...] = ()
+    data: bytes = b""
+
+
+@dataclass(slots=True)
+class LoadedFiles:
+    """What was read from a data folder.
+
+    Attributes:
+        vote: Vote state, or None when its file is missing or broken.
+        snapshot: Newest snapshot, or None.
+        base_index: Position before the first entry.
+        base_term: Term at that position.
+        entries: Sound entries that follow one another.
+        damage: What is broken, naming file, entry and byte; empty for nothing.
+    """
+
+    vote: VoteState | None = None
+    snapshot: Snapshot | None = None
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[wire.LogEntry] = field(default_factory=list)
+    damage: str = ""
+
+    def note_damage(self, text: str) -> None:
+        """Add one finding to :attr:`damage`."""
+        self.damage = f"{self.damage}; {text}" if self.damage else text
+
+
+def encode_vote(vote: VoteState) -> bytes:
+    """Return the content of the vote file."""
+    return encode_record(json.dumps(asdict(vote)).encode())
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the content of the snapshot file."""
+    message = wire.SnapshotChunk(
+        last_index=snapshot.index,
+        last_term=snapshot.term,
+        voters=members_to_wire(snapshot.members),
+        data=snapshot.data,
+        final=True,
+    )
+    return encode_record(message.SerializeToString())
+
+
+def load_files(folder: Folder) -> LoadedFiles | None:
+    """Read a data folder.
+
+    Args:
+        folder: Data folder port.
+
+    Returns:
+        What it holds; None for a folder in which nothing was ever acknowledged.
+    """
+    vote_file = folder.read(VOTE_NAME)
+    log_file = folder.read(LOG_NAME)
+    snapshot_file = folder.read(SNAPSHOT_NAME)
+    if vote_file is None and log_file is None and snapshot_file is None:
+        return None
+    loaded = LoadedFiles(vote=_decode_vote(vote_file))
+    if loaded.vote is None:
+        loaded.note_damage(f"{VOTE_NAME}: {_missing_or_broken(vote_file)}")
+    elif loaded.vote.admission is Admission.NEW:
+        return None
+    if snapshot_file is not None:
+        _load_snapshot(loaded, snapshot_file)
+    _load_log(loaded, log_file)
+    _join_snapshot(loaded)
+    return loaded
+
+
+def _load_snapshot(loaded, data):
+    snapshot = _decode_snapshot(data)
+    if snapshot is None:
+        loaded.note_damage(f"{SNAPSHOT_NAME}: {_missing_or_broken(data)}")
+    elif snapshot.index > 0:
+        loaded.snapshot = snapshot
+
+
+def _load_log(loaded, data):
+    scan = scan_records(data or b"")
+    entries = _decode_entries(scan.payloads)
+    if not entries:
+        loaded.note_damage(f"{LOG_NAME}: {_missing_or_broken(data)}")
+        return
+    base, *loaded.entries = entries
+    loaded.base_index = base.index
+    loaded.base_term = base.term
+    if scan.fault == "corrupt" or len(entries) < len(scan.payloads):
+        at = entries[-1].index + 1
+        offset = (*scan.offsets, scan.good_bytes)[len(entries)]
+        loaded.note_damage(f"{LOG_NAME}: entry {at} at byte {offset} is corrupt")
+
+
+def _join_snapshot(loaded):
+    """Make log and snapshot meet; a crash between their two writes is no damage."""
+    snapshot = loaded.snapshot or Snapshot()
+    if loaded.base_index > snapshot.index:
+        loaded.note_damage(
+            f"{LOG_NAME}: begins after entry {loaded.base_index}, but the snapshot"
+            f" ends at entry {snapshot.index}"
+        )
+    elif _term_at(loaded, snapshot.index) == snapshot.term:
+        return
+    loaded.base_index = snapshot.index
+    loaded.base_term = snapshot.term
+    loaded.entries = []
+
+
+def _term_at(loaded, index):
+    position = index - loaded.base_index
+    if position == 0:
+        return loaded.base_term
+    if position > len(loaded.entries):
+        return None
+    return loaded.entries[position - 1].term
+
+
+def _missing_or_broken(data):
+    return "missing" if data is None else "checksum does not match"
+
+
+def _decode_entries(payloads):
+    """Return the base record and the entries that follow one another."""
+    entries = []
+    for payload in payloads:
+        try:
+            entry = wire.LogEntry.FromString(payload)
+        except DecodeError:
+            break
+        if entries and entry.index != entries[-1].index + 1:
+            break
+        if not entries and entry.kind != EntryKind.BASE:
+            break
+        entries.append(entry)
+    return entries
+
+
+def _decode_vote(data):
+    payload = decode_single(data or b"")
+    if payload is None:
+        return None
+    fields = json.loads(payload)
+    fields["admission"] = Admission(fields["admission"])
+    return VoteState(**fields)
+
+
+def _decode_snapshot(data):
+    payload = decode_single(data)
+    if payload is None:
+        return None
+    message = wire.SnapshotChunk.FromString(payload)
+    return Snapshot(
+        index=message.last_index,
+        term=message.last_term,
+        members=members_from_wire(message.voters),
+        data=message.data,
+    )
--- /dev/null
+++ b/wigeonscale/replication/folder.py
@@ -0,0 +1,133 @@
+"""The port to one data folder and its adapter for a disk."""
+
+__all__ = ["DiskFolder", "Folder"]
+
+import asyncio
+import fcntl
+import os
+import pathlib
+from typing import Protocol
+
+from wigeonscale.errors import SettingsError
+
+LOCK_NAME = "lock"
+TEMPORARY_SUFFIX = ".new"
+
+
+class Folder(Protocol):
+    """Files of one replica. What a coroutine wrote is synced when it returns."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file, or None when there is none."""
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Add ``data`` at the end of a file."""
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Put a whole file in place, so that a crash leaves the old or the new."""
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes."""
+
+    def close(self) -> None:
+        """Release what the adapter holds."""
+
+
+class DiskFolder:
+    """A folder on a disk, held by one process at a time.
+
+    Blocking calls run in a thread, so that a slow disk delays no heartbeat.
+
+    Args:
+        path: The folder; made when absent.
+
+    Raises:
+        SettingsError: Another process holds the folder.
+    """
+
+    def __init__(self, *, path: str | os.PathLike[str]):
+        self._path = pathlib.Path(path)
+        self._path.mkdir(parents=True, exist_ok=True)
+        self._lock_fd = os.open(self._path / LOCK_NAME, os.O_CREAT | os.O_RDWR, 0o600)
+        try:
+            fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as exc:
+            os.close(self._lock_fd)
+            raise SettingsError(
+                f"data folder {self._path} is held by another process"
+            ) from exc
+        self._fds: dict[str, int] = {}
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file, or None when there is none."""
+        try:
+            return (self._path / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Add ``data`` at the end of a file and sync it."""
+        await asyncio.to_thread(self._append, name, data)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Put a whole file in place by a synced temporary file and a rename."""
+        await asyncio.to_thread(self._replace, name, data)
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes and sync it."""
+        await asyncio.to_thread(self._truncate, name, size)
+
+    def close(self) -> None:
+        """Close the files and let another process hold the folder."""
+        for fd in self._fds.values():
+            os.close(fd)
+        self._fds.clear()
+        if self._lock_fd >= 0:
+            os.close(self._lock_fd)
+            self._lock_fd = -1
+
+    def _append(self, name, data):
+        fd = self._open(name)
+        _write_all(fd, data)
+        os.fsync(fd)
+
+    def _replace(self, name, data):
+        temporary = self._path / (name + TEMPORARY_SUFFIX)
+        fd = os.open(temporary, os.O_CREAT | os.O_TRUNC | os.O_WRONLY, 0o600)
+        try:
+            _write_all(fd, data)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        self._forget(name)
+        os.replace(temporary, self._path / name)
+        self._sync_directory()
+
+    def _truncate(self, name, size):
+        fd = self._open(name)
+        os.ftruncate(fd, size)
+        os.fsync(fd)
+
+    def _open(self, name):
+        if name not in self._fds:
+            flags = os.O_CREAT | os.O_APPEND | os.O_WRONLY
+            self._fds[name] = os.open(self._path / name, flags, 0o600)
+            self._sync_directory()
+        return self._fds[name]
+
+    def _forget(self, name):
+        if name in self._fds:
+            os.close(self._fds.pop(name))
+
+    def _sync_directory(self):
+        fd = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+
+def _write_all(fd, data):
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
--- /dev/null
+++ b/wigeonscale/replication/follower.py
@@ -0,0 +1,195 @@
+"""The follower's side of replication."""
+
+__all__ = ["handle_append"]
+
+import logging
+import zlib
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.replication.admission import note_admission, note_lost_disk
+from wigeonscale.replication.commit import apply_up_to
+from wigeonscale.replication.election import adopt_term, check_term, step_down
+from wigeonscale.replication.files import Snapshot
+from wigeonscale.replication.model import Role
+from wigeonscale.replication.state import MICROSECONDS, ReplicaState
+from wigeonscale.replication.voters import members_from_wire
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+
+async def handle_append(
+    core: ReplicaState, req: wire.AppendRequest
+) -> wire.AppendReply:
+    """Take entries or a snapshot chunk of the leader; durable when it returns.
+
+    Raises:
+        WigeonscaleError: ``BAD_REQUEST`` or ``CORRUPT_LOG`` for a request that no
+            leader sends; nothing was changed.
+    """
+    _check(req)
+    async with core.lock:
+        if req.term < core.term:
+            return _reply(core, req, success=False, match_index=0)
+        await adopt_term(core, req.term)
+        _note_leader(core, req)
+        await note_lost_disk(core)
+        if req.HasField("snapshot"):
+            reply = await _take_chunk(core, req)
+        else:
+            reply = await _take_entries(core, req)
+        await note_admission(core)
+        _note_fresh(core, req)
+        reply.needs_admission = not core.may_vote
+        return reply
+
+
+def _check(req):
+    check_term(req.term)
+    term = req.previous_term
+    index = req.previous_index
+    for entry in req.entries:
+        if entry.index != index + 1 or not term <= entry.term <= req.term:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"entry {entry.index} of term {entry.term} does not follow entry"
+                f" {index} of term {term}",
+            )
+        index, term = entry.index, entry.term
+
+
+def _note_leader(core, req):
+    if core.leading:
+        raise WigeonscaleError(
+            ErrorKind.CORRUPT_LOG,
+            f"replica {req.leader_id} claims to lead term {req.term}, which"
+            f" {core.node_id} leads",
+        )
+    if core.role is Role.CANDIDATE:
+        step_down(core, f"{req.leader_id} leads term {req.term}")
+    core.leader_id = req.leader_id
+    core.leader_address = req.leader_address
+    core.leader_heard_at = core.clock.now()
+    core.timer_from = core.leader_heard_at
+    if req.leader_id in core.peers:
+        core.peers[req.leader_id].heard_at = core.leader_heard_at
+
+
+def _reply(core, req, *, success, match_index):
+    return wire.AppendReply(
+        node_id=core.node_id,
+        term=core.term,
+        success=success,
+        match_index=match_index,
+        echo_us=req.round_us,
+        follower_us=core.echo_now(),
+        needs_admission=not core.may_vote,
+        storage_id=core.storage.vote.storage_id,
+    )
+
+
+async def _take_entries(core, req):
+    storage = core.storage
+    mismatch = _mismatch(core, req)
+    if mismatch is not None:
+        return _reply(core, req, success=False, match_index=mismatch)
+    for position, entry in enumerate(req.entries):
+        if entry.index <= storage.base_index:
+            continue  # covered by the snapshot
+        term = storage.term_at(entry.index)
+        if term == entry.term:
+            continue
+        if term is not None:
+            await _truncate_from(core, entry.index)
+        added = req.entries[position:]
+        storage.append(added)
+        core.note_members(added)
+        break
+    await storage.sync()
+    matched = req.previous_index + len(req.entries)
+    apply_up_to(core, min(req.commit_index, matched))
+    return _reply(core, req, success=True, match_index=matched)
+
+
+def _mismatch(core, req):
+    """Return where the leader should try next, or None when the logs meet."""
+    storage = core.storage
+    previous = req.previous_index
+    if previous < storage.base_index:
+        return None
+    term = storage.term_at(previous)
+    if term == req.previous_term:
+        return None
+    if term is None:
+        return storage.last_index
+    # Skip the whole conflicting term, but never what is committed.
+    while previous > max(core.commit_index, storage.base_index):
+        if storage.term_at(previous) != term:
+            break
+        previous -= 1
+    return previous
+
+
+async def _truncate_from(core, index):
+    if index <= core.commit_index:
+        raise WigeonscaleError(
+            ErrorKind.CORRUPT_LOG,
+            f"entry {index} of the leader contradicts committed entry"
+            f" {core.commit_index}",
+        )
+    await core.storage.truncate_from(index)
+    core.forget_members_from(index)
+
+
+async def _take_chunk(core, req):
+    chunk = req.snapshot
+    if chunk.last_index <= core.commit_index:
+        return _reply(core, req, success=True, match_index=chunk.last_index)
+    data = _collect(core, chunk)
+    if data is None:
+        return _reply(core, req, success=False, match_index=0)
+    if not chunk.final:
+        return _reply(core, req, success=True, match_index=0)
+    core.incoming = None
+    if zlib.crc32(data) != chunk.crc:
+        logger.warning("snapshot at entry %d came broken", chunk.last_index)
+        return _reply(core, req, success=False, match_index=0)
+    await _install(core, chunk, bytes(data))
+    return _reply(core, req, success=True, match_index=chunk.last_index)
+
+
+def _collect(core, chunk):
+    """Return the bytes so far, or None when the chunk does not follow them."""
+    position = (chunk.last_index, chunk.last_term)
+    if chunk.offset == 0:
+        core.incoming = (*position, bytearray())
+    if core.incoming is None or core.incoming[:2] != position:
+        return None
+    data = core.incoming[2]
+    if chunk.offset != len(data):
+        return None
+    data += chunk.data
+    return data
+
+
+async def _install(core, chunk, data):
+    snapshot = Snapshot(
+        index=chunk.last_index,
+        term=chunk.last_term,
+        members=members_from_wire(chunk.voters),
+        data=data,
+    )
+    await core.storage.save_snapshot(snapshot, snapshot.index + 1)
+    core.machine.restore(data)
+    core.applied_index = snapshot.index
+    core.applied_term = snapshot.term
+    core.load_members()
+    apply_up_to(core, snapshot.index)
+    core.on_applied.on_next(core.applied_index)
+
+
+def _note_fresh(core, req):
+    at = core.time_of_echo(req.echo_us)
+    if at is None or req.age_us < 0 or core.applied_index < req.commit_index:
+        return
+    core.note_fresh(at - req.age_us / MICROSECONDS)
--- /dev/null
+++ b/wigeonscale/replication/links.py
@@ -0,0 +1,144 @@
+"""The port to the other replicas, and its adapter for gRPC."""
+
+__all__ = ["GrpcLinks", "Link", "Links", "ReplicationServicer"]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import grpc
+
+from wigeonscale.adapters.channels import open_channel
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+logger = logging.getLogger(__name__)
+
+
+class Link(Protocol):
+    """A link to one peer. Each call may hang; the caller limits it."""
+
+    async def append(self, req: wire.AppendRequest) -> wire.AppendReply:
+        """Send one append and return its reply; one at a time.
+
+        Raises:
+            ConnectionError: The link broke.
+        """
+
+    async def vote(self, req: wire.VoteRequest) -> wire.VoteReply:
+        """Ask for a vote.
+
+        Raises:
+            ConnectionError: The link broke.
+        """
+
+    async def reset(self) -> None:
+        """Drop the connection; the next call makes a new one."""
+
+
+class Links(Protocol):
+    """Makes links."""
+
+    def connect(self, address: str) -> Link:
+        """Return a link to the replica at ip:port; it connects on first use."""
+
+
+class GrpcLinks:
+    """Links over gRPC.
+
+    Args:
+        channel: Opens a channel with a connection of its own to an address.
+    """
+
+    def __init__(self, *, channel: Callable[[str], grpc.aio.Channel] = open_channel):
+        self._open_channel = channel
+
+    def connect(self, address: str) -> Link:
+        """Return a link to the replica at ip:port; it connects on first use."""
+        return GrpcLink(address=address, channel=self._open_channel)
+
+
+class GrpcLink:
+    """One Append stream, and calls for votes beside it.
+
+    Args:
+        address: ip:port of the peer.
+        channel: Opens a channel to it.
+    """
+
+    def __init__(self, *, address: str, channel: Callable[[str], grpc.aio.Channel]):
+        self._address = address
+        self._open_channel = channel
+        self._channel: grpc.aio.Channel | None = None
+        self._stream: grpc.aio.StreamStreamCall | None = None
+
+    async def append(self, req: wire.AppendRequest) -> wire.AppendReply:
+        """Send one append on the open stream and return its reply."""
+        if self._stream is None:
+            self._stream = self._stub().Append()
+        return await self._guard(self._write_and_read(self._stream, req))
+
+    async def vote(self, req: wire.VoteRequest) -> wire.VoteReply:
+        """Ask for a vote."""
+        return await self._guard(self._stub().Vote(req))
+
+    async def reset(self) -> None:
+        """Drop the connection; the next call makes a new one."""
+        channel = self._channel
+        self._channel = None
+        self._stream = None
+        if channel is not None:
+            await channel.close()
+
+    def _stub(self):
+        if self._channel is None:
+            self._channel = self._open_channel(self._address)
+        return wire_pb2_grpc.ReplicationStub(self._channel)
+
+    async def _write_and_read(self, stream, req):
+        await stream.write(req)
+        reply = await stream.read()
+        if reply is grpc.aio.EOF:
+            raise ConnectionError(f"replica {self._address} ended the stream")
+        return reply
+
+    async def _guard(self, call: Awaitable):
+        try:
+            return await call
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            raise ConnectionError(f"replica {self._address}: {exc}") from exc
+        except asyncio.CancelledError as exc:
+            # gRPC cancels the call, not its caller, when the channel closes.
+            if asyncio.current_task().cancelling():
+                raise
+            raise ConnectionError(f"replica {self._address}: link was reset") from exc
+
+
+class ReplicationServicer(wire_pb2_grpc.ReplicationServicer):
+    """Serves a replica to its peers.
+
+    Args:
+        replica: A :class:`~wigeonscale.replication.replica.Replica`.
+    """
+
+    def __init__(self, *, replica):
+        self._replica = replica
+
+    async def Append(self, request_iterator, context):  # noqa: N802
+        """Answer the appends of one leader, one after another."""
+        async for req in request_iterator:
+            yield await self._answer(self._replica.handle_append(req), context)
+
+    async def Vote(self, request, context):  # noqa: N802
+        """Answer one request for a vote."""
+        return await self._answer(self._replica.handle_vote(request), context)
+
+    async def _answer(self, handling, context):
+        try:
+            return await handling
+        except WigeonscaleError as exc:
+            logger.warning("message of a peer refused: %s", exc.message)
+            code = grpc.StatusCode.FAILED_PRECONDITION
+            await context.abort(code, exc.message)
--- /dev/null
+++ b/wigeonscale/replication/records.py
@@ -0,0 +1,104 @@
+"""Checksummed records: how log entries, snapshots and the vote lie on disk.
+
+A record is a header (length, checksum of the payload, checksum of the header)
+and the payload. The header has its own checksum so that a flipped byte in the
+length is told apart from a record that a crash cut short.
+"""
+
+__all__ = ["HEADER_BYTES", "Scan", "decode_single", "encode_record", "scan_records"]
+
+import struct
+import zlib
+from dataclasses import dataclass
+
+_LENGTHS = struct.Struct("<II")
+_CHECK = struct.Struct("<I")
+HEADER_BYTES = _LENGTHS.size + _CHECK.size
+
+
+@dataclass(frozen=True, slots=True)
+class Scan:
+    """What was read from a file of records.
+
+    Attributes:
+        payloads: Payloads of the whole records, in order.
+        offsets: Offset of each record in bytes.
+        good_bytes: Length of the part that holds whole records.
+        fault: Empty; ``"torn"`` for a record cut short by a crash, which was never
+            acknowledged; ``"corrupt"`` for anything else.
+    """
+
+    payloads: tuple[bytes, ...]
+    offsets: tuple[int, ...]
+    good_bytes: int
+    fault: str
+
+
+def encode_record(payload: bytes) -> bytes:
+    """Return the record that holds ``payload``."""
+    lengths = _LENGTHS.pack(len(payload), zlib.crc32(payload))
+    return lengths + _CHECK.pack(zlib.crc32(lengths)) + payload
+
+
+def scan_records(data: bytes) -> Scan:
+    """Read records up to the end or the first fault.
+
+    Notes:
+        A record is torn when its bytes end before its length says, or when
+        nothing but zeros follows (a file that grew before its data was written).
+        A complete record with a wrong checksum counts as corrupt also when it is
+        the last: it may have been acknowledged, and taking it for torn would
+        forget a commit. Cost: one pass.
+    """
+    payloads = []
+    offsets = []
+    offset = 0
+    fault = ""
+    while offset < len(data):
+        payload = _payload_at(data, offset)
+        if payload is None:
+            fault = "torn" if _is_torn(data, offset) else "corrupt"
+            break
+        payloads.append(payload)
+        offsets.append(offset)
+        offset += HEADER_BYTES + len(payload)
+    return Scan(tuple(payloads), tuple(offsets), offset, fault)
+
+
+def decode_single(data: bytes) -> bytes | None:
+    """Return the payload of a file that holds one record; None when it is bad."""
+    payload = _payload_at(data, 0)
+    if payload is None or HEADER_BYTES + len(payload) != len(data):
+        return None
+    return payload
+
+
+def _payload_at(data, offset):
+    header = _header_at(data, offset)
+    if header is None:
+        return None
+    length, checksum = header
+    begin = offset + HEADER_BYTES
+    payload = data[begin : begin + length]
+    if len(payload) != length or zlib.crc32(payload) != checksum:
+        return None
+    return payload
+
+
+def _header_at(data, offset):
+    if offset + HEADER_BYTES > len(data):
+        return None
+    lengths = data[offset : offset + _LENGTHS.size]
+    (check,) = _CHECK.unpack_from(data, offset + _LENGTHS.size)
+    if zlib.crc32(lengths) != check:
+        return None
+    return _LENGTHS.unpack(lengths)
+
+
+def _is_torn(data, offset):
+    if offset + HEADER_BYTES > len(data):
+        return True
+    header = _header_at(data, offset)
+    if header is None:
+        return not any(data[offset:])
+    return offset + HEADER_BYTES + header[0] > len(data)
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -2,13 +2,43 @@
 
 __all__ = ["Replica"]
 
+import asyncio
+import math
 import random
 from collections.abc import Sequence
 
-from reactivex import Subject
-
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import Clock
-from wigeonscale.replication.model import Member, ReplicaOptions, Role, StateMachine
+from wigeonscale.replication.admission import (
+    append_members,
+    members_settled,
+    run_first_start,
+)
+from wigeonscale.replication.commit import (
+    advance_round,
+    append_as_leader,
+    run_snapshots,
+    run_sync,
+)
+from wigeonscale.replication.election import handle_vote, run_elections, step_down
+from wigeonscale.replication.folder import Folder
+from wigeonscale.replication.follower import handle_append
+from wigeonscale.replication.links import Links
+from wigeonscale.replication.model import (
+    EntryKind,
+    Member,
+    NotLeaderError,
+    ReplicaOptions,
+    Role,
+    StateMachine,
+)
+from wigeonscale.replication.replicate import run_peer
+from wigeonscale.replication.state import ReplicaState
+from wigeonscale.replication.storage import LogStorage
+from wigeonscale.wire import wire_pb2 as wire
+
+MAX_WAITING = 4096  # proposals without an outcome
+STORAGE_ID_BITS = 128
 
 
 class Replica:
@@ -23,12 +53,22 @@
         links: Way to the peers, for example ``GrpcLinks()``.
         clock: Clock port.
         options: Times and sizes.
-        rng: Source of the election jitter.
+        rng: Source of jitter and identities; tests pass a seeded one.
 
     Example:
         >>> replica = Replica(node_id="a", address="127.0.0.1:7001", ...)
+        >>> add_ReplicationServicer_to_server(
+        ...     ReplicationServicer(replica=replica), server
+        ... )
         >>> task = asyncio.create_task(replica.run())
         >>> result = await replica.propose(command.SerializeToString())
+
+    Notes:
+        An entry costs the leader one message to each follower and each replica a
+        share of one sync; under load both are shared by a batch.
+
+    Attributes:
+        on_applied: Subject of the applied index, after each batch.
     """
 
     def __init__(
@@ -37,54 +77,266 @@
         node_id: str,
         address: str,
         voters: Sequence[Member],
-        folder: object,
+        folder: Folder,
         machine: StateMachine,
-        links: object,
+        links: Links,
         clock: Clock,
         options: ReplicaOptions | None = None,
         rng: random.Random | None = None,
     ):
-        self.on_applied: Subject = Subject()
+        self._core = ReplicaState(
+            node_id=node_id,
+            address=address,
+            voters=voters,
+            storage=LogStorage(folder=folder),
+            machine=machine,
+            links=links,
+            clock=clock,
+            options=options or ReplicaOptions(),
+            rng=rng or random.SystemRandom(),
+        )
+        self.on_applied = self._core.on_applied
+        self._loaded = asyncio.Event()
+        self._stopped = False
+        self._handling: set[asyncio.Task] = set()
+        self._failure: asyncio.Future | None = None
 
     async def run(self) -> None:
-        """Load the log and take part until cancelled."""
-        raise NotImplementedError
+        """Load the log and take part until cancelled.
+
+        Raises:
+            OSError: The data folder failed; the replica has stopped.
+        """
+        core = self._core
+        self._failure = asyncio.get_running_loop().create_future()
+        try:
+            await self._load()
+            async with asyncio.TaskGroup() as group:
+                core.start_peer = lambda peer: group.create_task(run_peer(core, peer))
+                core.update_peers()
+                self._loaded.set()
+                group.create_task(run_first_start(core))
+                group.create_task(run_elections(core))
+                group.create_task(run_sync(core))
+                group.create_task(run_snapshots(core))
+                await self._failure
+        except BaseExceptionGroup as exc:
+            raise exc.exceptions[0] from exc
+        finally:
+            await self._close()
 
     async def propose(self, data: bytes) -> object:
         """Commit one command and return what ``apply`` returned for it.
 
+        Args:
+            data: The command.
+
+        Returns:
+            What the state machine's ``apply`` returned.
+
         Raises:
             NotLeaderError: This replica does not lead; nothing was appended.
             WigeonscaleError: ``NO_QUORUM``, with run state ``NOT_RUN`` when
-                nothing was appended, else ``UNKNOWN``.
+                nothing was appended, else ``UNKNOWN``; ``OVERLOADED`` when too
+                many proposals wait.
         """
-        raise NotImplementedError
+        self._require_quorum()
+        index = append_as_leader(self._core, EntryKind.COMMAND, data)
+        return await self._outcome(index)
 
     async def change_voters(
         self, *, add: Member | None = None, remove: str | None = None
     ) -> None:
-        """Commit one change of the members: add one or remove one."""
-        raise NotImplementedError
+        """Commit one change of the members.
+
+        A member that is added has no vote at first; the leader gives it one by
+        itself once it has caught up.
+
+        Args:
+            add: Member to add.
+            remove: Node id of the member to remove.
+
+        Raises:
+            NotLeaderError: This replica does not lead.
+            WigeonscaleError: ``IN_PROGRESS`` while another change is not committed,
+                ``BAD_REQUEST`` for a change that cannot be made, or as
+                :meth:`propose`.
+        """
+        self._require_quorum()
+        if not members_settled(self._core):
+            raise WigeonscaleError(
+                ErrorKind.IN_PROGRESS,
+                f"the change of members at entry {self._core.members_index} is not"
+                " committed yet",
+                retry_after=1.0,
+            )
+        members = _changed(self._core.members, add, remove)
+        await self._outcome(append_members(self._core, members))
+
+    # ------------------------------------------------------------- what is known
+
+    @property
+    def role(self) -> Role:
+        """Part that this replica plays."""
+        return self._core.role
+
+    @property
+    def term(self) -> int:
+        """Highest term seen."""
+        return self._core.term
+
+    @property
+    def leader_address(self) -> str:
+        """Address of the leader as far as known, else empty."""
+        return self._core.leader_address
 
-    role: Role
-    term: int
-    leader_address: str
-    commit_index: int
-    applied_index: int
-    applied_term: int
+    @property
+    def commit_index(self) -> int:
+        """Index of the last entry known to be committed."""
+        return self._core.commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry applied."""
+        return self._core.applied_index
+
+    @property
+    def applied_term(self) -> int:
+        """Term of the last entry applied."""
+        return self._core.applied_term
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this replica has a vote; false after a lost disk."""
+        return self._core.may_vote
+
+    @property
+    def syncs(self) -> int:
+        """Syncs of log entries so far."""
+        return self._core.storage.syncs
 
     def last_position(self) -> tuple[int, int]:
         """Return (term, index) of the last entry, committed or not."""
-        raise NotImplementedError
+        storage = self._core.storage
+        return storage.last_term, storage.last_index
 
     def fresh_at(self) -> float | None:
-        """Return when the applied state is known to have been current."""
-        raise NotImplementedError
+        """Return when the applied state is known to have been current.
+
+        Returns:
+            A local instant of the clock port: every entry that was committed
+            before it is applied here. None when nothing is known yet.
+        """
+        if self._core.leading:
+            advance_round(self._core)
+        return self._core.fresh_at
 
     def members(self) -> tuple[Member, ...]:
         """Return the members by the latest change in the log."""
-        raise NotImplementedError
+        return self._core.members
 
     def peer_silence(self, node_id: str) -> float:
         """Return the seconds since the last message of a peer; inf if none came."""
-        raise NotImplementedError
+        peer = self._core.peers.get(node_id)
+        return self._core.clock.now() - peer.heard_at if peer else math.inf
+
+    # ------------------------------------------------------------- peers
+
+    async def handle_append(self, req: wire.AppendRequest) -> wire.AppendReply:
+        """Answer an append of the leader."""
+        return await self._handle(handle_append, req)
+
+    async def handle_vote(self, req: wire.VoteRequest) -> wire.VoteReply:
+        """Answer a request for a vote."""
+        return await self._handle(handle_vote, req)
+
+    async def _handle(self, handler, req):
+        """Run a handler to its end, also when the peer's stream breaks."""
+        if self._stopped:
+            raise WigeonscaleError(
+                ErrorKind.STOPPING, f"replica {self._core.node_id} has stopped"
+            )
+        task = asyncio.create_task(self._when_loaded(handler, req))
+        self._handling.add(task)
+        task.add_done_callback(self._handling.discard)
+        return await asyncio.shield(task)
+
+    async def _when_loaded(self, handler, req):
+        await self._loaded.wait()
+        try:
+            return await handler(self._core, req)
+        except OSError as exc:
+            if not self._failure.done():
+                self._failure.set_exception(exc)
+            raise WigeonscaleError(
+                ErrorKind.INTERNAL, f"storage of {self._core.node_id} failed: {exc}"
+            ) from exc
+
+    # ------------------------------------------------------------- inside
+
+    async def _load(self):
+        core = self._core
+        await core.storage.load(f"{core.rng.getrandbits(STORAGE_ID_BITS):032x}")
+        snapshot = core.storage.snapshot
+        if snapshot is not None:
+            core.machine.restore(snapshot.data)
+            core.commit_index = snapshot.index
+            core.applied_index = snapshot.index
+            core.applied_term = snapshot.term
+        core.load_members()
+        core.timer_from = core.clock.now()
+
+    async def _close(self):
+        core = self._core
+        self._stopped = True
+        step_down(core, "it stops")
+        for task in list(self._handling):
+            task.cancel()
+        await asyncio.gather(*self._handling, return_exceptions=True)
+        for peer in core.peers.values():
+            await peer.link.reset()
+        await core.storage.close()
+
+    def _require_quorum(self):
+        core = self._core
+        if not core.leading:
+            raise NotLeaderError(node_id=core.node_id, leader=core.leader_address)
+        advance_round(core)
+        silence = core.clock.now() - core.majority_at
+        if silence > core.options.election_timeout_s / 2:
+            raise WigeonscaleError(
+                ErrorKind.NO_QUORUM,
+                f"no majority has answered {core.node_id} for {silence:.3f} s",
+                run_state=RunState.NOT_RUN,
+                retry_after=core.options.election_timeout_s,
+            )
+        if len(core.waiting) >= MAX_WAITING:
+            raise WigeonscaleError(
+                ErrorKind.OVERLOADED,
+                f"{len(core.waiting)} proposals wait, at most {MAX_WAITING} may",
+                retry_after=core.options.election_timeout_s,
+            )
+
+    async def _outcome(self, index):
+        fut = asyncio.get_running_loop().create_future()
+        self._core.waiting[index] = (self._core.term, fut)
+        return await fut
+
+
+def _changed(members, add, remove):
+    known = {member.node_id for member in members}
+    if (add is None) == (remove is None):
+        raise WigeonscaleError(
+            ErrorKind.BAD_REQUEST, "a change adds one member or removes one"
+        )
+    if add is not None:
+        if add.node_id in known:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST, f"{add.node_id} is a member already"
+            )
+        return (*members, Member(add.node_id, add.address, voting=False))
+    if remove not in known or len(members) == 1:
+        raise WigeonscaleError(
+            ErrorKind.BAD_REQUEST, f"{remove} cannot be removed from {sorted(known)}"
+        )
+    return tuple(member for member in members if member.node_id != remove)
--- /dev/null
+++ b/wigeonscale/replication/state.py
@@ -0,0 +1,260 @@
+"""What the tasks of one replica share."""
+
+__all__ = ["PeerState", "ReplicaState"]
+
+import asyncio
+import logging
+import math
+import random
+from collections.abc import Callable, Sequence
+
+from reactivex import Subject
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.replication.files import Admission, Snapshot
+from wigeonscale.replication.links import Link, Links
+from wigeonscale.replication.model import (
+    EntryKind,
+    Member,
+    ReplicaOptions,
+    Role,
+    StateMachine,
+)
+from wigeonscale.replication.storage import LogStorage
+from wigeonscale.replication.voters import members_from_wire
+from wigeonscale.wire import wire_pb2 as wire
+
+MICROSECONDS = 1_000_000
+ECHO_OFFSET_BITS = 52
+
+logger = logging.getLogger(__name__)
+
+
+class PeerState:
+    """What this replica knows of one peer, mostly as its leader.
+
+    Args:
+        member: The peer.
+        link: Link to it.
+
+    Attributes:
+        next_index: Next entry to send.
+        match_index: Last entry known to be durable at the peer in this term.
+        acked_at: Local time of sending of the newest append it acknowledged.
+        heard_at: Local time of its last message.
+        admitted: Whether its acknowledgements count for a majority.
+        storage_id: Identity of its disk by its last reply.
+        echo_us: Its own time in its last reply.
+        sent_commit: Commit index that it was last sent.
+        sending: Snapshot being sent, or None.
+        sent_bytes: Bytes of that snapshot sent so far.
+        wake: Set when there is something to send.
+    """
+
+    def __init__(self, *, member: Member, link: Link):
+        self.member = member
+        self.link = link
+        self.heard_at = -math.inf
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task | None = None
+        self.begin_term(last_index=0)
+
+    def begin_term(self, *, last_index: int) -> None:
+        """Forget what was known when this replica begins to lead."""
+        self.next_index = last_index + 1
+        self.match_index = 0
+        self.acked_at = -math.inf
+        self.admitted = False
+        self.storage_id = ""
+        self.echo_us = 0
+        self.sent_commit = 0
+        self.sending: Snapshot | None = None
+        self.sent_bytes = 0
+
+
+class ReplicaState:
+    """State of one replica, changed by its tasks on one event loop.
+
+    Everything that depends on term or vote and awaits in between holds ``lock``.
+
+    Args:
+        node_id: Name of this replica.
+        address: ip:port of its gRPC server.
+        voters: Members of the first start.
+        storage: Durable side.
+        machine: State machine.
+        links: Links port.
+        clock: Clock port.
+        options: Times and sizes.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        address: str,
+        voters: Sequence[Member],
+        storage: LogStorage,
+        machine: StateMachine,
+        links: Links,
+        clock: Clock,
+        options: ReplicaOptions,
+        rng: random.Random,
+    ):
+        self.node_id = node_id
+        self.address = address
+        self.storage = storage
+        self.machine = machine
+        self.links = links
+        self.clock = clock
+        self.options = options
+        self.rng = rng
+        self.lock = asyncio.Lock()
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self.leader_address = ""
+        self.leader_heard_at = -math.inf
+        self.timer_from = clock.now()
+        self.majority_at = -math.inf
+        self.term_start_index = 0
+        self.commit_index = 0
+        self.applied_index = 0
+        self.applied_term = 0
+        self.fresh_at: float | None = None
+        self.peers: dict[str, PeerState] = {}
+        self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
+        self.incoming: tuple[int, int, bytearray] | None = None
+        self.unsynced = asyncio.Event()
+        self.snapshot_due = asyncio.Event()
+        self.on_applied: Subject = Subject()
+        self.start_peer: Callable[[PeerState], asyncio.Task] | None = None
+        self._voters = tuple(voters)
+        self._configs: list[tuple[int, tuple[Member, ...]]] = [(0, self._voters)]
+        # A reply of an earlier process on this node must not pass for one of ours.
+        self._echo_offset = rng.getrandbits(ECHO_OFFSET_BITS)
+        self._started_us = self._echo_offset + int(clock.now() * MICROSECONDS)
+
+    # ------------------------------------------------------------- short words
+
+    @property
+    def term(self) -> int:
+        """Highest term seen."""
+        return self.storage.vote.term
+
+    @property
+    def leading(self) -> bool:
+        """Whether this replica leads."""
+        return self.role is Role.LEADER
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this replica may vote and be elected."""
+        return self.storage.vote.admission is Admission.ADMITTED
+
+    @property
+    def heard_leader_lately(self) -> bool:
+        """Whether a leader was heard within the shortest election timeout."""
+        at = self.majority_at if self.leading else self.leader_heard_at
+        return self.clock.now() - at < self.options.election_timeout_s
+
+    @property
+    def append_timeout_s(self) -> float:
+        """Silence after which a link is dropped and opened anew, in seconds."""
+        return max(2 * self.options.heartbeat_s, self.options.election_timeout_s / 2)
+
+    def echo_now(self) -> int:
+        """Return this process's time as sent to be echoed, in microseconds."""
+        return self._echo_offset + int(self.clock.now() * MICROSECONDS)
+
+    def time_of_echo(self, echo_us: int) -> float | None:
+        """Return the local time of an echo, or None when it is not ours."""
+        if not self._started_us <= echo_us <= self.echo_now():
+            return None
+        return (echo_us - self._echo_offset) / MICROSECONDS
+
+    def note_fresh(self, at: float) -> None:
+        """Record that the applied state was current at a local time."""
+        if at > (self.fresh_at if self.fresh_at is not None else -math.inf):
+            self.fresh_at = at
+
+    def wake_peers(self) -> None:
+        """Let every peer's task look for something to send."""
+        for peer in self.peers.values():
+            peer.wake.set()
+
+    # ------------------------------------------------------------- members
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members by the latest change in the log, committed or not."""
+        return self._configs[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        """Log index of that change; 0 for the settings."""
+        return self._configs[-1][0]
+
+    def members_at(self, index: int) -> tuple[Member, ...]:
+        """Return the members by the latest change up to ``index``."""
+        return next(m for at, m in reversed(self._configs) if at <= index)
+
+    def load_members(self) -> None:
+        """Read the members from snapshot and log, or else from the settings."""
+        snapshot = self.storage.snapshot
+        if snapshot and snapshot.members:
+            self._configs = [(snapshot.index, snapshot.members)]
+        else:
+            self._configs = [(0, self._voters)]
+        first = max(self.storage.base_index, self._configs[0][0]) + 1
+        self.note_members(self.storage.entries(first, self.storage.last_index))
+
+    def note_members(self, entries: Sequence[wire.LogEntry]) -> None:
+        """Take up the member changes among entries just appended."""
+        for entry in entries:
+            if entry.kind == EntryKind.MEMBERS:
+                voters = wire.VoterSet.FromString(entry.data).voters
+                self._configs.append((entry.index, members_from_wire(voters)))
+        self.update_peers()
+
+    def forget_members_from(self, index: int) -> None:
+        """Drop the member changes from ``index`` on, which was truncated."""
+        self._configs = [c for c in self._configs if c[0] < index or c[0] == 0]
+        self.update_peers()
+
+    def update_peers(self) -> None:
+        """Start and stop peers so that they match the members."""
+        wanted = {m.node_id: m for m in self.members if m.node_id != self.node_id}
+        for node_id, peer in list(self.peers.items()):
+            member = wanted.get(node_id)
+            if member is None or member.address != peer.member.address:
+                del self.peers[node_id]
+                if peer.task is not None:
+                    peer.task.cancel()
+        for node_id, member in wanted.items():
+            if node_id not in self.peers:
+                link = self.links.connect(member.address)
+                self.peers[node_id] = PeerState(member=member, link=link)
+                self.peers[node_id].begin_term(last_index=self.storage.last_index)
+            peer = self.peers[node_id]
+            peer.member = member
+            if peer.task is None and self.start_peer is not None:
+                peer.task = self.start_peer(peer)
+
+    # ------------------------------------------------------------- proposals
+
+    def fail_waiting(self, message: str) -> None:
+        """Tell every waiting proposer that its outcome is not known."""
+        waiting = [fut for _, fut in self.waiting.values()]
+        self.waiting.clear()
+        for fut in waiting:
+            if not fut.done():
+                fut.set_exception(
+                    WigeonscaleError(
+                        ErrorKind.NO_QUORUM,
+                        message,
+                        run_state=RunState.UNKNOWN,
+                        retry_after=self.options.election_timeout_s,
+                    )
+                )
--- /dev/null
+++ b/wigeonscale/replication/storage.py
@@ -0,0 +1,280 @@
+"""The durable side of one replica: vote, log entries and snapshot.
+
+Entries are appended in memory at once and become durable with
+:meth:`LogStorage.sync`; callers that wait at the same time share one sync (group
+commit). Every write runs to its end even when its caller is cancelled, so that
+memory and disk never part.
+"""
+
+__all__ = ["LogStorage"]
+
+import asyncio
+import logging
+from collections.abc import Coroutine, Sequence
+from dataclasses import replace
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.replication.files import (
+    LOG_NAME,
+    SNAPSHOT_NAME,
+    VOTE_NAME,
+    Admission,
+    Snapshot,
+    VoteState,
+    encode_snapshot,
+    encode_vote,
+    load_files,
+)
+from wigeonscale.replication.folder import Folder
+from wigeonscale.replication.model import EntryKind
+from wigeonscale.replication.records import encode_record
+from wigeonscale.wire import wire_pb2 as wire
+
+DAMAGED_SUFFIX = ".damaged"
+
+logger = logging.getLogger(__name__)
+
+
+class LogStorage:
+    """Vote, log and snapshot of one replica.
+
+    Args:
+        folder: Data folder port.
+
+    Attributes:
+        vote: Durable vote state.
+        snapshot: Newest durable snapshot, or None.
+        base_index: Position before the first entry held.
+        base_term: Term at that position.
+        synced_index: Last durable entry.
+        syncs: Number of syncs of log entries so far.
+    """
+
+    def __init__(self, *, folder: Folder):
+        self._folder = folder
+        self._write_lock = asyncio.Lock()
+        self._writes: set[asyncio.Task] = set()
+        self._failure: OSError | None = None
+        self._entries: list[wire.LogEntry] = []
+        self._offsets: list[int] = []  # of the durable entries, in the log file
+        self._size = 0
+        self.vote = VoteState()
+        self.snapshot: Snapshot | None = None
+        self.base_index = 0
+        self.base_term = 0
+        self.synced_index = 0
+        self.syncs = 0
+
+    async def load(self, new_storage_id: str) -> str:
+        """Read the folder, cut a torn tail and set aside what is broken.
+
+        A broken file never stops the replica: it keeps what is sound, takes a new
+        identity and has no vote until the others have healed and admitted it.
+
+        Args:
+            new_storage_id: Identity to take when the folder is empty or broken.
+
+        Returns:
+            What was found broken; empty for nothing.
+        """
+        loaded = load_files(self._folder)
+        if loaded is None:
+            await self.save_vote(VoteState(storage_id=new_storage_id))
+            await self._finish(self._rewrite())
+            return ""
+        self._entries = loaded.entries
+        self.base_index = loaded.base_index
+        self.base_term = loaded.base_term
+        self.snapshot = loaded.snapshot
+        if not loaded.damage:
+            self.vote = loaded.vote
+        else:
+            logger.error("damaged storage: %s", loaded.damage)
+            # The vote goes first: a crash in between must not bring a replica
+            # back that votes on what is left.
+            await self.save_vote(self._vote_after_damage(loaded.vote, new_storage_id))
+            await self._finish(self._set_aside_damaged())
+        await self._finish(self._rewrite())
+        return loaded.damage
+
+    # ------------------------------------------------------------- reading
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, durable or not."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entry(index).term
+        return None
+
+    def entry(self, index: int) -> wire.LogEntry:
+        """Return the entry at ``index``, which must be held."""
+        return self._entries[index - self.base_index - 1]
+
+    def entries(self, first: int, last: int) -> Sequence[wire.LogEntry]:
+        """Return the entries ``first..last``, both inclusive and held."""
+        return self._entries[first - self.base_index - 1 : last - self.base_index]
+
+    def batch(self, first: int, most: int, most_bytes: int) -> list[wire.LogEntry]:
+        """Return entries from ``first`` on within a count and a size in bytes."""
+        picked = []
+        size = 0
+        for entry in self.entries(first, min(self.last_index, first + most - 1)):
+            size += len(entry.data)
+            if picked and size > most_bytes:
+                break
+            picked.append(entry)
+        return picked
+
+    # ------------------------------------------------------------- writing
+
+    async def save_vote(self, vote: VoteState) -> None:
+        """Make the vote state durable."""
+        await self._finish(self._save_vote(vote))
+
+    def append(self, entries: Sequence[wire.LogEntry]) -> None:
+        """Add entries in memory; :meth:`sync` makes them durable."""
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise WigeonscaleError(
+                    ErrorKind.CORRUPT_LOG,
+                    f"entry {entry.index} does not follow entry {self.last_index}",
+                )
+            self._entries.append(entry)
+
+    async def sync(self) -> None:
+        """Wait until all entries appended so far are durable."""
+        target = self.last_index
+        if self.synced_index < target:
+            await self._finish(self._sync_to(target))
+
+    async def truncate_from(self, index: int) -> None:
+        """Drop the entry at ``index`` and all after it, on disk too."""
+        await self._finish(self._truncate_from(index))
+
+    async def save_snapshot(self, snapshot: Snapshot, keep_from: int) -> None:
+        """Make a snapshot durable, then drop entries before ``keep_from``.
+
+        Args:
+            snapshot: Snapshot newer than the one held.
+            keep_from: First entry to keep, at most ``snapshot.index + 1``. A log
+                that does not hold the snapshot's position is dropped whole.
+        """
+        await self._finish(self._save_snapshot(snapshot, keep_from))
+
+    async def close(self) -> None:
+        """Wait for the writes in progress and release the data folder."""
+        await asyncio.gather(*self._writes, return_exceptions=True)
+        self._folder.close()
+
+    async def _finish(self, write: Coroutine):
+        """Run one write to its end, also when the caller is cancelled."""
+        task = asyncio.create_task(self._run_in_order(write))
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+        await asyncio.shield(task)
+
+    async def _run_in_order(self, write):
+        async with self._write_lock:
+            if self._failure is not None:
+                write.close()
+                raise self._failure
+            try:
+                await write
+            except OSError as exc:
+                # After a failed sync nobody knows what the disk holds.
+                self._failure = exc
+                raise
+
+    async def _save_vote(self, vote):
+        await self._folder.replace(VOTE_NAME, encode_vote(vote))
+        self.vote = vote
+
+    async def _sync_to(self, target):
+        first = self.synced_index + 1
+        last = self.last_index
+        if first > min(target, last):
+            return
+        data, offsets = _encode(self.entries(first, last), self._size)
+        await self._folder.append(LOG_NAME, data)
+        self.syncs += 1
+        self._offsets += offsets
+        self._size += len(data)
+        self.synced_index = last
+
+    async def _truncate_from(self, index):
+        position = index - self.base_index - 1
+        del self._entries[position:]
+        self.synced_index = min(self.synced_index, index - 1)
+        if position < len(self._offsets):
+            self._size = self._offsets[position]
+            del self._offsets[position:]
+            await self._folder.truncate(LOG_NAME, self._size)
+
+    async def _save_snapshot(self, snapshot, keep_from):
+        if self.snapshot and snapshot.index <= self.snapshot.index:
+            return
+        await self._folder.replace(SNAPSHOT_NAME, encode_snapshot(snapshot))
+        self.snapshot = snapshot
+        if self.term_at(snapshot.index) != snapshot.term:
+            self._entries = []
+            self.base_index = snapshot.index
+            self.base_term = snapshot.term
+        elif keep_from > self.base_index + 1:
+            base_term = self.term_at(keep_from - 1)
+            del self._entries[: keep_from - self.base_index - 1]
+            self.base_index = keep_from - 1
+            self.base_term = base_term
+        await self._rewrite()
+
+    async def _rewrite(self):
+        base = wire.LogEntry(
+            index=self.base_index, term=self.base_term, kind=EntryKind.BASE
+        )
+        last = self.last_index
+        data, offsets = _encode([base, *self._entries], 0)
+        self._offsets = offsets[1:]
+        self._size = len(data)
+        await self._folder.replace(LOG_NAME, data)
+        self.synced_index = last
+
+    async def _set_aside_damaged(self):
+        for name in (LOG_NAME, SNAPSHOT_NAME):
+            data = self._folder.read(name)
+            if data is not None:
+                await self._folder.replace(name + DAMAGED_SUFFIX, data)
+        snapshot = self.snapshot or Snapshot()
+        await self._folder.replace(SNAPSHOT_NAME, encode_snapshot(snapshot))
+
+    def _vote_after_damage(self, vote, new_storage_id):
+        known = vote or VoteState()
+        voted_for = known.voted_for if known.term >= self.last_term else ""
+        return replace(
+            known,
+            term=max(known.term, self.last_term),
+            voted_for=voted_for,
+            storage_id=new_storage_id,
+            admission=Admission.AWAITING,
+        )
+
+
+def _encode(entries, offset):
+    """Return the records of entries and the offset of each in the file."""
+    records = []
+    offsets = []
+    for entry in entries:
+        record = encode_record(entry.SerializeToString())
+        offsets.append(offset)
+        records.append(record)
+        offset += len(record)
+    return b"".join(records), offsets
--- /dev/null
+++ b/wigeonscale/replication/tests/test_links.py
@@ -0,0 +1,95 @@
+import asyncio
+import random
+import tempfile
+
+from wigeonscale.adapters.channels import new_server
+from wigeonscale.errors import ErrorKind, SettingsError, WigeonscaleError
+from wigeonscale.ports import SystemClock
+from wigeonscale.replication import (
+    DiskFolder,
+    GrpcLinks,
+    Member,
+    Replica,
+    ReplicationServicer,
+)
+from wigeonscale.replication.tests.support import ListMachine
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire.wire_pb2_grpc import add_ReplicationServicer_to_server
+
+NAMES = ("a", "b", "c")
+LIMIT_S = 30
+
+
+class DiskClusterTest(AsyncTestCase):
+    """Three replicas over gRPC on loopback with their logs on disk."""
+
+    async def prepare(self):
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.root = temporary.name
+        self.addresses = {}
+        self.servers = {}
+        for name in NAMES:
+            self.servers[name], self.addresses[name] = new_server("127.0.0.1:0")
+        self.addCleanup(self.stop)
+        await self.start()
+
+    async def start(self):
+        members = [Member(name, self.addresses[name]) for name in NAMES]
+        self.machines = {name: ListMachine() for name in NAMES}
+        self.replicas = {}
+        self.tasks = []
+        for seed, name in enumerate(NAMES):
+            if self.servers[name] is None:
+                self.servers[name], _ = new_server(self.addresses[name])
+            replica = Replica(
+                node_id=name,
+                address=self.addresses[name],
+                voters=members,
+                folder=DiskFolder(path=f"{self.root}/{name}"),
+                machine=self.machines[name],
+                links=GrpcLinks(),
+                clock=SystemClock(),
+                rng=random.Random(seed),
+            )
+            self.replicas[name] = replica
+            server = self.servers[name]
+            add_ReplicationServicer_to_server(
+                ReplicationServicer(replica=replica), server
+            )
+            await server.start()
+            self.tasks.append(asyncio.create_task(replica.run()))
+
+    async def stop(self):
+        for name in NAMES:
+            await self.servers[name].stop(None)
+            self.servers[name] = None
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def propose(self, data):
+        while True:
+            for replica in self.replicas.values():
+                try:
+                    return await replica.propose(data)
+                except WigeonscaleError as exc:
+                    if exc.kind is not ErrorKind.NOT_LEADER:
+                        raise
+            await asyncio.sleep(0.01)
+
+    async def until_equal(self, commands):
+        while any(m.commands != commands for m in self.machines.values()):
+            await asyncio.sleep(0.01)
+
+    async def test_elect_commit_and_restart(self):
+        async with asyncio.timeout(LIMIT_S):
+            await self.propose(b"1")
+            await self.until_equal([b"1"])
+            await self.stop()
+            await self.start()
+            await self.propose(b"2")
+            await self.until_equal([b"1", b"2"])
+
+    async def test_folder_is_held_by_one_process(self):
+        self.assertRaises(SettingsError, DiskFolder, path=f"{self.root}/a")
--- /dev/null
+++ b/wigeonscale/replication/waiting.py
@@ -0,0 +1,35 @@
+"""Waiting with a limit that the clock port measures."""
+
+__all__ = ["within"]
+
+import asyncio
+from collections.abc import Coroutine
+
+from wigeonscale.ports import Clock
+
+
+async def within(clock: Clock, seconds: float, coro: Coroutine) -> object:
+    """Await a coroutine for at most ``seconds`` of the clock port.
+
+    Args:
+        clock: Clock port.
+        seconds: Limit in seconds.
+        coro: What to await; cancelled at the limit.
+
+    Returns:
+        The coroutine's result.
+
+    Raises:
+        TimeoutError: The limit passed first.
+    """
+    task = asyncio.create_task(coro)
+    timer = asyncio.create_task(clock.sleep(seconds))
+    try:
+        await asyncio.wait({task, timer}, return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            return task.result()
+        raise TimeoutError(f"no answer within {seconds:g} s")
+    finally:
+        task.cancel()
+        timer.cancel()
+        await asyncio.gather(task, timer, return_exceptions=True)
