--- a/wigeonscale/adapters/__init__.py
+++ b/wigeonscale/adapters/__init__.py
@@ -6,6 +6,7 @@
     "Metrics",
     "TlsFiles",
     "bound_address",
+    "client_tls_context",
     "log_fields",
     "new_server",
     "open_channel",
@@ -17,6 +18,7 @@
 
 from wigeonscale.adapters.channels import (
     TlsFiles,
+    client_tls_context,
     new_server,
     open_channel,
     server_tls_context,
--- a/wigeonscale/adapters/channels.py
+++ b/wigeonscale/adapters/channels.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "TlsFiles",
+    "client_tls_context",
     "new_server",
     "open_channel",
     "server_tls_context",
@@ -147,6 +148,20 @@
     return context
 
 
+def client_tls_context(tls: TlsFiles) -> ssl.SSLContext:
+    """Return the context of an HTTP client that shows its certificate.
+
+    Args:
+        tls: PEM files of the process.
+
+    Returns:
+        A context for the ``ssl`` argument of aiohttp's requests.
+    """
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=tls.ca)
+    context.load_cert_chain(tls.cert, tls.key)
+    return context
+
+
 def _server_credentials(tls: TlsFiles) -> grpc.ServerCredentials:
     return grpc.ssl_server_credentials(
         [(_read(tls.key), _read(tls.cert))],
--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -4,8 +4,13 @@
 
 import aioprometheus
 
-# Label value for "no error" where the label is an error kind.
+from wigeonscale.errors import ErrorKind
+
+# Values of a label "kind" besides the error kinds: no error, and a kind that only
+# a newer peer knows.
 OK = "ok"
+OTHER = "other"
+_KINDS = frozenset({OK, *ErrorKind})
 
 # Seconds. The burn report reads its objectives off these bounds.
 LATENCY_BUCKETS_S = (
@@ -50,9 +55,17 @@
                 f"metric {self.name}: labels {sorted(labels)} given,"
                 f" {sorted(self._labels)} allowed"
             )
+        if "kind" in labels:
+            labels["kind"] = _closed_kind(labels["kind"])
         return labels
 
 
+def _closed_kind(kind: str) -> str:
+    if not kind:
+        return OK
+    return str(kind) if kind in _KINDS else OTHER
+
+
 class Counter(_Metric):
     """A count that only grows."""
 
@@ -123,8 +136,9 @@
 class Metrics:
     """The metrics of one process.
 
-    Label values come from closed sets as well: error kinds, organisations and
-    rules of the document in force, names of commands.
+    Label values come from closed sets as well: organisations of the document in
+    force, names of commands, causes of an enum, and error kinds, where an empty
+    kind counts as ``ok`` and an unknown one as ``other``.
 
     Attributes:
         registry: The registry that ``/metrics`` renders.
--- /dev/null
+++ b/wigeonscale/adapters/tests/test_metrics.py
@@ -0,0 +1,73 @@
+import aiohttp
+
+from wigeonscale.adapters import Metrics, bound_address, start_http
+from wigeonscale.errors import ErrorKind
+from wigeonscale.testing import AsyncTestCase
+
+
+class MetricsTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.metrics = Metrics()
+
+    def test_labels_are_closed(self):
+        add = self.metrics.requests.add
+        self.assertRaises(ValueError, add, organisation="o")
+        self.assertRaises(ValueError, add, organisation="o", kind="ok", path="/x")
+        self.assertRaises(ValueError, self.metrics.running.set, 1, organisation="o")
+        self.assertRaises(ValueError, self.metrics.first_token_s.observe, 1.0)
+
+    def test_kinds_are_closed(self):
+        for kind in ("", ErrorKind.OVERLOADED, "overloaded", "made-up", "invented"):
+            self.metrics.retries.add(kind=kind)
+        counts = [
+            self.metrics.retries.value(kind=kind)
+            for kind in ("ok", "overloaded", "other")
+        ]
+        self.assertEqual([1, 2, 2], counts)
+
+    def test_values(self):
+        self.metrics.tokens.add(5, organisation="o")
+        self.metrics.tokens.add(organisation="o")
+        self.metrics.queued.set(3)
+        self.metrics.request_s.observe(0.3, organisation="o")
+        self.assertEqual(6, self.metrics.tokens.value(organisation="o"))
+        self.assertEqual(0, self.metrics.tokens.value(organisation="other"))
+        self.assertEqual(3, self.metrics.queued.value())
+        self.assertEqual(1, self.metrics.request_s.count(organisation="o"))
+        self.assertEqual(0, Metrics().tokens.value(organisation="o"))
+
+
+class HttpTest(AsyncTestCase):
+    async def get(self, path):
+        url = f"http://{bound_address(self.runner)}{path}"
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            return answer.status, await answer.text()
+
+    async def prepare(self):
+        self.is_ready = True
+        self.metrics = Metrics()
+        self.runner = await start_http(
+            "127.0.0.1:0", [], lambda: self.is_ready, metrics=self.metrics
+        )
+        self.addCleanup(self.runner.cleanup)
+
+    async def test_health_and_readiness(self):
+        self.assertEqual((200, '{"ok": true}'), await self.get("/healthz"))
+        self.assertEqual((200, '{"ready": true}'), await self.get("/readyz"))
+        self.is_ready = False
+        self.assertEqual((200, '{"ok": true}'), await self.get("/healthz"))
+        self.assertEqual((503, '{"ready": false}'), await self.get("/readyz"))
+
+    async def test_metrics_page(self):
+        self.metrics.requests.add(organisation="o", kind="")
+        self.metrics.first_token_s.observe(1.05, organisation="o")
+        status, text = await self.get("/metrics")
+        self.assertEqual(200, status)
+        self.assertIn('wigeonscale_requests_total{kind="ok",organisation="o"} 1', text)
+        bucket = 'wigeonscale_first_token_seconds_bucket{le="1.1",organisation="o"} 1'
+        self.assertIn(bucket, text)
+
+    async def test_address_in_use_is_refused(self):
+        with self.assertRaises(OSError):
+            await start_http(bound_address(self.runner), [], lambda: True)
--- /dev/null
+++ b/wigeonscale/daemons/tests/test_runtime.py
@@ -0,0 +1,126 @@
+import asyncio
+import os
+import signal
+
+from wigeonscale.daemons.runtime import (
+    EXIT_CUT,
+    EXIT_FAILED,
+    EXIT_OK,
+    StopStep,
+    run_until_stopped,
+)
+from wigeonscale.testing import AsyncTestCase
+
+
+async def forever():
+    await asyncio.Event().wait()
+
+
+class RuntimeTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.log = []
+
+    def step(self, name, run=None, cut=None):
+        async def default():
+            self.log.append(name)
+
+        return StopStep(name=name, run=run or default, cut=cut)
+
+    async def background(self):
+        try:
+            await forever()
+        finally:
+            self.log.append("background ended")
+
+    async def run_daemon(self, *steps, timeout_s=30.0, **options):
+        tasks = {"background": self.background(), **options.pop("tasks", {})}
+        async with asyncio.timeout(60):
+            return await run_until_stopped(
+                tasks=tasks, stop_steps=steps, stop_timeout_s=timeout_s, **options
+            )
+
+    async def send(self, signum):
+        os.kill(os.getpid(), signum)
+
+    async def test_signal_runs_the_steps_in_order(self):
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            self.log.clear()
+            code = await self.run_daemon(
+                self.step("one"), self.step("two"), tasks={"kill": self.send(signum)}
+            )
+            self.assertEqual(EXIT_OK, code)
+            self.assertEqual(["one", "two", "background ended"], self.log)
+
+    async def test_second_signal_cuts_nothing(self):
+        async def signalled():
+            await self.send(signal.SIGTERM)
+            for _ in range(10):
+                await asyncio.sleep(0)
+            self.log.append("one")
+
+        kill = {"kill": self.send(signal.SIGTERM)}
+        code = await self.run_daemon(self.step("one", signalled), tasks=kill)
+        self.assertEqual(EXIT_OK, code)
+        self.assertEqual(["one", "background ended"], self.log)
+
+    async def test_stop_event_stops_too(self):
+        stop = asyncio.Event()
+        stop.set()
+        code = await self.run_daemon(self.step("one"), stop=stop, signals=())
+        self.assertEqual((EXIT_OK, ["one", "background ended"]), (code, self.log))
+
+    async def test_failed_task_stops_the_daemon(self):
+        async def fail():
+            raise ValueError("planted")
+
+        code = await self.run_daemon(self.step("one"), tasks={"fail": fail()})
+        self.assertEqual(EXIT_FAILED, code)
+        self.assertEqual(["one", "background ended"], self.log)
+
+    async def test_stop_is_bounded_and_the_cut_is_told(self):
+        async def tell():
+            self.log.append("told")
+
+        stop = asyncio.Event()
+        stop.set()
+        code = await self.run_daemon(
+            self.step("endless", forever, cut=tell),
+            self.step("close"),
+            timeout_s=0.05,
+            stop=stop,
+        )
+        self.assertEqual(EXIT_CUT, code)
+        self.assertEqual(["told", "close", "background ended"], self.log)
+
+    async def test_failing_step_keeps_none_of_the_others(self):
+        async def fail():
+            raise TimeoutError("planted")
+
+        stop = asyncio.Event()
+        stop.set()
+        code = await self.run_daemon(
+            self.step("fails", fail), self.step("two"), stop=stop
+        )
+        self.assertEqual(EXIT_OK, code)
+        self.assertEqual(["two", "background ended"], self.log)
+
+    async def test_task_that_ends_does_not_stop_the_daemon(self):
+        ended = asyncio.Event()
+        stop = asyncio.Event()
+
+        async def end():
+            ended.set()
+
+        async def stop_later():
+            await ended.wait()
+            for _ in range(10):
+                await asyncio.sleep(0)
+            self.log.append("still running")
+            stop.set()
+
+        code = await self.run_daemon(
+            tasks={"end": end(), "later": stop_later()}, stop=stop
+        )
+        self.assertEqual(EXIT_OK, code)
+        self.assertEqual(["still running", "background ended"], self.log)
