--- /dev/null
+++ b/wigeonscale/daemons/entry.py
@@ -0,0 +1,121 @@
+"""The entry daemon: wiring only."""
+
+__all__ = ["build_entry", "run_entry"]
+
+import random
+
+from wigeonscale.adapters import setup_logging, start_http
+from wigeonscale.config import EntrySettings
+from wigeonscale.daemons.runtime import StopStep, run_until_stopped
+from wigeonscale.dispatch import (
+    AgentLinks,
+    Carrier,
+    Claims,
+    Dispatcher,
+    SilenceLimits,
+    Target,
+)
+from wigeonscale.entry import CallerServer, EntryLimits, EntryService, MemberPlaces
+from wigeonscale.limits import OrganisationLimits
+from wigeonscale.membership import ControlClient
+from wigeonscale.ports import Clock, SystemClock
+from wigeonscale.routing import Chooser, LoadTable, RetryBudget
+
+LOOKS_PER_HEARTBEAT = 2
+
+
+async def run_entry(cfg: EntrySettings) -> int:
+    """Run an entry until SIGTERM.
+
+    Args:
+        cfg: Its settings.
+
+    Returns:
+        The exit code.
+
+    Raises:
+        OSError: If an address cannot be bound.
+    """
+    setup_logging(cfg.log_level, cfg.name)
+    clock = SystemClock()
+    control = ControlClient(
+        node_id=cfg.name,
+        role="entry",
+        addresses=cfg.control,
+        clock=clock,
+        http_address=cfg.http,
+        lease_s=cfg.lease_s,
+        heartbeat_s=cfg.heartbeat_s,
+    )
+    entry = build_entry(cfg, control=control, clock=clock)
+    server = CallerServer(entry=entry, address=cfg.listen)
+    pages = await start_http(cfg.http, [], entry.is_ready)
+    try:
+        return await run_until_stopped(
+            tasks={"control": control.run(), "callers": _serve(control, server)},
+            stop_steps=[
+                StopStep("stop accepting", server.stop_accepting),
+                StopStep("finish", server.finish, cut=server.cut),
+                StopStep("close", server.close),
+            ],
+            stop_timeout_s=cfg.stop_timeout_s,
+        )
+    finally:
+        await pages.cleanup()
+
+
+def build_entry(
+    cfg: EntrySettings, *, control: ControlClient, clock: Clock
+) -> EntryService:
+    """Return an entry's state, wired together.
+
+    Args:
+        cfg: Its settings.
+        control: Its link to control.
+        clock: Clock port.
+    """
+    table = LoadTable(clock=clock)
+    chooser = Chooser(table=table, rng=random.Random(), subset=cfg.subset)
+    places = MemberPlaces(members=lambda: control.members, chooser=chooser, clock=clock)
+
+    def on_gone(target: Target) -> None:
+        places.avoid_gone(target)
+        control.suspect(target.agent_id, target.incarnation)
+
+    links = AgentLinks(
+        entry_id=cfg.name,
+        clock=clock,
+        on_word=table.word,
+        on_gone=on_gone,
+        limits=SilenceLimits(interval_s=cfg.heartbeat_s / LOOKS_PER_HEARTBEAT),
+    )
+    carrier = Carrier(links=links, table=table)
+    claims = Claims(control=control, carrier=carrier, places=places, clock=clock)
+    dispatcher = Dispatcher(
+        carrier=carrier,
+        places=places,
+        claims=claims,
+        budget=RetryBudget(clock=clock, ratio=cfg.retry_ratio),
+        clock=clock,
+        open_timeout_s=cfg.open_timeout_s,
+    )
+    return EntryService(
+        control=control,
+        dispatcher=dispatcher,
+        links=links,
+        claims=claims,
+        places=places,
+        organisation_limits=OrganisationLimits(clock=clock),
+        clock=clock,
+        limits=EntryLimits(
+            default_deadline_s=cfg.default_deadline_s,
+            body_limit_bytes=cfg.body_limit_bytes,
+            max_streams=cfg.max_streams,
+        ),
+    )
+
+
+async def _serve(control: ControlClient, server: CallerServer) -> None:
+    # Nothing is served before a majority has confirmed the configuration.
+    await control.ready()
+    await server.start()
--- /dev/null
+++ b/wigeonscale/dispatch/__init__.py
@@ -0,0 +1,31 @@
+"""Dispatch of work from an entry to agents."""
+
+__all__ = [
+    "AgentGoneError",
+    "AgentLinks",
+    "Answer",
+    "AnswerRecord",
+    "Carrier",
+    "Claims",
+    "DispatchStream",
+    "Dispatcher",
+    "Places",
+    "SilenceLimits",
+    "Target",
+    "Work",
+    "new_dispatch_id",
+]
+
+from wigeonscale.dispatch.answer import Answer
+from wigeonscale.dispatch.attempts import Dispatcher
+from wigeonscale.dispatch.carrier import Carrier
+from wigeonscale.dispatch.claims import Claims, Places
+from wigeonscale.dispatch.links import AgentLinks
+from wigeonscale.dispatch.silence import SilenceLimits
+from wigeonscale.dispatch.stream import (
+    AgentGoneError,
+    AnswerRecord,
+    DispatchStream,
+    Target,
+)
+from wigeonscale.dispatch.work import Work, new_dispatch_id
--- /dev/null
+++ b/wigeonscale/dispatch/answer.py
@@ -0,0 +1,98 @@
+"""The answer to one request, over all its dispatches."""
+
+__all__ = ["Answer"]
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from wigeonscale.adapters import log_fields
+from wigeonscale.dispatch.carrier import Carrier
+from wigeonscale.dispatch.retries import honest_error, is_retried
+from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream
+from wigeonscale.dispatch.work import Work
+from wigeonscale.errors import WigeonscaleError
+
+logger = logging.getLogger(__name__)
+
+Reopen = Callable[[Work, AnswerRecord, frozenset[str]], Awaitable[DispatchStream]]
+
+
+class Answer:
+    """The answer to one request, from wherever it comes.
+
+    Args:
+        stream: The dispatch that gives it now.
+        carrier: Carries the dispatches.
+        work: The work; None for an answer taken up by its id.
+        reopen: Dispatches the rest of the work; None when that cannot be.
+
+    Attributes:
+        stream: The dispatch that gives it now.
+        dispatches: Ids of all its dispatches so far.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: DispatchStream,
+        carrier: Carrier,
+        work: Work | None = None,
+        reopen: Reopen | None = None,
+    ):
+        self.stream = stream
+        self.dispatches = [stream.dispatch_id]
+        self._carrier = carrier
+        self._work = work
+        self._reopen = reopen
+
+    @property
+    def request_id(self) -> str:
+        """Id under which any entry can take up the answer."""
+        return self.stream.dispatch_id
+
+    @property
+    def record(self) -> AnswerRecord:
+        """All tokens so far."""
+        return self.stream.record
+
+    @property
+    def once(self) -> bool:
+        """Whether the work must not run twice."""
+        return self._work is not None and self._work.once
+
+    async def take(self) -> list[str]:
+        """Return the next token texts; an empty list at the end.
+
+        Raises:
+            WigeonscaleError: When the rest of the answer cannot be had.
+        """
+        while True:
+            try:
+                return await self.stream.take()
+            except WigeonscaleError as exc:
+                await self._go_on_elsewhere(exc)
+
+    def abandon(self) -> None:
+        """Leave an answer that its caller gave up; stop the work where it may be."""
+        # A claimed dispatch goes on: its key still gives the answer.
+        self._carrier.drop(self.stream, cancel=not self.once)
+
+    def close(self) -> None:
+        """Leave an answer that has ended, or that goes on for others."""
+        self._carrier.drop(self.stream)
+
+    async def _go_on_elsewhere(self, exc: WigeonscaleError) -> None:
+        work = self._work
+        if work is None or self._reopen is None or not work.repeatable:
+            raise honest_error(exc, once=self.once) from exc
+        if not is_retried(exc) or len(self.dispatches) > work.attempts:
+            raise exc
+        logger.info(
+            "going on elsewhere: %s",
+            exc.message,
+            extra=log_fields(request_id=self.request_id, kind=exc.kind),
+        )
+        self.close()
+        avoid = frozenset({self.stream.target.agent_id})
+        self.stream = await self._reopen(work, self.record, avoid)
+        self.dispatches.append(self.stream.dispatch_id)
--- /dev/null
+++ b/wigeonscale/dispatch/attempts.py
@@ -0,0 +1,202 @@
+"""Dispatch of one request: choice, claim, sealing and retries."""
+
+__all__ = ["Dispatcher"]
+
+import asyncio
+
+from wigeonscale.adapters import METRICS
+from wigeonscale.dispatch.answer import Answer
+from wigeonscale.dispatch.carrier import Carrier
+from wigeonscale.dispatch.claims import Claims, Places
+from wigeonscale.dispatch.retries import honest_error, may_retry
+from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream, Target
+from wigeonscale.dispatch.work import Work, new_dispatch_id
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.routing import RetryBudget
+from wigeonscale.wire import wire_pb2 as wire
+
+DEFAULT_RETRY_AFTER_S = 1.0
+NO_LIMIT_S = 86400.0
+
+
+class Dispatcher:
+    """Brings work to agents.
+
+    Args:
+        carrier: Carries dispatches to agents.
+        places: Where work can go.
+        claims: Claims of work that must not run twice.
+        budget: Budget of retries.
+        clock: Clock port.
+        open_timeout_s: Longest wait for a dispatch to be accepted, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        carrier: Carrier,
+        places: Places,
+        claims: Claims,
+        budget: RetryBudget,
+        clock: Clock,
+        open_timeout_s: float = 5.0,
+    ):
+        self._carrier = carrier
+        self._places = places
+        self._claims = claims
+        self._budget = budget
+        self._clock = clock
+        self._open_timeout_s = open_timeout_s
+
+    async def start(self, work: Work) -> Answer:
+        """Dispatch work and return once its answer has begun.
+
+        Args:
+            work: The work.
+
+        Returns:
+            The answer, to be closed or abandoned by the caller.
+
+        Raises:
+            WigeonscaleError: With run state ``NOT_RUN`` only when that is proven.
+        """
+        self._budget.record()
+        stream = await self._open(work, AnswerRecord(), frozenset())
+        return Answer(
+            stream=stream, carrier=self._carrier, work=work, reopen=self._open
+        )
+
+    async def attach(
+        self, target: Target, dispatch_id: str, organisation: str, from_token: int
+    ) -> Answer:
+        """Take up an answer by its id, from a token index.
+
+        Args:
+            target: The agent that has it.
+            dispatch_id: Its id.
+            organisation: Organisation of the caller; the agent compares it.
+            from_token: Index of the first token wanted.
+
+        Returns:
+            The answer, to be closed by the caller.
+
+        Raises:
+            WigeonscaleError: What the agent says when it does not have it.
+        """
+        stream = self._carrier.attach(target, dispatch_id, organisation, from_token)
+        try:
+            await self._carrier.until_begun(stream)
+        except asyncio.CancelledError:
+            self._carrier.drop(stream)
+            raise
+        return Answer(stream=stream, carrier=self._carrier)
+
+    async def _open(
+        self, work: Work, record: AnswerRecord, avoid: frozenset[str]
+    ) -> DispatchStream:
+        """Dispatch work, on another agent when one refuses."""
+        refusal: WigeonscaleError | None = None
+        for _ in range(max(1, work.attempts)):
+            if refusal is not None:
+                if not may_retry(work, refusal, self._budget):
+                    break
+                METRICS.retries.add(kind=refusal.kind)
+            self._check_deadline(work)
+            place = self._places.choose(work, avoid)
+            if place is None:
+                break
+            try:
+                return await self._attempt(work, record, *place)
+            except WigeonscaleError as exc:
+                refusal = exc
+                avoid = avoid | {place[0].agent_id}
+        raise honest_error(refusal or _no_place(work), once=work.once)
+
+    def _check_deadline(self, work: Work) -> None:
+        if self._clock.now() >= work.deadline:
+            raise WigeonscaleError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                "the deadline passed before the work could begin",
+                retry_after=DEFAULT_RETRY_AFTER_S,
+            )
+
+    async def _attempt(
+        self,
+        work: Work,
+        record: AnswerRecord,
+        target: Target,
+        chain: wire.Chain | None,
+    ) -> DispatchStream:
+        dispatch_id = new_dispatch_id(target.agent_id)
+        if work.once:
+            held = await self._claims.obtain(work, dispatch_id, target)
+            if held is not None:
+                return held
+        opening = work.open_message(
+            dispatch_id=dispatch_id,
+            target=target,
+            chain=chain,
+            record=record,
+            remaining_s=work.deadline - self._clock.now(),
+        )
+        stream = DispatchStream(
+            dispatch_id=dispatch_id,
+            target=target,
+            organisation=work.organisation,
+            record=record,
+            opening=opening,
+        )
+        self._carrier.carry(stream)
+        try:
+            await self._begin(work, stream)
+        except asyncio.CancelledError:
+            self._carrier.drop(stream, cancel=not work.once)
+            raise
+        except WigeonscaleError as exc:
+            self._carrier.drop(stream)
+            if work.once and exc.run_state is RunState.NOT_RUN:
+                self._claims.release_later(work, dispatch_id)
+            raise
+        return stream
+
+    async def _begin(self, work: Work, stream: DispatchStream) -> None:
+        """Wait until the dispatch has begun, or seal it when that takes too long."""
+        accepted = await self._in_time(
+            stream.until_accepted(), work, self._open_timeout_s
+        )
+        begun = accepted and await self._in_time(stream.until_begun(), work)
+        if not begun and await stream.seal():
+            raise self._gave_up(work, accepted)
+        await self._carrier.until_begun(stream)
+
+    async def _in_time(self, coro, work: Work, limit_s: float = NO_LIMIT_S) -> bool:
+        limit_s = min(limit_s, work.deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(max(0.0, limit_s)):
+                await coro
+        except TimeoutError:
+            return False
+        return True
+
+    def _gave_up(self, work: Work, accepted: bool) -> WigeonscaleError:
+        if accepted or self._clock.now() >= work.deadline:
+            return WigeonscaleError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                "the deadline passed before the work began; it never will",
+                retry_after=DEFAULT_RETRY_AFTER_S,
+            )
+        return WigeonscaleError(
+            ErrorKind.BACKEND_FAILED,
+            f"not accepted within {self._open_timeout_s:g} s; it never will be",
+            retry_after=DEFAULT_RETRY_AFTER_S,
+        )
+
+
+def _no_place(work: Work) -> WigeonscaleError:
+    where = work.pipeline or work.service
+    return WigeonscaleError(
+        ErrorKind.NO_BACKEND,
+        f"no backend server is ready for {where!r}",
+        retry_after=DEFAULT_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/wigeonscale/dispatch/carrier.py
@@ -0,0 +1,65 @@
+"""Dispatches put on links, with their share of the load counted."""
+
+__all__ = ["Carrier"]
+
+from wigeonscale.dispatch.links import AgentLinks
+from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream, Target
+from wigeonscale.routing import LoadTable
+
+
+class Carrier:
+    """Puts dispatches on links and takes them off, each counted once.
+
+    Args:
+        links: Connections to agents.
+        table: Load of the agents.
+    """
+
+    def __init__(self, *, links: AgentLinks, table: LoadTable):
+        self._links = links
+        self._table = table
+
+    def carry(self, stream: DispatchStream) -> None:
+        """Open a dispatch, or take it up, at its agent."""
+        self._links.carry(stream)
+        self._table.started(stream.target.agent_id)
+        stream.counted = True
+
+    def attach(
+        self, target: Target, dispatch_id: str, organisation: str, from_token: int = 0
+    ) -> DispatchStream:
+        """Return a dispatch opened by someone, taken up from a token index."""
+        stream = DispatchStream(
+            dispatch_id=dispatch_id,
+            target=target,
+            organisation=organisation,
+            record=AnswerRecord(base=from_token),
+        )
+        self.carry(stream)
+        return stream
+
+    def drop(self, stream: DispatchStream, *, cancel: bool = False) -> None:
+        """Leave a dispatch; further calls do nothing.
+
+        Args:
+            stream: The dispatch.
+            cancel: Tell the agent that nobody wants the answer.
+        """
+        if not stream.counted:
+            return
+        stream.counted = False
+        if cancel:
+            stream.cancel()
+        stream.leave()
+        self._table.finished(stream.target.agent_id)
+
+    async def until_begun(self, stream: DispatchStream) -> None:
+        """Wait until a dispatch has begun; drop it when it failed before.
+
+        Raises:
+            WigeonscaleError: The error that ended it before its first token.
+        """
+        await stream.until_begun()
+        if stream.error is not None and not stream.has_new:
+            self.drop(stream)
+            raise stream.error
--- /dev/null
+++ b/wigeonscale/dispatch/claims.py
@@ -0,0 +1,218 @@
+"""Claims of work that must not run twice, committed before its dispatch."""
+
+__all__ = ["Claims", "Places", "unknown_outcome"]
+
+import asyncio
+import logging
+from typing import Protocol
+
+from wigeonscale.adapters import log_fields
+from wigeonscale.dispatch.carrier import Carrier
+from wigeonscale.dispatch.stream import AgentGoneError, DispatchStream, Target
+from wigeonscale.dispatch.work import Work
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+# Another caller's claim may be seen before its dispatch reaches the agent.
+LOOKS = 3
+LOOK_INTERVAL_S = 0.1
+# Claims of one request: the first, and new ones after a released one.
+MAX_CLAIMS = 3
+
+
+class Places(Protocol):
+    """Where work can go, as the control replicas tell."""
+
+    def choose(
+        self, work: Work, avoid: frozenset[str]
+    ) -> tuple[Target, wire.Chain | None] | None:
+        """Return an agent, and the chain it heads, or None."""
+
+    def is_current(self, agent_id: str, incarnation: int) -> bool:
+        """Return whether this incarnation of the agent is a member."""
+
+
+class Submitter(Protocol):
+    """What is asked of the control client."""
+
+    async def submit(
+        self, command: wire.Command, timeout_s: float = 3.0
+    ) -> wire.CommandResult:
+        """Commit one command and return its result."""
+
+
+class Claims:
+    """Takes and releases claims through the control log.
+
+    Args:
+        control: The control client.
+        carrier: Takes up the answers of claims that others hold.
+        places: Tells whether a holder is still a member.
+        clock: Clock port.
+    """
+
+    def __init__(
+        self, *, control: Submitter, carrier: Carrier, places: Places, clock: Clock
+    ):
+        self._control = control
+        self._carrier = carrier
+        self._places = places
+        self._clock = clock
+        self._releases: dict[tuple[str, str], asyncio.Task] = {}
+
+    async def obtain(
+        self, work: Work, dispatch_id: str, target: Target
+    ) -> DispatchStream | None:
+        """Claim the work's key, or take up the answer of who holds it.
+
+        Args:
+            work: Work with ``once`` set.
+            dispatch_id: Id that the dispatch will have.
+            target: Where it will go.
+
+        Returns:
+            None when the claim is granted, else the holder's dispatch, begun.
+
+        Raises:
+            WigeonscaleError: ``OUTCOME_UNKNOWN``, ``IDEMPOTENCY_KEY_REUSED``,
+                ``NO_QUORUM`` and others of the control client and the holder.
+        """
+        release = self._releases.get((work.organisation, work.key))
+        if release is not None:
+            await asyncio.wait({release})
+        for _ in range(MAX_CLAIMS):
+            standing = await self._take(work, dispatch_id, target)
+            if standing is None:
+                return None
+            stream = await self._join(work, standing)
+            if stream is not None:
+                return stream
+        raise WigeonscaleError(
+            ErrorKind.IN_PROGRESS,
+            f"other requests with the key {work.key!r} come and go",
+            run_state=RunState.UNKNOWN,
+            retry_after=1.0,
+        )
+
+    def release_later(self, work: Work, dispatch_id: str) -> None:
+        """Release a claim without keeping the caller waiting.
+
+        When it fails the claim stands; the next caller of the key finds the
+        dispatch sealed and releases it then.
+
+        Args:
+            work: The work.
+            dispatch_id: A dispatch that surely never ran nor will.
+        """
+        scope = (work.organisation, work.key)
+        task = asyncio.create_task(self._release_quietly(work, dispatch_id))
+        self._releases[scope] = task
+        task.add_done_callback(lambda done: self._forget_release(scope, done))
+
+    async def close(self) -> None:
+        """Wait for the releases under way."""
+        await asyncio.gather(*self._releases.values(), return_exceptions=True)
+
+    async def _take(
+        self, work: Work, dispatch_id: str, target: Target
+    ) -> wire.ClaimRecord | None:
+        claim = wire.Claim(
+            organisation=work.organisation,
+            key=work.key,
+            digest=work.digest,
+            dispatch_id=dispatch_id,
+            agent_id=target.agent_id,
+            agent_incarnation=target.incarnation,
+            agent_address=target.address,
+            request_id=dispatch_id,
+        )
+        result = await self._control.submit(wire.Command(claim=claim))
+        return None if result.granted else result.claim
+
+    async def _release(self, work: Work, dispatch_id: str) -> None:
+        outcome = wire.Outcome(
+            organisation=work.organisation,
+            key=work.key,
+            dispatch_id=dispatch_id,
+            not_run=True,
+        )
+        await self._control.submit(wire.Command(outcome=outcome))
+
+    def _forget_release(self, scope: tuple[str, str], done: asyncio.Task) -> None:
+        if self._releases.get(scope) is done:
+            del self._releases[scope]
+
+    async def _release_quietly(self, work: Work, dispatch_id: str) -> None:
+        try:
+            await self._release(work, dispatch_id)
+        except WigeonscaleError as exc:
+            logger.warning(
+                "claim not released: %s",
+                exc.message,
+                extra=log_fields(request_id=dispatch_id, kind=exc.kind),
+            )
+
+    async def _join(
+        self, work: Work, standing: wire.ClaimRecord
+    ) -> DispatchStream | None:
+        """Take up the holder's answer; None when its claim was released instead."""
+        claim = standing.claim
+        if standing.state == wire.UNKNOWN:
+            raise unknown_outcome(f"whether {claim.dispatch_id} ran is not known")
+        if not self._places.is_current(claim.agent_id, claim.agent_incarnation):
+            raise unknown_outcome(f"{claim.agent_id}, which had the work, is gone")
+        try:
+            stream = await self._attach(work, claim)
+            if stream is not None:
+                return stream
+            if not await self._seal(work, claim):
+                raise unknown_outcome(f"{claim.dispatch_id} began, its answer is gone")
+        except AgentGoneError as exc:
+            raise unknown_outcome(f"{exc.message}; it had the work") from exc
+        except WigeonscaleError as exc:
+            # The agent never ran it nor will: the key is free for a new claim.
+            if exc.run_state is not RunState.NOT_RUN:
+                raise
+        await self._release(work, claim.dispatch_id)
+        return None
+
+    async def _attach(self, work: Work, claim: wire.Claim) -> DispatchStream | None:
+        """Return the holder's dispatch, or None when it has not arrived there."""
+        for _ in range(LOOKS):
+            stream = self._carrier.attach(
+                _holder(claim), claim.dispatch_id, work.organisation
+            )
+            try:
+                await self._carrier.until_begun(stream)
+                return stream
+            except WigeonscaleError as exc:
+                if exc.kind is not ErrorKind.NOT_FOUND:
+                    raise
+            finally:
+                if not stream.begun or stream.error is not None:
+                    self._carrier.drop(stream)
+            await self._clock.sleep(LOOK_INTERVAL_S)
+        return None
+
+    async def _seal(self, work: Work, claim: wire.Claim) -> bool:
+        stream = self._carrier.attach(
+            _holder(claim), claim.dispatch_id, work.organisation
+        )
+        try:
+            return await stream.seal()
+        finally:
+            self._carrier.drop(stream)
+
+
+def unknown_outcome(message: str) -> WigeonscaleError:
+    """Return the error for work that may have run and must not run again."""
+    return WigeonscaleError(
+        ErrorKind.OUTCOME_UNKNOWN, message, run_state=RunState.UNKNOWN
+    )
+
+
+def _holder(claim: wire.Claim) -> Target:
+    return Target(claim.agent_id, claim.agent_incarnation, claim.agent_address)
--- /dev/null
+++ b/wigeonscale/dispatch/links.py
@@ -0,0 +1,298 @@
+"""Connections to agents: one multiplexed stream each, and a second one on silence."""
+
+__all__ = ["AgentLink", "AgentLinks"]
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable
+
+import grpc
+
+from wigeonscale.adapters import METRICS, log_fields, open_channel
+from wigeonscale.dispatch.silence import SilenceLimits, until_silent
+from wigeonscale.dispatch.stream import AgentGoneError, DispatchStream, Target
+from wigeonscale.errors import RunState
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc as wire_grpc
+
+logger = logging.getLogger(__name__)
+
+OnWord = Callable[[str, wire.LoadWord], None]
+OnGone = Callable[[Target], None]
+
+
+class AgentLink:
+    """One connection to an agent with one Dispatch stream on it.
+
+    Args:
+        target: The agent.
+        entry_id: Name of this entry.
+        clock: Clock port.
+        on_word: Called with each load word.
+
+    Attributes:
+        busy: Set while dispatches are carried.
+        events_heard: Events received so far.
+        first_event: Set by the first event.
+    """
+
+    def __init__(self, *, target: Target, entry_id: str, clock: Clock, on_word: OnWord):
+        self.target = target
+        self.streams: dict[str, DispatchStream] = {}
+        self.busy = asyncio.Event()
+        self.events_heard = 0
+        self.first_event = asyncio.Event()
+        self._entry_id = entry_id
+        self._clock = clock
+        self._on_word = on_word
+        self._outbox: asyncio.Queue[wire.DispatchRequest] = asyncio.Queue()
+
+    def add(self, stream: DispatchStream) -> None:
+        """Carry a dispatch: open it, or take it up, on this link."""
+        stream.link = self
+        self.streams[stream.dispatch_id] = stream
+        self.busy.set()
+        for request in stream.requests():
+            self.send(request)
+
+    def remove(self, stream: DispatchStream) -> None:
+        """Carry a dispatch no more."""
+        if self.streams.get(stream.dispatch_id) is stream:
+            del self.streams[stream.dispatch_id]
+        if not self.streams:
+            self.busy.clear()
+
+    def send(self, request: wire.DispatchRequest) -> None:
+        """Queue a message to the agent."""
+        self._outbox.put_nowait(request)
+
+    def ping(self) -> None:
+        """Ask the agent for a word."""
+        sent_us = int(self._clock.now() * 1e6)
+        self.send(wire.DispatchRequest(ping=wire.Ping(sent_us=sent_us)))
+
+    async def run(self) -> None:
+        """Connect and receive until the connection breaks."""
+        async with open_channel(self.target.address) as channel:
+            if not await _is_connected(channel):
+                return
+            call = wire_grpc.AgentStub(channel).Dispatch(self._requests())
+            try:
+                async for event in call:
+                    self._receive(event)
+            except grpc.aio.AioRpcError as exc:
+                logger.info(
+                    "connection to %s broke: %s", self.target.agent_id, exc.details()
+                )
+            finally:
+                call.cancel()
+
+    async def _requests(self) -> AsyncIterator[wire.DispatchRequest]:
+        yield wire.DispatchRequest(hello=wire.EntryHello(entry_id=self._entry_id))
+        while True:
+            request = await self._outbox.get()
+            if request.WhichOneof("body") == "open":
+                self._mark_sent(request.open.dispatch_id)
+            yield request
+
+    def _mark_sent(self, dispatch_id: str) -> None:
+        stream = self.streams.get(dispatch_id)
+        if stream is not None:
+            stream.sent = True
+
+    def _receive(self, event: wire.DispatchEvent) -> None:
+        self.events_heard += 1
+        if self.events_heard == 1:
+            self.first_event.set()
+        if event.HasField("load"):
+            self._on_word(self.target.agent_id, event.load)
+        for item in event.items:
+            # Late items of a dispatch that left are for nobody.
+            stream = self.streams.get(item.dispatch_id)
+            if stream is not None:
+                stream.deliver(item)
+
+
+class AgentLinks:
+    """All connections of an entry to agents.
+
+    Args:
+        entry_id: Name of this entry.
+        clock: Clock port.
+        on_word: Called with agent id and load word.
+        on_gone: Called when no connection to an agent works any more.
+        limits: When a connection counts as silent.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        clock: Clock,
+        on_word: OnWord = lambda agent_id, word: None,
+        on_gone: OnGone = lambda target: None,
+        limits: SilenceLimits | None = None,
+    ):
+        self._entry_id = entry_id
+        self._clock = clock
+        self._on_word = on_word
+        self._on_gone = on_gone
+        self._limits = limits or SilenceLimits()
+        self._lanes: dict[Target, list[_Lane]] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._closing = False
+
+    def carry(self, stream: DispatchStream) -> None:
+        """Open a dispatch, or take it up, at its agent."""
+        for lane in self._lanes.get(stream.target, ()):
+            # Items bear only the dispatch id: two readers need two streams.
+            if stream.dispatch_id not in lane.link.streams:
+                lane.link.add(stream)
+                return
+        self._new_lane(stream.target).link.add(stream)
+
+    def streams(self) -> list[DispatchStream]:
+        """Return every dispatch carried now."""
+        lanes = [lane for lanes in self._lanes.values() for lane in lanes]
+        return [stream for lane in lanes for stream in lane.link.streams.values()]
+
+    async def close(self) -> None:
+        """Close every connection; what is still carried fails."""
+        self._closing = True
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def new_link(self, target: Target) -> AgentLink:
+        """Return a link with a connection of its own, not yet run."""
+        return AgentLink(
+            target=target,
+            entry_id=self._entry_id,
+            clock=self._clock,
+            on_word=self._on_word,
+        )
+
+    def _new_lane(self, target: Target) -> "_Lane":
+        lane = _Lane(
+            link=self.new_link(target),
+            links=self,
+            clock=self._clock,
+            limits=self._limits,
+        )
+        self._lanes.setdefault(target, []).append(lane)
+        task = asyncio.create_task(self._run_lane(lane))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return lane
+
+    async def _run_lane(self, lane: "_Lane") -> None:
+        try:
+            await lane.run()
+        finally:
+            self._drop(lane)
+
+    def _drop(self, lane: "_Lane") -> None:
+        target = lane.link.target
+        lanes = self._lanes.get(target, [])
+        if lane in lanes:
+            lanes.remove(lane)
+        if not lanes:
+            self._lanes.pop(target, None)
+        streams = list(lane.link.streams.values())
+        for stream in streams:
+            state = RunState.UNKNOWN if stream.sent else RunState.NOT_RUN
+            stream.fail(AgentGoneError(f"{target.agent_id} is gone", run_state=state))
+        if streams and not self._closing:
+            self._on_gone(target)
+
+
+class _Lane:
+    """Keeps one link to an agent working, by a second connection when needed."""
+
+    def __init__(
+        self,
+        *,
+        link: AgentLink,
+        links: AgentLinks,
+        clock: Clock,
+        limits: SilenceLimits,
+    ):
+        self.link = link
+        self._links = links
+        self._clock = clock
+        self._limits = limits
+        self._reader = asyncio.create_task(link.run())
+
+    async def run(self) -> None:
+        """Return when the agent is gone, or when an idle connection broke."""
+        try:
+            while True:
+                await self._until_lost()
+                if not self.link.streams:
+                    return
+                if not await self._connect_again():
+                    return
+        finally:
+            await _cancel(self._reader)
+
+    async def _until_lost(self) -> None:
+        silence = until_silent(self.link, clock=self._clock, limits=self._limits)
+        await self._reader_or(silence)
+
+    async def _connect_again(self) -> bool:
+        old, old_reader = self.link, self._reader
+        self.link = self._links.new_link(old.target)
+        self._reader = asyncio.create_task(self.link.run())
+        for stream in list(old.streams.values()):
+            self.link.add(stream)
+        old.streams.clear()
+        self.link.ping()
+        logger.info(
+            "second connection to %s", old.target.agent_id, extra=_moved(self.link)
+        )
+        METRICS.attaches.add(len(self.link.streams))
+        await _cancel(old_reader)
+        await self._reader_or(self._first_event_or_timeout())
+        return self.link.first_event.is_set()
+
+    async def _first_event_or_timeout(self) -> None:
+        timer = asyncio.create_task(self._clock.sleep(self._limits.second_connection_s))
+        heard = asyncio.create_task(self.link.first_event.wait())
+        try:
+            await asyncio.wait({timer, heard}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            await _cancel(timer)
+            await _cancel(heard)
+
+    async def _reader_or(self, coro) -> None:
+        other = asyncio.create_task(coro)
+        try:
+            await asyncio.wait(
+                {self._reader, other}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            await _cancel(other)
+
+
+def _moved(link: AgentLink) -> dict:
+    return log_fields(dispatches=len(link.streams))
+
+
+async def _is_connected(channel: grpc.aio.Channel) -> bool:
+    """Wait for the connection, so that nothing is sent on one that never stood."""
+    state = channel.get_state(try_to_connect=True)
+    while state is not grpc.ChannelConnectivity.READY:
+        if state in (
+            grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+            grpc.ChannelConnectivity.SHUTDOWN,
+        ):
+            return False
+        await channel.wait_for_state_change(state)
+        state = channel.get_state(try_to_connect=True)
+    return True
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/wigeonscale/dispatch/retries.py
@@ -0,0 +1,53 @@
+"""Which failures may be tried again, and what callers are told of the others."""
+
+__all__ = ["honest_error", "is_retried", "may_retry"]
+
+from wigeonscale.dispatch.claims import unknown_outcome
+from wigeonscale.dispatch.stream import AgentGoneError, EntryStoppingError
+from wigeonscale.dispatch.work import Work
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.routing import RetryBudget
+
+# The agent is out of service and is avoided from now on: such retries end by
+# themselves and need no budget.
+OUT_OF_SERVICE = frozenset(
+    {
+        ErrorKind.BACKEND_LEAVING,
+        ErrorKind.STALE_INCARNATION,
+        ErrorKind.STALE_EPOCH,
+        ErrorKind.STOPPING,
+        ErrorKind.LEASE_EXPIRED,
+    }
+)
+RETRIED = OUT_OF_SERVICE | {ErrorKind.BACKEND_FAILED, ErrorKind.OVERLOADED}
+
+
+def is_retried(exc: WigeonscaleError) -> bool:
+    """Return whether another agent may do what failed here."""
+    return exc.kind in RETRIED and not isinstance(exc, EntryStoppingError)
+
+
+def may_retry(work: Work, refusal: WigeonscaleError, budget: RetryBudget) -> bool:
+    """Return whether work may be dispatched again after a refusal.
+
+    Args:
+        work: The work.
+        refusal: Why the last dispatch failed.
+        budget: Charged when the refusal may be shared by many agents.
+
+    Returns:
+        True only when the work surely never ran, or may be repeated.
+    """
+    if not is_retried(refusal):
+        return False
+    if refusal.run_state is not RunState.NOT_RUN and not work.repeatable:
+        return False
+    free = refusal.kind in OUT_OF_SERVICE or isinstance(refusal, AgentGoneError)
+    return free or budget.try_spend()
+
+
+def honest_error(exc: WigeonscaleError, *, once: bool) -> WigeonscaleError:
+    """Return the error for the caller: lost once-only work is of unknown outcome."""
+    if once and is_retried(exc) and exc.run_state is RunState.UNKNOWN:
+        return unknown_outcome(exc.message)
+    return exc
--- /dev/null
+++ b/wigeonscale/dispatch/silence.py
@@ -0,0 +1,56 @@
+"""Detection of a connection that went silent."""
+
+__all__ = ["SilenceLimits", "until_silent"]
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from wigeonscale.ports import Clock
+
+if TYPE_CHECKING:
+    from wigeonscale.dispatch.links import AgentLink
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """When a connection counts as silent.
+
+    Attributes:
+        interval_s: Seconds between two looks.
+        missed_pings: Pings in a row without any word from the agent.
+        second_connection_s: Seconds for a second connection to give any word
+            before the agent itself counts as gone.
+    """
+
+    interval_s: float = 0.25
+    missed_pings: int = 3
+    second_connection_s: float = 0.5
+
+
+async def until_silent(
+    link: "AgentLink", *, clock: Clock, limits: SilenceLimits
+) -> None:
+    """Return when the link has been silent although it was asked for a word.
+
+    Counts looks of this loop, not time, so that a pause of this very process is
+    not taken for a silence of the agent. An idle link is left in peace.
+
+    Args:
+        link: The link.
+        clock: Clock port.
+        limits: When it counts as silent.
+    """
+    missed = 0
+    pinged = False
+    while missed < limits.missed_pings:
+        if not link.busy.is_set():
+            missed, pinged = 0, False
+            await link.busy.wait()
+        heard = link.events_heard
+        await clock.sleep(limits.interval_s)
+        if link.events_heard != heard:
+            missed, pinged = 0, False
+            continue
+        missed += pinged
+        link.ping()
+        pinged = True
--- /dev/null
+++ b/wigeonscale/dispatch/stream.py
@@ -0,0 +1,344 @@
+"""One dispatch as the entry sees it: tokens checked by index, and its end."""
+
+__all__ = [
+    "AgentGoneError",
+    "AnswerRecord",
+    "DispatchStream",
+    "EntryStoppingError",
+    "Target",
+]
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError, error_from_kind
+from wigeonscale.pipelines.constants import INITIAL_CREDIT
+from wigeonscale.wire import wire_pb2 as wire
+
+if TYPE_CHECKING:
+    from wigeonscale.dispatch.links import AgentLink
+
+# Credit goes back in steps, not token by token.
+CREDIT_STEP = INITIAL_CREDIT // 4
+# Gaps in the token index that are mended by attaching again, per dispatch.
+MAX_GAPS = 3
+
+
+class AgentGoneError(WigeonscaleError):
+    """No connection to the agent works any more.
+
+    Args:
+        message: Names the agent.
+        run_state: ``NOT_RUN`` only when the work never left this process.
+    """
+
+    def __init__(self, message: str, *, run_state: RunState):
+        super().__init__(ErrorKind.BACKEND_FAILED, message, run_state=run_state)
+
+
+class EntryStoppingError(WigeonscaleError):
+    """This entry stops before the answer has ended; the work goes on.
+
+    Args:
+        request_id: Id under which another entry gives the rest.
+    """
+
+    def __init__(self, request_id: str):
+        super().__init__(
+            ErrorKind.STOPPING,
+            f"this entry stops; GET /v1/requests/{request_id}?from=N at another entry"
+            " gives the answer from token N on",
+            run_state=RunState.UNKNOWN,
+            retry_after=1.0,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """The agent that a dispatch is for.
+
+    Attributes:
+        agent_id: Name of the backend server.
+        incarnation: Incarnation of its agent.
+        address: ``ip:port`` of the agent's gRPC server.
+    """
+
+    agent_id: str
+    incarnation: int
+    address: str
+
+
+@dataclass(slots=True)
+class AnswerRecord:
+    """The tokens of one answer received so far, over all its dispatches.
+
+    Attributes:
+        base: Index of the first token held.
+        ids: Token ids from ``base`` on.
+        texts: Token texts from ``base`` on.
+    """
+
+    base: int = 0
+    ids: list[int] = field(default_factory=list)
+    texts: list[str] = field(default_factory=list)
+
+    @property
+    def next_index(self) -> int:
+        """Index of the next token expected."""
+        return self.base + len(self.texts)
+
+
+class DispatchStream:
+    """One dispatch: fed by a link, read by the one task that serves its caller.
+
+    Args:
+        dispatch_id: Id of the dispatch.
+        target: The agent.
+        organisation: Organisation of the caller.
+        record: Where the tokens go; continues over several dispatches.
+        opening: The message that opens the dispatch; None when it is only attached.
+
+    Attributes:
+        link: The link that carries it now.
+        sent: Whether its opening message may have left this process.
+        accepted: Whether the agent has answered for it.
+        counted: Whether it counts as this entry's load on the agent.
+        done: The agent's last word on a generated answer.
+        response: The plain service's answer.
+        error: Why it ended otherwise.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatch_id: str,
+        target: Target,
+        organisation: str,
+        record: AnswerRecord,
+        opening: wire.Open | None = None,
+    ):
+        self.dispatch_id = dispatch_id
+        self.target = target
+        self.organisation = organisation
+        self.record = record
+        self.opening = opening
+        self.link: AgentLink | None = None
+        self.sent = opening is None
+        self.accepted = False
+        self.counted = False
+        self.done: wire.Done | None = None
+        self.response: wire.Response | None = None
+        self.error: WigeonscaleError | None = None
+        self._taken = len(record.texts)
+        self._uncredited = 0
+        self._gaps = 0
+        self._seal_pending = False
+        self._never_ran: bool | None = None
+        self._waiter: asyncio.Future | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more will come."""
+        return (
+            self.done is not None or self.response is not None or self.error is not None
+        )
+
+    @property
+    def begun(self) -> bool:
+        """Whether a token or the end has come."""
+        return self.ended or self.has_new
+
+    @property
+    def has_new(self) -> bool:
+        """Whether there are tokens that were not taken."""
+        return len(self.record.texts) > self._taken
+
+    # ------------------------------------------------------------ the link's side
+
+    def requests(self) -> list[wire.DispatchRequest]:
+        """Return the messages that open this dispatch, or take it up, on a new link."""
+        if self._seal_pending:
+            return [self._seal_request(), *self._attach_requests()]
+        if self.opening is not None and not self.accepted:
+            return [wire.DispatchRequest(open=self.opening)]
+        return self._attach_requests()
+
+    def deliver(self, item: wire.DispatchItem) -> None:
+        """Take in one item from the agent."""
+        if self.ended:
+            return
+        body = item.WhichOneof("body")
+        if body == "tokens":
+            self._add_tokens(item.tokens)
+        elif body == "done":
+            self._finish(item.done)
+        elif body == "response":
+            self.response = item.response
+        elif body == "refused":
+            self.error = _refusal_error(item.refused)
+        elif body == "sealed":
+            self._seal_pending = False
+            self._never_ran = item.sealed.never_ran
+        self.accepted = True
+        self._wake()
+
+    def fail(self, error: WigeonscaleError) -> None:
+        """End the dispatch by an error of this entry's own."""
+        if not self.ended:
+            self.error = error
+        self._wake()
+
+    def _add_tokens(self, run: wire.TokenRun) -> None:
+        record = self.record
+        expected = record.base + len(record.texts)
+        tokens = run.tokens
+        start = getattr(run, "from")
+        if start > expected:
+            self._mend_gap(f"token {expected} is missing before {start}")
+            return
+        if start < expected:
+            tokens = tokens[expected - start :]
+        ids, texts = record.ids, record.texts
+        for token in tokens:
+            ids.append(token.id)
+            texts.append(token.text)
+
+    def _finish(self, done: wire.Done) -> None:
+        missing = done.tokens - self.record.next_index
+        if missing > 0:
+            self._mend_gap(f"{missing} last tokens are missing")
+        elif missing < 0:
+            self.error = WigeonscaleError(
+                ErrorKind.INTERNAL,
+                f"{self.dispatch_id}: {-missing} tokens more than the answer has",
+                run_state=RunState.RAN,
+            )
+        else:
+            self.done = done
+
+    def _mend_gap(self, problem: str) -> None:
+        self._gaps += 1
+        if self._gaps > MAX_GAPS:
+            self.error = WigeonscaleError(
+                ErrorKind.INTERNAL,
+                f"{self.dispatch_id}: {problem}",
+                run_state=RunState.RAN,
+            )
+            return
+        for request in self._attach_requests():
+            self.link.send(request)
+
+    def _attach_requests(self) -> list[wire.DispatchRequest]:
+        attach = wire.Attach(
+            dispatch_id=self.dispatch_id,
+            from_token=self.record.next_index,
+            organisation=self.organisation,
+        )
+        # The agent begins with the initial credit again.
+        self._uncredited = 0
+        return [wire.DispatchRequest(attach=attach)]
+
+    def _seal_request(self) -> wire.DispatchRequest:
+        seal = wire.Seal(
+            dispatch_id=self.dispatch_id, agent_incarnation=self.target.incarnation
+        )
+        return wire.DispatchRequest(seal=seal)
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    # ---------------------------------------------------------- the caller's side
+
+    async def until_accepted(self) -> None:
+        """Wait for the agent's first word on this dispatch."""
+        while not (self.accepted or self.ended):
+            await self._wait()
+
+    async def until_begun(self) -> None:
+        """Wait for the first token or the end."""
+        while not self.begun:
+            await self._wait()
+
+    async def take(self) -> list[str]:
+        """Return the texts of the tokens that came since the last call.
+
+        The tokens of the call before are taken as written out, and the agent may
+        send as many more.
+
+        Returns:
+            At least one text; an empty list after the last one.
+
+        Raises:
+            WigeonscaleError: The error that ended the dispatch, after its tokens.
+        """
+        if self._uncredited >= CREDIT_STEP and not self.ended:
+            self._give_credit()
+        texts = self.record.texts
+        while len(texts) == self._taken:
+            if self.error is not None:
+                raise self.error
+            if self.ended:
+                return []
+            await self._wait()
+        new = texts[self._taken :]
+        self._taken = len(texts)
+        self._uncredited += len(new)
+        return new
+
+    async def seal(self) -> bool:
+        """Ask the agent never to begin this dispatch.
+
+        Returns:
+            True when it surely never began and never will; False when it began.
+
+        Raises:
+            AgentGoneError: When that cannot be learnt.
+        """
+        if not self.ended and self._never_ran is None:
+            self._seal_pending = True
+            self.link.send(self._seal_request())
+        while self._never_ran is None and not self.ended:
+            await self._wait()
+        if self._never_ran is not None:
+            return self._never_ran
+        if isinstance(self.error, AgentGoneError):
+            if self.error.run_state is RunState.NOT_RUN:
+                return True
+            raise self.error
+        return self.error is not None and self.error.run_state is RunState.NOT_RUN
+
+    def cancel(self) -> None:
+        """Tell the agent that nobody wants the answer, and leave."""
+        if not self.ended:
+            cancel = wire.Cancel(dispatch_id=self.dispatch_id)
+            self.link.send(wire.DispatchRequest(cancel=cancel))
+        self.leave()
+
+    def leave(self) -> None:
+        """Hear no more of this dispatch; the agent is not told."""
+        self.link.remove(self)
+
+    def _give_credit(self) -> None:
+        credit = wire.Credit(dispatch_id=self.dispatch_id, tokens=self._uncredited)
+        self._uncredited = 0
+        self.link.send(wire.DispatchRequest(credit=credit))
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+
+def _refusal_error(refused: wire.Refused) -> WigeonscaleError:
+    after_ms = refused.retry_after_ms
+    return error_from_kind(
+        refused.kind,
+        refused.message,
+        run_state=refused.run_state,
+        retry_after=after_ms / 1000 if after_ms else None,
+    )
--- /dev/null
+++ b/wigeonscale/dispatch/work.py
@@ -0,0 +1,92 @@
+"""The work of one request, before it is known where it will run."""
+
+__all__ = ["Work", "new_dispatch_id"]
+
+import secrets
+from dataclasses import dataclass
+
+from wigeonscale.dispatch.stream import AnswerRecord, Target
+from wigeonscale.wire import wire_pb2 as wire
+
+ID_BYTES = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What to run, for whom and within which bounds.
+
+    Attributes:
+        organisation: Name of the caller's organisation.
+        pipeline: Target pipeline; empty for a call to a plain service.
+        service: Target plain service; empty for a generation.
+        generate: The generation without its chain; None for a call.
+        call: The call; None for a generation.
+        once: The work must not run twice.
+        key: Idempotency key of the claim; set when ``once``.
+        digest: SHA-256 of method, path and body; set when ``once``.
+        priority: Larger goes first.
+        deadline: Instant of the clock port after which it need not begin.
+        attempts: Most dispatches.
+    """
+
+    organisation: str
+    pipeline: str = ""
+    service: str = ""
+    generate: wire.Generate | None = None
+    call: wire.Call | None = None
+    once: bool = False
+    key: str = ""
+    digest: bytes = b""
+    priority: int = 0
+    deadline: float = float("inf")
+    attempts: int = 3
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be dispatched again although it may have begun."""
+        return self.generate is not None and not self.once
+
+    def open_message(
+        self,
+        *,
+        dispatch_id: str,
+        target: Target,
+        chain: wire.Chain | None,
+        record: AnswerRecord,
+        remaining_s: float,
+    ) -> wire.Open:
+        """Return the message that dispatches this work.
+
+        Args:
+            dispatch_id: Id of the new dispatch.
+            target: The agent.
+            chain: The chain chosen, for a generation.
+            record: Tokens that the answer has already.
+            remaining_s: Seconds until the deadline.
+
+        Returns:
+            The message.
+        """
+        message = wire.Open(
+            dispatch_id=dispatch_id,
+            request_id=dispatch_id,
+            organisation=self.organisation,
+            agent_incarnation=target.incarnation,
+            once=self.once,
+            claim_key=self.key if self.once else "",
+            priority=self.priority,
+            deadline_ms=max(1, int(min(remaining_s, 86400.0) * 1000)),
+        )
+        if self.call is not None:
+            message.call.CopyFrom(self.call)
+            return message
+        message.generate.CopyFrom(self.generate)
+        message.generate.chain.CopyFrom(chain)
+        for token_id, text in zip(record.ids, record.texts, strict=True):
+            message.generate.prefix.add(id=token_id, text=text)
+        return message
+
+
+def new_dispatch_id(agent_id: str) -> str:
+    """Return a new id, from which every entry can tell the agent."""
+    return f"{secrets.token_hex(ID_BYTES)}@{agent_id}"
--- /dev/null
+++ b/wigeonscale/entry/__init__.py
@@ -0,0 +1,7 @@
+"""The entry: callers' HTTP, rules, limits and answers."""
+
+__all__ = ["CallerServer", "EntryLimits", "EntryService", "MemberPlaces"]
+
+from wigeonscale.entry.app import CallerServer
+from wigeonscale.entry.places import MemberPlaces
+from wigeonscale.entry.service import EntryLimits, EntryService
--- /dev/null
+++ b/wigeonscale/entry/answers.py
@@ -0,0 +1,54 @@
+"""Errors as HTTP answers."""
+
+__all__ = ["REQUEST_HEADER", "error_document", "error_response"]
+
+import json
+import math
+
+from aiohttp import web
+
+from wigeonscale.errors import ANSWERS, WigeonscaleError
+
+REQUEST_HEADER = "Wigeonscale-Request"
+RUN_HEADER = "Wigeonscale-Run"
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+def error_response(exc: WigeonscaleError, request_id: str = "") -> web.Response:
+    """Return the HTTP answer for an error.
+
+    Args:
+        exc: The error.
+        request_id: Id of the request, when its work was dispatched.
+
+    Returns:
+        Status, headers and JSON body as the table of kinds says.
+    """
+    answer = ANSWERS[exc.kind]
+    headers = {RUN_HEADER: exc.run_state.value}
+    if answer.retryable:
+        headers["Retry-After"] = str(math.ceil(_retry_after(exc)))
+    if request_id:
+        headers[REQUEST_HEADER] = request_id
+    return web.Response(
+        status=answer.status,
+        headers=headers,
+        text=error_document(exc),
+        content_type="application/json",
+    )
+
+
+def error_document(exc: WigeonscaleError) -> str:
+    """Return an error as the JSON text that callers get."""
+    retryable = ANSWERS[exc.kind].retryable
+    error = {
+        "kind": exc.kind.value,
+        "message": exc.message,
+        "run": exc.run_state.value,
+        "retry_after": round(_retry_after(exc), 3) if retryable else None,
+    }
+    return json.dumps({"error": error})
+
+
+def _retry_after(exc: WigeonscaleError) -> float:
+    return DEFAULT_RETRY_AFTER_S if exc.retry_after is None else exc.retry_after
--- /dev/null
+++ b/wigeonscale/entry/app.py
@@ -0,0 +1,99 @@
+"""The callers' HTTP server of an entry."""
+
+__all__ = ["CallerServer"]
+
+import asyncio
+
+from aiohttp import web
+
+from wigeonscale.adapters import bound_address
+from wigeonscale.entry.calls import call_service
+from wigeonscale.entry.completions import completions_handler
+from wigeonscale.entry.flow import guarded
+from wigeonscale.entry.service import EntryService
+from wigeonscale.entry.sse import Shape
+from wigeonscale.entry.takeup import take_up
+
+BACKLOG = 1024
+# Time for the balancer to see the entry as not ready, in seconds.
+UNREADY_GRACE_S = 1.0
+# Time for cut answers to write their last event, in seconds.
+CUT_GRACE_S = 0.5
+
+
+class CallerServer:
+    """Serves callers, and stops without cutting what is in progress.
+
+    Args:
+        entry: The entry.
+        address: ``ip:port`` to listen on; port 0 takes a free one.
+    """
+
+    def __init__(self, *, entry: EntryService, address: str):
+        self._entry = entry
+        self._address = address
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    @property
+    def address(self) -> str:
+        """The bound ``ip:port``."""
+        return bound_address(self._runner)
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        # A vanished caller cancels its handler, which sees to its work.
+        self._runner = web.AppRunner(
+            _application(self._entry),
+            access_log=None,
+            handle_signals=False,
+            handler_cancellation=True,
+            shutdown_timeout=CUT_GRACE_S,
+        )
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        self._site = web.TCPSite(self._runner, host, int(port), backlog=BACKLOG)
+        await self._site.start()
+
+    async def stop_accepting(self) -> None:
+        """Be unready first, then take no new connection and no new request."""
+        self._entry.leaving = True
+        await self._entry.clock.sleep(UNREADY_GRACE_S)
+        await self._site.stop()
+        self._entry.stopping = True
+
+    async def finish(self) -> None:
+        """Wait for the answers in progress."""
+        await self._entry.until_idle()
+
+    async def cut(self) -> None:
+        """End the answers still in progress by an honest error."""
+        self._entry.cut()
+        try:
+            async with asyncio.timeout(CUT_GRACE_S):
+                await self._entry.until_idle()
+        except TimeoutError:
+            return
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._entry.close()
+
+
+def _application(entry: EntryService) -> web.Application:
+    app = web.Application(client_max_size=entry.limits.body_limit_bytes)
+    app.router.add_post(
+        "/v1/completions", guarded(entry, completions_handler(Shape.COMPLETION))
+    )
+    app.router.add_post(
+        "/v1/chat/completions", guarded(entry, completions_handler(Shape.CHAT))
+    )
+    app.router.add_get("/v1/requests/{id}", guarded(entry, take_up))
+    app.router.add_route("*", "/{path:.*}", guarded(entry, call_service))
+    return app
--- /dev/null
+++ b/wigeonscale/entry/completions.py
@@ -0,0 +1,103 @@
+"""Generations: ``POST /v1/completions`` and ``POST /v1/chat/completions``."""
+
+__all__ = ["completions_handler"]
+
+from aiohttp import web
+
+from wigeonscale.dispatch import Work
+from wigeonscale.entry.calls import forward
+from wigeonscale.entry.flow import (
+    Admission,
+    Caller,
+    Handle,
+    RequestLog,
+    admit,
+    identify,
+    request_facts,
+)
+from wigeonscale.entry.requests import (
+    ChatBody,
+    CompletionBody,
+    parse_body,
+    read_body,
+    request_digest,
+)
+from wigeonscale.entry.service import EntryService
+from wigeonscale.entry.sse import Shape
+from wigeonscale.entry.streams import AnswerForm, send_answer
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.rules import RequestFacts
+from wigeonscale.wire import wire_pb2 as wire
+
+_BODY_TYPES = {Shape.COMPLETION: CompletionBody, Shape.CHAT: ChatBody}
+
+
+def completions_handler(shape: Shape) -> Handle:
+    """Return the handler of generations in one JSON shape.
+
+    Args:
+        shape: Shape of the caller's body and of the answer.
+    """
+    body_type = _BODY_TYPES[shape]
+
+    async def complete(
+        entry: EntryService, req: web.Request, log: RequestLog
+    ) -> web.StreamResponse:
+        caller = identify(entry, req, log)
+        raw = await read_body(req)
+        body = parse_body(req, raw, body_type)
+        prompt = body.prompt_text().encode("utf-8", "replace")
+        facts = request_facts(
+            req, caller, size=len(prompt), model=body.model, stream=body.stream
+        )
+        admission = _admit(entry, log, caller, facts)
+        if admission.decision.service:
+            return await forward(entry, req, log, admission, raw)
+        work = _work(entry, req, admission, raw, prompt, body.max_tokens)
+        answer = await entry.dispatcher.start(work)
+        form = AnswerForm(stream=body.stream, shape=shape, model=body.model)
+        return await send_answer(entry, req, log, answer, form)
+
+    return complete
+
+
+def _admit(
+    entry: EntryService, log: RequestLog, caller: Caller, facts: RequestFacts
+) -> Admission:
+    try:
+        return admit(entry, log, caller, facts)
+    except WigeonscaleError as exc:
+        pipelines = entry.control.document.pipelines.values()
+        unmatched = exc.kind is ErrorKind.NO_MATCHING_RULE
+        if unmatched and all(each.model != facts.model for each in pipelines):
+            raise WigeonscaleError(
+                ErrorKind.UNKNOWN_MODEL, f"no pipeline has the model {facts.model!r}"
+            ) from exc
+        raise
+
+
+def _work(
+    entry: EntryService,
+    req: web.Request,
+    admission: Admission,
+    raw: bytes,
+    prompt: bytes,
+    max_tokens: int,
+) -> Work:
+    decision = admission.decision
+    pipeline = entry.control.document.pipelines[decision.pipeline]
+    generate = wire.Generate(
+        prompt=prompt, max_tokens=max_tokens, adapter=pipeline.adapter
+    )
+    digest = request_digest(req.method, req.path_qs, raw) if decision.once else b""
+    return Work(
+        organisation=admission.caller.organisation.name,
+        pipeline=decision.pipeline,
+        generate=generate,
+        once=decision.once,
+        key=admission.caller.options.key,
+        digest=digest,
+        priority=admission.priority,
+        deadline=admission.deadline,
+        attempts=decision.attempts,
+    )
--- /dev/null
+++ b/wigeonscale/entry/flow.py
@@ -0,0 +1,267 @@
+"""The path of every request: count, admit, handle, answer errors, record."""
+
+__all__ = [
+    "Admission",
+    "Caller",
+    "Handle",
+    "RequestLog",
+    "admit",
+    "guarded",
+    "identify",
+    "request_facts",
+]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from wigeonscale.adapters import METRICS, OK, log_fields
+from wigeonscale.entry.answers import error_response
+from wigeonscale.entry.auth import authenticate
+from wigeonscale.entry.requests import RequestOptions, read_options
+from wigeonscale.entry.service import EntryService
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.limits import Permit
+from wigeonscale.rules import Action, Decision, Organisation, RequestFacts
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class RequestLog:
+    """What is recorded of one request.
+
+    Attributes:
+        started: Instant of its arrival.
+        request_id: Id of its work; empty before dispatch.
+        organisation: Organisation of the caller; empty before it is known.
+        rule: Rule that decided.
+        kind: Error kind, or ``ok``.
+        tokens: Tokens written.
+        first_token_s: Seconds to the first token, or None.
+        longest_gap_s: Longest time between two writes of tokens, in seconds.
+        last_token: Instant of the last write of tokens.
+        dispatches: Dispatches made.
+        permits: Limits to give back at the end.
+    """
+
+    started: float
+    request_id: str = ""
+    organisation: str = ""
+    rule: str = ""
+    kind: str = OK
+    tokens: int = 0
+    first_token_s: float | None = None
+    longest_gap_s: float = 0.0
+    last_token: float = 0.0
+    dispatches: int = 0
+    permits: list[Permit] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who sends a request.
+
+    Attributes:
+        organisation: Holder of the API key.
+        options: What is asked for in headers.
+    """
+
+    organisation: Organisation
+    options: RequestOptions
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that rules and limits let through.
+
+    Attributes:
+        caller: Who sends it.
+        decision: What the first matching rule decided.
+        priority: Priority to use.
+        deadline: Instant of the clock port after which the work need not begin.
+    """
+
+    caller: Caller
+    decision: Decision
+    priority: int
+    deadline: float
+
+
+Handle = Callable[
+    [EntryService, web.Request, RequestLog], Awaitable[web.StreamResponse]
+]
+
+
+def guarded(
+    entry: EntryService, handle: Handle
+) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+    """Return an aiohttp handler that counts, answers errors and records.
+
+    Args:
+        entry: The entry.
+        handle: Does the work of one kind of request.
+    """
+
+    async def handler(req: web.Request) -> web.StreamResponse:
+        log = RequestLog(started=entry.clock.now())
+        entered = False
+        try:
+            entry.enter()
+            entered = True
+            return await handle(entry, req, log)
+        except WigeonscaleError as exc:
+            log.kind = exc.kind
+            return error_response(exc, log.request_id)
+        except (asyncio.CancelledError, ConnectionError):
+            log.kind = ErrorKind.CANCELLED
+            raise
+        except Exception:
+            log.kind = ErrorKind.INTERNAL
+            logger.exception(
+                "request failed", extra=log_fields(request_id=log.request_id)
+            )
+            return error_response(_internal(log), log.request_id)
+        finally:
+            if entered:
+                entry.leave()
+            _record(entry, log)
+
+    return handler
+
+
+def identify(entry: EntryService, req: web.Request, log: RequestLog) -> Caller:
+    """Return who sends a request and what its headers ask for.
+
+    Args:
+        entry: The entry.
+        req: The request.
+        log: Takes the organisation.
+
+    Raises:
+        WigeonscaleError: ``UNKNOWN_KEY`` or ``BAD_REQUEST``.
+    """
+    organisation = authenticate(req, entry.control.ruleset)
+    log.organisation = organisation.name
+    return Caller(organisation=organisation, options=read_options(req))
+
+
+def request_facts(
+    req: web.Request,
+    caller: Caller,
+    *,
+    size: int,
+    model: str = "",
+    stream: bool = False,
+) -> RequestFacts:
+    """Return what rules may look at.
+
+    Args:
+        req: The request.
+        caller: Who sends it.
+        size: Bytes of the prompt or body.
+        model: Model named by the caller.
+        stream: Whether a stream was asked for.
+    """
+    return RequestFacts(
+        organisation=caller.organisation.name,
+        method=req.method,
+        path=req.path,
+        model=model,
+        stream=stream,
+        priority=caller.options.priority,
+        prompt_bytes=size,
+        headers={name.lower(): value for name, value in req.headers.items()},
+    )
+
+
+def admit(
+    entry: EntryService, log: RequestLog, caller: Caller, facts: RequestFacts
+) -> Admission:
+    """Let a request through rules and limits.
+
+    Args:
+        entry: The entry.
+        log: Takes the rule, and the permits, which are given back at the end.
+        caller: Who sends it.
+        facts: What the rules look at.
+
+    Raises:
+        WigeonscaleError: Why it is refused.
+    """
+    decision = entry.control.ruleset.decide(facts)
+    log.rule = decision.rule
+    if decision.action is Action.REFUSE:
+        raise WigeonscaleError(ErrorKind.REFUSED_BY_RULE, decision.reason)
+    if decision.once and not caller.options.key:
+        raise WigeonscaleError(
+            ErrorKind.IDEMPOTENCY_KEY_REQUIRED,
+            f"rule {decision.rule}: work that is not repeated needs the header"
+            " Idempotency-Key",
+        )
+    _take_permits(entry, log, caller.organisation, decision)
+    asked = caller.options.priority
+    return Admission(
+        caller=caller,
+        decision=decision,
+        priority=asked if decision.priority is None else decision.priority,
+        deadline=log.started + _deadline_s(entry, caller.options, decision),
+    )
+
+
+def _take_permits(
+    entry: EntryService, log: RequestLog, organisation: Organisation, decision: Decision
+) -> None:
+    limits = entry.organisation_limits
+    permit = limits.acquire(
+        organisation.name,
+        concurrency=organisation.concurrency,
+        rate=organisation.rate,
+    )
+    log.permits.append(permit)
+    if decision.limit:
+        scope = f"{organisation.name} under rule {decision.rule}"
+        log.permits.append(limits.acquire(scope, concurrency=decision.limit))
+
+
+def _deadline_s(
+    entry: EntryService, options: RequestOptions, decision: Decision
+) -> float:
+    asked = options.deadline_s or entry.limits.default_deadline_s
+    return min(asked, decision.deadline_s) if decision.deadline_s else asked
+
+
+def _internal(log: RequestLog) -> WigeonscaleError:
+    state = RunState.UNKNOWN if log.request_id else RunState.NOT_RUN
+    return WigeonscaleError(
+        ErrorKind.INTERNAL, "the entry failed on this request", run_state=state
+    )
+
+
+def _record(entry: EntryService, log: RequestLog) -> None:
+    for permit in log.permits:
+        permit.release()
+    elapsed_s = entry.clock.now() - log.started
+    organisation = log.organisation
+    METRICS.requests.add(organisation=organisation, kind=log.kind)
+    METRICS.request_s.observe(elapsed_s, organisation=organisation)
+    if log.first_token_s is not None:
+        METRICS.first_token_s.observe(log.first_token_s, organisation=organisation)
+        METRICS.token_gap_s.observe(log.longest_gap_s, organisation=organisation)
+        METRICS.tokens.add(log.tokens, organisation=organisation)
+    logger.info(
+        "request",
+        extra=log_fields(
+            request_id=log.request_id,
+            organisation=organisation,
+            kind=log.kind,
+            outcome="whole" if log.kind == OK else "failed",
+            rule=log.rule,
+            tokens=log.tokens,
+            dispatches=log.dispatches,
+            elapsed_s=round(elapsed_s, 4),
+        ),
+    )
--- /dev/null
+++ b/wigeonscale/entry/places.py
@@ -0,0 +1,135 @@
+"""Where work can go: the members as candidates of the choice."""
+
+__all__ = ["MemberPlaces"]
+
+from collections.abc import Callable
+
+from wigeonscale.dispatch import Target, Work
+from wigeonscale.membership import MembersView
+from wigeonscale.ports import Clock
+from wigeonscale.routing import Candidate, Chooser
+from wigeonscale.wire import wire_pb2 as wire
+
+# Control decides within seconds whether an agent that gave no answer is gone.
+AVOID_GONE_S = 5.0
+
+Place = tuple[Target, wire.Chain | None]
+
+
+class MemberPlaces:
+    """Chooses among the members that are ready for a piece of work.
+
+    Args:
+        members: Returns the members now known.
+        chooser: Makes the choice.
+        clock: Clock port.
+
+    Notes:
+        Candidates are built once per change of the members, not per request.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Callable[[], MembersView],
+        chooser: Chooser,
+        clock: Clock,
+    ):
+        self._members = members
+        self._chooser = chooser
+        self._clock = clock
+        self._known: dict[tuple[str, str], tuple[int, tuple, dict[str, Place]]] = {}
+        self._gone: dict[tuple[str, int], float] = {}
+
+    def choose(self, work: Work, avoid: frozenset[str]) -> Place | None:
+        """Return an agent, and the chain it heads, or None.
+
+        Args:
+            work: The work.
+            avoid: Ids of agents not to use.
+        """
+        candidates, places = self._candidates(work.pipeline, work.service)
+        prompt = work.generate.prompt if work.generate is not None else b""
+        choice = self._chooser.choose(
+            candidates, prefix=prompt, avoid=avoid | self._avoided()
+        )
+        return places[choice.agent_id] if choice is not None else None
+
+    def is_current(self, agent_id: str, incarnation: int) -> bool:
+        """Return whether this incarnation of the agent is a member."""
+        backend = self._members().backends.get(agent_id)
+        return backend is not None and backend.incarnation == incarnation
+
+    def target(self, agent_id: str) -> Target | None:
+        """Return how to reach a member's agent, or None."""
+        backend = self._members().backends.get(agent_id)
+        return None if backend is None else _target(backend)
+
+    def avoid_gone(self, target: Target) -> None:
+        """Use an agent no more until control has decided about it."""
+        until = self._clock.now() + AVOID_GONE_S
+        self._gone[target.agent_id, target.incarnation] = until
+
+    def _avoided(self) -> frozenset[str]:
+        if not self._gone:
+            return frozenset()
+        now = self._clock.now()
+        self._gone = {
+            (agent_id, incarnation): until
+            for (agent_id, incarnation), until in self._gone.items()
+            if until > now and self.is_current(agent_id, incarnation)
+        }
+        return frozenset(agent_id for agent_id, _ in self._gone)
+
+    def _candidates(
+        self, pipeline: str, service: str
+    ) -> tuple[tuple[Candidate, ...], dict[str, Place]]:
+        members = self._members()
+        known = self._known.get((pipeline, service))
+        if known is not None and known[0] == members.index:
+            return known[1], known[2]
+        if pipeline:
+            pairs = list(_chain_places(members, pipeline))
+        else:
+            pairs = list(_service_places(members, service))
+        candidates = tuple(candidate for candidate, _ in pairs)
+        if known is not None and known[1] == candidates:
+            # The chooser keeps its subset for the same tuple object.
+            candidates = known[1]
+        places = {candidate.agent_id: place for candidate, place in pairs}
+        self._known[pipeline, service] = (members.index, candidates, places)
+        return candidates, places
+
+
+def _chain_places(members: MembersView, pipeline: str):
+    backends = members.backends
+    for chain in members.chains_of(pipeline):
+        if not chain.ready or any(_leaves(backends, stage) for stage in chain.stages):
+            continue
+        head = chain.stages[0]
+        candidate = Candidate(
+            agent_id=head.agent_id,
+            key=chain.chain_id,
+            rate=chain.rate or 1.0,
+            domain=head.domain,
+        )
+        yield candidate, (_target(head), chain)
+
+
+def _service_places(members: MembersView, service: str):
+    for backend in members.backends_of(service):
+        if backend.draining:
+            continue
+        candidate = Candidate(
+            agent_id=backend.agent_id, key=backend.agent_id, domain=backend.domain
+        )
+        yield candidate, (_target(backend), None)
+
+
+def _leaves(backends, stage: wire.Stage) -> bool:
+    backend = backends.get(stage.agent_id)
+    return backend is not None and backend.draining
+
+
+def _target(place: wire.Backend | wire.Stage) -> Target:
+    return Target(place.agent_id, place.incarnation, place.address)
--- /dev/null
+++ b/wigeonscale/entry/service.py
@@ -0,0 +1,157 @@
+"""The state of one entry: what its handlers share."""
+
+__all__ = ["EntryLimits", "EntryService"]
+
+import asyncio
+from dataclasses import dataclass
+
+from wigeonscale.dispatch import AgentLinks, Answer, Claims, Dispatcher
+from wigeonscale.dispatch.stream import EntryStoppingError
+from wigeonscale.entry.places import MemberPlaces
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.limits import OrganisationLimits
+from wigeonscale.membership import ControlClient
+from wigeonscale.ports import Clock
+
+# A caller that lost its connection may take up its answer for this long; then
+# the work is stopped.
+TAKE_UP_GRACE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryLimits:
+    """Bounds of one entry.
+
+    Attributes:
+        default_deadline_s: Deadline of a request that names none, in seconds.
+        body_limit_bytes: Largest request body.
+        max_streams: Requests in progress at once.
+        take_up_grace_s: How long work goes on for a caller that vanished, in seconds.
+    """
+
+    default_deadline_s: float = 120.0
+    body_limit_bytes: int = 1024 * 1024
+    max_streams: int = 5000
+    take_up_grace_s: float = TAKE_UP_GRACE_S
+
+
+class EntryService:
+    """What the handlers of one entry share.
+
+    Args:
+        control: Rules, members and lease.
+        dispatcher: Brings work to agents.
+        links: Connections to agents.
+        claims: Claims under way.
+        places: Where work can go.
+        organisation_limits: Limits per organisation and per rule.
+        clock: Clock port.
+        limits: Bounds of this entry.
+
+    Attributes:
+        in_progress: Requests in progress.
+        stopping: Whether new requests are refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        control: ControlClient,
+        dispatcher: Dispatcher,
+        links: AgentLinks,
+        claims: Claims,
+        places: MemberPlaces,
+        organisation_limits: OrganisationLimits,
+        clock: Clock,
+        limits: EntryLimits | None = None,
+    ):
+        self.control = control
+        self.dispatcher = dispatcher
+        self.places = places
+        self.organisation_limits = organisation_limits
+        self.clock = clock
+        self.limits = limits or EntryLimits()
+        self.in_progress = 0
+        self.leaving = False
+        self.stopping = False
+        self._links = links
+        self._claims = claims
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._graces: dict[str, asyncio.Task] = {}
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send requests here."""
+        return not self.leaving and self.control.lease_valid()
+
+    def enter(self) -> None:
+        """Count a request in, or refuse it.
+
+        Raises:
+            WigeonscaleError: ``STOPPING``, ``LEASE_EXPIRED`` or ``OVERLOADED``.
+        """
+        if self.stopping:
+            raise WigeonscaleError(
+                ErrorKind.STOPPING, "this entry is stopping", retry_after=1.0
+            )
+        if not self.control.lease_valid():
+            raise WigeonscaleError(
+                ErrorKind.LEASE_EXPIRED,
+                "this entry has not heard from a majority of control",
+                retry_after=1.0,
+            )
+        if self.in_progress >= self.limits.max_streams:
+            raise WigeonscaleError(
+                ErrorKind.OVERLOADED,
+                f"this entry has {self.in_progress} requests in progress",
+                retry_after=1.0,
+            )
+        self.in_progress += 1
+        self._idle.clear()
+
+    def leave(self) -> None:
+        """Count a request out."""
+        self.in_progress -= 1
+        if not self.in_progress:
+            self._idle.set()
+
+    async def until_idle(self) -> None:
+        """Wait until no request is in progress."""
+        await self._idle.wait()
+
+    def cut(self) -> None:
+        """End every answer still in progress by an error that says how to go on."""
+        for stream in self._links.streams():
+            stream.fail(EntryStoppingError(stream.dispatch_id))
+
+    # ------------------------------------------------- callers that have vanished
+
+    def abandon_later(self, answer: Answer) -> None:
+        """Stop the work of a vanished caller unless it takes the answer up soon."""
+        request_id = answer.request_id
+        task = asyncio.create_task(self._abandon(answer))
+        self._graces[request_id] = task
+        task.add_done_callback(lambda _: self._graces.pop(request_id, None))
+
+    def keep(self, request_id: str) -> None:
+        """Let work go on whose answer is taken up again here."""
+        task = self._graces.get(request_id)
+        if task is not None:
+            task.cancel()
+
+    async def close(self) -> None:
+        """End the waits for vanished callers, and finish the releases of claims."""
+        tasks = list(self._graces.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._claims.close()
+        await self._links.close()
+
+    async def _abandon(self, answer: Answer) -> None:
+        try:
+            await self.clock.sleep(self.limits.take_up_grace_s)
+        except asyncio.CancelledError:
+            answer.close()
+            raise
+        answer.abandon()
--- /dev/null
+++ b/wigeonscale/entry/sse.py
@@ -0,0 +1,131 @@
+"""Answers as server-sent events."""
+
+__all__ = ["EventEncoder", "Shape", "plain_document"]
+
+import json
+from enum import StrEnum
+from json.encoder import encode_basestring_ascii as quote
+
+from wigeonscale.entry.answers import error_document
+from wigeonscale.errors import WigeonscaleError
+
+
+class Shape(StrEnum):
+    """JSON shape of an answer."""
+
+    COMPLETION = "completion"
+    CHAT = "chat"
+
+
+_STREAM_OBJECTS = {
+    Shape.COMPLETION: "text_completion",
+    Shape.CHAT: "chat.completion.chunk",
+}
+_PLAIN_OBJECTS = {Shape.COMPLETION: "text_completion", Shape.CHAT: "chat.completion"}
+_TEXT_MARK = "@text@"
+
+
+class EventEncoder:
+    """Encodes the tokens of one answer as events.
+
+    Args:
+        request_id: Id of the request.
+        shape: JSON shape of the chunks.
+        model: Model named by the caller.
+        created: Wall-clock seconds at which the answer began.
+        next_index: Index of the first token to come.
+
+    Notes:
+        Everything around a token's text is built once per answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        shape: Shape,
+        model: str,
+        created: int,
+        next_index: int = 0,
+    ):
+        self._shape = shape
+        self._model = model
+        self._created = created
+        self._next_index = next_index
+        self.rename(request_id)
+
+    def rename(self, request_id: str) -> None:
+        """Use another request id from now on, after work went on elsewhere."""
+        self.request_id = request_id
+        chunk = json.dumps(self._chunk(_choice(self._shape, _TEXT_MARK, None)))
+        before, _, after = chunk.partition(json.dumps(_TEXT_MARK))
+        self._before = f"\ndata: {before}"
+        self._after = f"{after}\n\n"
+
+    def tokens(self, texts: list[str]) -> bytes:
+        """Return one event per token, with its index as event id."""
+        before, after = self._before, self._after
+        index = self._next_index
+        self._next_index = index + len(texts)
+        if len(texts) == 1:
+            return f"id: {index}{before}{quote(texts[0])}{after}".encode("ascii")
+        events = [
+            f"id: {number}{before}{quote(text)}{after}"
+            for number, text in enumerate(texts, index)
+        ]
+        return "".join(events).encode("ascii")
+
+    def last(self, finish_reason: str) -> bytes:
+        """Return the explicit last event, which tells the count of tokens."""
+        chunk = self._chunk(_choice(self._shape, "", finish_reason))
+        chunk["usage"] = {"completion_tokens": self._next_index}
+        return f"data: {json.dumps(chunk)}\n\ndata: [DONE]\n\n".encode("ascii")
+
+    def error(self, exc: WigeonscaleError) -> bytes:
+        """Return the event that ends a cut answer."""
+        return f"event: error\ndata: {error_document(exc)}\n\n".encode("ascii")
+
+    def _chunk(self, choice: dict) -> dict:
+        return {
+            "id": self.request_id,
+            "object": _STREAM_OBJECTS[self._shape],
+            "created": self._created,
+            "model": self._model,
+            "choices": [choice],
+        }
+
+
+def plain_document(
+    *,
+    request_id: str,
+    shape: Shape,
+    model: str,
+    created: int,
+    texts: list[str],
+    finish_reason: str,
+) -> dict:
+    """Return a whole answer as the usual JSON document."""
+    text = "".join(texts)
+    choice: dict = {"index": 0, "finish_reason": finish_reason}
+    if shape is Shape.CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": request_id,
+        "object": _PLAIN_OBJECTS[shape],
+        "created": created,
+        "model": model,
+        "choices": [choice],
+        "usage": {"completion_tokens": len(texts)},
+    }
+
+
+def _choice(shape: Shape, text: str, finish_reason: str | None) -> dict:
+    choice: dict = {"index": 0}
+    if shape is Shape.CHAT:
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    choice["finish_reason"] = finish_reason
+    return choice
--- /dev/null
+++ b/wigeonscale/entry/streams.py
@@ -0,0 +1,166 @@
+"""Answers written to callers: streams token by token, plain ones at their end."""
+
+__all__ = ["AnswerForm", "send_answer"]
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import hdrs, web
+
+from wigeonscale.dispatch import Answer
+from wigeonscale.entry.answers import REQUEST_HEADER
+from wigeonscale.entry.flow import RequestLog
+from wigeonscale.entry.service import EntryService
+from wigeonscale.entry.sse import EventEncoder, Shape, plain_document
+from wigeonscale.errors import WigeonscaleError
+
+# Bytes not yet sent to a caller, above which its stream waits.
+WRITE_BUFFER_BYTES = 16 * 1024
+# A caller that takes nothing for so long counts as vanished.
+STALLED_CALLER_S = 60.0
+
+STREAM_HEADERS = {
+    hdrs.CONTENT_TYPE: "text/event-stream",
+    hdrs.CACHE_CONTROL: "no-cache",
+    "X-Accel-Buffering": "no",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerForm:
+    """How a caller wants its answer.
+
+    Attributes:
+        stream: As events; otherwise one document.
+        shape: JSON shape.
+        model: Model named by the caller.
+    """
+
+    stream: bool
+    shape: Shape
+    model: str = ""
+
+
+async def send_answer(
+    entry: EntryService,
+    req: web.Request,
+    log: RequestLog,
+    answer: Answer,
+    form: AnswerForm,
+) -> web.StreamResponse:
+    """Send an answer that has begun, and leave it.
+
+    Args:
+        entry: The entry.
+        req: The caller's request.
+        log: Takes what is recorded.
+        answer: The answer.
+        form: How the caller wants it.
+
+    Raises:
+        WigeonscaleError: Before anything was written.
+        ConnectionError: When the caller has vanished.
+    """
+    log.request_id = answer.request_id
+    send = _send_stream if form.stream else _send_plain
+    try:
+        resp = await send(entry, req, log, answer, form)
+    except (asyncio.CancelledError, ConnectionError):
+        _leave_vanished(entry, log, answer, form)
+        raise
+    finally:
+        log.dispatches = len(answer.dispatches)
+    answer.close()
+    return resp
+
+
+def _leave_vanished(
+    entry: EntryService, log: RequestLog, answer: Answer, form: AnswerForm
+) -> None:
+    if form.stream and not answer.once:
+        # It knows the request id and may come back for the rest.
+        entry.abandon_later(answer)
+    else:
+        answer.abandon()
+
+
+async def _send_plain(
+    entry: EntryService,
+    req: web.Request,
+    log: RequestLog,
+    answer: Answer,
+    form: AnswerForm,
+) -> web.Response:
+    try:
+        while texts := await answer.take():
+            _note_tokens(entry, log, len(texts))
+    except WigeonscaleError:
+        answer.close()
+        raise
+    log.request_id = answer.request_id
+    document = plain_document(
+        request_id=answer.request_id,
+        shape=form.shape,
+        model=form.model,
+        created=int(entry.clock.wall()),
+        texts=answer.record.texts,
+        finish_reason=answer.stream.done.finish_reason,
+    )
+    return web.json_response(document, headers={REQUEST_HEADER: answer.request_id})
+
+
+async def _send_stream(
+    entry: EntryService,
+    req: web.Request,
+    log: RequestLog,
+    answer: Answer,
+    form: AnswerForm,
+) -> web.StreamResponse:
+    resp = web.StreamResponse(
+        headers={**STREAM_HEADERS, REQUEST_HEADER: answer.request_id}
+    )
+    writer = await resp.prepare(req)
+    encoder = EventEncoder(
+        request_id=answer.request_id,
+        shape=form.shape,
+        model=form.model,
+        created=int(entry.clock.wall()),
+        next_index=answer.record.base,
+    )
+    transport = req.transport
+    if transport is None:
+        raise ConnectionResetError("the caller has vanished")
+    transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+    try:
+        while texts := await answer.take():
+            if answer.request_id is not encoder.request_id:
+                encoder.rename(answer.request_id)
+                log.request_id = answer.request_id
+            await writer.write(encoder.tokens(texts))
+            _note_tokens(entry, log, len(texts))
+            if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+                await _drain(writer)
+        await writer.write(encoder.last(answer.stream.done.finish_reason))
+    except WigeonscaleError as exc:
+        log.kind = exc.kind
+        await writer.write(encoder.error(exc))
+    await resp.write_eof()
+    return resp
+
+
+async def _drain(writer) -> None:
+    try:
+        async with asyncio.timeout(STALLED_CALLER_S):
+            await writer.drain()
+    except TimeoutError as exc:
+        raise ConnectionResetError("the caller takes nothing") from exc
+
+
+def _note_tokens(entry: EntryService, log: RequestLog, count: int) -> None:
+    now = entry.clock.now()
+    if log.first_token_s is None:
+        log.first_token_s = now - log.started
+    else:
+        log.longest_gap_s = max(log.longest_gap_s, now - log.last_token)
+    log.last_token = now
+    log.tokens += count
