--- /dev/null
+++ b/wigeonscale/placement/cover.py
@@ -0,0 +1,86 @@
+"""Covers a model several times over at one common rate."""
+
+__all__ = ["cover_evenly"]
+
+from collections.abc import Sequence
+
+from wigeonscale.placement.model import EngineSpec
+from wigeonscale.placement.rates import layers_at, split_layers, stage_rate
+
+
+def cover_evenly(
+    engines: Sequence[EngineSpec], *, layers: int, chains: int, stages: int = 0
+) -> list[list[EngineSpec]]:
+    """Return groups that hold the model at the highest common rate found.
+
+    Args:
+        engines: Engines that may be used.
+        layers: Number of layers of the model.
+        chains: Number of groups.
+        stages: Exact number of engines a group; 0 for free choice.
+
+    Returns:
+        The groups, or an empty list when the engines do not suffice.
+
+    Notes:
+        Bisects over the rates that stages can have and fills the groups greedily.
+        Cost O(log(rates) * engines * chains).
+    """
+    rates = sorted(
+        {
+            stage_rate(engine, count)
+            for engine in engines
+            for count in range(1, engine.layer_capacity + 1)
+        }
+    )
+    best = []
+    low, high = 0, len(rates) - 1
+    while low <= high:
+        middle = (low + high) // 2
+        groups = _cover(engines, layers, chains, stages, rates[middle])
+        if groups:
+            best = groups
+            low = middle + 1
+        else:
+            high = middle - 1
+    return best
+
+
+def _cover(engines, layers, chains, stages, rate):
+    """Fill groups one after the other at a common rate; empty when some stay short."""
+    sized = [(layers_at(engine, rate), engine) for engine in engines]
+    sized = [pair for pair in sized if pair[0] > 0]
+    sized.sort(key=lambda pair: (-pair[0], pair[1].domain, pair[1].agent_id))
+    if stages:
+        return _deal(sized, layers, chains, stages)
+    groups = []
+    for _ in range(chains):
+        group = _take_group(sized, layers)
+        if not group:
+            return []
+        groups.append(group)
+    return groups
+
+
+def _take_group(sized, layers):
+    group = []
+    left = layers
+    while left > 0 and sized:
+        fitting = [i for i, (size, _) in enumerate(sized) if size <= left]
+        index = fitting[0] if fitting else len(sized) - 1
+        size, engine = sized.pop(index)
+        group.append(engine)
+        left -= size
+    return group if left <= 0 else []
+
+
+def _deal(sized, layers, chains, stages):
+    groups = [[] for _ in range(chains)]
+    totals = [0] * chains
+    for size, engine in sized[: chains * stages]:
+        open_groups = [i for i in range(chains) if len(groups[i]) < stages]
+        index = min(open_groups, key=lambda i: totals[i])
+        groups[index].append(engine)
+        totals[index] += size
+    whole = all(split_layers(group, layers, stages=stages) for group in groups)
+    return groups if whole and min(totals, default=0) >= layers else []
--- a/wigeonscale/placement/planner.py
+++ b/wigeonscale/placement/planner.py
@@ -2,14 +2,19 @@
 
 __all__ = ["plan_chains"]
 
+from collections import Counter, defaultdict
 from collections.abc import Sequence
+from dataclasses import replace
 
+from wigeonscale.placement.fresh import new_chains
 from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan
-from wigeonscale.placement.partition import partition_engines
-from wigeonscale.placement.rates import chain_rate, split_layers
-from wigeonscale.placement.repair import repair_chain, stage_on
+from wigeonscale.placement.partition import FULL_EFFORT, QUICK_EFFORT
+from wigeonscale.placement.repair import is_leaving, repair_chains
 from wigeonscale.rules.model import Pipeline
 
+# Above this many engines the search is cut short, so that a plan takes a second.
+FULL_EFFORT_ENGINES = 256
+
 
 def plan_chains(
     *,
@@ -38,95 +43,87 @@
     Returns:
         The plan; equal input gives an equal plan, and planning again with the plan's
         own chains changes nothing.
+
+    Example:
+        >>> pipeline = Pipeline(name="p", model="m", layers=8)
+        >>> pool = [EngineSpec(f"e{n}", 1, "", "a", model="m") for n in range(2)]
+        >>> plan = plan_chains(pipelines=[pipeline], engines=pool, chains=())
+        >>> [chain.rate for chain in plan.chains]
+        [250.0]
     """
     by_id = {engine.agent_id: engine for engine in engines}
-    wanted = {pipeline.name: pipeline for pipeline in pipelines}
-    kept = [chain for chain in chains if _fits(chain, wanted.get(chain.pipeline))]
-    standing = _repair(kept, wanted, by_id)
-    standing = _drop_surplus(standing, wanted, by_id)
-    new = []
-    for pipeline in pipelines:
-        new += _new_chains(pipeline, standing + new, by_id, spares, base_index)
-    result = tuple(standing + new)
-    before = {chain.chain_id: chain for chain in chains}
-    after = {chain.chain_id for chain in result}
-    return Plan(
-        chains=result,
-        changed=tuple(c for c in result if before.get(c.chain_id) != c),
-        removed=tuple(i for i in before if i not in after),
+    by_name = {pipeline.name: pipeline for pipeline in pipelines}
+    kept = [chain for chain in chains if _fits(chain, by_name, by_id)]
+    standing = repair_chains(kept, pipelines=by_name, engines=by_id)
+    standing = _drop_surplus(standing, by_name, by_id)
+    standing += _add_missing(standing, pipelines, by_id, spares, base_index)
+    return _compare(chains, standing)
+
+
+def _fits(chain, by_name, by_id):
+    pipeline = by_name.get(chain.pipeline)
+    if pipeline is None or chain.stages[-1].last_layer != pipeline.layers - 1:
+        return False
+    known = [by_id[s.agent_id] for s in chain.stages if s.agent_id in by_id]
+    return all(engine.model == pipeline.model for engine in known)
+
+
+def _drop_surplus(chains, by_name, by_id):
+    """Leave out the slowest chains beyond the replicas wanted."""
+    serving = [chain for chain in chains if not is_leaving(chain, by_id)]
+    counts = Counter(chain.pipeline for chain in serving)
+    surplus = set()
+    for chain in sorted(serving, key=lambda chain: chain.rate):
+        if counts[chain.pipeline] > by_name[chain.pipeline].replicas:
+            counts[chain.pipeline] -= 1
+            surplus.add(chain.chain_id)
+    return [chain for chain in chains if chain.chain_id not in surplus]
+
+
+def _add_missing(standing, pipelines, by_id, spares, base_index):
+    effort = FULL_EFFORT if len(by_id) <= FULL_EFFORT_ENGINES else QUICK_EFFORT
+    serving = Counter(
+        chain.pipeline for chain in standing if not is_leaving(chain, by_id)
     )
+    missing = {p.name: p.replicas - serving[p.name] for p in pipelines}
+    number = _highest_number(standing, base_index)
+    free = _free_by_model(standing, by_id)
+    added = []
+    for model, group in _by_model(pipelines).items():
+        while any(missing[pipeline.name] > 0 for pipeline in group):
+            found = new_chains(
+                missing,
+                pipelines=group,
+                free=list(free[model].values()),
+                spares=spares,
+                effort=effort,
+            )
+            if not found:
+                break
+            for chain in found:
+                number += 1
+                missing[chain.pipeline] -= 1
+                chain_id = f"{chain.pipeline}-{base_index}-{number}"
+                added.append(replace(chain, chain_id=chain_id))
+                for stage in chain.stages:
+                    del free[model][stage.agent_id]
+    return added
+
+
+def _by_model(pipelines):
+    groups = defaultdict(list)
+    for pipeline in pipelines:
+        groups[pipeline.model].append(pipeline)
+    return groups
 
 
-def _fits(chain, pipeline):
-    return pipeline is not None and chain.stages[-1].last_layer == pipeline.layers - 1
-
-
-def _repair(chains, wanted, by_id):
-    used = {stage.agent_id for chain in chains for stage in chain.stages}
-    standing = []
-    for chain in chains:
-        model = wanted[chain.pipeline].model
-        own = {stage.agent_id for stage in chain.stages if _restarted(stage, by_id)}
-        free = [
-            engine
-            for engine in by_id.values()
-            if engine.model == model
-            and not engine.draining
-            and (engine.agent_id not in used or engine.agent_id in own)
-        ]
-        repaired = repair_chain(chain, by_id, free)
-        if repaired is None:
-            used -= {stage.agent_id for stage in chain.stages}
-            continue
-        used -= {stage.agent_id for stage in chain.stages}
-        used |= {stage.agent_id for stage in repaired.stages}
-        standing.append(repaired)
-    return standing
-
-
-def _restarted(stage, by_id):
-    engine = by_id.get(stage.agent_id)
-    return engine is not None and engine.incarnation != stage.incarnation
-
-
-def _drop_surplus(chains, wanted, by_id):
-    kept = []
-    count = dict.fromkeys(wanted, 0)
-    for chain in chains:
-        if not _leaving(chain, by_id):
-            if count[chain.pipeline] >= wanted[chain.pipeline].replicas:
-                continue
-            count[chain.pipeline] += 1
-        kept.append(chain)
-    return kept
-
-
-def _leaving(chain, by_id):
-    return any(by_id[stage.agent_id].draining for stage in chain.stages)
-
-
-def _new_chains(pipeline, chains, by_id, spares, base_index):
-    own = [chain for chain in chains if chain.pipeline == pipeline.name]
-    serving = [chain for chain in own if not _leaving(chain, by_id)]
-    missing = pipeline.replicas - len(serving)
-    if missing <= 0:
-        return []
+def _free_by_model(chains, by_id):
     used = {stage.agent_id for chain in chains for stage in chain.stages}
-    free = [
-        engine
-        for engine in by_id.values()
-        if engine.model == pipeline.model
-        and not engine.draining
-        and engine.agent_id not in used
-    ]
-    free.sort(key=lambda engine: (engine.layer_rate, engine.agent_id))
-    free = free[spares:]
-    number = _highest_number(own, base_index)
-    new = []
-    for group in _groups(free, pipeline, missing):
-        number += 1
-        new.append(_chain(pipeline, group, f"{pipeline.name}-{base_index}-{number}"))
-    return new
+    free = defaultdict(dict)
+    for agent_id, engine in by_id.items():
+        if agent_id not in used and not engine.draining:
+            free[engine.model][agent_id] = engine
+    return free
 
 
 def _highest_number(chains, base_index):
@@ -138,28 +135,11 @@
     return max(numbers)
 
 
-def _groups(free, pipeline, missing):
-    regions = sorted({engine.region for engine in free})
-    groups = []
-    for region in regions:
-        pool = [engine for engine in free if engine.region == region]
-        groups += partition_engines(
-            pool,
-            layers=pipeline.layers,
-            chains=missing - len(groups),
-            stages=pipeline.stages,
-        )
-    return groups
-
-
-def _chain(pipeline, group, chain_id):
-    split = split_layers(group, pipeline.layers, stages=pipeline.stages)
-    split.sort(key=lambda pair: (pair[0].domain, pair[0].agent_id))
-    stages = []
-    first = 0
-    for engine, count in split:
-        stages.append(stage_on(engine, first, first + count - 1))
-        first += count
-    by_id = {engine.agent_id: engine for engine, _ in split}
-    rate = chain_rate(stages, by_id)
-    return ChainPlan(chain_id, pipeline.name, 1, tuple(stages), rate)
+def _compare(chains, standing):
+    before = {chain.chain_id: chain for chain in chains}
+    after = {chain.chain_id for chain in standing}
+    return Plan(
+        chains=tuple(standing),
+        changed=tuple(c for c in standing if before.get(c.chain_id) != c),
+        removed=tuple(chain_id for chain_id in before if chain_id not in after),
+    )
--- a/wigeonscale/placement/rates.py
+++ b/wigeonscale/placement/rates.py
@@ -8,6 +8,8 @@
 
 __all__ = ["chain_rate", "layers_at", "split_layers", "stage_rate"]
 
+import bisect
+import math
 from collections.abc import Mapping, Sequence
 
 from wigeonscale.placement.model import EngineSpec, StagePlan
@@ -50,7 +52,11 @@
 
 
 def split_layers(
-    engines: Sequence[EngineSpec], layers: int, *, stages: int = 0
+    engines: Sequence[EngineSpec],
+    layers: int,
+    *,
+    stages: int = 0,
+    enough: float = math.inf,
 ) -> list[tuple[EngineSpec, int]]:
     """Split a model over engines so that the slowest stage is as fast as can be.
 
@@ -60,6 +66,7 @@
         engines: Engines that may be used.
         layers: Number of layers of the model.
         stages: Exact number of stages; 0 for free choice.
+        enough: Steps per second above which more speed is of no use.
 
     Returns:
         Pairs of engine and number of layers, in no particular order; empty when the
@@ -71,7 +78,7 @@
         ``n``. Cost O(engines * capacity * log).
     """
     whole = _split_over_one(engines, layers) if stages in (0, 1) else []
-    many = [] if stages == 1 else _split_over_many(engines, layers, stages)
+    many = [] if stages == 1 else _split_over_many(engines, layers, stages, enough)
     if not whole or not many:
         return whole or many
     whole_rate = stage_rate(whole[0][0], layers, alone=True)
@@ -86,27 +93,36 @@
     return [(max(able, key=lambda engine: engine.layer_rate), layers)]
 
 
-def _split_over_many(engines, layers, stages):
-    for rate in _rates_falling(engines):
-        counts = [(layers_at(engine, rate), engine) for engine in engines]
-        counts = [pair for pair in counts if pair[0] > 0]
-        counts.sort(key=lambda pair: -pair[0])
-        if stages:
-            counts = counts[:stages]
-        if stages and (len(counts) < stages or layers < stages):
-            continue
-        if sum(count for count, _ in counts) >= layers:
-            return _trim(counts, layers, stages)
-    return []
+def _split_over_many(engines, layers, stages, enough):
+    if stages > layers:
+        return []
+    rates = sorted({min(rate, enough) for rate in _stage_rates(engines)})
+
+    def short(rate):
+        counts = _counts_at(engines, rate, stages)
+        return sum(count for count, _ in counts) < layers or (len(counts) < stages)
+
+    # Fewer layers fit at a higher rate: find the last rate that is not short.
+    index = bisect.bisect_left(rates, True, key=short) - 1
+    if index < 0:
+        return []
+    return _trim(_counts_at(engines, rates[index], stages), layers, stages)
 
 
-def _rates_falling(engines):
+def _stage_rates(engines):
     rates = {
         stage_rate(engine, count)
         for engine in engines
         for count in range(1, engine.layer_capacity + 1)
     }
-    return sorted((rate for rate in rates if rate > 0), reverse=True)
+    return rates - {0.0}
+
+
+def _counts_at(engines, rate, stages):
+    counts = [(layers_at(engine, rate), engine) for engine in engines]
+    counts = [pair for pair in counts if pair[0] > 0]
+    counts.sort(key=lambda pair: -pair[0])
+    return counts[:stages] if stages else counts
 
 
 def _trim(counts, layers, stages):
--- a/wigeonscale/placement/repair.py
+++ b/wigeonscale/placement/repair.py
@@ -1,88 +1,214 @@
 """Repairs chains that lost a stage, touching only the lost stage."""
 
-__all__ = ["repair_chain"]
+__all__ = ["is_alive", "is_leaving", "repair_chains"]
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from wigeonscale.placement.model import ChainPlan, EngineSpec, StagePlan
-from wigeonscale.placement.rates import chain_rate
+from wigeonscale.placement.rates import chain_rate, split_layers, stage_rate
+from wigeonscale.rules.model import Pipeline
 
+# A spare slower than this share of the chain is taken only when no other fits, even
+# when it alone is in another failure domain.
+SLOW_SPARE = 0.5
 
-def repair_chain(
-    chain: ChainPlan, engines: Mapping[str, EngineSpec], free: Iterable[EngineSpec]
-) -> ChainPlan | None:
-    """Return the chain with a spare in place of each lost stage, in a higher epoch.
+
+def is_alive(stage: StagePlan, engines: Mapping[str, EngineSpec]) -> bool:
+    """Return whether the stage's engine is announced with the same incarnation."""
+    engine = engines.get(stage.agent_id)
+    return engine is not None and engine.incarnation == stage.incarnation
+
+
+def is_leaving(chain: ChainPlan, engines: Mapping[str, EngineSpec]) -> bool:
+    """Return whether an engine of a chain without lost stages is draining."""
+    return any(engines[stage.agent_id].draining for stage in chain.stages)
+
+
+def repair_chains(
+    chains: Sequence[ChainPlan],
+    *,
+    pipelines: Mapping[str, Pipeline],
+    engines: Mapping[str, EngineSpec],
+) -> list[ChainPlan]:
+    """Return the chains that stand after repair, in the order given.
+
+    A chain whose stages are all alive is returned as it is. For each lost stage a free
+    engine takes the same layers, or several free engines share them, and the epoch
+    grows by one. Chains that lost the least come first. When the free engines do not
+    suffice, the chain that lost the most is given up and its engines serve the others.
 
     Args:
-        chain: The chain as it stands.
+        chains: The chains as they stand.
+        pipelines: Pipelines by name; every chain's must be there.
         engines: Every announced engine by agent id.
-        free: Engines in no chain that may take a stage.
 
     Returns:
-        The same chain when nothing was lost, None when it cannot be repaired.
+        Healthy and repaired chains; those given up are absent.
     """
-    lost = [stage for stage in chain.stages if not _alive(stage, engines)]
-    if not lost:
-        return chain
-    region = _region(chain, engines)
-    candidates = [engine for engine in free if region in ("", engine.region)]
-    lost_domains = {stage.domain for stage in lost}
-    stages = []
-    for stage in chain.stages:
-        if stage in lost:
-            spare = _choose_spare(stage, candidates, lost_domains)
-            if spare is None:
-                return None
-            candidates.remove(spare)
-            stage = stage_on(spare, stage.first_layer, stage.last_layer)
-        stages.append(stage)
-    return replace(
+    broken = [
+        chain
+        for chain in chains
+        if not all(is_alive(stage, engines) for stage in chain.stages)
+    ]
+    if not broken:
+        return list(chains)
+    free = _free_engines(chains, engines)
+    broken.sort(key=lambda chain: (_lost_layers(chain, engines), chain.chain_id))
+    repaired = {}
+    waiting = []
+    for chain in broken:
+        if not _try_repair(chain, pipelines, engines, free, repaired):
+            waiting.append(chain)
+    while waiting:
+        donor = waiting.pop()
+        free |= _survivors(donor, engines)
+        waiting = [
+            chain
+            for chain in waiting
+            if not _try_repair(chain, pipelines, engines, free, repaired)
+        ]
+    lost_ids = {chain.chain_id for chain in broken} - repaired.keys()
+    return [
+        repaired.get(chain.chain_id, chain)
+        for chain in chains
+        if chain.chain_id not in lost_ids
+    ]
+
+
+def _free_engines(chains, engines):
+    used = {
+        stage.agent_id
+        for chain in chains
+        for stage in chain.stages
+        if is_alive(stage, engines)
+    }
+    return {
+        agent_id: engine
+        for agent_id, engine in engines.items()
+        if agent_id not in used and not engine.draining
+    }
+
+
+def _lost_layers(chain, engines):
+    return sum(s.layers for s in chain.stages if not is_alive(s, engines))
+
+
+def _survivors(chain, engines):
+    return {
+        stage.agent_id: engines[stage.agent_id]
+        for stage in chain.stages
+        if is_alive(stage, engines) and not engines[stage.agent_id].draining
+    }
+
+
+def _try_repair(chain, pipelines, engines, free, repaired):
+    """Repair one chain, moving the engines it takes out of ``free``."""
+    pipeline = pipelines[chain.pipeline]
+    dead = [stage for stage in chain.stages if not is_alive(stage, engines)]
+    # The head holds its answers, so a draining head stays until it is gone.
+    draining = [
+        stage
+        for stage in chain.stages[1:]
+        if stage not in dead and engines[stage.agent_id].draining
+    ]
+    stages = _replace_stages(chain, dead + draining, pipeline, engines, free)
+    if stages is None and draining:
+        stages = _replace_stages(chain, dead, pipeline, engines, free)
+    if stages is None:
+        return False
+    for stage in stages:
+        free.pop(stage.agent_id, None)
+    repaired[chain.chain_id] = replace(
         chain,
         epoch=chain.epoch + 1,
         stages=tuple(stages),
         rate=chain_rate(stages, engines),
     )
+    return True
 
 
-def stage_on(engine: EngineSpec, first_layer: int, last_layer: int) -> StagePlan:
-    """Return the stage of a layer range, both ends inclusive, on an engine."""
-    return StagePlan(
-        agent_id=engine.agent_id,
-        incarnation=engine.incarnation,
-        address=engine.address,
-        domain=engine.domain,
-        first_layer=first_layer,
-        last_layer=last_layer,
-    )
-
-
-def _alive(stage, engines):
-    engine = engines.get(stage.agent_id)
-    return engine is not None and engine.incarnation == stage.incarnation
-
-
-def _region(chain, engines):
-    alive = [engines[s.agent_id].region for s in chain.stages if _alive(s, engines)]
-    return alive[0] if alive else ""
-
-
-def _choose_spare(stage, candidates, lost_domains):
+def _replace_stages(chain, lost, pipeline, engines, free):
+    kept = [engines[s.agent_id] for s in chain.stages if s not in lost]
+    candidates = _candidates(pipeline, kept, free.values())
+    lost_domains = {stage.domain for stage in lost}
+    stages = []
+    for stage in chain.stages:
+        if stage not in lost:
+            stages.append(stage)
+            continue
+        spare = _choose_spare(stage, candidates, chain.rate, lost_domains)
+        several = []
+        if not pipeline.stages:
+            several = split_layers(candidates, stage.layers, enough=chain.rate)
+        found = _faster(spare, several, stage, chain.rate)
+        if not found:
+            return None
+        taken = {engine.agent_id for engine, _ in found}
+        candidates = [e for e in candidates if e.agent_id not in taken]
+        stages += stages_of(found, stage.first_layer)
+    return stages
+
+
+def _candidates(pipeline, kept, free):
+    # Without survivors any region will do, as long as it is one.
+    able = [engine for engine in free if engine.model == pipeline.model]
+    regions = sorted({engine.region for engine in kept or able})
+    return [engine for engine in able if engine.region == regions[0]]
+
+
+def _choose_spare(stage, candidates, target, lost_domains):
     able = [engine for engine in candidates if engine.layer_capacity >= stage.layers]
-    if not able:
-        return None
 
     def preference(engine):
+        rate = min(stage_rate(engine, stage.layers), target)
         loaded = (
             engine.first_layer <= stage.first_layer
             and engine.last_layer >= stage.last_layer
         )
-        rate = min(engine.layer_rate / stage.layers, engine.link_rate)
         return (
             not loaded,
+            engine.agent_id != stage.agent_id,
+            rate < SLOW_SPARE * target,
             engine.domain in lost_domains,
             -rate,
+            engine.layer_capacity,
             engine.agent_id,
         )
 
-    return min(able, key=preference)
+    return min(able, key=preference, default=None)
+
+
+def _faster(spare, several, stage, target):
+    """Return one spare, or several when one would slow the chain far more."""
+    single = [(spare, stage.layers)] if spare else []
+    if not single or not several:
+        return single or several
+    one_rate = stage_rate(spare, stage.layers)
+    many_rate = min(stage_rate(engine, count) for engine, count in several)
+    if one_rate < SLOW_SPARE * target and many_rate > one_rate:
+        return several
+    return single
+
+
+def stages_of(
+    split: Iterable[tuple[EngineSpec, int]], first_layer: int
+) -> list[StagePlan]:
+    """Return consecutive stages from pairs of engine and number of layers."""
+    stages = []
+    for engine, count in split:
+        stages.append(stage_on(engine, first_layer, first_layer + count - 1))
+        first_layer += count
+    return stages
+
+
+def stage_on(engine: EngineSpec, first_layer: int, last_layer: int) -> StagePlan:
+    """Return the stage of a layer range, both ends inclusive, on an engine."""
+    return StagePlan(
+        agent_id=engine.agent_id,
+        incarnation=engine.incarnation,
+        address=engine.address,
+        domain=engine.domain,
+        first_layer=first_layer,
+        last_layer=last_layer,
+    )
