--- /dev/null
+++ b/wigeonscale/agent/admission.py
@@ -0,0 +1,143 @@
+"""Admission: the bounded queue before the backend server, and its slots."""
+
+__all__ = ["Admission"]
+
+import random
+from collections.abc import Callable
+
+from wigeonscale.agent.table import Dispatch
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.limits import FairQueue, WaitEstimator, check_deadline
+from wigeonscale.ports import Clock
+
+
+class Admission:
+    """Starts dispatches as slots come free, by priority and fair share.
+
+    Args:
+        clock: Clock port.
+        slots: Requests that run at once.
+        queue_limit: Requests that wait at most.
+        share: Returns the weight of an organisation.
+        begin: Starts a dispatch.
+        expire: Told of a dispatch whose deadline passed while it waited.
+        rng: Spreads the times at which refused requests come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        slots: int,
+        queue_limit: int,
+        share: Callable[[str], float],
+        begin: Callable[[Dispatch], None],
+        expire: Callable[[Dispatch], None],
+        rng: random.Random | None = None,
+    ):
+        self.slots = slots
+        self.running = 0
+        self._clock = clock
+        self._share = share
+        self._begin = begin
+        self._expire = expire
+        self._rng = rng
+        self._filling = False
+        self._queue: FairQueue[Dispatch] = FairQueue(limit=queue_limit, clock=clock)
+        self._estimator = WaitEstimator(clock=clock)
+
+    @property
+    def queued(self) -> int:
+        """Dispatches that wait."""
+        return len(self._queue)
+
+    def wait_s(self) -> float:
+        """Return the estimated wait of a new request, in seconds."""
+        if self.running < self.slots:
+            return 0.0
+        return self._estimator.wait(self.queued + 1, self.slots)
+
+    def check(self, organisation: str, priority: int, deadline_s: float | None) -> None:
+        """Refuse a request that would start too late.
+
+        Args:
+            organisation: Whose request it is.
+            priority: Its priority.
+            deadline_s: Seconds until its deadline; None for none.
+
+        Raises:
+            WigeonscaleError: ``OVERLOADED``, not run, with ``retry_after``.
+        """
+        if self.running < self.slots:
+            return
+        share = self._share(organisation)
+        ahead = self._queue.ahead(organisation, priority=priority, share=share)
+        check_deadline(
+            wait_s=self._estimator.wait(ahead + 1, self.slots),
+            service_s=self._estimator.service_s,
+            deadline_s=deadline_s,
+            rng=self._rng,
+        )
+
+    def push(self, dispatch: Dispatch) -> int:
+        """Queue a dispatch and start what may start.
+
+        Returns:
+            How many waited before it.
+
+        Raises:
+            WigeonscaleError: ``OVERLOADED``, not run, with ``retry_after``.
+        """
+        queued_before = self.queued
+        if self.running < self.slots and not queued_before:
+            self._start(dispatch)
+            return 0
+        try:
+            self._queue.push(
+                dispatch,
+                organisation=dispatch.organisation,
+                priority=dispatch.open.priority,
+                share=self._share(dispatch.organisation),
+                deadline=dispatch.deadline,
+            )
+        except WigeonscaleError as exc:
+            exc.retry_after = exc.retry_after or max(1.0, self.wait_s())
+            raise
+        self.fill()
+        return queued_before
+
+    def remove(self, dispatch: Dispatch) -> bool:
+        """Take a dispatch out of the queue; returns whether it waited."""
+        return self._queue.remove(dispatch)
+
+    def finished(self, dispatch: Dispatch) -> None:
+        """Free the slot of a dispatch that ran."""
+        self._estimator.finished(self._clock.now() - dispatch.started_at)
+        self.release()
+
+    def release(self) -> None:
+        """Free the slot of a dispatch that never ran."""
+        self.running -= 1
+        self.fill()
+
+    def fill(self) -> None:
+        """Start waiting dispatches while slots are free."""
+        if self._filling:
+            # A start that failed at once frees its slot in here; the loop goes on.
+            return
+        self._filling = True
+        try:
+            while self.running < self.slots:
+                dispatch = self._queue.pop()
+                if dispatch is None:
+                    break
+                self._start(dispatch)
+            for dispatch in self._queue.take_expired():
+                self._expire(dispatch)
+        finally:
+            self._filling = False
+
+    def _start(self, dispatch: Dispatch) -> None:
+        self.running += 1
+        dispatch.started_at = self._clock.now()
+        self._begin(dispatch)
--- /dev/null
+++ b/wigeonscale/agent/agent.py
@@ -0,0 +1,252 @@
+"""Puts the parts of an agent together."""
+
+__all__ = ["Agent"]
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import grpc
+
+from wigeonscale.agent.admission import Admission
+from wigeonscale.agent.backend import BackendState
+from wigeonscale.agent.dispatch import Dispatcher
+from wigeonscale.agent.outcomes import OutcomeReporter
+from wigeonscale.agent.servicer import AgentServicer
+from wigeonscale.agent.table import Dispatch, DispatchTable
+from wigeonscale.agent.work import start_call, start_generation
+from wigeonscale.config import AgentSettings
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.membership import Change, ControlClient
+from wigeonscale.pipelines.head import Head
+from wigeonscale.pipelines.links import StepLinks
+from wigeonscale.pipelines.stage import StageRunner
+from wigeonscale.ports import Clock, Engine, Service
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+
+class Agent:
+    """The agent beside one backend server.
+
+    Args:
+        cfg: Settings of the agent.
+        control: Watch on control, made with :attr:`state`, :attr:`orders`.
+        clock: Clock port.
+        state: What is known of the backend server.
+        dial: Returns a new channel to an address.
+        engine: The engine, or None beside a plain service.
+        service: The plain service, or None beside an engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: AgentSettings,
+        control: ControlClient,
+        clock: Clock,
+        state: BackendState,
+        dial: Callable[[str], grpc.aio.Channel],
+        engine: Engine | None = None,
+        service: Service | None = None,
+        **link_options: float,
+    ):
+        self.state = state
+        self._cfg = cfg
+        self._control = control
+        self._clock = clock
+        self._service = service
+        self._calls: set[asyncio.Task] = set()
+        self.links = StepLinks(dial=dial, clock=clock, **link_options)
+        self.table = DispatchTable(
+            clock=clock, keep_bytes=cfg.keep_answers_bytes, keep_s=cfg.keep_answers_s
+        )
+        self.outcomes = OutcomeReporter(
+            submit=control.submit, clock=clock, on_reported=self.table.reported
+        )
+        self.dispatcher = Dispatcher(
+            agent_id=cfg.name,
+            incarnations=state.incarnations,
+            table=self.table,
+            clock=clock,
+            check_new=self._check_new,
+            check_begin=self._check_lease,
+            begin=self._begin,
+            outcomes=self.outcomes,
+        )
+        self.admission = Admission(
+            clock=clock,
+            slots=cfg.slots,
+            queue_limit=cfg.queue_limit,
+            share=self._share,
+            begin=self.dispatcher.begin,
+            expire=self.dispatcher.expire,
+            rng=random.Random(),
+        )
+        self.dispatcher.admission = self.admission
+        self.stage: StageRunner | None = None
+        self.head: Head | None = None
+        if engine is not None:
+            self._make_pipeline(engine)
+        self.servicer = AgentServicer(
+            dispatcher=self.dispatcher, stage=self.stage, load=self.load_word
+        )
+        control.changes.subscribe(self._on_change)
+
+    def load_word(self) -> wire.LoadWord:
+        """Return the load as it is now."""
+        return wire.LoadWord(
+            running=self.admission.running,
+            queued=self.admission.queued,
+            slots=self.admission.slots,
+            wait_s=self.admission.wait_s(),
+            leaving=self.state.leaving,
+        )
+
+    def announcement_changed(self) -> None:
+        """Tell control and the entries of a change of the backend server."""
+        self._control.announce_changed()
+        self.servicer.announce_load()
+
+    async def run(self) -> None:
+        """Enforce deadlines and bounds, for ever."""
+        await self.dispatcher.sweep()
+
+    async def drain(self) -> None:
+        """Refuse new work, then wait until the work in progress has ended."""
+        self.state.set_stopping()
+        await self.dispatcher.drained()
+        while self.stage is not None and self.stage.active:
+            await self._clock.sleep(0.05)
+        await self.outcomes.flush()
+
+    async def cut(self) -> None:
+        """End what is still in progress and tell its callers."""
+        self.dispatcher.cut()
+
+    async def close(self) -> None:
+        """Cancel every task of this agent."""
+        if self.head is not None:
+            await self.head.close()
+        await self.servicer.close()
+        if self.stage is not None:
+            await self.stage.close()
+        await self.links.close()
+        await self.outcomes.close()
+        for task in self._calls:
+            task.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
+    def _make_pipeline(self, engine: Engine) -> None:
+        self.stage = StageRunner(
+            agent_id=self._cfg.name,
+            incarnations=self.state.incarnations,
+            engine=engine,
+            loaded=lambda: self.state.info,
+            links=self.links,
+            clock=self._clock,
+            may_begin=self.state.check_sequence,
+            on_engine_failed=self.state.probe_soon,
+        )
+        self.head = Head(
+            agent_id=self._cfg.name,
+            stage=self.stage,
+            links=self.links,
+            chains=lambda chain_id: self._control.members.chains.get(chain_id),
+            suspect=self._control.suspect,
+            clock=self._clock,
+            repair_timeout_s=self._cfg.repair_timeout_s,
+        )
+
+    def _on_change(self, change: Change) -> None:
+        if change != Change.MEMBERS or self.stage is None:
+            return
+        for chain in self._control.members.chains.values():
+            if chain.ready:
+                self.stage.learn_epoch(chain.chain_id, chain.epoch)
+        self.head.members_changed()
+
+    def _share(self, organisation: str) -> float:
+        known = self._control.document.organisations.get(organisation)
+        return known.share if known else 1.0
+
+    def _check_lease(self) -> None:
+        if not self._control.lease_valid():
+            raise WigeonscaleError(
+                ErrorKind.LEASE_EXPIRED,
+                f"agent {self._cfg.name} has no word from a majority of control",
+                retry_after=self._cfg.lease_s,
+            )
+
+    def _check_new(self, msg: wire.Open) -> None:
+        self.state.check_new()
+        self._check_lease()
+        if not self.state.is_current(msg.agent_incarnation):
+            raise WigeonscaleError(
+                ErrorKind.STALE_INCARNATION,
+                f"incarnation {msg.agent_incarnation} of {self._cfg.name} has ended",
+            )
+        is_call = msg.WhichOneof("work") == "call"
+        if is_call != (self._service is not None):
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST, f"{self._cfg.name} cannot do this kind of work"
+            )
+        if not is_call:
+            self._check_generate(msg.generate)
+
+    def _check_generate(self, work: wire.Generate) -> None:
+        chain = work.chain
+        if work.max_tokens <= 0 or not chain.stages:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{work.max_tokens} tokens on {len(chain.stages)} stages",
+            )
+        if chain.stages[0].agent_id != self._cfg.name:
+            raise WigeonscaleError(
+                ErrorKind.STALE_EPOCH,
+                f"head of the chain is {chain.stages[0].agent_id}",
+            )
+        newest = self._control.members.chains.get(chain.chain_id)
+        if newest is not None and newest.epoch > chain.epoch:
+            raise WigeonscaleError(
+                ErrorKind.STALE_EPOCH,
+                f"chain {chain.chain_id} is at epoch {newest.epoch}",
+                retry_after=1,
+            )
+        for stage in chain.stages:
+            backend = self._control.members.backends.get(stage.agent_id)
+            if backend is not None and backend.draining:
+                raise WigeonscaleError(
+                    ErrorKind.BACKEND_LEAVING,
+                    f"stage {stage.agent_id} of chain {chain.chain_id} is leaving",
+                    retry_after=1,
+                )
+
+    def _begin(self, dispatch: Dispatch) -> None:
+        if dispatch.open.WhichOneof("work") == "call":
+            self._begin_call(dispatch)
+            return
+        work = dispatch.open.generate
+        newest = self._control.members.chains.get(work.chain.chain_id)
+        usable = newest is not None and newest.ready
+        start_generation(
+            dispatch,
+            chain=newest if usable and newest.epoch > work.chain.epoch else work.chain,
+            head=self.head,
+            on_token=self.dispatcher.token,
+            on_end=self.dispatcher.finish,
+            on_failed=self.dispatcher.fail,
+        )
+
+    def _begin_call(self, dispatch: Dispatch) -> None:
+        task = start_call(
+            dispatch,
+            service=self._service,
+            clock=self._clock,
+            on_end=self.dispatcher.finish,
+            on_failed=self.dispatcher.fail,
+        )
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
--- /dev/null
+++ b/wigeonscale/agent/backend.py
@@ -0,0 +1,203 @@
+"""What this agent knows and announces of its backend server."""
+
+__all__ = ["BackendState"]
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Callable
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.pipelines.constants import LEAVING_GRACE_S
+from wigeonscale.pipelines.waiting import wait_event
+from wigeonscale.ports import Clock, Engine, EngineInfo
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+GONE_AFTER = 2
+"""Failed probes in a row after which the engine counts as gone."""
+
+
+class BackendState:
+    """Probes the engine and keeps the announcement true.
+
+    Args:
+        base: The parts of the announcement that settings give.
+        engine: The engine; None for a plain service.
+        clock: Clock port.
+        probe_s: Seconds between probes.
+        on_changed: Called when the announcement changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        base: wire.Backend,
+        engine: Engine | None,
+        clock: Clock,
+        probe_s: float,
+        on_changed: Callable[[], None] = lambda: None,
+    ):
+        self.on_changed = on_changed
+        self.info: EngineInfo | None = None
+        self.draining = False
+        self.stopping = False
+        self._base = base
+        self._engine = engine
+        self._clock = clock
+        self._probe_s = probe_s
+        self._incarnations = [new_incarnation()]
+        self._failures = 0
+        self._probe_now = asyncio.Event()
+        self._left_at: float | None = None
+
+    @property
+    def agent_id(self) -> str:
+        """Name of the backend server."""
+        return self._base.agent_id
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that is announced now."""
+        return self._incarnations[-1]
+
+    def incarnations(self) -> list[int]:
+        """Return the incarnations of this process, newest last."""
+        return self._incarnations
+
+    def is_current(self, incarnation: int) -> bool:
+        """Return whether new work may name this incarnation."""
+        return incarnation == self.incarnation
+
+    def renew(self, ended: int) -> None:
+        """Take a new incarnation after control declared one ended."""
+        if ended == self.incarnation:
+            self._incarnations.append(new_incarnation())
+            self.on_changed()
+
+    @property
+    def gone(self) -> bool:
+        """Whether the engine does not answer."""
+        return self._engine is not None and self.info is None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether no new work is taken, for whatever reason."""
+        engine_leaves = self.info is not None and self.info.leaving
+        return self.stopping or self.draining or engine_leaves or self.gone
+
+    def announcement(self) -> wire.Backend:
+        """Return what to announce now."""
+        backend = wire.Backend()
+        backend.CopyFrom(self._base)
+        backend.incarnation = self.incarnation
+        backend.last_layer = -1
+        if self._engine is not None:
+            _fill_from_info(backend, self.info)
+        # An order to drain comes from control and is not echoed as our own word.
+        own_word = self.info is not None and self.info.leaving
+        backend.draining = self.stopping or self.gone or own_word
+        return backend
+
+    def check_new(self) -> None:
+        """Refuse new work when the backend server leaves.
+
+        Raises:
+            WigeonscaleError: ``STOPPING``, ``BACKEND_LEAVING`` or
+                ``BACKEND_FAILED``; not run.
+        """
+        if self.stopping:
+            raise WigeonscaleError(
+                ErrorKind.STOPPING, f"agent {self.agent_id} is stopping", retry_after=1
+            )
+        if self.gone:
+            raise WigeonscaleError(
+                ErrorKind.BACKEND_FAILED,
+                f"the engine of {self.agent_id} does not answer",
+                retry_after=1,
+            )
+        if self.leaving:
+            raise WigeonscaleError(
+                ErrorKind.BACKEND_LEAVING,
+                f"backend server {self.agent_id} is leaving",
+                retry_after=1,
+            )
+
+    def check_sequence(self) -> None:
+        """Refuse to begin a sequence some time after leaving began."""
+        if not self.leaving:
+            self._left_at = None
+            return
+        if self._left_at is None:
+            self._left_at = self._clock.now()
+        if self._clock.now() - self._left_at > LEAVING_GRACE_S:
+            self.check_new()
+
+    def set_draining(self, draining: bool) -> None:
+        """Follow an order to drain or to take work again."""
+        self.draining = draining
+        self.check_leaving()
+
+    def set_stopping(self) -> None:
+        """Take no new work from now on and announce it."""
+        self.stopping = True
+        self.check_leaving()
+        self.on_changed()
+
+    def check_leaving(self) -> None:
+        """Note the time at which leaving began."""
+        if not self.leaving:
+            self._left_at = None
+        elif self._left_at is None:
+            self._left_at = self._clock.now()
+
+    def probe_soon(self) -> None:
+        """Probe the engine now rather than at the next turn."""
+        self._probe_now.set()
+
+    async def probe(self) -> None:
+        """Ask the engine what it is and announce a change."""
+        if self._engine is None:
+            return
+        before = (self.info, self.gone)
+        try:
+            self.info = await self._engine.info()
+            self._failures = 0
+        except WigeonscaleError as exc:
+            self._failures += 1
+            logger.warning("engine probe failed: %s", exc.message)
+            if self._failures >= GONE_AFTER:
+                self.info = None
+        if (self.info, self.gone) != before:
+            self.check_leaving()
+            self.on_changed()
+
+    async def watch(self) -> None:
+        """Probe the engine for ever."""
+        while True:
+            await self.probe()
+            failing = 0 < self._failures < GONE_AFTER
+            pause_s = self._probe_s / 4 if failing else self._probe_s
+            await wait_event(self._probe_now, self._clock, pause_s)
+            self._probe_now.clear()
+
+
+def new_incarnation() -> int:
+    """Return a random positive number that no other start has."""
+    return secrets.randbits(62) + 1
+
+
+def _fill_from_info(backend: wire.Backend, info: EngineInfo | None) -> None:
+    if info is None:
+        return
+    backend.model = info.model
+    backend.accelerator = info.accelerator
+    backend.layer_rate = info.layer_rate
+    backend.layer_capacity = info.layer_capacity
+    backend.first_layer = info.first_layer
+    backend.last_layer = info.last_layer
+    backend.checks_fencing = info.checks_fencing
+    backend.version = info.version
+    backend.adapters.extend(info.adapters)
+    backend.link_rate = info.link_rate
--- /dev/null
+++ b/wigeonscale/agent/orders.py
@@ -0,0 +1,110 @@
+"""Carries out control's orders and refuses those of an overtaken control VM."""
+
+__all__ = ["OrderGate"]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from wigeonscale.adapters.metrics import METRICS, OK, Metrics
+from wigeonscale.agent.backend import BackendState
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.ports import Engine
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+
+class OrderGate:
+    """Guards every order to the engine by its fencing number.
+
+    The guard stands here because some engines ignore the number. After a restart
+    the agent remembers none, so it first asks a majority of control for the
+    position that no order may be older than.
+
+    Args:
+        state: The backend server's state.
+        engine: The engine; None for a plain service.
+        floor: Asks a majority for the newest (term, index).
+        metrics: Where orders are counted.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: BackendState,
+        engine: Engine | None,
+        floor: Callable[[], Awaitable[tuple[int, int]]],
+        metrics: Metrics = METRICS,
+    ):
+        self._state = state
+        self._engine = engine
+        self._ask_floor = floor
+        self._metrics = metrics
+        self._floor: tuple[int, int] | None = None
+        self._one_at_a_time = asyncio.Lock()
+
+    async def carry_out(self, order: wire.Order) -> wire.OrderResult:
+        """Carry out an order, or say why not."""
+        async with self._one_at_a_time:
+            try:
+                await self._check_fence(order)
+                await self._do(order)
+            except WigeonscaleError as exc:
+                logger.warning("order %s refused: %s", order.order_id, exc.message)
+                self._metrics.orders.add(kind=exc.kind)
+                return wire.OrderResult(
+                    order_id=order.order_id, kind=exc.kind, message=exc.message
+                )
+        self._metrics.orders.add(kind=OK)
+        return wire.OrderResult(order_id=order.order_id, done=True)
+
+    async def _check_fence(self, order: wire.Order) -> None:
+        if self._floor is None:
+            self._floor = tuple(await self._ask_floor())
+        number = (order.term, order.sequence)
+        if number < self._floor:
+            raise WigeonscaleError(
+                ErrorKind.STALE_TERM,
+                f"order {order.order_id} has number {number}, older than {self._floor}",
+            )
+        self._floor = number
+
+    async def _do(self, order: wire.Order) -> None:
+        body = order.WhichOneof("body")
+        if body == "drain":
+            self._state.set_draining(order.drain)
+        elif body == "load" and self._engine is not None:
+            await self._load(order)
+        else:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST, f"order {order.order_id} names {body}"
+            )
+
+    async def _load(self, order: wire.Order) -> None:
+        load = order.load
+        if self._holds(load):
+            return
+        await self._engine.order(
+            term=order.term,
+            sequence=order.sequence,
+            action="load",
+            args={
+                "model": load.model,
+                "version": load.version,
+                "adapter": load.adapter,
+                "first_layer": load.first_layer,
+                "last_layer": load.last_layer,
+            },
+        )
+        await self._state.probe()
+
+    def _holds(self, load: wire.LoadLayers) -> bool:
+        info = self._state.info
+        if info is None:
+            return False
+        wanted = (load.model, load.first_layer, load.last_layer)
+        if wanted != (info.model, info.first_layer, info.last_layer):
+            return False
+        version_fits = load.version in ("", info.version)
+        return version_fits and (not load.adapter or load.adapter in info.adapters)
--- /dev/null
+++ b/wigeonscale/agent/outcomes.py
@@ -0,0 +1,67 @@
+"""Reports the outcome of non-idempotent work to control until it stands there."""
+
+__all__ = ["OutcomeReporter"]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+RETRY_S = 1.0
+AT_ONCE = 32
+
+
+class OutcomeReporter:
+    """Submits outcomes, again and again while control has no quorum.
+
+    Args:
+        submit: Submits a command to control.
+        clock: Clock port.
+        on_reported: Called with the dispatch id once its outcome stands.
+    """
+
+    def __init__(
+        self,
+        *,
+        submit: Callable[[wire.Command], Awaitable[wire.CommandResult]],
+        clock: Clock,
+        on_reported: Callable[[str], None],
+    ):
+        self._submit = submit
+        self._clock = clock
+        self._on_reported = on_reported
+        self._tasks: set[asyncio.Task] = set()
+        self._gate = asyncio.Semaphore(AT_ONCE)
+
+    def report(self, outcome: wire.Outcome) -> None:
+        """Report an outcome in the background."""
+        task = asyncio.create_task(self._report(outcome))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def flush(self) -> None:
+        """Wait until every outcome stands."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def close(self) -> None:
+        """Give up what was not reported."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _report(self, outcome: wire.Outcome) -> None:
+        while True:
+            try:
+                async with self._gate:
+                    await self._submit(wire.Command(outcome=outcome))
+                break
+            except WigeonscaleError as exc:
+                logger.warning("outcome of %s: %s", outcome.dispatch_id, exc.message)
+                await self._clock.sleep(RETRY_S)
+        self._on_reported(outcome.dispatch_id)
--- /dev/null
+++ b/wigeonscale/agent/servicer.py
@@ -0,0 +1,102 @@
+"""The agent's gRPC service: entries' dispatch streams and heads' step streams."""
+
+__all__ = ["AgentServicer"]
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import grpc
+
+from wigeonscale.agent.dispatch import Dispatcher
+from wigeonscale.agent.stream import EntryStream
+from wigeonscale.pipelines.stage import StageRunner
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+logger = logging.getLogger(__name__)
+
+
+class AgentServicer(wire_pb2_grpc.AgentServicer):
+    """Serves the wire's ``Agent`` service.
+
+    Args:
+        dispatcher: Handles the messages of entries.
+        stage: Runs steps; None for a plain service.
+        load: Returns the load word.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        stage: StageRunner | None,
+        load: Callable[[], wire.LoadWord],
+    ):
+        self._dispatcher = dispatcher
+        self._stage = stage
+        self._load = load
+        self._streams: set[EntryStream] = set()
+        self._steps: set[asyncio.Task] = set()
+
+    def announce_load(self) -> None:
+        """Send the load word on every dispatch stream."""
+        for stream in self._streams:
+            stream.wake()
+
+    async def close(self) -> None:
+        """Cancel steps whose reply nobody can get any more."""
+        for task in self._steps:
+            task.cancel()
+        await asyncio.gather(*self._steps, return_exceptions=True)
+
+    async def Dispatch(self, request_iterator, context):  # noqa: N802
+        """Serve one entry's stream until it ends."""
+        stream = EntryStream(load=self._load)
+        writer = asyncio.create_task(stream.write(context.write))
+        self._streams.add(stream)
+        try:
+            async for req in request_iterator:
+                self._handle(req, stream)
+        finally:
+            self._streams.discard(stream)
+            stream.close()
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+
+    async def Steps(self, request_iterator, context):  # noqa: N802
+        """Serve one head's, or previous stage's, stream until it ends."""
+        if self._stage is None:
+            text = "a plain service runs no steps"
+            await context.abort(grpc.StatusCode.UNIMPLEMENTED, text)
+        write_lock = asyncio.Lock()
+
+        async def write(reply: wire.StepReply) -> None:
+            async with write_lock:
+                await context.write(reply)
+
+        async for req in request_iterator:
+            if not req.steps and not req.cancelled:
+                await write(wire.StepReply(batch_id=req.batch_id))
+                continue
+            # Not bound to this stream: the record must be complete for a resend.
+            task = asyncio.create_task(self._step(req, write))
+            self._steps.add(task)
+            task.add_done_callback(self._steps.discard)
+
+    async def _step(self, req: wire.StepRequest, write) -> None:
+        try:
+            reply = await self._stage.run(req)
+        except Exception:
+            logger.exception("step request of chain %s failed", req.chain_id)
+            return
+        try:
+            await write(reply)
+        except Exception as exc:
+            logger.info("step reply not delivered: %r", exc)
+
+    def _handle(self, req: wire.DispatchRequest, stream: EntryStream) -> None:
+        try:
+            self._dispatcher.handle(req, stream)
+        except Exception:
+            logger.exception("message of entry %s failed", stream.name)
--- /dev/null
+++ b/wigeonscale/agent/work.py
@@ -0,0 +1,130 @@
+"""Runs admitted dispatches: generations through the head, calls on the service."""
+
+__all__ = ["start_call", "start_generation"]
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from wigeonscale.agent.table import Dispatch
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.pipelines.generation import Generation
+from wigeonscale.pipelines.head import Head
+from wigeonscale.pipelines.tokens import tokenise
+from wigeonscale.ports import Clock, Service
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+MAX_CALL_S = 300.0
+
+
+def start_generation(
+    dispatch: Dispatch,
+    *,
+    chain: wire.Chain,
+    head: Head,
+    on_token: Callable[[Dispatch, wire.Token], None],
+    on_end: Callable[[Dispatch, wire.DispatchItem], None],
+    on_failed: Callable[[Dispatch, WigeonscaleError], None],
+) -> Generation:
+    """Start a generation on its chain.
+
+    Args:
+        dispatch: The admitted dispatch.
+        chain: The chain to use.
+        head: Drives it.
+        on_token: Told of each token.
+        on_end: Told of the last item.
+        on_failed: Told of an error instead.
+
+    Returns:
+        The running generation.
+    """
+    work = dispatch.open.generate
+    pieces = tokenise(work.prompt) + [token.text for token in work.prefix]
+
+    def end(reason: str) -> None:
+        done = wire.Done(tokens=dispatch.produced, finish_reason=reason)
+        on_end(dispatch, wire.DispatchItem(done=done))
+
+    generation = Generation(
+        dispatch_id=dispatch.dispatch_id,
+        pieces=pieces,
+        produced=len(work.prefix),
+        max_tokens=work.max_tokens,
+        on_token=lambda token: on_token(dispatch, token),
+        on_end=end,
+        on_failed=lambda exc: on_failed(dispatch, exc),
+    )
+
+    def set_paused(paused: bool) -> None:
+        if generation.paused != paused:
+            generation.paused = paused
+            head.wake()
+
+    dispatch.stop_work = lambda: head.cancel(generation)
+    dispatch.set_paused = set_paused
+    head.start(generation, chain)
+    return generation
+
+
+def start_call(
+    dispatch: Dispatch,
+    *,
+    service: Service,
+    clock: Clock,
+    on_end: Callable[[Dispatch, wire.DispatchItem], None],
+    on_failed: Callable[[Dispatch, WigeonscaleError], None],
+) -> asyncio.Task:
+    """Start one call to the plain service; it is never cancelled.
+
+    Args:
+        dispatch: The admitted dispatch.
+        service: The plain service.
+        clock: Clock port.
+        on_end: Told of the answer.
+        on_failed: Told of an error instead.
+
+    Returns:
+        The task that makes the call.
+    """
+
+    async def call() -> None:
+        try:
+            answer = await _call_service(dispatch, service, clock)
+        except WigeonscaleError as exc:
+            on_failed(dispatch, exc)
+        except Exception as exc:
+            logger.exception("call of %s failed", dispatch.dispatch_id)
+            on_failed(
+                dispatch,
+                WigeonscaleError(
+                    ErrorKind.INTERNAL, repr(exc), run_state=RunState.UNKNOWN
+                ),
+            )
+        else:
+            on_end(dispatch, wire.DispatchItem(response=answer))
+
+    return asyncio.create_task(call())
+
+
+async def _call_service(
+    dispatch: Dispatch, service: Service, clock: Clock
+) -> wire.Response:
+    work = dispatch.open.call
+    timeout_s = MAX_CALL_S
+    if dispatch.deadline is not None:
+        timeout_s = max(0.001, min(timeout_s, dispatch.deadline - clock.now()))
+    answer = await service.call(
+        work.method,
+        work.path,
+        [(header.name, header.value) for header in work.headers],
+        work.body,
+        timeout_s=timeout_s,
+    )
+    return wire.Response(
+        status=answer.status,
+        headers=[wire.Header(name=n, value=v) for n, v in answer.headers],
+        body=answer.body,
+    )
--- a/wigeonscale/pipelines/constants.py
+++ b/wigeonscale/pipelines/constants.py
@@ -1,11 +1,13 @@
 """Constants that both ends of a dispatch and of a pipeline step agree on."""
 
 __all__ = [
+    "ENDED_KEPT",
     "ENGINE_CALLS_IN_FLIGHT",
     "ENGINE_STEP_TIMEOUT_S",
     "EXTRA_ITERATIONS",
     "INITIAL_CREDIT",
     "LEAVING_GRACE_S",
+    "LINK_IDLE_S",
     "MAX_BATCH",
     "PROBE_AFTER_S",
     "REPAIR_BACKOFF_S",
@@ -42,3 +44,9 @@
 
 LEAVING_GRACE_S = 2.0
 """Seconds for which a leaving stage still begins sequences of its old chain."""
+
+LINK_IDLE_S = 60.0
+"""Seconds without a step after which a link closes its connection."""
+
+ENDED_KEPT = 4096
+"""Ended sequences whose last answer a stage keeps for a resend."""
--- /dev/null
+++ b/wigeonscale/pipelines/generation.py
@@ -0,0 +1,100 @@
+"""One answer in the making, as the head of a chain sees it."""
+
+__all__ = ["Generation"]
+
+from collections.abc import Callable, Sequence
+
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.pipelines.tokens import encode_pieces
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class Generation:
+    """State of one sequence across iterations, chains and epochs.
+
+    Every prefill is a new run with a sequence id of its own, so that a late
+    message of an earlier run can never touch a later one.
+
+    Args:
+        dispatch_id: Id of the dispatch.
+        pieces: Prompt pieces, then the texts of tokens already delivered.
+        produced: Tokens already delivered.
+        max_tokens: Most tokens of the whole answer.
+        on_token: Called with each new token, in order.
+        on_end: Called once with the finish reason.
+        on_failed: Called once with the error instead of ``on_end``.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatch_id: str,
+        pieces: Sequence[str],
+        produced: int,
+        max_tokens: int,
+        on_token: Callable[[wire.Token], None],
+        on_end: Callable[[str], None],
+        on_failed: Callable[[WigeonscaleError], None],
+    ):
+        self.dispatch_id = dispatch_id
+        self.max_tokens = max_tokens
+        self.ended = False
+        self.paused = False
+        self.failing_since: float | None = None
+        self.failures = 0
+        self._pieces = list(pieces)
+        self._produced = produced
+        self._run = 1
+        self._position = 0
+        self._on_token = on_token
+        self._on_end = on_end
+        self._on_failed = on_failed
+
+    @property
+    def sequence_id(self) -> str:
+        """Id of the current run on the engines."""
+        return f"{self.dispatch_id}#{self._run}"
+
+    def begin_again(self) -> str:
+        """Start a new run from position 0; returns the old run's sequence id."""
+        old = self.sequence_id
+        self._run += 1
+        self._position = 0
+        return old
+
+    def next_step(self, epoch: int) -> wire.SequenceStep:
+        """Return the step that gives the next token."""
+        inputs = self._pieces[self._position :]
+        return wire.SequenceStep(
+            sequence_id=self.sequence_id,
+            epoch=epoch,
+            position=self._position,
+            count=len(inputs),
+            attempt=1,
+            first=self._position == 0,
+            last=self._produced + 1 >= self.max_tokens,
+            hidden=encode_pieces(inputs),
+        )
+
+    def take(self, result: wire.StepResult) -> None:
+        """Count one token; ends the generation when it is the last."""
+        self._position = len(self._pieces)
+        self._pieces.append(result.token.text)
+        self._produced += 1
+        self.failing_since = None
+        self.failures = 0
+        self._on_token(result.token)
+        if result.end:
+            self._end("stop")
+        elif self._produced >= self.max_tokens:
+            self._end("length")
+
+    def fail(self, exc: WigeonscaleError) -> None:
+        """End the generation by an error, unless it has ended."""
+        if not self.ended:
+            self.ended = True
+            self._on_failed(exc)
+
+    def _end(self, reason: str) -> None:
+        self.ended = True
+        self._on_end(reason)
--- /dev/null
+++ b/wigeonscale/pipelines/head.py
@@ -0,0 +1,276 @@
+"""The head of chains: gathers sequences into iterations and keeps several going."""
+
+__all__ = ["Head"]
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.pipelines.constants import (
+    EXTRA_ITERATIONS,
+    MAX_BATCH,
+    REPAIR_BACKOFF_S,
+)
+from wigeonscale.pipelines.generation import Generation
+from wigeonscale.pipelines.links import PeerLostError, StepLinks
+from wigeonscale.pipelines.recovery import Recovery
+from wigeonscale.pipelines.stage import StageRunner
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+
+class Head:
+    """Drives the generations of this agent through their chains.
+
+    Args:
+        agent_id: Name of the own backend server.
+        stage: The own stage; used when the agent is a chain's first stage.
+        links: Links to other stages.
+        chains: Returns the newest known chain for an id, or None.
+        suspect: Reports an agent and incarnation that gave no answer.
+        clock: Clock port.
+        repair_timeout_s: Seconds without a token before a generation fails.
+        backoff_s: Seconds before a retry on the same epoch.
+    """
+
+    def __init__(
+        self,
+        *,
+        agent_id: str,
+        stage: StageRunner,
+        links: StepLinks,
+        chains: Callable[[str], wire.Chain | None],
+        suspect: Callable[[str, int], None],
+        clock: Clock,
+        repair_timeout_s: float,
+        backoff_s: float = REPAIR_BACKOFF_S,
+    ):
+        self._agent_id = agent_id
+        self._stage = stage
+        self._links = links
+        self._chains = chains
+        self._drivers: dict[tuple[str, int], _ChainDriver] = {}
+        self._recovery = Recovery(
+            chains=chains,
+            resume=self._resume,
+            suspect=suspect,
+            clock=clock,
+            timeout_s=repair_timeout_s,
+            backoff_s=backoff_s,
+        )
+
+    def start(self, generation: Generation, chain: wire.Chain) -> None:
+        """Begin a generation on a chain."""
+        key = (chain.chain_id, chain.epoch)
+        driver = self._drivers.get(key)
+        if driver is None:
+            driver = self._drivers[key] = _ChainDriver(head=self, chain=chain)
+        driver.add(generation)
+
+    def cancel(self, generation: Generation) -> None:
+        """Take a generation that has ended out of its chain."""
+        generation.ended = True
+        for driver in list(self._drivers.values()):
+            driver.drop(generation)
+
+    def wake(self) -> None:
+        """Look again at every sequence, after a pause was lifted."""
+        for driver in list(self._drivers.values()):
+            driver.pump()
+
+    def members_changed(self) -> None:
+        """Take up changed chains."""
+        self._recovery.members_changed()
+        self.wake()
+
+    async def close(self) -> None:
+        """Cancel every iteration and repair."""
+        await self._recovery.close()
+        for driver in list(self._drivers.values()):
+            await driver.close()
+
+    def newer_chain(self, chain: wire.Chain) -> wire.Chain | None:
+        """Return the ready successor of a chain, or None."""
+        newest = self._chains(chain.chain_id)
+        if newest is not None and newest.ready and newest.epoch > chain.epoch:
+            return newest
+        return None
+
+    async def send(self, req: wire.StepRequest) -> wire.StepReply:
+        """Send an iteration to the first stage, here or elsewhere."""
+        first = req.rest[0]
+        if first.agent_id == self._agent_id:
+            return await self._stage.run(req)
+        return await self._links.call(first.address, req)
+
+    def failed(
+        self, generations: list[Generation], chain: wire.Chain, failed_agents: set[str]
+    ) -> None:
+        """Hand generations whose step failed to the recovery."""
+        self._recovery.start(generations, chain, failed_agents - {self._agent_id})
+
+    def emptied(self, driver: "_ChainDriver") -> None:
+        """Forget a driver that has nothing left to do."""
+        key = (driver.chain.chain_id, driver.chain.epoch)
+        if self._drivers.get(key) is driver:
+            del self._drivers[key]
+
+    def _resume(self, generations: list[Generation], chain: wire.Chain) -> None:
+        for generation in generations:
+            if not generation.ended:
+                self.start(generation, chain)
+
+
+class _ChainDriver:
+    """The iterations of one chain in one epoch."""
+
+    def __init__(self, *, head: Head, chain: wire.Chain):
+        self.chain = chain
+        self._head = head
+        self._depth = len(chain.stages) + EXTRA_ITERATIONS
+        self._members: set[Generation] = set()
+        self._ready: deque[Generation] = deque()
+        self._to_forget: list[str] = []
+        self._iterations: set[asyncio.Task] = set()
+
+    def add(self, generation: Generation) -> None:
+        self._members.add(generation)
+        self._ready.append(generation)
+        self.pump()
+
+    def drop(self, generation: Generation) -> None:
+        if generation in self._members:
+            self._members.discard(generation)
+            self._to_forget.append(generation.sequence_id)
+            self.pump()
+
+    def pump(self) -> None:
+        """Begin as many iterations as may be in flight."""
+        self._hand_over()
+        while len(self._iterations) < self._depth:
+            batch = self._take_batch()
+            if not batch and not self._flush_due():
+                break
+            self._begin(batch)
+        if not self._members and not self._iterations:
+            self._head.emptied(self)
+
+    async def close(self) -> None:
+        for task in self._iterations:
+            task.cancel()
+        await asyncio.gather(*self._iterations, return_exceptions=True)
+
+    def _hand_over(self) -> None:
+        """Move waiting sequences to the chain's next epoch once it is ready."""
+        newer = self._head.newer_chain(self.chain)
+        if newer is None:
+            return
+        waiting, self._ready = self._ready, deque()
+        for generation in waiting:
+            if generation in self._members:
+                self._members.discard(generation)
+                self._to_forget.append(generation.begin_again())
+                self._head.start(generation, newer)
+
+    def _take_batch(self) -> list[Generation]:
+        # Even parts, so that each stage has one to work on.
+        size = -(-len(self._members) // self._depth)
+        size = max(1, min(size, MAX_BATCH))
+        batch: list[Generation] = []
+        for _ in range(len(self._ready)):
+            generation = self._ready.popleft()
+            if generation not in self._members:
+                continue
+            if generation.paused:
+                self._ready.append(generation)
+                continue
+            batch.append(generation)
+            if len(batch) == size:
+                break
+        return batch
+
+    def _flush_due(self) -> bool:
+        return bool(self._to_forget) and not self._iterations
+
+    def _begin(self, batch: list[Generation]) -> None:
+        task = asyncio.create_task(self._iterate(batch))
+        self._iterations.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._iterations.discard(task)
+        if task.cancelled():
+            return
+        if task.exception() is not None:
+            logger.error("iteration failed", exc_info=task.exception())
+        self.pump()
+
+    async def _iterate(self, batch: list[Generation]) -> None:
+        cancelled, self._to_forget = self._to_forget, []
+        epoch = self.chain.epoch
+        req = wire.StepRequest(
+            chain_id=self.chain.chain_id,
+            epoch=epoch,
+            rest=self.chain.stages,
+            steps=[generation.next_step(epoch) for generation in batch],
+            cancelled=cancelled,
+        )
+        try:
+            reply = await self._head.send(req)
+            results = {result.sequence_id: result for result in reply.results}
+        except PeerLostError as exc:
+            results = _all_failed(req, exc)
+        self._take_results(batch, results)
+
+    def _take_results(
+        self, batch: list[Generation], results: dict[str, wire.StepResult]
+    ) -> None:
+        failed: list[Generation] = []
+        failed_agents: set[str] = set()
+        for generation in batch:
+            if generation not in self._members:
+                continue
+            result = results.get(generation.sequence_id, wire.StepResult(kind="lost"))
+            if result.kind:
+                failed.append(generation)
+                failed_agents.add(result.failed_agent)
+                self._members.discard(generation)
+                self._to_forget.append(generation.begin_again())
+                continue
+            self._take_token(generation, result)
+        if failed:
+            logger.warning(
+                "%d sequences failed on chain %s epoch %d at %s",
+                len(failed),
+                self.chain.chain_id,
+                self.chain.epoch,
+                sorted(failed_agents),
+            )
+            self._head.failed(failed, self.chain, failed_agents - {""})
+
+    def _take_token(self, generation: Generation, result: wire.StepResult) -> None:
+        generation.take(result)
+        if not generation.ended:
+            self._ready.append(generation)
+            return
+        self._members.discard(generation)
+        if result.end:
+            self._to_forget.append(generation.sequence_id)
+
+
+def _all_failed(
+    req: wire.StepRequest, exc: WigeonscaleError
+) -> dict[str, wire.StepResult]:
+    return {
+        step.sequence_id: wire.StepResult(
+            sequence_id=step.sequence_id,
+            kind=exc.kind,
+            message=exc.message,
+            failed_agent=req.rest[0].agent_id,
+        )
+        for step in req.steps
+    }
--- /dev/null
+++ b/wigeonscale/pipelines/recovery.py
@@ -0,0 +1,126 @@
+"""Recovery of sequences whose chain lost a stage."""
+
+__all__ = ["Recovery"]
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.pipelines.generation import Generation
+from wigeonscale.pipelines.waiting import wait_event
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+MAX_BACKOFF_S = 2.0
+
+
+class Recovery:
+    """Waits for a usable chain and resumes the sequences on it.
+
+    A newer ready epoch is used at once. The same epoch is tried again after a
+    growing pause, since a call may fail while its engine lives on. A sequence
+    fails when it got no token for the whole time-out, however often it was
+    resumed in between; so a second loss during the repair does not extend it.
+
+    Args:
+        chains: Returns the newest known chain for an id, or None.
+        resume: Starts sequences on a chain, from position 0.
+        suspect: Reports an agent and incarnation that gave no answer.
+        clock: Clock port.
+        timeout_s: Seconds without a token before a sequence fails.
+        backoff_s: First pause before a retry on the same epoch, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        chains: Callable[[str], wire.Chain | None],
+        resume: Callable[[list[Generation], wire.Chain], None],
+        suspect: Callable[[str, int], None],
+        clock: Clock,
+        timeout_s: float,
+        backoff_s: float,
+    ):
+        self._chains = chains
+        self._resume = resume
+        self._suspect = suspect
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._backoff_s = backoff_s
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    def members_changed(self) -> None:
+        """Look again at the chains."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def start(
+        self, generations: list[Generation], chain: wire.Chain, failed_agents: set[str]
+    ) -> None:
+        """Recover sequences that failed on a chain.
+
+        Args:
+            generations: Sequences, each already begun again.
+            chain: The chain and epoch they failed on.
+            failed_agents: Agents that gave no answer.
+        """
+        now = self._clock.now()
+        for generation in generations:
+            generation.failures += 1
+            if generation.failing_since is None:
+                generation.failing_since = now
+        for stage in chain.stages:
+            if stage.agent_id in failed_agents:
+                self._suspect(stage.agent_id, stage.incarnation)
+        task = asyncio.create_task(self._recover(generations, chain))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel every recovery."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _recover(self, waiting: list[Generation], chain: wire.Chain) -> None:
+        retry_at = self._clock.now() + self._pause_s(waiting)
+        while waiting := self._fail_overdue(waiting, chain):
+            changed = self._changed
+            newest = self._chains(chain.chain_id)
+            now = self._clock.now()
+            if newest is not None and newest.ready:
+                if newest.epoch > chain.epoch or now >= retry_at:
+                    self._resume(waiting, newest)
+                    return
+            oldest = min(generation.failing_since for generation in waiting)
+            left_s = oldest + self._timeout_s - now
+            pause_s = retry_at - now if now < retry_at else self._backoff_s
+            await wait_event(changed, self._clock, min(pause_s, left_s))
+
+    def _pause_s(self, waiting: list[Generation]) -> float:
+        failures = min(generation.failures for generation in waiting)
+        return min(self._backoff_s * 2 ** (failures - 1), MAX_BACKOFF_S)
+
+    def _fail_overdue(
+        self, waiting: list[Generation], chain: wire.Chain
+    ) -> list[Generation]:
+        oldest_allowed = self._clock.now() - self._timeout_s
+        left: list[Generation] = []
+        for generation in waiting:
+            if generation.ended:
+                continue
+            if generation.failing_since > oldest_allowed:
+                left.append(generation)
+                continue
+            generation.fail(
+                WigeonscaleError(
+                    ErrorKind.BACKEND_FAILED,
+                    f"chain {chain.chain_id} gave no token for {self._timeout_s:g} s",
+                    run_state=RunState.RAN,
+                )
+            )
+        return left
--- /dev/null
+++ b/wigeonscale/pipelines/stage.py
@@ -0,0 +1,394 @@
+"""The stage runner: checks order, runs the engine once per step, passes on."""
+
+__all__ = ["StageRunner"]
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.pipelines.constants import (
+    ENDED_KEPT,
+    ENGINE_CALLS_IN_FLIGHT,
+    ENGINE_STEP_TIMEOUT_S,
+    SEQUENCE_IDLE_S,
+)
+from wigeonscale.pipelines.links import PeerLostError, StepLinks
+from wigeonscale.ports import Clock, Engine, EngineInfo, EngineResult, EngineStep
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+NO_RESULT = "stage gave no result"
+
+
+@dataclass(slots=True, eq=False)
+class _Sequence:
+    """What a stage remembers of one run of a sequence."""
+
+    epoch: int
+    next_position: int
+    used_at: float
+    position: int = -1
+    answer: asyncio.Future | None = None
+    broken: bool = False
+
+
+class StageRunner:
+    """Runs the steps of one engine and hands them to the stages after it.
+
+    A step runs only directly after the one before it. A step seen before is
+    answered from the record, also while it still runs; the engine never runs it
+    again. A step whose engine call failed breaks its run: only a new run, under
+    a new sequence id, goes on.
+
+    Args:
+        agent_id: Name of the own backend server.
+        incarnations: Returns the incarnations of this process, newest last.
+        engine: The own engine.
+        loaded: Returns what the engine last said of itself, or None.
+        links: Links to further stages.
+        clock: Clock port.
+        may_begin: Raises when no new sequence may begin here.
+        step_timeout_s: Seconds after which an engine call counts as failed.
+        on_engine_failed: Called when an engine call failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        agent_id: str,
+        incarnations: Callable[[], Iterable[int]],
+        engine: Engine,
+        loaded: Callable[[], EngineInfo | None],
+        links: StepLinks,
+        clock: Clock,
+        may_begin: Callable[[], None] = lambda: None,
+        step_timeout_s: float = ENGINE_STEP_TIMEOUT_S,
+        on_engine_failed: Callable[[], None] = lambda: None,
+    ):
+        self._agent_id = agent_id
+        self._incarnations = incarnations
+        self._engine = engine
+        self._loaded = loaded
+        self._links = links
+        self._clock = clock
+        self._may_begin = may_begin
+        self._step_timeout_s = step_timeout_s
+        self._on_engine_failed = on_engine_failed
+        self._sequences: dict[str, _Sequence] = {}
+        self._ended: OrderedDict[str, _Sequence] = OrderedDict()
+        self._epochs: dict[str, int] = {}
+        self._engine_calls = asyncio.Semaphore(ENGINE_CALLS_IN_FLIGHT)
+        self._swept_at = clock.now()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def active(self) -> int:
+        """Sequences that this stage holds."""
+        return len(self._sequences)
+
+    def learn_epoch(self, chain_id: str, epoch: int) -> None:
+        """Begin no sequence of an older epoch of this chain from now on."""
+        self._epochs[chain_id] = max(epoch, self._epochs.get(chain_id, 0))
+
+    async def run(self, req: wire.StepRequest) -> wire.StepReply:
+        """Run one iteration through this stage and all after it.
+
+        Args:
+            req: The iteration; its first remaining stage is this one.
+
+        Returns:
+            One result per step, in the order of the request. Never raises for a
+            step that cannot run; its result names the error kind.
+        """
+        self._forget(req.cancelled)
+        self._sweep()
+        refusal = self._refusal(req)
+        answers = [self._enter(step, req, refusal) for step in req.steps]
+        fresh = [
+            step
+            for step, (_, is_fresh) in zip(req.steps, answers, strict=True)
+            if is_fresh
+        ]
+        if fresh or (req.cancelled and len(req.rest) > 1):
+            await self._run_fresh(req, fresh)
+        results = [await fut for fut, _ in answers]
+        for step in req.steps:
+            if step.last:
+                self._end(step.sequence_id)
+        return wire.StepReply(
+            batch_id=req.batch_id,
+            results=[
+                _with_attempt(result, step.attempt)
+                for result, step in zip(results, req.steps, strict=True)
+            ],
+        )
+
+    async def close(self) -> None:
+        """Cancel what still runs."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _refusal(self, req: wire.StepRequest) -> WigeonscaleError | None:
+        if not req.rest:
+            return WigeonscaleError(ErrorKind.BAD_REQUEST, "no stage left to run")
+        stage = req.rest[0]
+        if stage.agent_id != self._agent_id:
+            return WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"stage {stage.agent_id} was meant, this is {self._agent_id}",
+            )
+        if stage.incarnation not in self._incarnations():
+            return WigeonscaleError(
+                ErrorKind.STALE_INCARNATION,
+                f"incarnation {stage.incarnation} of {self._agent_id} is not running",
+            )
+        info = self._loaded()
+        wanted = (stage.first_layer, stage.last_layer)
+        if info is None or (info.first_layer, info.last_layer) != wanted:
+            return WigeonscaleError(
+                ErrorKind.STALE_EPOCH, f"layers {wanted} are not loaded, but {info}"
+            )
+        return None
+
+    def _enter(
+        self,
+        step: wire.SequenceStep,
+        req: wire.StepRequest,
+        refusal: WigeonscaleError | None,
+    ) -> tuple[asyncio.Future, bool]:
+        """Return the future of a step's result and whether it must run now."""
+        known = self._sequences.get(step.sequence_id)
+        known = known or self._ended.get(step.sequence_id)
+        if known is not None and known.position == step.position and known.answer:
+            return known.answer, False
+        try:
+            if refusal is not None:
+                raise refusal
+            self._check(step, req, known)
+        except WigeonscaleError as exc:
+            return _settled(self._failed(step, exc.kind, exc.message)), False
+        if known is None:
+            known = _Sequence(step.epoch, 0, self._clock.now())
+            self._sequences[step.sequence_id] = known
+            self.learn_epoch(req.chain_id, req.epoch)
+        known.position = step.position
+        known.next_position = step.position + step.count
+        known.used_at = self._clock.now()
+        known.answer = asyncio.get_running_loop().create_future()
+        return known.answer, True
+
+    def _check(
+        self, step: wire.SequenceStep, req: wire.StepRequest, known: _Sequence | None
+    ) -> None:
+        name = f"sequence {step.sequence_id}"
+        if step.sequence_id in self._ended:
+            raise WigeonscaleError(ErrorKind.CANCELLED, f"{name} was ended here")
+        if step.epoch != req.epoch or (known and known.epoch != step.epoch):
+            raise WigeonscaleError(
+                ErrorKind.STALE_EPOCH, f"{name} does not run in epoch {step.epoch}"
+            )
+        if known is None:
+            self._check_begin(step, req, name)
+            return
+        if known.broken:
+            raise WigeonscaleError(ErrorKind.BACKEND_FAILED, f"{name} broke here")
+        if step.first or step.position != known.next_position or step.count < 1:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{name}: position {step.position} where {known.next_position} is next",
+            )
+
+    def _check_begin(
+        self, step: wire.SequenceStep, req: wire.StepRequest, name: str
+    ) -> None:
+        newest = self._epochs.get(req.chain_id, 0)
+        if req.epoch < newest:
+            raise WigeonscaleError(
+                ErrorKind.STALE_EPOCH,
+                f"epoch {req.epoch} of chain {req.chain_id}, which is at {newest}",
+            )
+        if not step.first or step.position != 0 or step.count < 1:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{name} is not known here at position {step.position}",
+            )
+        self._may_begin()
+
+    async def _run_fresh(
+        self, req: wire.StepRequest, fresh: list[wire.SequenceStep]
+    ) -> None:
+        """Run fresh steps and settle their futures, whatever happens."""
+        results: dict[str, wire.StepResult] = {}
+        try:
+            outputs = await self._run_engine(fresh, results)
+            await self._pass_on(req, fresh, outputs, results)
+        except Exception as exc:
+            logger.exception("iteration of chain %s failed", req.chain_id)
+            for step in fresh:
+                failure = self._failed(step, ErrorKind.INTERNAL, repr(exc))
+                results.setdefault(step.sequence_id, failure)
+        finally:
+            for step in fresh:
+                missing = self._failed(step, ErrorKind.INTERNAL, NO_RESULT)
+                self._settle(step, results.get(step.sequence_id, missing))
+
+    async def _run_engine(
+        self, fresh: list[wire.SequenceStep], results: dict[str, wire.StepResult]
+    ) -> list[EngineResult]:
+        if not fresh:
+            return []
+        steps = [_engine_step(step) for step in fresh]
+        try:
+            async with self._engine_calls:
+                async with asyncio.timeout(self._step_timeout_s):
+                    outputs = await self._engine.run(steps)
+        except (WigeonscaleError, TimeoutError) as exc:
+            logger.warning("engine call failed: %r", exc)
+            self._on_engine_failed()
+            for step in fresh:
+                results[step.sequence_id] = self._failed(
+                    step, ErrorKind.BACKEND_FAILED, f"engine call failed: {exc!r}"
+                )
+            return []
+        for step, output in zip(fresh, outputs, strict=True):
+            if output.error:
+                results[step.sequence_id] = self._failed(
+                    step, ErrorKind.BACKEND_FAILED, output.error
+                )
+        return [output for output in outputs if not output.error]
+
+    async def _pass_on(
+        self,
+        req: wire.StepRequest,
+        fresh: list[wire.SequenceStep],
+        outputs: list[EngineResult],
+        results: dict[str, wire.StepResult],
+    ) -> None:
+        if len(req.rest) == 1:
+            for output in outputs:
+                results[output.sequence_id] = _token_result(output)
+            return
+        hidden = {output.sequence_id: output.hidden for output in outputs}
+        onward = wire.StepRequest(
+            chain_id=req.chain_id,
+            epoch=req.epoch,
+            rest=req.rest[1:],
+            cancelled=req.cancelled,
+        )
+        for step in fresh:
+            if step.sequence_id in hidden:
+                copy = onward.steps.add()
+                copy.CopyFrom(step)
+                copy.hidden = hidden[step.sequence_id]
+                copy.attempt = 1
+        if not onward.steps and not onward.cancelled:
+            return
+        following = req.rest[1]
+        try:
+            reply = await self._links.call(following.address, onward)
+        except PeerLostError as exc:
+            for step in onward.steps:
+                results[step.sequence_id] = self._failed(
+                    step, exc.kind, exc.message, following.agent_id
+                )
+            return
+        results.update({result.sequence_id: result for result in reply.results})
+
+    def _settle(self, step: wire.SequenceStep, result: wire.StepResult) -> None:
+        known = self._sequences.get(step.sequence_id)
+        known = known or self._ended.get(step.sequence_id)
+        if known is None or known.answer is None:
+            return
+        known.broken = known.broken or bool(result.kind)
+        if not known.answer.done():
+            known.answer.set_result(result)
+
+    def _failed(
+        self,
+        step: wire.SequenceStep,
+        kind: ErrorKind,
+        message: str,
+        failed_agent: str = "",
+    ) -> wire.StepResult:
+        return wire.StepResult(
+            sequence_id=step.sequence_id,
+            position=step.position,
+            kind=kind,
+            message=message,
+            failed_agent=failed_agent or self._agent_id,
+        )
+
+    def _forget(self, sequence_ids: Iterable[str]) -> None:
+        for sequence_id in sequence_ids:
+            self._end(sequence_id)
+
+    def _end(self, sequence_id: str) -> None:
+        """Forget a sequence but keep its last answer, so that it never reruns."""
+        known = self._sequences.pop(sequence_id, None)
+        if known is None:
+            if sequence_id not in self._ended:
+                self._ended[sequence_id] = _Sequence(0, 0, 0.0)
+        else:
+            self._ended[sequence_id] = known
+            self._cancel_on_engine([sequence_id])
+        while len(self._ended) > ENDED_KEPT:
+            self._ended.popitem(last=False)
+
+    def _cancel_on_engine(self, sequence_ids: list[str]) -> None:
+        task = asyncio.create_task(self._cancel(sequence_ids))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _cancel(self, sequence_ids: list[str]) -> None:
+        try:
+            await self._engine.cancel(sequence_ids)
+        except WigeonscaleError as exc:
+            logger.warning("engine did not cancel %s: %s", sequence_ids, exc)
+
+    def _sweep(self) -> None:
+        """Forget sequences whose head is gone."""
+        now = self._clock.now()
+        if now - self._swept_at < SEQUENCE_IDLE_S / 4:
+            return
+        self._swept_at = now
+        for sequence_id, known in list(self._sequences.items()):
+            if now - known.used_at > SEQUENCE_IDLE_S and known.answer.done():
+                self._end(sequence_id)
+
+
+def _settled(result: wire.StepResult) -> asyncio.Future:
+    fut = asyncio.get_running_loop().create_future()
+    fut.set_result(result)
+    return fut
+
+
+def _with_attempt(result: wire.StepResult, attempt: int) -> wire.StepResult:
+    copy = wire.StepResult()
+    copy.CopyFrom(result)
+    copy.attempt = attempt
+    return copy
+
+
+def _engine_step(step: wire.SequenceStep) -> EngineStep:
+    return EngineStep(
+        sequence_id=step.sequence_id,
+        epoch=step.epoch,
+        position=step.position,
+        count=step.count,
+        first=step.first,
+        hidden=step.hidden,
+    )
+
+
+def _token_result(output: EngineResult) -> wire.StepResult:
+    return wire.StepResult(
+        sequence_id=output.sequence_id,
+        position=output.position,
+        token=wire.Token(id=output.token_id or 0, text=output.token_text),
+        end=output.end,
+    )
--- /dev/null
+++ b/wigeonscale/testing/traces.py
@@ -0,0 +1,171 @@
+"""Invariant checkers over recorded traces of engines and plain services.
+
+A sequence id is ``<dispatch id>#<run>``: every prefill is a run of its own. Earlier
+runs of a dispatch may have been cut short anywhere; whatever a run did must still be
+in order, each layer once per position.
+"""
+
+__all__ = [
+    "Violation",
+    "layer_order_violations",
+    "read_trace",
+    "repeated_effects",
+    "refused_but_ran",
+]
+
+import json
+import pathlib
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+Record = dict
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken invariant.
+
+    Attributes:
+        sequence: Sequence, or key of an effect.
+        what: What was found where what was due.
+    """
+
+    sequence: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.sequence}: {self.what}"
+
+
+def read_trace(path: str | pathlib.Path) -> list[Record]:
+    """Return the records of a JSON-lines trace; none if there is no file.
+
+    Args:
+        path: File written by a fake; a torn last line is left out.
+    """
+    file = pathlib.Path(path)
+    if not file.exists():
+        return []
+    lines = file.read_text(encoding="utf-8").splitlines(keepends=True)
+    return [json.loads(line) for line in lines if line.endswith("\n")]
+
+
+def layer_order_violations(
+    records: Iterable[Record],
+    *,
+    layers: int,
+    finished: Mapping[str, int] | None = None,
+) -> list[Violation]:
+    """Return every breach of "each layer once a token, in order".
+
+    Args:
+        records: Records of all engines.
+        layers: Layers of the model, counted from 0.
+        finished: Positions that a whole answer needs, by dispatch id; its last
+            run must have them at every layer.
+
+    Returns:
+        Violations; empty when all is in order.
+    """
+    by_sequence: dict[str, list[Record]] = defaultdict(list)
+    for record in records:
+        by_sequence[record["sequence"]].append(record)
+    violations: list[Violation] = []
+    for sequence, own in by_sequence.items():
+        violations += [Violation(sequence, what) for what in _check_run(own, layers)]
+    for dispatch_id, positions in (finished or {}).items():
+        violations += _check_whole(dispatch_id, positions, by_sequence, layers)
+    return violations
+
+
+def _check_run(records: list[Record], layers: int) -> list[str]:
+    problems: list[str] = []
+    done_at: dict[tuple[int, int], int] = {}
+    epochs = {record["epoch"] for record in records}
+    if len(epochs) > 1:
+        problems.append(f"epochs {sorted(epochs)} in one run")
+    for record in sorted(records, key=lambda record: record["at_ns"]):
+        first, last = record["layers"]
+        for layer in range(first, last + 1):
+            problems += _enter_positions(record, layer, done_at)
+    counts = Counter(layer for layer, _ in done_at)
+    beyond = [layer for layer in counts if layer >= layers]
+    problems += [f"layer {layer} of {layers}" for layer in beyond]
+    return problems
+
+
+def _enter_positions(
+    record: Record, layer: int, done_at: dict[tuple[int, int], int]
+) -> list[str]:
+    problems: list[str] = []
+    first_layer = record["layers"][0]
+    for position in range(record["position"], record["position"] + record["count"]):
+        place = f"layer {layer} position {position}"
+        if (layer, position) in done_at:
+            problems.append(f"{place} ran twice")
+        if position and (layer, position - 1) not in done_at:
+            problems.append(f"{place} ran before position {position - 1}")
+        if layer > first_layer:
+            before = record["at_ns"]
+        else:
+            before = done_at.get((layer - 1, position))
+        if layer and (before is None or before > record["at_ns"]):
+            problems.append(f"{place} ran before layer {layer - 1}")
+        done_at[(layer, position)] = record["at_ns"]
+    return problems
+
+
+def _check_whole(
+    dispatch_id: str,
+    positions: int,
+    by_sequence: Mapping[str, list[Record]],
+    layers: int,
+) -> list[Violation]:
+    runs = [s for s in by_sequence if s.rpartition("#")[0] == dispatch_id]
+    if not runs:
+        return [Violation(dispatch_id, "never ran")]
+    final = max(runs, key=lambda s: int(s.rpartition("#")[2]))
+    counts: Counter[int] = Counter()
+    for record in by_sequence[final]:
+        for layer in range(record["layers"][0], record["layers"][1] + 1):
+            counts[layer] += record["count"]
+    return [
+        Violation(final, f"layer {layer} ran {counts[layer]} of {positions} positions")
+        for layer in range(layers)
+        if counts[layer] != positions
+    ]
+
+
+def repeated_effects(records: Iterable[Record]) -> list[Violation]:
+    """Return the idempotency keys whose effect happened more than once.
+
+    Args:
+        records: Records of plain services; those without a key are left out.
+    """
+    counts = Counter(record["key"] for record in records if record["key"])
+    return [
+        Violation(key, f"{count} effects") for key, count in counts.items() if count > 1
+    ]
+
+
+def refused_but_ran(
+    refused: Iterable[str],
+    *,
+    steps: Iterable[Record] = (),
+    effects: Iterable[Record] = (),
+) -> list[Violation]:
+    """Return what ran although its caller was told that it did not.
+
+    Args:
+        refused: Dispatch ids and idempotency keys refused as not run.
+        steps: Records of engines.
+        effects: Records of plain services.
+    """
+    ran = {record["sequence"].rpartition("#")[0] for record in steps}
+    ran |= {record["key"] for record in effects if record["key"]}
+    return [
+        Violation(name, "ran but was refused as not run")
+        for name in refused
+        if name in ran
+    ]
