Add the control daemon: watch hub, liveness, placement, operators' pages

Cause: nothing served watchers, orders or operators yet. Change: change feed with shared deltas, watch and submit streams, leases, orders from committed state, ends of incarnations, placement by the leader, expiry of claims, admin pages, run_control. Ruled out: a queue of messages for each watcher (a slow one would hold memory without bound); a position in a shared feed holds none.

--- /dev/null
+++ b/wigeonscale/control/admin.py
@@ -0,0 +1,294 @@
+"""The operators' HTTP pages of a control replica."""
+
+__all__ = ["Admin"]
+
+import hashlib
+import hmac
+import json
+import logging
+from collections.abc import Awaitable, Callable
+
+import pydantic
+from aiohttp import web
+from google.protobuf import json_format
+
+from wigeonscale.control.commands import Commands
+from wigeonscale.control.documents import (
+    ApplyRequest,
+    DrainRequest,
+    RollbackRequest,
+)
+from wigeonscale.control.hub import Hub
+from wigeonscale.errors import (
+    ANSWERS,
+    ErrorKind,
+    RunState,
+    SettingsError,
+    WigeonscaleError,
+)
+from wigeonscale.replication import Replica, Role
+from wigeonscale.rules import diff_documents, parse_document
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+BEARER = "Bearer "
+DEFAULT_RETRY_S = 1.0
+DIGEST_LENGTH = 16
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+
+class Admin:
+    """Answers operators from the state of one replica, changes through the log.
+
+    Args:
+        node_id: Name of this replica.
+        state: The replicated state.
+        replica: This replica.
+        hub: Its watch hub.
+        commands: Way of commands to the log.
+        token_digest: SHA-256 hex digest of the operators' token; empty: none asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        state: ControlState,
+        replica: Replica,
+        hub: Hub,
+        commands: Commands,
+        token_digest: str = "",
+    ):
+        self._node_id = node_id
+        self._state = state
+        self._replica = replica
+        self._hub = hub
+        self._commands = commands
+        self._token_digest = token_digest
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the pages as aiohttp routes."""
+        return [
+            web.get("/admin/rules", self._page(self._show_rules)),
+            web.post("/admin/rules/apply", self._page(self._apply)),
+            web.get("/admin/rules/history", self._page(self._show_history)),
+            web.post("/admin/rules/rollback", self._page(self._roll_back)),
+            web.get("/admin/status", self._page(self._show_status)),
+            web.get("/admin/backends", self._page(self._show_backends)),
+            web.get("/admin/pipelines", self._page(self._show_pipelines)),
+            web.post("/admin/drain", self._page(self._drain)),
+        ]
+
+    def _page(self, handler: Handler) -> Handler:
+        async def answer(req):
+            try:
+                self._check_token(req)
+                return await handler(req)
+            except WigeonscaleError as exc:
+                return _error_response(exc)
+
+        return answer
+
+    def _check_token(self, req):
+        if not self._token_digest:
+            return
+        given = req.headers.get("Authorization", "")
+        digest = hashlib.sha256(given.removeprefix(BEARER).encode()).hexdigest()
+        if not hmac.compare_digest(digest, self._token_digest):
+            raise WigeonscaleError(
+                ErrorKind.FORBIDDEN, "the operators' token is missing or wrong"
+            )
+
+    # ------------------------------------------------------------------ rules
+
+    async def _show_rules(self, req):
+        configuration = self._state.configuration
+        return web.json_response(
+            {
+                "revision": configuration.revision,
+                "digest": configuration.document.digest,
+                "document": configuration.document.text,
+            }
+        )
+
+    async def _show_history(self, req):
+        revisions = [
+            {
+                "revision": revision.number,
+                "wall_ms": revision.wall_ms,
+                "operator": revision.operator,
+                "digest": revision.document.digest,
+                "sections": [change.name for change in revision.changes],
+            }
+            for revision in self._state.configuration.history
+        ]
+        return web.json_response({"revisions": revisions})
+
+    async def _apply(self, req):
+        body = await _read(req, ApplyRequest)
+        self._require_leader()
+        document = _parsed(body.document)
+        command = self._apply_command(
+            document, body.base_revision, body.operator, body.operation_id
+        )
+        return await self._commit(command)
+
+    async def _roll_back(self, req):
+        body = await _read(req, RollbackRequest)
+        self._require_leader()
+        configuration = self._state.configuration
+        document = configuration.document_at(body.revision)
+        if document is None:
+            raise WigeonscaleError(
+                ErrorKind.NOT_FOUND,
+                f"revision {body.revision} is not kept; the oldest kept is"
+                f" {configuration.oldest_known}",
+            )
+        command = self._apply_command(
+            document,
+            configuration.revision,
+            body.operator,
+            f"{body.operation_id}/rollback-{body.revision}",
+        )
+        return await self._commit(command)
+
+    def _apply_command(self, document, base_revision, operator, operation_id):
+        """Return a command as small as the change, where its base is still kept.
+
+        The digest of the document in the operation id keeps apart operators who
+        picked the same id: each gets the answer to its own document.
+        """
+        digest = document.digest[:DIGEST_LENGTH]
+        apply = wire.ApplyConfig(base_revision=base_revision, operator=operator)
+        base = self._state.configuration.document_at(base_revision)
+        if base is not None:
+            apply.changes.extend(diff_documents(base, document))
+        if not apply.changes:
+            apply.document = document.text
+        return wire.Command(operation_id=f"{operation_id}/{digest}", apply_config=apply)
+
+    # --------------------------------------------------------------- members
+
+    async def _show_status(self, req):
+        watchers = [
+            {
+                "node_id": watcher.node_id,
+                "role": watcher.role,
+                "http_address": watcher.http_address,
+                "applied_revision": watcher.applied_revision,
+            }
+            for watcher in sorted(self._hub.watchers, key=lambda each: each.node_id)
+        ]
+        return web.json_response(
+            {
+                "node_id": self._node_id,
+                "role": self._replica.role.value,
+                "term": self._replica.term,
+                "leader": self._replica.leader_address,
+                "commit_index": self._replica.commit_index,
+                "applied_index": self._replica.applied_index,
+                "fresh": self._hub.is_fresh(),
+                "revision": self._state.configuration.revision,
+                "claims": len(self._state.claims),
+                "watchers": watchers,
+            }
+        )
+
+    async def _show_backends(self, req):
+        backends = []
+        for member in self._state.members:
+            agent_id = member.backend.agent_id
+            shown = _as_dict(self._state.members.effective(agent_id))
+            shown["replica"] = member.replica
+            shown["drained"] = self._state.members.is_drained(agent_id)
+            backends.append(shown)
+        return web.json_response({"backends": backends})
+
+    async def _show_pipelines(self, req):
+        pipelines = []
+        for pipeline in self._state.configuration.document.pipelines.values():
+            chains = [c for c in self._state.chains if c.pipeline == pipeline.name]
+            pipelines.append(
+                {
+                    "name": pipeline.name,
+                    "model": pipeline.model,
+                    "layers": pipeline.layers,
+                    "replicas": pipeline.replicas,
+                    "ready": sum(chain.ready for chain in chains),
+                    "chains": [_as_dict(chain) for chain in chains],
+                }
+            )
+        return web.json_response({"pipelines": pipelines})
+
+    async def _drain(self, req):
+        body = await _read(req, DrainRequest)
+        self._require_leader()
+        drain = wire.DrainBackend(agent_id=body.agent_id, draining=body.draining)
+        word = "drain" if body.draining else "undrain"
+        operation_id = f"{body.operation_id}/{word}-{body.agent_id}"
+        return await self._commit(wire.Command(operation_id=operation_id, drain=drain))
+
+    # --------------------------------------------------------------- commit
+
+    def _require_leader(self):
+        if self._replica.role is Role.LEADER:
+            return
+        leader = self._replica.leader_address
+        known = f"the leader is {leader}" if leader else "no leader is known"
+        raise WigeonscaleError(
+            ErrorKind.NOT_LEADER,
+            f"{self._node_id} does not lead; {known}",
+            retry_after=DEFAULT_RETRY_S,
+        )
+
+    async def _commit(self, command):
+        result = self._state.first_result(command)
+        if result is None:
+            result = await self._commands.propose(command)
+        if result.kind:
+            raise WigeonscaleError(ErrorKind(result.kind), result.message)
+        return web.json_response({"revision": result.revision, "index": result.index})
+
+
+async def _read(req: web.Request, model: type[pydantic.BaseModel]):
+    try:
+        return model.model_validate_json(await req.read())
+    except pydantic.ValidationError as exc:
+        problems = "; ".join(
+            f"{'.'.join(map(str, error['loc'])) or 'body'}: {error['msg']}"
+            for error in exc.errors()
+        )
+        raise WigeonscaleError(ErrorKind.BAD_REQUEST, problems) from exc
+
+
+def _parsed(text):
+    try:
+        return parse_document(text)
+    except SettingsError as exc:
+        raise WigeonscaleError(ErrorKind.INVALID_DOCUMENT, exc.message) from exc
+
+
+def _as_dict(message) -> dict[str, object]:
+    return json_format.MessageToDict(
+        message,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=True,
+    )
+
+
+def _error_response(exc: WigeonscaleError) -> web.Response:
+    answer = ANSWERS[exc.kind]
+    error = {"kind": exc.kind.value, "message": exc.message}
+    if exc.kind is ErrorKind.NO_QUORUM:
+        error["run"] = (exc.run_state or RunState.UNKNOWN).value
+    headers = {}
+    if answer.retryable:
+        retry_after = exc.retry_after or DEFAULT_RETRY_S
+        error["retry_after"] = retry_after
+        headers["Retry-After"] = str(max(1, round(retry_after)))
+    return web.json_response(
+        {"error": error}, status=answer.status, headers=headers, dumps=json.dumps
+    )
--- /dev/null
+++ b/wigeonscale/control/commands.py
@@ -0,0 +1,115 @@
+"""The way of commands to the log: here if this replica leads, else forwarded."""
+
+__all__ = ["Commands"]
+
+import random
+from collections.abc import Sequence
+
+from wigeonscale.adapters.metrics import METRICS, OK, Metrics
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.membership.submitter import Submitter
+from wigeonscale.ports import Clock
+from wigeonscale.replication import NotLeaderError, Replica
+from wigeonscale.wire import wire_pb2 as wire
+
+MILLISECONDS = 1000
+FORWARD_TIMEOUT_S = 3.0
+
+
+class Commands:
+    """Proposes commands to the replicated log.
+
+    Args:
+        replica: This replica.
+        addresses: gRPC addresses of all control replicas.
+        clock: Clock port.
+        rng: Source of jitter; None for one seeded by the system.
+        metrics: Where commands are counted.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        addresses: Sequence[str],
+        clock: Clock,
+        rng: random.Random | None = None,
+        metrics: Metrics = METRICS,
+    ):
+        self._replica = replica
+        self._clock = clock
+        self._metrics = metrics
+        self._submitter = Submitter(
+            addresses=addresses, clock=clock, rng=rng or random.Random()
+        )
+
+    async def close(self) -> None:
+        """Close the stream to the leader."""
+        await self._submitter.close()
+
+    async def propose(self, command: wire.Command) -> wire.CommandResult:
+        """Commit a command through this replica, which must lead.
+
+        Args:
+            command: The command; its time is stamped here.
+
+        Returns:
+            The command's result, refused or not.
+
+        Raises:
+            NotLeaderError: This replica does not lead; nothing was done.
+            WigeonscaleError: As :meth:`Replica.propose` says.
+        """
+        name = command.WhichOneof("body") or "none"
+        stamped = wire.Command()
+        stamped.CopyFrom(command)
+        stamped.wall_ms = int(self._clock.wall() * MILLISECONDS)
+        began = self._clock.now()
+        try:
+            result = await self._replica.propose(stamped.SerializeToString())
+        except WigeonscaleError as exc:
+            self._metrics.commands.add(command=name, kind=exc.kind.value)
+            raise
+        self._metrics.commands.add(command=name, kind=result.kind or OK)
+        self._metrics.commit_s.observe(self._clock.now() - began)
+        return result
+
+    async def submit(
+        self, command: wire.Command, timeout_s: float = FORWARD_TIMEOUT_S
+    ) -> wire.CommandResult:
+        """Commit a command of this replica's own, wherever the leader is.
+
+        Args:
+            command: The command.
+            timeout_s: Limit of forwarding it, in seconds.
+
+        Returns:
+            The result of a command that was carried out.
+
+        Raises:
+            WigeonscaleError: The command's own refusal, or ``NO_QUORUM``.
+        """
+        try:
+            result = await self.propose(command)
+        except NotLeaderError:
+            return await self._submitter.submit(command, timeout_s)
+        if result.kind:
+            raise WigeonscaleError(ErrorKind(result.kind), result.message)
+        return result
+
+    async def answer(self, req: wire.SubmitRequest) -> wire.SubmitReply:
+        """Answer one request of a Submit stream; never raises an error of ours.
+
+        Args:
+            req: The request.
+
+        Returns:
+            The command's result, or why it was not carried out.
+        """
+        leader = ""
+        try:
+            result = await self.propose(req.command)
+        except WigeonscaleError as exc:
+            leader = getattr(exc, "leader", "")
+            result = wire.CommandResult(kind=exc.kind.value, message=exc.message)
+        return wire.SubmitReply(call_id=req.call_id, result=result, leader=leader)
--- /dev/null
+++ b/wigeonscale/control/expiry.py
@@ -0,0 +1,51 @@
+"""Expires claims by age while this replica leads."""
+
+__all__ = ["run_expiry"]
+
+import logging
+
+from wigeonscale.control.commands import Commands
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.replication import Replica, Role
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+MILLISECONDS = 1000
+CHECKS_PER_AGE = 20
+LONGEST_INTERVAL_S = 60.0
+
+logger = logging.getLogger(__name__)
+
+
+async def run_expiry(
+    *,
+    state: ControlState,
+    replica: Replica,
+    commands: Commands,
+    clock: Clock,
+    claim_age_s: float,
+) -> None:
+    """Propose to expire claims that are old enough, until cancelled.
+
+    Args:
+        state: The replicated state.
+        replica: This replica.
+        commands: Way of commands to the log.
+        clock: Clock port.
+        claim_age_s: Age since its last change at which a claim expires, in seconds.
+    """
+    interval_s = min(claim_age_s / CHECKS_PER_AGE, LONGEST_INTERVAL_S)
+    while True:
+        await clock.sleep(interval_s)
+        if replica.role is not Role.LEADER:
+            continue
+        before = int((clock.wall() - claim_age_s) * MILLISECONDS)
+        oldest = state.claims.oldest_wall_ms()
+        if oldest is None or oldest >= before:
+            continue
+        command = wire.Command(expire=wire.ExpireClaims(before_wall_ms=before))
+        try:
+            await commands.submit(command)
+        except WigeonscaleError as exc:
+            logger.warning("claims not expired: %s", exc.message)
--- /dev/null
+++ b/wigeonscale/control/feed.py
@@ -0,0 +1,176 @@
+"""What watchers have to be told, worked out once for all of them."""
+
+__all__ = ["ChangeFeed"]
+
+from collections import deque
+
+from wigeonscale.state import Change, ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+# A watcher further behind than this many changes gets the whole membership.
+CHANGES_KEPT = 4096
+
+
+class ChangeFeed:
+    """Recent changes of the state, and updates made from them.
+
+    A watcher is a position in this feed: being slow costs no memory, since its next
+    update is made from the state as it then is. Watchers at one position share
+    one message.
+
+    Args:
+        state: The replicated state.
+        changes_kept: Changes kept for deltas.
+
+    Attributes:
+        index: Log index of the newest change seen.
+
+    Notes:
+        An update costs and weighs as much as what changed since the position.
+    """
+
+    def __init__(self, *, state: ControlState, changes_kept: int = CHANGES_KEPT):
+        self.index = state.index
+        self._state = state
+        self._kept = changes_kept
+        self._changes: deque[Change] = deque()
+        # Every member change after this index is still kept.
+        self._complete_after = state.index
+        self._members_cache: dict[int, wire.MembersUpdate | None] = {}
+        self._config_cache: dict[int, wire.ConfigUpdate] = {}
+
+    def add(self, change: Change) -> None:
+        """Note a change of the state.
+
+        Args:
+            change: As the state's subject emitted it.
+        """
+        self.index = change.index
+        self._members_cache.clear()
+        if change.everything:
+            self._changes.clear()
+            self._complete_after = change.index
+            self._config_cache.clear()
+            return
+        if change.configuration:
+            self._forget_old_configs()
+        if not change.backends and not change.chains:
+            return
+        self._changes.append(change)
+        if len(self._changes) > self._kept:
+            self._complete_after = self._changes.popleft().index
+
+    def members_after(self, index: int | None) -> wire.MembersUpdate | None:
+        """Return what a watcher at a position has to be told of the members.
+
+        Args:
+            index: The watcher's position; None if it knows nothing.
+
+        Returns:
+            A delta, the whole membership when the position is too old, or None
+            when nothing changed. Shared: not to be changed.
+        """
+        is_known = index is not None and index >= self._complete_after
+        key = index if is_known else -1
+        if key not in self._members_cache:
+            make = self._delta_after if is_known else self._whole_members
+            self._members_cache[key] = make(index)
+        return self._members_cache[key]
+
+    def configs_after(self, revision: int) -> list[wire.ConfigUpdate]:
+        """Return the updates that lead a watcher to the revision in force.
+
+        Args:
+            revision: Revision that the watcher holds; 0 for none.
+
+        Returns:
+            One update a revision, or one with the whole document. Empty when the
+            watcher is up to date, or ahead of this replica. Shared: not to be
+            changed.
+        """
+        configuration = self._state.configuration
+        if revision >= configuration.revision:
+            return []
+        if revision < configuration.oldest_known or revision == 0:
+            return [self._whole_config()]
+        return [self._config(each) for each in configuration.after(revision)]
+
+    def _delta_after(self, index):
+        backends, chains = set(), set()
+        for change in reversed(self._changes):
+            if change.index <= index:
+                break
+            backends |= change.backends
+            chains |= change.chains
+        if not backends and not chains:
+            return None
+        update = wire.MembersUpdate(index=self.index)
+        for agent_id in sorted(backends):
+            self._put_backend(update, agent_id)
+        for chain_id in sorted(chains):
+            self._put_chain(update, chain_id)
+        return update
+
+    def _put_backend(self, update, agent_id):
+        backend = self._state.members.effective(agent_id)
+        if backend is None:
+            update.removed_backends.append(agent_id)
+        else:
+            update.backends.append(backend)
+
+    def _put_chain(self, update, chain_id):
+        chain = self._state.chains.get(chain_id)
+        if chain is None:
+            update.removed_chains.append(chain_id)
+        else:
+            update.chains.append(chain)
+
+    def _whole_members(self, _):
+        update = wire.MembersUpdate(full=True, index=self.index)
+        update.chains.extend(self._state.chains)
+        in_chains = {s.agent_id for chain in update.chains for s in chain.stages}
+        for member in self._state.members:
+            agent_id = member.backend.agent_id
+            backend = self._state.members.effective(agent_id)
+            update.backends.append(backend)
+            if backend.kind == wire.ENGINE and agent_id not in in_chains:
+                update.spares.append(_spare(backend))
+        return update
+
+    def _whole_config(self):
+        if 0 not in self._config_cache:
+            configuration = self._state.configuration
+            self._config_cache[0] = wire.ConfigUpdate(
+                revision=configuration.revision,
+                changes=configuration.whole_changes(),
+                digest=configuration.document.digest,
+            )
+        return self._config_cache[0]
+
+    def _config(self, revision):
+        if revision.number not in self._config_cache:
+            self._config_cache[revision.number] = wire.ConfigUpdate(
+                base_revision=revision.number - 1,
+                revision=revision.number,
+                changes=revision.changes,
+                digest=revision.document.digest,
+            )
+        return self._config_cache[revision.number]
+
+    def _forget_old_configs(self):
+        # The whole document is never current after a change; deltas stay true.
+        self._config_cache.pop(0, None)
+        oldest = self._state.configuration.oldest_known
+        for number in [n for n in self._config_cache if n <= oldest]:
+            del self._config_cache[number]
+
+
+def _spare(backend: wire.Backend) -> wire.Stage:
+    return wire.Stage(
+        agent_id=backend.agent_id,
+        incarnation=backend.incarnation,
+        address=backend.address,
+        first_layer=backend.first_layer,
+        last_layer=backend.last_layer,
+        domain=backend.domain,
+    )
--- /dev/null
+++ b/wigeonscale/control/hub.py
@@ -0,0 +1,276 @@
+"""The watch hub: all watch streams of one replica."""
+
+__all__ = ["Hub"]
+
+import asyncio
+import logging
+from collections.abc import Iterator
+
+from wigeonscale.control.feed import ChangeFeed
+from wigeonscale.control.orders import load_orders
+from wigeonscale.control.watcher import Watcher
+from wigeonscale.ports import Clock
+from wigeonscale.replication import Replica
+from wigeonscale.state import Change, ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+MICROSECONDS = 1_000_000
+# An order that neither failed nor led to an announcement is pushed again.
+ORDER_AGAIN_S = 10.0
+ORDER_RETRY_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class Hub:
+    """Knows every watch stream here and what each is due.
+
+    Args:
+        node_id: Name of this replica.
+        state: The replicated state.
+        replica: This replica.
+        clock: Clock port.
+        lease_s: Age at which what this replica knows is no longer fresh.
+        loads: Most weight loads in progress at once.
+
+    Attributes:
+        watchers: Open watch streams.
+        feed: Changes of the state.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        state: ControlState,
+        replica: Replica,
+        clock: Clock,
+        lease_s: float,
+        loads: int,
+    ):
+        self.watchers: set[Watcher] = set()
+        self.feed = ChangeFeed(state=state)
+        self._node_id = node_id
+        self._state = state
+        self._replica = replica
+        self._clock = clock
+        self._lease_s = lease_s
+        self._loads = loads
+        self._agents: dict[str, Watcher] = {}
+        self._orders: dict[str, wire.LoadLayers] | None = None
+        self._changed: list[Change] = []
+        self._subscription = state.changes.subscribe(self._note)
+
+    def close(self) -> None:
+        """Stop following the state."""
+        self._subscription.dispose()
+
+    def is_fresh(self) -> bool:
+        """Return whether the state was current less than a lease ago."""
+        fresh_at = self._replica.fresh_at()
+        return fresh_at is not None and self._clock.now() - fresh_at < self._lease_s
+
+    def agent(self, agent_id: str, incarnation: int) -> Watcher | None:
+        """Return the stream on which an incarnation is attached, or None.
+
+        Args:
+            agent_id: Name of the backend server.
+            incarnation: Number made at the agent's start.
+
+        Returns:
+            The stream that last announced it and is still open.
+        """
+        watcher = self._agents.get(agent_id)
+        if watcher is None or watcher.incarnation != incarnation:
+            return None
+        return watcher
+
+    def add(self, watcher: Watcher) -> None:
+        """Take in a new stream.
+
+        Args:
+            watcher: State of the stream.
+        """
+        self.watchers.add(watcher)
+
+    def remove(self, watcher: Watcher) -> None:
+        """Forget a stream that ended.
+
+        Args:
+            watcher: State of the stream.
+        """
+        self.watchers.discard(watcher)
+        if self._agents.get(watcher.node_id) is watcher:
+            del self._agents[watcher.node_id]
+
+    def announce(self, watcher: Watcher, backend: wire.Backend) -> None:
+        """Take in an agent's announcement, to be committed by its stream.
+
+        Args:
+            watcher: Stream that it came on.
+            backend: What the agent announced.
+        """
+        watcher.incarnation = backend.incarnation
+        watcher.announced = backend
+        watcher.announcement = backend
+        self._agents[watcher.node_id] = watcher
+        watcher.announce_wake.set()
+
+    def shows(self, backend: wire.Backend) -> bool:
+        """Return whether the state holds this very announcement, made here.
+
+        Args:
+            backend: What an agent announced.
+
+        Returns:
+            True if committing it would change nothing.
+        """
+        member = self._state.members.get(backend.agent_id)
+        if member is None or member.replica != self._node_id:
+            return False
+        return member.backend == backend
+
+    def is_elsewhere(self, watcher: Watcher) -> bool:
+        """Return whether the state has an agent attached to another replica.
+
+        Args:
+            watcher: The agent's stream here.
+
+        Returns:
+            True if its incarnation stands in the state with another replica.
+        """
+        member = self._state.members.get(watcher.node_id)
+        return (
+            member is not None
+            and member.backend.incarnation == watcher.incarnation
+            and member.replica != self._node_id
+        )
+
+    def note_order_result(self, watcher: Watcher, result: wire.OrderResult) -> None:
+        """Take in what became of an order.
+
+        Args:
+            watcher: Stream that it came on.
+            result: Done, or why not; a failed order is pushed again.
+        """
+        if result.done:
+            return
+        logger.warning(
+            "order %s failed at %s: %s %s",
+            result.order_id,
+            watcher.node_id,
+            result.kind,
+            result.message,
+        )
+        watcher.order_due_at = self._clock.now() + ORDER_RETRY_S
+
+    def due(self, watcher: Watcher) -> Iterator[wire.WatchEvent]:
+        """Yield what a watcher is due now, oldest need first.
+
+        The lease comes last: it vouches for what goes before it.
+
+        Args:
+            watcher: A stream that takes the next message.
+
+        Yields:
+            Events; the watcher counts as told once one was yielded.
+        """
+        if watcher.ended:
+            ended = wire.IncarnationEnded(incarnation=watcher.ended)
+            watcher.ended = 0
+            yield wire.WatchEvent(ended=ended)
+        if not self.is_fresh():
+            # What this replica knows may be long out of date.
+            return
+        # Taken before what it vouches for, since each write may take long.
+        grant = self._grant(watcher)
+        for update in self.feed.configs_after(watcher.revision):
+            watcher.revision = update.revision
+            yield wire.WatchEvent(config=update)
+        update = self.feed.members_after(watcher.position)
+        watcher.position = self.feed.index
+        if update is not None:
+            yield wire.WatchEvent(members=update)
+        yield from self._due_orders(watcher)
+        if grant is not None:
+            yield wire.WatchEvent(lease=grant)
+
+    def _grant(self, watcher):
+        if watcher.unanswered is None:
+            return None
+        beat, received_at = watcher.unanswered
+        watcher.unanswered = None
+        age_s = max(0.0, received_at - self._replica.fresh_at())
+        return wire.LeaseGrant(
+            echo_us=beat.sent_us,
+            age_us=int(age_s * MICROSECONDS),
+            revision=self._state.configuration.revision,
+        )
+
+    def _due_orders(self, watcher):
+        agent_id = watcher.node_id
+        if self.agent(agent_id, watcher.incarnation) is not watcher:
+            return
+        if not self._state.members.holds(agent_id, watcher.incarnation):
+            return
+        load = self._load_orders().get(agent_id)
+        is_changed = load != watcher.sent_load
+        if load is not None and (
+            is_changed or self._clock.now() >= watcher.order_due_at
+        ):
+            watcher.order_due_at = self._clock.now() + ORDER_AGAIN_S
+            yield self._order(f"load-{load.chain_id}-{load.epoch}", load=load)
+        watcher.sent_load = load
+        yield from self._due_drain(watcher)
+
+    def _due_drain(self, watcher):
+        wanted = self._state.members.is_drained(watcher.node_id)
+        if watcher.sent_drain is None:
+            # The agent may still obey a drain that was undone while it moved here.
+            watcher.sent_drain = not wanted if watcher.announced.draining else False
+        if wanted != watcher.sent_drain:
+            watcher.sent_drain = wanted
+            yield self._order("drain" if wanted else "undrain", drain=wanted)
+
+    def _order(self, name, **body):
+        term, sequence = self._replica.applied_term, self._replica.applied_index
+        order = wire.Order(
+            order_id=f"{name}-{sequence}", term=term, sequence=sequence, **body
+        )
+        return wire.WatchEvent(order=order)
+
+    def _load_orders(self):
+        if self._orders is None:
+            self._orders = load_orders(self._state, loads=self._loads)
+        return self._orders
+
+    def _note(self, change):
+        if not self._changed:
+            # One round for all entries that are applied in one go.
+            asyncio.get_running_loop().call_soon(self._publish)
+        self._changed.append(change)
+
+    def _publish(self):
+        changes, self._changed = self._changed, []
+        for change in changes:
+            self.feed.add(change)
+        self._orders = None
+        for change in changes:
+            self._check_attachments(change)
+        for watcher in self.watchers:
+            watcher.wake.set()
+
+    def _check_attachments(self, change):
+        ids = list(self._agents) if change.everything else change.backends
+        for agent_id in ids:
+            watcher = self._agents.get(agent_id)
+            if watcher is not None:
+                self._check_attachment(watcher)
+
+    def _check_attachment(self, watcher):
+        """Find out whether an attached agent ended, or moved to another replica."""
+        if self._state.members.is_ended(watcher.node_id, watcher.incarnation):
+            watcher.ended = watcher.incarnation
+            return
+        if watcher.announcement is None and self.is_elsewhere(watcher):
+            watcher.announce_wake.set()
--- /dev/null
+++ b/wigeonscale/control/service.py
@@ -0,0 +1,133 @@
+"""The Control gRPC service: watch, submit, floor."""
+
+__all__ = ["ControlServicer"]
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+
+import grpc
+
+from wigeonscale.control.announcing import keep_announced
+from wigeonscale.control.commands import Commands
+from wigeonscale.control.hub import Hub
+from wigeonscale.control.liveness import Liveness
+from wigeonscale.control.watcher import Watcher
+from wigeonscale.ports import Clock
+from wigeonscale.replication import Replica
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+MAX_COMMANDS_IN_PROGRESS = 1024  # per Submit stream
+AGENT = "agent"
+
+logger = logging.getLogger(__name__)
+
+
+class ControlServicer(wire_pb2_grpc.ControlServicer):
+    """Serves watchers and those who submit commands.
+
+    Args:
+        node_id: Name of this replica.
+        replica: This replica.
+        hub: Its watch hub.
+        commands: Way of commands to the log.
+        liveness: Judge of agents that fell silent.
+        clock: Clock port.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        replica: Replica,
+        hub: Hub,
+        commands: Commands,
+        liveness: Liveness,
+        clock: Clock,
+    ):
+        self._node_id = node_id
+        self._replica = replica
+        self._hub = hub
+        self._commands = commands
+        self._liveness = liveness
+        self._clock = clock
+
+    async def Watch(self, request_iterator, context):  # noqa: N802
+        """Serve one watcher until its stream ends."""
+        first = await anext(aiter(request_iterator), None)
+        if first is None or first.WhichOneof("body") != "hello":
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "hello expected")
+        watcher = Watcher(hello=first.hello, clock=self._clock)
+        self._hub.add(watcher)
+        try:
+            async with asyncio.TaskGroup() as group:
+                tasks = [group.create_task(self._write(watcher, context))]
+                if watcher.role == AGENT:
+                    announcing = keep_announced(
+                        node_id=self._node_id,
+                        watcher=watcher,
+                        hub=self._hub,
+                        commands=self._commands,
+                        clock=self._clock,
+                    )
+                    tasks.append(group.create_task(announcing))
+                await self._read(watcher, request_iterator)
+                for task in tasks:
+                    task.cancel()
+        finally:
+            self._hub.remove(watcher)
+            self._liveness.wake()
+
+    async def Submit(self, request_iterator, context):  # noqa: N802
+        """Answer the commands of one stream, each as soon as it is decided."""
+        in_progress = asyncio.Semaphore(MAX_COMMANDS_IN_PROGRESS)
+        write_lock = asyncio.Lock()
+
+        async def answer(req):
+            try:
+                reply = await self._commands.answer(req)
+                async with write_lock:
+                    await context.write(reply)
+            finally:
+                in_progress.release()
+
+        async with asyncio.TaskGroup() as group:
+            async for req in request_iterator:
+                await in_progress.acquire()
+                group.create_task(answer(req))
+
+    async def Floor(self, request, context):  # noqa: N802
+        """Return the position of the last entry of this replica's log."""
+        term, index = self._replica.last_position()
+        return wire.FloorReply(node_id=self._node_id, term=term, index=index)
+
+    async def _read(self, watcher, requests: AsyncIterator):
+        async for req in requests:
+            watcher.heard_at = self._clock.now()
+            try:
+                self._handle(watcher, req)
+            except Exception:
+                logger.exception("message of %s not handled", watcher.node_id)
+
+    def _handle(self, watcher, req):
+        match req.WhichOneof("body"):
+            case "heartbeat":
+                watcher.applied_revision = req.heartbeat.applied_revision
+                watcher.unanswered = (req.heartbeat, watcher.heard_at)
+                watcher.wake.set()
+            case "announce" if watcher.role == AGENT:
+                self._hub.announce(watcher, req.announce)
+            case "order_result":
+                self._hub.note_order_result(watcher, req.order_result)
+            case "suspect":
+                self._liveness.suspect(req.suspect, came_from=watcher.role)
+            case other:
+                logger.warning("message %s of %s ignored", other, watcher.node_id)
+
+    async def _write(self, watcher, context):
+        while True:
+            await watcher.wake.wait()
+            watcher.wake.clear()
+            for event in self._hub.due(watcher):
+                await context.write(event)
--- /dev/null
+++ b/wigeonscale/control/suspicion.py
@@ -0,0 +1,38 @@
+"""Passes a suspicion on to the replica that an agent is attached to."""
+
+__all__ = ["tell_replica"]
+
+import asyncio
+import logging
+
+import grpc
+
+from wigeonscale.adapters.channels import open_channel
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+TELL_TIMEOUT_S = 2.0
+CONTROL = "control"
+
+logger = logging.getLogger(__name__)
+
+
+async def tell_replica(node_id: str, address: str, suspicion: wire.Suspect) -> None:
+    """Tell another replica of a suspicion, once; a lost one does no harm.
+
+    Args:
+        node_id: Name of this replica.
+        address: ip:port of the other replica.
+        suspicion: Names the incarnation.
+    """
+    hello = wire.Hello(node_id=node_id, role=CONTROL)
+    try:
+        async with asyncio.timeout(TELL_TIMEOUT_S), open_channel(address) as channel:
+            call = wire_pb2_grpc.ControlStub(channel).Watch()
+            await call.write(wire.WatchRequest(hello=hello))
+            await call.write(wire.WatchRequest(suspect=suspicion))
+            await call.done_writing()
+            async for _ in call:
+                pass
+    except (TimeoutError, grpc.aio.AioRpcError) as exc:
+        logger.info("suspicion of %s not passed on: %r", suspicion.agent_id, exc)
--- /dev/null
+++ b/wigeonscale/control/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control daemon's parts."""
--- /dev/null
+++ b/wigeonscale/control/watcher.py
@@ -0,0 +1,59 @@
+"""One watch stream: what its watcher knows and is due."""
+
+__all__ = ["Watcher"]
+
+import asyncio
+
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class Watcher:
+    """State of one watch stream of an entry, an agent or another replica.
+
+    It holds positions and the newest of each kind of message only, so that a
+    watcher that reads slowly costs no memory.
+
+    Args:
+        hello: First message of the stream.
+        clock: Clock port.
+
+    Attributes:
+        node_id: Name of the watching process.
+        role: ``entry``, ``agent`` or ``control``.
+        http_address: ip:port of its pages.
+        position: Feed index of the members it was told; None before the first.
+        revision: Configuration revision it was told.
+        applied_revision: Revision it said it has in force.
+        heard_at: Instant of its last message, in seconds of the clock port.
+        incarnation: Incarnation that an agent announced here; 0 before.
+        announcement: Newest announcement that is not committed yet, or None.
+        announced: Newest announcement, or None.
+        sent_load: Load order it was sent and that is still due, or None.
+        sent_drain: Operator's drain as it was last told; None before.
+        order_due_at: Instant at which an unchanged order is pushed again.
+        ended: Incarnation it must be told has ended; 0 for none.
+        unanswered: Newest heartbeat without a lease, with its arrival, or None.
+        wake: Set when there may be something to write.
+        announce_wake: Set when there may be something to commit.
+    """
+
+    def __init__(self, *, hello: wire.Hello, clock: Clock):
+        self.node_id = hello.node_id
+        self.role = hello.role
+        self.http_address = hello.http_address
+        self.position: int | None = None
+        self.revision = hello.known_revision
+        self.applied_revision = hello.known_revision
+        self.heard_at = clock.now()
+        self.incarnation = 0
+        self.announcement: wire.Backend | None = None
+        self.announced: wire.Backend | None = None
+        self.sent_load: wire.LoadLayers | None = None
+        self.sent_drain: bool | None = None
+        self.order_due_at = 0.0
+        self.ended = 0
+        self.unanswered: tuple[wire.Heartbeat, float] | None = None
+        self.wake = asyncio.Event()
+        self.announce_wake = asyncio.Event()
+        self.wake.set()
--- /dev/null
+++ b/wigeonscale/daemons/control.py
@@ -0,0 +1,201 @@
+"""The control daemon: one replica of the control state and its services."""
+
+__all__ = ["ControlDaemon", "run_control"]
+
+import asyncio
+import functools
+import logging
+
+from wigeonscale.adapters.channels import new_server
+from wigeonscale.adapters.health import start_http
+from wigeonscale.adapters.logs import setup_logging
+from wigeonscale.adapters.metrics import METRICS
+from wigeonscale.config import ControlSettings
+from wigeonscale.control import (
+    Admin,
+    Commands,
+    ControlServicer,
+    Hub,
+    Liveness,
+    PlacementLoop,
+    run_expiry,
+    tell_replica,
+)
+from wigeonscale.daemons.runtime import StopStep, run_until_stopped
+from wigeonscale.ports import Clock, SystemClock
+from wigeonscale.replication import (
+    DiskFolder,
+    GrpcLinks,
+    Member,
+    Replica,
+    ReplicaOptions,
+    ReplicationServicer,
+    Role,
+)
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2_grpc
+
+METRICS_INTERVAL_S = 1.0
+# Streams are long: waiting for them to end by themselves would wait for ever.
+SERVER_GRACE_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class ControlDaemon:
+    """The parts of one control replica, wired together.
+
+    Args:
+        cfg: Settings.
+        clock: Clock port.
+    """
+
+    def __init__(self, *, cfg: ControlSettings, clock: Clock):
+        self._cfg = cfg
+        self._clock = clock
+        self._stopping = False
+        self._server = None
+        self._http = None
+        self.state = ControlState()
+        self.replica = self._new_replica()
+        self.commands = Commands(
+            replica=self.replica,
+            addresses=[peer.address for peer in cfg.peers],
+            clock=clock,
+        )
+        self.hub = Hub(
+            node_id=cfg.name,
+            state=self.state,
+            replica=self.replica,
+            clock=clock,
+            lease_s=cfg.lease_s,
+            loads=cfg.loads,
+        )
+        self._liveness = Liveness(
+            node_id=cfg.name,
+            state=self.state,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            clock=clock,
+            down_after_s=cfg.down_after_s,
+            lease_s=cfg.lease_s,
+            tell_replica=functools.partial(tell_replica, cfg.name),
+        )
+        self._liveness_task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Listen for peers, watchers and operators.
+
+        Raises:
+            OSError: If an address cannot be bound.
+        """
+        self._server, _ = new_server(self._cfg.grpc)
+        wire_pb2_grpc.add_ReplicationServicer_to_server(
+            ReplicationServicer(replica=self.replica), self._server
+        )
+        servicer = ControlServicer(
+            node_id=self._cfg.name,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            liveness=self._liveness,
+            clock=self._clock,
+        )
+        wire_pb2_grpc.add_ControlServicer_to_server(servicer, self._server)
+        await self._server.start()
+        admin = Admin(
+            node_id=self._cfg.name,
+            state=self.state,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            token_digest=self._cfg.admin_token_digest,
+        )
+        self._http = await start_http(self._cfg.http, admin.routes(), self.is_ready)
+
+    def is_ready(self) -> bool:
+        """Return whether this replica serves what a majority confirms."""
+        return not self._stopping and self.hub.is_fresh()
+
+    async def run(self) -> None:
+        """Take part in control until cancelled."""
+        placement = PlacementLoop(
+            state=self.state,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            clock=self._clock,
+        )
+        expiry = run_expiry(
+            state=self.state,
+            replica=self.replica,
+            commands=self.commands,
+            clock=self._clock,
+            claim_age_s=self._cfg.claim_age_s,
+        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.replica.run())
+            group.create_task(placement.run())
+            group.create_task(expiry)
+            group.create_task(self._report())
+            self._liveness_task = group.create_task(self._liveness.run())
+
+    async def stop(self) -> None:
+        """Stop judging and serving; watchers move to other replicas."""
+        self._stopping = True
+        # First: streams that this replica closes itself are no sign of a failure.
+        if self._liveness_task is not None:
+            self._liveness_task.cancel()
+        if self._server is not None:
+            await self._server.stop(SERVER_GRACE_S)
+        if self._http is not None:
+            await self._http.cleanup()
+        self.hub.close()
+        await self.commands.close()
+
+    def _new_replica(self):
+        cfg = self._cfg
+        return Replica(
+            node_id=cfg.name,
+            address=next(p.address for p in cfg.peers if p.name == cfg.name),
+            voters=[Member(peer.name, peer.address) for peer in cfg.peers],
+            folder=DiskFolder(path=cfg.data),
+            machine=self.state,
+            links=GrpcLinks(),
+            clock=self._clock,
+            options=ReplicaOptions(
+                election_timeout_s=cfg.election_timeout_s,
+                heartbeat_s=cfg.heartbeat_s,
+                snapshot_entries=cfg.snapshot_entries,
+            ),
+        )
+
+    async def _report(self):
+        while True:
+            METRICS.watchers.set(len(self.hub.watchers))
+            METRICS.leading.set(int(self.replica.role is Role.LEADER))
+            METRICS.term.set(self.replica.term)
+            METRICS.applied_index.set(self.replica.applied_index)
+            METRICS.revision.set(self.state.configuration.revision)
+            await self._clock.sleep(METRICS_INTERVAL_S)
+
+
+async def run_control(cfg: ControlSettings) -> int:
+    """Run a control replica until SIGTERM.
+
+    Args:
+        cfg: Settings.
+
+    Returns:
+        Exit code of the process.
+    """
+    setup_logging(cfg.log_level, cfg.name)
+    daemon = ControlDaemon(cfg=cfg, clock=SystemClock())
+    await daemon.start()
+    logger.info("control replica %s listens on %s", cfg.name, cfg.grpc)
+    return await run_until_stopped(
+        tasks={"control": daemon.run()},
+        stop_steps=[StopStep("stop serving", daemon.stop)],
+        stop_timeout_s=cfg.stop_timeout_s,
+    )
--- a/wigeonscale/state/configuration.py
+++ b/wigeonscale/state/configuration.py
@@ -100,6 +100,10 @@
             return self._history[position].document
         return None
 
+    def whole_changes(self) -> list[wire.SectionChange]:
+        """Return the changes that make the document in force out of nothing."""
+        return diff_documents(EMPTY_DOCUMENT, self.document)
+
     def apply(self, command: wire.ApplyConfig, wall_ms: int) -> wire.CommandResult:
         """Make a new revision if the command was made from the one in force.
 
