--- a/wigeonscale/rules/__init__.py
+++ b/wigeonscale/rules/__init__.py
@@ -34,4 +34,4 @@
     RequestFacts,
 )
 from wigeonscale.rules.problems import InvalidDocument, Problem
-from wigeonscale.rules.sections import Rule, key_digest
+from wigeonscale.rules.schema import Rule, key_digest
--- a/wigeonscale/rules/checks.py
+++ b/wigeonscale/rules/checks.py
@@ -3,12 +3,13 @@
 __all__ = ["cross_check", "shadowed_rules"]
 
 import itertools
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 
 from wigeonscale.rules.document import Document
 from wigeonscale.rules.model import Organisation, Pipeline
 from wigeonscale.rules.problems import Problem
-from wigeonscale.rules.sections import Rule, SectionParts, key_line
+from wigeonscale.rules.schema import Rule
+from wigeonscale.rules.sections import SectionParts, key_line
 
 # Rules with more terms are not searched for shadowing: subsets double each time.
 MAX_SHADOW_TERMS = 8
@@ -16,105 +17,112 @@
 
 
 def cross_check(
-    document: Document, touched: Iterable[str], broken: Container[str] = ()
-) -> Iterator[Problem]:
-    """Yield what is wrong between sections, as far as changed ones are involved.
+    document: Document,
+    touched: Iterable[str],
+    line_of: Callable[[str], int],
+    broken: Container[str] = (),
+) -> list[Problem]:
+    """Return what is wrong between sections, as far as changed ones are involved.
 
     Args:
         document: The changed document.
         touched: Names of the sections that were put or removed.
+        line_of: Gives the line at which a section begins; only asked for problems.
         broken: Names of sections left out because they are wrong by themselves.
     """
+    check = _Check(document=document, line_of=line_of, broken=broken)
     for section_name in touched:
+        check.section(section_name)
+    return check.problems
+
+
+class _Check:
+    def __init__(
+        self,
+        *,
+        document: Document,
+        line_of: Callable[[str], int],
+        broken: Container[str],
+    ):
+        self.problems: list[Problem] = []
+        self._document = document
+        self._tables = document.tables
+        self._line_of = line_of
+        self._broken = broken
+
+    def section(self, section_name: str) -> None:
         kind, _, name = section_name.partition(" ")
-        parsed = getattr(document.tables, f"{kind}s", {}).get(name)
+        parsed = getattr(self._tables, f"{kind}s", {}).get(name)
         if parsed is None:
-            yield from _dangling_uses(document, section_name)
+            self._dangling_uses(section_name)
         elif isinstance(parsed, Organisation):
-            yield from _shared_keys(document, parsed)
+            self._shared_keys(parsed)
         elif isinstance(parsed, Pipeline):
-            yield from _too_many_stages(document, parsed)
+            self._too_many_stages(parsed)
         elif isinstance(parsed, Rule):
-            yield from _missing_targets(document, parsed, broken)
-            yield from _unreachable(document, parsed)
-
-
-def _problem(
-    document: Document, section: str, key: str, value: str, allowed: str
-) -> Problem:
-    parts = SectionParts(
-        section, document.tables.sections[section].text, document.section_line(section)
-    )
-    return Problem(section, key, key_line(parts, key) or parts.line, value, allowed)
-
-
-def _dangling_uses(document: Document, removed: str) -> Iterator[Problem]:
-    if not document.tables.uses.get(removed):
-        return
-    for rule in document.rules:
+            self._missing_targets(parsed)
+            self._unreachable(parsed)
+
+    def _found(self, section: str, key: str, value: str, allowed: str) -> None:
+        text = self._tables.sections[section].text
+        parts = SectionParts(section, text, self._line_of(section))
+        line = key_line(parts, key) or parts.line
+        self.problems.append(Problem(section, key, line, value, allowed))
+
+    def _dangling_uses(self, removed: str) -> None:
+        if not self._tables.uses.get(removed) or removed in self._broken:
+            return
+        for rule in self._document.rules:
+            for key, target in rule.targets:
+                if target == removed:
+                    self._missing_target(rule, key, target)
+
+    def _missing_targets(self, rule: Rule) -> None:
         for key, target in rule.targets:
-            if target == removed:
-                yield _missing_target(document, rule, key, target)
-
-
-def _missing_targets(
-    document: Document, rule: Rule, broken: Container[str]
-) -> Iterator[Problem]:
-    for key, target in rule.targets:
-        if target not in document.tables.sections and target not in broken:
-            yield _missing_target(document, rule, key, target)
-
-
-def _missing_target(document: Document, rule: Rule, key: str, target: str) -> Problem:
-    kind, _, name = target.partition(" ")
-    allowed = f"the name of a [{kind} NAME] section of this document"
-    return _problem(document, f"rule {rule.name}", key, name, allowed)
-
-
-def _shared_keys(document: Document, organisation: Organisation) -> Iterator[Problem]:
-    section = f"organisation {organisation.name}"
-    for digest in organisation.key_digests:
-        owners = document.tables.key_owners[digest]
-        if len(owners) > 1:
-            allowed = f"a key held once; held by {', '.join(owners)}"
-            yield _problem(document, section, "keys", f"sha256:{digest}", allowed)
-
-
-def _too_many_stages(document: Document, pipeline: Pipeline) -> Iterator[Problem]:
-    if pipeline.stages > pipeline.layers:
-        section = f"pipeline {pipeline.name}"
-        allowed = f"at most one stage a layer, {pipeline.layers}"
-        yield _problem(document, section, "stages", str(pipeline.stages), allowed)
-
-
-def _unreachable(document: Document, rule: Rule) -> Iterator[Problem]:
-    label = _label(document, rule.name)
-    for other in document.tables.conditions[rule.condition]:
-        if _label(document, other) < label:
-            yield _unreachable_rule(document, rule.name, other)
-        if _label(document, other) > label:
-            yield _unreachable_rule(document, other, rule.name)
-    for always in document.tables.conditions.get(ALWAYS, ()):
-        if _label(document, always) < label:
-            yield _unreachable_rule(document, rule.name, always)
-    if rule.condition == ALWAYS:
-        yield from _rules_after(document, rule, label)
-
-
-def _rules_after(document: Document, always: Rule, label: int) -> Iterator[Problem]:
-    for name in document.tables.rules:
-        if _label(document, name) > label:
-            yield _unreachable_rule(document, name, always.name)
-
-
-def _unreachable_rule(document: Document, name: str, before: str) -> Problem:
-    section = f"rule {name}"
-    allowed = f"a condition that rule {before} before it does not always meet"
-    return _problem(document, section, "when", name, allowed)
-
-
-def _label(document: Document, rule_name: str) -> int:
-    return document.tables.sections[f"rule {rule_name}"].label
+            known = target in self._tables.sections or target in self._broken
+            if not known:
+                self._missing_target(rule, key, target)
+
+    def _missing_target(self, rule: Rule, key: str, target: str) -> None:
+        kind, _, name = target.partition(" ")
+        allowed = f"the name of a [{kind} NAME] section of this document"
+        self._found(f"rule {rule.name}", key, name, allowed)
+
+    def _shared_keys(self, organisation: Organisation) -> None:
+        section = f"organisation {organisation.name}"
+        for digest in organisation.key_digests:
+            owners = self._tables.key_owners[digest]
+            if len(owners) > 1:
+                allowed = f"a key held once; held by {', '.join(owners)}"
+                self._found(section, "keys", f"sha256:{digest}", allowed)
+
+    def _too_many_stages(self, pipeline: Pipeline) -> None:
+        if pipeline.stages > pipeline.layers:
+            section = f"pipeline {pipeline.name}"
+            allowed = f"at most one stage a layer, {pipeline.layers}"
+            self._found(section, "stages", str(pipeline.stages), allowed)
+
+    def _unreachable(self, rule: Rule) -> None:
+        for other in self._tables.conditions[rule.condition]:
+            self._shadowed(*sorted((rule.name, other), key=self._label))
+        for always in self._tables.conditions.get(ALWAYS, ()):
+            if self._label(always) < self._label(rule.name):
+                self._shadowed(always, rule.name)
+        if rule.condition == ALWAYS:
+            self._rules_after(rule.name)
+
+    def _rules_after(self, always: str) -> None:
+        for name in self._tables.rules:
+            if self._label(name) > self._label(always):
+                self._shadowed(always, name)
+
+    def _shadowed(self, earlier: str, later: str) -> None:
+        if earlier != later:
+            allowed = f"a condition that rule {earlier} before it does not always meet"
+            self._found(f"rule {later}", "when", later, allowed)
+
+    def _label(self, rule_name: str) -> int:
+        return self._tables.sections[f"rule {rule_name}"].label
 
 
 def shadowed_rules(document: Document) -> Iterator[tuple[str, str]]:
--- a/wigeonscale/rules/diff.py
+++ b/wigeonscale/rules/diff.py
@@ -1,14 +1,54 @@
 """The changes that lead from one rules document to another."""
 
-__all__ = ["diff_documents"]
+__all__ = ["Edit", "diff_documents", "plan_edits"]
 
 import bisect
-from collections.abc import Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
 
 from wigeonscale.rules.document import ENDS, Document
 from wigeonscale.wire import wire_pb2
 
 
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """One step from a document to another.
+
+    Attributes:
+        name: Name of the section.
+        text: Whole text of the section; None removes it.
+        after: Name of the section it then follows; ``ENDS`` to be the first.
+    """
+
+    name: str
+    text: str | None
+    after: str = ENDS
+
+
+def plan_edits(old: Document, texts: Mapping[str, str]) -> Iterator[Edit]:
+    """Yield the steps that lead from a document to the given sections.
+
+    Args:
+        old: The document to start from.
+        texts: Text of each section by name, in the order wanted.
+
+    Notes:
+        Removals come first, then changed, moved and new sections in order. Of the
+        sections in both, a longest run that keeps its order stays where it is.
+    """
+    sections = old.tables.sections
+    old_names = list(old.section_names())
+    for name in old_names:
+        if name not in texts:
+            yield Edit(name, None)
+    kept = _kept_in_place(old_names, list(texts))
+    previous = ENDS
+    for name, text in texts.items():
+        if name not in kept or sections[name].text != text:
+            yield Edit(name, text, previous)
+        previous = name
+
+
 def diff_documents(old: Document, new: Document) -> list[wire_pb2.SectionChange]:
     """Return changes that :func:`patch_document` turns ``old`` into ``new`` with.
 
@@ -16,29 +56,20 @@
         old: The document to start from.
         new: The document to reach.
 
-    Returns:
-        Removals, then the changed, moved and new sections in document order.
-
     Notes:
-        Costs a look at every section. Few sections are sent: of those in both
-        documents, a longest run that keeps its order stays where it is.
+        Costs a look at every section; few sections are returned.
     """
-    old_sections, new_sections = old.tables.sections, new.tables.sections
-    old_names, new_names = list(old.section_names()), list(new.section_names())
-    changes = [
-        wire_pb2.SectionChange(name=name, removed=True)
-        for name in old_names
-        if name not in new_sections
+    sections = new.tables.sections
+    texts = {name: sections[name].text for name in new.section_names()}
+    return [
+        wire_pb2.SectionChange(
+            name=edit.name,
+            removed=edit.text is None,
+            text=edit.text or "",
+            after=edit.after,
+        )
+        for edit in plan_edits(old, texts)
     ]
-    kept = _kept_in_place(old_names, new_names)
-    previous = ENDS
-    for name in new_names:
-        text = new_sections[name].text
-        if name not in kept or old_sections[name].text != text:
-            change = wire_pb2.SectionChange(name=name, text=text, after=previous)
-            changes.append(change)
-        previous = name
-    return changes
 
 
 def _kept_in_place(old_names: Sequence[str], new_names: Sequence[str]) -> set[str]:
--- a/wigeonscale/rules/document.py
+++ b/wigeonscale/rules/document.py
@@ -8,7 +8,7 @@
 
 from wigeonscale.rules.model import Organisation, Pipeline, PlainService
 from wigeonscale.rules.persistent import PersistentMap
-from wigeonscale.rules.sections import Rule
+from wigeonscale.rules.schema import Rule
 
 # Name of the ring's sentinel: before the first section and after the last.
 ENDS = ""
--- a/wigeonscale/rules/editing.py
+++ b/wigeonscale/rules/editing.py
@@ -1,230 +1,17 @@
-"""Makes one document from another, section by section, and checks the result."""
+"""Makes documents from texts and from changes to other documents."""
 
-__all__ = ["Draft", "parse_document", "patch_document"]
+__all__ = ["parse_document", "patch_document"]
 
-import bisect
-import dataclasses
-import hashlib
-from collections.abc import Container, Iterable
+from collections.abc import Iterable
 
 from wigeonscale.rules.checks import cross_check
-from wigeonscale.rules.document import (
-    DIGEST_BITS,
-    EMPTY_DOCUMENT,
-    ENDS,
-    Document,
-    Section,
-    Tables,
-)
-from wigeonscale.rules.model import Organisation
-from wigeonscale.rules.persistent import MapDraft
+from wigeonscale.rules.diff import plan_edits
+from wigeonscale.rules.document import EMPTY_DOCUMENT, ENDS, Document
+from wigeonscale.rules.draft import Draft
 from wigeonscale.rules.problems import InvalidDocument, Problem
-from wigeonscale.rules.sections import (
-    Rule,
-    SectionParts,
-    parse_section,
-    split_sections,
-)
+from wigeonscale.rules.sections import SectionParts, parse_section, split_sections
 from wigeonscale.wire import wire_pb2
 
-# Distance of the labels of two sections that are appended one after the other.
-LABEL_GAP = 1 << 64
-# Distance that labels get when a crowded stretch is spread out again.
-SPREAD_GAP = 1 << 20
-
-
-class Draft:
-    """A document being changed.
-
-    Args:
-        base: The document to start from; it stays as it is.
-
-    Attributes:
-        tables: A :class:`MapDraft` for each field of :class:`Tables`, by name.
-        touched: Names of the sections put or removed.
-    """
-
-    def __init__(self, *, base: Document):
-        self.tables = {
-            field.name: MapDraft(base=getattr(base.tables, field.name))
-            for field in dataclasses.fields(Tables)
-        }
-        self.touched: dict[str, None] = {}
-        self._sections = self.tables["sections"]
-        self._digest_sum = base.digest_sum
-
-    def put(self, name: str, text: str, after: str, parsed: object) -> None:
-        """Insert a section, or replace and move it.
-
-        Args:
-            name: Name of the section.
-            text: Whole text of the section.
-            after: Name of the section it follows; ``ENDS`` to be the first.
-            parsed: What the text describes.
-        """
-        self.touched[name] = None
-        old = self._sections.get(name)
-        if old is not None:
-            self._unregister(name)
-        if old is None or old.previous != after:
-            if old is not None:
-                self._unlink(name)
-            self._link(name, after)
-        self._change(name, text=text)
-        self._register(name, parsed)
-
-    def remove(self, name: str) -> None:
-        """Remove a section that exists."""
-        self.touched[name] = None
-        self._unregister(name)
-        self._unlink(name)
-
-    def freeze(self) -> Document:
-        """Return the changed document, unchecked."""
-        tables = {name: draft.freeze() for name, draft in self.tables.items()}
-        return Document(tables=Tables(**tables), digest_sum=self._digest_sum)
-
-    # The ring of sections.
-
-    def _change(self, name: str, **changes: object) -> None:
-        section = dataclasses.replace(self._sections[name], **changes)
-        if name != ENDS and changes.keys() & {"text", "previous"}:
-            digest = _section_digest(section)
-            self._add_digest(digest - section.digest)
-            section = dataclasses.replace(section, digest=digest)
-        self._sections[name] = section
-
-    def _add_digest(self, difference: int) -> None:
-        self._digest_sum = (self._digest_sum + difference) % (1 << DIGEST_BITS)
-
-    def _link(self, name: str, after: str) -> None:
-        following = self._sections[after].following
-        label = self._label_between(after, following)
-        self._sections[name] = Section(
-            name=name, text="", following=following, label=label
-        )
-        self._change(name, previous=after)
-        self._change(after, following=name)
-        self._change(following, previous=name)
-
-    def _unlink(self, name: str) -> None:
-        section = self._sections[name]
-        self._change(section.previous, following=section.following)
-        self._change(section.following, previous=section.previous)
-        self._add_digest(-section.digest)
-        del self._sections[name]
-
-    def _label_between(self, previous: str, following: str) -> int:
-        low, high = self._sections[previous].label, self._sections[following].label
-        if previous == ENDS:
-            return 0 if following == ENDS else high - LABEL_GAP
-        if following == ENDS:
-            return low + LABEL_GAP
-        if high - low < 2:
-            self._spread(previous)
-            return self._label_between(previous, following)
-        return (low + high) // 2
-
-    def _spread(self, start: str) -> None:
-        """Make room after a section; cost is amortised over the puts that used it."""
-        crowded = []
-        low = self._sections[start].label
-        name = self._sections[start].following
-        while name != ENDS:
-            if self._sections[name].label - low >= (len(crowded) + 2) * SPREAD_GAP:
-                break
-            crowded.append(name)
-            name = self._sections[name].following
-        for place, other in enumerate(crowded, start=1):
-            self._relabel(other, low + place * SPREAD_GAP)
-
-    def _relabel(self, name: str, label: int) -> None:
-        rule = self._rule(name)
-        if rule is not None:
-            self._unindex(rule)
-        self._change(name, label=label)
-        if rule is not None:
-            self._index(rule)
-
-    # What the sections describe.
-
-    def _rule(self, section_name: str) -> Rule | None:
-        kind, _, name = section_name.partition(" ")
-        return self.tables["rules"].get(name) if kind == "rule" else None
-
-    def _register(self, section_name: str, parsed: object) -> None:
-        kind, _, name = section_name.partition(" ")
-        self.tables[f"{kind}s"][name] = parsed
-        if isinstance(parsed, Organisation):
-            for digest in parsed.key_digests:
-                self._add_name("key_owners", digest, name)
-        if isinstance(parsed, Rule):
-            self._add_name("conditions", parsed.condition, name)
-            for _, target in parsed.targets:
-                self._count("uses", target, 1)
-            self._index(parsed)
-
-    def _unregister(self, section_name: str) -> None:
-        kind, _, name = section_name.partition(" ")
-        parsed = self.tables[f"{kind}s"][name]
-        if isinstance(parsed, Organisation):
-            for digest in parsed.key_digests:
-                self._drop_name("key_owners", digest, name)
-        if isinstance(parsed, Rule):
-            self._drop_name("conditions", parsed.condition, name)
-            for _, target in parsed.targets:
-                self._count("uses", target, -1)
-            self._unindex(parsed)
-        del self.tables[f"{kind}s"][name]
-
-    def _add_name(self, table: str, key: str, name: str) -> None:
-        self.tables[table][key] = (*self.tables[table].get(key, ()), name)
-
-    def _drop_name(self, table: str, key: str, name: str) -> None:
-        names = list(self.tables[table][key])
-        names.remove(name)
-        self._set_or_delete(table, key, tuple(names))
-
-    def _count(self, table: str, key: str, step: int) -> None:
-        self._set_or_delete(table, key, self.tables[table].get(key, 0) + step)
-
-    def _set_or_delete(self, table: str, key: str, value: object) -> None:
-        if value:
-            self.tables[table][key] = value
-        else:
-            del self.tables[table][key]
-
-    def _index(self, rule: Rule) -> None:
-        entry = (self._sections[f"rule {rule.name}"].label, rule)
-        for key in rule.index_keys:
-            entries = list(self.tables["candidates"].get(key, ()))
-            bisect.insort(entries, entry, key=_label)
-            self.tables["candidates"][key] = tuple(entries)
-        for header in rule.index_headers:
-            self._count("header_names", header, 1)
-
-    def _unindex(self, rule: Rule) -> None:
-        label = self._sections[f"rule {rule.name}"].label
-        for key in rule.index_keys:
-            entries = list(self.tables["candidates"][key])
-            del entries[bisect.bisect_left(entries, label, key=_label)]
-            self._set_or_delete("candidates", key, tuple(entries))
-        for header in rule.index_headers:
-            self._count("header_names", header, -1)
-
-
-def _label(entry: tuple[int, Rule]) -> int:
-    return entry[0]
-
-
-def _section_digest(section: Section) -> int:
-    hashed = hashlib.sha256()
-    for part in (section.name, section.previous, section.text):
-        data = part.encode("utf-8", "surrogatepass")
-        hashed.update(b"%d:" % len(data))
-        hashed.update(data)
-    return int.from_bytes(hashed.digest())
-
 
 def parse_document(text: str, *, base: Document = EMPTY_DOCUMENT) -> Document:
     r"""Return the document that a text describes.
@@ -232,8 +19,7 @@
     Args:
         text: INI text with ``[organisation]``, ``[pipeline]``, ``[service]`` and
             ``[rule]`` sections; the order of the rules is the order of trial.
-        base: A document from which sections with equal text are taken over
-            instead of being read again.
+        base: A document to start from: only sections that differ are read.
 
     Returns:
         A document in which every section is right by itself and with the others.
@@ -248,26 +34,45 @@
         >>> [rule.name for rule in doc.rules]
         ['none']
     """
-    draft = Draft(base=EMPTY_DOCUMENT)
     problems = list(_text_problems(text))
-    if problems:
-        raise InvalidDocument(problems)
-    seen: set[str] = set()
-    previous = ENDS
+    _raise_any(problems)
+    parts_of: dict[str, SectionParts] = {}
     for parts in split_sections(text):
-        if parts.name in seen:
-            line = parts.line
-            allowed = "each section once"
-            problems.append(Problem(parts.name, "", line, parts.name, allowed))
+        first = parts_of.setdefault(parts.name, parts)
+        if first is not parts:
+            allowed = f"each section once; it stands in line {first.line} too"
+            problems.append(
+                Problem(parts.name, "", parts.line, f"[{parts.name}]", allowed)
+            )
+    draft = Draft(base=base)
+    broken: dict[str, str] = {}
+    for edit in plan_edits(base, _texts(parts_of)):
+        if edit.text is None:
+            draft.remove(edit.name)
             continue
-        seen.add(parts.name)
-        parsed = _parsed(parts, base)
+        parsed = parse_section(parts_of[edit.name])
         if isinstance(parsed, list):
             problems += parsed
+            broken[edit.name] = edit.after
             continue
-        draft.put(parts.name, _ended(parts.text), previous, parsed)
-        previous = parts.name
-    return _checked(draft, problems, broken=seen)
+        after = _standing(draft, broken, edit.after)
+        draft.put(edit.name, edit.text, after, parsed)
+    document = draft.freeze()
+    lines = {name: parts.line for name, parts in parts_of.items()}
+    problems += cross_check(document, draft.touched, lines.__getitem__, broken)
+    _raise_any(problems)
+    return document
+
+
+def _standing(draft: Draft, broken: dict[str, str], name: str) -> str:
+    """Return the nearest section before a broken one that the draft has."""
+    while name in broken and name not in draft.tables["sections"]:
+        name = broken[name]
+    return name
+
+
+def _texts(parts_of: dict[str, SectionParts]) -> dict[str, str]:
+    return {name: _ended(parts.text) for name, parts in parts_of.items()}
 
 
 def patch_document(
@@ -294,7 +99,10 @@
     problems: list[Problem] = []
     for change in changes:
         problems += _apply_change(draft, change)
-    return _checked(draft, problems)
+    document = draft.freeze()
+    problems += cross_check(document, draft.touched, document.section_line)
+    _raise_any(problems)
+    return document
 
 
 def _apply_change(draft: Draft, change: wire_pb2.SectionChange) -> list[Problem]:
@@ -330,19 +138,6 @@
         yield Problem("", "", 1, text.strip()[:80], "sections, each with a header")
 
 
-def _parsed(parts: SectionParts, base: Document) -> object:
-    known = base.tables.sections.get(parts.name)
-    if known is None or parts.name == ENDS or known.text != _ended(parts.text):
-        return parse_section(parts)
-    kind, _, name = parts.name.partition(" ")
-    return getattr(base.tables, f"{kind}s")[name]
-
-
-def _checked(
-    draft: Draft, problems: list[Problem], broken: Container[str] = ()
-) -> Document:
-    document = draft.freeze()
-    problems = problems + list(cross_check(document, draft.touched, broken))
+def _raise_any(problems: list[Problem]) -> None:
     if problems:
         raise InvalidDocument(dict.fromkeys(problems))
-    return document
--- a/wigeonscale/rules/matching.py
+++ b/wigeonscale/rules/matching.py
@@ -9,7 +9,7 @@
 from wigeonscale.rules.conditions import fact_keys
 from wigeonscale.rules.document import Document
 from wigeonscale.rules.model import Decision, Organisation, RequestFacts
-from wigeonscale.rules.sections import Rule, key_digest
+from wigeonscale.rules.schema import Rule, key_digest
 
 
 class Ruleset:
--- a/wigeonscale/rules/sections.py
+++ b/wigeonscale/rules/sections.py
@@ -1,46 +1,22 @@
 """Reads the text of one section of a rules document into its object."""
 
-__all__ = ["Rule", "SectionParts", "key_digest", "parse_section", "split_sections"]
+__all__ = ["SectionParts", "key_line", "parse_section", "split_sections"]
 
 import configparser
-import hashlib
+import functools
 import re
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Annotated, Literal
 
-from pydantic import (
-    BaseModel,
-    BeforeValidator,
-    ConfigDict,
-    Field,
-    ValidationError,
-)
+from pydantic import ValidationError
 
-from wigeonscale.config.keys import NAME_PATTERN, Allowed, allowed_text, count
-from wigeonscale.rules.conditions import (
-    WHEN_ALLOWED,
-    Term,
-    index_keys,
-    parse_when,
-    term_test,
-)
-from wigeonscale.rules.model import (
-    Action,
-    Decision,
-    Organisation,
-    Pipeline,
-    PlainService,
-    RequestFacts,
-)
+from wigeonscale.config.keys import NAME_PATTERN, allowed_text
 from wigeonscale.rules.problems import Problem
+from wigeonscale.rules.schema import KINDS, SectionModel
 
 HEADER = re.compile(r"^\[(?P<name>[^\n]*)\][ \t\r]*$", re.MULTILINE)
 KEY_LINE = re.compile(r"^(?P<key>[^\s=#;\[][^=\n]*?)\s*=", re.MULTILINE)
-DIGEST_KEY = re.compile(r"sha256:[0-9a-f]{64}")
-SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-LONGEST_DEADLINE_S = 86400.0
 SECTION_ALLOWED = "[organisation NAME], [pipeline NAME], [service NAME], [rule NAME]"
 
 
@@ -59,43 +35,6 @@
     line: int
 
 
-@dataclass(frozen=True, slots=True)
-class Rule:
-    """One compiled rule.
-
-    Attributes:
-        name: Name of the rule.
-        terms: Conditions that must all hold.
-        tests: The conditions as functions of the request.
-        decision: What the rule decides.
-        targets: Section names that must exist, by the key that names them.
-        index_keys: Keys under which the rule is found; see ``conditions``.
-    """
-
-    name: str
-    terms: tuple[Term, ...]
-    tests: tuple[Callable[[RequestFacts], bool], ...]
-    decision: Decision
-    targets: tuple[tuple[str, str], ...]
-    index_keys: tuple[str, ...]
-
-    @property
-    def index_headers(self) -> set[str]:
-        """Names of the headers under which the rule is found."""
-        header_keys = (key for key in self.index_keys if key.startswith("header "))
-        return {key.split(" ")[1] for key in header_keys}
-
-    @property
-    def condition(self) -> str:
-        """The terms in one text that is equal for equal conditions."""
-        return " and ".join(sorted(str(term) for term in self.terms))
-
-
-def key_digest(api_key: str) -> str:
-    """Return the SHA-256 hex digest under which an API key is looked up."""
-    return hashlib.sha256(api_key.encode("utf-8", "surrogatepass")).hexdigest()
-
-
 def split_sections(text: str) -> Iterator[SectionParts]:
     """Cut a document into its sections.
 
@@ -107,10 +46,9 @@
     headers = list(HEADER.finditer(text))
     starts = [_start_with_comments(text, header.start()) for header in headers]
     starts[:1] = [0] * len(starts[:1])
+    ends = [*starts[1:], len(text)]
     line = 1
-    for header, start, end in zip(
-        headers, starts, [*starts[1:], len(text)], strict=True
-    ):
+    for header, start, end in zip(headers, starts, ends, strict=False):
         part = text[start:end]
         yield SectionParts(header["name"].strip(), part, line)
         line += part.count("\n")
@@ -125,171 +63,6 @@
     return start
 
 
-def _split_keys(value: object) -> object:
-    if not isinstance(value, str):
-        return value
-    keys = [key.strip() for key in value.split(",") if value.strip()]
-    return tuple(_checked_digest(key) for key in keys)
-
-
-def _checked_digest(key: str) -> str:
-    if key.startswith("sha256:"):
-        if not DIGEST_KEY.fullmatch(key):
-            raise ValueError("not a SHA-256 digest")
-        return key.removeprefix("sha256:")
-    if not key or not key.isascii() or any(char.isspace() for char in key):
-        raise ValueError("not a key")
-    return key_digest(key)
-
-
-def _parse_duration(value: object) -> object:
-    match = re.fullmatch(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h)", str(value), re.ASCII)
-    if not match:
-        raise ValueError("not a duration")
-    return float(match[1]) * SECONDS_PER_UNIT[match[2]]
-
-
-def _parse_then(value: object) -> object:
-    words = str(value).split(maxsplit=2)
-    if len(words) == 3 and words[:2] == ["refuse", "because"]:
-        return {"action": Action.REFUSE, "reason": words[2]}
-    targets = ("pipeline", "service")
-    if len(words) == 3 and words[0] == "route" and words[1] in targets:
-        if re.match(NAME_PATTERN, words[2]):
-            return {"action": Action.ROUTE, words[1]: words[2]}
-    raise ValueError("neither a route nor a refusal")
-
-
-def _when_terms(value: object) -> object:
-    return parse_when(str(value))
-
-
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", arbitrary_types_allowed=True)
-
-
-class _OrganisationSection(_Section):
-    keys: Annotated[
-        tuple[str, ...],
-        BeforeValidator(_split_keys),
-        Allowed("a comma list of API keys or of sha256:DIGEST, 64 lower-case hex"),
-    ] = ()
-    share: Annotated[
-        float, Field(ge=0.01, le=1000), Allowed("a weight from 0.01 to 1000")
-    ] = 1.0
-    concurrency: count(0, 1_000_000) = 0
-    rate: Annotated[
-        float, Field(ge=0, le=1e6), Allowed("requests per second from 0 to 1000000")
-    ] = 0.0
-
-
-class _PipelineSection(_Section):
-    model: Annotated[
-        str, Field(pattern=r"^\S{1,200}$"), Allowed("a model name without spaces")
-    ]
-    layers: count(1, 1000)
-    replicas: count(0, 10_000) = 1
-    version: Annotated[
-        str, Field(pattern=r"^\S{0,200}$"), Allowed("a version without spaces")
-    ] = ""
-    adapter: Annotated[
-        str, Field(pattern=r"^\S{0,200}$"), Allowed("an adapter name without spaces")
-    ] = ""
-    stages: count(0, 1000) = 0
-
-
-class _ServiceSection(_Section):
-    timeout: Annotated[
-        float,
-        BeforeValidator(_parse_duration),
-        Field(gt=0, le=3600),
-        Allowed("a duration up to 1h, such as 500ms, 30s or 2m"),
-    ] = 30.0
-
-
-class _RuleSection(_Section):
-    when: Annotated[
-        tuple[Term, ...], BeforeValidator(_when_terms), Allowed(WHEN_ALLOWED)
-    ]
-    then: Annotated[
-        dict,
-        BeforeValidator(_parse_then),
-        Allowed("route pipeline NAME, route service NAME or refuse because TEXT"),
-    ]
-    limit: count(0, 1_000_000) = 0
-    priority: Annotated[
-        int | None,
-        Field(ge=-100, le=100),
-        Allowed("a whole number from -100 to 100"),
-    ] = None
-    deadline: Annotated[
-        float,
-        BeforeValidator(_parse_duration),
-        Field(gt=0, le=LONGEST_DEADLINE_S),
-        Allowed("a duration up to 24h, such as 500ms, 30s or 2m"),
-    ] = 0.0
-    repeat: Annotated[Literal["never", "allowed"], Allowed("never or allowed")] = (
-        "allowed"
-    )
-    attempts: count(1, 10) = 3
-
-
-def _organisation(name: str, section: _OrganisationSection) -> Organisation:
-    return Organisation(
-        name=name,
-        key_digests=section.keys,
-        share=section.share,
-        concurrency=section.concurrency,
-        rate=section.rate,
-    )
-
-
-def _pipeline(name: str, section: _PipelineSection) -> Pipeline:
-    return Pipeline(name=name, **section.model_dump())
-
-
-def _service(name: str, section: _ServiceSection) -> PlainService:
-    return PlainService(name=name, timeout_s=section.timeout)
-
-
-def _rule(name: str, section: _RuleSection) -> Rule:
-    decision = Decision(
-        rule=name,
-        **section.then,
-        limit=section.limit,
-        priority=section.priority,
-        deadline_s=section.deadline,
-        once=section.repeat == "never",
-        attempts=section.attempts,
-    )
-    return Rule(
-        name=name,
-        terms=section.when,
-        tests=tuple(term_test(term) for term in section.when),
-        decision=decision,
-        targets=tuple(_targets(section)),
-        index_keys=index_keys(section.when),
-    )
-
-
-def _targets(section: _RuleSection) -> Iterator[tuple[str, str]]:
-    for kind in ("pipeline", "service"):
-        if kind in section.then:
-            yield "then", f"{kind} {section.then[kind]}"
-    for term in section.when:
-        if term.field == "organisation":
-            for name in term.values:
-                yield "when", f"organisation {name}"
-
-
-KINDS: dict[str, tuple[type[_Section], Callable[[str, _Section], object]]] = {
-    "organisation": (_OrganisationSection, _organisation),
-    "pipeline": (_PipelineSection, _pipeline),
-    "service": (_ServiceSection, _service),
-    "rule": (_RuleSection, _rule),
-}
-
-
 def parse_section(parts: SectionParts) -> object:
     """Return the object that a section describes.
 
@@ -315,7 +88,8 @@
 
 
 def _read_values(parts: SectionParts, header_line: int) -> dict[str, str] | list:
-    parser = configparser.RawConfigParser(delimiters=("=",), default_section="\0")
+    parser = _parser()
+    parser.clear()
     try:
         parser.read_string(parts.text)
     except configparser.DuplicateOptionError as exc:
@@ -333,7 +107,13 @@
         return [
             Problem(parts.name, "", header_line, parts.name, "one header a section")
         ]
-    return dict(parser[parser.sections()[0]])
+    return dict(parser.items(parser.sections()[0]))
+
+
+@functools.cache
+def _parser() -> configparser.RawConfigParser:
+    # One for all sections: making a parser costs more than reading a section.
+    return configparser.RawConfigParser(delimiters=("=",), default_section="\0")
 
 
 def _line_problem(parts: SectionParts, line: int) -> Problem:
@@ -343,7 +123,7 @@
 
 def _value_problems(
     parts: SectionParts,
-    section_cls: type[_Section],
+    section_cls: type[SectionModel],
     values: dict[str, str],
     header_line: int,
     exc: ValidationError,
