Prove the entry under bad input, claims, silence and lost agents

Cause: the thin entry had no proof of its failure paths. The new tests failed first on six faults: the request iterator of a broken link was never ended (leaked task); a key whose agent was gone got no-backend/not-run although it may have run; a refusal after a lost dispatch repeated only the last run state; sealing a lost dispatch read the agent's not-found as "began"; a stream cut after its agent was lost said not-run; a silent second connection was judged by time, which a paused process would fail. Change: each mended in dispatch/. Ruled out: treating every no-backend of once-only work as unknown, since a claim for no agent tells cheaply whether the key is held. Not shown: whole processes.

--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -65,7 +65,11 @@
 
 
 def build_entry(
-    cfg: EntrySettings, *, control: ControlClient, clock: Clock
+    cfg: EntrySettings,
+    *,
+    control: ControlClient,
+    clock: Clock,
+    silence: SilenceLimits | None = None,
 ) -> EntryService:
     """Return an entry's state, wired together.
 
@@ -73,7 +77,9 @@
         cfg: Its settings.
         control: Its link to control.
         clock: Clock port.
+        silence: When a connection counts as silent; None: after the heartbeats.
     """
+    looks = SilenceLimits(interval_s=cfg.heartbeat_s / LOOKS_PER_HEARTBEAT)
     table = LoadTable(clock=clock)
     chooser = Chooser(table=table, rng=random.Random(), subset=cfg.subset)
     places = MemberPlaces(members=lambda: control.members, chooser=chooser, clock=clock)
@@ -87,7 +93,7 @@
         clock=clock,
         on_word=table.word,
         on_gone=on_gone,
-        limits=SilenceLimits(interval_s=cfg.heartbeat_s / LOOKS_PER_HEARTBEAT),
+        limits=silence or looks,
     )
     carrier = Carrier(links=links, table=table)
     claims = Claims(control=control, carrier=carrier, places=places, clock=clock)
--- a/wigeonscale/dispatch/answer.py
+++ b/wigeonscale/dispatch/answer.py
@@ -74,8 +74,10 @@
 
     def abandon(self) -> None:
         """Leave an answer that its caller gave up; stop the work where it may be."""
-        # A claimed dispatch goes on: its key still gives the answer.
-        self._carrier.drop(self.stream, cancel=not self.once)
+        # A claimed dispatch goes on: its key still gives the answer. Of one taken
+        # up by its id it is not known whether it is claimed.
+        may_stop = self._work is not None and not self._work.once
+        self._carrier.drop(self.stream, cancel=may_stop)
 
     def close(self) -> None:
         """Leave an answer that has ended, or that goes on for others."""
--- a/wigeonscale/dispatch/attempts.py
+++ b/wigeonscale/dispatch/attempts.py
@@ -8,7 +8,12 @@
 from wigeonscale.dispatch.answer import Answer
 from wigeonscale.dispatch.carrier import Carrier
 from wigeonscale.dispatch.claims import Claims, Places
-from wigeonscale.dispatch.retries import honest_error, may_retry
+from wigeonscale.dispatch.retries import (
+    honest_error,
+    is_sealed_by_other,
+    may_retry,
+    worst_run_state,
+)
 from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream, Target
 from wigeonscale.dispatch.work import Work, new_dispatch_id
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -97,21 +102,37 @@
     ) -> DispatchStream:
         """Dispatch work, on another agent when one refuses."""
         refusal: WigeonscaleError | None = None
+        ran = RunState.RAN if record.texts else RunState.NOT_RUN
         for _ in range(max(1, work.attempts)):
             if refusal is not None:
                 if not may_retry(work, refusal, self._budget):
                     break
                 METRICS.retries.add(kind=refusal.kind)
-            self._check_deadline(work)
             place = self._places.choose(work, avoid)
             if place is None:
                 break
             try:
+                self._check_deadline(work)
                 return await self._attempt(work, record, *place)
             except WigeonscaleError as exc:
                 refusal = exc
-                avoid = avoid | {place[0].agent_id}
-        raise honest_error(refusal or _no_place(work), once=work.once)
+                # What an earlier dispatch may have run stays true.
+                ran = worst_run_state(ran, exc.run_state)
+                if not is_sealed_by_other(exc):
+                    avoid = avoid | {place[0].agent_id}
+        refusal = refusal or await self._no_place(work)
+        refusal.run_state = ran
+        raise honest_error(refusal, once=work.once)
+
+    async def _no_place(self, work: Work) -> WigeonscaleError:
+        if work.once:
+            await self._claims.check_free(work)
+        where = work.pipeline or work.service
+        return WigeonscaleError(
+            ErrorKind.NO_BACKEND,
+            f"no backend server is ready for {where!r}",
+            retry_after=DEFAULT_RETRY_AFTER_S,
+        )
 
     def _check_deadline(self, work: Work) -> None:
         if self._clock.now() >= work.deadline:
@@ -191,12 +212,3 @@
             f"not accepted within {self._open_timeout_s:g} s; it never will be",
             retry_after=DEFAULT_RETRY_AFTER_S,
         )
-
-
-def _no_place(work: Work) -> WigeonscaleError:
-    where = work.pipeline or work.service
-    return WigeonscaleError(
-        ErrorKind.NO_BACKEND,
-        f"no backend server is ready for {where!r}",
-        retry_after=DEFAULT_RETRY_AFTER_S,
-    )
--- a/wigeonscale/dispatch/carrier.py
+++ b/wigeonscale/dispatch/carrier.py
@@ -38,6 +38,28 @@
         self.carry(stream)
         return stream
 
+    async def seal(self, target: Target, dispatch_id: str) -> bool:
+        """Seal a dispatch opened by someone.
+
+        Returns:
+            True when it surely never began and never will; False when it began.
+
+        Raises:
+            AgentGoneError: When that cannot be learnt.
+        """
+        stream = DispatchStream(
+            dispatch_id=dispatch_id,
+            target=target,
+            organisation="",
+            record=AnswerRecord(),
+            only_seal=True,
+        )
+        self.carry(stream)
+        try:
+            return await stream.seal()
+        finally:
+            self.drop(stream)
+
     def drop(self, stream: DispatchStream, *, cancel: bool = False) -> None:
         """Leave a dispatch; further calls do nothing.
 
--- a/wigeonscale/dispatch/claims.py
+++ b/wigeonscale/dispatch/claims.py
@@ -21,6 +21,8 @@
 LOOK_INTERVAL_S = 0.1
 # Claims of one request: the first, and new ones after a released one.
 MAX_CLAIMS = 3
+# Dispatch id of a claim that asks only whether the key is held.
+NO_DISPATCH = "none"
 
 
 class Places(Protocol):
@@ -90,12 +92,27 @@
             stream = await self._join(work, standing)
             if stream is not None:
                 return stream
-        raise WigeonscaleError(
-            ErrorKind.IN_PROGRESS,
-            f"other requests with the key {work.key!r} come and go",
-            run_state=RunState.UNKNOWN,
-            retry_after=1.0,
-        )
+        raise _in_progress(work)
+
+    async def check_free(self, work: Work) -> None:
+        """Check that nobody holds the work's key, when there is nowhere to run it.
+
+        Args:
+            work: Work with ``once`` set.
+
+        Raises:
+            WigeonscaleError: What is known of the work that holds the key.
+        """
+        nowhere = Target("", 0, "")
+        try:
+            # A claim for no agent is never granted.
+            standing = await self._take(work, NO_DISPATCH, nowhere)
+        except WigeonscaleError as exc:
+            if exc.kind is ErrorKind.STALE_INCARNATION:
+                return
+            raise
+        if standing is not None:
+            raise unknown_outcome(f"whether {standing.claim.dispatch_id} ran")
 
     def release_later(self, work: Work, dispatch_id: str) -> None:
         """Release a claim without keeping the caller waiting.
@@ -168,7 +185,7 @@
             stream = await self._attach(work, claim)
             if stream is not None:
                 return stream
-            if not await self._seal(work, claim):
+            if not await self._carrier.seal(_holder(claim), claim.dispatch_id):
                 raise unknown_outcome(f"{claim.dispatch_id} began, its answer is gone")
         except AgentGoneError as exc:
             raise unknown_outcome(f"{exc.message}; it had the work") from exc
@@ -186,8 +203,11 @@
                 _holder(claim), claim.dispatch_id, work.organisation
             )
             try:
-                await self._carrier.until_begun(stream)
+                async with asyncio.timeout(work.deadline - self._clock.now()):
+                    await self._carrier.until_begun(stream)
                 return stream
+            except TimeoutError as exc:
+                raise _in_progress(work) from exc
             except WigeonscaleError as exc:
                 if exc.kind is not ErrorKind.NOT_FOUND:
                     raise
@@ -197,15 +217,6 @@
             await self._clock.sleep(LOOK_INTERVAL_S)
         return None
 
-    async def _seal(self, work: Work, claim: wire.Claim) -> bool:
-        stream = self._carrier.attach(
-            _holder(claim), claim.dispatch_id, work.organisation
-        )
-        try:
-            return await stream.seal()
-        finally:
-            self._carrier.drop(stream)
-
 
 def unknown_outcome(message: str) -> WigeonscaleError:
     """Return the error for work that may have run and must not run again."""
@@ -214,5 +225,14 @@
     )
 
 
+def _in_progress(work: Work) -> WigeonscaleError:
+    return WigeonscaleError(
+        ErrorKind.IN_PROGRESS,
+        f"another request with the key {work.key!r} is in progress",
+        run_state=RunState.UNKNOWN,
+        retry_after=1.0,
+    )
+
+
 def _holder(claim: wire.Claim) -> Target:
     return Target(claim.agent_id, claim.agent_incarnation, claim.agent_address)
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -34,7 +34,6 @@
     Attributes:
         busy: Set while dispatches are carried.
         events_heard: Events received so far.
-        first_event: Set by the first event.
     """
 
     def __init__(self, *, target: Target, entry_id: str, clock: Clock, on_word: OnWord):
@@ -42,11 +41,11 @@
         self.streams: dict[str, DispatchStream] = {}
         self.busy = asyncio.Event()
         self.events_heard = 0
-        self.first_event = asyncio.Event()
         self._entry_id = entry_id
         self._clock = clock
         self._on_word = on_word
-        self._outbox: asyncio.Queue[wire.DispatchRequest] = asyncio.Queue()
+        self._outbox: asyncio.Queue[wire.DispatchRequest | None]
+        self._outbox = asyncio.Queue()
 
     def add(self, stream: DispatchStream) -> None:
         """Carry a dispatch: open it, or take it up, on this link."""
@@ -87,11 +86,12 @@
                 )
             finally:
                 call.cancel()
+                # The call's own task that takes the requests must end as well.
+                self._outbox.put_nowait(None)
 
     async def _requests(self) -> AsyncIterator[wire.DispatchRequest]:
         yield wire.DispatchRequest(hello=wire.EntryHello(entry_id=self._entry_id))
-        while True:
-            request = await self._outbox.get()
+        while (request := await self._outbox.get()) is not None:
             if request.WhichOneof("body") == "open":
                 self._mark_sent(request.open.dispatch_id)
             yield request
@@ -103,8 +103,6 @@
 
     def _receive(self, event: wire.DispatchEvent) -> None:
         self.events_heard += 1
-        if self.events_heard == 1:
-            self.first_event.set()
         if event.HasField("load"):
             self._on_word(self.target.agent_id, event.load)
         for item in event.items:
@@ -253,17 +251,14 @@
         )
         METRICS.attaches.add(len(self.link.streams))
         await _cancel(old_reader)
-        await self._reader_or(self._first_event_or_timeout())
-        return self.link.first_event.is_set()
+        await self._reader_or(self._until_first_event())
+        return self.link.events_heard > 0
 
-    async def _first_event_or_timeout(self) -> None:
-        timer = asyncio.create_task(self._clock.sleep(self._limits.second_connection_s))
-        heard = asyncio.create_task(self.link.first_event.wait())
-        try:
-            await asyncio.wait({timer, heard}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            await _cancel(timer)
-            await _cancel(heard)
+    async def _until_first_event(self) -> None:
+        for _ in range(self._limits.second_connection_looks):
+            await self._clock.sleep(self._limits.interval_s)
+            if self.link.events_heard:
+                return
 
     async def _reader_or(self, coro) -> None:
         other = asyncio.create_task(coro)
--- a/wigeonscale/dispatch/retries.py
+++ b/wigeonscale/dispatch/retries.py
@@ -1,6 +1,12 @@
 """Which failures may be tried again, and what callers are told of the others."""
 
-__all__ = ["honest_error", "is_retried", "may_retry"]
+__all__ = [
+    "honest_error",
+    "is_retried",
+    "is_sealed_by_other",
+    "may_retry",
+    "worst_run_state",
+]
 
 from wigeonscale.dispatch.claims import unknown_outcome
 from wigeonscale.dispatch.stream import AgentGoneError, EntryStoppingError
@@ -27,6 +33,11 @@
     return exc.kind in RETRIED and not isinstance(exc, EntryStoppingError)
 
 
+def is_sealed_by_other(exc: WigeonscaleError) -> bool:
+    """Return whether another caller of the same key has sealed the dispatch."""
+    return exc.kind is ErrorKind.CANCELLED and exc.run_state is RunState.NOT_RUN
+
+
 def may_retry(work: Work, refusal: WigeonscaleError, budget: RetryBudget) -> bool:
     """Return whether work may be dispatched again after a refusal.
 
@@ -38,6 +49,8 @@
     Returns:
         True only when the work surely never ran, or may be repeated.
     """
+    if is_sealed_by_other(refusal):
+        return True
     if not is_retried(refusal):
         return False
     if refusal.run_state is not RunState.NOT_RUN and not work.repeatable:
@@ -46,6 +59,14 @@
     return free or budget.try_spend()
 
 
+def worst_run_state(first: RunState, second: RunState) -> RunState:
+    """Return what is true of work after two dispatches with these run states."""
+    for state in (RunState.RAN, RunState.UNKNOWN):
+        if state in (first, second):
+            return state
+    return RunState.NOT_RUN
+
+
 def honest_error(exc: WigeonscaleError, *, once: bool) -> WigeonscaleError:
     """Return the error for the caller: lost once-only work is of unknown outcome."""
     if once and is_retried(exc) and exc.run_state is RunState.UNKNOWN:
--- a/wigeonscale/dispatch/silence.py
+++ b/wigeonscale/dispatch/silence.py
@@ -18,13 +18,13 @@
     Attributes:
         interval_s: Seconds between two looks.
         missed_pings: Pings in a row without any word from the agent.
-        second_connection_s: Seconds for a second connection to give any word
-            before the agent itself counts as gone.
+        second_connection_looks: Looks for any word on a second connection before
+            the agent itself counts as gone.
     """
 
     interval_s: float = 0.25
     missed_pings: int = 3
-    second_connection_s: float = 0.5
+    second_connection_looks: int = 2
 
 
 async def until_silent(
--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -98,6 +98,7 @@
         organisation: Organisation of the caller.
         record: Where the tokens go; continues over several dispatches.
         opening: The message that opens the dispatch; None when it is only attached.
+        only_seal: It is neither opened nor attached, but sealed.
 
     Attributes:
         link: The link that carries it now.
@@ -117,6 +118,7 @@
         organisation: str,
         record: AnswerRecord,
         opening: wire.Open | None = None,
+        only_seal: bool = False,
     ):
         self.dispatch_id = dispatch_id
         self.target = target
@@ -133,7 +135,8 @@
         self._taken = len(record.texts)
         self._uncredited = 0
         self._gaps = 0
-        self._seal_pending = False
+        self._only_seal = only_seal
+        self._seal_pending = only_seal
         self._never_ran: bool | None = None
         self._waiter: asyncio.Future | None = None
 
@@ -158,6 +161,8 @@
 
     def requests(self) -> list[wire.DispatchRequest]:
         """Return the messages that open this dispatch, or take it up, on a new link."""
+        if self._only_seal:
+            return [self._seal_request()]
         if self._seal_pending:
             return [self._seal_request(), *self._attach_requests()]
         if self.opening is not None and not self.accepted:
@@ -176,7 +181,7 @@
         elif body == "response":
             self.response = item.response
         elif body == "refused":
-            self.error = _refusal_error(item.refused)
+            self.error = self._refusal(item.refused)
         elif body == "sealed":
             self._seal_pending = False
             self._never_ran = item.sealed.never_ran
@@ -209,14 +214,28 @@
         if missing > 0:
             self._mend_gap(f"{missing} last tokens are missing")
         elif missing < 0:
-            self.error = WigeonscaleError(
-                ErrorKind.INTERNAL,
-                f"{self.dispatch_id}: {-missing} tokens more than the answer has",
-                run_state=RunState.RAN,
-            )
+            self.error = self._surplus(done)
         else:
             self.done = done
 
+    def _refusal(self, refused: wire.Refused) -> WigeonscaleError:
+        exc = _refusal_error(refused)
+        if exc.kind is ErrorKind.NOT_FOUND and self.opening is not None:
+            # An agent that knows nothing of what was opened there has restarted.
+            return AgentGoneError(
+                f"{self.target.agent_id} has restarted", run_state=RunState.UNKNOWN
+            )
+        return exc
+
+    def _surplus(self, done: wire.Done) -> WigeonscaleError:
+        asked_too_far = not self.record.texts
+        return WigeonscaleError(
+            ErrorKind.BAD_REQUEST if asked_too_far else ErrorKind.INTERNAL,
+            f"token {self.record.next_index} of {self.dispatch_id}, which has"
+            f" {done.tokens}",
+            run_state=RunState.RAN,
+        )
+
     def _mend_gap(self, problem: str) -> None:
         self._gaps += 1
         if self._gaps > MAX_GAPS:
@@ -297,7 +316,7 @@
         Raises:
             AgentGoneError: When that cannot be learnt.
         """
-        if not self.ended and self._never_ran is None:
+        if not (self.ended or self._seal_pending) and self._never_ran is None:
             self._seal_pending = True
             self.link.send(self._seal_request())
         while self._never_ran is None and not self.ended:
--- a/wigeonscale/entry/calls.py
+++ b/wigeonscale/entry/calls.py
@@ -7,32 +7,18 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from wigeonscale.adapters.service_http import HOP_HEADERS
 from wigeonscale.dispatch import Answer, Work
 from wigeonscale.entry.answers import REQUEST_HEADER
 from wigeonscale.entry.flow import Admission, RequestLog, admit, identify, request_facts
-from wigeonscale.entry.requests import read_body, request_digest
+from wigeonscale.entry.requests import read_body
 from wigeonscale.entry.service import EntryService
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.wire import wire_pb2 as wire
 
-# Between one pair of ends only, or made anew at each.
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 # The key to this system is not the service's business.
-_NOT_FORWARDED = _HOP_HEADERS | {"authorization", "expect", "accept-encoding"}
-_NOT_RETURNED = _HOP_HEADERS | {"content-encoding", "date", "server"}
+_NOT_FORWARDED = HOP_HEADERS | {"authorization", "expect", "accept-encoding"}
+_NOT_RETURNED = HOP_HEADERS | {"content-encoding", "date", "server"}
 
 
 async def call_service(
@@ -100,24 +86,14 @@
 
 
 def _work(req: web.Request, admission: Admission, raw: bytes) -> Work:
-    decision = admission.decision
     headers = (
         wire.Header(name=name, value=value) for name, value in req.headers.items()
     )
     call = wire.Call(method=req.method, path=req.path_qs, body=raw)
     for name, value in _kept(headers, _NOT_FORWARDED):
         call.headers.add(name=name, value=value)
-    digest = request_digest(req.method, req.path_qs, raw) if decision.once else b""
-    return Work(
-        organisation=admission.caller.organisation.name,
-        service=decision.service,
-        call=call,
-        once=decision.once,
-        key=admission.caller.options.key,
-        digest=digest,
-        priority=admission.priority,
-        deadline=admission.deadline,
-        attempts=decision.attempts,
+    return admission.work(
+        service=admission.decision.service, call=call, req=req, raw=raw
     )
 
 
--- a/wigeonscale/entry/completions.py
+++ b/wigeonscale/entry/completions.py
@@ -20,7 +20,6 @@
     CompletionBody,
     parse_body,
     read_body,
-    request_digest,
 )
 from wigeonscale.entry.service import EntryService
 from wigeonscale.entry.sse import Shape
@@ -84,20 +83,8 @@
     prompt: bytes,
     max_tokens: int,
 ) -> Work:
-    decision = admission.decision
-    pipeline = entry.control.document.pipelines[decision.pipeline]
+    pipeline = entry.control.document.pipelines[admission.decision.pipeline]
     generate = wire.Generate(
         prompt=prompt, max_tokens=max_tokens, adapter=pipeline.adapter
     )
-    digest = request_digest(req.method, req.path_qs, raw) if decision.once else b""
-    return Work(
-        organisation=admission.caller.organisation.name,
-        pipeline=decision.pipeline,
-        generate=generate,
-        once=decision.once,
-        key=admission.caller.options.key,
-        digest=digest,
-        priority=admission.priority,
-        deadline=admission.deadline,
-        attempts=decision.attempts,
-    )
+    return admission.work(pipeline=pipeline.name, generate=generate, req=req, raw=raw)
--- a/wigeonscale/entry/flow.py
+++ b/wigeonscale/entry/flow.py
@@ -19,9 +19,10 @@
 from aiohttp import web
 
 from wigeonscale.adapters import METRICS, OK, log_fields
+from wigeonscale.dispatch import Work
 from wigeonscale.entry.answers import error_response
 from wigeonscale.entry.auth import authenticate
-from wigeonscale.entry.requests import RequestOptions, read_options
+from wigeonscale.entry.requests import RequestOptions, read_options, request_digest
 from wigeonscale.entry.service import EntryService
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.limits import Permit
@@ -90,6 +91,26 @@
     priority: int
     deadline: float
 
+    def work(self, *, req: web.Request, raw: bytes, **target: object) -> Work:
+        """Return the work to dispatch.
+
+        Args:
+            req: The request.
+            raw: Its body.
+            **target: Pipeline and generation, or service and call, of the work.
+        """
+        once = self.decision.once
+        return Work(
+            organisation=self.caller.organisation.name,
+            once=once,
+            key=self.caller.options.key,
+            digest=request_digest(req.method, req.path_qs, raw) if once else b"",
+            priority=self.priority,
+            deadline=self.deadline,
+            attempts=self.decision.attempts,
+            **target,
+        )
+
 
 Handle = Callable[
     [EntryService, web.Request, RequestLog], Awaitable[web.StreamResponse]
@@ -231,7 +252,13 @@
     entry: EntryService, options: RequestOptions, decision: Decision
 ) -> float:
     asked = options.deadline_s or entry.limits.default_deadline_s
-    return min(asked, decision.deadline_s) if decision.deadline_s else asked
+    limits = [asked]
+    if decision.deadline_s:
+        limits.append(decision.deadline_s)
+    service = entry.control.document.services.get(decision.service)
+    if service is not None:
+        limits.append(service.timeout_s)
+    return min(limits)
 
 
 def _internal(log: RequestLog) -> WigeonscaleError:
--- a/wigeonscale/entry/tests/support.py
+++ b/wigeonscale/entry/tests/support.py
@@ -8,6 +8,7 @@
 
 from wigeonscale.config import EntrySettings
 from wigeonscale.daemons.entry import build_entry
+from wigeonscale.dispatch import SilenceLimits
 from wigeonscale.dispatch.tests.fake_agent import FakeAgent
 from wigeonscale.entry import CallerServer
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -81,6 +82,8 @@
             return self._end(command.outcome)
         claim = command.claim
         standing = self.claims.get((claim.organisation, claim.key))
+        if standing is None and not claim.agent_id:
+            raise WigeonscaleError(ErrorKind.STALE_INCARNATION, "no such agent")
         if standing is None:
             record = wire.ClaimRecord(claim=claim, state=wire.CLAIMED)
             self.claims[claim.organisation, claim.key] = record
@@ -144,16 +147,22 @@
             http="127.0.0.1:0",
             listen="127.0.0.1:0",
             control=(),
-            heartbeat_s=0.1,
             **self.entry_settings,
         )
-        self.entry = build_entry(cfg, control=self.control, clock=SystemClock())
+        self.entry = build_entry(
+            cfg,
+            control=self.control,
+            clock=SystemClock(),
+            silence=SilenceLimits(interval_s=0.05, second_connection_looks=400),
+        )
         self.server = CallerServer(entry=self.entry, address=cfg.listen)
         await self.server.start()
         self.addCleanup(self.server.close)
         self.http = aiohttp.ClientSession(
             base_url=f"http://{self.server.address}",
             headers={"Authorization": f"Bearer {KEY}"},
+            # A connection that a bad request spoilt must not serve the next one.
+            connector=aiohttp.TCPConnector(force_close=True),
             timeout=aiohttp.ClientTimeout(total=30),
         )
         self.addCleanup(self.http.close)
