--- a/wigeonscale/dispatch/silence.py
+++ b/wigeonscale/dispatch/silence.py
@@ -42,7 +42,7 @@
     """
     missed = 0
     pinged = False
-    while missed < limits.missed_pings:
+    while True:
         if not link.busy.is_set():
             missed, pinged = 0, False
             await link.busy.wait()
@@ -52,5 +52,7 @@
             missed, pinged = 0, False
             continue
         missed += pinged
+        if missed == limits.missed_pings:
+            return
         link.ping()
         pinged = True
--- /dev/null
+++ b/wigeonscale/dispatch/tests/test_stream.py
@@ -0,0 +1,147 @@
+"""One dispatch: token indices, credit, seals; and the detection of silence."""
+
+import asyncio
+
+from wigeonscale.dispatch import AnswerRecord, DispatchStream, SilenceLimits, Target
+from wigeonscale.dispatch.silence import until_silent
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.pipelines.constants import INITIAL_CREDIT
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class FakeLink:
+    """Records what is sent."""
+
+    def __init__(self):
+        self.sent: list[wire.DispatchRequest] = []
+        self.events_heard = 0
+        self.pings = 0
+        self.busy = asyncio.Event()
+        self.busy.set()
+
+    def send(self, request):
+        self.sent.append(request)
+
+    def ping(self):
+        self.pings += 1
+
+    def names(self):
+        return [request.WhichOneof("body") for request in self.sent]
+
+
+def new_stream(base: int = 0, opened: bool = True) -> DispatchStream:
+    stream = DispatchStream(
+        dispatch_id="d@a1",
+        target=Target("a1", 1, "127.0.0.1:1"),
+        organisation="o",
+        record=AnswerRecord(base=base),
+        opening=wire.Open(dispatch_id="d@a1") if opened else None,
+    )
+    stream.link = FakeLink()
+    return stream
+
+
+def token_item(start: int, count: int = 1) -> wire.DispatchItem:
+    tokens = [wire.Token(id=n, text=f"t{n} ") for n in range(start, start + count)]
+    run = wire.TokenRun(tokens=tokens)
+    setattr(run, "from", start)
+    return wire.DispatchItem(tokens=run)
+
+
+def refused_item(kind: str, run_state: str) -> wire.DispatchItem:
+    return wire.DispatchItem(refused=wire.Refused(kind=kind, run_state=run_state))
+
+
+class StreamTest(AsyncTestCase):
+    async def test_credit_goes_back_only_for_tokens_that_were_written(self):
+        stream = new_stream()
+        stream.deliver(token_item(0, INITIAL_CREDIT))
+        self.assertEqual(INITIAL_CREDIT, len(await stream.take()))
+        self.assertEqual([], stream.link.sent)
+        stream.deliver(token_item(INITIAL_CREDIT))
+        await stream.take()
+        (request,) = stream.link.sent
+        self.assertEqual(INITIAL_CREDIT, request.credit.tokens)
+
+    async def test_overlapping_runs_give_every_token_once(self):
+        stream = new_stream(base=2)
+        stream.deliver(token_item(0, 4))
+        stream.deliver(token_item(3, 2))
+        stream.deliver(wire.DispatchItem(done=wire.Done(tokens=5)))
+        self.assertEqual(["t2 ", "t3 ", "t4 "], await stream.take())
+        self.assertEqual([], await stream.take())
+        self.assertEqual([], stream.link.sent)
+
+    async def test_gap_is_asked_for_again_and_not_for_ever(self):
+        stream = new_stream()
+        for _ in range(5):
+            stream.deliver(token_item(3))
+        self.assertEqual(["attach"] * 3, stream.link.names())
+        with self.assertRaises(WigeonscaleError) as caught:
+            await stream.take()
+        self.assertEqual(ErrorKind.INTERNAL, caught.exception.kind)
+
+    async def test_index_beyond_the_answer_is_the_callers_fault(self):
+        stream = new_stream(base=9, opened=False)
+        stream.deliver(wire.DispatchItem(done=wire.Done(tokens=5)))
+        with self.assertRaises(WigeonscaleError) as caught:
+            await stream.take()
+        self.assertEqual(ErrorKind.BAD_REQUEST, caught.exception.kind)
+
+    async def test_seal_believes_only_proof(self):
+        sealed = wire.DispatchItem(sealed=wire.Sealed(never_ran=True))
+        begun = wire.DispatchItem(sealed=wire.Sealed(never_ran=False))
+        cases = [
+            (sealed, True),
+            (begun, False),
+            (refused_item("overloaded", "not-run"), True),
+            (refused_item("stale-incarnation", "unknown"), False),
+        ]
+        for item, never_ran in cases:
+            stream = new_stream()
+            waiting = asyncio.create_task(stream.seal())
+            await asyncio.sleep(0)
+            stream.deliver(item)
+            self.assertEqual(never_ran, await waiting, item)
+
+    async def test_restarted_agent_is_gone_not_without_the_answer(self):
+        stream = new_stream()
+        stream.deliver(refused_item("not-found", "unknown"))
+        self.assertEqual(ErrorKind.BACKEND_FAILED, stream.error.kind)
+        self.assertEqual(RunState.UNKNOWN, stream.error.run_state)
+
+    async def test_new_link_opens_again_only_what_was_never_accepted(self):
+        stream = new_stream()
+        self.assertEqual(["open"], [r.WhichOneof("body") for r in stream.requests()])
+        stream.deliver(token_item(0, 2))
+        (request,) = stream.requests()
+        self.assertEqual(2, request.attach.from_token)
+
+
+class SilenceTest(AsyncTestCase):
+    async def test_link_is_silent_after_unanswered_pings_only(self):
+        clock, link = ManualClock(), FakeLink()
+        limits = SilenceLimits(interval_s=1.0, missed_pings=3)
+        watch = asyncio.create_task(until_silent(link, clock=clock, limits=limits))
+        await clock.advance(0.0)
+        for _ in range(5):
+            link.events_heard += 1
+            await clock.advance(1.0)
+        self.assertEqual(0, link.pings)
+        await clock.advance(3.0)
+        self.assertFalse(watch.done())
+        await clock.advance(1.0)
+        self.assertTrue(watch.done())
+        self.assertEqual(3, link.pings)
+
+    async def test_idle_link_is_left_in_peace(self):
+        clock, link = ManualClock(), FakeLink()
+        link.busy.clear()
+        limits = SilenceLimits(interval_s=1.0)
+        watch = asyncio.create_task(until_silent(link, clock=clock, limits=limits))
+        await clock.advance(100.0)
+        self.assertFalse(watch.done())
+        self.assertEqual(0, link.pings)
+        watch.cancel()
+        await asyncio.gather(watch, return_exceptions=True)
--- a/wigeonscale/entry/tests/support.py
+++ b/wigeonscale/entry/tests/support.py
@@ -1,6 +1,6 @@
 """An entry on loopback with a fake control and fake agents."""
 
-__all__ = ["EntryCase", "FakeControl", "KEY", "RULES", "read_events"]
+__all__ = ["EntryCase", "FakeControl", "KEY", "RULES", "read_events", "texts_of"]
 
 import json
 
@@ -192,3 +192,9 @@
         if fields:
             events.append(fields)
     return events
+
+
+def texts_of(events: list[dict]) -> list[str]:
+    """Return the token texts of a stream's events."""
+    chunks = [event["data"] for event in events if "id" in event]
+    return [chunk["choices"][0]["text"] for chunk in chunks]
--- a/wigeonscale/entry/tests/test_failures.py
+++ b/wigeonscale/entry/tests/test_failures.py
@@ -4,18 +4,12 @@
 
 from wigeonscale.dispatch.tests.fake_agent import WORDS
 from wigeonscale.entry.service import EntryLimits
-from wigeonscale.entry.tests.support import EntryCase, read_events
+from wigeonscale.entry.tests.support import EntryCase, read_events, texts_of
 from wigeonscale.errors import ErrorKind
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
 from wigeonscale.wire import wire_pb2 as wire
 
 
-def texts_of(events):
-    """Return the token texts of a stream's events."""
-    chunks = [event["data"] for event in events if "id" in event]
-    return [chunk["choices"][0]["text"] for chunk in chunks]
-
-
 class FailuresTest(EntryCase):
     async def begin_stream(self, agent, hold=3):
         """Start a stream that stops at the agent after some tokens."""
