Control: planned replacement, version upgrades, stuck loads, fresh pages

Cause: found on reading: a restarted replica answered Floor before its log was read; operators' pages of an isolated replica showed old rules; an engine that cannot load kept one of the few weight loads for ever; a changed version never reached chains; a drained stage waited for its agent to leave. Change: Floor needs a vote, pages need a fresh state, failing loads end the incarnation, one chain a pipeline is upgraded at a time, a draining stage that is no head is replaced by a successor chain.

--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -72,13 +72,13 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the pages as aiohttp routes."""
         return [
-            web.get("/admin/rules", self._page(self._show_rules)),
+            web.get("/admin/rules", self._fresh_page(self._show_rules)),
             web.post("/admin/rules/apply", self._page(self._apply)),
-            web.get("/admin/rules/history", self._page(self._show_history)),
+            web.get("/admin/rules/history", self._fresh_page(self._show_history)),
             web.post("/admin/rules/rollback", self._page(self._roll_back)),
             web.get("/admin/status", self._page(self._show_status)),
-            web.get("/admin/backends", self._page(self._show_backends)),
-            web.get("/admin/pipelines", self._page(self._show_pipelines)),
+            web.get("/admin/backends", self._fresh_page(self._show_backends)),
+            web.get("/admin/pipelines", self._fresh_page(self._show_pipelines)),
             web.post("/admin/drain", self._page(self._drain)),
         ]
 
@@ -92,6 +92,20 @@
 
         return answer
 
+    def _fresh_page(self, handler: Handler) -> Handler:
+        """Refuse what may be older than what is accepted."""
+
+        async def answer(req):
+            if not self._hub.is_fresh():
+                raise WigeonscaleError(
+                    ErrorKind.NO_QUORUM,
+                    f"no majority confirmed lately what {self._node_id} knows",
+                    retry_after=DEFAULT_RETRY_S,
+                )
+            return await handler(req)
+
+        return self._page(answer)
+
     def _check_token(self, req):
         if not self._token_digest:
             return
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -9,6 +9,7 @@
 from wigeonscale.control.feed import ChangeFeed
 from wigeonscale.control.orders import load_orders
 from wigeonscale.control.watcher import Watcher
+from wigeonscale.errors import ErrorKind
 from wigeonscale.ports import Clock
 from wigeonscale.replication import Replica
 from wigeonscale.state import Change, ControlState
@@ -154,7 +155,9 @@
             result: Done, or why not; a failed order is pushed again.
         """
         if result.done:
+            watcher.failed_orders = 0
             return
+        watcher.failed_orders += 1
         logger.warning(
             "order %s failed at %s: %s %s",
             result.order_id,
@@ -162,7 +165,10 @@
             result.kind,
             result.message,
         )
-        watcher.order_due_at = self._clock.now() + ORDER_RETRY_S
+        is_behind = result.kind == ErrorKind.STALE_TERM
+        pause_s = 0.0 if is_behind else ORDER_RETRY_S
+        watcher.order_due_at = self._clock.now() + pause_s
+        watcher.sent_drain = None
 
     def due(self, watcher: Watcher) -> Iterator[wire.WatchEvent]:
         """Yield what a watcher is due now, oldest need first.
@@ -215,6 +221,9 @@
             return
         load = self._load_orders().get(agent_id)
         is_changed = load != watcher.sent_load
+        if load is not None and is_changed:
+            watcher.load_since = self._clock.now()
+            watcher.failed_orders = 0
         if load is not None and (
             is_changed or self._clock.now() >= watcher.order_due_at
         ):
@@ -224,10 +233,9 @@
         yield from self._due_drain(watcher)
 
     def _due_drain(self, watcher):
+        # Told on each new stream: the agent may still obey a drain that was undone
+        # while it moved here.
         wanted = self._state.members.is_drained(watcher.node_id)
-        if watcher.sent_drain is None:
-            # The agent may still obey a drain that was undone while it moved here.
-            watcher.sent_drain = not wanted if watcher.announced.draining else False
         if wanted != watcher.sent_drain:
             watcher.sent_drain = wanted
             yield self._order("drain" if wanted else "undrain", drain=wanted)
--- a/wigeonscale/control/liveness.py
+++ b/wigeonscale/control/liveness.py
@@ -20,6 +20,9 @@
 # A stream that is open but silent may be broken while its agent is well: the agent
 # gets this many times as long, in which it moves to another stream by itself.
 SILENT_STREAM_SHARE = 2.0
+# A backend server that cannot load holds up a weight load that others wait for.
+MAX_FAILED_ORDERS = 5
+LOAD_TIMEOUT_S = 900.0
 CHECKS_PER_DOWN_TIME = 6
 # A check this late means that this process stood still; it heard nobody meanwhile.
 PAUSED_CHECKS = 3
@@ -41,7 +44,8 @@
         down_after_s: Time without a stream after which an agent is gone, in
             seconds.
         lease_s: Time of the freshness lease, in seconds.
-        tell_replica: Passes a suspicion on to the replica at an address.
+        tell_replica: Passes a suspicion on to the replica at an address; returns
+            whether that replica took it.
         metrics: Where ended incarnations are counted.
     """
 
@@ -56,7 +60,7 @@
         clock: Clock,
         down_after_s: float,
         lease_s: float,
-        tell_replica: Callable[[str, wire.Suspect], Awaitable[None]],
+        tell_replica: Callable[[str, wire.Suspect], Awaitable[bool]],
         metrics: Metrics = METRICS,
     ):
         self._node_id = node_id
@@ -140,6 +144,8 @@
     def _gone(self, now) -> Iterator[tuple[Member, str]]:
         own = self._state.members.attached_to(self._node_id)
         self._forget(own)
+        names = {_name(member) for member in own}
+        self._seen |= {name for name in names if self._hub.agent(*name)}
         if now >= self._quiet_until:
             for member in own:
                 cause = self._cause(member, now)
@@ -167,13 +173,16 @@
             absent_s = now - self._absent_since.setdefault(name, now)
             is_gone = suspected or absent_s >= self._down_after_s
             return "stream-gone" if is_gone else ""
-        self._seen.add(name)
         self._absent_since.pop(name, None)
         silent_s = now - watcher.heard_at
         if suspected and silent_s >= SUSPECT_SILENCE_S:
             return "suspected"
-        is_silent = silent_s >= SILENT_STREAM_SHARE * self._down_after_s
-        return "silent" if is_silent else ""
+        if silent_s >= SILENT_STREAM_SHARE * self._down_after_s:
+            return "silent"
+        is_loading = watcher.sent_load is not None
+        is_hung = is_loading and now - watcher.load_since >= LOAD_TIMEOUT_S
+        has_failed = is_loading and watcher.failed_orders >= MAX_FAILED_ORDERS
+        return "load-failed" if is_hung or has_failed else ""
 
     def _is_suspected(self, name, watcher):
         suspected_at = self._suspected_at.get(name)
@@ -223,7 +232,17 @@
     def _pass_on(self, holder, suspicion):
         for peer in self._replica.members():
             if peer.node_id == holder:
-                self._start(self._tell_replica(peer.address, suspicion))
+                self._start(self._pass_on_to(peer, suspicion))
+
+    async def _pass_on_to(self, peer, suspicion):
+        if await self._tell_replica(peer.address, suspicion):
+            return
+        # Neither the agent nor the replica it is attached to answers.
+        member = self._state.members.get(suspicion.agent_id)
+        if member is None or member.replica != peer.node_id:
+            return
+        if member.backend.incarnation == suspicion.incarnation:
+            self._end(member, "replica-lost")
 
     def _start(self, coro):
         task = asyncio.create_task(coro)
--- /dev/null
+++ b/wigeonscale/control/planning.py
@@ -0,0 +1,208 @@
+"""Between the replicated state and the pure functions of placement."""
+
+__all__ = ["chain_plan", "engine_specs", "place_command", "plan_placement"]
+
+from collections.abc import Sequence
+
+from wigeonscale.placement import (
+    ChainPlan,
+    EngineSpec,
+    Plan,
+    StagePlan,
+    plan_chains,
+)
+from wigeonscale.placement.repair import repair_chains
+from wigeonscale.rules import Pipeline
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def plan_placement(
+    *,
+    pipelines: Sequence[Pipeline],
+    engines: Sequence[EngineSpec],
+    chains: Sequence[ChainPlan],
+    spares: int,
+    base_index: int,
+) -> Plan:
+    """Plan chains; first give each draining stage a free engine in its place.
+
+    A draining head stays until it is gone, since it holds its callers' answers. Any
+    other draining stage is replaced while it still works: the state lets the
+    changed chain wait until its new engine has loaded.
+
+    Args:
+        pipelines: Pipelines wanted.
+        engines: Announced engines.
+        chains: Chains as they were last planned.
+        spares: Engines of each model kept out of new chains.
+        base_index: Log index of the input; makes new chain ids unique.
+
+    Returns:
+        The plan. Its ``changed`` may miss chains whose draining stage was replaced;
+        compare ``chains`` with what stood.
+    """
+    by_name = {pipeline.name: pipeline for pipeline in pipelines}
+    replaced = _replace_draining(list(chains), by_name, list(engines))
+    return plan_chains(
+        pipelines=pipelines,
+        engines=engines,
+        chains=replaced,
+        spares=spares,
+        base_index=base_index,
+    )
+
+
+def _replace_draining(chains, pipelines, engines):
+    draining = {engine.agent_id for engine in engines if engine.draining}
+    for number, chain in enumerate(chains):
+        leaving = {s.agent_id for s in chain.stages[1:]} & draining
+        if not leaving or chain.pipeline not in pipelines:
+            continue
+        used = {s.agent_id for each in chains for s in each.stages}
+        own = {s.agent_id for s in chain.stages} - leaving
+        usable = {
+            engine.agent_id: engine
+            for engine in engines
+            if engine.agent_id in own or engine.agent_id not in used | draining
+        }
+        repaired = repair_chains([chain], pipelines=pipelines, engines=usable)
+        chains[number] = repaired[0] if repaired else chain
+    return chains
+
+
+def engine_specs(state: ControlState) -> list[EngineSpec]:
+    """Return the announced engines as placement sees them, sorted by name.
+
+    Args:
+        state: The replicated state.
+
+    Returns:
+        One spec an engine; draining if its agent or an operator says so.
+    """
+    specs = []
+    for member in state.members:
+        backend = member.backend
+        if backend.kind == wire.ENGINE:
+            drained = state.members.is_drained(backend.agent_id)
+            specs.append(_engine_spec(backend, backend.draining or drained))
+    return sorted(specs, key=lambda spec: spec.agent_id)
+
+
+def chain_plan(chain: wire.Chain) -> ChainPlan:
+    """Return a chain as placement sees it.
+
+    Args:
+        chain: Chain of the state.
+
+    Returns:
+        Its plan.
+    """
+    stages = tuple(
+        StagePlan(
+            agent_id=stage.agent_id,
+            incarnation=stage.incarnation,
+            address=stage.address,
+            domain=stage.domain,
+            first_layer=stage.first_layer,
+            last_layer=stage.last_layer,
+        )
+        for stage in chain.stages
+    )
+    return ChainPlan(chain.chain_id, chain.pipeline, chain.epoch, stages, chain.rate)
+
+
+def place_command(
+    plan: Plan,
+    standing: Sequence[wire.Chain],
+    pipelines: Sequence[Pipeline],
+    base_index: int,
+) -> wire.Command:
+    """Return the command that carries out a plan.
+
+    Args:
+        plan: Result of planning.
+        standing: Chains that the plan was made from.
+        pipelines: Pipelines that were planned for.
+        base_index: Placement index that the plan was made from.
+
+    Returns:
+        A command without an operation id; its lists are empty when nothing changes.
+    """
+    by_name = {pipeline.name: pipeline for pipeline in pipelines}
+    before = {chain.chain_id: chain for chain in standing}
+    place = wire.PlaceChains(removed=plan.removed, base_index=base_index)
+    for chain in plan.chains:
+        known = before.get(chain.chain_id)
+        if known is None or chain_plan(known) != chain:
+            place.chains.append(_wire_chain(chain, by_name[chain.pipeline]))
+    if not place.chains and not place.removed:
+        place.chains.extend(_upgrades(standing, by_name))
+    return wire.Command(place=place)
+
+
+def _upgrades(standing, pipelines):
+    """Return at most one chain a pipeline that shall load another version.
+
+    The next follows when all chains of the pipeline are ready again.
+    """
+    for name, pipeline in sorted(pipelines.items()):
+        chains = [chain for chain in standing if chain.pipeline == name]
+        outdated = [chain for chain in chains if not _is_current(chain, pipeline)]
+        # One that does not serve anyway goes first.
+        outdated.sort(key=lambda chain: (chain.ready, chain.chain_id))
+        waiting = any(not chain.ready for chain in chains)
+        if outdated and (not waiting or not outdated[0].ready):
+            upgrade = wire.Chain()
+            upgrade.CopyFrom(outdated[0])
+            upgrade.epoch += 1
+            upgrade.version = pipeline.version
+            upgrade.adapter = pipeline.adapter
+            yield upgrade
+
+
+def _is_current(chain, pipeline):
+    wanted = (pipeline.version, pipeline.adapter)
+    return (chain.version, chain.adapter) == wanted
+
+
+def _engine_spec(backend, draining):
+    return EngineSpec(
+        agent_id=backend.agent_id,
+        incarnation=backend.incarnation,
+        address=backend.address,
+        domain=backend.domain,
+        region=backend.region,
+        model=backend.model,
+        accelerator=backend.accelerator,
+        layer_rate=backend.layer_rate,
+        layer_capacity=backend.layer_capacity,
+        link_rate=backend.link_rate,
+        first_layer=backend.first_layer,
+        last_layer=backend.last_layer,
+        draining=draining,
+    )
+
+
+def _wire_chain(chain, pipeline):
+    stages = [
+        wire.Stage(
+            agent_id=stage.agent_id,
+            incarnation=stage.incarnation,
+            address=stage.address,
+            domain=stage.domain,
+            first_layer=stage.first_layer,
+            last_layer=stage.last_layer,
+        )
+        for stage in chain.stages
+    ]
+    return wire.Chain(
+        chain_id=chain.chain_id,
+        pipeline=chain.pipeline,
+        epoch=chain.epoch,
+        stages=stages,
+        model=pipeline.model,
+        version=pipeline.version,
+        adapter=pipeline.adapter,
+        rate=chain.rate,
+    )
--- a/wigeonscale/control/service.py
+++ b/wigeonscale/control/service.py
@@ -99,6 +99,11 @@
 
     async def Floor(self, request, context):  # noqa: N802
         """Return the position of the last entry of this replica's log."""
+        if not self._replica.may_vote:
+            # Its log is not read yet, or lost: entries of a majority may be missing.
+            await context.abort(
+                grpc.StatusCode.UNAVAILABLE, f"{self._node_id} has no vote"
+            )
         term, index = self._replica.last_position()
         return wire.FloorReply(node_id=self._node_id, term=term, index=index)
 
@@ -116,7 +121,7 @@
                 watcher.applied_revision = req.heartbeat.applied_revision
                 watcher.unanswered = (req.heartbeat, watcher.heard_at)
                 watcher.wake.set()
-            case "announce" if watcher.role == AGENT:
+            case "announce" if req.announce.agent_id == watcher.node_id:
                 self._hub.announce(watcher, req.announce)
             case "order_result":
                 self._hub.note_order_result(watcher, req.order_result)
--- a/wigeonscale/control/suspicion.py
+++ b/wigeonscale/control/suspicion.py
@@ -17,13 +17,16 @@
 logger = logging.getLogger(__name__)
 
 
-async def tell_replica(node_id: str, address: str, suspicion: wire.Suspect) -> None:
-    """Tell another replica of a suspicion, once; a lost one does no harm.
+async def tell_replica(node_id: str, address: str, suspicion: wire.Suspect) -> bool:
+    """Tell another replica of a suspicion, once.
 
     Args:
         node_id: Name of this replica.
         address: ip:port of the other replica.
         suspicion: Names the incarnation.
+
+    Returns:
+        Whether the other replica took it.
     """
     hello = wire.Hello(node_id=node_id, role=CONTROL)
     try:
@@ -34,5 +37,7 @@
             await call.done_writing()
             async for _ in call:
                 pass
+        return True
     except (TimeoutError, grpc.aio.AioRpcError) as exc:
         logger.info("suspicion of %s not passed on: %r", suspicion.agent_id, exc)
+        return False
--- a/wigeonscale/control/watcher.py
+++ b/wigeonscale/control/watcher.py
@@ -30,7 +30,9 @@
         announcement: Newest announcement that is not committed yet, or None.
         announced: Newest announcement, or None.
         sent_load: Load order it was sent and that is still due, or None.
-        sent_drain: Operator's drain as it was last told; None before.
+        sent_drain: Operator's drain as it was last told here; None before.
+        load_since: Instant at which ``sent_load`` was first sent.
+        failed_orders: Failures since the last order that was done.
         order_due_at: Instant at which an unchanged order is pushed again.
         ended: Incarnation it must be told has ended; 0 for none.
         unanswered: Newest heartbeat without a lease, with its arrival, or None.
@@ -51,7 +53,9 @@
         self.announced: wire.Backend | None = None
         self.sent_load: wire.LoadLayers | None = None
         self.sent_drain: bool | None = None
+        self.load_since = 0.0
         self.order_due_at = 0.0
+        self.failed_orders = 0
         self.ended = 0
         self.unanswered: tuple[wire.Heartbeat, float] | None = None
         self.wake = asyncio.Event()
--- a/wigeonscale/state/members.py
+++ b/wigeonscale/state/members.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Member", "Members"]
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -137,6 +138,12 @@
                 ErrorKind.BAD_REQUEST,
                 f"agent {backend.agent_id!r} announced without name or incarnation",
             )
+        rates = (backend.layer_rate, backend.link_rate, float(backend.layer_capacity))
+        if not all(math.isfinite(rate) and rate >= 0 for rate in rates):
+            return refused(
+                ErrorKind.BAD_REQUEST,
+                f"agent {backend.agent_id!r} announced rates or capacity {rates}",
+            )
         if self.is_ended(backend.agent_id, backend.incarnation):
             return refused(
                 ErrorKind.STALE_INCARNATION,
