--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -7,7 +7,7 @@
 from google.protobuf.message import DecodeError
 from reactivex.subject import Subject
 
-from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.errors import ErrorKind, SettingsError, WigeonscaleError
 from wigeonscale.state.chains import Chains
 from wigeonscale.state.claims import Claims
 from wigeonscale.state.configuration import HISTORY_LIMIT, Configuration
@@ -66,6 +66,7 @@
     """
 
     def __init__(self, *, history_limit: int = HISTORY_LIMIT):
+        self._history_limit = history_limit
         self.configuration = Configuration(history_limit=history_limit)
         self.members = Members()
         self.chains = Chains(members=self.members)
@@ -160,7 +161,14 @@
             WigeonscaleError: ``CORRUPT_LOG`` if it cannot be read; nothing changed.
         """
         snapshot = _parse_snapshot(data)
-        self.configuration.load(snapshot)
+        configuration = Configuration(history_limit=self._history_limit)
+        try:
+            configuration.load(snapshot)
+        except SettingsError as exc:
+            raise WigeonscaleError(
+                ErrorKind.CORRUPT_LOG, f"the snapshot's document: {exc.message}"
+            ) from exc
+        self.configuration = configuration
         self.members.load(snapshot)
         self.chains.load(snapshot)
         self.claims.load(snapshot.claims)
--- /dev/null
+++ b/wigeonscale/state/tests/test_configuration.py
@@ -0,0 +1,124 @@
+"""Tests of revisions: races, resends, history."""
+
+from wigeonscale.errors import ErrorKind
+from wigeonscale.state import ControlState
+from wigeonscale.state.tests.support import DOCUMENT, Machine
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def document(number):
+    return DOCUMENT + f"\n[service s{number}]\n"
+
+
+class ConfigurationTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.machine = Machine(state=ControlState(history_limit=3))
+        self.configuration = self.machine.state.configuration
+
+    def test_of_two_equal_bases_one_wins(self):
+        first = self.machine.apply(document(1))
+        second = self.machine.apply(document(2))
+        self.assertEqual(("", 1), (first.kind, first.revision))
+        self.assertEqual(ErrorKind.REVISION_CONFLICT, second.kind)
+        self.assertEqual(1, second.revision)
+        self.assertIn("revision 1", second.message)
+        self.assertEqual({"s1"}, set(self.configuration.document.services))
+
+    def test_invalid_document_changes_nothing(self):
+        self.machine.apply(document(1))
+        result = self.machine.apply("[rule x]\nwhen = nonsense\n", base=1)
+        self.assertEqual(ErrorKind.INVALID_DOCUMENT, result.kind)
+        self.assertEqual(1, self.configuration.revision)
+        self.assertEqual({"s1"}, set(self.configuration.document.services))
+
+    def test_changes_that_do_not_fit_are_refused(self):
+        self.machine.apply(document(1))
+        change = wire.SectionChange(name="rule b", text="[rule b]\n", after="absent")
+        config = wire.ApplyConfig(base_revision=1, changes=[change])
+        result = self.machine.run(apply_config=config)
+        self.assertEqual(ErrorKind.INVALID_DOCUMENT, result.kind)
+        self.assertEqual(1, self.configuration.revision)
+
+    def test_document_and_changes_together_are_refused(self):
+        change = wire.SectionChange(name="service s", text="[service s]\n")
+        config = wire.ApplyConfig(document=document(1), changes=[change])
+        result = self.machine.run(apply_config=config)
+        self.assertEqual(ErrorKind.INVALID_DOCUMENT, result.kind)
+
+    def test_history_is_bounded_and_leads_on(self):
+        for number in range(5):
+            self.machine.apply(document(number), base=number)
+        self.assertEqual(2, self.configuration.oldest_known)
+        self.assertEqual([4, 5], [r.number for r in self.configuration.after(3)])
+        self.assertEqual([], self.configuration.after(5))
+        self.assertIsNone(self.configuration.document_at(1))
+        self.assertEqual({"s1"}, set(self.configuration.document_at(2).services))
+        self.assertEqual({"s4"}, set(self.configuration.document_at(5).services))
+        self.assertIsNone(self.configuration.document_at(6))
+
+    def test_snapshot_keeps_history(self):
+        for number in range(5):
+            self.machine.apply(document(number), base=number, operator=f"o{number}")
+        other = ControlState(history_limit=3)
+        other.restore(self.machine.state.snapshot())
+        self.assertEqual(5, other.configuration.revision)
+        self.assertEqual(
+            self.configuration.document.digest, other.configuration.document.digest
+        )
+        self.assertEqual(
+            [r.operator for r in self.configuration.history],
+            [r.operator for r in other.configuration.history],
+        )
+        self.assertEqual({"s1"}, set(other.configuration.document_at(2).services))
+
+
+class OperationsTest(AsyncTestCase):
+    def test_resend_gets_first_result(self):
+        machine = Machine()
+        first = machine.apply(document(1), operation_id="op")
+        machine.apply(document(2), base=1, operation_id="later")
+        again = machine.apply(document(1), operation_id="op")
+        self.assertEqual(first, again)
+        self.assertEqual(2, machine.state.configuration.revision)
+
+    def test_resend_of_refused_command_gets_refusal(self):
+        machine = Machine()
+        machine.apply(document(1))
+        first = machine.apply(document(2), operation_id="op")
+        self.assertEqual(ErrorKind.REVISION_CONFLICT, first.kind)
+        self.assertEqual(first, machine.apply(document(2), operation_id="op"))
+
+    def test_resend_after_snapshot_gets_first_result(self):
+        machine = Machine()
+        first = machine.apply(document(1), operation_id="op")
+        machine.announce("a")
+        claimed = machine.run(
+            operation_id="c", claim=wire.Claim(key="k", dispatch_id="d", agent_id="a")
+        )
+        restored = Machine()
+        restored.state.restore(machine.state.snapshot())
+        self.assertEqual(first, restored.apply(document(1), operation_id="op"))
+        again = restored.run(
+            operation_id="c", claim=wire.Claim(key="k", dispatch_id="d", agent_id="a")
+        )
+        self.assertEqual(claimed, again)
+
+    def test_same_id_for_another_command_is_refused(self):
+        machine = Machine()
+        machine.apply(document(1), operation_id="op")
+        other = machine.apply(document(2), base=1, operation_id="op")
+        self.assertEqual(ErrorKind.IDEMPOTENCY_KEY_REUSED, other.kind)
+        self.assertEqual(1, machine.state.configuration.revision)
+
+    def test_results_are_bounded_by_age(self):
+        machine = Machine()
+        day_ms = 24 * 3600 * 1000
+        drain = wire.DrainBackend(agent_id="absent", draining=True)
+        machine.run(operation_id="old", wall_ms=1, drain=drain)
+        machine.run(operation_id="new", wall_ms=day_ms + 2, drain=drain)
+        command = wire.Command(operation_id="old", drain=drain)
+        self.assertIsNone(machine.state.first_result(command))
+        command.operation_id = "new"
+        self.assertIsNotNone(machine.state.first_result(command))
--- /dev/null
+++ b/wigeonscale/state/tests/test_members.py
@@ -0,0 +1,165 @@
+"""Tests of members and chains inside the control state."""
+
+from wigeonscale.errors import ErrorKind
+from wigeonscale.state.tests.support import Machine, chain
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class MembersTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.machine = Machine()
+        self.members = self.machine.state.members
+
+    def end(self, agent_id, incarnation, replica=""):
+        end = wire.EndIncarnation(
+            agent_id=agent_id, incarnation=incarnation, replica=replica
+        )
+        return self.machine.run(end_incarnation=end)
+
+    def test_ended_incarnation_cannot_announce_again(self):
+        self.machine.announce("a", 1)
+        self.end("a", 1)
+        result = self.machine.announce("a", 1)
+        self.assertEqual(ErrorKind.STALE_INCARNATION, result.kind)
+        self.assertIsNone(self.members.get("a"))
+
+    def test_new_incarnation_ends_the_one_before(self):
+        self.machine.announce("a", 1)
+        self.machine.announce("a", 2)
+        result = self.machine.announce("a", 1)
+        self.assertEqual(ErrorKind.STALE_INCARNATION, result.kind)
+        self.assertTrue(self.members.holds("a", 2))
+
+    def test_agent_that_moved_is_not_ended_by_the_replica_it_left(self):
+        self.machine.announce("a", 1, replica="c1")
+        self.machine.announce("a", 1, replica="c2")
+        result = self.end("a", 1, replica="c1")
+        self.assertEqual(ErrorKind.REVISION_CONFLICT, result.kind)
+        self.assertTrue(self.members.holds("a", 1))
+        self.assertEqual([], self.members.attached_to("c1"))
+        self.end("a", 1, replica="c2")
+        self.assertFalse(self.members.holds("a", 1))
+        self.assertEqual([], self.members.replicas())
+
+    def test_announcement_must_be_sound(self):
+        for agent_id, incarnation in (("", 1), ("a", 0)):
+            result = self.machine.announce(agent_id, incarnation)
+            self.assertEqual(ErrorKind.BAD_REQUEST, result.kind)
+        backend = wire.Backend(agent_id="a", incarnation=1, link_rate=float("nan"))
+        result = self.machine.run(announce=wire.Announce(backend=backend))
+        self.assertEqual(ErrorKind.BAD_REQUEST, result.kind)
+
+    def test_operators_drain_outlives_a_restart(self):
+        self.machine.announce("a", 1)
+        self.machine.run(drain=wire.DrainBackend(agent_id="a", draining=True))
+        self.machine.announce("a", 2)
+        self.assertTrue(self.members.effective("a").draining)
+        self.machine.run(drain=wire.DrainBackend(agent_id="a", draining=False))
+        self.assertFalse(self.members.effective("a").draining)
+
+    def test_drain_of_an_unknown_server_is_refused(self):
+        result = self.machine.run(drain=wire.DrainBackend(agent_id="x", draining=True))
+        self.assertEqual(ErrorKind.NOT_FOUND, result.kind)
+
+
+class ChainsTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.machine = Machine()
+        self.chains = self.machine.state.chains
+        for agent_id in ("a", "b", "s"):
+            self.machine.announce(agent_id)
+        self.changes = []
+        self.machine.state.changes.subscribe(self.changes.append)
+
+    def place_ready(self):
+        self.machine.place(chain("c", 1, ("a", 0, 1), ("b", 2, 3)))
+        self.machine.announce("a", layers=(0, 1))
+        self.machine.announce("b", layers=(2, 3))
+        self.assertTrue(self.chains.get("c").ready)
+
+    def test_ready_once_every_stage_is_loaded(self):
+        self.machine.place(chain("c", 1, ("a", 0, 1), ("b", 2, 3), ready=True))
+        self.assertFalse(self.chains.get("c").ready)
+        self.machine.announce("a", layers=(0, 1))
+        self.assertFalse(self.chains.get("c").ready)
+        self.machine.announce("b", layers=(2, 3))
+        self.assertTrue(self.chains.get("c").ready)
+        self.assertEqual({"c"}, self.changes[-1].chains)
+        self.machine.announce("b", layers=(1, 3))
+        self.assertFalse(self.chains.get("c").ready)
+
+    def test_version_and_adapter_must_match(self):
+        wanted = chain("c", 1, ("a", 0, 3), version="v2", adapter="x")
+        self.machine.place(wanted)
+        self.machine.announce("a", layers=(0, 3), version="v1", adapters=["x"])
+        self.assertFalse(self.chains.get("c").ready)
+        self.machine.announce("a", layers=(0, 3), version="v2")
+        self.assertFalse(self.chains.get("c").ready)
+        self.machine.announce("a", layers=(0, 3), version="v2", adapters=["x"])
+        self.assertTrue(self.chains.get("c").ready)
+
+    def test_lost_or_restarted_stage_makes_unready(self):
+        self.place_ready()
+        self.machine.announce("b", 2, layers=(2, 3))
+        self.assertFalse(self.chains.get("c").ready)
+
+    def test_successor_waits_until_it_is_ready(self):
+        self.place_ready()
+        self.machine.place(chain("c", 2, ("a", 0, 1), ("s", 2, 3)))
+        self.assertEqual(1, self.chains.get("c").epoch)
+        self.assertEqual([2], [each.epoch for each in self.chains.planned()])
+        self.machine.announce("s", layers=(2, 3))
+        self.assertEqual((2, True), self.epoch_and_ready())
+
+    def test_successor_steps_in_when_the_chain_breaks(self):
+        self.place_ready()
+        self.machine.place(chain("c", 2, ("a", 0, 1), ("s", 2, 3)))
+        end = wire.EndIncarnation(agent_id="b", incarnation=1)
+        self.machine.run(end_incarnation=end)
+        self.assertEqual((2, False), self.epoch_and_ready())
+
+    def test_chain_that_needs_other_layers_of_an_engine_does_not_wait(self):
+        self.place_ready()
+        self.machine.place(chain("c", 2, ("a", 0, 0), ("s", 1, 3)))
+        self.assertEqual((2, False), self.epoch_and_ready())
+
+    def epoch_and_ready(self):
+        return self.chains.get("c").epoch, self.chains.get("c").ready
+
+    def test_unsound_plans_are_refused_whole(self):
+        self.place_ready()
+        self.machine.place(removed=["gone"])
+        good = chain("d", 1, ("s", 0, 3))
+        cases = {
+            "an agent of another chain": chain("e", 1, ("a", 0, 3)),
+            "an agent of the same plan": chain("e", 1, ("s", 0, 3)),
+            "unknown agent": chain("e", 1, ("nobody", 0, 3)),
+            "a gap": chain("e", 1, ("a", 1, 3)),
+            "a repeated layer": chain("c", 2, ("a", 0, 2), ("b", 2, 3)),
+            "no newer epoch": chain("c", 1, ("a", 0, 1), ("b", 2, 3)),
+            "no stages": chain("e", 1),
+        }
+        before = self.machine.state.snapshot()
+        for name, bad in cases.items():
+            result = self.machine.place(good, bad)
+            self.assertEqual(ErrorKind.BAD_REQUEST, result.kind, name)
+            self.assertIsNone(self.chains.get("d"), name)
+            self.assertEqual(1, self.chains.get("c").epoch, name)
+        self.assertEqual(len(before), len(self.machine.state.snapshot()))
+
+    def test_removed_id_is_not_reused(self):
+        self.place_ready()
+        self.machine.place(removed=["c"])
+        self.assertIsNone(self.chains.get("c"))
+        result = self.machine.place(chain("c", 9, ("a", 0, 1), ("b", 2, 3)))
+        self.assertEqual(ErrorKind.BAD_REQUEST, result.kind)
+
+    def test_plan_from_an_older_placement_is_refused(self):
+        base = self.machine.state.placement_index
+        self.machine.place(chain("c", 1, ("a", 0, 3)), base=base)
+        result = self.machine.place(chain("d", 1, ("b", 0, 3)), base=base)
+        self.assertEqual(ErrorKind.REVISION_CONFLICT, result.kind)
+        self.assertIsNone(self.chains.get("d"))
