agent: prove recovery under faults; cut waiting work before running

Cause: at the stop's bound, ending a running dispatch freed its slot and began one that waited, which was then told "ran". Shown by test_cut_at_the_bound_is_told, red before (['ran', 'ran']), green after. Change: waiting dispatches are ended first.

--- a/wigeonscale/agent/dispatch.py
+++ b/wigeonscale/agent/dispatch.py
@@ -221,7 +221,10 @@
 
     def cut(self) -> None:
         """End every open dispatch because the process stops now."""
-        for dispatch in self._table.live():
+        # Those that wait go first, or a freed slot would begin them.
+        live = self._table.live()
+        live.sort(key=lambda dispatch: dispatch.state is DispatchState.RUNNING)
+        for dispatch in live:
             exc = WigeonscaleError(
                 ErrorKind.STOPPING,
                 f"agent {self._agent_id} stopped before the end",
--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -1,6 +1,18 @@
 """A few agents in one process on loopback, with fake engines and a fake control."""
 
-__all__ = ["EntryClient", "FakeControl", "Node", "start_chain", "start_service"]
+__all__ = [
+    "BreakingEngine",
+    "EntryClient",
+    "FakeControl",
+    "Node",
+    "TcpProxy",
+    "connect",
+    "make_chain",
+    "settle",
+    "start_chain",
+    "start_service",
+    "until",
+]
 
 import asyncio
 import itertools
@@ -19,6 +31,41 @@
 LAYERS_PER_STAGE = 2
 
 
+async def until(condition):
+    """Wait for a condition that no event tells of."""
+    async with asyncio.timeout(30):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
+
+
+async def settle():
+    """Let grpcio's own handlers of stopped servers end; none may be left."""
+    await until(lambda: not any("_cython" in repr(t) for t in asyncio.all_tasks()))
+
+
+class BreakingEngine(FakeEngine):
+    """Calls back when it comes to a position, before or after running it."""
+
+    def __init__(self, **kwargs):
+        super().__init__(**kwargs)
+        self.break_at = None
+        self.break_after = False
+        self.on_break = None
+
+    async def run(self, steps):
+        due = any(s.position == self.break_at for s in steps)
+        if due and not self.break_after:
+            await self._break()
+        results = await super().run(steps)
+        if due and self.break_after:
+            await self._break()
+        return results
+
+    async def _break(self):
+        self.break_at = None
+        await self.on_break()
+
+
 class FakeControl:
     """What agents ask of control, shared by all agents of a test."""
 
@@ -112,6 +159,10 @@
         await self.server.stop(grace=None)
         await self.agent.close()
 
+    async def kill(self):
+        """Break every connection at once; nothing is told to anyone."""
+        await self.server.stop(grace=None)
+
     def stage(self, number):
         first = number * LAYERS_PER_STAGE
         return wire.Stage(
@@ -196,11 +247,12 @@
 
 async def start_chain(case, *, stages=3, spares=0, trace=None, step_s=0.0, **settings):
     """Start agents with loaded engines; returns control, nodes and the chain."""
+    case.addCleanup(settle)
     control = settings.pop("control", None) or FakeControl()
     nodes = []
     for number in range(stages + spares):
         stage = number if number < stages else settings.get("spare_stage", 1)
-        engine = FakeEngine(
+        engine = BreakingEngine(
             name=f"a{number}",
             info=EngineInfo(
                 model="m",
@@ -228,6 +280,7 @@
 
 
 async def start_service(case, service, **settings):
+    case.addCleanup(settle)
     control = FakeControl()
     node = Node(name="s0", control=control, service=service, **settings)
     await node.start()
@@ -239,3 +292,69 @@
     client = EntryClient(node)
     case.addCleanup(client.close)
     return client
+
+
+class TcpProxy:
+    """Forwards connections to an address; some or all may go silent for good."""
+
+    def __init__(self, target):
+        self._target = target
+        self._muted: set[str] = set()
+        self._connections = set()
+        self._deaf = False
+        self.accepted = 0
+
+    async def start(self, case):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        case.addCleanup(self.stop)
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def mute_open(self, direction):
+        """Swallow what goes "in" or "out" on the connections open now."""
+        for conn in self._connections:
+            conn.add(direction)
+
+    def mute_all(self):
+        """Swallow everything, on new connections too."""
+        self._deaf = True
+
+    async def stop(self):
+        self._server.close()
+        for conn in list(self._connections):
+            conn.task.cancel()
+        await asyncio.gather(
+            *(conn.task for conn in self._connections), return_exceptions=True
+        )
+
+    async def _serve(self, reader, writer):
+        conn = _Connection(asyncio.current_task())
+        self._connections.add(conn)
+        self.accepted += 1
+        host, _, port = self._target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(
+                self._copy(reader, far_writer, conn, "in"),
+                self._copy(far_reader, writer, conn, "out"),
+            )
+        except OSError:
+            pass
+        finally:
+            self._connections.discard(conn)
+            writer.close()
+
+    async def _copy(self, reader, writer, conn, direction):
+        while data := await reader.read(1 << 16):
+            if not self._deaf and direction not in conn:
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+class _Connection(set):
+    __hash__ = object.__hash__
+
+    def __init__(self, task):
+        super().__init__()
+        self.task = task
--- /dev/null
+++ b/wigeonscale/agent/tests/test_faults.py
@@ -0,0 +1,221 @@
+import asyncio
+
+import testscenarios
+
+from wigeonscale.adapters.channels import open_channel
+from wigeonscale.agent.tests.support import (
+    TcpProxy,
+    connect,
+    make_chain,
+    start_chain,
+    until,
+)
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing.fake_engine import expected_tokens
+from wigeonscale.testing.traces import layer_order_violations
+
+LAYERS = 6
+TOKENS = 10
+PROMPT = "find the person {}"  # four pieces
+PIECES = 4
+STREAMS = 6
+
+
+class ChainCase(AsyncTestCase):
+    async def start(self, **settings):
+        self.trace = []
+        self.control, self.nodes, self.chain = await start_chain(
+            self, trace=self.trace.append, **settings
+        )
+        self.client = await connect(self, self.nodes[0])
+
+    async def send(self, streams=STREAMS):
+        return [
+            await self.client.generate(
+                self.chain, PROMPT.format(n).encode(), TOKENS, dispatch_id=f"g{n}@a0"
+            )
+            for n in range(streams)
+        ]
+
+    async def check_whole(self, ids):
+        for n, dispatch_id in enumerate(ids):
+            last = await self.client.end(dispatch_id)
+            self.assertEqual(TOKENS, last.done.tokens, last)
+            want = expected_tokens(PROMPT.format(n), LAYERS, TOKENS)
+            self.assertEqual(want, self.client.texts(dispatch_id))
+        finished = dict.fromkeys(ids, PIECES + TOKENS - 1)
+        found = layer_order_violations(self.trace, layers=LAYERS, finished=finished)
+        self.assertEqual([], [str(v) for v in found])
+
+    def repair_with(self, *nodes_of_epochs):
+        """On each newly suspected agent put the next nodes into the chain."""
+        epochs = iter(enumerate(nodes_of_epochs, start=2))
+        repaired = set()
+
+        def repair(agent_id):
+            if agent_id not in repaired:
+                repaired.add(agent_id)
+                epoch, nodes = next(epochs)
+                self.control.set_chain(make_chain(nodes, epoch=epoch))
+
+        self.control.on_suspect = repair
+
+
+class LostStageTest(testscenarios.WithScenarios, ChainCase):
+    scenarios = testscenarios.multiply_scenarios(
+        [("middle", {"lost": 1}), ("last", {"lost": 2})],
+        [
+            ("prefill", {"position": 0}),
+            ("decode", {"position": PIECES + 3}),
+            ("last token", {"position": PIECES + TOKENS - 2}),
+        ],
+        [("before", {"after": False}), ("after", {"after": True})],
+    )
+
+    async def test_stream_goes_on_with_a_spare(self):
+        await self.start(spares=1, spare_stage=self.lost)
+        lost = self.nodes[self.lost]
+        chain = self.nodes[:3]
+        chain[self.lost] = self.nodes[3]
+        self.repair_with(chain)
+        lost.engine.break_at = self.position
+        lost.engine.break_after = self.after
+        lost.engine.on_break = lost.kill
+        await self.check_whole(await self.send())
+        self.assertIn(lost.name, self.control.suspected)
+
+
+class RepairTest(ChainCase):
+    async def test_second_loss_during_the_repair(self):
+        await self.start(spares=2)
+        n0, n1, n2, s1, s2 = self.nodes
+        self.repair_with([n0, s1, n2], [n0, s2, n2])
+        for node, position in ((n1, PIECES + 2), (s1, 0)):
+            node.engine.break_at = position
+            node.engine.on_break = node.kill
+        await self.check_whole(await self.send())
+        self.assertIn("a3", self.control.suspected)
+
+    async def test_no_spare_ends_with_an_honest_error(self):
+        await self.start(repair_timeout_s=0.3)
+        lost = self.nodes[1]
+        lost.engine.break_at = PIECES + 2
+        lost.engine.on_break = lost.kill
+        for dispatch_id in await self.send(2):
+            refused = (await self.client.end(dispatch_id)).refused
+            self.assertEqual(ErrorKind.BACKEND_FAILED, refused.kind)
+            self.assertEqual(RunState.RAN, refused.run_state)
+        self.assertEqual(0, self.nodes[0].agent.admission.running)
+
+    async def test_own_engine_of_the_head_dies(self):
+        await self.start(spares=1, spare_stage=0)
+        n0, n1, n2, spare = self.nodes
+
+        async def die():
+            n0.engine.failing = True
+
+        n0.engine.break_at = PIECES + 2
+        n0.engine.on_break = die
+        ids = await self.send()
+        await until(lambda: n0.state.gone)
+        self.assertTrue(n0.state.announcement().draining)
+        self.control.set_chain(make_chain([spare, n1, n2], epoch=2))
+        await self.check_whole(ids)
+
+    async def test_one_failed_engine_call(self):
+        await self.start()
+
+        async def fail():
+            raise WigeonscaleError(ErrorKind.BACKEND_FAILED, "planted")
+
+        self.nodes[1].engine.break_at = PIECES + 2
+        self.nodes[1].engine.on_break = fail
+        await self.check_whole(await self.send())
+
+    async def test_planned_change_of_a_stage(self):
+        await self.start(spares=1)
+        n0, n1, n2, spare = self.nodes
+
+        async def change():
+            self.control.set_chain(make_chain([n0, spare, n2], epoch=2))
+
+        n1.engine.break_at = PIECES + 2
+        n1.engine.on_break = change
+        await self.check_whole(await self.send())
+        await until(lambda: not n1.agent.stage.active)
+        self.assertEqual([], self.control.suspected)
+
+
+class SilentStreamTest(testscenarios.WithScenarios, ChainCase):
+    scenarios = [
+        ("replies lost", {"direction": "out"}),
+        ("requests lost", {"direction": "in"}),
+    ]
+
+    async def test_stream_goes_on_over_a_second_connection(self):
+        proxies = {}
+        await self.start(dial=lambda address: open_channel(proxies[address]))
+        for node in self.nodes[1:]:
+            node.proxy = TcpProxy(node.address)
+            proxies[node.address] = await node.proxy.start(self)
+
+        async def mute():
+            self.nodes[1].proxy.mute_open(self.direction)
+
+        self.nodes[1].engine.break_at = PIECES + 2
+        self.nodes[1].engine.on_break = mute
+        await self.check_whole(await self.send())
+        self.assertGreaterEqual(self.nodes[1].proxy.accepted, 2)
+
+    async def test_dead_silent_peer_is_suspected(self):
+        proxies = {}
+        await self.start(
+            dial=lambda address: open_channel(proxies.get(address, address)), spares=1
+        )
+        n0, n1, n2, spare = self.nodes
+        proxy = TcpProxy(n1.address)
+        proxies[n1.address] = await proxy.start(self)
+        self.repair_with([n0, spare, n2])
+
+        async def mute():
+            proxy.mute_all()
+
+        n1.engine.break_at = PIECES + 2
+        n1.engine.on_break = mute
+        await self.check_whole(await self.send())
+        self.assertIn("a1", self.control.suspected)
+
+
+class StopTest(ChainCase):
+    async def test_work_in_progress_ends_and_new_work_is_refused(self):
+        await self.start()
+        gate = asyncio.Event()
+        self.nodes[2].engine.break_at = PIECES + 2
+        self.nodes[2].engine.on_break = gate.wait
+        ids = await self.send()
+        await until(lambda: self.nodes[2].engine.break_at is None)
+        drains = [asyncio.create_task(node.agent.drain()) for node in self.nodes]
+        await asyncio.sleep(0)
+        late = await self.client.generate(self.chain, b"late", 3, dispatch_id="late")
+        refused = (await self.client.end(late)).refused
+        self.assertEqual(
+            (ErrorKind.STOPPING, RunState.NOT_RUN), (refused.kind, refused.run_state)
+        )
+        self.assertTrue(self.client.events[-1].load.leaving)
+        gate.set()
+        await self.check_whole(ids)
+        await asyncio.gather(*drains)
+        self.assertTrue(self.nodes[0].state.announcement().draining)
+
+    async def test_cut_at_the_bound_is_told(self):
+        await self.start(slots=1)
+        self.nodes[2].engine.break_at = 0
+        self.nodes[2].engine.on_break = asyncio.Event().wait
+        running, queued = await self.send(2)
+        await until(lambda: self.nodes[2].engine.break_at is None)
+        await self.nodes[0].agent.cut()
+        states = [
+            (await self.client.end(i)).refused.run_state for i in (running, queued)
+        ]
+        self.assertEqual([RunState.RAN, RunState.NOT_RUN], states)
--- a/wigeonscale/pipelines/links.py
+++ b/wigeonscale/pipelines/links.py
@@ -58,6 +58,9 @@
         probe_after_s: Seconds of silence before asking for a sign of life.
         silence_s: Seconds of silence before the next connection is opened.
         idle_s: Seconds without requests before the connection is closed.
+
+    Attributes:
+        heard_at: Reading of the clock when the peer last sent a message.
     """
 
     def __init__(
@@ -81,7 +84,7 @@
         self._unsent: deque[wire.StepRequest] = deque()
         self._to_send = asyncio.Event()
         self._changed = asyncio.Event()
-        self._heard_at = 0.0
+        self.heard_at = 0.0
         self._fruitless = 0
         self._task: asyncio.Task | None = None
 
@@ -95,7 +98,7 @@
             PeerLostError: When two connections in a row brought nothing.
         """
         if not self._calls:
-            self._heard_at = self._clock.now()
+            self.heard_at = self._clock.now()
         req.batch_id = next(self._ids)
         call = _Call(req, asyncio.get_running_loop().create_future())
         self._calls[req.batch_id] = call
@@ -134,7 +137,7 @@
     async def _connect(self) -> None:
         channel = self._dial(self.address)
         stream = wire_pb2_grpc.AgentStub(channel).Steps()
-        self._heard_at = self._clock.now()
+        self.heard_at = self._clock.now()
         self._queue_all()
         tasks = [
             asyncio.create_task(self._write(stream)),
@@ -158,7 +161,7 @@
                 if not await wait_event(self._changed, self._clock, self._idle_s):
                     return
                 continue
-            silent_s = self._clock.now() - self._heard_at
+            silent_s = self._clock.now() - self.heard_at
             if silent_s >= self._silence_s:
                 logger.warning("stage at %s silent for %.2f s", self.address, silent_s)
                 return
@@ -176,7 +179,7 @@
     async def _read(self, stream) -> None:
         try:
             async for reply in stream:
-                self._heard_at = self._clock.now()
+                self.heard_at = self._clock.now()
                 self._fruitless = 0
                 call = self._calls.get(reply.batch_id)
                 if call is not None and not call.fut.done():
--- a/wigeonscale/testing/fake_engine.py
+++ b/wigeonscale/testing/fake_engine.py
@@ -99,6 +99,7 @@
         self.orders: list[tuple[int, int, str]] = []
         self.caches: dict[str, dict[int, str]] = {}
         self.iterations = 0
+        self.busy_s = 0.0
         self.failing = False
         self._trace = trace
         self._fence = (0, 0)
@@ -113,10 +114,13 @@
         """Run one iteration; iterations run one after the other."""
         self._check_alive()
         async with self._busy:
-            self.iterations += 1
+            began = time.monotonic()
             if self.step_s:
                 await asyncio.sleep(self.step_s)
-            return [self._run_step(step) for step in steps]
+            results = [self._run_step(step) for step in steps]
+            self.iterations += 1
+            self.busy_s += time.monotonic() - began
+            return results
 
     async def cancel(self, sequence_ids: Sequence[str]) -> None:
         """Forget sequences and free their cache."""
