Test the control parts; mend resent rollbacks and silent engines

Cause, found by new tests: a resent rollback was worked out as another command and told IDEMPOTENCY_KEY_REUSED (its document then equals the one in force, so the changes differ); a failed load order told the drain again; an engine that does not answer its agent has rate 0 and broke planning. Change: ApplyConfig.digest (additive) names the document wanted, is checked on apply and is what a resend is compared by; engines without a rate are left out of planning as lost. Ruled out: looking up operations by id alone (a reused id would be told another command's result).

--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -175,14 +175,18 @@
         The digest of the document in the operation id keeps apart operators who
         picked the same id: each gets the answer to its own document.
         """
-        digest = document.digest[:DIGEST_LENGTH]
-        apply = wire.ApplyConfig(base_revision=base_revision, operator=operator)
+        apply = wire.ApplyConfig(
+            base_revision=base_revision, operator=operator, digest=document.digest
+        )
         base = self._state.configuration.document_at(base_revision)
         if base is not None:
             apply.changes.extend(diff_documents(base, document))
         if not apply.changes:
             apply.document = document.text
-        return wire.Command(operation_id=f"{operation_id}/{digest}", apply_config=apply)
+        return wire.Command(
+            operation_id=f"{operation_id}/{document.digest[:DIGEST_LENGTH]}",
+            apply_config=apply,
+        )
 
     # --------------------------------------------------------------- members
 
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -19,6 +19,7 @@
 # An order that neither failed nor led to an announcement is pushed again.
 ORDER_AGAIN_S = 10.0
 ORDER_RETRY_S = 1.0
+LOAD = "load"  # how the ids of orders to load begin
 
 logger = logging.getLogger(__name__)
 
@@ -167,8 +168,10 @@
         )
         is_behind = result.kind == ErrorKind.STALE_TERM
         pause_s = 0.0 if is_behind else ORDER_RETRY_S
-        watcher.order_due_at = self._clock.now() + pause_s
-        watcher.sent_drain = None
+        if result.order_id.startswith(LOAD):
+            watcher.order_due_at = self._clock.now() + pause_s
+        else:
+            watcher.sent_drain = None
 
     def due(self, watcher: Watcher) -> Iterator[wire.WatchEvent]:
         """Yield what a watcher is due now, oldest need first.
@@ -228,7 +231,7 @@
             is_changed or self._clock.now() >= watcher.order_due_at
         ):
             watcher.order_due_at = self._clock.now() + ORDER_AGAIN_S
-            yield self._order(f"load-{load.chain_id}-{load.epoch}", load=load)
+            yield self._order(f"{LOAD}-{load.chain_id}-{load.epoch}", load=load)
         watcher.sent_load = load
         yield from self._due_drain(watcher)
 
--- a/wigeonscale/control/planning.py
+++ b/wigeonscale/control/planning.py
@@ -78,12 +78,14 @@
         state: The replicated state.
 
     Returns:
-        One spec an engine; draining if its agent or an operator says so.
+        One spec an engine; draining if its agent or an operator says so. An engine
+        that does not answer its agent has no rate and is left out, as if lost.
     """
     specs = []
     for member in state.members:
         backend = member.backend
-        if backend.kind == wire.ENGINE:
+        can_work = backend.layer_rate > 0 and backend.link_rate > 0
+        if backend.kind == wire.ENGINE and can_work:
             drained = state.members.is_drained(backend.agent_id)
             specs.append(_engine_spec(backend, backend.draining or drained))
     return sorted(specs, key=lambda spec: spec.agent_id)
--- /dev/null
+++ b/wigeonscale/control/tests/support.py
@@ -0,0 +1,136 @@
+"""A stand-in for the replicated log, and the parts of one control replica."""
+
+from wigeonscale.adapters.channels import new_server
+from wigeonscale.adapters.metrics import Metrics
+from wigeonscale.control import Commands, ControlServicer, Hub, Liveness, Watcher
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.replication import Member, NotLeaderError, Role
+from wigeonscale.state import ControlState
+from wigeonscale.state.tests.support import engine
+from wigeonscale.testing import ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+LEASE_S = 3.0
+DOWN_AFTER_S = 1.5
+
+
+class StandInReplica:
+    """Applies each proposal at once; tests set its role and freshness."""
+
+    def __init__(self, *, state, clock):
+        self.role = Role.LEADER
+        self.term = 1
+        self.applied_term = 1
+        self.leader_address = ""
+        self.may_vote = True
+        self.stale_s = 0.0
+        self.fails = None
+        self.silences = {}
+        self.peers = [Member("c1", "one"), Member("c2", "two")]
+        self.proposed = []
+        self._state = state
+        self._clock = clock
+
+    @property
+    def applied_index(self):
+        return self._state.index
+
+    commit_index = applied_index
+
+    def fresh_at(self):
+        return None if self.stale_s is None else self._clock.now() - self.stale_s
+
+    def last_position(self):
+        return self.term, self._state.index
+
+    def members(self):
+        return tuple(self.peers)
+
+    def peer_silence(self, node_id):
+        return self.silences.get(node_id, float("inf"))
+
+    async def propose(self, data):
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(node_id="c1", leader=self.leader_address)
+        if self.fails is not None:
+            raise WigeonscaleError(ErrorKind.NO_QUORUM, self.fails)
+        self.proposed.append(wire.Command.FromString(data))
+        return self._state.apply(self._state.index + 1, self.term, data)
+
+
+class Parts:
+    """The control parts of one replica, named c1, over a stand-in log."""
+
+    def __init__(self, *, clock=None, loads=4, addresses=("127.0.0.1:1",)):
+        self.clock = clock or ManualClock()
+        self.state = ControlState()
+        self.replica = StandInReplica(state=self.state, clock=self.clock)
+        self.metrics = Metrics()
+        self.commands = Commands(
+            replica=self.replica,
+            addresses=addresses,
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        self.hub = Hub(
+            node_id="c1",
+            state=self.state,
+            replica=self.replica,
+            clock=self.clock,
+            lease_s=LEASE_S,
+            loads=loads,
+        )
+        self.told = []
+        self.peer_answers = True
+        self.liveness = Liveness(
+            node_id="c1",
+            state=self.state,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            clock=self.clock,
+            down_after_s=DOWN_AFTER_S,
+            lease_s=LEASE_S,
+            tell_replica=self._tell,
+            metrics=self.metrics,
+        )
+
+    async def _tell(self, address, suspicion):
+        self.told.append((address, suspicion.agent_id))
+        return self.peer_answers
+
+    async def run(self, **body):
+        return await self.commands.propose(wire.Command(**body))
+
+    async def announce(self, agent_id, incarnation=1, *, replica="c1", **fields):
+        backend = engine(agent_id, incarnation, **fields)
+        return await self.run(announce=wire.Announce(backend=backend, replica=replica))
+
+    async def attach(self, agent_id, incarnation=1, **fields):
+        """Return the stream of an agent that announced itself here."""
+        watcher = self.watcher(agent_id, "agent")
+        self.hub.announce(watcher, engine(agent_id, incarnation, **fields))
+        await self.announce(agent_id, incarnation, **fields)
+        return watcher
+
+    def watcher(self, node_id="e1", role="entry", known_revision=0):
+        hello = wire.Hello(node_id=node_id, role=role, known_revision=known_revision)
+        watcher = Watcher(hello=hello, clock=self.clock)
+        self.hub.add(watcher)
+        return watcher
+
+    async def serve(self):
+        """Serve over gRPC; returns the server and its address."""
+        server, address = new_server("127.0.0.1:0")
+        servicer = ControlServicer(
+            node_id="c1",
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            liveness=self.liveness,
+            clock=self.clock,
+        )
+        wire_pb2_grpc.add_ControlServicer_to_server(servicer, server)
+        await server.start()
+        return server, address
--- /dev/null
+++ b/wigeonscale/control/tests/test_admin.py
@@ -0,0 +1,178 @@
+"""Tests of the operators' pages over HTTP."""
+
+import hashlib
+import json
+
+import aiohttp
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonscale.adapters.health import bound_address, start_http
+from wigeonscale.control import Admin
+from wigeonscale.control.documents import ApplyRequest
+from wigeonscale.control.tests.support import Parts
+from wigeonscale.errors import ErrorKind
+from wigeonscale.replication import Role
+from wigeonscale.state.tests.support import DOCUMENT
+from wigeonscale.testing import AsyncTestCase
+
+TOKEN = "secret"
+
+
+class AdminTest(AsyncTestCase):
+    token_digest = ""
+
+    async def prepare(self):
+        self.parts = Parts()
+        self.addCleanup(self.parts.hub.close)
+        admin = Admin(
+            node_id="c1",
+            state=self.parts.state,
+            replica=self.parts.replica,
+            hub=self.parts.hub,
+            commands=self.parts.commands,
+            token_digest=self.token_digest,
+        )
+        runner = await start_http("127.0.0.1:0", admin.routes(), lambda: True)
+        self.addCleanup(runner.cleanup)
+        self.http = aiohttp.ClientSession(f"http://{bound_address(runner)}")
+        self.addCleanup(self.http.close)
+
+    async def get(self, page, **kwargs):
+        async with self.http.get(f"/admin/{page}", **kwargs) as answer:
+            return answer.status, await answer.json()
+
+    async def post(self, page, **body):
+        async with self.http.post(f"/admin/{page}", json=body) as answer:
+            return answer.status, await answer.json()
+
+    async def apply(self, document=DOCUMENT, *, base=0, operation="op"):
+        return await self.post(
+            "rules/apply",
+            base_revision=base,
+            operation_id=operation,
+            document=document,
+            operator="ann",
+        )
+
+    async def test_apply_show_history(self):
+        self.assertEqual((200, 1), await self.status_and_revision(self.apply()))
+        _, shown = await self.get("rules")
+        self.assertEqual((1, DOCUMENT), (shown["revision"], shown["document"]))
+        _, history = await self.get("rules/history")
+        (revision,) = history["revisions"]
+        self.assertEqual("ann", revision["operator"])
+        self.assertEqual(["pipeline proof", "rule all"], revision["sections"])
+
+    async def status_and_revision(self, asked):
+        status, body = await asked
+        return status, body["revision"]
+
+    async def status_and_kind(self, asked):
+        status, body = await asked
+        return status, body["error"]["kind"]
+
+    async def test_resent_apply_gets_its_first_answer(self):
+        first = await self.apply()
+        await self.apply(DOCUMENT + "[service s]\n", base=1, operation="later")
+        self.assertEqual(first, await self.apply())
+
+    async def test_racing_operators_with_equal_ids_each_get_their_own_answer(self):
+        self.assertEqual(200, (await self.apply())[0])
+        status, body = await self.apply(DOCUMENT + "[service s]\n")
+        self.assertEqual((409, "revision-conflict"), (status, body["error"]["kind"]))
+        self.assertIn("revision 1", body["error"]["message"])
+
+    async def test_command_weighs_what_changed(self):
+        services = "".join(f"[service s{n}]\n" for n in range(500))
+        await self.apply(DOCUMENT + services)
+        await self.apply(DOCUMENT + services + "[service x]\n", base=1, operation="b")
+        command = self.parts.replica.proposed[-1]
+        self.assertEqual(["service x"], [c.name for c in command.apply_config.changes])
+        self.assertLess(command.ByteSize(), 200)
+
+    async def test_bad_documents_and_bodies_are_refused(self):
+        bad = await self.status_and_kind(self.apply("[rule x]\nnonsense\n"))
+        self.assertEqual((422, "invalid-document"), bad)
+        for body in ({}, {"base_revision": -1}, {"base_revision": "0"}):
+            refused = await self.status_and_kind(self.post("rules/apply", **body))
+            self.assertEqual((400, "bad-request"), refused)
+        self.assertEqual([], self.parts.replica.proposed)
+
+    async def test_rollback_makes_a_new_revision_once(self):
+        await self.apply()
+        await self.apply(DOCUMENT + "[service s]\n", base=1, operation="b")
+        for _ in range(2):
+            back = self.post("rules/rollback", revision=1, operation_id="c")
+            self.assertEqual((200, 3), await self.status_and_revision(back))
+        _, shown = await self.get("rules")
+        self.assertEqual((3, DOCUMENT), (shown["revision"], shown["document"]))
+        absent = self.post("rules/rollback", revision=9, operation_id="d")
+        self.assertEqual((404, "not-found"), await self.status_and_kind(absent))
+
+    async def test_drain(self):
+        unknown = self.post("drain", agent_id="a", draining=True, operation_id="x")
+        self.assertEqual((404, "not-found"), await self.status_and_kind(unknown))
+        await self.parts.announce("a")
+        status, _ = await self.post(
+            "drain", agent_id="a", draining=True, operation_id="y"
+        )
+        _, shown = await self.get("backends")
+        (backend,) = shown["backends"]
+        self.assertEqual((200, True), (status, backend["drained"]))
+
+    async def test_follower_names_the_leader(self):
+        self.parts.replica.role = Role.FOLLOWER
+        self.parts.replica.leader_address = "10.0.0.9:7000"
+        status, body = await self.apply()
+        self.assertEqual((421, "not-leader"), (status, body["error"]["kind"]))
+        self.assertIn("10.0.0.9:7000", body["error"]["message"])
+        self.assertIn("retry_after", body["error"])
+
+    async def test_replica_that_is_not_fresh_shows_its_status_only(self):
+        self.parts.replica.stale_s = None
+        for page in ("rules", "rules/history", "backends", "pipelines"):
+            refused = await self.status_and_kind(self.get(page))
+            self.assertEqual((503, ErrorKind.NO_QUORUM), refused)
+        status, shown = await self.get("status")
+        self.assertEqual((200, False), (status, shown["fresh"]))
+
+    async def test_status_names_watchers(self):
+        watcher = self.parts.watcher("e7")
+        watcher.applied_revision = 4
+        _, shown = await self.get("status")
+        (only,) = shown["watchers"]
+        self.assertEqual(("e7", 4), (only["node_id"], only["applied_revision"]))
+
+    async def test_pipelines_show_chains(self):
+        await self.apply()
+        _, shown = await self.get("pipelines")
+        (only,) = shown["pipelines"]
+        self.assertEqual(
+            ("proof", 0, []), (only["name"], only["ready"], only["chains"])
+        )
+
+
+class TokenTest(AdminTest):
+    token_digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+
+    async def prepare(self):
+        await super().prepare()
+        self.http.headers["Authorization"] = f"Bearer {TOKEN}"
+
+    async def test_wrong_token_is_forbidden(self):
+        for value in ("", "Bearer wrong", TOKEN + "x"):
+            asked = self.get("rules", headers={"Authorization": value})
+            self.assertEqual((403, "forbidden"), await self.status_and_kind(asked))
+
+
+class BodyFuzzTest(AsyncTestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.recursive(st.none() | st.booleans() | st.text(), st.lists))
+    def test_any_json_is_accepted_or_refused(self, value):
+        data = json.dumps({"base_revision": 1, "operation_id": value, "document": ""})
+        try:
+            body = ApplyRequest.model_validate_json(data)
+        except ValueError:
+            return
+        self.assertEqual(value, body.operation_id)
--- /dev/null
+++ b/wigeonscale/control/tests/test_planning.py
@@ -0,0 +1,178 @@
+"""Tests of placement by the leader: planning, draining, upgrades, races."""
+
+import asyncio
+
+from wigeonscale.control import PlacementLoop
+from wigeonscale.control.tests.support import Parts
+from wigeonscale.replication import Role
+from wigeonscale.state.tests.support import DOCUMENT, chain
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+LIMIT_S = 30
+
+
+class PlacementTest(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts()
+        self.addCleanup(self.parts.hub.close)
+        self.state = self.parts.state
+        loop = PlacementLoop(
+            state=self.state,
+            replica=self.parts.replica,
+            hub=self.parts.hub,
+            commands=self.parts.commands,
+            clock=self.parts.clock,
+        )
+        task = asyncio.create_task(loop.run())
+
+        async def stop():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.addCleanup(stop)
+
+    async def apply(self, document=DOCUMENT):
+        base = self.state.configuration.revision
+        config = wire.ApplyConfig(base_revision=base, document=document)
+        await self.parts.run(apply_config=config)
+
+    async def until(self, condition):
+        """Wait for the planning thread by events, with time passing meanwhile."""
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await self.parts.clock.advance(0.05)
+                await asyncio.sleep(0.001)
+
+    async def settle(self):
+        """Wait until planning from the present state changed nothing."""
+        for _ in range(20):
+            await self.parts.clock.advance(0.25)
+            await asyncio.sleep(0.001)
+
+    def planned(self):
+        return self.state.chains.planned()
+
+    async def load_all(self):
+        for each in self.planned():
+            for stage in each.stages:
+                layers = (stage.first_layer, stage.last_layer)
+                await self.parts.announce(
+                    stage.agent_id, layers=layers, version=each.version
+                )
+
+    async def test_engines_become_a_chain(self):
+        await self.apply()
+        await self.parts.announce("a")
+        await self.until(lambda: len(self.planned()) == 1)
+        (only,) = self.planned()
+        self.assertEqual(("proof", "m"), (only.pipeline, only.model))
+        await self.apply("")
+        await self.until(lambda: not self.planned())
+
+    async def test_only_a_fresh_leader_places(self):
+        self.parts.replica.role = Role.FOLLOWER
+        await self.apply_as_leader()
+        await self.settle()
+        self.assertEqual([], self.planned())
+        self.parts.replica.role = Role.LEADER
+        self.parts.replica.stale_s = None
+        await self.settle()
+        self.assertEqual([], self.planned())
+        self.parts.replica.stale_s = 0.0
+        await self.until(lambda: len(self.planned()) == 1)
+
+    async def apply_as_leader(self):
+        self.parts.replica.role = Role.LEADER
+        await self.apply()
+        await self.parts.announce("a")
+        self.parts.replica.role = Role.FOLLOWER
+
+    async def test_lost_stage_gets_a_spare(self):
+        await self.apply()
+        await self.parts.announce("a")
+        await self.until(lambda: len(self.planned()) == 1)
+        await self.parts.announce("s")
+        end = wire.EndIncarnation(agent_id="a", incarnation=1)
+        await self.parts.run(end_incarnation=end)
+        await self.until(lambda: self.stages() == ["s"])
+
+    def stages(self):
+        return [s.agent_id for each in self.planned() for s in each.stages]
+
+    async def test_draining_stage_stays_until_its_spare_is_loaded(self):
+        await self.apply()
+        await self.start_chain_of_two()
+        await self.parts.announce("s", address="spare")
+        drain = wire.DrainBackend(agent_id="b", draining=True)
+        await self.parts.run(drain=drain)
+        await self.until(lambda: self.stages() == ["a", "s"])
+        (only,) = self.state.chains
+        self.assertEqual((1, True), (only.epoch, only.ready))
+        await self.load_all()
+        (only,) = self.state.chains
+        self.assertEqual((2, True), (only.epoch, only.ready))
+        await self.settle()
+        self.assertEqual(["a", "s"], self.stages())
+
+    async def start_chain_of_two(self):
+        await self.parts.announce("a")
+        await self.until(lambda: len(self.planned()) == 1)
+        await self.parts.announce("b")
+        old = self.planned()[0].chain_id
+        place = wire.PlaceChains(
+            chains=[chain("proof-two", 1, ("a", 0, 1), ("b", 2, 3))],
+            removed=[old],
+            base_index=self.state.placement_index,
+        )
+        result = await self.parts.run(place=place)
+        self.assertEqual("", result.kind)
+        await self.load_all()
+
+    async def test_draining_head_stays(self):
+        await self.apply()
+        await self.start_chain_of_two()
+        await self.parts.run(drain=wire.DrainBackend(agent_id="a", draining=True))
+        await self.settle()
+        self.assertEqual(["a", "b"], self.stages())
+
+    async def test_new_version_is_loaded_one_chain_at_a_time(self):
+        document = DOCUMENT.replace("layers = 4", "layers = 4\nreplicas = 2")
+        await self.apply(document)
+        await self.parts.announce("a")
+        await self.parts.announce("b")
+        await self.until(lambda: len(self.planned()) == 2)
+        await self.load_all()
+        upgraded = document.replace("layers = 4", "layers = 4\nversion = v2")
+        await self.apply(upgraded)
+        await self.until(lambda: "v2" in self.versions())
+        await self.settle()
+        self.assertEqual(["", "v2"], sorted(self.versions()))
+        await self.load_all()
+        await self.until(lambda: self.versions() == ["v2", "v2"])
+
+    def versions(self):
+        return [each.version for each in self.planned()]
+
+    async def test_engine_that_does_not_answer_its_agent_is_replaced(self):
+        await self.apply()
+        await self.parts.announce("a")
+        await self.until(lambda: len(self.planned()) == 1)
+        gone = wire.Backend(agent_id="a", incarnation=1, kind=wire.ENGINE)
+        await self.parts.run(announce=wire.Announce(backend=gone, replica="c1"))
+        await self.parts.announce("s")
+        await self.until(lambda: self.stages() == ["s"])
+
+    async def test_refused_plan_is_made_again(self):
+        await self.apply()
+        self.parts.replica.fails = "no quorum"
+        await self.parts_announce_despite_failure("a")
+        await self.settle()
+        self.assertEqual([], self.planned())
+        self.parts.replica.fails = None
+        await self.until(lambda: len(self.planned()) == 1)
+
+    async def parts_announce_despite_failure(self, agent_id):
+        failure, self.parts.replica.fails = self.parts.replica.fails, None
+        await self.parts.announce(agent_id)
+        self.parts.replica.fails = failure
--- a/wigeonscale/state/configuration.py
+++ b/wigeonscale/state/configuration.py
@@ -124,6 +124,12 @@
             document, changes = self._next(command)
         except SettingsError as exc:
             return refused(ErrorKind.INVALID_DOCUMENT, exc.message)
+        if command.digest not in ("", document.digest):
+            return refused(
+                ErrorKind.INVALID_DOCUMENT,
+                f"the changes make a document with digest {document.digest},"
+                f" not {command.digest}",
+            )
         number = self.revision + 1
         self._add(Revision(number, wall_ms, command.operator, changes, document))
         return done()
--- a/wigeonscale/state/operations.py
+++ b/wigeonscale/state/operations.py
@@ -105,8 +105,8 @@
 def operation_digest(command: wire.Command) -> bytes:
     """Return a digest of what a command asks for.
 
-    The base revision is left out: a resent rollback is the same operation,
-    whatever revision it found.
+    A configuration is what its document's digest says, where that is given: a
+    resend may be worked out as other changes from another base revision.
 
     Args:
         command: Any command.
@@ -120,4 +120,7 @@
     body.ClearField("operation_id")
     if body.WhichOneof("body") == "apply_config":
         body.apply_config.ClearField("base_revision")
+        if body.apply_config.digest:
+            body.apply_config.ClearField("changes")
+            body.apply_config.ClearField("document")
     return hashlib.sha256(body.SerializeToString(deterministic=True)).digest()[:16]
--- a/wigeonscale/state/tests/support.py
+++ b/wigeonscale/state/tests/support.py
@@ -82,6 +82,7 @@
         pipeline="proof",
         epoch=epoch,
         model="m",
+        rate=10,
         stages=[
             wire.Stage(
                 agent_id=agent, incarnation=1, first_layer=first, last_layer=last
--- a/wigeonscale/state/tests/test_configuration.py
+++ b/wigeonscale/state/tests/test_configuration.py
@@ -47,6 +47,12 @@
         result = self.machine.run(apply_config=config)
         self.assertEqual(ErrorKind.INVALID_DOCUMENT, result.kind)
 
+    def test_document_must_have_the_digest_that_the_operator_meant(self):
+        meant = wire.ApplyConfig(document=document(1), digest="0" * 64)
+        result = self.machine.run(apply_config=meant)
+        self.assertEqual(ErrorKind.INVALID_DOCUMENT, result.kind)
+        self.assertEqual(0, self.configuration.revision)
+
     def test_history_is_bounded_and_leads_on(self):
         for number in range(5):
             self.machine.apply(document(number), base=number)
