agent: tell errors at once; refuse a step while its sequence still runs

Two faults found by tests that failed first. (1) A deadline in mid-stream was told only after the caller had taken every token made before it; a caller without credit heard nothing (test_deadline_in_mid_stream timed out at 30 s). An error now passes the tokens that await credit. (2) Two steps of one sequence in one iteration left the first unanswered for good; such a step is refused now (test_fuzz; with the check taken out on a scratch copy it fails). Further tests: credit, attach, seal, cancel, refusals, once, orders, announcements, HTTP ports; the single-attempt session's test fails with aiohttp's own resend.

--- /dev/null
+++ b/wigeonscale/adapters/tests/test_service_http.py
@@ -0,0 +1,52 @@
+import asyncio
+
+from wigeonscale.adapters.service_http import HttpService, single_attempt_session
+from wigeonscale.errors import RunState, WigeonscaleError
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing.fake_service import serve_service
+
+
+class HttpServiceTest(AsyncTestCase):
+    async def prepare(self):
+        self.effects = []
+        runner, url = await serve_service(name="dir", trace=self.effects.append)
+        self.addCleanup(runner.cleanup)
+        session = single_attempt_session()
+        self.addCleanup(session.close)
+        self.service = HttpService(url=url, session=session)
+        self.session = session
+
+    async def test_call_passes_path_headers_and_body(self):
+        headers = [("Idempotency-Key", "k"), ("Connection", "close"), ("Host", "x")]
+        answer = await self.service.call("POST", "/a%2Fb?q=1", headers, b"note")
+        self.assertEqual(200, answer.status)
+        effect = self.effects[0]
+        self.assertEqual(
+            ("POST", "/a%2Fb?q=1", "k"),
+            (effect["method"], effect["path"], effect["key"]),
+        )
+        self.assertNotIn("Content-Length", dict(answer.headers))
+
+    async def test_no_connection_is_not_run(self):
+        service = HttpService(url="http://127.0.0.1:1", session=self.session)
+        with self.assertRaises(WigeonscaleError) as caught:
+            await service.call("POST", "/", [], b"")
+        self.assertEqual(RunState.NOT_RUN, caught.exception.run_state)
+
+    async def test_broken_call_is_unknown_and_never_sent_again(self):
+        requests = []
+
+        async def take_and_break(reader, writer):
+            requests.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+
+        server = await asyncio.start_server(take_and_break, "127.0.0.1", 0)
+        self.addCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        service = HttpService(url=f"http://127.0.0.1:{port}", session=self.session)
+        for method in ("PUT", "DELETE", "POST"):
+            with self.assertRaises(WigeonscaleError) as caught:
+                await service.call(method, "/note", [], b"")
+            self.assertEqual(RunState.UNKNOWN, caught.exception.run_state)
+        self.assertEqual(3, len(requests))
--- a/wigeonscale/agent/table.py
+++ b/wigeonscale/agent/table.py
@@ -61,7 +61,7 @@
             items.append(
                 wire.DispatchItem(dispatch_id=dispatch.dispatch_id, tokens=run)
             )
-        if dispatch.end is not None and self.cursor >= dispatch.produced:
+        if self._end_is_due:
             self.ended = True
             items.append(dispatch.end)
         return items
@@ -72,9 +72,15 @@
         if self.ended:
             return False
         waiting = self.cursor < self.dispatch.produced
-        return (waiting and self.credit > 0) or (
-            not waiting and self.dispatch.end is not None
-        )
+        return (waiting and self.credit > 0) or self._end_is_due
+
+    @property
+    def _end_is_due(self) -> bool:
+        end = self.dispatch.end
+        if end is None or self.cursor >= self.dispatch.produced:
+            return end is not None
+        # An error is told at once, not when a slow caller has taken the rest.
+        return self.credit <= 0 and end.HasField("refused")
 
     def _token_run(self) -> wire.TokenRun | None:
         dispatch = self.dispatch
--- /dev/null
+++ b/wigeonscale/agent/tests/test_dispatch.py
@@ -0,0 +1,353 @@
+import asyncio
+
+import testscenarios
+
+from wigeonscale.agent.tests.support import connect, start_chain, start_service, until
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.pipelines.constants import INITIAL_CREDIT
+from wigeonscale.ports import HttpAnswer
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing.fake_engine import expected_tokens
+from wigeonscale.wire import wire_pb2 as wire
+
+LAYERS = 6
+
+
+class GatedService:
+    """Holds calls until told; fails them when told."""
+
+    def __init__(self):
+        self.calls = 0
+        self.gate = asyncio.Event()
+        self.error = None
+
+    async def call(self, method, path, headers, body, timeout_s=60.0):
+        self.calls += 1
+        await self.gate.wait()
+        if self.error:
+            raise self.error
+        return HttpAnswer(status=200, body=body)
+
+
+class GenerateCase(AsyncTestCase):
+    async def start(self, **settings):
+        self.control, self.nodes, self.chain = await start_chain(
+            self, stages=settings.pop("stages", 1), **settings
+        )
+        self.client = await connect(self, self.nodes[0])
+        self.engine = self.nodes[0].engine
+
+    def hold_engine(self):
+        gate = asyncio.Event()
+        self.engine.break_at = 0
+        self.engine.on_break = gate.wait
+        return gate
+
+    async def refusal(self, dispatch_id):
+        refused = (await self.client.end(dispatch_id)).refused
+        return refused.kind, refused.run_state
+
+    def want(self, prompt, count, layers=2):
+        return expected_tokens(prompt, layers, count)
+
+
+class CreditTest(GenerateCase):
+    async def test_slow_reader_holds_nobody(self):
+        await self.start()
+        slow = await self.client.generate(self.chain, b"slow", INITIAL_CREDIT + 50)
+        fast = await self.client.generate(self.chain, b"fast", 20)
+        await self.client.end(fast)
+        table = self.nodes[0].agent.table
+        await until(lambda: table.get(slow).end is not None)
+        await self.client.wait(lambda: len(self.client.texts(slow)) >= INITIAL_CREDIT)
+        await self.client.send(ping=wire.Ping(sent_us=7))
+        await self.client.wait(lambda: self.client.events[-1].pong_us == 7)
+        self.assertEqual(INITIAL_CREDIT, len(self.client.texts(slow)))
+        await self.client.send(credit=wire.Credit(dispatch_id=slow, tokens=50))
+        await self.client.end(slow)
+        want = self.want("slow", INITIAL_CREDIT + 50)
+        self.assertEqual(want, self.client.texts(slow))
+
+    async def test_one_message_carries_an_iteration(self):
+        await self.start(stages=3)
+        ids = [await self.client.generate(self.chain, b"a", 20) for _ in range(32)]
+        for dispatch_id in ids:
+            await self.client.end(dispatch_id)
+        iterations = self.engine.iterations
+        # Beside one message an iteration, at most one for each acceptance.
+        self.assertLessEqual(len(self.client.events), iterations + len(ids))
+        self.assertLess(iterations, 32 * 20 / 4)
+
+    async def test_answers_over_the_bytes_are_bounded(self):
+        await self.start(keep_answers_bytes=100_000)
+        first = await self.client.generate(self.chain, b"p", 2000, dispatch_id="f")
+        table = self.nodes[0].agent.table
+        await until(lambda: table.is_full)
+        late = await self.client.generate(self.chain, b"late", 3)
+        self.assertEqual(
+            (ErrorKind.OVERLOADED, RunState.NOT_RUN), await self.refusal(late)
+        )
+        produced = table.get(first).produced
+        self.assertLess(produced, 2000)
+        await self.client.send(credit=wire.Credit(dispatch_id=first, tokens=2000))
+        last = await self.client.end(first)
+        self.assertEqual(2000, last.done.tokens)
+
+
+class AttachTest(GenerateCase):
+    async def test_another_entry_takes_up_from_a_token(self):
+        await self.start()
+        first = await self.client.generate(self.chain, b"p", 10)
+        await self.client.end(first)
+        other = await connect(self, self.nodes[0])
+        attach = wire.Attach(dispatch_id=first, from_token=4, organisation="o1")
+        await other.send(attach=attach)
+        last = await other.end(first)
+        self.assertEqual(10, last.done.tokens)
+        self.assertEqual(self.want("p", 10)[4:], other.texts(first))
+
+    async def test_answer_goes_on_after_the_entry_is_gone(self):
+        await self.start()
+        gate = self.hold_engine()
+        first = await self.client.generate(self.chain, b"p", 10)
+        await self.client.wait(lambda: self.client.kinds(first) == ["accepted"])
+        await self.client.close()
+        other = await connect(self, self.nodes[0])
+        await other.send(attach=wire.Attach(dispatch_id=first, organisation="o1"))
+        gate.set()
+        await other.end(first)
+        self.assertEqual(self.want("p", 10), other.texts(first))
+
+    async def test_other_organisation_gets_nothing(self):
+        await self.start()
+        first = await self.client.generate(self.chain, b"p", 3)
+        await self.client.end(first)
+        other = await connect(self, self.nodes[0])
+        await other.send(attach=wire.Attach(dispatch_id=first, organisation="o2"))
+        refused = (await other.end(first)).refused
+        self.assertEqual(ErrorKind.NOT_FOUND, refused.kind)
+
+    async def test_prefix_goes_on_after_delivered_tokens(self):
+        await self.start()
+        whole = self.want("p", 8)
+        prefix = [wire.Token(text=text) for text in whole[:3]]
+        first = await self.client.generate(self.chain, b"p", 8, prefix=prefix)
+        last = await self.client.end(first)
+        self.assertEqual(8, last.done.tokens)
+        self.assertEqual(whole[3:], self.client.texts(first))
+
+    async def test_expired_answer_is_told(self):
+        await self.start(keep_answers_s=0)
+        first = await self.client.generate(self.chain, b"p", 3)
+        await self.client.end(first)
+        await until(lambda: self.nodes[0].agent.table.get(first) is None)
+        await self.client.send(attach=wire.Attach(dispatch_id=first, organisation="o1"))
+        await self.client.wait(lambda: self.client.kinds(first)[-1] == "refused")
+        self.assertEqual(
+            (ErrorKind.ANSWER_EXPIRED, RunState.RAN), await self.refusal(first)
+        )
+
+
+class SealTest(GenerateCase):
+    async def seal(self, dispatch_id):
+        incarnation = self.nodes[0].state.incarnation
+        seal = wire.Seal(dispatch_id=dispatch_id, agent_incarnation=incarnation)
+        await self.client.send(seal=seal)
+        await self.client.wait(lambda: "sealed" in self.client.kinds(dispatch_id))
+        sealed = [
+            i.sealed for i in self.client.items(dispatch_id) if i.HasField("sealed")
+        ]
+        return sealed[-1].never_ran
+
+    async def test_delayed_open_after_seal_never_runs(self):
+        await self.start()
+        self.assertTrue(await self.seal("d@a0"))
+        await self.client.generate(self.chain, b"p", 3, dispatch_id="d@a0")
+        await self.client.wait(lambda: len(self.client.kinds("d@a0")) == 2)
+        self.assertEqual(
+            (ErrorKind.CANCELLED, RunState.NOT_RUN), await self.refusal("d@a0")
+        )
+        self.assertEqual(0, self.engine.iterations)
+
+    async def test_waiting_dispatch_is_sealed_and_running_one_is_not(self):
+        await self.start(slots=1)
+        gate = self.hold_engine()
+        running = await self.client.generate(self.chain, b"p", 3)
+        waiting = await self.client.generate(self.chain, b"q", 3)
+        self.assertFalse(await self.seal(running))
+        self.assertTrue(await self.seal(waiting))
+        gate.set()
+        await self.client.wait(lambda: self.client.kinds(running)[-1] == "done")
+        self.assertEqual(3, self.engine.iterations)
+
+    async def test_ended_dispatch_was_run_even_when_forgotten(self):
+        await self.start(keep_answers_s=0)
+        first = await self.client.generate(self.chain, b"p", 3)
+        await self.client.end(first)
+        await until(lambda: self.nodes[0].agent.table.get(first) is None)
+        self.assertFalse(await self.seal(first))
+
+    async def test_seal_for_another_incarnation_is_not_answered(self):
+        await self.start()
+        await self.client.send(seal=wire.Seal(dispatch_id="d", agent_incarnation=1))
+        self.assertEqual(
+            (ErrorKind.STALE_INCARNATION, RunState.UNKNOWN), await self.refusal("d")
+        )
+
+    async def test_open_after_cancel_never_runs(self):
+        await self.start()
+        await self.client.send(cancel=wire.Cancel(dispatch_id="d@a0"))
+        await self.client.generate(self.chain, b"p", 3, dispatch_id="d@a0")
+        self.assertEqual(
+            (ErrorKind.CANCELLED, RunState.NOT_RUN), await self.refusal("d@a0")
+        )
+
+
+class EndTest(GenerateCase):
+    async def test_cancel_stops_a_generation_and_frees_the_engine(self):
+        await self.start(slots=1)
+        endless = await self.client.generate(self.chain, b"p", 1_000_000)
+        await self.client.wait(lambda: len(self.client.texts(endless)) > 2)
+        await self.client.send(cancel=wire.Cancel(dispatch_id=endless))
+        after = await self.client.generate(self.chain, b"q", 3)
+        await self.client.end(after)
+        await until(lambda: not self.engine.caches)
+
+    async def test_deadline_in_mid_stream(self):
+        await self.start(stages=3)
+        late = await self.client.generate(self.chain, b"p", 1_000_000, deadline_ms=300)
+        self.assertEqual(
+            (ErrorKind.DEADLINE_EXCEEDED, RunState.RAN), await self.refusal(late)
+        )
+        self.assertTrue(self.client.texts(late))
+
+    async def test_deadline_in_the_queue(self):
+        await self.start(slots=1)
+        gate = self.hold_engine()
+        running = await self.client.generate(self.chain, b"p", 3)
+        waiting = await self.client.generate(self.chain, b"q", 3, deadline_ms=100)
+        self.assertEqual(
+            (ErrorKind.DEADLINE_EXCEEDED, RunState.NOT_RUN),
+            await self.refusal(waiting),
+        )
+        gate.set()
+        await self.client.end(running)
+        self.assertEqual(3, self.engine.iterations)
+
+
+def _stop(node, control):
+    node.state.stopping = True
+
+
+def _drain(node, control):
+    node.state.set_draining(True)
+
+
+def _lose_lease(node, control):
+    control.has_lease = False
+
+
+def _stage_leaves(node, control):
+    control.members.backends["a0"] = wire.Backend(agent_id="a0", draining=True)
+
+
+class RefusalTest(testscenarios.WithScenarios, GenerateCase):
+    scenarios = [
+        ("stopping", {"change": _stop, "kind": "stopping"}),
+        ("draining", {"change": _drain, "kind": "backend-leaving"}),
+        ("no lease", {"change": _lose_lease, "kind": "lease-expired"}),
+        ("stage leaves", {"change": _stage_leaves, "kind": "backend-leaving"}),
+    ]
+
+    async def test_refused_at_once_as_not_run(self):
+        await self.start()
+        self.change(self.nodes[0], self.control)
+        late = await self.client.generate(self.chain, b"p", 3)
+        self.assertEqual((self.kind, RunState.NOT_RUN), await self.refusal(late))
+        self.assertGreater(self.client.items(late)[0].refused.retry_after_ms, 0)
+        self.assertEqual(0, self.engine.iterations)
+
+    async def test_lost_lease_refuses_what_waited(self):
+        await self.start(slots=1)
+        gate = self.hold_engine()
+        running = await self.client.generate(self.chain, b"p", 3)
+        waiting = [await self.client.generate(self.chain, b"q", 3) for _ in range(200)]
+        await self.client.wait(lambda: self.client.kinds(waiting[-1]) == ["accepted"])
+        self.control.has_lease = False
+        gate.set()
+        await self.client.end(running)
+        for dispatch_id in waiting:
+            self.assertEqual("not-run", (await self.refusal(dispatch_id))[1])
+        self.assertEqual(0, self.nodes[0].agent.admission.running)
+
+    async def test_full_queue_is_refused_with_a_time(self):
+        await self.start(slots=1, queue_limit=1)
+        gate = self.hold_engine()
+        ids = [await self.client.generate(self.chain, b"p", 3) for _ in range(3)]
+        self.assertEqual(
+            (ErrorKind.OVERLOADED, RunState.NOT_RUN), await self.refusal(ids[-1])
+        )
+        self.assertGreater(self.client.items(ids[-1])[-1].refused.retry_after_ms, 0)
+        gate.set()
+        await self.client.end(ids[1])
+
+    async def test_other_incarnation_is_refused_as_unknown(self):
+        await self.start()
+        await self.client.generate(
+            self.chain, b"p", 3, dispatch_id="d", agent_incarnation=1
+        )
+        self.assertEqual(
+            (ErrorKind.STALE_INCARNATION, RunState.UNKNOWN), await self.refusal("d")
+        )
+
+
+class OnceTest(AsyncTestCase):
+    async def prepare(self):
+        self.service = GatedService()
+        self.control, self.node = await start_service(self, self.service, slots=1)
+        self.client = await connect(self, self.node)
+
+    async def open(self, dispatch_id, **fields):
+        call = wire.Call(method="POST", path="/notes", body=b"n")
+        await self.client.open(
+            dispatch_id, call=call, once=True, claim_key="k", **fields
+        )
+
+    async def outcome(self):
+        await self.node.agent.outcomes.flush()
+        return [(o.dispatch_id, o.not_run, o.state) for o in self.control.outcomes]
+
+    async def test_begun_call_is_neither_cancelled_nor_repeated(self):
+        await self.open("d1")
+        await until(lambda: self.service.calls)
+        await self.client.send(cancel=wire.Cancel(dispatch_id="d1"))
+        await self.open("d1")
+        self.service.gate.set()
+        self.assertEqual(200, (await self.client.end("d1")).response.status)
+        self.assertEqual(1, self.service.calls)
+        self.assertEqual([("d1", False, wire.RAN)], await self.outcome())
+
+    async def test_sealed_in_the_queue_releases_the_claim(self):
+        await self.open("d1")
+        await self.open("d2")
+        incarnation = self.node.state.incarnation
+        await self.client.send(
+            seal=wire.Seal(dispatch_id="d2", agent_incarnation=incarnation)
+        )
+        await self.client.end("d2")
+        self.assertIn(("d2", True, wire.CLAIM_STATE_UNSPECIFIED), await self.outcome())
+        self.service.gate.set()
+        await self.client.end("d1")
+        self.assertEqual(1, self.service.calls)
+
+    async def test_errors_say_what_is_known(self):
+        self.service.gate.set()
+        known = {RunState.NOT_RUN: (True, 0), RunState.UNKNOWN: (False, wire.UNKNOWN)}
+        for state, (not_run, claim_state) in known.items():
+            self.service.error = WigeonscaleError(
+                ErrorKind.BACKEND_FAILED, "planted", run_state=state
+            )
+            await self.open(f"d {state}")
+            refused = (await self.client.end(f"d {state}")).refused
+            self.assertEqual(state, refused.run_state)
+            self.assertIn((f"d {state}", not_run, claim_state), await self.outcome())
--- a/wigeonscale/pipelines/stage.py
+++ b/wigeonscale/pipelines/stage.py
@@ -195,6 +195,11 @@
         if known is None:
             self._check_begin(step, req, name)
             return
+        if known.answer is not None and not known.answer.done():
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{name}: position {known.position} still runs",
+            )
         if known.broken:
             raise WigeonscaleError(ErrorKind.BACKEND_FAILED, f"{name} broke here")
         if step.first or step.position != known.next_position or step.count < 1:
