Add wigeonctl, the operators' client

Cause: operators need to change rules without fear of a lost answer, and to see replicas, pipelines, backends and burnt error budgets. Ruled out: reporting any refusal after a lost answer as refused (another replica's 403 says nothing of the first attempt), and presuming not-run for an internal error of a change.

--- /dev/null
+++ b/wigeonscale/cli/admin_client.py
@@ -0,0 +1,189 @@
+"""Talks to the control replicas' operator pages, whichever of them answers."""
+
+__all__ = ["AdminClient"]
+
+import asyncio
+import json
+from collections.abc import Sequence
+
+import aiohttp
+
+from wigeonscale.errors import (
+    ANSWERS,
+    ErrorKind,
+    RunState,
+    WigeonscaleError,
+    error_from_kind,
+)
+from wigeonscale.ports import Clock
+
+ATTEMPT_TIMEOUT_S = 5.0
+CONNECT_TIMEOUT_S = 2.0
+PAUSE_S = 0.3
+FIRST_SERVER_ERROR = 500
+LOG_DECIDED_KINDS = frozenset({ErrorKind.REVISION_CONFLICT, ErrorKind.INVALID_DOCUMENT})
+
+
+class AdminClient:
+    """Sends operators' requests until one replica has decided them.
+
+    Args:
+        session: HTTP session to use.
+        addresses: ``ip:port`` of the control replicas' HTTP pages.
+        clock: Clock port.
+        timeout_s: Longest time for one request over all replicas, in seconds.
+        token: Operators' token; empty for none.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        addresses: Sequence[str],
+        clock: Clock,
+        timeout_s: float = 15.0,
+        token: str = "",
+    ):
+        self.addresses = tuple(addresses)
+        self._session = session
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+
+    async def read(self, path: str) -> dict[str, object]:
+        """Return a page from the first replica that gives it.
+
+        Raises:
+            WigeonscaleError: No replica gave it.
+        """
+        return await self._call("GET", path, None)
+
+    async def change(self, path: str, body: dict[str, object]) -> dict[str, object]:
+        """Make a change, resending the same body until an answer arrives.
+
+        Args:
+            path: Path of the page.
+            body: JSON body; its ``operation_id`` makes the resends harmless.
+
+        Raises:
+            WigeonscaleError: The change was refused, or no replica was reached
+                (run state ``NOT_RUN``), or every answer was lost (``UNKNOWN``).
+        """
+        return await self._call("POST", path, body)
+
+    async def _call(
+        self, method: str, path: str, body: dict[str, object] | None
+    ) -> dict[str, object]:
+        end = self._clock.now() + self._timeout_s
+        unknown = None
+        while True:
+            for address in self.addresses:
+                try:
+                    return await self.ask(address, method, path, body)
+                except WigeonscaleError as exc:
+                    if not ANSWERS[exc.kind].retryable:
+                        raise _verdict(exc, unknown) from exc
+                    last = exc
+                    if exc.run_state is not RunState.NOT_RUN:
+                        unknown = exc
+            if self._clock.now() + PAUSE_S > end:
+                raise unknown or last
+            await self._clock.sleep(PAUSE_S)
+
+    async def read_each(
+        self, addresses: Sequence[str], path: str
+    ) -> tuple[dict[str, dict], dict[str, str]]:
+        """Read a page of several processes at once, each one time.
+
+        Args:
+            addresses: ``ip:port`` of the processes' HTTP pages.
+            path: Path of the page.
+
+        Returns:
+            The page by address, and why there is none by address.
+        """
+        found = await asyncio.gather(
+            *(self.ask(address, "GET", path) for address in addresses),
+            return_exceptions=True,
+        )
+        pages, missing = {}, {}
+        for address, answer in zip(addresses, found, strict=True):
+            if isinstance(answer, WigeonscaleError):
+                missing[address] = answer.message
+            elif isinstance(answer, BaseException):
+                raise answer
+            else:
+                pages[address] = answer
+        return pages, missing
+
+    async def ask(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: dict[str, object] | None = None,
+    ) -> dict[str, object]:
+        """Make one attempt at one address.
+
+        Raises:
+            WigeonscaleError: Its run state says whether the attempt may have done
+                something.
+        """
+        lost = RunState.NOT_RUN if method == "GET" else RunState.UNKNOWN
+        timeout = aiohttp.ClientTimeout(
+            total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                json=body,
+                headers=self._headers,
+                timeout=timeout,
+            ) as resp:
+                return _decoded(address, resp.status, await resp.read(), lost)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise _no_answer(address, exc, RunState.NOT_RUN) from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise _no_answer(address, exc, lost) from exc
+
+
+def _verdict(
+    refusal: WigeonscaleError, unknown: WigeonscaleError | None
+) -> WigeonscaleError:
+    """Return what is known after a refusal that may follow lost answers.
+
+    Only what the replicated log decided settles an earlier attempt too.
+    """
+    if unknown is None or refusal.kind in LOG_DECIDED_KINDS:
+        return refusal
+    return unknown
+
+
+def _no_answer(address: str, exc: Exception, run_state: RunState) -> WigeonscaleError:
+    reason = str(exc) or type(exc).__name__
+    return WigeonscaleError(
+        ErrorKind.NO_QUORUM, f"no answer from {address}: {reason}", run_state=run_state
+    )
+
+
+def _decoded(
+    address: str, status: int, data: bytes, lost: RunState
+) -> dict[str, object]:
+    try:
+        answer = json.loads(data)
+        error = answer.get("error")
+        if error is None and status < 400:
+            return answer
+        kind, message = error["kind"], error["message"]
+    except (ValueError, AttributeError, KeyError, TypeError) as exc:
+        text = f"answer {status} of {address} cannot be read: {data[:200]!r}"
+        raise WigeonscaleError(ErrorKind.NO_QUORUM, text, run_state=lost) from exc
+    # A failure inside the replica does not tell whether the change was made.
+    presumed = lost if status >= FIRST_SERVER_ERROR else RunState.NOT_RUN
+    raise error_from_kind(
+        kind,
+        message,
+        run_state=error.get("run", presumed),
+        retry_after=error.get("retry_after"),
+    )
--- /dev/null
+++ b/wigeonscale/cli/rules_commands.py
@@ -0,0 +1,162 @@
+"""``wigeonctl rules``: check, apply, show, history, rollback."""
+
+__all__ = [
+    "apply_rules",
+    "check_rules",
+    "roll_back_rules",
+    "show_history",
+    "show_rules",
+]
+
+import argparse
+import datetime
+
+from wigeonscale.cli.admin_client import AdminClient
+from wigeonscale.cli.output import Output, format_table
+from wigeonscale.errors import ErrorKind, SettingsError
+from wigeonscale.rules import (
+    Document,
+    diff_documents,
+    parse_document,
+    shadowed_rules,
+)
+
+MOST_SECTIONS_SHOWN = 5
+
+
+def check_rules(args: argparse.Namespace) -> Output:
+    """Check a rules file without any replica.
+
+    Raises:
+        SettingsError: Names what is wrong with it.
+    """
+    document = _read_document(args.file)
+    counts = {
+        "organisations": len(document.organisations),
+        "pipelines": len(document.pipelines),
+        "services": len(document.services),
+        "rules": len(document.rules),
+    }
+    shown = ", ".join(f"{count} {kind}" for kind, count in counts.items())
+    warnings = _warnings(document)
+    data = {"digest": document.digest, **counts, "warnings": list(warnings)}
+    return Output(f"{args.file}: valid, {shown}", data, warnings)
+
+
+async def apply_rules(args: argparse.Namespace, client: AdminClient) -> Output:
+    """Put a rules file in force if nobody changed the rules in between."""
+    document = _read_document(args.file)
+    warnings = _warnings(document)
+    base, changes = args.base, None
+    if base is None:
+        current = await client.read("/admin/rules")
+        base = current["revision"]
+        changes = _change_words(str(current["document"]), document)
+        if not changes:
+            data = {"revision": base, "changes": []}
+            text = f"nothing to change: revision {base} is in force"
+            return Output(text, data, warnings)
+    # Kept for the hint after lost answers: a resend must name the same base.
+    args.base = base
+    answer = await client.change(
+        "/admin/rules/apply",
+        {
+            "base_revision": base,
+            "operation_id": args.operation_id,
+            "document": document.text,
+            "operator": args.operator,
+        },
+    )
+    text = f"revision {answer['revision']} accepted, made from revision {base}"
+    lines = [text, *(f"  {change}" for change in changes or ())]
+    data = {
+        "revision": answer["revision"],
+        "base_revision": base,
+        "operation_id": args.operation_id,
+        "changes": changes,
+    }
+    return Output("\n".join(lines), data, warnings)
+
+
+async def show_rules(args: argparse.Namespace, client: AdminClient) -> Output:
+    """Show the rules in force."""
+    answer = await client.read("/admin/rules")
+    note = f"revision {answer['revision']}, digest {answer['digest']}"
+    return Output(str(answer["document"]).rstrip("\n"), answer, (note,))
+
+
+async def show_history(args: argparse.Namespace, client: AdminClient) -> Output:
+    """Show the revisions that can be rolled back to."""
+    answer = await client.read("/admin/rules/history")
+    rows = [
+        [
+            revision["revision"],
+            _utc_text(revision["wall_ms"]),
+            revision["operator"] or "-",
+            _sections_text(revision["sections"]),
+        ]
+        for revision in reversed(answer["revisions"])
+    ]
+    headers = ["REVISION", "ACCEPTED (UTC)", "OPERATOR", "SECTIONS"]
+    return Output(format_table(headers, rows), answer)
+
+
+async def roll_back_rules(args: argparse.Namespace, client: AdminClient) -> Output:
+    """Put the rules of an earlier revision in force as a new revision."""
+    answer = await client.change(
+        "/admin/rules/rollback",
+        {
+            "revision": args.revision,
+            "operation_id": args.operation_id,
+            "operator": args.operator,
+        },
+    )
+    text = f"revision {answer['revision']} accepted, as revision {args.revision} was"
+    return Output(text, {**answer, "operation_id": args.operation_id})
+
+
+def _read_document(path: str) -> Document:
+    try:
+        with open(path, encoding="utf-8") as stream:
+            text = stream.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        message = f"{path}: cannot be read: {exc}"
+        raise SettingsError(message, kind=ErrorKind.INVALID_DOCUMENT) from exc
+    try:
+        return parse_document(text)
+    except SettingsError as exc:
+        lines = (f"{path}: {line}" for line in exc.message.splitlines())
+        raise SettingsError("\n".join(lines), kind=exc.kind) from exc
+
+
+def _warnings(document: Document) -> tuple[str, ...]:
+    return tuple(
+        f"warning: rule {rule} can never match: rule {earlier} before it takes all"
+        for rule, earlier in shadowed_rules(document)
+    )
+
+
+def _change_words(old_text: str, new: Document) -> list[str]:
+    old = parse_document(old_text)
+    known = old.tables.sections
+    words = []
+    for change in diff_documents(old, new):
+        if change.removed:
+            word = "removed"
+        elif change.name not in known:
+            word = "added"
+        else:
+            word = "moved" if known[change.name].text == change.text else "changed"
+        words.append(f"{word} [{change.name}]")
+    return words
+
+
+def _utc_text(wall_ms: int) -> str:
+    stamp = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
+    return stamp.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def _sections_text(names: list[str]) -> str:
+    shown = ", ".join(names[:MOST_SECTIONS_SHOWN])
+    more = len(names) - MOST_SECTIONS_SHOWN
+    return f"{shown} and {more} more" if more > 0 else shown or "none"
