Bound plans and loads by measured figures; order weight loads by use

Cause: plans at 7,700 engines took 10 s, two-replica cases were held against a bound that divides chains, fixed stage counts gave slow chains, spares were the slowest engines and could not take a large stage, and loads had no order of their own. Change: exact bounds for one and two chains; one price list a plan; coarse search above 256 engines; chains inside a domain within domain_share of the best; loaded ranges reused; fixed stages also tried alike with alike; order_loads; benches and tests.

--- /dev/null
+++ b/bench/loads.py
@@ -0,0 +1,220 @@
+"""Weight loads: order of loading from a rate-limited store, joins and repairs at once.
+
+The store gives its layers evenly to the loads in progress. A load that has begun is
+not taken back. Every order is asked anew at each event, as the control daemon does.
+"""
+
+__all__ = ["measure"]
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from statistics import fmean
+
+from bench.report import Figure
+from wigeonscale.placement import ChainPlan, StagePlan, order_loads
+
+SEED = 20261202
+RUNS = 40
+LOADS = 4  # concurrent loads, the default of the control daemon
+STORE_RATE = 4.0  # layers per second, all loads together
+PIPELINES = ("corrections", "assistant", "notes")
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A chain that placement adds, or repairs, at an instant."""
+
+    at_s: float
+    chain: ChainPlan
+    missing: frozenset[str]  # agents that have to load
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What one order of loading led to."""
+
+    unserved: float = 0.0  # steps that were wanted and not served
+    ready_s: dict[str, float] = field(default_factory=dict)  # by chain
+
+
+Pair = tuple[ChainPlan, StagePlan]
+Order = Callable[[list[Arrival], set[str], set[str]], list[Pair]]
+
+
+def measure() -> list[Figure]:
+    """Return unserved work and waits of each order, as ratios to first come."""
+    orders = {
+        "first-come-stage": _first_come_stage,
+        "first-come-chain": _first_come_chain,
+        "fewest-stages": _fewest_stages,
+        "order-loads": _by_use,
+    }
+    scenes = [_scene(random.Random(SEED + run)) for run in range(RUNS)]
+    runs = {
+        name: [_simulate(scene, order) for scene in scenes]
+        for name, order in orders.items()
+    }
+    figures = []
+    for name, outcomes in runs.items():
+        figures += _figures(name, outcomes, runs["first-come-stage"], scenes)
+    return figures
+
+
+def _figures(name, outcomes, base, scenes):
+    judged = name == "order-loads"
+    unserved_high, wait_high = (0.75, 0.9) if judged else (None, None)
+    unserved = [a.unserved / b.unserved for a, b in zip(outcomes, base, strict=True)]
+    first = [min(outcome.ready_s.values()) for outcome in outcomes]
+    base_first = [min(outcome.ready_s.values()) for outcome in base]
+    every = [_every_pipeline_s(o, s) for o, s in zip(outcomes, scenes, strict=True)]
+    base_every = [_every_pipeline_s(o, s) for o, s in zip(base, scenes, strict=True)]
+    return [
+        Figure(
+            f"loads/{name}/unserved", fmean(unserved), "of first", high=unserved_high
+        ),
+        Figure(f"loads/{name}/unserved-worst", max(unserved), "of first"),
+        Figure(f"loads/{name}/first-chain", fmean(first), "s"),
+        _mean_ratio(f"loads/{name}/first-chain-ratio", first, base_first, wait_high),
+        Figure(f"loads/{name}/every-pipeline", fmean(every), "s"),
+        _mean_ratio(f"loads/{name}/every-pipeline-ratio", every, base_every, wait_high),
+    ]
+
+
+def _mean_ratio(name, values, base, high):
+    return Figure(name, fmean(values) / fmean(base), "of first", high=high)
+
+
+def _every_pipeline_s(outcome, scene):
+    """Return when the last of the pipelines had its first chain serving."""
+    first = {}
+    for arrival in scene:
+        ready_s = outcome.ready_s[arrival.chain.chain_id]
+        name = arrival.chain.pipeline
+        first[name] = min(ready_s, first.get(name, ready_s))
+    return max(first.values())
+
+
+def _scene(rng: random.Random) -> list[Arrival]:
+    """Return eight repairs and eight joins, within seconds, over three pipelines."""
+    arrivals = []
+    for number in range(16):
+        stages = _stages(rng, number)
+        chain = ChainPlan(
+            chain_id=f"chain-{number:02}",
+            pipeline=rng.choice(PIPELINES),
+            epoch=1,
+            stages=stages,
+            rate=rng.uniform(100.0, 900.0),
+        )
+        repair = number % 2 == 0
+        lost = [rng.choice(stages)] if repair else stages
+        missing = frozenset(stage.agent_id for stage in lost)
+        arrivals.append(Arrival(rng.uniform(0.0, 10.0), chain, missing))
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _stages(rng, number):
+    stages = []
+    first = 0
+    while first < 40:
+        last = min(39, first + rng.randint(3, 15))
+        # Agents attach in no order of theirs.
+        agent_id = f"engine-{rng.randrange(10**6):06}-{number}"
+        stages.append(StagePlan(agent_id, 1, "", "a", first, last))
+        first = last + 1
+    return tuple(stages)
+
+
+def _simulate(scene: list[Arrival], order: Order) -> Outcome:
+    outcome = Outcome()
+    to_come = list(scene)
+    present: list[Arrival] = []
+    left: dict[str, float] = {}  # layers still to load, by agent that is loading
+    loaded: set[str] = set()
+    now = 0.0
+    demand = sum(arrival.chain.rate for arrival in scene)
+    while to_come or len(outcome.ready_s) < len(scene):
+        for _, stage in order(present, loaded, set(left)):
+            if len(left) >= LOADS:
+                break
+            if stage.agent_id not in left:
+                left[stage.agent_id] = float(stage.layers)
+        step_s = _next_step_s(left, to_come, now)
+        unserved = demand - _served(present, outcome)
+        outcome.unserved += unserved * step_s
+        now += step_s
+        _advance(left, loaded, step_s)
+        while to_come and to_come[0].at_s <= now + 1e-9:
+            present.append(to_come.pop(0))
+        for arrival in present:
+            if arrival.missing <= loaded:
+                outcome.ready_s.setdefault(arrival.chain.chain_id, now)
+    return outcome
+
+
+def _next_step_s(left, to_come, now):
+    steps = [to_come[0].at_s - now] if to_come else []
+    steps += [layers * len(left) / STORE_RATE for layers in left.values()]
+    return max(0.0, min(steps))
+
+
+def _advance(left, loaded, step_s):
+    share = step_s * STORE_RATE / max(1, len(left))
+    for agent_id in list(left):
+        left[agent_id] -= share
+        if left[agent_id] <= 1e-9:
+            del left[agent_id]
+            loaded.add(agent_id)
+
+
+def _served(present, outcome):
+    return sum(a.chain.rate for a in present if a.chain.chain_id in outcome.ready_s)
+
+
+def _missing(arrival, loaded):
+    return [
+        (arrival.chain, stage)
+        for stage in arrival.chain.stages
+        if stage.agent_id in arrival.missing - loaded
+    ]
+
+
+def _first_come_stage(present, loaded, loading):
+    """Order by when a load was asked for, chains of one instant by agent."""
+    pairs = [
+        (int(arrival.at_s), pair)
+        for arrival in present
+        for pair in _missing(arrival, loaded)
+    ]
+    pairs.sort(key=lambda item: (item[0], item[1][1].agent_id))
+    return [pair for _, pair in pairs]
+
+
+def _first_come_chain(present, loaded, loading):
+    return [pair for arrival in present for pair in _missing(arrival, loaded)]
+
+
+def _fewest_stages(present, loaded, loading):
+    """Chains with the fewest stages to load first, idle pipelines before others."""
+    served = {a.chain.pipeline for a in present if a.missing <= loaded}
+    ranked = []
+    for arrival in present:
+        pairs = _missing(arrival, loaded)
+        rank = (
+            arrival.chain.pipeline in served,
+            len(pairs),
+            arrival.chain.chain_id,
+        )
+        ranked.append((rank, pairs))
+    ranked.sort(key=lambda item: item[0])
+    return [pair for _, pairs in ranked for pair in pairs]
+
+
+def _by_use(present, loaded, loading):
+    missing = {a.chain.chain_id: a.missing - loaded for a in present}
+    return order_loads(
+        [arrival.chain for arrival in present],
+        is_loaded=lambda chain, stage: stage.agent_id not in missing[chain.chain_id],
+        loading=loading,
+    )
--- a/wigeonscale/placement/__init__.py
+++ b/wigeonscale/placement/__init__.py
@@ -6,9 +6,13 @@
     "Plan",
     "StagePlan",
     "chain_rate",
+    "hardware_bound",
+    "order_loads",
     "plan_chains",
 ]
 
+from wigeonscale.placement.bound import hardware_bound
+from wigeonscale.placement.loads import order_loads
 from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan, StagePlan
 from wigeonscale.placement.planner import plan_chains
 from wigeonscale.placement.rates import chain_rate
--- a/wigeonscale/placement/bound.py
+++ b/wigeonscale/placement/bound.py
@@ -1,13 +1,20 @@
 """An upper bound on the throughput that any placement can reach."""
 
-__all__ = ["Prices", "bound_prices", "hardware_bound"]
+__all__ = [
+    "Kind",
+    "Prices",
+    "bound_prices",
+    "compute_bound",
+    "hardware_bound",
+    "kind_of",
+]
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from wigeonscale.placement.model import EngineSpec
-from wigeonscale.placement.rates import stage_rate
+from wigeonscale.placement.rates import ROUNDING, layers_at, split_layers, stage_rate
 
 SEARCH_STEPS = 24
 GOLDEN = (5**0.5 - 1) / 2
@@ -56,8 +63,18 @@
         these over v, the dual of a linear programme in which engines and chains may
         be divided at will. With v = 0 it reads: all compute that memory and links
         let through, divided by the layers. Cost O(kinds * capacity).
+
+        A fraction of a chain is too kind to one or two chains. One chain has an exact
+        best. For two, every pair of chain rates is tried that stages can have, and
+        held against the layers that engines carry at each, engines divided at will.
     """
-    return bound_prices(list(engines), layers=layers, chains=chains).bound
+    pool = list(engines)
+    bound = bound_prices(pool, layers=layers, chains=chains).bound
+    if chains == 1:
+        bound = min(bound, _best_rate(pool, layers))
+    if chains == 2:
+        bound = min(bound, _pair_bound(pool, layers))
+    return bound
 
 
 def bound_prices(engines: Sequence[EngineSpec], *, layers: int, chains: int) -> Prices:
@@ -90,11 +107,15 @@
 
 
 def _points(engine, layers):
-    most = min(engine.layer_capacity, layers)
-    points = [(n, stage_rate(engine, n)) for n in range(1, most + 1)]
+    # n * (min(layer_rate / n, link_rate) - v) rises with n up to layer_rate /
+    # link_rate and falls beyond, whatever v: only the two counts there matter.
+    most = max(1, min(engine.layer_capacity, layers))
+    turn = int(engine.layer_rate / engine.link_rate) if engine.link_rate else most
+    counts = {min(max(turn, 1), most), min(turn + 1, most)}
+    points = [(n, stage_rate(engine, n)) for n in sorted(counts)]
     if engine.layer_capacity >= layers:
         points.append((layers, stage_rate(engine, layers, alone=True)))
-    return points or [(0, 0.0)]
+    return points
 
 
 def _worth(points, price, layers):
@@ -116,3 +137,49 @@
             right = low + GOLDEN * (top - low)
             at_right = function(right)
     return min((0.0, left, right, high), key=function)
+
+
+def _best_rate(engines, layers):
+    split = split_layers(engines, layers)
+    alone = len(split) == 1
+    rates = [stage_rate(engine, count, alone=alone) for engine, count in split]
+    return min(rates, default=0.0)
+
+
+def _pair_bound(engines, layers):
+    rates = {
+        stage_rate(engine, count)
+        for engine in engines
+        for count in range(1, engine.layer_capacity + 1)
+    }
+    rates |= {engine.layer_rate / layers for engine in engines}
+    falling = sorted(rates, reverse=True)
+    best = _best_rate(engines, layers)
+    for index, fast in enumerate(falling):
+        for slow in falling[index:]:
+            if fast + slow <= best:
+                break
+            if _pair_fits(engines, layers, fast, slow):
+                best = fast + slow
+    return best
+
+
+def _pair_fits(engines, layers, fast, slow):
+    """Say whether divisible engines carry the model at two rates at once."""
+    carried = [
+        (_most_layers(engine, fast, layers), _most_layers(engine, slow, layers))
+        for engine in engines
+    ]
+    left_fast = float(layers)
+    left_slow = float(layers) - sum(slow_count for _, slow_count in carried)
+    able = [pair for pair in carried if pair[0] > 0]
+    for fast_count, slow_count in sorted(able, key=lambda pair: pair[1] / pair[0]):
+        part = min(1.0, left_fast / fast_count)
+        left_fast -= part * fast_count
+        left_slow += part * slow_count
+    return left_fast <= ROUNDING and left_slow <= ROUNDING
+
+
+def _most_layers(engine, rate, layers):
+    alone = engine.layer_capacity >= layers and engine.layer_rate >= rate * layers
+    return layers if alone else min(layers, layers_at(engine, rate))
--- a/wigeonscale/placement/cover.py
+++ b/wigeonscale/placement/cover.py
@@ -1,6 +1,6 @@
 """Covers a model several times over at one common rate."""
 
-__all__ = ["cover_evenly"]
+__all__ = ["cover_alike", "cover_evenly"]
 
 from collections.abc import Sequence
 
@@ -84,3 +84,27 @@
         totals[index] += size
     whole = all(split_layers(group, layers, stages=stages) for group in groups)
     return groups if whole and min(totals, default=0) >= layers else []
+
+
+def cover_alike(
+    engines: Sequence[EngineSpec], *, layers: int, chains: int, stages: int
+) -> list[list[EngineSpec]]:
+    """Return groups of engines as alike as can be, the fastest together.
+
+    Args:
+        engines: Engines that may be used.
+        layers: Number of layers of the model.
+        chains: Number of groups.
+        stages: Exact number of engines a group.
+
+    Returns:
+        The groups, or an empty list when some group cannot hold the model.
+    """
+    share = -(-layers // stages)
+    alike = sorted(
+        engines,
+        key=lambda e: (-stage_rate(e, share), -e.layer_capacity, e.domain, e.agent_id),
+    )
+    groups = [alike[i * stages : (i + 1) * stages] for i in range(chains)]
+    whole = all(split_layers(group, layers, stages=stages) for group in groups)
+    return groups if whole else []
--- a/wigeonscale/placement/fresh.py
+++ b/wigeonscale/placement/fresh.py
@@ -5,17 +5,16 @@
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
 
-from wigeonscale.placement.bound import compute_bound, kind_of
+from wigeonscale.placement.bound import kind_of
 from wigeonscale.placement.model import ChainPlan, EngineSpec
-from wigeonscale.placement.partition import Effort, partition_engines
-from wigeonscale.placement.polish import group_rate
-from wigeonscale.placement.rates import chain_rate, split_layers
+from wigeonscale.placement.partition import Search, partition_engines
+from wigeonscale.placement.rates import chain_rate, split_layers, stage_rate
 from wigeonscale.placement.repair import stages_of
 from wigeonscale.placement.reuse import loaded_groups
 from wigeonscale.rules.model import Pipeline
 
-# Engines that hold fitting layers are used as they are when they pass at least this
-# share of the mean chain that the hardware allows.
+# Engines that hold fitting layers are used as they are when the plan then passes at
+# least this share of the best plan: serving at once is worth more for a while.
 REUSE_SHARE = 0.5
 
 
@@ -25,7 +24,7 @@
     pipelines: Sequence[Pipeline],
     free: Sequence[EngineSpec],
     spares: int,
-    effort: Effort,
+    search: Search,
 ) -> list[ChainPlan]:
     """Return new chains of one model, without ids.
 
@@ -38,7 +37,7 @@
         pipelines: Pipelines of one model.
         free: Engines of that model in no chain, none of them draining.
         spares: Engines to keep free where the chains wanted do not need them.
-        effort: How long to search.
+        search: How to search for partitions.
 
     Returns:
         Chains with an empty ``chain_id`` and epoch 1.
@@ -53,7 +52,7 @@
         shapes.values(), _share_engines(free, weights), strict=True
     ):
         kept = -(-spares // len(shapes))
-        chains += _chains_of_shape(group, missing, share, kept, effort)
+        chains += _chains_of_shape(group, missing, share, kept, search)
     return chains
 
 
@@ -67,14 +66,15 @@
     return shares
 
 
-def _chains_of_shape(pipelines, missing, free, spares, effort):
+def _chains_of_shape(pipelines, missing, free, spares, search):
     wanted = sum(missing[pipeline.name] for pipeline in pipelines)
-    offered = _without_spares(free, spares)
-    splits = _splits(pipelines[0], offered, wanted, effort)
-    if len(splits) < wanted and len(offered) < len(free):
-        # A chain that serves is worth more than a spare that waits.
-        unspared = _splits(pipelines[0], free, wanted, effort)
-        splits = max(splits, unspared, key=len)
+    splits = []
+    # A chain that serves is worth more than a spare that waits.
+    for kept in range(min(spares, len(free)), -1, -1):
+        offered = _without_spares(free, kept)
+        splits = max(splits, _splits(pipelines[0], offered, wanted, search), key=len)
+        if len(splits) == wanted:
+            break
     splits.sort(key=_rate, reverse=True)
     return _deal(splits, pipelines, missing)
 
@@ -83,43 +83,59 @@
     """Return the engines left after setting spares aside, domain by domain.
 
     A spare must be able to hold the largest stage, so the roomiest engines are kept,
-    and of these the slowest.
+    and of these the slowest with the fastest links.
     """
+
+    def usefulness(engine):
+        return (
+            -engine.layer_capacity,
+            engine.layer_rate,
+            -engine.link_rate,
+            engine.agent_id,
+        )
+
     by_domain = defaultdict(list)
-    roomiest = sorted(free, key=lambda e: (-e.layer_capacity, e.layer_rate, e.agent_id))
-    for engine in roomiest:
+    for engine in sorted(free, key=usefulness):
         by_domain[engine.domain].append(engine)
-    ranked = sorted(
-        (rank, -engine.layer_capacity, engine.layer_rate, engine.agent_id)
+    ranked = [
+        (rank, usefulness(engine), engine)
         for members in by_domain.values()
         for rank, engine in enumerate(members)
-    )
-    kept = {agent_id for *_, agent_id in ranked[:spares]}
+    ]
+    ranked.sort(key=lambda item: item[:2])
+    kept = {engine.agent_id for _, _, engine in ranked[:spares]}
     return [engine for engine in free if engine.agent_id not in kept]
 
 
-def _splits(pipeline, engines, wanted, effort):
+def _splits(pipeline, engines, wanted, search):
     """Return the stages of each new chain as pairs of engine and number of layers."""
-    layers, stages = pipeline.layers, pipeline.stages
-    least_rate = REUSE_SHARE * compute_bound(engines, layers=layers) / wanted
+    fresh = _fresh_splits(pipeline, engines, wanted, search)
     loaded = loaded_groups(
-        engines, layers=layers, chains=wanted, stages=stages, least_rate=least_rate
+        engines, layers=pipeline.layers, chains=wanted, stages=pipeline.stages
     )
-    splits = [
-        [(e, e.last_layer - e.first_layer + 1) for e in group] for group in loaded
-    ]
+    if not loaded:
+        return fresh
     used = {engine.agent_id for group in loaded for engine in group}
+    rest = [engine for engine in engines if engine.agent_id not in used]
+    reused = [
+        [(engine, engine.last_layer - engine.first_layer + 1) for engine in group]
+        for group in loaded
+    ]
+    reused += _fresh_splits(pipeline, rest, wanted - len(reused), search)
+    enough = REUSE_SHARE * sum(_rate(split) for split in fresh)
+    worth_it = sum(_rate(split) for split in reused) >= enough
+    return reused if worth_it and len(reused) >= len(fresh) else fresh
+
+
+def _fresh_splits(pipeline, engines, wanted, search):
+    layers, stages = pipeline.layers, pipeline.stages
     groups = partition_engines(
-        [engine for engine in engines if engine.agent_id not in used],
-        layers=layers,
-        chains=wanted - len(loaded),
-        stages=stages,
-        effort=effort,
+        engines, layers=layers, chains=wanted, stages=stages, search=search
     )
+    splits = []
     for group in groups:
         split = split_layers(group, layers, stages=stages)
-        split.sort(key=lambda pair: _stage_order(pair[0]))
-        splits.append(split)
+        splits.append(sorted(split, key=lambda pair: _stage_order(pair[0])))
     return splits
 
 
@@ -130,7 +146,8 @@
 
 
 def _rate(split):
-    return group_rate([engine for engine, _ in split], sum(n for _, n in split))
+    alone = len(split) == 1
+    return min(stage_rate(engine, count, alone=alone) for engine, count in split)
 
 
 def _deal(splits, pipelines, missing):
--- a/wigeonscale/placement/planner.py
+++ b/wigeonscale/placement/planner.py
@@ -8,12 +8,12 @@
 
 from wigeonscale.placement.fresh import new_chains
 from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan
-from wigeonscale.placement.partition import FULL_EFFORT, QUICK_EFFORT
+from wigeonscale.placement.partition import FULL_SEARCH, QUICK_SEARCH
 from wigeonscale.placement.repair import is_leaving, repair_chains
 from wigeonscale.rules.model import Pipeline
 
 # Above this many engines the search is cut short, so that a plan takes a second.
-FULL_EFFORT_ENGINES = 256
+FULL_SEARCH_ENGINES = 256
 
 
 def plan_chains(
@@ -23,6 +23,7 @@
     chains: Sequence[ChainPlan],
     spares: int = 0,
     base_index: int = 0,
+    domain_share: float = FULL_SEARCH.domain_share,
 ) -> Plan:
     """Return the chains that shall stand, given those that stand now.
 
@@ -39,6 +40,8 @@
         spares: Engines of each model kept out of new chains, for repairs.
         base_index: Log index the input was taken from; part of new chain ids, so that
             no id is ever used twice. Must grow between calls whose plans are used.
+        domain_share: New chains stay inside one failure domain each when they so pass
+            at least this share of what they pass across domains; 0 for always.
 
     Returns:
         The plan; equal input gives an equal plan, and planning again with the plan's
@@ -56,7 +59,9 @@
     kept = [chain for chain in chains if _fits(chain, by_name, by_id)]
     standing = repair_chains(kept, pipelines=by_name, engines=by_id)
     standing = _drop_surplus(standing, by_name, by_id)
-    standing += _add_missing(standing, pipelines, by_id, spares, base_index)
+    search = FULL_SEARCH if len(engines) <= FULL_SEARCH_ENGINES else QUICK_SEARCH
+    search = replace(search, domain_share=domain_share)
+    standing += _add_missing(standing, pipelines, by_id, spares, base_index, search)
     return _compare(chains, standing)
 
 
@@ -80,8 +85,7 @@
     return [chain for chain in chains if chain.chain_id not in surplus]
 
 
-def _add_missing(standing, pipelines, by_id, spares, base_index):
-    effort = FULL_EFFORT if len(by_id) <= FULL_EFFORT_ENGINES else QUICK_EFFORT
+def _add_missing(standing, pipelines, by_id, spares, base_index, search):
     serving = Counter(
         chain.pipeline for chain in standing if not is_leaving(chain, by_id)
     )
@@ -96,7 +100,7 @@
                 pipelines=group,
                 free=list(free[model].values()),
                 spares=spares,
-                effort=effort,
+                search=search,
             )
             if not found:
                 break
--- a/wigeonscale/placement/rates.py
+++ b/wigeonscale/placement/rates.py
@@ -6,7 +6,7 @@
 not count.
 """
 
-__all__ = ["chain_rate", "layers_at", "split_layers", "stage_rate"]
+__all__ = ["ROUNDING", "chain_rate", "layers_at", "split_layers", "stage_rate"]
 
 import bisect
 import math
--- a/wigeonscale/placement/repair.py
+++ b/wigeonscale/placement/repair.py
@@ -1,6 +1,6 @@
 """Repairs chains that lost a stage, touching only the lost stage."""
 
-__all__ = ["is_alive", "is_leaving", "repair_chains"]
+__all__ = ["is_alive", "is_leaving", "repair_chains", "stage_on", "stages_of"]
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
--- a/wigeonscale/placement/reuse.py
+++ b/wigeonscale/placement/reuse.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 
 from wigeonscale.placement.model import EngineSpec
-from wigeonscale.placement.rates import stage_rate
 
 
 def loaded_groups(
@@ -15,7 +14,6 @@
     layers: int,
     chains: int,
     stages: int = 0,
-    least_rate: float = 0.0,
 ) -> list[list[EngineSpec]]:
     """Return groups whose loaded ranges follow each other from first to last layer.
 
@@ -24,7 +22,6 @@
         layers: Number of layers of the model.
         chains: Most groups.
         stages: Exact number of engines a group; 0 for any.
-        least_rate: Steps per second below which an engine is not worth reuse.
 
     Returns:
         Groups in layer order, each within one region.
@@ -33,7 +30,7 @@
     for engine in sorted(engines, key=lambda engine: engine.agent_id):
         count = engine.last_layer - engine.first_layer + 1
         fits = 0 < count <= engine.layer_capacity and engine.last_layer < layers
-        if fits and stage_rate(engine, count) >= least_rate:
+        if fits:
             by_start[engine.region, engine.first_layer].append(engine)
     groups = []
     for region in sorted({region for region, _ in by_start}):
--- a/wigeonscale/placement/tests/test_planner.py
+++ b/wigeonscale/placement/tests/test_planner.py
@@ -183,3 +183,77 @@
         (chain,) = self.plan(engines, base_index=5).chains
         (later,) = self.plan(engines, base_index=9).chains
         self.assertNotEqual(chain.chain_id, later.chain_id)
+
+    def test_lost_range_is_shared_when_no_spare_holds_it_whole(self):
+        pipeline = replace(self.pipeline, stages=0)
+        engines = [engine(n, layer_capacity=8 if n < 1 else 4) for n in range(5)]
+        (chain,) = plan_chains(
+            pipelines=[replace(pipeline, layers=12)], engines=engines[:2], chains=()
+        ).chains
+        big = next(s for s in chain.stages if s.layers == 8)
+        left = [spec for spec in engines if spec.agent_id != big.agent_id]
+        (after,) = plan_chains(
+            pipelines=[replace(pipeline, layers=12)], engines=left, chains=[chain]
+        ).chains
+        self.assertEqual(chain.chain_id, after.chain_id)
+        self.assertEqual([4, 4, 4], [stage.layers for stage in after.stages])
+
+    def test_one_chain_is_given_up_so_that_another_is_repaired(self):
+        pipeline = replace(self.pipeline, replicas=2)
+        engines = [engine(n, domain="a") for n in range(4)]
+        before = plan_chains(pipelines=[pipeline], engines=engines, chains=()).chains
+        lost = {chain.stages[0].agent_id for chain in before}
+        left = [spec for spec in engines if spec.agent_id not in lost]
+        plan = plan_chains(pipelines=[pipeline], engines=left, chains=before)
+        (after,) = plan.chains
+        self.assertEqual(2, after.epoch)
+        self.assertEqual(1, len(plan.removed))
+
+    def test_spares_are_kept_unless_a_chain_needs_them(self):
+        engines = [engine(n) for n in range(6)]
+        pipeline = replace(self.pipeline, stages=0, replicas=1)
+        for count, spares, used in ((6, 2, 4), (6, 0, 6), (3, 2, 2)):
+            plan = plan_chains(
+                pipelines=[replace(pipeline, layers=6)],
+                engines=engines[:count],
+                chains=(),
+                spares=spares,
+            )
+            stages = plan.chains[0].stages
+            self.assertLessEqual(len(stages), used)
+            self.assertTrue(stages)
+
+    def test_loaded_ranges_are_used_as_they_are(self):
+        engines = [engine(n) for n in range(6)]
+        engines[1] = replace(engines[1], first_layer=4, last_layer=7)
+        engines[3] = replace(engines[3], first_layer=0, last_layer=3)
+        (chain,) = self.plan(engines).chains
+        self.assertEqual(["e3", "e1"], [stage.agent_id for stage in chain.stages])
+
+    def test_pipelines_of_one_model_share_its_engines(self):
+        pipelines = [
+            replace(self.pipeline, stages=0),
+            replace(self.pipeline, stages=0, name="q"),
+            replace(self.pipeline, name="r"),
+        ]
+        engines = [engine(n) for n in range(9)]
+        plan = plan_chains(pipelines=pipelines, engines=engines, chains=())
+        self.assertEqual(
+            ["p", "q", "r"], sorted(chain.pipeline for chain in plan.chains)
+        )
+
+    def test_fewer_replicas_keep_the_fastest_chain(self):
+        slow = [engine(n, layer_rate=100.0) for n in range(2)]
+        fast = [engine(n, domain="b") for n in range(2, 4)]
+        pipeline = replace(self.pipeline, replicas=2)
+        before = plan_chains(pipelines=[pipeline], engines=slow + fast, chains=())
+        best = max(before.chains, key=lambda chain: chain.rate)
+        after = self.plan(slow + fast, before.chains)
+        self.assertEqual((best,), after.chains)
+
+    def test_removed_pipeline_loses_its_chains(self):
+        engines = [engine(n) for n in range(2)]
+        before = self.plan(engines)
+        after = plan_chains(pipelines=[], engines=engines, chains=before.chains)
+        self.assertEqual((), after.chains)
+        self.assertEqual((before.chains[0].chain_id,), after.removed)
