Choose by an estimate that ages load words; affinity yields late

A word is worth little after a second; the own requests in flight are always right but small.

Change: the others' load is the word while fresh and goes over, with a constant of 1 s, to the own requests in flight times the usual ratio. The least cost of the whole bounded subset is taken, a request that must queue weighing as 24 running ones. Affinity may go up to 20 times the least cost.

--- a/wigeonscale/routing/chooser.py
+++ b/wigeonscale/routing/chooser.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Chooser"]
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -10,18 +11,23 @@
 from wigeonscale.routing.prefixes import PrefixView, prefix_digest
 from wigeonscale.routing.subset import Candidate, CandidatePool, rendezvous_weight
 
-DEFAULT_SUBSET = 8
+DEFAULT_SUBSET = 16
 POOLS_KEPT = 256
-LOAD_RATIO_BOUND = 1.25
-LOAD_SLACK = 0.25
+# A request that must queue weighs as many running ones. The bound on the ratio is
+# a little below: affinity may crowd a server, but not make a request queue while
+# another server has room.
+QUEUED_WEIGHT = 24.0
+LOAD_RATIO_BOUND = 20.0
+SOFTNESS = 2.0
+SOFT_RANGE = 20.0
 
 
 class Chooser:
-    """Power of two choices on a bounded subset, with prefix affinity.
+    """The least loaded of a bounded subset, with prefix affinity.
 
     A request with a prefix goes to a backend server that holds the prefix, or
-    else to the one that rendezvous hashing gives, as long as its load is at most
-    ``LOAD_RATIO_BOUND`` times that of the better of two random candidates.
+    else to the one that rendezvous hashing gives, among those whose cost is at most
+    ``LOAD_RATIO_BOUND`` times the smallest: affinity yields to load.
 
     Args:
         table: Load of the agents.
@@ -76,11 +82,10 @@
         usable = self._usable(candidates, avoid)
         if not usable:
             return None
-        balanced = self._least_loaded_of_two(usable)
+        balanced = self._least_loaded(usable)
         if not prefix:
             return balanced
-        preferred = self._preferred(usable, prefix_digest(prefix))
-        return preferred if self._load_allows(preferred, balanced) else balanced
+        return self._with_affinity(usable, balanced, prefix_digest(prefix))
 
     def _usable(self, candidates, avoid: frozenset[str]) -> list[Candidate]:
         pool = self._pool(candidates)
@@ -110,24 +115,35 @@
             self._pools.popitem(last=False)
         return pool
 
-    def _least_loaded_of_two(self, usable: list[Candidate]) -> Candidate:
-        if len(usable) == 1:
-            return usable[0]
-        first, second = self._rng.sample(usable, 2)
-        return min(first, second, key=self._cost)
+    def _least_loaded(self, usable: list[Candidate]) -> Candidate:
+        random = self._rng.random
+        return min(usable, key=lambda c: (self._cost(c), random()))
+
+    def _with_affinity(
+        self, usable: list[Candidate], balanced: Candidate, digest: bytes
+    ) -> Candidate:
+        limit = LOAD_RATIO_BOUND * self._cost(balanced)
+        allowed = [c for c in usable if c is balanced or self._cost(c) <= limit]
+        holders = self._holders(allowed, digest)
+        if holders:
+            return min(holders, key=self._cost)
+        return max(allowed, key=lambda c: rendezvous_weight(digest, c.key, c.rate))
+
+    def _holders(self, allowed: list[Candidate], digest: bytes) -> list[Candidate]:
+        if self._view is None:
+            return []
+        return [c for c in allowed if self._view.holds(c.agent_id, digest)]
 
-    def _preferred(self, usable: list[Candidate], digest: bytes) -> Candidate:
-        if self._view is not None:
-            holders = [c for c in usable if self._view.holds(c.agent_id, digest)]
-            if holders:
-                return min(holders, key=self._cost)
-        return max(usable, key=lambda c: rendezvous_weight(digest, c.key, c.rate))
+    def _cost(self, candidate: Candidate) -> float:
+        # Requests at the server over its rate, those that must queue weighing
+        # more. The soft bend allows for a backlog that is only an estimate.
+        agent_id = candidate.agent_id
+        queued = _soft_excess(self._table.excess(agent_id))
+        requests = self._table.backlog(agent_id) + 1 + QUEUED_WEIGHT * queued
+        return requests / max(candidate.rate, 1e-9)
 
-    def _load_allows(self, preferred: Candidate, balanced: Candidate) -> bool:
-        bound = LOAD_RATIO_BOUND * self._cost(balanced)
-        return self._cost(preferred) <= bound + LOAD_SLACK / balanced.rate
 
-    def _cost(self, candidate: Candidate) -> float:
-        # Occupancy over rate: time until a new request is served, up to a factor.
-        backlog = self._table.backlog(candidate.agent_id)
-        return (backlog + 1) / max(candidate.rate, 1e-9)
+def _soft_excess(excess: float) -> float:
+    if excess > SOFT_RANGE:
+        return excess
+    return math.log1p(math.exp(excess * SOFTNESS)) / SOFTNESS
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -2,6 +2,7 @@
 
 __all__ = ["LoadTable", "LoadWordLike"]
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -10,7 +11,13 @@
 
 HISTORY = 512
 DEFAULT_SERVICE_S = 1.0
-SMOOTHING = 0.1
+# Slots of an agent that sent no word yet.
+DEFAULT_SLOTS = 32
+# How long what a word told of the others' load stays worth anything.
+WORD_DECAY_S = 1.0
+# Memory of the ratio of the others' load to the own.
+RATIO_MEMORY_S = 20.0
+MIN_OWN = 0.1
 
 
 class LoadWordLike(Protocol):
@@ -27,18 +34,23 @@
 class _Load:
     in_flight: int = 0
     history: deque = field(default_factory=lambda: deque(maxlen=HISTORY))
-    backlog: int = 0
-    slots: int = 1
-    in_flight_then: int = 0
+    slots: int = DEFAULT_SLOTS
     service_s: float = DEFAULT_SERVICE_S
     leaving: bool = False
+    told_at: float | None = None
+    others_told: float = 0.0
+    others_mean: float = 0.0
+    own_mean: float = 0.0
 
 
 class LoadTable:
     """Own requests in flight and last load word, by agent.
 
-    The word tells the load of all entries at the time it was made; what this
-    entry started and finished since is added to it.
+    A word tells the load from all entries at the time it was made. The own part of
+    a load is always known; the others' part is taken from the word while it is
+    fresh. As it ages, the estimate goes over to the own requests now in flight
+    times the usual ratio of the others' load to the own: all entries see much the
+    same, so they move alike, and an old word is worth less than that.
 
     Args:
         clock: Clock port.
@@ -69,33 +81,37 @@
             age_s: Seconds since the load was as told.
         """
         load = self._load(agent_id)
-        load.backlog = word.running + word.queued
         load.slots = max(1, word.slots)
         load.leaving = word.leaving
-        load.in_flight_then = self._in_flight_at(load, self._clock.now() - age_s)
         if word.queued > 0 and word.wait_s > 0.0:
             load.service_s = word.wait_s * load.slots / word.queued
+        told_at = self._clock.now() - age_s
+        if load.told_at is not None and told_at < load.told_at:
+            return
+        own = _in_flight_at(load, told_at)
+        load.others_told = max(0, word.running + word.queued - own)
+        _learn_ratio(load, own, told_at)
+        load.told_at = told_at
 
     def score(self, agent_id: str) -> float:
         """Return the estimated wait of a new request, in seconds."""
         load = self._loads.get(agent_id)
         if load is None:
             return 0.0
-        excess = self.backlog(agent_id) - load.slots + 1
-        return max(0.0, excess) * load.service_s / load.slots
+        return max(0.0, self.excess(agent_id)) * load.service_s / load.slots
 
     def backlog(self, agent_id: str) -> float:
         """Return the estimated requests running and queued at the agent."""
         load = self._loads.get(agent_id)
         if load is None:
             return 0.0
-        since = load.in_flight - load.in_flight_then
-        return max(load.backlog + since, load.in_flight, 0)
+        return load.in_flight + self._others(load)
 
-    def occupancy(self, agent_id: str) -> float:
-        """Return the estimated requests per slot."""
+    def excess(self, agent_id: str) -> float:
+        """Return by how many requests a new one would exceed the free slots."""
         load = self._loads.get(agent_id)
-        return self.backlog(agent_id) / load.slots if load else 0.0
+        slots = load.slots if load else DEFAULT_SLOTS
+        return self.backlog(agent_id) + 1 - slots
 
     def leaving(self, agent_id: str) -> bool:
         """Return whether the agent said that it takes no new work."""
@@ -122,8 +138,27 @@
         load.in_flight = max(0, load.in_flight + step)
         load.history.append((self._clock.now(), load.in_flight))
 
-    def _in_flight_at(self, load: _Load, when: float) -> int:
-        for changed_at, in_flight in reversed(load.history):
-            if changed_at <= when:
-                return in_flight
-        return 0 if len(load.history) < HISTORY else load.history[0][1]
+    def _others(self, load: _Load) -> float:
+        if load.told_at is None:
+            return 0.0
+        usual = load.in_flight * load.others_mean / max(load.own_mean, MIN_OWN)
+        age_s = self._clock.now() - load.told_at
+        worth = math.exp(-age_s / WORD_DECAY_S)
+        return usual + (load.others_told - usual) * worth
+
+
+def _in_flight_at(load: _Load, when: float) -> int:
+    for changed_at, in_flight in reversed(load.history):
+        if changed_at <= when:
+            return in_flight
+    return 0 if len(load.history) < HISTORY else load.history[0][1]
+
+
+def _learn_ratio(load: _Load, own: int, told_at: float) -> None:
+    if load.told_at is None:
+        load.others_mean = load.others_told
+        load.own_mean = own
+        return
+    weight = 1.0 - math.exp((load.told_at - told_at) / RATIO_MEMORY_S)
+    load.others_mean += weight * (load.others_told - load.others_mean)
+    load.own_mean += weight * (own - load.own_mean)
--- a/wigeonscale/routing/prefixes.py
+++ b/wigeonscale/routing/prefixes.py
@@ -9,6 +9,7 @@
 AFFINITY_BYTES = 256
 DIGEST_BYTES = 16
 PREFIXES_PER_AGENT = 1024
+FORGET_GAP = 256
 
 
 def prefix_digest(prompt: bytes) -> bytes:
@@ -26,20 +27,21 @@
 @dataclass(slots=True)
 class _Cache:
     last_number: int | None = None
-    gap_number: int = 0
     held: OrderedDict[bytes, int] = field(default_factory=OrderedDict)
     dropped: OrderedDict[bytes, int] = field(default_factory=OrderedDict)
 
 
 class PrefixView:
-    """Prefixes confirmed by cache events, by agent.
+    """Prefixes held by each agent's backend server, as cache events tell.
 
-    Events are numbered per agent. They come late and with gaps. An eviction may
-    be lost in a gap, so a gap forgets all that no later event confirmed.
+    Events are numbered per agent. They come late, crossed and with gaps. A prefix
+    whose eviction was lost in a gap stays believed until a request for it has found
+    out, since that costs one miss; a gap of ``FORGET_GAP`` events or more forgets
+    all of the agent's prefixes.
 
     Notes:
-        Constant time per event but for a gap, which costs the prefixes known of
-        that agent. At most ``PREFIXES_PER_AGENT`` are kept per agent.
+        Constant time per event and per question. At most ``PREFIXES_PER_AGENT``
+        prefixes held, and as many evicted, are kept per agent.
     """
 
     def __init__(self):
@@ -49,25 +51,23 @@
         """Take in one cache event.
 
         Args:
-            agent_id: Backend server.
+            agent_id: Agent of the backend server.
             number: The event's number; consecutive where none was lost.
             digest: Digest of the prefix.
             held: True when stored, False when evicted.
         """
         cache = self._caches.setdefault(agent_id, _Cache())
-        if number < cache.gap_number:
-            return
-        if cache.last_number is not None and number > cache.last_number + 1:
+        last = number if cache.last_number is None else cache.last_number
+        if number - last >= FORGET_GAP:
             cache.held.clear()
             cache.dropped.clear()
-            cache.gap_number = number
-        cache.last_number = max(number, cache.last_number or number)
+        cache.last_number = max(number, last)
         newest = max(cache.held.get(digest, -1), cache.dropped.get(digest, -1))
         if number > newest:
             _note(cache, digest, number, held)
 
     def holds(self, agent_id: str, digest: bytes) -> bool:
-        """Return whether the agent is known to hold the prefix."""
+        """Return whether the agent's server is believed to hold the prefix."""
         cache = self._caches.get(agent_id)
         return cache is not None and digest in cache.held
 
