Control: order weight loads by use, take long documents

Cause: aiohttp's default body limit of 1 MiB refused documents of the size to come; the order of weight loads now has its own function in placement. Change: bodies up to 16 MiB are read, longer ones are BODY_TOO_LARGE; order_loads replaces the ordering of our own.

--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -34,6 +34,9 @@
 BEARER = "Bearer "
 DEFAULT_RETRY_S = 1.0
 DIGEST_LENGTH = 16
+# A document for 30,000 organisations has about 4 MB; a log entry must fit into
+# one message between replicas.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
 
@@ -272,8 +275,16 @@
 
 
 async def _read(req: web.Request, model: type[pydantic.BaseModel]):
+    data = bytearray()
+    async for chunk in req.content.iter_any():
+        data += chunk
+        if len(data) > BODY_LIMIT_BYTES:
+            raise WigeonscaleError(
+                ErrorKind.BODY_TOO_LARGE,
+                f"body longer than {BODY_LIMIT_BYTES} bytes",
+            )
     try:
-        return model.model_validate_json(await req.read())
+        return model.model_validate_json(bytes(data))
     except pydantic.ValidationError as exc:
         problems = "; ".join(
             f"{'.'.join(map(str, error['loc'])) or 'body'}: {error['msg']}"
--- a/wigeonscale/control/orders.py
+++ b/wigeonscale/control/orders.py
@@ -1,37 +1,12 @@
 """Orders to agents, derived from the committed state alone."""
 
-__all__ = ["load_orders", "loads_due"]
+__all__ = ["load_orders"]
 
+from wigeonscale.placement import order_loads
 from wigeonscale.state import ControlState
 from wigeonscale.wire import wire_pb2 as wire
 
 
-def loads_due(state: ControlState) -> list[tuple[wire.Chain, wire.Stage]]:
-    """Return the stages that have yet to load their layers, most useful first.
-
-    Chains of pipelines without a ready chain go first, among these the ones that
-    lack least: they serve waiting requests soonest.
-
-    Args:
-        state: The replicated state.
-
-    Returns:
-        Stages with their chains, equal on every replica with an equal state.
-
-    Notes:
-        Costs one pass over all stages.
-    """
-    served = {chain.pipeline for chain in state.chains if chain.ready}
-    ranked = []
-    for chain in state.chains.planned():
-        missing = [s for s in chain.stages if not state.chains.is_loaded(chain, s)]
-        if missing:
-            rank = (chain.pipeline in served, len(missing), chain.chain_id)
-            ranked.append((rank, chain, missing))
-    ranked.sort(key=lambda item: item[0])
-    return [(chain, stage) for _, chain, missing in ranked for stage in missing]
-
-
 def load_orders(state: ControlState, *, loads: int) -> dict[str, wire.LoadLayers]:
     """Return the weight loads released now, by agent.
 
@@ -42,9 +17,13 @@
     Returns:
         At most ``loads`` orders. The next is released when a loaded range is
         announced, or when its agent is gone.
+
+    Notes:
+        Costs one pass over all stages.
     """
     orders = {}
-    for chain, stage in loads_due(state):
+    ranked = order_loads(state.chains.planned(), is_loaded=state.chains.is_loaded)
+    for chain, stage in ranked:
         if len(orders) >= loads:
             break
         if state.members.holds(stage.agent_id, stage.incarnation):
--- a/wigeonscale/control/tests/test_admin.py
+++ b/wigeonscale/control/tests/test_admin.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from wigeonscale.adapters.health import bound_address, start_http
-from wigeonscale.control import Admin
+from wigeonscale.control import Admin, admin
 from wigeonscale.control.documents import ApplyRequest
 from wigeonscale.control.tests.support import Parts
 from wigeonscale.errors import ErrorKind
@@ -25,7 +25,7 @@
     async def prepare(self):
         self.parts = Parts()
         self.addCleanup(self.parts.hub.close)
-        admin = Admin(
+        pages = Admin(
             node_id="c1",
             state=self.parts.state,
             replica=self.parts.replica,
@@ -33,7 +33,7 @@
             commands=self.parts.commands,
             token_digest=self.token_digest,
         )
-        runner = await start_http("127.0.0.1:0", admin.routes(), lambda: True)
+        runner = await start_http("127.0.0.1:0", pages.routes(), lambda: True)
         self.addCleanup(runner.cleanup)
         self.http = aiohttp.ClientSession(f"http://{bound_address(runner)}")
         self.addCleanup(self.http.close)
@@ -99,6 +99,13 @@
             self.assertEqual((400, "bad-request"), refused)
         self.assertEqual([], self.parts.replica.proposed)
 
+    async def test_long_documents_are_taken_up_to_a_bound(self):
+        long = DOCUMENT + "# comment\n" * 150_000
+        self.assertEqual((200, 1), await self.status_and_revision(self.apply(long)))
+        too_long = self.apply("#" * admin.BODY_LIMIT_BYTES, base=1, operation="b")
+        refused = await self.status_and_kind(too_long)
+        self.assertEqual((413, "body-too-large"), refused)
+
     async def test_rollback_makes_a_new_revision_once(self):
         await self.apply()
         await self.apply(DOCUMENT + "[service s]\n", base=1, operation="b")
