--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Admin"]
 
+import asyncio
 import hashlib
 import hmac
 import json
@@ -147,7 +148,7 @@
     async def _apply(self, req):
         body = await _read(req, ApplyRequest)
         self._require_leader()
-        document = _parsed(body.document)
+        document = await _parsed(body.document)
         command = self._apply_command(
             document, body.base_revision, body.operator, body.operation_id
         )
@@ -293,9 +294,10 @@
         raise WigeonscaleError(ErrorKind.BAD_REQUEST, problems) from exc
 
 
-def _parsed(text):
+async def _parsed(text):
     try:
-        return parse_document(text)
+        # In a thread: a long document would delay the replica's heartbeats.
+        return await asyncio.to_thread(parse_document, text)
     except SettingsError as exc:
         raise WigeonscaleError(ErrorKind.INVALID_DOCUMENT, exc.message) from exc
 
--- a/wigeonscale/control/feed.py
+++ b/wigeonscale/control/feed.py
@@ -54,7 +54,7 @@
             return
         if change.configuration:
             self._forget_old_configs()
-        if not change.backends and not change.chains:
+        if not change.is_about_members:
             return
         self._changes.append(change)
         if len(self._changes) > self._kept:
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -265,7 +265,8 @@
         changes, self._changed = self._changed, []
         for change in changes:
             self.feed.add(change)
-        self._orders = None
+        if any(change.is_about_members for change in changes):
+            self._orders = None
         for change in changes:
             self._check_attachments(change)
         for watcher in self.watchers:
--- a/wigeonscale/state/claims.py
+++ b/wigeonscale/state/claims.py
@@ -16,11 +16,12 @@
     """Records by organisation and idempotency key, oldest change first.
 
     Notes:
-        About 700 bytes a claim. Ending an incarnation costs its own claims only.
+        Records are kept serialised, which is small and makes snapshots cheap.
+        Ending an incarnation costs its own claims only.
     """
 
     def __init__(self):
-        self._records: OrderedDict[tuple[str, str], wire.ClaimRecord] = OrderedDict()
+        self._records: OrderedDict[tuple[str, str], bytes] = OrderedDict()
         # Claims in progress by (agent, incarnation); dicts keep a stable order.
         self._running: dict[tuple[str, int], dict[tuple[str, str], None]] = {}
 
@@ -35,9 +36,10 @@
             key: Idempotency key.
 
         Returns:
-            The record itself; not to be changed.
+            A copy of the record.
         """
-        return self._records.get((organisation, key))
+        data = self._records.get((organisation, key))
+        return None if data is None else wire.ClaimRecord.FromString(data)
 
     def answer_standing(self, claim: wire.Claim) -> wire.CommandResult | None:
         """Return the result for a key that is claimed already, or None.
@@ -71,7 +73,7 @@
             The new record, granted.
         """
         record = wire.ClaimRecord(claim=claim, state=wire.CLAIMED, wall_ms=wall_ms)
-        self._insert((claim.organisation, claim.key), record)
+        self._insert(record)
         return done(claim=record, granted=True)
 
     def end(self, outcome: wire.Outcome, wall_ms: int) -> wire.CommandResult:
@@ -89,20 +91,19 @@
             return refused(
                 ErrorKind.BAD_REQUEST, f"state {outcome.state} is not an outcome"
             )
-        name = (outcome.organisation, outcome.key)
-        record = self._records.get(name)
+        record = self.find(outcome.organisation, outcome.key)
         if record is None:
             return done()
         is_same = record.claim.dispatch_id == outcome.dispatch_id
         if not is_same or record.state != wire.CLAIMED:
             return done(claim=record)
-        self._remove(name)
+        self._remove(record)
         if outcome.not_run:
             return done()
         ended = wire.ClaimRecord(
             claim=record.claim, state=outcome.state, wall_ms=wall_ms
         )
-        self._insert(name, ended)
+        self._insert(ended)
         return done(claim=ended)
 
     def end_incarnation(self, agent_id: str, incarnation: int, wall_ms: int) -> None:
@@ -114,12 +115,11 @@
             wall_ms: Time inside the state, in milliseconds.
         """
         for name in list(self._running.get((agent_id, incarnation), ())):
-            claim = self._records[name].claim
-            self._remove(name)
-            self._insert(
-                name,
-                wire.ClaimRecord(claim=claim, state=wire.UNKNOWN, wall_ms=wall_ms),
-            )
+            record = self.find(*name)
+            self._remove(record)
+            record.state = wire.UNKNOWN
+            record.wall_ms = wall_ms
+            self._insert(record)
 
     def expire(self, before_wall_ms: int) -> None:
         """Forget every claim last changed before a time.
@@ -128,42 +128,52 @@
             before_wall_ms: Time in milliseconds.
         """
         while self._records:
-            name, record = next(iter(self._records.items()))
+            record = self._oldest()
             if record.wall_ms >= before_wall_ms:
                 return
-            self._remove(name)
+            self._remove(record)
 
     def oldest_wall_ms(self) -> int | None:
         """Return the time of the oldest record in milliseconds, or None."""
-        oldest = next(iter(self._records.values()), None)
-        return oldest.wall_ms if oldest is not None else None
-
-    def _insert(self, name, record):
-        self._records[name] = record
-        if record.state == wire.CLAIMED:
-            holder = (record.claim.agent_id, record.claim.agent_incarnation)
-            self._running.setdefault(holder, {})[name] = None
+        return self._oldest().wall_ms if self._records else None
 
-    def _remove(self, name):
-        record = self._records.pop(name)
-        holder = (record.claim.agent_id, record.claim.agent_incarnation)
-        running = self._running.get(holder)
-        if running is not None:
-            running.pop(name, None)
-            if not running:
-                del self._running[holder]
-
-    def save(self) -> list[wire.ClaimRecord]:
-        """Return every record for a snapshot, oldest first."""
+    def save(self) -> list[bytes]:
+        """Return every record for a snapshot, serialised, oldest first."""
         return list(self._records.values())
 
-    def load(self, records: Iterable[wire.ClaimRecord]) -> None:
+    def load(self, records: Iterable[bytes]) -> None:
         """Replace everything by the records of a snapshot.
 
         Args:
-            records: Oldest first.
+            records: Serialised, oldest first.
         """
         self._records.clear()
         self._running.clear()
-        for record in records:
-            self._insert((record.claim.organisation, record.claim.key), record)
+        for data in records:
+            self._insert(wire.ClaimRecord.FromString(data), data)
+
+    def _oldest(self):
+        return wire.ClaimRecord.FromString(next(iter(self._records.values())))
+
+    def _insert(self, record, data=None):
+        name = _name(record)
+        self._records[name] = data or record.SerializeToString()
+        if record.state == wire.CLAIMED:
+            self._running.setdefault(_holder(record), {})[name] = None
+
+    def _remove(self, record):
+        name = _name(record)
+        del self._records[name]
+        running = self._running.get(_holder(record))
+        if running is not None:
+            running.pop(name, None)
+            if not running:
+                del self._running[_holder(record)]
+
+
+def _name(record: wire.ClaimRecord) -> tuple[str, str]:
+    return record.claim.organisation, record.claim.key
+
+
+def _holder(record: wire.ClaimRecord) -> tuple[str, int]:
+    return record.claim.agent_id, record.claim.agent_incarnation
--- a/wigeonscale/state/operations.py
+++ b/wigeonscale/state/operations.py
@@ -5,18 +5,10 @@
 import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from wigeonscale.wire import wire_pb2 as wire
 
 
-@dataclass(frozen=True, slots=True)
-class _Record:
-    digest: bytes
-    wall_ms: int
-    result: bytes  # serialised: a third of the memory of the message
-
-
 class Operations:
     """Remembered results, bounded by count and by age.
 
@@ -26,14 +18,14 @@
             commands' wall time.
 
     Notes:
-        About 300 bytes a result. Forgetting depends on commands only, so that
-        all replicas forget alike.
+        Records are kept serialised, which is small and makes snapshots cheap.
+        Forgetting depends on commands only, so that all replicas forget alike.
     """
 
     def __init__(self, *, limit: int, age_ms: int):
         self._limit = limit
         self._age_ms = age_ms
-        self._records: OrderedDict[str, _Record] = OrderedDict()
+        self._records: OrderedDict[str, bytes] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -47,10 +39,11 @@
         Returns:
             Digest of the first command's body, and its result.
         """
-        record = self._records.get(operation_id)
-        if record is None:
+        data = self._records.get(operation_id)
+        if data is None:
             return None
-        return record.digest, wire.CommandResult.FromString(record.result)
+        record = wire.OperationRecord.FromString(data)
+        return record.digest, record.result
 
     def add(
         self, operation_id: str, digest: bytes, wall_ms: int, result: wire.CommandResult
@@ -63,43 +56,35 @@
             wall_ms: Largest wall time of any command so far, in milliseconds.
             result: The command's result.
         """
-        self._records[operation_id] = _Record(
-            digest, wall_ms, result.SerializeToString()
+        record = wire.OperationRecord(
+            operation_id=operation_id, digest=digest, wall_ms=wall_ms, result=result
         )
+        self._records[operation_id] = record.SerializeToString()
         self._forget(wall_ms - self._age_ms)
 
     def _forget(self, before_ms):
         while len(self._records) > self._limit:
             self._records.popitem(last=False)
         while self._records:
-            oldest = next(iter(self._records.values()))
+            oldest = wire.OperationRecord.FromString(next(iter(self._records.values())))
             if oldest.wall_ms >= before_ms:
                 return
             self._records.popitem(last=False)
 
-    def save(self) -> list[wire.OperationRecord]:
-        """Return every record for a snapshot, oldest first."""
-        return [
-            wire.OperationRecord(
-                operation_id=operation_id,
-                digest=record.digest,
-                wall_ms=record.wall_ms,
-                result=wire.CommandResult.FromString(record.result),
-            )
-            for operation_id, record in self._records.items()
-        ]
-
-    def load(self, records: Iterable[wire.OperationRecord]) -> None:
+    def save(self) -> list[bytes]:
+        """Return every record for a snapshot, serialised, oldest first."""
+        return list(self._records.values())
+
+    def load(self, records: Iterable[bytes]) -> None:
         """Replace everything by the records of a snapshot.
 
         Args:
-            records: Oldest first.
+            records: Serialised, oldest first.
         """
         self._records.clear()
-        for record in records:
-            self._records[record.operation_id] = _Record(
-                record.digest, record.wall_ms, record.result.SerializeToString()
-            )
+        for data in records:
+            record = wire.OperationRecord.FromString(data)
+            self._records[record.operation_id] = data
 
 
 def operation_digest(command: wire.Command) -> bytes:
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -43,6 +43,11 @@
     configuration: bool = False
     everything: bool = False
 
+    @property
+    def is_about_members(self) -> bool:
+        """Whether backends or chains changed."""
+        return bool(self.backends or self.chains or self.everything)
+
 
 class ControlState:
     """All that control replicas agree on; a replication state machine.
@@ -75,12 +80,8 @@
         self.index = 0
         self.now_ms = 0
         self.placement_index = 0
-        self._operator_operations = Operations(
-            limit=OPERATOR_OPERATIONS_LIMIT, age_ms=OPERATOR_OPERATIONS_AGE_MS
-        )
-        self._peer_operations = Operations(
-            limit=PEER_OPERATIONS_LIMIT, age_ms=PEER_OPERATIONS_AGE_MS
-        )
+        self._operator_operations = _operator_operations()
+        self._peer_operations = _peer_operations()
         self._handlers = {
             "apply_config": self._apply_config,
             "claim": self._claim,
@@ -162,18 +163,24 @@
         """
         snapshot = _parse_snapshot(data)
         configuration = Configuration(history_limit=self._history_limit)
+        claims = Claims()
+        operator_operations = _operator_operations()
+        peer_operations = _peer_operations()
         try:
             configuration.load(snapshot)
-        except SettingsError as exc:
+            claims.load(snapshot.claims)
+            operator_operations.load(snapshot.operator_operations)
+            peer_operations.load(snapshot.peer_operations)
+        except (SettingsError, DecodeError) as exc:
             raise WigeonscaleError(
-                ErrorKind.CORRUPT_LOG, f"the snapshot's document: {exc.message}"
+                ErrorKind.CORRUPT_LOG, f"a record of the snapshot is broken: {exc}"
             ) from exc
         self.configuration = configuration
+        self.claims = claims
+        self._operator_operations = operator_operations
+        self._peer_operations = peer_operations
         self.members.load(snapshot)
         self.chains.load(snapshot)
-        self.claims.load(snapshot.claims)
-        self._operator_operations.load(snapshot.operator_operations)
-        self._peer_operations.load(snapshot.peer_operations)
         self.index = snapshot.index
         self.now_ms = snapshot.now_ms
         self.placement_index = snapshot.placement_index
@@ -289,6 +296,16 @@
         )
 
 
+def _operator_operations() -> Operations:
+    return Operations(
+        limit=OPERATOR_OPERATIONS_LIMIT, age_ms=OPERATOR_OPERATIONS_AGE_MS
+    )
+
+
+def _peer_operations() -> Operations:
+    return Operations(limit=PEER_OPERATIONS_LIMIT, age_ms=PEER_OPERATIONS_AGE_MS)
+
+
 def _parse_snapshot(data: bytes) -> wire.StateSnapshot:
     try:
         snapshot = wire.StateSnapshot.FromString(data)
--- a/wigeonscale/state/tests/test_state.py
+++ b/wigeonscale/state/tests/test_state.py
@@ -4,7 +4,6 @@
 from hypothesis import strategies as st
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.state import ControlState
 from wigeonscale.state.tests.support import DOCUMENT, Machine, chain, engine
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
@@ -178,10 +177,18 @@
         else:
             self.fail(f"restored from {data!r}")
 
-    def test_snapshot_with_a_broken_document_is_refused(self):
-        broken = wire.StateSnapshot(format=1, base_document="[rule x]\nnonsense\n")
-        state = ControlState()
-        error = self.assertRaises(
-            WigeonscaleError, state.restore, broken.SerializeToString()
-        )
-        self.assertEqual(ErrorKind.CORRUPT_LOG, error.kind)
+    def test_snapshot_with_a_broken_record_is_refused_and_changes_nothing(self):
+        cases = [
+            {"base_document": "[rule x]\nnonsense\n"},
+            {"claims": [b"\xff\xff"]},
+            {"operator_operations": [b"\xff\xff"]},
+            {"peer_operations": [b"\xff\xff"]},
+        ]
+        machine = Machine()
+        machine.apply(operation_id="op")
+        before = machine.state.snapshot()
+        for fields in cases:
+            data = wire.StateSnapshot(format=1, **fields).SerializeToString()
+            error = self.assertRaises(WigeonscaleError, machine.state.restore, data)
+            self.assertEqual(ErrorKind.CORRUPT_LOG, error.kind)
+            self.assertEqual(before, machine.state.snapshot())
