--- a/wigeonscale/cli/admin_client.py
+++ b/wigeonscale/cli/admin_client.py
@@ -20,6 +20,7 @@
 ATTEMPT_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 PAUSE_S = 0.3
+BODY_TOO_LARGE = 413
 FIRST_SERVER_ERROR = 500
 LOG_DECIDED_KINDS = frozenset({ErrorKind.REVISION_CONFLICT, ErrorKind.INVALID_DOCUMENT})
 
@@ -170,6 +171,9 @@
 def _decoded(
     address: str, status: int, data: bytes, lost: RunState
 ) -> dict[str, object]:
+    if status == BODY_TOO_LARGE:
+        text = f"{address} takes no body of this size: {data[:200]!r}"
+        raise WigeonscaleError(ErrorKind.BODY_TOO_LARGE, text)
     try:
         answer = json.loads(data)
         error = answer.get("error")
--- a/wigeonscale/cli/tests/test_wigeonctl.py
+++ b/wigeonscale/cli/tests/test_wigeonctl.py
@@ -122,6 +122,13 @@
         apply = ("rules", "apply", str(self.rules), "--base", "4")
         self.assertEqual(3, (await self.run_command(*apply))[0])
 
+    async def test_body_too_large_is_refused(self):
+        self.first.script = {APPLY: [(413, "Maximum request body size exceeded")]}
+        apply = ("rules", "apply", str(self.rules), "--base", "4")
+        code, _, err = await self.run_command(*apply)
+        self.assertEqual(1, code)
+        self.assertIn("refused (body-too-large)", err)
+
     async def test_no_quorum_not_run_is_refused(self):
         for fake in (self.first, self.second):
             fake.script = {APPLY: [refusal(503, "no-quorum", run="not-run")]}
--- a/wigeonscale/rules/tests/test_matching.py
+++ b/wigeonscale/rules/tests/test_matching.py
@@ -1,10 +1,19 @@
+import contextlib
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.rules import RequestFacts, Ruleset, parse_document
+from wigeonscale.rules import (
+    InvalidDocument,
+    RequestFacts,
+    Ruleset,
+    parse_document,
+    patch_document,
+)
 from wigeonscale.rules.tests.samples import SMALL
 from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2
 
 ORGANISATIONS = ("press", "solo")
 MODELS = ("proof-1", "m2")
@@ -63,6 +72,61 @@
         return None
 
 
+def change_of(kind, names, bodies, afters):
+    """Return a strategy of changes to sections of one kind."""
+
+    def build(name, body, after):
+        section = f"{kind} {name}"
+        if body is None:
+            return wire_pb2.SectionChange(name=section, removed=True)
+        text = f"[{section}]\n{body}\n"
+        return wire_pb2.SectionChange(name=section, text=text, after=after)
+
+    options = (names, [None, *bodies], afters)
+    return st.builds(build, *(st.sampled_from(option) for option in options))
+
+
+AFTERS = ("", "organisation press", "rule a", "rule b", "rule c")
+BODIES = [
+    f"when = {when}\nthen = refuse because x"
+    for when in (
+        "always",
+        "organisation is solo",
+        "model in proof-1, m2",
+        "path is /v1",
+    )
+    + ("organisation in solo, press and not path under /notes/", "header x-team is a")
+]
+CHANGE = change_of("rule", ("a", "b", "c", "d"), BODIES, AFTERS) | change_of(
+    "organisation", ORGANISATIONS, ("", "keys = k1", "keys = k1, k2"), AFTERS
+)
+
+
+class PatchedTest(AsyncTestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.lists(CHANGE, max_size=14), st.lists(FACTS, min_size=1, max_size=4))
+    def test_patches_lead_where_parsing_leads(self, changes, requests):
+        doc = parse_document(BASE)
+        for change in changes:
+            with contextlib.suppress(InvalidDocument):
+                doc = patch_document(doc, [change])
+        self.assertEqual(parse_document(doc.text).digest, doc.digest)
+        for facts in requests:
+            self.assertEqual(linear_scan(doc, facts), decided(doc, facts))
+
+    def test_removing_one_of_several_rules_with_one_key(self):
+        text = BASE
+        for name in ("a", "b", "c"):
+            when = f"organisation is solo and not path is /{name}"
+            text += f"[rule {name}]\nwhen = {when}\nthen = refuse because x\n"
+        doc = parse_document(text)
+        removal = wire_pb2.SectionChange(name="rule a", removed=True)
+        doc = patch_document(doc, [removal])
+        for path, rule in (("/a", "b"), ("/b", "c"), ("/c", "b")):
+            facts = RequestFacts(organisation="solo", method="GET", path=path)
+            self.assertEqual(rule, decided(doc, facts))
+
+
 class DecideTest(AsyncTestCase):
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.lists(WHEN, max_size=12), st.lists(FACTS, min_size=1, max_size=6))
