--- a/wigeonscale/routing/chooser.py
+++ b/wigeonscale/routing/chooser.py
@@ -20,6 +20,7 @@
 LOAD_RATIO_BOUND = 20.0
 SOFTNESS = 2.0
 SOFT_RANGE = 20.0
+MIN_RATE = 1e-9
 
 
 class Chooser:
@@ -82,15 +83,20 @@
         usable = self._usable(candidates, avoid)
         if not usable:
             return None
-        balanced = self._least_loaded(usable)
+        random = self._rng.random
+        costed = sorted((self._cost(c), random(), c) for c in usable)
         if not prefix:
-            return balanced
-        return self._with_affinity(usable, balanced, prefix_digest(prefix))
+            return costed[0][2]
+        limit = LOAD_RATIO_BOUND * costed[0][0]
+        allowed = [candidate for cost, _, candidate in costed if cost <= limit]
+        return self._with_affinity(allowed, prefix_digest(prefix))
 
     def _usable(self, candidates, avoid: frozenset[str]) -> list[Candidate]:
+        if len(candidates) <= self._size and not isinstance(candidates, CandidatePool):
+            return [c for c in candidates if self._is_usable(c, avoid)]
         pool = self._pool(candidates)
         usable = [c for c in pool.subset if self._is_usable(c, avoid)]
-        if usable or len(pool) <= self._size:
+        if usable:
             return usable
         # All of the subset is out, as after a lost domain: look at the others.
         return [c for c in pool.ranked(4 * self._size) if self._is_usable(c, avoid)]
@@ -115,32 +121,20 @@
             self._pools.popitem(last=False)
         return pool
 
-    def _least_loaded(self, usable: list[Candidate]) -> Candidate:
-        random = self._rng.random
-        return min(usable, key=lambda c: (self._cost(c), random()))
-
-    def _with_affinity(
-        self, usable: list[Candidate], balanced: Candidate, digest: bytes
-    ) -> Candidate:
-        limit = LOAD_RATIO_BOUND * self._cost(balanced)
-        allowed = [c for c in usable if c is balanced or self._cost(c) <= limit]
-        holders = self._holders(allowed, digest)
-        if holders:
-            return min(holders, key=self._cost)
+    def _with_affinity(self, allowed: list[Candidate], digest: bytes) -> Candidate:
+        if self._view is not None:
+            for candidate in allowed:  # the least cost first
+                if self._view.holds(candidate.agent_id, digest):
+                    return candidate
         return max(allowed, key=lambda c: rendezvous_weight(digest, c.key, c.rate))
 
-    def _holders(self, allowed: list[Candidate], digest: bytes) -> list[Candidate]:
-        if self._view is None:
-            return []
-        return [c for c in allowed if self._view.holds(c.agent_id, digest)]
-
     def _cost(self, candidate: Candidate) -> float:
         # Requests at the server over its rate, those that must queue weighing
         # more. The soft bend allows for a backlog that is only an estimate.
         agent_id = candidate.agent_id
-        queued = _soft_excess(self._table.excess(agent_id))
-        requests = self._table.backlog(agent_id) + 1 + QUEUED_WEIGHT * queued
-        return requests / max(candidate.rate, 1e-9)
+        requests = self._table.backlog(agent_id) + 1
+        queued = _soft_excess(requests - self._table.slots(agent_id))
+        return (requests + QUEUED_WEIGHT * queued) / max(candidate.rate, MIN_RATE)
 
 
 def _soft_excess(excess: float) -> float:
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -98,7 +98,8 @@
         load = self._loads.get(agent_id)
         if load is None:
             return 0.0
-        return max(0.0, self.excess(agent_id)) * load.service_s / load.slots
+        excess = self.backlog(agent_id) + 1 - load.slots
+        return max(0.0, excess) * load.service_s / load.slots
 
     def backlog(self, agent_id: str) -> float:
         """Return the estimated requests running and queued at the agent."""
@@ -107,11 +108,10 @@
             return 0.0
         return load.in_flight + self._others(load)
 
-    def excess(self, agent_id: str) -> float:
-        """Return by how many requests a new one would exceed the free slots."""
+    def slots(self, agent_id: str) -> int:
+        """Return the requests that the agent serves at once."""
         load = self._loads.get(agent_id)
-        slots = load.slots if load else DEFAULT_SLOTS
-        return self.backlog(agent_id) + 1 - slots
+        return load.slots if load else DEFAULT_SLOTS
 
     def leaving(self, agent_id: str) -> bool:
         """Return whether the agent said that it takes no new work."""
