--- a/wigeonscale/agent/dispatch.py
+++ b/wigeonscale/agent/dispatch.py
@@ -79,7 +79,7 @@
             "attach": self.attach,
             "cancel": self.cancel,
             "seal": self.seal,
-            "credit": lambda msg, s: s.credit(msg.dispatch_id, msg.tokens),
+            "credits": lambda msg, s: s.credit(msg.credits),
             "ping": lambda msg, s: s.pong(msg.sent_us),
         }
         body = req.WhichOneof("body")
--- a/wigeonscale/agent/stream.py
+++ b/wigeonscale/agent/stream.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from wigeonscale.agent.table import Dispatch, Reader
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
@@ -55,12 +55,13 @@
             self._dirty.pop(reader, None)
             reader.dispatch.readers.discard(reader)
 
-    def credit(self, dispatch_id: str, tokens: int) -> None:
-        """Allow further tokens of an answer to be sent."""
-        reader = self._readers.get(dispatch_id)
-        if reader is not None and tokens > 0:
-            reader.credit += tokens
-            self._mark(reader)
+    def credit(self, credits: Iterable[wire.Credit]) -> None:
+        """Allow further tokens of answers to be sent."""
+        for credit in credits:
+            reader = self._readers.get(credit.dispatch_id)
+            if reader is not None and credit.tokens > 0:
+                reader.credit += credit.tokens
+                self._mark(reader)
 
     def send(self, item: wire.DispatchItem) -> None:
         """Send one item as soon as may be."""
--- a/wigeonscale/agent/table.py
+++ b/wigeonscale/agent/table.py
@@ -88,7 +88,10 @@
         if count <= 0:
             return None
         start = self.cursor - dispatch.first_index
-        run = wire.TokenRun(tokens=dispatch.tokens[start : start + count])
+        tokens = dispatch.tokens[start : start + count]
+        run = wire.TokenRun(
+            texts=[token.text for token in tokens], ids=[token.id for token in tokens]
+        )
         setattr(run, "from", self.cursor)
         self.cursor += count
         self.credit -= count
--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -216,8 +216,8 @@
                 start = getattr(item.tokens, "from")
                 if texts and start != self._next:
                     raise AssertionError(f"token {start} where {self._next} was due")
-                texts += [token.text for token in item.tokens.tokens]
-                self._next = start + len(item.tokens.tokens)
+                texts += item.tokens.texts
+                self._next = start + len(item.tokens.texts)
         return texts
 
     async def wait(self, condition):
--- a/wigeonscale/agent/tests/test_dispatch.py
+++ b/wigeonscale/agent/tests/test_dispatch.py
@@ -13,6 +13,10 @@
 LAYERS = 6
 
 
+def _credits(dispatch_id, tokens):
+    return wire.Credits(credits=[wire.Credit(dispatch_id=dispatch_id, tokens=tokens)])
+
+
 class GatedService:
     """Holds calls until told; fails them when told."""
 
@@ -63,7 +67,7 @@
         await self.client.send(ping=wire.Ping(sent_us=7))
         await self.client.wait(lambda: self.client.events[-1].pong_us == 7)
         self.assertEqual(INITIAL_CREDIT, len(self.client.texts(slow)))
-        await self.client.send(credit=wire.Credit(dispatch_id=slow, tokens=50))
+        await self.client.send(credits=_credits(slow, 50))
         await self.client.end(slow)
         want = self.want("slow", INITIAL_CREDIT + 50)
         self.assertEqual(want, self.client.texts(slow))
@@ -89,7 +93,7 @@
         )
         produced = table.get(first).produced
         self.assertLess(produced, 2000)
-        await self.client.send(credit=wire.Credit(dispatch_id=first, tokens=2000))
+        await self.client.send(credits=_credits(first, 2000))
         last = await self.client.end(first)
         self.assertEqual(2000, last.done.tokens)
 
--- a/wigeonscale/pipelines/tests/test_stage.py
+++ b/wigeonscale/pipelines/tests/test_stage.py
@@ -109,6 +109,12 @@
         self.assertEqual(one.token, two.token)
         self.assertEqual([("d#1", 0)], self.positions())
 
+    async def test_two_steps_of_one_sequence_in_one_iteration(self):
+        async with asyncio.timeout(5):
+            reply = await self.stage.run(request(step(), step(1)))
+        self.assertEqual(["", "bad-request"], [r.kind for r in reply.results])
+        self.assertEqual([("d#1", 0)], self.positions())
+
     async def test_last_step_is_remembered_for_a_resend(self):
         first = await self.run_one(step(last=True))
         again = await self.run_one(step(last=True, attempt=2))
--- a/wigeonscale/testing/fake_engine.py
+++ b/wigeonscale/testing/fake_engine.py
@@ -184,9 +184,9 @@
         cache = self.caches.get(step.sequence_id)
         if cache is None:
             return _failed(step, f"no KV cache for sequence {step.sequence_id}")
-        inputs = json.loads(step.hidden)
-        if len(inputs) != step.count:
-            return _failed(step, f"{len(inputs)} inputs for {step.count} positions")
+        inputs = _decode_inputs(step.hidden)
+        if inputs is None or len(inputs) != step.count:
+            return _failed(step, f"{step.hidden!r} is no {step.count} inputs")
         outputs = [_run_layers(cache, first, last, piece) for piece in inputs]
         self._record(step, first, last)
         # The engine does not know whether its stage is the last, so it gives both.
@@ -216,6 +216,15 @@
         )
 
 
+def _decode_inputs(hidden: bytes) -> list[str] | None:
+    try:
+        inputs = json.loads(hidden)
+    except ValueError:
+        return None
+    is_texts = isinstance(inputs, list) and all(isinstance(i, str) for i in inputs)
+    return inputs if is_texts else None
+
+
 def _failed(step: EngineStep, why: str) -> EngineResult:
     return EngineResult(step.sequence_id, step.position, error=why)
 
