--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,221 @@
+"""Cost of relaying: the entry beside a bare aiohttp relay, in the same run.
+
+Every role is a process of its own on loopback, so that its processor time and
+memory can be read from the system. Callers are plain sockets in this process.
+"""
+
+__all__ = ["measure"]
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import statistics
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+
+from bench.relay_roles import KEY, MODEL, Load
+from bench.report import Figure
+
+STREAMS = 200
+ROUNDS = 3
+ONE_A_WRITE = Load(streams=STREAMS, ticks=100, burst=1, interval_s=0.02)
+ONE_A_MESSAGE = dataclasses.replace(ONE_A_WRITE, together=False, interval_s=0.05)
+BURSTS = Load(streams=STREAMS, ticks=50, burst=16, interval_s=0.05)
+REQUESTS = Load(streams=1, ticks=1, burst=1, interval_s=0.0)
+REQUEST_COUNT = 1000
+
+MAX_RATIO_ONE = 1.3
+MAX_RATIO_BURST = 1.0
+MAX_MEMORY_MB = 128.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+END = b"0\r\n\r\n"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Process:
+    """A role that serves."""
+
+    pid: int
+    address: str
+
+    def cpu_s(self) -> float:
+        """Return the processor seconds used so far, by user and system."""
+        with open(f"/proc/{self.pid}/stat") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+    def memory_mb(self) -> float:
+        """Return the resident memory."""
+        with open(f"/proc/{self.pid}/status") as file:
+            line = next(line for line in file if line.startswith("VmRSS"))
+        return int(line.split()[1]) / 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Cost:
+    """What one run cost.
+
+    Attributes:
+        entry_us: Entry or relay: microseconds per unit.
+        source_us: Agent or upstream: microseconds per unit.
+        idle_mb: Memory before the run.
+        busy_mb: Memory with all streams open.
+    """
+
+    entry_us: float
+    source_us: float
+    idle_mb: float
+    busy_mb: float
+
+
+def measure() -> list[Figure]:
+    """Measure the entry and the bare relay, and return the figures."""
+    figures: list[Figure] = []
+    cases = [
+        ("one token a write", ONE_A_WRITE, MAX_RATIO_ONE),
+        ("one token a message", ONE_A_MESSAGE, None),
+        ("bursts of 16", BURSTS, MAX_RATIO_BURST),
+    ]
+    for name, load, bound in cases:
+        figures += _compare(name, load, bound, _run_streams, "token")
+    figures += _compare("requests", REQUESTS, None, _run_requests, "request")
+    return figures
+
+
+def _compare(
+    name: str,
+    load: Load,
+    bound: float | None,
+    run: Callable[[str, Load], _Cost],
+    unit: str,
+) -> list[Figure]:
+    pairs = [(run("entry", load), run("relay", load)) for _ in range(ROUNDS)]
+    ours = [pair[0] for pair in pairs]
+    entry_us = statistics.median(cost.entry_us for cost in ours)
+    bare_us = statistics.median(cost.entry_us for _, cost in pairs)
+    ratio = statistics.median(
+        cost.entry_us / max(bare.entry_us, 1e-9) for cost, bare in pairs
+    )
+    figures = [
+        Figure(f"relay/{name}/entry cpu per {unit}", entry_us, "us"),
+        Figure(f"relay/{name}/bare relay cpu per {unit}", bare_us, "us"),
+        Figure(f"relay/{name}/entry to bare relay", ratio, "ratio", high=bound),
+        Figure(
+            f"relay/{name}/token source over gRPC per {unit}",
+            statistics.median(cost.source_us for cost in ours),
+            "us",
+        ),
+    ]
+    if unit == "token":
+        idle_mb = max(cost.idle_mb for cost in ours)
+        busy_mb = max(cost.busy_mb for cost in ours)
+        figures += [
+            Figure(f"relay/{name}/entry memory idle", idle_mb, "MB"),
+            Figure(
+                f"relay/{name}/entry memory at {STREAMS} streams",
+                busy_mb,
+                "MB",
+                high=MAX_MEMORY_MB,
+            ),
+        ]
+    return figures
+
+
+def _run_streams(role: str, load: Load) -> _Cost:
+    with _processes(role, load) as (front, source):
+        return asyncio.run(_stream_cost(front, source, load))
+
+
+def _run_requests(role: str, load: Load) -> _Cost:
+    with _processes(role, load) as (front, source):
+        return asyncio.run(_request_cost(front, source))
+
+
+async def _stream_cost(front: _Process, source: _Process, load: Load) -> _Cost:
+    idle_mb = front.memory_mb()
+    conns = [await _send(front.address) for _ in range(load.streams)]
+    firsts = await asyncio.gather(*(reader.readuntil(b"data: ") for reader, _ in conns))
+    before, source_before = front.cpu_s(), source.cpu_s()
+    busy_mb = front.memory_mb()
+    bodies = await asyncio.gather(*(_read_all(reader) for reader, _ in conns))
+    used, source_used = front.cpu_s() - before, source.cpu_s() - source_before
+    busy_mb = max(busy_mb, front.memory_mb())
+    _check(firsts, bodies, load)
+    for _, writer in conns:
+        writer.close()
+    tokens = load.streams * (load.ticks - 1) * load.burst
+    return _Cost(1e6 * used / tokens, 1e6 * source_used / tokens, idle_mb, busy_mb)
+
+
+async def _request_cost(front: _Process, source: _Process) -> _Cost:
+    for _ in range(REQUEST_COUNT // 10):
+        await _one_request(front.address)
+    before, source_before = front.cpu_s(), source.cpu_s()
+    for _ in range(REQUEST_COUNT):
+        await _one_request(front.address)
+    used, source_used = front.cpu_s() - before, source.cpu_s() - source_before
+    scale = 1e6 / REQUEST_COUNT
+    return _Cost(used * scale, source_used * scale, 0.0, front.memory_mb())
+
+
+async def _one_request(address: str) -> None:
+    reader, writer = await _send(address)
+    await _read_all(reader)
+    writer.close()
+
+
+async def _send(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port), limit=2**20)
+    body = json.dumps({"model": MODEL, "prompt": "side 12", "stream": True})
+    writer.write(
+        f"POST /v1/completions HTTP/1.1\r\nHost: {address}\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+    )
+    return reader, writer
+
+
+async def _read_all(reader: asyncio.StreamReader) -> bytes:
+    parts = [b""]
+    while not parts[-1].endswith(END):
+        chunk = await reader.read(2**16)
+        if not chunk:
+            raise ConnectionError(f"cut after {parts[-1][-200:]!r}")
+        parts.append(parts[-1][-len(END) :] + chunk if len(chunk) < 5 else chunk)
+    return b"".join(parts)
+
+
+def _check(firsts: list[bytes], bodies: list[bytes], load: Load) -> None:
+    """A cheap answer that is not whole would be no figure at all."""
+    wanted = load.ticks * load.burst + 2
+    for first, body in zip(firsts, bodies, strict=True):
+        events = first.count(b"data: ") + body.count(b"data: ")
+        if events != wanted:
+            raise ValueError(f"{events} events where {wanted} were due")
+
+
+@contextlib.contextmanager
+def _processes(role: str, load: Load) -> Iterator[tuple[_Process, _Process]]:
+    """Start a front and its source of tokens, and end both."""
+    source_role = {"entry": "agent", "relay": "upstream"}[role]
+    with _process(source_role, load) as source:
+        fed = dataclasses.replace(load, address=source.address)
+        with _process(role, fed) as front:
+            yield front, source
+
+
+@contextlib.contextmanager
+def _process(role: str, load: Load) -> Iterator[_Process]:
+    args = [sys.executable, "-m", "bench.relay_roles", role, load.as_json()]
+    child = subprocess.Popen(
+        args, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
+    try:
+        yield _Process(pid=child.pid, address=child.stdout.readline().strip())
+    finally:
+        child.kill()
+        child.communicate()
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -18,6 +18,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Stands in the outbox for all credit not yet sent.
+_CREDITS = wire.DispatchRequest(credits=wire.Credits())
+
 OnWord = Callable[[str, wire.LoadWord], None]
 OnGone = Callable[[Target], None]
 
@@ -46,6 +49,7 @@
         self._on_word = on_word
         self._outbox: asyncio.Queue[wire.DispatchRequest | None]
         self._outbox = asyncio.Queue()
+        self._credits: dict[str, int] = {}
 
     def add(self, stream: DispatchStream) -> None:
         """Carry a dispatch: open it, or take it up, on this link."""
@@ -66,6 +70,12 @@
         """Queue a message to the agent."""
         self._outbox.put_nowait(request)
 
+    def give_credit(self, dispatch_id: str, tokens: int) -> None:
+        """Allow further tokens of a dispatch; sent together with others' credit."""
+        if not self._credits:
+            self._outbox.put_nowait(_CREDITS)
+        self._credits[dispatch_id] = self._credits.get(dispatch_id, 0) + tokens
+
     def ping(self) -> None:
         """Ask the agent for a word."""
         sent_us = int(self._clock.now() * 1e6)
@@ -94,7 +104,14 @@
         while (request := await self._outbox.get()) is not None:
             if request.WhichOneof("body") == "open":
                 self._mark_sent(request.open.dispatch_id)
-            yield request
+            yield self._all_credits() if request is _CREDITS else request
+
+    def _all_credits(self) -> wire.DispatchRequest:
+        credits = wire.Credits()
+        for dispatch_id, tokens in self._credits.items():
+            credits.credits.add(dispatch_id=dispatch_id, tokens=tokens)
+        self._credits.clear()
+        return wire.DispatchRequest(credits=credits)
 
     def _mark_sent(self, dispatch_id: str) -> None:
         stream = self.streams.get(dispatch_id)
--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -9,6 +9,7 @@
 ]
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -20,11 +21,14 @@
     from wigeonscale.dispatch.links import AgentLink
 
 # Credit goes back in steps, not token by token.
-CREDIT_STEP = INITIAL_CREDIT // 4
+CREDIT_STEP = INITIAL_CREDIT // 2
 # Gaps in the token index that are mended by attaching again, per dispatch.
 MAX_GAPS = 3
 
 
+Sink = Callable[[list[str]], bool]
+
+
 class AgentGoneError(WigeonscaleError):
     """No connection to the agent works any more.
 
@@ -139,6 +143,7 @@
         self._seal_pending = only_seal
         self._never_ran: bool | None = None
         self._waiter: asyncio.Future | None = None
+        self._sink: Sink | None = None
 
     @property
     def ended(self) -> bool:
@@ -173,9 +178,13 @@
         """Take in one item from the agent."""
         if self.ended:
             return
+        self.accepted = True
         body = item.WhichOneof("body")
         if body == "tokens":
             self._add_tokens(item.tokens)
+            if self._sink is not None:
+                self._pour()
+                return
         elif body == "done":
             self._finish(item.done)
         elif body == "response":
@@ -185,7 +194,6 @@
         elif body == "sealed":
             self._seal_pending = False
             self._never_ran = item.sealed.never_ran
-        self.accepted = True
         self._wake()
 
     def fail(self, error: WigeonscaleError) -> None:
@@ -197,17 +205,13 @@
     def _add_tokens(self, run: wire.TokenRun) -> None:
         record = self.record
         expected = record.base + len(record.texts)
-        tokens = run.tokens
         start = getattr(run, "from")
         if start > expected:
             self._mend_gap(f"token {expected} is missing before {start}")
             return
-        if start < expected:
-            tokens = tokens[expected - start :]
-        ids, texts = record.ids, record.texts
-        for token in tokens:
-            ids.append(token.id)
-            texts.append(token.text)
+        known = expected - start
+        record.texts += run.texts[known:]
+        record.ids += run.ids[known:]
 
     def _finish(self, done: wire.Done) -> None:
         missing = done.tokens - self.record.next_index
@@ -293,15 +297,34 @@
         Raises:
             WigeonscaleError: The error that ended the dispatch, after its tokens.
         """
-        if self._uncredited >= CREDIT_STEP and not self.ended:
-            self._give_credit()
-        texts = self.record.texts
-        while len(texts) == self._taken:
+        self._give_credit()
+        while not self.has_new:
             if self.error is not None:
                 raise self.error
             if self.ended:
                 return []
             await self._wait()
+        return self._take_new()
+
+    def pour_into(self, sink: Sink) -> None:
+        """Hand the tokens to come to a function, without waking the reader.
+
+        Args:
+            sink: Takes token texts; returns whether it can take more at once. When
+                it cannot, the tokens after these wait for :meth:`take` again.
+        """
+        self._sink = sink
+        if self.has_new:
+            self._pour()
+
+    def _pour(self) -> None:
+        if not self._sink(self._take_new()):
+            self._sink = None
+            return
+        self._give_credit()
+
+    def _take_new(self) -> list[str]:
+        texts = self.record.texts
         new = texts[self._taken :]
         self._taken = len(texts)
         self._uncredited += len(new)
@@ -341,9 +364,10 @@
         self.link.remove(self)
 
     def _give_credit(self) -> None:
-        credit = wire.Credit(dispatch_id=self.dispatch_id, tokens=self._uncredited)
+        if self._uncredited < CREDIT_STEP or self.ended:
+            return
+        self.link.give_credit(self.dispatch_id, self._uncredited)
         self._uncredited = 0
-        self.link.send(wire.DispatchRequest(credit=credit))
 
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
--- a/wigeonscale/dispatch/tests/fake_agent.py
+++ b/wigeonscale/dispatch/tests/fake_agent.py
@@ -180,7 +180,7 @@
 
     def send_token(self, number: int, dispatch_id: str, index: int) -> None:
         """Send one token."""
-        run = wire.TokenRun(tokens=[wire.Token(id=index, text=self.words[index])])
+        run = wire.TokenRun(ids=[index], texts=[self.words[index]])
         setattr(run, "from", index)
         self.send(number, dispatch_id, tokens=run)
 
--- a/wigeonscale/dispatch/tests/test_stream.py
+++ b/wigeonscale/dispatch/tests/test_stream.py
@@ -15,6 +15,7 @@
 
     def __init__(self):
         self.sent: list[wire.DispatchRequest] = []
+        self.credits: list[tuple[str, int]] = []
         self.events_heard = 0
         self.pings = 0
         self.busy = asyncio.Event()
@@ -23,6 +24,9 @@
     def send(self, request):
         self.sent.append(request)
 
+    def give_credit(self, dispatch_id, tokens):
+        self.credits.append((dispatch_id, tokens))
+
     def ping(self):
         self.pings += 1
 
@@ -43,8 +47,8 @@
 
 
 def token_item(start: int, count: int = 1) -> wire.DispatchItem:
-    tokens = [wire.Token(id=n, text=f"t{n} ") for n in range(start, start + count)]
-    run = wire.TokenRun(tokens=tokens)
+    ids = range(start, start + count)
+    run = wire.TokenRun(ids=ids, texts=[f"t{n} " for n in ids])
     setattr(run, "from", start)
     return wire.DispatchItem(tokens=run)
 
@@ -58,11 +62,10 @@
         stream = new_stream()
         stream.deliver(token_item(0, INITIAL_CREDIT))
         self.assertEqual(INITIAL_CREDIT, len(await stream.take()))
-        self.assertEqual([], stream.link.sent)
+        self.assertEqual([], stream.link.credits)
         stream.deliver(token_item(INITIAL_CREDIT))
         await stream.take()
-        (request,) = stream.link.sent
-        self.assertEqual(INITIAL_CREDIT, request.credit.tokens)
+        self.assertEqual([("d@a1", INITIAL_CREDIT)], stream.link.credits)
 
     async def test_overlapping_runs_give_every_token_once(self):
         stream = new_stream(base=2)
--- a/wigeonscale/entry/sse.py
+++ b/wigeonscale/entry/sse.py
@@ -52,10 +52,13 @@
         self._model = model
         self._created = created
         self._next_index = next_index
+        self.request_id = ""
         self.rename(request_id)
 
     def rename(self, request_id: str) -> None:
         """Use another request id from now on, after work went on elsewhere."""
+        if request_id == self.request_id:
+            return
         self.request_id = request_id
         chunk = json.dumps(self._chunk(_choice(self._shape, _TEXT_MARK, None)))
         before, _, after = chunk.partition(json.dumps(_TEXT_MARK))
--- a/wigeonscale/entry/streams.py
+++ b/wigeonscale/entry/streams.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from aiohttp import hdrs, web
+from aiohttp.abc import AbstractStreamWriter
 
 from wigeonscale.dispatch import Answer
 from wigeonscale.entry.answers import REQUEST_HEADER
@@ -119,7 +120,9 @@
     resp = web.StreamResponse(
         headers={**STREAM_HEADERS, REQUEST_HEADER: answer.request_id}
     )
-    writer = await resp.prepare(req)
+    payload = await resp.prepare(req)
+    if req.transport is None:
+        raise ConnectionResetError("the caller has vanished")
     encoder = EventEncoder(
         request_id=answer.request_id,
         shape=form.shape,
@@ -127,33 +130,69 @@
         created=int(entry.clock.wall()),
         next_index=answer.record.base,
     )
-    transport = req.transport
-    if transport is None:
-        raise ConnectionResetError("the caller has vanished")
-    transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+    events = _EventWriter(
+        entry=entry,
+        log=log,
+        encoder=encoder,
+        payload=payload,
+        transport=req.transport,
+    )
     try:
         while texts := await answer.take():
-            if answer.request_id is not encoder.request_id:
-                encoder.rename(answer.request_id)
-                log.request_id = answer.request_id
-            await writer.write(encoder.tokens(texts))
-            _note_tokens(entry, log, len(texts))
-            if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
-                await _drain(writer)
-        await writer.write(encoder.last(answer.stream.done.finish_reason))
+            log.request_id = answer.request_id
+            encoder.rename(answer.request_id)
+            await events.write(texts)
+            # Until the caller is slow, tokens go on without this task.
+            answer.stream.pour_into(events.write_now)
+        await payload.write(encoder.last(answer.stream.done.finish_reason))
     except WigeonscaleError as exc:
         log.kind = exc.kind
-        await writer.write(encoder.error(exc))
+        await payload.write(encoder.error(exc))
     await resp.write_eof()
     return resp
 
 
-async def _drain(writer) -> None:
-    try:
-        async with asyncio.timeout(STALLED_CALLER_S):
-            await writer.drain()
-    except TimeoutError as exc:
-        raise ConnectionResetError("the caller takes nothing") from exc
+class _EventWriter:
+    """Writes the tokens of one answer to its caller."""
+
+    def __init__(
+        self,
+        *,
+        entry: EntryService,
+        log: RequestLog,
+        encoder: EventEncoder,
+        payload: AbstractStreamWriter,
+        transport: asyncio.Transport,
+    ):
+        self._entry = entry
+        self._log = log
+        self._encoder = encoder
+        self._payload = payload
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    async def write(self, texts: list[str]) -> None:
+        """Write tokens and wait while the caller is slow."""
+        if self.write_now(texts):
+            return
+        try:
+            async with asyncio.timeout(STALLED_CALLER_S):
+                await self._payload.drain()
+        except TimeoutError as exc:
+            raise ConnectionResetError("the caller takes nothing") from exc
+
+    def write_now(self, texts: list[str]) -> bool:
+        """Write tokens and return whether the caller keeps up."""
+        write = self._payload.write(self._encoder.tokens(texts), drain=False)
+        try:
+            # Without draining it ends at once: no task need be woken for it.
+            write.send(None)
+        except StopIteration:
+            pass
+        except ConnectionError:
+            return False
+        _note_tokens(self._entry, self._log, len(texts))
+        return self._transport.get_write_buffer_size() <= WRITE_BUFFER_BYTES
 
 
 def _note_tokens(entry: EntryService, log: RequestLog, count: int) -> None:
