Split the parser of conditions; keep a test from leaving a file

Cause: newcomer's reading. _parse_term did two jobs, taking tokens from the front cost a copy each, and a burn test wrote x.png where it ran when it failed. Change: text terms have a function of their own, tokens are taken from the end.

--- a/wigeonscale/reports/tests/test_burn.py
+++ b/wigeonscale/reports/tests/test_burn.py
@@ -113,6 +113,6 @@
     def test_picture_without_matplotlib(self):
         with mock.patch.dict("sys.modules", {"matplotlib.figure": None}):
             exc = self.assertRaises(
-                WigeonscaleError, draw_burn, merge_exports([]), "x.png"
+                WigeonscaleError, draw_burn, merge_exports([]), "/nowhere/x.png"
             )
         self.assertIn("needs matplotlib", exc.message)
--- a/wigeonscale/rules/conditions.py
+++ b/wigeonscale/rules/conditions.py
@@ -90,16 +90,24 @@
 
 
 def _tokens(text: str) -> list[str]:
+    """Return the tokens of a line, the first one last, so that taking one is cheap."""
     lexer = shlex.shlex(text, posix=True, punctuation_chars=",")
     lexer.whitespace_split = True
     lexer.commenters = ""
-    return list(lexer)
+    return list(lexer)[::-1]
 
 
 def _take(tokens: list[str]) -> str:
     if not tokens:
         raise ValueError("ends too early")
-    return tokens.pop(0)
+    return tokens.pop()
+
+
+def _take_if(tokens: list[str], word: str) -> bool:
+    found = tokens[-1:] == [word]
+    if found:
+        tokens.pop()
+    return found
 
 
 def _expect(tokens: list[str], *words: str) -> str:
@@ -110,9 +118,7 @@
 
 
 def _parse_term(tokens: list[str]) -> Term:
-    negated = tokens[:1] == ["not"]
-    if negated:
-        tokens.pop(0)
+    negated = _take_if(tokens, "not")
     field = _expect(tokens, *TEXT_FIELDS, *NUMBER_FIELDS, "header", "stream")
     if field in NUMBER_FIELDS:
         return _number_term(field, negated, tokens)
@@ -120,16 +126,18 @@
         _expect(tokens, "is")
         return Term(field, "is", (_expect(tokens, *FLAGS),), negated)
     header = _header_name(tokens) if field == "header" else ""
+    return _text_term(field, header, negated, tokens)
+
+
+def _text_term(field: str, header: str, negated: bool, tokens: list[str]) -> Term:
     relations = ("is", "in", "under") if field == "path" else ("is", "in")
     relation = _expect(tokens, *relations)
+    if relation == "under":
+        return Term(field, relation, (_checked_prefix(_take(tokens)),), negated)
     values = _value_list(tokens) if relation == "in" else (_take_value(tokens),)
     if field == "method":
         values = tuple(value.upper() for value in values)
-    if relation == "under":
-        values = (_checked_prefix(values[0]),)
-    return Term(
-        field, "under" if relation == "under" else "is", values, negated, header
-    )
+    return Term(field, "is", values, negated, header)
 
 
 def _header_name(tokens: list[str]) -> str:
@@ -153,8 +161,7 @@
 
 def _value_list(tokens: list[str]) -> tuple[str, ...]:
     values = [_take_value(tokens)]
-    while tokens[:1] == [","]:
-        tokens.pop(0)
+    while _take_if(tokens, ","):
         values.append(_take_value(tokens))
     return tuple(sorted(set(values)))
 
