Record service levels, metrics and one log line per request at the entry

Cause: wigeonctl report burn needs the entries' counts, and flow.py recorded only the longest gap of an answer. Change: records.py keeps the gaps on each side of the objective (counts exact, times by their mean), feeds BurnRecorder and the metrics at the end of a request; /report/burn stands on the entry's page.

--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -19,6 +19,7 @@
 from wigeonscale.limits import OrganisationLimits
 from wigeonscale.membership import ControlClient
 from wigeonscale.ports import Clock, SystemClock
+from wigeonscale.reports import BurnRecorder, burn_routes
 from wigeonscale.routing import Chooser, LoadTable, RetryBudget
 
 LOOKS_PER_HEARTBEAT = 2
@@ -49,7 +50,7 @@
     )
     entry = build_entry(cfg, control=control, clock=clock)
     server = CallerServer(entry=entry, address=cfg.listen)
-    pages = await start_http(cfg.http, [], entry.is_ready)
+    pages = await start_http(cfg.http, burn_routes(entry.recorder), entry.is_ready)
     try:
         return await run_until_stopped(
             tasks={"control": control.run(), "callers": _serve(control, server)},
@@ -113,6 +114,7 @@
         places=places,
         organisation_limits=OrganisationLimits(clock=clock),
         clock=clock,
+        recorder=BurnRecorder(clock=clock),
         limits=EntryLimits(
             default_deadline_s=cfg.default_deadline_s,
             body_limit_bytes=cfg.body_limit_bytes,
--- a/wigeonscale/entry/calls.py
+++ b/wigeonscale/entry/calls.py
@@ -10,7 +10,8 @@
 from wigeonscale.adapters.service_http import HOP_HEADERS
 from wigeonscale.dispatch import Answer, Work
 from wigeonscale.entry.answers import REQUEST_HEADER
-from wigeonscale.entry.flow import Admission, RequestLog, admit, identify, request_facts
+from wigeonscale.entry.flow import Admission, admit, identify, request_facts
+from wigeonscale.entry.records import RequestLog
 from wigeonscale.entry.requests import read_body
 from wigeonscale.entry.service import EntryService
 from wigeonscale.errors import ErrorKind, WigeonscaleError
--- a/wigeonscale/entry/completions.py
+++ b/wigeonscale/entry/completions.py
@@ -10,11 +10,11 @@
     Admission,
     Caller,
     Handle,
-    RequestLog,
     admit,
     identify,
     request_facts,
 )
+from wigeonscale.entry.records import RequestLog
 from wigeonscale.entry.requests import (
     ChatBody,
     CompletionBody,
--- a/wigeonscale/entry/flow.py
+++ b/wigeonscale/entry/flow.py
@@ -4,7 +4,6 @@
     "Admission",
     "Caller",
     "Handle",
-    "RequestLog",
     "admit",
     "guarded",
     "identify",
@@ -14,54 +13,23 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from aiohttp import web
 
-from wigeonscale.adapters import METRICS, OK, log_fields
+from wigeonscale.adapters import log_fields
 from wigeonscale.dispatch import Work
 from wigeonscale.entry.answers import error_response
 from wigeonscale.entry.auth import authenticate
+from wigeonscale.entry.records import RequestLog, record
 from wigeonscale.entry.requests import RequestOptions, read_options, request_digest
 from wigeonscale.entry.service import EntryService
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
-from wigeonscale.limits import Permit
 from wigeonscale.rules import Action, Decision, Organisation, RequestFacts
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class RequestLog:
-    """What is recorded of one request.
-
-    Attributes:
-        started: Instant of its arrival.
-        request_id: Id of its work; empty before dispatch.
-        organisation: Organisation of the caller; empty before it is known.
-        rule: Rule that decided.
-        kind: Error kind, or ``ok``.
-        tokens: Tokens written.
-        first_token_s: Seconds to the first token, or None.
-        longest_gap_s: Longest time between two writes of tokens, in seconds.
-        last_token: Instant of the last write of tokens.
-        dispatches: Dispatches made.
-        permits: Limits to give back at the end.
-    """
-
-    started: float
-    request_id: str = ""
-    organisation: str = ""
-    rule: str = ""
-    kind: str = OK
-    tokens: int = 0
-    first_token_s: float | None = None
-    longest_gap_s: float = 0.0
-    last_token: float = 0.0
-    dispatches: int = 0
-    permits: list[Permit] = field(default_factory=list)
-
-
 @dataclass(frozen=True, slots=True)
 class Caller:
     """Who sends a request.
@@ -149,7 +117,7 @@
         finally:
             if entered:
                 entry.leave()
-            _record(entry, log)
+            _finish(entry, log)
 
     return handler
 
@@ -268,27 +236,7 @@
     )
 
 
-def _record(entry: EntryService, log: RequestLog) -> None:
+def _finish(entry: EntryService, log: RequestLog) -> None:
     for permit in log.permits:
         permit.release()
-    elapsed_s = entry.clock.now() - log.started
-    organisation = log.organisation
-    METRICS.requests.add(organisation=organisation, kind=log.kind)
-    METRICS.request_s.observe(elapsed_s, organisation=organisation)
-    if log.first_token_s is not None:
-        METRICS.first_token_s.observe(log.first_token_s, organisation=organisation)
-        METRICS.token_gap_s.observe(log.longest_gap_s, organisation=organisation)
-        METRICS.tokens.add(log.tokens, organisation=organisation)
-    logger.info(
-        "request",
-        extra=log_fields(
-            request_id=log.request_id,
-            organisation=organisation,
-            kind=log.kind,
-            outcome="whole" if log.kind == OK else "failed",
-            rule=log.rule,
-            tokens=log.tokens,
-            dispatches=log.dispatches,
-            elapsed_s=round(elapsed_s, 4),
-        ),
-    )
+    record(log, entry.clock.now(), entry.recorder)
--- a/wigeonscale/entry/service.py
+++ b/wigeonscale/entry/service.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from wigeonscale.adapters import METRICS
 from wigeonscale.dispatch import AgentLinks, Answer, Claims, Dispatcher
 from wigeonscale.dispatch.stream import EntryStoppingError
 from wigeonscale.entry.places import MemberPlaces
@@ -12,6 +13,7 @@
 from wigeonscale.limits import OrganisationLimits
 from wigeonscale.membership import ControlClient
 from wigeonscale.ports import Clock
+from wigeonscale.reports import BurnRecorder
 
 # A caller that lost its connection may take up its answer for this long; then
 # the work is stopped.
@@ -46,6 +48,7 @@
         places: Where work can go.
         organisation_limits: Limits per organisation and per rule.
         clock: Clock port.
+        recorder: Takes the service levels.
         limits: Bounds of this entry.
 
     Attributes:
@@ -63,6 +66,7 @@
         places: MemberPlaces,
         organisation_limits: OrganisationLimits,
         clock: Clock,
+        recorder: BurnRecorder,
         limits: EntryLimits | None = None,
     ):
         self.control = control
@@ -70,6 +74,7 @@
         self.places = places
         self.organisation_limits = organisation_limits
         self.clock = clock
+        self.recorder = recorder
         self.limits = limits or EntryLimits()
         self.in_progress = 0
         self.leaving = False
@@ -108,10 +113,12 @@
             )
         self.in_progress += 1
         self._idle.clear()
+        METRICS.open_streams.set(self.in_progress)
 
     def leave(self) -> None:
         """Count a request out."""
         self.in_progress -= 1
+        METRICS.open_streams.set(self.in_progress)
         if not self.in_progress:
             self._idle.set()
 
--- a/wigeonscale/entry/streams.py
+++ b/wigeonscale/entry/streams.py
@@ -10,7 +10,7 @@
 
 from wigeonscale.dispatch import Answer
 from wigeonscale.entry.answers import REQUEST_HEADER
-from wigeonscale.entry.flow import RequestLog
+from wigeonscale.entry.records import RequestLog
 from wigeonscale.entry.service import EntryService
 from wigeonscale.entry.sse import EventEncoder, Shape, plain_document
 from wigeonscale.errors import WigeonscaleError
@@ -94,7 +94,7 @@
 ) -> web.Response:
     try:
         while texts := await answer.take():
-            _note_tokens(entry, log, len(texts))
+            log.note_tokens(len(texts), entry.clock.now())
     except WigeonscaleError:
         answer.close()
         raise
@@ -191,15 +191,5 @@
             pass
         except ConnectionError:
             return False
-        _note_tokens(self._entry, self._log, len(texts))
+        self._log.note_tokens(len(texts), self._entry.clock.now())
         return self._transport.get_write_buffer_size() <= WRITE_BUFFER_BYTES
-
-
-def _note_tokens(entry: EntryService, log: RequestLog, count: int) -> None:
-    now = entry.clock.now()
-    if log.first_token_s is None:
-        log.first_token_s = now - log.started
-    else:
-        log.longest_gap_s = max(log.longest_gap_s, now - log.last_token)
-    log.last_token = now
-    log.tokens += count
--- a/wigeonscale/entry/takeup.py
+++ b/wigeonscale/entry/takeup.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 
 from wigeonscale.entry.calls import service_response
-from wigeonscale.entry.flow import RequestLog, identify
+from wigeonscale.entry.flow import identify
+from wigeonscale.entry.records import RequestLog
 from wigeonscale.entry.requests import token_index
 from wigeonscale.entry.service import EntryService
 from wigeonscale.entry.sse import Shape
