--- a/wigeonscale/dispatch/__init__.py
+++ b/wigeonscale/dispatch/__init__.py
@@ -20,12 +20,9 @@
 from wigeonscale.dispatch.attempts import Dispatcher
 from wigeonscale.dispatch.carrier import Carrier
 from wigeonscale.dispatch.claims import Claims, Places
+from wigeonscale.dispatch.failures import AgentGoneError
 from wigeonscale.dispatch.links import AgentLinks
 from wigeonscale.dispatch.silence import SilenceLimits
-from wigeonscale.dispatch.stream import (
-    AgentGoneError,
-    AnswerRecord,
-    DispatchStream,
-    Target,
-)
+from wigeonscale.dispatch.stream import DispatchStream
+from wigeonscale.dispatch.targets import AnswerRecord, Target
 from wigeonscale.dispatch.work import Work, new_dispatch_id
--- a/wigeonscale/dispatch/answer.py
+++ b/wigeonscale/dispatch/answer.py
@@ -8,7 +8,8 @@
 from wigeonscale.adapters import log_fields
 from wigeonscale.dispatch.carrier import Carrier
 from wigeonscale.dispatch.retries import honest_error, is_retried
-from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream
+from wigeonscale.dispatch.stream import DispatchStream
+from wigeonscale.dispatch.targets import AnswerRecord
 from wigeonscale.dispatch.work import Work
 from wigeonscale.errors import WigeonscaleError
 
--- a/wigeonscale/dispatch/attempts.py
+++ b/wigeonscale/dispatch/attempts.py
@@ -14,7 +14,8 @@
     may_retry,
     worst_run_state,
 )
-from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream, Target
+from wigeonscale.dispatch.stream import DispatchStream
+from wigeonscale.dispatch.targets import AnswerRecord, Target
 from wigeonscale.dispatch.work import Work, new_dispatch_id
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import Clock
--- a/wigeonscale/dispatch/carrier.py
+++ b/wigeonscale/dispatch/carrier.py
@@ -3,7 +3,8 @@
 __all__ = ["Carrier"]
 
 from wigeonscale.dispatch.links import AgentLinks
-from wigeonscale.dispatch.stream import AnswerRecord, DispatchStream, Target
+from wigeonscale.dispatch.stream import DispatchStream
+from wigeonscale.dispatch.targets import AnswerRecord, Target
 from wigeonscale.routing import LoadTable
 
 
--- a/wigeonscale/dispatch/claims.py
+++ b/wigeonscale/dispatch/claims.py
@@ -1,6 +1,6 @@
 """Claims of work that must not run twice, committed before its dispatch."""
 
-__all__ = ["Claims", "Places", "unknown_outcome"]
+__all__ = ["Claims", "Places"]
 
 import asyncio
 import logging
@@ -8,7 +8,9 @@
 
 from wigeonscale.adapters import log_fields
 from wigeonscale.dispatch.carrier import Carrier
-from wigeonscale.dispatch.stream import AgentGoneError, DispatchStream, Target
+from wigeonscale.dispatch.failures import AgentGoneError, unknown_outcome
+from wigeonscale.dispatch.stream import DispatchStream
+from wigeonscale.dispatch.targets import Target
 from wigeonscale.dispatch.work import Work
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import Clock
@@ -218,13 +220,6 @@
         return None
 
 
-def unknown_outcome(message: str) -> WigeonscaleError:
-    """Return the error for work that may have run and must not run again."""
-    return WigeonscaleError(
-        ErrorKind.OUTCOME_UNKNOWN, message, run_state=RunState.UNKNOWN
-    )
-
-
 def _in_progress(work: Work) -> WigeonscaleError:
     return WigeonscaleError(
         ErrorKind.IN_PROGRESS,
--- /dev/null
+++ b/wigeonscale/dispatch/failures.py
@@ -0,0 +1,53 @@
+"""Failures of dispatches."""
+
+__all__ = ["AgentGoneError", "EntryStoppingError", "refusal_error", "unknown_outcome"]
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError, error_from_kind
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class AgentGoneError(WigeonscaleError):
+    """No connection to the agent works any more.
+
+    Args:
+        message: Names the agent.
+        run_state: ``NOT_RUN`` only when the work never left this process.
+    """
+
+    def __init__(self, message: str, *, run_state: RunState):
+        super().__init__(ErrorKind.BACKEND_FAILED, message, run_state=run_state)
+
+
+class EntryStoppingError(WigeonscaleError):
+    """This entry stops before the answer has ended; the work goes on.
+
+    Args:
+        request_id: Id under which another entry gives the rest.
+    """
+
+    def __init__(self, request_id: str):
+        super().__init__(
+            ErrorKind.STOPPING,
+            f"this entry stops; GET /v1/requests/{request_id}?from=N at another entry"
+            " gives the answer from token N on",
+            run_state=RunState.UNKNOWN,
+            retry_after=1.0,
+        )
+
+
+def unknown_outcome(message: str) -> WigeonscaleError:
+    """Return the error for work that may have run and must not run again."""
+    return WigeonscaleError(
+        ErrorKind.OUTCOME_UNKNOWN, message, run_state=RunState.UNKNOWN
+    )
+
+
+def refusal_error(refused: wire.Refused) -> WigeonscaleError:
+    """Return the error that an agent's refusal stands for."""
+    after_ms = refused.retry_after_ms
+    return error_from_kind(
+        refused.kind,
+        refused.message,
+        run_state=refused.run_state,
+        retry_after=after_ms / 1000 if after_ms else None,
+    )
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -1,134 +1,25 @@
-"""Connections to agents: one multiplexed stream each, and a second one on silence."""
+"""Connections to agents, with a second one when the first falls silent."""
 
-__all__ = ["AgentLink", "AgentLinks"]
+__all__ = ["AgentLinks"]
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
-import grpc
-
-from wigeonscale.adapters import METRICS, log_fields, open_channel
+from wigeonscale.adapters import METRICS, log_fields
+from wigeonscale.dispatch.failures import AgentGoneError
+from wigeonscale.dispatch.link import AgentLink, OnWord
 from wigeonscale.dispatch.silence import SilenceLimits, until_silent
-from wigeonscale.dispatch.stream import AgentGoneError, DispatchStream, Target
+from wigeonscale.dispatch.stream import DispatchStream
+from wigeonscale.dispatch.targets import Target
 from wigeonscale.errors import RunState
 from wigeonscale.ports import Clock
-from wigeonscale.wire import wire_pb2 as wire
-from wigeonscale.wire import wire_pb2_grpc as wire_grpc
 
 logger = logging.getLogger(__name__)
 
-# Stands in the outbox for all credit not yet sent.
-_CREDITS = wire.DispatchRequest(credits=wire.Credits())
-
-OnWord = Callable[[str, wire.LoadWord], None]
 OnGone = Callable[[Target], None]
 
 
-class AgentLink:
-    """One connection to an agent with one Dispatch stream on it.
-
-    Args:
-        target: The agent.
-        entry_id: Name of this entry.
-        clock: Clock port.
-        on_word: Called with each load word.
-
-    Attributes:
-        busy: Set while dispatches are carried.
-        events_heard: Events received so far.
-    """
-
-    def __init__(self, *, target: Target, entry_id: str, clock: Clock, on_word: OnWord):
-        self.target = target
-        self.streams: dict[str, DispatchStream] = {}
-        self.busy = asyncio.Event()
-        self.events_heard = 0
-        self._entry_id = entry_id
-        self._clock = clock
-        self._on_word = on_word
-        self._outbox: asyncio.Queue[wire.DispatchRequest | None]
-        self._outbox = asyncio.Queue()
-        self._credits: dict[str, int] = {}
-
-    def add(self, stream: DispatchStream) -> None:
-        """Carry a dispatch: open it, or take it up, on this link."""
-        stream.link = self
-        self.streams[stream.dispatch_id] = stream
-        self.busy.set()
-        for request in stream.requests():
-            self.send(request)
-
-    def remove(self, stream: DispatchStream) -> None:
-        """Carry a dispatch no more."""
-        if self.streams.get(stream.dispatch_id) is stream:
-            del self.streams[stream.dispatch_id]
-        if not self.streams:
-            self.busy.clear()
-
-    def send(self, request: wire.DispatchRequest) -> None:
-        """Queue a message to the agent."""
-        self._outbox.put_nowait(request)
-
-    def give_credit(self, dispatch_id: str, tokens: int) -> None:
-        """Allow further tokens of a dispatch; sent together with others' credit."""
-        if not self._credits:
-            self._outbox.put_nowait(_CREDITS)
-        self._credits[dispatch_id] = self._credits.get(dispatch_id, 0) + tokens
-
-    def ping(self) -> None:
-        """Ask the agent for a word."""
-        sent_us = int(self._clock.now() * 1e6)
-        self.send(wire.DispatchRequest(ping=wire.Ping(sent_us=sent_us)))
-
-    async def run(self) -> None:
-        """Connect and receive until the connection breaks."""
-        async with open_channel(self.target.address) as channel:
-            if not await _is_connected(channel):
-                return
-            call = wire_grpc.AgentStub(channel).Dispatch(self._requests())
-            try:
-                async for event in call:
-                    self._receive(event)
-            except grpc.aio.AioRpcError as exc:
-                logger.info(
-                    "connection to %s broke: %s", self.target.agent_id, exc.details()
-                )
-            finally:
-                call.cancel()
-                # The call's own task that takes the requests must end as well.
-                self._outbox.put_nowait(None)
-
-    async def _requests(self) -> AsyncIterator[wire.DispatchRequest]:
-        yield wire.DispatchRequest(hello=wire.EntryHello(entry_id=self._entry_id))
-        while (request := await self._outbox.get()) is not None:
-            if request.WhichOneof("body") == "open":
-                self._mark_sent(request.open.dispatch_id)
-            yield self._all_credits() if request is _CREDITS else request
-
-    def _all_credits(self) -> wire.DispatchRequest:
-        credits = wire.Credits()
-        for dispatch_id, tokens in self._credits.items():
-            credits.credits.add(dispatch_id=dispatch_id, tokens=tokens)
-        self._credits.clear()
-        return wire.DispatchRequest(credits=credits)
-
-    def _mark_sent(self, dispatch_id: str) -> None:
-        stream = self.streams.get(dispatch_id)
-        if stream is not None:
-            stream.sent = True
-
-    def _receive(self, event: wire.DispatchEvent) -> None:
-        self.events_heard += 1
-        if event.HasField("load"):
-            self._on_word(self.target.agent_id, event.load)
-        for item in event.items:
-            # Late items of a dispatch that left are for nobody.
-            stream = self.streams.get(item.dispatch_id)
-            if stream is not None:
-                stream.deliver(item)
-
-
 class AgentLinks:
     """All connections of an entry to agents.
 
@@ -291,20 +182,6 @@
     return log_fields(dispatches=len(link.streams))
 
 
-async def _is_connected(channel: grpc.aio.Channel) -> bool:
-    """Wait for the connection, so that nothing is sent on one that never stood."""
-    state = channel.get_state(try_to_connect=True)
-    while state is not grpc.ChannelConnectivity.READY:
-        if state in (
-            grpc.ChannelConnectivity.TRANSIENT_FAILURE,
-            grpc.ChannelConnectivity.SHUTDOWN,
-        ):
-            return False
-        await channel.wait_for_state_change(state)
-        state = channel.get_state(try_to_connect=True)
-    return True
-
-
 async def _cancel(task: asyncio.Task) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/wigeonscale/dispatch/retries.py
+++ b/wigeonscale/dispatch/retries.py
@@ -8,8 +8,11 @@
     "worst_run_state",
 ]
 
-from wigeonscale.dispatch.claims import unknown_outcome
-from wigeonscale.dispatch.stream import AgentGoneError, EntryStoppingError
+from wigeonscale.dispatch.failures import (
+    AgentGoneError,
+    EntryStoppingError,
+    unknown_outcome,
+)
 from wigeonscale.dispatch.work import Work
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.routing import RetryBudget
--- a/wigeonscale/dispatch/silence.py
+++ b/wigeonscale/dispatch/silence.py
@@ -8,7 +8,7 @@
 from wigeonscale.ports import Clock
 
 if TYPE_CHECKING:
-    from wigeonscale.dispatch.links import AgentLink
+    from wigeonscale.dispatch.link import AgentLink
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -1,24 +1,19 @@
 """One dispatch as the entry sees it: tokens checked by index, and its end."""
 
-__all__ = [
-    "AgentGoneError",
-    "AnswerRecord",
-    "DispatchStream",
-    "EntryStoppingError",
-    "Target",
-]
+__all__ = ["DispatchStream", "Sink"]
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError, error_from_kind
+from wigeonscale.dispatch.failures import AgentGoneError, refusal_error
+from wigeonscale.dispatch.targets import AnswerRecord, Target
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
 from wigeonscale.wire import wire_pb2 as wire
 
 if TYPE_CHECKING:
-    from wigeonscale.dispatch.links import AgentLink
+    from wigeonscale.dispatch.link import AgentLink
 
 # Credit goes back in steps, not token by token.
 CREDIT_STEP = INITIAL_CREDIT // 2
@@ -29,70 +24,6 @@
 Sink = Callable[[list[str]], bool]
 
 
-class AgentGoneError(WigeonscaleError):
-    """No connection to the agent works any more.
-
-    Args:
-        message: Names the agent.
-        run_state: ``NOT_RUN`` only when the work never left this process.
-    """
-
-    def __init__(self, message: str, *, run_state: RunState):
-        super().__init__(ErrorKind.BACKEND_FAILED, message, run_state=run_state)
-
-
-class EntryStoppingError(WigeonscaleError):
-    """This entry stops before the answer has ended; the work goes on.
-
-    Args:
-        request_id: Id under which another entry gives the rest.
-    """
-
-    def __init__(self, request_id: str):
-        super().__init__(
-            ErrorKind.STOPPING,
-            f"this entry stops; GET /v1/requests/{request_id}?from=N at another entry"
-            " gives the answer from token N on",
-            run_state=RunState.UNKNOWN,
-            retry_after=1.0,
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """The agent that a dispatch is for.
-
-    Attributes:
-        agent_id: Name of the backend server.
-        incarnation: Incarnation of its agent.
-        address: ``ip:port`` of the agent's gRPC server.
-    """
-
-    agent_id: str
-    incarnation: int
-    address: str
-
-
-@dataclass(slots=True)
-class AnswerRecord:
-    """The tokens of one answer received so far, over all its dispatches.
-
-    Attributes:
-        base: Index of the first token held.
-        ids: Token ids from ``base`` on.
-        texts: Token texts from ``base`` on.
-    """
-
-    base: int = 0
-    ids: list[int] = field(default_factory=list)
-    texts: list[str] = field(default_factory=list)
-
-    @property
-    def next_index(self) -> int:
-        """Index of the next token expected."""
-        return self.base + len(self.texts)
-
-
 class DispatchStream:
     """One dispatch: fed by a link, read by the one task that serves its caller.
 
@@ -223,7 +154,7 @@
             self.done = done
 
     def _refusal(self, refused: wire.Refused) -> WigeonscaleError:
-        exc = _refusal_error(refused)
+        exc = refusal_error(refused)
         if exc.kind is ErrorKind.NOT_FOUND and self.opening is not None:
             # An agent that knows nothing of what was opened there has restarted.
             return AgentGoneError(
@@ -375,13 +306,3 @@
             await self._waiter
         finally:
             self._waiter = None
-
-
-def _refusal_error(refused: wire.Refused) -> WigeonscaleError:
-    after_ms = refused.retry_after_ms
-    return error_from_kind(
-        refused.kind,
-        refused.message,
-        run_state=refused.run_state,
-        retry_after=after_ms / 1000 if after_ms else None,
-    )
--- a/wigeonscale/dispatch/work.py
+++ b/wigeonscale/dispatch/work.py
@@ -5,7 +5,7 @@
 import secrets
 from dataclasses import dataclass
 
-from wigeonscale.dispatch.stream import AnswerRecord, Target
+from wigeonscale.dispatch.targets import AnswerRecord, Target
 from wigeonscale.wire import wire_pb2 as wire
 
 ID_BYTES = 10
--- a/wigeonscale/entry/service.py
+++ b/wigeonscale/entry/service.py
@@ -7,7 +7,7 @@
 
 from wigeonscale.adapters import METRICS
 from wigeonscale.dispatch import AgentLinks, Answer, Claims, Dispatcher
-from wigeonscale.dispatch.stream import EntryStoppingError
+from wigeonscale.dispatch.failures import EntryStoppingError
 from wigeonscale.entry.places import MemberPlaces
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.limits import OrganisationLimits
