--- a/wigeonscale/agent/admission.py
+++ b/wigeonscale/agent/admission.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from wigeonscale.agent.table import Dispatch
+from wigeonscale.agent.answers import Dispatch
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.limits import FairQueue, WaitEstimator, check_deadline
 from wigeonscale.ports import Clock
@@ -74,7 +74,7 @@
         ahead = self._queue.ahead(organisation, priority=priority, share=share)
         check_deadline(
             wait_s=self._estimator.wait(ahead + 1, self.slots),
-            service_s=self._estimator.service_s,
+            service_s=self._estimator.admit_s(deadline_s),
             deadline_s=deadline_s,
             rng=self._rng,
         )
@@ -98,7 +98,7 @@
                 organisation=dispatch.organisation,
                 priority=dispatch.open.priority,
                 share=self._share(dispatch.organisation),
-                deadline=dispatch.deadline,
+                deadline=self._latest_start(dispatch.deadline),
             )
         except WigeonscaleError as exc:
             exc.retry_after = exc.retry_after or max(1.0, self.wait_s())
@@ -137,6 +137,11 @@
         finally:
             self._filling = False
 
+    def _latest_start(self, deadline: float | None) -> float | None:
+        if deadline is None:
+            return None
+        return deadline - self._estimator.start_s(deadline - self._clock.now())
+
     def _start(self, dispatch: Dispatch) -> None:
         self.running += 1
         dispatch.started_at = self._clock.now()
--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -10,11 +10,12 @@
 import grpc
 
 from wigeonscale.agent.admission import Admission
+from wigeonscale.agent.answers import Dispatch
 from wigeonscale.agent.backend import BackendState
 from wigeonscale.agent.dispatch import Dispatcher
 from wigeonscale.agent.outcomes import OutcomeReporter
 from wigeonscale.agent.servicer import AgentServicer
-from wigeonscale.agent.table import Dispatch, DispatchTable
+from wigeonscale.agent.table import DispatchTable
 from wigeonscale.agent.work import start_call, start_generation
 from wigeonscale.config import AgentSettings
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -25,6 +26,12 @@
 from wigeonscale.ports import Clock, Engine, Service
 from wigeonscale.wire import wire_pb2 as wire
 
+DEFAULT_CALL_S = 30.0
+"""Seconds for a call to a plain service that no rules document names."""
+
+DRAIN_LOOK_S = 0.05
+"""Seconds between two looks at whether a stop may go on."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -64,7 +71,7 @@
             clock=clock, keep_bytes=cfg.keep_answers_bytes, keep_s=cfg.keep_answers_s
         )
         self.outcomes = OutcomeReporter(
-            submit=control.submit, clock=clock, on_reported=self.table.reported
+            submit=control.submit, clock=clock, on_reported=self.table.memory.reported
         )
         self.dispatcher = Dispatcher(
             agent_id=cfg.name,
@@ -118,8 +125,8 @@
         """Refuse new work, then wait until the work in progress has ended."""
         self.state.set_stopping()
         await self.dispatcher.drained()
-        while self.stage is not None and self.stage.active:
-            await self._clock.sleep(0.05)
+        while self.stage is not None and self.stage.is_used():
+            await self._clock.sleep(DRAIN_LOOK_S)
         await self.outcomes.flush()
 
     async def cut(self) -> None:
@@ -245,8 +252,13 @@
             dispatch,
             service=self._service,
             clock=self._clock,
+            timeout_s=self._service_timeout_s(),
             on_end=self.dispatcher.finish,
             on_failed=self.dispatcher.fail,
         )
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
+
+    def _service_timeout_s(self) -> float:
+        known = self._control.document.services.get(self._cfg.service)
+        return known.timeout_s if known else DEFAULT_CALL_S
--- a/wigeonscale/agent/dispatch.py
+++ b/wigeonscale/agent/dispatch.py
@@ -7,15 +7,12 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.adapters.metrics import METRICS, OK, Metrics
+from wigeonscale.agent import refusals
 from wigeonscale.agent.admission import Admission
+from wigeonscale.agent.answers import Dispatch, DispatchState, refused_item
 from wigeonscale.agent.outcomes import OutcomeReporter
 from wigeonscale.agent.stream import EntryStream
-from wigeonscale.agent.table import (
-    Dispatch,
-    DispatchState,
-    DispatchTable,
-    refused_item,
-)
+from wigeonscale.agent.table import DispatchTable
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
 from wigeonscale.ports import Clock
@@ -109,7 +106,8 @@
         """Let an entry read a dispatch from a token index on."""
         known = self._table.get(msg.dispatch_id)
         if known is None:
-            exc = self._unknown_dispatch(msg.dispatch_id)
+            remembered = self._table.memory.state(msg.dispatch_id)
+            exc = refusals.not_kept(msg.dispatch_id, remembered)
             stream.send(refused_item(msg.dispatch_id, exc))
             return
         self._attach_to(known, msg.organisation, msg.from_token, stream)
@@ -119,7 +117,7 @@
         stream.detach(msg.dispatch_id)
         dispatch = self._table.get(msg.dispatch_id)
         if dispatch is None or dispatch.end is not None:
-            if dispatch is None and self._table.memory(msg.dispatch_id) is None:
+            if dispatch is None and self._table.memory.state(msg.dispatch_id) is None:
                 self._table.never(msg.dispatch_id)
             return
         if dispatch.readers:
@@ -127,6 +125,7 @@
             return
         if dispatch.state is DispatchState.RUNNING and dispatch.stop_work is None:
             return
+        dispatch.was_taken = True
         self.fail(
             dispatch,
             WigeonscaleError(
@@ -137,7 +136,7 @@
     def seal(self, msg: wire.Seal, stream: EntryStream) -> None:
         """Promise that a dispatch never begins, if it has not begun."""
         if msg.agent_incarnation not in self._incarnations():
-            exc = self._stale_incarnation(msg.agent_incarnation)
+            exc = refusals.stale_incarnation(self._agent_id, msg.agent_incarnation)
             stream.send(refused_item(msg.dispatch_id, exc))
             return
         never_ran = self._seal(msg.dispatch_id)
@@ -175,11 +174,11 @@
         """Begin the work of a dispatch whose turn has come."""
         try:
             if dispatch.late(self._clock.now()):
-                raise self._late(dispatch)
+                raise refusals.late(dispatch)
             self._check_begin()
             dispatch.state = DispatchState.RUNNING
-            if dispatch.open.once:
-                self._table.await_report(dispatch.dispatch_id)
+            if dispatch.open.once and dispatch.open.claim_key:
+                self._table.memory.await_report(dispatch.dispatch_id)
             self._begin_work(dispatch)
         except WigeonscaleError as exc:
             dispatch.state = DispatchState.QUEUED
@@ -189,7 +188,7 @@
 
     def expire(self, dispatch: Dispatch) -> None:
         """End a dispatch whose deadline has passed."""
-        self.fail(dispatch, self._late(dispatch))
+        self.fail(dispatch, refusals.late(dispatch))
 
     async def sweep(self) -> None:
         """Enforce deadlines and the bounds of the table, for ever."""
@@ -215,8 +214,8 @@
         self._metrics.queued.set(self.admission.queued)
 
     async def drained(self) -> None:
-        """Wait until no dispatch is open."""
-        while self._table.live():
+        """Wait until no dispatch is open and no answer waits to be taken."""
+        while self._table.live() or self._table.untaken():
             await self._clock.sleep(SWEEP_S)
 
     def cut(self) -> None:
@@ -243,15 +242,11 @@
             raise WigeonscaleError(
                 ErrorKind.BAD_REQUEST, f"dispatch {msg.dispatch_id!r} names no work"
             )
-        remembered = self._table.memory(msg.dispatch_id)
-        if remembered is RunState.NOT_RUN:
-            raise WigeonscaleError(
-                ErrorKind.CANCELLED, f"dispatch {msg.dispatch_id} was sealed"
-            )
+        remembered = self._table.memory.state(msg.dispatch_id)
         if remembered is not None:
-            raise self._unknown_dispatch(msg.dispatch_id)
+            raise refusals.not_kept(msg.dispatch_id, remembered)
         if msg.agent_incarnation not in self._incarnations():
-            raise self._stale_incarnation(msg.agent_incarnation)
+            raise refusals.stale_incarnation(self._agent_id, msg.agent_incarnation)
         self._check_new_work(msg)
         if self._table.is_full:
             raise WigeonscaleError(
@@ -288,11 +283,7 @@
         self, dispatch: Dispatch, organisation: str, index: int, stream: EntryStream
     ) -> None:
         if organisation != dispatch.organisation:
-            exc = WigeonscaleError(
-                ErrorKind.NOT_FOUND,
-                f"no dispatch {dispatch.dispatch_id} of {organisation!r}",
-                run_state=RunState.UNKNOWN,
-            )
+            exc = refusals.not_kept(dispatch.dispatch_id, None)
             stream.send(refused_item(dispatch.dispatch_id, exc))
             return
         reader = stream.attach(dispatch, index)
@@ -310,9 +301,9 @@
                 dispatch, WigeonscaleError(ErrorKind.CANCELLED, "the entry sealed it")
             )
             return True
-        remembered = self._table.memory(dispatch_id)
+        remembered = self._table.memory.state(dispatch_id)
         if dispatch is None and remembered is None:
-            if self._table.forgot_early:
+            if self._table.memory.forgot_early:
                 return False
             self._table.never(dispatch_id)
             return True
@@ -332,7 +323,7 @@
             dispatch.state = DispatchState.QUEUED
         self._table.end(dispatch, item)
         self._count(kind)
-        if dispatch.open.once:
+        if dispatch.open.once and dispatch.open.claim_key:
             self._report(dispatch, state, not_run)
         logger.info(
             "dispatch ended",
@@ -348,7 +339,7 @@
             self.admission.finished(dispatch)
 
     def _report(self, dispatch: Dispatch, state: wire.ClaimState, not_run: bool):
-        self._table.await_report(dispatch.dispatch_id)
+        self._table.memory.await_report(dispatch.dispatch_id)
         self._outcomes.report(
             wire.Outcome(
                 organisation=dispatch.organisation,
@@ -361,35 +352,3 @@
 
     def _count(self, kind: str) -> None:
         self._metrics.dispatches.add(kind=kind)
-
-    def _unknown_dispatch(self, dispatch_id: str) -> WigeonscaleError:
-        remembered = self._table.memory(dispatch_id)
-        if remembered is RunState.NOT_RUN:
-            return WigeonscaleError(
-                ErrorKind.CANCELLED, f"dispatch {dispatch_id} was sealed"
-            )
-        if remembered is not None:
-            return WigeonscaleError(
-                ErrorKind.ANSWER_EXPIRED,
-                f"the answer of dispatch {dispatch_id} is no longer kept",
-                run_state=RunState.RAN,
-            )
-        return WigeonscaleError(
-            ErrorKind.NOT_FOUND,
-            f"no dispatch {dispatch_id} here",
-            run_state=RunState.UNKNOWN,
-        )
-
-    def _stale_incarnation(self, incarnation: int) -> WigeonscaleError:
-        return WigeonscaleError(
-            ErrorKind.STALE_INCARNATION,
-            f"incarnation {incarnation} of {self._agent_id} is not running",
-            run_state=RunState.UNKNOWN,
-        )
-
-    def _late(self, dispatch: Dispatch) -> WigeonscaleError:
-        return WigeonscaleError(
-            ErrorKind.DEADLINE_EXCEEDED,
-            f"the deadline of {dispatch.open.deadline_ms} ms has passed",
-            run_state=dispatch.ran,
-        )
--- /dev/null
+++ b/wigeonscale/agent/refusals.py
@@ -0,0 +1,48 @@
+"""The errors by which a dispatch is refused or ended."""
+
+__all__ = ["late", "not_kept", "stale_incarnation"]
+
+from wigeonscale.agent.answers import Dispatch
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+
+
+def not_kept(dispatch_id: str, remembered: RunState | None) -> WigeonscaleError:
+    """Return the error for a dispatch that has no answer here.
+
+    Args:
+        dispatch_id: Its id.
+        remembered: What is remembered of it; None if it was never seen.
+    """
+    if remembered is RunState.NOT_RUN:
+        return WigeonscaleError(
+            ErrorKind.CANCELLED, f"dispatch {dispatch_id} was sealed"
+        )
+    if remembered is not None:
+        return WigeonscaleError(
+            ErrorKind.ANSWER_EXPIRED,
+            f"the answer of dispatch {dispatch_id} is no longer kept",
+            run_state=RunState.RAN,
+        )
+    return WigeonscaleError(
+        ErrorKind.NOT_FOUND,
+        f"no dispatch {dispatch_id} here",
+        run_state=RunState.UNKNOWN,
+    )
+
+
+def stale_incarnation(agent_id: str, incarnation: int) -> WigeonscaleError:
+    """Return the error for work meant for another start of the agent."""
+    return WigeonscaleError(
+        ErrorKind.STALE_INCARNATION,
+        f"incarnation {incarnation} of {agent_id} is not running",
+        run_state=RunState.UNKNOWN,
+    )
+
+
+def late(dispatch: Dispatch) -> WigeonscaleError:
+    """Return the error for a dispatch whose deadline has passed."""
+    return WigeonscaleError(
+        ErrorKind.DEADLINE_EXCEEDED,
+        f"the deadline of {dispatch.open.deadline_ms} ms has passed",
+        run_state=dispatch.ran,
+    )
--- a/wigeonscale/agent/stream.py
+++ b/wigeonscale/agent/stream.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 
-from wigeonscale.agent.table import Dispatch, Reader
+from wigeonscale.agent.answers import Dispatch, Reader
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -101,9 +101,14 @@
             if reader.has_more:
                 self._mark(reader)
             if reader.ended:
-                self._readers.pop(reader.dispatch.dispatch_id, None)
+                self._forget(reader)
         return event
 
+    def _forget(self, reader: Reader) -> None:
+        reader.dispatch.readers.discard(reader)
+        if self._readers.get(reader.dispatch.dispatch_id) is reader:
+            del self._readers[reader.dispatch.dispatch_id]
+
     def _mark(self, reader: Reader) -> None:
         self._dirty[reader] = None
         self._wake.set()
--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -72,7 +72,7 @@
     def __init__(self):
         self.changes = Subject()
         self.members = types.SimpleNamespace(chains={}, backends={})
-        self.document = types.SimpleNamespace(organisations={})
+        self.document = types.SimpleNamespace(organisations={}, services={})
         self.has_lease = True
         self.suspected: list[str] = []
         self.outcomes: list[wire.Outcome] = []
--- a/wigeonscale/agent/work.py
+++ b/wigeonscale/agent/work.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable
 
-from wigeonscale.agent.table import Dispatch
+from wigeonscale.agent.answers import Dispatch
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.generation import Generation
 from wigeonscale.pipelines.head import Head
@@ -16,8 +16,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_CALL_S = 300.0
-
 
 def start_generation(
     dispatch: Dispatch,
@@ -74,6 +72,7 @@
     *,
     service: Service,
     clock: Clock,
+    timeout_s: float,
     on_end: Callable[[Dispatch, wire.DispatchItem], None],
     on_failed: Callable[[Dispatch, WigeonscaleError], None],
 ) -> asyncio.Task:
@@ -83,6 +82,7 @@
         dispatch: The admitted dispatch.
         service: The plain service.
         clock: Clock port.
+        timeout_s: Longest call, in seconds; the deadline may cut it shorter.
         on_end: Told of the answer.
         on_failed: Told of an error instead.
 
@@ -92,8 +92,10 @@
 
     async def call() -> None:
         try:
-            answer = await _call_service(dispatch, service, clock)
+            answer = await _call_service(dispatch, service, clock, timeout_s)
         except WigeonscaleError as exc:
+            if dispatch.late(clock.now()) and exc.run_state is not RunState.NOT_RUN:
+                exc = _late(dispatch)
             on_failed(dispatch, exc)
         except Exception as exc:
             logger.exception("call of %s failed", dispatch.dispatch_id)
@@ -110,10 +112,9 @@
 
 
 async def _call_service(
-    dispatch: Dispatch, service: Service, clock: Clock
+    dispatch: Dispatch, service: Service, clock: Clock, timeout_s: float
 ) -> wire.Response:
     work = dispatch.open.call
-    timeout_s = MAX_CALL_S
     if dispatch.deadline is not None:
         timeout_s = max(0.001, min(timeout_s, dispatch.deadline - clock.now()))
     answer = await service.call(
@@ -128,3 +129,12 @@
         headers=[wire.Header(name=n, value=v) for n, v in answer.headers],
         body=answer.body,
     )
+
+
+def _late(dispatch: Dispatch) -> WigeonscaleError:
+    # The call was cut at the deadline; the service may have done the work.
+    return WigeonscaleError(
+        ErrorKind.DEADLINE_EXCEEDED,
+        f"no answer within {dispatch.open.deadline_ms} ms",
+        run_state=RunState.UNKNOWN,
+    )
--- a/wigeonscale/pipelines/constants.py
+++ b/wigeonscale/pipelines/constants.py
@@ -13,6 +13,7 @@
     "REPAIR_BACKOFF_S",
     "SEQUENCE_IDLE_S",
     "SILENCE_S",
+    "STILL_USED_S",
 ]
 
 INITIAL_CREDIT = 256
@@ -50,3 +51,6 @@
 
 ENDED_KEPT = 4096
 """Ended sequences whose last answer a stage keeps for a resend."""
+
+STILL_USED_S = 3.0
+"""Seconds after its last step for which a stopping stage waits for a sequence."""
--- /dev/null
+++ b/wigeonscale/pipelines/records.py
@@ -0,0 +1,180 @@
+"""What a stage remembers of its sequences, and the checks of their order."""
+
+__all__ = ["SequenceRecord", "SequenceRecords"]
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.pipelines.constants import ENDED_KEPT, SEQUENCE_IDLE_S, STILL_USED_S
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+
+@dataclass(slots=True, eq=False)
+class SequenceRecord:
+    """One run of a sequence on this stage.
+
+    Attributes:
+        epoch: Epoch of the chain that it runs in.
+        next_position: The only position that may run next.
+        used_at: Reading of the clock at its last step.
+        position: Position of its last step; -1 before the first.
+        answer: Result of the last step, perhaps still to come.
+        broken: Whether a step failed, so that none may follow.
+    """
+
+    epoch: int
+    next_position: int
+    used_at: float
+    position: int = -1
+    answer: asyncio.Future | None = None
+    broken: bool = False
+
+    @property
+    def runs(self) -> bool:
+        """Whether its last step still runs."""
+        return self.answer is not None and not self.answer.done()
+
+
+class SequenceRecords:
+    """Lets each position of a run through once, directly after the one before.
+
+    Args:
+        clock: Clock port.
+        may_begin: Raises when no new sequence may begin here.
+        on_ended: Called with the id of a sequence that the engine may forget.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        may_begin: Callable[[], None],
+        on_ended: Callable[[str], None],
+    ):
+        self._clock = clock
+        self._may_begin = may_begin
+        self._on_ended = on_ended
+        self._running: dict[str, SequenceRecord] = {}
+        self._ended: OrderedDict[str, SequenceRecord] = OrderedDict()
+        self._epochs: dict[str, int] = {}
+        self._swept_at = clock.now()
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def is_used(self) -> bool:
+        """Return whether a head drove a sequence here a short while ago."""
+        oldest = self._clock.now() - STILL_USED_S
+        return any(r.runs or r.used_at > oldest for r in self._running.values())
+
+    def learn_epoch(self, chain_id: str, epoch: int) -> None:
+        """Begin no sequence of an older epoch of this chain from now on."""
+        self._epochs[chain_id] = max(epoch, self._epochs.get(chain_id, 0))
+
+    def find(self, sequence_id: str) -> SequenceRecord | None:
+        """Return the record of a running or ended run."""
+        return self._running.get(sequence_id) or self._ended.get(sequence_id)
+
+    def answer_to(self, step: wire.SequenceStep) -> asyncio.Future | None:
+        """Return the result of a step that was let through before, or None."""
+        known = self.find(step.sequence_id)
+        if known is not None and known.position == step.position:
+            return known.answer
+        return None
+
+    def let_through(
+        self, step: wire.SequenceStep, req: wire.StepRequest
+    ) -> asyncio.Future:
+        """Record a step that is to run now.
+
+        Returns:
+            The future of its result; the caller settles it by :meth:`settle`.
+
+        Raises:
+            WigeonscaleError: When the step must not run.
+        """
+        self._check(step, req)
+        known = self._running.get(step.sequence_id)
+        if known is None:
+            known = SequenceRecord(step.epoch, 0, self._clock.now())
+            self._running[step.sequence_id] = known
+            self.learn_epoch(req.chain_id, req.epoch)
+        known.position = step.position
+        known.next_position = step.position + step.count
+        known.used_at = self._clock.now()
+        known.answer = asyncio.get_running_loop().create_future()
+        return known.answer
+
+    def settle(self, result: wire.StepResult) -> None:
+        """Set the result of the step that was let through last."""
+        known = self.find(result.sequence_id)
+        if known is None or known.answer is None:
+            return
+        known.broken = known.broken or bool(result.kind)
+        if not known.answer.done():
+            known.answer.set_result(result)
+
+    def end(self, sequence_id: str) -> None:
+        """End a run but keep its last answer; it never begins again."""
+        known = self._running.pop(sequence_id, None)
+        if known is not None:
+            self._ended[sequence_id] = known
+            self._on_ended(sequence_id)
+        elif sequence_id not in self._ended:
+            self._ended[sequence_id] = SequenceRecord(0, 0, 0.0)
+        while len(self._ended) > ENDED_KEPT:
+            self._ended.popitem(last=False)
+
+    def sweep(self) -> None:
+        """End sequences whose head is gone."""
+        now = self._clock.now()
+        if now - self._swept_at < SEQUENCE_IDLE_S / 4:
+            return
+        self._swept_at = now
+        for sequence_id, known in list(self._running.items()):
+            if now - known.used_at > SEQUENCE_IDLE_S and not known.runs:
+                self.end(sequence_id)
+
+    def _check(self, step: wire.SequenceStep, req: wire.StepRequest) -> None:
+        name = f"sequence {step.sequence_id}"
+        known = self._running.get(step.sequence_id)
+        if step.sequence_id in self._ended:
+            raise WigeonscaleError(ErrorKind.CANCELLED, f"{name} was ended here")
+        if step.epoch != req.epoch or (known and known.epoch != step.epoch):
+            raise WigeonscaleError(
+                ErrorKind.STALE_EPOCH, f"{name} does not run in epoch {step.epoch}"
+            )
+        if known is None:
+            self._check_first(step, req, name)
+            return
+        if known.runs:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST, f"{name}: position {known.position} still runs"
+            )
+        if known.broken:
+            raise WigeonscaleError(ErrorKind.BACKEND_FAILED, f"{name} broke here")
+        if step.first or step.position != known.next_position or step.count < 1:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{name}: position {step.position} where {known.next_position} is next",
+            )
+
+    def _check_first(
+        self, step: wire.SequenceStep, req: wire.StepRequest, name: str
+    ) -> None:
+        newest = self._epochs.get(req.chain_id, 0)
+        if req.epoch < newest:
+            raise WigeonscaleError(
+                ErrorKind.STALE_EPOCH,
+                f"epoch {req.epoch} of chain {req.chain_id}, which is at {newest}",
+            )
+        if not step.first or step.position != 0 or step.count < 1:
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{name} is not known here at position {step.position}",
+            )
+        self._may_begin()
--- a/wigeonscale/pipelines/stage.py
+++ b/wigeonscale/pipelines/stage.py
@@ -4,18 +4,15 @@
 
 import asyncio
 import logging
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.pipelines.constants import (
-    ENDED_KEPT,
     ENGINE_CALLS_IN_FLIGHT,
     ENGINE_STEP_TIMEOUT_S,
-    SEQUENCE_IDLE_S,
 )
 from wigeonscale.pipelines.links import PeerLostError, StepLinks
+from wigeonscale.pipelines.records import SequenceRecords
 from wigeonscale.ports import Clock, Engine, EngineInfo, EngineResult, EngineStep
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -24,18 +21,6 @@
 NO_RESULT = "stage gave no result"
 
 
-@dataclass(slots=True, eq=False)
-class _Sequence:
-    """What a stage remembers of one run of a sequence."""
-
-    epoch: int
-    next_position: int
-    used_at: float
-    position: int = -1
-    answer: asyncio.Future | None = None
-    broken: bool = False
-
-
 class StageRunner:
     """Runs the steps of one engine and hands them to the stages after it.
 
@@ -74,25 +59,27 @@
         self._engine = engine
         self._loaded = loaded
         self._links = links
-        self._clock = clock
-        self._may_begin = may_begin
         self._step_timeout_s = step_timeout_s
         self._on_engine_failed = on_engine_failed
-        self._sequences: dict[str, _Sequence] = {}
-        self._ended: OrderedDict[str, _Sequence] = OrderedDict()
-        self._epochs: dict[str, int] = {}
+        self._records = SequenceRecords(
+            clock=clock, may_begin=may_begin, on_ended=self._cancel_on_engine
+        )
         self._engine_calls = asyncio.Semaphore(ENGINE_CALLS_IN_FLIGHT)
-        self._swept_at = clock.now()
+        self._to_cancel: list[str] = []
         self._tasks: set[asyncio.Task] = set()
 
     @property
     def active(self) -> int:
         """Sequences that this stage holds."""
-        return len(self._sequences)
+        return len(self._records)
+
+    def is_used(self) -> bool:
+        """Return whether a head drove a sequence here a short while ago."""
+        return self._records.is_used()
 
     def learn_epoch(self, chain_id: str, epoch: int) -> None:
         """Begin no sequence of an older epoch of this chain from now on."""
-        self._epochs[chain_id] = max(epoch, self._epochs.get(chain_id, 0))
+        self._records.learn_epoch(chain_id, epoch)
 
     async def run(self, req: wire.StepRequest) -> wire.StepReply:
         """Run one iteration through this stage and all after it.
@@ -104,8 +91,9 @@
             One result per step, in the order of the request. Never raises for a
             step that cannot run; its result names the error kind.
         """
-        self._forget(req.cancelled)
-        self._sweep()
+        for sequence_id in req.cancelled:
+            self._records.end(sequence_id)
+        self._records.sweep()
         refusal = self._refusal(req)
         answers = [self._enter(step, req, refusal) for step in req.steps]
         fresh = [
@@ -118,7 +106,7 @@
         results = [await fut for fut, _ in answers]
         for step in req.steps:
             if step.last:
-                self._end(step.sequence_id)
+                self._records.end(step.sequence_id)
         return wire.StepReply(
             batch_id=req.batch_id,
             results=[
@@ -162,67 +150,15 @@
         refusal: WigeonscaleError | None,
     ) -> tuple[asyncio.Future, bool]:
         """Return the future of a step's result and whether it must run now."""
-        known = self._sequences.get(step.sequence_id)
-        known = known or self._ended.get(step.sequence_id)
-        if known is not None and known.position == step.position and known.answer:
-            return known.answer, False
+        answer = self._records.answer_to(step)
+        if answer is not None:
+            return answer, False
         try:
             if refusal is not None:
                 raise refusal
-            self._check(step, req, known)
+            return self._records.let_through(step, req), True
         except WigeonscaleError as exc:
             return _settled(self._failed(step, exc.kind, exc.message)), False
-        if known is None:
-            known = _Sequence(step.epoch, 0, self._clock.now())
-            self._sequences[step.sequence_id] = known
-            self.learn_epoch(req.chain_id, req.epoch)
-        known.position = step.position
-        known.next_position = step.position + step.count
-        known.used_at = self._clock.now()
-        known.answer = asyncio.get_running_loop().create_future()
-        return known.answer, True
-
-    def _check(
-        self, step: wire.SequenceStep, req: wire.StepRequest, known: _Sequence | None
-    ) -> None:
-        name = f"sequence {step.sequence_id}"
-        if step.sequence_id in self._ended:
-            raise WigeonscaleError(ErrorKind.CANCELLED, f"{name} was ended here")
-        if step.epoch != req.epoch or (known and known.epoch != step.epoch):
-            raise WigeonscaleError(
-                ErrorKind.STALE_EPOCH, f"{name} does not run in epoch {step.epoch}"
-            )
-        if known is None:
-            self._check_begin(step, req, name)
-            return
-        if known.answer is not None and not known.answer.done():
-            raise WigeonscaleError(
-                ErrorKind.BAD_REQUEST,
-                f"{name}: position {known.position} still runs",
-            )
-        if known.broken:
-            raise WigeonscaleError(ErrorKind.BACKEND_FAILED, f"{name} broke here")
-        if step.first or step.position != known.next_position or step.count < 1:
-            raise WigeonscaleError(
-                ErrorKind.BAD_REQUEST,
-                f"{name}: position {step.position} where {known.next_position} is next",
-            )
-
-    def _check_begin(
-        self, step: wire.SequenceStep, req: wire.StepRequest, name: str
-    ) -> None:
-        newest = self._epochs.get(req.chain_id, 0)
-        if req.epoch < newest:
-            raise WigeonscaleError(
-                ErrorKind.STALE_EPOCH,
-                f"epoch {req.epoch} of chain {req.chain_id}, which is at {newest}",
-            )
-        if not step.first or step.position != 0 or step.count < 1:
-            raise WigeonscaleError(
-                ErrorKind.BAD_REQUEST,
-                f"{name} is not known here at position {step.position}",
-            )
-        self._may_begin()
 
     async def _run_fresh(
         self, req: wire.StepRequest, fresh: list[wire.SequenceStep]
@@ -240,7 +176,7 @@
         finally:
             for step in fresh:
                 missing = self._failed(step, ErrorKind.INTERNAL, NO_RESULT)
-                self._settle(step, results.get(step.sequence_id, missing))
+                self._records.settle(results.get(step.sequence_id, missing))
 
     async def _run_engine(
         self, fresh: list[wire.SequenceStep], results: dict[str, wire.StepResult]
@@ -304,15 +240,6 @@
             return
         results.update({result.sequence_id: result for result in reply.results})
 
-    def _settle(self, step: wire.SequenceStep, result: wire.StepResult) -> None:
-        known = self._sequences.get(step.sequence_id)
-        known = known or self._ended.get(step.sequence_id)
-        if known is None or known.answer is None:
-            return
-        known.broken = known.broken or bool(result.kind)
-        if not known.answer.done():
-            known.answer.set_result(result)
-
     def _failed(
         self,
         step: wire.SequenceStep,
@@ -328,43 +255,22 @@
             failed_agent=failed_agent or self._agent_id,
         )
 
-    def _forget(self, sequence_ids: Iterable[str]) -> None:
-        for sequence_id in sequence_ids:
-            self._end(sequence_id)
-
-    def _end(self, sequence_id: str) -> None:
-        """Forget a sequence but keep its last answer, so that it never reruns."""
-        known = self._sequences.pop(sequence_id, None)
-        if known is None:
-            if sequence_id not in self._ended:
-                self._ended[sequence_id] = _Sequence(0, 0, 0.0)
-        else:
-            self._ended[sequence_id] = known
-            self._cancel_on_engine([sequence_id])
-        while len(self._ended) > ENDED_KEPT:
-            self._ended.popitem(last=False)
-
-    def _cancel_on_engine(self, sequence_ids: list[str]) -> None:
-        task = asyncio.create_task(self._cancel(sequence_ids))
+    def _cancel_on_engine(self, sequence_id: str) -> None:
+        # Those of one iteration go to the engine in one call.
+        self._to_cancel.append(sequence_id)
+        if len(self._to_cancel) > 1:
+            return
+        task = asyncio.create_task(self._cancel())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _cancel(self, sequence_ids: list[str]) -> None:
+    async def _cancel(self) -> None:
+        sequence_ids, self._to_cancel = self._to_cancel, []
         try:
             await self._engine.cancel(sequence_ids)
         except WigeonscaleError as exc:
             logger.warning("engine did not cancel %s: %s", sequence_ids, exc)
 
-    def _sweep(self) -> None:
-        """Forget sequences whose head is gone."""
-        now = self._clock.now()
-        if now - self._swept_at < SEQUENCE_IDLE_S / 4:
-            return
-        self._swept_at = now
-        for sequence_id, known in list(self._sequences.items()):
-            if now - known.used_at > SEQUENCE_IDLE_S and known.answer.done():
-                self._end(sequence_id)
-
 
 def _settled(result: wire.StepResult) -> asyncio.Future:
     fut = asyncio.get_running_loop().create_future()
