Serve organisations below their share first; reckon with spread

Saving more turns than 4: no better (16 and 64 gave longer waits than 4).

Change: start-time fair queueing with a bounded credit in place of the rounds; admission reckons with mean service plus 3 mean deviations, the latest start with 2, at most half of a short deadline.

--- a/wigeonscale/limits/estimate.py
+++ b/wigeonscale/limits/estimate.py
@@ -5,7 +5,10 @@
 from wigeonscale.ports import Clock
 
 SMOOTHING = 0.05
-MIN_SAMPLES = 20
+# Mean deviations added to the mean service time: fewer at the start, since what
+# was let into the queue with room to spare shall also get its turn.
+ADMIT_DEVIATIONS = 3.0
+START_DEVIATIONS = 2.0
 
 
 class WaitEstimator:
@@ -18,12 +21,15 @@
 
     Notes:
         An exponential mean that starts as a plain mean, so that the first
-        request does not weigh on it for long. Constant time and memory.
+        request does not weigh on it for long, and the mean deviation, as in
+        Jacobson, "Congestion avoidance and control", SIGCOMM 1988. Constant time
+        and memory.
     """
 
     def __init__(self, *, clock: Clock, initial_s: float = 0.0):
         self._clock = clock
         self._service_s = initial_s
+        self._deviation_s = 0.0
         self._count = 0
 
     @property
@@ -39,7 +45,25 @@
         """
         self._count += 1
         weight = max(SMOOTHING, 1.0 / self._count)
-        self._service_s += weight * (service_s - self._service_s)
+        error_s = service_s - self._service_s
+        self._service_s += weight * error_s
+        self._deviation_s += weight * (abs(error_s) - self._deviation_s)
+
+    def admit_s(self, deadline_s: float | None) -> float:
+        """Return the seconds of service to reckon with when a request is let in.
+
+        Args:
+            deadline_s: Seconds until its deadline; None for none.
+        """
+        return self._cautious_s(ADMIT_DEVIATIONS, deadline_s)
+
+    def start_s(self, deadline_s: float | None) -> float:
+        """Return the seconds of service to reckon with when a request starts.
+
+        Args:
+            deadline_s: Seconds from now until its deadline; None for none.
+        """
+        return self._cautious_s(START_DEVIATIONS, deadline_s)
 
     def wait(self, queued: float, slots: int) -> float:
         """Return the estimated seconds until a new request starts.
@@ -51,3 +75,10 @@
         if queued <= 0:
             return 0.0
         return queued * self._service_s / max(1, slots)
+
+    def _cautious_s(self, deviations: float, deadline_s: float | None) -> float:
+        cautious_s = self._service_s + deviations * self._deviation_s
+        if deadline_s is None:
+            return cautious_s
+        # Half of a short deadline stays for waiting, else it could never be met.
+        return min(cautious_s, max(self._service_s, deadline_s / 2))
--- a/wigeonscale/limits/fair_queue.py
+++ b/wigeonscale/limits/fair_queue.py
@@ -4,35 +4,15 @@
 
 import heapq
 import itertools
-from collections import OrderedDict
-from collections.abc import Hashable
-from dataclasses import dataclass, field
-from typing import Generic, TypeVar
+from typing import Generic
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.limits.turns import FairTurns, Item, QueueEntry
 from wigeonscale.ports import Clock, SystemClock
 
-Item = TypeVar("Item", bound=Hashable)
-
 # An organisation may hold at most this many times the room left, so that one
 # with a long backlog always leaves room for those that come later.
 HOLD_FACTOR = 8.0
-MIN_SHARE = 1e-3
-
-
-@dataclass(slots=True)
-class _Entry(Generic[Item]):
-    item: Item
-    organisation: str
-    priority: int
-    cost: float
-
-
-@dataclass(slots=True)
-class _Backlog:
-    share: float = 1.0
-    deficit: float = 0.0
-    entries: OrderedDict = field(default_factory=OrderedDict)
 
 
 class FairQueue(Generic[Item]):
@@ -52,10 +32,8 @@
         ['a1', 'b1', 'a2', 'a3']
 
     Notes:
-        Push and remove take constant time, pop a turn over the organisations at
-        most where costs are near the quantum. Shreedhar and Varghese, "Efficient
-        fair queueing using deficit round robin", SIGCOMM 1995. The bound per
-        organisation follows Choudhury and Hahne, "Dynamic queue length thresholds
+        Push and remove take constant time; for pop see :class:`FairTurns`. The bound
+        per organisation follows Choudhury and Hahne, "Dynamic queue length thresholds
         for shared-memory packet switches", IEEE/ACM Transactions on Networking,
         1998.
     """
@@ -64,10 +42,10 @@
         self._quantum = quantum
         self._limit = limit
         self._clock = clock or SystemClock()
-        self._entries: dict[Item, _Entry[Item]] = {}
-        self._levels: dict[int, OrderedDict[str, _Backlog]] = {}
+        self._entries: dict[Item, QueueEntry[Item]] = {}
+        self._levels: dict[int, FairTurns[Item]] = {}
         self._held: dict[str, int] = {}
-        self._deadlines: list[tuple[float, int, _Entry[Item]]] = []
+        self._deadlines: list[tuple[float, int, QueueEntry[Item]]] = []
         self._expired: list[Item] = []
         self._order = itertools.count()
 
@@ -102,14 +80,10 @@
                 organisation holds so much of it that the others lack room.
         """
         self._check_room(organisation)
-        entry = _Entry(item, organisation, priority, cost)
-        level = self._levels.setdefault(priority, OrderedDict())
-        backlog = level.get(organisation)
-        if backlog is None:
-            first_turn = self._quantum * max(share, MIN_SHARE)
-            backlog = level[organisation] = _Backlog(deficit=first_turn)
-        backlog.share = max(share, MIN_SHARE)
-        backlog.entries[item] = entry
+        entry = QueueEntry(item, organisation, priority, cost)
+        if priority not in self._levels:
+            self._levels[priority] = FairTurns(quantum=self._quantum)
+        self._levels[priority].add(entry, share)
         self._entries[item] = entry
         self._held[organisation] = self._held.get(organisation, 0) + 1
         if deadline is not None:
@@ -120,11 +94,8 @@
         self._drop_expired()
         if not self._levels:
             return None
-        level = self._levels[max(self._levels)]
-        backlog = self._next_turn(level)
-        entry = next(iter(backlog.entries.values()))
-        backlog.deficit -= entry.cost
-        self._drop(entry)
+        entry = self._levels[max(self._levels)].take()
+        self._forget(entry)
         return entry.item
 
     def remove(self, item: Item) -> bool:
@@ -154,24 +125,15 @@
         Notes:
             Counts every item of higher priority, and of each other organisation at
             most what its share lets through while the own backlog is served.
-            Costs one step per organisation and priority now queued. Costs are
-            taken as equal.
+            Costs one step per priority, and per organisation at this one.
         """
         higher = sum(
-            len(backlog.entries)
-            for level_priority, level in self._levels.items()
+            len(turns)
+            for level_priority, turns in self._levels.items()
             if level_priority > priority
-            for backlog in level.values()
-        )
-        level = self._levels.get(priority, {})
-        own = len(level[organisation].entries) if organisation in level else 0
-        turns = (own + 1) / max(share, MIN_SHARE)
-        others = sum(
-            min(len(backlog.entries), turns * backlog.share)
-            for name, backlog in level.items()
-            if name != organisation
         )
-        return higher + own + others
+        turns = self._levels.get(priority)
+        return higher + (turns.ahead(organisation, share) if turns else 0)
 
     def _check_room(self, organisation: str) -> None:
         room = self._limit - len(self._entries)
@@ -187,37 +149,14 @@
             return
         raise WigeonscaleError(ErrorKind.OVERLOADED, reason)
 
-    def _next_turn(self, level: OrderedDict[str, _Backlog]) -> _Backlog:
-        turns = 0
-        while True:
-            organisation, backlog = next(iter(level.items()))
-            if backlog.deficit >= _head_cost(backlog):
-                return backlog
-            backlog.deficit += self._quantum * backlog.share
-            level.move_to_end(organisation)
-            turns += 1
-            if turns % len(level) == 0:
-                self._skip_idle_rounds(level)
-
-    def _skip_idle_rounds(self, level: OrderedDict[str, _Backlog]) -> None:
-        # Small shares would take many rounds until someone may be served.
-        rounds = min(
-            (_head_cost(backlog) - backlog.deficit) // (self._quantum * backlog.share)
-            for backlog in level.values()
-        )
-        if rounds > 0:
-            for backlog in level.values():
-                backlog.deficit += rounds * self._quantum * backlog.share
-
-    def _drop(self, entry: _Entry[Item]) -> None:
-        level = self._levels[entry.priority]
-        backlog = level[entry.organisation]
-        del backlog.entries[entry.item]
-        del self._entries[entry.item]
-        if not backlog.entries:
-            del level[entry.organisation]
-        if not level:
+    def _drop(self, entry: QueueEntry[Item]) -> None:
+        self._levels[entry.priority].discard(entry)
+        self._forget(entry)
+
+    def _forget(self, entry: QueueEntry[Item]) -> None:
+        if not self._levels[entry.priority]:
             del self._levels[entry.priority]
+        del self._entries[entry.item]
         self._held[entry.organisation] -= 1
         if not self._held[entry.organisation]:
             del self._held[entry.organisation]
@@ -229,7 +168,3 @@
             if self._entries.get(entry.item) is entry:
                 self._drop(entry)
                 self._expired.append(entry.item)
-
-
-def _head_cost(backlog: _Backlog) -> float:
-    return next(iter(backlog.entries.values())).cost
--- a/wigeonscale/limits/tests/test_estimate.py
+++ b/wigeonscale/limits/tests/test_estimate.py
@@ -21,6 +21,21 @@
             estimator.finished(3.0)
         self.assertAlmostEqual(3.0, estimator.service_s, places=2)
 
+    def test_service_to_reckon_with_grows_with_its_spread(self):
+        even, uneven = (WaitEstimator(clock=ManualClock()) for _ in range(2))
+        for number in range(200):
+            even.finished(2.0)
+            uneven.finished(1.0 if number % 2 else 3.0)
+        self.assertAlmostEqual(2.0, even.admit_s(60.0), places=1)
+        self.assertAlmostEqual(5.0, uneven.admit_s(60.0), delta=0.3)
+        self.assertAlmostEqual(4.0, uneven.start_s(60.0), delta=0.3)
+
+    def test_short_deadline_is_not_refused_for_spread_alone(self):
+        estimator = WaitEstimator(clock=ManualClock())
+        for number in range(200):
+            estimator.finished(1.0 if number % 2 else 3.0)
+        self.assertAlmostEqual(2.5, estimator.admit_s(5.0))
+
 
 class CheckDeadlineTest(AsyncTestCase):
     def test_in_time_passes(self):
--- a/wigeonscale/limits/tests/test_fair_queue.py
+++ b/wigeonscale/limits/tests/test_fair_queue.py
@@ -86,6 +86,31 @@
         self.assertEqual([], self.queue.take_expired())
         self.assertEqual("x", self.queue.pop())
 
+    def test_organisation_below_its_share_goes_first(self):
+        self.push("big", 40)
+        for _ in range(20):
+            self.queue.pop()
+        self.push("small", 3)
+        first = [self.queue.pop() for _ in range(3)]
+        self.assertEqual(["small0", "small1", "small2"], first)
+
+    def test_saved_turns_are_bounded(self):
+        self.push("big", 40)
+        for _ in range(20):
+            self.queue.pop()
+        self.push("small", 20)
+        first = [self.queue.pop()[:3] for _ in range(20)]
+        self.assertEqual(12, first.count("sma"))
+
+    def test_running_empty_saves_nothing(self):
+        self.push("big", 40)
+        served = []
+        for number in range(20):
+            name = f"fast{number}"
+            self.queue.push(name, organisation="fast")
+            served += [self.queue.pop(), self.queue.pop()]
+        self.assertEqual(20, sum(name.startswith("big") for name in served))
+
     def test_ahead_is_the_place_in_turn(self):
         self.push("big", 40)
         self.push("urgent", 2, priority=1)
--- /dev/null
+++ b/wigeonscale/limits/turns.py
@@ -0,0 +1,132 @@
+"""The order of turns among the organisations that wait at one priority."""
+
+__all__ = ["FairTurns", "Item", "QueueEntry"]
+
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item", bound=Hashable)
+
+MIN_SHARE = 1e-3
+# Turns that an organisation may save up while it asks for less than its share.
+CREDIT_TURNS = 4.0
+PRUNE_AT = 256
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class QueueEntry(Generic[Item]):
+    """A queued item with what decides its turn."""
+
+    item: Item
+    organisation: str
+    priority: int
+    cost: float
+
+
+@dataclass(slots=True)
+class _Backlog:
+    share: float
+    tag: float
+    entries: OrderedDict = field(default_factory=OrderedDict)
+
+
+class FairTurns(Generic[Item]):
+    """Serves the organisation that had the least so far, by share.
+
+    Each organisation has a tag that grows by cost over share with each item served;
+    the smallest tag is next. One that begins to wait starts from its old tag, but
+    at most ``CREDIT_TURNS`` behind the largest tag served: it is ahead of those
+    that take more than their share, and cannot save up more than that.
+
+    Args:
+        quantum: Cost of one turn of an organisation with share 1.
+
+    Notes:
+        Push and pop cost the logarithm of the organisations that wait. Goyal, Vin
+        and Cheng, "Start-time fair queueing", IEEE/ACM Transactions on Networking,
+        1997, with a bounded credit.
+    """
+
+    def __init__(self, *, quantum: float):
+        self._credit = CREDIT_TURNS * quantum
+        self._now = 0.0
+        self._waiting: dict[str, _Backlog] = {}
+        self._tags: dict[str, float] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._order = itertools.count()
+        self._prune_at = PRUNE_AT
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def add(self, entry: QueueEntry[Item], share: float) -> None:
+        """Queue an entry for its organisation, whose weight is ``share``."""
+        backlog = self._waiting.get(entry.organisation)
+        if backlog is None:
+            backlog = _Backlog(share, self._first_tag(entry.organisation))
+            self._waiting[entry.organisation] = backlog
+            self._schedule(entry.organisation, backlog)
+        backlog.share = max(share, MIN_SHARE)
+        backlog.entries[entry.item] = entry
+        self._count += 1
+
+    def discard(self, entry: QueueEntry[Item]) -> None:
+        """Take out an entry that is queued."""
+        backlog = self._waiting[entry.organisation]
+        del backlog.entries[entry.item]
+        self._count -= 1
+        if not backlog.entries:
+            del self._waiting[entry.organisation]
+            self._remember(entry.organisation, backlog.tag)
+
+    def take(self) -> QueueEntry[Item]:
+        """Take out the entry whose turn it is; there must be one."""
+        while True:
+            tag, _, organisation = heapq.heappop(self._heap)
+            backlog = self._waiting.get(organisation)
+            # Places of backlogs that have gone since are passed over.
+            if backlog is not None and backlog.tag == tag:
+                break
+        entry = next(iter(backlog.entries.values()))
+        self._now = max(self._now, tag)
+        backlog.tag = tag + entry.cost / backlog.share
+        self.discard(entry)
+        if backlog.entries:
+            self._schedule(organisation, backlog)
+        return entry
+
+    def ahead(self, organisation: str, share: float) -> int:
+        """Return how many entries come before a new one of the organisation.
+
+        Notes:
+            One step per organisation that waits. Costs are taken as 1.
+        """
+        own = self._waiting.get(organisation)
+        count = len(own.entries) if own else 0
+        tag = own.tag if own else self._first_tag(organisation)
+        tag += count / max(share, MIN_SHARE)
+        for name, other in self._waiting.items():
+            if name != organisation and other.tag <= tag:
+                sooner = int((tag - other.tag) * other.share) + 1
+                count += min(len(other.entries), sooner)
+        return count
+
+    def _first_tag(self, organisation: str) -> float:
+        return max(self._now - self._credit, self._tags.get(organisation, 0.0))
+
+    def _schedule(self, organisation: str, backlog: _Backlog) -> None:
+        place = (backlog.tag, next(self._order), organisation)
+        heapq.heappush(self._heap, place)
+
+    def _remember(self, organisation: str, tag: float) -> None:
+        self._tags[organisation] = tag
+        if len(self._tags) < self._prune_at:
+            return
+        oldest = self._now - self._credit
+        self._tags = {name: tag for name, tag in self._tags.items() if tag > oldest}
+        self._prune_at = max(PRUNE_AT, 2 * len(self._tags))
