entry: serve standing connections while leaving; refuse dot segments

Change: answers of a leaving entry say Connection: close and requests are refused only when it closes; paths with . or .. segments, however encoded, are bad requests.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -22,7 +22,9 @@
 STREAMS = 200
 ROUNDS = 3
 ONE_A_WRITE = Load(streams=STREAMS, ticks=100, burst=1, interval_s=0.02)
-ONE_A_MESSAGE = dataclasses.replace(ONE_A_WRITE, together=False, interval_s=0.05)
+# Today's 40 engines make 13 pipelines of three; each sends one message a step.
+TODAY = dataclasses.replace(ONE_A_WRITE, messages=13)
+ONE_A_MESSAGE = dataclasses.replace(ONE_A_WRITE, messages=STREAMS, interval_s=0.05)
 BURSTS = Load(streams=STREAMS, ticks=50, burst=16, interval_s=0.05)
 REQUESTS = Load(streams=1, ticks=1, burst=1, interval_s=0.0)
 REQUEST_COUNT = 1000
@@ -76,6 +78,7 @@
     figures: list[Figure] = []
     cases = [
         ("one token a write", ONE_A_WRITE, MAX_RATIO_ONE),
+        ("one token a write, 13 pipelines", TODAY, MAX_RATIO_ONE),
         ("one token a message", ONE_A_MESSAGE, None),
         ("bursts of 16", BURSTS, MAX_RATIO_BURST),
     ]
--- a/bench/relay_roles.py
+++ b/bench/relay_roles.py
@@ -52,7 +52,7 @@
         ticks: Writes per stream.
         burst: Tokens per write.
         interval_s: Seconds between two writes of a stream.
-        together: Whether one message carries the tokens of all streams.
+        messages: Messages per tick that together carry the tokens of all streams.
         address: Where the tokens come from; empty for a source itself.
     """
 
@@ -60,7 +60,7 @@
     ticks: int
     burst: int
     interval_s: float
-    together: bool = True
+    messages: int = 1
     address: str = ""
 
     def as_json(self) -> str:
@@ -105,7 +105,7 @@
 
     async def _events(self, ids: list[str]):
         load = self._load
-        groups = [ids] if load.together else [[each] for each in ids]
+        groups = [ids[number :: load.messages] for number in range(load.messages)]
         for tick in range(load.ticks):
             run = wire.TokenRun(texts=[TOKEN_TEXT] * load.burst, ids=[7] * load.burst)
             setattr(run, "from", tick * load.burst)
--- a/wigeonscale/entry/app.py
+++ b/wigeonscale/entry/app.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from wigeonscale.adapters import bound_address
 from wigeonscale.entry.calls import call_service
@@ -60,11 +60,13 @@
         await self._site.start()
 
     async def stop_accepting(self) -> None:
-        """Be unready first, then take no new connection and no new request."""
+        """Be unready first, then take no new connection.
+
+        Requests on connections that stand are still served, the last on each.
+        """
         self._entry.leaving = True
         await self._entry.clock.sleep(UNREADY_GRACE_S)
         await self._site.stop()
-        self._entry.stopping = True
 
     async def finish(self) -> None:
         """Wait for the answers in progress."""
@@ -72,6 +74,7 @@
 
     async def cut(self) -> None:
         """End the answers still in progress by an honest error."""
+        self._entry.stopping = True
         self._entry.cut()
         try:
             async with asyncio.timeout(CUT_GRACE_S):
@@ -80,7 +83,8 @@
             return
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Close every connection; a request that comes now is refused."""
+        self._entry.stopping = True
         if self._runner is not None:
             await self._runner.cleanup()
         await self._entry.close()
@@ -88,6 +92,13 @@
 
 def _application(entry: EntryService) -> web.Application:
     app = web.Application(client_max_size=entry.limits.body_limit_bytes)
+
+    async def close_when_leaving(req: web.Request, resp: web.StreamResponse) -> None:
+        if entry.leaving:
+            resp.headers[hdrs.CONNECTION] = "close"
+            resp.force_close()
+
+    app.on_response_prepare.append(close_when_leaving)
     app.router.add_post(
         "/v1/completions", guarded(entry, completions_handler(Shape.COMPLETION))
     )
--- a/wigeonscale/entry/calls.py
+++ b/wigeonscale/entry/calls.py
@@ -12,7 +12,7 @@
 from wigeonscale.entry.answers import REQUEST_HEADER
 from wigeonscale.entry.flow import Admission, admit, identify, request_facts
 from wigeonscale.entry.records import RequestLog
-from wigeonscale.entry.requests import read_body
+from wigeonscale.entry.requests import check_path, read_body
 from wigeonscale.entry.service import EntryService
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.wire import wire_pb2 as wire
@@ -26,6 +26,7 @@
     entry: EntryService, req: web.Request, log: RequestLog
 ) -> web.StreamResponse:
     """Serve any path that is not the system's own."""
+    check_path(req)
     caller = identify(entry, req, log)
     raw = await read_body(req)
     facts = request_facts(req, caller, size=len(raw))
--- a/wigeonscale/entry/requests.py
+++ b/wigeonscale/entry/requests.py
@@ -4,6 +4,7 @@
     "ChatBody",
     "CompletionBody",
     "RequestOptions",
+    "check_path",
     "idempotency_key",
     "parse_body",
     "read_body",
@@ -14,6 +15,7 @@
 
 import hashlib
 import re
+import urllib.parse
 from dataclasses import dataclass
 from typing import Annotated, Literal, TypeVar
 
@@ -172,6 +174,20 @@
         raise WigeonscaleError(ErrorKind.BAD_REQUEST, _problems(exc)) from exc
 
 
+def check_path(req: web.Request) -> None:
+    """Refuse a path that a service may read as another one than the rules did.
+
+    Args:
+        req: The request.
+
+    Raises:
+        WigeonscaleError: ``BAD_REQUEST`` for segments ``.`` and ``..``.
+    """
+    path = urllib.parse.unquote(req.raw_path.partition("?")[0]).replace("\\", "/")
+    if not {".", ".."}.isdisjoint(path.split("/")):
+        raise _bad("path", req.raw_path, "a path without . and .. segments")
+
+
 def request_digest(method: str, path: str, body: bytes) -> bytes:
     """Return the digest that tells whether two requests with one key are the same."""
     return hashlib.sha256(f"{method}\n{path}\n".encode() + body).digest()
--- a/wigeonscale/entry/service.py
+++ b/wigeonscale/entry/service.py
@@ -53,6 +53,7 @@
 
     Attributes:
         in_progress: Requests in progress.
+        leaving: Whether the balancer shall send no more requests.
         stopping: Whether new requests are refused.
     """
 
--- a/wigeonscale/entry/tests/test_bad_input.py
+++ b/wigeonscale/entry/tests/test_bad_input.py
@@ -1,8 +1,11 @@
 """Bad requests get the error table's answer, and the entry goes on."""
 
+import asyncio
+
 import hypothesis
 from hypothesis import strategies as st
 from testscenarios import TestWithScenarios
+from yarl import URL
 
 from wigeonscale.entry.requests import ChatBody, CompletionBody, parse_body
 from wigeonscale.entry.tests.support import EntryCase
@@ -51,6 +54,8 @@
         bad("no idempotency", ErrorKind.IDEMPOTENCY_KEY_REQUIRED, X_Billed="yes"),
         bad("closed", ErrorKind.REFUSED_BY_RULE, path="/closed/x"),
         bad("no rule", ErrorKind.NO_MATCHING_RULE, path="/elsewhere"),
+        bad("dots", ErrorKind.BAD_REQUEST, path="/lookup/%2e%2e/notes/1"),
+        bad("slash dots", ErrorKind.BAD_REQUEST, path="/lookup%2F..%5cnotes/1"),
         bad("no answer", ErrorKind.ANSWER_EXPIRED, path="/v1/requests/x", method="GET"),
         bad(
             "from",
@@ -63,7 +68,10 @@
 
     async def test_answer_of_the_error_table(self):
         answer = await self.http.request(
-            self.method, self.path, data=self.body, headers=self.headers
+            self.method,
+            URL(self.path, encoded=True),
+            data=self.body,
+            headers=self.headers,
         )
         document = await answer.json()
         self.assertEqual(self.kind, document["error"]["kind"], document)
@@ -78,6 +86,28 @@
         self.assertEqual(0, self.entry.in_progress)
 
 
+class RawBytesTest(EntryCase):
+    async def test_what_is_not_http_is_refused_and_the_entry_goes_on(self):
+        host, _, port = self.server.address.rpartition(":")
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        for raw in (
+            b"\x16\x03\x01\x00\xff\r\n\r\n",
+            head + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n",
+            head + b"Content-Length: -1\r\n\r\n",
+            head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(raw)
+            async with asyncio.timeout(30):
+                status_line = await reader.readline()
+            self.assertIn(b" 40", status_line, raw[:60])
+            writer.close()
+            await writer.wait_closed()
+        async with self.complete() as answer:
+            self.assertEqual(200, answer.status)
+        self.assertEqual(0, self.entry.in_progress)
+
+
 class _Request:
     content_type = "application/json"
 
--- a/wigeonscale/entry/tests/test_failures.py
+++ b/wigeonscale/entry/tests/test_failures.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import aiohttp
+
 from wigeonscale.dispatch.tests.fake_agent import WORDS
 from wigeonscale.entry.service import EntryLimits
 from wigeonscale.entry.tests.support import EntryCase, read_events, texts_of
@@ -136,6 +138,12 @@
         stopping = asyncio.create_task(self.server.stop_accepting())
         await asyncio.sleep(0)
         self.assertFalse(self.entry.is_ready() or self.entry.stopping)
+        # A request on a connection that stands is served, the last one on it.
+        url = f"http://{self.server.address}/lookup/x"
+        async with aiohttp.ClientSession(headers=self.http.headers) as keeping:
+            async with keeping.get(url) as late:
+                self.assertEqual("close", late.headers["Connection"])
+                self.assertEqual(200, late.status)
         self.agent.go_on.set()
         await stopping
         await self.server.finish()
