--- a/wigeonscale/agent/tests/test_dispatch.py
+++ b/wigeonscale/agent/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
 from wigeonscale.ports import HttpAnswer
-from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing import AsyncTestCase, ManualClock
 from wigeonscale.testing.fake_engine import expected_tokens
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -72,6 +72,31 @@
         want = self.want("slow", INITIAL_CREDIT + 50)
         self.assertEqual(want, self.client.texts(slow))
 
+    async def test_stop_waits_until_a_slow_reader_has_the_answer(self):
+        await self.start()
+        slow = await self.client.generate(self.chain, b"slow", INITIAL_CREDIT + 50)
+        agent = self.nodes[0].agent
+        await until(lambda: agent.table.get(slow) and agent.table.get(slow).end)
+        drain = asyncio.create_task(agent.drain())
+        await self.client.send(ping=wire.Ping(sent_us=7))
+        await self.client.wait(lambda: self.client.events[-1].pong_us == 7)
+        self.assertFalse(drain.done())
+        await self.client.send(credits=_credits(slow, 50))
+        await self.client.end(slow)
+        await drain
+
+    async def test_prompts_count_as_kept_bytes_until_the_end(self):
+        await self.start(keep_answers_bytes=100_000)
+        gate = self.hold_engine()
+        first = await self.client.generate(self.chain, b"p " * 60_000, 3)
+        late = await self.client.generate(self.chain, b"late", 3)
+        self.assertEqual(
+            (ErrorKind.OVERLOADED, RunState.NOT_RUN), await self.refusal(late)
+        )
+        gate.set()
+        await self.client.end(first)
+        self.assertLess(self.nodes[0].agent.table.kept_bytes, 2000)
+
     async def test_one_message_carries_an_iteration(self):
         await self.start(stages=3)
         ids = [await self.client.generate(self.chain, b"a", 20) for _ in range(32)]
@@ -218,18 +243,24 @@
         await until(lambda: not self.engine.caches)
 
     async def test_deadline_in_mid_stream(self):
-        await self.start(stages=3)
+        clock = ManualClock()
+        await self.start(stages=3, clock=clock)
         late = await self.client.generate(self.chain, b"p", 1_000_000, deadline_ms=300)
+        await self.client.wait(lambda: self.client.texts(late))
+        await clock.advance(0.4)
         self.assertEqual(
             (ErrorKind.DEADLINE_EXCEEDED, RunState.RAN), await self.refusal(late)
         )
         self.assertTrue(self.client.texts(late))
 
     async def test_deadline_in_the_queue(self):
-        await self.start(slots=1)
+        clock = ManualClock()
+        await self.start(slots=1, clock=clock)
         gate = self.hold_engine()
         running = await self.client.generate(self.chain, b"p", 3)
         waiting = await self.client.generate(self.chain, b"q", 3, deadline_ms=100)
+        await self.client.wait(lambda: self.client.kinds(waiting) == ["accepted"])
+        await clock.advance(0.2)
         self.assertEqual(
             (ErrorKind.DEADLINE_EXCEEDED, RunState.NOT_RUN),
             await self.refusal(waiting),
@@ -308,7 +339,10 @@
 class OnceTest(AsyncTestCase):
     async def prepare(self):
         self.service = GatedService()
-        self.control, self.node = await start_service(self, self.service, slots=1)
+        self.clock = ManualClock()
+        self.control, self.node = await start_service(
+            self, self.service, slots=1, clock=self.clock
+        )
         self.client = await connect(self, self.node)
 
     async def open(self, dispatch_id, **fields):
@@ -344,6 +378,22 @@
         await self.client.end("d1")
         self.assertEqual(1, self.service.calls)
 
+    async def test_call_cut_at_its_deadline(self):
+        late = WigeonscaleError(
+            ErrorKind.BACKEND_FAILED, "planted", run_state=RunState.UNKNOWN
+        )
+        self.service.error = late
+        await self.open("d1", deadline_ms=100)
+        await until(lambda: self.service.calls)
+        await self.clock.advance(0.2)
+        self.service.gate.set()
+        refused = (await self.client.end("d1")).refused
+        self.assertEqual(
+            (ErrorKind.DEADLINE_EXCEEDED, RunState.UNKNOWN),
+            (refused.kind, refused.run_state),
+        )
+        self.assertEqual([("d1", False, wire.UNKNOWN)], await self.outcome())
+
     async def test_errors_say_what_is_known(self):
         self.service.gate.set()
         known = {RunState.NOT_RUN: (True, 0), RunState.UNKNOWN: (False, wire.UNKNOWN)}
--- /dev/null
+++ b/wigeonscale/agent/tests/test_memory.py
@@ -0,0 +1,74 @@
+from wigeonscale.agent.answers import Dispatch
+from wigeonscale.agent.memory import DispatchMemory
+from wigeonscale.agent.outcomes import OutcomeReporter
+from wigeonscale.agent.table import DispatchTable
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class MemoryTest(AsyncTestCase):
+    async def prepare(self):
+        self.clock = ManualClock()
+        self.memory = DispatchMemory(clock=self.clock, remember_s=100, limit=3)
+
+    async def test_ran_is_never_turned_back(self):
+        self.memory.remember("d", RunState.RAN)
+        self.memory.remember("d", RunState.NOT_RUN)
+        self.assertEqual(RunState.RAN, self.memory.state("d"))
+
+    async def test_unreported_id_outlives_its_time(self):
+        self.memory.remember("once", RunState.RAN)
+        self.memory.remember("other", RunState.RAN)
+        self.memory.await_report("once")
+        for _ in range(3):
+            await self.clock.advance(101)
+            self.memory.forget_old()
+        self.assertEqual(RunState.RAN, self.memory.state("once"))
+        self.assertIsNone(self.memory.state("other"))
+        self.memory.reported("once")
+        await self.clock.advance(101)
+        self.memory.forget_old()
+        self.assertIsNone(self.memory.state("once"))
+        self.assertFalse(self.memory.forgot_early)
+
+    async def test_forgetting_before_the_time_is_known(self):
+        for number in range(5):
+            self.memory.remember(f"d{number}", RunState.RAN)
+        self.memory.forget_old()
+        self.assertTrue(self.memory.forgot_early)
+        self.assertEqual(RunState.RAN, self.memory.state("d4"))
+        self.assertIsNone(self.memory.state("d0"))
+
+    async def test_answer_kept_longer_than_ids_is_remembered_after_it(self):
+        table = DispatchTable(clock=self.clock, keep_bytes=1000, keep_s=5000)
+        dispatch = Dispatch(open=wire.Open(dispatch_id="d"))
+        dispatch.state = "running"
+        table.add(dispatch)
+        table.end(dispatch, wire.DispatchItem(done=wire.Done()))
+        for _ in range(2):
+            await self.clock.advance(4000)
+            table.sweep()
+        self.assertIsNone(table.get("d"))
+        self.assertEqual(RunState.RAN, table.memory.state("d"))
+
+
+class OutcomeTest(AsyncTestCase):
+    async def test_retried_without_quorum_and_given_up_when_refused(self):
+        answers = {"d1": [ErrorKind.NO_QUORUM, None], "d2": [ErrorKind.BAD_REQUEST]}
+        reported = []
+        clock = ManualClock()
+
+        async def submit(command):
+            kind = answers[command.outcome.dispatch_id].pop(0)
+            if kind:
+                raise WigeonscaleError(kind, "planted")
+
+        reporter = OutcomeReporter(
+            submit=submit, clock=clock, on_reported=reported.append
+        )
+        for dispatch_id in answers:
+            reporter.report(wire.Outcome(dispatch_id=dispatch_id))
+        await clock.advance(5)
+        await reporter.flush()
+        self.assertEqual(["d1"], reported)
--- a/wigeonscale/agent/work.py
+++ b/wigeonscale/agent/work.py
@@ -51,6 +51,7 @@
         pieces=pieces,
         produced=len(work.prefix),
         max_tokens=work.max_tokens,
+        priority=dispatch.open.priority,
         on_token=lambda token: on_token(dispatch, token),
         on_end=end,
         on_failed=lambda exc: on_failed(dispatch, exc),
--- a/wigeonscale/pipelines/generation.py
+++ b/wigeonscale/pipelines/generation.py
@@ -20,6 +20,7 @@
         pieces: Prompt pieces, then the texts of tokens already delivered.
         produced: Tokens already delivered.
         max_tokens: Most tokens of the whole answer.
+        priority: Larger goes first where an engine must choose.
         on_token: Called with each new token, in order.
         on_end: Called once with the finish reason.
         on_failed: Called once with the error instead of ``on_end``.
@@ -32,12 +33,14 @@
         pieces: Sequence[str],
         produced: int,
         max_tokens: int,
+        priority: int = 0,
         on_token: Callable[[wire.Token], None],
         on_end: Callable[[str], None],
         on_failed: Callable[[WigeonscaleError], None],
     ):
         self.dispatch_id = dispatch_id
         self.max_tokens = max_tokens
+        self.priority = priority
         self.ended = False
         self.paused = False
         self.failing_since: float | None = None
@@ -74,6 +77,7 @@
             first=self._position == 0,
             last=self._produced + 1 >= self.max_tokens,
             hidden=encode_pieces(inputs),
+            priority=self.priority,
         )
 
     def take(self, result: wire.StepResult) -> None:
--- a/wigeonscale/pipelines/head.py
+++ b/wigeonscale/pipelines/head.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from wigeonscale.adapters import METRICS
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.pipelines.constants import (
     EXTRA_ITERATIONS,
@@ -52,6 +53,7 @@
         self._agent_id = agent_id
         self._stage = stage
         self._links = links
+        self.clock = clock
         self._chains = chains
         self._drivers: dict[tuple[str, int], _ChainDriver] = {}
         self._recovery = Recovery(
@@ -219,8 +221,10 @@
             steps=[generation.next_step(epoch) for generation in batch],
             cancelled=cancelled,
         )
+        began_at = self._head.clock.now()
         try:
             reply = await self._head.send(req)
+            METRICS.iteration_s.observe(self._head.clock.now() - began_at)
             results = {result.sequence_id: result for result in reply.results}
         except PeerLostError as exc:
             results = _all_failed(req, exc)
--- a/wigeonscale/pipelines/recovery.py
+++ b/wigeonscale/pipelines/recovery.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 
+from wigeonscale.adapters import METRICS, OK
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.generation import Generation
 from wigeonscale.pipelines.waiting import wait_event
@@ -94,6 +95,7 @@
             now = self._clock.now()
             if newest is not None and newest.ready:
                 if newest.epoch > chain.epoch or now >= retry_at:
+                    METRICS.repairs.add(len(waiting), kind=OK)
                     self._resume(waiting, newest)
                     return
             oldest = min(generation.failing_since for generation in waiting)
@@ -116,6 +118,7 @@
             if generation.failing_since > oldest_allowed:
                 left.append(generation)
                 continue
+            METRICS.repairs.add(kind=ErrorKind.BACKEND_FAILED)
             generation.fail(
                 WigeonscaleError(
                     ErrorKind.BACKEND_FAILED,
--- a/wigeonscale/pipelines/stage.py
+++ b/wigeonscale/pipelines/stage.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from wigeonscale.adapters import METRICS
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.pipelines.constants import (
     ENGINE_CALLS_IN_FLIGHT,
@@ -184,6 +185,7 @@
         if not fresh:
             return []
         steps = [_engine_step(step) for step in fresh]
+        METRICS.iterations.add()
         try:
             async with self._engine_calls:
                 async with asyncio.timeout(self._step_timeout_s):
@@ -293,6 +295,7 @@
         count=step.count,
         first=step.first,
         hidden=step.hidden,
+        priority=step.priority,
     )
 
 
