--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -8,7 +8,6 @@
     "TcpProxy",
     "connect",
     "make_chain",
-    "settle",
     "start_chain",
     "start_service",
     "until",
@@ -24,6 +23,7 @@
 from wigeonscale.agent import Agent, BackendState, OrderGate
 from wigeonscale.config import AgentSettings
 from wigeonscale.ports import EngineInfo, SystemClock
+from wigeonscale.testing import rpcs_ended
 from wigeonscale.testing.fake_engine import FakeEngine
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc
@@ -38,11 +38,6 @@
             await asyncio.sleep(0.002)
 
 
-async def settle():
-    """Let grpcio's own handlers of stopped servers end; none may be left."""
-    await until(lambda: not any("_cython" in repr(t) for t in asyncio.all_tasks()))
-
-
 class BreakingEngine(FakeEngine):
     """Calls back when it comes to a position, before or after running it."""
 
@@ -247,7 +242,7 @@
 
 async def start_chain(case, *, stages=3, spares=0, trace=None, step_s=0.0, **settings):
     """Start agents with loaded engines; returns control, nodes and the chain."""
-    case.addCleanup(settle)
+    case.addCleanup(rpcs_ended)
     control = settings.pop("control", None) or FakeControl()
     nodes = []
     for number in range(stages + spares):
@@ -280,7 +275,7 @@
 
 
 async def start_service(case, service, **settings):
-    case.addCleanup(settle)
+    case.addCleanup(rpcs_ended)
     control = FakeControl()
     node = Node(name="s0", control=control, service=service, **settings)
     await node.start()
--- a/wigeonscale/daemons/agent.py
+++ b/wigeonscale/daemons/agent.py
@@ -2,9 +2,6 @@
 
 __all__ = ["run_agent"]
 
-import logging
-import sys
-
 import aiohttp
 
 from wigeonscale.adapters.channels import new_server, open_channel
@@ -20,23 +17,22 @@
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc
 
-logger = logging.getLogger(__name__)
-
 
-async def run_agent(cfg: AgentSettings) -> None:
+async def run_agent(cfg: AgentSettings) -> int:
     """Run an agent until SIGTERM.
 
     Args:
         cfg: Checked settings.
 
+    Returns:
+        The exit code.
+
     Raises:
-        SystemExit: When a task failed or the stop was cut at its bound.
+        OSError: If an address cannot be bound.
     """
     setup_logging(cfg.log_level, cfg.name)
     async with single_attempt_session() as session:
-        code = await _run(cfg, session)
-    if code:
-        sys.exit(code)
+        return await _run(cfg, session)
 
 
 async def _run(cfg: AgentSettings, session: aiohttp.ClientSession) -> int:
--- a/wigeonscale/pipelines/tests/test_links.py
+++ b/wigeonscale/pipelines/tests/test_links.py
@@ -1,9 +1,9 @@
 import asyncio
 
 from wigeonscale.adapters.channels import new_server, open_channel
-from wigeonscale.agent.tests.support import settle, until
+from wigeonscale.agent.tests.support import until
 from wigeonscale.pipelines.links import PeerLostError, StepLink
-from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.testing import AsyncTestCase, ManualClock, rpcs_ended
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc
 
@@ -34,7 +34,7 @@
 
 class StepLinkTest(AsyncTestCase):
     async def prepare(self):
-        self.addCleanup(settle)
+        self.addCleanup(rpcs_ended)
         self.peer = Peer()
         self.clock = ManualClock()
         self.server, address = new_server("127.0.0.1:0")
