--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -39,15 +39,6 @@
         await core.clock.sleep(core.options.heartbeat_s)
 
 
-async def note_lost_disk(core: ReplicaState) -> None:
-    """Wait to be admitted, since a log exists; the caller holds the lock."""
-    vote = core.storage.vote
-    if vote.admission is not Admission.NEW:
-        return
-    logger.warning("replica %s has lost its disk and has no vote", core.node_id)
-    await core.storage.save_vote(replace(vote, admission=Admission.AWAITING))
-
-
 async def note_admission(core: ReplicaState) -> None:
     """Vote again once a committed change names this disk; holds the lock."""
     vote = core.storage.vote
@@ -119,7 +110,8 @@
     if vote.admission is not Admission.NEW:
         return
     if any(reply is not None and reply.had_log for reply in replies):
-        await note_lost_disk(core)
+        logger.warning("replica %s has lost its disk and has no vote", core.node_id)
+        await core.storage.save_vote(replace(vote, admission=Admission.AWAITING))
         return
     if any(reply is None for reply in replies):
         return
--- a/wigeonscale/replication/follower.py
+++ b/wigeonscale/replication/follower.py
@@ -8,7 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.replication.admission import note_admission, note_lost_disk
+from wigeonscale.replication.admission import note_admission
 from wigeonscale.replication.commit import apply_up_to
 from wigeonscale.replication.election import adopt_term, check_term, step_down
 from wigeonscale.replication.files import Snapshot
@@ -37,7 +37,6 @@
             return _reply(core, req, success=False, match_index=0)
         await adopt_term(core, req.term)
         _note_leader(core, req)
-        await note_lost_disk(core)
         if req.HasField("snapshot"):
             reply = await _take_chunk(core, req)
         else:
--- a/wigeonscale/replication/links.py
+++ b/wigeonscale/replication/links.py
@@ -109,11 +109,6 @@
             return await call
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
             raise ConnectionError(f"replica {self._address}: {exc}") from exc
-        except asyncio.CancelledError as exc:
-            # gRPC cancels the call, not its caller, when the channel closes.
-            if asyncio.current_task().cancelling():
-                raise
-            raise ConnectionError(f"replica {self._address}: link was reset") from exc
 
 
 class ReplicationServicer(wire_pb2_grpc.ReplicationServicer):
--- a/wigeonscale/replication/replicate.py
+++ b/wigeonscale/replication/replicate.py
@@ -121,7 +121,7 @@
 def _take_reply(core, peer, req, reply, sent_at):
     peer.echo_us = reply.follower_us
     if reply.storage_id != peer.storage_id:
-        peer.match_index = 0
+        peer.match_index = 0  # what it acknowledged went with its disk
     peer.admitted = not reply.needs_admission
     peer.storage_id = reply.storage_id
     peer.acked_at = sent_at
@@ -130,8 +130,6 @@
     elif reply.success:
         _note_match(core, peer, reply.match_index)
     else:
-        # A peer that lost its disk may hold less than it acknowledged.
-        peer.match_index = min(peer.match_index, reply.match_index)
         peer.next_index = min(peer.next_index - 1, reply.match_index + 1)
         peer.next_index = max(peer.next_index, 1)
     advance_commit(core)
--- a/wigeonscale/replication/storage.py
+++ b/wigeonscale/replication/storage.py
@@ -139,7 +139,11 @@
     # ------------------------------------------------------------- writing
 
     async def save_vote(self, vote: VoteState) -> None:
-        """Make the vote state durable."""
+        """Make the vote state durable.
+
+        Raises:
+            ValueError: The term would fall.
+        """
         await self._finish(self._save_vote(vote))
 
     def append(self, entries: Sequence[wire.LogEntry]) -> None:
@@ -197,6 +201,8 @@
                 raise
 
     async def _save_vote(self, vote):
+        if vote.term < self.vote.term:
+            raise ValueError(f"term {vote.term} is below term {self.vote.term}")
         await self._folder.replace(VOTE_NAME, encode_vote(vote))
         self.vote = vote
 
--- a/wigeonscale/replication/tests/test_admission.py
+++ b/wigeonscale/replication/tests/test_admission.py
@@ -84,6 +84,25 @@
         self.assertFalse(self.cluster.replicas[lost].may_vote)
         self.assertNotIn(b"2", self.cluster.machines[self.leader].commands)
 
+    async def test_admitted_only_once_caught_up(self):
+        lost = self.followers[0]
+        await self.cluster.propose(b"1")
+        await self.cluster.until_equal([b"1"])
+        await self.cluster.stop(lost)
+        self.wipe(lost)
+
+        async def hold_entries(sender, receiver, req):
+            if receiver == lost and req.entries:
+                await self.cluster.clock.sleep(60)
+
+        self.cluster.network.before_append = hold_entries
+        self.cluster.start(lost)
+        await self.cluster.clock.advance(5)
+        members = self.cluster.replicas[self.leader].members()
+        self.assertEqual({""}, {member.storage_id for member in members})
+        self.cluster.network.before_append = None
+        await self.until_admitted(lost)
+
     async def test_second_loss_is_not_admitted_by_the_first_admission(self):
         lost, sound = self.followers
         await self.cluster.propose(b"1")
@@ -179,6 +198,14 @@
         await self.cluster.propose(b"12")
         await self.cluster.until_equal(numbers(1, 12))
 
+    async def test_removed_leader_steps_down(self):
+        old = self.cluster.replicas[self.leader]
+        await self.change(remove=self.leader)
+        await self.cluster.leader(among=self.followers)
+        self.assertEqual("follower", old.role)
+        await self.cluster.clock.advance(10)
+        self.assertNotIn(self.leader, self.cluster.leaders())
+
     async def test_removed_replica_does_not_disturb(self):
         node = self.followers[0]
         await self.change(remove=node)
--- /dev/null
+++ b/wigeonscale/replication/tests/test_election.py
@@ -0,0 +1,142 @@
+from wigeonscale.replication.files import VoteState
+from wigeonscale.replication.tests.support import Cluster
+from wigeonscale.replication.tests.test_replica import ClusterCase
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class VoteTest(ClusterCase):
+    async def prepare(self):
+        await super().prepare()
+        await self.cluster.propose(b"1")
+        await self.cluster.until_equal([b"1"])
+        self.voter = self.cluster.replicas[self.followers[0]]
+        self.last_term, self.last_index = self.voter.last_position()
+
+    async def ask(self, term, *, node="x", last_term=9, last_index=9, pre_vote=False):
+        reply = await self.voter.handle_vote(
+            wire.VoteRequest(
+                node_id=node,
+                term=term,
+                last_term=last_term,
+                last_index=last_index,
+                pre_vote=pre_vote,
+            )
+        )
+        return reply.granted
+
+    async def lose_leader(self):
+        await self.cluster.stop(self.leader, self.followers[1])
+        await self.cluster.clock.advance(3)
+
+    async def test_no_vote_while_the_leader_is_in_reach(self):
+        term = self.voter.term
+        for pre_vote in (True, False):
+            self.assertFalse(await self.ask(term + 5, pre_vote=pre_vote))
+        self.assertEqual(term, self.voter.term)
+
+    async def test_one_vote_a_term_also_after_a_restart(self):
+        await self.lose_leader()
+        self.assertTrue(await self.ask(7, node="x"))
+        self.assertTrue(await self.ask(7, node="x"))
+        self.assertFalse(await self.ask(7, node="y"))
+        await self.cluster.stop(self.followers[0])
+        self.cluster.start(self.followers[0])
+        self.voter = self.cluster.replicas[self.followers[0]]
+        self.assertFalse(await self.ask(7, node="y"))
+        self.assertFalse(await self.ask(6, node="x"))
+
+    async def test_no_vote_for_a_log_that_is_behind(self):
+        await self.lose_leader()
+        for behind in (
+            {"last_term": self.last_term - 1, "last_index": 99},
+            {"last_term": self.last_term, "last_index": self.last_index - 1},
+        ):
+            for pre_vote in (True, False):
+                self.assertFalse(await self.ask(7, pre_vote=pre_vote, **behind))
+        equal = {"last_term": self.last_term, "last_index": self.last_index}
+        self.assertTrue(await self.ask(8, pre_vote=True, **equal))
+        self.assertTrue(await self.ask(8, **equal))
+
+    async def test_higher_term_during_the_pre_vote_is_not_lost(self):
+        await self.cluster.stop(self.leader)
+        heard = []
+
+        async def raise_term(sender, receiver, req):
+            if req.pre_vote and not heard:
+                heard.append(sender)
+                ahead = wire.AppendRequest(leader_id="x", term=50)
+                await self.cluster.replicas[sender].handle_append(ahead)
+
+        self.cluster.network.before_vote = raise_term
+        await self.cluster.until(lambda: heard)
+        await self.cluster.clock.advance(0)
+        self.assertTrue(self.cluster.replicas[heard[0]].term >= 50)
+
+
+class OwnTermTest(ClusterCase):
+    """A new leader whose own first entry has not reached anybody."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.cluster.network.cut.update((f, self.leader) for f in self.followers)
+        await self.cluster.propose_at(self.leader, b"old")
+        await self.cluster.clock.advance(0.3)
+        await self.cluster.stop(self.leader)
+        self.cluster.network.heal()
+        self.old_term = self.cluster.replicas[self.followers[0]].term
+
+        async def strip(sender, receiver, req):
+            kept = [entry for entry in req.entries if entry.term <= self.old_term]
+            del req.entries[:]
+            req.entries.extend(kept)
+
+        self.cluster.network.before_append = strip
+        await self.cluster.until(self.cluster.leaders)
+        self.new = self.cluster.replicas[self.cluster.leaders()[0]]
+        self.fresh_before = self.new.fresh_at()
+        await self.cluster.clock.advance(2)
+        self.assertEqual(
+            [self.new],
+            [r for r in self.cluster.replicas.values() if r.role == "leader"],
+        )
+
+    async def test_commits_no_entry_of_an_earlier_term_by_count(self):
+        self.assertEqual([], self.cluster.machines[self.new_name()].commands)
+        self.cluster.network.before_append = None
+        await self.cluster.until_equal([b"old"])
+
+    async def test_is_not_fresh(self):
+        self.assertEqual(self.fresh_before, self.new.fresh_at())
+        self.cluster.network.before_append = None
+        await self.cluster.until_equal([b"old"])
+        self.assertTrue(self.new.fresh_at() > self.fresh_before)
+
+    def new_name(self):
+        return self.cluster.leaders()[0]
+
+
+class FormerVoteTest(AsyncTestCase):
+    async def test_term_of_a_vote_forgotten_at_first_start_is_passed_over(self):
+        class Voted:
+            async def handle_vote(self, req):
+                return wire.VoteReply(node_id="x", term=3)
+
+        cluster = Cluster()
+        self.addCleanup(cluster.stop)
+        cluster.network.replicas.update(b=Voted(), c=Voted())
+        cluster.start("a")
+        await cluster.until(lambda: cluster.replicas["a"].may_vote)
+        reply = await cluster.replicas["a"].handle_vote(
+            wire.VoteRequest(node_id="b", term=3, last_term=1, last_index=1)
+        )
+        self.assertFalse(reply.granted)
+
+    async def test_term_on_disk_never_falls(self):
+        cluster = Cluster(names="a")
+        self.addCleanup(cluster.stop)
+        cluster.start()
+        await cluster.propose(b"1")
+        storage = cluster.replicas["a"]._core.storage
+        with self.assertRaises(ValueError):
+            await storage.save_vote(VoteState(term=storage.vote.term - 1))
--- a/wigeonscale/replication/tests/test_follower.py
+++ b/wigeonscale/replication/tests/test_follower.py
@@ -1,10 +1,13 @@
 import asyncio
+import zlib
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wigeonscale.errors import WigeonscaleError
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.replication.model import EntryKind
 from wigeonscale.replication.tests.support import Cluster
+from wigeonscale.replication.tests.test_replica import ClusterCase
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -51,6 +54,91 @@
 )
 
 
+class FollowerTest(ClusterCase):
+    """Messages handed to one follower by hand."""
+
+    async def prepare(self):
+        await super().prepare()
+        await self.cluster.propose(b"1", b"2")
+        await self.cluster.until_equal([b"1", b"2"])
+        await self.cluster.clock.advance(1)
+        self.name = self.followers[0]
+        self.replica = self.cluster.replicas[self.name]
+        sent = [req for _, to, req in self.cluster.network.appends if to == self.name]
+        self.last = sent[-1]
+        await self.cluster.stop(self.leader, self.followers[1])
+        self.term, self.index = self.replica.last_position()
+
+    def request(self, **fields):
+        req = wire.AppendRequest(leader_id=self.leader, term=self.term)
+        req.MergeFrom(wire.AppendRequest(**fields))
+        return req
+
+    def entry(self, index, **fields):
+        return wire.LogEntry(index=index, term=self.term, **fields)
+
+    async def refused(self, req):
+        before = self.replica.last_position()
+        with self.assertRaises(WigeonscaleError) as caught:
+            await self.replica.handle_append(req)
+        self.assertEqual(before, self.replica.last_position())
+        return caught.exception.kind
+
+    async def test_part_of_a_commit_is_not_fresh(self):
+        before = self.replica.fresh_at()
+        self.last.age_us = 0
+        self.last.commit_index += 5
+        await self.replica.handle_append(self.last)
+        self.assertEqual(before, self.replica.fresh_at())
+        self.last.commit_index -= 5
+        await self.replica.handle_append(self.last)
+        self.assertTrue(self.replica.fresh_at() > before)
+
+    async def test_members_that_cannot_be_read_are_refused(self):
+        for data in (b"\xff\xff", b""):
+            entries = [self.entry(self.index + 1, kind=EntryKind.MEMBERS, data=data)]
+            req = self.request(
+                previous_index=self.index, previous_term=self.term, entries=entries
+            )
+            self.assertEqual(ErrorKind.BAD_REQUEST, await self.refused(req))
+
+    async def test_contradiction_of_a_commit_is_refused(self):
+        entry = wire.LogEntry(index=self.index, term=self.term + 1, data=b"x")
+        req = self.request(
+            previous_index=self.index - 1, previous_term=self.term, entries=[entry]
+        )
+        req.term += 1
+        self.assertEqual(ErrorKind.CORRUPT_LOG, await self.refused(req))
+
+    async def test_broken_snapshot_is_not_taken(self):
+        state = self.cluster.machines[self.name].snapshot()
+        chunk = wire.SnapshotChunk(
+            last_index=50,
+            last_term=self.term,
+            data=state,
+            final=True,
+            voters=[wire.Voter(node_id=name, address=name) for name in "abc"],
+            crc=zlib.crc32(state) ^ 1,
+        )
+        reply = await self.replica.handle_append(self.request(snapshot=chunk))
+        self.assertFalse(reply.success)
+        self.assertTrue(self.replica.applied_index < 50)
+        self.assertNotIn("snapshot", self.cluster.folders[self.name].durable)
+        chunk.crc ^= 1
+        reply = await self.replica.handle_append(self.request(snapshot=chunk))
+        self.assertTrue(reply.success)
+        self.assertEqual(50, self.replica.applied_index)
+
+    async def test_second_leader_of_a_term_is_refused(self):
+        self.cluster.start(self.followers[1])
+        name = await self.cluster.leader()
+        leader = self.cluster.replicas[name]
+        req = wire.AppendRequest(leader_id="x", term=leader.term)
+        with self.assertRaises(WigeonscaleError):
+            await leader.handle_append(req)
+        self.assertEqual("leader", leader.role)
+
+
 class FuzzTest(AsyncTestCase):
     """No message of a peer ends a replica, and none uncommits a commit."""
 
--- a/wigeonscale/replication/tests/test_replica.py
+++ b/wigeonscale/replication/tests/test_replica.py
@@ -74,6 +74,23 @@
                 await self.cluster.clock.advance(0.7)
             await self.cluster.until_equal(done)
 
+    async def test_follower_killed_while_it_handles_an_append(self):
+        node = self.followers[0]
+        self.cluster.folders[node].writable.clear()
+        await self.cluster.propose(b"1")
+        await self.cluster.stop(node)
+        self.cluster.start(node)
+        await self.cluster.until_equal([b"1"])
+
+    async def test_unsynced_entry_of_the_leader_does_not_count(self):
+        await self.cluster.stop(self.followers[0])
+        self.cluster.folders[self.leader].writable.clear()
+        task = await self.cluster.propose_at(self.leader, b"1")
+        await self.cluster.clock.advance(3)
+        self.assertFalse(task.done())
+        self.cluster.folders[self.leader].writable.set()
+        await self.cluster.finish(task)
+
     async def test_dead_leader_is_replaced_within_two_seconds(self):
         for _ in range(20):
             await self.cluster.propose(b"x")
--- a/wigeonscale/replication/waiting.py
+++ b/wigeonscale/replication/waiting.py
@@ -21,11 +21,15 @@
 
     Raises:
         TimeoutError: The limit passed first.
+        ConnectionError: The coroutine was cancelled, but not by the caller.
     """
     task = asyncio.create_task(coro)
     timer = asyncio.create_task(clock.sleep(seconds))
     try:
         await asyncio.wait({task, timer}, return_when=asyncio.FIRST_COMPLETED)
+        if task.cancelled():
+            # A link was reset, or its other end stops; the caller was not cancelled.
+            raise ConnectionError("the call was cancelled by the other side")
         if task.done():
             return task.result()
         raise TimeoutError(f"no answer within {seconds:g} s")
