Control tests: close gaps found by mutation, wait for cancelled handlers

Cause: of 61 single changes to state and control on a scratch copy (trial), six went unnoticed: one is equivalent, five lay in tests that could not see them (an agent announcing again unchanged, a draining head without a spare, an engine of rate 0, a follower that plans or expires). Besides, gRPC's tasks of cancelled calls outlive server.stop by some turns of the loop, and the check for leftover tasks caught them now and then. Change: the five tests tightened; test servers wait at most 10 s for those tasks, and one that stays still fails the test.

--- a/wigeonscale/control/tests/support.py
+++ b/wigeonscale/control/tests/support.py
@@ -1,5 +1,7 @@
 """A stand-in for the replicated log, and the parts of one control replica."""
 
+import asyncio
+
 from wigeonscale.adapters.channels import new_server
 from wigeonscale.adapters.metrics import Metrics
 from wigeonscale.control import Commands, ControlServicer, Hub, Liveness, Watcher
@@ -13,6 +15,17 @@
 
 LEASE_S = 3.0
 DOWN_AFTER_S = 1.5
+HANDLERS_END_S = 10
+
+
+async def handlers_ended():
+    """Wait for gRPC's tasks of cancelled calls, which a stopped server leaves.
+
+    One that does not end in time is left over, and fails the test as such.
+    """
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    if others:
+        await asyncio.wait(others, timeout=HANDLERS_END_S)
 
 
 class StandInReplica:
--- a/wigeonscale/control/tests/test_expiry.py
+++ b/wigeonscale/control/tests/test_expiry.py
@@ -4,6 +4,7 @@
 
 from wigeonscale.control import run_expiry
 from wigeonscale.control.tests.support import Parts
+from wigeonscale.errors import ErrorKind
 from wigeonscale.replication import Role
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
@@ -31,6 +32,8 @@
         parts.replica.role = Role.FOLLOWER
         await parts.clock.advance(AGE_S * 0.6)
         self.assertEqual(2, len(parts.state.claims))
+        tried = {"command": "expire", "kind": ErrorKind.NOT_LEADER}
+        self.assertEqual(0, parts.metrics.commands.value(**tried))
         parts.replica.role = Role.LEADER
         await parts.clock.advance(AGE_S / 10)
         self.assertEqual(1, len(parts.state.claims))
--- a/wigeonscale/control/tests/test_planning.py
+++ b/wigeonscale/control/tests/test_planning.py
@@ -4,6 +4,7 @@
 
 from wigeonscale.control import PlacementLoop
 from wigeonscale.control.tests.support import Parts
+from wigeonscale.errors import ErrorKind
 from wigeonscale.replication import Role
 from wigeonscale.state.tests.support import DOCUMENT, chain
 from wigeonscale.testing import AsyncTestCase
@@ -75,6 +76,8 @@
         await self.apply_as_leader()
         await self.settle()
         self.assertEqual([], self.planned())
+        tried = {"command": "place", "kind": ErrorKind.NOT_LEADER}
+        self.assertEqual(0, self.parts.metrics.commands.value(**tried))
         self.parts.replica.role = Role.LEADER
         self.parts.replica.stale_s = None
         await self.settle()
@@ -132,6 +135,7 @@
     async def test_draining_head_stays(self):
         await self.apply()
         await self.start_chain_of_two()
+        await self.parts.announce("s", layer_capacity=2)
         await self.parts.run(drain=wire.DrainBackend(agent_id="a", draining=True))
         await self.settle()
         self.assertEqual(["a", "b"], self.stages())
@@ -158,7 +162,7 @@
         await self.apply()
         await self.parts.announce("a")
         await self.until(lambda: len(self.planned()) == 1)
-        gone = wire.Backend(agent_id="a", incarnation=1, kind=wire.ENGINE)
+        gone = wire.Backend(agent_id="a", incarnation=1, kind=wire.ENGINE, model="m")
         await self.parts.run(announce=wire.Announce(backend=gone, replica="c1"))
         await self.parts.announce("s")
         await self.until(lambda: self.stages() == ["s"])
--- a/wigeonscale/control/tests/test_service.py
+++ b/wigeonscale/control/tests/test_service.py
@@ -7,7 +7,7 @@
 
 from wigeonscale.adapters.channels import open_channel
 from wigeonscale.control import Commands, tell_replica
-from wigeonscale.control.tests.support import Parts, StandInReplica
+from wigeonscale.control.tests.support import Parts, StandInReplica, handlers_ended
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.membership import ControlClient
 from wigeonscale.ports import SystemClock
@@ -26,6 +26,7 @@
         self.addCleanup(self.parts.hub.close)
         self.state = self.parts.state
         server, self.address = await self.parts.serve()
+        self.addCleanup(handlers_ended)
         self.addCleanup(server.stop, None)
 
     def start(self, coro):
@@ -105,8 +106,9 @@
         await self.until(lambda: self.state.members.holds("a", 7))
         count = len(self.parts.replica.proposed)
         watcher = self.parts.hub.agent("a", 7)
+        first = watcher.announced
         client.announce_changed()
-        await self.until(lambda: watcher.announced is not watcher.announcement)
+        await self.until(lambda: watcher.announced is not first)
         await self.until(lambda: watcher.announcement is None)
         self.assertEqual(count, len(self.parts.replica.proposed))
 
--- a/wigeonscale/daemons/tests/test_control.py
+++ b/wigeonscale/daemons/tests/test_control.py
@@ -9,6 +9,7 @@
 import fixtures
 
 from wigeonscale.config import ControlSettings, Peer
+from wigeonscale.control.tests.support import handlers_ended
 from wigeonscale.daemons.control import ControlDaemon
 from wigeonscale.membership import ControlClient
 from wigeonscale.ports import SystemClock
@@ -34,6 +35,7 @@
         self.grpc = {name: free_address(n) for n, name in enumerate(NAMES, 1)}
         self.http = {name: free_address(n) for n, name in enumerate(NAMES, 11)}
         self.running = {}
+        self.addCleanup(handlers_ended)
         self.addCleanup(self.stop, *NAMES)
         self.session = aiohttp.ClientSession()
         self.addCleanup(self.session.close)
--- a/wigeonscale/state/tests/support.py
+++ b/wigeonscale/state/tests/support.py
@@ -60,14 +60,16 @@
         return self.run(operation_id=operation_id, apply_config=config)
 
 
-def engine(agent_id, incarnation=1, *, layers=(0, -1), **fields) -> wire.Backend:
+def engine(
+    agent_id, incarnation=1, *, layers=(0, -1), layer_capacity=4, **fields
+) -> wire.Backend:
     return wire.Backend(
         agent_id=agent_id,
         incarnation=incarnation,
         kind=wire.ENGINE,
         model="m",
         layer_rate=100,
-        layer_capacity=4,
+        layer_capacity=layer_capacity,
         link_rate=1000,
         first_layer=layers[0],
         last_layer=layers[1],
