--- a/wigeonscale/placement/tests/test_bound.py
+++ b/wigeonscale/placement/tests/test_bound.py
@@ -108,8 +108,15 @@
         self.assertEqual([False, True], links)
 
     def test_chain_stays_in_its_domain_where_that_costs_little(self):
-        engines = [engine(n) for n in range(12)]
-        groups = partition_engines(engines, layers=8, chains=3)
+        # Like with like would pass 250 + 242.5, inside the domains twice 242.5.
+        engines = [
+            engine(n, domain=domain, layer_rate=rate)
+            for n, (domain, rate) in enumerate(
+                [("a", 1000.0), ("a", 970.0), ("b", 1000.0), ("b", 970.0)]
+            )
+        ]
+        groups = partition_engines(engines, layers=8, chains=2)
+        self.assertEqual(2, len(groups))
         for group in groups:
             self.assertEqual(1, len({e.domain for e in group}))
 
--- a/wigeonscale/placement/tests/test_planner.py
+++ b/wigeonscale/placement/tests/test_planner.py
@@ -271,3 +271,33 @@
         self.assertEqual(
             [], problems(self.plan(engines, [chain]), [self.pipeline], engines)
         )
+
+    def test_restarted_engine_takes_its_stage_again_before_a_spare(self):
+        engines = [engine(n) for n in range(5)]
+        (chain,) = self.plan(engines).chains
+        agent_id = chain.stages[0].agent_id
+        engines = [
+            replace(spec, incarnation=99) if spec.agent_id == agent_id else spec
+            for spec in engines
+        ]
+        (after,) = self.plan(engines, [chain]).chains
+        self.assertEqual(agent_id, after.stages[0].agent_id)
+
+    def test_spares_go_to_the_chains_that_lost_least(self):
+        engines = [engine(n, domain="a") for n in range(6)]
+        pipeline = replace(self.pipeline, replicas=3)
+        before = plan_chains(pipelines=[pipeline], engines=engines, chains=()).chains
+        gone = {stage.agent_id for stage in before[0].stages}
+        gone |= {chain.stages[0].agent_id for chain in before[1:]}
+        left = [spec for spec in engines if spec.agent_id not in gone]
+        left += [engine(8), engine(9)]
+        plan = plan_chains(pipelines=[pipeline], engines=left, chains=before)
+        kept = [chain.chain_id for chain in plan.chains]
+        self.assertEqual([chain.chain_id for chain in before[1:]], kept)
+
+    def test_chain_ids_differ_within_one_base_index(self):
+        engines = [engine(n) for n in range(4)]
+        before = self.plan(engines[:2]).chains
+        pipeline = replace(self.pipeline, replicas=2)
+        after = plan_chains(pipelines=[pipeline], engines=engines, chains=before)
+        self.assertEqual(2, len({chain.chain_id for chain in after.chains}))
