--- a/wigeonscale/dispatch/carrier.py
+++ b/wigeonscale/dispatch/carrier.py
@@ -23,7 +23,7 @@
     def carry(self, stream: DispatchStream) -> None:
         """Open a dispatch, or take it up, at its agent."""
         self._links.carry(stream)
-        self._table.started(stream.target.agent_id)
+        self._table.started(stream.target.agent_id, stream.organisation)
         stream.counted = True
 
     def attach(
@@ -74,7 +74,7 @@
         if cancel:
             stream.cancel()
         stream.leave()
-        self._table.finished(stream.target.agent_id)
+        self._table.finished(stream.target.agent_id, stream.organisation)
 
     async def until_begun(self, stream: DispatchStream) -> None:
         """Wait until a dispatch has begun; drop it when it failed before.
--- a/wigeonscale/entry/places.py
+++ b/wigeonscale/entry/places.py
@@ -51,7 +51,10 @@
         candidates, places = self._candidates(work.pipeline, work.service)
         prompt = work.generate.prompt if work.generate is not None else b""
         choice = self._chooser.choose(
-            candidates, prefix=prompt, avoid=avoid | self._avoided()
+            candidates,
+            prefix=prompt,
+            organisation=work.organisation,
+            avoid=avoid | self._avoided(),
         )
         return places[choice.agent_id] if choice is not None else None
 
--- a/wigeonscale/limits/guard.py
+++ b/wigeonscale/limits/guard.py
@@ -2,78 +2,119 @@
 
 __all__ = ["ConcurrencyGuard"]
 
+from dataclasses import dataclass
+
 from wigeonscale.ports import Clock
 
-WINDOW_S = 1.0
-MIN_FINISHED = 20
-STEP = 0.1
-TOLERANCE = 0.02
+LEVEL_RATIO = 0.75
+MIN_SAMPLES = 200
+STALE_S = 300.0
+# A lower level must be better by this share, since a higher one queues less.
+MARGIN = 0.05
+
+
+@dataclass(slots=True)
+class _Level:
+    limit: int
+    count: int = 0
+    running: float = 0.0
+    seconds_per_work: float = 0.0
+    updated: float = 0.0
+
+    def add(self, running: int, seconds_per_work: float, now: float) -> None:
+        self.count += 1
+        weight = max(1.0 / MIN_SAMPLES, 1.0 / self.count)
+        self.running += weight * (running - self.running)
+        error = seconds_per_work - self.seconds_per_work
+        self.seconds_per_work += weight * error
+        self.updated = now
+
+    def is_known(self) -> bool:
+        return self.count >= MIN_SAMPLES
+
+    def throughput(self) -> float:
+        return self.running / max(self.seconds_per_work, 1e-9)
 
 
 class ConcurrencyGuard:
     """Finds the concurrency beyond which throughput falls, and stays below it.
 
     A backend server that batches gets slower with each request taken at once; past
-    some number its throughput collapses. The guard compares the throughput of
-    successive windows and climbs towards the larger: it goes on in a direction
-    that helped and turns in one that hurt.
+    some number, as when its cache memory runs out, its throughput collapses. The
+    guard keeps the mean time per unit of work at levels of concurrency, each
+    ``LEVEL_RATIO`` of the next, and allows the level of the largest throughput. It
+    restricts only on evidence that a higher level is worse, and tries that again
+    after ``STALE_S`` seconds. A full server is tried at the next lower level once.
 
     Args:
         clock: Clock port.
-        low: Smallest limit.
         high: Largest limit, and the first one: the configured slots.
 
     Notes:
-        Constant time per request. A window ends after ``WINDOW_S`` seconds and
-        ``MIN_FINISHED`` requests, and counts only while the limit was reached.
+        Constant time per request. By Little's law a level's throughput is its
+        concurrency over its time per request, so no windows of time are needed.
     """
 
-    def __init__(self, *, clock: Clock, high: int, low: int = 1):
+    def __init__(self, *, clock: Clock, high: int):
         self._clock = clock
-        self._low = low
-        self._high = high
-        self._limit = float(high)
-        self._direction = -1.0
-        self._best = 0.0
-        self._started = clock.now()
+        self._levels = [_Level(limit) for limit in _level_limits(high)]
+        self._current = len(self._levels) - 1
         self._finished = 0
-        self._work = 0.0
-        self._saturated = False
+        self._was_full = False
 
     @property
     def limit(self) -> int:
         """Requests to be run at once."""
-        return int(self._limit)
-
-    def started(self, running: int) -> None:
-        """Tell that a request began, as the ``running``-th at once."""
-        if running >= self.limit:
-            self._saturated = True
+        return self._levels[self._current].limit
 
-    def finished(self, work: float = 1.0) -> None:
+    def finished(self, running: int, service_s: float, work: float = 1.0) -> None:
         """Count one finished request.
 
         Args:
+            running: Requests that ran at once when it started, itself included.
+            service_s: Seconds from its start to its end.
             work: Its size, for example in tokens.
         """
+        level = next(
+            lv for lv in self._levels if lv.limit >= running or lv is self._top
+        )
+        level.add(running, service_s / max(work, 1e-9), self._clock.now())
+        self._was_full = self._was_full or running >= self.limit
         self._finished += 1
-        self._work += work
-        elapsed = self._clock.now() - self._started
-        if elapsed >= WINDOW_S and self._finished >= MIN_FINISHED:
-            if self._saturated:
-                self._climb(self._work / elapsed)
-            self._new_window()
-
-    def _climb(self, throughput: float) -> None:
-        if throughput < self._best * (1.0 - TOLERANCE):
-            self._direction = -self._direction
-        self._best = throughput
-        step = max(1.0, self._limit * STEP)
-        wanted = self._limit + self._direction * step
-        self._limit = min(max(wanted, self._low), self._high)
-
-    def _new_window(self) -> None:
-        self._started = self._clock.now()
-        self._finished = 0
-        self._work = 0.0
-        self._saturated = False
+        if self._finished % MIN_SAMPLES == 0:
+            self._current = self._wanted()
+            self._was_full = False
+
+    @property
+    def _top(self) -> _Level:
+        return self._levels[-1]
+
+    def _wanted(self) -> int:
+        best = self._best()
+        if best is None:
+            return self._current
+        if self._was_full and best > 0 and not self._levels[best - 1].is_known():
+            return best - 1
+        if not any(level.is_known() for level in self._levels[best + 1 :]):
+            return len(self._levels) - 1
+        above = self._levels[best + 1]
+        if self._clock.now() - above.updated > STALE_S:
+            above.count = 0
+        return best if above.is_known() else best + 1
+
+    def _best(self) -> int | None:
+        best = None
+        needed = 0.0
+        for index in reversed(range(len(self._levels))):
+            level = self._levels[index]
+            if level.is_known() and level.throughput() > needed:
+                best = index
+                needed = level.throughput() * (1.0 + MARGIN)
+        return best
+
+
+def _level_limits(high: int) -> list[int]:
+    limits = [high]
+    while limits[0] > 1:
+        limits.insert(0, int(limits[0] * LEVEL_RATIO))
+    return limits
--- a/wigeonscale/routing/chooser.py
+++ b/wigeonscale/routing/chooser.py
@@ -68,6 +68,7 @@
         candidates: Sequence[Candidate] | CandidatePool,
         *,
         prefix: bytes = b"",
+        organisation: str = "",
         avoid: frozenset[str] = frozenset(),
     ) -> Candidate | None:
         """Return the candidate for one request.
@@ -75,6 +76,7 @@
         Args:
             candidates: Where the request may go.
             prefix: The prompt, or its first bytes; empty for no affinity.
+            organisation: Whose request it is; empty where it does not matter.
             avoid: Ids of agents not to use.
 
         Returns:
@@ -84,7 +86,7 @@
         if not usable:
             return None
         random = self._rng.random
-        costed = sorted((self._cost(c), random(), c) for c in usable)
+        costed = sorted((self._cost(c, organisation), random(), c) for c in usable)
         if not prefix:
             return costed[0][2]
         limit = LOAD_RATIO_BOUND * costed[0][0]
@@ -128,13 +130,17 @@
                     return candidate
         return max(allowed, key=lambda c: rendezvous_weight(digest, c.key, c.rate))
 
-    def _cost(self, candidate: Candidate) -> float:
+    def _cost(self, candidate: Candidate, organisation: str) -> float:
         # Requests at the server over its rate, those that must queue weighing
         # more. The soft bend allows for a backlog that is only an estimate.
         agent_id = candidate.agent_id
         requests = self._table.backlog(agent_id) + 1
         queued = _soft_excess(requests - self._table.slots(agent_id))
-        return (requests + QUEUED_WEIGHT * queued) / max(candidate.rate, MIN_RATE)
+        # Servers share their slots by organisation, so where requests queue, those
+        # of one organisation are better off at different servers.
+        own = self._table.in_flight_of(agent_id, organisation) if organisation else 0
+        weight = queued + own * min(1.0, queued)
+        return (requests + QUEUED_WEIGHT * weight) / max(candidate.rate, MIN_RATE)
 
 
 def _soft_excess(excess: float) -> float:
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -3,7 +3,7 @@
 __all__ = ["LoadTable", "LoadWordLike"]
 
 import math
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -33,6 +33,7 @@
 @dataclass(slots=True)
 class _Load:
     in_flight: int = 0
+    organisations: Counter = field(default_factory=Counter)
     history: deque = field(default_factory=lambda: deque(maxlen=HISTORY))
     slots: int = DEFAULT_SLOTS
     service_s: float = DEFAULT_SERVICE_S
@@ -64,13 +65,18 @@
         self._clock = clock
         self._loads: dict[str, _Load] = {}
 
-    def started(self, agent_id: str) -> None:
-        """Count one dispatch to the agent."""
+    def started(self, agent_id: str, organisation: str = "") -> None:
+        """Count one dispatch to the agent, made for an organisation."""
         self._change(agent_id, 1)
+        self._load(agent_id).organisations[organisation] += 1
 
-    def finished(self, agent_id: str) -> None:
+    def finished(self, agent_id: str, organisation: str = "") -> None:
         """Count the end of one dispatch to the agent."""
         self._change(agent_id, -1)
+        counts = self._load(agent_id).organisations
+        counts[organisation] -= 1
+        if counts[organisation] <= 0:
+            del counts[organisation]
 
     def word(self, agent_id: str, word: LoadWordLike, *, age_s: float = 0.0) -> None:
         """Take in a load word.
@@ -123,6 +129,11 @@
         load = self._loads.get(agent_id)
         return load.in_flight if load else 0
 
+    def in_flight_of(self, agent_id: str, organisation: str) -> int:
+        """Return those that were made for the organisation."""
+        load = self._loads.get(agent_id)
+        return load.organisations.get(organisation, 0) if load else 0
+
     def forget(self, agent_id: str) -> None:
         """Drop what is known of an agent that is gone."""
         self._loads.pop(agent_id, None)
--- a/wigeonscale/routing/tests/test_chooser.py
+++ b/wigeonscale/routing/tests/test_chooser.py
@@ -110,6 +110,15 @@
         self.load("fast", 9)
         self.assertEqual({"slow"}, set(self.choices((slow, fast))))
 
+    def test_organisation_spreads_where_requests_queue(self):
+        candidates = candidates_of(2)
+        for agent_id in ("agent0", "agent1"):
+            self.load(agent_id, 12)
+        self.table.started("agent0", "org")
+        self.table.started("agent1", "other")
+        chosen = self.choices(candidates, organisation="org")
+        self.assertEqual({"agent1"}, set(chosen))
+
     def test_leaving_agent_is_not_chosen(self):
         word = SimpleNamespace(running=0, queued=0, slots=4, wait_s=0.0, leaving=True)
         self.table.word("agent0", word)
--- a/wigeonscale/routing/tests/test_load.py
+++ b/wigeonscale/routing/tests/test_load.py
@@ -26,6 +26,13 @@
         self.assertEqual(2, self.table.in_flight("a"))
         self.assertEqual(2, self.table.backlog("a"))
 
+    def test_requests_are_counted_by_organisation(self):
+        self.table.started("a", "org")
+        self.table.started("a", "other")
+        self.table.finished("a", "other")
+        self.assertEqual(1, self.table.in_flight_of("a", "org"))
+        self.assertEqual(0, self.table.in_flight_of("a", "other"))
+
     def test_word_holds_the_load_of_all_entries(self):
         self.table.word("a", load_word(running=4, queued=4, wait_s=2.0))
         self.assertEqual(8, self.table.backlog("a"))
