Name the benchmark modules and show burn in the demonstration

Cause: the entry now serves its burn counts; the benches stand.

Change: bench/__main__.py lists the modules; the demonstration prints the report.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,15 @@
 
 from bench.report import print_figures, violations
 
-MODULES: tuple[str, ...] = ()
+MODULES: tuple[str, ...] = (
+    "rules",
+    "placement",
+    "loads",
+    "routing",
+    "overload",
+    "replication",
+    "relay",
+)
 
 
 def main(names: list[str]) -> int:
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -58,7 +58,7 @@
     print("demo: rules changed, sending the second half", flush=True)
     second = make_tasks(TASKS_AFTER, first=TASKS_BEFORE)
     outcomes += await run_tasks(second, dep.entries)
-    # burn
+    print(await _ctl(dep, "report", "burn"), flush=True)
     return outcomes
 
 
