--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes: what one more watcher, change, claim or stream costs each role."""
--- /dev/null
+++ b/bench/slopes/changes.py
@@ -0,0 +1,139 @@
+"""Cost of a change of configuration, by watchers and by size of the document."""
+
+__all__ = ["measure"]
+
+import asyncio
+import time
+
+from bench.slopes.daemons import ControlGroup, agent, control_group, engine, entry
+from bench.slopes.fit import Slope, fit
+from bench.slopes.members import change, document
+from bench.slopes.processes import Child, during, run_folder
+from bench.slopes.watchers import streams, totals
+
+WATCHERS = (98, 392, 784)
+ORGANISATIONS = (1_000, 10_000, 30_000)
+CHANGES = 100
+SPACING_S = 0.05
+POLL_S = 0.05
+REST_S = 3.0
+REACH_TIMEOUT_S = 30.0
+WAIT_S_PER_ORGANISATION = 1 / 5_000
+
+
+async def measure() -> list[Slope]:
+    """Measure changes with many watchers, then with long documents."""
+    return [*await _by_watchers(), *await _by_organisations()]
+
+
+async def _by_watchers() -> list[Slope]:
+    cpu, leading, sent, delay = [], [], [], []
+    with run_folder() as folder:
+        async with control_group(folder) as group:
+            leader = await group.leader()
+            follower = (leader + 1) % len(group.replicas)
+            roles = {
+                "leader": group.replicas[leader],
+                "follower": group.replicas[follower],
+            }
+            await group.apply(0, document=document(10))
+            revision = 1
+            for count in WATCHERS:
+                async with streams(group, follower, count, "entry") as drivers:
+                    rest = await during(roles, asyncio.sleep(REST_S))
+                    before = await totals(drivers)
+                    committed = {}
+                    paced = _change_at_pace(group, revision, committed)
+                    work = await during(roles, paced)
+                    revision += CHANGES
+                    after = await _all_reached(drivers, revision, count)
+                us = work.us_each(CHANGES, rest)
+                cpu.append((count, us["follower"]))
+                leading.append((count, us["leader"]))
+                bytes_sent = after["config_bytes"] - before["config_bytes"]
+                sent.append((count, bytes_sent / CHANGES))
+                delay.append((count, 1e3 * _worst_delay(after, committed)))
+    return [
+        fit("control follower, change: cpu", "watcher", "us/change", cpu),
+        fit("control leader, change: cpu", "follower's watcher", "us/change", leading),
+        fit("change: message bytes to all watchers", "watcher", "B/change", sent),
+        fit("change: commit to the last watcher, worst", "watcher", "ms", delay),
+    ]
+
+
+async def _change_at_pace(
+    group: ControlGroup, revision: int, committed: dict[int, float]
+) -> None:
+    """Commit changes at an even pace, noting when each was committed."""
+    for number in range(revision, revision + CHANGES):
+        await group.apply(number, changes=[change(number)])
+        committed[number + 1] = time.monotonic()
+        await asyncio.sleep(SPACING_S)
+
+
+async def _all_reached(drivers: list[Child], revision: int, count: int) -> dict:
+    async with asyncio.timeout(REACH_TIMEOUT_S):
+        while True:
+            counts = await totals(drivers)
+            if counts["reached"].get(revision, (0, 0.0))[0] >= count:
+                return counts
+            await asyncio.sleep(POLL_S)
+
+
+def _worst_delay(counts: dict, committed: dict[int, float]) -> float:
+    return max(counts["reached"][r][1] - at for r, at in committed.items())
+
+
+async def _by_organisations() -> list[Slope]:
+    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    for size in ORGANISATIONS:
+        for key, value in (await _at_size(size)).items():
+            points.setdefault(key, []).append((size, value))
+    units = {
+        "cpu of one change": "us/change",
+        "memory": "MB",
+        "memory at most": "MB",
+        "cpu to take in the whole document": "ms",
+        "length of the whole document": "B",
+    }
+    return [
+        fit(f"{role}: {what}", "organisation", units[what], line)
+        for (role, what), line in points.items()
+    ]
+
+
+async def _at_size(organisations: int) -> dict[tuple[str, str], float]:
+    text = document(organisations)
+    with run_folder() as folder:
+        async with (
+            control_group(folder) as group,
+            engine(folder, "engine", "m") as (_, backend),
+            agent(folder, "agent", group.grpc, backend) as (agent_child, _),
+            entry(folder, "entry", group.grpc) as (entry_child, _),
+        ):
+            leader = await group.leader()
+            roles = {
+                "control leader": group.replicas[leader],
+                "control follower": group.replicas[(leader + 1) % 3],
+                "entry": entry_child,
+                "agent": agent_child,
+            }
+            rest = await during(roles, asyncio.sleep(REST_S))
+            wait_s = REST_S + organisations * WAIT_S_PER_ORGANISATION
+            taken = await during(roles, _take_in(group, text, wait_s))
+            rest_after = await during(roles, asyncio.sleep(REST_S))
+            changed = await during(roles, _change_at_pace(group, 1, {}))
+            usages = {role: child.usage() for role, child in roles.items()}
+    figures = {("document", "length of the whole document"): float(len(text))}
+    for role, us in taken.us_each(1, rest).items():
+        figures[role, "cpu to take in the whole document"] = us / 1e3
+    for role, us in changed.us_each(CHANGES, rest_after).items():
+        figures[role, "cpu of one change"] = us
+        figures[role, "memory"] = usages[role].rss_mb
+        figures[role, "memory at most"] = usages[role].peak_mb
+    return figures
+
+
+async def _take_in(group: ControlGroup, text: str, wait_s: float) -> None:
+    await group.apply(0, document=text)
+    await asyncio.sleep(wait_s)
--- /dev/null
+++ b/bench/slopes/members.py
@@ -0,0 +1,89 @@
+"""Backends and documents of any size."""
+
+__all__ = ["announcements", "backend", "change", "document"]
+
+import zlib
+from collections.abc import Iterable
+
+from wigeonscale.wire import wire_pb2 as wire
+
+MODELS = 35
+DOMAINS = 7
+REGIONS = 2
+LAYERS = 48
+LAYERS_PER_ENGINE = 16
+
+
+def backend(name: str, *, version: str = "") -> wire.Backend:
+    """Return what an engine's agent announces.
+
+    Args:
+        name: Name of the backend server.
+        version: Model version; another one makes another announcement.
+
+    Returns:
+        The announcement.
+    """
+    number = zlib.crc32(name.encode())
+    return wire.Backend(
+        agent_id=name,
+        incarnation=(1 << 61) + number,
+        address=f"10.{number % 200}.{number // 200 % 200}.{number % 250}:7443",
+        domain=f"domain-{number % DOMAINS}",
+        region=f"region-{number % REGIONS}",
+        kind=wire.ENGINE,
+        model=f"model-{number % MODELS}",
+        accelerator=f"kind-{number % 3}",
+        layer_rate=1000.0 + number % 17,
+        layer_capacity=LAYERS_PER_ENGINE,
+        last_layer=-1,
+        checks_fencing=number % 2 == 0,
+        version=version,
+        link_rate=10_000.0,
+    )
+
+
+def announcements(
+    names: Iterable[str], *, replica: str, version: str = ""
+) -> list[wire.Command]:
+    """Return the commands that announce engines as attached to a replica."""
+    return [
+        wire.Command(
+            announce=wire.Announce(
+                backend=backend(name, version=version), replica=replica
+            )
+        )
+        for name in names
+    ]
+
+
+def document(organisations: int, rules: int = 0, pipelines: int = 0) -> str:
+    """Return a rules document of a given size."""
+    parts = [
+        f"[organisation o{n}]\nkeys = key-{n}\nshare = 2\n"
+        for n in range(organisations)
+    ]
+    parts += ["[service s]\n", "[pipeline p]\nmodel = m\nlayers = 12\n"]
+    parts += [
+        f"[pipeline p{n}]\nmodel = model-{n}\nlayers = {LAYERS}\nreplicas = 60\n"
+        for n in range(pipelines)
+    ]
+    parts += [
+        f"[rule r{n}]\nwhen = organisation is o{n} and path under /v1/\n"
+        "then = route pipeline p\nlimit = 8\n"
+        for n in range(rules)
+    ]
+    parts.append("[rule all]\nwhen = model is m\nthen = route pipeline p\n")
+    parts.append(_last_rule(0))
+    return "\n".join(parts)
+
+
+def change(number: int) -> wire.SectionChange:
+    """Return a change of the document's last rule, different for each number."""
+    return wire.SectionChange(
+        name="rule last", text=_last_rule(number), after="rule all"
+    )
+
+
+def _last_rule(number: int) -> str:
+    return f"[rule last]\nwhen = always\nthen = refuse because change {number}\n"
--- /dev/null
+++ b/bench/slopes/membership.py
@@ -0,0 +1,128 @@
+"""Cost of members and of their changes, up to all engines of the size to come.
+
+Engines are announced through the log as agents are, but hold no streams of their
+own (``watchers`` measures those).
+"""
+
+__all__ = ["measure"]
+
+import asyncio
+import time
+
+from bench.slopes.daemons import ControlGroup, agent, control_group, engine, entry
+from bench.slopes.fit import Slope, fit
+from bench.slopes.members import announcements, document
+from bench.slopes.processes import Child, during, run_folder
+from bench.slopes.watchers import streams, totals
+
+SIZES = (700, 2_500, 7_700)
+CHANGES = 50
+SPACING_S = 0.1
+WATCHERS = 8
+ATTACHED = (24, 49, 98)
+MODELS = 35
+# Members without streams must outlive the measurement.
+SETTINGS = {"down_after_s": 600}
+REST_S = 3.0
+UNITS = {
+    "cpu of one change": "us/change",
+    "cpu of announcing one": "us/announcement",
+    "memory": "KB",
+}
+
+
+async def measure() -> list[Slope]:
+    """Measure members without pipelines, then re-attaching watchers."""
+    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+    with run_folder() as folder:
+        async with (
+            control_group(folder, **SETTINGS) as group,
+            engine(folder, "engine", "m") as (_, backend),
+            agent(folder, "agent", group.grpc, backend) as (agent_child, _),
+            entry(folder, "entry", group.grpc) as (entry_child, _),
+        ):
+            await group.apply(0, document=document(10))
+            leader = await group.leader()
+            follower = (leader + 1) % len(group.replicas)
+            roles = {
+                "control leader": group.replicas[leader],
+                "control follower": group.replicas[follower],
+                "entry": entry_child,
+                "agent": agent_child,
+            }
+            known = 0
+            for size in SIZES:
+                figures = await _at_size(group, roles, follower, known, size)
+                known = size
+                for key, value in figures.items():
+                    points.setdefault(key, []).append((size, value))
+            attach = await _attach(group, follower)
+            plans = await _plans(group, group.replicas[leader])
+    slopes = []
+    for (role, what), line in points.items():
+        unit = UNITS.get(what, "B")
+        slopes.append(fit(f"{role}: {what}", "member", unit, line))
+    return [*slopes, *attach, *plans]
+
+
+async def _at_size(
+    group: ControlGroup, roles: dict[str, Child], follower: int, known: int, size: int
+) -> dict[tuple[str, str], float]:
+    names = [f"engine-{n}" for n in range(size)]
+    rest = await during(roles, asyncio.sleep(REST_S))
+    announced = await during(roles, _announce(group, names[known:]))
+    figures = {
+        (role, "cpu of announcing one"): us
+        for role, us in announced.us_each(size - known, rest).items()
+    }
+    async with streams(group, follower, WATCHERS, "entry") as drivers:
+        before = await totals(drivers)
+        rest = await during(roles, asyncio.sleep(REST_S))
+        changed = await during(roles, _change_one_by_one(group, names[:CHANGES]))
+        after = await totals(drivers)
+    delta = (after["member_bytes"] - before["member_bytes"]) / WATCHERS / CHANGES
+    figures["watcher", "bytes of one change"] = delta
+    whole = before["large_bytes"] / WATCHERS
+    figures["watcher", "bytes of the whole membership"] = whole
+    for role, us in changed.us_each(CHANGES, rest).items():
+        figures[role, "cpu of one change"] = us
+        figures[role, "memory"] = 1024 * roles[role].usage().rss_mb
+    return figures
+
+
+async def _announce(group: ControlGroup, names: list[str]) -> None:
+    await group.submit_all(announcements(names, replica="c0"))
+    await asyncio.sleep(REST_S)
+
+
+async def _change_one_by_one(group: ControlGroup, names: list[str]) -> None:
+    version = f"v{time.monotonic()}"
+    for command in announcements(names, replica="c0", version=version):
+        await group.submit_all([command])
+        await asyncio.sleep(SPACING_S)
+    await asyncio.sleep(REST_S)
+
+
+async def _attach(group: ControlGroup, replica: int) -> list[Slope]:
+    """Let more and more watchers attach to one replica at once."""
+    cpu, memory, delay = [], [], []
+    for count in ATTACHED:
+        before = group.replicas[replica].usage()
+        began = time.monotonic()
+        async with streams(group, replica, count, "entry", f"a{count}") as drivers:
+            counts = await totals(drivers)
+            after = group.replicas[replica].usage()
+        cpu.append((count, 1e3 * (after.cpu_s - before.cpu_s)))
+        memory.append((count, after.peak_mb))
+        delay.append((count, 1e3 * (counts["all_leased_at"] - began)))
+    name = f"control follower, attach at {SIZES[-1]} members"
+    return [
+        fit(f"{name}: cpu", "watcher at once", "ms", cpu),
+        fit(f"{name}: memory at most", "watcher at once", "MB", memory),
+        fit(f"{name}: until the last lease", "watcher at once", "ms", delay),
+    ]
+
+
+async def _plans(group: ControlGroup, leader: Child) -> list[Slope]:
+    """Let the leader plan chains of 35 models over all members, then change one."""
+    return []
--- /dev/null
+++ b/bench/slopes/page.py
@@ -0,0 +1,56 @@
+"""The table of slopes on docs/CAPACITY.md."""
+
+__all__ = ["BEGIN", "END", "rewrite", "table"]
+
+import pathlib
+from collections.abc import Iterable, Mapping
+
+from bench.slopes.fit import Slope
+
+BEGIN = "<!-- slopes:begin (rewritten by make slopes) -->"
+END = "<!-- slopes:end -->"
+HEAD = "| slope | points | per | slope | intercept | residual |"
+RULE = "| --- | --- | --- | ---: | ---: | ---: |"
+
+
+def table(families: Mapping[str, Iterable[Slope]], heading: str) -> str:
+    """Return the page's table of figures.
+
+    Args:
+        families: Slopes by the module that measured them.
+        heading: Line on when and how busy the machine was.
+
+    Returns:
+        Markdown, one table a family, with the command that gives it.
+    """
+    parts = [heading]
+    for family, slopes in families.items():
+        rows = "\n".join(_row(slope) for slope in slopes)
+        command = f"`python -m bench.slopes {family}`"
+        parts.append(f"{command}\n\n{HEAD}\n{RULE}\n{rows}")
+    return "\n\n".join(parts)
+
+
+def rewrite(page: pathlib.Path, text: str) -> None:
+    """Put a text between the page's markers and leave the rest as it is.
+
+    Args:
+        page: The page.
+        text: What shall stand between the markers.
+
+    Raises:
+        ValueError: The page does not hold both markers once, in order.
+    """
+    old = page.read_text()
+    before, begin, rest = old.partition(BEGIN)
+    _, end, after = rest.partition(END)
+    if not begin or not end or BEGIN in rest or END in before + after:
+        raise ValueError(f"{page} does not hold {BEGIN} and {END} once, in order")
+    page.write_text(f"{before}{BEGIN}\n\n{text}\n\n{END}{after}")
+
+
+def _row(slope: Slope) -> str:
+    points = ", ".join(f"{x:g}: {y:.4g}" for x, y in slope.points)
+    figures = (slope.slope, slope.intercept, slope.residual)
+    cells = " | ".join(f"{figure:.3g} {slope.unit}" for figure in figures)
+    return f"| {slope.name} | {points} | {slope.per} | {cells} |"
--- /dev/null
+++ b/bench/slopes/processes.py
@@ -0,0 +1,193 @@
+"""Child processes, and what the system says of their time and memory."""
+
+__all__ = [
+    "Child",
+    "Usage",
+    "Work",
+    "during",
+    "free_ports",
+    "run_folder",
+    "start",
+    "start_driver",
+]
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Awaitable, Mapping
+from dataclasses import dataclass
+
+from demo.processes import free_ports
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+STOP_TIMEOUT_S = 20.0
+LINE_LIMIT = 1 << 20
+LOG_TAIL = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process has used so far.
+
+    Attributes:
+        cpu_s: Processor seconds, user and system.
+        rss_mb: Resident memory.
+        peak_mb: Largest resident memory since the start.
+    """
+
+    cpu_s: float
+    rss_mb: float
+    peak_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class Child:
+    """One process that this benchmark started."""
+
+    name: str
+    proc: asyncio.subprocess.Process
+    log: pathlib.Path
+
+    def usage(self) -> Usage:
+        """Return what the process has used so far."""
+        stat = pathlib.Path(f"/proc/{self.proc.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        status = pathlib.Path(f"/proc/{self.proc.pid}/status").read_text()
+        sizes = dict(line.split(":", 1) for line in status.splitlines())
+        rss_kb, peak_kb = (int(sizes[key].split()[0]) for key in ("VmRSS", "VmHWM"))
+        return Usage(cpu_s, rss_kb / 1024, peak_kb / 1024)
+
+    async def ask(self, question: str) -> dict:
+        """Send a line to a driver and return the JSON it answers with."""
+        self.proc.stdin.write(f"{question}\n".encode())
+        await self.proc.stdin.drain()
+        line = await self.proc.stdout.readline()
+        if not line:
+            tail = self.log.read_text()[-LOG_TAIL:]
+            raise RuntimeError(f"{self.name} ended at {question!r}:\n{tail}")
+        return json.loads(line)
+
+    async def stop(self) -> None:
+        """End the process by its own handle and wait for it."""
+        if self.proc.returncode is None:
+            self.proc.terminate()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self.proc.wait()
+        except TimeoutError:
+            self.proc.kill()
+            await self.proc.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What processes used while something was done.
+
+    Attributes:
+        cpu_s: Processor seconds by role.
+        seconds: How long it took.
+    """
+
+    cpu_s: Mapping[str, float]
+    seconds: float
+
+    def us_each(self, count: int, rest: "Work") -> dict[str, float]:
+        """Return microseconds a piece by role, less what rest costs as long.
+
+        Args:
+            count: Pieces done.
+            rest: The same processes with nothing done.
+        """
+        idle_s = {r: self.seconds * s / rest.seconds for r, s in rest.cpu_s.items()}
+        return {r: 1e6 * (s - idle_s[r]) / count for r, s in self.cpu_s.items()}
+
+
+async def during(children: Mapping[str, Child], work: Awaitable[object]) -> Work:
+    """Do something and return what processes used meanwhile.
+
+    Args:
+        children: Processes by role.
+        work: What is awaited.
+    """
+    before = {role: child.usage().cpu_s for role, child in children.items()}
+    began = time.monotonic()
+    await work
+    used = {
+        role: child.usage().cpu_s - before[role] for role, child in children.items()
+    }
+    return Work(used, time.monotonic() - began)
+
+
+@contextlib.contextmanager
+def run_folder():
+    """Yield a folder on disk for settings, logs and data, removed at the end."""
+    pathlib.Path("run").mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory(dir="run", prefix="slopes-") as name:
+        yield pathlib.Path(name).resolve()
+
+
+@contextlib.asynccontextmanager
+async def start(
+    folder: pathlib.Path, name: str, module: str, *args: str
+) -> AsyncIterator[Child]:
+    """Run ``python -m module`` with its output in a file, and end it at the end.
+
+    Args:
+        folder: Folder of the log file.
+        name: Name in messages and of the log file.
+        module: Module to run.
+        *args: Its arguments.
+    """
+    path = folder / f"{name}.log"
+    with path.open("wb") as log:
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *args,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+        )
+    child = Child(name, proc, path)
+    try:
+        yield child
+    finally:
+        await child.stop()
+
+
+@contextlib.asynccontextmanager
+async def start_driver(
+    folder: pathlib.Path, name: str, module: str, options: dict
+) -> AsyncIterator[Child]:
+    """Run a module that answers lines on its standard input with lines of JSON.
+
+    Args:
+        folder: Folder of the file for its standard error.
+        name: Name in messages.
+        module: Module to run.
+        options: Given to it as one JSON argument.
+    """
+    path = folder / f"{name}.log"
+    with path.open("wb") as log:
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            json.dumps(options),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=log,
+            limit=LINE_LIMIT,
+        )
+    child = Child(name, proc, path)
+    try:
+        yield child
+    finally:
+        await child.stop()
--- /dev/null
+++ b/bench/slopes/watchers.py
@@ -0,0 +1,102 @@
+"""Cost of a watch stream at rest, at the replica that serves it."""
+
+__all__ = ["measure"]
+
+import asyncio
+import contextlib
+
+from bench.slopes.daemons import ControlGroup, control_group
+from bench.slopes.fit import Slope, fit
+from bench.slopes.processes import Child, run_folder, start_driver
+
+SIZES = (98, 196, 392, 784)
+HEARTBEAT_S = 0.5
+STREAMS_PER_DRIVER = 196
+SETTLE_S = 2.0
+WINDOW_S = 6.0
+POLL_S = 0.1
+ATTACH_TIMEOUT_S = 60.0
+MODULE = "bench.slopes.watch_load"
+
+
+async def measure() -> list[Slope]:
+    """Measure entries' streams, then agents', on one replica of three."""
+    return [*await _by_role("entry"), *await _by_role("agent")]
+
+
+async def _by_role(role: str) -> list[Slope]:
+    cpu, memory, received, sent = [], [], [], []
+    with run_folder() as folder:
+        async with control_group(folder) as group:
+            follower = (await group.leader() + 1) % len(group.replicas)
+            for size in (0, *SIZES):
+                async with streams(group, follower, size, role) as drivers:
+                    await asyncio.sleep(SETTLE_S)
+                    before = group.replicas[follower].usage()
+                    counts = await totals(drivers)
+                    await asyncio.sleep(WINDOW_S)
+                    after = group.replicas[follower].usage()
+                    later = await totals(drivers)
+                cpu.append((size, 1000 * (after.cpu_s - before.cpu_s) / WINDOW_S))
+                memory.append((size, after.rss_mb))
+                for key, points in (("bytes_in", received), ("bytes_out", sent)):
+                    points.append((size, (later[key] - counts[key]) / WINDOW_S))
+    name = f"control follower, {role} streams"
+    return [
+        fit(f"{name}: cpu", "watcher", "ms/s", cpu),
+        fit(f"{name}: memory", "watcher", "MB", memory),
+        fit(f"{name}: message bytes to the watcher", "watcher", "B/s", received),
+        fit(f"{name}: message bytes from the watcher", "watcher", "B/s", sent),
+    ]
+
+
+@contextlib.asynccontextmanager
+async def streams(
+    group: ControlGroup, replica: int, count: int, role: str, name: str = "w"
+):
+    """Hold watch streams on one replica; yields the drivers once all have leases.
+
+    Args:
+        group: The control replicas.
+        replica: Position of the one to watch.
+        count: Number of streams.
+        role: What they say they are.
+        name: How their names begin.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        drivers = []
+        for first in range(0, count, STREAMS_PER_DRIVER):
+            options = {
+                "addresses": [group.grpc[replica]],
+                "name": f"{name}{first}",
+                "role": role,
+                "count": min(STREAMS_PER_DRIVER, count - first),
+                "heartbeat_s": HEARTBEAT_S,
+            }
+            driver = start_driver(group.folder, f"driver-{first}", MODULE, options)
+            drivers.append(await stack.enter_async_context(driver))
+        await _all_leased(drivers, count)
+        yield drivers
+
+
+async def _all_leased(drivers: list[Child], count: int) -> None:
+    async with asyncio.timeout(ATTACH_TIMEOUT_S):
+        while True:
+            if (await totals(drivers))["streams"] >= count:
+                return
+            await asyncio.sleep(POLL_S)
+
+
+async def totals(drivers: list[Child]) -> dict:
+    """Return the counts of several drivers together."""
+    answers = [await driver.ask("counts") for driver in drivers]
+    keys = ("streams", "bytes_in", "messages_in", "bytes_out", "messages_out")
+    keys += ("config_bytes", "member_bytes", "large_bytes")
+    total = {key: sum(answer[key] for answer in answers) for key in keys}
+    total["all_leased_at"] = max([a["all_leased_at"] for a in answers], default=0.0)
+    total["reached"] = {}
+    for answer in answers:
+        for revision, (count, at) in answer["reached"].items():
+            known, latest = total["reached"].get(int(revision), (0, 0.0))
+            total["reached"][int(revision)] = (known + count, max(latest, at))
+    return total
