--- /dev/null
+++ b/wigeonscale/config/tests/test_docs.py
@@ -0,0 +1,37 @@
+import dataclasses
+import pathlib
+import re
+
+from wigeonscale.config import AgentSettings, ControlSettings, EntrySettings
+from wigeonscale.errors import ANSWERS
+from wigeonscale.testing import AsyncTestCase
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATING.md"
+NODE_KEYS = {"name", "domain", "region", "log_level", "http", "stop_timeout_s"}
+
+
+class OperatingPageTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.text = PAGE.read_text(encoding="utf-8")
+
+    def section(self, name):
+        return (
+            self.text.split(f"### `[{name}]`\n")[1].split("\n## ")[0].split("\n### ")[0]
+        )
+
+    def test_every_key_of_every_role_is_listed(self):
+        roles = {
+            "entry": EntrySettings,
+            "agent": AgentSettings,
+            "control": ControlSettings,
+        }
+        for role, model in roles.items():
+            keys = {field.name for field in dataclasses.fields(model)} - NODE_KEYS
+            rows = re.findall(r"^\| ([a-z_, ]+) \|", self.section(role), re.MULTILINE)
+            listed = {key.strip() for row in rows for key in row.split(",")} - {"key"}
+            self.assertEqual(keys, listed, role)
+
+    def test_every_error_kind_has_its_row_and_status(self):
+        for kind, answer in ANSWERS.items():
+            self.assertIn(f"| {kind} | {answer.status} |", self.text)
