entry: no false suspicion of agents; log the id of every dispatched request

Cause, by review: a dispatch put on a connection while its idle end was being cleaned up failed as "agent gone" and the agent was suspected; an item that raised while taken in would have broken the connection again and again; and log lines of requests refused after dispatch had no request id. Change: a lane is retired in the same step that decides its end; such an item ends its own dispatch only; connections that break five times within a second each count as gone; dispatch ids are kept in the request's log from the start.

--- a/wigeonscale/dispatch/answer.py
+++ b/wigeonscale/dispatch/answer.py
@@ -29,7 +29,6 @@
 
     Attributes:
         stream: The dispatch that gives it now.
-        dispatches: Ids of all its dispatches so far.
     """
 
     def __init__(
@@ -41,7 +40,7 @@
         reopen: Reopen | None = None,
     ):
         self.stream = stream
-        self.dispatches = [stream.dispatch_id]
+        self._moves = 0
         self._carrier = carrier
         self._work = work
         self._reopen = reopen
@@ -88,7 +87,7 @@
         work = self._work
         if work is None or self._reopen is None or not work.repeatable:
             raise honest_error(exc, once=self.once) from exc
-        if not is_retried(exc) or len(self.dispatches) > work.attempts:
+        if not is_retried(exc) or self._moves >= work.attempts:
             raise exc
         logger.info(
             "going on elsewhere: %s",
@@ -98,4 +97,4 @@
         self.close()
         avoid = frozenset({self.stream.target.agent_id})
         self.stream = await self._reopen(work, self.record, avoid)
-        self.dispatches.append(self.stream.dispatch_id)
+        self._moves += 1
--- a/wigeonscale/dispatch/attempts.py
+++ b/wigeonscale/dispatch/attempts.py
@@ -154,6 +154,7 @@
         if work.once:
             held = await self._claims.obtain(work, dispatch_id, target)
             if held is not None:
+                work.dispatch_ids.append(held.dispatch_id)
                 return held
         opening = work.open_message(
             dispatch_id=dispatch_id,
@@ -170,6 +171,7 @@
             opening=opening,
         )
         self._carrier.carry(stream)
+        work.dispatch_ids.append(dispatch_id)
         try:
             await self._begin(work, stream)
         except asyncio.CancelledError:
--- a/wigeonscale/dispatch/link.py
+++ b/wigeonscale/dispatch/link.py
@@ -11,6 +11,7 @@
 from wigeonscale.adapters import open_channel, wait_connected
 from wigeonscale.dispatch.stream import DispatchStream
 from wigeonscale.dispatch.targets import Target
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc as wire_grpc
@@ -128,4 +129,19 @@
             # Late items of a dispatch that left are for nobody.
             stream = self.streams.get(item.dispatch_id)
             if stream is not None:
-                stream.deliver(item)
+                _deliver(stream, item)
+
+
+def _deliver(stream: DispatchStream, item: wire.DispatchItem) -> None:
+    try:
+        stream.deliver(item)
+    except Exception:
+        # One answer that cannot be taken in must not end all the others.
+        logger.exception("item of %s not taken in", stream.dispatch_id)
+        stream.fail(
+            WigeonscaleError(
+                ErrorKind.INTERNAL,
+                f"an item of {stream.dispatch_id} cannot be taken in",
+                run_state=RunState.UNKNOWN,
+            )
+        )
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -17,6 +17,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A connection that broke before it stood for so long was lost quickly.
+QUICK_LOSS_S = 1.0
+MAX_QUICK_LOSSES = 4
+
 OnGone = Callable[[Target], None]
 
 
@@ -87,18 +91,13 @@
             limits=self._limits,
         )
         self._lanes.setdefault(target, []).append(lane)
-        task = asyncio.create_task(self._run_lane(lane))
+        task = asyncio.create_task(lane.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return lane
 
-    async def _run_lane(self, lane: "_Lane") -> None:
-        try:
-            await lane.run()
-        finally:
-            self._drop(lane)
-
-    def _drop(self, lane: "_Lane") -> None:
+    def retire(self, lane: "_Lane") -> None:
+        """Use a lane no more; the dispatches left on it fail."""
         target = lane.link.target
         lanes = self._lanes.get(target, [])
         if lane in lanes:
@@ -129,19 +128,29 @@
         self._clock = clock
         self._limits = limits
         self._reader = asyncio.create_task(link.run())
+        self._connected_at = clock.now()
+        self._quick_losses = 0
 
     async def run(self) -> None:
         """Return when the agent is gone, or when an idle connection broke."""
         try:
-            while True:
-                await self._until_lost()
-                if not self.link.streams:
-                    return
+            await self._until_lost()
+            while self.link.streams and not self._is_flapping():
                 if not await self._connect_again():
                     return
+                await self._until_lost()
         finally:
+            # First and without a pause, so that no dispatch is put on it after the
+            # decision to end.
+            self._links.retire(self)
             await _cancel(self._reader)
 
+    def _is_flapping(self) -> bool:
+        """Return whether the connections break as soon as they stand."""
+        lasted_s = self._clock.now() - self._connected_at
+        self._quick_losses = self._quick_losses + 1 if lasted_s < QUICK_LOSS_S else 0
+        return self._quick_losses > MAX_QUICK_LOSSES
+
     async def _until_lost(self) -> None:
         silence = until_silent(self.link, clock=self._clock, limits=self._limits)
         await self._reader_or(silence)
@@ -150,6 +159,7 @@
         old, old_reader = self.link, self._reader
         self.link = self._links.new_link(old.target)
         self._reader = asyncio.create_task(self.link.run())
+        self._connected_at = self._clock.now()
         for stream in list(old.streams.values()):
             self.link.add(stream)
         old.streams.clear()
--- /dev/null
+++ b/wigeonscale/dispatch/tests/test_links.py
@@ -0,0 +1,86 @@
+"""Links to agents: ends of connections, and items that cannot be taken in."""
+
+import asyncio
+
+from wigeonscale.dispatch import AgentLinks, AnswerRecord, DispatchStream, SilenceLimits
+from wigeonscale.dispatch.links import QUICK_LOSS_S
+from wigeonscale.dispatch.tests.fake_agent import WORDS, FakeAgent
+from wigeonscale.errors import ErrorKind
+from wigeonscale.ports import SystemClock
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class LinksTest(AsyncTestCase):
+    async def prepare(self):
+        self.agent = FakeAgent()
+        await self.agent.start()
+        self.addCleanup(self.agent.stop)
+        self.gone = []
+        self.links = self.new_links()
+
+    def new_links(self) -> AgentLinks:
+        # Long silences: these tests break connections themselves.
+        links = AgentLinks(
+            entry_id="e1",
+            clock=SystemClock(),
+            on_gone=self.gone.append,
+            limits=SilenceLimits(interval_s=0.05, second_connection_looks=400),
+        )
+        self.addCleanup(links.close)
+        return links
+
+    def carry(self, dispatch_id: str) -> DispatchStream:
+        stream = DispatchStream(
+            dispatch_id=dispatch_id,
+            target=self.agent.target,
+            organisation="o",
+            record=AnswerRecord(),
+            opening=wire.Open(dispatch_id=dispatch_id, generate=wire.Generate()),
+        )
+        self.links.carry(stream)
+        return stream
+
+    async def read_all(self, stream: DispatchStream) -> list[str]:
+        texts = []
+        while new := await stream.take():
+            texts += new
+        stream.leave()
+        return texts
+
+    async def test_dispatch_at_any_moment_of_an_idle_connections_end_is_served(self):
+        for turns in range(12):
+            await self.read_all(self.carry(f"first-{turns}@a1"))
+            (lane,) = self.links._lanes[self.agent.target]
+            lane._reader.cancel()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            stream = self.carry(f"then-{turns}@a1")
+            self.assertEqual(list(WORDS), await self.read_all(stream))
+            await self.links.close()
+            self.links = self.new_links()
+        self.assertEqual([], self.gone)
+
+    async def test_only_connections_that_break_at_once_count_as_flapping(self):
+        clock = ManualClock()
+        links = AgentLinks(entry_id="e1", clock=clock)
+        lane = links._new_lane(self.agent.target)
+        self.assertEqual([False] * 4, [lane._is_flapping() for _ in range(4)])
+        self.assertTrue(lane._is_flapping())
+        await clock.advance(QUICK_LOSS_S)
+        self.assertFalse(lane._is_flapping())
+        await links.close()
+
+    async def test_item_that_cannot_be_taken_in_ends_its_own_dispatch_only(self):
+        link = self.links.new_link(self.agent.target)
+        bad, good = self.carry("bad@a1"), self.carry("good@a1")
+        bad.record = None
+        link.streams = {"bad@a1": bad, "good@a1": good}
+        run = wire.TokenRun(texts=["x "], ids=[1])
+        items = [
+            wire.DispatchItem(dispatch_id=each, tokens=run)
+            for each in ("bad@a1", "good@a1")
+        ]
+        link._receive(wire.DispatchEvent(items=items))
+        self.assertEqual(ErrorKind.INTERNAL, bad.error.kind)
+        self.assertEqual(["x "], good.record.texts)
--- a/wigeonscale/dispatch/work.py
+++ b/wigeonscale/dispatch/work.py
@@ -3,7 +3,7 @@
 __all__ = ["Work", "new_dispatch_id"]
 
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wigeonscale.dispatch.targets import AnswerRecord, Target
 from wigeonscale.wire import wire_pb2 as wire
@@ -27,6 +27,7 @@
         priority: Larger goes first.
         deadline: Instant of the clock port after which it need not begin.
         attempts: Most dispatches.
+        dispatch_ids: Ids of its dispatches so far, for the log.
     """
 
     organisation: str
@@ -40,6 +41,7 @@
     priority: int = 0
     deadline: float = float("inf")
     attempts: int = 3
+    dispatch_ids: list[str] = field(default_factory=list)
 
     @property
     def repeatable(self) -> bool:
--- a/wigeonscale/entry/calls.py
+++ b/wigeonscale/entry/calls.py
@@ -63,8 +63,6 @@
         WigeonscaleError: When there is none.
     """
     answer = await entry.dispatcher.start(_work(req, admission, raw))
-    log.request_id = answer.request_id
-    log.dispatches = len(answer.dispatches)
     try:
         return await service_response(answer)
     finally:
--- a/wigeonscale/entry/flow.py
+++ b/wigeonscale/entry/flow.py
@@ -52,12 +52,14 @@
         decision: What the first matching rule decided.
         priority: Priority to use.
         deadline: Instant of the clock port after which the work need not begin.
+        dispatch_ids: Takes the ids of the work's dispatches.
     """
 
     caller: Caller
     decision: Decision
     priority: int
     deadline: float
+    dispatch_ids: list[str]
 
     def work(self, *, req: web.Request, raw: bytes, **target: object) -> Work:
         """Return the work to dispatch.
@@ -76,6 +78,7 @@
             priority=self.priority,
             deadline=self.deadline,
             attempts=self.decision.attempts,
+            dispatch_ids=self.dispatch_ids,
             **target,
         )
 
@@ -198,6 +201,7 @@
         decision=decision,
         priority=asked if decision.priority is None else decision.priority,
         deadline=log.started + _deadline_s(entry, caller.options, decision),
+        dispatch_ids=log.dispatch_ids,
     )
 
 
--- a/wigeonscale/entry/records.py
+++ b/wigeonscale/entry/records.py
@@ -35,7 +35,7 @@
 
     Attributes:
         started: Instant of its arrival.
-        request_id: Id of its work; empty before dispatch.
+        dispatch_ids: Ids of its dispatches so far.
         organisation: Organisation of the caller; empty before it is known.
         rule: Rule that decided.
         kind: Error kind, or ``ok``.
@@ -44,12 +44,11 @@
         last_token: Instant of the last write of tokens.
         gaps: Gaps within the objective.
         late_gaps: Longer gaps.
-        dispatches: Dispatches made.
         permits: Limits to give back at the end.
     """
 
     started: float
-    request_id: str = ""
+    dispatch_ids: list[str] = field(default_factory=list)
     organisation: str = ""
     rule: str = ""
     kind: str = OK
@@ -58,9 +57,13 @@
     last_token: float = 0.0
     gaps: Gaps = field(default_factory=Gaps)
     late_gaps: Gaps = field(default_factory=Gaps)
-    dispatches: int = 0
     permits: list[Permit] = field(default_factory=list)
 
+    @property
+    def request_id(self) -> str:
+        """Id of the work, under which the answer can be taken up, or empty."""
+        return self.dispatch_ids[-1] if self.dispatch_ids else ""
+
     def note_tokens(self, count: int, now: float) -> None:
         """Count tokens that were just written.
 
@@ -109,7 +112,7 @@
             outcome="whole" if log.kind == OK else "failed",
             rule=log.rule,
             tokens=log.tokens,
-            dispatches=log.dispatches,
+            dispatches=len(log.dispatch_ids),
             elapsed_s=round(elapsed_s, 4),
         ),
     )
--- a/wigeonscale/entry/streams.py
+++ b/wigeonscale/entry/streams.py
@@ -62,15 +62,12 @@
         WigeonscaleError: Before anything was written.
         ConnectionError: When the caller has vanished.
     """
-    log.request_id = answer.request_id
     send = _send_stream if form.stream else _send_plain
     try:
         resp = await send(entry, req, log, answer, form)
     except (asyncio.CancelledError, ConnectionError):
         _leave_vanished(entry, log, answer, form)
         raise
-    finally:
-        log.dispatches = len(answer.dispatches)
     answer.close()
     return resp
 
@@ -98,7 +95,6 @@
     except WigeonscaleError:
         answer.close()
         raise
-    log.request_id = answer.request_id
     document = plain_document(
         request_id=answer.request_id,
         shape=form.shape,
@@ -139,7 +135,6 @@
     )
     try:
         while texts := await answer.take():
-            log.request_id = answer.request_id
             encoder.rename(answer.request_id)
             await events.write(texts)
             # Until the caller is slow, tokens go on without this task.
--- a/wigeonscale/entry/takeup.py
+++ b/wigeonscale/entry/takeup.py
@@ -34,10 +34,10 @@
     answer = await entry.dispatcher.attach(
         target, request_id, caller.organisation.name, from_token
     )
+    log.dispatch_ids.append(request_id)
     entry.keep(request_id)
     if answer.stream.response is None:
         return await send_answer(entry, req, log, answer, form)
-    log.request_id = request_id
     try:
         return await service_response(answer)
     finally:
--- a/wigeonscale/entry/tests/test_once.py
+++ b/wigeonscale/entry/tests/test_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from wigeonscale.dispatch import SilenceLimits
 from wigeonscale.entry.tests.support import EntryCase
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -51,6 +52,20 @@
         self.assertEqual(["s1"], self.control.suspected[:1])
         self.assertEqual(["k1"], self.service.once_effects)
 
+    async def test_frozen_agent_is_unknown_though_its_connections_stand(self):
+        self.entry._links._limits = SilenceLimits(
+            interval_s=0.02, second_connection_looks=3
+        )
+        self.service.hold = 0
+        first = asyncio.create_task(self.note())
+        await self.service.until(lambda agent: agent.once_effects)
+        self.service.deaf = True
+        self.service.mute_open_streams()
+        status, run, text = await first
+        self.assertEqual((409, "unknown"), (status, run), text)
+        self.assertEqual(2, self.service.streams)
+        self.assertEqual(["s1"], self.control.suspected)
+
     async def test_refused_as_not_run_frees_the_key(self):
         refused = wire.Refused(kind="limit-exceeded", run_state="not-run")
         self.service.refusals = [refused]
