Control: outdated orders are no failures; every page failure is an answer

Cause, found on reading: an agent that rightly refuses the orders of a lagging replica would have lost its incarnation after five of them; an unexpected exception in an operators' page gave aiohttp's plain 500. Change: STALE_TERM is not counted; INTERNAL as JSON with run unknown. A test that a new watcher gets the document in force, missing by mutation.

--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -93,6 +93,14 @@
                 return await handler(req)
             except WigeonscaleError as exc:
                 return _error_response(exc)
+            except Exception:
+                logger.exception("page %s failed", req.path)
+                error = WigeonscaleError(
+                    ErrorKind.INTERNAL,
+                    "unexpected; see the replica's log",
+                    run_state=RunState.UNKNOWN,
+                )
+                return _error_response(error)
 
         return answer
 
@@ -313,8 +321,8 @@
 def _error_response(exc: WigeonscaleError) -> web.Response:
     answer = ANSWERS[exc.kind]
     error = {"kind": exc.kind.value, "message": exc.message}
-    if exc.kind is ErrorKind.NO_QUORUM:
-        error["run"] = (exc.run_state or RunState.UNKNOWN).value
+    if exc.kind in (ErrorKind.NO_QUORUM, ErrorKind.INTERNAL):
+        error["run"] = exc.run_state.value
     headers = {}
     if answer.retryable:
         retry_after = exc.retry_after or DEFAULT_RETRY_S
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -158,7 +158,9 @@
         if result.done:
             watcher.failed_orders = 0
             return
-        watcher.failed_orders += 1
+        # A replica that lags behind is no fault of the agent, which refuses rightly.
+        is_behind = result.kind == ErrorKind.STALE_TERM
+        watcher.failed_orders += not is_behind
         logger.warning(
             "order %s failed at %s: %s %s",
             result.order_id,
@@ -166,7 +168,6 @@
             result.kind,
             result.message,
         )
-        is_behind = result.kind == ErrorKind.STALE_TERM
         pause_s = 0.0 if is_behind else ORDER_RETRY_S
         if result.order_id.startswith(LOAD):
             watcher.order_due_at = self._clock.now() + pause_s
--- a/wigeonscale/control/tests/test_admin.py
+++ b/wigeonscale/control/tests/test_admin.py
@@ -144,6 +144,15 @@
         status, shown = await self.get("status")
         self.assertEqual((200, False), (status, shown["fresh"]))
 
+    async def test_unexpected_failure_is_an_answer_too(self):
+        self.parts.hub.watchers.add(None)
+        status, body = await self.get("status")
+        self.parts.hub.watchers.discard(None)
+        error = body["error"]
+        self.assertEqual(
+            (500, "internal", "unknown"), (status, error["kind"], error["run"])
+        )
+
     async def test_status_names_watchers(self):
         watcher = self.parts.watcher("e7")
         watcher.applied_revision = 4
--- a/wigeonscale/control/tests/test_hub.py
+++ b/wigeonscale/control/tests/test_hub.py
@@ -55,6 +55,14 @@
         pairs = [(u.base_revision, u.revision) for u in updates]
         self.assertEqual([(1, 2), (2, 3)], pairs)
 
+    async def test_each_new_watcher_gets_the_document_in_force(self):
+        for number in range(2):
+            await self.apply(number, number)
+            config, _ = await self.due(self.parts.watcher(f"e{number}"))
+            self.assertEqual(number + 1, config.config.revision)
+            digest = self.state.configuration.document.digest
+            self.assertEqual(digest, config.config.digest)
+
     async def test_watcher_ahead_of_this_replica_gets_nothing_older(self):
         await self.apply(0, 0)
         watcher = self.parts.watcher(known_revision=5)
--- a/wigeonscale/control/tests/test_liveness.py
+++ b/wigeonscale/control/tests/test_liveness.py
@@ -163,6 +163,18 @@
         await self.pass_time(2 * CHECK_S)
         self.assertFalse(self.lives())
 
+    async def test_orders_refused_as_outdated_do_not_count_as_failures(self):
+        watcher = await self.parts.attach("a")
+        place = wire.PlaceChains(chains=[chain("c", 1, ("a", 0, 3))])
+        await self.parts.run(place=place)
+        await self.pass_time(1, watcher)
+        list(self.parts.hub.due(watcher))
+        for _ in range(9):
+            stale = wire.OrderResult(order_id="load", kind=ErrorKind.STALE_TERM)
+            self.parts.hub.note_order_result(watcher, stale)
+        await self.pass_time(1, watcher)
+        self.assertTrue(self.lives())
+
     async def test_server_that_cannot_load_gives_up_its_place(self):
         watcher = await self.parts.attach("a")
         place = wire.PlaceChains(chains=[chain("c", 1, ("a", 0, 3))])
