--- a/bench/choices.py
+++ b/bench/choices.py
@@ -88,6 +88,8 @@
     """Return the policy of one entry."""
     if name == "round-robin":
         return RoundRobin(candidates=CANDIDATES, first=3 * number)
+    if name == "own-without-events":
+        return OwnChoice(table=table, rng=rng, view=None)
     if name != "own":
         weighted = name == "weighted-least-conn"
         return LeastConnections(
--- a/bench/overload_run.py
+++ b/bench/overload_run.py
@@ -2,7 +2,7 @@
 
 The servers' admission, the entries' choice and the retry budget are the daemons'
 own. The plain run has none of them: first come, first served, no refusal, round
-robin, every failure retried at once.
+robin over the servers not known to be lost, every failure retried at once.
 """
 
 __all__ = ["CAPACITY", "Load", "Outcome", "Run"]
@@ -112,7 +112,8 @@
         )
         self._epochs = [0] * SERVERS
         self._servers = [self._new_server(i) for i in range(SERVERS)]
-        self._held: list[set[Request]] = [set() for _ in range(SERVERS)]
+        # Dicts, since the order of a set would differ between runs.
+        self._held: list[dict[Request, None]] = [{} for _ in range(SERVERS)]
         for load in loads:
             rng = random.Random(f"{SEED} {load.organisation}")
             self._clock.at(0.0, lambda load=load, rng=rng: self._arrive(load, rng))
@@ -173,7 +174,7 @@
             self._refuse(req, 1.0)
             return
         req.server = index
-        self._held[index].add(req)
+        self._held[index][req] = None
         self._table.started(f"agent{index}", req.organisation)
         if self._is_lost(index):
             return
@@ -184,13 +185,14 @@
             self._retry_or_refuse(req, exc.retry_after)
 
     def _choose(self, req: Request) -> int | None:
-        if self._own:
-            down = frozenset(self._detected()) | req.avoid
-            choice = self._chooser.choose(
-                self._candidates, organisation=req.organisation, avoid=down
-            )
-            return None if choice is None else int(choice.key.removeprefix("chain"))
-        return next(self._turns) % SERVERS
+        down = frozenset(self._detected())
+        if not self._own:
+            up = [i for i in range(SERVERS) if f"agent{i}" not in down]
+            return up[next(self._turns) % len(up)]
+        choice = self._chooser.choose(
+            self._candidates, organisation=req.organisation, avoid=down | req.avoid
+        )
+        return None if choice is None else int(choice.key.removeprefix("chain"))
 
     def _retry_or_refuse(self, req: Request, retry_after: float) -> None:
         req.avoid |= {f"agent{req.server}"}
@@ -236,7 +238,7 @@
 
     def _release(self, req: Request) -> None:
         if req in self._held[req.server]:
-            self._held[req.server].discard(req)
+            del self._held[req.server][req]
             self._table.finished(f"agent{req.server}", req.organisation)
 
     def _is_lost(self, index: int) -> bool:
