--- a/wigeonscale/agent/tests/test_dispatch.py
+++ b/wigeonscale/agent/tests/test_dispatch.py
@@ -223,6 +223,21 @@
             (ErrorKind.STALE_INCARNATION, RunState.UNKNOWN), await self.refusal("d")
         )
 
+    async def test_refused_dispatch_never_runs_later(self):
+        await self.start()
+        self.control.has_lease = False
+        await self.client.generate(self.chain, b"p", 3, dispatch_id="d@a0")
+        self.assertEqual(
+            (ErrorKind.LEASE_EXPIRED, RunState.NOT_RUN), await self.refusal("d@a0")
+        )
+        self.control.has_lease = True
+        await self.client.generate(self.chain, b"p", 3, dispatch_id="d@a0")
+        await self.client.wait(lambda: len(self.client.kinds("d@a0")) == 2)
+        self.assertEqual(
+            (ErrorKind.CANCELLED, RunState.NOT_RUN), await self.refusal("d@a0")
+        )
+        self.assertEqual(0, self.engine.iterations)
+
     async def test_open_after_cancel_never_runs(self):
         await self.start()
         await self.client.send(cancel=wire.Cancel(dispatch_id="d@a0"))
--- a/wigeonscale/pipelines/tests/test_cost.py
+++ b/wigeonscale/pipelines/tests/test_cost.py
@@ -18,6 +18,8 @@
             cost.observe(size, self.flat_s + self.each_s * size)
         self.assertAlmostEqual(self.share, cost.flat_share(16), places=6)
 
+
+class LearningTest(AsyncTestCase):
     def test_one_size_says_nothing(self):
         cost = IterationCost()
         cost.observe(8, 1.0)
