Control feed: drop a second removal of the cached whole document

Cause: it stands under revision 0, which the loop removes already; the mutation that undid the first removal went unnoticed for that reason.

--- a/wigeonscale/control/feed.py
+++ b/wigeonscale/control/feed.py
@@ -158,8 +158,7 @@
         return self._config_cache[revision.number]
 
     def _forget_old_configs(self):
-        # The whole document is never current after a change; deltas stay true.
-        self._config_cache.pop(0, None)
+        # Among them 0, the whole document, which is another after each change.
         oldest = self._state.configuration.oldest_known
         for number in [n for n in self._config_cache if n <= oldest]:
             del self._config_cache[number]
--- a/wigeonscale/control/tests/test_planning.py
+++ b/wigeonscale/control/tests/test_planning.py
@@ -71,6 +71,24 @@
         await self.apply("")
         await self.until(lambda: not self.planned())
 
+    async def test_late_engines_make_the_second_replica(self):
+        wanted = "layers = 12\nreplicas = {}"
+        await self.apply(DOCUMENT.replace("layers = 4", wanted.format(1)))
+        for agent_id in "abcd":
+            await self.parts.announce(agent_id)
+        await self.until(lambda: len(self.stages()) == 4)
+        await self.load_all()
+        (before,) = self.planned()
+        await self.apply(DOCUMENT.replace("layers = 4", wanted.format(2)))
+        for agent_id in "ef":
+            await self.parts.announce(agent_id)
+        await self.until(lambda: len(self.planned()) == 2)
+        kept = self.state.chains.get(before.chain_id)
+        self.assertEqual(before.epoch + 1, kept.epoch)
+        self.assertEqual(before.stages[0].agent_id, kept.stages[0].agent_id)
+        await self.load_all()
+        self.assertTrue(all(each.ready for each in self.state.chains))
+
     async def test_only_a_fresh_leader_places(self):
         self.parts.replica.role = Role.FOLLOWER
         await self.apply_as_leader()
