--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -40,12 +40,13 @@
 
     Args:
         cfg: Settings of the agent.
-        control: Watch on control, made with :attr:`state`, :attr:`orders`.
+        control: Watch on control; announces what ``state`` says.
         clock: Clock port.
         state: What is known of the backend server.
         dial: Returns a new channel to an address.
         engine: The engine, or None beside a plain service.
         service: The plain service, or None beside an engine.
+        link_options: Further arguments of the step links.
     """
 
     def __init__(
--- a/wigeonscale/pipelines/constants.py
+++ b/wigeonscale/pipelines/constants.py
@@ -10,6 +10,7 @@
     "LEAVING_GRACE_S",
     "LINK_IDLE_S",
     "MAX_BATCH",
+    "MAX_BATCH_POSITIONS",
     "PROBE_AFTER_S",
     "REPAIR_BACKOFF_S",
     "SEQUENCE_IDLE_S",
@@ -23,6 +24,12 @@
 MAX_BATCH = 256
 """Most sequences in one engine iteration."""
 
+MAX_BATCH_POSITIONS = 65_536
+"""Most token positions in one iteration, unless one sequence alone has more.
+
+At some 20 bytes a position an iteration stays far below the message limit.
+"""
+
 EXTRA_ITERATIONS = 1
 """Iterations in flight beyond one per stage, so that no stage waits for a hop."""
 
--- a/wigeonscale/pipelines/generation.py
+++ b/wigeonscale/pipelines/generation.py
@@ -58,6 +58,11 @@
         """Id of the current run on the engines."""
         return f"{self.dispatch_id}#{self._run}"
 
+    @property
+    def waiting_positions(self) -> int:
+        """Token positions of its next step."""
+        return len(self._pieces) - self._position
+
     def begin_again(self) -> str:
         """Start a new run from position 0; returns the old run's sequence id."""
         old = self.sequence_id
--- a/wigeonscale/pipelines/head.py
+++ b/wigeonscale/pipelines/head.py
@@ -13,6 +13,7 @@
     EXTRA_ITERATIONS,
     FLAT_SHARE_LIMIT,
     MAX_BATCH,
+    MAX_BATCH_POSITIONS,
     REPAIR_BACKOFF_S,
 )
 from wigeonscale.pipelines.generation import Generation
@@ -194,14 +195,17 @@
         size = -(-len(self._members) // depth)
         size = max(1, min(size, MAX_BATCH))
         batch: list[Generation] = []
+        positions = 0
         for _ in range(len(self._ready)):
             generation = self._ready.popleft()
             if generation not in self._members:
                 continue
-            if generation.paused:
+            too_long = positions + generation.waiting_positions > MAX_BATCH_POSITIONS
+            if generation.paused or (batch and too_long):
                 self._ready.append(generation)
                 continue
             batch.append(generation)
+            positions += generation.waiting_positions
             if len(batch) == size:
                 break
         return batch
