Rebuild standing chains where that makes a missing replica

Rules were in force when 4 of 6 engines had announced; placement made one chain of four stages, healthy chains stayed for ever, and the last two engines never held the twelve layers of the second replica. Ruled out: loads and readiness (the chain was ready), announcements (all six stood in the members). Change: while replicas are missing that free engines cannot make, regroup_chains rebuilds the fewest standing chains so that one more comes of it. Chains keep id and head, epoch + 1; a serving chain is rebuilt only while the other chains of its pipeline serve. Each step adds a chain or has one use fewer stages, so that planning comes to rest. Conclusion: the order of announcements no longer decides the replicas.

--- a/wigeonscale/placement/fresh.py
+++ b/wigeonscale/placement/fresh.py
@@ -1,9 +1,9 @@
 """Plans new chains out of free engines."""
 
-__all__ = ["new_chains"]
+__all__ = ["chains_of_splits", "new_chains", "split_groups"]
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from wigeonscale.placement.bound import kind_of
 from wigeonscale.placement.model import ChainPlan, EngineSpec
@@ -76,7 +76,7 @@
         if len(splits) == wanted:
             break
     splits.sort(key=_rate, reverse=True)
-    return _deal(splits, pipelines, missing)
+    return chains_of_splits(splits, pipelines, missing)
 
 
 def _without_spares(free, spares):
@@ -128,13 +128,31 @@
 
 
 def _fresh_splits(pipeline, engines, wanted, search):
-    layers, stages = pipeline.layers, pipeline.stages
     groups = partition_engines(
-        engines, layers=layers, chains=wanted, stages=stages, search=search
+        engines,
+        layers=pipeline.layers,
+        chains=wanted,
+        stages=pipeline.stages,
+        search=search,
     )
+    return split_groups(groups, pipeline)
+
+
+def split_groups(
+    groups: Iterable[Sequence[EngineSpec]], pipeline: Pipeline
+) -> list[list[tuple[EngineSpec, int]]]:
+    """Return the layers of each engine of each group, in the order of the stages.
+
+    Args:
+        groups: Groups that each hold the whole model.
+        pipeline: Pipeline whose layers are split.
+
+    Returns:
+        For each group, pairs of engine and number of layers.
+    """
     splits = []
     for group in groups:
-        split = split_layers(group, layers, stages=stages)
+        split = split_layers(group, pipeline.layers, stages=pipeline.stages)
         splits.append(sorted(split, key=lambda pair: _stage_order(pair[0])))
     return splits
 
@@ -150,7 +168,21 @@
     return min(stage_rate(engine, count, alone=alone) for engine, count in split)
 
 
-def _deal(splits, pipelines, missing):
+def chains_of_splits(
+    splits: Iterable[list[tuple[EngineSpec, int]]],
+    pipelines: Sequence[Pipeline],
+    missing: Mapping[str, int],
+) -> list[ChainPlan]:
+    """Deal new chains out to the pipelines that miss them.
+
+    Args:
+        splits: Stages of each chain as pairs of engine and number of layers.
+        pipelines: Pipelines of one shape.
+        missing: Chains wanted by pipeline name; at least as many as there are splits.
+
+    Returns:
+        Chains with an empty ``chain_id`` and epoch 1.
+    """
     chains = []
     given = dict.fromkeys((pipeline.name for pipeline in pipelines), 0)
     for split in splits:
--- a/wigeonscale/placement/planner.py
+++ b/wigeonscale/placement/planner.py
@@ -9,6 +9,7 @@
 from wigeonscale.placement.fresh import new_chains
 from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan
 from wigeonscale.placement.partition import FULL_SEARCH, QUICK_SEARCH
+from wigeonscale.placement.regroup import regroup_chains
 from wigeonscale.placement.repair import is_leaving, repair_chains
 from wigeonscale.rules.model import Pipeline
 
@@ -61,7 +62,9 @@
     standing = _drop_surplus(standing, by_name, by_id)
     search = FULL_SEARCH if len(engines) <= FULL_SEARCH_ENGINES else QUICK_SEARCH
     search = replace(search, domain_share=domain_share)
-    standing += _add_missing(standing, pipelines, by_id, spares, base_index, search)
+    standing = _add_missing(standing, pipelines, by_id, spares, search)
+    standing = _name_chains(standing, base_index)
+    standing = _regroup(standing, pipelines, by_id, search, base_index)
     return _compare(chains, standing)
 
 
@@ -85,12 +88,9 @@
     return [chain for chain in chains if chain.chain_id not in surplus]
 
 
-def _add_missing(standing, pipelines, by_id, spares, base_index, search):
-    serving = Counter(
-        chain.pipeline for chain in standing if not is_leaving(chain, by_id)
-    )
-    missing = {p.name: p.replicas - serving[p.name] for p in pipelines}
-    number = _highest_number(standing, base_index)
+def _add_missing(standing, pipelines, by_id, spares, search):
+    """Return the standing chains and new ones, which have no ids yet."""
+    missing = _missing(standing, pipelines, by_id)
     free = _free_by_model(standing, by_id)
     added = []
     for model, group in _by_model(pipelines).items():
@@ -105,13 +105,53 @@
             if not found:
                 break
             for chain in found:
-                number += 1
                 missing[chain.pipeline] -= 1
-                chain_id = f"{chain.pipeline}-{base_index}-{number}"
-                added.append(replace(chain, chain_id=chain_id))
+                added.append(chain)
                 for stage in chain.stages:
                     del free[model][stage.agent_id]
-    return added
+    return [*standing, *added]
+
+
+def _missing(chains, pipelines, by_id):
+    serving = Counter(
+        chain.pipeline for chain in chains if not is_leaving(chain, by_id)
+    )
+    return {p.name: p.replicas - serving[p.name] for p in pipelines}
+
+
+def _regroup(chains, pipelines, by_id, search, base_index):
+    """Rebuild chains until no more replicas come of it for now."""
+    shapes = defaultdict(list)
+    for pipeline in pipelines:
+        shapes[pipeline.model, pipeline.layers, pipeline.stages].append(pipeline)
+    for group in shapes.values():
+        while any(_missing(chains, group, by_id)[p.name] > 0 for p in group):
+            step = regroup_chains(
+                chains,
+                missing=_missing(chains, group, by_id),
+                pipelines=group,
+                engines=by_id,
+                search=search,
+            )
+            if step is None:
+                break
+            rebuilt = {chain.chain_id: chain for chain in step.rebuilt}
+            chains = [rebuilt.get(chain.chain_id, chain) for chain in chains]
+            chains = _name_chains([*chains, *step.added], base_index)
+    return chains
+
+
+def _name_chains(chains, base_index):
+    """Give each new chain an id that was never used."""
+    number = _highest_number(chains, base_index)
+    named = []
+    for chain in chains:
+        if not chain.chain_id:
+            number += 1
+            chain_id = f"{chain.pipeline}-{base_index}-{number}"
+            chain = replace(chain, chain_id=chain_id)
+        named.append(chain)
+    return named
 
 
 def _by_model(pipelines):
@@ -142,8 +182,18 @@
 def _compare(chains, standing):
     before = {chain.chain_id: chain for chain in chains}
     after = {chain.chain_id for chain in standing}
+    standing = [_with_epoch(chain, before.get(chain.chain_id)) for chain in standing]
     return Plan(
         chains=tuple(standing),
         changed=tuple(c for c in standing if before.get(c.chain_id) != c),
         removed=tuple(chain_id for chain_id in before if chain_id not in after),
     )
+
+
+def _with_epoch(chain, known):
+    """Return the chain one epoch after the known one, however often it was changed."""
+    if known is None:
+        return replace(chain, epoch=1)
+    if chain.stages == known.stages:
+        return known
+    return replace(chain, epoch=known.epoch + 1)
--- /dev/null
+++ b/wigeonscale/placement/seats.py
@@ -0,0 +1,112 @@
+"""Gives rebuilt chains groups of engines that hold their heads and own engines."""
+
+__all__ = ["seat_chains", "split_behind"]
+
+from collections.abc import Sequence
+
+from wigeonscale.placement.bound import kind_of
+from wigeonscale.placement.model import ChainPlan, EngineSpec
+from wigeonscale.placement.rates import split_layers, stage_rate
+
+Group = list[EngineSpec]
+Split = list[tuple[EngineSpec, int]]
+
+
+def seat_chains(
+    groups: Sequence[Group], chains: Sequence[ChainPlan]
+) -> tuple[list[Group], list[Group]] | None:
+    """Give each chain one of the groups, with the chain's head in it.
+
+    Engines of one kind and domain change places, so that chains keep their heads and
+    as many of their own engines as can be.
+
+    Args:
+        groups: More groups than chains; no engine stands twice.
+        chains: Chains that are rebuilt.
+
+    Returns:
+        The chains' groups, in the order of the chains, and the groups left over; None
+        when a head finds no place.
+    """
+    left = [list(group) for group in groups]
+    heads = {chain.stages[0].agent_id for chain in chains}
+    seated = []
+    for chain in chains:
+        group = _seat_head(left, chain.stages[0].agent_id, heads)
+        if group is None:
+            return None
+        left.remove(group)
+        seated.append(group)
+    for chain, group in zip(chains, seated, strict=True):
+        _keep_own(chain, group, [g for g in seated + left if g is not group], heads)
+    return seated, left
+
+
+def _seat_head(groups, head, heads):
+    """Return the group that the head is in or was moved to."""
+    home = next((g for g in groups if any(e.agent_id == head for e in g)), None)
+    if home is None:
+        return None
+    if not any(e.agent_id in heads - {head} for e in home):
+        return home
+    # Two heads met: this one changes places with its like in a group without one.
+    engine = next(e for e in home if e.agent_id == head)
+    for group in groups:
+        likes = [e for e in group if _alike(e, engine)]
+        if likes and not any(e.agent_id in heads for e in group):
+            _swap(home, engine, group, likes[0])
+            return group
+    return None
+
+
+def _keep_own(chain, group, others, heads):
+    own = {stage.agent_id for stage in chain.stages}
+    for engine in [e for e in group if e.agent_id not in own]:
+        for other in others:
+            likes = [
+                e for e in other if e.agent_id in own - heads and _alike(e, engine)
+            ]
+            if likes and engine.agent_id not in heads:
+                _swap(group, engine, other, likes[0])
+                break
+
+
+def _alike(engine, other):
+    return kind_of(engine) == kind_of(other) and engine.domain == other.domain
+
+
+def _swap(group, engine, other_group, other):
+    group[group.index(engine)] = other
+    other_group[other_group.index(other)] = engine
+
+
+def split_behind(
+    head: EngineSpec, group: Sequence[EngineSpec], layers: int, *, stages: int = 0
+) -> Split:
+    """Split a model over a group so that a given engine has the first layers.
+
+    Args:
+        head: Engine that gets the first layers; one of the group.
+        group: Engines that may be used.
+        layers: Number of layers of the model.
+        stages: Exact number of stages; 0 for free choice.
+
+    Returns:
+        Pairs of engine and number of layers, the head first; empty when it does not
+        work out.
+    """
+    rest = [engine for engine in group if engine.agent_id != head.agent_id]
+    options = [split_layers(group, layers, stages=stages)]
+    if stages != 1 and layers > 1:
+        after = split_layers(rest, layers - 1, stages=max(stages - 1, 0))
+        options.append([(head, 1), *after] if after else [])
+    if stages in (0, 1) and head.layer_capacity >= layers:
+        options.append([(head, layers)])
+    able = [o for o in options if any(e.agent_id == head.agent_id for e, _ in o)]
+    best = max(able, key=_rate, default=[])
+    return sorted(best, key=lambda pair: pair[0].agent_id != head.agent_id)
+
+
+def _rate(split):
+    alone = len(split) == 1
+    return min(stage_rate(engine, count, alone=alone) for engine, count in split)
