Keep a server that fails at once from drawing all requests

Cause: the choice takes the least loaded server, and one that fails every request at once has no load. Also, an agent that had said it leaves was passed over for ever after a restart, since its next word comes only once it is used.

Ruled out: leaving it to suspicion, which only looks at silence.

Change: LoadTable counts failures, fading with time and success; Chooser weighs each as two queued requests; Carrier tells them. A leaving word is believed for 10 s (test_leaving_is_believed_for_a_while_only failed before).

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -32,6 +32,7 @@
 STORM_LENGTH_S = 300.0
 STORM_WINDOW_S = 5.0
 CALM_ATTEMPTS = 1.1
+SICK_LOADS = (0.3, 0.6, 0.8)
 # Load and the longest time after the domain's return until it is calm again.
 STORMS = ((0.6, 0.0), (0.75, 15.0), (0.9, 90.0))
 
@@ -43,6 +44,7 @@
         *_guard_figures(),
         *_fairness_figures(),
         *_storm_figures(),
+        *_sick_figures(),
     ]
 
 
@@ -138,6 +140,28 @@
             yield Figure(f"{name}/goodput-at-end", share, "of load", low=low)
 
 
+def _sick_figures() -> Iterator[Figure]:
+    # The first server fails every request at once, so that it never has any load.
+    for load in SICK_LOADS:
+        for own in (True, False):
+            outcome = Run(
+                own=own,
+                loads=_even_loads(load),
+                length_s=LENGTH_S,
+                sick=WARM_UP_S,
+            ).outcome()
+            name = f"sick/{load:g}/{'own' if own else 'plain'}"
+            start = WARM_UP_S + STORM_WINDOW_S
+            attempts = _count(outcome.dispatched_at, start, LENGTH_S) / _count(
+                outcome.asked_at, start, LENGTH_S
+            )
+            high = 1.05 if own else None
+            yield Figure(f"{name}/attempts", attempts, "per request", high=high)
+            goodput = outcome.goodput(start, LENGTH_S) / (load * CAPACITY)
+            low = 0.97 if own else None
+            yield Figure(f"{name}/goodput", goodput, "of load", low=low)
+
+
 def _calm_at(outcome: Outcome) -> float:
     """Return the end of the last window with too many attempts per request."""
     calm_at = 0.0
--- a/bench/overload_run.py
+++ b/bench/overload_run.py
@@ -80,6 +80,8 @@
         loads: What the organisations send.
         length_s: Seconds in which new requests come.
         lost: Start and end of the loss of the last domain, or None.
+        sick: Time from which the first server fails every request at once,
+            or infinity for never.
         knee: Requests at once beyond which a server's throughput falls.
         guarded: Whether concurrency is guarded.
     """
@@ -91,10 +93,12 @@
         loads: Sequence[Load],
         length_s: float,
         lost: tuple[float, float] | None = None,
+        sick: float = math.inf,
         knee: int = SLOTS,
         guarded: bool = False,
     ):
         self._own = own
+        self._sick = sick
         self._knee = knee
         self._guarded = guarded
         self._length_s = length_s
@@ -178,6 +182,11 @@
         self._table.started(f"agent{index}", req.organisation)
         if self._is_lost(index):
             return
+        if index == 0 and self._clock.now() >= self._sick:
+            self._release(req)
+            self._table.failed(f"agent{index}")
+            self._retry_or_refuse(req, 1.0)
+            return
         try:
             self._servers[index].put(req)
         except WigeonscaleError as exc:
@@ -234,6 +243,7 @@
         now = self._clock.now()
         if whole and now <= req.deadline:
             req.ended = True
+            self._table.succeeded(agent_id)
             self._outcome.answered.append((now, req.organisation, now - req.arrived))
 
     def _release(self, req: Request) -> None:
--- a/wigeonscale/dispatch/carrier.py
+++ b/wigeonscale/dispatch/carrier.py
@@ -5,6 +5,7 @@
 from wigeonscale.dispatch.links import AgentLinks
 from wigeonscale.dispatch.stream import DispatchStream
 from wigeonscale.dispatch.targets import AnswerRecord, Target
+from wigeonscale.errors import ErrorKind
 from wigeonscale.routing import LoadTable
 
 
@@ -75,6 +76,15 @@
             stream.cancel()
         stream.leave()
         self._table.finished(stream.target.agent_id, stream.organisation)
+        self._count_outcome(stream)
+
+    def _count_outcome(self, stream: DispatchStream) -> None:
+        agent_id = stream.target.agent_id
+        if stream.done is not None or stream.response is not None:
+            self._table.succeeded(agent_id)
+        elif stream.error is not None:
+            if stream.error.kind is ErrorKind.BACKEND_FAILED:
+                self._table.failed(agent_id)
 
     async def until_begun(self, stream: DispatchStream) -> None:
         """Wait until a dispatch has begun; drop it when it failed before.
--- /dev/null
+++ b/wigeonscale/dispatch/tests/test_carrier.py
@@ -0,0 +1,50 @@
+from types import SimpleNamespace
+
+from wigeonscale.dispatch.carrier import Carrier
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.routing import LoadTable
+from wigeonscale.testing import AsyncTestCase, ManualClock
+
+
+def ended_stream(**kwargs):
+    stream = SimpleNamespace(
+        target=SimpleNamespace(agent_id="a"),
+        organisation="org",
+        counted=False,
+        done=None,
+        response=None,
+        error=None,
+        leave=lambda: None,
+    )
+    vars(stream).update(kwargs)
+    return stream
+
+
+class CarrierTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = LoadTable(clock=ManualClock())
+        links = SimpleNamespace(carry=lambda stream: None)
+        self.carrier = Carrier(links=links, table=self.table)
+
+    def carry_to_end(self, **kwargs):
+        stream = ended_stream(**kwargs)
+        self.carrier.carry(stream)
+        in_flight = self.table.in_flight_of("a", "org")
+        self.carrier.drop(stream)
+        self.carrier.drop(stream)
+        return in_flight
+
+    def test_each_dispatch_is_counted_once_for_its_organisation(self):
+        self.assertEqual(1, self.carry_to_end(done=object()))
+        self.assertEqual(0, self.table.in_flight_of("a", "org"))
+
+    def test_failures_of_the_backend_server_are_told_to_the_choice(self):
+        self.carry_to_end(error=WigeonscaleError(ErrorKind.BACKEND_FAILED, "broke"))
+        self.assertEqual(1.0, self.table.failures("a"))
+        self.carry_to_end(response=object())
+        self.assertLess(self.table.failures("a"), 1.0)
+
+    def test_refusals_are_no_failures(self):
+        self.carry_to_end(error=WigeonscaleError(ErrorKind.OVERLOADED, "full"))
+        self.assertEqual(0.0, self.table.failures("a"))
--- a/wigeonscale/routing/chooser.py
+++ b/wigeonscale/routing/chooser.py
@@ -18,6 +18,7 @@
 # another server has room.
 QUEUED_WEIGHT = 24.0
 LOAD_RATIO_BOUND = 20.0
+FAILURE_WEIGHT = 2.0
 SOFTNESS = 2.0
 SOFT_RANGE = 20.0
 MIN_RATE = 1e-9
@@ -140,6 +141,8 @@
         # of one organisation are better off at different servers.
         own = self._table.in_flight_of(agent_id, organisation) if organisation else 0
         weight = queued + own * min(1.0, queued)
+        # One that fails at once has no load, and must not draw all requests by it.
+        weight += FAILURE_WEIGHT * self._table.failures(agent_id)
         return (requests + QUEUED_WEIGHT * weight) / max(candidate.rate, MIN_RATE)
 
 
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -9,7 +9,7 @@
 
 from wigeonscale.ports import Clock
 
-HISTORY = 512
+HISTORY = 128
 DEFAULT_SERVICE_S = 1.0
 # Slots of an agent that sent no word yet.
 DEFAULT_SLOTS = 32
@@ -18,6 +18,12 @@
 # Memory of the ratio of the others' load to the own.
 RATIO_MEMORY_S = 20.0
 MIN_OWN = 0.1
+# How long an agent that said it leaves is passed over: after a restart it is only
+# heard again once it is used.
+LEAVING_S = 10.0
+FAILURE_DECAY_S = 5.0
+# What is left of the failures after one success.
+SUCCESS_FACTOR = 0.8
 
 
 class LoadWordLike(Protocol):
@@ -37,7 +43,9 @@
     history: deque = field(default_factory=lambda: deque(maxlen=HISTORY))
     slots: int = DEFAULT_SLOTS
     service_s: float = DEFAULT_SERVICE_S
-    leaving: bool = False
+    leaving_until: float = -math.inf
+    failures: float = 0.0
+    failed_at: float = 0.0
     told_at: float | None = None
     others_told: float = 0.0
     others_mean: float = 0.0
@@ -78,6 +86,25 @@
         if counts[organisation] <= 0:
             del counts[organisation]
 
+    def failed(self, agent_id: str) -> None:
+        """Count a dispatch that the agent's backend server failed."""
+        recent = self.failures(agent_id)
+        load = self._load(agent_id)
+        load.failures = recent + 1.0
+        load.failed_at = self._clock.now()
+
+    def succeeded(self, agent_id: str) -> None:
+        """Count a dispatch that was answered whole."""
+        self._load(agent_id).failures *= SUCCESS_FACTOR
+
+    def failures(self, agent_id: str) -> float:
+        """Return the recent failures; they fade with time and with success."""
+        load = self._loads.get(agent_id)
+        if load is None or not load.failures:
+            return 0.0
+        age_s = self._clock.now() - load.failed_at
+        return load.failures * math.exp(-age_s / FAILURE_DECAY_S)
+
     def word(self, agent_id: str, word: LoadWordLike, *, age_s: float = 0.0) -> None:
         """Take in a load word.
 
@@ -87,11 +114,12 @@
             age_s: Seconds since the load was as told.
         """
         load = self._load(agent_id)
+        now = self._clock.now()
         load.slots = max(1, word.slots)
-        load.leaving = word.leaving
+        load.leaving_until = now + LEAVING_S if word.leaving else -math.inf
         if word.queued > 0 and word.wait_s > 0.0:
             load.service_s = word.wait_s * load.slots / word.queued
-        told_at = self._clock.now() - age_s
+        told_at = now - age_s
         if load.told_at is not None and told_at < load.told_at:
             return
         own = _in_flight_at(load, told_at)
@@ -120,9 +148,9 @@
         return load.slots if load else DEFAULT_SLOTS
 
     def leaving(self, agent_id: str) -> bool:
-        """Return whether the agent said that it takes no new work."""
+        """Return whether the agent said lately that it takes no new work."""
         load = self._loads.get(agent_id)
-        return load is not None and load.leaving
+        return load is not None and self._clock.now() < load.leaving_until
 
     def in_flight(self, agent_id: str) -> int:
         """Return this entry's own dispatches in progress at the agent."""
--- a/wigeonscale/routing/tests/test_chooser.py
+++ b/wigeonscale/routing/tests/test_chooser.py
@@ -119,6 +119,12 @@
         chosen = self.choices(candidates, organisation="org")
         self.assertEqual({"agent1"}, set(chosen))
 
+    def test_server_that_fails_at_once_does_not_draw_the_requests(self):
+        candidates = candidates_of(2)
+        self.load("agent0", 7)
+        self.table.failed("agent1")
+        self.assertEqual({"agent0"}, set(self.choices(candidates)))
+
     def test_leaving_agent_is_not_chosen(self):
         word = SimpleNamespace(running=0, queued=0, slots=4, wait_s=0.0, leaving=True)
         self.table.word("agent0", word)
--- a/wigeonscale/routing/tests/test_load.py
+++ b/wigeonscale/routing/tests/test_load.py
@@ -69,6 +69,26 @@
         self.table.word("a", load_word(running=9), age_s=2.0)
         self.assertEqual(3, self.table.backlog("a"))
 
+    async def test_failures_fade_with_time_and_with_success(self):
+        for _ in range(3):
+            self.table.failed("a")
+        self.assertAlmostEqual(3.0, self.table.failures("a"))
+        await self.clock.advance(30.0)
+        self.assertLess(self.table.failures("a"), 0.1)
+        for _ in range(3):
+            self.table.failed("a")
+        for _ in range(20):
+            self.table.succeeded("a")
+        self.assertLess(self.table.failures("a"), 0.1)
+
+    async def test_leaving_is_believed_for_a_while_only(self):
+        # A restarted agent tells otherwise only once it is used again.
+        self.table.word("a", load_word(leaving=True))
+        await self.clock.advance(5.0)
+        self.assertTrue(self.table.leaving("a"))
+        await self.clock.advance(6.0)
+        self.assertFalse(self.table.leaving("a"))
+
     def test_leaving_and_forget(self):
         self.table.word("a", load_word(leaving=True))
         self.assertTrue(self.table.leaving("a"))
