Hold the lock until a peer's higher term is durable

Cause (failed first: the new test with a slow disk): a pre-vote won by one peer's answer cancelled the taking up of another peer's higher term while the term was being written; the lock fell free, the campaign went on from the term before, the storage refused a falling term and the replica ended. Ruled out: weakening the refusal; it is what kept the term from falling. Change: taking up a term runs to its end, as writes and handlers did already; the three copies of that are one function, run_to_end.

--- a/wigeonscale/replication/election.py
+++ b/wigeonscale/replication/election.py
@@ -19,7 +19,7 @@
 from wigeonscale.replication.model import EntryKind, Role
 from wigeonscale.replication.state import PeerState, ReplicaState
 from wigeonscale.replication.voters import quorum_size
-from wigeonscale.replication.waiting import within
+from wigeonscale.replication.waiting import run_to_end, within
 from wigeonscale.wire import wire_pb2 as wire
 
 JITTER = 0.5  # share of the election timeout added at random
@@ -58,10 +58,19 @@
 
 
 async def adopt_term_of_reply(core: ReplicaState, term: int) -> None:
-    """Follow the term of a peer's reply when it is higher."""
+    """Follow the term of a peer's reply when it is higher.
+
+    Notes:
+        Goes on when the caller is cancelled: the lock must be held until the term
+        is durable, or another task would begin from the term before.
+    """
     if core.term < term <= MAX_TERM:
-        async with core.lock:
-            await adopt_term(core, term)
+        await run_to_end(core.running, _adopt_with_lock(core, term))
+
+
+async def _adopt_with_lock(core, term):
+    async with core.lock:
+        await adopt_term(core, term)
 
 
 def check_term(term: int) -> None:
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -35,6 +35,7 @@
 from wigeonscale.replication.replicate import run_peer
 from wigeonscale.replication.state import ReplicaState
 from wigeonscale.replication.storage import LogStorage
+from wigeonscale.replication.waiting import run_to_end
 from wigeonscale.wire import wire_pb2 as wire
 
 MAX_WAITING = 4096  # proposals without an outcome
@@ -98,7 +99,6 @@
         self.on_applied = self._core.on_applied
         self._loaded = asyncio.Event()
         self._stopped = False
-        self._handling: set[asyncio.Task] = set()
         self._failure: asyncio.Future | None = None
 
     async def run(self) -> None:
@@ -256,10 +256,7 @@
             raise WigeonscaleError(
                 ErrorKind.STOPPING, f"replica {self._core.node_id} has stopped"
             )
-        task = asyncio.create_task(self._when_loaded(handler, req))
-        self._handling.add(task)
-        task.add_done_callback(self._handling.discard)
-        return await asyncio.shield(task)
+        return await run_to_end(self._core.running, self._when_loaded(handler, req))
 
     async def _when_loaded(self, handler, req):
         await self._loaded.wait()
@@ -290,9 +287,10 @@
         core = self._core
         self._stopped = True
         step_down(core, "it stops")
-        for task in list(self._handling):
+        running = list(core.running)
+        for task in running:
             task.cancel()
-        await asyncio.gather(*self._handling, return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
         for peer in core.peers.values():
             await peer.link.reset()
         await core.storage.close()
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -126,6 +126,7 @@
         self.peers: dict[str, PeerState] = {}
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
         self.incoming: tuple[int, int, bytearray] | None = None
+        self.running: set[asyncio.Task] = set()  # what no cancel cuts short
         self.unsynced = asyncio.Event()
         self.snapshot_due = asyncio.Event()
         self.on_applied: Subject = Subject()
--- a/wigeonscale/replication/storage.py
+++ b/wigeonscale/replication/storage.py
@@ -28,6 +28,7 @@
 from wigeonscale.replication.folder import Folder
 from wigeonscale.replication.model import EntryKind
 from wigeonscale.replication.records import encode_record
+from wigeonscale.replication.waiting import run_to_end
 from wigeonscale.wire import wire_pb2 as wire
 
 DAMAGED_SUFFIX = ".damaged"
@@ -182,11 +183,7 @@
         self._folder.close()
 
     async def _finish(self, write: Coroutine):
-        """Run one write to its end, also when the caller is cancelled."""
-        task = asyncio.create_task(self._run_in_order(write))
-        self._writes.add(task)
-        task.add_done_callback(self._writes.discard)
-        await asyncio.shield(task)
+        await run_to_end(self._writes, self._run_in_order(write))
 
     async def _run_in_order(self, write):
         async with self._write_lock:
--- a/wigeonscale/replication/tests/test_election.py
+++ b/wigeonscale/replication/tests/test_election.py
@@ -5,6 +5,16 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 
+class Replier:
+    """A peer of which only the term is known."""
+
+    def __init__(self, *, term):
+        self._term = term
+
+    async def handle_vote(self, req):
+        return wire.VoteReply(node_id="x", term=self._term)
+
+
 class VoteTest(ClusterCase):
     async def prepare(self):
         await super().prepare()
@@ -86,6 +96,30 @@
         self.assertTrue(self.cluster.replicas[heard[0]].term >= 50)
 
 
+class SlowDiskTest(ClusterCase):
+    async def test_higher_term_being_saved_when_the_pre_vote_is_won(self):
+        ahead = self.leader
+        await self.cluster.stop(ahead)
+        self.cluster.network.replicas[ahead] = Replier(term=50)
+        candidates = []
+
+        async def hang(sender, receiver, req):
+            candidates.append(sender)
+            self.cluster.folders[candidates[0]].writable.clear()
+            if receiver != ahead:
+                await self.cluster.clock.sleep(0.01)
+
+        self.cluster.network.before_vote = hang
+        await self.cluster.until(lambda: candidates)
+        name = candidates[0]
+        await self.cluster.clock.advance(0.02)
+        self.cluster.network.before_vote = None
+        self.cluster.folders[name].writable.set()
+        await self.cluster.clock.advance(0.1)
+        self.assertFalse(self.cluster.tasks[name].done())
+        self.assertTrue(self.cluster.replicas[name].term >= 50)
+
+
 class OwnTermTest(ClusterCase):
     """A new leader whose own first entry has not reached anybody."""
 
@@ -130,13 +164,9 @@
 
 class FormerVoteTest(AsyncTestCase):
     async def test_term_of_a_vote_forgotten_at_first_start_is_passed_over(self):
-        class Voted:
-            async def handle_vote(self, req):
-                return wire.VoteReply(node_id="x", term=3)
-
         cluster = Cluster()
         self.addCleanup(cluster.stop)
-        cluster.network.replicas.update(b=Voted(), c=Voted())
+        cluster.network.replicas.update(b=Replier(term=3), c=Replier(term=3))
         cluster.start("a")
         await cluster.until(lambda: cluster.replicas["a"].may_vote)
         reply = await cluster.replicas["a"].handle_vote(
--- a/wigeonscale/replication/waiting.py
+++ b/wigeonscale/replication/waiting.py
@@ -1,6 +1,6 @@
-"""Waiting with a limit that the clock port measures."""
+"""Waiting with a limit, and work that a cancelled caller must not cut short."""
 
-__all__ = ["within"]
+__all__ = ["run_to_end", "within"]
 
 import asyncio
 from collections.abc import Coroutine
@@ -37,3 +37,19 @@
         task.cancel()
         timer.cancel()
         await asyncio.gather(task, timer, return_exceptions=True)
+
+
+async def run_to_end(running: set[asyncio.Task], coro: Coroutine) -> object:
+    """Await a coroutine that goes on when the caller is cancelled.
+
+    Args:
+        running: Holds the task until it is done, so that its owner can wait.
+        coro: What to run.
+
+    Returns:
+        The coroutine's result.
+    """
+    task = asyncio.create_task(coro)
+    running.add(task)
+    task.add_done_callback(running.discard)
+    return await asyncio.shield(task)
