--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -17,7 +17,7 @@
 )
 from wigeonscale.entry import CallerServer, EntryLimits, EntryService, MemberPlaces
 from wigeonscale.limits import OrganisationLimits
-from wigeonscale.membership import ControlClient
+from wigeonscale.membership import Change, ControlClient
 from wigeonscale.ports import Clock, SystemClock
 from wigeonscale.reports import BurnRecorder, burn_routes
 from wigeonscale.routing import Chooser, LoadTable, RetryBudget
@@ -49,6 +49,9 @@
         heartbeat_s=cfg.heartbeat_s,
     )
     entry = build_entry(cfg, control=control, clock=clock)
+    control.changes.subscribe(
+        lambda change: entry.leave_lost_chains() if change is Change.MEMBERS else None
+    )
     server = CallerServer(entry=entry, address=cfg.listen)
     pages = await start_http(cfg.http, burn_routes(entry.recorder), entry.is_ready)
     try:
--- a/wigeonscale/dispatch/__init__.py
+++ b/wigeonscale/dispatch/__init__.py
@@ -9,6 +9,7 @@
     "Claims",
     "DispatchStream",
     "Dispatcher",
+    "Place",
     "Places",
     "SilenceLimits",
     "Target",
@@ -19,7 +20,7 @@
 from wigeonscale.dispatch.answer import Answer
 from wigeonscale.dispatch.attempts import Dispatcher
 from wigeonscale.dispatch.carrier import Carrier
-from wigeonscale.dispatch.claims import Claims, Places
+from wigeonscale.dispatch.claims import Claims, Place, Places
 from wigeonscale.dispatch.failures import AgentGoneError
 from wigeonscale.dispatch.links import AgentLinks
 from wigeonscale.dispatch.silence import SilenceLimits
--- a/wigeonscale/dispatch/attempts.py
+++ b/wigeonscale/dispatch/attempts.py
@@ -7,7 +7,7 @@
 from wigeonscale.adapters import METRICS
 from wigeonscale.dispatch.answer import Answer
 from wigeonscale.dispatch.carrier import Carrier
-from wigeonscale.dispatch.claims import Claims, Places
+from wigeonscale.dispatch.claims import Claims, Place, Places
 from wigeonscale.dispatch.retries import (
     honest_error,
     is_sealed_by_other,
@@ -24,6 +24,8 @@
 
 DEFAULT_RETRY_AFTER_S = 1.0
 NO_LIMIT_S = 86400.0
+REPAIR_WAIT_S = 10.0
+REPAIR_LOOK_INTERVAL_S = 0.05
 
 
 class Dispatcher:
@@ -36,6 +38,8 @@
         budget: Budget of retries.
         clock: Clock port.
         open_timeout_s: Longest wait for a dispatch to be accepted, in seconds.
+        repair_wait_s: Longest wait of work in progress for a place to go on, in
+            seconds. New work is refused at once instead.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         budget: RetryBudget,
         clock: Clock,
         open_timeout_s: float = 5.0,
+        repair_wait_s: float = REPAIR_WAIT_S,
     ):
         self._carrier = carrier
         self._places = places
@@ -54,6 +59,7 @@
         self._budget = budget
         self._clock = clock
         self._open_timeout_s = open_timeout_s
+        self._repair_wait_s = repair_wait_s
 
     async def start(self, work: Work) -> Answer:
         """Dispatch work and return once its answer has begun.
@@ -110,6 +116,8 @@
                     break
                 METRICS.retries.add(kind=refusal.kind)
             place = self._places.choose(work, avoid)
+            if place is None and work.repeatable and ran is not RunState.NOT_RUN:
+                place = await self._wait_for_place(work)
             if place is None:
                 break
             try:
@@ -125,6 +133,17 @@
         refusal.run_state = ran
         raise honest_error(refusal, once=work.once)
 
+    async def _wait_for_place(self, work: Work) -> Place | None:
+        """Wait for the repair of what was lost under work in progress."""
+        end = min(work.deadline, self._clock.now() + self._repair_wait_s)
+        while self._clock.now() < end:
+            # A new incarnation of an agent that failed is as good as any.
+            place = self._places.choose(work, frozenset())
+            if place is not None:
+                return place
+            await self._clock.sleep(REPAIR_LOOK_INTERVAL_S)
+        return None
+
     async def _no_place(self, work: Work) -> WigeonscaleError:
         if work.once:
             await self._claims.check_free(work)
--- a/wigeonscale/dispatch/claims.py
+++ b/wigeonscale/dispatch/claims.py
@@ -1,6 +1,6 @@
 """Claims of work that must not run twice, committed before its dispatch."""
 
-__all__ = ["Claims", "Places"]
+__all__ = ["Claims", "Place", "Places"]
 
 import asyncio
 import logging
@@ -27,12 +27,14 @@
 NO_DISPATCH = "none"
 
 
+# An agent, and the chain that it heads if it heads one.
+Place = tuple[Target, wire.Chain | None]
+
+
 class Places(Protocol):
     """Where work can go, as the control replicas tell."""
 
-    def choose(
-        self, work: Work, avoid: frozenset[str]
-    ) -> tuple[Target, wire.Chain | None] | None:
+    def choose(self, work: Work, avoid: frozenset[str]) -> Place | None:
         """Return an agent, and the chain it heads, or None."""
 
     def is_current(self, agent_id: str, incarnation: int) -> bool:
--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -76,6 +76,13 @@
         self._waiter: asyncio.Future | None = None
         self._sink: Sink | None = None
 
+    @property
+    def chain_id(self) -> str:
+        """Chain of a generation that may be moved to another; else empty."""
+        if self.opening is None or self.opening.once:
+            return ""
+        return self.opening.generate.chain.chain_id
+
     @property
     def ended(self) -> bool:
         """Whether nothing more will come."""
@@ -290,6 +297,12 @@
             self.link.send(wire.DispatchRequest(cancel=cancel))
         self.leave()
 
+    def give_up(self, error: WigeonscaleError) -> None:
+        """Stop the work at the agent; the reader goes on elsewhere or tells why."""
+        if not self.ended:
+            self.cancel()
+            self.fail(error)
+
     def leave(self) -> None:
         """Hear no more of this dispatch; the agent is not told."""
         self.link.remove(self)
--- a/wigeonscale/entry/places.py
+++ b/wigeonscale/entry/places.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from wigeonscale.dispatch import Target, Work
+from wigeonscale.dispatch import Place, Target, Work
 from wigeonscale.membership import MembersView
 from wigeonscale.ports import Clock
 from wigeonscale.routing import Candidate, Chooser
@@ -13,8 +13,6 @@
 # Control decides within seconds whether an agent that gave no answer is gone.
 AVOID_GONE_S = 5.0
 
-Place = tuple[Target, wire.Chain | None]
-
 
 class MemberPlaces:
     """Chooses among the members that are ready for a piece of work.
--- a/wigeonscale/entry/service.py
+++ b/wigeonscale/entry/service.py
@@ -6,10 +6,17 @@
 from dataclasses import dataclass
 
 from wigeonscale.adapters import METRICS
-from wigeonscale.dispatch import AgentLinks, Answer, Claims, Dispatcher
+from wigeonscale.dispatch import (
+    AgentLinks,
+    Answer,
+    Claims,
+    Dispatcher,
+    DispatchStream,
+    Work,
+)
 from wigeonscale.dispatch.failures import EntryStoppingError
 from wigeonscale.entry.places import MemberPlaces
-from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.limits import OrganisationLimits
 from wigeonscale.membership import ControlClient
 from wigeonscale.ports import Clock
@@ -132,6 +139,24 @@
         for stream in self._links.streams():
             stream.fail(EntryStoppingError(stream.dispatch_id))
 
+    def leave_lost_chains(self) -> None:
+        """Move generations off chains that were given up, where others stand."""
+        chains = self.control.members.chains
+        for stream in self._links.streams():
+            chain_id = stream.chain_id
+            if chain_id and chain_id not in chains and self._has_other(stream):
+                message = f"chain {chain_id} was given up"
+                stream.give_up(
+                    WigeonscaleError(
+                        ErrorKind.BACKEND_FAILED, message, run_state=RunState.RAN
+                    )
+                )
+
+    def _has_other(self, stream: DispatchStream) -> bool:
+        pipeline = stream.opening.generate.chain.pipeline
+        work = Work(organisation=stream.organisation, pipeline=pipeline)
+        return self.places.choose(work, frozenset({stream.target.agent_id})) is not None
+
     # ------------------------------------------------- callers that have vanished
 
     def abandon_later(self, answer: Answer) -> None:
--- a/wigeonscale/entry/tests/support.py
+++ b/wigeonscale/entry/tests/support.py
@@ -2,6 +2,7 @@
 
 __all__ = ["EntryCase", "FakeControl", "KEY", "RULES", "read_events", "texts_of"]
 
+import asyncio
 import json
 
 import aiohttp
@@ -65,6 +66,7 @@
         self.ruleset = Ruleset.from_document(self.document)
         self.members = MembersView()
         self.suspected: list[str] = []
+        self.suspicion = asyncio.Event()
         self.claims: dict[tuple[str, str], wire.ClaimRecord] = {}
         self.lease = True
 
@@ -75,6 +77,7 @@
     def suspect(self, agent_id: str, incarnation: int) -> None:
         """Note a suspicion."""
         self.suspected.append(agent_id)
+        self.suspicion.set()
 
     async def submit(self, command, timeout_s=3.0) -> wire.CommandResult:
         """Carry out a claim or an outcome."""
--- a/wigeonscale/entry/tests/test_failures.py
+++ b/wigeonscale/entry/tests/test_failures.py
@@ -42,6 +42,7 @@
         self.assertEqual(["a1"], self.control.suspected)
 
     async def test_lost_agent_without_another_ends_by_an_honest_error(self):
+        self.entry.dispatcher._repair_wait_s = 0.0
         answer = await self.begin_stream(self.agent)
         await self.agent.stop()
         events = await read_events(answer)
@@ -50,6 +51,29 @@
         self.assertEqual(ErrorKind.NO_BACKEND, error["kind"])
         self.assertEqual("ran", error["run"])
 
+    async def test_stream_whose_agent_is_lost_waits_for_the_repair(self):
+        answer = await self.begin_stream(self.agent)
+        await self.agent.stop()
+        async with asyncio.timeout(30):
+            await self.control.suspicion.wait()
+        other = await self.start_agent("a2")
+        self.assertEqual(list(WORDS[3:]), texts_of(await read_events(answer)))
+        self.assertEqual(1, len(other.opened))
+
+    async def test_generation_leaves_a_chain_that_was_given_up(self):
+        answer = await self.begin_stream(self.agent)
+        members = self.control.members
+        given_up = wire.MembersUpdate(
+            index=members.index + 1, removed_chains=["chain-a1"]
+        )
+        members.apply(given_up)
+        self.entry.leave_lost_chains()
+        self.assertNotIn("cancel", self.agent.names())
+        await self.start_agent("a2")
+        self.entry.leave_lost_chains()
+        self.assertEqual(list(WORDS[3:]), texts_of(await read_events(answer)))
+        await self.agent.until(lambda agent: "cancel" in agent.names())
+
     async def test_gap_doubled_and_foreign_tokens_are_mended_or_dropped(self):
         answer = await self.begin_stream(self.agent)
         dispatch_id = self.agent.opened[0]
