Let announcements settle before new chains; spare serving chains

Cause: chains were planned from the first engines that had announced. More engines then sat idle, or chains that had just loaded had to be rebuilt. Chains that serve are rebuilt for missing replicas only after 10 s in which no engine came or went, so that an agent that restarts costs no reload, and only where the replicas together pass 0.9 of the rate before. plan_chains takes load_new and rebuild_serving.

--- a/wigeonscale/control/placement_loop.py
+++ b/wigeonscale/control/placement_loop.py
@@ -13,6 +13,7 @@
     place_command,
     plan_placement,
 )
+from wigeonscale.control.settling import Settling
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.replication import Replica, Role
@@ -35,6 +36,11 @@
         commands: Way of commands to the log.
         clock: Clock port.
         spares: Engines of each model kept out of new chains, for repairs.
+        domain_share: New chains stay inside one failure domain each when they so pass
+            at least this share of what they pass across domains.
+        settle_s: Seconds without a new engine before new chains are made.
+        rebuild_after_s: Seconds in which no engine came or went before chains that
+            serve are rebuilt for the sake of missing replicas.
     """
 
     def __init__(
@@ -46,14 +52,20 @@
         commands: Commands,
         clock: Clock,
         spares: int = 0,
+        domain_share: float = 0.93,
+        settle_s: float = 0.5,
+        rebuild_after_s: float = 10.0,
     ):
         self._state = state
         self._replica = replica
         self._hub = hub
         self._commands = commands
         self._clock = clock
-        self._spares = spares
-        self._planned_at = (0, 0)
+        self._options = {"spares": spares, "domain_share": domain_share}
+        self._settling = Settling(
+            clock=clock, settle_s=settle_s, rebuild_after_s=rebuild_after_s
+        )
+        self._planned_from: tuple | None = None
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
@@ -82,26 +94,34 @@
             self._wake.set()
 
     async def _plan_once(self):
-        position = (self._replica.term, self._state.index)
-        leading = self._replica.role is Role.LEADER
-        if not leading or not self._hub.is_fresh() or position == self._planned_at:
+        if self._replica.role is not Role.LEADER or not self._hub.is_fresh():
+            return
+        index = self._state.index
+        engines = engine_specs(self._state)
+        self._settling.observe(engines)
+        options = self._options | {
+            "load_new": self._settling.may_load(),
+            "rebuild_serving": self._settling.may_rebuild(),
+        }
+        planned_from = (self._replica.term, index, options)
+        if planned_from == self._planned_from:
             return
         base_index = self._state.placement_index
         pipelines = tuple(self._state.configuration.document.pipelines.values())
-        # In a thread: a plan of thousands of engines would delay heartbeats.
         standing = self._state.chains.planned()
+        # In a thread: a plan of thousands of engines would delay heartbeats.
         plan = await asyncio.to_thread(
             plan_placement,
             pipelines=pipelines,
-            engines=engine_specs(self._state),
+            engines=engines,
             chains=[chain_plan(chain) for chain in standing],
-            spares=self._spares,
-            base_index=position[1],
+            base_index=index,
+            **options,
         )
         command = place_command(plan, standing, pipelines, base_index)
         if command.place.chains or command.place.removed:
             await self._commands.submit(command)
-        self._planned_at = position
+        self._planned_from = planned_from
 
     async def _note_refusal(self, exc):
         if exc.kind not in (ErrorKind.REVISION_CONFLICT, ErrorKind.NOT_LEADER):
--- a/wigeonscale/control/planning.py
+++ b/wigeonscale/control/planning.py
@@ -3,6 +3,7 @@
 __all__ = ["chain_plan", "engine_specs", "place_command", "plan_placement"]
 
 from collections.abc import Sequence
+from typing import Any
 
 from wigeonscale.placement import (
     ChainPlan,
@@ -22,8 +23,8 @@
     pipelines: Sequence[Pipeline],
     engines: Sequence[EngineSpec],
     chains: Sequence[ChainPlan],
-    spares: int,
     base_index: int,
+    **options: Any,
 ) -> Plan:
     """Plan chains; first give each draining stage a free engine in its place.
 
@@ -35,8 +36,8 @@
         pipelines: Pipelines wanted.
         engines: Announced engines.
         chains: Chains as they were last planned.
-        spares: Engines of each model kept out of new chains.
         base_index: Log index of the input; makes new chain ids unique.
+        options: Passed on to :func:`plan_chains`.
 
     Returns:
         The plan. Its ``changed`` may miss chains whose draining stage was replaced;
@@ -48,8 +49,8 @@
         pipelines=pipelines,
         engines=engines,
         chains=replaced,
-        spares=spares,
         base_index=base_index,
+        **options,
     )
 
 
--- a/wigeonscale/placement/fresh.py
+++ b/wigeonscale/placement/fresh.py
@@ -25,6 +25,7 @@
     free: Sequence[EngineSpec],
     spares: int,
     search: Search,
+    load_new: bool = True,
 ) -> list[ChainPlan]:
     """Return new chains of one model, without ids.
 
@@ -38,6 +39,7 @@
         free: Engines of that model in no chain, none of them draining.
         spares: Engines to keep free where the chains wanted do not need them.
         search: How to search for partitions.
+        load_new: Whether chains may be made whose engines have to load.
 
     Returns:
         Chains with an empty ``chain_id`` and epoch 1.
@@ -52,7 +54,7 @@
         shapes.values(), _share_engines(free, weights), strict=True
     ):
         kept = -(-spares // len(shapes))
-        chains += _chains_of_shape(group, missing, share, kept, search)
+        chains += _chains_of_shape(group, missing, share, kept, search, load_new)
     return chains
 
 
@@ -66,9 +68,12 @@
     return shares
 
 
-def _chains_of_shape(pipelines, missing, free, spares, search):
+def _chains_of_shape(pipelines, missing, free, spares, search, load_new):
     wanted = sum(missing[pipeline.name] for pipeline in pipelines)
     splits = []
+    if not load_new:
+        splits = _loaded_splits(pipelines[0], free, wanted)
+        return chains_of_splits(splits, pipelines, missing)
     # A chain that serves is worth more than a spare that waits.
     for kept in range(min(spares, len(free)), -1, -1):
         offered = _without_spares(free, kept)
@@ -110,23 +115,27 @@
 def _splits(pipeline, engines, wanted, search):
     """Return the stages of each new chain as pairs of engine and number of layers."""
     fresh = _fresh_splits(pipeline, engines, wanted, search)
-    loaded = loaded_groups(
-        engines, layers=pipeline.layers, chains=wanted, stages=pipeline.stages
-    )
-    if not loaded:
+    reused = _loaded_splits(pipeline, engines, wanted)
+    if not reused:
         return fresh
-    used = {engine.agent_id for group in loaded for engine in group}
+    used = {engine.agent_id for split in reused for engine, _ in split}
     rest = [engine for engine in engines if engine.agent_id not in used]
-    reused = [
-        [(engine, engine.last_layer - engine.first_layer + 1) for engine in group]
-        for group in loaded
-    ]
     reused += _fresh_splits(pipeline, rest, wanted - len(reused), search)
     enough = REUSE_SHARE * sum(_rate(split) for split in fresh)
     worth_it = sum(_rate(split) for split in reused) >= enough
     return reused if worth_it and len(reused) >= len(fresh) else fresh
 
 
+def _loaded_splits(pipeline, engines, wanted):
+    groups = loaded_groups(
+        engines, layers=pipeline.layers, chains=wanted, stages=pipeline.stages
+    )
+    return [
+        [(engine, engine.last_layer - engine.first_layer + 1) for engine in group]
+        for group in groups
+    ]
+
+
 def _fresh_splits(pipeline, engines, wanted, search):
     groups = partition_engines(
         engines,
--- a/wigeonscale/placement/planner.py
+++ b/wigeonscale/placement/planner.py
@@ -25,11 +25,14 @@
     spares: int = 0,
     base_index: int = 0,
     domain_share: float = FULL_SEARCH.domain_share,
+    load_new: bool = True,
+    rebuild_serving: bool = True,
 ) -> Plan:
     """Return the chains that shall stand, given those that stand now.
 
-    Healthy chains stay as they are. A chain that lost a stage (its engine is gone or
-    has another incarnation) gets a spare for that stage in a higher epoch. A chain
+    Healthy chains stay as they are, unless rebuilding one, id and head kept, makes a
+    replica more (:func:`regroup_chains`). A chain that lost a stage (its engine is gone
+    or has another incarnation) gets a spare for that stage in a higher epoch. A chain
     that cannot be repaired is removed. A chain with a draining stage stays until that
     engine is gone, so that work in progress can finish, but no longer counts towards
     the replicas wanted; callers of the plan must give such a chain no new work.
@@ -43,6 +46,10 @@
             no id is ever used twice. Must grow between calls whose plans are used.
         domain_share: New chains stay inside one failure domain each when they so pass
             at least this share of what they pass across domains; 0 for always.
+        load_new: Whether to make new chains whose engines have to load. When not,
+            chains are repaired, and made of engines that hold their layers.
+        rebuild_serving: Whether chains that serve may be rebuilt so that replicas
+            that are missing can be made.
 
     Returns:
         The plan; equal input gives an equal plan, and planning again with the plan's
@@ -62,9 +69,12 @@
     standing = _drop_surplus(standing, by_name, by_id)
     search = FULL_SEARCH if len(engines) <= FULL_SEARCH_ENGINES else QUICK_SEARCH
     search = replace(search, domain_share=domain_share)
-    standing = _add_missing(standing, pipelines, by_id, spares, search)
+    standing = _add_missing(standing, pipelines, by_id, spares, search, load_new)
     standing = _name_chains(standing, base_index)
-    standing = _regroup(standing, pipelines, by_id, search, base_index)
+    if load_new:
+        standing = _regroup(
+            standing, pipelines, by_id, search, base_index, rebuild_serving
+        )
     return _compare(chains, standing)
 
 
@@ -88,7 +98,7 @@
     return [chain for chain in chains if chain.chain_id not in surplus]
 
 
-def _add_missing(standing, pipelines, by_id, spares, search):
+def _add_missing(standing, pipelines, by_id, spares, search, load_new):
     """Return the standing chains and new ones, which have no ids yet."""
     missing = _missing(standing, pipelines, by_id)
     free = _free_by_model(standing, by_id)
@@ -101,6 +111,7 @@
                 free=list(free[model].values()),
                 spares=spares,
                 search=search,
+                load_new=load_new,
             )
             if not found:
                 break
@@ -119,7 +130,7 @@
     return {p.name: p.replicas - serving[p.name] for p in pipelines}
 
 
-def _regroup(chains, pipelines, by_id, search, base_index):
+def _regroup(chains, pipelines, by_id, search, base_index, rebuild_serving):
     """Rebuild chains until no more replicas come of it for now."""
     shapes = defaultdict(list)
     for pipeline in pipelines:
@@ -132,6 +143,7 @@
                 pipelines=group,
                 engines=by_id,
                 search=search,
+                rebuild_serving=rebuild_serving,
             )
             if step is None:
                 break
--- a/wigeonscale/placement/regroup.py
+++ b/wigeonscale/placement/regroup.py
@@ -19,6 +19,9 @@
 SEVERAL_TRIES = 4
 # Most engines of one partition; bounds the cost of a plan.
 POOL_LIMIT = 256
+# A chain that serves is not rebuilt for replicas that together pass less than this
+# share of what the chains passed before.
+KEPT_RATE = 0.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,27 +38,35 @@
     added: tuple[ChainPlan, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class _Task:
     """What stays the same for every selection of chains of one region."""
 
     pipelines: Sequence[Pipeline]
     missing: Mapping[str, int]
     engines: Mapping[str, EngineSpec]
-    free: Sequence[EngineSpec]
-    chains: Sequence[ChainPlan]  # those that may be rebuilt
-    waiting: frozenset[str]  # pipelines with a chain that does not serve yet
     search: Search
+    rebuild_serving: bool
+    free: Sequence[EngineSpec] = ()
+    chains: Sequence[ChainPlan] = ()  # those that may be rebuilt
+    waiting: frozenset[str] = frozenset()  # pipelines with a chain that loads
 
     @property
-    def shape(self):
+    def shape(self) -> Pipeline:
         return self.pipelines[0]
 
-    def pool(self, chosen):
-        own = [self.engines[s.agent_id] for chain in chosen for s in chain.stages]
+    @property
+    def names(self) -> set[str]:
+        return {pipeline.name for pipeline in self.pipelines}
+
+    def own_engines(self, chain: ChainPlan) -> list[EngineSpec]:
+        return [self.engines[stage.agent_id] for stage in chain.stages]
+
+    def pool(self, chosen: Sequence[ChainPlan]) -> list[EngineSpec]:
+        own = [engine for chain in chosen for engine in self.own_engines(chain)]
         return own + list(self.free)
 
-    def serves(self, chain):
+    def serves(self, chain: ChainPlan) -> bool:
         return all(_holds(self.engines[s.agent_id], s) for s in chain.stages)
 
 
@@ -66,6 +77,7 @@
     pipelines: Sequence[Pipeline],
     engines: Mapping[str, EngineSpec],
     search: Search,
+    rebuild_serving: bool = True,
 ) -> Regrouping | None:
     """Return the next step that leads to one chain more, or None.
 
@@ -81,6 +93,7 @@
         pipelines: Every pipeline of one model, number of layers and number of stages.
         engines: Every announced engine by agent id.
         search: How to search for partitions.
+        rebuild_serving: Whether chains that serve may be rebuilt at all.
 
     Returns:
         The step; None when no more chains can be made, or when the chains to rebuild
@@ -92,38 +105,45 @@
         chain and the free engines, and ``SEVERAL_TRIES`` of at most ``POOL_LIMIT``
         engines, for each region; none when memory is short.
     """
-    for task in _tasks(chains, missing, pipelines, engines, search):
-        for chosen in _selections(task):
-            step = _regroup(task, chosen)
+    task = _Task(
+        pipelines=pipelines,
+        missing=missing,
+        engines=engines,
+        search=search,
+        rebuild_serving=rebuild_serving,
+    )
+    for part in _by_region(task, chains):
+        for chosen in _selections(part):
+            step = _regroup(part, chosen)
             if step is not None:
                 return step
     return None
 
 
-def _tasks(chains, missing, pipelines, engines, search) -> Iterator[_Task]:
-    names = {pipeline.name for pipeline in pipelines}
+def _by_region(task, chains) -> Iterator[_Task]:
     used = {stage.agent_id for chain in chains for stage in chain.stages}
     free = defaultdict(list)
-    for agent_id, engine in engines.items():
-        usable = engine.is_usable and engine.model == pipelines[0].model
+    for agent_id, engine in task.engines.items():
+        usable = engine.is_usable and engine.model == task.shape.model
         if usable and agent_id not in used:
             free[engine.region].append(engine)
-    own = [chain for chain in chains if chain.pipeline in names]
+    own = [chain for chain in chains if chain.pipeline in task.names]
     standing = defaultdict(list)
     for chain in own:
-        stages = [engines[stage.agent_id] for stage in chain.stages]
+        stages = task.own_engines(chain)
         # A changed announcement may have left the chain across regions.
         alike = len({engine.region for engine in stages}) == 1
         if alike and all(engine.is_usable for engine in stages):
             standing[stages[0].region].append(chain)
-    waiting = frozenset(
+    waiting = {
         chain.pipeline
         for chain in own
-        if not is_leaving(chain, engines)
-        and not all(_holds(engines[s.agent_id], s) for s in chain.stages)
-    )
+        if not is_leaving(chain, task.engines) and not task.serves(chain)
+    }
     for region, members in sorted(standing.items()):
-        yield _Task(pipelines, missing, engines, free[region], members, waiting, search)
+        yield replace(
+            task, free=free[region], chains=members, waiting=frozenset(waiting)
+        )
 
 
 def _holds(engine, stage):
@@ -181,9 +201,12 @@
     ]
     if None in rebuilt:
         return None
+    added = _add(task, seats[1])
+    if not _is_worth_it(task, chosen, [*rebuilt, *added]):
+        return None
     now = [_may_rebuild(task, chain, chosen) for chain in chosen]
     if all(now):
-        return Regrouping(tuple(rebuilt), _add(task, seats[1]))
+        return Regrouping(tuple(rebuilt), added)
     free = {engine.agent_id for engine in task.free}
     step = tuple(
         after
@@ -193,6 +216,13 @@
     return Regrouping(step) if step else None
 
 
+def _is_worth_it(task, before, after):
+    if not any(task.serves(chain) for chain in before):
+        return True
+    enough = KEPT_RATE * sum(chain.rate for chain in before)
+    return sum(chain.rate for chain in after) >= enough
+
+
 def _rebuild(task, chain, group):
     shape = task.shape
     head = task.engines[chain.stages[0].agent_id]
@@ -212,6 +242,8 @@
     """Say whether a chain may stop serving now."""
     if not task.serves(chain):
         return True
+    if not task.rebuild_serving:
+        return False
     serving = [
         other
         for other in chosen
@@ -229,5 +261,4 @@
 
 def _add(task, groups):
     splits = split_groups(groups, task.shape)
-    missing = {p.name: task.missing[p.name] for p in task.pipelines}
-    return tuple(chains_of_splits(splits[:1], task.pipelines, missing))
+    return tuple(chains_of_splits(splits[:1], task.pipelines, task.missing))
