Clamp the batch of the plain variant that syncs before it sends

Cause: read while tidying; with an unsynced tail a negative count could pick entries from the wrong end. Ruled out: the kept variant, whose next entry never passes the last by one. Change: the count is at least 0.

--- a/wigeonscale/replication/replicate.py
+++ b/wigeonscale/replication/replicate.py
@@ -103,7 +103,7 @@
             peer.next_index, options.batch_entries, options.batch_bytes
         )
     durable = core.storage.synced_index - peer.next_index + 1
-    most = min(options.batch_entries, durable)
+    most = max(0, min(options.batch_entries, durable))
     return core.storage.batch(peer.next_index, most, options.batch_bytes)
 
 
