agent: no step runs on layers other than those meant

Cause: in a trial of whole processes two agents were given one engine by a clash of ports (demo's free_ports gave 59955 twice), reloaded it in turn, and streams got wrong tokens: a stage trusted what its engine said up to half a second ago. The same gap stands between a load order's start and the next probe. Change: a step names its layers (two fields on the port's EngineStep, -1 leaves it open) and the engine answers an error when it holds others; while an order runs the agent counts nothing as loaded. Ruled out: probing before each iteration (a call more a step, and still a gap).

--- a/wigeonscale/adapters/engine_http.py
+++ b/wigeonscale/adapters/engine_http.py
@@ -146,6 +146,8 @@
         "first": step.first,
         "hidden": base64.b64encode(step.hidden).decode(),
         "priority": step.priority,
+        "first_layer": step.first_layer,
+        "last_layer": step.last_layer,
     }
 
 
--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -152,7 +152,7 @@
             agent_id=self._cfg.name,
             incarnations=self.state.incarnations,
             engine=engine,
-            loaded=lambda: self.state.info,
+            loaded=self.state.loaded,
             links=self.links,
             clock=self._clock,
             may_begin=self.state.check_sequence,
--- a/wigeonscale/agent/backend.py
+++ b/wigeonscale/agent/backend.py
@@ -41,6 +41,7 @@
     ):
         self.on_changed = on_changed
         self.info: EngineInfo | None = None
+        self.loading = False
         self.draining = False
         self.stopping = False
         self._base = base
@@ -76,6 +77,10 @@
             self._incarnations.append(new_incarnation())
             self.on_changed()
 
+    def loaded(self) -> EngineInfo | None:
+        """Return what the engine holds; None while an order may change it."""
+        return None if self.loading else self.info
+
     @property
     def gone(self) -> bool:
         """Whether the engine does not answer."""
--- a/wigeonscale/agent/orders.py
+++ b/wigeonscale/agent/orders.py
@@ -85,6 +85,16 @@
         load = order.load
         if self._holds(load):
             return
+        # Until the engine has said what it holds now, no step may run on it.
+        self._state.loading = True
+        try:
+            await self._order_engine(order)
+        finally:
+            await self._state.probe()
+            self._state.loading = False
+
+    async def _order_engine(self, order: wire.Order) -> None:
+        load = order.load
         await self._engine.order(
             term=order.term,
             sequence=order.sequence,
@@ -97,7 +107,6 @@
                 "last_layer": load.last_layer,
             },
         )
-        await self._state.probe()
 
     def _holds(self, load: wire.LoadLayers) -> bool:
         info = self._state.info
--- a/wigeonscale/agent/tests/test_orders.py
+++ b/wigeonscale/agent/tests/test_orders.py
@@ -53,6 +53,21 @@
         last = self.changes[-1]
         self.assertEqual((0, 3), (last.first_layer, last.last_layer))
 
+    async def test_nothing_counts_as_loaded_while_an_order_runs(self):
+        await self.carry_out(load_order(3, 10))
+        self.assertEqual(3, self.state.loaded().last_layer)
+        seen = []
+        order = self.engine.order
+
+        async def watched_order(**kwargs):
+            await order(**kwargs)
+            seen.append(self.state.loaded())
+
+        self.engine.order = watched_order
+        await self.carry_out(load_order(3, 11, first=4, last=7))
+        self.assertEqual([None], seen)
+        self.assertEqual(7, self.state.loaded().last_layer)
+
     async def test_what_is_held_is_not_loaded_again(self):
         await self.carry_out(load_order(3, 10))
         self.assertEqual((True, ""), await self.carry_out(load_order(3, 11)))
--- a/wigeonscale/pipelines/stage.py
+++ b/wigeonscale/pipelines/stage.py
@@ -174,7 +174,7 @@
         """Run fresh steps and settle their futures, whatever happens."""
         results: dict[str, wire.StepResult] = {}
         try:
-            outputs = await self._run_engine(fresh, results)
+            outputs = await self._run_engine(req, fresh, results)
             await self._pass_on(req, fresh, outputs, results)
         except Exception as exc:
             logger.exception("iteration of chain %s failed", req.chain_id)
@@ -187,11 +187,14 @@
                 self._records.settle(results.get(step.sequence_id, missing))
 
     async def _run_engine(
-        self, fresh: list[wire.SequenceStep], results: dict[str, wire.StepResult]
+        self,
+        req: wire.StepRequest,
+        fresh: list[wire.SequenceStep],
+        results: dict[str, wire.StepResult],
     ) -> list[EngineResult]:
         if not fresh:
             return []
-        steps = [_engine_step(step) for step in fresh]
+        steps = [_engine_step(step, req.rest[0]) for step in fresh]
         METRICS.iterations.add()
         try:
             async with self._engine_calls:
@@ -304,7 +307,7 @@
     return copy
 
 
-def _engine_step(step: wire.SequenceStep) -> EngineStep:
+def _engine_step(step: wire.SequenceStep, stage: wire.Stage) -> EngineStep:
     return EngineStep(
         sequence_id=step.sequence_id,
         epoch=step.epoch,
@@ -313,6 +316,8 @@
         first=step.first,
         hidden=step.hidden,
         priority=step.priority,
+        first_layer=stage.first_layer,
+        last_layer=stage.last_layer,
     )
 
 
--- a/wigeonscale/pipelines/tests/test_stage.py
+++ b/wigeonscale/pipelines/tests/test_stage.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import testscenarios
 
@@ -130,6 +131,14 @@
         await asyncio.sleep(0)
         self.assertEqual({}, self.engine.caches)
 
+    async def test_engine_that_was_loaded_anew_runs_nothing(self):
+        # The agent has not heard of it yet.
+        known = self.engine.state
+        self.stage._loaded = lambda: known
+        self.engine.state = dataclasses.replace(known, first_layer=4, last_layer=7)
+        result = await self.run_one(step())
+        self.assertEqual((ErrorKind.BACKEND_FAILED, []), (result.kind, self.trace))
+
     async def test_broken_run_stays_broken(self):
         await self.run_one(step())
         self.engine.failing = True
--- a/wigeonscale/ports/backends.py
+++ b/wigeonscale/ports/backends.py
@@ -60,6 +60,9 @@
         first: Begins (or begins again) the sequence on this engine.
         hidden: Input: UTF-8 text on the first stage, hidden state otherwise.
         priority: Larger goes first where the engine must choose.
+        first_layer: First layer meant to run.
+        last_layer: Last layer meant to run, or -1 for whatever is loaded. The
+            engine answers the step by an error when it holds another range.
     """
 
     sequence_id: str
@@ -69,6 +72,8 @@
     first: bool
     hidden: bytes
     priority: int = 0
+    first_layer: int = 0
+    last_layer: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonscale/testing/fake_engine.py
+++ b/wigeonscale/testing/fake_engine.py
@@ -183,6 +183,9 @@
 
     def _run_step(self, step: EngineStep) -> EngineResult:
         first, last = self.state.first_layer, self.state.last_layer
+        wanted = (step.first_layer, step.last_layer)
+        if step.last_layer >= 0 and wanted != (first, last):
+            return _failed(step, f"layers {wanted} wanted, {(first, last)} loaded")
         if step.first:
             self.caches[step.sequence_id] = {}
         cache = self.caches.get(step.sequence_id)
--- a/wigeonscale/testing/fake_service.py
+++ b/wigeonscale/testing/fake_service.py
@@ -9,7 +9,7 @@
 import asyncio
 import hashlib
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -23,6 +23,7 @@
     host: str = "127.0.0.1",
     port: int = 0,
     delay_s: float = 0.0,
+    before_answer: Callable[[], Awaitable[None]] | None = None,
 ) -> tuple[web.AppRunner, str]:
     """Serve a plain service that answers every path.
 
@@ -32,6 +33,7 @@
         host: IP address to listen on.
         port: Port to listen on; 0 for any.
         delay_s: Seconds between the effect and the answer.
+        before_answer: Awaited between the effect and the answer, or None.
 
     Returns:
         The runner, to be cleaned up by the caller, and the service's URL.
@@ -49,6 +51,8 @@
         }
         trace(record)
         await asyncio.sleep(delay_s)
+        if before_answer is not None:
+            await before_answer()
         return web.json_response(
             {"service": name, "path": req.path_qs, "digest": record["digest"]}
         )
