--- /dev/null
+++ b/wigeonscale/membership/tests/test_watcher.py
@@ -0,0 +1,150 @@
+import random
+
+from wigeonscale.membership.tests.fake_control import FakeControlCase
+from wigeonscale.wire import wire_pb2 as wire
+
+HEARTBEAT_S = 0.5
+
+
+class SilenceTest(FakeControlCase):
+    """Time passes only while no message is awaited, so speed decides nothing."""
+
+    def is_content(self, watcher, first):
+        """Return whether the watcher looks for no other replica."""
+        return watcher._candidate is None and watcher.attached.address == first.address
+
+    async def go_silent(self, client, first, noise=None):
+        """Silence a replica; return the seconds until another is asked."""
+        watcher = client._watcher
+        # The attached replica is next in turn, and must be passed over.
+        watcher._next_address = watcher._addresses.index(first.address)
+        first.answers = False
+        began = self.clock.now()
+        while self.is_content(watcher, first):
+            if noise is not None:
+                await first.push(noise)
+            await self.clock.advance(HEARTBEAT_S / 4)
+            self.assertLess(self.clock.now() - began, 10)
+        return self.clock.now() - began
+
+    async def expect_change(self, client, first, noise=None):
+        took_s = await self.go_silent(client, first, noise)
+        self.assertGreater(took_s, 2 * HEARTBEAT_S)
+        self.assertLessEqual(took_s, 3.5 * HEARTBEAT_S)
+        await self.until(lambda: client._watcher.attached.address != first.address)
+        await self.until(lambda: first.open_streams == 0)
+        self.assertTrue(client.lease_valid())
+
+    async def test_second_connection_after_three_heartbeats(self):
+        fakes = await self.start_fakes(2)
+        client, first, _ = await self.attached(*fakes)
+        await self.expect_change(client, first)
+
+    async def test_other_events_do_not_hide_the_silence(self):
+        for noise in (
+            wire.WatchEvent(members=wire.MembersUpdate(index=2)),
+            wire.WatchEvent(lease=wire.LeaseGrant(echo_us=2**62, revision=1)),
+        ):
+            fakes = await self.start_fakes(2)
+            client, first, _ = await self.attached(*fakes)
+            await self.expect_change(client, first, noise)
+
+    async def test_recovered_connection_is_kept(self):
+        fakes = await self.start_fakes(2)
+        client, first, (other,) = await self.attached(*fakes)
+        other.answers = False
+        await self.go_silent(client, first)
+        first.answers = True
+        await self.clock.advance(HEARTBEAT_S)
+        await self.answered(client)
+        await self.clock.advance(HEARTBEAT_S / 4)
+        self.assertEqual(1, self.metrics.reconnects.value(cause="superseded"))
+        self.assertEqual(first.address, client._watcher.attached.address)
+        self.assertTrue(client.lease_valid())
+
+    async def test_silent_second_replica_is_left_for_a_third(self):
+        fakes = await self.start_fakes(3)
+        client, first, others = await self.attached(*fakes)
+        for each in others:
+            each.answers = False
+        await self.go_silent(client, first)
+        second = client._watcher._candidate.address
+        third = next(each for each in others if each.address != second)
+        third.answers = True
+        watcher = client._watcher
+        while not any(
+            conn is not None and conn.address == third.address
+            for conn in (watcher._candidate, watcher.attached)
+        ):
+            await self.clock.advance(HEARTBEAT_S / 20)
+            self.assertTrue(client.lease_valid())
+        await self.until(lambda: client._watcher.attached.address == third.address)
+        self.assertTrue(client.lease_valid())
+
+    async def test_single_replica_gets_a_second_connection(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        await self.go_silent(client, fake)
+        await self.until(lambda: fake.open_streams == 2)
+
+    async def test_replica_without_a_majority_is_left(self):
+        fakes = await self.start_fakes(2)
+        client, first, _ = await self.attached(*fakes)
+        isolated_at = self.clock.now()
+        while self.is_content(client._watcher, first):
+            first.age_us = int((self.clock.now() - isolated_at) * 1e6)
+            await self.clock.advance(HEARTBEAT_S / 4)
+            await self.answered(client)
+            self.assertLess(self.clock.now() - isolated_at, 10)
+        await self.until(lambda: client._watcher.attached.address != first.address)
+        self.assertTrue(client.lease_valid())
+
+    async def test_no_leader_sends_watchers_round_slowly_and_heals(self):
+        fakes = await self.start_fakes(2)
+        client, first, (other,) = await self.attached(*fakes)
+        lost_at = self.clock.now()
+        watcher = client._watcher
+        while self.clock.now() < lost_at + 30 or watcher._candidate is not None:
+            first.age_us = other.age_us = int((self.clock.now() - lost_at + 1) * 1e6)
+            await self.clock.advance(HEARTBEAT_S / 4)
+            await self.answered(client)
+        self.assertLessEqual(other.hellos.qsize(), 7)
+        self.assertGreater(watcher._next_attempt_at, self.clock.now() + 2.0)
+        first.age_us = other.age_us = 0
+        await self.clock.advance(HEARTBEAT_S)
+        await self.until(client.lease_valid)
+        await self.expect_change(client, first)
+
+    async def test_replica_that_fails_again_and_again_is_asked_less(self):
+        (fake,) = await self.start_fakes()
+        fake.grants_a_stream = 2
+        client = self.start_client(fake)
+        await self.within_limit(client.ready())
+        end = self.clock.now() + 20
+        while self.clock.now() < end:
+            if client._watcher.attached is not None:
+                await self.clock.advance(HEARTBEAT_S)
+                await self.until(lambda: client._watcher.attached is None)
+            await self.clock.advance(HEARTBEAT_S / 20)
+            await self.until(lambda: client._watcher._candidate is None)
+        self.assertLess(fake.hellos.qsize(), 20)
+
+    async def test_watchers_begin_at_different_replicas(self):
+        fakes = await self.start_fakes(3)
+        clients = [
+            self.start_client(*fakes, rng=random.Random(seed)) for seed in range(12)
+        ]
+        for client in clients:
+            await self.within_limit(client.ready())
+        self.assertTrue(all(fake.open_streams for fake in fakes))
+
+    async def test_lost_replica_is_replaced_before_the_lease_is_out(self):
+        fakes = await self.start_fakes(3)
+        client, first, _ = await self.attached(*fakes)
+        await first.stop()
+        await self.until(lambda: client._watcher.attached is None)
+        watcher = client._watcher
+        while watcher._candidate is None and watcher.attached is None:
+            await self.clock.advance(HEARTBEAT_S / 20)
+        await self.until(lambda: client._watcher.attached is not None)
+        self.assertTrue(client.lease_valid())
