Retire chains before their engines are used; settings of placement

Cause: fewer replicas, or a pipeline removed, took chains away at once, and with them the requests in progress; spares and domain_share had no keys. Change: a chain that is wanted no longer but serves is marked retiring in the replicated state. Entries give it no new work; its engines are not planned with. It is removed after [control] drain_s (120 s, the entries' default deadline), or at once when it breaks. wire: Chain.retiring, Chain.retired_ms, PlaceChains.retired, all additive. New keys of [control]: spares, domain_share, settle_s, rebuild_after_s, drain_s, passed through to placement. Weighed: unready at once (heads and recovery read ready), an idle word of the head (frees engines sooner; not built).

--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -128,6 +128,13 @@
         snapshot_entries: Log entries between two snapshots.
         claim_age_s: Age at which a claim expires, in seconds.
         loads: Weight loads in progress at once.
+        spares: Engines of each model kept out of new chains, for repairs.
+        domain_share: New chains stay inside one failure domain each when they so pass
+            at least this share of what they pass across domains; 0: always.
+        settle_s: Time without a new engine before new chains are made, in seconds.
+        rebuild_after_s: Time in which no engine came or went before chains that serve
+            are rebuilt for missing replicas, in seconds.
+        drain_s: Time that a chain wanted no longer gets to end its work, in seconds.
         admin_token_digest: SHA-256 digest of the operators' token; empty: none asked.
     """
 
@@ -141,4 +148,9 @@
     snapshot_entries: count(1, 10_000_000) = 2000
     claim_age_s: seconds(1, 30 * 86400) = 86400.0
     loads: count(1, 1000) = 4
+    spares: count(0, 1000) = 0
+    domain_share: fraction(0, 1) = 0.93
+    settle_s: seconds(0, 60) = 0.5
+    rebuild_after_s: seconds(0, 86400) = 10.0
+    drain_s: seconds(0, 86400) = 120.0
     admin_token_digest: TokenDigest = ""
--- a/wigeonscale/config/tests/test_load.py
+++ b/wigeonscale/config/tests/test_load.py
@@ -54,6 +54,13 @@
         cfg = load(self, CONTROL, "control")
         self.assertEqual(Peer("n2", "127.0.0.1:7002"), cfg.peers[1])
 
+    def test_control_placement(self):
+        keys = "spares = 2\ndomain_share = 0\nsettle_s = 1\nrebuild_after_s = 60\n"
+        cfg = load(self, CONTROL + keys + "drain_s = 5\n", "control")
+        self.assertEqual((2, 0.0), (cfg.spares, cfg.domain_share))
+        times = (cfg.settle_s, cfg.rebuild_after_s, cfg.drain_s)
+        self.assertEqual((1.0, 60.0, 5.0), times)
+
     def test_every_problem_is_named_with_its_file(self):
         text = ENTRY.replace("aarhus-a", "a b") + "subset = 0\nlese_s = 3\n"
         exc = self.assertRaises(SettingsError, load, self, text, "entry")
@@ -109,6 +116,9 @@
         wrong(
             CONTROL, "[control]", "[control]\nheartbeat_s = 0.6", "twice heartbeat_s"
         ),
+        wrong(CONTROL, "[control]", "[control]\nspares = -1", "0 to 1000"),
+        wrong(CONTROL, "[control]", "[control]\ndomain_share = 1.1", "0 to 1"),
+        wrong(CONTROL, "[control]", "[control]\ndrain_s = inf", "0 to 86400"),
         wrong(
             CONTROL, "[control]", "[control]\nadmin_token_digest = x", "64 lower-case"
         ),
--- a/wigeonscale/control/orders.py
+++ b/wigeonscale/control/orders.py
@@ -22,7 +22,8 @@
         Costs one pass over all stages.
     """
     orders = {}
-    ranked = order_loads(state.chains.planned(), is_loaded=state.chains.is_loaded)
+    chains = [chain for chain in state.chains.planned() if not chain.retiring]
+    ranked = order_loads(chains, is_loaded=state.chains.is_loaded)
     for chain, stage in ranked:
         if len(orders) >= loads:
             break
--- a/wigeonscale/control/placement_loop.py
+++ b/wigeonscale/control/placement_loop.py
@@ -10,8 +10,10 @@
 from wigeonscale.control.planning import (
     chain_plan,
     engine_specs,
+    is_empty,
     place_command,
     plan_placement,
+    without_engines,
 )
 from wigeonscale.control.settling import Settling
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -22,6 +24,7 @@
 # Also looks without a change: this replica may have become the leader.
 CHECK_S = 0.25
 RETRY_S = 0.05
+MS_PER_S = 1000
 
 logger = logging.getLogger(__name__)
 
@@ -41,6 +44,7 @@
         settle_s: Seconds without a new engine before new chains are made.
         rebuild_after_s: Seconds in which no engine came or went before chains that
             serve are rebuilt for the sake of missing replicas.
+        drain_s: Seconds that a chain wanted no longer gets to end its work.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         domain_share: float = 0.93,
         settle_s: float = 0.5,
         rebuild_after_s: float = 10.0,
+        drain_s: float = 120.0,
     ):
         self._state = state
         self._replica = replica
@@ -65,6 +70,7 @@
         self._settling = Settling(
             clock=clock, settle_s=settle_s, rebuild_after_s=rebuild_after_s
         )
+        self._drain_s = drain_s
         self._planned_from: tuple | None = None
         self._wake = asyncio.Event()
 
@@ -103,26 +109,41 @@
             "load_new": self._settling.may_load(),
             "rebuild_serving": self._settling.may_rebuild(),
         }
-        planned_from = (self._replica.term, index, options)
+        planned = self._state.chains.planned()
+        ended = self._ended(planned)
+        planned_from = (self._replica.term, index, options, ended)
         if planned_from == self._planned_from:
             return
         base_index = self._state.placement_index
         pipelines = tuple(self._state.configuration.document.pipelines.values())
-        standing = self._state.chains.planned()
+        retiring = [chain for chain in planned if chain.retiring]
+        standing = [chain for chain in planned if not chain.retiring]
         # In a thread: a plan of thousands of engines would delay heartbeats.
         plan = await asyncio.to_thread(
             plan_placement,
             pipelines=pipelines,
-            engines=engines,
+            engines=without_engines(engines, map(chain_plan, retiring)),
             chains=[chain_plan(chain) for chain in standing],
+            serving={chain.chain_id for chain in self._state.chains if chain.ready},
             base_index=index,
             **options,
         )
         command = place_command(plan, standing, pipelines, base_index)
-        if command.place.chains or command.place.removed:
+        command.place.removed.extend(ended)
+        if not is_empty(command.place):
             await self._commands.submit(command)
         self._planned_from = planned_from
 
+    def _ended(self, chains):
+        """Return retiring chains that are broken or whose work had time to end."""
+        now_ms = self._clock.wall() * MS_PER_S
+        drained_ms = now_ms - self._drain_s * MS_PER_S
+        return [
+            chain.chain_id
+            for chain in chains
+            if chain.retiring and (not chain.ready or chain.retired_ms <= drained_ms)
+        ]
+
     async def _note_refusal(self, exc):
         if exc.kind not in (ErrorKind.REVISION_CONFLICT, ErrorKind.NOT_LEADER):
             logger.warning("plan not placed: %s", exc.message)
--- a/wigeonscale/control/planning.py
+++ b/wigeonscale/control/planning.py
@@ -1,8 +1,16 @@
 """Between the replicated state and the pure functions of placement."""
 
-__all__ = ["chain_plan", "engine_specs", "place_command", "plan_placement"]
+__all__ = [
+    "chain_plan",
+    "engine_specs",
+    "is_empty",
+    "place_command",
+    "plan_placement",
+    "without_engines",
+]
 
-from collections.abc import Sequence
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import replace
 from typing import Any
 
 from wigeonscale.placement import (
@@ -23,6 +31,7 @@
     pipelines: Sequence[Pipeline],
     engines: Sequence[EngineSpec],
     chains: Sequence[ChainPlan],
+    serving: Collection[str],
     base_index: int,
     **options: Any,
 ) -> Plan:
@@ -30,12 +39,14 @@
 
     A draining head stays until it is gone, since it holds its callers' answers. Any
     other draining stage is replaced while it still works: the state lets the
-    changed chain wait until its new engine has loaded.
+    changed chain wait until its new engine has loaded. A chain that is wanted no
+    longer but serves is retired: its engines are not planned with until it is gone.
 
     Args:
         pipelines: Pipelines wanted.
         engines: Announced engines.
         chains: Chains as they were last planned.
+        serving: Ids of the chains that serve now.
         base_index: Log index of the input; makes new chain ids unique.
         options: Passed on to :func:`plan_chains`.
 
@@ -44,14 +55,40 @@
         compare ``chains`` with what stood.
     """
     by_name = {pipeline.name: pipeline for pipeline in pipelines}
-    replaced = _replace_draining(list(chains), by_name, list(engines))
-    return plan_chains(
-        pipelines=pipelines,
-        engines=engines,
-        chains=replaced,
-        base_index=base_index,
-        **options,
-    )
+    left = _replace_draining(list(chains), by_name, list(engines))
+    retired: list[str] = []
+    while True:
+        plan = plan_chains(
+            pipelines=pipelines,
+            engines=engines,
+            chains=left,
+            base_index=base_index,
+            **options,
+        )
+        surplus = [chain_id for chain_id in plan.removed if chain_id in serving]
+        if not surplus:
+            return replace(plan, retired=tuple(retired))
+        # Planned again without the engines that are not free yet.
+        retired += surplus
+        kept = [chain for chain in left if chain.chain_id not in surplus]
+        engines = without_engines(engines, [c for c in left if c not in kept])
+        left = kept
+
+
+def without_engines(
+    engines: Sequence[EngineSpec], chains: Iterable[ChainPlan]
+) -> list[EngineSpec]:
+    """Return the engines that are in none of the chains.
+
+    Args:
+        engines: Engines.
+        chains: Chains whose engines are left out.
+
+    Returns:
+        The others, in the same order.
+    """
+    used = {stage.agent_id for chain in chains for stage in chain.stages}
+    return [engine for engine in engines if engine.agent_id not in used]
 
 
 def _replace_draining(chains, pipelines, engines):
@@ -134,16 +171,27 @@
     """
     by_name = {pipeline.name: pipeline for pipeline in pipelines}
     before = {chain.chain_id: chain for chain in standing}
-    place = wire.PlaceChains(removed=plan.removed, base_index=base_index)
+    place = wire.PlaceChains(
+        removed=plan.removed, retired=plan.retired, base_index=base_index
+    )
     for chain in plan.chains:
         known = before.get(chain.chain_id)
         if known is None or chain_plan(known) != chain:
             place.chains.append(_wire_chain(chain, by_name[chain.pipeline]))
-    if not place.chains and not place.removed:
+    if is_empty(place):
         place.chains.extend(_upgrades(standing, by_name))
     return wire.Command(place=place)
 
 
+def is_empty(place: wire.PlaceChains) -> bool:
+    """Return whether a command changes no chain.
+
+    Args:
+        place: The command.
+    """
+    return not (place.chains or place.removed or place.retired)
+
+
 def _upgrades(standing, pipelines):
     """Return at most one chain a pipeline that shall load another version.
 
--- a/wigeonscale/control/tests/test_planning.py
+++ b/wigeonscale/control/tests/test_planning.py
@@ -11,6 +11,7 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 LIMIT_S = 30
+DRAIN_S = 60.0
 
 
 class PlacementTest(AsyncTestCase):
@@ -18,12 +19,18 @@
         self.parts = Parts()
         self.addCleanup(self.parts.hub.close)
         self.state = self.parts.state
+        self.lead()
+
+    def lead(self, **options):
+        """Start a loop."""
         loop = PlacementLoop(
             state=self.state,
             replica=self.parts.replica,
             hub=self.parts.hub,
             commands=self.parts.commands,
             clock=self.parts.clock,
+            drain_s=DRAIN_S,
+            **options,
         )
         task = asyncio.create_task(loop.run())
 
@@ -32,6 +39,7 @@
             await asyncio.gather(task, return_exceptions=True)
 
         self.addCleanup(stop)
+        self.stop = stop
 
     async def apply(self, document=DOCUMENT):
         base = self.state.configuration.revision
@@ -89,6 +97,45 @@
         await self.load_all()
         self.assertTrue(all(each.ready for each in self.state.chains))
 
+    async def test_spares_are_kept_out_of_chains(self):
+        await self.stop()
+        self.lead(spares=1)
+        for agent_id in "ab":
+            await self.parts.announce(agent_id, layer_capacity=4)
+        await self.parts.announce("c", layer_capacity=3)
+        await self.apply()
+        await self.until(lambda: self.planned())
+        self.assertEqual(2, len(self.stages()))
+        self.assertIn("c", self.stages())
+
+    async def test_serving_chain_ends_its_work_before_its_engines_are_used(self):
+        two = DOCUMENT.replace("layers = 4", "layers = 4\nreplicas = 2")
+        await self.apply(two)
+        await self.parts.announce("a")
+        await self.parts.announce("b")
+        await self.until(lambda: len(self.planned()) == 2)
+        await self.load_all()
+        other = "[pipeline other]\nmodel = m\nlayers = 4\n\n"
+        await self.apply(other + DOCUMENT)
+        await self.until(lambda: any(each.retiring for each in self.planned()))
+        await self.settle()
+        self.assertEqual(["proof", "proof"], [c.pipeline for c in self.planned()])
+        self.assertEqual([False, True], sorted(c.retiring for c in self.planned()))
+        await self.parts.clock.advance(DRAIN_S)
+        await self.until(lambda: {"other"} < {c.pipeline for c in self.planned()})
+        self.assertEqual([False, False], [c.retiring for c in self.planned()])
+
+    async def test_retiring_chain_that_breaks_is_removed_at_once(self):
+        await self.apply()
+        await self.parts.announce("a")
+        await self.until(lambda: len(self.planned()) == 1)
+        await self.load_all()
+        await self.apply("")
+        await self.until(lambda: any(each.retiring for each in self.planned()))
+        end = wire.EndIncarnation(agent_id="a", incarnation=1)
+        await self.parts.run(end_incarnation=end)
+        await self.until(lambda: not self.planned())
+
     async def test_only_a_fresh_leader_places(self):
         self.parts.replica.role = Role.FOLLOWER
         await self.apply_as_leader()
--- a/wigeonscale/daemons/control.py
+++ b/wigeonscale/daemons/control.py
@@ -120,19 +120,25 @@
 
     async def run(self) -> None:
         """Take part in control until cancelled."""
+        cfg = self._cfg
         placement = PlacementLoop(
             state=self.state,
             replica=self.replica,
             hub=self.hub,
             commands=self.commands,
             clock=self._clock,
+            spares=cfg.spares,
+            domain_share=cfg.domain_share,
+            settle_s=cfg.settle_s,
+            rebuild_after_s=cfg.rebuild_after_s,
+            drain_s=cfg.drain_s,
         )
         expiry = run_expiry(
             state=self.state,
             replica=self.replica,
             commands=self.commands,
             clock=self._clock,
-            claim_age_s=self._cfg.claim_age_s,
+            claim_age_s=cfg.claim_age_s,
         )
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
--- a/wigeonscale/daemons/tests/test_control.py
+++ b/wigeonscale/daemons/tests/test_control.py
@@ -199,3 +199,40 @@
         other = await agent.submit(claim("d2"), timeout_s=LIMIT_S)
         self.assertEqual(first, again)
         self.assertEqual((True, False), (again.granted, other.granted))
+
+
+class PlacementSettingsTest(AsyncTestCase):
+    async def test_settings_reach_placement(self):
+        wanted = {
+            "spares": 3,
+            "domain_share": 0.5,
+            "settle_s": 2.0,
+            "rebuild_after_s": 7.0,
+            "drain_s": 9.0,
+        }
+        given = {}
+
+        class Recorder:
+            def __init__(self, **options):
+                given.update(options)
+
+            async def run(self):
+                raise InterruptedError
+
+        name = "wigeonscale.daemons.control.PlacementLoop"
+        self.useFixture(fixtures.MonkeyPatch(name, Recorder))
+        folder = self.useFixture(fixtures.TempDir()).path
+        cfg = ControlSettings(
+            name="c1",
+            domain="d",
+            http="127.0.0.1:0",
+            grpc="127.0.0.1:0",
+            data=folder,
+            peers=(Peer("c1", "127.0.0.1:1"),),
+            **wanted,
+        )
+        daemon = ControlDaemon(cfg=cfg, clock=SystemClock())
+        self.addCleanup(daemon.commands.close)
+        with self.assertRaises(ExceptionGroup):
+            await daemon.run()
+        self.assertEqual(wanted, {key: given[key] for key in wanted})
--- a/wigeonscale/entry/places.py
+++ b/wigeonscale/entry/places.py
@@ -105,7 +105,9 @@
 def _chain_places(members: MembersView, pipeline: str):
     backends = members.backends
     for chain in members.chains_of(pipeline):
-        if not chain.ready or any(_leaves(backends, stage) for stage in chain.stages):
+        if not chain.ready or chain.retiring:
+            continue
+        if any(_leaves(backends, stage) for stage in chain.stages):
             continue
         head = chain.stages[0]
         candidate = Candidate(
--- a/wigeonscale/placement/model.py
+++ b/wigeonscale/placement/model.py
@@ -91,8 +91,10 @@
         chains: Every chain that shall stand.
         changed: Those of ``chains`` that are new or have a new epoch.
         removed: Ids of the chains that shall stand no longer.
+        retired: Ids of the chains that shall end their work first.
     """
 
     chains: tuple[ChainPlan, ...] = ()
     changed: tuple[ChainPlan, ...] = ()
     removed: tuple[str, ...] = ()
+    retired: tuple[str, ...] = ()
--- a/wigeonscale/state/chains.py
+++ b/wigeonscale/state/chains.py
@@ -90,22 +90,33 @@
             and (not chain.adapter or chain.adapter in backend.adapters)
         )
 
-    def place(self, command: wire.PlaceChains) -> tuple[wire.CommandResult, set[str]]:
+    def place(
+        self, command: wire.PlaceChains, now_ms: int
+    ) -> tuple[wire.CommandResult, set[str]]:
         """Carry out a plan as a whole, or refuse it as a whole.
 
+        A retired chain that is ready stays, so that its work can end; any other is
+        removed at once.
+
         Args:
-            command: New, changed and removed chains.
+            command: New, changed, retired and removed chains.
+            now_ms: Time of the state, in milliseconds.
 
         Returns:
             The result, and the ids of chains that watchers see change.
         """
-        problem = self._problem(command)
+        staying = {i for i in command.retired if self._serves(i)}
+        going = (set(command.removed) | set(command.retired)) - staying
+        problem = self._problem(command, going)
         if problem:
             return refused(ErrorKind.BAD_REQUEST, problem), set()
         touched = set()
-        for chain_id in command.removed:
+        for chain_id in sorted(going):
             self._drop(chain_id)
             touched.add(chain_id)
+        for chain_id in sorted(staying):
+            self._retire(chain_id, now_ms)
+            touched.add(chain_id)
         for chain in command.chains:
             if self._put(chain):
                 touched.add(chain.chain_id)
@@ -123,15 +134,17 @@
         ids = list(self._by_agent.get(agent_id, ()))
         return {chain_id for chain_id in ids if self._refresh(chain_id)}
 
-    def _problem(self, command):
-        busy = self._busy_agents(command)
+    def _problem(self, command, going):
+        busy = self._busy_agents(command, going)
         seen = set()
         for chain in command.chains:
             if chain.chain_id in seen or not chain.stages or not chain.chain_id:
                 return f"chain {chain.chain_id!r} has no id or stages, or stands twice"
             seen.add(chain.chain_id)
-            if chain.chain_id in self._used_ids or chain.chain_id in command.removed:
+            if chain.chain_id in self._used_ids or chain.chain_id in going:
                 return f"chain id {chain.chain_id!r} was removed; ids are not reused"
+            if chain.chain_id in command.retired or self._retires(chain.chain_id):
+                return f"chain {chain.chain_id!r} is retiring"
             if chain.epoch <= self._last_epoch(chain.chain_id):
                 return f"chain {chain.chain_id!r} has no newer epoch: {chain.epoch}"
             problem = self._stage_problem(chain, busy)
@@ -139,8 +152,8 @@
                 return problem
         return ""
 
-    def _busy_agents(self, command):
-        changed = {chain.chain_id for chain in command.chains} | set(command.removed)
+    def _busy_agents(self, command, going):
+        changed = {chain.chain_id for chain in command.chains} | going
         return {
             agent_id
             for agent_id, ids in self._by_agent.items()
@@ -211,6 +224,25 @@
     def _is_ready(self, chain):
         return all(self.is_loaded(chain, stage) for stage in chain.stages)
 
+    def _serves(self, chain_id):
+        chain = self._chains.get(chain_id)
+        return chain is not None and self._is_ready(chain)
+
+    def _retires(self, chain_id):
+        chain = self._chains.get(chain_id)
+        return chain is not None and chain.retiring
+
+    def _retire(self, chain_id, now_ms):
+        if self._retires(chain_id):
+            return
+        chain = _copy(self._chains[chain_id], ready=True)
+        chain.retiring = True
+        chain.retired_ms = now_ms
+        self._unindex(chain_id)
+        self._successors.pop(chain_id, None)
+        self._chains[chain_id] = chain
+        self._index(chain_id)
+
     def _drop(self, chain_id):
         if chain_id not in self._chains:
             return
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -273,7 +273,7 @@
                 f"planned from placement {command.base_index},"
                 f" but {self.placement_index} is in force",
             )
-        result, touched = self.chains.place(command)
+        result, touched = self.chains.place(command, self.now_ms)
         if result.kind:
             return None, result
         self.placement_index = self.index
--- a/wigeonscale/state/tests/support.py
+++ b/wigeonscale/state/tests/support.py
@@ -48,9 +48,11 @@
         )
         return self.run(outcome=outcome)
 
-    def place(self, *chains, removed=(), base=None):
+    def place(self, *chains, removed=(), retired=(), base=None):
         base = self.state.placement_index if base is None else base
-        place = wire.PlaceChains(chains=chains, removed=removed, base_index=base)
+        place = wire.PlaceChains(
+            chains=chains, removed=removed, retired=retired, base_index=base
+        )
         return self.run(place=place)
 
     def apply(self, document=DOCUMENT, *, base=0, operation_id="", operator=""):
--- a/wigeonscale/state/tests/test_members.py
+++ b/wigeonscale/state/tests/test_members.py
@@ -157,6 +157,32 @@
         result = self.machine.place(chain("c", 9, ("a", 0, 1), ("b", 2, 3)))
         self.assertEqual(ErrorKind.BAD_REQUEST, result.kind)
 
+    def test_retired_chain_stays_until_it_breaks_or_is_removed(self):
+        self.place_ready()
+        self.machine.place(chain("c", 2, ("a", 0, 1), ("s", 2, 3)))
+        self.machine.run(wall_ms=7000, place=self.retiring("c"))
+        kept = self.chains.get("c")
+        self.assertEqual((1, True, True), (kept.epoch, kept.ready, kept.retiring))
+        self.assertEqual(7000, kept.retired_ms)
+        self.assertEqual([1], [each.epoch for each in self.chains.planned()])
+        self.machine.run(wall_ms=9000, place=self.retiring("c"))
+        self.assertEqual(7000, self.chains.get("c").retired_ms)
+        for bad in (
+            chain("c", 3, ("a", 0, 1), ("s", 2, 3)),
+            chain("d", 1, ("a", 0, 3)),
+        ):
+            result = self.machine.place(bad)
+            self.assertEqual(ErrorKind.BAD_REQUEST, result.kind)
+        self.machine.announce("b", layers=(0, 0))
+        self.assertTrue(self.chains.get("c").retiring)
+        result = self.machine.place(chain("d", 1, ("a", 0, 3)), retired=["c"])
+        self.assertEqual("", result.kind)
+        self.assertIsNone(self.chains.get("c"))
+
+    def retiring(self, chain_id):
+        base = self.machine.state.placement_index
+        return wire.PlaceChains(retired=[chain_id], base_index=base)
+
     def test_plan_from_an_older_placement_is_refused(self):
         base = self.machine.state.placement_index
         self.machine.place(chain("c", 1, ("a", 0, 3)), base=base)
