Hold the bound on weight loads also when a new chain ranks first

Cause: load_orders ranked loads anew on each change without knowing which had begun. A new chain that ranked first was released its loads beside those in progress, up to twice [control] loads; loads of a removed chain did not count. Change: agents announce that they load (wire: Backend.loading, additive; one more log entry a load). load_orders passes them to order_loads as loading and takes loads that nobody waits for off the bound. Retiring chains load nothing. After: all tests of agent, control and state pass.

--- a/wigeonscale/agent/backend.py
+++ b/wigeonscale/agent/backend.py
@@ -100,6 +100,7 @@
         backend.last_layer = -1
         if self._engine is not None:
             _fill_from_info(backend, self.info)
+        backend.loading = self.loading
         # An order to drain comes from control and is not echoed as our own word.
         own_word = self.info is not None and self.info.leaving
         backend.draining = self.stopping or self.gone or own_word
@@ -139,6 +140,11 @@
         if self._clock.now() - self._left_at > LEAVING_GRACE_S:
             self.check_new()
 
+    def set_loading(self, loading: bool) -> None:
+        """Note and announce whether the engine loads weights."""
+        self.loading = loading
+        self.on_changed()
+
     def set_draining(self, draining: bool) -> None:
         """Follow an order to drain or to take work again."""
         self.draining = draining
--- a/wigeonscale/agent/orders.py
+++ b/wigeonscale/agent/orders.py
@@ -86,12 +86,12 @@
         if self._holds(load):
             return
         # Until the engine has said what it holds now, no step may run on it.
-        self._state.loading = True
+        self._state.set_loading(True)
         try:
             await self._order_engine(order)
         finally:
             await self._state.probe()
-            self._state.loading = False
+            self._state.set_loading(False)
 
     async def _order_engine(self, order: wire.Order) -> None:
         load = order.load
--- a/wigeonscale/agent/tests/test_orders.py
+++ b/wigeonscale/agent/tests/test_orders.py
@@ -52,6 +52,8 @@
         self.assertEqual([(3, 10, "load")], self.engine.orders)
         last = self.changes[-1]
         self.assertEqual((0, 3), (last.first_layer, last.last_layer))
+        self.assertFalse(last.loading)
+        self.assertTrue(any(change.loading for change in self.changes))
 
     async def test_nothing_counts_as_loaded_while_an_order_runs(self):
         await self.carry_out(load_order(3, 10))
--- a/wigeonscale/control/orders.py
+++ b/wigeonscale/control/orders.py
@@ -23,9 +23,12 @@
     """
     orders = {}
     chains = [chain for chain in state.chains.planned() if not chain.retiring]
-    ranked = order_loads(chains, is_loaded=state.chains.is_loaded)
+    loading = {m.backend.agent_id for m in state.members if m.backend.loading}
+    ranked = order_loads(chains, is_loaded=state.chains.is_loaded, loading=loading)
+    # Loads that nobody waits for any more take from the store all the same.
+    room = loads - len(loading - {stage.agent_id for _, stage in ranked})
     for chain, stage in ranked:
-        if len(orders) >= loads:
+        if len(orders) >= room:
             break
         if state.members.holds(stage.agent_id, stage.incarnation):
             orders.setdefault(stage.agent_id, _load(chain, stage))
