Share an organisation's limit over the entries that are attached

Cause: daemons/entry.py built OrganisationLimits without a count of entries, which is 1, so N entries allowed N times the limit. Ruled out: counts carried beside the log (a second freshness to keep), sums per replica (a moving entry counts twice), a command per heartbeat.

--- a/bench/relay_roles.py
+++ b/bench/relay_roles.py
@@ -133,6 +133,8 @@
 class _StaticControl:
     """Rules and members that never change."""
 
+    entries = 1
+
     def __init__(self, *, agent_address: str):
         self.document = parse_document(RULES)
         self.ruleset = Ruleset.from_document(self.document)
--- a/wigeonscale/control/__init__.py
+++ b/wigeonscale/control/__init__.py
@@ -5,6 +5,7 @@
     "ChangeFeed",
     "Commands",
     "ControlServicer",
+    "EntryCount",
     "Hub",
     "Liveness",
     "PlacementLoop",
@@ -15,6 +16,7 @@
 
 from wigeonscale.control.admin import Admin
 from wigeonscale.control.commands import Commands
+from wigeonscale.control.entry_count import EntryCount
 from wigeonscale.control.expiry import run_expiry
 from wigeonscale.control.feed import ChangeFeed
 from wigeonscale.control.hub import Hub
--- /dev/null
+++ b/wigeonscale/control/entry_count.py
@@ -0,0 +1,126 @@
+"""Keeps the replicated record of attached entries right."""
+
+__all__ = ["EntryCount"]
+
+import logging
+import weakref
+from collections.abc import Iterator
+
+from wigeonscale.control.commands import Commands
+from wigeonscale.control.hub import Hub
+from wigeonscale.control.watcher import Watcher
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.replication import Replica, Role
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+# Entries that come and go within one interval cost one command.
+INTERVAL_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class EntryCount:
+    """Notes the entries attached here, and as leader the loss of replicas.
+
+    Args:
+        node_id: Name of this replica.
+        state: The replicated state.
+        replica: This replica.
+        hub: Its watch hub.
+        commands: Way of commands to the log.
+        clock: Clock port.
+        away_s: Time without word after which an entry is not counted, in seconds.
+        grace_s: Silence after which a replica counts as lost, in seconds.
+
+    Notes:
+        One command per interval in which something changed; none otherwise.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        state: ControlState,
+        replica: Replica,
+        hub: Hub,
+        commands: Commands,
+        clock: Clock,
+        away_s: float,
+        grace_s: float,
+    ):
+        self._node_id = node_id
+        self._state = state
+        self._replica = replica
+        self._hub = hub
+        self._commands = commands
+        self._clock = clock
+        self._away_s = away_s
+        self._grace_s = grace_s
+        self._noted: weakref.WeakSet[Watcher] = weakref.WeakSet()
+        self._away_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Compare and correct until cancelled."""
+        while True:
+            await self._clock.sleep(INTERVAL_S)
+            if self._hub.is_fresh():
+                await self._correct()
+
+    async def _correct(self):
+        streams = self._streams()
+        for count in [*self._own(streams), *self._of_lost_replicas()]:
+            try:
+                await self._commands.submit(wire.Command(count_entries=count))
+            except WigeonscaleError as exc:
+                logger.warning("entries not counted: %s", exc.message)
+                return
+        self._noted.update(streams.values())
+
+    def _streams(self) -> dict[str, Watcher]:
+        """Return the newest stream of each entry that lately sent something."""
+        now = self._clock.now()
+        streams = [
+            watcher
+            for watcher in self._hub.watchers
+            if watcher.is_entry and now - watcher.heard_at < self._away_s
+        ]
+        streams.sort(key=lambda watcher: watcher.heard_at)
+        return {watcher.node_id: watcher for watcher in streams}
+
+    def _own(self, streams) -> Iterator[wire.CountEntries]:
+        entries = self._state.entries
+        # An entry noted by another replica since then has moved there, and its old
+        # stream here says nothing.
+        attached = [
+            name
+            for name, watcher in streams.items()
+            if entries.replica_of(name) is None
+            or (
+                entries.replica_of(name) != self._node_id and watcher not in self._noted
+            )
+        ]
+        gone = self._away(entries.attached_to(self._node_id) - streams.keys())
+        if attached or gone:
+            yield wire.CountEntries(
+                replica=self._node_id, attached=sorted(attached), gone=sorted(gone)
+            )
+
+    def _away(self, names):
+        now = self._clock.now()
+        self._away_since = {name: self._away_since.get(name, now) for name in names}
+        return [
+            name
+            for name, since in self._away_since.items()
+            if now - since >= self._away_s
+        ]
+
+    def _of_lost_replicas(self) -> Iterator[wire.CountEntries]:
+        if self._replica.role is not Role.LEADER:
+            return
+        for replica in self._state.entries.replicas():
+            is_lost = self._replica.peer_silence(replica) >= self._grace_s
+            if replica != self._node_id and is_lost:
+                gone = sorted(self._state.entries.attached_to(replica))
+                yield wire.CountEntries(replica=replica, gone=gone)
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -211,11 +211,14 @@
         beat, received_at = watcher.unanswered
         watcher.unanswered = None
         age_s = max(0.0, received_at - self._replica.fresh_at())
-        return wire.LeaseGrant(
+        grant = wire.LeaseGrant(
             echo_us=beat.sent_us,
             age_us=int(age_s * MICROSECONDS),
             revision=self._state.configuration.revision,
         )
+        if watcher.is_entry:
+            grant.entries = len(self._state.entries)
+        return grant
 
     def _due_orders(self, watcher):
         agent_id = watcher.node_id
--- a/wigeonscale/control/watcher.py
+++ b/wigeonscale/control/watcher.py
@@ -7,6 +7,8 @@
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
 
+ENTRY = "entry"
+
 
 class Watcher:
     """State of one watch stream of an entry, an agent or another replica.
@@ -61,3 +63,8 @@
         self.wake = asyncio.Event()
         self.announce_wake = asyncio.Event()
         self.wake.set()
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether the watching process is an entry."""
+        return self.role == ENTRY
--- a/wigeonscale/daemons/control.py
+++ b/wigeonscale/daemons/control.py
@@ -15,6 +15,7 @@
     Admin,
     Commands,
     ControlServicer,
+    EntryCount,
     Hub,
     Liveness,
     PlacementLoop,
@@ -140,17 +141,32 @@
             clock=self._clock,
             claim_age_s=cfg.claim_age_s,
         )
+        entry_count = EntryCount(
+            node_id=cfg.name,
+            state=self.state,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            clock=self._clock,
+            away_s=cfg.down_after_s,
+            grace_s=cfg.down_after_s + cfg.lease_s,
+        )
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
+            group.create_task(entry_count.run())
             group.create_task(placement.run())
             group.create_task(expiry)
             group.create_task(self._report())
             self._liveness_task = group.create_task(self._liveness.run())
 
     async def stop(self) -> None:
-        """Stop judging and serving; watchers move to other replicas."""
+        """Hand over leadership, then stop judging and serving.
+
+        Watchers move to other replicas.
+        """
         self._stopping = True
-        # First: streams that this replica closes itself are no sign of a failure.
+        await self.replica.hand_over()
+        # Streams that this replica closes itself are no sign of a failure.
         if self._liveness_task is not None:
             self._liveness_task.cancel()
         if self._server is not None:
--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -115,7 +115,9 @@
         links=links,
         claims=claims,
         places=places,
-        organisation_limits=OrganisationLimits(clock=clock),
+        organisation_limits=OrganisationLimits(
+            clock=clock, entries=lambda: control.entries
+        ),
         clock=clock,
         recorder=BurnRecorder(clock=clock),
         limits=EntryLimits(
--- a/wigeonscale/daemons/tests/test_control.py
+++ b/wigeonscale/daemons/tests/test_control.py
@@ -152,6 +152,10 @@
         await self.start(*(name for name in NAMES if name != last))
         await self.until(client.lease_valid)
 
+    async def test_entries_learn_how_many_they_are_over_all_replicas(self):
+        clients = [self.client(f"e{number}") for number in range(4)]
+        await self.until(lambda: [each.entries for each in clients] == [4] * 4)
+
     async def test_agent_keeps_its_incarnation_when_its_replica_stops(self):
         backend = engine("a", 7)
         ended = []
--- a/wigeonscale/entry/tests/support.py
+++ b/wigeonscale/entry/tests/support.py
@@ -69,6 +69,7 @@
         self.suspicion = asyncio.Event()
         self.claims: dict[tuple[str, str], wire.ClaimRecord] = {}
         self.lease = True
+        self.entries = 1
 
     def lease_valid(self) -> bool:
         """Return whether the entry may serve."""
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -130,6 +130,11 @@
         """
         return self._members
 
+    @property
+    def entries(self) -> int:
+        """Entries attached to control, this one included; 1 while not told."""
+        return max(1, self._knowledge.entries)
+
     def lease_valid(self) -> bool:
         """Return whether what this process knows was confirmed recently enough."""
         return self._knowledge.lease.is_valid()
--- a/wigeonscale/membership/knowledge.py
+++ b/wigeonscale/membership/knowledge.py
@@ -32,6 +32,7 @@
         changes: Subject of :class:`Change`, after the change is in force here.
         configuration: The configuration in force.
         lease: How long it may be acted on.
+        entries: Entries attached to control as last told; 0 before.
 
     Args:
         clock: Clock of this process.
@@ -43,6 +44,7 @@
         self.changes: Subject[Change] = Subject()
         self.configuration = Configuration()
         self.lease = Lease(clock=clock, lease_s=lease_s)
+        self.entries = 0
         self._metrics = metrics
         self._needs_whole_document = False
         self._lease_was_valid = False
@@ -93,6 +95,7 @@
         revision = self.configuration.revision
         if grant.revision < revision:
             return DisconnectCause.OLDER_REVISION
+        self.entries = grant.entries or self.entries
         self.lease.offer(grant, last_sent_us=last_sent_us, applied_revision=revision)
         self.note_lease()
         return None
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -11,6 +11,7 @@
 from wigeonscale.state.chains import Chains
 from wigeonscale.state.claims import Claims
 from wigeonscale.state.configuration import HISTORY_LIMIT, Configuration
+from wigeonscale.state.entries import Entries
 from wigeonscale.state.members import Members
 from wigeonscale.state.operations import Operations, operation_digest
 from wigeonscale.state.results import done, refused
@@ -63,6 +64,7 @@
         members: Announced backend servers.
         chains: Pipeline replicas.
         claims: Claims of requests that must not run twice.
+        entries: Entries attached to any replica.
         changes: Subject of :class:`Change`, one after each command that changed
             something to watch.
         index: Log index of the last command applied.
@@ -76,6 +78,7 @@
         self.members = Members()
         self.chains = Chains(members=self.members)
         self.claims = Claims()
+        self.entries = Entries()
         self.changes: Subject[Change] = Subject()
         self.index = 0
         self.now_ms = 0
@@ -91,6 +94,7 @@
             "place": self._place,
             "drain": self._drain,
             "expire": self._expire,
+            "count_entries": self._count_entries,
         }
 
     def apply(self, index: int, term: int, data: bytes) -> wire.CommandResult:
@@ -150,6 +154,7 @@
         self.configuration.save(snapshot)
         self.members.save(snapshot)
         self.chains.save(snapshot)
+        self.entries.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -181,6 +186,7 @@
         self._peer_operations = peer_operations
         self.members.load(snapshot)
         self.chains.load(snapshot)
+        self.entries.load(snapshot)
         self.index = snapshot.index
         self.now_ms = snapshot.now_ms
         self.placement_index = snapshot.placement_index
@@ -289,6 +295,11 @@
         self.claims.expire(min(command.before_wall_ms, self.now_ms))
         return None, done()
 
+    def _count_entries(self, command):
+        self.entries.note(command)
+        # Nothing to wake watchers for: the count rides on each lease grant.
+        return None, done()
+
     def _member_change(self, agent_id):
         chains = self.chains.refresh(agent_id)
         return Change(
