--- a/demo/processes.py
+++ b/demo/processes.py
@@ -13,6 +13,9 @@
 
 STOP_TIMEOUT_S = 40.0
 
+# Ports already handed out; their users may not listen on them yet.
+_given: set[int] = set()
+
 
 @dataclass(slots=True)
 class Child:
@@ -33,7 +36,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free TCP ports on loopback, all different.
+    """Return free TCP ports on loopback that no earlier call returned.
 
     Args:
         count: How many ports.
@@ -41,11 +44,16 @@
     Returns:
         Port numbers that were free a moment ago.
     """
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
+        while len(ports) < count:
+            sock = stack.enter_context(socket.socket())
             sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
+            port = sock.getsockname()[1]
+            if port not in _given:
+                _given.add(port)
+                ports.append(port)
+    return ports
 
 
 async def start(name: str, folder: pathlib.Path, module: str, *args: str) -> Child:
--- /dev/null
+++ b/demo/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the demonstration."""
