--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -20,6 +20,10 @@
     "idle",
     "watchers",
     "changes",
+    "membership",
+    "claims",
+    "snapshots",
+    "streams",
 )
 PAGE = pathlib.Path("docs/CAPACITY.md")
 
--- a/bench/slopes/processes.py
+++ b/bench/slopes/processes.py
@@ -164,15 +164,15 @@
 
 @contextlib.asynccontextmanager
 async def start_driver(
-    folder: pathlib.Path, name: str, module: str, options: dict
+    folder: pathlib.Path, name: str, module: str, *args: str
 ) -> AsyncIterator[Child]:
-    """Run a module that answers lines on its standard input with lines of JSON.
+    """Run a module whose standard input and output are pipes.
 
     Args:
         folder: Folder of the file for its standard error.
         name: Name in messages.
         module: Module to run.
-        options: Given to it as one JSON argument.
+        *args: Its arguments.
     """
     path = folder / f"{name}.log"
     with path.open("wb") as log:
@@ -180,7 +180,7 @@
             sys.executable,
             "-m",
             module,
-            json.dumps(options),
+            *args,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             stderr=log,
--- a/bench/slopes/snapshots.py
+++ b/bench/slopes/snapshots.py
@@ -38,7 +38,9 @@
     with run_folder() as folder:
         for size in SIZES:
             options = {"claims": size}
-            async with start_driver(folder, f"s{size}", MODULE, options) as driver:
+            async with start_driver(
+                folder, f"s{size}", MODULE, json.dumps(options)
+            ) as driver:
                 for key, value in (await driver.ask("measure")).items():
                     points.setdefault(key, []).append((size, value))
     return [
