agent: a backend server that does not answer gets no work

Cause: an agent beside a plain service never looked at it, so a service that was down stayed announced as serving and every request sent there failed. An engine that hung was found out by /info after two probes and announced as draining, but the calls in progress on it waited out their 20 s before their streams moved on. An /info of another shape (no object, wrong types) raised past the probe loop and ended the agent.

Change: the service port has probe() (a connect, 1 s at most); BackendState probes engines and services alike: gone until the first answer, again after two failures in a row, pauses growing to 2 s while it is gone; a call that found no connection probes at once. Gone is announced as draining and refused as not run. When an engine is gone its calls in progress fail at once. /info is checked by pydantic; anything else is BACKEND_FAILED.

Ruled out: probing a service by a request of its own (its paths are unknown, and a request may have an effect).

Not there: a service that takes connections and never answers is not found out; its calls time out and the entries' failure weight keeps work away.

--- a/wigeonscale/adapters/engine_http.py
+++ b/wigeonscale/adapters/engine_http.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 
 import aiohttp
+import pydantic
 from aiohttp import web
 
 from wigeonscale.errors import (
@@ -34,6 +35,8 @@
 RUN_TIMEOUT_S = 20.0
 ORDER_TIMEOUT_S = 600.0
 
+_INFO_MODEL = pydantic.TypeAdapter(EngineInfo)
+
 
 class HttpEngine:
     """Implements the engine port by HTTP calls.
@@ -58,10 +61,10 @@
     async def info(self) -> EngineInfo:
         """Return what the engine says of itself."""
         doc = await self._ask("GET", "/info", timeout_s=INFO_TIMEOUT_S)
-        known = {field.name for field in dataclasses.fields(EngineInfo)}
-        values = {name: value for name, value in doc.items() if name in known}
-        values["adapters"] = tuple(values.get("adapters", ()))
-        return EngineInfo(**values)
+        try:
+            return _INFO_MODEL.validate_python(doc)
+        except pydantic.ValidationError as exc:
+            raise _failure(f"GET {self._url}/info: {exc}") from exc
 
     async def run(self, steps: Sequence[EngineStep]) -> list[EngineResult]:
         """Run one iteration and return one result per step, in order."""
@@ -122,6 +125,8 @@
                 status = answer.status
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             raise _failure(f"{method} {self._url}{path}: {exc!r}") from exc
+        if not isinstance(doc, dict):
+            raise _failure(f"{method} {self._url}{path}: no JSON object")
         if status == 200:
             return doc
         error = doc.get("error", {})
--- a/wigeonscale/adapters/service_http.py
+++ b/wigeonscale/adapters/service_http.py
@@ -2,6 +2,7 @@
 
 __all__ = ["HttpService", "single_attempt_session"]
 
+import asyncio
 from collections.abc import Sequence
 
 import aiohttp
@@ -26,6 +27,8 @@
 )
 
 
+PROBE_TIMEOUT_S = 1.0
+
 # Headers that aiohttp would otherwise add to what the caller sent.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
@@ -57,6 +60,24 @@
         self._url = url.rstrip("/")
         self._session = session
 
+    async def probe(self) -> None:
+        """Return when the service takes connections; nothing is sent on it.
+
+        Raises:
+            WigeonscaleError: ``BACKEND_FAILED`` when it does not.
+        """
+        url = yarl.URL(self._url)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(
+                    url.host, url.port, ssl=url.scheme == "https" or None
+                )
+        except (OSError, TimeoutError) as exc:
+            raise _failure(
+                f"no connection to {self._url}: {exc!r}", RunState.NOT_RUN
+            ) from exc
+        writer.close()
+
     async def call(
         self,
         method: str,
--- a/wigeonscale/adapters/tests/test_engine_http.py
+++ b/wigeonscale/adapters/tests/test_engine_http.py
@@ -1,4 +1,5 @@
 import aiohttp
+from aiohttp import web
 
 from wigeonscale.adapters.engine_http import HttpEngine
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -17,7 +18,7 @@
         self.fake = FakeEngine(name="e", info=info)
         runner, url = await serve_engine(self.fake)
         self.addCleanup(runner.cleanup)
-        session = aiohttp.ClientSession()
+        self.session = session = aiohttp.ClientSession()
         self.addCleanup(session.close)
         self.engine = HttpEngine(url=url, session=session)
         self.gone = HttpEngine(url="http://127.0.0.1:1", session=session)
@@ -60,6 +61,28 @@
             self.assertEqual(ErrorKind.BACKEND_FAILED, caught.exception.kind)
             self.assertEqual(RunState.UNKNOWN, caught.exception.run_state)
 
+    async def test_answers_of_another_shape_are_backend_failed(self):
+        shown = []
+        app = web.Application()
+
+        async def show(req):
+            return web.json_response(shown[-1])
+
+        app.add_routes([web.get("/info", show)])
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+        engine = HttpEngine(url=url, session=self.session)
+        for doc in ([], "x", {}, {"model": 7}, {"model": "m", "adapters": None}):
+            shown.append(doc)
+            with self.assertRaises(WigeonscaleError, msg=repr(doc)) as caught:
+                await engine.info()
+            self.assertEqual(ErrorKind.BACKEND_FAILED, caught.exception.kind)
+        shown.append({"model": "m", "slots": 4, "field_of_a_later_version": 1})
+        self.assertEqual(EngineInfo(model="m", slots=4), await engine.info())
+
     async def test_tokens_show_missed_doubled_and_swapped_positions(self):
         good = ['["a"]', '["b"]', '["c"]']
         tokens = set()
--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -18,7 +18,7 @@
 from wigeonscale.agent.table import DispatchTable
 from wigeonscale.agent.work import start_call, start_generation
 from wigeonscale.config import AgentSettings
-from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.membership import Change, ControlClient
 from wigeonscale.pipelines.head import Head
 from wigeonscale.pipelines.links import StepLinks
@@ -115,6 +115,8 @@
 
     def announcement_changed(self) -> None:
         """Tell control and the entries of a change of the backend server."""
+        if self.state.gone and self.stage is not None:
+            self.stage.cut_engine_calls()
         self._control.announce_changed()
         self.servicer.announce_load()
 
@@ -255,11 +257,17 @@
             clock=self._clock,
             timeout_s=self._service_timeout_s(),
             on_end=self.dispatcher.finish,
-            on_failed=self.dispatcher.fail,
+            on_failed=self._call_failed,
         )
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
+    def _call_failed(self, dispatch: Dispatch, exc: WigeonscaleError) -> None:
+        self.dispatcher.fail(dispatch, exc)
+        if exc.run_state is RunState.NOT_RUN:
+            # No connection was made.
+            self.state.probe_soon()
+
     def _service_timeout_s(self) -> float:
         known = self._control.document.services.get(self._cfg.service)
         return known.timeout_s if known else DEFAULT_CALL_S
--- a/wigeonscale/agent/backend.py
+++ b/wigeonscale/agent/backend.py
@@ -10,21 +10,25 @@
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.pipelines.constants import LEAVING_GRACE_S
 from wigeonscale.pipelines.waiting import wait_event
-from wigeonscale.ports import Clock, Engine, EngineInfo
+from wigeonscale.ports import Clock, Engine, EngineInfo, Service
 from wigeonscale.wire import wire_pb2 as wire
 
 logger = logging.getLogger(__name__)
 
 GONE_AFTER = 2
-"""Failed probes in a row after which the engine counts as gone."""
+"""Failed probes in a row after which the backend server counts as gone."""
+
+MAX_PROBE_PAUSE_S = 2.0
+"""Longest pause between two probes of a backend server that is gone."""
 
 
 class BackendState:
-    """Probes the engine and keeps the announcement true.
+    """Probes the backend server and keeps the announcement true.
 
     Args:
         base: The parts of the announcement that settings give.
         engine: The engine; None for a plain service.
+        service: The plain service; None for an engine.
         clock: Clock port.
         probe_s: Seconds between probes.
         on_changed: Called when the announcement changed.
@@ -34,7 +38,8 @@
         self,
         *,
         base: wire.Backend,
-        engine: Engine | None,
+        engine: Engine | None = None,
+        service: Service | None = None,
         clock: Clock,
         probe_s: float,
         on_changed: Callable[[], None] = lambda: None,
@@ -46,10 +51,12 @@
         self.stopping = False
         self._base = base
         self._engine = engine
+        self._service = service
         self._clock = clock
         self._probe_s = probe_s
         self._incarnations = [new_incarnation()]
-        self._failures = 0
+        # It counts as gone until it first answers.
+        self._failures = GONE_AFTER
         self._probe_now = asyncio.Event()
         self._left_at: float | None = None
 
@@ -83,8 +90,10 @@
 
     @property
     def gone(self) -> bool:
-        """Whether the engine does not answer."""
-        return self._engine is not None and self.info is None
+        """Whether the backend server does not answer."""
+        if self._engine is not None:
+            return self.info is None
+        return self._service is not None and self._failures >= GONE_AFTER
 
     @property
     def leaving(self) -> bool:
@@ -120,7 +129,7 @@
         if self.gone:
             raise WigeonscaleError(
                 ErrorKind.BACKEND_FAILED,
-                f"the engine of {self.agent_id} does not answer",
+                f"the backend server of {self.agent_id} does not answer",
                 retry_after=1,
             )
         if self.leaving:
@@ -164,20 +173,18 @@
             self._left_at = self._clock.now()
 
     def probe_soon(self) -> None:
-        """Probe the engine now rather than at the next turn."""
+        """Probe the backend server now rather than at the next turn."""
         self._probe_now.set()
 
     async def probe(self) -> None:
-        """Ask the engine what it is and announce a change."""
-        if self._engine is None:
-            return
+        """Ask the backend server for a sign of life and announce a change."""
         before = (self.info, self.gone)
         try:
-            self.info = await self._engine.info()
+            await self._ask()
             self._failures = 0
         except WigeonscaleError as exc:
             self._failures += 1
-            logger.warning("engine probe failed: %s", exc.message)
+            logger.warning("probe failed: %s", exc.message)
             if self._failures >= GONE_AFTER:
                 self.info = None
         if (self.info, self.gone) != before:
@@ -185,14 +192,26 @@
             self.on_changed()
 
     async def watch(self) -> None:
-        """Probe the engine for ever."""
+        """Probe the backend server for ever."""
         while True:
             await self.probe()
-            failing = 0 < self._failures < GONE_AFTER
-            pause_s = self._probe_s / 4 if failing else self._probe_s
-            await wait_event(self._probe_now, self._clock, pause_s)
+            await wait_event(self._probe_now, self._clock, self._pause_s())
             self._probe_now.clear()
 
+    async def _ask(self) -> None:
+        if self._engine is not None:
+            self.info = await self._engine.info()
+        if self._service is not None:
+            await self._service.probe()
+
+    def _pause_s(self) -> float:
+        if not self._failures:
+            return self._probe_s
+        if self._failures < GONE_AFTER:
+            return self._probe_s / 4
+        longer = self._probe_s * 2 ** min(self._failures - GONE_AFTER, 8)
+        return max(self._probe_s, min(longer, MAX_PROBE_PAUSE_S))
+
 
 def new_incarnation() -> int:
     """Return a random positive number that no other start has."""
--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -5,6 +5,7 @@
     "EntryClient",
     "FakeControl",
     "Node",
+    "ReachableService",
     "TcpProxy",
     "connect",
     "make_chain",
@@ -61,6 +62,13 @@
         await self.on_break()
 
 
+class ReachableService:
+    """The part of a plain service that tests of calls take for granted."""
+
+    async def probe(self):
+        """Take the connection."""
+
+
 class FakeControl:
     """What agents ask of control, shared by all agents of a test."""
 
@@ -121,6 +129,7 @@
         self.state = BackendState(
             base=wire.Backend(agent_id=name, address=self.address),
             engine=engine,
+            service=service,
             clock=clock,
             probe_s=0.05,
         )
--- a/wigeonscale/agent/tests/test_agent.py
+++ b/wigeonscale/agent/tests/test_agent.py
@@ -1,6 +1,11 @@
 import asyncio
 
-from wigeonscale.agent.tests.support import connect, start_chain, start_service
+from wigeonscale.agent.tests.support import (
+    ReachableService,
+    connect,
+    start_chain,
+    start_service,
+)
 from wigeonscale.ports import HttpAnswer
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.testing.fake_engine import expected_tokens
@@ -9,7 +14,7 @@
 LAYERS = 6
 
 
-class EchoService:
+class EchoService(ReachableService):
     def __init__(self):
         self.calls = []
         self.gate = asyncio.Event()
--- a/wigeonscale/agent/tests/test_fuzz.py
+++ b/wigeonscale/agent/tests/test_fuzz.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from wigeonscale.agent.stream import EntryStream
-from wigeonscale.agent.tests.support import FakeControl, Node
+from wigeonscale.agent.tests.support import FakeControl, Node, ReachableService
 from wigeonscale.ports import HttpAnswer
 from wigeonscale.testing import AsyncTestCase, ManualClock, rpcs_ended
 from wigeonscale.wire import wire_pb2 as wire
@@ -15,7 +15,7 @@
 INCARNATION = 5
 
 
-class CountingService:
+class CountingService(ReachableService):
     def __init__(self):
         self.calls = []
         self.gate = asyncio.Event()
--- a/wigeonscale/agent/tests/test_once.py
+++ b/wigeonscale/agent/tests/test_once.py
@@ -1,13 +1,18 @@
 import asyncio
 
-from wigeonscale.agent.tests.support import connect, start_service, until
+from wigeonscale.agent.tests.support import (
+    ReachableService,
+    connect,
+    start_service,
+    until,
+)
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import HttpAnswer
 from wigeonscale.testing import AsyncTestCase, ManualClock
 from wigeonscale.wire import wire_pb2 as wire
 
 
-class GatedService:
+class GatedService(ReachableService):
     """Holds calls until told; fails them when told."""
 
     def __init__(self):
--- a/wigeonscale/daemons/agent.py
+++ b/wigeonscale/daemons/agent.py
@@ -42,7 +42,11 @@
     service = None if is_engine else HttpService(url=cfg.backend, session=session)
     server, address = new_server(cfg.grpc)
     state = BackendState(
-        base=_base(cfg, address), engine=engine, clock=clock, probe_s=cfg.heartbeat_s
+        base=_base(cfg, address),
+        engine=engine,
+        service=service,
+        clock=clock,
+        probe_s=cfg.heartbeat_s,
     )
     orders = OrderGate(state=state, engine=engine, floor=lambda: control.floor())
     control = ControlClient(
--- a/wigeonscale/pipelines/stage.py
+++ b/wigeonscale/pipelines/stage.py
@@ -74,6 +74,7 @@
         self._clock = clock
         self._engine_done_at = 0.0
         self._to_cancel: list[str] = []
+        self._call_limits: set[asyncio.Timeout] = set()
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -89,6 +90,12 @@
         """Begin no sequence of an older epoch of this chain from now on."""
         self._records.learn_epoch(chain_id, epoch)
 
+    def cut_engine_calls(self) -> None:
+        """Fail the engine calls in progress: the engine gives no sign of life."""
+        now = asyncio.get_running_loop().time()
+        for limit in self._call_limits:
+            limit.reschedule(now)
+
     async def run(self, req: wire.StepRequest) -> wire.StepReply:
         """Run one iteration through this stage and all after it.
 
@@ -199,8 +206,7 @@
         try:
             async with self._engine_calls:
                 began_at = self._clock.now()
-                async with asyncio.timeout(self._step_timeout_s):
-                    outputs = await self._engine.run(steps)
+                outputs = await self._call_engine(steps)
                 self._observe(fresh, began_at)
         except (WigeonscaleError, TimeoutError) as exc:
             logger.warning("engine call failed: %r", exc)
@@ -217,6 +223,14 @@
                 )
         return [output for output in outputs if not output.error]
 
+    async def _call_engine(self, steps: list[EngineStep]) -> list[EngineResult]:
+        async with asyncio.timeout(self._step_timeout_s) as limit:
+            self._call_limits.add(limit)
+            try:
+                return await self._engine.run(steps)
+            finally:
+                self._call_limits.discard(limit)
+
     def _observe(self, fresh: list[wire.SequenceStep], began_at: float) -> None:
         # The engine works on one iteration at a time, so the time spent waiting
         # for the one before is not this one's.
--- a/wigeonscale/ports/backends.py
+++ b/wigeonscale/ports/backends.py
@@ -154,6 +154,13 @@
 class Service(Protocol):
     """A plain HTTP service."""
 
+    async def probe(self) -> None:
+        """Return when the service takes connections.
+
+        Raises:
+            WigeonscaleError: ``BACKEND_FAILED`` when it does not.
+        """
+
     async def call(
         self,
         method: str,
