entry: an agent lost after the last token costs no token more

Cause, by reading: when an agent is lost between the last token and the last word, going on elsewhere asks another agent for a token beyond max_tokens. Change: the entry ends such an answer itself.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -183,13 +183,13 @@
 
 
 async def _read_all(reader: asyncio.StreamReader) -> bytes:
-    parts = [b""]
-    while not parts[-1].endswith(END):
+    body = bytearray()
+    while not body.endswith(END):
         chunk = await reader.read(2**16)
         if not chunk:
-            raise ConnectionError(f"cut after {parts[-1][-200:]!r}")
-        parts.append(parts[-1][-len(END) :] + chunk if len(chunk) < 5 else chunk)
-    return b"".join(parts)
+            raise ConnectionError(f"cut after {bytes(body[-200:])!r}")
+        body += chunk
+    return bytes(body)
 
 
 def _check(firsts: list[bytes], bodies: list[bytes], load: Load) -> None:
--- a/wigeonscale/dispatch/answer.py
+++ b/wigeonscale/dispatch/answer.py
@@ -89,6 +89,10 @@
             raise honest_error(exc, once=self.once) from exc
         if not is_retried(exc) or self._moves >= work.attempts:
             raise exc
+        if self.record.next_index >= work.generate.max_tokens:
+            # Only the last word was lost; another agent would add a token.
+            self.stream.end_at_limit()
+            return
         logger.info(
             "going on elsewhere: %s",
             exc.message,
--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -303,6 +303,11 @@
             self.cancel()
             self.fail(error)
 
+    def end_at_limit(self) -> None:
+        """Take the answer as whole: it has all the tokens that it may have."""
+        self.error = None
+        self.done = wire.Done(tokens=self.record.next_index, finish_reason="length")
+
     def leave(self) -> None:
         """Hear no more of this dispatch; the agent is not told."""
         self.link.remove(self)
--- a/wigeonscale/dispatch/tests/fake_agent.py
+++ b/wigeonscale/dispatch/tests/fake_agent.py
@@ -175,6 +175,7 @@
         for index in range(start, len(self.words)):
             await self._hold_at(index)
             self.send_token(number, dispatch_id, index)
+        await self._hold_at(len(self.words))
         done = wire.Done(tokens=len(self.words), finish_reason="stop")
         self.send(number, dispatch_id, done=done)
 
--- a/wigeonscale/entry/tests/test_failures.py
+++ b/wigeonscale/entry/tests/test_failures.py
@@ -60,6 +60,19 @@
         self.assertEqual(list(WORDS[3:]), texts_of(await read_events(answer)))
         self.assertEqual(1, len(other.opened))
 
+    async def test_agent_lost_after_the_last_token_gets_no_token_more(self):
+        self.agent.hold = len(WORDS)
+        other = await self.start_agent("a2")
+        other.hold = len(WORDS)
+        answer = await self.complete(stream=True, max_tokens=len(WORDS))
+        await answer.content.readuntil(f"id: {len(WORDS) - 1}\n".encode())
+        for agent in (self.agent, other):
+            await agent.stop()
+        events = await read_events(answer)
+        last = events[-2]["data"]
+        self.assertEqual(len(WORDS), last["usage"]["completion_tokens"])
+        self.assertEqual("length", last["choices"][0]["finish_reason"])
+
     async def test_generation_leaves_a_chain_that_was_given_up(self):
         answer = await self.begin_stream(self.agent)
         members = self.control.members
