Plan chains again only after a change that placement reads

Ruled out: the readiness of chains, which does change the plan; it comes with the state's change of chains. Change: the key holds how often engines and chains changed, the placement index, the pipelines and what settling allows; the engines are read again only after one changed. Conclusion: the cost of a claim at the leader no longer grows with the engines. A change of an engine still plans everything anew.

--- a/wigeonscale/control/placement_loop.py
+++ b/wigeonscale/control/placement_loop.py
@@ -17,9 +17,10 @@
 )
 from wigeonscale.control.settling import Settling
 from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.placement import EngineSpec
 from wigeonscale.ports import Clock
 from wigeonscale.replication import Replica, Role
-from wigeonscale.state import ControlState
+from wigeonscale.state import Change, ControlState
 
 # Also looks without a change: this replica may have become the leader.
 CHECK_S = 0.25
@@ -72,11 +73,16 @@
         )
         self._drain_s = drain_s
         self._planned_from: tuple | None = None
+        # How often engines and chains changed: claims and rules lead to no plan.
+        self._engine_changes = 0
+        self._chain_changes = 0
+        self._engines: list[EngineSpec] = []
+        self._engines_from: int | None = None
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
         """Plan on every change until cancelled."""
-        subscription = self._state.changes.subscribe(lambda _: self._wake.set())
+        subscription = self._state.changes.subscribe(self._note)
         ticker = asyncio.create_task(self._tick())
         try:
             while True:
@@ -99,23 +105,43 @@
             await self._clock.sleep(CHECK_S)
             self._wake.set()
 
+    def _note(self, change: Change):
+        self._engine_changes += bool(change.backends or change.everything)
+        self._chain_changes += bool(change.chains or change.everything)
+        self._wake.set()
+
+    def _read_engines(self):
+        """Return the engines, read again only after a change of one."""
+        if self._engines_from != self._engine_changes:
+            self._engines_from = self._engine_changes
+            self._engines = engine_specs(self._state)
+            self._settling.observe(self._engines)
+        return self._engines
+
     async def _plan_once(self):
         if self._replica.role is not Role.LEADER or not self._hub.is_fresh():
             return
         index = self._state.index
-        engines = engine_specs(self._state)
-        self._settling.observe(engines)
+        engines = self._read_engines()
         options = self._options | {
             "load_new": self._settling.may_load(),
             "rebuild_serving": self._settling.may_rebuild(),
         }
         planned = self._state.chains.planned()
         ended = self._ended(planned)
-        planned_from = (self._replica.term, index, options, ended)
-        if planned_from == self._planned_from:
-            return
         base_index = self._state.placement_index
         pipelines = tuple(self._state.configuration.document.pipelines.values())
+        planned_from = (
+            self._replica.term,
+            self._engine_changes,
+            self._chain_changes,
+            base_index,
+            pipelines,
+            options,
+            ended,
+        )
+        if planned_from == self._planned_from:
+            return
         retiring = [chain for chain in planned if chain.retiring]
         standing = [chain for chain in planned if not chain.retiring]
         # In a thread: a plan of thousands of engines would delay heartbeats.
