Ask a doubted agent itself before its incarnation is ended

Cause: an agent replaced a silent watch stream after 1.5 s, while control ended its incarnation after 1.5 s without a stream, or after 1 s of silence once anyone suspected it. Change: control/probe.py asks the agent over a new connection: refused means gone at once, an answer keeps it, no answer and a third of the lease of silence means gone. down_after_s 3 s, at least lease_s; a heartbeat is at most a sixth of the lease; streams count as silent after 2.5 heartbeats instead of 3, so that a second silent replica is passed over within the lease. Bounds of the watcher's silence are narrower than before.

--- a/wigeonscale/config/load.py
+++ b/wigeonscale/config/load.py
@@ -32,6 +32,10 @@
     "log_level": ("log", "level"),
 }
 
+# In this many heartbeats a watcher replaces a silent connection to control, even
+# when the first replica that it tries instead is silent too.
+HEARTBEATS_PER_LEASE = 6
+
 
 def load_settings(
     path: str, role: str
@@ -149,9 +153,9 @@
 
 
 def _contradictions(cfg: NodeSettings, role: str) -> Iterator[str]:
-    if cfg.heartbeat_s * 2 > cfg.lease_s:
+    if cfg.heartbeat_s * HEARTBEATS_PER_LEASE > cfg.lease_s:
         yield (
-            f"[{role}] heartbeat_s = {cfg.heartbeat_s:g}; allowed: at most half of"
+            f"[{role}] heartbeat_s = {cfg.heartbeat_s:g}; allowed: at most a sixth of"
             f" lease_s = {cfg.lease_s:g}"
         )
     if isinstance(cfg, AgentSettings):
@@ -176,6 +180,12 @@
         )
     if len(set(names)) != len(names):
         yield f"[control] peers = {', '.join(names)!r}; allowed: each name once"
+    if cfg.down_after_s < cfg.lease_s:
+        yield (
+            f"[control] down_after_s = {cfg.down_after_s:g}; allowed: at least"
+            f" lease_s = {cfg.lease_s:g}, in which an agent replaces a silent"
+            " connection"
+        )
     if cfg.election_timeout_s < 2 * cfg.heartbeat_s:
         yield (
             f"[control] election_timeout_s = {cfg.election_timeout_s:g}; allowed: at"
--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -124,7 +124,8 @@
         election_timeout_s: Silence of the leader before an election, in seconds.
         heartbeat_s: Interval of the leader's heartbeats, in seconds.
         lease_s: Time without a majority after which a leader steps down, in seconds.
-        down_after_s: Silence after which a backend's incarnation ends, in seconds.
+        down_after_s: Silence after which a backend's incarnation ends even if nothing
+            else speaks for its loss, in seconds.
         snapshot_entries: Log entries between two snapshots.
         claim_age_s: Age at which a claim expires, in seconds.
         loads: Weight loads in progress at once.
@@ -144,7 +145,7 @@
     election_timeout_s: seconds(0.05, 60) = 1.0
     heartbeat_s: seconds(0.01, 20) = 0.2
     lease_s: seconds(0.1, 60) = 3.0
-    down_after_s: seconds(0.1, 600) = 1.5
+    down_after_s: seconds(0.1, 600) = 3.0
     snapshot_entries: count(1, 10_000_000) = 2000
     claim_age_s: seconds(1, 30 * 86400) = 86400.0
     loads: count(1, 1000) = 4
--- a/wigeonscale/control/__init__.py
+++ b/wigeonscale/control/__init__.py
@@ -9,7 +9,9 @@
     "Hub",
     "Liveness",
     "PlacementLoop",
+    "ProbeAnswer",
     "Watcher",
+    "probe_agent",
     "run_expiry",
     "tell_replica",
 ]
@@ -22,6 +24,7 @@
 from wigeonscale.control.hub import Hub
 from wigeonscale.control.liveness import Liveness
 from wigeonscale.control.placement_loop import PlacementLoop
+from wigeonscale.control.probe import ProbeAnswer, probe_agent
 from wigeonscale.control.service import ControlServicer
 from wigeonscale.control.suspicion import tell_replica
 from wigeonscale.control.watcher import Watcher
--- a/wigeonscale/control/liveness.py
+++ b/wigeonscale/control/liveness.py
@@ -9,21 +9,23 @@
 from wigeonscale.adapters.metrics import METRICS, Metrics
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.hub import Hub
+from wigeonscale.control.probe import Probe, ProbeAnswer, Probes
+from wigeonscale.control.watcher import Watcher
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.replication import Replica, Role
 from wigeonscale.state import ControlState, Member
 from wigeonscale.wire import wire_pb2 as wire
 
-# Two heartbeats of an agent: what a suspected one may be silent for.
-SUSPECT_SILENCE_S = 1.0
-# A stream that is open but silent may be broken while its agent is well: the agent
-# gets this many times as long, in which it moves to another stream by itself.
-SILENT_STREAM_SHARE = 2.0
+# Share of the lease that a suspected agent may be silent for when it does not answer
+# a probe either: two heartbeats, since one is a sixth of the lease at most.
+SUSPECT_SILENCE_SHARE = 1 / 3
 # A backend server that cannot load holds up a weight load that others wait for.
 MAX_FAILED_ORDERS = 5
 LOAD_TIMEOUT_S = 900.0
-CHECKS_PER_DOWN_TIME = 6
+CHECKS_PER_DOWN_TIME = 12
+# While an agent is suspected, someone waits for the decision.
+SUSPECT_INTERVAL_S = 0.05
 # A check this late means that this process stood still; it heard nobody meanwhile.
 PAUSED_CHECKS = 3
 CONTROL = "control"
@@ -41,11 +43,13 @@
         hub: Its watch hub.
         commands: Way of commands to the log.
         clock: Clock port.
-        down_after_s: Time without a stream after which an agent is gone, in
-            seconds.
+        down_after_s: Time without a word after which an agent is gone whatever a
+            probe says, in seconds; no shorter than the lease, in which an agent
+            replaces a silent connection.
         lease_s: Time of the freshness lease, in seconds.
         tell_replica: Passes a suspicion on to the replica at an address; returns
             whether that replica took it.
+        probe: Asks the agent at an address itself.
         metrics: Where ended incarnations are counted.
     """
 
@@ -61,6 +65,7 @@
         down_after_s: float,
         lease_s: float,
         tell_replica: Callable[[str, wire.Suspect], Awaitable[bool]],
+        probe: Probe,
         metrics: Metrics = METRICS,
     ):
         self._node_id = node_id
@@ -73,7 +78,10 @@
         self._interval_s = down_after_s / CHECKS_PER_DOWN_TIME
         # Long enough for every agent of a lost replica to attach elsewhere.
         self._grace_s = down_after_s + lease_s
+        self._suspect_silence_s = lease_s * SUSPECT_SILENCE_SHARE
         self._tell_replica = tell_replica
+        self._probe = probe
+        self._probes = Probes(probe=probe, clock=clock, on_answer=self.wake)
         self._metrics = metrics
         self._quiet_until = clock.now()
         # Agents that were attached here before a restart may attach elsewhere.
@@ -123,10 +131,12 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            await self._probes.close()
 
     async def _tick(self):
         while True:
-            await self._clock.sleep(self._interval_s)
+            quickest_s = SUSPECT_INTERVAL_S if self._suspected_at else self._interval_s
+            await self._clock.sleep(min(quickest_s, self._interval_s))
             self.wake()
 
     def _check(self):
@@ -161,28 +171,43 @@
             del self._suspected_at[name]
         for name in self._absent_since.keys() - names:
             del self._absent_since[name]
+        self._probes.keep(names)
 
     def _cause(self, member, now):
         """Return why a member counts as gone, or an empty string."""
         name = _name(member)
         watcher = self._hub.agent(*name)
-        suspected = self._is_suspected(name, watcher)
         if watcher is None:
             if name not in self._seen and now < self._started_until:
                 return ""
-            absent_s = now - self._absent_since.setdefault(name, now)
-            is_gone = suspected or absent_s >= self._down_after_s
-            return "stream-gone" if is_gone else ""
-        self._absent_since.pop(name, None)
-        silent_s = now - watcher.heard_at
-        if suspected and silent_s >= SUSPECT_SILENCE_S:
-            return "suspected"
-        if silent_s >= SILENT_STREAM_SHARE * self._down_after_s:
-            return "silent"
-        is_loading = watcher.sent_load is not None
-        is_hung = is_loading and now - watcher.load_since >= LOAD_TIMEOUT_S
-        has_failed = is_loading and watcher.failed_orders >= MAX_FAILED_ORDERS
-        return "load-failed" if is_hung or has_failed else ""
+            silent_s = now - self._absent_since.setdefault(name, now)
+        else:
+            self._absent_since.pop(name, None)
+            silent_s = now - watcher.heard_at
+        if silent_s >= self._down_after_s:
+            return "stream-gone" if watcher is None else "silent"
+        cause = self._cause_by_probe(member, watcher, silent_s)
+        return cause or (_load_failure(watcher, now) if watcher else "")
+
+    def _cause_by_probe(self, member, watcher, silent_s):
+        """Ask an agent that is suspected, or has no stream, whether it is there."""
+        name = _name(member)
+        is_suspected = self._is_suspected(name, watcher)
+        if watcher is not None and not is_suspected:
+            return ""
+        since = max(
+            self._suspected_at.get(name, 0.0), self._absent_since.get(name, 0.0)
+        )
+        match self._probes.answer(name, member.backend.address, since):
+            case ProbeAnswer.REFUSED:
+                return "refused"
+            case ProbeAnswer.ANSWERED:
+                # Only its stream is broken or silent, and it makes another.
+                self._suspected_at.pop(name, None)
+            case ProbeAnswer.NOTHING if is_suspected:
+                is_long = silent_s >= self._suspect_silence_s
+                return "suspected" if is_long else ""
+        return ""
 
     def _is_suspected(self, name, watcher):
         suspected_at = self._suspected_at.get(name)
@@ -237,6 +262,11 @@
     async def _pass_on_to(self, peer, suspicion):
         if await self._tell_replica(peer.address, suspicion):
             return
+        member = self._state.members.get(suspicion.agent_id)
+        if member is None:
+            return
+        if await self._probe(member.backend.address) is ProbeAnswer.ANSWERED:
+            return  # it attaches to another replica by itself
         # Neither the agent nor the replica it is attached to answers.
         member = self._state.members.get(suspicion.agent_id)
         if member is None or member.replica != peer.node_id:
@@ -250,5 +280,14 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _load_failure(watcher: Watcher, now: float) -> str:
+    """Return that a weight load hangs or fails again and again, or nothing."""
+    if watcher.sent_load is None:
+        return ""
+    is_hung = now - watcher.load_since >= LOAD_TIMEOUT_S
+    has_failed = watcher.failed_orders >= MAX_FAILED_ORDERS
+    return "load-failed" if is_hung or has_failed else ""
+
+
 def _name(member: Member) -> tuple[str, int]:
     return member.backend.agent_id, member.backend.incarnation
--- /dev/null
+++ b/wigeonscale/control/probe.py
@@ -0,0 +1,147 @@
+"""Asks an agent itself, over a new connection, whether it is there."""
+
+__all__ = ["Probe", "ProbeAnswer", "Probes", "probe_agent"]
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable, Hashable
+from dataclasses import dataclass
+
+import grpc
+
+from wigeonscale.adapters.channels import TlsFiles, open_channel
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+# A well agent answers within a round trip; one whose VM is gone never does.
+PROBE_TIMEOUT_S = 0.5
+PROBE_AGAIN_S = 1.0
+
+
+class ProbeAnswer(enum.Enum):
+    """What came of asking an agent."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"  # its VM is up, and nothing listens at its address
+    NOTHING = "nothing"
+
+
+Probe = Callable[[str], Awaitable[ProbeAnswer]]
+
+
+@dataclass(slots=True)
+class _Asked:
+    """When an agent was asked last, and its newest answer."""
+
+    at: float
+    answer: ProbeAnswer | None
+    is_pending: bool = True
+
+
+class Probes:
+    """Newest answers of the agents that are in question.
+
+    Args:
+        probe: Asks the agent at an address.
+        clock: Clock port.
+        on_answer: Called after each answer.
+    """
+
+    def __init__(self, *, probe: Probe, clock: Clock, on_answer: Callable[[], None]):
+        self._probe = probe
+        self._clock = clock
+        self._on_answer = on_answer
+        self._asked: dict[Hashable, _Asked] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def answer(self, name: Hashable, address: str, since: float) -> ProbeAnswer | None:
+        """Return what an agent answered, and ask it again when that is old.
+
+        Args:
+            name: Whom it is about.
+            address: ip:port of the agent's gRPC server.
+            since: Instant before which nobody doubted it, in seconds.
+
+        Returns:
+            Its newest answer to a question put since then; None before one.
+        """
+        now = self._clock.now()
+        asked = self._asked.get(name)
+        if asked is not None and asked.at < since and not asked.is_pending:
+            asked = None
+        is_due = asked is None or now - asked.at >= PROBE_AGAIN_S
+        if is_due and (asked is None or not asked.is_pending):
+            answer = asked.answer if asked else None
+            asked = self._asked[name] = _Asked(at=now, answer=answer)
+            self._start(self._ask(address, asked))
+        return asked.answer if asked.at >= since else None
+
+    def keep(self, names: set) -> None:
+        """Forget all agents but these.
+
+        Args:
+            names: Those still of interest.
+        """
+        for name in self._asked.keys() - names:
+            del self._asked[name]
+
+    async def close(self) -> None:
+        """Cancel the questions that are open."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _ask(self, address, asked):
+        asked.answer = await self._probe(address)
+        asked.is_pending = False
+        self._on_answer()
+
+    def _start(self, coro):
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def probe_agent(
+    address: str, *, tls: TlsFiles | None = None, timeout_s: float = PROBE_TIMEOUT_S
+) -> ProbeAnswer:
+    """Ping an agent over a connection of its own.
+
+    Args:
+        address: ip:port of the agent's gRPC server.
+        tls: Files for mutual TLS; None for plain TCP.
+        timeout_s: Longest wait for its answer, in seconds.
+
+    Returns:
+        What came of it.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            await _connect(address)
+            return await _ping(address, tls)
+    except ConnectionRefusedError:
+        return ProbeAnswer.REFUSED
+    except (OSError, TimeoutError, grpc.aio.AioRpcError):
+        return ProbeAnswer.NOTHING
+
+
+async def _connect(address):
+    """Connect without gRPC, which does not tell a refusal from a timeout."""
+    host, _, port = address.rpartition(":")
+    _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+    writer.close()
+
+
+async def _ping(address, tls):
+    # The answer comes from the agent's own loop: a process that is frozen, or
+    # hangs, accepts connections all the same.
+    async with open_channel(address, tls=tls) as channel:
+        call = wire_pb2_grpc.AgentStub(channel).Dispatch()
+        await call.write(wire.DispatchRequest(ping=wire.Ping(sent_us=1)))
+        async for event in call:
+            if event.pong_us:
+                call.cancel()
+                return ProbeAnswer.ANSWERED
+    return ProbeAnswer.NOTHING
--- a/wigeonscale/daemons/control.py
+++ b/wigeonscale/daemons/control.py
@@ -19,6 +19,7 @@
     Hub,
     Liveness,
     PlacementLoop,
+    probe_agent,
     run_expiry,
     tell_replica,
 )
@@ -82,6 +83,7 @@
             down_after_s=cfg.down_after_s,
             lease_s=cfg.lease_s,
             tell_replica=functools.partial(tell_replica, cfg.name),
+            probe=probe_agent,
         )
         self._liveness_task: asyncio.Task | None = None
 
--- a/wigeonscale/membership/watcher.py
+++ b/wigeonscale/membership/watcher.py
@@ -14,8 +14,10 @@
 from wigeonscale.membership.lease import Lease
 from wigeonscale.ports import Clock
 
-# Heartbeats without an answer after which a connection counts as silent.
-SILENT_HEARTBEATS = 3
+# Heartbeats without an answer after which a connection counts as silent. With those
+# of a second one that is silent too, and the reviews between, they stay below the
+# heartbeats in a lease: see ``HEARTBEATS_PER_LEASE`` of the settings.
+SILENT_HEARTBEATS = 2.5
 # A new connection is asked for less patience, since a lease is running out.
 NEW_SILENT_HEARTBEATS = 2
 # Share of the lease without confirmation after which another replica is tried,
