agent: two callers of one entry may read the same answer

An entry opens a second connection on purpose when two of its callers read one dispatch, so the first caller's answer would have stopped.

Change: nothing is replaced. A Cancel that finds only further readers of the same entry is remembered; it takes effect once all of them count as silent, unless the dispatch is taken up again. The silence limit is at least six heartbeats of the settings.

Shown: test_cancel has the two callers of one entry (it fails with the replacement) beside the older connection that went silent.

--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -20,6 +20,7 @@
 from wigeonscale.config import AgentSettings
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.membership import Change, ControlClient
+from wigeonscale.pipelines.constants import ENTRY_SILENCE_S
 from wigeonscale.pipelines.head import Head
 from wigeonscale.pipelines.links import StepLinks
 from wigeonscale.pipelines.stage import StageRunner
@@ -32,6 +33,9 @@
 DRAIN_LOOK_S = 0.05
 """Seconds between two looks at whether a stop may go on."""
 
+SILENT_HEARTBEATS = 6
+"""Heartbeats without a message after which an entry does not count as a reader."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -103,6 +107,7 @@
             stage=self.stage,
             load=self.load_word,
             clock=clock,
+            entry_silence_s=max(ENTRY_SILENCE_S, SILENT_HEARTBEATS * cfg.heartbeat_s),
         )
         control.changes.subscribe(self._on_change)
 
--- a/wigeonscale/agent/answers.py
+++ b/wigeonscale/agent/answers.py
@@ -31,7 +31,6 @@
         wake: Called when there is more to send.
         entry: Name of the entry.
         is_heard: Returns whether the entry gave a sign of life lately.
-        leave: Stops the reading.
         cursor: Index of the next token to send.
         credit: Tokens that may still be sent.
         notices: Items to send before any token.
@@ -43,7 +42,6 @@
     credit: int = INITIAL_CREDIT
     entry: str = ""
     is_heard: Callable[[], bool] = lambda: True
-    leave: Callable[[], None] = lambda: None
     notices: list[wire.DispatchItem] = field(default_factory=list)
     ended: bool = False
 
@@ -106,6 +104,8 @@
         tokens: Tokens made here.
         end: Last item of the answer, once it has ended.
         readers: Entries that read the answer now.
+        given_up: Whether its caller gave up while an older connection of the same
+            entry still seemed to read it.
         was_taken: Whether an entry was sent the whole answer, or gave it up.
         started_at: Reading of the clock when work began.
         ended_at: Reading of the clock when it ended.
@@ -124,6 +124,7 @@
     ended_at: float = 0.0
     kept_bytes: int = 0
     was_taken: bool = False
+    given_up: bool = False
     stop_work: Callable[[], None] | None = None
     set_paused: Callable[[bool], None] | None = None
 
@@ -158,6 +159,10 @@
         """Whether an entry that gives signs of life reads the answer now."""
         return any(reader.is_heard() for reader in self.readers)
 
+    def is_read_by_others(self, entry: str) -> bool:
+        """Return whether another entry that gives signs of life reads it now."""
+        return any(r.is_heard() and r.entry != entry for r in self.readers)
+
     def wake_readers(self) -> None:
         """Tell every reader that there is more to send."""
         for reader in self.readers:
--- a/wigeonscale/agent/dispatch.py
+++ b/wigeonscale/agent/dispatch.py
@@ -121,8 +121,13 @@
                 self._table.never(msg.dispatch_id)
             return
         if dispatch.is_read:
-            # Its caller has come back by another connection or entry.
+            # Its caller has come back by another connection or entry, or the reader
+            # is an older connection of this entry that has yet to count as silent.
+            dispatch.given_up = not dispatch.is_read_by_others(stream.name)
             return
+        self._give_up(dispatch)
+
+    def _give_up(self, dispatch: Dispatch) -> None:
         if dispatch.state is DispatchState.RUNNING and dispatch.stop_work is None:
             return
         dispatch.was_taken = True
@@ -205,6 +210,8 @@
             )
             if dispatch.late(now) and not cannot_stop:
                 self.expire(dispatch)
+            elif dispatch.given_up and dispatch.readers and not dispatch.is_read:
+                self._give_up(dispatch)
             elif dispatch.set_paused is not None:
                 unsent = dispatch.produced - dispatch.sent
                 dispatch.set_paused(self._table.is_full and unsent > PAUSE_TOKENS)
@@ -287,6 +294,7 @@
             stream.send(refused_item(dispatch.dispatch_id, exc))
             return
         reader = stream.attach(dispatch, index)
+        dispatch.given_up = False
         if dispatch.end is None:
             reader.notices.append(
                 wire.DispatchItem(
--- a/wigeonscale/agent/servicer.py
+++ b/wigeonscale/agent/servicer.py
@@ -10,6 +10,7 @@
 
 from wigeonscale.agent.dispatch import Dispatcher
 from wigeonscale.agent.stream import EntryStream
+from wigeonscale.pipelines.constants import ENTRY_SILENCE_S
 from wigeonscale.pipelines.stage import StageRunner
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
@@ -26,6 +27,8 @@
         stage: Runs steps; None for a plain service.
         load: Returns the load word.
         clock: Clock port.
+        entry_silence_s: Seconds without a message after which an entry does not
+            count as a reader.
     """
 
     def __init__(
@@ -35,11 +38,13 @@
         stage: StageRunner | None,
         load: Callable[[], wire.LoadWord],
         clock: Clock,
+        entry_silence_s: float = ENTRY_SILENCE_S,
     ):
         self._dispatcher = dispatcher
         self._stage = stage
         self._load = load
         self._clock = clock
+        self._entry_silence_s = entry_silence_s
         self._streams: set[EntryStream] = set()
         self._steps: set[asyncio.Task] = set()
 
@@ -56,7 +61,9 @@
 
     async def Dispatch(self, request_iterator, context):  # noqa: N802
         """Serve one entry's stream until it ends."""
-        stream = EntryStream(load=self._load, clock=self._clock)
+        stream = EntryStream(
+            load=self._load, clock=self._clock, silence_s=self._entry_silence_s
+        )
         writer = asyncio.create_task(stream.write(context.write))
         self._streams.add(stream)
         try:
--- a/wigeonscale/agent/stream.py
+++ b/wigeonscale/agent/stream.py
@@ -22,12 +22,20 @@
     Args:
         load: Returns the load word that rides on every message.
         clock: Clock port.
+        silence_s: Seconds without a message after which the entry does not count.
     """
 
-    def __init__(self, *, load: Callable[[], wire.LoadWord], clock: Clock):
+    def __init__(
+        self,
+        *,
+        load: Callable[[], wire.LoadWord],
+        clock: Clock,
+        silence_s: float = ENTRY_SILENCE_S,
+    ):
         self.name = ""
         self._load = load
         self._clock = clock
+        self._silence_s = silence_s
         self._heard_at = clock.now()
         self._readers: dict[str, Reader] = {}
         self._dirty: dict[Reader, None] = {}
@@ -38,13 +46,9 @@
     def attach(self, dispatch: Dispatch, from_token: int) -> Reader:
         """Read an answer from a token index, with fresh initial credit.
 
-        An earlier reader of the same dispatch by the same entry is replaced, also
-        one on an older connection of that entry.
+        An earlier reader of the same dispatch on this stream is replaced.
         """
         self.detach(dispatch.dispatch_id)
-        for reader in list(dispatch.readers):
-            if self.name and reader.entry == self.name:
-                reader.leave()
         reader = Reader(
             dispatch=dispatch,
             wake=self._mark,
@@ -52,7 +56,6 @@
             credit=INITIAL_CREDIT,
             entry=self.name,
             is_heard=self.is_heard,
-            leave=lambda: self.detach(dispatch.dispatch_id),
         )
         self._readers[dispatch.dispatch_id] = reader
         dispatch.readers.add(reader)
@@ -65,7 +68,7 @@
 
     def is_heard(self) -> bool:
         """Return whether the entry gave a sign of life lately."""
-        return self._clock.now() - self._heard_at < ENTRY_SILENCE_S
+        return self._clock.now() - self._heard_at < self._silence_s
 
     def detach(self, dispatch_id: str) -> None:
         """Stop reading an answer."""
--- a/wigeonscale/agent/tests/test_cancel.py
+++ b/wigeonscale/agent/tests/test_cancel.py
@@ -35,8 +35,19 @@
     async def test_answer_taken_up_by_another_entry_survives_the_first_ones_cancel(
         self,
     ):
-        first, second, dispatch_id = await self.open_and_attach("e1", "e2")
+        await self.check_survives_cancel("e1", "e2")
+
+    async def test_second_caller_of_the_same_entry_survives_the_first_ones_cancel(self):
+        await self.check_survives_cancel("e1", "e1")
+
+    async def check_survives_cancel(self, *entries):
+        first, second, dispatch_id = await self.open_and_attach(*entries)
         await self.cancel(first, dispatch_id)
+        for _ in range(10):
+            await self.clock.jump(ENTRY_SILENCE_S / 2)
+            await second.send(ping=wire.Ping(sent_us=8))
+            heard = len(second.events)
+            await second.wait(lambda heard=heard: len(second.events) > heard)
         self.held.release()
         await second.end(dispatch_id)
         self.assertEqual(expected_tokens("page one", 6, 8), second.texts(dispatch_id))
@@ -51,5 +62,6 @@
     async def test_older_connection_of_the_same_entry_keeps_no_work_alive(self):
         _, second, dispatch_id = await self.open_and_attach("e1", "e1")
         await self.cancel(second, dispatch_id)
+        await self.clock.jump(ENTRY_SILENCE_S)
         self.assertEqual([], self.table.live())
         self.held.release()
