Spares hold weights in advance

Cause: a lost stage came back only after a spare had loaded its layers. Change: when no chain waits for a load, spares load one after the other the layers that the most stages have for each spare that holds them (warm_loads); stages of the own failure domain count half. Derived from committed state, as all orders. Never with [control] loads = 1: a repair must not wait for a spare. A spare that holds more than the lost layers no longer counts as loaded, since its engine has to load anyway. Weighed: spares that hold more than one stage's layers (engines run the range they hold), a load for each spare at once (takes the store from repairs).

--- a/wigeonscale/control/orders.py
+++ b/wigeonscale/control/orders.py
@@ -2,10 +2,15 @@
 
 __all__ = ["load_orders"]
 
-from wigeonscale.placement import order_loads
+from wigeonscale.placement import order_loads, warm_loads
 from wigeonscale.state import ControlState
 from wigeonscale.wire import wire_pb2 as wire
 
+# Fewest loads at once with which a spare may take one of them.
+LOADS_WITH_WARM = 2
+WARM = "spare"
+"""Stands in place of a chain's id in the order of a spare's load."""
+
 
 def load_orders(state: ControlState, *, loads: int) -> dict[str, wire.LoadLayers]:
     """Return the weight loads released now, by agent.
@@ -16,7 +21,8 @@
 
     Returns:
         At most ``loads`` orders. The next is released when a loaded range is
-        announced, or when its agent is gone.
+        announced, or when its agent is gone. When no chain waits for a load, one
+        spare after the other loads what it may have to replace.
 
     Notes:
         Costs one pass over all stages.
@@ -32,12 +38,70 @@
             break
         if state.members.holds(stage.agent_id, stage.incarnation):
             orders.setdefault(stage.agent_id, _load(chain, stage))
+    # A repair must never wait for a spare.
+    if not ranked and loads >= LOADS_WITH_WARM:
+        return _warm_orders(state, chains, loading)
     return orders
 
 
-def _load(chain, stage):
+def _warm_orders(state, chains, loading):
+    """Return the loads of spares that have begun, or else the next one."""
+    ranked = warm_loads(
+        chains,
+        _spares(state),
+        holds=lambda spare, chain, stage: state.chains.is_loaded(
+            chain, _stage_of(spare, stage)
+        ),
+        region_of=lambda chain: _region(state, chain),
+        loading=loading,
+    )
+    orders = {}
+    # Spares that are loading come first.
+    for spare, chain, stage in ranked:
+        if loading and spare.agent_id not in loading:
+            break
+        orders[spare.agent_id] = _load(chain, stage, chain_id=WARM)
+        if not loading:
+            break
+    return orders
+
+
+def _spares(state):
+    used = {
+        stage.agent_id
+        for chain in (*state.chains, *state.chains.planned())
+        for stage in chain.stages
+    }
+    backends = (member.backend for member in state.members)
+    return [
+        backend
+        for backend in backends
+        if backend.kind == wire.ENGINE
+        and backend.agent_id not in used
+        and backend.layer_rate > 0
+        and backend.link_rate > 0
+        and not backend.draining
+        and not state.members.is_drained(backend.agent_id)
+    ]
+
+
+def _region(state, chain):
+    member = state.members.get(chain.stages[0].agent_id)
+    return member.backend.region if member is not None else ""
+
+
+def _stage_of(spare, stage):
+    return wire.Stage(
+        agent_id=spare.agent_id,
+        incarnation=spare.incarnation,
+        first_layer=stage.first_layer,
+        last_layer=stage.last_layer,
+    )
+
+
+def _load(chain, stage, *, chain_id=None):
     return wire.LoadLayers(
-        chain_id=chain.chain_id,
+        chain_id=chain.chain_id if chain_id is None else chain_id,
         epoch=chain.epoch,
         model=chain.model,
         version=chain.version,
--- a/wigeonscale/control/tests/test_orders.py
+++ b/wigeonscale/control/tests/test_orders.py
@@ -45,3 +45,70 @@
         self.machine.place(retired=["one"])
         self.machine.announce("b")
         self.assertEqual([], self.released())
+
+
+class WarmSparesTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.machine = Machine()
+        for agent_id in "abcd":
+            self.machine.announce(agent_id)
+        self.machine.place(chain("one", 1, ("a", 0, 1), ("b", 2, 3)))
+
+    def released(self, loads=LOADS):
+        orders = load_orders(self.machine.state, loads=loads)
+        return {name: (o.first_layer, o.last_layer) for name, o in orders.items()}
+
+    def load_chain(self):
+        self.machine.announce("a", layers=(0, 1))
+        self.machine.announce("b", layers=(2, 3))
+
+    def test_one_spare_after_the_other_covers_the_stages(self):
+        self.machine.announce("a", layers=(0, 1))
+        self.assertEqual({"b": (2, 3)}, self.released())
+        self.machine.announce("b", layers=(2, 3))
+        self.assertEqual({"c": (0, 1)}, self.released())
+        self.machine.announce("c", loading=True)
+        self.assertEqual({"c": (0, 1)}, self.released())
+        self.machine.announce("c", layers=(0, 1))
+        self.assertEqual({"d": (2, 3)}, self.released())
+        self.machine.announce("d", layers=(2, 3))
+        self.assertEqual({}, self.released())
+
+    def test_spare_takes_a_stage_of_another_domain(self):
+        for lost, domain, layers in (("c", "x", (2, 3)), ("d", "y", (0, 1))):
+            machine = Machine()
+            machine.announce("a", layers=(0, 1), domain="x")
+            machine.announce("b", layers=(2, 3), domain="y")
+            wanted = chain("one", 1, ("a", 0, 1), ("b", 2, 3))
+            wanted.stages[0].domain, wanted.stages[1].domain = "x", "y"
+            machine.place(wanted)
+            machine.announce(lost, domain=domain)
+            self.machine = machine
+            self.assertEqual({lost: layers}, self.released())
+
+    def test_repair_goes_before_a_spare(self):
+        self.load_chain()
+        self.machine.announce("c", loading=True)
+        self.machine.place(chain("one", 2, ("a", 0, 1), ("d", 2, 3)))
+        self.assertEqual((2, 3), self.released()["d"])
+
+    def test_a_spare_never_takes_the_only_load(self):
+        self.load_chain()
+        self.assertEqual({}, self.released(loads=1))
+
+    def test_engines_that_leave_or_are_too_small_load_nothing(self):
+        self.load_chain()
+        self.machine.announce("c", draining=True)
+        self.machine.announce("d", layer_capacity=1)
+        self.assertEqual({}, self.released())
+
+    def test_new_version_is_loaded_by_spares_too(self):
+        self.load_chain()
+        self.machine.announce("c", layers=(0, 1))
+        self.machine.announce("d", layers=(2, 3))
+        new = chain("one", 2, ("a", 0, 1), ("b", 2, 3), version="v2")
+        self.machine.place(new)
+        for agent_id, layers in (("a", (0, 1)), ("b", (2, 3))):
+            self.machine.announce(agent_id, layers=layers, version="v2")
+        self.assertEqual({"c": (0, 1)}, self.released())
--- a/wigeonscale/placement/__init__.py
+++ b/wigeonscale/placement/__init__.py
@@ -9,6 +9,7 @@
     "hardware_bound",
     "order_loads",
     "plan_chains",
+    "warm_loads",
 ]
 
 from wigeonscale.placement.bound import hardware_bound
@@ -16,3 +17,4 @@
 from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan, StagePlan
 from wigeonscale.placement.planner import plan_chains
 from wigeonscale.placement.rates import chain_rate
+from wigeonscale.placement.warm import warm_loads
--- a/wigeonscale/placement/repair.py
+++ b/wigeonscale/placement/repair.py
@@ -162,10 +162,8 @@
 
     def preference(engine):
         rate = min(stage_rate(engine, stage.layers), target)
-        loaded = (
-            engine.first_layer <= stage.first_layer
-            and engine.last_layer >= stage.last_layer
-        )
+        held = (engine.first_layer, engine.last_layer)
+        loaded = held == (stage.first_layer, stage.last_layer)
         return (
             not loaded,
             engine.agent_id != stage.agent_id,
--- a/wigeonscale/placement/tests/test_planner.py
+++ b/wigeonscale/placement/tests/test_planner.py
@@ -158,6 +158,16 @@
         self.assertEqual("b", chain.stages[0].domain)
         self.assertEqual(2, chain.epoch)
 
+    def test_only_a_spare_that_holds_just_the_layers_counts_as_loaded(self):
+        engines = [engine(n, domain="a", layer_capacity=8) for n in range(2)]
+        (chain,) = self.plan(engines).chains
+        lost = chain.stages[1]
+        wide = engine(2, domain="a", first_layer=0, last_layer=7, layer_capacity=8)
+        exact = engine(3, domain="a", first_layer=4, last_layer=7)
+        left = [spec for spec in engines if spec.agent_id != lost.agent_id]
+        (after,) = self.plan([*left, wide, exact], [chain]).chains
+        self.assertEqual("e3", after.stages[1].agent_id)
+
     def test_restarted_engine_that_kept_its_layers_stays(self):
         engines = [engine(n) for n in range(6)]
         (chain,) = self.plan(engines).chains
