Tell a watcher that comes back only what changed meanwhile

Cause: a new stream always began with the whole membership, also for a watcher that had just lost another replica; spares were sent as a full list, and a delta without it emptied the watcher's (test_members held that: it now asks for the spares that are left). Change: Hello.known_index; a replica that keeps the changes since then sends a delta, an empty one if need be.

--- a/wigeonscale/control/feed.py
+++ b/wigeonscale/control/feed.py
@@ -70,7 +70,8 @@
             A delta, the whole membership when the position is too old, or None
             when nothing changed. Shared: not to be changed.
         """
-        is_known = index is not None and index >= self._complete_after
+        # One who was told by a replica that is ahead of this one gets it all.
+        is_known = index is not None and self._complete_after <= index <= self.index
         key = index if is_known else -1
         if key not in self._members_cache:
             make = self._delta_after if is_known else self._whole_members
@@ -128,13 +129,9 @@
     def _whole_members(self, _):
         update = wire.MembersUpdate(full=True, index=self.index)
         update.chains.extend(self._state.chains)
-        in_chains = {s.agent_id for chain in update.chains for s in chain.stages}
-        for member in self._state.members:
-            agent_id = member.backend.agent_id
-            backend = self._state.members.effective(agent_id)
-            update.backends.append(backend)
-            if backend.kind == wire.ENGINE and agent_id not in in_chains:
-                update.spares.append(_spare(backend))
+        members = self._state.members
+        for member in members:
+            update.backends.append(members.effective(member.backend.agent_id))
         return update
 
     def _whole_config(self):
@@ -162,14 +159,3 @@
         oldest = self._state.configuration.oldest_known
         for number in [n for n in self._config_cache if n <= oldest]:
             del self._config_cache[number]
-
-
-def _spare(backend: wire.Backend) -> wire.Stage:
-    return wire.Stage(
-        agent_id=backend.agent_id,
-        incarnation=backend.incarnation,
-        address=backend.address,
-        first_layer=backend.first_layer,
-        last_layer=backend.last_layer,
-        domain=backend.domain,
-    )
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -197,13 +197,20 @@
         for update in self.feed.configs_after(watcher.revision):
             watcher.revision = update.revision
             yield wire.WatchEvent(config=update)
+        yield from self._due_members(watcher)
+        yield from self._due_orders(watcher)
+        if grant is not None:
+            yield wire.WatchEvent(lease=grant)
+
+    def _due_members(self, watcher):
         update = self.feed.members_after(watcher.position)
         watcher.position = self.feed.index
+        if update is None and not watcher.is_told_members:
+            # Says that what it brought from another replica still holds.
+            update = wire.MembersUpdate(index=self.feed.index)
+        watcher.is_told_members = True
         if update is not None:
             yield wire.WatchEvent(members=update)
-        yield from self._due_orders(watcher)
-        if grant is not None:
-            yield wire.WatchEvent(lease=grant)
 
     def _grant(self, watcher):
         if watcher.unanswered is None:
--- a/wigeonscale/control/watcher.py
+++ b/wigeonscale/control/watcher.py
@@ -24,7 +24,8 @@
         node_id: Name of the watching process.
         role: ``entry``, ``agent`` or ``control``.
         http_address: ip:port of its pages.
-        position: Feed index of the members it was told; None before the first.
+        position: Index of the members it knows; None for none.
+        is_told_members: Whether it was told members on this stream.
         revision: Configuration revision it was told.
         applied_revision: Revision it said it has in force.
         heard_at: Instant of its last message, in seconds of the clock port.
@@ -46,7 +47,8 @@
         self.node_id = hello.node_id
         self.role = hello.role
         self.http_address = hello.http_address
-        self.position: int | None = None
+        self.position: int | None = hello.known_index or None
+        self.is_told_members = False
         self.revision = hello.known_revision
         self.applied_revision = hello.known_revision
         self.heard_at = clock.now()
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -229,6 +229,7 @@
             role=self._role,
             known_revision=self._knowledge.known_revision,
             http_address=self._http_address,
+            known_index=self._members.index,
         )
         return WatchConnection(
             address=address,
@@ -237,6 +238,7 @@
             hello=hello,
             on_event=self._handle,
             applied_revision=lambda: self.revision,
+            known_members=self._members.copy() if self._members.index else None,
             tls=self._tls,
         )
 
@@ -278,9 +280,10 @@
         self, conn: WatchConnection, update: wire.MembersUpdate
     ) -> DisconnectCause | None:
         if conn.members is None:
-            if not update.full:
-                return DisconnectCause.MEMBERS_OUT_OF_ORDER
-            conn.members = MembersView()
+            conn.members = MembersView() if update.full else conn.known_members
+            conn.known_members = None
+        if conn.members is None:
+            return DisconnectCause.MEMBERS_OUT_OF_ORDER
         conn.members.apply(update)
         if conn is self._watcher.attached:
             self._knowledge.emit(Change.MEMBERS)
--- a/wigeonscale/membership/connection.py
+++ b/wigeonscale/membership/connection.py
@@ -39,6 +39,8 @@
     Attributes:
         address: Replica's ``ip:port``.
         members: Backends and chains as told on this stream; None until told.
+        known_members: Those known at its opening, from which it may be told what
+            changed; None for none, and once told.
         opened_at: Own time of opening, in seconds.
         answered_at: Own sending time of the latest heartbeat that was answered, or
             the time of opening. A stream that is silent in one direction, or that
@@ -54,6 +56,7 @@
         on_event: Called with this connection and each event; returns a cause to
             end the connection, else None.
         applied_revision: Returns the configuration revision in force here.
+        known_members: Own copy of the members that ``hello`` says are known.
         tls: Files for mutual TLS; None for plain TCP.
     """
 
@@ -68,10 +71,12 @@
             ["WatchConnection", wire.WatchEvent], DisconnectCause | None
         ],
         applied_revision: Callable[[], int],
+        known_members: MembersView | None = None,
         tls: TlsFiles | None = None,
     ):
         self.address = address
         self.members: MembersView | None = None
+        self.known_members = known_members
         self.opened_at = clock.now()
         self.answered_at = self.opened_at
         self.last_sent_us = 0
--- a/wigeonscale/membership/members.py
+++ b/wigeonscale/membership/members.py
@@ -2,7 +2,7 @@
 
 __all__ = ["MembersView"]
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from types import MappingProxyType
 
 from wigeonscale.wire import wire_pb2 as wire
@@ -26,6 +26,11 @@
             self._groups.pop(group, None)
         self._lists.pop(group, None)
 
+    def copy(self) -> "_Index":
+        other = _Index()
+        other._groups = {name: dict(group) for name, group in self._groups.items()}
+        return other
+
     def list_of(self, group: str) -> tuple:
         if group not in self._lists:
             if group not in self._groups:
@@ -35,7 +40,7 @@
 
 
 class MembersView:
-    """Backends, chains and spares as of one log index.
+    """Backends and chains as of one log index.
 
     Notes:
         An update costs in proportion to itself. ``chains_of`` and
@@ -47,7 +52,6 @@
         self.index = 0
         self._backends: dict[str, wire.Backend] = {}
         self._chains: dict[str, wire.Chain] = {}
-        self._spares: Sequence[wire.Stage] = ()
         self._by_service = _Index()
         self._by_pipeline = _Index()
 
@@ -62,9 +66,14 @@
         return MappingProxyType(self._chains)
 
     @property
-    def spares(self) -> Sequence[wire.Stage]:
-        """Engines that stand in no chain."""
-        return self._spares
+    def spares(self) -> list[wire.Backend]:
+        """Engines that stand in no chain, found at the cost of a look at all."""
+        used = {s.agent_id for chain in self._chains.values() for s in chain.stages}
+        return [
+            backend
+            for agent_id, backend in self._backends.items()
+            if backend.kind == wire.ENGINE and agent_id not in used
+        ]
 
     def chains_of(self, pipeline: str) -> tuple[wire.Chain, ...]:
         """Return the chains of a pipeline, ready or not.
@@ -88,6 +97,16 @@
         """
         return self._by_service.list_of(service)
 
+    def copy(self) -> "MembersView":
+        """Return a view that changes by itself from now on; shares the messages."""
+        other = MembersView()
+        other.index = self.index
+        other._backends = dict(self._backends)
+        other._chains = dict(self._chains)
+        other._by_service = self._by_service.copy()
+        other._by_pipeline = self._by_pipeline.copy()
+        return other
+
     def apply(self, update: wire.MembersUpdate) -> None:
         """Take in one update.
 
@@ -104,7 +123,6 @@
             self._set_backend(backend)
         for chain in update.chains:
             self._set_chain(chain)
-        self._spares = update.spares
         self.index = update.index
 
     def _set_backend(self, backend: wire.Backend) -> None:
--- a/wigeonscale/membership/tests/test_client.py
+++ b/wigeonscale/membership/tests/test_client.py
@@ -112,6 +112,21 @@
         await self.until(lambda: self.metrics.reconnects.value(**cause) > 0)
         self.assertFalse(client._ready.is_set())
 
+    async def test_another_replica_tells_only_what_changed(self):
+        fakes = await self.start_fakes(2)
+        for fake in fakes:
+            fake.backends = [OWN, wire.Backend(agent_id="n2")]
+        client, first, (other,) = await self.attached(*fakes)
+        known = client.members
+        other.first_members = wire.MembersUpdate(index=9, removed_backends=["n2"])
+        other.backends = [wire.Backend(agent_id="n3")]
+        first.answers = False
+        hello = await self.next_hello(client, other)
+        self.assertEqual(1, hello.known_index)
+        await self.advance_until(lambda: client.members is not known)
+        self.assertEqual(["n1", "n3"], list(client.members.backends))
+        self.assertEqual(["n1", "n2"], list(known.backends))
+
     async def test_not_attached_before_members_are_told(self):
         (fake,) = await self.start_fakes()
         fake.first_members = None
