Keep the metrics of an entry small at 30,000 organisations

Cause: three histograms were labelled by organisation, and each label key that orjson makes for aioprometheus holds on to 4 KB. Trial with 30,000 organisations and one event each: 162 MB a histogram, 119 MB a counter, 725 MB in all, and 9.2 s of processor time in the loop for a page /metrics of 112 MB. Ruled out: dropping the label of the counters too; without the spare room they take 4 MB each and show operators who sends and who is refused. Change: the histograms lose the label (the burn report has the service levels of each organisation), and keys are copied to their own length.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -3,6 +3,7 @@
 __all__ = ["METRICS", "Counter", "Gauge", "Histogram", "Metrics", "OK"]
 
 import aioprometheus
+from aioprometheus.metricdict import MetricDict
 
 from wigeonscale.errors import ErrorKind
 
@@ -29,6 +30,20 @@
 )
 
 
+class _CompactValues(MetricDict):
+    """Values whose keys take no more room than they need.
+
+    A key as orjson makes it holds on to 4 KB: 120 MB a metric at 30,000
+    organisations.
+    """
+
+    def __setitem__(self, key, value):
+        key = self.__keytransform__(key)
+        if key not in self.store and isinstance(key, bytes):
+            key = bytes(memoryview(key))
+        self.store[key] = value
+
+
 class _Metric:
     """A collector whose label names are fixed when it is made."""
 
@@ -48,6 +63,7 @@
         self._collector = self._collector_type(
             self.name, doc, registry=registry, **options
         )
+        self._collector.values = _CompactValues()
 
     def _check(self, labels: dict[str, str]) -> dict[str, str]:
         if labels.keys() != self._labels:
@@ -138,7 +154,9 @@
 
     Label values come from closed sets as well: organisations of the document in
     force, names of commands, causes of an enum, and error kinds, where an empty
-    kind counts as ``ok`` and an unknown one as ``other``.
+    kind counts as ``ok`` and an unknown one as ``other``. No histogram is kept by
+    organisation: three of them took 490 MB at 30,000 organisations. The burn report
+    has the service levels of each.
 
     Attributes:
         registry: The registry that ``/metrics`` renders.
@@ -162,13 +180,13 @@
             "kind",
         )
         self.first_token_s = self._histogram(
-            "first_token_seconds", "From request to first token.", "organisation"
+            "first_token_seconds", "From request to first token."
         )
         self.token_gap_s = self._histogram(
-            "token_gap_seconds", "Between tokens of one answer.", "organisation"
+            "token_gap_seconds", "Between tokens of one answer."
         )
         self.request_s = self._histogram(
-            "request_seconds", "From request to end of answer.", "organisation"
+            "request_seconds", "From request to end of answer."
         )
         self.tokens = self._counter(
             "tokens_total", "Tokens written to callers.", "organisation"
--- a/wigeonscale/entry/records.py
+++ b/wigeonscale/entry/records.py
@@ -98,7 +98,7 @@
     """
     elapsed_s = now - log.started
     METRICS.requests.add(organisation=log.organisation, kind=log.kind)
-    METRICS.request_s.observe(elapsed_s, organisation=log.organisation)
+    METRICS.request_s.observe(elapsed_s)
     if log.first_token_s is not None:
         _record_tokens(log, recorder)
     if log.organisation:
@@ -121,11 +121,11 @@
 def _record_tokens(log: RequestLog, recorder: BurnRecorder) -> None:
     organisation = log.organisation
     METRICS.tokens.add(log.tokens, organisation=organisation)
-    METRICS.first_token_s.observe(log.first_token_s, organisation=organisation)
+    METRICS.first_token_s.observe(log.first_token_s)
     recorder.first_token(organisation, log.first_token_s)
     for gaps in (log.gaps, log.late_gaps):
         if gaps.count:
             # The mean of gaps on one side of the objective stays on that side.
             mean_s = gaps.total_s / gaps.count
-            METRICS.token_gap_s.observe(mean_s, organisation=organisation)
+            METRICS.token_gap_s.observe(mean_s)
             recorder.gap(organisation, mean_s, gaps.count)
