Add the fault matrix: nine faults at eleven steps in one process

Cause: the invariants were tested package by package; nothing put every fault at every step of the whole path. Ruled out: whole processes for every cell (a step can't be met exactly from outside); a cluster simulator (the parts that daemons are made of run as they are, behind small TCP relays). Change: wigeonscale.testing.matrix with relays that cut, stall and delay, nodes and a cluster in one process, hooks at the backend servers' steps and at commands, checkers with a planted violation each, and the table. fake_service.serve_service takes an awaitable between effect and answer. Racing operators, resends, freeze and whole processes are still to come.

--- /dev/null
+++ b/wigeonscale/testing/matrix/__main__.py
@@ -0,0 +1,91 @@
+"""Runs the fault matrix and prints its table; ``make matrix`` calls it.
+
+Usage: ``python -m wigeonscale.testing.matrix [--fault NAME] [--step NAME]``.
+The exit code is 1 when an invariant was broken anywhere.
+"""
+
+__all__ = ["main"]
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import sys
+import time
+
+from wigeonscale.testing.matrix.faults import FAULTS
+from wigeonscale.testing.matrix.report import print_table
+from wigeonscale.testing.matrix.runner import CellResult, run_cells
+from wigeonscale.testing.matrix.steps import STEPS
+from wigeonscale.testing.matrix.table import Cell, cells
+
+WORKERS = 4
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the matrix, or the chosen rows and columns, and return the exit code."""
+    parser = argparse.ArgumentParser(prog="matrix", description=__doc__)
+    parser.add_argument("--fault", action="append", choices=sorted(FAULTS))
+    parser.add_argument("--step", action="append", choices=sorted(STEPS))
+    parser.add_argument("--worker", action="store_true", help=argparse.SUPPRESS)
+    args = parser.parse_args(argv)
+    chosen = [
+        cell
+        for cell in cells()
+        if cell.fault in (args.fault or FAULTS) and cell.step in (args.step or STEPS)
+    ]
+    if args.worker:
+        asyncio.run(run_cells(chosen, on_result=_print_result))
+        return 0
+    began = time.monotonic()
+    results = asyncio.run(_spread(chosen))
+    print(f"matrix: {time.monotonic() - began:.0f} s", flush=True)
+    return print_table(results)
+
+
+def _print_result(result: CellResult) -> None:
+    print(json.dumps(dataclasses.asdict(result)), flush=True)
+
+
+async def _spread(chosen: list[Cell]) -> list[CellResult]:
+    """Run the cells row by row in worker processes of their own."""
+    gate = asyncio.Semaphore(WORKERS)
+    rows: dict[str, list[str]] = {}
+    for cell in chosen:
+        rows.setdefault(cell.fault, []).append(cell.step)
+    done = await asyncio.gather(
+        *(_run_row(gate, fault, steps) for fault, steps in rows.items())
+    )
+    return [result for row in done for result in row]
+
+
+async def _run_row(
+    gate: asyncio.Semaphore, fault: str, steps: list[str]
+) -> list[CellResult]:
+    args = ["--worker", "--fault", fault]
+    for step in steps:
+        args += ["--step", step]
+    async with gate:
+        worker = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "wigeonscale.testing.matrix",
+            *args,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        out, _ = await worker.communicate()
+    results = [CellResult(**json.loads(line)) for line in out.splitlines()]
+    told = {result.step for result in results}
+    ended = f"the worker ended with exit code {worker.returncode}"
+    results += [
+        CellResult(fault=fault, step=step, runs=1, violations=[ended])
+        for step in steps
+        if step not in told
+    ]
+    print(f"matrix: {fault} done", flush=True)
+    return results
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wigeonscale/testing/matrix/cluster.py
@@ -0,0 +1,277 @@
+"""A small deployment in this process: control, entries, agents and fakes."""
+
+__all__ = ["KEY", "LAYERS", "MODEL", "Cluster", "rules_text", "until"]
+
+import asyncio
+import itertools
+import os
+import pathlib
+import socket
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from wigeonscale.config import AgentSettings, ControlSettings, EntrySettings, Peer
+from wigeonscale.ports import EngineInfo
+from wigeonscale.testing.fake_service import serve_service
+from wigeonscale.testing.matrix.backends import Moment, Recorder, RecordingEngine
+from wigeonscale.testing.matrix.nodes import AgentNode, ControlNode, EntryNode
+from wigeonscale.testing.matrix.relay import ANYONE, CALLERS, Network
+
+LIMIT_S = 60.0
+LOOK_S = 0.02
+KEY = "matrix-key"
+MODEL = "proof-12"
+LAYERS = 12
+LAYERS_PER_ENGINE = 4
+ENGINES = 5
+SERVICES = 2
+CONTROLS = ("c1", "c2", "c3")
+ENTRIES = ("e1", "e2")
+DOMAINS = ("hall-a", "hall-b", "hall-c")
+SNAPSHOT_ENTRIES = 40
+
+_numbers = itertools.count(1)
+
+
+def rules_text(note: str) -> str:
+    """Return a rules document that differs from others by its note."""
+    return f"""\
+[organisation matrix]
+keys = {KEY}
+
+[pipeline proof]
+model = {MODEL}
+layers = {LAYERS}
+replicas = 1
+
+[service directory]
+
+[rule closed]
+when = path under /closed
+then = refuse because {note}
+
+[rule notes]
+when = path under /notes
+then = route service directory
+repeat = never
+
+[rule lookups]
+when = path under /lookup
+then = route service directory
+
+[rule billed]
+when = model is {MODEL} and header X-Billed is yes
+then = route pipeline proof
+repeat = never
+
+[rule proof]
+when = model is {MODEL}
+then = route pipeline proof
+"""
+
+
+async def until(condition: Callable[[], object], what: str = "") -> None:
+    """Wait until a condition holds.
+
+    Args:
+        condition: Looked at again and again.
+        what: What is waited for, for the error.
+
+    Raises:
+        TimeoutError: It did not hold within ``LIMIT_S``.
+    """
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():  # noqa: ASYNC110 (spans several objects)
+                await asyncio.sleep(LOOK_S)
+    except TimeoutError:
+        raise TimeoutError(f"waited {LIMIT_S:g} s for {what}") from None
+
+
+def free_address() -> str:
+    """Return an address on a loopback host that only this process uses."""
+    number = next(_numbers)
+    high, low = divmod(os.getpid(), 200)
+    host = f"127.{20 + low}.{high % 250}.{1 + number % 250}"
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return f"{host}:{sock.getsockname()[1]}"
+
+
+class Cluster:
+    """Three control replicas, two entries, five engines and two plain services.
+
+    Attributes:
+        net: Relays between the nodes.
+        recorder: What the backend servers did.
+        controls, entries, agents: Nodes by name.
+        stopping: Graceful stops in progress, by node.
+        accepted: When each revision was accepted, and its number.
+
+    Args:
+        folder: Folder for the data folders.
+    """
+
+    def __init__(self, *, folder: str):
+        self.net = Network()
+        self.recorder = Recorder()
+        self.controls: dict[str, ControlNode] = {}
+        self.entries: dict[str, EntryNode] = {}
+        self.agents: dict[str, AgentNode] = {}
+        self.stopping: dict[str, asyncio.Task] = {}
+        self.accepted: list[tuple[float, int]] = []
+        self.http: aiohttp.ClientSession | None = None
+        self._folder = pathlib.Path(folder)
+        self._grpc: dict[str, str] = {}
+        self._service_runners = []
+
+    @property
+    def nodes(self) -> dict[str, ControlNode | EntryNode | AgentNode]:
+        """All nodes by name."""
+        return self.controls | self.entries | self.agents
+
+    async def start(self) -> None:
+        """Start every node and wait until a pipeline serves."""
+        timeout = aiohttp.ClientTimeout(total=LIMIT_S)
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        self.http = aiohttp.ClientSession(timeout=timeout, connector=connector)
+        self._grpc = {name: free_address() for name in CONTROLS}
+        for name in CONTROLS:
+            await self.net.add(ANYONE, name, self._grpc[name])
+        for number, name in enumerate(CONTROLS):
+            self.controls[name] = await self._control(name, number)
+        for number in range(ENGINES):
+            await self._add_engine(f"a{number}", number)
+        for number in range(SERVICES):
+            await self._add_service(f"s{number}", number)
+        for number, name in enumerate(ENTRIES):
+            self.entries[name] = await self._entry(name, number)
+        for node in self.nodes.values():
+            await node.start()
+
+    async def close(self) -> None:
+        """End every node."""
+        self.recorder.hook = None
+        for node in self.nodes.values():
+            self.net.kill(node.name)
+        for node in self.nodes.values():
+            await node.kill()
+        await self.net.close()
+        for runner in self._service_runners:
+            await runner.cleanup()
+        await self.http.close()
+
+    def leader(self) -> ControlNode | None:
+        """Return the replica that leads and is fresh, if there is one."""
+        for node in self.controls.values():
+            daemon = node.daemon
+            if daemon and daemon.replica.role == "leader" and daemon.is_ready():
+                return node
+        return None
+
+    def chain(self):
+        """Return the stages of the pipeline's ready chain, or an empty list."""
+        leader = self.leader()
+        chains = leader.daemon.state.chains if leader else []
+        ready = [chain for chain in chains if chain.ready]
+        return list(ready[0].stages) if ready else []
+
+    def entry_url(self, name: str) -> str:
+        """Return the base URL by which callers reach an entry."""
+        return f"http://{self.net.between(CALLERS, name).address}"
+
+    def note_accepted(self, revision: int) -> None:
+        """Note that an operator was told that a revision is accepted."""
+        self.accepted.append((time.monotonic(), revision))
+
+    def revision(self) -> int:
+        """Return the newest revision that a fresh replica knows."""
+        fresh = [n.daemon for n in self.controls.values() if n.daemon]
+        known = [d.state.configuration.revision for d in fresh if d.is_ready()]
+        return max(known, default=0)
+
+    async def kill(self, name: str) -> None:
+        """End a node at once, together with its connections."""
+        self.net.kill(name)
+        await self.nodes[name].kill()
+
+    async def restart(self, name: str) -> None:
+        """Start an ended node again, reachable as before."""
+        self.net.heal(name)
+        await self.nodes[name].start()
+
+    async def _control(self, name: str, number: int) -> ControlNode:
+        peers = []
+        for peer in CONTROLS:
+            source = ANYONE if peer == name else name
+            if peer != name:
+                await self.net.add(source, peer, self._grpc[peer])
+            peers.append(Peer(peer, self.net.between(source, peer).address))
+        cfg = ControlSettings(
+            name=name,
+            domain=DOMAINS[number % len(DOMAINS)],
+            http=free_address(),
+            grpc=self._grpc[name],
+            data=str(self._folder / name),
+            peers=tuple(peers),
+            snapshot_entries=SNAPSHOT_ENTRIES,
+        )
+        return ControlNode(cfg=cfg)
+
+    async def _to_controls(self, name: str) -> tuple[str, ...]:
+        return tuple(
+            [await self.net.add(name, peer, self._grpc[peer]) for peer in CONTROLS]
+        )
+
+    async def _entry(self, name: str, number: int) -> EntryNode:
+        cfg = EntrySettings(
+            name=name,
+            domain=DOMAINS[number % len(DOMAINS)],
+            http="127.0.0.1:0",
+            listen=free_address(),
+            control=await self._to_controls(name),
+        )
+        await self.net.add(CALLERS, name, cfg.listen)
+        return EntryNode(cfg=cfg)
+
+    async def _agent_settings(self, name: str, number: int, **kwargs) -> AgentSettings:
+        return AgentSettings(
+            name=name,
+            domain=DOMAINS[number % len(DOMAINS)],
+            http="127.0.0.1:0",
+            grpc=free_address(),
+            control=await self._to_controls(name),
+            **kwargs,
+        )
+
+    async def _add_engine(self, name: str, number: int) -> None:
+        cfg = await self._agent_settings(
+            name, number, kind="engine", backend="http://127.0.0.1:1"
+        )
+        info = EngineInfo(
+            model=MODEL,
+            accelerator="generic",
+            layer_rate=1000.0,
+            layer_capacity=LAYERS_PER_ENGINE,
+            slots=32,
+            checks_fencing=number % 2 == 1,
+            link_rate=10000.0,
+        )
+        engine = RecordingEngine(recorder=self.recorder, name=name, info=info)
+        announced = await self.net.add(ANYONE, name, cfg.grpc)
+        self.agents[name] = AgentNode(cfg=cfg, announced=announced, engine=engine)
+
+    async def _add_service(self, name: str, number: int) -> None:
+        runner, url = await serve_service(
+            name="directory",
+            trace=self.recorder.effects.append,
+            before_answer=lambda: self.recorder.at(Moment(step="call", node=name)),
+        )
+        self._service_runners.append(runner)
+        cfg = await self._agent_settings(
+            name, number, kind="service", service="directory", backend=url
+        )
+        announced = await self.net.add(ANYONE, name, cfg.grpc)
+        self.agents[name] = AgentNode(cfg=cfg, announced=announced)
--- /dev/null
+++ b/wigeonscale/testing/matrix/nodes.py
@@ -0,0 +1,224 @@
+"""Nodes of a small deployment, all in this process, behind relays."""
+
+__all__ = ["AgentNode", "ControlNode", "EntryNode", "Node"]
+
+import asyncio
+import pathlib
+import shutil
+from typing import Protocol
+
+from wigeonscale.adapters.channels import new_server, open_channel
+from wigeonscale.adapters.service_http import HttpService, single_attempt_session
+from wigeonscale.agent import Agent, BackendState, OrderGate
+from wigeonscale.config import AgentSettings, ControlSettings, EntrySettings
+from wigeonscale.daemons.control import ControlDaemon
+from wigeonscale.daemons.entry import build_entry
+from wigeonscale.entry import CallerServer
+from wigeonscale.membership import Change, ControlClient
+from wigeonscale.ports import Engine, SystemClock
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+
+class Node(Protocol):
+    """One node that can be started, ended at once, and stopped gracefully."""
+
+    name: str
+
+    async def start(self) -> None:
+        """Start, with memory empty."""
+
+    async def kill(self) -> None:
+        """End without a word; the network was cut before."""
+
+    async def stop(self) -> None:
+        """Stop as the daemon does on SIGTERM."""
+
+
+async def _end(tasks: list[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class ControlNode:
+    """A control replica.
+
+    Args:
+        cfg: Its settings.
+    """
+
+    def __init__(self, *, cfg: ControlSettings):
+        self.name = cfg.name
+        self.cfg = cfg
+        self.daemon: ControlDaemon | None = None
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start from its data folder."""
+        self.daemon = ControlDaemon(cfg=self.cfg, clock=SystemClock())
+        await self.daemon.start()
+        self._task = asyncio.create_task(self.daemon.run())
+
+    async def kill(self) -> None:
+        """End at once; what was synced stays."""
+        daemon, self.daemon = self.daemon, None
+        if daemon is None:
+            return
+        await _end([self._task])
+        await daemon.stop()
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+        daemon, self.daemon = self.daemon, None
+        await daemon.stop()
+        await _end([self._task])
+
+    def lose_disk(self) -> None:
+        """Remove the data folder of an ended replica."""
+        shutil.rmtree(pathlib.Path(self.cfg.data))
+
+
+class EntryNode:
+    """An entry.
+
+    Args:
+        cfg: Its settings.
+    """
+
+    def __init__(self, *, cfg: EntrySettings):
+        self.name = cfg.name
+        self.cfg = cfg
+        self.control: ControlClient | None = None
+        self._server: CallerServer | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Start; callers are served once the first lease is there."""
+        cfg, clock = self.cfg, SystemClock()
+        control = ControlClient(
+            node_id=cfg.name,
+            role="entry",
+            addresses=cfg.control,
+            clock=clock,
+            lease_s=cfg.lease_s,
+            heartbeat_s=cfg.heartbeat_s,
+        )
+        entry = build_entry(cfg, control=control, clock=clock)
+        control.changes.subscribe(
+            lambda change: (
+                entry.leave_lost_chains() if change is Change.MEMBERS else None
+            )
+        )
+        self.control = control
+        self._server = CallerServer(entry=entry, address=cfg.listen)
+        self._tasks = [
+            asyncio.create_task(control.run()),
+            asyncio.create_task(self._serve(control, self._server)),
+        ]
+
+    async def _serve(self, control: ControlClient, server: CallerServer) -> None:
+        await control.ready()
+        await server.start()
+
+    async def kill(self) -> None:
+        """End at once."""
+        if self.control is None:
+            return
+        self.control = None
+        await _end(self._tasks)
+        await self._server.close()
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+        await self._server.stop_accepting()
+        await self._server.finish()
+        await self.kill()
+
+
+class AgentNode:
+    """An agent beside an engine or a plain service.
+
+    Args:
+        cfg: Its settings.
+        announced: Address that it announces: its relay's.
+        engine: Its engine, or None beside a plain service.
+    """
+
+    def __init__(
+        self, *, cfg: AgentSettings, announced: str, engine: Engine | None = None
+    ):
+        self.name = cfg.name
+        self.cfg = cfg
+        self.engine = engine
+        self.control: ControlClient | None = None
+        self.state: BackendState | None = None
+        self._announced = announced
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Start with a new incarnation."""
+        cfg, clock = self.cfg, SystemClock()
+        self._session = single_attempt_session()
+        service = None
+        if self.engine is None:
+            service = HttpService(url=cfg.backend, session=self._session)
+        self._server, _ = new_server(cfg.grpc)
+        self.state = state = BackendState(
+            base=self._base(), engine=self.engine, clock=clock, probe_s=cfg.heartbeat_s
+        )
+        orders = OrderGate(
+            state=state, engine=self.engine, floor=lambda: control.floor()
+        )
+        self.control = control = ControlClient(
+            node_id=cfg.name,
+            role="agent",
+            addresses=cfg.control,
+            clock=clock,
+            announce=state.announcement,
+            on_order=orders.carry_out,
+            on_ended=state.renew,
+            lease_s=cfg.lease_s,
+            heartbeat_s=cfg.heartbeat_s,
+        )
+        self._agent = Agent(
+            cfg=cfg,
+            control=control,
+            clock=clock,
+            state=state,
+            dial=open_channel,
+            engine=self.engine,
+            service=service,
+        )
+        state.on_changed = self._agent.announcement_changed
+        wire_pb2_grpc.add_AgentServicer_to_server(self._agent.servicer, self._server)
+        await state.probe()
+        await self._server.start()
+        loops = (control.run(), state.watch(), self._agent.run())
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+
+    async def kill(self) -> None:
+        """End at once; the backend server lives on."""
+        if self.control is None:
+            return
+        self.control = None
+        await _end(self._tasks)
+        await self._server.stop(grace=0)
+        await self._agent.close()
+        await self._session.close()
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+        await self._agent.drain()
+        await self.kill()
+
+    def _base(self) -> wire.Backend:
+        cfg = self.cfg
+        return wire.Backend(
+            agent_id=cfg.name,
+            address=self._announced,
+            domain=cfg.domain,
+            region=cfg.region,
+            kind=wire.ENGINE if cfg.kind == "engine" else wire.SERVICE,
+            service=cfg.service,
+        )
--- /dev/null
+++ b/wigeonscale/testing/matrix/runner.py
@@ -0,0 +1,108 @@
+"""Runs cells on one deployment after the other and keeps what came out."""
+
+__all__ = ["CellResult", "run_cells"]
+
+import asyncio
+import logging
+import tempfile
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from wigeonscale.testing.matrix.cluster import Cluster
+from wigeonscale.testing.matrix.faults import FAULTS
+from wigeonscale.testing.matrix.load import apply_rules
+from wigeonscale.testing.matrix.steps import Step
+from wigeonscale.testing.matrix.table import Cell
+from wigeonscale.testing.matrix.trial import Trial, settle
+from wigeonscale.testing.traces import Violation
+
+RUN_LIMIT_S = 120.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class CellResult:
+    """What came out of one cell.
+
+    Attributes:
+        fault: Row.
+        step: Column.
+        runs: Runs made.
+        violations: What they found, with the variant and role.
+        seconds: Time that they took.
+        reason: Why there was no run, or empty.
+    """
+
+    fault: str
+    step: str
+    runs: int = 0
+    violations: list[str] = field(default_factory=list)
+    seconds: float = 0.0
+    reason: str = ""
+
+
+class _Deployment:
+    """Keeps one cluster, and makes a new one after a run that went wrong."""
+
+    def __init__(self):
+        self.cluster: Cluster | None = None
+        self._folder: tempfile.TemporaryDirectory | None = None
+
+    async def ready(self) -> Cluster:
+        if self.cluster is None:
+            self._folder = tempfile.TemporaryDirectory(prefix="wigeonscale-matrix-")
+            self.cluster = Cluster(folder=self._folder.name)
+            await self.cluster.start()
+            await apply_rules(self.cluster, 0)
+        await settle(self.cluster)
+        return self.cluster
+
+    async def discard(self) -> None:
+        if self.cluster is not None:
+            await self.cluster.close()
+            self._folder.cleanup()
+        self.cluster = None
+
+
+async def run_cells(
+    cells: Iterable[Cell], *, on_result: Callable[[CellResult], None]
+) -> None:
+    """Run cells one after the other.
+
+    Args:
+        cells: The cells.
+        on_result: Called with what came out of each.
+    """
+    deployment = _Deployment()
+    try:
+        for cell in cells:
+            result = CellResult(fault=cell.fault, step=cell.step, reason=cell.reason)
+            began = time.monotonic()
+            for variant, role in cell.runs:
+                found = await _run(deployment, cell.fault, variant, role)
+                result.runs += 1
+                result.violations += [f"{variant.name}/{role}: {v}" for v in found]
+                if found:
+                    await deployment.discard()
+            result.seconds = time.monotonic() - began
+            on_result(result)
+    finally:
+        await deployment.discard()
+
+
+async def _run(
+    deployment: _Deployment, fault: str, variant: Step, role: str
+) -> list[Violation]:
+    try:
+        async with asyncio.timeout(RUN_LIMIT_S):
+            cluster = await deployment.ready()
+            trial = Trial(cluster=cluster, fault=FAULTS[fault], role=role)
+            await variant.run(trial)
+            await trial.end()
+            return await trial.finish()
+    except Exception as exc:
+        # Whatever ends a run early is a finding of that run, not of the matrix.
+        logger.exception("%s at %s (%s)", fault, variant.name, role)
+        return [Violation("run", f"{type(exc).__name__}: {exc}")]
--- /dev/null
+++ b/wigeonscale/testing/matrix/steps.py
@@ -0,0 +1,182 @@
+"""The steps: what is under way when the fault comes."""
+
+__all__ = ["STEPS", "Step"]
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from wigeonscale.testing.matrix.backends import Moment
+from wigeonscale.testing.matrix.cluster import SNAPSHOT_ENTRIES, until
+from wigeonscale.testing.matrix.load import apply_rules, drain
+from wigeonscale.testing.matrix.trial import Trial
+from wigeonscale.testing.traces import Violation
+
+# Prompts have four pieces; the first token comes out of the prefill.
+PROMPT_PIECES = 4
+DECODE_POSITION = 10
+MAX_TOKENS = 24
+LAST_POSITION = PROMPT_PIECES + MAX_TOKENS - 2
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step.
+
+    Attributes:
+        name: Column of the table.
+        run: Brings the system to the step, at which the fault comes.
+        roles: Nodes that the fault meets, one run each.
+    """
+
+    name: str
+    run: Callable[[Trial], Awaitable[None]]
+    roles: tuple[str, ...]
+
+
+async def _dispatch(trial: Trial) -> None:
+    await trial.strike(trial.stage())
+    await trial.traffic()
+
+
+async def _prefill(trial: Trial) -> None:
+    def matches(moment: Moment) -> bool:
+        return moment.step == "prefill" and moment.node == trial.stage()
+
+    trial.strike_at(matches)
+    await trial.traffic()
+
+
+async def _decode(trial: Trial) -> None:
+    def matches(moment: Moment) -> bool:
+        at_position = moment.position == DECODE_POSITION
+        return at_position and moment.node == trial.stage()
+
+    trial.strike_at(matches)
+    await trial.traffic()
+
+
+async def _last_token(trial: Trial) -> None:
+    def matches(moment: Moment) -> bool:
+        return moment.position == LAST_POSITION and moment.node == trial.stage()
+
+    trial.strike_at(matches)
+    await trial.traffic()
+
+
+async def _claim(trial: Trial) -> None:
+    trial.strike_at_command("claim")
+    await trial.traffic()
+
+
+async def _claimed(trial: Trial) -> None:
+    trial.strike_at_command("claim", after=True)
+    await trial.traffic()
+
+
+async def _call(trial: Trial) -> None:
+    trial.strike_at(lambda moment: moment.step == "call")
+    await trial.traffic()
+
+
+async def _outcome(trial: Trial) -> None:
+    trial.strike_at_command("outcome", after=True)
+    await trial.traffic()
+
+
+async def _apply(trial: Trial) -> None:
+    base = trial.cluster.revision()
+    operation = f"commit-{time.monotonic_ns()}"
+    reply = await apply_rules(trial.cluster, base, operation=operation)
+    again = await apply_rules(trial.cluster, base, operation=operation)
+    told = (reply.status, reply.body.get("revision"))
+    if told != (200, base + 1) or again != reply:
+        what = f"operator was told {reply}, then {again}; base {base}"
+        trial.violations.append(Violation(operation, what))
+
+
+async def _commit(trial: Trial) -> None:
+    trial.strike_at_command("apply_config")
+    await asyncio.gather(_apply(trial), trial.traffic())
+
+
+async def _committed(trial: Trial) -> None:
+    trial.strike_at_command("apply_config", after=True)
+    await asyncio.gather(_apply(trial), trial.traffic())
+
+
+async def _snapshot(trial: Trial) -> None:
+    trial.strike_at_snapshot()
+    traffic = asyncio.create_task(trial.traffic())
+    for _ in range(2 * SNAPSHOT_ENTRIES):
+        if trial.struck.is_set():
+            break
+        await _apply(trial)
+    await traffic
+
+
+async def _election(trial: Trial) -> None:
+    cluster, old = trial.cluster, trial.cluster.leader().name
+    others = [n.daemon.replica for n in cluster.controls.values() if n.name != old]
+    terms = [replica.term for replica in others]
+    await cluster.kill(old)
+    traffic = asyncio.create_task(trial.traffic())
+    await until(
+        lambda: any(
+            replica.role != "follower" or replica.term > term
+            for replica, term in zip(others, terms, strict=True)
+        ),
+        "an election",
+    )
+    await trial.strike()
+    await traffic
+    await cluster.restart(old)
+
+
+async def _repair(trial: Trial) -> None:
+    lost = trial.stages[1]
+    # The spare that takes the lost stage's place is the node where this happens.
+    trial.strike_at_command("place", after=True)
+    traffic = asyncio.create_task(trial.traffic())
+    await trial.cluster.kill(lost)
+    await until(trial.struck.is_set, "a spare in place of the lost stage")
+    await traffic
+    await trial.cluster.restart(lost)
+
+
+async def _drain(trial: Trial) -> None:
+    drained = trial.stage()
+    trial.strike_at_command("drain", after=True)
+    traffic = asyncio.create_task(trial.traffic())
+    reply = await drain(trial.cluster, drained, draining=True)
+    trial.left_at_ns[drained] = time.monotonic_ns()
+    if reply.status != 200:
+        trial.violations.append(Violation(drained, f"not drained: {reply.body}"))
+    await traffic
+    await asyncio.gather(*(trial.stream(entry) for entry in ("e1", "e2")))
+    await drain(trial.cluster, drained, draining=False)
+
+
+STEPS: dict[str, tuple[Step, ...]] = {
+    "dispatch": (Step("dispatch", _dispatch, ("head", "middle", "entry", "leader")),),
+    "prefill": (Step("prefill", _prefill, ("head", "middle", "last")),),
+    "decode": (Step("decode", _decode, ("head", "middle", "last", "entry", "leader")),),
+    "last token": (Step("last token", _last_token, ("head", "middle", "last")),),
+    "claim": (
+        Step("claim", _claim, ("leader", "here")),
+        Step("claimed", _claimed, ("leader", "here")),
+    ),
+    "outcome": (
+        Step("call", _call, ("here", "leader")),
+        Step("outcome", _outcome, ("leader",)),
+    ),
+    "commit": (
+        Step("commit", _commit, ("leader", "follower")),
+        Step("committed", _committed, ("leader",)),
+    ),
+    "snapshot": (Step("snapshot", _snapshot, ("leader", "follower")),),
+    "election": (Step("election", _election, ("follower",)),),
+    "repair": (Step("repair", _repair, ("here", "leader")),),
+    "drain": (Step("drain", _drain, ("middle", "head", "leader")),),
+}
--- /dev/null
+++ b/wigeonscale/testing/matrix/tests/test_checks.py
@@ -0,0 +1,112 @@
+"""Each checker catches a planted violation, and passes what is in order."""
+
+import dataclasses
+
+from wigeonscale.errors import RunState
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing.fake_engine import expected_tokens
+from wigeonscale.testing.matrix import checks
+from wigeonscale.testing.matrix.load import Answer, Told
+
+LAYERS = 3
+ANY = frozenset(RunState)
+
+
+def whole(**changes) -> Answer:
+    """Return a whole answer, but for the changes."""
+    answer = Answer(tag="page-1", max_tokens=4, told=Told.WHOLE, status=200)
+    answer.texts = expected_tokens(answer.prompt, LAYERS, 4)
+    answer.declared = 4
+    return dataclasses.replace(answer, **changes)
+
+
+def refused(**changes) -> Answer:
+    """Return an honest refusal, but for the changes."""
+    fields = {"status": 503, "run": "not-run", "kind": "overloaded"}
+    fields |= {"retry_after": True, "texts": [], "declared": None}
+    return whole(told=Told.REFUSED, **fields | changes)
+
+
+def note(**changes) -> Answer:
+    """Return the answer to a note that ran, but for the changes."""
+    fields = {"tag": "note-1", "told": Told.WHOLE, "status": 200, "body": b"b"}
+    return Answer(**fields | changes)
+
+
+EFFECT = {"key": "note-1"}
+
+
+class ChecksTest(AsyncTestCase):
+    def answers(self, *answers, allows=ANY):
+        return checks.answer_violations(answers, layers=LAYERS, allows=allows)
+
+    def test_answers_that_are_wrong_are_found(self):
+        texts = whole().texts
+        planted = {
+            "a token missing": whole(texts=texts[:2] + texts[3:]),
+            "a token twice": whole(texts=texts[:2] + texts[1:]),
+            "another's answer": whole(tag="page-2"),
+            "too short": whole(texts=texts[:3], declared=3),
+            "wrong count": whole(declared=5),
+            "cut": whole(told=Told.CUT, texts=texts[:2]),
+            "no run state": refused(run=""),
+            "not run after tokens": refused(texts=texts[:1]),
+            "no word when to come back": refused(retry_after=False),
+        }
+        for name, answer in planted.items():
+            self.assertEqual(1, len(self.answers(answer)), name)
+        self.assertEqual([], self.answers(whole(), refused(), note()))
+        self.assertEqual([], self.answers(refused(run="ran", texts=texts[:2])))
+
+    def test_refusals_that_the_fault_does_not_excuse_are_found(self):
+        answers = refused(), refused(run="unknown")
+        self.assertEqual(1, len(self.answers(*answers, allows={"not-run"})))
+        self.assertEqual(2, len(self.answers(*answers, allows=())))
+
+    def test_work_that_ran_though_refused_as_not_run_is_found(self):
+        def find(*answers):
+            return checks.not_run_violations(answers, ran={"page-1"})
+
+        self.assertEqual(1, len(find(refused())))
+        self.assertEqual([], find(refused(tag="page-2"), refused(run="ran")))
+        # One of two callers of a key got the answer: the other's word is its own.
+        self.assertEqual([], find(refused(), whole()))
+
+    def test_repeated_missing_and_changed_effects_are_found(self):
+        def find(answers, effects=(EFFECT,)):
+            return len(checks.at_most_once_violations(answers, list(effects)))
+
+        unknown = note(
+            told=Told.REFUSED, status=409, run="unknown", kind="outcome-unknown"
+        )
+        self.assertEqual(0, find([note(), note()]))
+        self.assertEqual(1, find([note()], [EFFECT, EFFECT]))
+        self.assertEqual(1, find([note()], []))
+        self.assertEqual(1, find([unknown, note()]))
+        self.assertEqual(1, find([note(), note(body=b"c")]))
+
+    def test_old_orders_carried_out_are_found(self):
+        newer, older = (3, 9, "load"), (2, 11, "load")
+        self.assertEqual(1, len(checks.order_violations({"a": [newer, older]})))
+        self.assertEqual([], checks.order_violations({"a": [older, newer, newer]}))
+
+    def test_revisions_that_go_back_or_come_late_are_found(self):
+        def find(*seen):
+            moments = [checks.RevisionSeen(name, rev, due) for name, rev, due in seen]
+            return len(checks.revision_violations(moments))
+
+        self.assertEqual(1, find(("e1", 4, 0), ("e1", 3, 0)))
+        self.assertEqual(1, find(("e1", 4, 5)))
+        # A restarted process is another one; it must still know what is due.
+        self.assertEqual(0, find(("e1", 4, 4), ("e2", 3, 3), ("e1", 5, 5)))
+
+    def test_new_work_at_a_server_that_left_is_found(self):
+        def find(seconds, **changes):
+            record = {"engine": "a", "sequence": "d#1", "position": 0}
+            record |= {"at_ns": int(seconds * 1e9)} | changes
+            return checks.work_after_leaving([record], left_at_ns={"a": 0})
+
+        self.assertEqual(1, len(find(3.1)))
+        self.assertEqual([], find(2.9))
+        self.assertEqual([], find(9.0, position=5))
+        self.assertEqual([], find(9.0, engine="b"))
--- /dev/null
+++ b/wigeonscale/testing/matrix/trial.py
@@ -0,0 +1,319 @@
+"""One run of one cell: a fault at a step, and what is checked after it."""
+
+__all__ = ["Trial", "settle"]
+
+import asyncio
+import functools
+import time
+from collections.abc import Callable
+
+from wigeonscale.testing.matrix import checks
+from wigeonscale.testing.matrix.backends import Moment
+from wigeonscale.testing.matrix.cluster import ENGINES, LAYERS, SERVICES, Cluster, until
+from wigeonscale.testing.matrix.faults import Fault
+from wigeonscale.testing.matrix.load import (
+    Answer,
+    Told,
+    apply_rules,
+    ask,
+    call_once,
+    post_to,
+    rules_body,
+    take_up,
+)
+from wigeonscale.testing.traces import Violation, layer_order_violations
+from wigeonscale.wire import wire_pb2 as wire
+
+LEASE_OUT_S = 3.5
+STRIKE_LIMIT_S = 30.0
+STAGES = ("head", "middle", "last")
+
+
+async def settle(cluster: Cluster) -> None:
+    """Wait until every node takes part again and a pipeline serves."""
+    await until(cluster.leader, "a leader")
+    for node in cluster.controls.values():
+        await _control_settled(node)
+    for node in [*cluster.agents.values(), *cluster.entries.values()]:
+        await until(node.control.lease_valid, f"lease of {node.name}")
+    for node in cluster.agents.values():
+        is_member = functools.partial(_is_member, cluster, node)
+        await until(is_member, f"{node.name} as a member")
+    await until(cluster.chain, "a ready chain")
+    for entry in cluster.entries.values():
+        knows = functools.partial(_knows, cluster, entry)
+        await until(knows, f"{entry.name} to know the chain")
+
+
+async def _control_settled(node) -> None:
+    replica = node.daemon.replica
+    await until(node.daemon.is_ready, f"{node.name} to be fresh")
+    # A replica that lost its disk is a repair in progress until it may vote.
+    await until(lambda: replica.may_vote, f"{node.name} to be admitted")
+
+
+def _is_member(cluster: Cluster, node) -> bool:
+    leader = cluster.leader()
+    member = leader.daemon.state.members.get(node.name) if leader else None
+    if member is None or member.backend.incarnation != node.state.incarnation:
+        return False
+    shown = leader.daemon.state.members.effective(node.name)
+    return not shown.draining and not node.state.leaving
+
+
+def _knows(cluster: Cluster, entry) -> bool:
+    leader = cluster.leader()
+    if leader is None:
+        return False
+    there = {c.chain_id: (c.epoch, c.ready) for c in leader.daemon.state.chains}
+    here = {
+        c.chain_id: (c.epoch, c.ready) for c in entry.control.members.chains.values()
+    }
+    backends = entry.control.members.backends
+    return there == here and len(backends) == ENGINES + SERVICES
+
+
+class Trial:
+    """One run of one cell.
+
+    Args:
+        cluster: The deployment, settled.
+        fault: The fault.
+        role: Which node it meets: a stage of the chain (``head``, ``middle``,
+            ``last``), ``leader``, ``follower``, ``entry``, or ``here`` for the node
+            at which the step happens.
+    """
+
+    def __init__(self, *, cluster: Cluster, fault: Fault, role: str):
+        self.cluster = cluster
+        self.fault = fault
+        self.role = role
+        self.streams: list[Answer] = []
+        self.calls: list[Answer] = []
+        self.violations: list[Violation] = []
+        self.left_at_ns: dict[str, int] = {}
+        self.struck = asyncio.Event()
+        self.node = ""
+        self.stages = [stage.agent_id for stage in cluster.chain()]
+        self.first_step = len(cluster.recorder.steps)
+        self._leader = cluster.leader().name
+        self._strike: asyncio.Task | None = None
+        self._struck_at = 0.0
+        self._undo: list[Callable[[], None]] = []
+
+    def stage(self) -> str:
+        """Return the stage at which a step of the pipeline is watched."""
+        role = self.role if self.role in STAGES else "middle"
+        return self.stages[STAGES.index(role)]
+
+    def target(self, here: str = "") -> str:
+        """Return the node that the fault meets.
+
+        Args:
+            here: Node at which the step happens.
+        """
+        cluster = self.cluster
+        if self.role in STAGES:
+            return self.stages[STAGES.index(self.role)]
+        if self.role == "leader":
+            return self._leader
+        if self.role == "follower":
+            return next(name for name in cluster.controls if name != self._leader)
+        return "e1" if self.role == "entry" else here
+
+    async def strike(self, here: str = "") -> None:
+        """Make the fault, once, and wait until it is made."""
+        if self._strike is None:
+            self.node = self.target(here)
+            # A task of its own: the fault may end the very task that stands here.
+            self._strike = asyncio.create_task(self._make_fault())
+        await self.struck.wait()
+
+    async def _make_fault(self) -> None:
+        self._struck_at = time.monotonic()
+        strike = asyncio.create_task(self.fault.strike(self.cluster, self.node))
+        if self.fault.silences:
+            await strike
+        await asyncio.sleep(0)
+        self.struck.set()
+        await strike
+
+    def strike_at(self, matches: Callable[[Moment], bool]) -> None:
+        """Make the fault when a backend server comes to a moment."""
+
+        async def hook(moment: Moment) -> None:
+            if self._strike is None and matches(moment):
+                await self.strike(moment.node)
+
+        self.cluster.recorder.hook = hook
+
+    def strike_at_command(self, body: str, *, after: bool = False) -> None:
+        """Make the fault when a replica proposes a command, or has committed it.
+
+        Args:
+            body: Kind of command.
+            after: Whether the command is committed but not yet answered.
+        """
+        for node in self.cluster.controls.values():
+            self._wrap_propose(node.daemon.commands, body, after)
+
+    def _wrap_propose(self, commands, body: str, after: bool) -> None:
+        propose = commands.propose
+
+        async def proposing(command: wire.Command) -> wire.CommandResult:
+            if command.WhichOneof("body") != body or self._strike is not None:
+                return await propose(command)
+            here = self._place_of(command)
+            if body == "place" and not here:
+                return await propose(command)
+            if not after:
+                await self.strike(here)
+                return await propose(command)
+            result = await propose(command)
+            await self.strike(here)
+            return result
+
+        commands.propose = proposing
+        self._undo.append(lambda: commands.__dict__.pop("propose", None))
+
+    def _place_of(self, command: wire.Command) -> str:
+        if command.WhichOneof("body") != "place":
+            return command.claim.agent_id or command.drain.agent_id
+        placed = [stage for chain in command.place.chains for stage in chain.stages]
+        new = [s.agent_id for s in placed if s.agent_id not in self.stages]
+        return new[0] if new else ""
+
+    def strike_at_snapshot(self) -> None:
+        """Make the fault when the target makes a snapshot."""
+        state = self.cluster.controls[self.target()].daemon.state
+        snapshot = state.snapshot
+        strikes: list[asyncio.Task] = []
+
+        def snapshotting() -> bytes:
+            if not strikes:
+                strikes.append(asyncio.create_task(self.strike()))
+            return snapshot()
+
+        state.snapshot = snapshotting
+        self._undo.append(lambda: state.__dict__.pop("snapshot", None))
+
+    async def stream(self, entry: str, max_tokens: int = 24) -> Answer:
+        """Ask for a completion; taken up elsewhere if the entry is lost."""
+        answer = await ask(self.cluster, entry, max_tokens=max_tokens)
+        self.streams.append(answer)
+        if answer.told is Told.CUT and self.node == entry:
+            if answer.request_id:
+                await take_up(self.cluster, "e2", answer)
+            else:
+                # Nothing was promised yet: the caller asks again.
+                self.streams.remove(answer)
+        return answer
+
+    async def call(self, entry: str, tag: str = "") -> Answer:
+        """Send a note that must not run twice."""
+        answer = await call_once(self.cluster, entry, tag=tag)
+        if answer.told is Told.CUT and self.node == entry:
+            answer = await call_once(self.cluster, "e2", tag=answer.tag)
+        self.calls.append(answer)
+        return answer
+
+    async def traffic(self) -> None:
+        """Send streams and notes to both entries at once."""
+        await asyncio.gather(
+            *(self.stream(entry) for entry in ("e1", "e2", "e1", "e2")),
+            self.call("e1"),
+            self.call("e2"),
+        )
+
+    async def end(self) -> None:
+        """Let the fault last as long as it must, then take it away."""
+        self.cluster.recorder.hook = None
+        for undo in self._undo:
+            undo()
+        if self._strike is None:
+            raise TimeoutError(f"the step never came at {self.role}")
+        await self.struck.wait()
+        if self.fault.silences:
+            await self._use_isolated()
+        await self._lasts(self.fault.hold_s)
+        await self._strike
+        await self.fault.heal(self.cluster, self.node)
+
+    async def _lasts(self, seconds: float) -> None:
+        left_s = self._struck_at + seconds - time.monotonic()
+        await asyncio.sleep(max(0.0, left_s))
+
+    async def _use_isolated(self) -> None:
+        await self._lasts(LEASE_OUT_S)
+        if self.node in self.cluster.controls:
+            base = self.cluster.controls[self.node].daemon.state.configuration.revision
+            body = rules_body(base, f"isolated-{self._struck_at}", "isolated")
+            reply = await post_to(self.cluster, self.node, "rules/apply", body)
+            if reply is not None and reply.status == 200:
+                self.violations.append(Violation(self.node, "accepts while isolated"))
+        elif self.node in self.cluster.entries:
+            await self._ask_isolated_entry()
+
+    async def _ask_isolated_entry(self) -> None:
+        for answer in (
+            await ask(self.cluster, self.node),
+            await call_once(self.cluster, self.node),
+        ):
+            told = (answer.told, answer.run, answer.retry_after)
+            if told != (Told.REFUSED, "not-run", True):
+                what = f"isolated entry answers {told}"
+                self.violations.append(Violation(answer.tag, what))
+
+    async def finish(self) -> list[Violation]:
+        """Wait until all works again, use it, and check everything.
+
+        Returns:
+            Every violation of the run.
+        """
+        cluster = self.cluster
+        await settle(cluster)
+        await self._ask_unknown_again()
+        after = [await ask(cluster, entry) for entry in cluster.entries]
+        calls = [await call_once(cluster, entry) for entry in cluster.entries]
+        await self._change_rules()
+        self.violations += checks.answer_violations(
+            after + calls, layers=LAYERS, allows=()
+        )
+        self.calls += calls
+        return self.violations + self._recorded_violations()
+
+    async def _ask_unknown_again(self) -> None:
+        for answer in [each for each in self.calls if each.run == "unknown"]:
+            again = await call_once(self.cluster, "e2", tag=answer.tag)
+            settled = answer.kind == "outcome-unknown"
+            if settled and again.kind != "outcome-unknown":
+                what = f"unknown became {again.status} {again.kind}"
+                self.violations.append(Violation(answer.tag, what))
+
+    async def _change_rules(self) -> None:
+        reply = await apply_rules(self.cluster, self.cluster.revision())
+        if reply.status != 200:
+            self.violations.append(Violation("rules", f"not accepted: {reply.body}"))
+            return
+        revision = reply.body["revision"]
+        clients = [n.control for n in self.cluster.entries.values()]
+        await until(
+            lambda: all(client.revision >= revision for client in clients),
+            f"revision {revision} at the entries",
+        )
+
+    def _recorded_violations(self) -> list[Violation]:
+        recorder = self.cluster.recorder
+        steps = recorder.steps[self.first_step :]
+        answers = self.streams + self.calls
+        found = checks.answer_violations(
+            answers, layers=LAYERS, allows=self.fault.allows
+        )
+        found += layer_order_violations(steps, layers=LAYERS)
+        found += checks.at_most_once_violations(self.calls, recorder.effects)
+        ran = recorder.prompts | {record["key"] for record in recorder.effects}
+        found += checks.not_run_violations(answers, ran=ran)
+        found += checks.work_after_leaving(steps, left_at_ns=self.left_at_ns)
+        engines = [node.engine for node in self.cluster.agents.values() if node.engine]
+        found += checks.order_violations({e.name: e.orders for e in engines})
+        return found
