Transfer leadership on a planned stop instead of letting it time out

Cause: a leading replica that stopped went silent; the others waited for the election timeout, and commands in flight heard NO_QUORUM or nothing. Ruled out: stepping down alone (the others' timers still run, proposals stay without an outcome); a flag on the Append stream, which could not bring back whether the campaign was won; declining new terms at voters that stop, whose votes the successor may need. The leader refuses proposals as not run, commits and answers those in flight, and asks the most caught-up voter to campaign at once (no pre-vote; others vote although the leader is in reach, as it asked itself). A voter that declines, is dead or cut is followed by the next; all within one election timeout, then a plain step-down. A replica that leaves campaigns no more.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "overload",
     "shares",
     "replication",
+    "planned_stops",
     "pipeline",
     "relay",
 )
--- /dev/null
+++ b/bench/planned_stops.py
@@ -0,0 +1,180 @@
+"""Planned stops of the leading control replica: pause, terms and commands.
+
+Three control processes on loopback with their logs on disk; the leader gets a
+SIGTERM and is started again, twenty times, while changes of the rules document are
+submitted one after another. Bounds stand on terms, on what became of the changes
+and on exit codes; times are reported.
+"""
+
+__all__ = ["measure"]
+
+import asyncio
+import pathlib
+import random
+import signal
+import statistics
+import tempfile
+import time
+
+import aiohttp
+
+from bench.report import Figure
+from demo.processes import Child, free_ports, start, stop_all
+from wigeonscale.membership.submitter import Submitter
+from wigeonscale.ports import SystemClock
+from wigeonscale.wire import wire_pb2 as wire
+
+STOPS = 20
+REPLICAS = 3
+WIGEOND = "wigeonscale.cli.wigeond"
+LIMIT_S = 60.0
+POLL_S = 0.02
+WRITE_PAUSE_S = 0.005
+SETTLE_S = 1.0  # of writing, before each stop and after it
+MS = 1000
+
+
+class Group:
+    """Control processes that replicate one log.
+
+    Args:
+        folder: Settings, logs and data.
+    """
+
+    def __init__(self, *, folder: pathlib.Path):
+        self._folder = folder
+        ports = free_ports(2 * REPLICAS)
+        self.grpc = [f"127.0.0.1:{port}" for port in ports[:REPLICAS]]
+        self._http = [f"127.0.0.1:{port}" for port in ports[REPLICAS:]]
+        self.children: dict[int, Child] = {}
+
+    async def start(self, number: int) -> None:
+        """Start one replica from its data folder."""
+        peers = ", ".join(f"c{n}@{address}" for n, address in enumerate(self.grpc))
+        path = self._folder / f"c{number}.ini"
+        path.write_text(
+            f"[node]\nname = c{number}\ndomain = d{number}\n"
+            f"[control]\ngrpc = {self.grpc[number]}\nhttp = {self._http[number]}\n"
+            f"data = {self._folder}/data{number}\npeers = {peers}\n"
+        )
+        args = ("control", "--config", str(path))
+        child = await start(f"c{number}", self._folder, WIGEOND, *args)
+        self.children[number] = child
+
+    async def status(self, number: int) -> dict:
+        """Return a replica's word on itself; empty when it does not answer."""
+        url = f"http://{self._http[number]}/admin/status"
+        try:
+            async with aiohttp.ClientSession() as http, http.get(url) as answer:
+                return await answer.json()
+        except aiohttp.ClientError:
+            return {}
+
+    async def leader(self) -> tuple[int, int]:
+        """Wait until all replicas follow one leader; return it and its term."""
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                told = [await self.status(number) for number in self.children]
+                roles = [each.get("role") for each in told]
+                terms = {each.get("term") for each in told}
+                if roles.count("leader") == 1 and len(terms) == 1:
+                    if all(each["fresh"] for each in told):
+                        return roles.index("leader"), terms.pop()
+                await asyncio.sleep(POLL_S)
+
+
+class Writer:
+    """Submits one change of the document after another, and notes when.
+
+    Args:
+        addresses: gRPC addresses of the replicas.
+
+    Attributes:
+        accepted: Times at which a change was accepted.
+    """
+
+    def __init__(self, *, addresses: list[str]):
+        self._submitter = Submitter(
+            addresses=addresses, clock=SystemClock(), rng=random.Random(1)
+        )
+        self.accepted: list[float] = []
+
+    async def run(self) -> None:
+        """Write until cancelled; a change lost or doubled ends it by an error."""
+        try:
+            while True:
+                base = len(self.accepted)
+                body = wire.ApplyConfig(
+                    base_revision=base,
+                    document=f"[service s{base}]\n",
+                    operator="bench",
+                )
+                result = await self._submitter.submit(
+                    wire.Command(apply_config=body), LIMIT_S
+                )
+                if result.revision != base + 1:
+                    raise RuntimeError(f"revision {result.revision} after {base}")
+                self.accepted.append(time.monotonic())
+                await asyncio.sleep(WRITE_PAUSE_S)
+        finally:
+            await self._submitter.close()
+
+    async def until_accepted(self, at: float) -> None:
+        """Wait until a change was accepted at or after an instant."""
+        while not self.accepted or self.accepted[-1] < at:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+    def longest_pause(self, since: float) -> float:
+        """Return the longest time without an accepted change, in seconds."""
+        times = [since, *(at for at in self.accepted if at > since)]
+        return max(b - a for a, b in zip(times, times[1:], strict=False))
+
+
+def measure() -> list[Figure]:
+    """Stop the leader as planned, again and again.
+
+    Returns:
+        Figures; the pause is without an accepted change, from the SIGTERM on.
+    """
+    pauses, terms, codes = asyncio.run(_run())
+    prefix = "planned-stop"
+    return [
+        Figure(f"{prefix}/pause/median", statistics.median(pauses) * MS, "ms"),
+        Figure(f"{prefix}/pause/worst", max(pauses) * MS, "ms"),
+        Figure(f"{prefix}/terms", sum(terms) / STOPS, "per stop", high=1.0),
+        Figure(f"{prefix}/failed-exits", sum(map(bool, codes)), "of stops", high=0),
+    ]
+
+
+async def _run():
+    with tempfile.TemporaryDirectory() as name:
+        group = Group(folder=pathlib.Path(name))
+        for number in range(REPLICAS):
+            await group.start(number)
+        writer = Writer(addresses=group.grpc)
+        writing = asyncio.create_task(writer.run())
+        try:
+            results = [await _stop_leader(group, writer) for _ in range(STOPS)]
+            if writing.done():
+                writing.result()
+            return zip(*results, strict=True)
+        finally:
+            writing.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
+            await stop_all(list(group.children.values()))
+
+
+async def _stop_leader(group, writer):
+    """Return the pause in seconds, the terms begun and the exit code."""
+    number, term = await group.leader()
+    await asyncio.sleep(SETTLE_S)
+    since = time.monotonic()
+    child = group.children[number]
+    child.proc.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(LIMIT_S):
+        code = await child.proc.wait()
+        await writer.until_accepted(since + SETTLE_S)
+    pause = writer.longest_pause(since)
+    await group.start(number)
+    _, new_term = await group.leader()
+    return pause, new_term - term, code
--- a/wigeonscale/replication/commit.py
+++ b/wigeonscale/replication/commit.py
@@ -71,6 +71,7 @@
         peer = core.peers.get(node_id)
         return peer.match_index if peer and peer.admitted else 0
 
+    core.progress.set()
     index = int(majority_value(core.members, durable_at))
     if index <= core.commit_index or core.storage.term_at(index) != core.term:
         return
--- a/wigeonscale/replication/election.py
+++ b/wigeonscale/replication/election.py
@@ -3,8 +3,10 @@
 __all__ = [
     "adopt_term",
     "adopt_term_of_reply",
+    "begin_candidacy",
     "check_term",
     "handle_vote",
+    "run_candidacy",
     "run_elections",
     "step_down",
 ]
@@ -38,7 +40,7 @@
             await core.clock.sleep(core.options.heartbeat_s)
             continue
         left = core.timer_from + timeout - core.clock.now()
-        if left > 0 or not core.may_vote:
+        if left > 0 or not core.may_campaign:
             await core.clock.sleep(max(left, core.options.heartbeat_s))
             continue
         await _campaign(core)
@@ -95,6 +97,7 @@
     core.leader_address = ""
     core.timer_from = core.clock.now()
     core.fail_waiting(f"replica {core.node_id} stopped leading: {reason}")
+    core.progress.set()
 
 
 async def handle_vote(core: ReplicaState, req: wire.VoteRequest) -> wire.VoteReply:
@@ -113,9 +116,11 @@
 
 
 async def _grant(core, req):
+    if not core.may_vote:
+        return False
     # A leader in reach is not unseated, neither by a returning replica nor by one
-    # that was removed.
-    if core.heard_leader_lately or not core.may_vote:
+    # that was removed, unless it asked for that itself.
+    if core.heard_leader_lately and not req.transfer:
         return False
     if req.pre_vote:
         return req.term > core.term and _is_up_to_date(core, req)
@@ -154,24 +159,50 @@
     term = core.term + 1
     core.leader_id = ""
     core.leader_address = ""
-    if not await _gather_votes(core, term, pre_vote=True):
+    if not await _gather_votes(core, _vote_request(core, term, pre_vote=True)):
         return
     async with core.lock:
-        # A leader was heard, or a vote given, since this began.
-        if core.timer_from != timer_from or core.term + 1 != term:
+        # A leader was heard, or a vote given, since this began; or it stops.
+        began_anew = core.timer_from != timer_from or core.term + 1 != term
+        if began_anew or not core.may_campaign:
             return
-        core.role = Role.CANDIDATE
-        await core.storage.save_vote(
-            replace(core.storage.vote, term=term, voted_for=core.node_id)
-        )
+        await begin_candidacy(core)
+    await run_candidacy(core, term)
+
+
+async def begin_candidacy(core: ReplicaState) -> None:
+    """Begin the next term with the own vote; holds the lock."""
+    core.role = Role.CANDIDATE
+    vote = core.storage.vote
+    await core.storage.save_vote(
+        replace(vote, term=vote.term + 1, voted_for=core.node_id)
+    )
+
+
+async def run_candidacy(
+    core: ReplicaState, term: int, *, transfer: bool = False
+) -> bool:
+    """Ask for votes and lead if a majority grants its own.
+
+    Args:
+        core: State of the candidate.
+        term: Term that its candidacy began.
+        transfer: Whether the leader of the term before asked for it.
+
+    Returns:
+        Whether this replica leads the term.
+    """
     asked_at = core.clock.now()
-    won = await _gather_votes(core, term, pre_vote=False)
+    req = _vote_request(core, term, transfer=transfer)
+    won = await _gather_votes(core, req)
     async with core.lock:
         if core.role is not Role.CANDIDATE or core.term != term:
-            return
+            return False
         core.role = Role.FOLLOWER
         if won:
             _begin_leading(core, asked_at)
+        core.progress.set()
+    return won
 
 
 def _begin_leading(core, asked_at):
@@ -186,18 +217,22 @@
     append_as_leader(core, EntryKind.NO_OP, b"")
 
 
-async def _gather_votes(core, term, *, pre_vote):
-    """Return whether a majority, this replica included, grants its vote."""
-    members = core.members
-    if all(m.node_id != core.node_id or not m.voting for m in members):
-        return False
-    req = wire.VoteRequest(
+def _vote_request(core, term, *, pre_vote=False, transfer=False):
+    return wire.VoteRequest(
         node_id=core.node_id,
         term=term,
         last_index=core.storage.last_index,
         last_term=core.storage.last_term,
         pre_vote=pre_vote,
+        transfer=transfer,
     )
+
+
+async def _gather_votes(core, req):
+    """Return whether a majority, this replica included, grants its vote."""
+    members = core.members
+    if all(m.node_id != core.node_id or not m.voting for m in members):
+        return False
     missing = quorum_size(members) - 1
     voters = [peer for peer in core.peers.values() if peer.member.voting]
     tasks = {asyncio.create_task(_ask(core, peer, req)) for peer in voters}
--- a/wigeonscale/replication/links.py
+++ b/wigeonscale/replication/links.py
@@ -34,6 +34,13 @@
             ConnectionError: The link broke.
         """
 
+    async def campaign(self, req: wire.CampaignRequest) -> wire.CampaignReply:
+        """Ask the peer to succeed this leader; returns once that is decided.
+
+        Raises:
+            ConnectionError: The link broke.
+        """
+
     async def reset(self) -> None:
         """Drop the connection; the next call makes a new one."""
 
@@ -84,6 +91,10 @@
         """Ask for a vote."""
         return await self._guard(self._stub().Vote(req))
 
+    async def campaign(self, req: wire.CampaignRequest) -> wire.CampaignReply:
+        """Ask the peer to succeed this leader."""
+        return await self._guard(self._stub().Campaign(req))
+
     async def reset(self) -> None:
         """Drop the connection; the next call makes a new one."""
         channel = self._channel
@@ -130,6 +141,10 @@
         """Answer one request for a vote."""
         return await self._answer(self._replica.handle_vote(request), context)
 
+    async def Campaign(self, request, context):  # noqa: N802
+        """Answer a leader that asks this replica to succeed it."""
+        return await self._answer(self._replica.handle_campaign(request), context)
+
     async def _answer(self, handling, context):
         try:
             return await handling
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -35,6 +35,7 @@
 from wigeonscale.replication.replicate import run_peer
 from wigeonscale.replication.state import ReplicaState
 from wigeonscale.replication.storage import LogStorage
+from wigeonscale.replication.transfer import hand_over, handle_campaign
 from wigeonscale.replication.waiting import run_to_end
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -173,6 +174,18 @@
         members = _changed(self._core.members, add, remove)
         await self._outcome(append_members(self._core, members))
 
+    async def hand_over(self) -> bool:
+        """Give up leading for good, before a planned stop.
+
+        Proposals in flight are committed first and new ones refused as not run.
+        The most caught-up voter is asked to campaign at once. Takes at most an
+        election timeout; returns at once when this replica does not lead.
+
+        Returns:
+            Whether another replica leads instead of this one.
+        """
+        return await hand_over(self._core)
+
     # ------------------------------------------------------------- what is known
 
     @property
@@ -250,6 +263,10 @@
         """Answer a request for a vote."""
         return await self._handle(handle_vote, req)
 
+    async def handle_campaign(self, req: wire.CampaignRequest) -> wire.CampaignReply:
+        """Answer a leader that asks this replica to succeed it."""
+        return await self._handle(handle_campaign, req)
+
     async def _handle(self, handler, req):
         """Run a handler to its end, also when the peer's stream breaks."""
         if self._stopped:
@@ -297,8 +314,9 @@
 
     def _require_quorum(self):
         core = self._core
-        if not core.leading:
-            raise NotLeaderError(node_id=core.node_id, leader=core.leader_address)
+        if not core.leading or core.leaving:
+            leader = "" if core.leading else core.leader_address
+            raise NotLeaderError(node_id=core.node_id, leader=leader)
         advance_round(core)
         silence = core.clock.now() - core.majority_at
         if silence > core.options.election_timeout_s / 2:
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -127,6 +127,8 @@
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
         self.incoming: tuple[int, int, bytearray] | None = None
         self.running: set[asyncio.Task] = set()  # what no cancel cuts short
+        self.leaving = False  # stops as planned: leads no more
+        self.progress = asyncio.Event()  # a match, the commit index or the role moved
         self.unsynced = asyncio.Event()
         self.snapshot_due = asyncio.Event()
         self.on_applied: Subject = Subject()
@@ -151,9 +153,14 @@
 
     @property
     def may_vote(self) -> bool:
-        """Whether this replica may vote and be elected."""
+        """Whether this replica may vote."""
         return self.storage.vote.admission is Admission.ADMITTED
 
+    @property
+    def may_campaign(self) -> bool:
+        """Whether this replica may be elected."""
+        return self.may_vote and not self.leaving
+
     @property
     def heard_leader_lately(self) -> bool:
         """Whether a leader was heard within the shortest election timeout."""
--- a/wigeonscale/replication/tests/support.py
+++ b/wigeonscale/replication/tests/support.py
@@ -73,6 +73,7 @@
         self.appends = []  # (sender, receiver, request)
         self.before_append = None  # coroutine function(sender, receiver, request)
         self.before_vote = None
+        self.before_campaign = None
 
     def links(self, sender):
         return MemoryLinks(network=self, sender=sender)
@@ -128,6 +129,12 @@
             await self._network.before_vote(self._sender, self._peer, req)
         return await self._network.carry(self._sender, self._peer, "handle_vote", req)
 
+    async def campaign(self, req):
+        network = self._network
+        if network.before_campaign is not None:
+            await network.before_campaign(self._sender, self._peer, req)
+        return await network.carry(self._sender, self._peer, "handle_campaign", req)
+
     async def reset(self):
         pass
 
--- a/wigeonscale/replication/tests/test_links.py
+++ b/wigeonscale/replication/tests/test_links.py
@@ -14,6 +14,7 @@
 )
 from wigeonscale.replication.tests.support import ListMachine
 from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire.wire_pb2_grpc import add_ReplicationServicer_to_server
 
 NAMES = ("a", "b", "c")
@@ -147,6 +148,14 @@
             await self.propose(b"2")
             await self.until_equal([b"1", b"2"])
 
+    async def test_request_to_campaign_is_answered(self):
+        async with asyncio.timeout(LIMIT_S):
+            await self.propose(b"1")
+            link = GrpcLinks().connect(self.addresses["a"])
+            self.addCleanup(link.reset)
+            reply = await link.campaign(wire.CampaignRequest(leader_id="x", term=99))
+            self.assertEqual(("a", False), (reply.node_id, reply.won))
+
     async def test_silent_connections_are_replaced(self):
         async with asyncio.timeout(LIMIT_S):
             await self.propose(b"1")
--- a/wigeonscale/replication/tests/test_schedules.py
+++ b/wigeonscale/replication/tests/test_schedules.py
@@ -30,7 +30,7 @@
     async def test_invariants(self):
         await self.cluster.leader()
         faults = [self.propose] * 5
-        faults += [self.cut, self.kill, self.wipe, self.hang]
+        faults += [self.cut, self.kill, self.wipe, self.hang, self.plan_stop]
         faults += [self.heal, self.start] * 2
         for _ in range(ROUNDS):
             await self.rng.choice(faults)()
@@ -75,6 +75,16 @@
         if self.cluster.replicas:
             await self.cluster.stop(self.rng.choice(sorted(self.cluster.replicas)))
 
+    async def plan_stop(self):
+        """Stop some replicas as planned, without waiting for each other."""
+        names = sorted(self.cluster.replicas)
+        names = self.rng.sample(names, min(len(names), self.rng.choice([1, 2])))
+        for name in names:
+            self.cluster.spawn(self.cluster.replicas[name].hand_over())
+        await self.cluster.clock.advance(self.rng.choice([0, 0.1, 0.6, 1.2]))
+        if names:
+            await self.cluster.stop(*names)
+
     async def start(self):
         for name in sorted(set("abc") - set(self.cluster.replicas)):
             self.cluster.start(name)
