Refuse to grow a log of one voter to two

Cause (failed first): the second voter of two is needed for every commit, also for that of its own admission, for which it does not count; the change was taken, never committed, and the leader lost its majority. Ruled out: counting a member's acknowledgement for its own admission. After a lost disk that is unsafe (it may have voted in a higher term and forgotten it), and for a new member a crash before the entry reaches it still leaves two replicas that cannot elect. Change: adding to a single voter, and removing down to one beside a member that waits for its vote, are refused as BAD_REQUEST, naming both. What a change of members may be stands in admission.py, no longer in replica.py.

--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -11,12 +11,21 @@
 that storage id. Neither does it count for that commit.
 """
 
-__all__ = ["admit_when_due", "caught_up", "note_admission", "run_first_start"]
+__all__ = [
+    "admit_when_due",
+    "append_members",
+    "changed_members",
+    "members_settled",
+    "note_admission",
+    "run_first_start",
+]
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from dataclasses import replace
 
+from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication.commit import append_as_leader
 from wigeonscale.replication.files import Admission, VoteState
 from wigeonscale.replication.model import EntryKind, Member
@@ -60,7 +69,7 @@
     member = peer.member
     if _is_admitted(member, peer.storage_id) or (peer.admitted and member.voting):
         return
-    if not caught_up(core, peer) or not members_settled(core):
+    if peer.match_index < core.commit_index or not members_settled(core):
         return
     admitted = replace(member, voting=True, storage_id=peer.storage_id)
     logger.info("replica %s is to be admitted", member.node_id)
@@ -70,11 +79,6 @@
     )
 
 
-def caught_up(core: ReplicaState, peer: PeerState) -> bool:
-    """Return whether a peer holds all that is committed."""
-    return peer.match_index >= core.commit_index
-
-
 def members_settled(core: ReplicaState) -> bool:
     """Return whether a leader may begin a change of members.
 
@@ -86,6 +90,50 @@
     return own_term and core.members_index <= core.commit_index
 
 
+def changed_members(
+    members: Sequence[Member], *, add: Member | None, remove: str | None
+) -> tuple[Member, ...]:
+    """Return the members after one change.
+
+    Args:
+        members: Members before it.
+        add: Member to add; it has no vote until it is admitted.
+        remove: Node id of the member to remove.
+
+    Raises:
+        WigeonscaleError: ``BAD_REQUEST`` for a change that cannot be made.
+    """
+    if (add is None) == (remove is None):
+        _refuse("a change adds one member or removes one")
+    known = {member.node_id for member in members}
+    if add is not None:
+        if add.node_id in known:
+            _refuse(f"{add.node_id} is a member already")
+        changed = (*members, Member(add.node_id, add.address, voting=False))
+    else:
+        if remove not in known or len(members) == 1:
+            _refuse(f"{remove} cannot be removed from {sorted(known)}")
+        changed = tuple(member for member in members if member.node_id != remove)
+    _check_admissible(changed)
+    return changed
+
+
+def _check_admissible(members):
+    # The second voter of two is needed for each commit, that of its own admission
+    # too, for which it does not count.
+    voting = [member.node_id for member in members if member.voting]
+    waiting = [member.node_id for member in members if not member.voting]
+    if len(voting) == 1 and waiting:
+        _refuse(
+            f"the single voter {voting[0]} cannot admit {', '.join(waiting)}; begin"
+            " with three voters, or remove the waiting member first"
+        )
+
+
+def _refuse(message):
+    raise WigeonscaleError(ErrorKind.BAD_REQUEST, message)
+
+
 def append_members(core: ReplicaState, members: tuple[Member, ...]) -> int:
     """Append a change of members and return its index."""
     data = wire.VoterSet(voters=members_to_wire(members)).SerializeToString()
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -11,6 +11,7 @@
 from wigeonscale.ports import Clock
 from wigeonscale.replication.admission import (
     append_members,
+    changed_members,
     members_settled,
     run_first_start,
 )
@@ -171,7 +172,7 @@
                 " committed yet",
                 retry_after=1.0,
             )
-        members = _changed(self._core.members, add, remove)
+        members = changed_members(self._core.members, add=add, remove=remove)
         await self._outcome(append_members(self._core, members))
 
     async def hand_over(self) -> bool:
@@ -337,22 +338,3 @@
         fut = asyncio.get_running_loop().create_future()
         self._core.waiting[index] = (self._core.term, fut)
         return await fut
-
-
-def _changed(members, add, remove):
-    known = {member.node_id for member in members}
-    if (add is None) == (remove is None):
-        raise WigeonscaleError(
-            ErrorKind.BAD_REQUEST, "a change adds one member or removes one"
-        )
-    if add is not None:
-        if add.node_id in known:
-            raise WigeonscaleError(
-                ErrorKind.BAD_REQUEST, f"{add.node_id} is a member already"
-            )
-        return (*members, Member(add.node_id, add.address, voting=False))
-    if remove not in known or len(members) == 1:
-        raise WigeonscaleError(
-            ErrorKind.BAD_REQUEST, f"{remove} cannot be removed from {sorted(known)}"
-        )
-    return tuple(member for member in members if member.node_id != remove)
--- a/wigeonscale/replication/tests/test_admission.py
+++ b/wigeonscale/replication/tests/test_admission.py
@@ -237,6 +237,32 @@
         await self.cluster.until_equal([b"1"])
         self.assertEqual(self.cluster.members, old.members())
 
+    async def test_single_voter_is_not_grown(self):
+        # Once the second had a vote, its admission would wait for its own vote.
+        self.cluster.folders["d"] = MemoryFolder()
+        self.cluster.start("d", members=(*self.cluster.members, Member("d", "d")))
+        for name in self.followers:
+            await self.change(remove=name)
+            await self.cluster.stop(name)
+        leader = self.cluster.replicas[self.leader]
+        with self.assertRaises(WigeonscaleError) as caught:
+            await self.change(add=Member("d", "d"))
+        self.assertEqual(ErrorKind.BAD_REQUEST, caught.exception.kind)
+        self.assertIn("single voter", caught.exception.message)
+        await self.cluster.clock.advance(10)
+        await self.cluster.propose(b"1")
+        self.assertEqual([self.leader], [m.node_id for m in leader.members()])
+
+    async def test_single_voter_is_not_left_beside_a_member_to_be_admitted(self):
+        await self.change(add=Member("d", "d"))  # never started
+        await self.change(remove=self.followers[0])
+        with self.assertRaises(WigeonscaleError) as caught:
+            await self.change(remove=self.followers[1])
+        self.assertEqual(ErrorKind.BAD_REQUEST, caught.exception.kind)
+        await self.change(remove="d")
+        await self.change(remove=self.followers[1])
+        await self.cluster.propose(b"1")
+
     async def test_impossible_changes_are_refused(self):
         leader = self.cluster.replicas[self.leader]
         for kwargs in ({}, {"remove": "x"}, {"add": Member("a", "a")}):
