Pass the engines' cache events on to the entries' choice

Change: agents ask their engine once a heartbeat and send what it stored and evicted on the dispatch streams (DispatchEvent.prefixes, additive). The engine names prefixes in its own way and by the sequence that stored them; the agent turns that into the digest of the prompt. Events are numbered per agent; one lost by the engine, or because a stream does not take its messages (256 wait at most), shows as a gap. A stream starts with the newest 256 prefixes held; a restart of the engine makes every stream start again. Entries feed the view of their Chooser. The port's events are a data class now, checked at the border. The fake engine keeps few prefixes and counts hits; it can take time per position.

Ruled out: digests by the engine (each engine hashes blocks its own way); waiting for the next event to carry them (an idle link would never tell).

Not read still: the engine's own load report; the agent's load word is newer. An engine that restarts between two probes keeps its numbers low for a while, so its events count only once they pass the old ones; that costs misses only.

--- a/wigeonscale/adapters/engine_http.py
+++ b/wigeonscale/adapters/engine_http.py
@@ -24,6 +24,7 @@
     error_from_kind,
 )
 from wigeonscale.ports import (
+    CacheEvent,
     Engine,
     EngineInfo,
     EngineLoad,
@@ -36,6 +37,7 @@
 ORDER_TIMEOUT_S = 600.0
 
 _INFO_MODEL = pydantic.TypeAdapter(EngineInfo)
+_EVENTS_MODEL = pydantic.TypeAdapter(list[CacheEvent])
 
 
 class HttpEngine:
@@ -61,10 +63,7 @@
     async def info(self) -> EngineInfo:
         """Return what the engine says of itself."""
         doc = await self._ask("GET", "/info", timeout_s=INFO_TIMEOUT_S)
-        try:
-            return _INFO_MODEL.validate_python(doc)
-        except pydantic.ValidationError as exc:
-            raise _failure(f"GET {self._url}/info: {exc}") from exc
+        return self._checked(_INFO_MODEL, doc, "/info")
 
     async def run(self, steps: Sequence[EngineStep]) -> list[EngineResult]:
         """Run one iteration and return one result per step, in order."""
@@ -101,10 +100,11 @@
             cached_prefixes=int(doc.get("cached_prefixes", 0)),
         )
 
-    async def cache_events(self, after: int) -> list[dict]:
+    async def cache_events(self, after: int) -> list[CacheEvent]:
         """Return cache events with a number above ``after``."""
         path = f"/cache-events?after={after}"
-        return (await self._ask("GET", path, timeout_s=INFO_TIMEOUT_S))["events"]
+        doc = await self._ask("GET", path, timeout_s=INFO_TIMEOUT_S)
+        return self._checked(_EVENTS_MODEL, doc.get("events"), path)
 
     async def order(
         self, *, term: int, sequence: int, action: str, args: dict[str, object]
@@ -113,6 +113,12 @@
         body = {"term": term, "sequence": sequence, "action": action, "args": args}
         await self._ask("POST", "/order", body, timeout_s=ORDER_TIMEOUT_S)
 
+    def _checked(self, model: pydantic.TypeAdapter, doc: object, path: str):
+        try:
+            return model.validate_python(doc)
+        except pydantic.ValidationError as exc:
+            raise _failure(f"GET {self._url}{path}: {exc}") from exc
+
     async def _ask(
         self, method: str, path: str, body: dict | None = None, *, timeout_s: float
     ) -> dict:
@@ -213,7 +219,8 @@
 
     async def cache_events(req: web.Request) -> web.Response:
         events = await engine.cache_events(int(req.query["after"]))
-        return web.json_response({"events": events})
+        docs = [dataclasses.asdict(event) for event in events]
+        return web.json_response({"events": docs})
 
     async def order(req: web.Request) -> web.Response:
         doc = await req.json()
--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -14,6 +14,7 @@
 from wigeonscale.agent.backend import BackendState
 from wigeonscale.agent.dispatch import Dispatcher
 from wigeonscale.agent.outcomes import OutcomeReporter
+from wigeonscale.agent.prefixes import PrefixFeed
 from wigeonscale.agent.servicer import AgentServicer
 from wigeonscale.agent.table import DispatchTable
 from wigeonscale.agent.work import start_call, start_generation
@@ -100,6 +101,7 @@
         self.dispatcher.admission = self.admission
         self.stage: StageRunner | None = None
         self.head: Head | None = None
+        self.prefixes: PrefixFeed | None = None
         if engine is not None:
             self._make_pipeline(engine)
         self.servicer = AgentServicer(
@@ -107,6 +109,7 @@
             stage=self.stage,
             load=self.load_word,
             clock=clock,
+            prefixes=self.prefixes,
             entry_silence_s=max(ENTRY_SILENCE_S, SILENT_HEARTBEATS * cfg.heartbeat_s),
         )
         control.changes.subscribe(self._on_change)
@@ -125,12 +128,16 @@
         """Tell control and the entries of a change of the backend server."""
         if self.state.gone and self.stage is not None:
             self.stage.cut_engine_calls()
+            self.prefixes.restarted()
         self._control.announce_changed()
         self.servicer.announce_load()
 
     async def run(self) -> None:
-        """Enforce deadlines and bounds, for ever."""
-        await self.dispatcher.sweep()
+        """Enforce deadlines and bounds, and pass on cache events, for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.dispatcher.sweep())
+            if self.prefixes is not None:
+                group.create_task(self.prefixes.watch())
 
     async def drain(self) -> None:
         """Refuse new work, then wait until the work in progress has ended."""
@@ -158,6 +165,9 @@
         await asyncio.gather(*self._calls, return_exceptions=True)
 
     def _make_pipeline(self, engine: Engine) -> None:
+        self.prefixes = PrefixFeed(
+            engine=engine, clock=self._clock, poll_s=self._cfg.heartbeat_s
+        )
         self.stage = StageRunner(
             agent_id=self._cfg.name,
             incarnations=self.state.incarnations,
@@ -247,6 +257,7 @@
             self._begin_call(dispatch)
             return
         work = dispatch.open.generate
+        self.prefixes.begins(dispatch.dispatch_id, work.prompt)
         newest = self._control.members.chains.get(work.chain.chain_id)
         usable = newest is not None and newest.ready
         start_generation(
--- /dev/null
+++ b/wigeonscale/agent/prefixes.py
@@ -0,0 +1,158 @@
+"""Cache events of the own engine, passed on to the entries."""
+
+__all__ = ["PrefixFeed"]
+
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Sequence
+
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.ports import CacheEvent, Clock, Engine
+from wigeonscale.routing import prefix_digest
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+NAMED_KEPT = 4096
+"""Dispatches whose prompt can still be told from an engine's event."""
+
+HELD_KEPT = 1024
+"""Prefixes that one agent tells of; an engine may hold more."""
+
+FULL_EVENTS = 256
+"""Most prefixes with which a new stream starts, newest last."""
+
+UNSENT_EVENTS = 256
+"""Most events in one message; where more wait the oldest are lost, as a gap."""
+
+
+class PrefixFeed:
+    """Turns the engine's cache events into events about prompts.
+
+    The engine names a prefix in its own way and by the sequence that stored it;
+    entries know it by the digest of the prompt. Events are numbered here, leaving
+    out a number for each one that the engine lost, so that every loss on the way
+    shows as a gap; a restart of the engine makes every stream start again.
+
+    Args:
+        engine: The engine.
+        clock: Clock port.
+        poll_s: Seconds between two questions to the engine.
+
+    Notes:
+        Constant time per event and stream; all memory is bounded.
+    """
+
+    def __init__(self, *, engine: Engine, clock: Clock, poll_s: float):
+        self._engine = engine
+        self._clock = clock
+        self._poll_s = poll_s
+        self._digests: OrderedDict[str, bytes] = OrderedDict()
+        self._held: OrderedDict[str, wire.PrefixEvent] = OrderedDict()
+        self._outboxes: set[PrefixOutbox] = set()
+        self._number = 0
+        self._engine_number = 0
+
+    def begins(self, dispatch_id: str, prompt: bytes) -> None:
+        """Note the prompt of a dispatch that begins."""
+        self._digests[dispatch_id] = prefix_digest(prompt)
+        if len(self._digests) > NAMED_KEPT:
+            self._digests.popitem(last=False)
+
+    def subscribe(self) -> "PrefixOutbox":
+        """Return a new stream's outbox, with the prefixes held now."""
+        held = list(self._held.values())[-FULL_EVENTS:]
+        outbox = PrefixOutbox(held, number=self._number)
+        self._outboxes.add(outbox)
+        return outbox
+
+    def unsubscribe(self, outbox: "PrefixOutbox") -> None:
+        """Pass on nothing more to an outbox."""
+        self._outboxes.discard(outbox)
+
+    def restarted(self) -> None:
+        """Forget what an engine held that is gone."""
+        self._held.clear()
+        self._engine_number = 0
+        for outbox in self._outboxes:
+            outbox.start_again(self._number)
+
+    async def watch(self) -> None:
+        """Ask the engine for ever."""
+        while True:
+            await self._clock.sleep(self._poll_s)
+            await self.poll()
+
+    async def poll(self) -> None:
+        """Ask the engine once and pass on what is new."""
+        try:
+            events = await self._engine.cache_events(self._engine_number)
+        except WigeonscaleError as exc:
+            logger.info("no cache events: %s", exc.message)
+            return
+        events.sort(key=lambda event: event.number)
+        told = [event for event in map(self._translate, events) if event is not None]
+        if told:
+            for outbox in self._outboxes:
+                outbox.add(told)
+
+    def _translate(self, event: CacheEvent) -> wire.PrefixEvent | None:
+        self._number += event.number - self._engine_number - 1  # those lost
+        self._engine_number = event.number
+        if event.held:
+            dispatch_id = event.sequence_id.rpartition("#")[0]
+            digest = self._digests.get(dispatch_id, b"")
+        else:
+            known = self._held.pop(event.prefix, None)
+            digest = known.digest if known is not None else b""
+        if not digest:
+            return None
+        self._number += 1
+        told = wire.PrefixEvent(number=self._number, digest=digest, held=event.held)
+        if event.held:
+            self._held[event.prefix] = told
+            if len(self._held) > HELD_KEPT:
+                self._held.popitem(last=False)
+        return told
+
+
+class PrefixOutbox:
+    """Events that wait for one stream, bounded.
+
+    Args:
+        held: Events of the prefixes held at its start.
+        number: Number of the newest event.
+
+    Attributes:
+        on_added: Called when there is something to take.
+    """
+
+    def __init__(self, held: Iterable[wire.PrefixEvent], *, number: int):
+        self.on_added: Callable[[], None] = lambda: None
+        self._full = True
+        self._number = number
+        self._unsent: deque[wire.PrefixEvent] = deque(held, maxlen=UNSENT_EVENTS)
+
+    def add(self, events: Sequence[wire.PrefixEvent]) -> None:
+        """Add events; where too many wait the oldest are lost."""
+        self._unsent.extend(events)
+        self._number = events[-1].number
+        self.on_added()
+
+    def start_again(self, number: int) -> None:
+        """Replace what was sent by an empty list."""
+        self._unsent.clear()
+        self._full = True
+        self._number = number
+        self.on_added()
+
+    def take(self) -> wire.PrefixEvents | None:
+        """Return what waits, or None."""
+        if not self._full and not self._unsent:
+            return None
+        events = wire.PrefixEvents(
+            full=self._full, events=self._unsent, number=self._number
+        )
+        self._full = False
+        self._unsent.clear()
+        return events
--- a/wigeonscale/agent/servicer.py
+++ b/wigeonscale/agent/servicer.py
@@ -9,6 +9,7 @@
 import grpc
 
 from wigeonscale.agent.dispatch import Dispatcher
+from wigeonscale.agent.prefixes import PrefixFeed
 from wigeonscale.agent.stream import EntryStream
 from wigeonscale.pipelines.constants import ENTRY_SILENCE_S
 from wigeonscale.pipelines.stage import StageRunner
@@ -27,6 +28,7 @@
         stage: Runs steps; None for a plain service.
         load: Returns the load word.
         clock: Clock port.
+        prefixes: Cache events of the engine; None beside a plain service.
         entry_silence_s: Seconds without a message after which an entry does not
             count as a reader.
     """
@@ -38,12 +40,14 @@
         stage: StageRunner | None,
         load: Callable[[], wire.LoadWord],
         clock: Clock,
+        prefixes: PrefixFeed | None = None,
         entry_silence_s: float = ENTRY_SILENCE_S,
     ):
         self._dispatcher = dispatcher
         self._stage = stage
         self._load = load
         self._clock = clock
+        self._prefixes = prefixes
         self._entry_silence_s = entry_silence_s
         self._streams: set[EntryStream] = set()
         self._steps: set[asyncio.Task] = set()
@@ -61,8 +65,12 @@
 
     async def Dispatch(self, request_iterator, context):  # noqa: N802
         """Serve one entry's stream until it ends."""
+        outbox = self._prefixes.subscribe() if self._prefixes is not None else None
         stream = EntryStream(
-            load=self._load, clock=self._clock, silence_s=self._entry_silence_s
+            load=self._load,
+            clock=self._clock,
+            prefixes=outbox,
+            silence_s=self._entry_silence_s,
         )
         writer = asyncio.create_task(stream.write(context.write))
         self._streams.add(stream)
@@ -71,6 +79,8 @@
                 self._handle(req, stream)
         finally:
             self._streams.discard(stream)
+            if outbox is not None:
+                self._prefixes.unsubscribe(outbox)
             stream.close()
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
--- a/wigeonscale/agent/stream.py
+++ b/wigeonscale/agent/stream.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 from wigeonscale.agent.answers import Dispatch, Reader
+from wigeonscale.agent.prefixes import PrefixOutbox
 from wigeonscale.pipelines.constants import ENTRY_SILENCE_S, INITIAL_CREDIT
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
@@ -22,6 +23,7 @@
     Args:
         load: Returns the load word that rides on every message.
         clock: Clock port.
+        prefixes: Cache events for this stream; None beside a plain service.
         silence_s: Seconds without a message after which the entry does not count.
     """
 
@@ -30,11 +32,13 @@
         *,
         load: Callable[[], wire.LoadWord],
         clock: Clock,
+        prefixes: PrefixOutbox | None = None,
         silence_s: float = ENTRY_SILENCE_S,
     ):
         self.name = ""
         self._load = load
         self._clock = clock
+        self._prefixes = prefixes
         self._silence_s = silence_s
         self._heard_at = clock.now()
         self._readers: dict[str, Reader] = {}
@@ -42,6 +46,8 @@
         self._items: deque[wire.DispatchItem] = deque()
         self._pong_us = 0
         self._wake = asyncio.Event()
+        if prefixes is not None:
+            prefixes.on_added = self.wake
 
     def attach(self, dispatch: Dispatch, from_token: int) -> Reader:
         """Read an answer from a token index, with fresh initial credit.
@@ -115,6 +121,9 @@
     def _next_event(self) -> wire.DispatchEvent:
         event = wire.DispatchEvent(load=self._load(), pong_us=self._pong_us)
         self._pong_us = 0
+        prefixes = self._prefixes.take() if self._prefixes is not None else None
+        if prefixes is not None:
+            event.prefixes.CopyFrom(prefixes)
         event.items.extend(self._items)
         self._items.clear()
         dirty, self._dirty = self._dirty, {}
--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -20,7 +20,7 @@
 from wigeonscale.membership import Change, ControlClient
 from wigeonscale.ports import Clock, SystemClock
 from wigeonscale.reports import BurnRecorder, burn_routes
-from wigeonscale.routing import Chooser, LoadTable, RetryBudget
+from wigeonscale.routing import Chooser, LoadTable, PrefixView, RetryBudget
 
 LOOKS_PER_HEARTBEAT = 2
 
@@ -85,7 +85,8 @@
     """
     looks = SilenceLimits(interval_s=cfg.heartbeat_s / LOOKS_PER_HEARTBEAT)
     table = LoadTable(clock=clock)
-    chooser = Chooser(table=table, rng=random.Random(), subset=cfg.subset)
+    view = PrefixView()
+    chooser = Chooser(table=table, rng=random.Random(), subset=cfg.subset, view=view)
     places = MemberPlaces(members=lambda: control.members, chooser=chooser, clock=clock)
 
     def on_gone(target: Target) -> None:
@@ -96,6 +97,7 @@
         entry_id=cfg.name,
         clock=clock,
         on_word=table.word,
+        on_prefixes=view.take,
         on_gone=on_gone,
         limits=silence or looks,
     )
--- a/wigeonscale/dispatch/link.py
+++ b/wigeonscale/dispatch/link.py
@@ -1,6 +1,6 @@
 """One connection to an agent, with one multiplexed stream on it."""
 
-__all__ = ["AgentLink", "OnWord"]
+__all__ = ["AgentLink", "OnPrefixes", "OnWord"]
 
 import asyncio
 import logging
@@ -22,6 +22,7 @@
 _CREDITS = wire.DispatchRequest(credits=wire.Credits())
 
 OnWord = Callable[[str, wire.LoadWord], None]
+OnPrefixes = Callable[[str, wire.PrefixEvents], None]
 
 
 class AgentLink:
@@ -32,13 +33,22 @@
         entry_id: Name of this entry.
         clock: Clock port.
         on_word: Called with each load word.
+        on_prefixes: Called with cache events.
 
     Attributes:
         busy: Set while dispatches are carried.
         events_heard: Events received so far.
     """
 
-    def __init__(self, *, target: Target, entry_id: str, clock: Clock, on_word: OnWord):
+    def __init__(
+        self,
+        *,
+        target: Target,
+        entry_id: str,
+        clock: Clock,
+        on_word: OnWord,
+        on_prefixes: OnPrefixes,
+    ):
         self.target = target
         self.streams: dict[str, DispatchStream] = {}
         self.busy = asyncio.Event()
@@ -46,6 +56,7 @@
         self._entry_id = entry_id
         self._clock = clock
         self._on_word = on_word
+        self._on_prefixes = on_prefixes
         self._outbox: asyncio.Queue[wire.DispatchRequest | None]
         self._outbox = asyncio.Queue()
         self._credits: dict[str, int] = {}
@@ -125,6 +136,8 @@
         self.events_heard += 1
         if event.HasField("load"):
             self._on_word(self.target.agent_id, event.load)
+        if event.HasField("prefixes"):
+            self._on_prefixes(self.target.agent_id, event.prefixes)
         for item in event.items:
             # Late items of a dispatch that left are for nobody.
             stream = self.streams.get(item.dispatch_id)
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -8,7 +8,7 @@
 
 from wigeonscale.adapters import METRICS, log_fields
 from wigeonscale.dispatch.failures import AgentGoneError
-from wigeonscale.dispatch.link import AgentLink, OnWord
+from wigeonscale.dispatch.link import AgentLink, OnPrefixes, OnWord
 from wigeonscale.dispatch.silence import SilenceLimits, until_silent
 from wigeonscale.dispatch.stream import DispatchStream
 from wigeonscale.dispatch.targets import Target
@@ -31,6 +31,7 @@
         entry_id: Name of this entry.
         clock: Clock port.
         on_word: Called with agent id and load word.
+        on_prefixes: Called with agent id and cache events.
         on_gone: Called when no connection to an agent works any more.
         limits: When a connection counts as silent.
     """
@@ -41,12 +42,14 @@
         entry_id: str,
         clock: Clock,
         on_word: OnWord = lambda agent_id, word: None,
+        on_prefixes: OnPrefixes = lambda agent_id, events: None,
         on_gone: OnGone = lambda target: None,
         limits: SilenceLimits | None = None,
     ):
         self._entry_id = entry_id
         self._clock = clock
         self._on_word = on_word
+        self._on_prefixes = on_prefixes
         self._on_gone = on_gone
         self._limits = limits or SilenceLimits()
         self._lanes: dict[Target, list[_Lane]] = {}
@@ -81,6 +84,7 @@
             entry_id=self._entry_id,
             clock=self._clock,
             on_word=self._on_word,
+            on_prefixes=self._on_prefixes,
         )
 
     def _new_lane(self, target: Target) -> "_Lane":
--- a/wigeonscale/ports/__init__.py
+++ b/wigeonscale/ports/__init__.py
@@ -1,6 +1,7 @@
 """What the inside of the project asks of the outside, as protocols."""
 
 __all__ = [
+    "CacheEvent",
     "Clock",
     "Engine",
     "EngineInfo",
@@ -13,6 +14,7 @@
 ]
 
 from wigeonscale.ports.backends import (
+    CacheEvent,
     Engine,
     EngineInfo,
     EngineLoad,
--- a/wigeonscale/ports/backends.py
+++ b/wigeonscale/ports/backends.py
@@ -1,6 +1,7 @@
 """The ports to a backend server: a model engine or a plain service."""
 
 __all__ = [
+    "CacheEvent",
     "Engine",
     "EngineInfo",
     "EngineLoad",
@@ -108,6 +109,23 @@
     cached_prefixes: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """An engine's word that it stored or evicted a prompt prefix.
+
+    Attributes:
+        number: Grows by one per event since the engine started.
+        prefix: The engine's own name of the prefix.
+        held: True when stored, False when evicted.
+        sequence_id: Sequence that stored it; empty for an eviction.
+    """
+
+    number: int
+    prefix: str
+    held: bool
+    sequence_id: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """An HTTP answer of a plain service."""
@@ -138,7 +156,7 @@
     async def load(self) -> EngineLoad:
         """Return the engine's load report; it lags."""
 
-    async def cache_events(self, after: int) -> list[dict]:
+    async def cache_events(self, after: int) -> list[CacheEvent]:
         """Return cache events with a number above ``after``; gaps happen."""
 
     async def order(
--- a/wigeonscale/routing/prefixes.py
+++ b/wigeonscale/routing/prefixes.py
@@ -4,7 +4,9 @@
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 AFFINITY_BYTES = 256
 DIGEST_BYTES = 16
@@ -24,6 +26,14 @@
     return hashlib.blake2b(head, digest_size=DIGEST_BYTES).digest()
 
 
+class PrefixEventsLike(Protocol):
+    """The fields of the wire's PrefixEvents that are read here."""
+
+    full: bool
+    number: int
+    events: Sequence
+
+
 @dataclass(slots=True)
 class _Cache:
     last_number: int | None = None
@@ -66,6 +76,21 @@
         if number > newest:
             _note(cache, digest, number, held)
 
+    def take(self, agent_id: str, told: PrefixEventsLike) -> None:
+        """Take in the cache events of one message.
+
+        Args:
+            agent_id: Agent of the backend server.
+            told: The wire's PrefixEvents.
+        """
+        if told.full:
+            self._caches[agent_id] = cache = _Cache(last_number=told.number)
+            for event in told.events:
+                _note(cache, event.digest, event.number, held=event.held)
+            return
+        for event in told.events:
+            self.event(agent_id, event.number, event.digest, held=event.held)
+
     def holds(self, agent_id: str, digest: bytes) -> bool:
         """Return whether the agent's server is believed to hold the prefix."""
         cache = self._caches.get(agent_id)
--- a/wigeonscale/routing/tests/test_prefixes.py
+++ b/wigeonscale/routing/tests/test_prefixes.py
@@ -1,5 +1,6 @@
 from wigeonscale.routing import PrefixView, prefix_digest
 from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire.wire_pb2 import PrefixEvent, PrefixEvents
 
 
 class PrefixViewTest(AsyncTestCase):
@@ -50,3 +51,16 @@
         self.assertEqual(prefix_digest(shared + b"1"), prefix_digest(shared + b"2"))
         self.assertNotEqual(prefix_digest(b"one"), prefix_digest(b"two"))
         self.assertEqual(b"", prefix_digest(b""))
+
+    def test_full_list_replaces_what_was_known(self):
+        self.view.event("a", 1, b"x", held=True)
+        # Events of one message; those between them were about other prefixes.
+        listed = [
+            PrefixEvent(number=9, digest=b"y", held=True),
+            PrefixEvent(number=9000, digest=b"z", held=True),
+        ]
+        self.view.take("a", PrefixEvents(full=True, number=9800, events=listed))
+        self.assertEqual([b"y", b"z"], self.held(b"x", b"y", b"z"))
+        gone = PrefixEvent(number=9801, digest=b"y", held=False)
+        self.view.take("a", PrefixEvents(number=9801, events=[gone]))
+        self.assertEqual([b"z"], self.held(b"x", b"y", b"z"))
--- a/wigeonscale/testing/fake_engine.py
+++ b/wigeonscale/testing/fake_engine.py
@@ -15,6 +15,7 @@
 import hashlib
 import json
 import time
+from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 
 from aiohttp import web
@@ -22,7 +23,18 @@
 from wigeonscale.adapters.engine_http import engine_routes
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.tokens import tokenise
-from wigeonscale.ports import EngineInfo, EngineLoad, EngineResult, EngineStep
+from wigeonscale.ports import (
+    CacheEvent,
+    EngineInfo,
+    EngineLoad,
+    EngineResult,
+    EngineStep,
+)
+
+EVENTS_KEPT = 1024
+
+PREFIX_POSITIONS = 32
+"""Positions of a prompt that the cache keeps for other prompts."""
 
 
 def _digest(*parts: str) -> str:
@@ -68,6 +80,56 @@
     return texts
 
 
+class PrefixCache:
+    """The newest prompt prefixes of an engine, and the events about them.
+
+    Args:
+        slots: Prefixes that fit; 0 for none.
+        lose_every: Every how many events one is lost; 0 for never.
+    """
+
+    def __init__(self, *, slots: int, lose_every: int):
+        self.hits = 0
+        self.misses = 0
+        self._slots = slots
+        self._lose_every = lose_every
+        self._held: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
+        self._number = 0
+
+    def use(self, step: EngineStep) -> int:
+        """Look up the prefix of a sequence; returns how many positions it saves."""
+        if not self._slots:
+            return 0
+        pieces = (_decode_inputs(step.hidden) or [])[:PREFIX_POSITIONS]
+        prefix = _digest(*pieces)
+        if prefix in self._held:
+            self.hits += 1
+            self._held.move_to_end(prefix)
+            return min(len(pieces), step.count - 1)
+        self.misses += 1
+        self._held[prefix] = None
+        self._tell(prefix, held=True, sequence_id=step.sequence_id)
+        if len(self._held) > self._slots:
+            self._tell(self._held.popitem(last=False)[0], held=False)
+        return 0
+
+    def clear(self) -> None:
+        """Evict everything."""
+        while self._held:
+            self._tell(self._held.popitem(last=False)[0], held=False)
+
+    def events_after(self, number: int) -> list[CacheEvent]:
+        """Return the events above a number that were not lost."""
+        return [event for event in self._events if event.number > number]
+
+    def _tell(self, prefix: str, *, held: bool, sequence_id: str = "") -> None:
+        self._number += 1
+        if not self._lose_every or self._number % self._lose_every:
+            event = CacheEvent(self._number, prefix, held, sequence_id)
+            self._events.append(event)
+
+
 class FakeEngine:
     """Implements the engine port in memory.
 
@@ -80,6 +142,10 @@
         load_s: Seconds that a load order takes.
         trace: Called with one record per sequence step, or None.
         end_share: Of 65,536 tokens, how many end their sequence.
+        position_s: Seconds that each position of an iteration adds, but for those
+            of a cached prefix.
+        prefix_slots: Prompt prefixes that fit in its cache; 0 for none.
+        lose_every: Every how many cache events one is lost; 0 for never.
     """
 
     def __init__(
@@ -92,6 +158,9 @@
         load_s: float = 0.0,
         trace: Callable[[dict], None] | None = None,
         end_share: int = 0,
+        position_s: float = 0.0,
+        prefix_slots: int = 0,
+        lose_every: int = 0,
     ):
         self.name = name
         self.state = info
@@ -99,6 +168,8 @@
         self.sequence_s = sequence_s
         self.load_s = load_s
         self.end_share = end_share
+        self.position_s = position_s
+        self.prefixes = PrefixCache(slots=prefix_slots, lose_every=lose_every)
         self.orders: list[tuple[int, int, str]] = []
         self.caches: dict[str, dict[int, str]] = {}
         self.iterations = 0
@@ -119,6 +190,7 @@
         async with self._busy:
             began = time.monotonic()
             busy_s = self.step_s + self.sequence_s * len(steps)
+            busy_s += self.position_s * sum(map(self._positions, steps))
             if busy_s:
                 await asyncio.sleep(busy_s)
             results = [self._run_step(step) for step in steps]
@@ -144,9 +216,9 @@
         """Return the engine's load report."""
         return EngineLoad(running=len(self.caches), queued=0)
 
-    async def cache_events(self, after: int) -> list[dict]:
-        """Return no events: the fake caches no prefixes."""
-        return []
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Return the events of the prefix cache that were not lost."""
+        return self.prefixes.events_after(after)
 
     async def order(
         self, *, term: int, sequence: int, action: str, args: dict[str, object]
@@ -165,6 +237,7 @@
 
     def _install(self, args: dict[str, object]) -> None:
         self.caches.clear()
+        self.prefixes.clear()
         self.state = dataclasses.replace(
             self.state,
             first_layer=int(args["first_layer"]),
@@ -181,6 +254,12 @@
                 run_state=RunState.UNKNOWN,
             )
 
+    def _positions(self, step: EngineStep) -> int:
+        """Return the positions to be computed; cached ones are not."""
+        if not step.first:
+            return step.count
+        return step.count - self.prefixes.use(step)
+
     def _run_step(self, step: EngineStep) -> EngineResult:
         first, last = self.state.first_layer, self.state.last_layer
         wanted = (step.first_layer, step.last_layer)
@@ -270,6 +349,8 @@
     parser.add_argument("--sequence-ms", type=float, default=0.0)
     parser.add_argument("--load-ms", type=float, default=0.0)
     parser.add_argument("--end-share", type=int, default=0)
+    parser.add_argument("--position-ms", type=float, default=0.0)
+    parser.add_argument("--prefix-slots", type=int, default=0)
     parser.add_argument("--trace", default="", help="file for JSON lines")
     args = parser.parse_args(argv)
     asyncio.run(_serve(args))
@@ -293,6 +374,8 @@
         load_s=args.load_ms / 1000.0,
         trace=line_writer(args.trace) if args.trace else None,
         end_share=args.end_share,
+        position_s=args.position_ms / 1000.0,
+        prefix_slots=args.prefix_slots,
     )
     runner, url = await serve_engine(engine, host, int(port))
     print(f"engine {engine.name} at {url}", flush=True)
