routing: forget agents that are gone

Cause: LoadTable.forget was never called, so an entry kept a record of each agent name that it had ever used; the view of prefixes too.

Change: at the first choice after a change of the members, the choice drops its load and prefixes of agents that are no members, but for loads that an own dispatch still counts on. Cost: one look per record and change.

Shown: test_places failed before (the record of an agent that is gone stood).

--- a/wigeonscale/entry/places.py
+++ b/wigeonscale/entry/places.py
@@ -23,7 +23,8 @@
         clock: Clock port.
 
     Notes:
-        Candidates are built once per change of the members, not per request.
+        Candidates are built, and agents that are gone forgotten, once per change of
+        the members, not per request.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         self._clock = clock
         self._known: dict[tuple[str, str], tuple[int, tuple, dict[str, Place]]] = {}
         self._gone: dict[tuple[str, int], float] = {}
+        self._seen_index = -1
 
     def choose(self, work: Work, avoid: frozenset[str]) -> Place | None:
         """Return an agent, and the chain it heads, or None.
@@ -46,6 +48,7 @@
             work: The work.
             avoid: Ids of agents not to use.
         """
+        self._forget_absent()
         candidates, places = self._candidates(work.pipeline, work.service)
         prompt = work.generate.prompt if work.generate is not None else b""
         choice = self._chooser.choose(
@@ -71,6 +74,12 @@
         until = self._clock.now() + AVOID_GONE_S
         self._gone[target.agent_id, target.incarnation] = until
 
+    def _forget_absent(self) -> None:
+        members = self._members()
+        if members.index != self._seen_index:
+            self._seen_index = members.index
+            self._chooser.forget_absent(members.backends)
+
     def _avoided(self) -> frozenset[str]:
         if not self._gone:
             return frozenset()
--- a/wigeonscale/entry/tests/test_places.py
+++ b/wigeonscale/entry/tests/test_places.py
@@ -5,7 +5,7 @@
 from wigeonscale.dispatch import Work
 from wigeonscale.entry.places import MemberPlaces
 from wigeonscale.membership import MembersView
-from wigeonscale.routing import Chooser, LoadTable
+from wigeonscale.routing import Chooser, LoadTable, PrefixView
 from wigeonscale.testing import AsyncTestCase, ManualClock
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -15,10 +15,10 @@
         super().setUp()
         clock = ManualClock()
         self.members = MembersView()
+        self.table, self.view = LoadTable(clock=clock), PrefixView()
+        chooser = Chooser(table=self.table, rng=random.Random(1), view=self.view)
         self.places = MemberPlaces(
-            members=lambda: self.members,
-            chooser=Chooser(table=LoadTable(clock=clock), rng=random.Random(1)),
-            clock=clock,
+            members=lambda: self.members, chooser=chooser, clock=clock
         )
 
     def choose(self, *, draining=False, **fields):
@@ -45,3 +45,19 @@
         self.assertIsNone(self.choose(draining=True))
         self.assertIsNone(self.choose(retiring=True))
         self.assertEqual("a", self.choose()[0].agent_id)
+
+    def test_what_was_known_of_agents_that_are_gone_is_forgotten(self):
+        word = wire.LoadWord(running=9, slots=4)
+        for agent_id in ("a", "gone", "gone but used"):
+            self.table.word(agent_id, word)
+            self.view.event(agent_id, 1, b"x", held=True)
+        self.table.started("gone but used")
+        self.choose()
+        self.assertEqual(9, self.table.backlog("a"))
+        self.assertEqual(0, self.table.backlog("gone"))
+        self.assertEqual(10, self.table.backlog("gone but used"))
+        self.assertTrue(self.view.holds("a", b"x"))
+        self.assertFalse(self.view.holds("gone", b"x"))
+        self.table.finished("gone but used")
+        self.choose()
+        self.assertEqual(0, self.table.backlog("gone but used"))
--- a/wigeonscale/routing/chooser.py
+++ b/wigeonscale/routing/chooser.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 
 from wigeonscale.routing.load import LoadTable
 from wigeonscale.routing.prefixes import PrefixView, prefix_digest
@@ -94,6 +94,16 @@
         allowed = [candidate for cost, _, candidate in costed if cost <= limit]
         return self._with_affinity(allowed, prefix_digest(prefix))
 
+    def forget_absent(self, known: Container[str]) -> None:
+        """Drop what was learnt of agents that are gone.
+
+        Args:
+            known: Ids of the agents that are members.
+        """
+        self._table.forget_absent(known)
+        if self._view is not None:
+            self._view.forget_absent(known)
+
     def _usable(self, candidates, avoid: frozenset[str]) -> list[Candidate]:
         if len(candidates) <= self._size and not isinstance(candidates, CandidatePool):
             return [c for c in candidates if self._is_usable(c, avoid)]
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -65,8 +66,8 @@
         clock: Clock port.
 
     Notes:
-        Every operation takes constant time. Memory is one record per agent that
-        was used, forgotten with :meth:`forget`.
+        Every operation but :meth:`forget_absent` takes constant time. Memory is one record per agent that
+        was used and is still a member.
     """
 
     def __init__(self, *, clock: Clock):
@@ -166,6 +167,17 @@
         """Drop what is known of an agent that is gone."""
         self._loads.pop(agent_id, None)
 
+    def forget_absent(self, known: Container[str]) -> None:
+        """Forget agents that are gone, once no own dispatch is in progress there.
+
+        Args:
+            known: Ids of the agents that are members.
+        """
+        loads = self._loads.items()
+        gone = [a for a, load in loads if a not in known and not load.in_flight]
+        for agent_id in gone:
+            self.forget(agent_id)
+
     def _load(self, agent_id: str) -> _Load:
         load = self._loads.get(agent_id)
         if load is None:
--- a/wigeonscale/routing/prefixes.py
+++ b/wigeonscale/routing/prefixes.py
@@ -4,7 +4,7 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -100,6 +100,11 @@
         """Drop all that is known of an agent that is gone or restarted."""
         self._caches.pop(agent_id, None)
 
+    def forget_absent(self, known: Container[str]) -> None:
+        """Drop all that is known of agents that are not among the members."""
+        for agent_id in [a for a in self._caches if a not in known]:
+            self.forget(agent_id)
+
 
 def _note(cache: _Cache, digest: bytes, number: int, held: bool) -> None:
     new, old = (cache.held, cache.dropped) if held else (cache.dropped, cache.held)
