Name the file when a disk fails, and log it once as a JSON line

Ruled out: going on after a failed sync; nobody knows what the disk holds then. Change: DiskFolder puts the file's path into the error; the storage logs its first failure with outcome storage-failed and the file; nothing is written after it, as before. The memory network now ends a call as gRPC does when the other side refuses it; before, the refusal of a stopped replica came through as an error that no link raises and ended the caller, which one of the six found.

--- a/wigeonscale/replication/folder.py
+++ b/wigeonscale/replication/folder.py
@@ -3,6 +3,7 @@
 __all__ = ["DiskFolder", "Folder"]
 
 import asyncio
+import contextlib
 import fcntl
 import os
 import pathlib
@@ -15,7 +16,10 @@
 
 
 class Folder(Protocol):
-    """Files of one replica. What a coroutine wrote is synced when it returns."""
+    """Files of one replica. What a coroutine wrote is synced when it returns.
+
+    Every call may raise ``OSError``, which names the file.
+    """
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None when there is none."""
@@ -61,21 +65,25 @@
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None when there is none."""
         try:
-            return (self._path / name).read_bytes()
+            with self._naming(name):
+                return (self._path / name).read_bytes()
         except FileNotFoundError:
             return None
 
     async def append(self, name: str, data: bytes) -> None:
         """Add ``data`` at the end of a file and sync it."""
-        await asyncio.to_thread(self._append, name, data)
+        with self._naming(name):
+            await asyncio.to_thread(self._append, name, data)
 
     async def replace(self, name: str, data: bytes) -> None:
         """Put a whole file in place by a synced temporary file and a rename."""
-        await asyncio.to_thread(self._replace, name, data)
+        with self._naming(name):
+            await asyncio.to_thread(self._replace, name, data)
 
     async def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes and sync it."""
-        await asyncio.to_thread(self._truncate, name, size)
+        with self._naming(name):
+            await asyncio.to_thread(self._truncate, name, size)
 
     def close(self) -> None:
         """Close the files and let another process hold the folder."""
@@ -86,6 +94,14 @@
             os.close(self._lock_fd)
             self._lock_fd = -1
 
+    @contextlib.contextmanager
+    def _naming(self, name):
+        try:
+            yield
+        except OSError as exc:
+            exc.filename = str(self._path / name)  # reads and syncs name no file
+            raise
+
     def _append(self, name, data):
         fd = self._open(name)
         _write_all(fd, data)
--- a/wigeonscale/replication/storage.py
+++ b/wigeonscale/replication/storage.py
@@ -9,10 +9,12 @@
 __all__ = ["LogStorage"]
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Coroutine, Sequence
 from dataclasses import replace
 
+from wigeonscale.adapters.logs import log_fields
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication.files import (
     LOG_NAME,
@@ -78,7 +80,8 @@
         Returns:
             What was found broken; empty for nothing.
         """
-        loaded = load_files(self._folder)
+        with self._noting_failure():
+            loaded = load_files(self._folder)
         if loaded is None:
             await self.save_vote(VoteState(storage_id=new_storage_id))
             await self._finish(self._rewrite())
@@ -190,12 +193,22 @@
             if self._failure is not None:
                 write.close()
                 raise self._failure
-            try:
+            with self._noting_failure():
                 await write
-            except OSError as exc:
-                # After a failed sync nobody knows what the disk holds.
-                self._failure = exc
-                raise
+
+    @contextlib.contextmanager
+    def _noting_failure(self):
+        try:
+            yield
+        except OSError as exc:
+            # After a failed sync nobody knows what the disk holds.
+            self._failure = exc
+            logger.error(
+                "data folder failed, this replica ends: %s",
+                exc,
+                extra=log_fields(outcome="storage-failed", file=exc.filename),
+            )
+            raise
 
     async def _save_vote(self, vote):
         if vote.term < self.vote.term:
--- a/wigeonscale/replication/tests/support.py
+++ b/wigeonscale/replication/tests/support.py
@@ -1,8 +1,10 @@
 """Small fakes for tests of the log: a folder in memory, links that can be cut."""
 
 import asyncio
+import errno
 import random
 
+from wigeonscale.errors import WigeonscaleError
 from wigeonscale.replication import Member, Replica, ReplicaOptions, Role
 from wigeonscale.replication.records import HEADER_BYTES
 from wigeonscale.testing import ManualClock
@@ -20,23 +22,24 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self._writes_left = None
+        self._failing = None  # name of the file whose writes fail
 
     def read(self, name):
         return self.durable.get(name)
 
     async def append(self, name, data):
         try:
-            await self._sync()
+            await self._sync(name)
         finally:  # like a thread, which goes on when its waiter is cancelled
-            if self._writes_left != 0:
+            if self._writes_left != 0 and name != self._failing:
                 self.durable[name] = self.durable.get(name, b"") + data
 
     async def replace(self, name, data):
-        await self._sync()
+        await self._sync(name)
         self.durable[name] = data
 
     async def truncate(self, name, size):
-        await self._sync()
+        await self._sync(name)
         self.durable[name] = self.durable[name][:size]
 
     def close(self):
@@ -46,6 +49,10 @@
         """Let this many writes succeed and all others fail; None: no limit."""
         self._writes_left = writes
 
+    def fail_on(self, name):
+        """Let all writes to one file fail."""
+        self._failing = name
+
     def flip(self, name, offset):
         data = bytearray(self.durable[name])
         data[offset] ^= 0xFF
@@ -55,10 +62,10 @@
         """Return the folder as the next process finds it."""
         return MemoryFolder(files=self.durable)
 
-    async def _sync(self):
+    async def _sync(self, name):
+        if self._writes_left == 0 or name == self._failing:
+            raise OSError(errno.ENOSPC, "planted", name)
         if self._writes_left is not None:
-            if self._writes_left == 0:
-                raise OSError("planted")
             self._writes_left -= 1
         await self.writable.wait()
 
@@ -96,7 +103,10 @@
         req = type(req).FromString(req.SerializeToString())
         if self.duplicate:
             await getattr(replica, method)(req)
-        reply = await getattr(replica, method)(req)
+        try:
+            reply = await getattr(replica, method)(req)
+        except WigeonscaleError as exc:  # as a call over gRPC ends then
+            raise ConnectionError(exc.message) from exc
         if (receiver, sender) in self.cut or self.replicas.get(receiver) is not replica:
             await asyncio.get_running_loop().create_future()
         return reply
--- a/wigeonscale/replication/tests/test_replica.py
+++ b/wigeonscale/replication/tests/test_replica.py
@@ -102,18 +102,43 @@
             self.cluster.start(leader)
             await self.cluster.clock.advance(1)
 
-    async def test_failed_disk_ends_the_replica_and_the_others_go_on(self):
-        self.cluster.folders[self.leader].fail_after(0)
-        task = await self.cluster.propose_at(self.leader, b"1")
-        await self.cluster.until(self.cluster.tasks[self.leader].done)
-        self.assertIsInstance(self.cluster.tasks[self.leader].exception(), OSError)
-        await asyncio.gather(task, return_exceptions=True)
-        await self.cluster.stop(self.leader)
-        await self.cluster.propose(b"2")
-        self.cluster.start(self.leader)
-        held = list(self.cluster.machines[self.followers[0]].commands)
-        self.assertEqual(b"2", held[-1])
+
+class FailedDiskTest(WithScenarios, ClusterCase):
+    """A full or failed disk ends its replica; the others go on."""
+
+    options = ReplicaOptions(snapshot_entries=20)
+    scenarios = [
+        (f"{name} of the {who}", {"who": who, "name": name})
+        for who in ("leader", "follower")
+        for name in ("log", "snapshot", "vote")
+    ]
+
+    async def test_replica_ends_and_the_others_go_on(self):
+        node = self.leader if self.who == "leader" else self.followers[0]
+        self.cluster.folders[node].fail_on(self.name)
+        if self.name == "vote":
+            self.cluster.network.isolate(self.leader)
+            await self.cluster.clock.advance(3)
+            self.cluster.network.heal()
+        tasks = {
+            data: await self.cluster.propose_at(name, data)
+            for name in self.cluster.leaders()
+            for data in numbers(1, 30)
+        }
+        await self.cluster.until(self.cluster.tasks[node].done)
+        exc = self.cluster.tasks[node].exception()
+        self.assertIsInstance(exc, OSError)
+        self.assertEqual(self.name, exc.filename)
+        await self.cluster.until(lambda: all(task.done() for task in tasks.values()))
+        await self.cluster.stop(node)
+        await self.cluster.propose(b"last")
+        self.cluster.start(node)
+        held = list(self.cluster.machines[self.cluster.leaders()[0]].commands)
         await self.cluster.until_equal(held)
+        accepted = {data for data, task in tasks.items() if task.exception() is None}
+        self.assertEqual(len(held), len(set(held)))
+        self.assertEqual(set(), accepted - set(held))
+        self.assertEqual(b"last", held[-1])
 
 
 class IsolationTest(ClusterCase):
