Patch long documents beside a watcher's event loop

Cause: a watcher parsed a whole new document on its loop; with 30,000 organisations that stood longer than the lease. Change: configurations of a connection are taken by a task of their own, one after another over all connections; more than 50 changed sections are read in a thread. Grants for the new revision wait for it, as before. Test: with the patch held back, heartbeats are answered and a second update waits its turn; it fails when the patch runs on the loop.

--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -237,6 +237,7 @@
             heartbeat_s=self._heartbeat_s,
             hello=hello,
             on_event=self._handle,
+            on_config=self._take_config,
             applied_revision=lambda: self.revision,
             known_members=self._members.copy() if self._members.index else None,
             tls=self._tls,
@@ -248,22 +249,34 @@
         self._ready.set()
         self._knowledge.emit(Change.MEMBERS)
 
-    def _handle(
-        self, conn: WatchConnection, event: wire.WatchEvent
+    async def _take_config(
+        self, conn: WatchConnection, update: wire.ConfigUpdate
     ) -> DisconnectCause | None:
         lease = self._knowledge.lease
         confirmed_before = lease.confirmed_at
+        cause = await self._knowledge.take_config(update, conn.address)
+        self._note_confirmed(conn, confirmed_before)
+        return cause
+
+    def _handle(
+        self, conn: WatchConnection, event: wire.WatchEvent
+    ) -> DisconnectCause | None:
+        confirmed_before = self._knowledge.lease.confirmed_at
         cause = self._take(conn, event)
+        self._note_confirmed(conn, confirmed_before)
+        return cause
+
+    def _note_confirmed(
+        self, conn: WatchConnection, confirmed_before: float | None
+    ) -> None:
+        lease = self._knowledge.lease
         if lease.confirmed_at != confirmed_before and lease.is_valid():
             self._watcher.confirmed_by(conn)
-        return cause
 
     def _take(
         self, conn: WatchConnection, event: wire.WatchEvent
     ) -> DisconnectCause | None:
         match event.WhichOneof("body"):
-            case "config":
-                return self._knowledge.take_config(event.config, conn.address)
             case "members":
                 return self._take_members(conn, event.members)
             case "lease":
--- a/wigeonscale/membership/configuration.py
+++ b/wigeonscale/membership/configuration.py
@@ -2,6 +2,7 @@
 
 __all__ = ["ConfigResult", "Configuration"]
 
+import asyncio
 import enum
 import logging
 
@@ -9,6 +10,9 @@
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.wire import wire_pb2 as wire
 
+# Up to as many changed sections are read on the event loop: a few milliseconds.
+INLINE_CHANGES = 50
+
 logger = logging.getLogger(__name__)
 
 
@@ -37,7 +41,7 @@
         self.document = rules.EMPTY_DOCUMENT
         self.ruleset = rules.Ruleset.from_document(self.document)
 
-    def apply(self, update: wire.ConfigUpdate) -> ConfigResult:
+    async def apply(self, update: wire.ConfigUpdate) -> ConfigResult:
         """Take in an update if it is newer, fits and has the right digest.
 
         Args:
@@ -46,6 +50,10 @@
 
         Returns:
             What became of it. Only ``APPLIED`` changed anything.
+
+        Notes:
+            One at a time: the caller waits for one before the next. Many sections
+            are read in a thread, so that heartbeats and requests go on.
         """
         if update.revision < self.revision:
             return ConfigResult.OLDER
@@ -54,19 +62,21 @@
         if update.base_revision not in (0, self.revision):
             return ConfigResult.WRONG_BASE
         base = self.document if update.base_revision else rules.EMPTY_DOCUMENT
-        return self._install(update, base)
+        return await self._install(update, base)
 
     def _compare(self, update: wire.ConfigUpdate) -> ConfigResult:
         if update.digest and update.digest != self.document.digest:
             return ConfigResult.WRONG_DIGEST
         return ConfigResult.UNCHANGED
 
-    def _install(
+    async def _install(
         self, update: wire.ConfigUpdate, base: "rules.Document"
     ) -> ConfigResult:
         try:
-            document = rules.patch_document(base, update.changes)
-            ruleset = rules.Ruleset.from_document(document)
+            if len(update.changes) <= INLINE_CHANGES:
+                document, ruleset = _made(base, update)
+            else:
+                document, ruleset = await asyncio.to_thread(_made, base, update)
         except WigeonscaleError as exc:
             logger.error("revision %d refused: %s", update.revision, exc.message)
             return ConfigResult.INVALID
@@ -76,3 +86,8 @@
         self.ruleset = ruleset
         self.revision = update.revision
         return ConfigResult.APPLIED
+
+
+def _made(base, update):
+    document = rules.patch_document(base, update.changes)
+    return document, rules.Ruleset.from_document(document)
--- a/wigeonscale/membership/connection.py
+++ b/wigeonscale/membership/connection.py
@@ -5,7 +5,7 @@
 import asyncio
 import enum
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import grpc
 
@@ -53,8 +53,10 @@
         clock: Clock of this process.
         heartbeat_s: Interval of heartbeats, in seconds.
         hello: First message of the stream.
-        on_event: Called with this connection and each event; returns a cause to
-            end the connection, else None.
+        on_event: Called with this connection and each event but configurations;
+            returns a cause to end the connection, else None.
+        on_config: Puts a configuration in force, one after another; meanwhile other
+            events are taken. Returns a cause to end the connection, else None.
         applied_revision: Returns the configuration revision in force here.
         known_members: Own copy of the members that ``hello`` says are known.
         tls: Files for mutual TLS; None for plain TCP.
@@ -70,6 +72,9 @@
         on_event: Callable[
             ["WatchConnection", wire.WatchEvent], DisconnectCause | None
         ],
+        on_config: Callable[
+            ["WatchConnection", wire.ConfigUpdate], Awaitable[DisconnectCause | None]
+        ],
         applied_revision: Callable[[], int],
         known_members: MembersView | None = None,
         tls: TlsFiles | None = None,
@@ -84,9 +89,11 @@
         self._clock = clock
         self._heartbeat_s = heartbeat_s
         self._on_event = on_event
+        self._on_config = on_config
         self._applied_revision = applied_revision
         self._tls = tls
         self._queue: asyncio.Queue[wire.WatchRequest] = asyncio.Queue(MAX_QUEUED)
+        self._configs: asyncio.Queue[wire.ConfigUpdate] = asyncio.Queue(MAX_QUEUED)
         self.send(wire.WatchRequest(hello=hello))
 
     def send(self, req: wire.WatchRequest) -> None:
@@ -114,22 +121,33 @@
         """Keep the stream until it ends; then :attr:`cause` tells why."""
         async with open_channel(self.address, tls=self._tls) as channel:
             call = wire_pb2_grpc.ControlStub(channel).Watch()
+            readers = [
+                asyncio.create_task(self._read(call)),
+                asyncio.create_task(self._install()),
+            ]
             writers = [
                 asyncio.create_task(self._write(call)),
                 asyncio.create_task(self._beat()),
             ]
             try:
-                cause = await self._read(call)
+                done, _ = await asyncio.wait(
+                    readers, return_when=asyncio.FIRST_COMPLETED
+                )
+                cause = done.pop().result()
             finally:
                 call.cancel()
-                for task in writers:
+                tasks = readers + writers
+                for task in tasks:
                     task.cancel()
-                await asyncio.gather(*writers, return_exceptions=True)
+                await asyncio.gather(*tasks, return_exceptions=True)
             self.cause = self.cause or cause
 
     async def _read(self, call: grpc.aio.StreamStreamCall) -> DisconnectCause:
         try:
             async for event in call:
+                if event.HasField("config"):
+                    await self._configs.put(event.config)
+                    continue
                 cause = self._handle(event)
                 if cause is not None:
                     return cause
@@ -144,6 +162,17 @@
             logger.exception("event from %s not handled", self.address)
             return None
 
+    async def _install(self) -> DisconnectCause:
+        while True:
+            update = await self._configs.get()
+            try:
+                cause = await self._on_config(self, update)
+            except Exception:
+                logger.exception("revision %d not handled", update.revision)
+                continue
+            if cause is not None:
+                return cause
+
     async def _write(self, call: grpc.aio.StreamStreamCall) -> None:
         while True:
             await call.write(await self._queue.get())
--- a/wigeonscale/membership/knowledge.py
+++ b/wigeonscale/membership/knowledge.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Change", "Knowledge"]
 
+import asyncio
 import enum
 import logging
 
@@ -46,6 +47,7 @@
         self.lease = Lease(clock=clock, lease_s=lease_s)
         self.entries = 0
         self._metrics = metrics
+        self._config_lock = asyncio.Lock()
         self._needs_whole_document = False
         self._lease_was_valid = False
 
@@ -54,7 +56,7 @@
         """Revision to ask deltas from; 0 asks for the whole document."""
         return 0 if self._needs_whole_document else self.configuration.revision
 
-    def take_config(
+    async def take_config(
         self, update: wire.ConfigUpdate, address: str
     ) -> DisconnectCause | None:
         """Put an update in force if it is newer and fits.
@@ -66,7 +68,8 @@
         Returns:
             Why its connection must end, or None.
         """
-        result = self.configuration.apply(update)
+        async with self._config_lock:
+            result = await self.configuration.apply(update)
         match result:
             case ConfigResult.APPLIED:
                 self._needs_whole_document = False
--- a/wigeonscale/membership/tests/test_client.py
+++ b/wigeonscale/membership/tests/test_client.py
@@ -1,12 +1,18 @@
 import asyncio
+import threading
+from unittest import mock
 
+from wigeonscale import rules
 from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.membership import configuration
 from wigeonscale.membership.configuration import ConfigResult, Configuration
 from wigeonscale.membership.tests.fake_control import (
+    LIMIT_S,
     FakeControlCase,
     config_update,
     document_of,
 )
+from wigeonscale.rules import EMPTY_DOCUMENT, diff_documents, parse_document
 from wigeonscale.wire import wire_pb2 as wire
 
 HEARTBEAT_S = 0.5
@@ -92,6 +98,33 @@
         await self.until(lambda: fake.open_streams == 0)
         self.assertEqual(confirmed_at, client._knowledge.lease.confirmed_at)
 
+    async def test_long_document_holds_up_neither_heartbeats_nor_order(self):
+        (fake,) = await self.start_fakes()
+        client, _, _ = await self.attached(fake)
+        entered, leave = asyncio.Event(), threading.Event()
+        loop = asyncio.get_running_loop()
+        patch_document = rules.patch_document
+
+        def slow_patch(base, changes):
+            if len(changes) > configuration.INLINE_CHANGES:
+                loop.call_soon_threadsafe(entered.set)
+                leave.wait(LIMIT_S)
+            return patch_document(base, changes)
+
+        count = configuration.INLINE_CHANGES + 1
+        long = parse_document("".join(f"[service s{n}]\n" for n in range(count)))
+        changes = diff_documents(EMPTY_DOCUMENT, long)
+        update = config_update(2, changes=changes, digest=long.digest)
+        with mock.patch.object(rules, "patch_document", slow_patch):
+            await fake.push(update)
+            await fake.push(config_update(3))
+            await self.within_limit(entered.wait())
+            await self.clock.advance(HEARTBEAT_S)
+            await self.answered(client)
+            self.assertEqual(1, client.revision)
+            leave.set()
+            await self.until(lambda: client.revision == 3)
+
     async def test_older_document_ends_the_connection(self):
         (fake,) = await self.start_fakes(revision=7)
         client, _, _ = await self.attached(fake)
@@ -100,8 +133,8 @@
         await self.until(lambda: fake.open_streams == 0)
         self.assertEqual(document_of(7).digest, client.document.digest)
 
-    def test_delta_on_another_base_is_named(self):
-        result = Configuration().apply(config_update(3, base=2).config)
+    async def test_delta_on_another_base_is_named(self):
+        result = await Configuration().apply(config_update(3, base=2).config)
         self.assertEqual(ConfigResult.WRONG_BASE, result)
 
     async def test_members_must_begin_with_a_full_update(self):
