Measure an entry's prompts, kept tokens and records by organisation

Cause: 1,415 streams made an entry 166 MB and the sums could not say of what; what an entry records of each organisation was in no sum at all. Ruled out: one slope an open stream for all of it (33 KB with 20 tokens and 59 KB with 320 tokens were two slopes for one thing). Change: three slopes in streams (stream, token kept, KB of prompt) and a family of its own for records.

--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -24,6 +24,7 @@
     "claims",
     "snapshots",
     "streams",
+    "records",
 )
 PAGE = pathlib.Path("docs/CAPACITY.md")
 
--- a/bench/slopes/processes.py
+++ b/bench/slopes/processes.py
@@ -6,6 +6,7 @@
     "Work",
     "during",
     "free_ports",
+    "resident_kb",
     "run_folder",
     "start",
     "start_driver",
@@ -124,6 +125,13 @@
     return Work(used, time.monotonic() - began)
 
 
+def resident_kb(key: str) -> float:
+    """Return this process's own memory now (``VmRSS``) or at most (``VmHWM``)."""
+    status = pathlib.Path("/proc/self/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith(key))
+    return float(line.split()[1])
+
+
 @contextlib.contextmanager
 def run_folder():
     """Yield a folder on disk for settings, logs and data, removed at the end."""
--- a/bench/slopes/snapshots.py
+++ b/bench/slopes/snapshots.py
@@ -9,7 +9,6 @@
 __all__ = ["main", "measure"]
 
 import json
-import pathlib
 import sys
 import time
 from collections.abc import Iterator
@@ -17,7 +16,7 @@
 from bench.slopes.claims import HOLDER, claims
 from bench.slopes.fit import Slope, fit
 from bench.slopes.members import announcements
-from bench.slopes.processes import run_folder, start_driver
+from bench.slopes.processes import resident_kb, run_folder, start_driver
 from wigeonscale.state import ControlState
 
 SIZES = (10_000, 50_000, 100_000, 200_000)
@@ -58,11 +57,11 @@
         if result.kind:
             raise RuntimeError(f"{result.kind}: {result.message}")
     applied_s = time.process_time() - began
-    memory = _status_kb("VmRSS")
+    memory = resident_kb("VmRSS")
     began = time.perf_counter()
     data = state.snapshot()
     snapshot_s = time.perf_counter() - began
-    most = _status_kb("VmHWM")
+    most = resident_kb("VmHWM")
     began = time.perf_counter()
     ControlState().restore(data)
     restore_s = time.perf_counter() - began
@@ -78,12 +77,6 @@
         yield command.SerializeToString()
 
 
-def _status_kb(key: str) -> float:
-    status = pathlib.Path("/proc/self/status").read_text()
-    line = next(line for line in status.splitlines() if line.startswith(key))
-    return float(line.split()[1])
-
-
 def main(args: list[str]) -> None:
     """Answer one line on standard input with the figures."""
     options = json.loads(args[0])
--- a/bench/slopes/streams.py
+++ b/bench/slopes/streams.py
@@ -40,42 +40,62 @@
 LAYERS = 12
 ROLES = "bench.relay_roles"
 END = b"data: [DONE]"
+PROMPT = "side 12"
+# Lengths of prompts, in KB.
+PROMPTS_KB = (1, 8, 16)
+BYTES_PER_KB = 1024
 
 
 async def measure() -> list[Slope]:
     """Measure the entry with tokens singly and in bursts, then the agent."""
     slopes = []
     for name, burst in (("singly", 1), (f"in bursts of {BURST}", BURST)):
-        slopes.append(await _entry_tokens(name, burst))
-        slopes.append(await _entry_memory(name, burst))
-    return [*slopes, await _entry_requests(), *await _agent()]
+        slopes += await _entry_tokens(name, burst)
+    slopes += [await _entry_memory(), await _entry_prompts(), await _entry_requests()]
+    return slopes + await _agent()
 
 
-async def _entry_tokens(name: str, burst: int) -> Slope:
-    points = []
+async def _entry_tokens(name: str, burst: int) -> list[Slope]:
+    cpu, memory = [], []
     for ticks in TICKS:
         load = Load(streams=STREAMS, ticks=ticks, burst=burst, interval_s=INTERVAL_S)
-        used_us, _, _ = await _entry_run(load)
-        points.append((STREAMS * ticks * burst, used_us))
-    return fit(f"entry, tokens {name}: cpu", "token", "us", points)
+        used_us, _, most_mb = await _entry_run(load)
+        cpu.append((STREAMS * ticks * burst, used_us))
+        memory.append((STREAMS * ticks * burst, 1024 * most_mb))
+    return [
+        fit(f"entry, tokens {name}: cpu", "token", "us", cpu),
+        fit(f"entry, tokens {name}: memory at most", "token kept", "KB", memory),
+    ]
 
 
-async def _entry_memory(name: str, burst: int) -> Slope:
+async def _entry_memory() -> Slope:
     points = []
     for count in SIZES:
-        load = Load(streams=count, ticks=TICKS[0], burst=burst, interval_s=INTERVAL_S)
+        load = Load(streams=count, ticks=TICKS[0], burst=1, interval_s=INTERVAL_S)
         _, idle_mb, most_mb = await _entry_run(load)
         if not points:
             points.append((0, idle_mb))
         points.append((count, most_mb))
-    return fit(f"entry, tokens {name}: memory at most", "open stream", "MB", points)
+    name = f"entry, streams of {TICKS[0]} tokens: memory at most"
+    return fit(name, "open stream", "MB", points)
 
 
-async def _entry_run(load: Load) -> tuple[float, float, float]:
+async def _entry_prompts() -> Slope:
+    points = []
+    load = Load(streams=STREAMS, ticks=TICKS[0], burst=1, interval_s=INTERVAL_S)
+    for length_kb in PROMPTS_KB:
+        prompt = "x" * (BYTES_PER_KB * length_kb)
+        _, _, most_mb = await _entry_run(load, prompt)
+        points.append((STREAMS * length_kb, 1024 * most_mb))
+    name = f"entry, prompts of {STREAMS} streams: memory at most"
+    return fit(name, "KB of prompt", "KB", points)
+
+
+async def _entry_run(load: Load, prompt: str = PROMPT) -> tuple[float, float, float]:
     """Return microseconds used, memory before and memory at most, in MB."""
     async with _entry(load) as (child, url):
         before = child.usage()
-        work = await during({"entry": child}, _call_all(url, load))
+        work = await during({"entry": child}, _call_all(url, load, prompt))
         return 1e6 * work.cpu_s["entry"], before.rss_mb, child.usage().peak_mb
 
 
@@ -104,10 +124,10 @@
     return (await child.proc.stdout.readline()).decode().strip()
 
 
-async def _call_all(url: str, load: Load) -> None:
+async def _call_all(url: str, load: Load, prompt: str) -> None:
     async with _session() as http:
         tokens = load.ticks * load.burst
-        calls = [_call(http, url, tokens) for _ in range(load.streams)]
+        calls = [_call(http, url, tokens, prompt) for _ in range(load.streams)]
         await asyncio.gather(*calls)
 
 
@@ -123,8 +143,10 @@
     return aiohttp.ClientSession(connector=connector, headers=headers)
 
 
-async def _call(http: aiohttp.ClientSession, url: str, tokens: int) -> None:
-    body = {"model": MODEL, "prompt": "side 12", "stream": True}
+async def _call(
+    http: aiohttp.ClientSession, url: str, tokens: int, prompt: str = PROMPT
+) -> None:
+    body = {"model": MODEL, "prompt": prompt, "stream": True}
     async with http.post(url, json=body) as answer:
         data = await answer.read()
     # One event a token, one with the count, and the end.
@@ -238,7 +260,7 @@
 def _open(chain: wire.Chain, tokens: int) -> wire.Open:
     head = chain.stages[0]
     name = f"{uuid.uuid4().hex}@{head.agent_id}"
-    work = wire.Generate(chain=chain, prompt=b"side 12", max_tokens=tokens)
+    work = wire.Generate(chain=chain, prompt=PROMPT.encode(), max_tokens=tokens)
     return wire.Open(
         dispatch_id=name,
         request_id=name,
