Replicated log: proposals that wait are a module of their own

Cause: read as a newcomer, the life of a proposal stood in four modules. Change: proposals.py holds what waits, answers it and fails it; the refusal without a majority stands beside the append in commit.py.

--- a/wigeonscale/replication/commit.py
+++ b/wigeonscale/replication/commit.py
@@ -11,25 +11,57 @@
     "advance_round",
     "append_as_leader",
     "apply_up_to",
+    "require_majority",
+    "restore_machine",
     "run_snapshots",
     "run_sync",
 ]
 
+import asyncio
 import logging
 import math
 
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.replication.files import Snapshot
-from wigeonscale.replication.model import EntryKind, Role
+from wigeonscale.replication.model import EntryKind, NotLeaderError, Role
 from wigeonscale.replication.state import ReplicaState
 from wigeonscale.replication.voters import majority_value
 from wigeonscale.wire import wire_pb2 as wire
 
+MAX_WAITING = 4096  # proposals without an outcome
 KEPT_SHARE = 4  # a quarter of a snapshot's entries stay for followers that lag
 
 logger = logging.getLogger(__name__)
 
 
+def require_majority(core: ReplicaState) -> None:
+    """Refuse a proposal that this replica could not commit.
+
+    Raises:
+        NotLeaderError: This replica does not lead, or leaves.
+        WigeonscaleError: ``NO_QUORUM`` with run state ``NOT_RUN`` when no majority
+            answered lately, ``OVERLOADED`` when too many proposals wait.
+    """
+    if not core.leading or core.leaving:
+        leader = "" if core.leading else core.leader_address
+        raise NotLeaderError(node_id=core.node_id, leader=leader)
+    advance_round(core)
+    silence = core.clock.now() - core.majority_at
+    if silence > core.options.election_timeout_s / 2:
+        raise WigeonscaleError(
+            ErrorKind.NO_QUORUM,
+            f"no majority has answered {core.node_id} for {silence:.3f} s",
+            run_state=RunState.NOT_RUN,
+            retry_after=core.options.election_timeout_s,
+        )
+    if len(core.proposals) >= MAX_WAITING:
+        raise WigeonscaleError(
+            ErrorKind.OVERLOADED,
+            f"{len(core.proposals)} proposals wait, at most {MAX_WAITING} may",
+            retry_after=core.options.election_timeout_s,
+        )
+
+
 def append_as_leader(core: ReplicaState, kind: EntryKind, data: bytes) -> int:
     """Append one entry in memory and let it be synced and sent.
 
@@ -80,7 +112,7 @@
     if all(member.node_id != core.node_id for member in core.members_at(index)):
         logger.info("replica %s was removed and steps down", core.node_id)
         core.role = Role.FOLLOWER
-        core.fail_waiting(f"replica {core.node_id} was removed")
+        core.proposals.fail_all(f"replica {core.node_id} was removed")
 
 
 def advance_round(core: ReplicaState) -> None:
@@ -99,15 +131,21 @@
 
 
 def apply_up_to(core: ReplicaState, commit_index: int) -> None:
-    """Advance the commit index and apply what it covers."""
+    """Advance the commit index and apply what it covers.
+
+    An entry that is prepared in a thread first holds up those after it; they are
+    applied when it is done.
+    """
     core.commit_index = max(core.commit_index, commit_index)
     before = core.applied_index
     while core.applied_index < core.commit_index:
         entry = core.storage.entry(core.applied_index + 1)
+        if _is_in_preparation(core, entry):
+            break
         result = _apply(core, entry)
         core.applied_index = entry.index
         core.applied_term = entry.term
-        _answer_proposer(core, entry, result)
+        core.proposals.answer(entry, result)
     if core.applied_index > before:
         _publish(core)
     covered = core.storage.snapshot.index if core.storage.snapshot else 0
@@ -115,6 +153,15 @@
         core.snapshot_due.set()
 
 
+async def restore_machine(core: ReplicaState, data: bytes) -> None:
+    """Replace the machine's state by a snapshot, read in a thread where it can be."""
+    prepare = getattr(core.machine, "restore_preparation", None)
+    work = prepare(data) if prepare else None
+    if work is not None:
+        await asyncio.to_thread(work)
+    core.machine.restore(data)
+
+
 async def run_snapshots(core: ReplicaState) -> None:
     """Take a snapshot and drop old entries whenever one is due."""
     while True:
@@ -142,6 +189,34 @@
     )
 
 
+def _is_in_preparation(core, entry):
+    if core.preparing_index == entry.index:
+        return True
+    prepare = getattr(core.machine, "preparation", None)
+    is_command = entry.kind == EntryKind.COMMAND
+    if prepare is None or not is_command or core.prepared_index == entry.index:
+        return False
+    work = prepare(entry.data)
+    if work is None:
+        return False
+    core.preparing_index = entry.index
+    task = asyncio.create_task(_prepare(core, entry.index, work))
+    core.running.add(task)
+    task.add_done_callback(core.running.discard)
+    return True
+
+
+async def _prepare(core, index, work):
+    try:
+        await asyncio.to_thread(work)
+    except Exception:
+        # Applying it will tell what is wrong with it.
+        logger.exception("entry %d could not be prepared", index)
+    core.preparing_index = 0
+    core.prepared_index = index
+    apply_up_to(core, core.commit_index)
+
+
 def _apply(core, entry):
     if entry.kind != EntryKind.COMMAND:
         return None
@@ -157,16 +232,6 @@
         )
 
 
-def _answer_proposer(core, entry, result):
-    term, fut = core.waiting.pop(entry.index, (None, None))
-    if fut is None or fut.done() or term != entry.term:
-        return
-    if isinstance(result, WigeonscaleError):
-        fut.set_exception(result)
-    else:
-        fut.set_result(result)
-
-
 def _publish(core):
     try:
         core.on_applied.on_next(core.applied_index)
--- a/wigeonscale/replication/election.py
+++ b/wigeonscale/replication/election.py
@@ -96,7 +96,7 @@
     core.leader_id = ""
     core.leader_address = ""
     core.timer_from = core.clock.now()
-    core.fail_waiting(f"replica {core.node_id} stopped leading: {reason}")
+    core.proposals.fail_all(f"replica {core.node_id} stopped leading: {reason}")
     core.progress.set()
 
 
--- a/wigeonscale/replication/follower.py
+++ b/wigeonscale/replication/follower.py
@@ -9,7 +9,7 @@
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication.admission import note_admission
-from wigeonscale.replication.commit import apply_up_to
+from wigeonscale.replication.commit import apply_up_to, restore_machine
 from wigeonscale.replication.election import adopt_term, check_term, step_down
 from wigeonscale.replication.files import Snapshot
 from wigeonscale.replication.model import EntryKind, Role
@@ -211,7 +211,7 @@
         data=data,
     )
     # Restored first: a state that cannot be read must not become durable.
-    core.machine.restore(data)
+    await restore_machine(core, data)
     core.commit_index = snapshot.index
     core.applied_index = snapshot.index
     core.applied_term = snapshot.term
--- a/wigeonscale/replication/model.py
+++ b/wigeonscale/replication/model.py
@@ -75,7 +75,14 @@
 
 
 class StateMachine(Protocol):
-    """What the committed entries are applied to; must be deterministic."""
+    """What the committed entries are applied to; must be deterministic.
+
+    Notes:
+        A machine may have two more methods, ``preparation(data)`` for a command and
+        ``restore_preparation(data)`` for a snapshot. They return a function to be
+        called in a thread before the command is applied or the snapshot restored,
+        or None. It must change nothing that the results depend on.
+    """
 
     def apply(self, index: int, term: int, data: bytes) -> object:
         """Apply one committed command and return its result."""
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Sequence
 
-from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.replication.admission import (
     append_members,
@@ -18,6 +18,8 @@
 from wigeonscale.replication.commit import (
     advance_round,
     append_as_leader,
+    require_majority,
+    restore_machine,
     run_snapshots,
     run_sync,
 )
@@ -28,7 +30,6 @@
 from wigeonscale.replication.model import (
     EntryKind,
     Member,
-    NotLeaderError,
     ReplicaOptions,
     Role,
     StateMachine,
@@ -40,7 +41,6 @@
 from wigeonscale.replication.waiting import run_to_end
 from wigeonscale.wire import wire_pb2 as wire
 
-MAX_WAITING = 4096  # proposals without an outcome
 STORAGE_ID_BITS = 128
 
 
@@ -142,9 +142,10 @@
                 nothing was appended, else ``UNKNOWN``; ``OVERLOADED`` when too
                 many proposals wait.
         """
-        self._require_quorum()
-        index = append_as_leader(self._core, EntryKind.COMMAND, data)
-        return await self._outcome(index)
+        core = self._core
+        require_majority(core)
+        index = append_as_leader(core, EntryKind.COMMAND, data)
+        return await core.proposals.outcome(index, core.term)
 
     async def change_voters(
         self, *, add: Member | None = None, remove: str | None = None
@@ -164,16 +165,17 @@
                 ``BAD_REQUEST`` for a change that cannot be made, or as
                 :meth:`propose`.
         """
-        self._require_quorum()
-        if not members_settled(self._core):
+        core = self._core
+        require_majority(core)
+        if not members_settled(core):
             raise WigeonscaleError(
                 ErrorKind.IN_PROGRESS,
-                f"the change of members at entry {self._core.members_index} is not"
+                f"the change of members at entry {core.members_index} is not"
                 " committed yet",
                 retry_after=1.0,
             )
-        members = changed_members(self._core.members, add=add, remove=remove)
-        await self._outcome(append_members(self._core, members))
+        members = changed_members(core.members, add=add, remove=remove)
+        await core.proposals.outcome(append_members(core, members), core.term)
 
     async def hand_over(self) -> bool:
         """Give up leading for good, before a planned stop.
@@ -294,7 +296,7 @@
         await core.storage.load(f"{core.rng.getrandbits(STORAGE_ID_BITS):032x}")
         snapshot = core.storage.snapshot
         if snapshot is not None:
-            core.machine.restore(snapshot.data)
+            await restore_machine(core, snapshot.data)
             core.commit_index = snapshot.index
             core.applied_index = snapshot.index
             core.applied_term = snapshot.term
@@ -312,29 +314,3 @@
         for peer in core.peers.values():
             await peer.link.reset()
         await core.storage.close()
-
-    def _require_quorum(self):
-        core = self._core
-        if not core.leading or core.leaving:
-            leader = "" if core.leading else core.leader_address
-            raise NotLeaderError(node_id=core.node_id, leader=leader)
-        advance_round(core)
-        silence = core.clock.now() - core.majority_at
-        if silence > core.options.election_timeout_s / 2:
-            raise WigeonscaleError(
-                ErrorKind.NO_QUORUM,
-                f"no majority has answered {core.node_id} for {silence:.3f} s",
-                run_state=RunState.NOT_RUN,
-                retry_after=core.options.election_timeout_s,
-            )
-        if len(core.waiting) >= MAX_WAITING:
-            raise WigeonscaleError(
-                ErrorKind.OVERLOADED,
-                f"{len(core.waiting)} proposals wait, at most {MAX_WAITING} may",
-                retry_after=core.options.election_timeout_s,
-            )
-
-    async def _outcome(self, index):
-        fut = asyncio.get_running_loop().create_future()
-        self._core.waiting[index] = (self._core.term, fut)
-        return await fut
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -10,7 +10,6 @@
 
 from reactivex import Subject
 
-from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.replication.files import Admission, Snapshot
 from wigeonscale.replication.links import Link, Links
@@ -21,6 +20,7 @@
     Role,
     StateMachine,
 )
+from wigeonscale.replication.proposals import Proposals
 from wigeonscale.replication.storage import LogStorage
 from wigeonscale.replication.voters import members_from_wire
 from wigeonscale.wire import wire_pb2 as wire
@@ -122,9 +122,11 @@
         self.commit_index = 0
         self.applied_index = 0
         self.applied_term = 0
+        self.preparing_index = 0  # entry that a thread prepares; 0: none
+        self.prepared_index = 0
         self.fresh_at: float | None = None
         self.peers: dict[str, PeerState] = {}
-        self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
+        self.proposals = Proposals(retry_after_s=options.election_timeout_s)
         self.incoming: tuple[int, int, bytearray] | None = None
         self.running: set[asyncio.Task] = set()  # what no cancel cuts short
         self.leaving = False  # stops as planned: leads no more
@@ -249,20 +251,3 @@
             peer.member = member
             if peer.task is None and self.start_peer is not None:
                 peer.task = self.start_peer(peer)
-
-    # ------------------------------------------------------------- proposals
-
-    def fail_waiting(self, message: str) -> None:
-        """Tell every waiting proposer that its outcome is not known."""
-        waiting = [fut for _, fut in self.waiting.values()]
-        self.waiting.clear()
-        for fut in waiting:
-            if not fut.done():
-                fut.set_exception(
-                    WigeonscaleError(
-                        ErrorKind.NO_QUORUM,
-                        message,
-                        run_state=RunState.UNKNOWN,
-                        retry_after=self.options.election_timeout_s,
-                    )
-                )
