--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -159,7 +159,7 @@
         # Only sections that differ from the operator's base are read.
         base = self._state.configuration.document_at(body.base_revision)
         document = await _parsed(body.document, base or EMPTY_DOCUMENT)
-        command = self._apply_command(
+        command = await self._apply_command(
             document, body.base_revision, body.operator, body.operation_id
         )
         return await self._commit(command)
@@ -175,7 +175,7 @@
                 f"revision {body.revision} is not kept; the oldest kept is"
                 f" {configuration.oldest_known}",
             )
-        command = self._apply_command(
+        command = await self._apply_command(
             document,
             configuration.revision,
             body.operator,
@@ -183,7 +183,7 @@
         )
         return await self._commit(command)
 
-    def _apply_command(self, document, base_revision, operator, operation_id):
+    async def _apply_command(self, document, base_revision, operator, operation_id):
         """Return a command as small as the change, where its base is still kept.
 
         The digest of the document in the operation id keeps apart operators who
@@ -194,8 +194,13 @@
         )
         base = self._state.configuration.document_at(base_revision)
         if base is not None:
-            apply.changes.extend(diff_documents(base, document))
-        if not apply.changes:
+            # In a thread: long documents differ in many sections.
+            apply.changes.extend(
+                await asyncio.to_thread(diff_documents, base, document)
+            )
+        if apply.changes:
+            self._state.configuration.expect(apply, base, document)
+        else:
             apply.document = document.text
         return wire.Command(
             operation_id=f"{operation_id}/{document.digest[:DIGEST_LENGTH]}",
--- a/wigeonscale/control/tests/test_admin.py
+++ b/wigeonscale/control/tests/test_admin.py
@@ -103,8 +103,8 @@
                 DOCUMENT + services + "[service x]\n", base=1, operation="b"
             )
             self.assertEqual((200, 2), await self.status_and_revision(added))
-        # Once for the page, and once where the command is applied.
-        self.assertEqual(2, parse_section.call_count)
+        # For the page; applying the command here reads none again.
+        self.assertEqual(1, parse_section.call_count)
 
     async def test_base_that_is_not_kept_is_a_conflict(self):
         await self.apply()
--- a/wigeonscale/replication/tests/test_replica.py
+++ b/wigeonscale/replication/tests/test_replica.py
@@ -1,11 +1,12 @@
 import asyncio
 import itertools
+import threading
 
 from testscenarios import WithScenarios
 
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.replication import NotLeaderError, ReplicaOptions
-from wigeonscale.replication.tests.support import Cluster
+from wigeonscale.replication.tests.support import LIMIT_S, Cluster
 from wigeonscale.testing import AsyncTestCase
 
 
@@ -52,6 +53,27 @@
         await self.cluster.propose(b"1")
         await self.cluster.until_equal([b"1"])
 
+    async def test_entry_in_preparation_holds_up_those_after_it_only(self):
+        follower = self.cluster.replicas[self.followers[0]]
+        machine, leave = follower._core.machine, threading.Event()
+        begun = []
+
+        def preparation(data):
+            begun.append(data)
+            return (lambda: leave.wait(LIMIT_S)) if data == b"2" else None
+
+        machine.preparation = preparation
+        await self.cluster.propose(b"1", b"2", b"3")
+        await self.cluster.until(lambda: b"2" in begun)
+        term = follower.term
+        await self.cluster.clock.advance(60)
+        self.assertEqual([b"1"], machine.commands)
+        self.assertLess(follower.applied_index, follower.commit_index)
+        self.assertEqual(term, follower.term)
+        leave.set()
+        await self.cluster.until_equal(numbers(1, 3))
+        self.assertEqual(1, begun.count(b"2"))
+
     async def test_duplicated_messages_change_nothing(self):
         self.cluster.network.duplicate = True
         await self.cluster.propose(*numbers(1, 20))
--- a/wigeonscale/state/configuration.py
+++ b/wigeonscale/state/configuration.py
@@ -2,7 +2,9 @@
 
 __all__ = ["HISTORY_LIMIT", "Configuration", "Revision"]
 
+import logging
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wigeonscale.errors import ErrorKind, SettingsError
@@ -16,6 +18,8 @@
 from wigeonscale.state.results import done, refused
 from wigeonscale.wire import wire_pb2 as wire
 
+logger = logging.getLogger(__name__)
+
 # Half an hour of changes at 46,000 a day; a watcher away for longer gets it all.
 HISTORY_LIMIT = 1000
 
@@ -39,6 +43,16 @@
     document: Document
 
 
+@dataclass(frozen=True, slots=True)
+class _Prepared:
+    """What a command makes of a document, worked out before it is applied."""
+
+    base: Document
+    command: wire.ApplyConfig
+    document: Document
+    changes: tuple[wire.SectionChange, ...]
+
+
 class Configuration:
     """The document in force and how it came about.
 
@@ -51,6 +65,7 @@
         self._base_revision = 0
         self._base = EMPTY_DOCUMENT
         self._history: deque[Revision] = deque()
+        self._prepared: _Prepared | None = None
 
     @property
     def revision(self) -> int:
@@ -104,6 +119,49 @@
         """Return the changes that make the document in force out of nothing."""
         return diff_documents(EMPTY_DOCUMENT, self.document)
 
+    def preparation(self, command: wire.ApplyConfig) -> Callable[[], None] | None:
+        """Return work for a thread that makes a later :meth:`apply` short.
+
+        Args:
+            command: The command that will be applied.
+
+        Returns:
+            A function that reads the command's sections and changes nothing else;
+            None where that is done, or the command made from another revision.
+        """
+        base = self.document
+        if command.base_revision != self.revision or self._is_prepared(command):
+            return None
+
+        def prepare() -> None:
+            try:
+                self._prepared = _Prepared(base, command, *_made(base, command))
+            except SettingsError as exc:
+                logger.info("a change of the rules will be refused: %s", exc.message)
+
+        return prepare
+
+    def expect(
+        self, command: wire.ApplyConfig, base: Document, document: Document
+    ) -> None:
+        """Keep a document that is known to come of a command.
+
+        Args:
+            command: Sections changed from ``base`` to ``document``.
+            base: The document that the command was made from.
+            document: What it makes.
+        """
+        changes = tuple(command.changes)
+        self._prepared = _Prepared(base, command, document, changes)
+
+    def _is_prepared(self, command):
+        known = self._prepared
+        return (
+            known is not None
+            and known.base is self.document
+            and known.command == command
+        )
+
     def apply(self, command: wire.ApplyConfig, wall_ms: int) -> wire.CommandResult:
         """Make a new revision if the command was made from the one in force.
 
@@ -122,6 +180,7 @@
             )
         try:
             document, changes = self._next(command)
+            self._prepared = None
         except SettingsError as exc:
             return refused(ErrorKind.INVALID_DOCUMENT, exc.message)
         if command.digest not in ("", document.digest):
@@ -135,13 +194,9 @@
         return done()
 
     def _next(self, command):
-        if command.changes and command.document:
-            raise SettingsError("both a document and changes given; give one")
-        if command.changes:
-            changes = tuple(command.changes)
-            return patch_document(self.document, changes), changes
-        document = parse_document(command.document)
-        return document, tuple(diff_documents(self.document, document))
+        if self._is_prepared(command):
+            return self._prepared.document, self._prepared.changes
+        return _made(self.document, command)
 
     def _add(self, revision):
         self._history.append(revision)
@@ -184,3 +239,14 @@
                     record.revision, record.wall_ms, record.operator, changes, document
                 )
             )
+
+
+def _made(base, command):
+    """Return the document that a command makes, and the changes to it."""
+    if command.changes and command.document:
+        raise SettingsError("both a document and changes given; give one")
+    if command.changes:
+        changes = tuple(command.changes)
+        return patch_document(base, changes), changes
+    document = parse_document(command.document)
+    return document, tuple(diff_documents(base, document))
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Change", "ControlState"]
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
@@ -18,6 +19,8 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 SNAPSHOT_FORMAT = 1
+# Some hundred sections of the rules; less is read at once.
+LONG_COMMAND_BYTES = 16 * 1024
 OPERATOR_OPERATIONS_LIMIT = 50_000
 OPERATOR_OPERATIONS_AGE_MS = 24 * 3600 * 1000
 PEER_OPERATIONS_LIMIT = 20_000
@@ -83,6 +86,7 @@
         self.index = 0
         self.now_ms = 0
         self.placement_index = 0
+        self._read_ahead: tuple[bytes, Configuration] | None = None
         self._operator_operations = _operator_operations()
         self._peer_operations = _peer_operations()
         self._handlers = {
@@ -119,6 +123,25 @@
             self.changes.on_next(change)
         return result
 
+    def preparation(self, data: bytes) -> Callable[[], None] | None:
+        """Return work for a thread that makes applying a long command short.
+
+        Args:
+            data: The serialised command.
+
+        Returns:
+            A function that changes nothing the results depend on, or None.
+        """
+        if len(data) < LONG_COMMAND_BYTES:
+            return None
+        try:
+            command = wire.Command.FromString(data)
+        except DecodeError:
+            return None
+        if command.WhichOneof("body") != "apply_config":
+            return None
+        return self.configuration.preparation(command.apply_config)
+
     def first_result(self, command: wire.Command) -> wire.CommandResult | None:
         """Return the result that an operation had before, or None if it is new.
 
@@ -167,12 +190,14 @@
             WigeonscaleError: ``CORRUPT_LOG`` if it cannot be read; nothing changed.
         """
         snapshot = _parse_snapshot(data)
-        configuration = Configuration(history_limit=self._history_limit)
+        configuration = self._taken_configuration(data)
         claims = Claims()
         operator_operations = _operator_operations()
         peer_operations = _peer_operations()
         try:
-            configuration.load(snapshot)
+            if configuration is None:
+                configuration = Configuration(history_limit=self._history_limit)
+                configuration.load(snapshot)
             claims.load(snapshot.claims)
             operator_operations.load(snapshot.operator_operations)
             peer_operations.load(snapshot.peer_operations)
@@ -192,6 +217,32 @@
         self.placement_index = snapshot.placement_index
         self.changes.on_next(Change(self.index, everything=True))
 
+    def restore_preparation(self, data: bytes) -> Callable[[], None]:
+        """Return work for a thread that makes a :meth:`restore` short.
+
+        Args:
+            data: The snapshot; the same object is given to :meth:`restore`.
+
+        Returns:
+            A function that changes nothing the results depend on.
+        """
+
+        def prepare() -> None:
+            configuration = Configuration(history_limit=self._history_limit)
+            try:
+                configuration.load(_parse_snapshot(data))
+            except (SettingsError, WigeonscaleError):
+                return  # restoring tells what is wrong
+            self._read_ahead = (data, configuration)
+
+        return prepare
+
+    def _taken_configuration(self, data):
+        read_ahead, self._read_ahead = self._read_ahead, None
+        if read_ahead is None or read_ahead[0] is not data:
+            return None
+        return read_ahead[1]
+
     def _apply_once(self, command):
         operation_id = command.operation_id
         first = self.first_result(command) if operation_id else None
--- a/wigeonscale/state/tests/test_configuration.py
+++ b/wigeonscale/state/tests/test_configuration.py
@@ -1,6 +1,9 @@
 """Tests of revisions: races, resends, history."""
 
+from unittest import mock
+
 from wigeonscale.errors import ErrorKind
+from wigeonscale.rules import editing
 from wigeonscale.state import ControlState
 from wigeonscale.state.tests.support import DOCUMENT, Machine
 from wigeonscale.testing import AsyncTestCase
@@ -47,6 +50,50 @@
         result = self.machine.run(apply_config=config)
         self.assertEqual(ErrorKind.INVALID_DOCUMENT, result.kind)
 
+    def test_prepared_command_reads_no_section_again_and_gives_the_same(self):
+        services = "".join(f"[service t{n}]\n" for n in range(2000))
+        command = wire.Command(
+            apply_config=wire.ApplyConfig(document=DOCUMENT + services)
+        )
+        data = command.SerializeToString()
+        plain, prepared = ControlState(), ControlState()
+        plain.apply(1, 1, data)
+        prepared.preparation(data)()
+        self.assertIsNone(prepared.preparation(data))
+        self.assertEqual(0, prepared.configuration.revision)
+        with mock.patch.object(editing, "parse_section") as parse_section:
+            prepared.apply(1, 1, data)
+        parse_section.assert_not_called()
+        self.assertEqual(plain.snapshot(), prepared.snapshot())
+        self.assertEqual(
+            plain.configuration.document.text, prepared.configuration.document.text
+        )
+
+    def test_preparation_for_another_base_is_not_used(self):
+        services = "".join(f"[service t{n}]\n" for n in range(2000))
+        late = wire.ApplyConfig(base_revision=1, document=DOCUMENT + services)
+        self.assertIsNone(self.configuration.preparation(late))
+        first = wire.ApplyConfig(document=DOCUMENT + services)
+        prepare = self.configuration.preparation(first)
+        self.machine.apply(document(1))
+        prepare()
+        result = self.machine.run(apply_config=first)
+        self.assertEqual(ErrorKind.REVISION_CONFLICT, result.kind)
+        changed = wire.ApplyConfig(base_revision=1, changes=first.changes)
+        changed.changes.add(name="service s2", text="[service s2]\n")
+        self.machine.run(apply_config=changed)
+        self.assertEqual({"s1", "s2"}, set(self.configuration.document.services))
+
+    def test_snapshot_read_ahead_is_restored_the_same(self):
+        self.machine.apply(document(1))
+        data = self.machine.state.snapshot()
+        state = ControlState()
+        state.restore_preparation(data)()
+        with mock.patch.object(editing, "parse_section") as parse_section:
+            state.restore(data)
+        parse_section.assert_not_called()
+        self.assertEqual(data, state.snapshot())
+
     def test_document_must_have_the_digest_that_the_operator_meant(self):
         meant = wire.ApplyConfig(document=document(1), digest="0" * 64)
         result = self.machine.run(apply_config=meant)
