pipelines: prefill in parts; suspect only stages that gave no answer

Cause: a prompt was prefilled in one iteration, so the tokens of all running streams waited for it at every stage. Change: beside other sequences an iteration takes only so many positions of prompts that a round of those in flight delays a token by PREFILL_GAP_S (0.03 s), by the cost of a position learnt on the own stage; at least 32, and 128 while the cost is unknown. A prompt that is alone goes whole. No iteration is over MAX_BATCH_POSITIONS any more, not even by a single prompt.

Ruled out: one part in flight (stages idle when prompts are most of the work). Not there: parts of one prompt at several stages at once, which would give its first token up to three times sooner.

A live stage that refused a step of the old epoch was named as failed and then reported to control as giving no answer. Change: StepResult.unreachable says that there was no answer; only that is reported.

Shown: test_head (two tests), test_stage, test_faults (a stage lost between two parts) failed before. test_long_prompts_do_not_share_an_iteration became test_no_iteration_is_over_the_bound_on_positions, which allows no exception.

--- a/bench/pipeline.py
+++ b/bench/pipeline.py
@@ -7,7 +7,7 @@
 iteration whatever its size, where fewer and larger iterations are better.
 """
 
-__all__ = ["measure"]
+__all__ = ["Cleanups", "measure"]
 
 import asyncio
 import statistics
@@ -74,16 +74,18 @@
     ]
 
 
-class _Cleanups:
+class Cleanups:
     """Stands in for a test case where one is asked for."""
 
     def __init__(self):
         self._functions = []
 
     def addCleanup(self, function, *args):  # noqa: N802
+        """Call a function at the end; the last one added goes first."""
         self._functions.append((function, args))
 
     async def run(self):
+        """Call them all."""
         for function, args in reversed(self._functions):
             await function(*args)
 
@@ -100,7 +102,7 @@
 
 
 async def _throughput(**cost: float) -> _Run:
-    case = _Cleanups()
+    case = Cleanups()
     _, nodes, chain = await start_chain(case, slots=SEQUENCES, **cost)
     client = await connect(case, nodes[0])
     began = time.monotonic()
@@ -114,7 +116,7 @@
 
 async def _recovery(fault: str) -> float:
     """Return the seconds from the loss of a stage to the next token."""
-    case = _Cleanups()
+    case = Cleanups()
     proxies: dict[str, str] = {}
     control, nodes, chain = await start_chain(
         case, spares=1, dial=lambda a: open_channel(proxies.get(a, a))
--- /dev/null
+++ b/bench/prefill.py
@@ -0,0 +1,133 @@
+"""Gaps between the tokens of running streams beside long prompts.
+
+Three stages of equal engines on loopback, whose iterations take time for each
+position. The baseline prefills a prompt in one iteration. Loads: one long prompt
+at a time, and a steady stream of middling prompts, which shows what parts cost in
+throughput.
+"""
+
+__all__ = ["measure"]
+
+import asyncio
+import time
+from dataclasses import dataclass
+from unittest import mock
+
+from bench.pipeline import Cleanups
+from bench.queues import percentile
+from bench.report import Figure
+from wigeonscale.agent.tests.support import EntryClient, connect, start_chain
+from wigeonscale.pipelines import head
+
+STEP_S = 0.002
+POSITION_S = 0.0001
+STREAMS = 24
+TOKENS = 150
+LONG_PROMPTS = 3
+LONG_WORDS = 3000
+PROMPTS = 48
+PROMPT_WORDS = 600
+PROMPT_TOKENS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class _Beside:
+    """Running streams beside long prompts, in seconds."""
+
+    gap_p95: float
+    gap_worst: float
+    first_token: float
+
+
+def measure() -> list[Figure]:
+    """Return gaps, first tokens and throughput, whole and in parts."""
+    parts = asyncio.run(_beside_long_prompts())
+    rate = asyncio.run(_many_prompts())
+    with mock.patch.object(head, "PREFILL_GAP_S", 1e6):
+        whole = asyncio.run(_beside_long_prompts())
+        whole_rate = asyncio.run(_many_prompts())
+    return [
+        *_figures("prefill/parts", parts),
+        *_figures("prefill/whole", whole),
+        Figure(
+            "prefill/gap_p95_ratio", parts.gap_p95 / whole.gap_p95, "ratio", high=0.25
+        ),
+        Figure("prefill/gap_worst_ratio", parts.gap_worst / whole.gap_worst, "ratio"),
+        Figure("prefill/rate_ratio", rate / whole_rate, "ratio", low=0.9),
+    ]
+
+
+def _figures(name: str, found: _Beside) -> list[Figure]:
+    return [
+        Figure(f"{name}/gap_p95", found.gap_p95 * 1000, "ms"),
+        Figure(f"{name}/gap_worst", found.gap_worst * 1000, "ms"),
+        Figure(f"{name}/first_token", found.first_token * 1000, "ms"),
+    ]
+
+
+class _TimedClient(EntryClient):
+    """Notes when each dispatch's tokens came."""
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.times: dict[str, list[float]] = {}
+
+    def note(self, item) -> None:
+        if item.WhichOneof("body") == "tokens":
+            self.times.setdefault(item.dispatch_id, []).append(time.monotonic())
+
+
+async def _beside_long_prompts() -> _Beside:
+    case = Cleanups()
+    _, nodes, chain = await start_chain(case, slots=64, **_costs())
+    client = _TimedClient(nodes[0])
+    case.addCleanup(client.close)
+    ids = [await client.generate(chain, b"a page", TOKENS) for _ in range(STREAMS)]
+    await client.wait(lambda: len(client.times) == STREAMS)
+    await client.wait(lambda: all(len(client.times[i]) > 10 for i in ids))
+    began = time.monotonic()
+    first_tokens = []
+    for number in range(LONG_PROMPTS):
+        sent_at = time.monotonic()
+        long = await client.generate(chain, _prompt(number, LONG_WORDS), 1)
+        await client.end(long)
+        first_tokens.append(client.times[long][0] - sent_at)
+    ended = time.monotonic()
+    await _all_ended(client, ids)
+    gaps = [
+        later - earlier
+        for i in ids
+        for earlier, later in zip(client.times[i], client.times[i][1:], strict=False)
+        if later > began and earlier < ended
+    ]
+    await case.run()
+    return _Beside(
+        percentile(gaps, 0.95), max(gaps), sum(first_tokens) / len(first_tokens)
+    )
+
+
+async def _many_prompts() -> float:
+    """Return the answers per second of prompts that keep the engines busy."""
+    case = Cleanups()
+    _, nodes, chain = await start_chain(case, slots=16, **_costs())
+    client = await connect(case, nodes[0])
+    began = time.monotonic()
+    prompts = [_prompt(number, PROMPT_WORDS) for number in range(PROMPTS)]
+    ids = [await client.generate(chain, prompt, PROMPT_TOKENS) for prompt in prompts]
+    await _all_ended(client, ids)
+    rate = PROMPTS / (time.monotonic() - began)
+    await case.run()
+    return rate
+
+
+async def _all_ended(client: EntryClient, ids: list[str]) -> None:
+    for dispatch_id in ids:
+        await client.end(dispatch_id)
+
+
+def _costs() -> dict[str, float]:
+    return {"step_s": STEP_S, "position_s": POSITION_S}
+
+
+def _prompt(number: int, words: int) -> bytes:
+    return " ".join(f"w{number}-{n}" for n in range(words)).encode()
--- a/bench/prefixes.py
+++ b/bench/prefixes.py
@@ -13,7 +13,7 @@
 import time
 from dataclasses import dataclass
 
-from bench.pipeline import _Cleanups
+from bench.pipeline import Cleanups
 from bench.report import Figure
 from wigeonscale.adapters import open_channel
 from wigeonscale.agent.tests.support import FakeControl, Node, make_chain
@@ -114,7 +114,7 @@
 
 
 async def _run(load: float, *, has_view: bool) -> _Outcome:
-    case = _Cleanups()
+    case = Cleanups()
     case.addCleanup(rpcs_ended)
     nodes = [await _start_node(case, number) for number in range(AGENTS)]
     chains = {node.name: make_chain([node], epoch=1) for node in nodes}
@@ -150,7 +150,7 @@
     return _Outcome(hits / (hits + misses), (REQUESTS - WARM_UP) / seconds)
 
 
-async def _start_node(case: _Cleanups, number: int) -> Node:
+async def _start_node(case: Cleanups, number: int) -> Node:
     engine = FakeEngine(
         name=f"a{number}",
         info=EngineInfo(model="m", first_layer=0, last_layer=1),
--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -234,6 +234,9 @@
         await self.wait(lambda: last & set(self.kinds(dispatch_id)[-1:]))
         return self.items(dispatch_id)[-1]
 
+    def note(self, item):
+        """Take notice of an item; for more than its being kept."""
+
     async def close(self):
         self._reader.cancel()
         await asyncio.gather(self._reader, return_exceptions=True)
@@ -245,12 +248,21 @@
             async with self._news:
                 self.events.append(event)
                 for item in event.items:
+                    self.note(item)
                     self._items.setdefault(item.dispatch_id, []).append(item)
                 self._news.notify_all()
 
 
 async def start_chain(
-    case, *, stages=3, spares=0, trace=None, step_s=0.0, sequence_s=0.0, **settings
+    case,
+    *,
+    stages=3,
+    spares=0,
+    trace=None,
+    step_s=0.0,
+    sequence_s=0.0,
+    position_s=0.0,
+    **settings,
 ):
     """Start agents with loaded engines; returns control, nodes and the chain."""
     case.addCleanup(rpcs_ended)
@@ -267,6 +279,7 @@
             ),
             step_s=step_s,
             sequence_s=sequence_s,
+            position_s=position_s,
             trace=trace,
         )
         options = {k: v for k, v in settings.items() if k != "spare_stage"}
--- a/wigeonscale/agent/tests/test_faults.py
+++ b/wigeonscale/agent/tests/test_faults.py
@@ -11,6 +11,7 @@
     until,
 )
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.pipelines.constants import PREFILL_FIRST
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.testing.fake_engine import expected_tokens
 from wigeonscale.testing.traces import layer_order_violations
@@ -86,6 +87,27 @@
         self.assertIn(lost.name, self.control.suspected)
 
 
+class LongPromptTest(ChainCase):
+    async def test_stage_lost_between_two_parts_of_a_prompt(self):
+        await self.start(spares=1)
+        n0, n1, n2, spare = self.nodes
+        self.repair_with([n0, spare, n2])
+        prompt = " ".join(f"w{n}" for n in range(4 * PREFILL_FIRST)).encode()
+        n1.engine.break_at = PREFILL_FIRST
+        n1.engine.on_break = n1.kill
+        ids = [await self.client.generate(self.chain, b"page", TOKENS)]
+        ids.append(await self.client.generate(self.chain, prompt, TOKENS))
+        for dispatch_id, text in zip(ids, (b"page", prompt), strict=True):
+            await self.client.end(dispatch_id)
+            want = expected_tokens(text, LAYERS, TOKENS)
+            self.assertEqual(want, self.client.texts(dispatch_id))
+        found = layer_order_violations(
+            self.trace, layers=LAYERS, finished={ids[1]: 4 * PREFILL_FIRST + TOKENS - 1}
+        )
+        self.assertEqual([], [str(v) for v in found])
+        self.assertIn("a1", self.control.suspected)
+
+
 class RepairTest(ChainCase):
     async def test_second_loss_during_the_repair(self):
         await self.start(spares=2)
--- a/wigeonscale/pipelines/constants.py
+++ b/wigeonscale/pipelines/constants.py
@@ -12,6 +12,9 @@
     "LINK_IDLE_S",
     "MAX_BATCH",
     "MAX_BATCH_POSITIONS",
+    "PREFILL_FIRST",
+    "PREFILL_GAP_S",
+    "PREFILL_LEAST",
     "PROBE_AFTER_S",
     "REPAIR_BACKOFF_S",
     "SEQUENCE_IDLE_S",
@@ -26,7 +29,7 @@
 """Most sequences in one engine iteration."""
 
 MAX_BATCH_POSITIONS = 65_536
-"""Most token positions in one iteration, unless one sequence alone has more.
+"""Most token positions in one iteration.
 
 At some 20 bytes a position an iteration stays far below the message limit.
 """
@@ -53,6 +56,18 @@
 ENGINE_STEP_TIMEOUT_S = 20.0
 """Seconds after which an engine call counts as failed."""
 
+PREFILL_GAP_S = 0.03
+"""Seconds by which prompts in work may delay the tokens of running streams.
+
+The delay is that of one round of the iterations in flight, at any stage.
+"""
+
+PREFILL_FIRST = 128
+"""Positions of a prompt in one iteration while their cost is not known."""
+
+PREFILL_LEAST = 32
+"""Fewest positions that a part of a prompt is cut to."""
+
 PROBE_AFTER_S = 0.2
 """Seconds without a message after which a link asks its peer for a sign of life."""
 
--- a/wigeonscale/pipelines/cost.py
+++ b/wigeonscale/pipelines/cost.py
@@ -48,9 +48,20 @@
         """
         if len(self._means) < 2:
             return 0.0
+        slope = self.position_s()
         small, small_s = self._means[min(self._means)]
-        large, large_s = self._means[max(self._means)]
-        slope = max(0.0, (large_s - small_s) / (large - small))
         flat_s = max(0.0, small_s - slope * small)
         whole_s = flat_s + slope * positions
         return flat_s / whole_s if whole_s > 0 else 0.0
+
+    def position_s(self) -> float | None:
+        """Return the seconds that one more position takes.
+
+        Returns:
+            At least 0; None while only one size was seen.
+        """
+        if len(self._means) < 2:
+            return None
+        small, small_s = self._means[min(self._means)]
+        large, large_s = self._means[max(self._means)]
+        return max(0.0, (large_s - small_s) / (large - small))
--- a/wigeonscale/pipelines/generation.py
+++ b/wigeonscale/pipelines/generation.py
@@ -49,6 +49,7 @@
         self._produced = produced
         self._run = 1
         self._position = 0
+        self._asked = 0
         self._on_token = on_token
         self._on_end = on_end
         self._on_failed = on_failed
@@ -60,7 +61,7 @@
 
     @property
     def waiting_positions(self) -> int:
-        """Token positions of its next step."""
+        """Token positions up to its next token."""
         return len(self._pieces) - self._position
 
     def begin_again(self) -> str:
@@ -70,9 +71,16 @@
         self._position = 0
         return old
 
-    def next_step(self, epoch: int) -> wire.SequenceStep:
-        """Return the step that gives the next token."""
-        inputs = self._pieces[self._position :]
+    def next_step(self, epoch: int, most: int) -> wire.SequenceStep:
+        """Return the next step, of a part of the prompt or for the next token.
+
+        Args:
+            epoch: Epoch of the chain.
+            most: Most positions of the step.
+        """
+        inputs = self._pieces[self._position : self._position + most]
+        self._asked = self._position + len(inputs)
+        is_part = self._asked < len(self._pieces)
         return wire.SequenceStep(
             sequence_id=self.sequence_id,
             epoch=epoch,
@@ -80,14 +88,19 @@
             count=len(inputs),
             attempt=1,
             first=self._position == 0,
-            last=self._produced + 1 >= self.max_tokens,
+            last=not is_part and self._produced + 1 >= self.max_tokens,
             hidden=encode_pieces(inputs),
             priority=self.priority,
         )
 
     def take(self, result: wire.StepResult) -> None:
-        """Count one token; ends the generation when it is the last."""
-        self._position = len(self._pieces)
+        """Count one token; ends the generation when it is the last.
+
+        After a part of the prompt there is none yet.
+        """
+        self._position = self._asked
+        if self._position < len(self._pieces):
+            return
         self._pieces.append(result.token.text)
         self._produced += 1
         self.failing_since = None
--- a/wigeonscale/pipelines/head.py
+++ b/wigeonscale/pipelines/head.py
@@ -14,6 +14,9 @@
     FLAT_SHARE_LIMIT,
     MAX_BATCH,
     MAX_BATCH_POSITIONS,
+    PREFILL_FIRST,
+    PREFILL_GAP_S,
+    PREFILL_LEAST,
     REPAIR_BACKOFF_S,
 )
 from wigeonscale.pipelines.generation import Generation
@@ -101,6 +104,10 @@
         """Return the flat share of an iteration, as seen on the own stage."""
         return self._stage.cost.flat_share(positions)
 
+    def position_s(self) -> float | None:
+        """Return the seconds per position, as seen on the own stage."""
+        return self._stage.cost.position_s()
+
     def newer_chain(self, chain: wire.Chain) -> wire.Chain | None:
         """Return the ready successor of a chain, or None."""
         newest = self._chains(chain.chain_id)
@@ -116,10 +123,10 @@
         return await self._links.call(first.address, req)
 
     def failed(
-        self, generations: list[Generation], chain: wire.Chain, failed_agents: set[str]
+        self, generations: list[Generation], chain: wire.Chain, unreachable: set[str]
     ) -> None:
         """Hand generations whose step failed to the recovery."""
-        self._recovery.start(generations, chain, failed_agents - {self._agent_id})
+        self._recovery.start(generations, chain, unreachable - {self._agent_id})
 
     def emptied(self, driver: "_ChainDriver") -> None:
         """Forget a driver that has nothing left to do."""
@@ -190,30 +197,50 @@
         flat = self._head.flat_share(len(self._members) // stages)
         return stages if flat > FLAT_SHARE_LIMIT else stages + EXTRA_ITERATIONS
 
-    def _take_batch(self, depth: int) -> list[Generation]:
+    def _take_batch(self, depth: int) -> list[tuple[Generation, int]]:
+        """Return generations for one iteration, each with its most positions."""
         # Even parts, so that each stage has one to work on.
         size = -(-len(self._members) // depth)
         size = max(1, min(size, MAX_BATCH))
-        batch: list[Generation] = []
-        positions = 0
+        batch: list[tuple[Generation, int]] = []
+        room = self._prefill_room(depth)
         for _ in range(len(self._ready)):
             generation = self._ready.popleft()
             if generation not in self._members:
                 continue
-            too_long = positions + generation.waiting_positions > MAX_BATCH_POSITIONS
-            if generation.paused or (batch and too_long):
+            waiting = generation.waiting_positions
+            no_room = waiting > 1 and room < min(waiting, PREFILL_LEAST)
+            if generation.paused or no_room:
                 self._ready.append(generation)
                 continue
-            batch.append(generation)
-            positions += generation.waiting_positions
+            count = 1 if waiting == 1 else min(waiting, room)
+            batch.append((generation, count))
+            room -= count if waiting > 1 else 0
             if len(batch) == size:
                 break
         return batch
 
+    def _prefill_room(self, depth: int) -> int:
+        """Return the positions of prompts that one iteration may take.
+
+        A token waits for one round: for the parts of prompts in every iteration in
+        flight, or for one part at every stage. A prompt that is alone delays nobody.
+        """
+        most = MAX_BATCH_POSITIONS - MAX_BATCH
+        if len(self._members) == 1:
+            return most
+        position_s = self._head.position_s()
+        if position_s is None:
+            return PREFILL_FIRST
+        part_s = PREFILL_GAP_S / depth
+        if position_s * most <= part_s:
+            return most
+        return max(PREFILL_LEAST, int(part_s / position_s))
+
     def _flush_due(self) -> bool:
         return bool(self._to_forget) and not self._iterations
 
-    def _begin(self, batch: list[Generation]) -> None:
+    def _begin(self, batch: list[tuple[Generation, int]]) -> None:
         task = asyncio.create_task(self._iterate(batch))
         self._iterations.add(task)
         task.add_done_callback(self._finished)
@@ -226,14 +253,14 @@
             logger.error("iteration failed", exc_info=task.exception())
         self.pump()
 
-    async def _iterate(self, batch: list[Generation]) -> None:
+    async def _iterate(self, batch: list[tuple[Generation, int]]) -> None:
         cancelled, self._to_forget = self._to_forget, []
         epoch = self.chain.epoch
         req = wire.StepRequest(
             chain_id=self.chain.chain_id,
             epoch=epoch,
             rest=self.chain.stages,
-            steps=[generation.next_step(epoch) for generation in batch],
+            steps=[generation.next_step(epoch, most) for generation, most in batch],
             cancelled=cancelled,
         )
         began_at = self._head.clock.now()
@@ -243,13 +270,14 @@
             results = {result.sequence_id: result for result in reply.results}
         except PeerLostError as exc:
             results = _all_failed(req, exc)
-        self._take_results(batch, results)
+        self._take_results([generation for generation, _ in batch], results)
 
     def _take_results(
         self, batch: list[Generation], results: dict[str, wire.StepResult]
     ) -> None:
         failed: list[Generation] = []
         failed_agents: set[str] = set()
+        unreachable: set[str] = set()
         for generation in batch:
             if generation not in self._members:
                 continue
@@ -257,6 +285,8 @@
             if result.kind:
                 failed.append(generation)
                 failed_agents.add(result.failed_agent)
+                if result.unreachable:
+                    unreachable.add(result.failed_agent)
                 self._members.discard(generation)
                 self._to_forget.append(generation.begin_again())
                 continue
@@ -269,7 +299,7 @@
                 self.chain.epoch,
                 sorted(failed_agents),
             )
-            self._head.failed(failed, self.chain, failed_agents - {""})
+            self._head.failed(failed, self.chain, unreachable)
 
     def _take_token(self, generation: Generation, result: wire.StepResult) -> None:
         generation.take(result)
@@ -290,6 +320,7 @@
             kind=exc.kind,
             message=exc.message,
             failed_agent=req.rest[0].agent_id,
+            unreachable=True,
         )
         for step in req.steps
     }
--- a/wigeonscale/pipelines/recovery.py
+++ b/wigeonscale/pipelines/recovery.py
@@ -60,14 +60,14 @@
         self._changed = asyncio.Event()
 
     def start(
-        self, generations: list[Generation], chain: wire.Chain, failed_agents: set[str]
+        self, generations: list[Generation], chain: wire.Chain, unreachable: set[str]
     ) -> None:
         """Recover sequences that failed on a chain.
 
         Args:
             generations: Sequences, each already begun again.
             chain: The chain and epoch they failed on.
-            failed_agents: Agents that gave no answer.
+            unreachable: Agents that gave no answer.
         """
         now = self._clock.now()
         for generation in generations:
@@ -75,7 +75,7 @@
             if generation.failing_since is None:
                 generation.failing_since = now
         for stage in chain.stages:
-            if stage.agent_id in failed_agents:
+            if stage.agent_id in unreachable:
                 self._suspect(stage.agent_id, stage.incarnation)
         task = asyncio.create_task(self._recover(generations, chain))
         self._tasks.add(task)
--- a/wigeonscale/pipelines/stage.py
+++ b/wigeonscale/pipelines/stage.py
@@ -281,14 +281,15 @@
         step: wire.SequenceStep,
         kind: ErrorKind,
         message: str,
-        failed_agent: str = "",
+        unreachable_agent: str = "",
     ) -> wire.StepResult:
         return wire.StepResult(
             sequence_id=step.sequence_id,
             position=step.position,
             kind=kind,
             message=message,
-            failed_agent=failed_agent or self._agent_id,
+            failed_agent=unreachable_agent or self._agent_id,
+            unreachable=bool(unreachable_agent),
         )
 
     def _cancel_on_engine(self, sequence_id: str) -> None:
--- a/wigeonscale/pipelines/tests/test_head.py
+++ b/wigeonscale/pipelines/tests/test_head.py
@@ -1,7 +1,10 @@
 import asyncio
+from unittest import mock
 
 from wigeonscale.agent.tests.support import until
-from wigeonscale.pipelines.constants import MAX_BATCH_POSITIONS
+from wigeonscale.errors import ErrorKind
+from wigeonscale.pipelines import head
+from wigeonscale.pipelines.constants import MAX_BATCH_POSITIONS, PREFILL_GAP_S
 from wigeonscale.pipelines.cost import IterationCost
 from wigeonscale.pipelines.generation import Generation
 from wigeonscale.pipelines.head import Head
@@ -22,6 +25,7 @@
     def __init__(self):
         self.cost = IterationCost()
         self.iterations = []
+        self.failure = {}
         self.gate = asyncio.Event()
 
     async def run(self, req):
@@ -29,7 +33,9 @@
         await self.gate.wait()
         return wire.StepReply(
             results=[
-                wire.StepResult(sequence_id=s.sequence_id, position=s.position)
+                wire.StepResult(
+                    sequence_id=s.sequence_id, position=s.position, **self.failure
+                )
                 for s in req.steps
             ]
         )
@@ -39,12 +45,13 @@
     async def prepare(self):
         self.stage = HeldStage()
         self.ends = []
+        self.suspected = []
         self.head = Head(
             agent_id="a0",
             stage=self.stage,
             links=None,
             chains=lambda chain_id: CHAIN,
-            suspect=lambda agent_id, incarnation: None,
+            suspect=lambda agent_id, incarnation: self.suspected.append(agent_id),
             clock=ManualClock(),
             repair_timeout_s=1,
         )
@@ -81,14 +88,46 @@
         await until(lambda: self.stage.iterations)
         self.assertEqual([[1], [2]], self.stage.iterations)
 
-    async def test_long_prompts_do_not_share_an_iteration(self):
-        half = MAX_BATCH_POSITIONS // 2
-        longer = [half + n for n in range(1, 8)] + [MAX_BATCH_POSITIONS + 1]
-        for pieces in (1, 2, 3, *longer):
+    async def test_only_a_stage_that_gave_no_answer_is_suspected(self):
+        self.stage.gate.set()
+        for unreachable in (False, True):
+            self.stage.failure = {
+                "kind": ErrorKind.STALE_EPOCH,
+                "failed_agent": "a1",
+                "unreachable": unreachable,
+            }
+            before = len(self.stage.iterations)
+            generation = self.start(1)
+            await until(lambda before=before: len(self.stage.iterations) > before)
+            await until(lambda g=generation: g.failures)
+            self.assertEqual(["a1"] if unreachable else [], self.suspected)
+            self.head.cancel(generation)
+
+    async def test_long_prompts_go_in_parts_beside_others(self):
+        for size in (1, 101):
+            self.stage.cost.observe(size, 0.0004 * size)
+        # Three iterations are in flight, so each may take a third of the gap.
+        most = int(PREFILL_GAP_S / 3 / 0.0004)
+        lengths = (1, 1, 1, 500, 900, 2000)
+        for pieces in lengths:
             self.start(pieces, tokens=1)
         self.stage.gate.set()
-        await until(lambda: len(self.ends) == 11)
-        for counts in self.stage.iterations:
-            alone = len(counts) == 1
-            self.assertTrue(alone or sum(counts) <= MAX_BATCH_POSITIONS, counts)
-        self.assertEqual(11, sum(len(counts) for counts in self.stage.iterations))
+        await until(lambda: len(self.ends) == len(lengths))
+        iterations = self.stage.iterations
+        self.assertEqual(sum(lengths), sum(map(sum, iterations)))
+        for counts in iterations[:10]:
+            self.assertLessEqual(sum(counts) - counts.count(1), most, counts)
+        # Once it is alone, nothing waits for the rest of the longest.
+        self.assertGreater(iterations[-1][0], most)
+
+    async def test_no_iteration_is_over_the_bound_on_positions(self):
+        half = MAX_BATCH_POSITIONS // 2
+        lengths = [1, 2, 3, MAX_BATCH_POSITIONS + 1, *(half + n for n in range(1, 8))]
+        with mock.patch.object(head, "PREFILL_GAP_S", 1e6):
+            for pieces in lengths:
+                self.start(pieces, tokens=1)
+            self.stage.gate.set()
+            await until(lambda: len(self.ends) == len(lengths))
+        iterations = self.stage.iterations
+        self.assertLessEqual(max(map(sum, iterations)), MAX_BATCH_POSITIONS)
+        self.assertEqual(sum(lengths), sum(map(sum, iterations)))
--- a/wigeonscale/pipelines/tests/test_stage.py
+++ b/wigeonscale/pipelines/tests/test_stage.py
@@ -147,6 +147,7 @@
         after = await self.run_one(step(2))
         self.assertEqual([ErrorKind.BACKEND_FAILED] * 2, [broken.kind, after.kind])
         self.assertEqual(("a0", [1]), (broken.failed_agent, self.failed_calls))
+        self.assertFalse(broken.unreachable)
         self.assertEqual([("d#1", 0)], self.positions())
 
     async def test_abandoned_sequence_is_forgotten(self):
@@ -214,7 +215,7 @@
     async def test_lost_next_stage_is_named(self):
         self.links.lost = True
         result = await self.run_one(step(), rest=[ME, NEXT])
-        self.assertEqual("a1", result.failed_agent)
+        self.assertEqual(("a1", True), (result.failed_agent, result.unreachable))
 
     async def test_leaving_stage_begins_nothing_but_goes_on(self):
         await self.run_one(step())
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -66,8 +66,8 @@
         clock: Clock port.
 
     Notes:
-        Every operation but :meth:`forget_absent` takes constant time. Memory is one record per agent that
-        was used and is still a member.
+        Every operation but :meth:`forget_absent` takes constant time. Memory is one
+        record per agent that was used and is still a member.
     """
 
     def __init__(self, *, clock: Clock):
