--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     "replication",
     "planned_stops",
     "pipeline",
+    "prefill",
     "relay",
 )
 
