--- a/wigeonscale/cli/admin_client.py
+++ b/wigeonscale/cli/admin_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import ssl
 from collections.abc import Sequence
 
 import aiohttp
@@ -34,6 +35,7 @@
         clock: Clock port.
         timeout_s: Longest time for one request over all replicas, in seconds.
         token: Operators' token; empty for none.
+        tls: TLS of the replicas' pages; None for plain HTTP.
     """
 
     def __init__(
@@ -44,11 +46,13 @@
         clock: Clock,
         timeout_s: float = 15.0,
         token: str = "",
+        tls: ssl.SSLContext | None = None,
     ):
         self.addresses = tuple(addresses)
         self._session = session
         self._clock = clock
         self._timeout_s = timeout_s
+        self._tls = tls
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
 
     async def read(self, path: str) -> dict[str, object]:
@@ -131,13 +135,16 @@
                 something.
         """
         lost = RunState.NOT_RUN if method == "GET" else RunState.UNKNOWN
+        # Entries show their pages over plain HTTP.
+        is_secure = self._tls is not None and address in self.addresses
         timeout = aiohttp.ClientTimeout(
             total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
             async with self._session.request(
                 method,
-                f"http://{address}{path}",
+                f"{'https' if is_secure else 'http'}://{address}{path}",
+                ssl=self._tls if is_secure else True,
                 json=body,
                 headers=self._headers,
                 timeout=timeout,
--- a/wigeonscale/cli/options.py
+++ b/wigeonscale/cli/options.py
@@ -28,6 +28,11 @@
 CONTROL_ENV = "WIGEONCTL_CONTROL"
 TOKEN_ENV = "WIGEONCTL_TOKEN"
 LONGEST_TIMEOUT_S = 3600.0
+TLS_OPTIONS = {
+    "ca": "authority of the replicas' certificates, when they have https = yes",
+    "cert": "own certificate, signed by the same authority",
+    "key": "private key of the own certificate",
+}
 EPILOG = """\
 exit codes:
   0  done
@@ -89,6 +94,8 @@
         metavar="FILE",
         help=f"file with the operators' token; default: ${TOKEN_ENV}",
     )
+    for name, what in TLS_OPTIONS.items():
+        command.add_argument(f"--tls-{name}", default="", metavar="FILE", help=what)
     command.add_argument(
         "--timeout",
         type=_positive_seconds,
--- a/wigeonscale/cli/wigeonctl.py
+++ b/wigeonscale/cli/wigeonctl.py
@@ -9,12 +9,14 @@
 import asyncio
 import json
 import os
+import ssl
 import sys
 from collections.abc import Sequence
 
 import aiohttp
 import pydantic
 
+from wigeonscale.adapters.channels import TlsFiles, client_tls_context
 from wigeonscale.cli.admin_client import AdminClient
 from wigeonscale.cli.exits import ExitCode
 from wigeonscale.cli.options import CONTROL_ENV, TOKEN_ENV, build_parser
@@ -59,6 +61,7 @@
             clock=SystemClock(),
             timeout_s=args.timeout,
             token=token,
+            tls=_tls(args),
         )
         return await args.run(args, client)
 
@@ -73,6 +76,18 @@
         ) from exc
 
 
+def _tls(args: argparse.Namespace) -> ssl.SSLContext | None:
+    files = TlsFiles(ca=args.tls_ca, cert=args.tls_cert, key=args.tls_key)
+    if not (files.ca or files.cert or files.key):
+        return None
+    try:
+        return client_tls_context(files)
+    except OSError as exc:
+        raise SettingsError(
+            f"--tls-ca, --tls-cert, --tls-key: give three readable PEM files: {exc}"
+        ) from exc
+
+
 def _token(path: str | None) -> str:
     if path is None:
         return os.environ.get(TOKEN_ENV, "")
--- a/wigeonscale/config/keys.py
+++ b/wigeonscale/config/keys.py
@@ -10,6 +10,7 @@
     "Peer",
     "PeerList",
     "TokenDigest",
+    "YesNo",
     "allowed_text",
     "byte_count",
     "count",
@@ -122,6 +123,12 @@
     return Peer(name=name, address=_peer_address(address))
 
 
+def _parse_yes_no(value: object) -> object:
+    if isinstance(value, bool):
+        return value
+    return {"yes": True, "no": False}[str(value)] if value in ("yes", "no") else None
+
+
 def _check_backend_url(value: str) -> str:
     url = urlsplit(value)
     if url.scheme != "http" or not url.hostname or url.path not in ("", "/"):
@@ -159,6 +166,7 @@
     AfterValidator(_check_backend_url),
     Allowed("http://ip:port without a path, such as http://127.0.0.1:9000"),
 ]
+YesNo = Annotated[bool, BeforeValidator(_parse_yes_no), Allowed("yes or no")]
 TokenDigest = Annotated[
     str,
     Field(pattern="^([0-9a-f]{64})?$"),
--- a/wigeonscale/config/load.py
+++ b/wigeonscale/config/load.py
@@ -6,6 +6,7 @@
 import dataclasses
 import difflib
 import functools
+import os
 from collections.abc import Iterator
 
 from pydantic import TypeAdapter, ValidationError
@@ -30,6 +31,9 @@
     "domain": ("node", "domain"),
     "region": ("node", "region"),
     "log_level": ("log", "level"),
+    "tls_ca": ("tls", "ca"),
+    "tls_cert": ("tls", "cert"),
+    "tls_key": ("tls", "key"),
 }
 
 # In this many heartbeats a watcher replaces a silent connection to control, even
@@ -158,12 +162,22 @@
             f"[{role}] heartbeat_s = {cfg.heartbeat_s:g}; allowed: at most a sixth of"
             f" lease_s = {cfg.lease_s:g}"
         )
+    yield from _tls_contradictions(cfg)
     if isinstance(cfg, AgentSettings):
         yield from _agent_contradictions(cfg)
     if isinstance(cfg, ControlSettings):
         yield from _control_contradictions(cfg)
 
 
+def _tls_contradictions(cfg: NodeSettings) -> Iterator[str]:
+    paths = {"ca": cfg.tls_ca, "cert": cfg.tls_cert, "key": cfg.tls_key}
+    for key, path in paths.items():
+        if any(paths.values()) and not os.access(path, os.R_OK):
+            yield f"[tls] {key} = {path!r}; allowed: a readable file, as for the others"
+    if isinstance(cfg, ControlSettings) and cfg.https and cfg.tls is None:
+        yield "[control] https = 'yes'; allowed: no without a [tls] section"
+
+
 def _agent_contradictions(cfg: AgentSettings) -> Iterator[str]:
     if cfg.kind == "service" and not cfg.service:
         yield "[agent] service: missing; allowed: a name when kind = service"
--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -7,6 +7,7 @@
 
 from pydantic import Field
 
+from wigeonscale.adapters.channels import TlsFiles
 from wigeonscale.config.keys import (
     AddressList,
     Allowed,
@@ -16,6 +17,7 @@
     NodeName,
     PeerList,
     TokenDigest,
+    YesNo,
     byte_count,
     count,
     fraction,
@@ -23,6 +25,7 @@
 )
 
 DataFolder = Annotated[str, Field(min_length=1), Allowed("the path of a folder")]
+PemFile = Annotated[str, Allowed("the path of a readable PEM file, or empty for none")]
 ServiceName = Annotated[
     str,
     Field(pattern="^([A-Za-z0-9][A-Za-z0-9._-]{0,62})?$"),
@@ -41,6 +44,10 @@
         log_level: Least level of the log lines written.
         http: Address of the health, metrics and admin pages.
         stop_timeout_s: Longest graceful shutdown, in seconds.
+        tls_ca: Certificates of the authority that signs all processes; empty: the
+            processes talk over plain TCP.
+        tls_cert: This process's certificate, which names its IP address.
+        tls_key: Private key of the certificate.
     """
 
     name: NodeName
@@ -49,6 +56,16 @@
     log_level: LogLevel = "INFO"
     http: ListenAddress
     stop_timeout_s: seconds(0, 3600) = 30.0
+    tls_ca: PemFile = ""
+    tls_cert: PemFile = ""
+    tls_key: PemFile = ""
+
+    @property
+    def tls(self) -> TlsFiles | None:
+        """Files for mutual TLS between processes; None for plain TCP."""
+        if not self.tls_ca:
+            return None
+        return TlsFiles(ca=self.tls_ca, cert=self.tls_cert, key=self.tls_key)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -136,6 +153,8 @@
         rebuild_after_s: Time in which no engine came or went before chains that serve
             are rebuilt for missing replicas, in seconds.
         drain_s: Time that a chain wanted no longer gets to end its work, in seconds.
+        https: Whether the pages are served over TLS, to clients with a certificate of
+            the same authority only.
         admin_token_digest: SHA-256 digest of the operators' token; empty: none asked.
     """
 
@@ -154,4 +173,5 @@
     settle_s: seconds(0, 60) = 0.5
     rebuild_after_s: seconds(0, 86400) = 10.0
     drain_s: seconds(0, 86400) = 120.0
+    https: YesNo = False
     admin_token_digest: TokenDigest = ""
--- a/wigeonscale/config/tests/test_docs.py
+++ b/wigeonscale/config/tests/test_docs.py
@@ -3,11 +3,13 @@
 import re
 
 from wigeonscale.config import AgentSettings, ControlSettings, EntrySettings
+from wigeonscale.config.load import SHARED_KEYS
+from wigeonscale.config.settings import NodeSettings
 from wigeonscale.errors import ANSWERS
 from wigeonscale.testing import AsyncTestCase
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATING.md"
-NODE_KEYS = {"name", "domain", "region", "log_level", "http", "stop_timeout_s"}
+NODE_KEYS = {field.name for field in dataclasses.fields(NodeSettings)}
 
 
 class OperatingPageTest(AsyncTestCase):
@@ -32,6 +34,15 @@
             listed = {key.strip() for row in rows for key in row.split(",")} - {"key"}
             self.assertEqual(keys, listed, role)
 
+    def test_keys_of_all_roles_are_listed(self):
+        table = self.text.split("### All roles\n")[1].split("\n### ")[0]
+        rows = re.findall(r"^\| ([a-z()]+) \| ([a-z_, ]+) \|", table, re.MULTILINE)
+        listed = {
+            (place, key.strip()) for place, keys in rows for key in keys.split(",")
+        }
+        wanted = {SHARED_KEYS.get(name, ("(role)", name)) for name in NODE_KEYS}
+        self.assertEqual(wanted, listed - {("section", "key")})
+
     def test_every_error_kind_has_its_row_and_status(self):
         for kind, answer in ANSWERS.items():
             self.assertIn(f"| {kind} | {answer.status} |", self.text)
--- a/wigeonscale/config/tests/test_load.py
+++ b/wigeonscale/config/tests/test_load.py
@@ -118,6 +118,13 @@
         ),
         wrong(CONTROL, "[control]", "[control]\ndown_after_s = 2.9", "lease_s = 3"),
         wrong(CONTROL, "[control]", "[control]\nspares = -1", "0 to 1000"),
+        wrong(CONTROL, "[control]", "[control]\nhttps = yes", "no without a [tls]"),
+        wrong(
+            CONTROL, "[control]", "[control]\nhttps = on", "'on'; allowed: yes or no"
+        ),
+        wrong(
+            ENTRY, "[entry]", "[tls]\nca = /x\n[entry]", "[tls] ca = '/x'", "key = ''"
+        ),
         wrong(CONTROL, "[control]", "[control]\ndomain_share = 1.1", "0 to 1"),
         wrong(CONTROL, "[control]", "[control]\ndrain_s = inf", "0 to 86400"),
         wrong(
--- a/wigeonscale/control/commands.py
+++ b/wigeonscale/control/commands.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Sequence
 
+from wigeonscale.adapters.channels import TlsFiles
 from wigeonscale.adapters.metrics import METRICS, OK, Metrics
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.membership.submitter import Submitter
@@ -25,6 +26,7 @@
         clock: Clock port.
         rng: Source of jitter; None for one seeded by the system.
         metrics: Where commands are counted.
+        tls: Files for mutual TLS; None for plain TCP.
     """
 
     def __init__(
@@ -35,12 +37,13 @@
         clock: Clock,
         rng: random.Random | None = None,
         metrics: Metrics = METRICS,
+        tls: TlsFiles | None = None,
     ):
         self._replica = replica
         self._clock = clock
         self._metrics = metrics
         self._submitter = Submitter(
-            addresses=addresses, clock=clock, rng=rng or random.Random()
+            addresses=addresses, clock=clock, rng=rng or random.Random(), tls=tls
         )
 
     async def close(self) -> None:
--- a/wigeonscale/control/suspicion.py
+++ b/wigeonscale/control/suspicion.py
@@ -7,7 +7,7 @@
 
 import grpc
 
-from wigeonscale.adapters.channels import open_channel
+from wigeonscale.adapters.channels import TlsFiles, open_channel
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc
 
@@ -17,20 +17,30 @@
 logger = logging.getLogger(__name__)
 
 
-async def tell_replica(node_id: str, address: str, suspicion: wire.Suspect) -> bool:
+async def tell_replica(
+    node_id: str,
+    address: str,
+    suspicion: wire.Suspect,
+    *,
+    tls: TlsFiles | None = None,
+) -> bool:
     """Tell another replica of a suspicion, once.
 
     Args:
         node_id: Name of this replica.
         address: ip:port of the other replica.
         suspicion: Names the incarnation.
+        tls: Files for mutual TLS; None for plain TCP.
 
     Returns:
         Whether the other replica took it.
     """
     hello = wire.Hello(node_id=node_id, role=CONTROL)
     try:
-        async with asyncio.timeout(TELL_TIMEOUT_S), open_channel(address) as channel:
+        async with (
+            asyncio.timeout(TELL_TIMEOUT_S),
+            open_channel(address, tls=tls) as channel,
+        ):
             call = wire_pb2_grpc.ControlStub(channel).Watch()
             await call.write(wire.WatchRequest(hello=hello))
             await call.write(wire.WatchRequest(suspect=suspicion))
--- a/wigeonscale/daemons/agent.py
+++ b/wigeonscale/daemons/agent.py
@@ -2,6 +2,8 @@
 
 __all__ = ["run_agent"]
 
+import functools
+
 import aiohttp
 
 from wigeonscale.adapters.channels import new_server, open_channel
@@ -40,7 +42,7 @@
     is_engine = cfg.kind == "engine"
     engine = HttpEngine(url=cfg.backend, session=session) if is_engine else None
     service = None if is_engine else HttpService(url=cfg.backend, session=session)
-    server, address = new_server(cfg.grpc)
+    server, address = new_server(cfg.grpc, tls=cfg.tls)
     state = BackendState(
         base=_base(cfg, address),
         engine=engine,
@@ -60,13 +62,14 @@
         on_ended=state.renew,
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
+        tls=cfg.tls,
     )
     agent = Agent(
         cfg=cfg,
         control=control,
         clock=clock,
         state=state,
-        dial=open_channel,
+        dial=functools.partial(open_channel, tls=cfg.tls),
         engine=engine,
         service=service,
     )
--- a/wigeonscale/daemons/control.py
+++ b/wigeonscale/daemons/control.py
@@ -5,8 +5,9 @@
 import asyncio
 import functools
 import logging
+from collections.abc import Sequence
 
-from wigeonscale.adapters.channels import new_server
+from wigeonscale.adapters.channels import new_server, open_channel
 from wigeonscale.adapters.health import start_http
 from wigeonscale.adapters.logs import setup_logging
 from wigeonscale.adapters.metrics import METRICS
@@ -28,6 +29,7 @@
 from wigeonscale.replication import (
     DiskFolder,
     GrpcLinks,
+    Links,
     Member,
     Replica,
     ReplicaOptions,
@@ -50,11 +52,22 @@
     Args:
         cfg: Settings.
         clock: Clock port.
+        links: Makes links to the other replicas; None: over gRPC.
+        addresses: Where the replicas take commands; None: as the settings say.
     """
 
-    def __init__(self, *, cfg: ControlSettings, clock: Clock):
+    def __init__(
+        self,
+        *,
+        cfg: ControlSettings,
+        clock: Clock,
+        links: Links | None = None,
+        addresses: Sequence[str] | None = None,
+    ):
         self._cfg = cfg
         self._clock = clock
+        dial = functools.partial(open_channel, tls=cfg.tls)
+        self._links = links or GrpcLinks(channel=dial)
         self._stopping = False
         self._server = None
         self._http = None
@@ -62,8 +75,9 @@
         self.replica = self._new_replica()
         self.commands = Commands(
             replica=self.replica,
-            addresses=[peer.address for peer in cfg.peers],
+            addresses=addresses or [peer.address for peer in cfg.peers],
             clock=clock,
+            tls=cfg.tls,
         )
         self.hub = Hub(
             node_id=cfg.name,
@@ -82,8 +96,8 @@
             clock=clock,
             down_after_s=cfg.down_after_s,
             lease_s=cfg.lease_s,
-            tell_replica=functools.partial(tell_replica, cfg.name),
-            probe=probe_agent,
+            tell_replica=functools.partial(tell_replica, cfg.name, tls=cfg.tls),
+            probe=functools.partial(probe_agent, tls=cfg.tls),
         )
         self._liveness_task: asyncio.Task | None = None
 
@@ -93,7 +107,7 @@
         Raises:
             OSError: If an address cannot be bound.
         """
-        self._server, _ = new_server(self._cfg.grpc)
+        self._server, _ = new_server(self._cfg.grpc, tls=self._cfg.tls)
         wire_pb2_grpc.add_ReplicationServicer_to_server(
             ReplicationServicer(replica=self.replica), self._server
         )
@@ -115,7 +129,12 @@
             commands=self.commands,
             token_digest=self._cfg.admin_token_digest,
         )
-        self._http = await start_http(self._cfg.http, admin.routes(), self.is_ready)
+        self._http = await start_http(
+            self._cfg.http,
+            admin.routes(),
+            self.is_ready,
+            tls=self._cfg.tls if self._cfg.https else None,
+        )
 
     def is_ready(self) -> bool:
         """Return whether this replica serves what a majority confirms."""
@@ -186,7 +205,7 @@
             voters=[Member(peer.name, peer.address) for peer in cfg.peers],
             folder=DiskFolder(path=cfg.data),
             machine=self.state,
-            links=GrpcLinks(),
+            links=self._links,
             clock=self._clock,
             options=ReplicaOptions(
                 election_timeout_s=cfg.election_timeout_s,
--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -2,9 +2,10 @@
 
 __all__ = ["build_entry", "run_entry"]
 
+import functools
 import random
 
-from wigeonscale.adapters import setup_logging, start_http
+from wigeonscale.adapters import open_channel, setup_logging, start_http
 from wigeonscale.config import EntrySettings
 from wigeonscale.daemons.runtime import StopStep, run_until_stopped
 from wigeonscale.dispatch import (
@@ -47,6 +48,7 @@
         http_address=cfg.http,
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
+        tls=cfg.tls,
     )
     entry = build_entry(cfg, control=control, clock=clock)
     control.changes.subscribe(
@@ -100,6 +102,7 @@
         on_prefixes=view.take,
         on_gone=on_gone,
         limits=silence or looks,
+        dial=functools.partial(open_channel, tls=cfg.tls),
     )
     carrier = Carrier(links=links, table=table)
     claims = Claims(control=control, carrier=carrier, places=places, clock=clock)
--- a/wigeonscale/dispatch/link.py
+++ b/wigeonscale/dispatch/link.py
@@ -21,6 +21,7 @@
 # Stands in the outbox for all credit not yet sent.
 _CREDITS = wire.DispatchRequest(credits=wire.Credits())
 
+Dial = Callable[[str], grpc.aio.Channel]
 OnWord = Callable[[str, wire.LoadWord], None]
 OnPrefixes = Callable[[str, wire.PrefixEvents], None]
 
@@ -34,6 +35,7 @@
         clock: Clock port.
         on_word: Called with each load word.
         on_prefixes: Called with cache events.
+        dial: Opens a channel with a connection of its own to an address.
 
     Attributes:
         busy: Set while dispatches are carried.
@@ -48,6 +50,7 @@
         clock: Clock,
         on_word: OnWord,
         on_prefixes: OnPrefixes,
+        dial: Dial = open_channel,
     ):
         self.target = target
         self.streams: dict[str, DispatchStream] = {}
@@ -57,6 +60,7 @@
         self._clock = clock
         self._on_word = on_word
         self._on_prefixes = on_prefixes
+        self._dial = dial
         self._outbox: asyncio.Queue[wire.DispatchRequest | None]
         self._outbox = asyncio.Queue()
         self._credits: dict[str, int] = {}
@@ -93,7 +97,7 @@
 
     async def run(self) -> None:
         """Connect and receive until the connection breaks."""
-        async with open_channel(self.target.address) as channel:
+        async with self._dial(self.target.address) as channel:
             try:
                 # Nothing may be sent on a connection that never stood.
                 await wait_connected(channel)
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -6,9 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from wigeonscale.adapters import METRICS, log_fields
+from wigeonscale.adapters import METRICS, log_fields, open_channel
 from wigeonscale.dispatch.failures import AgentGoneError
-from wigeonscale.dispatch.link import AgentLink, OnPrefixes, OnWord
+from wigeonscale.dispatch.link import AgentLink, Dial, OnPrefixes, OnWord
 from wigeonscale.dispatch.silence import SilenceLimits, until_silent
 from wigeonscale.dispatch.stream import DispatchStream
 from wigeonscale.dispatch.targets import Target
@@ -34,6 +34,7 @@
         on_prefixes: Called with agent id and cache events.
         on_gone: Called when no connection to an agent works any more.
         limits: When a connection counts as silent.
+        dial: Opens a channel with a connection of its own to an address.
     """
 
     def __init__(
@@ -45,12 +46,14 @@
         on_prefixes: OnPrefixes = lambda agent_id, events: None,
         on_gone: OnGone = lambda target: None,
         limits: SilenceLimits | None = None,
+        dial: Dial = open_channel,
     ):
         self._entry_id = entry_id
         self._clock = clock
         self._on_word = on_word
         self._on_prefixes = on_prefixes
         self._on_gone = on_gone
+        self._dial = dial
         self._limits = limits or SilenceLimits()
         self._lanes: dict[Target, list[_Lane]] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -85,6 +88,7 @@
             clock=self._clock,
             on_word=self._on_word,
             on_prefixes=self._on_prefixes,
+            dial=self._dial,
         )
 
     def _new_lane(self, target: Target) -> "_Lane":
