--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 	$(BIN)/python -m wigeonscale.testing.matrix
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check .
-	$(BIN)/ruff check .
+	$(BIN)/ruff format --no-cache --check .
+	$(BIN)/ruff check --no-cache .
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/demo/checks.py
+++ b/demo/checks.py
@@ -6,11 +6,10 @@
 import pathlib
 from dataclasses import dataclass, field
 
-from wigeonscale.testing.fake_engine import expected_tokens
-from wigeonscale.testing.traces import layer_order_violations, read_trace
-
 from demo.deployment import LAYERS, Deployment
 from demo.load import Kind, Outcome
+from wigeonscale.testing.fake_engine import expected_tokens
+from wigeonscale.testing.traces import layer_order_violations, read_trace
 
 REFUSAL_STATUS = {
     Kind.REFUSED_KEY: 401,
