membership: a broken Submit stream leaves no unread exception behind

Cause: a stream's reader set an exception on the future of a command that was still being written; the write failed first, so nobody read it and asyncio logged "Future exception was never retrieved". Change: the reader ends such futures without a result, and ask() raises. Test failed first (one unhandled context), passes now. Looked at as well: writes on one stream by several tasks, which gRPC refuses. Every server side stream has one writer: Watch and Dispatch by one task each, Submit and Steps by a lock, Append by its generator.

--- a/wigeonscale/membership/submitter.py
+++ b/wigeonscale/membership/submitter.py
@@ -52,7 +52,7 @@
         self._clock = clock
         self._heard_at = clock.now()
         self._call = wire_pb2_grpc.ControlStub(channel).Submit()
-        self._waiting: dict[int, asyncio.Future[wire.SubmitReply]] = {}
+        self._waiting: dict[int, asyncio.Future[wire.SubmitReply | None]] = {}
         self._last_id = 0
         self._write_lock = asyncio.Lock()
         self._reader = asyncio.create_task(self._read())
@@ -78,11 +78,14 @@
                     raise _StreamLostError
                 attempt.maybe_taken = True
                 await self._call.write(req)
-            return await fut
+            reply = await fut
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
             raise _StreamLostError from exc
         finally:
             self._waiting.pop(req.call_id, None)
+        if reply is None:
+            raise _StreamLostError
+        return reply
 
     async def close(self) -> None:
         self._call.cancel()
@@ -102,7 +105,9 @@
         finally:
             for fut in self._waiting.values():
                 if not fut.done():
-                    fut.set_exception(_StreamLostError())
+                    # No exception: a command that is still being written does not
+                    # look at it.
+                    fut.set_result(None)
 
 
 class Submitter:
--- a/wigeonscale/membership/tests/test_submitter.py
+++ b/wigeonscale/membership/tests/test_submitter.py
@@ -1,5 +1,7 @@
 import asyncio
+import gc
 import random
+from unittest import mock
 
 from testtools import ExpectedException
 
@@ -106,6 +108,27 @@
             [each.operation_id for each in silent.commands + other.commands],
         )
 
+    async def test_stream_that_breaks_during_a_write_leaves_no_error_behind(self):
+        broken, other = await self.start_fakes(2)
+        submitter = self.new_submitter(broken.address, other.address)
+        await self.result_of(submitter)
+        unhandled = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unhandled.append(context))
+        stream = submitter._stream
+
+        async def write(req):
+            await broken.stop()
+            await stream._reader
+            raise asyncio.InvalidStateError("the call ended")
+
+        with mock.patch.object(stream._call, "write", write):
+            await self.result_of(submitter)
+        self.assertEqual(1, len(other.commands))
+        gc.collect()
+        await asyncio.sleep(0)
+        self.assertEqual([], unhandled)
+
     async def test_slow_command_does_not_end_a_talking_stream(self):
         (fake,) = await self.start_fakes()
         held = []
