pipelines: no long part of a prompt on the word of small iterations

Change: no part is longer than four times the largest size seen, or 128; the rule stands in IterationCost.positions_within. test_head takes a cost at which the bound is above the least part. bench prefill also measures the gap of a planned change of a stage.

Shown: test_cost failed before (the rule is new).

--- a/bench/prefill.py
+++ b/bench/prefill.py
@@ -3,12 +3,15 @@
 Three stages of equal engines on loopback, whose iterations take time for each
 position. The baseline prefills a prompt in one iteration. Loads: one long prompt
 at a time, and a steady stream of middling prompts, which shows what parts cost in
-throughput.
+throughput. Last, what a planned change of a stage costs: every running sequence is
+prefilled again on the changed chain.
 """
 
 __all__ = ["measure"]
 
 import asyncio
+import itertools
+import statistics
 import time
 from dataclasses import dataclass
 from unittest import mock
@@ -16,8 +19,14 @@
 from bench.pipeline import Cleanups
 from bench.queues import percentile
 from bench.report import Figure
-from wigeonscale.agent.tests.support import EntryClient, connect, start_chain
-from wigeonscale.pipelines import head
+from wigeonscale.agent.tests.support import (
+    EntryClient,
+    connect,
+    make_chain,
+    start_chain,
+)
+from wigeonscale.pipelines.constants import MAX_BATCH_POSITIONS
+from wigeonscale.pipelines.cost import IterationCost
 
 STEP_S = 0.002
 POSITION_S = 0.0001
@@ -28,6 +37,9 @@
 PROMPTS = 48
 PROMPT_WORDS = 600
 PROMPT_TOKENS = 40
+CHANGE_STREAMS = 8
+CHANGE_WORK_S = CHANGE_STREAMS * PROMPT_WORDS * POSITION_S
+"""Seconds that one stage needs for the prompts of all running streams."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +55,11 @@
     """Return gaps, first tokens and throughput, whole and in parts."""
     parts = asyncio.run(_beside_long_prompts())
     rate = asyncio.run(_many_prompts())
-    with mock.patch.object(head, "PREFILL_GAP_S", 1e6):
+    change = asyncio.run(_planned_change())
+    whole_prompts = mock.patch.object(
+        IterationCost, "positions_within", lambda cost, seconds: MAX_BATCH_POSITIONS
+    )
+    with whole_prompts:
         whole = asyncio.run(_beside_long_prompts())
         whole_rate = asyncio.run(_many_prompts())
     return [
@@ -54,6 +70,13 @@
         ),
         Figure("prefill/gap_worst_ratio", parts.gap_worst / whole.gap_worst, "ratio"),
         Figure("prefill/rate_ratio", rate / whole_rate, "ratio", low=0.9),
+        Figure("prefill/planned_change/gap_median", change * 1000, "ms"),
+        Figure(
+            "prefill/planned_change/gap_to_work",
+            change / CHANGE_WORK_S,
+            "ratio",
+            high=4,
+        ),
     ]
 
 
@@ -97,7 +120,7 @@
     gaps = [
         later - earlier
         for i in ids
-        for earlier, later in zip(client.times[i], client.times[i][1:], strict=False)
+        for earlier, later in itertools.pairwise(client.times[i])
         if later > began and earlier < ended
     ]
     await case.run()
@@ -120,6 +143,26 @@
     return rate
 
 
+async def _planned_change() -> float:
+    """Return the median over streams of the longest gap, in seconds."""
+    case = Cleanups()
+    control, nodes, chain = await start_chain(case, slots=64, spares=1, **_costs())
+    n0, _, n2, spare = nodes
+    client = _TimedClient(n0)
+    case.addCleanup(client.close)
+    ids = [
+        await client.generate(chain, _prompt(number, PROMPT_WORDS), TOKENS)
+        for number in range(CHANGE_STREAMS)
+    ]
+    await client.wait(lambda: all(len(client.times.get(i, ())) > 10 for i in ids))
+    control.set_chain(make_chain([n0, spare, n2], epoch=2))
+    await _all_ended(client, ids)
+    times = [client.times[i][10:] for i in ids]
+    longest = [max(b - a for a, b in itertools.pairwise(t)) for t in times]
+    await case.run()
+    return statistics.median(longest)
+
+
 async def _all_ended(client: EntryClient, ids: list[str]) -> None:
     for dispatch_id in ids:
         await client.end(dispatch_id)
--- a/wigeonscale/pipelines/cost.py
+++ b/wigeonscale/pipelines/cost.py
@@ -1,9 +1,14 @@
 """How the time of an engine iteration depends on its size."""
 
-__all__ = ["IterationCost"]
+__all__ = ["TRUSTED_FACTOR", "IterationCost"]
+
+from wigeonscale.pipelines.constants import PREFILL_FIRST, PREFILL_LEAST
 
 WEIGHT = 0.1
 
+TRUSTED_FACTOR = 4
+"""Times the largest size seen up to which the cost is taken as known."""
+
 
 class IterationCost:
     """Learns which share of an iteration's time does not depend on its size.
@@ -48,20 +53,34 @@
         """
         if len(self._means) < 2:
             return 0.0
-        slope = self.position_s()
+        slope = self._position_s()
         small, small_s = self._means[min(self._means)]
         flat_s = max(0.0, small_s - slope * small)
         whole_s = flat_s + slope * positions
         return flat_s / whole_s if whole_s > 0 else 0.0
 
-    def position_s(self) -> float | None:
-        """Return the seconds that one more position takes.
+    def positions_within(self, seconds: float) -> int:
+        """Return how many positions an iteration may have to add so many seconds.
+
+        Small sizes may say nothing of large ones, so no more is returned than some
+        times the largest size seen.
+
+        Args:
+            seconds: Time that the positions may take.
 
         Returns:
-            At least 0; None while only one size was seen.
+            At least ``PREFILL_LEAST``.
         """
         if len(self._means) < 2:
-            return None
+            return PREFILL_FIRST
+        largest, _ = self._means[max(self._means)]
+        trusted = max(PREFILL_FIRST, int(TRUSTED_FACTOR * largest))
+        position_s = self._position_s()
+        if position_s * trusted <= seconds:
+            return trusted
+        return max(PREFILL_LEAST, int(seconds / position_s))
+
+    def _position_s(self) -> float:
         small, small_s = self._means[min(self._means)]
         large, large_s = self._means[max(self._means)]
         return max(0.0, (large_s - small_s) / (large - small))
--- a/wigeonscale/pipelines/head.py
+++ b/wigeonscale/pipelines/head.py
@@ -14,7 +14,6 @@
     FLAT_SHARE_LIMIT,
     MAX_BATCH,
     MAX_BATCH_POSITIONS,
-    PREFILL_FIRST,
     PREFILL_GAP_S,
     PREFILL_LEAST,
     REPAIR_BACKOFF_S,
@@ -104,9 +103,9 @@
         """Return the flat share of an iteration, as seen on the own stage."""
         return self._stage.cost.flat_share(positions)
 
-    def position_s(self) -> float | None:
-        """Return the seconds per position, as seen on the own stage."""
-        return self._stage.cost.position_s()
+    def positions_within(self, seconds: float) -> int:
+        """Return the positions that take so long, as seen on the own stage."""
+        return self._stage.cost.positions_within(seconds)
 
     def newer_chain(self, chain: wire.Chain) -> wire.Chain | None:
         """Return the ready successor of a chain, or None."""
@@ -229,13 +228,7 @@
         most = MAX_BATCH_POSITIONS - MAX_BATCH
         if len(self._members) == 1:
             return most
-        position_s = self._head.position_s()
-        if position_s is None:
-            return PREFILL_FIRST
-        part_s = PREFILL_GAP_S / depth
-        if position_s * most <= part_s:
-            return most
-        return max(PREFILL_LEAST, int(part_s / position_s))
+        return min(most, self._head.positions_within(PREFILL_GAP_S / depth))
 
     def _flush_due(self) -> bool:
         return bool(self._to_forget) and not self._iterations
--- a/wigeonscale/pipelines/tests/test_cost.py
+++ b/wigeonscale/pipelines/tests/test_cost.py
@@ -1,6 +1,7 @@
 import testscenarios
 
-from wigeonscale.pipelines.cost import IterationCost
+from wigeonscale.pipelines.constants import PREFILL_FIRST, PREFILL_LEAST
+from wigeonscale.pipelines.cost import TRUSTED_FACTOR, IterationCost
 from wigeonscale.testing import AsyncTestCase
 
 
@@ -26,6 +27,19 @@
         cost.observe(9, 1.0)
         self.assertEqual(0.0, cost.flat_share(8))
 
+    def test_room_grows_with_the_sizes_seen(self):
+        cost = IterationCost()
+        self.assertEqual(PREFILL_FIRST, cost.positions_within(0.01))
+        # As on a busy machine: the small sizes say that positions cost nothing.
+        for size in (1, 8):
+            cost.observe(size, 0.002)
+        self.assertEqual(PREFILL_FIRST, cost.positions_within(0.01))
+        cost.observe(PREFILL_FIRST, 0.002)
+        self.assertEqual(TRUSTED_FACTOR * PREFILL_FIRST, cost.positions_within(0.01))
+        cost.observe(1001, 0.102)
+        self.assertEqual(100, cost.positions_within(0.01))
+        self.assertEqual(PREFILL_LEAST, cost.positions_within(0.0001))
+
     def test_later_times_replace_earlier_ones(self):
         cost = IterationCost()
         for size in (1, 16):
--- a/wigeonscale/pipelines/tests/test_head.py
+++ b/wigeonscale/pipelines/tests/test_head.py
@@ -3,7 +3,6 @@
 
 from wigeonscale.agent.tests.support import until
 from wigeonscale.errors import ErrorKind
-from wigeonscale.pipelines import head
 from wigeonscale.pipelines.constants import MAX_BATCH_POSITIONS, PREFILL_GAP_S
 from wigeonscale.pipelines.cost import IterationCost
 from wigeonscale.pipelines.generation import Generation
@@ -105,9 +104,9 @@
 
     async def test_long_prompts_go_in_parts_beside_others(self):
         for size in (1, 101):
-            self.stage.cost.observe(size, 0.0004 * size)
+            self.stage.cost.observe(size, 0.0002 * size)
         # Three iterations are in flight, so each may take a third of the gap.
-        most = int(PREFILL_GAP_S / 3 / 0.0004)
+        most = int(PREFILL_GAP_S / 3 / 0.0002)
         lengths = (1, 1, 1, 500, 900, 2000)
         for pieces in lengths:
             self.start(pieces, tokens=1)
@@ -123,7 +122,10 @@
     async def test_no_iteration_is_over_the_bound_on_positions(self):
         half = MAX_BATCH_POSITIONS // 2
         lengths = [1, 2, 3, MAX_BATCH_POSITIONS + 1, *(half + n for n in range(1, 8))]
-        with mock.patch.object(head, "PREFILL_GAP_S", 1e6):
+        endless = mock.patch.object(
+            IterationCost, "positions_within", lambda cost, seconds: 1 << 30
+        )
+        with endless:
             for pieces in lengths:
                 self.start(pieces, tokens=1)
             self.stage.gate.set()
