Refuse what is not HTTP in the form of every other error

Cause: broken bytes, over-long headers and wrong lengths never reach a handler; aiohttp answers them itself by a plain 400 without our JSON and without Wigeonscale-Run.

Ruled out: a middleware or on_response_prepare (neither is called for such requests: they have no route).

Change: the connection's public handle_error gives our own answer; sites get the connection factory by the runner's public server property. A count of them goes into the requests metric.

Before: test_what_is_not_http_is_refused_and_the_entry_goes_on, made stricter by header and JSON, failed (no Wigeonscale-Run). After: it passes.

--- a/wigeonscale/entry/app.py
+++ b/wigeonscale/entry/app.py
@@ -10,6 +10,7 @@
 from wigeonscale.entry.calls import call_service
 from wigeonscale.entry.completions import completions_handler
 from wigeonscale.entry.flow import guarded
+from wigeonscale.entry.rejects import CallerRunner
 from wigeonscale.entry.service import EntryService
 from wigeonscale.entry.sse import Shape
 from wigeonscale.entry.takeup import take_up
@@ -32,7 +33,7 @@
     def __init__(self, *, entry: EntryService, address: str):
         self._entry = entry
         self._address = address
-        self._runner: web.AppRunner | None = None
+        self._runner: CallerRunner | None = None
         self._site: web.TCPSite | None = None
 
     @property
@@ -47,7 +48,7 @@
             OSError: If the address cannot be bound.
         """
         # A vanished caller cancels its handler, which sees to its work.
-        self._runner = web.AppRunner(
+        self._runner = CallerRunner(
             _application(self._entry),
             access_log=None,
             handle_signals=False,
--- /dev/null
+++ b/wigeonscale/entry/rejects.py
@@ -0,0 +1,65 @@
+"""What is not HTTP: refused in the form of every other error."""
+
+__all__ = ["CallerRunner"]
+
+import asyncio
+
+from aiohttp import web
+
+from wigeonscale.adapters import METRICS
+from wigeonscale.entry.answers import error_response
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+
+MAX_MESSAGE_LENGTH = 200
+
+
+class CallerRunner(web.AppRunner):
+    """Runs an application whose connections refuse broken HTTP by our own answer."""
+
+    @property
+    def server(self) -> "_ConnectionFactory | None":
+        """What sites call for each connection."""
+        server = super().server
+        return None if server is None else _ConnectionFactory(server=server)
+
+
+class _ConnectionFactory:
+    def __init__(self, *, server: web.Server):
+        self._server = server
+
+    def __call__(self) -> web.RequestHandler:
+        loop = asyncio.get_running_loop()
+        return _Connection(self._server, loop=loop, access_log=None)
+
+
+class _Connection(web.RequestHandler):
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to what never reached a handler, and close."""
+        error = _error(status, message or "")
+        METRICS.requests.add(organisation="", kind=error.kind)
+        if status >= web.HTTPInternalServerError.status_code:
+            self.log_exception("request outside any handler failed", exc_info=exc)
+        if request.writer.output_size > 0:
+            raise ConnectionError("part of another answer is written already")
+        resp = error_response(error)
+        resp.force_close()
+        return resp
+
+
+def _error(status: int, message: str) -> WigeonscaleError:
+    if status >= web.HTTPInternalServerError.status_code:
+        return WigeonscaleError(
+            ErrorKind.INTERNAL,
+            "the entry failed on this request",
+            run_state=RunState.UNKNOWN,
+        )
+    first_line = message.strip().partition("\n")[0][:MAX_MESSAGE_LENGTH]
+    return WigeonscaleError(ErrorKind.BAD_REQUEST, f"not HTTP: {first_line}")
--- a/wigeonscale/entry/tests/test_bad_input.py
+++ b/wigeonscale/entry/tests/test_bad_input.py
@@ -1,6 +1,7 @@
 """Bad requests get the error table's answer, and the entry goes on."""
 
 import asyncio
+import json
 
 import hypothesis
 from hypothesis import strategies as st
@@ -8,7 +9,7 @@
 from yarl import URL
 
 from wigeonscale.entry.requests import ChatBody, CompletionBody, parse_body
-from wigeonscale.entry.tests.support import EntryCase
+from wigeonscale.entry.tests.support import KEY, EntryCase
 from wigeonscale.errors import ANSWERS, ErrorKind, RunState, WigeonscaleError
 from wigeonscale.testing import AsyncTestCase
 
@@ -89,7 +90,8 @@
 class RawBytesTest(EntryCase):
     async def test_what_is_not_http_is_refused_and_the_entry_goes_on(self):
         host, _, port = self.server.address.rpartition(":")
-        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        head += f"Authorization: Bearer {KEY}\r\n".encode()
         for raw in (
             b"\x16\x03\x01\x00\xff\r\n\r\n",
             head + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n",
@@ -100,7 +102,13 @@
             writer.write(raw)
             async with asyncio.timeout(30):
                 status_line = await reader.readline()
+                rest = await reader.read()
             self.assertIn(b" 40", status_line, raw[:60])
+            head_of_answer, _, body = rest.partition(b"\r\n\r\n")
+            self.assertIn(b"Wigeonscale-Run: not-run", head_of_answer, raw[:60])
+            error = json.loads(body)["error"]
+            self.assertEqual("bad-request", error["kind"])
+            self.assertEqual("not-run", error["run"])
             writer.close()
             await writer.wait_closed()
         async with self.complete() as answer:
