Take only changed sections on /admin/rules/apply

Change: the page takes either document, or changes with the digest of the document wanted; it is patched and checked before anything is proposed, and is the same operation as the whole document under the same id. wigeonctl sends changes when it knows the base. The test of wigeonctl that looked for the document looks for the one change and the digest instead. Making the commands moves to control/rule_changes.py.

--- a/wigeonscale/cli/rules_commands.py
+++ b/wigeonscale/cli/rules_commands.py
@@ -11,6 +11,8 @@
 import argparse
 import datetime
 
+from google.protobuf import json_format
+
 from wigeonscale.cli.admin_client import AdminClient
 from wigeonscale.cli.output import Output, format_table
 from wigeonscale.errors import ErrorKind, SettingsError
@@ -48,10 +50,14 @@
     document = _read_document(args.file)
     warnings = _warnings(document)
     base, changes = args.base, None
+    content = {"document": document.text}
     if base is None:
         current = await client.read("/admin/rules")
         base = current["revision"]
-        changes = _change_words(str(current["document"]), document)
+        old = parse_document(str(current["document"]))
+        changes = _change_words(old, document)
+        if base:
+            content = _changed_sections(old, document)
         if not changes:
             data = {"revision": base, "changes": []}
             text = f"nothing to change: revision {base} is in force"
@@ -63,7 +69,7 @@
         {
             "base_revision": base,
             "operation_id": args.operation_id,
-            "document": document.text,
+            **content,
             "operator": args.operator,
         },
     )
@@ -136,8 +142,16 @@
     )
 
 
-def _change_words(old_text: str, new: Document) -> list[str]:
-    old = parse_document(old_text)
+def _changed_sections(old: Document, new: Document) -> dict[str, object]:
+    # A long document is not sent again for each change.
+    changes = [
+        json_format.MessageToDict(change, preserving_proto_field_name=True)
+        for change in diff_documents(old, new)
+    ]
+    return {"changes": changes, "digest": new.digest}
+
+
+def _change_words(old: Document, new: Document) -> list[str]:
     known = old.tables.sections
     words = []
     for change in diff_documents(old, new):
--- a/wigeonscale/cli/tests/test_wigeonctl.py
+++ b/wigeonscale/cli/tests/test_wigeonctl.py
@@ -10,6 +10,7 @@
 
 from wigeonscale.cli import wigeonctl
 from wigeonscale.reports import BurnRecorder, burn_routes
+from wigeonscale.rules import parse_document
 from wigeonscale.rules.tests.samples import SMALL
 from wigeonscale.testing import AsyncTestCase, ManualClock
 
@@ -80,7 +81,12 @@
         self.assertIn("revision 5 accepted, made from revision 4", out)
         self.assertIn("changed [rule press]", out)
         self.assertEqual(4, self.second.bodies[0]["base_revision"])
-        self.assertEqual(self.rules.read_text(), self.second.bodies[0]["document"])
+        # Only what changed is sent, and the digest of the whole.
+        (change,) = self.second.bodies[0]["changes"]
+        self.assertEqual("rule press", change["name"])
+        wanted = parse_document(self.rules.read_text())
+        self.assertEqual(wanted.digest, self.second.bodies[0]["digest"])
+        self.assertNotIn("document", self.second.bodies[0])
 
     async def test_lost_answer_is_resent_with_the_same_operation_id(self):
         self.first.script = {APPLY: [DROP]}
--- a/wigeonscale/control/admin.py
+++ b/wigeonscale/control/admin.py
@@ -2,7 +2,6 @@
 
 __all__ = ["Admin"]
 
-import asyncio
 import hashlib
 import hmac
 import json
@@ -20,21 +19,19 @@
     RollbackRequest,
 )
 from wigeonscale.control.hub import Hub
+from wigeonscale.control.rule_changes import apply_command, rollback_command
 from wigeonscale.errors import (
     ANSWERS,
     ErrorKind,
     RunState,
-    SettingsError,
     WigeonscaleError,
 )
 from wigeonscale.replication import Replica, Role
-from wigeonscale.rules import EMPTY_DOCUMENT, diff_documents, parse_document
 from wigeonscale.state import ControlState
 from wigeonscale.wire import wire_pb2 as wire
 
 BEARER = "Bearer "
 DEFAULT_RETRY_S = 1.0
-DIGEST_LENGTH = 16
 # A document for 30,000 organisations has about 4 MB; a log entry must fit into
 # one message between replicas.
 BODY_LIMIT_BYTES = 16 * 1024 * 1024
@@ -156,57 +153,14 @@
     async def _apply(self, req):
         body = await _read(req, ApplyRequest)
         self._require_leader()
-        # Only sections that differ from the operator's base are read.
-        base = self._state.configuration.document_at(body.base_revision)
-        document = await _parsed(body.document, base or EMPTY_DOCUMENT)
-        command = await self._apply_command(
-            document, body.base_revision, body.operator, body.operation_id
-        )
-        return await self._commit(command)
+        return await self._commit(await apply_command(self._state.configuration, body))
 
     async def _roll_back(self, req):
         body = await _read(req, RollbackRequest)
         self._require_leader()
-        configuration = self._state.configuration
-        document = configuration.document_at(body.revision)
-        if document is None:
-            raise WigeonscaleError(
-                ErrorKind.NOT_FOUND,
-                f"revision {body.revision} is not kept; the oldest kept is"
-                f" {configuration.oldest_known}",
-            )
-        command = await self._apply_command(
-            document,
-            configuration.revision,
-            body.operator,
-            f"{body.operation_id}/rollback-{body.revision}",
-        )
+        command = await rollback_command(self._state.configuration, body)
         return await self._commit(command)
 
-    async def _apply_command(self, document, base_revision, operator, operation_id):
-        """Return a command as small as the change, where its base is still kept.
-
-        The digest of the document in the operation id keeps apart operators who
-        picked the same id: each gets the answer to its own document.
-        """
-        apply = wire.ApplyConfig(
-            base_revision=base_revision, operator=operator, digest=document.digest
-        )
-        base = self._state.configuration.document_at(base_revision)
-        if base is not None:
-            # In a thread: long documents differ in many sections.
-            apply.changes.extend(
-                await asyncio.to_thread(diff_documents, base, document)
-            )
-        if apply.changes:
-            self._state.configuration.expect(apply, base, document)
-        else:
-            apply.document = document.text
-        return wire.Command(
-            operation_id=f"{operation_id}/{document.digest[:DIGEST_LENGTH]}",
-            apply_config=apply,
-        )
-
     # --------------------------------------------------------------- members
 
     async def _show_status(self, req):
@@ -309,14 +263,6 @@
         raise WigeonscaleError(ErrorKind.BAD_REQUEST, problems) from exc
 
 
-async def _parsed(text, base):
-    try:
-        # In a thread: a long document would delay the replica's heartbeats.
-        return await asyncio.to_thread(parse_document, text, base=base)
-    except SettingsError as exc:
-        raise WigeonscaleError(ErrorKind.INVALID_DOCUMENT, exc.message) from exc
-
-
 def _as_dict(message) -> dict[str, object]:
     return json_format.MessageToDict(
         message,
--- /dev/null
+++ b/wigeonscale/control/rule_changes.py
@@ -0,0 +1,128 @@
+"""Makes commands of the operators' changes of the rules."""
+
+__all__ = ["apply_command", "rollback_command"]
+
+import asyncio
+
+from wigeonscale.control.documents import ApplyRequest, RollbackRequest
+from wigeonscale.errors import ErrorKind, SettingsError, WigeonscaleError
+from wigeonscale.rules import (
+    EMPTY_DOCUMENT,
+    Document,
+    diff_documents,
+    parse_document,
+    patch_document,
+)
+from wigeonscale.state.configuration import Configuration
+from wigeonscale.wire import wire_pb2 as wire
+
+DIGEST_LENGTH = 16
+
+
+async def apply_command(
+    configuration: Configuration, body: ApplyRequest
+) -> wire.Command:
+    """Return the command that puts a document in force.
+
+    Args:
+        configuration: The accepted configuration.
+        body: The operator's request.
+
+    Returns:
+        A command as small as the change, where its base is still kept.
+
+    Raises:
+        WigeonscaleError: ``INVALID_DOCUMENT``, with every problem.
+    """
+    base = configuration.document_at(body.base_revision)
+    if body.changes:
+        return await _patch_command(configuration, base, body)
+    # Only sections that differ from the operator's base are read.
+    document = await _made(parse_document, body.document, base=base or EMPTY_DOCUMENT)
+    return await _document_command(
+        configuration, body.base_revision, document, body.operator, body.operation_id
+    )
+
+
+async def rollback_command(
+    configuration: Configuration, body: RollbackRequest
+) -> wire.Command:
+    """Return the command that puts an earlier document in force again.
+
+    Args:
+        configuration: The accepted configuration.
+        body: The operator's request.
+
+    Returns:
+        The command, made from the revision in force.
+
+    Raises:
+        WigeonscaleError: ``NOT_FOUND`` for a revision that is not kept.
+    """
+    document = configuration.document_at(body.revision)
+    if document is None:
+        raise WigeonscaleError(
+            ErrorKind.NOT_FOUND,
+            f"revision {body.revision} is not kept; the oldest kept is"
+            f" {configuration.oldest_known}",
+        )
+    return await _document_command(
+        configuration,
+        configuration.revision,
+        document,
+        body.operator,
+        f"{body.operation_id}/rollback-{body.revision}",
+    )
+
+
+async def _document_command(
+    configuration, base_revision, document, operator, operation_id
+):
+    apply = wire.ApplyConfig(
+        base_revision=base_revision, operator=operator, digest=document.digest
+    )
+    base = configuration.document_at(base_revision)
+    if base is not None:
+        # In a thread: long documents differ in many sections.
+        changes = await asyncio.to_thread(diff_documents, base, document)
+        apply.changes.extend(changes)
+    if apply.changes:
+        configuration.expect(apply, base, document)
+    else:
+        apply.document = document.text
+    return _command(operation_id, apply)
+
+
+async def _patch_command(configuration, base, body):
+    apply = wire.ApplyConfig(
+        base_revision=body.base_revision,
+        operator=body.operator,
+        digest=body.digest,
+        changes=[wire.SectionChange(**dict(each)) for each in body.changes],
+    )
+    # Without the base it is a conflict, or the first answer is still known.
+    if base is not None:
+        document = await _made(patch_document, base, apply.changes)
+        if document.digest != body.digest:
+            raise WigeonscaleError(
+                ErrorKind.INVALID_DOCUMENT,
+                f"the changes make a document with digest {document.digest},"
+                f" not {body.digest}",
+            )
+        configuration.expect(apply, base, document)
+    return _command(body.operation_id, apply)
+
+
+def _command(operation_id, apply):
+    # The digest of the document in the operation id keeps apart operators who
+    # picked the same id: each gets the answer to its own document.
+    name = f"{operation_id}/{apply.digest[:DIGEST_LENGTH]}"
+    return wire.Command(operation_id=name, apply_config=apply)
+
+
+async def _made(make, *args, **options) -> Document:
+    try:
+        # In a thread: a long document would delay the replica's heartbeats.
+        return await asyncio.to_thread(make, *args, **options)
+    except SettingsError as exc:
+        raise WigeonscaleError(ErrorKind.INVALID_DOCUMENT, exc.message) from exc
--- a/wigeonscale/control/tests/test_admin.py
+++ b/wigeonscale/control/tests/test_admin.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import aiohttp
+from google.protobuf import json_format
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -14,7 +15,7 @@
 from wigeonscale.control.tests.support import Parts
 from wigeonscale.errors import ErrorKind
 from wigeonscale.replication import Role
-from wigeonscale.rules import editing
+from wigeonscale.rules import diff_documents, editing, parse_document
 from wigeonscale.state.tests.support import DOCUMENT
 from wigeonscale.testing import AsyncTestCase
 
@@ -106,6 +107,38 @@
         # For the page; applying the command here reads none again.
         self.assertEqual(1, parse_section.call_count)
 
+    async def patch(self, old, new, *, operation="b", **changed):
+        old, new = parse_document(old), parse_document(new)
+        changes = [
+            json_format.MessageToDict(change, preserving_proto_field_name=True)
+            for change in diff_documents(old, new)
+        ]
+        body = {"base_revision": 1, "changes": changes, "digest": new.digest}
+        body |= {"operation_id": operation, "operator": "ann"}
+        return await self.post("rules/apply", **{**body, **changed})
+
+    async def test_changed_sections_make_the_same_operation_as_the_document(self):
+        new = DOCUMENT + "[service x]\n"
+        await self.apply()
+        for _ in range(2):
+            asked = self.patch(DOCUMENT, new)
+            self.assertEqual((200, 2), await self.status_and_revision(asked))
+        asked = self.apply(new, base=1, operation="b")
+        self.assertEqual((200, 2), await self.status_and_revision(asked))
+        self.assertEqual(2, self.parts.state.configuration.revision)
+        late = self.patch(DOCUMENT, DOCUMENT + "[service y]\n", operation="c")
+        self.assertEqual((409, "revision-conflict"), await self.status_and_kind(late))
+
+    async def test_changes_that_make_another_document_are_refused(self):
+        await self.apply()
+        new = DOCUMENT + "[service x]\n"
+        wrong = self.patch(DOCUMENT, new, digest="0" * 64)
+        self.assertEqual((422, "invalid-document"), await self.status_and_kind(wrong))
+        for fields in ({"digest": ""}, {"document": new}, {"changes": []}):
+            bad = self.patch(DOCUMENT, new, **fields)
+            self.assertEqual((400, "bad-request"), await self.status_and_kind(bad))
+        self.assertEqual(1, len(self.parts.replica.proposed))
+
     async def test_base_that_is_not_kept_is_a_conflict(self):
         await self.apply()
         late = self.apply(DOCUMENT + "[service s]\n", base=7, operation="b")
