A leader is fresh only once it applied all that it committed

Cause (failed first, two new tests): since a committed entry may wait for a thread before it is applied. A leader in that state still called its state fresh, so that its watchers got leases on an older configuration than the accepted one; and a planned stop handed over although the proposals in preparation had no answer yet. Ruled out: the follower's side, which already waits for what is applied. Change: the leader notes freshness only when all that is committed is applied; the hand-over waits for what is applied, not for what is committed.

--- a/wigeonscale/replication/commit.py
+++ b/wigeonscale/replication/commit.py
@@ -1,4 +1,4 @@
-"""Commit, application and snapshots.
+"""Proposal, sync, commit and application of entries.
 
 The leader's sync runs beside replication and covers all that was appended
 meanwhile. The idea is from Kahveci, "Log replication in MicroRaft" (2023), after
@@ -12,24 +12,20 @@
     "append_as_leader",
     "apply_up_to",
     "require_majority",
-    "restore_machine",
-    "run_snapshots",
     "run_sync",
 ]
 
-import asyncio
 import logging
 import math
 
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
-from wigeonscale.replication.files import Snapshot
 from wigeonscale.replication.model import EntryKind, NotLeaderError, Role
+from wigeonscale.replication.preparation import is_in_preparation
 from wigeonscale.replication.state import ReplicaState
 from wigeonscale.replication.voters import majority_value
 from wigeonscale.wire import wire_pb2 as wire
 
 MAX_WAITING = 4096  # proposals without an outcome
-KEPT_SHARE = 4  # a quarter of a snapshot's entries stay for followers that lag
 
 logger = logging.getLogger(__name__)
 
@@ -126,7 +122,8 @@
 
     core.majority_at = max(core.majority_at, majority_value(core.members, followed_at))
     # Before its first own commit a leader may not know all that was committed.
-    if core.applied_index >= core.term_start_index:
+    all_applied = core.applied_index == core.commit_index
+    if all_applied and core.applied_index >= core.term_start_index:
         core.note_fresh(core.majority_at)
 
 
@@ -140,83 +137,20 @@
     before = core.applied_index
     while core.applied_index < core.commit_index:
         entry = core.storage.entry(core.applied_index + 1)
-        if _is_in_preparation(core, entry):
+        if is_in_preparation(core, entry, lambda: apply_up_to(core, 0)):
             break
         result = _apply(core, entry)
         core.applied_index = entry.index
         core.applied_term = entry.term
         core.proposals.answer(entry, result)
     if core.applied_index > before:
+        core.progress.set()
         _publish(core)
     covered = core.storage.snapshot.index if core.storage.snapshot else 0
     if core.applied_index - covered >= core.options.snapshot_entries:
         core.snapshot_due.set()
 
 
-async def restore_machine(core: ReplicaState, data: bytes) -> None:
-    """Replace the machine's state by a snapshot, read in a thread where it can be."""
-    prepare = getattr(core.machine, "restore_preparation", None)
-    work = prepare(data) if prepare else None
-    if work is not None:
-        await asyncio.to_thread(work)
-    core.machine.restore(data)
-
-
-async def run_snapshots(core: ReplicaState) -> None:
-    """Take a snapshot and drop old entries whenever one is due."""
-    while True:
-        await core.snapshot_due.wait()
-        core.snapshot_due.clear()
-        async with core.lock:  # not while one of the leader is being installed
-            snapshot = _take_snapshot(core)
-        if snapshot is not None:
-            kept = core.options.snapshot_entries // KEPT_SHARE
-            await core.storage.save_snapshot(snapshot, snapshot.index + 1 - kept)
-
-
-def _take_snapshot(core):
-    index = core.applied_index
-    try:
-        data = core.machine.snapshot()
-    except Exception:
-        logger.exception("no snapshot could be taken at entry %d", index)
-        return None
-    return Snapshot(
-        index=index,
-        term=core.applied_term,
-        members=core.members_at(index),
-        data=data,
-    )
-
-
-def _is_in_preparation(core, entry):
-    if core.preparing_index == entry.index:
-        return True
-    prepare = getattr(core.machine, "preparation", None)
-    is_command = entry.kind == EntryKind.COMMAND
-    if prepare is None or not is_command or core.prepared_index == entry.index:
-        return False
-    work = prepare(entry.data)
-    if work is None:
-        return False
-    core.preparing_index = entry.index
-    task = asyncio.create_task(_prepare(core, entry.index, work))
-    core.running.add(task)
-    task.add_done_callback(core.running.discard)
-    return True
-
-
-async def _prepare(core, index, work):
-    try:
-        await asyncio.to_thread(work)
-    except Exception:
-        # Applying it will tell what is wrong with it.
-        logger.exception("entry %d could not be prepared", index)
-    core.preparing_index = 0
-    core.prepared_index = index
-    apply_up_to(core, core.commit_index)
-
-
 def _apply(core, entry):
     if entry.kind != EntryKind.COMMAND:
         return None
--- /dev/null
+++ b/wigeonscale/replication/echo.py
@@ -0,0 +1,37 @@
+"""Times that a peer echoes, so that only the own clock is ever compared."""
+
+__all__ = ["MICROSECONDS", "EchoClock"]
+
+import random
+
+from wigeonscale.ports import Clock
+
+MICROSECONDS = 1_000_000
+OFFSET_BITS = 52
+
+
+class EchoClock:
+    """Readings of the own clock as sent to peers.
+
+    They begin at a random offset: a reading that an earlier process on this node
+    sent must not pass for one of this process.
+
+    Args:
+        clock: Clock port.
+        rng: Source of the offset.
+    """
+
+    def __init__(self, *, clock: Clock, rng: random.Random):
+        self._clock = clock
+        self._offset = rng.getrandbits(OFFSET_BITS)
+        self._started_us = self.now()
+
+    def now(self) -> int:
+        """Return the reading to send, in microseconds."""
+        return self._offset + int(self._clock.now() * MICROSECONDS)
+
+    def time_of(self, echo_us: int) -> float | None:
+        """Return the local time of an echoed reading, or None when it is not ours."""
+        if not self._started_us <= echo_us <= self.now():
+            return None
+        return (echo_us - self._offset) / MICROSECONDS
--- a/wigeonscale/replication/follower.py
+++ b/wigeonscale/replication/follower.py
@@ -2,25 +2,21 @@
 
 __all__ = ["handle_append"]
 
-import logging
-import zlib
 
 from google.protobuf.message import DecodeError
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication.admission import note_admission
-from wigeonscale.replication.commit import apply_up_to, restore_machine
+from wigeonscale.replication.commit import apply_up_to
+from wigeonscale.replication.echo import MICROSECONDS
 from wigeonscale.replication.election import adopt_term, check_term, step_down
-from wigeonscale.replication.files import Snapshot
 from wigeonscale.replication.model import EntryKind, Role
-from wigeonscale.replication.state import MICROSECONDS, ReplicaState
-from wigeonscale.replication.voters import members_from_wire
+from wigeonscale.replication.snapshots import take_chunk
+from wigeonscale.replication.state import ReplicaState
 from wigeonscale.wire import wire_pb2 as wire
 
 SENT_KINDS = (EntryKind.COMMAND, EntryKind.NO_OP, EntryKind.MEMBERS)
 
-logger = logging.getLogger(__name__)
-
 
 async def handle_append(
     core: ReplicaState, req: wire.AppendRequest
@@ -38,7 +34,8 @@
         await adopt_term(core, req.term)
         _note_leader(core, req)
         if req.HasField("snapshot"):
-            reply = await _take_chunk(core, req)
+            success, index = await take_chunk(core, req.snapshot)
+            reply = _reply(core, req, success=success, match_index=index)
         else:
             reply = await _take_entries(core, req)
         await note_admission(core)
@@ -113,7 +110,7 @@
         success=success,
         match_index=match_index,
         echo_us=req.round_us,
-        follower_us=core.echo_now(),
+        follower_us=core.echo.now(),
         needs_admission=not core.may_vote,
         storage_id=core.storage.vote.storage_id,
     )
@@ -172,56 +169,8 @@
     core.forget_members_from(index)
 
 
-async def _take_chunk(core, req):
-    chunk = req.snapshot
-    if chunk.last_index <= core.commit_index:
-        return _reply(core, req, success=True, match_index=chunk.last_index)
-    data = _collect(core, chunk)
-    if data is None:
-        return _reply(core, req, success=False, match_index=0)
-    if not chunk.final:
-        return _reply(core, req, success=True, match_index=0)
-    core.incoming = None
-    if zlib.crc32(data) != chunk.crc:
-        logger.warning("snapshot at entry %d came broken", chunk.last_index)
-        return _reply(core, req, success=False, match_index=0)
-    await _install(core, chunk, bytes(data))
-    return _reply(core, req, success=True, match_index=chunk.last_index)
-
-
-def _collect(core, chunk):
-    """Return the bytes so far, or None when the chunk does not follow them."""
-    position = (chunk.last_index, chunk.last_term)
-    if chunk.offset == 0:
-        core.incoming = (*position, bytearray())
-    if core.incoming is None or core.incoming[:2] != position:
-        return None
-    data = core.incoming[2]
-    if chunk.offset != len(data):
-        return None
-    data += chunk.data
-    return data
-
-
-async def _install(core, chunk, data):
-    snapshot = Snapshot(
-        index=chunk.last_index,
-        term=chunk.last_term,
-        members=members_from_wire(chunk.voters),
-        data=data,
-    )
-    # Restored first: a state that cannot be read must not become durable.
-    await restore_machine(core, data)
-    core.commit_index = snapshot.index
-    core.applied_index = snapshot.index
-    core.applied_term = snapshot.term
-    await core.storage.save_snapshot(snapshot, snapshot.index + 1)
-    core.load_members()
-    core.on_applied.on_next(core.applied_index)
-
-
 def _note_fresh(core, req):
-    at = core.time_of_echo(req.echo_us)
+    at = core.echo.time_of(req.echo_us)
     if at is None or req.age_us < 0 or core.applied_index < req.commit_index:
         return
     core.note_fresh(at - req.age_us / MICROSECONDS)
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -19,8 +19,6 @@
     advance_round,
     append_as_leader,
     require_majority,
-    restore_machine,
-    run_snapshots,
     run_sync,
 )
 from wigeonscale.replication.election import handle_vote, run_elections, step_down
@@ -34,7 +32,9 @@
     Role,
     StateMachine,
 )
+from wigeonscale.replication.preparation import restore_machine
 from wigeonscale.replication.replicate import run_peer
+from wigeonscale.replication.snapshots import run_snapshots
 from wigeonscale.replication.state import ReplicaState
 from wigeonscale.replication.storage import LogStorage
 from wigeonscale.replication.transfer import hand_over, handle_campaign
--- a/wigeonscale/replication/replicate.py
+++ b/wigeonscale/replication/replicate.py
@@ -9,17 +9,16 @@
 __all__ = ["run_peer"]
 
 import logging
-import zlib
 
 from wigeonscale.replication.admission import admit_when_due
 from wigeonscale.replication.commit import advance_commit, advance_round
+from wigeonscale.replication.echo import MICROSECONDS
 from wigeonscale.replication.election import adopt_term_of_reply
-from wigeonscale.replication.state import MICROSECONDS, PeerState, ReplicaState
-from wigeonscale.replication.voters import members_to_wire
+from wigeonscale.replication.snapshots import next_chunk
+from wigeonscale.replication.state import PeerState, ReplicaState
 from wigeonscale.replication.waiting import within
 from wigeonscale.wire import wire_pb2 as wire
 
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
 NOT_CONFIRMED = -1  # age_us when no majority has confirmed this leader yet
 
 logger = logging.getLogger(__name__)
@@ -79,7 +78,7 @@
         leader_address=core.address,
         term=core.term,
         commit_index=core.commit_index,
-        round_us=core.echo_now(),
+        round_us=core.echo.now(),
         echo_us=peer.echo_us,
         age_us=_age_us(core),
     )
@@ -88,7 +87,7 @@
         peer.sending = core.storage.snapshot
         peer.sent_bytes = 0
     if peer.sending is not None:
-        req.snapshot.CopyFrom(_next_chunk(peer))
+        req.snapshot.CopyFrom(next_chunk(peer))
         return req
     req.previous_index = peer.next_index - 1
     req.previous_term = core.storage.term_at(peer.next_index - 1)
@@ -107,23 +106,6 @@
     return core.storage.batch(peer.next_index, most, options.batch_bytes)
 
 
-def _next_chunk(peer):
-    snapshot = peer.sending
-    data = snapshot.data[peer.sent_bytes : peer.sent_bytes + SNAPSHOT_CHUNK_BYTES]
-    final = peer.sent_bytes + len(data) >= len(snapshot.data)
-    chunk = wire.SnapshotChunk(
-        last_index=snapshot.index,
-        last_term=snapshot.term,
-        offset=peer.sent_bytes,
-        data=data,
-        final=final,
-    )
-    if final:
-        chunk.voters.extend(members_to_wire(snapshot.members))
-        chunk.crc = zlib.crc32(snapshot.data)
-    return chunk
-
-
 def _take_reply(core, peer, req, reply, sent_at):
     peer.echo_us = reply.follower_us
     if reply.storage_id != peer.storage_id:
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -11,6 +11,7 @@
 from reactivex import Subject
 
 from wigeonscale.ports import Clock
+from wigeonscale.replication.echo import EchoClock
 from wigeonscale.replication.files import Admission, Snapshot
 from wigeonscale.replication.links import Link, Links
 from wigeonscale.replication.model import (
@@ -25,9 +26,6 @@
 from wigeonscale.replication.voters import members_from_wire
 from wigeonscale.wire import wire_pb2 as wire
 
-MICROSECONDS = 1_000_000
-ECHO_OFFSET_BITS = 52
-
 logger = logging.getLogger(__name__)
 
 
@@ -111,6 +109,7 @@
         self.clock = clock
         self.options = options
         self.rng = rng
+        self.echo = EchoClock(clock=clock, rng=rng)
         self.lock = asyncio.Lock()
         self.role = Role.FOLLOWER
         self.leader_id = ""
@@ -130,16 +129,13 @@
         self.incoming: tuple[int, int, bytearray] | None = None
         self.running: set[asyncio.Task] = set()  # what no cancel cuts short
         self.leaving = False  # stops as planned: leads no more
-        self.progress = asyncio.Event()  # a match, the commit index or the role moved
+        self.progress = asyncio.Event()  # a match, what is applied or the role moved
         self.unsynced = asyncio.Event()
         self.snapshot_due = asyncio.Event()
         self.on_applied: Subject = Subject()
         self.start_peer: Callable[[PeerState], asyncio.Task] | None = None
         self._voters = tuple(voters)
         self._configs: list[tuple[int, tuple[Member, ...]]] = [(0, self._voters)]
-        # A reply of an earlier process on this node must not pass for one of ours.
-        self._echo_offset = rng.getrandbits(ECHO_OFFSET_BITS)
-        self._started_us = self._echo_offset + int(clock.now() * MICROSECONDS)
 
     # ------------------------------------------------------------- short words
 
@@ -174,16 +170,6 @@
         """Silence after which a link is dropped and opened anew, in seconds."""
         return max(2 * self.options.heartbeat_s, self.options.election_timeout_s / 2)
 
-    def echo_now(self) -> int:
-        """Return this process's time as sent to be echoed, in microseconds."""
-        return self._echo_offset + int(self.clock.now() * MICROSECONDS)
-
-    def time_of_echo(self, echo_us: int) -> float | None:
-        """Return the local time of an echo, or None when it is not ours."""
-        if not self._started_us <= echo_us <= self.echo_now():
-            return None
-        return (echo_us - self._echo_offset) / MICROSECONDS
-
     def note_fresh(self, at: float) -> None:
         """Record that the applied state was current at a local time."""
         if at > (self.fresh_at if self.fresh_at is not None else -math.inf):
--- a/wigeonscale/replication/tests/test_freshness.py
+++ b/wigeonscale/replication/tests/test_freshness.py
@@ -1,8 +1,54 @@
+import asyncio
+import threading
+
+from wigeonscale.replication.tests.support import LIMIT_S
 from wigeonscale.replication.tests.test_replica import ClusterCase
 
 ROUNDS_S = 0.7  # a few heartbeats
 
 
+class PreparationTest(ClusterCase):
+    """A leader whose next committed entry is still prepared in a thread."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.old = self.cluster.replicas[self.leader]
+        self.leave = threading.Event()
+        self.addCleanup(self.leave.set)
+        machine = self.cluster.machines[self.leader]
+        machine.preparation = lambda data: self.wait
+        self.task = await self.cluster.propose_at(self.leader, b"1")
+        index = self.old.last_position()[1]
+        await self.cluster.until(lambda: self.old.commit_index == index)
+
+    def wait(self):
+        self.leave.wait(LIMIT_S)
+
+    async def apply(self):
+        applied = asyncio.Event()
+        self.old.on_applied.subscribe(lambda _: applied.set())
+        self.leave.set()
+        async with asyncio.timeout(LIMIT_S):
+            await applied.wait()
+
+    async def test_leader_is_not_fresh_before_it_is_applied(self):
+        committed_at = self.cluster.clock.now()
+        await self.cluster.clock.advance(5)
+        self.assertEqual([], self.cluster.machines[self.leader].commands)
+        self.assertTrue(self.old.fresh_at() <= committed_at)
+        await self.apply()
+        await self.cluster.clock.advance(1)
+        self.assertTrue(self.old.fresh_at() > committed_at)
+
+    async def test_planned_stop_waits_for_it(self):
+        handing_over = self.cluster.spawn(self.old.hand_over())
+        await self.cluster.clock.advance(0.1)
+        self.assertFalse(handing_over.done())
+        await self.apply()
+        self.assertTrue(await self.cluster.finish(handing_over))
+        self.assertIsNone(self.task.exception())
+
+
 class FreshnessTest(ClusterCase):
     async def prepare(self):
         await super().prepare()
--- a/wigeonscale/replication/transfer.py
+++ b/wigeonscale/replication/transfer.py
@@ -71,7 +71,7 @@
     await _until(core, lambda: core.role is not Role.CANDIDATE)
     if not core.leading:
         return False
-    await _until(core, lambda: not core.leading or _all_committed(core))
+    await _until(core, lambda: not core.leading or _all_answered(core))
     for peer in _by_progress(core):
         await _until(core, lambda peer=peer: not core.leading or _is_level(core, peer))
         if not core.leading:
@@ -90,8 +90,8 @@
         await core.progress.wait()
 
 
-def _all_committed(core):
-    return core.commit_index == core.storage.last_index
+def _all_answered(core):
+    return core.applied_index == core.storage.last_index
 
 
 def _is_level(core, peer):
