--- a/wigeonscale/daemons/tests/test_control_disk.py
+++ b/wigeonscale/daemons/tests/test_control_disk.py
@@ -12,7 +12,7 @@
 from wigeonscale.config import ControlSettings, Peer
 from wigeonscale.daemons import control
 from wigeonscale.daemons.runtime import EXIT_FAILED
-from wigeonscale.replication.tests.support import MemoryFolder
+from wigeonscale.replication.tests.memory_folder import MemoryFolder
 from wigeonscale.testing import AsyncTestCase
 
 LIMIT_S = 60
--- a/wigeonscale/replication/tests/test_admission.py
+++ b/wigeonscale/replication/tests/test_admission.py
@@ -2,8 +2,8 @@
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication import Member, ReplicaOptions
-from wigeonscale.replication.tests.support import Cluster, MemoryFolder
-from wigeonscale.replication.tests.test_replica import ClusterCase, numbers
+from wigeonscale.replication.tests.memory_folder import MemoryFolder
+from wigeonscale.replication.tests.support import Cluster, ClusterCase, numbers
 from wigeonscale.testing import AsyncTestCase
 
 
--- a/wigeonscale/replication/tests/test_election.py
+++ b/wigeonscale/replication/tests/test_election.py
@@ -1,6 +1,5 @@
 from wigeonscale.replication.files import VoteState
-from wigeonscale.replication.tests.support import Cluster
-from wigeonscale.replication.tests.test_replica import ClusterCase
+from wigeonscale.replication.tests.support import Cluster, ClusterCase
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
 
--- a/wigeonscale/replication/tests/test_follower.py
+++ b/wigeonscale/replication/tests/test_follower.py
@@ -6,8 +6,7 @@
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication.model import EntryKind
-from wigeonscale.replication.tests.support import Cluster
-from wigeonscale.replication.tests.test_replica import ClusterCase
+from wigeonscale.replication.tests.support import Cluster, ClusterCase
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
 
--- a/wigeonscale/replication/tests/test_freshness.py
+++ b/wigeonscale/replication/tests/test_freshness.py
@@ -1,8 +1,7 @@
 import asyncio
 import threading
 
-from wigeonscale.replication.tests.support import LIMIT_S
-from wigeonscale.replication.tests.test_replica import ClusterCase
+from wigeonscale.replication.tests.support import LIMIT_S, ClusterCase
 
 ROUNDS_S = 0.7  # a few heartbeats
 
--- a/wigeonscale/replication/tests/test_schedules.py
+++ b/wigeonscale/replication/tests/test_schedules.py
@@ -4,7 +4,8 @@
 
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.replication import ReplicaOptions
-from wigeonscale.replication.tests.support import Cluster, MemoryFolder
+from wigeonscale.replication.tests.memory_folder import MemoryFolder
+from wigeonscale.replication.tests.support import Cluster
 from wigeonscale.testing import AsyncTestCase
 
 ROUNDS = 50
--- a/wigeonscale/replication/tests/test_storage.py
+++ b/wigeonscale/replication/tests/test_storage.py
@@ -3,7 +3,7 @@
 from wigeonscale.replication.files import Admission, Snapshot, VoteState
 from wigeonscale.replication.model import EntryKind
 from wigeonscale.replication.storage import LogStorage
-from wigeonscale.replication.tests.support import MemoryFolder, last_record_offset
+from wigeonscale.replication.tests.memory_folder import MemoryFolder, last_record_offset
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
 
--- a/wigeonscale/replication/tests/test_transfer.py
+++ b/wigeonscale/replication/tests/test_transfer.py
@@ -4,7 +4,7 @@
 
 from wigeonscale.errors import RunState
 from wigeonscale.replication import NotLeaderError
-from wigeonscale.replication.tests.test_replica import ClusterCase, numbers
+from wigeonscale.replication.tests.support import ClusterCase, numbers
 from wigeonscale.wire import wire_pb2 as wire
 
 ELECTION_TIMEOUT_S = 1.0
