--- a/bench/slopes/watch_load.py
+++ b/bench/slopes/watch_load.py
@@ -75,7 +75,7 @@
 
 async def _beat(options: dict, number: int, call, counts: Counts) -> None:
     name = f"{options['name']}-{number}"
-    hello = wire.Hello(node_id=name, role=options["role"])
+    hello = wire.Hello(node_id=name, role=options["role"], **options["known"])
     await _send(call, counts, hello=hello)
     if options["role"] == "agent":
         await _send(call, counts, announce=backend(name))
--- a/bench/slopes/watchers.py
+++ b/bench/slopes/watchers.py
@@ -53,7 +53,12 @@
 
 @contextlib.asynccontextmanager
 async def streams(
-    group: ControlGroup, replica: int, count: int, role: str, name: str = "w"
+    group: ControlGroup,
+    replica: int,
+    count: int,
+    role: str,
+    name: str = "w",
+    **known: int,
 ):
     """Hold watch streams on one replica; yields the drivers once all have leases.
 
@@ -63,6 +68,7 @@
         count: Number of streams.
         role: What they say they are.
         name: How their names begin.
+        **known: What their hello says that they know from another replica.
     """
     async with contextlib.AsyncExitStack() as stack:
         drivers = []
@@ -73,6 +79,7 @@
                 "role": role,
                 "count": min(STREAMS_PER_DRIVER, count - first),
                 "heartbeat_s": HEARTBEAT_S,
+                "known": known,
             }
             driver = start_driver(
                 group.folder, f"driver-{first}", MODULE, json.dumps(options)
