Planned stops and drains: faults that the matrix found

Cause: (1) an entry held an agent for leaving for 10 s after its last word of leaving, though it had restarted or was drained no longer: with one chain every request was refused for so long. (2) A stopping agent ended within milliseconds, so a claimed call on its way there was lost with it and its outcome "unknown". (3) A stage cut off from control began sequences whose steps were held up on the way: "new work 4.0 s after it left". Ruled out: a shorter memory of the word (it bridges the time until control's watch tells); refusing by the entry's own guess. Change: entries drop the word once members show the agent back, and agents say so at once when a drain ends; agents refuse for 0.5 s before a stop goes on; a stage without a lease begins no sequence. ControlDaemon takes links and addresses, so that the matrix can put relays between replicas. The three new tests failed first.

--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -37,6 +37,11 @@
 SILENT_HEARTBEATS = 6
 """Heartbeats without a message after which an entry does not count as a reader."""
 
+STOPPING_GRACE_S = 0.5
+"""Seconds in which what is on its way to a stopping agent is refused as not run.
+
+Without them it would be lost with the process, and its outcome unknown."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -139,6 +144,11 @@
             if self.prefixes is not None:
                 group.create_task(self.prefixes.watch())
 
+    async def leave(self) -> None:
+        """Refuse new work, and give what is on its way the time to hear so."""
+        self.state.set_stopping()
+        await self._clock.sleep(STOPPING_GRACE_S)
+
     async def drain(self) -> None:
         """Refuse new work, then wait until the work in progress has ended."""
         self.state.set_stopping()
@@ -175,7 +185,7 @@
             loaded=self.state.loaded,
             links=self.links,
             clock=self._clock,
-            may_begin=self.state.check_sequence,
+            may_begin=self._check_sequence,
             on_engine_failed=self.state.probe_soon,
         )
         self.head = Head(
@@ -208,6 +218,11 @@
                 retry_after=self._cfg.lease_s,
             )
 
+    def _check_sequence(self) -> None:
+        # A step that was held up on its way may come long after this agent left.
+        self._check_lease()
+        self.state.check_sequence()
+
     def _check_new(self, msg: wire.Open) -> None:
         self.state.check_new()
         self._check_lease()
--- a/wigeonscale/agent/backend.py
+++ b/wigeonscale/agent/backend.py
@@ -156,8 +156,12 @@
 
     def set_draining(self, draining: bool) -> None:
         """Follow an order to drain or to take work again."""
+        changed = draining != self.draining
         self.draining = draining
         self.check_leaving()
+        if changed:
+            # Entries hear it at once, by the load word.
+            self.on_changed()
 
     def set_stopping(self) -> None:
         """Take no new work from now on and announce it."""
--- a/wigeonscale/agent/tests/test_agent.py
+++ b/wigeonscale/agent/tests/test_agent.py
@@ -1,5 +1,7 @@
 import asyncio
 
+from wigeonscale.adapters import open_channel
+from wigeonscale.agent.agent import STOPPING_GRACE_S
 from wigeonscale.agent.tests.support import (
     ReachableService,
     connect,
@@ -7,9 +9,10 @@
     start_service,
 )
 from wigeonscale.ports import HttpAnswer
-from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing import AsyncTestCase, ManualClock
 from wigeonscale.testing.fake_engine import expected_tokens
 from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
 
 LAYERS = 6
 
@@ -57,3 +60,34 @@
         await node.agent.outcomes.flush()
         self.assertEqual([("POST", "/notes?x=1", b"note")], service.calls)
         self.assertEqual([wire.RAN], [o.state for o in control.outcomes])
+
+
+class StoppingTest(AsyncTestCase):
+    async def test_work_on_its_way_is_refused_as_not_run_before_the_end(self):
+        clock = ManualClock()
+        _, node = await start_service(self, EchoService(), clock=clock)
+        client = await connect(self, node)
+        leave = asyncio.create_task(node.agent.leave())
+        await clock.advance(STOPPING_GRACE_S / 2)
+        await client.open("d1@s0", call=wire.Call(path="/"), once=True, claim_key="k")
+        refused = (await client.end("d1@s0")).refused
+        self.assertEqual(("stopping", "not-run"), (refused.kind, refused.run_state))
+        self.assertFalse(leave.done())
+        await clock.advance(STOPPING_GRACE_S)
+        await leave
+
+    async def test_stage_without_a_lease_begins_no_sequence(self):
+        control, nodes, chain = await start_chain(self)
+        late = wire.SequenceStep(sequence_id="late#1", epoch=1, count=1, first=True)
+        late.hidden = b'["a"]'
+        request = wire.StepRequest(
+            chain_id=chain.chain_id, epoch=1, rest=chain.stages[1:], steps=[late]
+        )
+        control.has_lease = False
+        async with open_channel(nodes[1].address) as channel:
+            steps = wire_pb2_grpc.AgentStub(channel).Steps()
+            await steps.write(request)
+            reply = await steps.read()
+            steps.cancel()
+        self.assertEqual(["lease-expired"], [r.kind for r in reply.results])
+        self.assertEqual({}, nodes[1].engine.caches)
--- a/wigeonscale/agent/tests/test_orders.py
+++ b/wigeonscale/agent/tests/test_orders.py
@@ -104,8 +104,11 @@
     async def test_drain_and_back(self):
         for number, draining in ((10, True), (11, False)):
             order = wire.Order(order_id="d", term=3, sequence=number, drain=draining)
+            told = len(self.changes)
             self.assertEqual((True, ""), await self.carry_out(order))
             self.assertEqual(draining, self.state.leaving)
+            # Entries are told by the load word.
+            self.assertEqual(told + 1, len(self.changes))
             # Control knows; echoing its word would keep it for ever.
             self.assertFalse(self.state.announcement().draining)
 
--- a/wigeonscale/daemons/agent.py
+++ b/wigeonscale/daemons/agent.py
@@ -87,7 +87,10 @@
                 "backend": state.watch(),
                 "agent": agent.run(),
             },
-            stop_steps=[StopStep("drain", agent.drain, agent.cut)],
+            stop_steps=[
+                StopStep("leave", agent.leave),
+                StopStep("drain", agent.drain, agent.cut),
+            ],
             stop_timeout_s=cfg.stop_timeout_s,
         )
     finally:
--- a/wigeonscale/entry/places.py
+++ b/wigeonscale/entry/places.py
@@ -39,6 +39,7 @@
         self._clock = clock
         self._known: dict[tuple[str, str], tuple[int, tuple, dict[str, Place]]] = {}
         self._gone: dict[tuple[str, int], float] = {}
+        self._states: dict[str, tuple[int, bool]] = {}
         self._seen_index = -1
 
     def choose(self, work: Work, avoid: frozenset[str]) -> Place | None:
@@ -48,7 +49,7 @@
             work: The work.
             avoid: Ids of agents not to use.
         """
-        self._forget_absent()
+        self._follow_members()
         candidates, places = self._candidates(work.pipeline, work.service)
         prompt = work.generate.prompt if work.generate is not None else b""
         choice = self._chooser.choose(
@@ -74,11 +75,21 @@
         until = self._clock.now() + AVOID_GONE_S
         self._gone[target.agent_id, target.incarnation] = until
 
-    def _forget_absent(self) -> None:
+    def _follow_members(self) -> None:
         members = self._members()
-        if members.index != self._seen_index:
-            self._seen_index = members.index
-            self._chooser.forget_absent(members.backends)
+        if members.index == self._seen_index:
+            return
+        self._seen_index = members.index
+        self._chooser.forget_absent(members.backends)
+        states = {
+            agent_id: (backend.incarnation, backend.draining)
+            for agent_id, backend in members.backends.items()
+        }
+        for agent_id, state in states.items():
+            # An agent's own word of leaving is void once it is back.
+            if not state[1] and state != self._states.get(agent_id, state):
+                self._chooser.came_back(agent_id)
+        self._states = states
 
     def _avoided(self) -> frozenset[str]:
         if not self._gone:
--- a/wigeonscale/entry/tests/test_places.py
+++ b/wigeonscale/entry/tests/test_places.py
@@ -61,3 +61,24 @@
         self.table.finished("gone but used")
         self.choose()
         self.assertEqual(0, self.table.backlog("gone but used"))
+
+    def test_word_of_leaving_is_void_once_the_agent_is_back(self):
+        stays = wire.Backend(agent_id="a", incarnation=1)
+        leaves = wire.Backend(agent_id="a", incarnation=1, draining=True)
+        restarted = wire.Backend(agent_id="a", incarnation=2)
+        for back in (stays, restarted):
+            self.see(stays)
+            self.table.word("a", wire.LoadWord(leaving=True))
+            self.see(stays)  # of something else: the word is newer
+            self.assertTrue(self.table.leaving("a"))
+            self.see(leaves)
+            self.assertTrue(self.table.leaving("a"))
+            self.see(back)
+            self.assertFalse(self.table.leaving("a"))
+
+    def see(self, backend):
+        """Make one backend server the only member, and let the places look."""
+        index = self.members.index + 1
+        update = wire.MembersUpdate(full=True, index=index, backends=[backend])
+        self.members.apply(update)
+        self.places.choose(Work(organisation="o", pipeline="p"), frozenset())
--- a/wigeonscale/routing/chooser.py
+++ b/wigeonscale/routing/chooser.py
@@ -104,6 +104,10 @@
         if self._view is not None:
             self._view.forget_absent(known)
 
+    def came_back(self, agent_id: str) -> None:
+        """Offer work again to an agent that had said that it leaves."""
+        self._table.came_back(agent_id)
+
     def _usable(self, candidates, avoid: frozenset[str]) -> list[Candidate]:
         if len(candidates) <= self._size and not isinstance(candidates, CandidatePool):
             return [c for c in candidates if self._is_usable(c, avoid)]
--- a/wigeonscale/routing/load.py
+++ b/wigeonscale/routing/load.py
@@ -153,6 +153,12 @@
         load = self._loads.get(agent_id)
         return load is not None and self._clock.now() < load.leaving_until
 
+    def came_back(self, agent_id: str) -> None:
+        """Take back the agent's word that it takes no new work."""
+        load = self._loads.get(agent_id)
+        if load is not None:
+            load.leaving_until = -math.inf
+
     def in_flight(self, agent_id: str) -> int:
         """Return this entry's own dispatches in progress at the agent."""
         load = self._loads.get(agent_id)
--- a/wigeonscale/testing/matrix/checks.py
+++ b/wigeonscale/testing/matrix/checks.py
@@ -94,7 +94,7 @@
 def at_most_once_violations(
     answers: Iterable[Answer], effects: Sequence[dict]
 ) -> list[Violation]:
-    """Return repeated effects, answers without effect, and unknowns taken back.
+    """Return repeated effects, answers without effect, and changed answers.
 
     Args:
         answers: Answers to calls, per key in the order in which they came.
@@ -106,14 +106,14 @@
     bodies: dict[str, bytes] = {}
     for answer in answers:
         tag = answer.tag
-        if answer.run == "unknown" and answer.kind == "outcome-unknown":
+        if answer.run == "unknown":
             unknown.add(tag)
+        if answer.run == "not-run" and tag in unknown:
+            found.append(Violation(tag, "not-run after it was said to be unknown"))
         if answer.told is not Told.WHOLE:
             continue
         if tag not in done:
             found.append(Violation(tag, "answered but had no effect"))
-        if tag in unknown:
-            found.append(Violation(tag, "answered after it was said to be unknown"))
         if bodies.setdefault(tag, answer.body) != answer.body:
             found.append(Violation(tag, "two callers got different answers"))
     return found
@@ -174,20 +174,26 @@
 
 
 def work_after_leaving(
-    steps: Iterable[dict], *, left_at_ns: Mapping[str, int]
+    steps: Iterable[dict],
+    *,
+    left_at_ns: Mapping[str, int],
+    back_at_ns: Mapping[str, int],
 ) -> list[Violation]:
     """Return sequences that began at an engine too long after it left.
 
     Args:
         steps: Records of engines.
         left_at_ns: When each leaving server's order was accepted.
+        back_at_ns: When it was asked to take work again.
     """
     limit_ns = int(LEAVING_LIMIT_S * 1e9)
     found = []
     for record in steps:
         left_ns = left_at_ns.get(record["engine"])
-        is_new = record["position"] == 0
-        if left_ns is not None and is_new and record["at_ns"] > left_ns + limit_ns:
+        if left_ns is None or record["position"] > 0:
+            continue
+        back_ns = back_at_ns.get(record["engine"], record["at_ns"] + 1)
+        if left_ns + limit_ns < record["at_ns"] < back_ns:
             late_s = (record["at_ns"] - left_ns) / 1e9
             what = f"new work at {record['engine']} {late_s:.1f} s after it left"
             found.append(Violation(record["sequence"], what))
--- a/wigeonscale/testing/matrix/cluster.py
+++ b/wigeonscale/testing/matrix/cluster.py
@@ -107,7 +107,6 @@
         net: Relays between the nodes.
         recorder: What the backend servers did.
         controls, entries, agents: Nodes by name.
-        stopping: Graceful stops in progress, by node.
         accepted: When each revision was accepted, and its number.
 
     Args:
@@ -120,7 +119,6 @@
         self.controls: dict[str, ControlNode] = {}
         self.entries: dict[str, EntryNode] = {}
         self.agents: dict[str, AgentNode] = {}
-        self.stopping: dict[str, asyncio.Task] = {}
         self.accepted: list[tuple[float, int]] = []
         self.http: aiohttp.ClientSession | None = None
         self._folder = pathlib.Path(folder)
@@ -203,12 +201,13 @@
         await self.nodes[name].start()
 
     async def _control(self, name: str, number: int) -> ControlNode:
-        peers = []
-        for peer in CONTROLS:
-            source = ANYONE if peer == name else name
-            if peer != name:
-                await self.net.add(source, peer, self._grpc[peer])
-            peers.append(Peer(peer, self.net.between(source, peer).address))
+        peers = [Peer(p, self.net.between(ANYONE, p).address) for p in CONTROLS]
+        view = {peer.address: peer.address for peer in peers}
+        for peer in peers:
+            if peer.name != name:
+                view[peer.address] = await self.net.add(
+                    name, peer.name, self._grpc[peer.name]
+                )
         cfg = ControlSettings(
             name=name,
             domain=DOMAINS[number % len(DOMAINS)],
@@ -218,7 +217,7 @@
             peers=tuple(peers),
             snapshot_entries=SNAPSHOT_ENTRIES,
         )
-        return ControlNode(cfg=cfg)
+        return ControlNode(cfg=cfg, view=view)
 
     async def _to_controls(self, name: str) -> tuple[str, ...]:
         return tuple(
--- a/wigeonscale/testing/matrix/faults.py
+++ b/wigeonscale/testing/matrix/faults.py
@@ -5,15 +5,20 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from wigeonscale.errors import RunState
-from wigeonscale.testing.matrix.cluster import Cluster
+from wigeonscale.testing.matrix import rivals
 
-SLOW_S = 0.15
+if TYPE_CHECKING:
+    from wigeonscale.testing.matrix.trial import Trial
+
+SLOW_S = 0.05
+ANY = frozenset(RunState)
 # A planned stop cuts nothing, but may leave no server for new requests.
 NOT_RUN_ONLY = frozenset({RunState.NOT_RUN})
 
-Act = Callable[[Cluster, str], Awaitable[None]]
+Act = Callable[["Trial"], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,66 +27,81 @@
 
     Attributes:
         name: Row of the table.
-        strike: Makes the fault at a node.
+        strike: Makes the fault at the node of a trial.
         heal: Takes it away; what it broke is left to the system.
         hold_s: How long it lasts at least, in seconds.
         allows: Run states that an honest refusal may name while it lasts.
         silences: Whether the node loses its link to the others.
+        at_node: Whether it meets one node; else one run for each step is enough.
     """
 
     name: str
     strike: Act
     heal: Act
     hold_s: float = 0.0
-    allows: frozenset[RunState] = frozenset(RunState)
+    allows: frozenset[RunState] = ANY
     silences: bool = False
+    at_node: bool = True
 
 
-async def _kill(cluster: Cluster, node: str) -> None:
-    await cluster.kill(node)
+async def _kill(trial: "Trial") -> None:
+    await trial.cluster.kill(trial.node)
 
 
-async def _restart(cluster: Cluster, node: str) -> None:
-    await cluster.restart(node)
+async def _restart(trial: "Trial") -> None:
+    await trial.cluster.restart(trial.node)
 
 
-async def _lose_disk(cluster: Cluster, node: str) -> None:
-    await cluster.kill(node)
-    cluster.controls[node].lose_disk()
+async def _lose_disk(trial: "Trial") -> None:
+    await trial.cluster.kill(trial.node)
+    trial.cluster.controls[trial.node].lose_disk()
 
 
-async def _isolate(cluster: Cluster, node: str) -> None:
-    cluster.net.isolate(node)
+async def _isolate(trial: "Trial") -> None:
+    trial.cluster.net.isolate(trial.node)
 
 
-async def _mute(cluster: Cluster, node: str) -> None:
-    cluster.net.mute(node)
+async def _mute(trial: "Trial") -> None:
+    trial.cluster.net.mute(trial.node)
 
 
-async def _stall_in(cluster: Cluster, node: str) -> None:
-    cluster.net.stall(node, inbound=True)
+async def _stall_in(trial: "Trial") -> None:
+    trial.cluster.net.stall(trial.node, inbound=True)
 
 
-async def _stall_out(cluster: Cluster, node: str) -> None:
-    cluster.net.stall(node, inbound=False)
+async def _stall_out(trial: "Trial") -> None:
+    trial.cluster.net.stall(trial.node, inbound=False)
 
 
-async def _slow(cluster: Cluster, node: str) -> None:
-    cluster.net.slow(node, SLOW_S)
+async def _slow(trial: "Trial") -> None:
+    trial.cluster.net.slow(trial.node, SLOW_S)
 
 
-async def _heal_network(cluster: Cluster, node: str) -> None:
-    cluster.net.heal(node)
+async def _heal_network(trial: "Trial") -> None:
+    trial.cluster.net.heal(trial.node)
 
 
-async def _stop(cluster: Cluster, node: str) -> None:
+async def _stop(trial: "Trial") -> None:
     # In the background: it waits for the very work that is in progress.
-    cluster.stopping[node] = asyncio.create_task(cluster.nodes[node].stop())
+    node = trial.cluster.nodes[trial.node]
+    trial.background.append(asyncio.create_task(node.stop()))
+
+
+async def _start_stopped(trial: "Trial") -> None:
+    await trial.background.pop()
+    await trial.cluster.nodes[trial.node].start()
+
+
+async def _race(trial: "Trial") -> None:
+    trial.background.append(asyncio.create_task(rivals.race(trial)))
+
+
+async def _resend(trial: "Trial") -> None:
+    trial.background.append(asyncio.create_task(rivals.resend(trial)))
 
 
-async def _start_stopped(cluster: Cluster, node: str) -> None:
-    await cluster.stopping.pop(node)
-    await cluster.nodes[node].start()
+async def _wait(trial: "Trial") -> None:
+    await trial.background.pop()
 
 
 FAULTS: dict[str, Fault] = {
@@ -94,6 +114,8 @@
         Fault("silent inbound", _stall_in, _heal_network, hold_s=2.0),
         Fault("silent outbound", _stall_out, _heal_network, hold_s=2.0),
         Fault("slow link", _slow, _heal_network, hold_s=1.0, allows=frozenset()),
+        Fault("racing operators", _race, _wait, allows=frozenset(), at_node=False),
+        Fault("resend", _resend, _wait, allows=frozenset(), at_node=False),
         Fault("delayed messages", _isolate, _heal_network, hold_s=0.7),
         Fault("graceful stop", _stop, _start_stopped, allows=NOT_RUN_ONLY),
     )
--- a/wigeonscale/testing/matrix/load.py
+++ b/wigeonscale/testing/matrix/load.py
@@ -7,7 +7,10 @@
     "call_once",
     "apply_rules",
     "drain",
+    "new_tag",
+    "post_to",
     "post_to_leader",
+    "rules_body",
     "take_up",
 ]
 
@@ -84,7 +87,7 @@
     *,
     max_tokens: int = 24,
     once: bool = False,
-    answer: Answer | None = None,
+    tag: str = "",
 ) -> Answer:
     """Ask for a streamed completion and read it to its end.
 
@@ -93,9 +96,9 @@
         entry: Name of the entry asked.
         max_tokens: Tokens wanted.
         once: Whether the rule for billed work is to match.
-        answer: Filled in as the answer comes; None makes one.
+        tag: First piece of the prompt, and the idempotency key; empty: a new one.
     """
-    answer = answer or Answer(tag=new_tag("page"), max_tokens=max_tokens)
+    answer = Answer(tag=tag or new_tag("page"), max_tokens=max_tokens)
     headers = {"Authorization": f"Bearer {KEY}"}
     if once:
         headers |= {"X-Billed": "yes", "Idempotency-Key": answer.tag}
--- a/wigeonscale/testing/matrix/nodes.py
+++ b/wigeonscale/testing/matrix/nodes.py
@@ -5,6 +5,7 @@
 import asyncio
 import pathlib
 import shutil
+from collections.abc import Mapping
 from typing import Protocol
 
 from wigeonscale.adapters.channels import new_server, open_channel
@@ -16,6 +17,7 @@
 from wigeonscale.entry import CallerServer
 from wigeonscale.membership import Change, ControlClient
 from wigeonscale.ports import Engine, SystemClock
+from wigeonscale.replication import GrpcLinks
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc
 
@@ -45,18 +47,26 @@
     """A control replica.
 
     Args:
-        cfg: Its settings.
+        cfg: Its settings; the peers' addresses are those that all know.
+        view: Address by which this replica reaches the one that all know by another.
     """
 
-    def __init__(self, *, cfg: ControlSettings):
+    def __init__(self, *, cfg: ControlSettings, view: Mapping[str, str]):
         self.name = cfg.name
         self.cfg = cfg
+        self._view = view
         self.daemon: ControlDaemon | None = None
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start from its data folder."""
-        self.daemon = ControlDaemon(cfg=self.cfg, clock=SystemClock())
+        view = self._view
+        self.daemon = ControlDaemon(
+            cfg=self.cfg,
+            clock=SystemClock(),
+            links=GrpcLinks(channel=lambda address: open_channel(view[address])),
+            addresses=list(view.values()),
+        )
         await self.daemon.start()
         self._task = asyncio.create_task(self.daemon.run())
 
@@ -165,7 +175,11 @@
             service = HttpService(url=cfg.backend, session=self._session)
         self._server, _ = new_server(cfg.grpc)
         self.state = state = BackendState(
-            base=self._base(), engine=self.engine, clock=clock, probe_s=cfg.heartbeat_s
+            base=self._base(),
+            engine=self.engine,
+            service=service,
+            clock=clock,
+            probe_s=cfg.heartbeat_s,
         )
         orders = OrderGate(
             state=state, engine=self.engine, floor=lambda: control.floor()
@@ -209,6 +223,7 @@
 
     async def stop(self) -> None:
         """Stop gracefully."""
+        await self._agent.leave()
         await self._agent.drain()
         await self.kill()
 
--- a/wigeonscale/testing/matrix/relay.py
+++ b/wigeonscale/testing/matrix/relay.py
@@ -7,6 +7,7 @@
 from enum import Flag, auto
 
 CHUNK_BYTES = 64 * 1024
+MIN_GAP_S = 1e-6
 ANYONE = "*"
 CALLERS = "callers"
 
@@ -142,13 +143,19 @@
             await asyncio.gather(*pumps, return_exceptions=True)
 
     async def _pump(self, reader, writer, gate: asyncio.Event) -> None:
+        loop = asyncio.get_running_loop()
+        due = 0.0
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
                 await gate.wait()
+                # Grows strictly, so that nothing overtakes what was delayed before.
+                due = max(due + MIN_GAP_S, loop.time() + self.delay_s)
+                if due - loop.time() > MIN_GAP_S:
+                    loop.call_at(due, writer.write, data)
+                    continue
                 writer.write(data)
                 await writer.drain()
+            await asyncio.sleep(due - loop.time())
 
 
 class Network:
--- a/wigeonscale/testing/matrix/steps.py
+++ b/wigeonscale/testing/matrix/steps.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from wigeonscale.errors import RunState
 from wigeonscale.testing.matrix.backends import Moment
 from wigeonscale.testing.matrix.cluster import SNAPSHOT_ENTRIES, until
 from wigeonscale.testing.matrix.load import apply_rules, drain
@@ -17,6 +18,9 @@
 PROMPT_PIECES = 4
 DECODE_POSITION = 10
 MAX_TOKENS = 24
+ACCEPTED, CONFLICT = 200, 409
+# While the only replica of the pipeline lacks a stage, new work may be refused.
+NO_SERVER = frozenset({RunState.NOT_RUN})
 LAST_POSITION = PROMPT_PIECES + MAX_TOKENS - 2
 
 
@@ -86,12 +90,15 @@
 
 
 async def _apply(trial: Trial) -> None:
+    trial.has_operator = True
     base = trial.cluster.revision()
     operation = f"commit-{time.monotonic_ns()}"
     reply = await apply_rules(trial.cluster, base, operation=operation)
     again = await apply_rules(trial.cluster, base, operation=operation)
     told = (reply.status, reply.body.get("revision"))
-    if told != (200, base + 1) or again != reply:
+    # Rivals may have been first; then the other is told so, again and again.
+    lost = not trial.fault.at_node and reply.status == CONFLICT
+    if not (lost or told == (ACCEPTED, base + 1)) or again != reply:
         what = f"operator was told {reply}, then {again}; base {base}"
         trial.violations.append(Violation(operation, what))
 
@@ -135,6 +142,7 @@
 
 
 async def _repair(trial: Trial) -> None:
+    trial.allows = NO_SERVER
     lost = trial.stages[1]
     # The spare that takes the lost stage's place is the node where this happens.
     trial.strike_at_command("place", after=True)
@@ -146,6 +154,7 @@
 
 
 async def _drain(trial: Trial) -> None:
+    trial.allows = NO_SERVER
     drained = trial.stage()
     trial.strike_at_command("drain", after=True)
     traffic = asyncio.create_task(trial.traffic())
@@ -155,6 +164,7 @@
         trial.violations.append(Violation(drained, f"not drained: {reply.body}"))
     await traffic
     await asyncio.gather(*(trial.stream(entry) for entry in ("e1", "e2")))
+    trial.back_at_ns[drained] = time.monotonic_ns()
     await drain(trial.cluster, drained, draining=False)
 
 
--- a/wigeonscale/testing/matrix/table.py
+++ b/wigeonscale/testing/matrix/table.py
@@ -35,6 +35,8 @@
         if not pairs:
             # Only control has disks; it is met while the pipeline works.
             pairs = [(STEPS[step][0], "leader")]
+    if not FAULTS[fault].at_node:
+        pairs = [(variant, variant.roles[0]) for variant in STEPS[step]]
     return tuple(pairs)
 
 
