--- a/wigeonscale/dispatch/work.py
+++ b/wigeonscale/dispatch/work.py
@@ -25,7 +25,7 @@
         key: Idempotency key of the claim; set when ``once``.
         digest: SHA-256 of method, path and body; set when ``once``.
         priority: Larger goes first.
-        deadline: Instant of the clock port after which it need not begin.
+        deadline: Instant of the clock port at which the whole answer is due.
         attempts: Most dispatches.
         dispatch_ids: Ids of its dispatches so far, for the log.
     """
--- a/wigeonscale/entry/flow.py
+++ b/wigeonscale/entry/flow.py
@@ -51,7 +51,7 @@
         caller: Who sends it.
         decision: What the first matching rule decided.
         priority: Priority to use.
-        deadline: Instant of the clock port after which the work need not begin.
+        deadline: Instant of the clock port at which the whole answer is due.
         dispatch_ids: Takes the ids of the work's dispatches.
     """
 
--- a/wigeonscale/entry/requests.py
+++ b/wigeonscale/entry/requests.py
@@ -82,7 +82,7 @@
     """What callers ask for in headers.
 
     Attributes:
-        deadline_s: Seconds within which the work must have begun; None: not given.
+        deadline_s: Seconds within which the answer is due; None: not given.
         priority: Larger goes first.
         key: Idempotency key; empty: not given.
     """
