--- a/bench/routing.py
+++ b/bench/routing.py
@@ -74,7 +74,7 @@
             yield Figure(f"{name}/hits", outcome.hit_share(), "share", low=0.7)
             high = 1.0 if load < HIGH_LOAD else 0.1
             yield _tail_ratio(name, outcome, baselines["least-conn"], high)
-        # What the daemons have until cache events travel to the entries.
+        # What cache events are worth.
         name = f"prefix/{load:g}/own-without-events/lag1"
         outcome = run("own-without-events", of_cold_bound, 1.0, prefixes=True)
         yield from _waits(name, outcome)
