Choose the demonstration's ports below those of outgoing connections

Cause: 1 run of 15 failed: the fake service could not bind its port, which had been free when chosen. The system had given it to an outgoing connection since.

Ruled out: two runs at once; a port given twice (mended before).

Change: ports come from 15000 to 29999, tried by bind; the range of outgoing connections starts at 32768.

Conclusion: what remains is another server started between choice and use.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -3,9 +3,9 @@
 __all__ = ["Child", "free_ports", "start", "stop_all"]
 
 import asyncio
-import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -13,6 +13,9 @@
 
 STOP_TIMEOUT_S = 40.0
 
+PORTS = range(15000, 30000)
+# Two runs at once shall not try the same ports in the same order.
+_rng = random.Random(os.getpid())
 # Ports already handed out; their users may not listen on them yet.
 _given: set[int] = set()
 
@@ -38,6 +41,9 @@
 def free_ports(count: int) -> list[int]:
     """Return free TCP ports on loopback that no earlier call returned.
 
+    The ports lie below those that the system gives to outgoing connections, one
+    of which could otherwise take a port before its user listens.
+
     Args:
         count: How many ports.
 
@@ -45,17 +51,23 @@
         Port numbers that were free a moment ago.
     """
     ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < count:
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-            if port not in _given:
-                _given.add(port)
-                ports.append(port)
+    while len(ports) < count:
+        port = _rng.choice(PORTS)
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 async def start(name: str, folder: pathlib.Path, module: str, *args: str) -> Child:
     """Start ``python -m module args`` with its output in a log file.
 
--- a/demo/tests/test_processes.py
+++ b/demo/tests/test_processes.py
@@ -1,20 +1,31 @@
-import collections
+import itertools
+import random
+import socket
 from unittest import mock
 
 from demo import processes
 from wigeonscale.testing import AsyncTestCase
 
+LOWEST_EPHEMERAL_PORT = 32768  # Linux, unless set otherwise
+
 
 class FreePortsTest(AsyncTestCase):
     def test_a_port_is_never_given_twice(self):
-        """A port that the system offers again, unused so far, is passed over."""
-        offers = collections.deque([40001, 40001, 40002])
+        with mock.patch.object(processes, "_rng", random.Random(1)):
+            first = processes.free_ports(3)
+        with mock.patch.object(processes, "_rng", random.Random(1)):
+            second = processes.free_ports(3)
+        self.assertEqual(6, len({*first, *second}))
 
-        def offer(sock):
-            return ("127.0.0.1", offers.popleft())
+    def test_a_port_in_use_is_passed_over(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            taken = sock.getsockname()[1]
+            offers = itertools.chain([taken], processes.PORTS)
+            with mock.patch.object(processes, "_rng") as rng:
+                rng.choice.side_effect = offers
+                self.assertNotEqual([taken], processes.free_ports(1))
+        self.assertNotEqual(taken, next(offers))
 
-        with mock.patch.object(processes.socket, "socket") as made:
-            made.return_value.__enter__.return_value.getsockname = lambda: offer(None)
-            first = processes.free_ports(1)
-            second = processes.free_ports(1)
-        self.assertEqual(([40001], [40002]), (first, second))
+    def test_ports_lie_below_those_of_outgoing_connections(self):
+        self.assertLess(max(processes.PORTS), LOWEST_EPHEMERAL_PORT)
