--- a/bench/slopes/watch_load.py
+++ b/bench/slopes/watch_load.py
@@ -38,6 +38,7 @@
         config_bytes: Bytes of small messages with a configuration delta.
         member_bytes: Bytes of small messages with a membership delta.
         large_bytes: Bytes of whole documents and memberships.
+        members_index: Position of the first whole membership received.
         all_leased_at: When the last stream got its first lease, monotonic seconds.
         reached: For each revision the streams that hold it, and when the last did.
     """
@@ -50,6 +51,7 @@
     config_bytes: int = 0
     member_bytes: int = 0
     large_bytes: int = 0
+    members_index: int = 0
     all_leased_at: float = 0.0
     reached: dict[int, tuple[int, float]] = field(default_factory=dict)
 
@@ -100,6 +102,8 @@
     counts.messages_in += 1
     if len(data) >= READ_BELOW_BYTES:
         counts.large_bytes += len(data)
+        if not counts.members_index:
+            counts.members_index = wire.WatchEvent.FromString(data).members.index
         return False
     event = wire.WatchEvent.FromString(data)
     kind = event.WhichOneof("body")
--- a/bench/slopes/watchers.py
+++ b/bench/slopes/watchers.py
@@ -103,6 +103,7 @@
     keys = ("streams", "bytes_in", "messages_in", "bytes_out", "messages_out")
     keys += ("config_bytes", "member_bytes", "large_bytes")
     total = {key: sum(answer[key] for answer in answers) for key in keys}
+    total["members_index"] = max([a["members_index"] for a in answers], default=0)
     total["all_leased_at"] = max([a["all_leased_at"] for a in answers], default=0.0)
     total["reached"] = {}
     for answer in answers:
