--- a/wigeonscale/control/tests/test_entry_count.py
+++ b/wigeonscale/control/tests/test_entry_count.py
@@ -90,6 +90,9 @@
         self.assertEqual(
             (1, commands), (self.count(), len(self.parts.replica.proposed))
         )
+        late = wire.CountEntries(replica="c1", gone=["e1"])
+        await self.parts.run(count_entries=late)
+        self.assertEqual(1, self.count())
         again = self.parts.watcher("e1")
         await self.pass_time(1, again)
         self.assertEqual("c1", self.parts.state.entries.replica_of("e1"))
--- a/wigeonscale/control/tests/test_probe.py
+++ b/wigeonscale/control/tests/test_probe.py
@@ -5,8 +5,9 @@
 from wigeonscale.adapters.channels import new_server
 from wigeonscale.agent.servicer import AgentServicer
 from wigeonscale.control import ProbeAnswer, probe_agent
+from wigeonscale.control.probe import PROBE_AGAIN_S, Probes
 from wigeonscale.ports import SystemClock
-from wigeonscale.testing import AsyncTestCase, rpcs_ended
+from wigeonscale.testing import AsyncTestCase, ManualClock, rpcs_ended
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire import wire_pb2_grpc
 
@@ -53,3 +54,42 @@
             writer.close()
         server.close()
         await server.wait_closed()
+
+
+class ProbesTest(AsyncTestCase):
+    async def prepare(self):
+        self.clock = ManualClock()
+        self.asked = []
+        self.probes = Probes(probe=self.probe, clock=self.clock, on_answer=lambda: None)
+        self.addCleanup(self.probes.close)
+
+    async def probe(self, address):
+        self.asked.append(asyncio.get_running_loop().create_future())
+        return await self.asked[-1]
+
+    async def answer(self, since):
+        answer = self.probes.answer("a", "address", since)
+        await asyncio.sleep(0)
+        return answer, len(self.asked)
+
+    async def reply(self, answer):
+        self.asked[-1].set_result(answer)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    async def test_answers_are_renewed_and_those_before_the_doubt_ignored(self):
+        self.assertEqual((None, 1), await self.answer(0.0))
+        self.assertEqual((None, 1), await self.answer(0.0))
+        await self.reply(ProbeAnswer.ANSWERED)
+        self.assertEqual((ProbeAnswer.ANSWERED, 1), await self.answer(0.0))
+        await self.clock.advance(PROBE_AGAIN_S)
+        self.assertEqual((ProbeAnswer.ANSWERED, 2), await self.answer(0.0))
+        await self.clock.advance(PROBE_AGAIN_S)
+        doubted_at = self.clock.now()
+        self.assertEqual((None, 2), await self.answer(doubted_at))
+        await self.reply(ProbeAnswer.ANSWERED)
+        self.assertEqual((None, 3), await self.answer(doubted_at))
+        await self.reply(ProbeAnswer.REFUSED)
+        self.assertEqual((ProbeAnswer.REFUSED, 3), await self.answer(doubted_at))
+        self.probes.keep(set())
+        self.assertEqual((None, 4), await self.answer(doubted_at))
--- a/wigeonscale/state/tests/test_configuration.py
+++ b/wigeonscale/state/tests/test_configuration.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from wigeonscale.errors import ErrorKind
-from wigeonscale.rules import editing
+from wigeonscale.rules import editing, parse_document
 from wigeonscale.state import ControlState
 from wigeonscale.state.tests.support import DOCUMENT, Machine
 from wigeonscale.testing import AsyncTestCase
@@ -84,6 +84,39 @@
         self.machine.run(apply_config=changed)
         self.assertEqual({"s1", "s2"}, set(self.configuration.document.services))
 
+    def test_preparation_of_another_command_or_document_is_not_used(self):
+        other = ControlState()
+        for state, number in ((self.machine.state, 1), (other, 2)):
+            apply = wire.ApplyConfig(document=document(number))
+            command = wire.Command(apply_config=apply)
+            state.apply(1, 1, command.SerializeToString())
+
+        def added(name):
+            change = wire.SectionChange(
+                name=f"service {name}", text=f"[service {name}]"
+            )
+            return wire.ApplyConfig(base_revision=1, changes=[change])
+
+        self.configuration.preparation(added("s3"))()
+        self.machine.run(apply_config=added("s4"))
+        self.assertEqual({"s1", "s4"}, set(self.configuration.document.services))
+        # The same revision of another history: its document is another one.
+        foreign = parse_document(document(1))
+        other.configuration.expect(added("s3"), foreign, foreign)
+        command = wire.Command(apply_config=added("s3"))
+        other.apply(2, 1, command.SerializeToString())
+        self.assertEqual({"s2", "s3"}, set(other.configuration.document.services))
+
+    def test_only_the_snapshot_read_ahead_is_taken(self):
+        first, second = ControlState(), ControlState()
+        for state, number in ((first, 1), (second, 2)):
+            apply = wire.ApplyConfig(document=document(number))
+            state.apply(1, 1, wire.Command(apply_config=apply).SerializeToString())
+        state = ControlState()
+        state.restore_preparation(first.snapshot())()
+        state.restore(second.snapshot())
+        self.assertEqual({"s2"}, set(state.configuration.document.services))
+
     def test_snapshot_read_ahead_is_restored_the_same(self):
         self.machine.apply(document(1))
         data = self.machine.state.snapshot()
