--- a/wigeonscale/testing/matrix/__main__.py
+++ b/wigeonscale/testing/matrix/__main__.py
@@ -14,10 +14,15 @@
 import time
 
 from wigeonscale.testing.matrix.faults import FAULTS
+from wigeonscale.testing.matrix.process_runner import (
+    run_process_cells,
+    unmet_process_cells,
+)
+from wigeonscale.testing.matrix.process_runs import PROCESS_CELLS
 from wigeonscale.testing.matrix.report import print_table
 from wigeonscale.testing.matrix.runner import CellResult, run_cells
 from wigeonscale.testing.matrix.steps import STEPS
-from wigeonscale.testing.matrix.table import Cell, cells
+from wigeonscale.testing.matrix.table import cells
 
 WORKERS = 4
 
@@ -25,38 +30,47 @@
 def main(argv: list[str] | None = None) -> int:
     """Run the matrix, or the chosen rows and columns, and return the exit code."""
     parser = argparse.ArgumentParser(prog="matrix", description=__doc__)
-    parser.add_argument("--fault", action="append", choices=sorted(FAULTS))
+    faults = [*FAULTS, *dict.fromkeys(cell.fault for cell in PROCESS_CELLS)]
+    parser.add_argument("--fault", action="append", choices=faults)
     parser.add_argument("--step", action="append", choices=sorted(STEPS))
     parser.add_argument("--worker", action="store_true", help=argparse.SUPPRESS)
     args = parser.parse_args(argv)
-    chosen = [
-        cell
-        for cell in cells()
-        if cell.fault in (args.fault or FAULTS) and cell.step in (args.step or STEPS)
-    ]
+    faults, steps = set(args.fault or faults), set(args.step or STEPS)
     if args.worker:
-        asyncio.run(run_cells(chosen, on_result=_print_result))
+        asyncio.run(_work(faults, steps))
         return 0
     began = time.monotonic()
-    results = asyncio.run(_spread(chosen))
+    results = asyncio.run(_spread(faults, steps))
     print(f"matrix: {time.monotonic() - began:.0f} s", flush=True)
     return print_table(results)
 
 
+def _chosen(cells, faults: set[str], steps: set[str]) -> list:
+    return [cell for cell in cells if cell.fault in faults and cell.step in steps]
+
+
+async def _work(faults: set[str], steps: set[str]) -> None:
+    chosen = _chosen(cells(), faults, steps)
+    await run_cells(chosen, on_result=_print_result)
+    chosen = _chosen(PROCESS_CELLS, faults, steps)
+    await run_process_cells(chosen, on_result=_print_result)
+
+
 def _print_result(result: CellResult) -> None:
     print(json.dumps(dataclasses.asdict(result)), flush=True)
 
 
-async def _spread(chosen: list[Cell]) -> list[CellResult]:
+async def _spread(faults: set[str], steps: set[str]) -> list[CellResult]:
     """Run the cells row by row in worker processes of their own."""
     gate = asyncio.Semaphore(WORKERS)
     rows: dict[str, list[str]] = {}
-    for cell in chosen:
+    for cell in _chosen([*PROCESS_CELLS, *cells()], faults, steps):
         rows.setdefault(cell.fault, []).append(cell.step)
     done = await asyncio.gather(
         *(_run_row(gate, fault, steps) for fault, steps in rows.items())
     )
-    return [result for row in done for result in row]
+    results = [result for row in done for result in row]
+    return results + _chosen(unmet_process_cells(), faults, steps)
 
 
 async def _run_row(
--- a/wigeonscale/testing/matrix/load.py
+++ b/wigeonscale/testing/matrix/load.py
@@ -88,6 +88,7 @@
     max_tokens: int = 24,
     once: bool = False,
     tag: str = "",
+    answer: Answer | None = None,
 ) -> Answer:
     """Ask for a streamed completion and read it to its end.
 
@@ -97,8 +98,10 @@
         max_tokens: Tokens wanted.
         once: Whether the rule for billed work is to match.
         tag: First piece of the prompt, and the idempotency key; empty: a new one.
+        answer: Filled in while the answer comes; None makes one.
     """
-    answer = Answer(tag=tag or new_tag("page"), max_tokens=max_tokens)
+    if answer is None:
+        answer = Answer(tag=tag or new_tag("page"), max_tokens=max_tokens)
     headers = {"Authorization": f"Bearer {KEY}"}
     if once:
         headers |= {"X-Billed": "yes", "Idempotency-Key": answer.tag}
--- /dev/null
+++ b/wigeonscale/testing/matrix/process_runner.py
@@ -0,0 +1,70 @@
+"""Runs the cells that need whole processes, on one deployment after the other."""
+
+__all__ = ["run_process_cells", "unmet_process_cells"]
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Iterable
+
+from wigeonscale.testing.matrix.process_runs import PROCESS_CELLS, ProcessCell, Run
+from wigeonscale.testing.matrix.processes import Processes
+from wigeonscale.testing.matrix.runner import CellResult
+from wigeonscale.testing.matrix.steps import STEPS
+
+RUN_LIMIT_S = 240.0
+UNMET = "a step inside a process can't be met from outside; see the rows in one process"
+
+logger = logging.getLogger(__name__)
+
+
+def unmet_process_cells() -> list[CellResult]:
+    """Return the cells of the whole-process rows that nothing is run for."""
+    met = {(cell.fault, cell.step) for cell in PROCESS_CELLS}
+    faults = dict.fromkeys(cell.fault for cell in PROCESS_CELLS)
+    return [
+        CellResult(fault=fault, step=step, reason=UNMET)
+        for fault in faults
+        for step in STEPS
+        if (fault, step) not in met
+    ]
+
+
+async def run_process_cells(
+    cells: Iterable[ProcessCell], *, on_result: Callable[[CellResult], None]
+) -> None:
+    """Run cells one after the other.
+
+    Args:
+        cells: The cells.
+        on_result: Called with what came out of each.
+    """
+    system: Processes | None = None
+    for cell in cells:
+        result = CellResult(fault=cell.fault, step=cell.step)
+        began = time.monotonic()
+        for name, run in cell.runs.items():
+            system, found = await _run(system, run)
+            result.runs += 1
+            result.violations += [f"{name}: {violation}" for violation in found]
+            if found:
+                await system.close()
+                system = None
+        result.seconds = time.monotonic() - began
+        on_result(result)
+    if system is not None:
+        await system.close()
+
+
+async def _run(system: Processes | None, run: Run) -> tuple[Processes, list[str]]:
+    is_new = system is None
+    system = system or Processes()
+    try:
+        async with asyncio.timeout(RUN_LIMIT_S):
+            if is_new:
+                await system.start()
+            return system, [str(violation) for violation in await run(system)]
+    except Exception as exc:
+        # Whatever ends a run early is a finding of that run, not of the matrix.
+        logger.exception("a run with whole processes")
+        return system, [f"run: {type(exc).__name__}: {exc}"]
--- /dev/null
+++ b/wigeonscale/testing/matrix/processes.py
@@ -0,0 +1,225 @@
+"""A deployment of whole processes, which get real signals."""
+
+__all__ = ["Processes"]
+
+import asyncio
+import itertools
+import pathlib
+import shutil
+import signal
+import tempfile
+import types
+from collections.abc import Callable, Sequence
+
+import aiohttp
+
+from demo.deployment import Deployment, deploy, stop_order, wait_ready
+from demo.processes import Child, start, stop_all
+from wigeonscale.testing.matrix.cluster import LIMIT_S
+from wigeonscale.testing.matrix.load import apply_rules
+from wigeonscale.testing.traces import Record, read_trace
+
+LOOK_S = 0.1
+QUIET_S = 0.5
+BACKENDS = 7
+DAEMONS = "wigeonscale.cli.wigeond"
+ROLES = ("control", "agent", "entry")
+
+_starts = itertools.count(2)
+
+
+class Processes:
+    """The demonstration's processes; offers callers what a cluster offers.
+
+    Attributes:
+        controls: Control replicas by name; ``cfg.http`` is the operators' page.
+        accepted: Newest revision that an operator was told is accepted.
+    """
+
+    def __init__(self):
+        self._folder = pathlib.Path(tempfile.mkdtemp(prefix="wigeonscale-processes-"))
+        self.dep = Deployment(folder=self._folder)
+        self.http: aiohttp.ClientSession | None = None
+        self.controls: dict[str, types.SimpleNamespace] = {}
+        self.accepted = 0
+
+    async def start(self) -> None:
+        """Start all processes and wait until a pipeline serves."""
+        timeout = aiohttp.ClientTimeout(total=LIMIT_S)
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        self.http = aiohttp.ClientSession(timeout=timeout, connector=connector)
+        await deploy(self.dep)
+        for number, address in enumerate(self.dep.controls, 1):
+            cfg = types.SimpleNamespace(http=address)
+            self.controls[f"control-{number}"] = types.SimpleNamespace(cfg=cfg)
+        await apply_rules(self, 0)
+        await self.settle()
+
+    async def close(self) -> list[str]:
+        """Stop all processes; return those that did not stop cleanly."""
+        await self.http.close()
+        bad = await stop_all(stop_order(self.dep))
+        shutil.rmtree(self._folder)
+        return bad
+
+    def entry_url(self, name: str) -> str:
+        """Return the base URL of ``e1`` or ``e2``."""
+        return self.dep.entries[int(name[1:]) - 1]
+
+    def note_accepted(self, revision: int) -> None:
+        """Note that an operator was told that a revision is accepted."""
+        self.accepted = max(self.accepted, revision)
+
+    def names(self, role: str) -> list[str]:
+        """Return the processes of a role."""
+        return [child.name for child in self.dep.children[role]]
+
+    def child(self, name: str) -> Child:
+        """Return the running process of a name."""
+        children = itertools.chain(*self.dep.children.values())
+        return next(child for child in children if child.name == name)
+
+    def signal(self, name: str, signum: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.child(name).proc.send_signal(signum)
+
+    async def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        await self.child(name).proc.wait()
+
+    async def stop(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        self.signal(name, signal.SIGTERM)
+        return await self.child(name).proc.wait()
+
+    async def restart(self, name: str) -> None:
+        """Start an ended daemon again with the same settings."""
+        for role, children in self.dep.children.items():
+            for place, child in enumerate(children):
+                if child.name == name:
+                    new = await self._start(role, name)
+                    children[place] = new
+
+    async def _start(self, role: str, name: str) -> Child:
+        config = str(self._folder / f"{name}.ini")
+        log_name = f"{name}-start-{next(_starts)}"
+        child = await start(log_name, self._folder, DAEMONS, role, "--config", config)
+        child.name = name
+        return child
+
+    def data(self, name: str) -> pathlib.Path:
+        """Return the data folder of a control replica."""
+        return self._folder / f"{name}-data"
+
+    def log_text(self, name: str) -> str:
+        """Return everything that a daemon wrote since the first start."""
+        logs = sorted(self._folder.glob(f"{name}*.log"))
+        return "".join(log.read_text() for log in logs)
+
+    async def page(self, name: str, page: str) -> dict:
+        """Return a page of a control replica; empty when it does not serve."""
+        url = f"http://{self.controls[name].cfg.http}/admin/{page}"
+        try:
+            async with self.http.get(url) as resp:
+                return await resp.json() if resp.status == 200 else {}
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return {}
+
+    async def leader(self) -> str:
+        """Return the name of the replica that leads, or an empty string."""
+        for name in self.controls:
+            status = await self.page(name, "status")
+            if status.get("role") == "leader" and status["fresh"]:
+                return name
+        return ""
+
+    async def stages(self) -> list[str]:
+        """Return the agents of the ready chain, in layer order."""
+        leader = await self.leader()
+        shown = await self.page(leader, "pipelines") if leader else {}
+        for pipeline in shown.get("pipelines", []):
+            for chain in pipeline["chains"]:
+                if chain["ready"]:
+                    return [stage["agent_id"] for stage in chain["stages"]]
+        return []
+
+    async def revision(self) -> int:
+        """Return the revision that the leader knows."""
+        leader = await self.leader()
+        return (await self.page(leader, "status")).get("revision", 0) if leader else 0
+
+    async def settle(self) -> None:
+        """Wait until every process takes part and knows what was accepted."""
+        for url in self.dep.health:
+            await wait_ready(f"{url}/readyz")
+        for address in self.dep.controls:
+            await wait_ready(f"http://{address}/readyz")
+        await self._until(self.stages, "a ready chain")
+        await self._until(self._all_members, "all members")
+        await self._until(self._all_in_force, f"revision {self.accepted} everywhere")
+
+    async def _all_members(self) -> bool:
+        leader = await self.leader()
+        shown = await self.page(leader, "backends") if leader else {}
+        backends = shown.get("backends", [])
+        leaving = any(backend["draining"] for backend in backends)
+        return len(backends) == BACKENDS and not leaving
+
+    async def _all_in_force(self) -> bool:
+        revisions = await self.revisions()
+        watchers = len(self.names("entry")) + len(self.names("agent"))
+        expected = watchers + len(self.controls)
+        return len(revisions) >= expected and min(revisions) >= self.accepted
+
+    async def revisions(self) -> list[int]:
+        """Return the revision in force at every replica and every watcher."""
+        found = []
+        for name in self.controls:
+            status = await self.page(name, "status")
+            if status:
+                found.append(status["revision"])
+                found += [w["applied_revision"] for w in status["watchers"]]
+        return found
+
+    async def _until(self, condition: Callable, what: str) -> None:
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                while not await condition():  # noqa: ASYNC110 (another process)
+                    await asyncio.sleep(LOOK_S)
+        except TimeoutError:
+            raise TimeoutError(f"waited {LIMIT_S:g} s for {what}") from None
+
+    async def steps(self) -> list[Record]:
+        """Return the records of all engines, once none runs any more.
+
+        Work that a caller was moved away from may go on for a while; files read one
+        after the other would then show it as out of order.
+        """
+        records: list[Record] | None = None
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                before = records
+                records = [
+                    r for path in self.dep.engine_traces for r in read_trace(path)
+                ]
+                if before is not None and len(before) == len(records):
+                    return records
+                await asyncio.sleep(QUIET_S)
+
+    def effects(self) -> list[Record]:
+        """Return the records of the plain service."""
+        return read_trace(self.dep.service_trace)
+
+    async def restart_all(self, order: Sequence[str]) -> None:
+        """Kill every daemon, then start them role by role.
+
+        Args:
+            order: Roles in the order of their start.
+        """
+        names = {role: self.names(role) for role in ROLES}
+        for name in itertools.chain(*names.values()):
+            await self.kill(name)
+        for role in order:
+            for name in names[role]:
+                await self.restart(name)
--- a/wigeonscale/testing/matrix/report.py
+++ b/wigeonscale/testing/matrix/report.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from wigeonscale.testing.matrix.runner import CellResult
+from wigeonscale.testing.matrix.steps import STEPS
 
 NOT_RUN = "not run"
 WIDTH = 11
@@ -33,14 +34,19 @@
     Returns:
         1 when a violation was found, else 0.
     """
-    steps = list(dict.fromkeys(result.step for result in results))
+    told = {result.step for result in results}
+    steps = [step for step in STEPS if step in told]
     by_cell = {(result.fault, result.step): result for result in results}
     print(" " * 18 + "".join(f"{step:>{WIDTH}}" for step in steps))
     for fault in dict.fromkeys(result.fault for result in results):
         row = [_cell_text(by_cell.get((fault, step))) for step in steps]
         print(f"{fault:<18}" + "".join(f"{text:>{WIDTH}}" for text in row))
+    for reason in dict.fromkeys(result.reason for result in results if result.reason):
+        where = [f"{r.fault} / {r.step}" for r in results if r.reason == reason]
+        print(f"{NOT_RUN}: {'; '.join(where)}: {reason}")
     for result in results:
-        _print_details(result)
+        for violation in result.violations:
+            print(f"violation: {result.fault} / {result.step}: {violation}")
     print(summary(results))
     return 1 if any(result.violations for result in results) else 0
 
@@ -49,11 +55,3 @@
     if result is None or not result.runs:
         return NOT_RUN
     return f"{result.runs}/{len(result.violations)}"
-
-
-def _print_details(result: CellResult) -> None:
-    where = f"{result.fault} / {result.step}"
-    if result.reason:
-        print(f"{NOT_RUN}: {where}: {result.reason}")
-    for violation in result.violations:
-        print(f"violation: {where}: {violation}")
--- /dev/null
+++ b/wigeonscale/testing/matrix/tests/test_matrix.py
@@ -0,0 +1,52 @@
+"""The part of the matrix that is quick and that no speed of the machine decides."""
+
+import fixtures
+import testscenarios
+
+from wigeonscale.errors import RunState
+from wigeonscale.testing import AsyncTestCase, rpcs_ended
+from wigeonscale.testing.matrix.cluster import Cluster
+from wigeonscale.testing.matrix.faults import FAULTS
+from wigeonscale.testing.matrix.load import apply_rules
+from wigeonscale.testing.matrix.table import cells
+from wigeonscale.testing.matrix.trial import Trial, settle
+
+GENEROUS_S = 30.0
+QUICK = {
+    "kill": ("prefill", "decode", "outcome"),
+    "lost disk": ("commit",),
+    "racing operators": ("commit",),
+    "resend": ("claim", "commit"),
+}
+
+
+class QuickCellsTest(testscenarios.WithScenarios, AsyncTestCase):
+    scenarios = [
+        (fault, {"fault": fault, "steps": steps}) for fault, steps in QUICK.items()
+    ]
+
+    async def prepare(self):
+        self.addCleanup(rpcs_ended)
+        folder = self.useFixture(fixtures.TempDir()).path
+        self.cluster = Cluster(folder=folder)
+        self.addCleanup(self.cluster.close)
+        await self.cluster.start()
+        await apply_rules(self.cluster, 0)
+
+    async def test_nothing_is_violated(self):
+        chosen = [c for c in cells() if c.fault == self.fault and c.step in self.steps]
+        self.assertEqual(len(self.steps), len(chosen))
+        for variant, role in [run for cell in chosen for run in cell.runs]:
+            await settle(self.cluster)
+            trial = Trial(
+                cluster=self.cluster,
+                fault=FAULTS[self.fault],
+                role=role,
+                served_again_s=GENEROUS_S,
+            )
+            # On a slow machine an agent may be suspected that only was slow.
+            trial.allows = frozenset(RunState)
+            await variant.run(trial)
+            await trial.end()
+            found = [str(violation) for violation in await trial.finish()]
+            self.assertEqual([], found, f"{variant.name} at {role}")
--- a/wigeonscale/testing/matrix/trial.py
+++ b/wigeonscale/testing/matrix/trial.py
@@ -85,12 +85,22 @@
         role: Which node it meets: a stage of the chain (``head``, ``middle``,
             ``last``), ``leader``, ``follower``, ``entry``, or ``here`` for the node
             at which the step happens.
+        served_again_s: Seconds after the repair within which a new request must be
+            served, asked again and again.
     """
 
-    def __init__(self, *, cluster: Cluster, fault: Fault, role: str):
+    def __init__(
+        self,
+        *,
+        cluster: Cluster,
+        fault: Fault,
+        role: str,
+        served_again_s: float = SERVED_AGAIN_S,
+    ):
         self.cluster = cluster
         self.fault = fault
         self.role = role
+        self._served_again_s = served_again_s
         self.streams: list[Answer] = []
         self.calls: list[Answer] = []
         self.violations: list[Violation] = []
@@ -295,7 +305,7 @@
 
     async def _served_again(self, send: Callable[[], Awaitable[Answer]]) -> Answer:
         """Send new requests, as a caller does who was told to come back."""
-        end = time.monotonic() + SERVED_AGAIN_S
+        end = time.monotonic() + self._served_again_s
         while True:
             answer = await send()
             may_come_back = answer.run == "not-run" and answer.retry_after
