--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -42,13 +42,6 @@
 
 Without them it would be lost with the process, and its outcome unknown."""
 
-STOP_LINGER_S = 1.0
-"""Least seconds from the word that this agent stops to its end.
-
-An entry may have claimed a key for this incarnation, or chosen it, before it heard.
-Its dispatch is refused as not run; with nobody to refuse it, it would be unknown.
-"""
-
 logger = logging.getLogger(__name__)
 
 
@@ -159,7 +152,6 @@
     async def drain(self) -> None:
         """Refuse new work, then wait until the work in progress has ended."""
         self.state.set_stopping()
-        await self._clock.sleep(STOP_LINGER_S)
         await self.dispatcher.drained()
         while self.stage is not None and self.stage.is_used():
             await self._clock.sleep(DRAIN_LOOK_S)
--- a/wigeonscale/agent/prefixes.py
+++ b/wigeonscale/agent/prefixes.py
@@ -50,6 +50,7 @@
         self._digests: OrderedDict[str, bytes] = OrderedDict()
         self._held: OrderedDict[str, wire.PrefixEvent] = OrderedDict()
         self._outboxes: set[PrefixOutbox] = set()
+        self._is_failing = False
         self._number = 0
         self._engine_number = 0
 
@@ -88,8 +89,11 @@
         try:
             events = await self._engine.cache_events(self._engine_number)
         except WigeonscaleError as exc:
-            logger.info("no cache events: %s", exc.message)
+            if not self._is_failing:
+                logger.info("no cache events: %s", exc.message)
+            self._is_failing = True
             return
+        self._is_failing = False
         events.sort(key=lambda event: event.number)
         told = [event for event in map(self._translate, events) if event is not None]
         if told:
--- a/wigeonscale/agent/tests/test_agent.py
+++ b/wigeonscale/agent/tests/test_agent.py
@@ -2,7 +2,6 @@
 
 from wigeonscale.adapters import open_channel
 from wigeonscale.agent.agent import STOPPING_GRACE_S
-from wigeonscale.agent.agent import STOP_LINGER_S
 from wigeonscale.agent.tests.support import (
     ReachableService,
     connect,
@@ -92,18 +91,3 @@
             steps.cancel()
         self.assertEqual(["lease-expired"], [r.kind for r in reply.results])
         self.assertEqual({}, nodes[1].engine.caches)
-
-
-class StopTest(AsyncTestCase):
-    async def test_dispatch_claimed_before_the_stop_is_still_refused_as_not_run(self):
-        clock = ManualClock()
-        _, node = await start_service(self, EchoService(), clock=clock)
-        client = await connect(self, node)
-        drain = asyncio.create_task(node.agent.drain())
-        await clock.advance(STOP_LINGER_S / 2)
-        await client.open("d1", call=wire.Call(method="POST", path="/notes"))
-        refused = (await client.end("d1")).refused
-        self.assertEqual(("stopping", "not-run"), (refused.kind, refused.run_state))
-        self.assertFalse(drain.done())
-        await clock.advance(STOP_LINGER_S)
-        await drain
--- a/wigeonscale/agent/tests/test_prefixes.py
+++ b/wigeonscale/agent/tests/test_prefixes.py
@@ -4,7 +4,7 @@
 from wigeonscale.agent.tests.support import connect, start_chain
 from wigeonscale.routing import PrefixView, prefix_digest
 from wigeonscale.testing import AsyncTestCase
-from wigeonscale.testing.fake_engine import PrefixCache
+from wigeonscale.testing.prefix_cache import PrefixCache
 from wigeonscale.wire import wire_pb2 as wire
 
 PROMPTS = (b"style guide", b"reviewer note", b"transfer note")
--- a/wigeonscale/testing/fake_engine.py
+++ b/wigeonscale/testing/fake_engine.py
@@ -15,7 +15,6 @@
 import hashlib
 import json
 import time
-from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 
 from aiohttp import web
@@ -30,11 +29,7 @@
     EngineResult,
     EngineStep,
 )
-
-EVENTS_KEPT = 1024
-
-PREFIX_POSITIONS = 32
-"""Positions of a prompt that the cache keeps for other prompts."""
+from wigeonscale.testing.prefix_cache import PrefixCache
 
 
 def _digest(*parts: str) -> str:
@@ -80,56 +75,6 @@
     return texts
 
 
-class PrefixCache:
-    """The newest prompt prefixes of an engine, and the events about them.
-
-    Args:
-        slots: Prefixes that fit; 0 for none.
-        lose_every: Every how many events one is lost; 0 for never.
-    """
-
-    def __init__(self, *, slots: int, lose_every: int):
-        self.hits = 0
-        self.misses = 0
-        self._slots = slots
-        self._lose_every = lose_every
-        self._held: OrderedDict[str, None] = OrderedDict()
-        self._events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
-        self._number = 0
-
-    def use(self, step: EngineStep) -> int:
-        """Look up the prefix of a sequence; returns how many positions it saves."""
-        if not self._slots:
-            return 0
-        pieces = (_decode_inputs(step.hidden) or [])[:PREFIX_POSITIONS]
-        prefix = _digest(*pieces)
-        if prefix in self._held:
-            self.hits += 1
-            self._held.move_to_end(prefix)
-            return min(len(pieces), step.count - 1)
-        self.misses += 1
-        self._held[prefix] = None
-        self._tell(prefix, held=True, sequence_id=step.sequence_id)
-        if len(self._held) > self._slots:
-            self._tell(self._held.popitem(last=False)[0], held=False)
-        return 0
-
-    def clear(self) -> None:
-        """Evict everything."""
-        while self._held:
-            self._tell(self._held.popitem(last=False)[0], held=False)
-
-    def events_after(self, number: int) -> list[CacheEvent]:
-        """Return the events above a number that were not lost."""
-        return [event for event in self._events if event.number > number]
-
-    def _tell(self, prefix: str, *, held: bool, sequence_id: str = "") -> None:
-        self._number += 1
-        if not self._lose_every or self._number % self._lose_every:
-            event = CacheEvent(self._number, prefix, held, sequence_id)
-            self._events.append(event)
-
-
 class FakeEngine:
     """Implements the engine port in memory.
 
@@ -258,7 +203,8 @@
         """Return the positions to be computed; cached ones are not."""
         if not step.first:
             return step.count
-        return step.count - self.prefixes.use(step)
+        pieces = _decode_inputs(step.hidden) or []
+        return step.count - self.prefixes.use(step.sequence_id, pieces)
 
     def _run_step(self, step: EngineStep) -> EngineResult:
         first, last = self.state.first_layer, self.state.last_layer
