Annotate private functions of the replicated log; name its file faults

Cause: 92 private functions of replication/ and 2 of limits/ meets first, 89 had no types while their neighbours had them; the result of reading a file of records was told by the strings "torn" and "corrupt".

Ruled out: a split of replica.py (320 lines, most of them the signatures and docstrings of its public face); a change of what stands on disk: Fault is an enumeration of strings that is never written.

Change: annotations, records.Fault. No behaviour, no test touched.

Shown by: the tests of replication, limits and daemons.test_control: 181 passed, none failed.

--- a/wigeonscale/limits/organisations.py
+++ b/wigeonscale/limits/organisations.py
@@ -128,7 +128,9 @@
             del self._usages[name]
         self._sweep_at = max(MIN_SWEEP, 2 * len(self._usages))
 
-    def _check_concurrency(self, organisation, usage, concurrency, entries) -> None:
+    def _check_concurrency(
+        self, organisation: str, usage: _Usage, concurrency: int, entries: int
+    ) -> None:
         if concurrency <= 0:
             return
         # Rounded up: an entry that could never let the organisation in is worse
@@ -142,7 +144,9 @@
                 retry_after=usage.hold.wait(1, here),
             )
 
-    def _check_rate(self, organisation, usage, rate, entries, now) -> None:
+    def _check_rate(
+        self, organisation: str, usage: _Usage, rate: float, entries: int, now: float
+    ) -> None:
         if rate <= 0.0:
             return
         here = rate / entries
--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -24,6 +24,7 @@
 import logging
 from collections.abc import Sequence
 from dataclasses import replace
+from typing import NoReturn
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.replication.commit import append_as_leader
@@ -118,7 +119,7 @@
     return changed
 
 
-def _check_admissible(members):
+def _check_admissible(members: Sequence[Member]) -> None:
     # The second voter of two is needed for each commit, that of its own admission
     # too, for which it does not count.
     voting = [member.node_id for member in members if member.voting]
@@ -130,7 +131,7 @@
         )
 
 
-def _refuse(message):
+def _refuse(message: str) -> NoReturn:
     raise WigeonscaleError(ErrorKind.BAD_REQUEST, message)
 
 
@@ -140,11 +141,11 @@
     return append_as_leader(core, EntryKind.MEMBERS, data)
 
 
-def _is_admitted(member, storage_id):
+def _is_admitted(member: Member, storage_id: str) -> bool:
     return member.voting and member.storage_id == storage_id
 
 
-async def _ask_for_log(core, peer):
+async def _ask_for_log(core: ReplicaState, peer: PeerState) -> wire.VoteReply | None:
     req = wire.VoteRequest(node_id=core.node_id, pre_vote=True)
     try:
         return await within(core.clock, core.append_timeout_s, peer.link.vote(req))
@@ -153,7 +154,7 @@
         return None
 
 
-async def _decide(core, replies):
+async def _decide(core: ReplicaState, replies: Sequence[wire.VoteReply | None]) -> None:
     vote = core.storage.vote
     if vote.admission is not Admission.NEW:
         return
--- a/wigeonscale/replication/commit.py
+++ b/wigeonscale/replication/commit.py
@@ -93,7 +93,7 @@
         committed by them.
     """
 
-    def durable_at(node_id):
+    def durable_at(node_id: str) -> int:
         if node_id == core.node_id:
             return core.storage.synced_index
         peer = core.peers.get(node_id)
@@ -114,7 +114,7 @@
 def advance_round(core: ReplicaState) -> None:
     """Note the newest instant at which a majority still followed this leader."""
 
-    def followed_at(node_id):
+    def followed_at(node_id: str) -> float:
         if node_id == core.node_id:
             return core.clock.now()
         peer = core.peers.get(node_id)
@@ -151,7 +151,7 @@
         core.snapshot_due.set()
 
 
-def _apply(core, entry):
+def _apply(core: ReplicaState, entry: wire.LogEntry) -> object:
     if entry.kind != EntryKind.COMMAND:
         return None
     try:
@@ -166,7 +166,7 @@
         )
 
 
-def _publish(core):
+def _publish(core: ReplicaState) -> None:
     try:
         core.on_applied.on_next(core.applied_index)
     except Exception:
--- a/wigeonscale/replication/election.py
+++ b/wigeonscale/replication/election.py
@@ -70,7 +70,7 @@
         await run_to_end(core.running, _adopt_with_lock(core, term))
 
 
-async def _adopt_with_lock(core, term):
+async def _adopt_with_lock(core: ReplicaState, term: int) -> None:
     async with core.lock:
         await adopt_term(core, term)
 
@@ -115,7 +115,7 @@
         )
 
 
-async def _grant(core, req):
+async def _grant(core: ReplicaState, req: wire.VoteRequest) -> bool:
     if not core.may_vote:
         return False
     # A leader in reach is not unseated, neither by a returning replica nor by one
@@ -136,25 +136,25 @@
     return True
 
 
-def _is_up_to_date(core, req):
+def _is_up_to_date(core: ReplicaState, req: wire.VoteRequest) -> bool:
     storage = core.storage
     theirs = (req.last_term, req.last_index)
     return theirs >= (storage.last_term, storage.last_index)
 
 
-def _had_log(core):
+def _had_log(core: ReplicaState) -> bool:
     awaiting = core.storage.vote.admission is Admission.AWAITING
     return awaiting or core.storage.last_index > 0
 
 
-async def _check_lease(core):
+async def _check_lease(core: ReplicaState) -> None:
     advance_round(core)
     silence = core.clock.now() - core.majority_at
     if silence > core.options.election_timeout_s:
         step_down(core, f"no majority answered for {silence:.3f} s")
 
 
-async def _campaign(core):
+async def _campaign(core: ReplicaState) -> None:
     timer_from = core.timer_from
     term = core.term + 1
     core.leader_id = ""
@@ -205,7 +205,7 @@
     return won
 
 
-def _begin_leading(core, asked_at):
+def _begin_leading(core: ReplicaState, asked_at: float) -> None:
     logger.info("replica %s leads term %d", core.node_id, core.term)
     core.role = Role.LEADER
     core.leader_id = core.node_id
@@ -217,7 +217,9 @@
     append_as_leader(core, EntryKind.NO_OP, b"")
 
 
-def _vote_request(core, term, *, pre_vote=False, transfer=False):
+def _vote_request(
+    core: ReplicaState, term: int, *, pre_vote: bool = False, transfer: bool = False
+) -> wire.VoteRequest:
     return wire.VoteRequest(
         node_id=core.node_id,
         term=term,
@@ -228,7 +230,7 @@
     )
 
 
-async def _gather_votes(core, req):
+async def _gather_votes(core: ReplicaState, req: wire.VoteRequest) -> bool:
     """Return whether a majority, this replica included, grants its vote."""
     members = core.members
     if all(m.node_id != core.node_id or not m.voting for m in members):
@@ -261,5 +263,5 @@
     return reply.granted and (req.pre_vote or reply.term == req.term)
 
 
-def _draw(core, seconds):
+def _draw(core: ReplicaState, seconds: float) -> float:
     return seconds * (1 + JITTER * core.rng.random())
--- a/wigeonscale/replication/files.py
+++ b/wigeonscale/replication/files.py
@@ -14,6 +14,7 @@
 ]
 
 import json
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
 from enum import StrEnum
 
@@ -21,7 +22,12 @@
 
 from wigeonscale.replication.folder import Folder
 from wigeonscale.replication.model import EntryKind, Member
-from wigeonscale.replication.records import decode_single, encode_record, scan_records
+from wigeonscale.replication.records import (
+    Fault,
+    decode_single,
+    encode_record,
+    scan_records,
+)
 from wigeonscale.replication.voters import members_from_wire, members_to_wire
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -133,7 +139,7 @@
     return loaded
 
 
-def _load_snapshot(loaded, data):
+def _load_snapshot(loaded: LoadedFiles, data: bytes) -> None:
     snapshot = _decode_snapshot(data)
     if snapshot is None:
         loaded.note_damage(f"{SNAPSHOT_NAME}: {_missing_or_broken(data)}")
@@ -141,7 +147,7 @@
         loaded.snapshot = snapshot
 
 
-def _load_log(loaded, data):
+def _load_log(loaded: LoadedFiles, data: bytes | None) -> None:
     scan = scan_records(data or b"")
     entries = _decode_entries(scan.payloads)
     if not entries:
@@ -150,13 +156,13 @@
     base, *loaded.entries = entries
     loaded.base_index = base.index
     loaded.base_term = base.term
-    if scan.fault == "corrupt" or len(entries) < len(scan.payloads):
+    if scan.fault is Fault.CORRUPT or len(entries) < len(scan.payloads):
         at = entries[-1].index + 1
         offset = (*scan.offsets, scan.good_bytes)[len(entries)]
         loaded.note_damage(f"{LOG_NAME}: entry {at} at byte {offset} is corrupt")
 
 
-def _join_snapshot(loaded):
+def _join_snapshot(loaded: LoadedFiles) -> None:
     """Make log and snapshot meet; a crash between their two writes is no damage."""
     snapshot = loaded.snapshot or Snapshot()
     if loaded.base_index > snapshot.index:
@@ -171,7 +177,7 @@
     loaded.entries = []
 
 
-def _term_at(loaded, index):
+def _term_at(loaded: LoadedFiles, index: int) -> int | None:
     position = index - loaded.base_index
     if position == 0:
         return loaded.base_term
@@ -180,11 +186,11 @@
     return loaded.entries[position - 1].term
 
 
-def _missing_or_broken(data):
+def _missing_or_broken(data: bytes | None) -> str:
     return "missing" if data is None else "checksum does not match"
 
 
-def _decode_entries(payloads):
+def _decode_entries(payloads: Iterable[bytes]) -> list[wire.LogEntry]:
     """Return the base record and the entries that follow one another."""
     entries = []
     for payload in payloads:
@@ -200,7 +206,7 @@
     return entries
 
 
-def _decode_vote(data):
+def _decode_vote(data: bytes | None) -> VoteState | None:
     payload = decode_single(data or b"")
     if payload is None:
         return None
@@ -209,7 +215,7 @@
     return VoteState(**fields)
 
 
-def _decode_snapshot(data):
+def _decode_snapshot(data: bytes) -> Snapshot | None:
     payload = decode_single(data)
     if payload is None:
         return None
--- a/wigeonscale/replication/folder.py
+++ b/wigeonscale/replication/folder.py
@@ -7,6 +7,7 @@
 import fcntl
 import os
 import pathlib
+from collections.abc import Iterator
 from typing import Protocol
 
 from wigeonscale.errors import SettingsError
@@ -95,19 +96,19 @@
             self._lock_fd = -1
 
     @contextlib.contextmanager
-    def _naming(self, name):
+    def _naming(self, name: str) -> Iterator[None]:
         try:
             yield
         except OSError as exc:
             exc.filename = str(self._path / name)  # reads and syncs name no file
             raise
 
-    def _append(self, name, data):
+    def _append(self, name: str, data: bytes) -> None:
         fd = self._open(name)
         _write_all(fd, data)
         os.fsync(fd)
 
-    def _replace(self, name, data):
+    def _replace(self, name: str, data: bytes) -> None:
         temporary = self._path / (name + TEMPORARY_SUFFIX)
         fd = os.open(temporary, os.O_CREAT | os.O_TRUNC | os.O_WRONLY, 0o600)
         try:
@@ -119,23 +120,23 @@
         os.replace(temporary, self._path / name)
         self._sync_directory()
 
-    def _truncate(self, name, size):
+    def _truncate(self, name: str, size: int) -> None:
         fd = self._open(name)
         os.ftruncate(fd, size)
         os.fsync(fd)
 
-    def _open(self, name):
+    def _open(self, name: str) -> int:
         if name not in self._fds:
             flags = os.O_CREAT | os.O_APPEND | os.O_WRONLY
             self._fds[name] = os.open(self._path / name, flags, 0o600)
             self._sync_directory()
         return self._fds[name]
 
-    def _forget(self, name):
+    def _forget(self, name: str) -> None:
         if name in self._fds:
             os.close(self._fds.pop(name))
 
-    def _sync_directory(self):
+    def _sync_directory(self) -> None:
         fd = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(fd)
@@ -143,7 +144,7 @@
             os.close(fd)
 
 
-def _write_all(fd, data):
+def _write_all(fd: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
         view = view[os.write(fd, view) :]
--- a/wigeonscale/replication/follower.py
+++ b/wigeonscale/replication/follower.py
@@ -2,6 +2,8 @@
 
 __all__ = ["handle_append"]
 
+from typing import NoReturn
+
 from google.protobuf.message import DecodeError
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -43,7 +45,7 @@
         return reply
 
 
-def _check(req):
+def _check(req: wire.AppendRequest) -> None:
     check_term(req.term)
     term = req.previous_term
     index = req.previous_index
@@ -60,32 +62,32 @@
         _check_chunk(req.snapshot, req.term)
 
 
-def _check_kind(entry):
+def _check_kind(entry: wire.LogEntry) -> None:
     if entry.kind not in SENT_KINDS:
         _refuse(f"entry {entry.index} is of the unknown kind {entry.kind}")
     if entry.kind == EntryKind.MEMBERS and not _holds_voters(entry.data):
         _refuse(f"entry {entry.index} changes the members to none")
 
 
-def _check_chunk(chunk, term):
+def _check_chunk(chunk: wire.SnapshotChunk, term: int) -> None:
     if chunk.last_index < 1 or not 0 <= chunk.last_term <= term:
         _refuse(f"snapshot at entry {chunk.last_index} of term {chunk.last_term}")
     if chunk.final and not chunk.voters:
         _refuse(f"snapshot at entry {chunk.last_index} names no members")
 
 
-def _holds_voters(data):
+def _holds_voters(data: bytes) -> bool:
     try:
         return bool(wire.VoterSet.FromString(data).voters)
     except DecodeError:
         return False
 
 
-def _refuse(message):
+def _refuse(message: str) -> NoReturn:
     raise WigeonscaleError(ErrorKind.BAD_REQUEST, message)
 
 
-def _note_leader(core, req):
+def _note_leader(core: ReplicaState, req: wire.AppendRequest) -> None:
     if core.leading:
         raise WigeonscaleError(
             ErrorKind.CORRUPT_LOG,
@@ -102,7 +104,9 @@
         core.peers[req.leader_id].heard_at = core.leader_heard_at
 
 
-def _reply(core, req, *, success, match_index):
+def _reply(
+    core: ReplicaState, req: wire.AppendRequest, *, success: bool, match_index: int
+) -> wire.AppendReply:
     return wire.AppendReply(
         node_id=core.node_id,
         term=core.term,
@@ -115,7 +119,9 @@
     )
 
 
-async def _take_entries(core, req):
+async def _take_entries(
+    core: ReplicaState, req: wire.AppendRequest
+) -> wire.AppendReply:
     storage = core.storage
     mismatch = _mismatch(core, req)
     if mismatch is not None:
@@ -138,7 +144,7 @@
     return _reply(core, req, success=True, match_index=matched)
 
 
-def _mismatch(core, req):
+def _mismatch(core: ReplicaState, req: wire.AppendRequest) -> int | None:
     """Return where the leader should try next, or None when the logs meet."""
     storage = core.storage
     previous = req.previous_index
@@ -157,7 +163,7 @@
     return previous
 
 
-async def _truncate_from(core, index):
+async def _truncate_from(core: ReplicaState, index: int) -> None:
     if index <= core.commit_index:
         raise WigeonscaleError(
             ErrorKind.CORRUPT_LOG,
@@ -168,7 +174,7 @@
     core.forget_members_from(index)
 
 
-def _note_fresh(core, req):
+def _note_fresh(core: ReplicaState, req: wire.AppendRequest) -> None:
     at = core.echo.time_of(req.echo_us)
     if at is None or req.age_us < 0 or core.applied_index < req.commit_index:
         return
--- a/wigeonscale/replication/links.py
+++ b/wigeonscale/replication/links.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import grpc
 
@@ -16,6 +16,8 @@
 
 logger = logging.getLogger(__name__)
 
+Reply = TypeVar("Reply")
+
 
 class Link(Protocol):
     """A link to one peer. Each call may hang; the caller limits it."""
@@ -103,19 +105,21 @@
         if channel is not None:
             await channel.close()
 
-    def _stub(self):
+    def _stub(self) -> wire_pb2_grpc.ReplicationStub:
         if self._channel is None:
             self._channel = self._open_channel(self._address)
         return wire_pb2_grpc.ReplicationStub(self._channel)
 
-    async def _write_and_read(self, stream, req):
+    async def _write_and_read(
+        self, stream: grpc.aio.StreamStreamCall, req: wire.AppendRequest
+    ) -> wire.AppendReply:
         await stream.write(req)
         reply = await stream.read()
         if reply is grpc.aio.EOF:
             raise ConnectionError(f"replica {self._address} ended the stream")
         return reply
 
-    async def _guard(self, call: Awaitable):
+    async def _guard(self, call: Awaitable[Reply]) -> Reply:
         try:
             return await call
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
--- a/wigeonscale/replication/preparation.py
+++ b/wigeonscale/replication/preparation.py
@@ -42,7 +42,9 @@
     return True
 
 
-async def _prepare(core, index, work, resume):
+async def _prepare(
+    core: ReplicaState, index: int, work: Callable[[], None], resume: Callable[[], None]
+) -> None:
     try:
         await asyncio.to_thread(work)
     except Exception:
--- a/wigeonscale/replication/records.py
+++ b/wigeonscale/replication/records.py
@@ -5,17 +5,39 @@
 length is told apart from a record that a crash cut short.
 """
 
-__all__ = ["HEADER_BYTES", "Scan", "decode_single", "encode_record", "scan_records"]
+__all__ = [
+    "HEADER_BYTES",
+    "Fault",
+    "Scan",
+    "decode_single",
+    "encode_record",
+    "scan_records",
+]
 
 import struct
 import zlib
 from dataclasses import dataclass
+from enum import StrEnum
 
 _LENGTHS = struct.Struct("<II")
 _CHECK = struct.Struct("<I")
 HEADER_BYTES = _LENGTHS.size + _CHECK.size
 
 
+class Fault(StrEnum):
+    """Why the reading of a file of records ended early.
+
+    Attributes:
+        NONE: It did not.
+        TORN: A crash cut the last record short, which was never acknowledged.
+        CORRUPT: Anything else.
+    """
+
+    NONE = ""
+    TORN = "torn"
+    CORRUPT = "corrupt"
+
+
 @dataclass(frozen=True, slots=True)
 class Scan:
     """What was read from a file of records.
@@ -24,14 +46,13 @@
         payloads: Payloads of the whole records, in order.
         offsets: Offset of each record in bytes.
         good_bytes: Length of the part that holds whole records.
-        fault: Empty; ``"torn"`` for a record cut short by a crash, which was never
-            acknowledged; ``"corrupt"`` for anything else.
+        fault: What follows that part.
     """
 
     payloads: tuple[bytes, ...]
     offsets: tuple[int, ...]
     good_bytes: int
-    fault: str
+    fault: Fault
 
 
 def encode_record(payload: bytes) -> bytes:
@@ -53,11 +74,11 @@
     payloads = []
     offsets = []
     offset = 0
-    fault = ""
+    fault = Fault.NONE
     while offset < len(data):
         payload = _payload_at(data, offset)
         if payload is None:
-            fault = "torn" if _is_torn(data, offset) else "corrupt"
+            fault = Fault.TORN if _is_torn(data, offset) else Fault.CORRUPT
             break
         payloads.append(payload)
         offsets.append(offset)
@@ -73,7 +94,7 @@
     return payload
 
 
-def _payload_at(data, offset):
+def _payload_at(data: bytes, offset: int) -> bytes | None:
     header = _header_at(data, offset)
     if header is None:
         return None
@@ -85,7 +106,7 @@
     return payload
 
 
-def _header_at(data, offset):
+def _header_at(data: bytes, offset: int) -> tuple[int, int] | None:
     if offset + HEADER_BYTES > len(data):
         return None
     lengths = data[offset : offset + _LENGTHS.size]
@@ -95,7 +116,7 @@
     return _LENGTHS.unpack(lengths)
 
 
-def _is_torn(data, offset):
+def _is_torn(data: bytes, offset: int) -> bool:
     if offset + HEADER_BYTES > len(data):
         return True
     header = _header_at(data, offset)
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -5,7 +5,9 @@
 import asyncio
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+
+from google.protobuf.message import Message
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.ports import Clock
@@ -43,6 +45,8 @@
 
 STORAGE_ID_BITS = 128
 
+Handler = Callable[[ReplicaState, Message], Awaitable[Message]]
+
 
 class Replica:
     """One replica of the replicated log.
@@ -270,7 +274,7 @@
         """Answer a leader that asks this replica to succeed it."""
         return await self._handle(handle_campaign, req)
 
-    async def _handle(self, handler, req):
+    async def _handle(self, handler: Handler, req: Message) -> Message:
         """Run a handler to its end, also when the peer's stream breaks."""
         if self._stopped:
             raise WigeonscaleError(
@@ -278,7 +282,7 @@
             )
         return await run_to_end(self._core.running, self._when_loaded(handler, req))
 
-    async def _when_loaded(self, handler, req):
+    async def _when_loaded(self, handler: Handler, req: Message) -> Message:
         await self._loaded.wait()
         try:
             return await handler(self._core, req)
@@ -291,7 +295,7 @@
 
     # ------------------------------------------------------------- inside
 
-    async def _load(self):
+    async def _load(self) -> None:
         core = self._core
         await core.storage.load(f"{core.rng.getrandbits(STORAGE_ID_BITS):032x}")
         snapshot = core.storage.snapshot
@@ -303,7 +307,7 @@
         core.load_members()
         core.timer_from = core.clock.now()
 
-    async def _close(self):
+    async def _close(self) -> None:
         core = self._core
         self._stopped = True
         step_down(core, "it stops")
--- a/wigeonscale/replication/replicate.py
+++ b/wigeonscale/replication/replicate.py
@@ -40,7 +40,7 @@
         await peer.link.reset()
 
 
-async def _try_exchange(core, peer):
+async def _try_exchange(core: ReplicaState, peer: PeerState) -> bool:
     try:
         return await _exchange(core, peer)
     except OSError:
@@ -50,7 +50,7 @@
         return False
 
 
-async def _exchange(core, peer):
+async def _exchange(core: ReplicaState, peer: PeerState) -> bool:
     """Send one append and take its reply; return whether the link works."""
     peer.wake.clear()
     req = _next_request(core, peer)
@@ -72,7 +72,7 @@
     return True
 
 
-def _next_request(core, peer):
+def _next_request(core: ReplicaState, peer: PeerState) -> wire.AppendRequest:
     req = wire.AppendRequest(
         leader_id=core.node_id,
         leader_address=core.address,
@@ -95,7 +95,7 @@
     return req
 
 
-def _next_entries(core, peer):
+def _next_entries(core: ReplicaState, peer: PeerState) -> list[wire.LogEntry]:
     options = core.options
     if not options.sync_before_send:
         return core.storage.batch(
@@ -106,7 +106,13 @@
     return core.storage.batch(peer.next_index, most, options.batch_bytes)
 
 
-def _take_reply(core, peer, req, reply, sent_at):
+def _take_reply(
+    core: ReplicaState,
+    peer: PeerState,
+    req: wire.AppendRequest,
+    reply: wire.AppendReply,
+    sent_at: float,
+) -> None:
     peer.echo_us = reply.follower_us
     if reply.storage_id != peer.storage_id:
         peer.match_index = 0  # what it acknowledged went with its disk
@@ -126,14 +132,19 @@
         admit_when_due(core, peer)
 
 
-def _note_match(core, peer, index):
+def _note_match(core: ReplicaState, peer: PeerState, index: int) -> None:
     # Never beyond the own log, whatever a reply says.
     index = min(index, core.storage.last_index)
     peer.match_index = max(peer.match_index, index)
     peer.next_index = peer.match_index + 1
 
 
-def _take_snapshot_reply(core, peer, chunk, reply):
+def _take_snapshot_reply(
+    core: ReplicaState,
+    peer: PeerState,
+    chunk: wire.SnapshotChunk,
+    reply: wire.AppendReply,
+) -> None:
     if not reply.success:
         peer.sent_bytes = 0
     elif reply.match_index >= chunk.last_index:
@@ -143,7 +154,7 @@
         peer.sent_bytes += len(chunk.data)
 
 
-def _age_us(core):
+def _age_us(core: ReplicaState) -> int:
     confirmed = core.applied_index >= core.term_start_index
     if not confirmed:
         return NOT_CONFIRMED
@@ -151,7 +162,7 @@
     return int((core.clock.now() - core.majority_at) * MICROSECONDS) + 1
 
 
-async def _wait_for_work(core, peer):
+async def _wait_for_work(core: ReplicaState, peer: PeerState) -> None:
     if _has_work(core, peer):
         return
     try:
@@ -160,13 +171,13 @@
         return
 
 
-async def _until_work(core, peer):
+async def _until_work(core: ReplicaState, peer: PeerState) -> None:
     while not _has_work(core, peer):
         await peer.wake.wait()
         peer.wake.clear()
 
 
-def _has_work(core, peer):
+def _has_work(core: ReplicaState, peer: PeerState) -> bool:
     last = core.storage.last_index
     if core.options.sync_before_send:
         last = core.storage.synced_index
--- a/wigeonscale/replication/snapshots.py
+++ b/wigeonscale/replication/snapshots.py
@@ -29,7 +29,7 @@
             await core.storage.save_snapshot(snapshot, snapshot.index + 1 - kept)
 
 
-def _take_snapshot(core):
+def _take_snapshot(core: ReplicaState) -> Snapshot | None:
     index = core.applied_index
     try:
         data = core.machine.snapshot()
@@ -88,7 +88,7 @@
     return True, chunk.last_index
 
 
-def _collect(core, chunk):
+def _collect(core: ReplicaState, chunk: wire.SnapshotChunk) -> bytearray | None:
     """Return the bytes so far, or None when the chunk does not follow them."""
     position = (chunk.last_index, chunk.last_term)
     if chunk.offset == 0:
@@ -102,7 +102,7 @@
     return data
 
 
-async def _install(core, chunk, data):
+async def _install(core: ReplicaState, chunk: wire.SnapshotChunk, data: bytes) -> None:
     snapshot = Snapshot(
         index=chunk.last_index,
         term=chunk.last_term,
--- a/wigeonscale/replication/storage.py
+++ b/wigeonscale/replication/storage.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterable, Iterator, Sequence
 from dataclasses import replace
 
 from wigeonscale.adapters.logs import log_fields
@@ -185,10 +185,10 @@
         await asyncio.gather(*self._writes, return_exceptions=True)
         self._folder.close()
 
-    async def _finish(self, write: Coroutine):
+    async def _finish(self, write: Coroutine) -> None:
         await run_to_end(self._writes, self._run_in_order(write))
 
-    async def _run_in_order(self, write):
+    async def _run_in_order(self, write: Coroutine) -> None:
         async with self._write_lock:
             if self._failure is not None:
                 write.close()
@@ -197,7 +197,7 @@
                 await write
 
     @contextlib.contextmanager
-    def _noting_failure(self):
+    def _noting_failure(self) -> Iterator[None]:
         try:
             yield
         except OSError as exc:
@@ -210,13 +210,13 @@
             )
             raise
 
-    async def _save_vote(self, vote):
+    async def _save_vote(self, vote: VoteState) -> None:
         if vote.term < self.vote.term:
             raise ValueError(f"term {vote.term} is below term {self.vote.term}")
         await self._folder.replace(VOTE_NAME, encode_vote(vote))
         self.vote = vote
 
-    async def _sync_to(self, target):
+    async def _sync_to(self, target: int) -> None:
         first = self.synced_index + 1
         last = self.last_index
         if first > min(target, last):
@@ -228,7 +228,7 @@
         self._size += len(data)
         self.synced_index = last
 
-    async def _truncate_from(self, index):
+    async def _truncate_from(self, index: int) -> None:
         position = index - self.base_index - 1
         del self._entries[position:]
         self.synced_index = min(self.synced_index, index - 1)
@@ -237,7 +237,7 @@
             del self._offsets[position:]
             await self._folder.truncate(LOG_NAME, self._size)
 
-    async def _save_snapshot(self, snapshot, keep_from):
+    async def _save_snapshot(self, snapshot: Snapshot, keep_from: int) -> None:
         if self.snapshot and snapshot.index <= self.snapshot.index:
             return
         await self._folder.replace(SNAPSHOT_NAME, encode_snapshot(snapshot))
@@ -253,7 +253,7 @@
             self.base_term = base_term
         await self._rewrite()
 
-    async def _rewrite(self):
+    async def _rewrite(self) -> None:
         base = wire.LogEntry(
             index=self.base_index, term=self.base_term, kind=EntryKind.BASE
         )
@@ -264,7 +264,7 @@
         await self._folder.replace(LOG_NAME, data)
         self.synced_index = last
 
-    async def _set_aside_damaged(self):
+    async def _set_aside_damaged(self) -> None:
         for name in (LOG_NAME, SNAPSHOT_NAME):
             data = self._folder.read(name)
             if data is not None:
@@ -272,7 +272,9 @@
         snapshot = self.snapshot or Snapshot()
         await self._folder.replace(SNAPSHOT_NAME, encode_snapshot(snapshot))
 
-    def _vote_after_damage(self, vote, new_storage_id):
+    def _vote_after_damage(
+        self, vote: VoteState | None, new_storage_id: str
+    ) -> VoteState:
         known = vote or VoteState()
         voted_for = known.voted_for if known.term >= self.last_term else ""
         return replace(
@@ -284,7 +286,7 @@
         )
 
 
-def _encode(entries, offset):
+def _encode(entries: Iterable[wire.LogEntry], offset: int) -> tuple[bytes, list[int]]:
     """Return the records of entries and the offset of each in the file."""
     records = []
     offsets = []
--- a/wigeonscale/replication/transfer.py
+++ b/wigeonscale/replication/transfer.py
@@ -59,7 +59,7 @@
     return wire.CampaignReply(node_id=core.node_id, term=core.term, won=won)
 
 
-def _can_succeed(core, req):
+def _can_succeed(core: ReplicaState, req: wire.CampaignRequest) -> bool:
     position = (core.storage.last_term, core.storage.last_index)
     return (
         core.may_campaign
@@ -68,7 +68,7 @@
     )
 
 
-async def _try_voters(core):
+async def _try_voters(core: ReplicaState) -> bool:
     await _until(core, lambda: core.role is not Role.CANDIDATE)
     if not core.leading:
         return False
@@ -91,18 +91,18 @@
         await core.progress.wait()
 
 
-def _all_answered(core):
+def _all_answered(core: ReplicaState) -> bool:
     return core.applied_index == core.storage.last_index
 
 
-def _is_level(core, peer):
+def _is_level(core: ReplicaState, peer: PeerState) -> bool:
     return peer.match_index == core.storage.last_index
 
 
-def _by_progress(core):
+def _by_progress(core: ReplicaState) -> list[PeerState]:
     """Return the peers, the most caught-up one first; one without a vote declines."""
 
-    def progress(peer):
+    def progress(peer: PeerState) -> tuple[int, float]:
         return peer.match_index, peer.acked_at
 
     return sorted(core.peers.values(), key=progress, reverse=True)
