agent: an engine's odd event numbers do not end the feed

Cause: an engine that repeats events, or numbers them beyond 64 bits, made the numbers sent to entries run backwards or raised, which ended the agent's loops. Change: events not above the last one are left out, and a gap counts for FORGET_GAP at most, from which entries forget all. The test failed before.

--- a/wigeonscale/agent/prefixes.py
+++ b/wigeonscale/agent/prefixes.py
@@ -9,6 +9,7 @@
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import CacheEvent, Clock, Engine
 from wigeonscale.routing import prefix_digest
+from wigeonscale.routing.prefixes import FORGET_GAP
 from wigeonscale.wire import wire_pb2 as wire
 
 logger = logging.getLogger(__name__)
@@ -101,7 +102,11 @@
                 outbox.add(told)
 
     def _translate(self, event: CacheEvent) -> wire.PrefixEvent | None:
-        self._number += event.number - self._engine_number - 1  # those lost
+        if event.number <= self._engine_number:
+            return None
+        lost = event.number - self._engine_number - 1
+        # A larger gap tells the entries no more.
+        self._number += min(lost, FORGET_GAP)
         self._engine_number = event.number
         if event.held:
             dispatch_id = event.sequence_id.rpartition("#")[0]
--- a/wigeonscale/agent/tests/test_prefixes.py
+++ b/wigeonscale/agent/tests/test_prefixes.py
@@ -1,9 +1,12 @@
 """Cache events of an engine reach the entries, late, with gaps, bounded."""
 
-from wigeonscale.agent.prefixes import UNSENT_EVENTS, PrefixOutbox
+from wigeonscale.agent.prefixes import UNSENT_EVENTS, PrefixFeed, PrefixOutbox
 from wigeonscale.agent.tests.support import connect, start_chain
+from wigeonscale.ports import CacheEvent, EngineInfo
 from wigeonscale.routing import PrefixView, prefix_digest
-from wigeonscale.testing import AsyncTestCase
+from wigeonscale.routing.prefixes import FORGET_GAP
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.testing.fake_engine import FakeEngine
 from wigeonscale.testing.prefix_cache import PrefixCache
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -75,6 +78,24 @@
         self.assertEqual([PROMPTS[2]], await self.seen(client, 3))
 
 
+class OddEngineTest(AsyncTestCase):
+    async def test_repeated_and_absurd_numbers_neither_end_nor_undo_the_feed(self):
+        engine = FakeEngine(name="e", info=EngineInfo(model="m"))
+        feed = PrefixFeed(engine=engine, clock=ManualClock(), poll_s=1.0)
+        outbox = feed.subscribe()
+        feed.begins("d1", PROMPTS[0])
+        told = [CacheEvent(2, "x", True, "d1#1"), CacheEvent(1 << 80, "x", False)]
+
+        async def all_events(after):
+            return told
+
+        engine.cache_events = all_events
+        for _ in range(3):
+            await feed.poll()
+        numbers = [event.number for event in outbox.take().events]
+        self.assertEqual([2, 3 + FORGET_GAP], numbers)
+
+
 class PrefixOutboxTest(AsyncTestCase):
     def test_events_that_nobody_takes_are_lost_as_a_gap(self):
         outbox = PrefixOutbox([], number=0)
