--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 
 __all__ = ["main"]
 
+import argparse
 import importlib
 import sys
 
@@ -28,17 +29,20 @@
 )
 
 
-def main(names: list[str]) -> int:
+def main(argv: list[str]) -> int:
     """Measure the named modules, or all, and return the exit code.
 
     Args:
-        names: Module names within ``bench``; empty for all.
+        argv: Module names within ``bench``; empty for all.
 
     Returns:
         0 when every bound holds, else 1.
     """
+    parser = argparse.ArgumentParser(prog="bench", description=__doc__)
+    known = ", ".join(MODULES)
+    parser.add_argument("module", nargs="*", help=f"one of {known}; default: all")
     failed = []
-    for name in names or MODULES:
+    for name in parser.parse_args(argv).module or MODULES:
         print(f"# {name}", flush=True)
         figures = importlib.import_module(f"bench.{name}").measure()
         print_figures(figures)
