--- a/wigeonscale/rules/draft.py
+++ b/wigeonscale/rules/draft.py
@@ -15,7 +15,7 @@
 )
 from wigeonscale.rules.model import Organisation
 from wigeonscale.rules.persistent import MapDraft
-from wigeonscale.rules.schema import Rule
+from wigeonscale.rules.schema import Parsed, Rule
 
 # Distance of the labels of two sections that are appended one after the other.
 LABEL_GAP = 1 << 64
@@ -43,7 +43,7 @@
         self._sections = self.tables["sections"]
         self._digest_sum = base.digest_sum
 
-    def put(self, name: str, text: str, after: str, parsed: object) -> None:
+    def put(self, name: str, text: str, after: str, parsed: Parsed) -> None:
         """Insert a section, or replace and move it.
 
         Args:
@@ -160,7 +160,7 @@
         kind, _, name = section_name.partition(" ")
         return self.tables["rules"].get(name) if kind == "rule" else None
 
-    def _register(self, section_name: str, parsed: object) -> None:
+    def _register(self, section_name: str, parsed: Parsed) -> None:
         kind, _, name = section_name.partition(" ")
         self.tables[f"{kind}s"][name] = parsed
         if isinstance(parsed, Organisation):
--- a/wigeonscale/rules/schema.py
+++ b/wigeonscale/rules/schema.py
@@ -1,6 +1,6 @@
 """The keys that each kind of section may have, checked at the border."""
 
-__all__ = ["KINDS", "Rule", "SectionModel", "key_digest"]
+__all__ = ["KINDS", "Parsed", "Rule", "SectionModel", "key_digest"]
 
 import hashlib
 import re
@@ -228,7 +228,9 @@
                 yield "when", f"organisation {name}"
 
 
-KINDS: dict[str, tuple[type[SectionModel], Callable[[str, SectionModel], object]]] = {
+Parsed = Organisation | Pipeline | PlainService | Rule
+
+KINDS: dict[str, tuple[type[SectionModel], Callable[[str, SectionModel], Parsed]]] = {
     "organisation": (_OrganisationSection, _organisation),
     "pipeline": (_PipelineSection, _pipeline),
     "service": (_ServiceSection, _service),
--- a/wigeonscale/rules/sections.py
+++ b/wigeonscale/rules/sections.py
@@ -13,7 +13,7 @@
 
 from wigeonscale.config.keys import NAME_PATTERN, allowed_text
 from wigeonscale.rules.problems import Problem
-from wigeonscale.rules.schema import KINDS, SectionModel
+from wigeonscale.rules.schema import KINDS, Parsed, SectionModel
 
 HEADER = re.compile(r"^\[(?P<name>[^\n]*)\][ \t\r]*$", re.MULTILINE)
 KEY_LINE = re.compile(r"^(?P<key>[^\s=#;\[][^=\n]*?)\s*=", re.MULTILINE)
@@ -63,15 +63,14 @@
     return start
 
 
-def parse_section(parts: SectionParts) -> object:
+def parse_section(parts: SectionParts) -> Parsed | list[Problem]:
     """Return the object that a section describes.
 
     Args:
         parts: The section.
 
     Returns:
-        An ``Organisation``, ``Pipeline``, ``PlainService`` or :class:`Rule`; or a
-        non-empty list of :class:`Problem`.
+        The object, or every problem of a section that describes none.
     """
     kind, _, name = parts.name.partition(" ")
     header_line = parts.line + _line_of(parts.text, HEADER, 0)
@@ -87,7 +86,9 @@
         return list(_value_problems(parts, section_cls, values, header_line, exc))
 
 
-def _read_values(parts: SectionParts, header_line: int) -> dict[str, str] | list:
+def _read_values(
+    parts: SectionParts, header_line: int
+) -> dict[str, str] | list[Problem]:
     parser = _PARSERS.parser
     parser.clear()
     try:
