Replicated log: the members at each position are a module of their own

Cause: ReplicaState held three jobs: what the tasks share, the peers, and the history of member changes with its truncation.

Ruled out: splitting off the peers too; they are plain fields that the tasks of one peer share, and stay beside the state they are part of.

--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -54,7 +54,7 @@
     vote = core.storage.vote
     if vote.admission is not Admission.AWAITING:
         return
-    for member in core.members_at(core.applied_index):
+    for member in core.member_log.at(core.applied_index):
         if member.node_id == core.node_id and _is_admitted(member, vote.storage_id):
             logger.info("replica %s is admitted and votes again", core.node_id)
             await core.storage.save_vote(replace(vote, admission=Admission.ADMITTED))
@@ -88,7 +88,7 @@
         committed; otherwise two disjoint majorities could form.
     """
     own_term = core.commit_index >= core.term_start_index
-    return own_term and core.members_index <= core.commit_index
+    return own_term and core.member_log.index <= core.commit_index
 
 
 def changed_members(
--- a/wigeonscale/replication/commit.py
+++ b/wigeonscale/replication/commit.py
@@ -105,7 +105,7 @@
         return
     apply_up_to(core, index)
     core.wake_peers()
-    if all(member.node_id != core.node_id for member in core.members_at(index)):
+    if all(member.node_id != core.node_id for member in core.member_log.at(index)):
         logger.info("replica %s was removed and steps down", core.node_id)
         core.role = Role.FOLLOWER
         core.proposals.fail_all(f"replica {core.node_id} was removed")
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -174,7 +174,7 @@
         if not members_settled(core):
             raise WigeonscaleError(
                 ErrorKind.IN_PROGRESS,
-                f"the change of members at entry {core.members_index} is not"
+                f"the change of members at entry {core.member_log.index} is not"
                 " committed yet",
                 retry_after=1.0,
             )
--- a/wigeonscale/replication/snapshots.py
+++ b/wigeonscale/replication/snapshots.py
@@ -39,7 +39,7 @@
     return Snapshot(
         index=index,
         term=core.applied_term,
-        members=core.members_at(index),
+        members=core.member_log.at(index),
         data=data,
     )
 
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -14,8 +14,8 @@
 from wigeonscale.replication.echo import EchoClock
 from wigeonscale.replication.files import Admission, Snapshot
 from wigeonscale.replication.links import Link, Links
+from wigeonscale.replication.member_log import MemberLog
 from wigeonscale.replication.model import (
-    EntryKind,
     Member,
     ReplicaOptions,
     Role,
@@ -23,7 +23,6 @@
 )
 from wigeonscale.replication.proposals import Proposals
 from wigeonscale.replication.storage import LogStorage
-from wigeonscale.replication.voters import members_from_wire
 from wigeonscale.wire import wire_pb2 as wire
 
 logger = logging.getLogger(__name__)
@@ -134,8 +133,7 @@
         self.snapshot_due = asyncio.Event()
         self.on_applied: Subject = Subject()
         self.start_peer: Callable[[PeerState], asyncio.Task] | None = None
-        self._voters = tuple(voters)
-        self._configs: list[tuple[int, tuple[Member, ...]]] = [(0, self._voters)]
+        self.member_log = MemberLog(voters=voters)
 
     # ------------------------------------------------------------- derived values
 
@@ -185,38 +183,21 @@
     @property
     def members(self) -> tuple[Member, ...]:
         """Members by the latest change in the log, committed or not."""
-        return self._configs[-1][1]
-
-    @property
-    def members_index(self) -> int:
-        """Log index of that change; 0 for the settings."""
-        return self._configs[-1][0]
-
-    def members_at(self, index: int) -> tuple[Member, ...]:
-        """Return the members by the latest change up to ``index``."""
-        return next(m for at, m in reversed(self._configs) if at <= index)
+        return self.member_log.latest
 
     def load_members(self) -> None:
         """Read the members from snapshot and log, or else from the settings."""
-        snapshot = self.storage.snapshot
-        if snapshot and snapshot.members:
-            self._configs = [(snapshot.index, snapshot.members)]
-        else:
-            self._configs = [(0, self._voters)]
-        first = max(self.storage.base_index, self._configs[0][0]) + 1
-        self.note_members(self.storage.entries(first, self.storage.last_index))
+        self.member_log.load(self.storage)
+        self.update_peers()
 
     def note_members(self, entries: Sequence[wire.LogEntry]) -> None:
         """Take up the member changes among entries just appended."""
-        for entry in entries:
-            if entry.kind == EntryKind.MEMBERS:
-                voters = wire.VoterSet.FromString(entry.data).voters
-                self._configs.append((entry.index, members_from_wire(voters)))
+        self.member_log.add(entries)
         self.update_peers()
 
     def forget_members_from(self, index: int) -> None:
         """Drop the member changes from ``index`` on, which was truncated."""
-        self._configs = [c for c in self._configs if c[0] < index or c[0] == 0]
+        self.member_log.drop_from(index)
         self.update_peers()
 
     def update_peers(self) -> None:
