Tell a reader of gaps that cannot be mended while tokens pour

Cause: while tokens went straight to the caller's writer (pour_into), the error after too many gaps was set without waking the reader, so the caller's stream hung. Known tokens that came again were poured as an empty list.

Change: an ended dispatch wakes its reader; nothing new is not poured.

Before: the new test ran into its time limit. After: it passes.

--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -120,7 +120,7 @@
         body = item.WhichOneof("body")
         if body == "tokens":
             self._add_tokens(item.tokens)
-            if self._sink is not None:
+            if self._sink is not None and not self.ended:
                 self._pour()
                 return
         elif body == "done":
@@ -252,10 +252,12 @@
                 it cannot, the tokens after these wait for :meth:`take` again.
         """
         self._sink = sink
-        if self.has_new:
-            self._pour()
+        self._pour()
 
     def _pour(self) -> None:
+        if not self.has_new:
+            # Known tokens came again; nothing at all would end a chunked body.
+            return
         if not self._sink(self._take_new()):
             self._sink = None
             return
--- a/wigeonscale/dispatch/tests/test_stream.py
+++ b/wigeonscale/dispatch/tests/test_stream.py
@@ -121,6 +121,22 @@
         (request,) = stream.requests()
         self.assertEqual(2, request.attach.from_token)
 
+    async def test_reader_hears_of_gaps_that_cannot_be_mended_while_tokens_pour(self):
+        poured = []
+        stream = new_stream()
+        stream.pour_into(lambda texts: poured.append(texts) or True)
+        stream.deliver(token_item(0))
+        reader = asyncio.create_task(stream.take())
+        await asyncio.sleep(0)
+        for _ in range(9):
+            stream.deliver(token_item(0))
+            stream.deliver(token_item(5))
+        async with asyncio.timeout(30):
+            with self.assertRaises(WigeonscaleError):
+                await reader
+        self.assertEqual(1, len(poured))
+        self.assertNotIn([], poured)
+
 
 class SilenceTest(AsyncTestCase):
     async def test_link_is_silent_after_unanswered_pings_only(self):
