--- a/wigeonscale/entry/tests/test_completions.py
+++ b/wigeonscale/entry/tests/test_completions.py
@@ -4,7 +4,7 @@
 import json
 
 from wigeonscale.dispatch.tests.fake_agent import WORDS
-from wigeonscale.entry.tests.support import EntryCase, read_events
+from wigeonscale.entry.tests.support import KEY, EntryCase, read_events
 from wigeonscale.wire import wire_pb2 as wire
 
 
@@ -22,6 +22,23 @@
         self.assertEqual("[DONE]", events[-1]["data"])
         self.assertEqual(answer.headers["Wigeonscale-Request"], last["id"])
 
+    async def test_stream_to_a_caller_without_chunks_has_none(self):
+        host, _, port = self.server.address.rpartition(":")
+        body = b'{"model": "proof-12", "prompt": "x", "stream": true}'
+        head = (
+            f"POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer {KEY}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head.encode() + body)
+        async with asyncio.timeout(30):
+            answer = await reader.read()
+        writer.close()
+        events = answer.partition(b"\r\n\r\n")[2]
+        self.assertNotIn(b"\r\n", events)
+        self.assertEqual(len(WORDS), events.count(b"id: "))
+        self.assertTrue(events.endswith(b"data: [DONE]\n\n"))
+
     async def test_plain_answer_is_whole(self):
         async with self.complete() as answer:
             document = await answer.json()
