--- a/bench/slopes/membership.py
+++ b/bench/slopes/membership.py
@@ -151,6 +151,7 @@
     rest_after = await during(roles, asyncio.sleep(REST_S))
     names = [f"engine-{n}" for n in range(CHANGES_PLANNED)]
     changed = await during(roles, _change_one_by_one(group, names))
+    await _announce(group, [HOLDER])
     claimed = await during(roles, _claim_one_by_one(group))
     async with streams(group, follower, 1, "entry", "p") as drivers:
         whole = (await totals(drivers))["large_bytes"]
@@ -176,7 +177,6 @@
 
 
 async def _claim_one_by_one(group: ControlGroup) -> None:
-    await group.submit_all(announcements([HOLDER], replica="c0"))
     for command in claims(f"c{time.monotonic()}", CHANGES_PLANNED):
         await group.submit_all([command])
         await asyncio.sleep(PLAN_SPACING_S)
