--- /dev/null
+++ b/wigeonscale/testing/matrix/doubling.py
@@ -0,0 +1,59 @@
+"""An agent's server in front of the true one, which passes every message twice."""
+
+__all__ = ["Doubler"]
+
+from collections.abc import AsyncIterator
+
+import grpc
+
+from wigeonscale.adapters.channels import new_server, open_channel
+from wigeonscale.wire import wire_pb2_grpc
+
+
+class Doubler(wire_pb2_grpc.AgentServicer):
+    """Passes each request on twice, and each answer back twice.
+
+    Args:
+        target: ``ip:port`` of the agent.
+    """
+
+    def __init__(self, *, target: str):
+        self._target = target
+        self._server, self.address = new_server("127.0.0.1:0")
+        wire_pb2_grpc.add_AgentServicer_to_server(self, self._server)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._server.stop(grace=0)
+
+    async def Dispatch(self, request_iterator, context):  # noqa: N802
+        """Pass on an entry's stream."""
+        async with open_channel(self._target) as channel:
+            async for event in self._pass_on(channel, "Dispatch", request_iterator):
+                yield event
+
+    async def Steps(self, request_iterator, context):  # noqa: N802
+        """Pass on a stage's stream."""
+        async with open_channel(self._target) as channel:
+            async for reply in self._pass_on(channel, "Steps", request_iterator):
+                yield reply
+
+    async def _pass_on(self, channel, method: str, requests) -> AsyncIterator:
+        call = getattr(wire_pb2_grpc.AgentStub(channel), method)(_twice(requests))
+        try:
+            async for answer in _twice(call):
+                yield answer
+        except grpc.aio.AioRpcError:
+            return
+        finally:
+            call.cancel()
+
+
+async def _twice(messages) -> AsyncIterator:
+    async for message in messages:
+        yield message
+        yield message
--- a/wigeonscale/testing/matrix/faults.py
+++ b/wigeonscale/testing/matrix/faults.py
@@ -9,6 +9,7 @@
 
 from wigeonscale.errors import RunState
 from wigeonscale.testing.matrix import rivals
+from wigeonscale.testing.matrix.doubling import Doubler
 
 if TYPE_CHECKING:
     from wigeonscale.testing.matrix.trial import Trial
@@ -92,6 +93,22 @@
     await trial.cluster.nodes[trial.node].start()
 
 
+async def _double(trial: "Trial") -> None:
+    """Pass everything through a doubler; what stands has to connect anew."""
+    [relay] = trial.cluster.net.into(trial.node)
+    trial.doubler = Doubler(target=relay.target)
+    await trial.doubler.start()
+    relay.target = trial.doubler.address
+    relay.abort()
+
+
+async def _single(trial: "Trial") -> None:
+    [relay] = trial.cluster.net.into(trial.node)
+    relay.target = trial.cluster.agents[trial.node].cfg.grpc
+    relay.abort()
+    await trial.doubler.close()
+
+
 async def _race(trial: "Trial") -> None:
     trial.background.append(asyncio.create_task(rivals.race(trial)))
 
@@ -117,6 +134,7 @@
         Fault("racing operators", _race, _wait, allows=frozenset(), at_node=False),
         Fault("resend", _resend, _wait, allows=frozenset(), at_node=False),
         Fault("delayed messages", _isolate, _heal_network, hold_s=0.7),
+        Fault("doubled messages", _double, _single),
         Fault("graceful stop", _stop, _start_stopped, allows=NOT_RUN_ONLY),
     )
 }
--- a/wigeonscale/testing/matrix/load.py
+++ b/wigeonscale/testing/matrix/load.py
@@ -17,6 +17,7 @@
 import asyncio
 import itertools
 import json
+import time
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -54,6 +55,7 @@
         retryable: Whether the status is one at which it must.
         request_id: Id by which the answer can be taken up.
         texts: Tokens.
+        arrived: Monotonic time at which each token came, in seconds.
         body: Raw answer of a plain service.
     """
 
@@ -67,6 +69,7 @@
     retry_after: bool = False
     request_id: str = ""
     texts: list[str] = field(default_factory=list)
+    arrived: list[float] = field(default_factory=list)
     declared: int | None = None
     body: bytes = b""
 
@@ -187,6 +190,7 @@
         answer.declared = event["usage"]["completion_tokens"]
     else:
         answer.texts.append(event["choices"][0]["text"])
+        answer.arrived.append(time.monotonic())
 
 
 def _take_error(answer: Answer, data: bytes) -> None:
--- a/wigeonscale/testing/matrix/process_runner.py
+++ b/wigeonscale/testing/matrix/process_runner.py
@@ -40,20 +40,22 @@
         on_result: Called with what came out of each.
     """
     system: Processes | None = None
-    for cell in cells:
-        result = CellResult(fault=cell.fault, step=cell.step)
-        began = time.monotonic()
-        for name, run in cell.runs.items():
-            system, found = await _run(system, run)
-            result.runs += 1
-            result.violations += [f"{name}: {violation}" for violation in found]
-            if found:
-                await system.close()
-                system = None
-        result.seconds = time.monotonic() - began
-        on_result(result)
-    if system is not None:
-        await system.close()
+    try:
+        for cell in cells:
+            result = CellResult(fault=cell.fault, step=cell.step)
+            began = time.monotonic()
+            for name, run in cell.runs.items():
+                system, found = await _run(system, run)
+                result.runs += 1
+                result.violations += [f"{name}: {violation}" for violation in found]
+                if found:
+                    await system.close()
+                    system = None
+            result.seconds = time.monotonic() - began
+            on_result(result)
+    finally:
+        if system is not None:
+            await system.close()
 
 
 async def _run(system: Processes | None, run: Run) -> tuple[Processes, list[str]]:
--- a/wigeonscale/testing/matrix/relay.py
+++ b/wigeonscale/testing/matrix/relay.py
@@ -52,12 +52,16 @@
 
     Args:
         target: ``ip:port`` that the connections are for.
+
+    Attributes:
+        accepted: Connections taken so far.
     """
 
     def __init__(self, *, target: str):
         self.target = target
         self.delay_s = 0.0
         self.dead = False
+        self.accepted = 0
         self._blocked_new = Direction(0)
         self._conns: set[_Conn] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -84,6 +88,10 @@
             conn.block(ways)
         self._blocked_new = ways if new else Direction(0)
 
+    def stall_standing(self) -> None:
+        """Hold back both directions of what stands; new connections work."""
+        self.block(Direction.BOTH, new=False)
+
     def heal(self) -> None:
         """Pass everything on again, what was held back first."""
         self.delay_s = 0.0
@@ -106,6 +114,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.accepted += 1
         # A task of its own: the server's would be reported as left over.
         task = asyncio.create_task(self._carry(reader, writer))
         self._tasks.add(task)
--- a/wigeonscale/testing/matrix/runner.py
+++ b/wigeonscale/testing/matrix/runner.py
@@ -95,6 +95,7 @@
 async def _run(
     deployment: _Deployment, fault: str, variant: Step, role: str
 ) -> list[Violation]:
+    trial: Trial | None = None
     try:
         async with asyncio.timeout(RUN_LIMIT_S):
             cluster = await deployment.ready()
@@ -106,3 +107,6 @@
         # Whatever ends a run early is a finding of that run, not of the matrix.
         logger.exception("%s at %s (%s)", fault, variant.name, role)
         return [Violation("run", f"{type(exc).__name__}: {exc}")]
+    finally:
+        if trial is not None:
+            await trial.close()
--- a/wigeonscale/testing/matrix/steps.py
+++ b/wigeonscale/testing/matrix/steps.py
@@ -1,6 +1,6 @@
 """The steps: what is under way when the fault comes."""
 
-__all__ = ["STEPS", "Step"]
+__all__ = ["ISOLATED_ORDERS", "STEPS", "Step"]
 
 import asyncio
 import time
@@ -11,6 +11,7 @@
 from wigeonscale.testing.matrix.backends import Moment
 from wigeonscale.testing.matrix.cluster import SNAPSHOT_ENTRIES, until
 from wigeonscale.testing.matrix.load import apply_rules, drain
+from wigeonscale.testing.matrix.relay import Direction
 from wigeonscale.testing.matrix.trial import Trial
 from wigeonscale.testing.traces import Violation
 
@@ -124,6 +125,8 @@
 
 
 async def _election(trial: Trial) -> None:
+    # The step itself loses the leader without a word.
+    trial.allows = frozenset(RunState)
     cluster, old = trial.cluster, trial.cluster.leader().name
     others = [n.daemon.replica for n in cluster.controls.values() if n.name != old]
     terms = [replica.term for replica in others]
@@ -168,6 +171,31 @@
     await drain(trial.cluster, drained, draining=False)
 
 
+async def _isolated_orders(trial: Trial) -> None:
+    """Restart an agent that reaches nobody but the isolated replica."""
+    cluster, agent, isolated = trial.cluster, trial.stages[1], trial.target()
+    node, net = cluster.agents[agent], cluster.net
+    trial.allows = frozenset(RunState)
+    await trial.strike()
+    await cluster.kill(agent)
+    net.heal(agent)
+    for name in cluster.controls:
+        net.between(agent, name).block(Direction.BOTH, new=True)
+    net.between(agent, isolated).heal()
+    carried_out = len(node.engine.orders)
+    traffic = asyncio.create_task(trial.traffic())
+    await node.start()
+    await asyncio.sleep(trial.fault.hold_s)
+    if len(node.engine.orders) != carried_out:
+        orders = node.engine.orders[carried_out:]
+        what = f"obeys the isolated {isolated}: {orders}"
+        trial.violations.append(Violation(agent, what))
+    net.heal(agent)
+    await traffic
+
+
+ISOLATED_ORDERS = Step("isolated orders", _isolated_orders, ("leader", "follower"))
+
 STEPS: dict[str, tuple[Step, ...]] = {
     "dispatch": (Step("dispatch", _dispatch, ("head", "middle", "entry", "leader")),),
     "prefill": (Step("prefill", _prefill, ("head", "middle", "last")),),
--- a/wigeonscale/testing/matrix/table.py
+++ b/wigeonscale/testing/matrix/table.py
@@ -5,10 +5,14 @@
 from dataclasses import dataclass
 
 from wigeonscale.testing.matrix.faults import FAULTS
-from wigeonscale.testing.matrix.steps import STEPS, Step
+from wigeonscale.testing.matrix.steps import ISOLATED_ORDERS, STEPS, Step
 
 CONTROL_ROLES = ("leader", "follower")
-WHOLE_PROCESS_ONLY = "one process cannot be frozen alone; see the whole-process runs"
+AGENT_ROLES = ("head", "middle", "last", "here")
+ONE_STREAM = (
+    "not applicable: a stream between control replicas doubles nothing by itself;"
+    " what its users send again is in the row of resends"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,19 +35,23 @@
 def _runs(fault: str, step: str) -> tuple[tuple[Step, str], ...]:
     pairs = [(variant, role) for variant in STEPS[step] for role in variant.roles]
     if fault == "lost disk":
-        pairs = [pair for pair in pairs if pair[1] in CONTROL_ROLES]
-        if not pairs:
-            # Only control has disks; it is met while the pipeline works.
-            pairs = [(STEPS[step][0], "leader")]
+        # Only control has disks; it is met while the pipeline works.
+        met = [pair for pair in pairs if pair[1] in CONTROL_ROLES]
+        return tuple(met or [(STEPS[step][0], "leader")])
+    if fault == "doubled messages":
+        return tuple(pair for pair in pairs if pair[1] in AGENT_ROLES)
     if not FAULTS[fault].at_node:
-        pairs = [(variant, variant.roles[0]) for variant in STEPS[step]]
+        return tuple((variant, variant.roles[0]) for variant in STEPS[step])
+    if (fault, step) == ("cut both ways", "repair"):
+        pairs += [(ISOLATED_ORDERS, role) for role in ISOLATED_ORDERS.roles]
     return tuple(pairs)
 
 
+def _cell(fault: str, step: str) -> Cell:
+    runs = _runs(fault, step)
+    return Cell(fault=fault, step=step, runs=runs, reason="" if runs else ONE_STREAM)
+
+
 def cells() -> list[Cell]:
     """Return every cell, row by row."""
-    return [
-        Cell(fault=fault, step=step, runs=_runs(fault, step))
-        for fault in FAULTS
-        for step in STEPS
-    ]
+    return [_cell(fault, step) for fault in FAULTS for step in STEPS]
--- a/wigeonscale/testing/matrix/tests/test_matrix.py
+++ b/wigeonscale/testing/matrix/tests/test_matrix.py
@@ -46,6 +46,7 @@
             )
             # On a slow machine an agent may be suspected that only was slow.
             trial.allows = frozenset(RunState)
+            self.addCleanup(trial.close)
             await variant.run(trial)
             await trial.end()
             found = [str(violation) for violation in await trial.finish()]
--- a/wigeonscale/testing/matrix/trial.py
+++ b/wigeonscale/testing/matrix/trial.py
@@ -11,6 +11,7 @@
 from wigeonscale.testing.matrix import checks
 from wigeonscale.testing.matrix.backends import Moment
 from wigeonscale.testing.matrix.cluster import ENGINES, LAYERS, SERVICES, Cluster, until
+from wigeonscale.testing.matrix.doubling import Doubler
 from wigeonscale.testing.matrix.faults import Fault
 from wigeonscale.testing.matrix.load import (
     Answer,
@@ -22,6 +23,7 @@
     rules_body,
     take_up,
 )
+from wigeonscale.testing.matrix.watch import RevisionWatch
 from wigeonscale.testing.traces import Violation, layer_order_violations
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -107,6 +109,7 @@
         self.left_at_ns: dict[str, int] = {}
         self.struck = asyncio.Event()
         self.background: list[asyncio.Task] = []
+        self.doubler: Doubler | None = None
         self.has_operator = False
         self.allows: frozenset[RunState] = frozenset()
         self.back_at_ns: dict[str, int] = {}
@@ -117,6 +120,7 @@
         self._strike: asyncio.Task | None = None
         self._struck_at = 0.0
         self._undo: list[Callable[[], None]] = []
+        self._watch = RevisionWatch(cluster=cluster)
 
     def stage(self) -> str:
         """Return the stage at which a step of the pipeline is watched."""
@@ -242,6 +246,15 @@
             self.call("e2"),
         )
 
+    async def close(self) -> None:
+        """End what a run that went wrong has left."""
+        await self._watch.stop()
+        for task in self.background:
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
+        if self.doubler is not None:
+            await self.doubler.close()
+
     async def end(self) -> None:
         """Let the fault last as long as it must, then take it away."""
         self.cluster.recorder.hook = None
@@ -301,6 +314,8 @@
         await self._change_rules()
         self.violations += checks.answer_violations(after, layers=LAYERS, allows=())
         self.calls += [answer for answer in after if not answer.max_tokens]
+        await self._watch.stop()
+        self.violations += checks.revision_violations(self._watch.seen)
         return self.violations + self._recorded_violations()
 
     async def _served_again(self, send: Callable[[], Awaitable[Answer]]) -> Answer:
