Rebuild chains that serve when engines that joined make them far faster

Ruled out: raising chains without a ceiling (the first take the engines the others need), a gain of 1.1 (more loads, each a time without serving), a whole fresh plan at once (stops several chains), slowing a chain for another (rates would no longer only grow).

Change: placement/improve.py. When nothing else is to be planned and no engine came or went for rebuild_after_s, the slowest chain of a pipeline that then passes at least 1.25 times as much is rebuilt of its own and free engines, id and head kept, only while all replicas (two or more) serve as last planned.

Not run: whole processes under traffic with such a rebuilding. Loads longer than the agents' repair_timeout_s still cost a rebuilt chain its sequences.

--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -14,13 +14,13 @@
 
 from bench.placement_pools import SEED, deployments
 from bench.report import Figure
+from wigeonscale.control.planning import plan_placement
 from wigeonscale.control.settling import Settling
 from wigeonscale.placement import (
     ChainPlan,
     EngineSpec,
     hardware_bound,
     order_loads,
-    plan_chains,
 )
 from wigeonscale.rules.model import Pipeline
 
@@ -57,7 +57,8 @@
 
     loads: int = 0
     ready_s: float = LIMIT_S  # from the last announcement until all replicas serve
-    rate: float = 0.0  # of the bound
+    rest_s: float = LIMIT_S  # until chains are rebuilt no longer
+    rate: float = 0.0  # of the bound, in the end
 
 
 WAYS = (Way("at-once", 0.0), Way("settled", 0.5))
@@ -97,11 +98,12 @@
     return [
         Figure(f"{name}/loads", loads, "an engine"),
         Figure(f"{name}/all-ready", fmean(run.ready_s for run in runs), "s"),
+        Figure(f"{name}/rests", fmean(run.rest_s for run in runs), "s"),
         Figure(
             f"{name}/rate",
             fmean(run.rate for run in runs),
             "of bound",
-            low=0.9 if settled and scene.gap_s < 0.5 else None,
+            low=_least_rate(scene) if settled else None,
         ),
         Figure(
             f"{name}/never-ready",
@@ -112,6 +114,10 @@
     ]
 
 
+def _least_rate(scene):
+    return 0.9 if scene.gap_s < 0.5 else 0.85
+
+
 class _Clock:
     """Time of one run."""
 
@@ -146,10 +152,12 @@
             return
         self._planned_from = (engines, may)
         self._index += 1
-        self.chains = plan_chains(
+        self.chains = plan_placement(
             pipelines=[self.scene.pipeline],
             engines=engines,
             chains=self.chains,
+            serving=self.serving(),
+            loaded=self.serving(),
             base_index=self._index,
             load_new=may[0],
             rebuild_serving=may[1],
@@ -181,13 +189,22 @@
         held = (engine.first_layer, engine.last_layer)
         return held == (stage.first_layer, stage.last_layer)
 
+    def serving(self) -> set[str]:
+        return {
+            chain.chain_id
+            for chain in self.chains
+            if all(self.is_loaded(chain, stage) for stage in chain.stages)
+        }
+
     def is_ready(self) -> bool:
         whole = len(self.chains) == self.scene.pipeline.replicas
-        return whole and all(
-            self.is_loaded(chain, stage)
-            for chain in self.chains
-            for stage in chain.stages
-        )
+        return whole and len(self.serving()) == len(self.chains)
+
+    def rests(self) -> bool:
+        """Return whether nothing will change unless an engine comes or goes."""
+        engines = list(self.engines.values())
+        planned = self._planned_from == (engines, (True, True))
+        return planned and self.is_ready() and not self.loading
 
 
 def run(scene: Scene, way: Way, seed: int) -> Outcome:
@@ -212,8 +229,11 @@
         state.plan()
         state.load()
         state.clock.time_s += STEP_S
+        since_s = state.clock.time_s - times[-1]
         if present == len(order) and state.is_ready():
-            outcome.ready_s = state.clock.time_s - times[-1]
+            outcome.ready_s = min(outcome.ready_s, since_s)
+        if present == len(order) and state.rests():
+            outcome.rest_s = since_s
             break
     bound = hardware_bound(
         scene.engines,
--- a/wigeonscale/control/placement_loop.py
+++ b/wigeonscale/control/placement_loop.py
@@ -43,7 +43,7 @@
             at least this share of what they pass across domains.
         settle_s: Seconds without a new engine before new chains are made.
         rebuild_after_s: Seconds in which no engine came or went before chains that
-            serve are rebuilt for the sake of missing replicas.
+            serve are rebuilt, for replicas that are missing or to pass far more.
         drain_s: Seconds that a chain wanted no longer gets to end its work.
     """
 
@@ -145,6 +145,7 @@
             engines=without_engines(engines, map(chain_plan, retiring)),
             chains=[chain_plan(chain) for chain in standing],
             serving={chain.chain_id for chain in self._state.chains if chain.ready},
+            loaded={chain.chain_id for chain in standing if chain.ready},
             base_index=index,
             **options,
         )
--- a/wigeonscale/control/planning.py
+++ b/wigeonscale/control/planning.py
@@ -18,6 +18,7 @@
     EngineSpec,
     Plan,
     StagePlan,
+    improve_chains,
     plan_chains,
 )
 from wigeonscale.placement.repair import repair_chains
@@ -32,6 +33,7 @@
     engines: Sequence[EngineSpec],
     chains: Sequence[ChainPlan],
     serving: Collection[str],
+    loaded: Collection[str],
     base_index: int,
     **options: Any,
 ) -> Plan:
@@ -41,12 +43,15 @@
     other draining stage is replaced while it still works: the state lets the
     changed chain wait until its new engine has loaded. A chain that is wanted no
     longer but serves is retired: its engines are not planned with until it is gone.
+    When nothing of this is to be done, one chain of each pipeline may be rebuilt with
+    engines that joined since (:func:`improve_chains`).
 
     Args:
         pipelines: Pipelines wanted.
         engines: Announced engines.
         chains: Chains as they were last planned.
-        serving: Ids of the chains that serve now.
+        serving: Ids of the chains that serve now, be it as planned before.
+        loaded: Ids of those that serve as they were last planned.
         base_index: Log index of the input; makes new chain ids unique.
         options: Passed on to :func:`plan_chains`.
 
@@ -54,6 +59,19 @@
         The plan. Its ``changed`` may miss chains whose draining stage was replaced;
         compare ``chains`` with what stood.
     """
+    plan = _plan(pipelines, engines, chains, serving, base_index, options)
+    rests = plan.chains == tuple(chains) and not plan.retired
+    if not rests or not options.get("rebuild_serving", True):
+        return plan
+    known = {key: options[key] for key in ("spares", "domain_share") if key in options}
+    improved = improve_chains(
+        chains, pipelines=pipelines, engines=engines, serving=loaded, **known
+    )
+    changed = tuple(c for c, b in zip(improved, chains, strict=True) if c != b)
+    return replace(plan, chains=tuple(improved), changed=changed)
+
+
+def _plan(pipelines, engines, chains, serving, base_index, options):
     by_name = {pipeline.name: pipeline for pipeline in pipelines}
     left = _replace_draining(list(chains), by_name, list(engines))
     retired: list[str] = []
--- a/wigeonscale/control/tests/test_planning.py
+++ b/wigeonscale/control/tests/test_planning.py
@@ -12,6 +12,7 @@
 
 LIMIT_S = 30
 DRAIN_S = 60.0
+REBUILD_AFTER_S = 20.0
 
 
 class PlacementTest(AsyncTestCase):
@@ -97,6 +98,33 @@
         await self.load_all()
         self.assertTrue(all(each.ready for each in self.state.chains))
 
+    async def test_late_engines_speed_up_one_chain_at_a_time(self):
+        await self.stop()
+        self.lead(rebuild_after_s=REBUILD_AFTER_S)
+        wanted = "layers = 12\nreplicas = 2"
+        for agent_id in "abcdef":
+            await self.parts.announce(agent_id)
+        await self.apply(DOCUMENT.replace("layers = 4", wanted))
+        await self.until(lambda: len(self.planned()) == 2)
+        await self.load_all()
+        before = self.planned()
+        for agent_id in "ghijkl":
+            await self.parts.announce(agent_id)
+        await self.settle()
+        self.assertEqual(before, self.planned())
+        await self.parts.clock.advance(REBUILD_AFTER_S)
+        await self.until(lambda: before != self.planned())
+        await self.settle()
+        self.assertEqual([1, 2], sorted(each.epoch for each in self.planned()))
+        await self.load_all()
+        await self.until(lambda: all(each.epoch == 2 for each in self.planned()))
+        await self.load_all()
+        self.assertTrue(all(each.ready for each in self.state.chains))
+        for old, new in zip(before, self.planned(), strict=True):
+            self.assertEqual(old.chain_id, new.chain_id)
+            self.assertEqual(old.stages[0].agent_id, new.stages[0].agent_id)
+            self.assertGreaterEqual(new.rate, 1.25 * old.rate)
+
     async def test_spares_are_kept_out_of_chains(self):
         await self.stop()
         self.lead(spares=1)
--- a/wigeonscale/placement/__init__.py
+++ b/wigeonscale/placement/__init__.py
@@ -7,12 +7,14 @@
     "StagePlan",
     "chain_rate",
     "hardware_bound",
+    "improve_chains",
     "order_loads",
     "plan_chains",
     "warm_loads",
 ]
 
 from wigeonscale.placement.bound import hardware_bound
+from wigeonscale.placement.improve import improve_chains
 from wigeonscale.placement.loads import order_loads
 from wigeonscale.placement.model import ChainPlan, EngineSpec, Plan, StagePlan
 from wigeonscale.placement.planner import plan_chains
--- a/wigeonscale/placement/fresh.py
+++ b/wigeonscale/placement/fresh.py
@@ -1,6 +1,6 @@
 """Plans new chains out of free engines."""
 
-__all__ = ["chains_of_splits", "new_chains", "split_groups"]
+__all__ = ["chains_of_splits", "new_chains", "split_groups", "without_spares"]
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
@@ -76,7 +76,7 @@
         return chains_of_splits(splits, pipelines, missing)
     # A chain that serves is worth more than a spare that waits.
     for kept in range(min(spares, len(free)), -1, -1):
-        offered = _without_spares(free, kept)
+        offered = without_spares(free, kept)
         splits = max(splits, _splits(pipelines[0], offered, wanted, search), key=len)
         if len(splits) == wanted:
             break
@@ -84,7 +84,7 @@
     return chains_of_splits(splits, pipelines, missing)
 
 
-def _without_spares(free, spares):
+def without_spares(free, spares):
     """Return the engines left after setting spares aside, domain by domain.
 
     A spare must be able to hold the largest stage, so the roomiest engines are kept,
--- /dev/null
+++ b/wigeonscale/placement/improve.py
@@ -0,0 +1,142 @@
+"""Rebuilds standing chains with engines that joined since, where they pass far more."""
+
+__all__ = ["GAIN", "improve_chains"]
+
+from collections.abc import Collection, Sequence
+from dataclasses import replace
+
+from wigeonscale.placement.bound import compute_bound
+from wigeonscale.placement.fresh import without_spares
+from wigeonscale.placement.model import ChainPlan, EngineSpec
+from wigeonscale.placement.rates import ROUNDING, chain_rate
+from wigeonscale.placement.repair import is_alive, stages_of
+from wigeonscale.placement.seats import split_behind
+from wigeonscale.rules.model import Pipeline
+
+# A chain that serves is rebuilt only when it then passes this many times as much.
+GAIN = 1.25
+# No chain is rebuilt to pass more than this many times the mean that the bound allows:
+# the others need engines too.
+CEILING = 1.25
+
+
+def improve_chains(
+    chains: Sequence[ChainPlan],
+    *,
+    pipelines: Sequence[Pipeline],
+    engines: Sequence[EngineSpec],
+    serving: Collection[str],
+    spares: int = 0,
+    domain_share: float = 0.93,
+) -> list[ChainPlan]:
+    """Return the chains, at most one of each pipeline rebuilt to pass far more.
+
+    The slowest chain that gains enough from its own and free engines is rebuilt. It
+    keeps its id and its head, so that the head can go on with its sequences in the next
+    epoch. A pipeline is left alone unless it has all its replicas, more than one, and
+    all of them serve.
+
+    Args:
+        chains: Every chain that stands.
+        pipelines: Pipelines wanted.
+        engines: Engines that may be used, and all those of the chains.
+        serving: Ids of the chains that serve now.
+        spares: Engines of each model kept free for repairs.
+        domain_share: A chain stays inside its head's failure domain when it so passes
+            at least this share of what it passes across domains.
+
+    Returns:
+        The chains in the order given.
+
+    Notes:
+        Each step has one chain pass at least ``GAIN`` times as much and no other less,
+        so that repeated planning comes to rest. No chain is raised above ``CEILING``
+        times the mean that the hardware bound allows, which leaves fast engines to the
+        others; chains within ``GAIN`` of that cost nothing, any other one split of the
+        layers over its own and the free engines for each try.
+    """
+    by_id = {engine.agent_id: engine for engine in engines}
+    result = list(chains)
+    for pipeline in pipelines:
+        own = [chain for chain in result if chain.pipeline == pipeline.name]
+        if not _may_improve(own, pipeline, by_id, serving):
+            continue
+        target = CEILING * _mean_rate(pipeline, pipelines, engines)
+        free = _free_engines(result, pipeline, engines, spares)
+        step = _best_step(own, pipeline, by_id, free, target, domain_share)
+        if step is not None:
+            index = next(n for n, c in enumerate(result) if c.chain_id == step.chain_id)
+            result[index] = step
+    return result
+
+
+def _may_improve(own, pipeline, by_id, serving):
+    if len(own) != pipeline.replicas or len(own) < 2:
+        return False
+    return all(chain.chain_id in serving and _is_whole(chain, by_id) for chain in own)
+
+
+def _is_whole(chain, by_id):
+    return all(
+        is_alive(stage, by_id) and by_id[stage.agent_id].is_usable
+        for stage in chain.stages
+    )
+
+
+def _mean_rate(pipeline, pipelines, engines):
+    """Return the mean rate that the bound allows the chains of the same model."""
+    pool = [e for e in engines if e.is_usable and e.model == pipeline.model]
+    alike = [other for other in pipelines if other.model == pipeline.model]
+    layers = sum(other.layers * other.replicas for other in alike)
+    return compute_bound(pool, layers=pipeline.layers) * pipeline.layers / layers
+
+
+def _free_engines(chains, pipeline, engines, spares):
+    used = {stage.agent_id for chain in chains for stage in chain.stages}
+    free = [
+        engine
+        for engine in engines
+        if engine.is_usable
+        and engine.model == pipeline.model
+        and engine.agent_id not in used
+    ]
+    return without_spares(free, min(spares, len(free)))
+
+
+def _best_step(own, pipeline, by_id, free, target, domain_share):
+    rates = {chain.chain_id: chain_rate(chain.stages, by_id) for chain in own}
+    for chain in sorted(own, key=lambda chain: (rates[chain.chain_id], chain.chain_id)):
+        before = rates[chain.chain_id]
+        if before * GAIN > target * (1 + ROUNDING):
+            return None
+        after = _rebuild(chain, pipeline, by_id, free, target, domain_share)
+        if after is not None and after.rate >= GAIN * before:
+            return after
+    return None
+
+
+def _rebuild(chain, pipeline, by_id, free, target, domain_share):
+    head = by_id[chain.stages[0].agent_id]
+    own = [by_id[stage.agent_id] for stage in chain.stages]
+    pool = [engine for engine in own + free if engine.region == head.region]
+    near = [engine for engine in pool if engine.domain == head.domain]
+    across = _on(chain, head, pool, pipeline, target)
+    within = _on(chain, head, near, pipeline, target)
+    if within is None or across is None:
+        return within or across
+    return within if within.rate >= domain_share * across.rate else across
+
+
+def _on(chain, head, pool, pipeline, target):
+    split = split_behind(
+        head, pool, pipeline.layers, stages=pipeline.stages, enough=target
+    )
+    if not split:
+        return None
+    place = {stage.agent_id: n for n, stage in enumerate(chain.stages)}
+    # Engines of the chain keep their order, so that less has to load.
+    tail = sorted(split[1:], key=lambda pair: place.get(pair[0].agent_id, len(place)))
+    stages = tuple(stages_of([split[0], *tail], 0))
+    engines = {engine.agent_id: engine for engine, _ in split}
+    rate = chain_rate(stages, engines)
+    return replace(chain, epoch=chain.epoch + 1, stages=stages, rate=rate)
--- a/wigeonscale/placement/seats.py
+++ b/wigeonscale/placement/seats.py
@@ -2,6 +2,7 @@
 
 __all__ = ["seat_chains", "split_behind"]
 
+import math
 from collections.abc import Sequence
 
 from wigeonscale.placement.bound import kind_of
@@ -81,7 +82,12 @@
 
 
 def split_behind(
-    head: EngineSpec, group: Sequence[EngineSpec], layers: int, *, stages: int = 0
+    head: EngineSpec,
+    group: Sequence[EngineSpec],
+    layers: int,
+    *,
+    stages: int = 0,
+    enough: float = math.inf,
 ) -> Split:
     """Split a model over a group so that a given engine has the first layers.
 
@@ -90,15 +96,16 @@
         group: Engines that may be used.
         layers: Number of layers of the model.
         stages: Exact number of stages; 0 for free choice.
+        enough: Steps per second above which more speed is of no use.
 
     Returns:
         Pairs of engine and number of layers, the head first; empty when it does not
         work out.
     """
     rest = [engine for engine in group if engine.agent_id != head.agent_id]
-    options = [split_layers(group, layers, stages=stages)]
+    options = [split_layers(group, layers, stages=stages, enough=enough)]
     if stages != 1 and layers > 1:
-        after = split_layers(rest, layers - 1, stages=max(stages - 1, 0))
+        after = split_layers(rest, layers - 1, stages=max(stages - 1, 0), enough=enough)
         options.append([(head, 1), *after] if after else [])
     if stages in (0, 1) and head.layer_capacity >= layers:
         options.append([(head, layers)])
