--- a/wigeonscale/placement/improve.py
+++ b/wigeonscale/placement/improve.py
@@ -15,8 +15,8 @@
 
 # A chain that serves is rebuilt only when it then passes this many times as much.
 GAIN = 1.25
-# No chain is rebuilt to pass more than this many times the mean that the bound allows:
-# the others need engines too.
+# Rates above this many times the mean that the bound allows count for nothing: the
+# other chains need engines too.
 CEILING = 1.25
 
 
@@ -50,10 +50,10 @@
 
     Notes:
         Each step has one chain pass at least ``GAIN`` times as much and no other less,
-        so that repeated planning comes to rest. No chain is raised above ``CEILING``
-        times the mean that the hardware bound allows, which leaves fast engines to the
-        others; chains within ``GAIN`` of that cost nothing, any other one split of the
-        layers over its own and the free engines for each try.
+        so that repeated planning comes to rest. Rates above ``CEILING`` times the mean
+        that the hardware bound allows count for nothing in the choice of engines, which
+        leaves fast ones to the others; chains within ``GAIN`` of that cost nothing, any
+        other chain two splits of the layers over its own and the free engines.
     """
     by_id = {engine.agent_id: engine for engine in engines}
     result = list(chains)
