entry: go on at a new chain that has the lost one's head

Cause: after two losses during a repair control made a new chain with another id under the same head. The entry moved a generation off a chain given up only to another head, so it waited 10 s and failed as "ran" while the new chain was ready after 4 s; and a move charged the retry budget. Ruled out: the head taking over by itself (it knows the pipeline of a chain no longer once the chain is gone). Change: a chain given up is left as soon as any chain serves, as out of service, which costs no budget.

--- a/wigeonscale/entry/service.py
+++ b/wigeonscale/entry/service.py
@@ -148,14 +148,15 @@
                 message = f"chain {chain_id} was given up"
                 stream.give_up(
                     WigeonscaleError(
-                        ErrorKind.BACKEND_FAILED, message, run_state=RunState.RAN
+                        ErrorKind.STALE_EPOCH, message, run_state=RunState.RAN
                     )
                 )
 
     def _has_other(self, stream: DispatchStream) -> bool:
         pipeline = stream.opening.generate.chain.pipeline
         work = Work(organisation=stream.organisation, pipeline=pipeline)
-        return self.places.choose(work, frozenset({stream.target.agent_id})) is not None
+        # Its own head may head the new chain, which has another id.
+        return self.places.choose(work, frozenset()) is not None
 
     # ------------------------------------------------- callers that have vanished
 
--- a/wigeonscale/entry/tests/test_failures.py
+++ b/wigeonscale/entry/tests/test_failures.py
@@ -87,6 +87,23 @@
         self.assertEqual(list(WORDS[3:]), texts_of(await read_events(answer)))
         await self.agent.until(lambda agent: "cancel" in agent.names())
 
+    async def test_generation_goes_on_at_a_new_chain_of_the_same_head(self):
+        answer = await self.begin_stream(self.agent)
+        while self.entry.dispatcher._budget.try_spend():
+            continue  # such a move is paid for by nobody
+        members = self.control.members
+        chain = wire.Chain()
+        chain.CopyFrom(members.chains["chain-a1"])
+        chain.chain_id = "chain-new"
+        rebuilt = wire.MembersUpdate(
+            index=members.index + 1, removed_chains=["chain-a1"], chains=[chain]
+        )
+        members.apply(rebuilt)
+        self.agent.hold = None
+        self.entry.leave_lost_chains()
+        self.assertEqual(list(WORDS[3:]), texts_of(await read_events(answer)))
+        self.assertEqual(2, len(self.agent.opened))
+
     async def test_gap_doubled_and_foreign_tokens_are_mended_or_dropped(self):
         answer = await self.begin_stream(self.agent)
         dispatch_id = self.agent.opened[0]
