--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,6 +26,7 @@
     "pipeline",
     "prefill",
     "relay",
+    "recovery",
 )
 
 
