--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -151,7 +151,7 @@
             at least this share of what they pass across domains; 0: always.
         settle_s: Time without a new engine before new chains are made, in seconds.
         rebuild_after_s: Time in which no engine came or went before chains that serve
-            are rebuilt for missing replicas, in seconds.
+            are rebuilt for missing replicas or far more rate, in seconds.
         drain_s: Time that a chain wanted no longer gets to end its work, in seconds.
         https: Whether the pages are served over TLS, to clients with a certificate of
             the same authority only.
