--- a/wigeonscale/adapters/health.py
+++ b/wigeonscale/adapters/health.py
@@ -11,6 +11,7 @@
 from wigeonscale.adapters.metrics import METRICS, Metrics
 
 SHUTDOWN_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 1024 * 1024
 
 
 async def start_http(
@@ -21,6 +22,7 @@
     metrics: Metrics = METRICS,
     tls: TlsFiles | None = None,
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> web.AppRunner:
     """Serve ``/healthz``, ``/readyz``, ``/metrics`` and further routes.
 
@@ -30,6 +32,7 @@
         ready: Whether the balancer may send work here.
         metrics: What ``/metrics`` shows.
         tls: Files for mutual TLS; None for plain HTTP.
+        max_body_bytes: Most bytes of a request's body.
         shutdown_timeout_s: Seconds that ``cleanup`` waits for open answers.
 
     Returns:
@@ -38,7 +41,7 @@
     Raises:
         OSError: If the address cannot be bound.
     """
-    app = web.Application()
+    app = web.Application(client_max_size=max_body_bytes)
     app.add_routes(_health_routes(ready, metrics))
     app.add_routes(routes)
     runner = web.AppRunner(
--- a/wigeonscale/adapters/logs.py
+++ b/wigeonscale/adapters/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines on standard output."""
 
 __all__ = ["JsonLinesFormatter", "log_fields", "setup_logging"]
 
@@ -88,9 +88,9 @@
     Args:
         level: Name of the lowest level that is logged.
         node: Name of the process.
-        stream: Where to; None for standard error.
+        stream: Where to; None for standard output.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stdout)
     handler.setFormatter(JsonLinesFormatter(node=node))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/wigeonscale/cli/wigeond.py
+++ b/wigeonscale/cli/wigeond.py
@@ -53,8 +53,9 @@
 
 def _runner(role: str) -> Callable[[NodeSettings], Awaitable[int | None]]:
     # Imported only now: the other roles' libraries would cost memory.
-    module = importlib.import_module(f"wigeonscale.daemons.{role}")
-    return getattr(module, f"run_{role}")
+    name = role.replace("-", "_")
+    module = importlib.import_module(f"wigeonscale.daemons.{name}")
+    return getattr(module, f"run_{name}")
 
 
 if __name__ == "__main__":
--- a/wigeonscale/config/__init__.py
+++ b/wigeonscale/config/__init__.py
@@ -4,6 +4,8 @@
     "ROLES",
     "AgentSettings",
     "ControlSettings",
+    "DirectControlSettings",
+    "DirectEntrySettings",
     "EntrySettings",
     "NodeSettings",
     "Peer",
@@ -15,6 +17,8 @@
 from wigeonscale.config.settings import (
     AgentSettings,
     ControlSettings,
+    DirectControlSettings,
+    DirectEntrySettings,
     EntrySettings,
     NodeSettings,
 )
--- a/wigeonscale/config/keys.py
+++ b/wigeonscale/config/keys.py
@@ -4,6 +4,7 @@
     "AddressList",
     "Allowed",
     "BackendUrl",
+    "IpAddress",
     "ListenAddress",
     "LogLevel",
     "NodeName",
@@ -84,6 +85,10 @@
     return Annotated[float, Field(ge=low, le=high, allow_inf_nan=False), words]
 
 
+def _ip_address(value: str) -> str:
+    return str(ipaddress.ip_address(value))
+
+
 def _listen_address(value: str) -> str:
     return _checked_address(value, lowest_port=0)
 
@@ -149,6 +154,9 @@
 ListenAddress = Annotated[
     str, AfterValidator(_listen_address), Allowed(f"{ADDRESS_EXAMPLE}; port 0: any")
 ]
+IpAddress = Annotated[
+    str, AfterValidator(_ip_address), Allowed("an IP address, such as 10.0.0.1")
+]
 AddressList = Annotated[
     tuple[Annotated[str, AfterValidator(_peer_address)], ...],
     BeforeValidator(_split_list),
--- a/wigeonscale/config/load.py
+++ b/wigeonscale/config/load.py
@@ -15,6 +15,8 @@
 from wigeonscale.config.settings import (
     AgentSettings,
     ControlSettings,
+    DirectControlSettings,
+    DirectEntrySettings,
     EntrySettings,
     NodeSettings,
 )
@@ -24,6 +26,8 @@
     "entry": EntrySettings,
     "agent": AgentSettings,
     "control": ControlSettings,
+    "direct-entry": DirectEntrySettings,
+    "direct-control": DirectControlSettings,
 }
 # Keys that stand in a section shared by all roles; the others stand in the role's.
 SHARED_KEYS = {
--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -1,6 +1,13 @@
 """The settings of each role: every key with type, unit, default and range."""
 
-__all__ = ["AgentSettings", "ControlSettings", "EntrySettings", "NodeSettings"]
+__all__ = [
+    "AgentSettings",
+    "ControlSettings",
+    "DirectControlSettings",
+    "DirectEntrySettings",
+    "EntrySettings",
+    "NodeSettings",
+]
 
 from dataclasses import dataclass
 from typing import Annotated, Literal
@@ -12,6 +19,7 @@
     AddressList,
     Allowed,
     BackendUrl,
+    IpAddress,
     ListenAddress,
     LogLevel,
     NodeName,
@@ -97,6 +105,40 @@
     max_streams: count(1, 100_000) = 5000
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DirectEntrySettings(NodeSettings):
+    """Settings of ``wigeond direct-entry``, which speaks to backend servers itself.
+
+    Attributes:
+        listen: Address for callers.
+        seeds: Addresses of some control replicas' HTTP pages; only their IP counts.
+        internal_port: Port of every control replica's gRPC server.
+        lease_s: Time without confirmation by a majority after which another control
+            replica is tried, in seconds. Callers are served on.
+        heartbeat_s: Interval of heartbeats to control, in seconds.
+        retry_ratio: Further sends allowed as a share of recent requests, over all
+            entries.
+        retry_slack: Further sends allowed beside that share in ``retry_window_s``,
+            over all entries.
+        retry_window_s: Time over which requests and sends are counted, in seconds.
+        stall_s: Time after which an engine cuts off work that waits for a lost one,
+            in seconds.
+        serve_when_cut: Whether to go on serving with what was known once control is
+            out of reach.
+    """
+
+    listen: ListenAddress
+    seeds: AddressList
+    internal_port: count(1, 65535)
+    lease_s: seconds(0.1, 60) = 3.0
+    heartbeat_s: seconds(0.01, 20) = 0.5
+    retry_ratio: fraction(0, 1) = 0.1
+    retry_slack: count(0, 100_000) = 10
+    retry_window_s: seconds(1, 600) = 10.0
+    stall_s: seconds(0.1, 60) = 3.0
+    serve_when_cut: YesNo = True
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AgentSettings(NodeSettings):
     """Settings of ``wigeond agent``.
@@ -175,3 +217,36 @@
     drain_s: seconds(0, 86400) = 120.0
     https: YesNo = False
     admin_token_digest: TokenDigest = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DirectControlSettings(NodeSettings):
+    """Settings of ``wigeond direct-control``, for backend servers without agents.
+
+    Attributes:
+        ip: Address of this VM; with ``internal_port`` it names the replica.
+        data: Data folder for log and snapshots.
+        seeds: Addresses of some control replicas' HTTP pages; only their IP counts.
+        internal_port: Port of every control replica's gRPC server.
+        first_start: Whether the whole deployment starts for the first time.
+        election_timeout_s: Silence of the leader before an election, in seconds.
+        heartbeat_s: Interval of the leader's heartbeats, in seconds.
+        lease_s: Age at which what a replica knows is no longer fresh, in seconds.
+        snapshot_entries: Log entries between two snapshots.
+        backend_heartbeat_s: Interval at which backend servers announce themselves,
+            in seconds.
+        answer_s: Longest wait for a majority before an operator gets an answer, in
+            seconds.
+    """
+
+    ip: IpAddress
+    data: DataFolder
+    seeds: AddressList
+    internal_port: count(1, 65535)
+    first_start: YesNo = False
+    election_timeout_s: seconds(0.05, 60) = 0.6
+    heartbeat_s: seconds(0.01, 20) = 0.15
+    lease_s: seconds(0.1, 60) = 1.5
+    snapshot_entries: count(1, 10_000_000) = 2000
+    backend_heartbeat_s: seconds(0.01, 60) = 1.2
+    answer_s: seconds(0.1, 60) = 0.9
--- a/wigeonscale/control/commands.py
+++ b/wigeonscale/control/commands.py
@@ -50,6 +50,14 @@
         """Close the stream to the leader."""
         await self._submitter.close()
 
+    def follow_addresses(self, addresses: Sequence[str]) -> None:
+        """Forward commands to these replicas from now on.
+
+        Args:
+            addresses: gRPC addresses of all control replicas.
+        """
+        self._submitter.follow_addresses(addresses)
+
     async def propose(self, command: wire.Command) -> wire.CommandResult:
         """Commit a command through this replica, which must lead.
 
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -197,6 +197,10 @@
         for update in self.feed.configs_after(watcher.revision):
             watcher.revision = update.revision
             yield wire.WatchEvent(config=update)
+        document = self._state.document
+        if document.number > watcher.document_number:
+            watcher.document_number = document.number
+            yield wire.WatchEvent(document=document.message())
         yield from self._due_members(watcher)
         yield from self._due_orders(watcher)
         if grant is not None:
@@ -225,6 +229,7 @@
         )
         if watcher.is_entry:
             grant.entries = len(self._state.entries)
+        grant.control.extend(member.address for member in self._replica.members())
         return grant
 
     def _due_orders(self, watcher):
--- /dev/null
+++ b/wigeonscale/control/joining.py
@@ -0,0 +1,214 @@
+"""Control replicas that come and go without anybody naming them in settings.
+
+A replica that is no member, or that hears no leader, asks the others to be taken in.
+The leader adds it by a committed change of members. It takes out a member that was
+silent for long only when another stands in for it, so that a short cut of one of
+three replicas changes nothing.
+"""
+
+__all__ = ["Joining", "member_to_remove"]
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping, Sequence
+
+import grpc
+
+from wigeonscale.adapters.channels import TlsFiles, open_channel
+from wigeonscale.control.commands import Commands
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.replication import Member, Replica, Role
+from wigeonscale.wire import wire_pb2 as wire
+from wigeonscale.wire import wire_pb2_grpc
+
+INTERVAL_S = 0.5
+# Elections end well before; a replica that hears no leader for so long is cut off, or
+# was taken out.
+LONELY_S = 3.0
+# Silence after which a member may be replaced. Restarts take a second or two.
+REPLACE_AFTER_S = 3.0
+# Fewer members bear no loss.
+LEAST_MEMBERS = 3
+CALL_TIMEOUT_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+def member_to_remove(
+    members: Sequence[Member],
+    silences: Mapping[str, float],
+    *,
+    joining: bool,
+) -> str | None:
+    """Return the member that the leader should take out now, or None.
+
+    Args:
+        members: All members.
+        silences: Seconds since each other member was heard, by node id.
+        joining: Whether another replica waits to be added.
+
+    Returns:
+        Node id of the member silent for longest, if it was silent for
+        ``REPLACE_AFTER_S``, if enough members stay, and if the others that are heard
+        make a majority without it.
+
+    Example:
+        >>> trio = [Member(name, "") for name in "abc"]
+        >>> member_to_remove(trio, {"b": 0.1, "c": 9.0}, joining=True)
+        'c'
+        >>> member_to_remove(trio, {"b": 0.1, "c": 9.0}, joining=False)
+    """
+    silent = {
+        member.node_id: silences[member.node_id]
+        for member in members
+        if silences.get(member.node_id, 0.0) > REPLACE_AFTER_S
+    }
+    if not silent or len(members) - (not joining) < LEAST_MEMBERS:
+        return None
+    heard = sum(m.voting for m in members if m.node_id not in silent)
+    staying = sum(m.voting for m in members) - 1
+    if heard <= staying // 2:
+        return None
+    return max(silent, key=silent.get)
+
+
+class Joining:
+    """Asks to be a member, and as leader takes members in and out.
+
+    Args:
+        node_id: Name of this replica.
+        address: ip:port of its gRPC server.
+        seeds: gRPC addresses that the settings name.
+        replica: This replica.
+        commands: Way of commands to the log, which learns the members' addresses.
+        clock: Clock port.
+        tls: Files for mutual TLS; None for plain TCP.
+        dial: Asks the replica at an address; None: over gRPC.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        address: str,
+        seeds: Sequence[str],
+        replica: Replica,
+        commands: Commands,
+        clock: Clock,
+        tls: TlsFiles | None = None,
+        dial: Callable | None = None,
+    ):
+        self._me = wire.JoinRequest(node_id=node_id, address=address)
+        self._seeds = tuple(seeds)
+        self._replica = replica
+        self._commands = commands
+        self._clock = clock
+        self._tls = tls
+        self._dial = dial or self._call
+        self._told: tuple[str, ...] = ()
+        self._led_since: dict[str, float] = {}
+        self._changing = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Join, and tend the members, until cancelled."""
+        while True:
+            await self._clock.sleep(INTERVAL_S)
+            self._commands.follow_addresses(self._addresses())
+            if self._replica.role is Role.LEADER:
+                await self._tend()
+                continue
+            self._led_since.clear()
+            if self._is_lonely():
+                await self._ask_to_join()
+
+    async def answer(self, req: wire.JoinRequest) -> wire.JoinReply:
+        """Answer a replica that asks to be a member.
+
+        Args:
+            req: Names the replica.
+
+        Returns:
+            Whether it is or becomes a member, else who leads.
+        """
+        members = self._replica.members()
+        reply = wire.JoinReply(
+            leader=self._replica.leader_address,
+            control=[member.address for member in members],
+        )
+        if self._replica.role is not Role.LEADER:
+            return reply
+        reply.taken = any(m.node_id == req.node_id for m in members)
+        if not reply.taken and not self._changing.locked():
+            async with self._changing:
+                reply.taken = await self._take_in(req)
+        return reply
+
+    def _addresses(self) -> list[str]:
+        known = [member.address for member in self._replica.members()]
+        return list(dict.fromkeys([*known, *self._told, *self._seeds]))
+
+    def _is_lonely(self) -> bool:
+        return self._replica.leader_silence() > LONELY_S
+
+    async def _ask_to_join(self) -> None:
+        for address in self._addresses():
+            if address == self._me.address:
+                continue
+            reply = await self._dial(address, self._me)
+            if reply is None:
+                continue
+            self._told = tuple(reply.control) or self._told
+            if not reply.taken and reply.leader not in ("", address):
+                reply = await self._dial(reply.leader, self._me)
+            if reply is not None and reply.taken:
+                logger.info("replica %s is taken in by %s", self._me.node_id, address)
+                return
+
+    async def _call(self, address: str, req: wire.JoinRequest) -> wire.JoinReply | None:
+        try:
+            async with open_channel(address, tls=self._tls) as channel:
+                stub = wire_pb2_grpc.ControlStub(channel)
+                return await stub.Join(req, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as exc:
+            logger.info("replica %s not asked to join: %s", address, exc.code())
+            return None
+
+    async def _tend(self) -> None:
+        if self._changing.locked():
+            return
+        async with self._changing:
+            await self._remove_silent(joining=False)
+
+    async def _take_in(self, req: wire.JoinRequest) -> bool:
+        await self._remove_silent(joining=True)
+        return await self._change(add=Member(req.node_id, req.address))
+
+    async def _remove_silent(self, *, joining: bool) -> None:
+        members = self._replica.members()
+        silences = self._silences(members)
+        name = member_to_remove(members, silences, joining=joining)
+        if name is not None:
+            logger.warning(
+                "replica %s is taken out, silent %.1f s", name, silences[name]
+            )
+            await self._change(remove=name)
+
+    def _silences(self, members: Sequence[Member]) -> dict[str, float]:
+        """Return for how long each other member was silent towards this leader."""
+        now = self._clock.now()
+        others = [m.node_id for m in members if m.node_id != self._me.node_id]
+        # One that this leader leads for a moment only may well be about to answer.
+        self._led_since = {name: self._led_since.get(name, now) for name in others}
+        return {
+            name: min(self._replica.peer_silence(name), now - self._led_since[name])
+            for name in others
+        }
+
+    async def _change(self, **change: object) -> bool:
+        try:
+            await self._replica.change_voters(**change)
+        except WigeonscaleError as exc:
+            logger.info("members not changed: %s", exc.message)
+            return False
+        return True
--- /dev/null
+++ b/wigeonscale/control/layer_keeper.py
@@ -0,0 +1,204 @@
+"""The leader's orders to engines without an agent: which layers each shall hold."""
+
+__all__ = ["LayerKeeper"]
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.layers import Holder, LayerRange, plan_layers
+from wigeonscale.ports import Clock
+from wigeonscale.ports.orders import EngineOrders, OrderOutcome
+from wigeonscale.replication import Replica, Role
+from wigeonscale.routes import EngineProfile, RouteTable
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2 as wire
+
+INTERVAL_S = 0.2
+# Before the first plan: time without a new engine. Engines announce themselves once
+# a heartbeat, all within one of about 1.2 s.
+SETTLE_S = 0.7
+# An engine whose order had no visible effect for this long is asked again. A whole
+# engine's layers take 14 s x 20 / 80 alone, and longer where many load at once.
+ORDER_TIMEOUT_S = 12.0
+UNKNOWN_AGAIN_S = 1.5
+# A fencing number is (term, index) in one number that JSON carries exactly.
+TERM_SHIFT = 32
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Order:
+    """An order that was given, until its effect shows.
+
+    Attributes:
+        layers: What the engine shall hold.
+        again_at: Instant from which it is asked how it is.
+    """
+
+    layers: LayerRange
+    again_at: float
+
+
+class LayerKeeper:
+    """Keeps the layers of every model covered, while this replica leads.
+
+    Args:
+        state: The replicated state.
+        replica: This replica.
+        clock: Clock port.
+        orders: Port to the engines.
+        table: Returns the route table in force.
+        is_fresh: Returns whether a majority confirmed the state lately.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ControlState,
+        replica: Replica,
+        clock: Clock,
+        orders: EngineOrders,
+        table: Callable[[], RouteTable],
+        is_fresh: Callable[[], bool],
+    ):
+        self._state = state
+        self._replica = replica
+        self._clock = clock
+        self._orders = orders
+        self._table = table
+        self._is_fresh = is_fresh
+        self._given: dict[str, _Order] = {}
+        self._order_counts: dict[str, int] = {}
+        self._giving: dict[str, asyncio.Task] = {}
+        self._known: frozenset[str] = frozenset()
+        self._settled_at = clock.now()
+
+    async def run(self) -> None:
+        """Plan and give orders until cancelled."""
+        try:
+            while True:
+                await self._clock.sleep(INTERVAL_S)
+                if self._replica.role is Role.LEADER and self._is_fresh():
+                    self._review()
+                else:
+                    self._given.clear()
+                    self._order_counts.clear()
+        finally:
+            tasks = list(self._giving.values())
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _review(self) -> None:
+        members = {m.backend.agent_id: m.backend for m in self._state.members}
+        if self._known != members.keys():
+            self._known = frozenset(members)
+            self._settled_at = self._clock.now() + SETTLE_S
+        self._drop_done(members)
+        for service in self._table().services.values():
+            if service.engine is not None and service.engine.layers:
+                self._review_service(service.name, service.engine, members)
+
+    def _drop_done(self, members: dict[str, wire.Backend]) -> None:
+        for name, order in list(self._given.items()):
+            backend = members.get(name)
+            if backend is None or backend.silent or _held(backend) == order.layers:
+                del self._given[name]
+
+    def _review_service(
+        self, service: str, engine: EngineProfile, members: dict[str, wire.Backend]
+    ) -> None:
+        backends = [b for b in members.values() if b.service == service]
+        is_first = not any(_held(b).count for b in backends) and not self._given
+        if is_first and self._clock.now() < self._settled_at:
+            return
+        holders = [self._holder(b, engine) for b in backends]
+        wanted = plan_layers(
+            [holder for holder in holders if holder is not None],
+            layers=engine.layers,
+            layer_mb=engine.layer_mb,
+        )
+        now = self._clock.now()
+        for name, order in self._given.items():
+            if now >= order.again_at and members[name].service == service:
+                wanted.setdefault(name, order.layers)
+        for name, layers in wanted.items():
+            if name not in self._giving:
+                task = asyncio.create_task(self._give(members[name], layers))
+                self._giving[name] = task
+                task.add_done_callback(lambda _, name=name: self._giving.pop(name))
+
+    def _holder(self, backend: wire.Backend, engine: EngineProfile) -> Holder | None:
+        kind = engine.accelerators.get(backend.accelerator)
+        if kind is None:
+            return None
+        given = self._given.get(backend.agent_id)
+        return Holder(
+            backend_id=backend.agent_id,
+            domain=backend.domain,
+            size_mb=kind.size_mb,
+            pace=kind.pace,
+            held=given.layers if given else _held(backend),
+            lasting=not (backend.silent or backend.draining),
+        )
+
+    async def _give(self, backend: wire.Backend, layers: LayerRange) -> None:
+        name = backend.agent_id
+        expected = await self._expected_orders(backend, layers)
+        if expected is None:
+            return
+        fence = (self._replica.applied_term << TERM_SHIFT) + self._replica.applied_index
+        outcome = await self._orders.place(
+            backend.address,
+            first=layers.first,
+            end=layers.end,
+            fence=fence,
+            expected_orders=expected,
+        )
+        now = self._clock.now()
+        if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS_ALREADY):
+            self._order_counts[name] = expected + (outcome is OrderOutcome.BEGUN)
+            self._given[name] = _Order(layers, now + ORDER_TIMEOUT_S)
+        else:
+            self._order_counts.pop(name, None)
+            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+        logger.info(
+            "engine %s shall hold layers %d-%d",
+            name,
+            layers.first,
+            layers.end,
+            extra=log_fields(outcome=outcome, fence=fence, expected_orders=expected),
+        )
+
+    async def _expected_orders(
+        self, backend: wire.Backend, layers: LayerRange
+    ) -> int | None:
+        """Return the order count to expect, or None while no order is due."""
+        name = backend.agent_id
+        is_new = not _held(backend).count and name not in self._given
+        if name in self._order_counts and name not in self._given:
+            return self._order_counts[name]
+        if is_new and name not in self._order_counts:
+            return 0
+        status = await self._orders.status(backend.address)
+        now = self._clock.now()
+        if status is None:
+            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            return None
+        self._order_counts[name] = status.orders
+        held = LayerRange(status.first_layer, status.end_layer)
+        if status.busy or held == layers:
+            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            return None
+        return status.orders
+
+
+def _held(backend: wire.Backend) -> LayerRange:
+    """Return the layers that a backend announced, as first and end."""
+    if backend.last_layer < backend.first_layer:
+        return LayerRange(0, 0)
+    return LayerRange(backend.first_layer, backend.last_layer + 1)
--- /dev/null
+++ b/wigeonscale/control/registry.py
@@ -0,0 +1,220 @@
+"""Backend servers that announce themselves with heartbeats, without an agent.
+
+A heartbeat is soft state of the replica that took it. Only what changes goes through
+the log: a new incarnation, a state or layers that differ, one that fell silent or was
+heard again. So a quiet deployment costs no log entries, however many heartbeats come.
+"""
+
+__all__ = ["Registry"]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.control.commands import Commands
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.ports import Clock
+from wigeonscale.replication import Replica, Role
+from wigeonscale.state import ControlState, Member
+from wigeonscale.wire import wire_pb2 as wire
+
+# Heartbeats that may be missing; two can be lost to one broken connection.
+MISSING_HEARTBEATS = 3
+CHECKS_PER_HEARTBEAT = 4
+# A backend that an entry suspects gets this many probes before it counts as silent.
+SUSPECT_PROBES = 2
+SUSPECT_PAUSE_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Heard:
+    """Last heartbeat of one backend at this replica."""
+
+    at: float
+    sequence: int
+
+
+class Registry:
+    """Takes heartbeats, and judges those that stay away.
+
+    Args:
+        node_id: Name of this replica.
+        state: The replicated state.
+        replica: This replica.
+        commands: Way of commands to the log.
+        clock: Clock port.
+        heartbeat_s: Interval of the backends' heartbeats, in seconds.
+        probe: Returns whether the backend at an address answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        state: ControlState,
+        replica: Replica,
+        commands: Commands,
+        clock: Clock,
+        heartbeat_s: float,
+        probe: Callable[[str], Awaitable[bool]],
+    ):
+        self._node_id = node_id
+        self._state = state
+        self._replica = replica
+        self._commands = commands
+        self._clock = clock
+        self._heartbeat_s = heartbeat_s
+        self._silent_after_s = MISSING_HEARTBEATS * heartbeat_s
+        self._probe = probe
+        self._heard: dict[str, _Heard] = {}
+        self._suspected: dict[str, asyncio.Task] = {}
+        self._began_at = clock.now()
+
+    async def announce(self, backend: wire.Backend, sequence: int) -> None:
+        """Take a heartbeat; returns once the state shows what it says.
+
+        Args:
+            backend: What the backend says of itself.
+            sequence: Number of its announcement, growing.
+
+        Raises:
+            WigeonscaleError: It could not be committed, ``NO_QUORUM``; or it is
+                wrong in itself, ``BAD_REQUEST``.
+        """
+        name = backend.agent_id
+        heard = self._heard.get(name)
+        if heard is not None and sequence < heard.sequence:
+            logger.info("heartbeat %d of %s is late", sequence, name)
+            return
+        if self._state.members.is_ended(name, backend.incarnation):
+            logger.info("heartbeat %d of ended %s ignored", sequence, name)
+            return
+        self._heard[name] = _Heard(self._clock.now(), sequence)
+        if self._shows(backend):
+            return
+        command = wire.Announce(
+            backend=backend, replica=self._node_id, sequence=sequence
+        )
+        try:
+            await self._commands.submit(wire.Command(announce=command))
+        except WigeonscaleError as exc:
+            if exc.kind not in (
+                ErrorKind.STALE_INCARNATION,
+                ErrorKind.REVISION_CONFLICT,
+            ):
+                raise
+            logger.info("heartbeat %d of %s: %s", sequence, name, exc.message)
+            return
+        _log_change(backend, sequence)
+
+    async def leave(self, backend_id: str) -> None:
+        """End an incarnation that says it is going; returns once that is committed.
+
+        Args:
+            backend_id: Name of the incarnation; an unknown one is ended too, so
+                that a heartbeat that was delayed does not bring it back.
+
+        Raises:
+            WigeonscaleError: ``NO_QUORUM``.
+        """
+        ended = wire.EndIncarnation(agent_id=backend_id, incarnation=1)
+        await self._commands.submit(wire.Command(end_incarnation=ended))
+        self._heard.pop(backend_id, None)
+        logger.info("%s left", backend_id, extra=log_fields(outcome="left"))
+
+    def suspect(self, req: wire.Suspect, *, came_from: str) -> None:
+        """Probe a backend that does not answer an entry.
+
+        Args:
+            req: Names the backend.
+            came_from: Role of the process that suspects it.
+        """
+        member = self._state.members.get(req.agent_id)
+        if member is None or member.backend.silent or req.agent_id in self._suspected:
+            return
+        logger.info("%s is suspected by an %s", req.agent_id, came_from)
+        task = asyncio.create_task(self._check_suspect(member))
+        self._suspected[req.agent_id] = task
+        task.add_done_callback(lambda _: self._suspected.pop(req.agent_id, None))
+
+    def wake(self) -> None:
+        """Do nothing: no backend hangs on a stream here."""
+
+    async def run(self) -> None:
+        """Judge until cancelled."""
+        try:
+            while True:
+                await self._clock.sleep(self._heartbeat_s / CHECKS_PER_HEARTBEAT)
+                for member in self._due():
+                    await self._mark_silent(member)
+        finally:
+            tasks = list(self._suspected.values())
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _shows(self, backend: wire.Backend) -> bool:
+        member = self._state.members.get(backend.agent_id)
+        if member is None or member.replica != self._node_id:
+            return False
+        return member.backend == backend
+
+    def _due(self) -> list[Member]:
+        """Return the members here that were not heard for too long."""
+        return [
+            member
+            for member in self._state.members
+            if not member.backend.silent
+            and self._judges(member.replica)
+            and self._silence_s(member.backend.agent_id) > self._silent_after_s
+        ]
+
+    def _judges(self, replica: str) -> bool:
+        if replica == self._node_id:
+            return True
+        is_lost = self._replica.peer_silence(replica) > self._silent_after_s
+        return self._replica.role is Role.LEADER and is_lost
+
+    def _silence_s(self, name: str) -> float:
+        heard = self._heard.get(name)
+        return self._clock.now() - (heard.at if heard else self._began_at)
+
+    async def _check_suspect(self, member: Member) -> None:
+        for _ in range(SUSPECT_PROBES):
+            if await self._probe(member.backend.address):
+                return
+            await self._clock.sleep(SUSPECT_PAUSE_S)
+        await self._mark_silent(member)
+
+    async def _mark_silent(self, member: Member) -> None:
+        backend = wire.Backend()
+        backend.CopyFrom(member.backend)
+        backend.silent = True
+        command = wire.Announce(
+            backend=backend, replica=member.replica, sequence=member.sequence
+        )
+        try:
+            await self._commands.submit(wire.Command(announce=command))
+        except WigeonscaleError as exc:
+            logger.warning("%s not marked silent: %s", backend.agent_id, exc.message)
+            return
+        _log_change(backend, member.sequence)
+
+
+def _log_change(backend: wire.Backend, sequence: int) -> None:
+    logger.info(
+        "backend server %s at %s",
+        backend.agent_id,
+        backend.address,
+        extra=log_fields(
+            outcome="silent" if backend.silent else "announced",
+            service=backend.service,
+            sequence=sequence,
+            draining=backend.draining,
+            layers=f"{backend.first_layer}-{backend.last_layer}",
+        ),
+    )
--- a/wigeonscale/control/service.py
+++ b/wigeonscale/control/service.py
@@ -11,6 +11,7 @@
 from wigeonscale.control.announcing import keep_announced
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.hub import Hub
+from wigeonscale.control.joining import Joining
 from wigeonscale.control.liveness import Liveness
 from wigeonscale.control.watcher import Watcher
 from wigeonscale.ports import Clock
@@ -34,6 +35,7 @@
         commands: Way of commands to the log.
         liveness: Judge of agents that fell silent.
         clock: Clock port.
+        joining: Takes in new replicas; None where the settings name them all.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         commands: Commands,
         liveness: Liveness,
         clock: Clock,
+        joining: Joining | None = None,
     ):
         self._node_id = node_id
         self._replica = replica
@@ -52,6 +55,7 @@
         self._commands = commands
         self._liveness = liveness
         self._clock = clock
+        self._joining = joining
 
     async def Watch(self, request_iterator, context):  # noqa: N802
         """Serve one watcher until its stream ends."""
@@ -107,6 +111,14 @@
         term, index = self._replica.last_position()
         return wire.FloorReply(node_id=self._node_id, term=term, index=index)
 
+    async def Join(self, request, context):  # noqa: N802
+        """Answer a replica that asks to be a member."""
+        if self._joining is None:
+            await context.abort(
+                grpc.StatusCode.UNIMPLEMENTED, "the settings name all replicas"
+            )
+        return await self._joining.answer(request)
+
     async def _read(self, watcher, requests: AsyncIterator):
         async for req in requests:
             watcher.heard_at = self._clock.now()
--- a/wigeonscale/control/watcher.py
+++ b/wigeonscale/control/watcher.py
@@ -27,6 +27,7 @@
         position: Index of the members it knows; None for none.
         is_told_members: Whether it was told members on this stream.
         revision: Configuration revision it was told.
+        document_number: Number of the numbered document it was told; 0 for none.
         applied_revision: Revision it said it has in force.
         heard_at: Instant of its last message, in seconds of the clock port.
         incarnation: Incarnation that an agent announced here; 0 before.
@@ -50,6 +51,7 @@
         self.position: int | None = hello.known_index or None
         self.is_told_members = False
         self.revision = hello.known_revision
+        self.document_number = hello.known_document
         self.applied_revision = hello.known_revision
         self.heard_at = clock.now()
         self.incarnation = 0
--- /dev/null
+++ b/wigeonscale/daemons/direct_control.py
@@ -0,0 +1,239 @@
+"""The control daemon for backend servers without agents: wiring only."""
+
+__all__ = ["run_direct_control"]
+
+import asyncio
+import functools
+import logging
+
+import aiohttp
+
+from wigeonscale.adapters.channels import new_server, open_channel
+from wigeonscale.adapters.health import start_http
+from wigeonscale.adapters.logs import setup_logging
+from wigeonscale.config import DirectControlSettings
+from wigeonscale.control import (
+    Commands,
+    ControlServicer,
+    EntryCount,
+    Hub,
+    Joining,
+    LayerKeeper,
+    Registry,
+)
+from wigeonscale.control.numbered_documents import NumberedDocuments
+from wigeonscale.daemons.runtime import StopStep, run_until_stopped
+from wigeonscale.platform.control_pages import MAX_DOCUMENT_BYTES, control_routes
+from wigeonscale.platform.documents import compress, decompress, read_table
+from wigeonscale.platform.engine_orders import HttpEngineOrders
+from wigeonscale.ports import Clock, SystemClock
+from wigeonscale.replication import (
+    DiskFolder,
+    GrpcLinks,
+    Member,
+    Replica,
+    ReplicaOptions,
+    ReplicationServicer,
+)
+from wigeonscale.routes import RouteTable
+from wigeonscale.state import ControlState
+from wigeonscale.wire import wire_pb2_grpc
+
+SERVER_GRACE_S = 0.3
+
+logger = logging.getLogger(__name__)
+
+
+class DirectControl:
+    """The parts of one control replica, wired together.
+
+    Args:
+        cfg: Settings.
+        clock: Clock port.
+        session: HTTP client of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: DirectControlSettings,
+        clock: Clock,
+        session: aiohttp.ClientSession,
+    ):
+        self._cfg = cfg
+        self._stopping = False
+        self._server = None
+        self._pages = None
+        self._table = RouteTable()
+        address = f"{cfg.ip}:{cfg.internal_port}"
+        seeds = [internal_address(seed, cfg.internal_port) for seed in cfg.seeds]
+        self.state = ControlState()
+        self.replica = Replica(
+            node_id=address,
+            address=address,
+            voters=[Member(seed, seed) for seed in seeds],
+            folder=DiskFolder(path=cfg.data),
+            machine=self.state,
+            links=GrpcLinks(channel=functools.partial(open_channel, tls=cfg.tls)),
+            clock=clock,
+            options=ReplicaOptions(
+                election_timeout_s=cfg.election_timeout_s,
+                heartbeat_s=cfg.heartbeat_s,
+                snapshot_entries=cfg.snapshot_entries,
+            ),
+            may_begin=cfg.first_start,
+        )
+        self.commands = Commands(
+            replica=self.replica, addresses=seeds, clock=clock, tls=cfg.tls
+        )
+        self.hub = Hub(
+            node_id=address,
+            state=self.state,
+            replica=self.replica,
+            clock=clock,
+            lease_s=cfg.lease_s,
+            loads=1,
+        )
+        orders = HttpEngineOrders(session=session)
+        self.registry = Registry(
+            node_id=address,
+            state=self.state,
+            replica=self.replica,
+            commands=self.commands,
+            clock=clock,
+            heartbeat_s=cfg.backend_heartbeat_s,
+            probe=orders.answers,
+        )
+        self.joining = Joining(
+            node_id=address,
+            address=address,
+            seeds=seeds,
+            replica=self.replica,
+            commands=self.commands,
+            clock=clock,
+            tls=cfg.tls,
+        )
+        self.documents = NumberedDocuments(
+            state=self.state,
+            replica=self.replica,
+            commands=self.commands,
+            clock=clock,
+            answer_s=cfg.answer_s,
+        )
+        self._keeper = LayerKeeper(
+            state=self.state,
+            replica=self.replica,
+            clock=clock,
+            orders=orders,
+            table=self.table,
+            is_fresh=self.hub.is_fresh,
+        )
+        self._entry_count = EntryCount(
+            node_id=address,
+            state=self.state,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            clock=clock,
+            away_s=cfg.lease_s,
+            grace_s=2 * cfg.lease_s,
+        )
+        self._servicer = ControlServicer(
+            node_id=address,
+            replica=self.replica,
+            hub=self.hub,
+            commands=self.commands,
+            liveness=self.registry,
+            clock=clock,
+            joining=self.joining,
+        )
+
+    def table(self) -> RouteTable:
+        """Return the route table in force here, read once a document."""
+        document = self.state.document
+        if document.number != self._table.number:
+            self._table = read_table(decompress(document.content))
+        return self._table
+
+    async def start(self) -> None:
+        """Listen for replicas, entries, operators and backend servers.
+
+        Raises:
+            OSError: If an address cannot be bound.
+        """
+        cfg = self._cfg
+        self._server, _ = new_server(f"{cfg.ip}:{cfg.internal_port}", tls=cfg.tls)
+        wire_pb2_grpc.add_ReplicationServicer_to_server(
+            ReplicationServicer(replica=self.replica), self._server
+        )
+        wire_pb2_grpc.add_ControlServicer_to_server(self._servicer, self._server)
+        await self._server.start()
+
+    async def run(self) -> None:
+        """Take part in control until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.replica.run())
+            group.create_task(self._entry_count.run())
+            group.create_task(self.registry.run())
+            group.create_task(self.joining.run())
+            group.create_task(self._keeper.run())
+            group.create_task(self._serve_pages())
+
+    async def stop(self) -> None:
+        """Hand over leadership, then stop serving; watchers move elsewhere."""
+        self._stopping = True
+        await self.replica.hand_over()
+        if self._server is not None:
+            await self._server.stop(SERVER_GRACE_S)
+        if self._pages is not None:
+            await self._pages.cleanup()
+        self.hub.close()
+        await self.commands.close()
+
+    def is_ready(self) -> bool:
+        """Return whether this replica serves what a majority confirms."""
+        return not self._stopping and self.hub.is_fresh()
+
+    async def _serve_pages(self) -> None:
+        async def put_document(number: int, content: bytes) -> None:
+            await self.documents.put(number, compress(content))
+
+        async def get_document() -> bytes:
+            document = await self.documents.newest()
+            return decompress(document.content) if document.number else b"{}"
+
+        routes = control_routes(
+            put_document=put_document,
+            get_document=get_document,
+            registry=self.registry,
+            heartbeat_address=self._cfg.http,
+        )
+        self._pages = await start_http(
+            self._cfg.http, routes, self.is_ready, max_body_bytes=MAX_DOCUMENT_BYTES
+        )
+
+
+def internal_address(seed: str, port: int) -> str:
+    """Return the gRPC address of the replica whose pages are at ``seed``."""
+    return f"{seed.rpartition(':')[0]}:{port}"
+
+
+async def run_direct_control(cfg: DirectControlSettings) -> int:
+    """Run a control replica until SIGTERM.
+
+    Args:
+        cfg: Settings.
+
+    Returns:
+        Exit code of the process.
+    """
+    setup_logging(cfg.log_level, cfg.name)
+    async with aiohttp.ClientSession() as session:
+        daemon = DirectControl(cfg=cfg, clock=SystemClock(), session=session)
+        await daemon.start()
+        logger.info("control replica %s listens on %s", cfg.name, cfg.http)
+        return await run_until_stopped(
+            tasks={"control": daemon.run()},
+            stop_steps=[StopStep("stop serving", daemon.stop)],
+            stop_timeout_s=cfg.stop_timeout_s,
+        )
--- /dev/null
+++ b/wigeonscale/daemons/direct_entry.py
@@ -0,0 +1,153 @@
+"""The entry daemon that speaks to backend servers itself: wiring only."""
+
+__all__ = ["run_direct_entry"]
+
+import logging
+import random
+
+from aiohttp import web
+
+from wigeonscale.adapters import setup_logging, start_http
+from wigeonscale.config import DirectEntrySettings
+from wigeonscale.daemons.runtime import StopStep, run_until_stopped
+from wigeonscale.direct import (
+    Beliefs,
+    DirectService,
+    Fleet,
+    SendBudget,
+    Surroundings,
+    read_fleet,
+)
+from wigeonscale.errors import SettingsError
+from wigeonscale.membership import Change, ControlClient
+from wigeonscale.platform.callers import CallerServer
+from wigeonscale.platform.documents import decompress, read_table
+from wigeonscale.platform.exchange_http import HttpExchange, new_session
+from wigeonscale.platform.heartbeats import INCARNATION
+from wigeonscale.ports import Clock, SystemClock
+from wigeonscale.routes import RouteTable
+
+# The balancer asks once a second and takes an entry out after two misses.
+BALANCER_SETTLE_S = 3.0
+
+logger = logging.getLogger(__name__)
+
+
+class _Known:
+    """What control told this entry, read into the types of the flows.
+
+    Args:
+        control: Link to control.
+        beliefs: Told which backend servers exist.
+        on_table: Called with each new table.
+
+    Attributes:
+        table: Route table in force.
+        fleet: Backend servers.
+    """
+
+    def __init__(self, *, control: ControlClient, beliefs: Beliefs):
+        self.table = RouteTable()
+        self.fleet = Fleet()
+        self._control = control
+        self._beliefs = beliefs
+        control.changes.subscribe(self._take)
+
+    def _take(self, change: Change) -> None:
+        if change is Change.MEMBERS:
+            self.fleet = read_fleet(self._control.members.backends.values())
+            self._beliefs.keep_only(self.fleet.by_id)
+        elif change is Change.NUMBERED:
+            self._take_table()
+
+    def _take_table(self) -> None:
+        document = self._control.numbered
+        try:
+            self.table = read_table(decompress(document.content))
+        except SettingsError as exc:
+            # Control checks each document before it is accepted.
+            logger.error("document %d not read: %s", document.number, exc.message)
+
+
+async def run_direct_entry(cfg: DirectEntrySettings) -> int:
+    """Run an entry until SIGTERM.
+
+    Args:
+        cfg: Its settings.
+
+    Returns:
+        The exit code.
+
+    Raises:
+        OSError: If an address cannot be bound.
+    """
+    setup_logging(cfg.log_level, cfg.name)
+    clock = SystemClock()
+    control = _new_control(cfg, clock)
+    beliefs = Beliefs(clock=clock)
+    known = _Known(control=control, beliefs=beliefs)
+    stopping: list[bool] = []
+
+    def is_ready() -> bool:
+        return bool(known.table.number) and not stopping
+
+    async def show_ready(req: web.Request) -> web.Response:
+        return web.Response(status=200 if is_ready() else 503)
+
+    session = new_session()
+    around = Surroundings(
+        exchange=HttpExchange(session=session),
+        beliefs=beliefs,
+        budget=SendBudget(
+            clock=clock,
+            ratio=cfg.retry_ratio,
+            slack=cfg.retry_slack,
+            window_s=cfg.retry_window_s,
+            entries=lambda: control.entries,
+        ),
+        clock=clock,
+        domain=cfg.domain,
+        fleet=lambda: known.fleet,
+        entries=lambda: control.entries,
+        suspect=lambda name: control.suspect(name, INCARNATION),
+    )
+    service = DirectService(
+        around=around, table=lambda: known.table, rng=random.Random()
+    )
+    server = CallerServer(
+        address=cfg.listen,
+        serve=service.serve,
+        max_body=lambda: known.table.limits.body_bytes,
+        clock=clock,
+    )
+    await server.start()
+    pages = await start_http(cfg.http, [web.get("/ready", show_ready)], is_ready)
+    logger.info("entry %s listens on %s", cfg.name, cfg.listen)
+
+    async def finish() -> None:
+        stopping.append(True)
+        await server.finish(BALANCER_SETTLE_S)
+
+    try:
+        return await run_until_stopped(
+            tasks={"control": control.run()},
+            stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
+            stop_timeout_s=cfg.stop_timeout_s,
+        )
+    finally:
+        await pages.cleanup()
+        await session.close()
+
+
+def _new_control(cfg: DirectEntrySettings, clock: Clock) -> ControlClient:
+    hosts = [seed.rpartition(":")[0] for seed in cfg.seeds]
+    return ControlClient(
+        node_id=cfg.name,
+        role="entry",
+        addresses=[f"{host}:{cfg.internal_port}" for host in hosts],
+        clock=clock,
+        http_address=cfg.http,
+        lease_s=cfg.lease_s,
+        heartbeat_s=cfg.heartbeat_s,
+        tls=cfg.tls,
+    )
--- /dev/null
+++ b/wigeonscale/direct/__init__.py
@@ -0,0 +1,17 @@
+"""Requests that an entry sends to backend servers itself, without agents."""
+
+__all__ = [
+    "BackendServer",
+    "Beliefs",
+    "DirectService",
+    "Fleet",
+    "SendBudget",
+    "Surroundings",
+    "read_fleet",
+]
+
+from wigeonscale.direct.beliefs import Beliefs
+from wigeonscale.direct.budget import SendBudget
+from wigeonscale.direct.fleet import BackendServer, Fleet, read_fleet
+from wigeonscale.direct.job import Surroundings
+from wigeonscale.direct.service import DirectService
--- /dev/null
+++ b/wigeonscale/direct/beliefs.py
@@ -0,0 +1,138 @@
+"""What this entry knows of backend servers from its own requests."""
+
+__all__ = ["Belief", "Beliefs", "Run"]
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wigeonscale.ports import Clock
+
+# A backend server that could not be reached, or stalled a stream, is left alone for
+# this long: control marks a dead one silent within about four seconds.
+AVOID_LOST_S = 4.0
+# One that refused, for lack of room or because it gives layers up, is asked again soon.
+AVOID_REFUSED_S = 0.4
+# Weight of the newest outcome in the share of failures; about ten count.
+FAILURE_WEIGHT = 0.1
+FORGET_S = 60.0
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One send in progress.
+
+    Attributes:
+        backend_ids: Backend servers that it runs on; several for a path.
+        token_layers: Memory that it takes, in tokens times layers, by backend server.
+        progress_at: Instant of its last sign of progress.
+        watch: Ends its wait early once one of them is known to be lost; None where
+            nobody waits so.
+    """
+
+    backend_ids: tuple[str, ...]
+    token_layers: dict[str, float] = field(default_factory=dict)
+    progress_at: float = 0.0
+    watch: asyncio.Timeout | None = None
+
+
+@dataclass(slots=True)
+class Belief:
+    """What is known of one backend server.
+
+    Attributes:
+        runs: Sends in progress.
+        token_layers: Memory that they take, in tokens times layers.
+        progress_at: Last progress of a run that ended.
+        avoid_until: Instant until which it is left alone if others can serve.
+        failures: Recent share of failed sends.
+        touched_at: Last use of this record.
+    """
+
+    runs: set[Run] = field(default_factory=set)
+    token_layers: float = 0.0
+    progress_at: float = float("-inf")
+    avoid_until: float = float("-inf")
+    failures: float = 0.0
+    touched_at: float = 0.0
+
+
+class Beliefs:
+    """Beliefs by the name of the incarnation.
+
+    Args:
+        clock: Clock port.
+    """
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._beliefs: dict[str, Belief] = {}
+
+    def of(self, backend_id: str) -> Belief:
+        """Return what is known of a backend server."""
+        belief = self._beliefs.get(backend_id)
+        if belief is None:
+            belief = self._beliefs[backend_id] = Belief()
+        return belief
+
+    def is_avoided(self, backend_id: str) -> bool:
+        """Return whether a backend server is left alone for now."""
+        belief = self._beliefs.get(backend_id)
+        return belief is not None and self._clock.now() < belief.avoid_until
+
+    def begin(self, run: Run) -> None:
+        """Count a send in."""
+        run.progress_at = self._clock.now()
+        for name in run.backend_ids:
+            belief = self.of(name)
+            belief.runs.add(run)
+            belief.token_layers += run.token_layers.get(name, 0.0)
+            belief.touched_at = run.progress_at
+
+    def end(self, run: Run) -> None:
+        """Count a send out."""
+        for name in run.backend_ids:
+            belief = self.of(name)
+            belief.runs.discard(run)
+            belief.token_layers -= run.token_layers.get(name, 0.0)
+            belief.progress_at = max(belief.progress_at, run.progress_at)
+
+    def progress_of(self, backend_id: str, without: Run) -> float:
+        """Return the last instant at which other runs on it moved on."""
+        belief = self.of(backend_id)
+        others = (run.progress_at for run in belief.runs if run is not without)
+        return max(others, default=belief.progress_at)
+
+    def note_outcome(self, backend_id: str, *, failed: bool) -> None:
+        """Count one finished send in the share of failures."""
+        belief = self.of(backend_id)
+        belief.failures += FAILURE_WEIGHT * (failed - belief.failures)
+
+    def note_refused(self, backend_id: str) -> None:
+        """Leave a backend server alone for a moment."""
+        self._avoid(backend_id, AVOID_REFUSED_S)
+
+    def note_lost(self, backend_id: str) -> None:
+        """Leave a backend server alone, and end the waits of all that runs there."""
+        self._avoid(backend_id, AVOID_LOST_S)
+        now = asyncio.get_running_loop().time()
+        for run in self.of(backend_id).runs:
+            if run.watch is not None and not run.watch.expired():
+                run.watch.reschedule(now)
+
+    def keep_only(self, backend_ids: Iterable[str]) -> None:
+        """Forget backend servers that are gone and idle.
+
+        Args:
+            backend_ids: Those that exist.
+        """
+        existing = set(backend_ids)
+        oldest = self._clock.now() - FORGET_S
+        for name, belief in list(self._beliefs.items()):
+            is_idle = not belief.runs and belief.touched_at < oldest
+            if name not in existing and is_idle:
+                del self._beliefs[name]
+
+    def _avoid(self, backend_id: str, seconds: float) -> None:
+        belief = self.of(backend_id)
+        belief.avoid_until = max(belief.avoid_until, self._clock.now() + seconds)
--- /dev/null
+++ b/wigeonscale/direct/choice.py
@@ -0,0 +1,177 @@
+"""Where a request goes: decisions on plain data, without input or output."""
+
+__all__ = ["PathCosts", "choose_path", "choose_server", "path_costs"]
+
+from collections.abc import Callable, Container, Sequence
+from dataclasses import dataclass
+
+from wigeonscale.direct.beliefs import Beliefs
+from wigeonscale.direct.fleet import BackendServer
+from wigeonscale.layers import Part, find_path
+from wigeonscale.ports.exchange import Generation
+from wigeonscale.routes import EngineProfile
+
+# Load pattern: servers of one service differ little and are mostly idle, so a server
+# of the own domain is taken until it is half full; what crosses domains is priced and
+# takes a millisecond more.
+OTHER_DOMAIN = 0.5
+# A server that fails half of its requests counts like one that is full twice over.
+FAILURE = 4.0
+# Asked only when nobody else is left.
+LAST_RESORT = 1000.0
+
+# Delay of each token between engines of one domain, and between domains, in ms.
+NEAR_HOP_MS = 0.1
+FAR_HOP_MS = 0.62
+MEGABIT = 1e6
+BITS = 8
+# Costs beside which times of work do not count, in ms: an engine without room
+# preempts or refuses; one that is avoided stalls the request for seconds.
+FULL_MS = 20_000.0
+AVOIDED_MS = 200_000.0
+# Share of an engine's memory for requests above which it counts as full. Sizes are
+# estimates, and the other entries' share is only inferred.
+FULL_SHARE = 0.9
+
+
+def choose_server(
+    servers: Sequence[BackendServer],
+    *,
+    beliefs: Beliefs,
+    domain: str,
+    entries: int,
+    tried: Container[str] = (),
+) -> BackendServer | None:
+    """Return the backend server of a plain service for one send, or None.
+
+    Args:
+        servers: Those of the service.
+        beliefs: What is known of them.
+        domain: The entry's own failure domain.
+        entries: Entries that send alike.
+        tried: Names of incarnations that this request was sent to already.
+    """
+
+    def rank(server: BackendServer) -> tuple[float, str]:
+        belief = beliefs.of(server.backend_id)
+        load = len(belief.runs) * entries / server.slots
+        cost = load + FAILURE * belief.failures
+        if server.domain != domain:
+            cost += OTHER_DOMAIN
+        if server.is_silent or beliefs.is_avoided(server.backend_id):
+            cost += LAST_RESORT
+        return cost, server.backend_id
+
+    left = [server for server in servers if server.backend_id not in tried]
+    return min(left, key=rank, default=None)
+
+
+@dataclass(frozen=True, slots=True)
+class PathCosts:
+    """Costs of a path in milliseconds of the whole request.
+
+    Attributes:
+        part: Cost of running so many layers on an engine.
+        hop: Cost of going from one failure domain to another.
+    """
+
+    part: Callable[[BackendServer, int], float]
+    hop: Callable[[str, str], float]
+
+
+def path_costs(
+    engine: EngineProfile,
+    generation: Generation,
+    *,
+    beliefs: Beliefs,
+    entries: int,
+) -> PathCosts:
+    """Return the costs of one generation.
+
+    Args:
+        engine: What its engines need.
+        generation: Sizes of the request.
+        beliefs: What is known of the engines.
+        entries: Entries that send alike: what the others have in progress is
+            inferred from what this one has.
+
+    Notes:
+        A token passes all engines one after another, so the times of the parts add
+        up. An engine works for all its requests in passes; the more there are, the
+        longer each takes.
+    """
+    prompt = generation.prompt or engine.usual_prompt
+    answer = generation.expected or engine.usual_answer
+    tokens = prompt + answer
+    read_ms = 1000.0 * prompt / engine.read_tokens_per_s
+    transfer_ms = (
+        1000.0 * prompt * engine.activation_bytes * BITS / (engine.pipe_mbps * MEGABIT)
+        if engine.pipe_mbps
+        else 0.0
+    )
+
+    def part(server: BackendServer, layers: int) -> float:
+        kind = engine.accelerators.get(server.accelerator)
+        if kind is None:
+            return AVOIDED_MS
+        belief = beliefs.of(server.backend_id)
+        others = len(belief.runs) * entries
+        context = others * tokens / 1000.0
+        step_ms = (
+            engine.step_ms
+            + engine.sequence_ms * (others + 1)
+            + engine.context_ms * context
+        )
+        share = layers / engine.layers
+        cost = share * (
+            kind.pace * step_ms * answer + kind.read_factor * read_ms * (1 + others / 8)
+        )
+        cost += NEAR_HOP_MS * answer
+        room = _room(engine, server, kind.size_mb)
+        if (belief.token_layers * entries + tokens * layers) > FULL_SHARE * room:
+            cost += FULL_MS
+        if server.is_silent or beliefs.is_avoided(server.backend_id):
+            cost += AVOIDED_MS
+        return cost
+
+    def hop(here: str, there: str) -> float:
+        return 0.0 if here == there else FAR_HOP_MS * answer + transfer_ms
+
+    return PathCosts(part, hop)
+
+
+def choose_path(
+    servers: Sequence[BackendServer],
+    engine: EngineProfile,
+    costs: PathCosts,
+    *,
+    domain: str,
+    lost: Container[str] = (),
+) -> list[Part] | None:
+    """Return the path of one generation, or None when there is none.
+
+    Args:
+        servers: Engines of the service.
+        engine: What they need.
+        costs: Costs of this generation.
+        domain: The entry's own failure domain.
+        lost: Names of incarnations that must not be on it.
+    """
+    holders = [
+        server
+        for server in servers
+        if server.layers.count and server.backend_id not in lost
+    ]
+    return find_path(
+        holders,
+        layers=engine.layers,
+        part_cost=costs.part,
+        hop_cost=costs.hop,
+        origin=domain,
+    )
+
+
+def _room(engine: EngineProfile, server: BackendServer, size_mb: float) -> float:
+    """Return the tokens times layers that an engine has memory for."""
+    free_mb = size_mb - server.layers.count * engine.layer_mb
+    return free_mb * MEGABIT / (engine.token_bytes / engine.layers)
--- /dev/null
+++ b/wigeonscale/direct/job.py
@@ -0,0 +1,86 @@
+"""One request on its way, and what every flow needs."""
+
+__all__ = ["Job", "Surroundings"]
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wigeonscale.direct.beliefs import Beliefs
+from wigeonscale.direct.budget import SendBudget
+from wigeonscale.direct.fleet import Fleet
+from wigeonscale.ports import Clock
+from wigeonscale.ports.exchange import BackendCall, CallerRequest, Exchange
+from wigeonscale.routes import Organisation, Route, Service
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """What the flows of one entry share.
+
+    Attributes:
+        exchange: Port to the backend servers.
+        beliefs: What is known of them.
+        budget: Bounds further sends.
+        clock: Clock port.
+        domain: The entry's own failure domain.
+        fleet: Returns the backend servers as of now.
+        entries: Returns how many entries send alike.
+        suspect: Tells control that a backend server does not answer.
+    """
+
+    exchange: Exchange
+    beliefs: Beliefs
+    budget: SendBudget
+    clock: Clock
+    domain: str
+    fleet: Callable[[], Fleet]
+    entries: Callable[[], int]
+    suspect: Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """A request that was matched.
+
+    Attributes:
+        req: The caller's request.
+        route: Its route.
+        service: Service that shall serve it.
+        organisation: The caller's organisation; None for none.
+        ends_at: Local instant of its final answer, whatever has happened.
+    """
+
+    req: CallerRequest
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    ends_at: float
+
+    @property
+    def priority(self) -> int:
+        """Its rank at the backend servers, 0 first."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+    def call(
+        self, *, now: float, address: str, backend_id: str, **fields
+    ) -> BackendCall:
+        """Return one send of it.
+
+        Args:
+            now: Local instant.
+            address: Where it goes.
+            backend_id: Incarnation that must be there.
+            **fields: Further fields of the call.
+        """
+        name = self.organisation.name if self.organisation is not None else ""
+        return BackendCall(
+            req=self.req,
+            address=address,
+            backend_id=backend_id,
+            organisation=name,
+            priority=self.priority,
+            left_s=self.ends_at - now,
+            **fields,
+        )
--- /dev/null
+++ b/wigeonscale/direct/service.py
@@ -0,0 +1,116 @@
+"""Answers callers: matches a request, and hands it to the flow of its kind."""
+
+__all__ = ["DirectService"]
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.job import Job, Surroundings
+from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports.exchange import AnswerSink, CallerRequest
+from wigeonscale.routes import (
+    RouteTable,
+    choose_service,
+    find_organisation,
+    find_route,
+)
+
+# The final answer goes out this much before the caller stops waiting.
+ANSWER_MARGIN_S = 0.02
+NOT_READY_RETRY_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class DirectService:
+    """Answers the requests of one entry.
+
+    Args:
+        around: What the flows share.
+        table: Returns the route table in force; number 0 before any.
+        rng: Source of randomness for weighted shares.
+    """
+
+    def __init__(
+        self,
+        *,
+        around: Surroundings,
+        table: Callable[[], RouteTable],
+        rng: random.Random,
+    ):
+        self._around = around
+        self._table = table
+        self._rng = rng
+
+    async def serve(self, req: CallerRequest, sink: AnswerSink) -> None:
+        """Answer one request.
+
+        Args:
+            req: The request.
+            sink: Where the answer goes.
+
+        Raises:
+            WigeonscaleError: Its kind and run state make the answer; if the answer
+                was begun it must be cut.
+        """
+        job = self._job(req)
+        around = self._around
+        left_s = job.ends_at - around.clock.now()
+        around.budget.record(job.service.name)
+        limit = asyncio.timeout(left_s)
+        try:
+            async with limit:
+                await self._run(job, sink)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            raise WigeonscaleError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                f"not answered in {left_s:.3f} s",
+                run_state=RunState.UNKNOWN,
+            ) from None
+        logger.info(
+            "request answered",
+            extra=log_fields(
+                request_id=req.request_id,
+                outcome="answered",
+                route=job.route.name,
+                service=job.service.name,
+                table=self._table().number,
+                took_s=round(around.clock.now() - req.arrived_at, 4),
+            ),
+        )
+
+    async def _run(self, job: Job, sink: AnswerSink) -> None:
+        if job.service.engine is not None:
+            await relay_stream(self._around, job, sink)
+        else:
+            await sink.send(await call_plain(self._around, job))
+
+    def _job(self, req: CallerRequest) -> Job:
+        table = self._table()
+        if not table.number:
+            raise WigeonscaleError(
+                ErrorKind.LEASE_EXPIRED,
+                "no configuration is known yet",
+                retry_after=NOT_READY_RETRY_S,
+            )
+        if not req.request_id:
+            raise WigeonscaleError(ErrorKind.BAD_REQUEST, "the attempt has no id")
+        route = find_route(table, req.host, req.path)
+        organisation = find_organisation(table, route, req.key)
+        limit_s = route.timeout_s
+        if req.deadline_s is not None:
+            limit_s = min(limit_s, req.deadline_s)
+        return Job(
+            req=req,
+            route=route,
+            service=table.services[choose_service(route, self._rng)],
+            organisation=organisation,
+            ends_at=req.arrived_at + max(0.0, limit_s - ANSWER_MARGIN_S),
+        )
--- /dev/null
+++ b/wigeonscale/direct/stream.py
@@ -0,0 +1,300 @@
+"""One generation: its path, its events, and going on elsewhere when a path is lost.
+
+Load pattern: an engine that dies or goes dark stalls every stream through it, and the
+engines cut such work off only after seconds. Callers leave sooner. So an entry judges
+by its own streams: one that is quiet for long asks the first engine who holds it up,
+and all streams through the engine that is named go on elsewhere at once.
+"""
+
+__all__ = ["relay_stream"]
+
+import asyncio
+import logging
+from contextlib import aclosing
+from dataclasses import dataclass, field
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.beliefs import Run
+from wigeonscale.direct.choice import choose_path, path_costs
+from wigeonscale.direct.job import Job, Surroundings
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.layers import LayerRange, Part
+from wigeonscale.ports.exchange import (
+    AnswerSink,
+    BackendStream,
+    ExchangeError,
+    Fate,
+    StreamEvent,
+    WholeAnswer,
+)
+
+# Callers leave after two seconds without an event; a new path needs some tenths.
+FIRST_EVENT_S = 1.1
+GAP_S = 0.6
+# Word to callers when no path is whole: a lost engine is found and its layers are
+# loaded elsewhere in one to three seconds.
+NO_PATH_RETRY_S = 1.0
+# A stream that was begun waits this long for a path before it is given up, in steps.
+PATH_WAIT_S = 1.0
+PATH_STEP_S = 0.1
+# Sends of one request in all: refusals that did not run do not count as attempts.
+MOST_SENDS = 6
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """How far a request has come.
+
+    Attributes:
+        last_id: Last event that the caller has; None before the first.
+        is_begun: Whether the caller was sent the head.
+        sends: Sends so far.
+        ran_at: First engines of the paths that may have run it.
+        lost: Engines that this request found lost.
+    """
+
+    last_id: int | None
+    is_begun: bool = False
+    sends: int = 0
+    ran_at: set[str] = field(default_factory=set)
+    lost: set[str] = field(default_factory=set)
+
+
+async def relay_stream(around: Surroundings, job: Job, sink: AnswerSink) -> None:
+    """Relay a generation to its caller, whole or not at all.
+
+    Args:
+        around: What the flows share.
+        job: The request.
+        sink: Where the answer goes.
+
+    Raises:
+        WigeonscaleError: It was given up; if the answer was begun it must be cut.
+    """
+    progress = _Progress(last_id=job.req.last_event_id)
+    while True:
+        path = await _find_path(around, job, progress)
+        progress.sends += 1
+        try:
+            if await _try_path(around, job, sink, progress, path):
+                return
+        except ExchangeError as exc:
+            _note_failure(around, job, progress, path, exc)
+            _check_may_go_on(around, job, progress, exc)
+
+
+async def _find_path(around: Surroundings, job: Job, progress: _Progress) -> list[Part]:
+    patience_s = PATH_WAIT_S if progress.is_begun else 0.0
+    give_up_at = min(around.clock.now() + patience_s, job.ends_at)
+    while True:
+        path = _choose(around, job, progress)
+        if path is not None:
+            return path
+        if around.clock.now() >= give_up_at:
+            run_state = RunState.UNKNOWN if progress.ran_at else RunState.NOT_RUN
+            raise WigeonscaleError(
+                ErrorKind.NO_BACKEND,
+                f"no path through all layers of {job.service.name}",
+                run_state=run_state,
+                retry_after=NO_PATH_RETRY_S,
+            )
+        await around.clock.sleep(PATH_STEP_S)
+
+
+def _choose(around: Surroundings, job: Job, progress: _Progress) -> list[Part] | None:
+    engine = job.service.engine
+    servers = around.fleet().by_service.get(job.service.name, ())
+    if not engine.layers:
+        return _choose_whole(servers, progress)
+    costs = path_costs(
+        engine,
+        job.req.generation,
+        beliefs=around.beliefs,
+        entries=around.entries(),
+    )
+    return choose_path(servers, engine, costs, domain=around.domain, lost=progress.lost)
+
+
+def _choose_whole(servers, progress) -> list[Part] | None:
+    """Return a path of one engine, where engines hold whole models."""
+    left = [s for s in servers if s.backend_id not in progress.lost]
+    return [Part(left[0].backend_id, LayerRange(0, 0))] if left else None
+
+
+async def _try_path(
+    around: Surroundings,
+    job: Job,
+    sink: AnswerSink,
+    progress: _Progress,
+    path: list[Part],
+) -> bool:
+    """Relay one run; return True once the caller has the whole answer."""
+    fleet = around.fleet()
+    servers = [fleet.by_id[part.backend_id] for part in path]
+    now = around.clock.now()
+    if now >= job.ends_at:
+        raise ExchangeError(Fate.NOT_SENT, "no time is left")
+    call = job.call(
+        now=now,
+        address=servers[0].address,
+        backend_id=servers[0].backend_id,
+        path=tuple(path) if job.service.engine.layers else (),
+        addresses=tuple(s.address for s in servers)
+        if job.service.engine.layers
+        else (),
+        after_event=progress.last_id,
+    )
+    tokens = job.req.generation.prompt + job.req.generation.expected
+    run = Run(
+        tuple(part.backend_id for part in path),
+        {part.backend_id: float(tokens * part.layers.count) for part in path},
+    )
+    logger.info(
+        "generation sent",
+        extra=log_fields(
+            request_id=job.req.request_id,
+            route=job.route.name,
+            path=",".join(part.backend_id for part in path),
+            after_event=progress.last_id,
+            sends=progress.sends,
+        ),
+    )
+    around.beliefs.begin(run)
+    try:
+        async with asyncio.timeout(FIRST_EVENT_S) as run.watch:
+            async with around.exchange.open(call) as stream:
+                progress.ran_at.add(servers[0].backend_id)
+                return await _relay_events(around, job, sink, progress, run, stream)
+    except TimeoutError:
+        raise ExchangeError(
+            Fate.UNKNOWN, f"no event from {servers[0].address} for too long"
+        ) from None
+    finally:
+        run.watch = None
+        around.beliefs.end(run)
+
+
+async def _relay_events(
+    around: Surroundings,
+    job: Job,
+    sink: AnswerSink,
+    progress: _Progress,
+    run: Run,
+    stream: BackendStream,
+) -> bool:
+    if not 200 <= stream.head.status < 300:
+        return await _relay_failure(sink, progress, stream)
+    loop = asyncio.get_running_loop()
+    async with aclosing(stream.events()) as events:
+        async for event in events:
+            run.progress_at = around.clock.now()
+            run.watch.reschedule(loop.time() + GAP_S)
+            if not _is_next(progress, event):
+                continue
+            if not progress.is_begun:
+                progress.is_begun = True
+                await sink.begin(stream.head)
+            await sink.write(event.data)
+            if event.event_id is not None:
+                progress.last_id = event.event_id
+    if not progress.is_begun:
+        progress.is_begun = True
+        await sink.begin(stream.head)
+    await sink.end()
+    return True
+
+
+async def _relay_failure(
+    sink: AnswerSink, progress: _Progress, stream: BackendStream
+) -> bool:
+    body = await stream.rest()
+    if progress.is_begun:
+        raise ExchangeError(
+            Fate.UNKNOWN, f"status {stream.head.status} where a stream goes on"
+        )
+    await sink.send(WholeAnswer(stream.head, body))
+    return True
+
+
+def _is_next(progress: _Progress, event: StreamEvent) -> bool:
+    """Return whether the caller lacks an event.
+
+    Raises:
+        ExchangeError: Events before it are missing.
+    """
+    if event.event_id is None or progress.last_id is None:
+        return True
+    if event.event_id > progress.last_id + 1:
+        raise ExchangeError(
+            Fate.UNKNOWN, f"event {event.event_id} follows {progress.last_id}"
+        )
+    return event.event_id == progress.last_id + 1
+
+
+def _note_failure(
+    around: Surroundings,
+    job: Job,
+    progress: _Progress,
+    path: list[Part],
+    exc: ExchangeError,
+) -> None:
+    head = path[0].backend_id
+    culprit = around.fleet().by_address.get(exc.at_fault)
+    if exc.fate is Fate.NOT_RUN and not exc.is_stranger:
+        blamed = [culprit.backend_id if culprit else head]
+        around.beliefs.note_refused(blamed[0])
+    elif exc.fate is Fate.NOT_SENT or exc.is_stranger:
+        blamed = [head]
+        around.beliefs.note_lost(head)
+    else:
+        blamed = _quiet_engines(around, path)
+        for name in blamed:
+            around.beliefs.note_lost(name)
+    for name in blamed:
+        progress.lost.add(name)
+        around.suspect(name)
+    logger.info(
+        "generation broke: %s",
+        exc.message,
+        extra=log_fields(
+            request_id=job.req.request_id,
+            outcome=exc.fate,
+            status=exc.status,
+            last_event=progress.last_id,
+            blamed=",".join(blamed),
+        ),
+    )
+
+
+def _quiet_engines(around: Surroundings, path: list[Part]) -> list[str]:
+    """Return the engines of a path on which nothing else has moved on lately."""
+    since = around.clock.now() - GAP_S
+    none = Run(())
+    return [
+        part.backend_id
+        for part in path
+        if around.beliefs.progress_of(part.backend_id, none) < since
+    ]
+
+
+def _check_may_go_on(
+    around: Surroundings, job: Job, progress: _Progress, exc: ExchangeError
+) -> None:
+    """Raise the final answer unless the request may be sent once more."""
+    may_have_run = bool(progress.ran_at) or exc.fate is Fate.UNKNOWN
+    run_state = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
+    is_late = around.clock.now() >= job.ends_at
+    may_repeat = job.route.is_idempotent or not may_have_run
+    if may_repeat and not is_late and progress.sends < MOST_SENDS:
+        has_attempts = len(progress.ran_at) < job.route.max_attempts
+        if has_attempts and around.budget.try_spend(job.service.name):
+            return
+    if is_late:
+        kind = ErrorKind.DEADLINE_EXCEEDED
+    else:
+        kind = ErrorKind.BACKEND_FAILED if may_have_run else ErrorKind.NO_BACKEND
+    raise WigeonscaleError(
+        kind, exc.message, run_state=run_state, retry_after=NO_PATH_RETRY_S
+    )
--- /dev/null
+++ b/wigeonscale/layers/path.py
@@ -0,0 +1,116 @@
+"""The path of one request: engines that run every layer once, in order."""
+
+__all__ = ["find_path"]
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from wigeonscale.layers.model import LayerRange, Part
+
+# The engines refuse longer paths.
+MOST_PARTS = 32
+
+
+class HoldsLayers(Protocol):
+    """An engine that a path may use."""
+
+    backend_id: str
+    domain: str
+    layers: LayerRange
+
+
+def find_path(
+    holders: Sequence[HoldsLayers],
+    *,
+    layers: int,
+    part_cost: Callable[[HoldsLayers, int], float],
+    hop_cost: Callable[[str, str], float],
+    origin: str,
+) -> list[Part] | None:
+    """Return the cheapest path, or None when a layer is held by nobody.
+
+    Args:
+        holders: Engines that may be used.
+        layers: Layers of the model.
+        part_cost: Cost of running that many layers on an engine.
+        hop_cost: Cost of going from one failure domain to another.
+        origin: Failure domain that the request starts from.
+
+    Returns:
+        Parts in order of layers; no engine stands twice.
+
+    Notes:
+        A shortest path over the ends of the held ranges. Costs boundaries times
+        engines times boundaries inside a range; a few milliseconds for 60 engines.
+    """
+    usable = list(holders)
+    while True:
+        path = _shortest(usable, layers, part_cost, hop_cost, origin)
+        if path is None or len(path) > MOST_PARTS:
+            return None
+        twice = _between_same(path)
+        if twice is None:
+            return path
+        # It left an engine and came back to it: without what lies between it stays.
+        usable = [holder for holder in usable if holder.backend_id != twice]
+
+
+def _between_same(path: Sequence[Part]) -> str | None:
+    seen: dict[str, int] = {}
+    for position, part in enumerate(path):
+        if part.backend_id in seen:
+            return path[seen[part.backend_id] + 1].backend_id
+        seen[part.backend_id] = position
+    return None
+
+
+def _shortest(holders, layers, part_cost, hop_cost, origin):
+    points = {0, layers}
+    for holder in holders:
+        points.update(holder.layers)
+    order = sorted(point for point in points if 0 <= point <= layers)
+    # Cheapest known way to (boundary, domain): cost, way before it, last part.
+    best = {(0, origin): (0.0, None, None)}
+    at_point: dict[int, set[str]] = {0: {origin}}
+    for position, point in enumerate(order):
+        for domain in at_point.get(point, ()):
+            cost = best[point, domain][0]
+            for holder in holders:
+                first, end = holder.layers
+                if not first <= point < end:
+                    continue
+                base = cost + hop_cost(domain, holder.domain)
+                for stop in order[position + 1 :]:
+                    if stop > end:
+                        break
+                    total = base + part_cost(holder, stop - point)
+                    key = stop, holder.domain
+                    if key not in best or total < best[key][0]:
+                        part = Part(holder.backend_id, LayerRange(point, stop))
+                        best[key] = total, (point, domain), part
+                        at_point.setdefault(stop, set()).add(holder.domain)
+    ends = [(best[layers, d][0], d) for d in at_point.get(layers, ())]
+    if not ends:
+        return None
+    return _walk_back(best, (layers, min(ends)[1]))
+
+
+def _walk_back(best, key):
+    parts = []
+    while best[key][1] is not None:
+        _, before, part = best[key]
+        parts.append(part)
+        key = before
+    parts.reverse()
+    return _merged(parts)
+
+
+def _merged(parts):
+    merged: list[Part] = []
+    for part in parts:
+        if merged and merged[-1].backend_id == part.backend_id:
+            joined = LayerRange(merged[-1].layers.first, part.layers.end)
+            merged[-1] = Part(part.backend_id, joined)
+        else:
+            merged.append(part)
+    return merged
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -130,6 +130,11 @@
         """
         return self._members
 
+    @property
+    def numbered(self) -> wire.NumberedDocument:
+        """Document under its author's number; number 0 before any."""
+        return self._knowledge.numbered
+
     @property
     def entries(self) -> int:
         """Entries attached to control, this one included; 1 while not told."""
@@ -230,6 +235,7 @@
             known_revision=self._knowledge.known_revision,
             http_address=self._http_address,
             known_index=self._members.index,
+            known_document=self._knowledge.numbered.number,
         )
         return WatchConnection(
             address=address,
@@ -281,6 +287,8 @@
                 return self._take_members(conn, event.members)
             case "lease":
                 return self._take_grant(conn, event.lease)
+            case "document":
+                self._knowledge.take_numbered(event.document)
             case "order" if self._orders is not None:
                 self._orders.start(event.order)
             case "ended" if self._on_ended is not None:
@@ -306,6 +314,9 @@
         self, conn: WatchConnection, grant: wire.LeaseGrant
     ) -> DisconnectCause | None:
         conn.answered(grant.echo_us)
+        if grant.control:
+            self._watcher.follow_addresses(grant.control)
+            self._submitter.follow_addresses(grant.control)
         if conn is self._watcher.attached and self._announcer is not None:
             self._announcer.announce_if_missing(self._members)
         return self._knowledge.take_grant(grant, conn.last_sent_us)
--- a/wigeonscale/membership/knowledge.py
+++ b/wigeonscale/membership/knowledge.py
@@ -24,6 +24,7 @@
     DOCUMENT = "document"
     MEMBERS = "members"
     LEASE = "lease"
+    NUMBERED = "numbered"
 
 
 class Knowledge:
@@ -34,6 +35,7 @@
         configuration: The configuration in force.
         lease: How long it may be acted on.
         entries: Entries attached to control as last told; 0 before.
+        numbered: Document under its author's number, highest ever told.
 
     Args:
         clock: Clock of this process.
@@ -46,6 +48,7 @@
         self.configuration = Configuration()
         self.lease = Lease(clock=clock, lease_s=lease_s)
         self.entries = 0
+        self.numbered = wire.NumberedDocument()
         self._metrics = metrics
         self._config_lock = asyncio.Lock()
         self._needs_whole_document = False
@@ -103,6 +106,19 @@
         self.note_lease()
         return None
 
+    def take_numbered(self, document: wire.NumberedDocument) -> None:
+        """Put a numbered document in force if its number is higher.
+
+        Args:
+            document: The document, from any replica.
+        """
+        held = self.numbered.number
+        if document.number <= held:
+            return
+        self.numbered = document
+        logger.info("document %d replaces %d", document.number, held)
+        self.emit(Change.NUMBERED)
+
     def note_lease(self) -> None:
         """Tell the subscribers when the lease began or ran out."""
         is_valid = self.lease.is_valid()
--- a/wigeonscale/membership/submitter.py
+++ b/wigeonscale/membership/submitter.py
@@ -137,6 +137,15 @@
         self._connecting = asyncio.Lock()
         self._closed = False
 
+    def follow_addresses(self, addresses: Sequence[str]) -> None:
+        """Ask these replicas from now on.
+
+        Args:
+            addresses: gRPC addresses of all replicas.
+        """
+        if set(addresses) != set(self._addresses):
+            self._addresses = list(addresses)
+
     async def submit(
         self, command: wire.Command, timeout_s: float = 3.0
     ) -> wire.CommandResult:
--- a/wigeonscale/membership/watcher.py
+++ b/wigeonscale/membership/watcher.py
@@ -83,6 +83,19 @@
         self._tasks: dict[WatchConnection, asyncio.Task] = {}
         self._wake = asyncio.Event()
 
+    def follow_addresses(self, addresses: Sequence[str]) -> None:
+        """Try these replicas from now on, the members as a replica told them.
+
+        Args:
+            addresses: All of them; the order in which they are tried is kept.
+        """
+        if set(addresses) == set(self._addresses):
+            return
+        kept = [address for address in self._addresses if address in addresses]
+        added = [address for address in addresses if address not in kept]
+        logger.info("control replicas are %s", ", ".join([*kept, *added]))
+        self._addresses = [*kept, *added]
+
     async def run(self) -> None:
         """Keep connections until cancelled."""
         ticker = asyncio.create_task(self._tick())
--- /dev/null
+++ b/wigeonscale/platform/callers.py
@@ -0,0 +1,255 @@
+"""Callers' HTTP: requests in, answers out, one task a connection."""
+
+__all__ = ["CallerServer"]
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.http_exceptions import BadHttpMessage
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.errors import (
+    ANSWERS,
+    ErrorKind,
+    RunState,
+    WigeonscaleError,
+)
+from wigeonscale.platform.headers import answer_headers, read_request_headers
+from wigeonscale.ports import Clock
+from wigeonscale.ports.exchange import (
+    AnswerHead,
+    AnswerSink,
+    CallerRequest,
+    WholeAnswer,
+)
+
+# Callers keep connections for less; see the limits of the configuration.
+KEEP_IDLE_S = 75.0
+MAX_HEADER_BYTES = 32 * 1024
+# A status that promises that the work did not run, and the one that does not.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+BAD_GATEWAY = 502
+
+Serve = Callable[[CallerRequest, AnswerSink], Awaitable[None]]
+
+logger = logging.getLogger(__name__)
+
+
+class CallerServer:
+    """Serves callers.
+
+    Args:
+        address: ``ip:port`` to listen on.
+        serve: Answers one request.
+        max_body: Returns the most bytes of a body.
+        clock: Clock port.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        serve: Serve,
+        max_body: Callable[[], int],
+        clock: Clock,
+    ):
+        self._address = address
+        self._serve = serve
+        self._max_body = max_body
+        self._clock = clock
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._stopping = False
+        self._open = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_IDLE_S,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            lingering_time=0.0,
+        )
+        self._runner = web.ServerRunner(server, handle_signals=False)
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        self._site = web.TCPSite(self._runner, host, int(port), backlog=512)
+        await self._site.start()
+
+    async def finish(self, settle_s: float) -> None:
+        """Serve on until the balancer sends nothing more and all is answered.
+
+        Args:
+            settle_s: Time in which the balancer notices that this entry is not
+                ready, in seconds. Each answer from now on closes its connection.
+        """
+        self._stopping = True
+        await self._clock.sleep(settle_s)
+        if self._site is not None:
+            await self._site.stop()
+        await self._idle.wait()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self._open += 1
+        self._idle.clear()
+        sink = _HttpSink(req=req, is_stopping=lambda: self._stopping)
+        try:
+            await self._answer(req, sink)
+        finally:
+            self._open -= 1
+            if not self._open:
+                self._idle.set()
+        return sink.response
+
+    async def _answer(self, req: web.BaseRequest, sink: "_HttpSink") -> None:
+        arrived_at = self._clock.now()
+        request_id = req.headers.get("Attempt-Id", "")
+        try:
+            caller_req = await self._read(req, arrived_at)
+            await self._serve(caller_req, sink)
+        except WigeonscaleError as exc:
+            await self._refuse(request_id, exc, sink)
+        except ConnectionError:
+            logger.info("caller left", extra=log_fields(request_id=request_id))
+            sink.cut()
+        except Exception:
+            logger.exception("request failed", extra=log_fields(request_id=request_id))
+            error = WigeonscaleError(
+                ErrorKind.INTERNAL, "internal error", run_state=RunState.UNKNOWN
+            )
+            await self._refuse(request_id, error, sink)
+
+    async def _read(self, req: web.BaseRequest, arrived_at: float) -> CallerRequest:
+        limit = self._max_body()
+        body = b""
+        if req.body_exists:
+            try:
+                body = await _read_body(req, limit)
+            except (BadHttpMessage, ValueError) as exc:
+                raise WigeonscaleError(ErrorKind.BAD_REQUEST, str(exc)) from exc
+        headers = read_request_headers(req.headers)
+        return CallerRequest(
+            request_id=headers.request_id,
+            host=headers.host,
+            method=req.method,
+            path=req.raw_path,
+            headers=headers.others,
+            body=body,
+            key=headers.key,
+            arrived_at=arrived_at,
+            deadline_s=headers.deadline_s,
+            generation=headers.generation,
+            last_event_id=headers.last_event_id,
+        )
+
+    async def _refuse(
+        self, request_id: str, exc: WigeonscaleError, sink: "_HttpSink"
+    ) -> None:
+        answer = ANSWERS[exc.kind]
+        status = answer.status
+        if status in NOT_RUN_STATUSES and exc.run_state is not RunState.NOT_RUN:
+            status = BAD_GATEWAY
+        logger.info(
+            "request refused: %s",
+            exc.message,
+            extra=log_fields(
+                request_id=request_id,
+                kind=exc.kind,
+                outcome="cut" if sink.is_begun else "refused",
+                status=status,
+                run_state=exc.run_state,
+                retry_after_s=exc.retry_after,
+            ),
+        )
+        if sink.is_begun:
+            sink.cut()
+            return
+        headers = answer_headers(request_id, exc.retry_after)
+        head = AnswerHead(status, tuple(headers.items()))
+        try:
+            await sink.send(WholeAnswer(head, f"{exc.kind.value}\n".encode()))
+        except ConnectionError:
+            logger.info("caller left", extra=log_fields(request_id=request_id))
+
+
+async def _read_body(req: web.BaseRequest, limit: int) -> bytes:
+    chunks, size = [], 0
+    async for chunk in req.content.iter_any():
+        size += len(chunk)
+        if size > limit:
+            raise WigeonscaleError(
+                ErrorKind.BODY_TOO_LARGE, f"the body is larger than {limit} bytes"
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+class _HttpSink:
+    """Writes the answer to one request.
+
+    Args:
+        req: The request.
+        is_stopping: Returns whether connections close after their answer.
+
+    Attributes:
+        response: The answer, once it was begun.
+    """
+
+    def __init__(self, *, req: web.BaseRequest, is_stopping: Callable[[], bool]):
+        self.response: web.StreamResponse = web.Response(status=BAD_GATEWAY)
+        self._req = req
+        self._is_stopping = is_stopping
+        self.is_begun = False
+
+    async def send(self, answer: WholeAnswer) -> None:
+        """Send a whole answer."""
+        response = web.Response(
+            status=answer.head.status,
+            body=answer.body,
+            headers=answer.head.headers,
+        )
+        await self._prepare(response)
+        await response.write_eof()
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Begin a stream."""
+        response = web.StreamResponse(status=head.status, headers=head.headers)
+        response.enable_chunked_encoding()
+        await self._prepare(response)
+
+    async def write(self, data: bytes) -> None:
+        """Send part of a stream."""
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """End a stream as complete."""
+        await self.response.write_eof()
+
+    def cut(self) -> None:
+        """Close the connection, so that the answer does not look complete."""
+        if self._req.transport is not None:
+            self._req.transport.close()
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        if self._is_stopping():
+            response.force_close()
+        self.response = response
+        self.is_begun = True
+        await response.prepare(self._req)
--- /dev/null
+++ b/wigeonscale/platform/control_pages.py
@@ -0,0 +1,86 @@
+"""What operators and backend servers call on a control replica over HTTP."""
+
+__all__ = ["control_routes"]
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from wigeonscale.control import Registry
+from wigeonscale.errors import ANSWERS, RunState, WigeonscaleError
+from wigeonscale.platform.documents import read_table
+from wigeonscale.platform.heartbeats import read_heartbeat
+
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+# What calls may go wrong with the same call made again: never a plain refusal.
+UNAVAILABLE = 503
+
+logger = logging.getLogger(__name__)
+
+
+def control_routes(
+    *,
+    put_document: Callable[[int, bytes], Awaitable[None]],
+    get_document: Callable[[], Awaitable[bytes]],
+    registry: Registry,
+    heartbeat_address: str,
+) -> list[web.AbstractRouteDef]:
+    """Return the routes of the configuration and of heartbeats.
+
+    Args:
+        put_document: Puts a document in force under its number; returns once a
+            majority has it on disk.
+        get_document: Returns the document in force, confirmed by a majority.
+        registry: Takes heartbeats.
+        heartbeat_address: Address of this replica for later heartbeats.
+    """
+
+    async def put_config(req: web.Request) -> web.Response:
+        content = await req.read()
+        table = read_table(content)
+        await put_document(table.number, content)
+        return web.json_response({"version": table.number})
+
+    async def get_config(req: web.Request) -> web.Response:
+        content = await get_document()
+        return web.Response(body=content, content_type="application/json")
+
+    async def put_instance(req: web.Request) -> web.Response:
+        beat = read_heartbeat(req.match_info["id"], await req.read())
+        await registry.announce(beat.backend, beat.sequence)
+        return web.json_response({"heartbeat-addr": heartbeat_address})
+
+    async def delete_instance(req: web.Request) -> web.Response:
+        await registry.leave(req.match_info["id"])
+        return web.json_response({})
+
+    return [
+        web.put("/config", _answered(put_config)),
+        web.get("/config", _answered(get_config)),
+        web.put("/instances/{id}", _answered(put_instance)),
+        web.delete("/instances/{id}", _answered(delete_instance)),
+    ]
+
+
+def _answered(
+    handler: Callable[[web.Request], Awaitable[web.Response]],
+) -> Callable[[web.Request], Awaitable[web.Response]]:
+    """Return a handler that turns the project's errors into answers."""
+
+    async def handle(req: web.Request) -> web.Response:
+        try:
+            return await handler(req)
+        except WigeonscaleError as exc:
+            status = ANSWERS[exc.kind].status
+            if exc.run_state is not RunState.NOT_RUN or status >= 500:
+                # Whether it took effect is not known, or it could not.
+                status = UNAVAILABLE
+            logger.info(
+                "%s %s refused: %s %s", req.method, req.path, status, exc.message
+            )
+            return web.json_response(
+                {"error": exc.kind.value, "message": exc.message}, status=status
+            )
+
+    return handle
--- /dev/null
+++ b/wigeonscale/platform/documents.py
@@ -0,0 +1,226 @@
+"""The platform's configuration document, read into a route table."""
+
+__all__ = ["compress", "decompress", "read_table"]
+
+import zlib
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from wigeonscale import routes
+from wigeonscale.errors import ErrorKind, SettingsError
+
+MILLISECONDS = 1000.0
+
+KINDS = {
+    "safe": routes.Repeat.SAFE,
+    "unsafe": routes.Repeat.UNSAFE,
+    "streaming": routes.Repeat.STREAM,
+}
+Milliseconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+Weight = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+Text = Annotated[str, Field(min_length=1)]
+
+
+class _Model(BaseModel):
+    # Names that are not known here belong to later versions of the platform.
+    model_config = ConfigDict(
+        extra="ignore", alias_generator=lambda name: name.replace("_", "-")
+    )
+
+
+class _Share(_Model):
+    service: Text
+    weight: Weight
+
+
+class _Route(_Model):
+    name: Text
+    host: Text
+    path_prefix: Text
+    kind: Text
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0
+    gap_target_ms: Milliseconds = 0
+    priority: int = 5
+    service: str | None = None
+    split: list[_Share] | None = None
+    max_attempts: Annotated[int, Field(ge=1)] = 1
+    public: bool = False
+    # Set on routes whose requests are generations, which share parts of prompts.
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Accelerator(_Model):
+    name: Text
+    size_mb: float
+    pace: float = 1.0
+    read_x: float = 1.0
+
+
+class _Usual(_Model):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class _Engine(_Model):
+    slots: int = 0
+    layers: int = 0
+    layer_mb: float = 0.0
+    kv_token_bytes: float = 0.0
+    activation_bytes: float = 0.0
+    pipe_mbps: float = 0.0
+    usual: _Usual = _Usual()
+    kinds: list[_Accelerator] = []
+    step_ms: Annotated[float, Field(alias="step_ms")] = 0.0
+    per_seq_ms: Annotated[float, Field(alias="per_seq_ms")] = 0.0
+    context_per_k: Annotated[float, Field(alias="context_per_k")] = 0.0
+    read_per_s: Annotated[float, Field(alias="read_per_s")] = 0.0
+
+
+class _Service(_Model):
+    name: Text
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(_Model):
+    name: Text
+    api_keys: list[Text]
+    priority: int | None = None
+
+
+class _Limits(_Model):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 * 1024 * 1024
+    idle_timeout_ms: Milliseconds = 15_000
+
+
+class _Document(_Model):
+    version: Annotated[int, Field(ge=1, lt=1 << 63)]
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = _Limits()
+
+
+def read_table(content: bytes) -> routes.RouteTable:
+    """Return the route table of a document as it was sent.
+
+    Args:
+        content: JSON, at most a few megabytes.
+
+    Raises:
+        SettingsError: ``INVALID_DOCUMENT``: it cannot be read in full, or it
+            contradicts itself.
+    """
+    document = _read(content)
+    return routes.build_table(
+        number=document.version,
+        routes=[_route(each) for each in document.routes],
+        services=[_service(each) for each in document.services],
+        organisations=_organisations(document.tenants),
+        limits=routes.CallerLimits(
+            header_bytes=document.limits.max_header_bytes,
+            body_bytes=document.limits.max_body_bytes,
+            idle_s=document.limits.idle_timeout_ms / MILLISECONDS,
+        ),
+    )
+
+
+def compress(content: bytes) -> bytes:
+    """Return a document as the replicated log keeps it."""
+    return zlib.compress(content)
+
+
+def decompress(content: bytes) -> bytes:
+    """Return a document as it was sent."""
+    return zlib.decompress(content)
+
+
+def _read(content: bytes) -> _Document:
+    try:
+        return _Document.model_validate_json(content, strict=False)
+    except ValidationError as exc:
+        first = exc.errors(include_url=False, include_input=False)[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise SettingsError(
+            f"{place or 'the document'}: {first['msg']}",
+            kind=ErrorKind.INVALID_DOCUMENT,
+        ) from exc
+
+
+def _route(route: _Route) -> routes.Route:
+    if route.kind not in KINDS:
+        raise SettingsError(
+            f"route {route.name!r}: kind {route.kind!r}; allowed: {', '.join(KINDS)}",
+            kind=ErrorKind.INVALID_DOCUMENT,
+        )
+    if route.split is not None:
+        shares = [routes.Share(each.service, each.weight) for each in route.split]
+    else:
+        shares = [routes.Share(route.service, 1.0)] if route.service else []
+    return routes.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        repeat=KINDS[route.kind],
+        timeout_s=route.timeout_ms / MILLISECONDS,
+        target_s=route.target_latency_ms / MILLISECONDS,
+        gap_target_s=route.gap_target_ms / MILLISECONDS,
+        priority=route.priority,
+        shares=tuple(shares),
+        max_attempts=route.max_attempts,
+        public=route.public,
+        generates=route.sticky,
+        resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> routes.Service:
+    engine = service.engine
+    return routes.Service(
+        name=service.name,
+        max_connections=service.max_conns,
+        engine=_engine(engine) if engine is not None else None,
+    )
+
+
+def _engine(engine: _Engine) -> routes.EngineProfile:
+    return routes.EngineProfile(
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        token_bytes=engine.kv_token_bytes,
+        activation_bytes=engine.activation_bytes,
+        pipe_mbps=engine.pipe_mbps,
+        slots=engine.slots,
+        step_ms=engine.step_ms,
+        sequence_ms=engine.per_seq_ms,
+        context_ms=engine.context_per_k,
+        read_tokens_per_s=engine.read_per_s,
+        usual_prompt=engine.usual.prompt,
+        usual_answer=engine.usual.answer,
+        accelerators={
+            kind.name: routes.Accelerator(
+                name=kind.name,
+                size_mb=kind.size_mb,
+                pace=kind.pace,
+                read_factor=kind.read_x,
+            )
+            for kind in engine.kinds
+        },
+    )
+
+
+def _organisations(
+    tenants: list[_Tenant] | None,
+) -> list[routes.Organisation] | None:
+    if tenants is None:
+        return None
+    return [
+        routes.Organisation(
+            name=tenant.name, keys=tuple(tenant.api_keys), priority=tenant.priority
+        )
+        for tenant in tenants
+    ]
--- /dev/null
+++ b/wigeonscale/platform/engine_orders.py
@@ -0,0 +1,94 @@
+"""Orders to model engines and their reports, over HTTP."""
+
+__all__ = ["HttpEngineOrders"]
+
+import json
+import logging
+
+import aiohttp
+
+from wigeonscale.ports.orders import EngineStatus, OrderOutcome
+
+# Engines answer at once; the links take a few milliseconds.
+TIMEOUT_S = 0.7
+
+OUTCOMES = {
+    200: OrderOutcome.HOLDS_ALREADY,
+    202: OrderOutcome.BEGUN,
+    409: OrderOutcome.MISFIT,
+    412: OrderOutcome.FENCED,
+}
+
+logger = logging.getLogger(__name__)
+
+
+class HttpEngineOrders:
+    """Gives orders over connections of its own.
+
+    Args:
+        session: Client session of the process.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession):
+        self._session = session
+
+    async def place(
+        self,
+        address: str,
+        *,
+        first: int,
+        end: int,
+        fence: int,
+        expected_orders: int,
+    ) -> OrderOutcome:
+        """Order an engine to hold layers ``first`` up to, without, ``end``."""
+        order = {
+            "op": "place",
+            "from": first,
+            "to": end,
+            "strategy": "queue",
+            "fencing-token": fence,
+            # The order count, which the report calls "seq".
+            "precondition": expected_orders,
+        }
+        answer = await self._ask("POST", address, "/order", order)
+        if answer is None:
+            return OrderOutcome.UNKNOWN
+        return OUTCOMES.get(answer[0], OrderOutcome.REFUSED)
+
+    async def status(self, address: str) -> EngineStatus | None:
+        """Return what an engine says of itself; None without an answer."""
+        answer = await self._ask("GET", address, "/report")
+        if answer is None or answer[0] != 200:
+            return None
+        try:
+            report = json.loads(answer[1])
+            layers = report.get("layers") or {}
+            return EngineStatus(
+                orders=int(report["seq"]),
+                busy=bool(report["busy"]),
+                first_layer=int(layers.get("from", 0)),
+                end_layer=int(layers.get("to", 0)),
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            logger.warning("report of %s cannot be read: %s", address, exc)
+            return None
+
+    async def answers(self, address: str) -> bool:
+        """Return whether an engine answers at all."""
+        return await self._ask("GET", address, "/report") is not None
+
+    async def _ask(
+        self, method: str, address: str, path: str, body: dict | None = None
+    ) -> tuple[int, bytes] | None:
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            ) as res:
+                return res.status, await res.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            logger.info("%s %s at %s: no answer: %r", method, path, address, exc)
+            return None
--- /dev/null
+++ b/wigeonscale/platform/exchange_http.py
@@ -0,0 +1,178 @@
+"""Sends requests to backend servers over HTTP, and reads their answers."""
+
+__all__ = ["HttpExchange", "new_session"]
+
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from yarl import URL
+
+from wigeonscale.platform.headers import (
+    at_fault_of,
+    backend_headers,
+    event_id_of,
+    head_of,
+    is_refused_unrun,
+    is_stranger,
+    names_request,
+)
+from wigeonscale.ports.exchange import (
+    AnswerHead,
+    BackendCall,
+    BackendStream,
+    ExchangeError,
+    Fate,
+    StreamEvent,
+    WholeAnswer,
+)
+
+# A new connection takes a few milliseconds; a machine that is gone never answers.
+CONNECT_TIMEOUT_S = 0.3
+# Backend servers close idle connections after some seconds, and a request that
+# crosses such a close may or may not have run.
+KEEP_IDLE_S = 1.5
+LARGEST_EVENT_BYTES = 1 << 20
+EVENT_END = b"\n\n"
+
+logger = logging.getLogger(__name__)
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a client session that sends each request once, as it is."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=KEEP_IDLE_S, enable_cleanup_closed=False
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+    )
+    # aiohttp would send a GET again by itself when a kept connection broke.
+    session._retry_connection = False
+    return session
+
+
+class HttpExchange:
+    """Exchanges over one client session.
+
+    Args:
+        session: As :func:`new_session` makes it.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession):
+        self._session = session
+
+    async def call(self, call: BackendCall) -> WholeAnswer:
+        """Return the whole answer."""
+        async with self.open(call) as stream:
+            body = await stream.rest()
+            return WholeAnswer(stream.head, body)
+
+    @asynccontextmanager
+    async def open(self, call: BackendCall) -> AsyncIterator[BackendStream]:
+        """Open a stream; leaving the context early cancels the work."""
+        res = await self._send(call)
+        try:
+            _check_head(call, res)
+            yield _HttpStream(res=res, address=call.address)
+        finally:
+            # What was not read to its end must not be taken for the next answer.
+            res.close() if not res.content.at_eof() else res.release()
+
+    async def _send(self, call: BackendCall) -> aiohttp.ClientResponse:
+        req = call.req
+        try:
+            return await self._session.request(
+                req.method,
+                URL(f"http://{call.address}{req.path}", encoded=True),
+                headers=backend_headers(call),
+                data=req.body or None,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise ExchangeError(
+                Fate.NOT_SENT, f"{call.address} cannot be reached: {exc!r}"
+            ) from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise ExchangeError(
+                Fate.UNKNOWN, f"{call.address} gave no answer: {exc!r}"
+            ) from exc
+
+
+class _HttpStream:
+    """An answer being read.
+
+    Args:
+        res: The response.
+        address: Where it comes from.
+
+    Attributes:
+        head: Status and headers for the caller.
+    """
+
+    def __init__(self, *, res: aiohttp.ClientResponse, address: str):
+        self.head: AnswerHead = head_of(res.status, res.raw_headers)
+        self._res = res
+        self._address = address
+        # Kept, since the response forgets it at its end.
+        self._protocol = res.connection.protocol if res.connection else None
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Yield the events; ends after the last one."""
+        pending = b""
+        async for chunk in self._chunks():
+            pending += chunk
+            while EVENT_END in pending:
+                data, _, pending = pending.partition(EVENT_END)
+                yield StreamEvent(event_id_of(data), data + EVENT_END)
+            if len(pending) > LARGEST_EVENT_BYTES:
+                raise self._broken("an event is too large")
+        if pending:
+            raise self._broken("it ended inside an event")
+
+    async def rest(self) -> bytes:
+        """Return the whole body of an answer that is no stream."""
+        return b"".join([chunk async for chunk in self._chunks()])
+
+    async def _chunks(self) -> AsyncIterator[bytes]:
+        try:
+            async for chunk in self._res.content.iter_any():
+                yield chunk
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise self._broken(repr(exc)) from exc
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Refuse an answer without a length whose connection was reset."""
+        headers = self._res.headers
+        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            return
+        if self._protocol is None:
+            return
+        exc = self._protocol.exception()
+        if exc is not None and not isinstance(exc, aiohttp.ServerDisconnectedError):
+            raise self._broken(f"reset: {exc!r}")
+
+    def _broken(self, message: str) -> ExchangeError:
+        return ExchangeError(
+            Fate.UNKNOWN, f"answer of {self._address} broke off: {message}"
+        )
+
+
+def _check_head(call: BackendCall, res: aiohttp.ClientResponse) -> None:
+    """Refuse an answer to another request, and one that says the work never ran."""
+    if not names_request(res.headers, call.req.request_id):
+        raise ExchangeError(
+            Fate.UNKNOWN, f"{call.address} answered another request than asked"
+        )
+    if is_refused_unrun(res.status, res.headers):
+        raise ExchangeError(
+            Fate.NOT_RUN,
+            f"{call.address} refused with {res.status}",
+            status=res.status,
+            at_fault=at_fault_of(res.headers),
+            is_stranger=is_stranger(res.status, res.headers),
+        )
--- /dev/null
+++ b/wigeonscale/ports/orders.py
@@ -0,0 +1,53 @@
+"""The port to model engines that take orders without an agent."""
+
+__all__ = ["EngineOrders", "EngineStatus", "OrderOutcome"]
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+
+class OrderOutcome(StrEnum):
+    """What an engine made of an order."""
+
+    BEGUN = "begun"
+    HOLDS_ALREADY = "holds-already"
+    MISFIT = "misfit"  # its state or its order count is another
+    FENCED = "fenced"  # it has seen a higher fencing number
+    REFUSED = "refused"
+    UNKNOWN = "unknown"  # no answer: it may be carried out, even seconds later
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """What an engine says of itself now.
+
+    Attributes:
+        orders: Orders that it has begun since its start.
+        busy: Whether one is in progress.
+        first_layer: First layer held.
+        end_layer: One more than the last layer held; equal to the first for none.
+    """
+
+    orders: int
+    busy: bool
+    first_layer: int
+    end_layer: int
+
+
+class EngineOrders(Protocol):
+    """Gives orders to engines and asks how they are."""
+
+    async def place(
+        self,
+        address: str,
+        *,
+        first: int,
+        end: int,
+        fence: int,
+        expected_orders: int,
+    ) -> OrderOutcome:
+        """Order an engine to hold layers ``first`` up to, without, ``end``."""
+
+    async def status(self, address: str) -> EngineStatus | None:
+        """Return what an engine says of itself; None without an answer."""
--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -158,8 +158,10 @@
     vote = core.storage.vote
     if vote.admission is not Admission.NEW:
         return
-    if any(reply is not None and reply.had_log for reply in replies):
-        logger.warning("replica %s has lost its disk and has no vote", core.node_id)
+    is_voter = any(member.node_id == core.node_id for member in core.members)
+    had_log = any(reply is not None and reply.had_log for reply in replies)
+    if had_log or not is_voter or not core.may_begin:
+        logger.warning("replica %s has an empty disk and no vote", core.node_id)
         await core.storage.save_vote(replace(vote, admission=Admission.AWAITING))
         return
     if any(reply is None for reply in replies):
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -61,6 +61,8 @@
         clock: Clock port.
         options: Times and sizes.
         rng: Source of jitter and identities; tests pass a seeded one.
+        may_begin: Whether an empty folder may be a first start. If not, it is a
+            lost disk or a new replica, which waits to be admitted.
 
     Example:
         >>> replica = Replica(node_id="a", address="127.0.0.1:7001", ...)
@@ -90,6 +92,7 @@
         clock: Clock,
         options: ReplicaOptions | None = None,
         rng: random.Random | None = None,
+        may_begin: bool = True,
     ):
         self._core = ReplicaState(
             node_id=node_id,
@@ -101,6 +104,7 @@
             clock=clock,
             options=options or ReplicaOptions(),
             rng=rng or random.SystemRandom(),
+            may_begin=may_begin,
         )
         self.on_applied = self._core.on_applied
         self._loaded = asyncio.Event()
@@ -255,6 +259,17 @@
         """Return the members by the latest change in the log."""
         return self._core.members
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether this replica knows that its cluster ever had a log."""
+        return self._core.storage.last_index > 0 or self._core.may_vote
+
+    def leader_silence(self) -> float:
+        """Return the seconds since a leader was heard; 0 while leading."""
+        if self._core.leading:
+            return 0.0
+        return self._core.clock.now() - self._core.leader_heard_at
+
     def peer_silence(self, node_id: str) -> float:
         """Return the seconds since the last message of a peer; inf if none came."""
         peer = self._core.peers.get(node_id)
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -85,6 +85,7 @@
         clock: Clock port.
         options: Times and sizes.
         rng: Source of randomness.
+        may_begin: Whether an empty folder may be a first start.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         clock: Clock,
         options: ReplicaOptions,
         rng: random.Random,
+        may_begin: bool = True,
     ):
         self.node_id = node_id
         self.address = address
@@ -108,6 +110,7 @@
         self.clock = clock
         self.options = options
         self.rng = rng
+        self.may_begin = may_begin
         self.echo = EchoClock(clock=clock, rng=rng)
         self.lock = asyncio.Lock()
         self.role = Role.FOLLOWER
--- /dev/null
+++ b/wigeonscale/routes/__init__.py
@@ -0,0 +1,31 @@
+"""Routes by host and path: the table, its checks and how a request is matched."""
+
+__all__ = [
+    "Accelerator",
+    "CallerLimits",
+    "EngineProfile",
+    "Organisation",
+    "Repeat",
+    "Route",
+    "RouteTable",
+    "Service",
+    "Share",
+    "build_table",
+    "choose_service",
+    "find_organisation",
+    "find_route",
+]
+
+from wigeonscale.routes.build import build_table
+from wigeonscale.routes.matching import choose_service, find_organisation, find_route
+from wigeonscale.routes.model import (
+    Accelerator,
+    CallerLimits,
+    EngineProfile,
+    Organisation,
+    Repeat,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
--- /dev/null
+++ b/wigeonscale/routes/build.py
@@ -0,0 +1,104 @@
+"""Builds a route table and refuses one that contradicts itself."""
+
+__all__ = ["build_table"]
+
+from collections.abc import Iterable
+
+from wigeonscale.errors import ErrorKind, SettingsError
+from wigeonscale.routes.model import (
+    CallerLimits,
+    Organisation,
+    Route,
+    RouteTable,
+    Service,
+)
+
+
+def build_table(
+    *,
+    number: int,
+    routes: Iterable[Route],
+    services: Iterable[Service],
+    organisations: Iterable[Organisation] | None,
+    limits: CallerLimits,
+) -> RouteTable:
+    """Return a table in which everything that is named exists once.
+
+    Args:
+        number: The operator's number.
+        routes: All routes.
+        services: All services.
+        organisations: All organisations; None where no request needs a key.
+        limits: Limits of callers.
+
+    Raises:
+        SettingsError: ``INVALID_DOCUMENT``, naming the offending value.
+
+    Notes:
+        Costs in proportion to the routes and keys.
+    """
+    named = _by_name(services)
+    return RouteTable(
+        number=number,
+        routes=_by_place(routes, named),
+        services=named,
+        organisations=_by_key(organisations or ()),
+        needs_keys=organisations is not None,
+        limits=limits,
+    )
+
+
+def _by_name(services: Iterable[Service]) -> dict[str, Service]:
+    named: dict[str, Service] = {}
+    for service in services:
+        if service.name in named:
+            _refuse(f"service {service.name!r} stands twice")
+        named[service.name] = service
+    return named
+
+
+def _by_place(
+    routes: Iterable[Route], services: dict[str, Service]
+) -> dict[str, dict[str, Route]]:
+    places: dict[str, dict[str, Route]] = {}
+    for route in routes:
+        _check_route(route, services)
+        prefixes = places.setdefault(route.host, {})
+        if route.prefix in prefixes:
+            _refuse(
+                f"routes {prefixes[route.prefix].name!r} and {route.name!r} share"
+                f" {route.host}{route.prefix}"
+            )
+        prefixes[route.prefix] = route
+    return places
+
+
+def _check_route(route: Route, services: dict[str, Service]) -> None:
+    if route.timeout_s <= 0:
+        _refuse(f"route {route.name!r}: its timeout is {route.timeout_s:g} s")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        _refuse(f"route {route.name!r}: path prefix {route.prefix!r}")
+    for share in route.shares:
+        if share.service not in services:
+            _refuse(f"route {route.name!r}: unknown service {share.service!r}")
+        if share.weight < 0:
+            _refuse(f"route {route.name!r}: weight {share.weight:g}")
+    if sum(share.weight for share in route.shares) <= 0:
+        _refuse(f"route {route.name!r}: its weights add up to nothing")
+
+
+def _by_key(organisations: Iterable[Organisation]) -> dict[str, Organisation]:
+    holders: dict[str, Organisation] = {}
+    for organisation in organisations:
+        for key in organisation.keys:
+            holder = holders.setdefault(key, organisation)
+            if holder is not organisation:
+                _refuse(
+                    f"organisations {holder.name!r} and {organisation.name!r}"
+                    " share a key"
+                )
+    return holders
+
+
+def _refuse(message: str) -> None:
+    raise SettingsError(message, kind=ErrorKind.INVALID_DOCUMENT)
--- a/wigeonscale/state/members.py
+++ b/wigeonscale/state/members.py
@@ -22,10 +22,12 @@
     Attributes:
         backend: What its agent announced, not to be changed.
         replica: Control replica the agent is attached to.
+        sequence: Number of its announcement; 0 where they are not numbered.
     """
 
     backend: wire.Backend
     replica: str
+    sequence: int = 0
 
 
 class Members:
@@ -124,14 +126,18 @@
         backend.draining = True
         return backend
 
-    def refusal_of(self, backend: wire.Backend) -> wire.CommandResult | None:
+    def refusal_of(
+        self, backend: wire.Backend, sequence: int = 0
+    ) -> wire.CommandResult | None:
         """Return why an announcement is refused, or None if it is not.
 
         Args:
             backend: The announcement.
+            sequence: Its number; 0 where they are not numbered.
 
         Returns:
-            ``BAD_REQUEST``, ``STALE_INCARNATION`` or None.
+            ``BAD_REQUEST``, ``STALE_INCARNATION``, ``REVISION_CONFLICT`` for one
+            that a later one has overtaken, or None.
         """
         if not backend.agent_id or not backend.incarnation:
             return refused(
@@ -149,17 +155,48 @@
                 ErrorKind.STALE_INCARNATION,
                 f"incarnation {backend.incarnation} of {backend.agent_id} has ended",
             )
+        member = self._members.get(backend.agent_id)
+        if (
+            member is not None
+            and member.backend.incarnation == backend.incarnation
+            and sequence < member.sequence
+        ):
+            return refused(
+                ErrorKind.REVISION_CONFLICT,
+                f"announcement {sequence} of {backend.agent_id} comes after"
+                f" {member.sequence}",
+            )
         return None
 
-    def put(self, backend: wire.Backend, replica: str) -> None:
+    def others_at(self, backend: wire.Backend) -> list[tuple[str, int]]:
+        """Return the members at a backend's address that go by another name.
+
+        Args:
+            backend: The announcement; without an address nobody is there.
+
+        Returns:
+            Name and incarnation of each. An address belongs to one process, so they
+            have ended.
+        """
+        if not backend.address:
+            return []
+        return [
+            (member.backend.agent_id, member.backend.incarnation)
+            for member in self._members.values()
+            if member.backend.address == backend.address
+            and member.backend.agent_id != backend.agent_id
+        ]
+
+    def put(self, backend: wire.Backend, replica: str, sequence: int = 0) -> None:
         """Record an announcement that was not refused.
 
         Args:
             backend: The announcement.
             replica: Control replica the agent is attached to.
+            sequence: Its number; 0 where they are not numbered.
         """
         self._remove(backend.agent_id)
-        self._insert(Member(backend, replica))
+        self._insert(Member(backend, replica, sequence))
 
     def end(self, agent_id: str, incarnation: int) -> None:
         """Declare an incarnation ended for good.
@@ -199,7 +236,11 @@
             snapshot: Message to fill in.
         """
         for _, member in sorted(self._members.items()):
-            snapshot.members.add(backend=member.backend, replica=member.replica)
+            snapshot.members.add(
+                backend=member.backend,
+                replica=member.replica,
+                sequence=member.sequence,
+            )
         for agent_id, incarnation in self._ended:
             snapshot.ended.add(agent_id=agent_id, incarnation=incarnation)
         snapshot.drained.extend(sorted(self._drained))
@@ -213,7 +254,7 @@
         self._members.clear()
         self._by_replica.clear()
         for record in snapshot.members:
-            self._insert(Member(record.backend, record.replica))
+            self._insert(Member(record.backend, record.replica, record.sequence))
         self._ended = OrderedDict(
             ((record.agent_id, record.incarnation), None) for record in snapshot.ended
         )
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -14,6 +14,7 @@
 from wigeonscale.state.configuration import HISTORY_LIMIT, Configuration
 from wigeonscale.state.entries import Entries
 from wigeonscale.state.members import Members
+from wigeonscale.state.numbered import Numbered
 from wigeonscale.state.operations import Operations, operation_digest
 from wigeonscale.state.results import done, refused
 from wigeonscale.wire import wire_pb2 as wire
@@ -38,6 +39,7 @@
         backends: Agents whose backend changed, came or went.
         chains: Chains that changed, came or went.
         configuration: Whether there is a new revision.
+        document: Whether there is a new numbered document.
         everything: The whole state was replaced by a snapshot.
     """
 
@@ -45,6 +47,7 @@
     backends: frozenset[str] = frozenset()
     chains: frozenset[str] = frozenset()
     configuration: bool = False
+    document: bool = False
     everything: bool = False
 
     @property
@@ -68,6 +71,7 @@
         chains: Pipeline replicas.
         claims: Claims of requests that must not run twice.
         entries: Entries attached to any replica.
+        document: Document under its author's number, highest in force.
         changes: Subject of :class:`Change`, one after each command that changed
             something to watch.
         index: Log index of the last command applied.
@@ -82,6 +86,7 @@
         self.chains = Chains(members=self.members)
         self.claims = Claims()
         self.entries = Entries()
+        self.document = Numbered()
         self.changes: Subject[Change] = Subject()
         self.index = 0
         self.now_ms = 0
@@ -99,6 +104,7 @@
             "drain": self._drain,
             "expire": self._expire,
             "count_entries": self._count_entries,
+            "put_document": self._put_document,
         }
 
     def apply(self, index: int, term: int, data: bytes) -> wire.CommandResult:
@@ -178,6 +184,7 @@
         self.members.save(snapshot)
         self.chains.save(snapshot)
         self.entries.save(snapshot)
+        self.document.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -212,6 +219,7 @@
         self.members.load(snapshot)
         self.chains.load(snapshot)
         self.entries.load(snapshot)
+        self.document.load(snapshot)
         self.index = snapshot.index
         self.now_ms = snapshot.now_ms
         self.placement_index = snapshot.placement_index
@@ -295,14 +303,17 @@
 
     def _announce(self, command):
         backend = command.backend
-        refusal = self.members.refusal_of(backend)
+        refusal = self.members.refusal_of(backend, command.sequence)
         if refusal is not None:
             return None, refusal
         before = self.members.get(backend.agent_id)
         if before is not None and before.backend.incarnation != backend.incarnation:
             self._end(backend.agent_id, before.backend.incarnation)
-        self.members.put(backend, command.replica)
-        return self._member_change(backend.agent_id), done()
+        followed = self.members.others_at(backend)
+        for agent_id, incarnation in followed:
+            self._end(agent_id, incarnation)
+        self.members.put(backend, command.replica, command.sequence)
+        return self._member_change(backend.agent_id, *(i for i, _ in followed)), done()
 
     def _end_incarnation(self, command):
         agent_id = command.agent_id
@@ -351,10 +362,15 @@
         # Nothing to wake watchers for: the count rides on each lease grant.
         return None, done()
 
-    def _member_change(self, agent_id):
-        chains = self.chains.refresh(agent_id)
+    def _put_document(self, document):
+        if not self.document.put(document):
+            return None, done()
+        return Change(self.index, document=True), done()
+
+    def _member_change(self, *agent_ids):
+        chains = [chain for i in agent_ids for chain in self.chains.refresh(i)]
         return Change(
-            self.index, backends=frozenset({agent_id}), chains=frozenset(chains)
+            self.index, backends=frozenset(agent_ids), chains=frozenset(chains)
         )
 
 
