--- a/wigeonscale/cli/wigeond.py
+++ b/wigeonscale/cli/wigeond.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import functools
 import importlib
 import sys
 from collections.abc import Awaitable, Callable, Sequence
@@ -18,6 +19,8 @@
 from wigeonscale.errors import SettingsError, WigeonscaleError
 
 EXIT_FAILED = 1
+# The others keep the settings of their start.
+RELOADING_ROLES = frozenset({"direct-entry", "direct-control"})
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -33,7 +36,7 @@
         print(exc.message, file=sys.stderr)
         return ExitCode.BAD_INPUT
     try:
-        return asyncio.run(_runner(args.role)(cfg)) or 0
+        return asyncio.run(_runner(args.role)(cfg, **_reloading(args))) or 0
     except (OSError, WigeonscaleError) as exc:
         print(f"wigeond {args.role} {cfg.name}: {exc}", file=sys.stderr)
         return EXIT_FAILED
@@ -51,6 +54,12 @@
     return parser
 
 
+def _reloading(args: argparse.Namespace) -> dict[str, Callable[[], NodeSettings]]:
+    if args.role not in RELOADING_ROLES:
+        return {}
+    return {"reload": functools.partial(load_settings, args.config, args.role)}
+
+
 def _runner(role: str) -> Callable[[NodeSettings], Awaitable[int | None]]:
     # Imported only now: the other roles' libraries would cost memory.
     name = role.replace("-", "_")
--- a/wigeonscale/control/joining.py
+++ b/wigeonscale/control/joining.py
@@ -122,6 +122,14 @@
             if self._is_lonely():
                 await self._ask_to_join()
 
+    def follow_seeds(self, seeds: Sequence[str]) -> None:
+        """Ask other replicas than before.
+
+        Args:
+            seeds: gRPC addresses that the settings name now.
+        """
+        self._seeds = tuple(seeds)
+
     async def answer(self, req: wire.JoinRequest) -> wire.JoinReply:
         """Answer a replica that asks to be a member.
 
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import logging
+from collections.abc import Callable, Sequence
 
 import aiohttp
 
@@ -179,6 +180,15 @@
             group.create_task(self._keeper.run())
             group.create_task(self._serve_pages())
 
+    def follow_seeds(self, seeds: Sequence[str]) -> None:
+        """Ask other replicas than before when this one is lonely.
+
+        Args:
+            seeds: Addresses of their HTTP pages.
+        """
+        port = self._cfg.internal_port
+        self.joining.follow_seeds([internal_address(seed, port) for seed in seeds])
+
     async def stop(self) -> None:
         """Hand over leadership, then stop serving; watchers move elsewhere."""
         self._stopping = True
@@ -218,11 +228,14 @@
     return f"{seed.rpartition(':')[0]}:{port}"
 
 
-async def run_direct_control(cfg: DirectControlSettings) -> int:
+async def run_direct_control(
+    cfg: DirectControlSettings, *, reload: Callable[[], DirectControlSettings]
+) -> int:
     """Run a control replica until SIGTERM.
 
     Args:
         cfg: Settings.
+        reload: Reads the settings anew; of them, the seeds are taken up.
 
     Returns:
         Exit code of the process.
@@ -236,4 +249,5 @@
             tasks={"control": daemon.run()},
             stop_steps=[StopStep("stop serving", daemon.stop)],
             stop_timeout_s=cfg.stop_timeout_s,
+            reload=lambda: daemon.follow_seeds(reload().seeds),
         )
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -69,11 +70,14 @@
             logger.error("document %d not read: %s", document.number, exc.message)
 
 
-async def run_direct_entry(cfg: DirectEntrySettings) -> int:
+async def run_direct_entry(
+    cfg: DirectEntrySettings, *, reload: Callable[[], DirectEntrySettings]
+) -> int:
     """Run an entry until SIGTERM.
 
     Args:
         cfg: Its settings.
+        reload: Reads the settings anew; of them, the seeds are taken up.
 
     Returns:
         The exit code.
@@ -133,6 +137,7 @@
             tasks={"control": control.run()},
             stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
             stop_timeout_s=cfg.stop_timeout_s,
+            reload=lambda: control.add_addresses(_control_addresses(reload())),
         )
     finally:
         await pages.cleanup()
@@ -140,14 +145,18 @@
 
 
 def _new_control(cfg: DirectEntrySettings, clock: Clock) -> ControlClient:
-    hosts = [seed.rpartition(":")[0] for seed in cfg.seeds]
     return ControlClient(
         node_id=cfg.name,
         role="entry",
-        addresses=[f"{host}:{cfg.internal_port}" for host in hosts],
+        addresses=_control_addresses(cfg),
         clock=clock,
         http_address=cfg.http,
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
     )
+
+
+def _control_addresses(cfg: DirectEntrySettings) -> list[str]:
+    hosts = [seed.rpartition(":")[0] for seed in cfg.seeds]
+    return [f"{host}:{cfg.internal_port}" for host in hosts]
--- a/wigeonscale/daemons/runtime.py
+++ b/wigeonscale/daemons/runtime.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.errors import SettingsError
 
 EXIT_OK = 0
 EXIT_FAILED = 1  # a task of the daemon failed
@@ -43,6 +44,7 @@
     stop_timeout_s: float,
     stop: asyncio.Event | None = None,
     signals: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGINT),
+    reload: Callable[[], None] | None = None,
 ) -> int:
     """Run coroutines until a signal, then the stop steps in their order.
 
@@ -56,6 +58,7 @@
         stop: Set by the signals, or by others to stop the daemon; None makes one.
         signals: Signals that stop the daemon; empty leaves them alone. Repeated
             signals change nothing.
+        reload: Reads the settings anew on SIGHUP; None: they hold until the end.
 
     Returns:
         ``EXIT_OK``, ``EXIT_FAILED`` or ``EXIT_CUT``, for ``sys.exit``.
@@ -64,6 +67,9 @@
     loop = asyncio.get_running_loop()
     for signum in signals:
         loop.add_signal_handler(signum, stop.set)
+    if signals:
+        # Its default action would end the process.
+        loop.add_signal_handler(signal.SIGHUP, _take_hangup, reload)
     running = {
         asyncio.create_task(coro, name=name): name for name, coro in tasks.items()
     }
@@ -76,11 +82,27 @@
         await _cancel(running)
         for signum in signals:
             loop.remove_signal_handler(signum)
+        if signals:
+            loop.remove_signal_handler(signal.SIGHUP)
     code = EXIT_FAILED if failed else EXIT_CUT if cut else EXIT_OK
     logger.info("stopped", extra=log_fields(outcome="stopped", exit_code=code))
     return code
 
 
+def _take_hangup(reload: Callable[[], None] | None) -> None:
+    if reload is None:
+        logger.info("SIGHUP: the settings hold until the process ends")
+        return
+    try:
+        reload()
+    except SettingsError as exc:
+        logger.error("SIGHUP: the settings are kept: %s", exc.message)
+    except Exception:
+        logger.exception("SIGHUP: the settings are kept")
+    else:
+        logger.info("SIGHUP: settings read", extra=log_fields(outcome="reloaded"))
+
+
 async def _wait_for_stop(running: dict[asyncio.Task, str], stop: asyncio.Event) -> bool:
     """Return whether a task failed before the stop."""
     waiter = asyncio.create_task(stop.wait())
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -140,6 +140,14 @@
         """Entries attached to control, this one included; 1 while not told."""
         return max(1, self._knowledge.entries)
 
+    def add_addresses(self, addresses: Sequence[str]) -> None:
+        """Try further replicas too.
+
+        Args:
+            addresses: gRPC addresses of control replicas.
+        """
+        self._watcher.add_addresses(addresses)
+
     def lease_valid(self) -> bool:
         """Return whether what this process knows was confirmed recently enough."""
         return self._knowledge.lease.is_valid()
--- a/wigeonscale/membership/watcher.py
+++ b/wigeonscale/membership/watcher.py
@@ -96,6 +96,14 @@
         logger.info("control replicas are %s", ", ".join([*kept, *added]))
         self._addresses = [*kept, *added]
 
+    def add_addresses(self, addresses: Sequence[str]) -> None:
+        """Try these replicas too, until a grant names the members.
+
+        Args:
+            addresses: Some replicas.
+        """
+        self._addresses = list(dict.fromkeys([*self._addresses, *addresses]))
+
     async def run(self) -> None:
         """Keep connections until cancelled."""
         ticker = asyncio.create_task(self._tick())
