Control: a replica that was just added counts for its own vote

Ruled out: network, the new replica's start. Change: it is admitted once its log lists it without a vote; a lost disk still is not. Also: idle connections close at a planned stop.

--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -99,6 +99,9 @@
         await self._clock.sleep(settle_s)
         if self._site is not None:
             await self._site.stop()
+        if self._runner is not None:
+            # Those that are idle now, and the others after their answer.
+            self._runner.server.pre_shutdown()
         await self._idle.wait()
 
     async def close(self) -> None:
--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -31,7 +31,7 @@
 from wigeonscale.replication.files import Admission, VoteState
 from wigeonscale.replication.model import EntryKind, Member
 from wigeonscale.replication.state import PeerState, ReplicaState
-from wigeonscale.replication.voters import members_to_wire
+from wigeonscale.replication.voters import members_to_wire, quorum_size
 from wigeonscale.replication.waiting import within
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -49,15 +49,33 @@
         await core.clock.sleep(core.options.heartbeat_s)
 
 
-async def note_admission(core: ReplicaState) -> None:
-    """Vote again once a committed change names this disk; holds the lock."""
+async def note_admission(core: ReplicaState, *, caught_up: bool) -> None:
+    """Vote once a committed change says so; holds the lock.
+
+    Either it names this disk, or it just added this replica, without a vote. One
+    that was just added never acknowledged or voted anything that counts, so there is
+    nothing that it could have forgotten; it counts for its own vote then, which four
+    voters with one gone could not commit otherwise.
+
+    Args:
+        core: State of the follower.
+        caught_up: Whether its log has all that the leader knows to be committed: an
+            older change may have added it too.
+    """
     vote = core.storage.vote
     if vote.admission is not Admission.AWAITING:
         return
-    for member in core.member_log.at(core.applied_index):
-        if member.node_id == core.node_id and _is_admitted(member, vote.storage_id):
-            logger.info("replica %s is admitted and votes again", core.node_id)
-            await core.storage.save_vote(replace(vote, admission=Admission.ADMITTED))
+    names_disk = any(
+        member.node_id == core.node_id and _is_admitted(member, vote.storage_id)
+        for member in core.member_log.at(core.applied_index)
+    )
+    is_new = caught_up and any(
+        member.node_id == core.node_id and not member.voting
+        for member in core.member_log.at(core.applied_index)
+    )
+    if names_disk or is_new:
+        logger.info("replica %s is admitted and may vote", core.node_id)
+        await core.storage.save_vote(replace(vote, admission=Admission.ADMITTED))
 
 
 def admit_when_due(core: ReplicaState, peer: PeerState) -> None:
@@ -73,11 +91,34 @@
     if peer.match_index < core.commit_index or not members_settled(core):
         return
     admitted = replace(member, voting=True, storage_id=peer.storage_id)
-    logger.info("replica %s is to be admitted", member.node_id)
-    append_members(
-        core,
-        tuple(admitted if m.node_id == member.node_id else m for m in core.members),
+    members = tuple(
+        admitted if m.node_id == member.node_id else m for m in core.members
     )
+    if not _can_commit(core, members):
+        return
+    logger.info("replica %s is to be admitted", member.node_id)
+    append_members(core, members)
+
+
+def _can_commit(core: ReplicaState, members: Sequence[Member]) -> bool:
+    """Return whether those that are heard and count make a majority of members.
+
+    A replica whose disk was lost does not count for its own admission. Were that
+    change appended with too few others in reach, nothing after it would be committed
+    either, not even the change that takes out one that is gone.
+    """
+    now = core.clock.now()
+    peers = [
+        core.peers[member.node_id]
+        for member in members
+        if member.voting and member.node_id != core.node_id
+    ]
+    heard = [
+        peer
+        for peer in peers
+        if peer.admitted and now - peer.heard_at < core.options.election_timeout_s
+    ]
+    return 1 + len(heard) >= quorum_size(members)
 
 
 def members_settled(core: ReplicaState) -> bool:
--- a/wigeonscale/replication/follower.py
+++ b/wigeonscale/replication/follower.py
@@ -39,7 +39,8 @@
             reply = _reply(core, req, success=success, match_index=index)
         else:
             reply = await _take_entries(core, req)
-        await note_admission(core)
+        caught_up = reply.success and core.applied_index >= req.commit_index
+        await note_admission(core, caught_up=caught_up)
         _note_fresh(core, req)
         reply.needs_admission = not core.may_vote
         return reply
--- a/wigeonscale/replication/tests/test_admission.py
+++ b/wigeonscale/replication/tests/test_admission.py
@@ -269,3 +269,51 @@
             with self.assertRaises(WigeonscaleError) as caught:
                 await leader.change_voters(**kwargs)
             self.assertEqual(ErrorKind.BAD_REQUEST, caught.exception.kind)
+
+
+class ReplacedTest(ClusterCase):
+    """A replica at another address stands in for one that is gone for good."""
+
+    async def add_fourth(self):
+        self.cluster.folders["d"] = MemoryFolder()
+        leader = self.cluster.replicas[self.leader]
+        change = leader.change_voters(add=Member("d", "d"))
+        await self.cluster.finish(self.cluster.spawn(change))
+        self.cluster.start("d")
+
+    async def test_fourth_beside_one_that_is_gone(self):
+        # Four voters with one gone need three. Did the new one not count for its own
+        # vote, that would never be committed, nor anything after it.
+        gone = self.followers[0]
+        await self.cluster.stop(gone)
+        await self.add_fourth()
+        await self.cluster.clock.advance(10)
+        self.assertEqual([self.leader], self.cluster.leaders())
+        await self.cluster.propose(b"1")
+        self.assertTrue(self.cluster.replicas["d"].may_vote)
+
+        leader = self.cluster.replicas[self.leader]
+        change = leader.change_voters(remove=gone)
+        await self.cluster.finish(self.cluster.spawn(change))
+        await self.cluster.stop(self.followers[1])
+        await self.cluster.propose(b"2")
+        await self.cluster.until_equal([b"1", b"2"], names=[self.leader, "d"])
+
+    async def test_lost_disk_of_one_added_before_counts_for_nothing(self):
+        await self.add_fourth()
+        await self.cluster.until(lambda: self.cluster.replicas["d"].may_vote)
+        await self.cluster.propose(b"1")
+        await self.cluster.until_equal([b"1"])
+        await self.cluster.stop("d", *self.followers)
+        self.cluster.folders["d"] = MemoryFolder()
+        self.cluster.start("d", self.followers[0])
+        # Of four voters two count: the log that added it does not make it count.
+        await self.cluster.clock.advance(10)
+        self.assertEqual([], self.cluster.leaders())
+        self.assertFalse(self.cluster.replicas["d"].may_vote)
+
+    async def test_fourth_beside_three_sound_ones_votes(self):
+        await self.add_fourth()
+        await self.cluster.until(lambda: self.cluster.replicas["d"].may_vote)
+        await self.cluster.propose(b"1")
+        await self.cluster.until_equal([b"1"])
