--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -16,6 +16,7 @@
     DirectService,
     Fleet,
     SendBudget,
+    StallWatch,
     Surroundings,
     read_fleet,
 )
@@ -23,6 +24,7 @@
 from wigeonscale.membership import Change, ControlClient
 from wigeonscale.platform.callers import CallerServer
 from wigeonscale.platform.documents import decompress, read_table
+from wigeonscale.platform.engine_orders import HttpEngineOrders
 from wigeonscale.platform.exchange_http import HttpExchange, new_session
 from wigeonscale.platform.heartbeats import INCARNATION
 from wigeonscale.ports import Clock, SystemClock
@@ -99,6 +101,17 @@
         return web.Response(status=200 if is_ready() else 503)
 
     session = new_session()
+
+    def suspect(name: str) -> None:
+        control.suspect(name, INCARNATION)
+
+    stalls = StallWatch(
+        beliefs=beliefs,
+        clock=clock,
+        orders=HttpEngineOrders(session=session),
+        fleet=lambda: known.fleet,
+        suspect=suspect,
+    )
     around = Surroundings(
         exchange=HttpExchange(session=session),
         beliefs=beliefs,
@@ -113,7 +126,8 @@
         domain=cfg.domain,
         fleet=lambda: known.fleet,
         entries=lambda: control.entries,
-        suspect=lambda name: control.suspect(name, INCARNATION),
+        suspect=suspect,
+        stalls=stalls,
     )
     service = DirectService(
         around=around, table=lambda: known.table, rng=random.Random()
@@ -134,7 +148,7 @@
 
     try:
         return await run_until_stopped(
-            tasks={"control": control.run()},
+            tasks={"control": control.run(), "stalls": stalls.run()},
             stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
             stop_timeout_s=cfg.stop_timeout_s,
             reload=lambda: control.add_addresses(_control_addresses(reload())),
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -6,6 +6,7 @@
     "DirectService",
     "Fleet",
     "SendBudget",
+    "StallWatch",
     "Surroundings",
     "read_fleet",
 ]
@@ -15,3 +16,4 @@
 from wigeonscale.direct.fleet import BackendServer, Fleet, read_fleet
 from wigeonscale.direct.job import Surroundings
 from wigeonscale.direct.service import DirectService
+from wigeonscale.direct.stalls import StallWatch
--- a/wigeonscale/direct/beliefs.py
+++ b/wigeonscale/direct/beliefs.py
@@ -26,14 +26,20 @@
         backend_ids: Backend servers that it runs on; several for a path.
         token_layers: Memory that it takes, in tokens times layers, by backend server.
         progress_at: Instant of its last sign of progress.
-        watch: Ends its wait early once one of them is known to be lost; None where
-            nobody waits so.
+        watch: Its wait, which may be ended early; None where nobody waits so.
+        has_begun: Whether anything of an answer came.
     """
 
     backend_ids: tuple[str, ...]
     token_layers: dict[str, float] = field(default_factory=dict)
     progress_at: float = 0.0
     watch: asyncio.Timeout | None = None
+    has_begun: bool = False
+
+    def end_wait(self) -> None:
+        """End its wait now, so that it goes on elsewhere."""
+        if self.watch is not None and not self.watch.expired():
+            self.watch.reschedule(asyncio.get_running_loop().time())
 
 
 @dataclass(slots=True)
@@ -43,7 +49,6 @@
     Attributes:
         runs: Sends in progress.
         token_layers: Memory that they take, in tokens times layers.
-        progress_at: Last progress of a run that ended.
         avoid_until: Instant until which it is left alone if others can serve.
         failures: Recent share of failed sends.
         touched_at: Last use of this record.
@@ -51,7 +56,6 @@
 
     runs: set[Run] = field(default_factory=set)
     token_layers: float = 0.0
-    progress_at: float = float("-inf")
     avoid_until: float = float("-inf")
     failures: float = 0.0
     touched_at: float = 0.0
@@ -95,13 +99,6 @@
             belief = self.of(name)
             belief.runs.discard(run)
             belief.token_layers -= run.token_layers.get(name, 0.0)
-            belief.progress_at = max(belief.progress_at, run.progress_at)
-
-    def progress_of(self, backend_id: str, without: Run) -> float:
-        """Return the last instant at which other runs on it moved on."""
-        belief = self.of(backend_id)
-        others = (run.progress_at for run in belief.runs if run is not without)
-        return max(others, default=belief.progress_at)
 
     def note_outcome(self, backend_id: str, *, failed: bool) -> None:
         """Count one finished send in the share of failures."""
@@ -115,10 +112,8 @@
     def note_lost(self, backend_id: str) -> None:
         """Leave a backend server alone, and end the waits of all that runs there."""
         self._avoid(backend_id, AVOID_LOST_S)
-        now = asyncio.get_running_loop().time()
         for run in self.of(backend_id).runs:
-            if run.watch is not None and not run.watch.expired():
-                run.watch.reschedule(now)
+            run.end_wait()
 
     def keep_only(self, backend_ids: Iterable[str]) -> None:
         """Forget backend servers that are gone and idle.
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -25,6 +25,13 @@
 FAR_HOP_MS = 0.62
 MEGABIT = 1e6
 BITS = 8
+# Where a path begins does not matter to the engines, but what the caller gets crosses
+# domains then, and all entries would crowd into the fastest domain: another one is
+# taken when the own one takes a second longer, about half as long again as usual.
+FAR_START_MS = 1000.0
+# A hop inside a path sends a prompt's activations over the link that all domains
+# share. Whole paths in another domain are free of that, so they go first.
+FAR_HOP_BASE_MS = 2000.0
 # Costs beside which times of work do not count, in ms: an engine without room
 # preempts or refuses; one that is avoided stalls the request for seconds.
 FULL_MS = 20_000.0
@@ -135,7 +142,9 @@
         return cost
 
     def hop(here: str, there: str) -> float:
-        return 0.0 if here == there else FAR_HOP_MS * answer + transfer_ms
+        if here == there:
+            return 0.0
+        return FAR_HOP_BASE_MS + FAR_HOP_MS * answer + transfer_ms
 
     return PathCosts(part, hop)
 
@@ -167,7 +176,7 @@
         layers=engine.layers,
         part_cost=costs.part,
         hop_cost=costs.hop,
-        origin=domain,
+        start_cost=lambda first: 0.0 if first == domain else FAR_START_MS,
     )
 
 
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -8,6 +8,7 @@
 from wigeonscale.direct.beliefs import Beliefs
 from wigeonscale.direct.budget import SendBudget
 from wigeonscale.direct.fleet import Fleet
+from wigeonscale.direct.stalls import StallWatch
 from wigeonscale.ports import Clock
 from wigeonscale.ports.exchange import BackendCall, CallerRequest, Exchange
 from wigeonscale.routes import Organisation, Route, Service
@@ -26,6 +27,7 @@
         fleet: Returns the backend servers as of now.
         entries: Returns how many entries send alike.
         suspect: Tells control that a backend server does not answer.
+        stalls: Ends the waits of generations that stand still.
     """
 
     exchange: Exchange
@@ -36,6 +38,7 @@
     fleet: Callable[[], Fleet]
     entries: Callable[[], int]
     suspect: Callable[[str], None]
+    stalls: StallWatch
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/wigeonscale/direct/stalls.py
@@ -0,0 +1,140 @@
+"""Finds out why generations stand still, and ends the waits that are in vain.
+
+Load pattern: an engine that dies or goes dark stalls every stream through it at the
+same moment. The engines cut such work off only after ``stall_s``, three seconds here;
+callers leave after two without an event. So one look at all runs a few times a
+second, one question to the first engine of a quiet path however many runs are quiet,
+and all runs through the engine that it names go on elsewhere at once.
+"""
+
+__all__ = ["StallWatch"]
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.beliefs import Beliefs, Run
+from wigeonscale.direct.fleet import Fleet
+from wigeonscale.ports import Clock
+from wigeonscale.ports.orders import EngineOrders
+
+CHECK_S = 0.1
+# Events come every 30 to 60 ms, and first ones within 150 ms, on a sound path with
+# usual load; a pause over 200 ms is late already.
+QUIET_S = 0.35
+QUIET_FIRST_S = 0.6
+# What a report says is some hundred ms old, so an answer without a culprit is asked
+# for again after this long.
+ASK_AGAIN_S = 0.3
+# A wait that nothing explains is ended here: callers leave after two seconds, and
+# another path needs some tenths.
+HOPELESS_S = 1.3
+# Runs through an engine that control calls silent are ended once they are this quiet.
+QUIET_IF_SILENT_S = 0.15
+
+logger = logging.getLogger(__name__)
+
+
+class StallWatch:
+    """Watches the runs of generations.
+
+    Args:
+        beliefs: Told which engines are lost; it ends the waits of their runs.
+        clock: Clock port.
+        orders: Asks engines how they are.
+        fleet: Returns the backend servers as of now.
+        suspect: Tells control of an engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        beliefs: Beliefs,
+        clock: Clock,
+        orders: EngineOrders,
+        fleet: Callable[[], Fleet],
+        suspect: Callable[[str], None],
+    ):
+        self._beliefs = beliefs
+        self._clock = clock
+        self._orders = orders
+        self._fleet = fleet
+        self._suspect = suspect
+        self._runs: set[Run] = set()
+        self._asked_at: dict[str, float] = {}
+        self._asking: set[asyncio.Task] = set()
+
+    def add(self, run: Run) -> None:
+        """Watch a run.
+
+        Args:
+            run: It has begun, and its ``watch`` is set.
+        """
+        self._runs.add(run)
+
+    def remove(self, run: Run) -> None:
+        """Watch a run no more."""
+        self._runs.discard(run)
+
+    async def run(self) -> None:
+        """Look at all runs until cancelled."""
+        try:
+            while True:
+                await self._clock.sleep(CHECK_S)
+                self.check()
+        finally:
+            for task in self._asking:
+                task.cancel()
+            await asyncio.gather(*self._asking, return_exceptions=True)
+
+    def check(self) -> None:
+        """Look at all runs once."""
+        now = self._clock.now()
+        fleet = self._fleet()
+        silent = {s.backend_id for s in fleet.by_id.values() if s.is_silent}
+        heads = set()
+        for run in list(self._runs):
+            quiet_s = now - run.progress_at
+            if quiet_s > QUIET_IF_SILENT_S and not silent.isdisjoint(run.backend_ids):
+                run.end_wait()
+            elif quiet_s > HOPELESS_S:
+                run.end_wait()
+            elif quiet_s > (QUIET_S if run.has_begun else QUIET_FIRST_S):
+                heads.add(run.backend_ids[0])
+        for head in heads:
+            self._ask(head, now)
+
+    def _ask(self, head: str, now: float) -> None:
+        if now - self._asked_at.get(head, float("-inf")) < ASK_AGAIN_S:
+            return
+        self._asked_at[head] = now
+        task = asyncio.create_task(self._find_culprit(head))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
+    async def _find_culprit(self, head: str) -> None:
+        fleet = self._fleet()
+        server = fleet.by_id.get(head)
+        if server is None:
+            self._beliefs.note_lost(head)
+            return
+        status = await self._orders.status(server.address)
+        if status is None:
+            culprits = [head]
+        else:
+            named = [fleet.by_address.get(at) for at in status.held_up_by]
+            culprits = [each.backend_id for each in named if each is not None]
+        logger.info(
+            "quiet path",
+            extra=log_fields(
+                outcome="culprit" if culprits else "none-named",
+                head=head,
+                culprits=",".join(culprits),
+                running=None if status is None else status.running,
+                pace=None if status is None else status.pace,
+            ),
+        )
+        for name in set(culprits):
+            self._beliefs.note_lost(name)
+            self._suspect(name)
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -1,9 +1,8 @@
 """One generation: its path, its events, and going on elsewhere when a path is lost.
 
-Load pattern: an engine that dies or goes dark stalls every stream through it, and the
-engines cut such work off only after seconds. Callers leave sooner. So an entry judges
-by its own streams: one that is quiet for long asks the first engine who holds it up,
-and all streams through the engine that is named go on elsewhere at once.
+Load pattern: a lost engine breaks many streams at once, in the middle. Each goes on
+after the last event that its caller has, on a path without that engine; see
+``stalls`` for how it is found.
 """
 
 __all__ = ["relay_stream"]
@@ -28,9 +27,6 @@
     WholeAnswer,
 )
 
-# Callers leave after two seconds without an event; a new path needs some tenths.
-FIRST_EVENT_S = 1.1
-GAP_S = 0.6
 # Word to callers when no path is whole: a lost engine is found and its layers are
 # loaded elsewhere in one to three seconds.
 NO_PATH_RETRY_S = 1.0
@@ -163,16 +159,22 @@
     )
     around.beliefs.begin(run)
     try:
-        async with asyncio.timeout(FIRST_EVENT_S) as run.watch:
+        # Ended by the watch over all streams, not by a time of its own.
+        async with asyncio.timeout(None) as run.watch:
+            around.stalls.add(run)
             async with around.exchange.open(call) as stream:
                 progress.ran_at.add(servers[0].backend_id)
                 return await _relay_events(around, job, sink, progress, run, stream)
     except TimeoutError:
+        if not run.watch.expired():
+            raise
+        quiet_s = around.clock.now() - run.progress_at
         raise ExchangeError(
-            Fate.UNKNOWN, f"no event from {servers[0].address} for too long"
+            Fate.UNKNOWN, f"no event from {servers[0].address} for {quiet_s:.2f} s"
         ) from None
     finally:
         run.watch = None
+        around.stalls.remove(run)
         around.beliefs.end(run)
 
 
@@ -186,11 +188,10 @@
 ) -> bool:
     if not 200 <= stream.head.status < 300:
         return await _relay_failure(sink, progress, stream)
-    loop = asyncio.get_running_loop()
     async with aclosing(stream.events()) as events:
         async for event in events:
             run.progress_at = around.clock.now()
-            run.watch.reschedule(loop.time() + GAP_S)
+            run.has_begun = True
             if not _is_next(progress, event):
                 continue
             if not progress.is_begun:
@@ -240,21 +241,14 @@
     path: list[Part],
     exc: ExchangeError,
 ) -> None:
-    head = path[0].backend_id
-    culprit = around.fleet().by_address.get(exc.at_fault)
-    if exc.fate is Fate.NOT_RUN and not exc.is_stranger:
-        blamed = [culprit.backend_id if culprit else head]
-        around.beliefs.note_refused(blamed[0])
-    elif exc.fate is Fate.NOT_SENT or exc.is_stranger:
-        blamed = [head]
-        around.beliefs.note_lost(head)
-    else:
-        blamed = _quiet_engines(around, path)
-        for name in blamed:
-            around.beliefs.note_lost(name)
-    for name in blamed:
-        progress.lost.add(name)
-        around.suspect(name)
+    blamed = _blamed(around, path, exc)
+    if blamed and exc.fate is Fate.NOT_RUN and not exc.is_stranger:
+        around.beliefs.note_refused(blamed)
+    elif blamed:
+        around.beliefs.note_lost(blamed)
+        around.suspect(blamed)
+    if blamed:
+        progress.lost.add(blamed)
     logger.info(
         "generation broke: %s",
         exc.message,
@@ -263,20 +257,17 @@
             outcome=exc.fate,
             status=exc.status,
             last_event=progress.last_id,
-            blamed=",".join(blamed),
+            blamed=blamed,
         ),
     )
 
 
-def _quiet_engines(around: Surroundings, path: list[Part]) -> list[str]:
-    """Return the engines of a path on which nothing else has moved on lately."""
-    since = around.clock.now() - GAP_S
-    none = Run(())
-    return [
-        part.backend_id
-        for part in path
-        if around.beliefs.progress_of(part.backend_id, none) < since
-    ]
+def _blamed(around: Surroundings, path: list[Part], exc: ExchangeError) -> str:
+    """Return the engine that a failure speaks against; empty for none in particular."""
+    named = around.fleet().by_address.get(exc.at_fault)
+    if named is not None:
+        return named.backend_id
+    return "" if exc.fate is Fate.UNKNOWN else path[0].backend_id
 
 
 def _check_may_go_on(
@@ -288,7 +279,9 @@
     is_late = around.clock.now() >= job.ends_at
     may_repeat = job.route.is_idempotent or not may_have_run
     if may_repeat and not is_late and progress.sends < MOST_SENDS:
-        has_attempts = len(progress.ran_at) < job.route.max_attempts
+        # Engines that are gone do not count, whatever ran there.
+        counted = [name for name in progress.ran_at if not _is_gone(around, name)]
+        has_attempts = len(counted) < job.route.max_attempts
         if has_attempts and around.budget.try_spend(job.service.name):
             return
     if is_late:
@@ -298,3 +291,8 @@
     raise WigeonscaleError(
         kind, exc.message, run_state=run_state, retry_after=NO_PATH_RETRY_S
     )
+
+
+def _is_gone(around: Surroundings, backend_id: str) -> bool:
+    server = around.fleet().by_id.get(backend_id)
+    return server is None or server.is_silent
--- a/wigeonscale/layers/path.py
+++ b/wigeonscale/layers/path.py
@@ -25,7 +25,7 @@
     layers: int,
     part_cost: Callable[[HoldsLayers, int], float],
     hop_cost: Callable[[str, str], float],
-    origin: str,
+    start_cost: Callable[[str], float],
 ) -> list[Part] | None:
     """Return the cheapest path, or None when a layer is held by nobody.
 
@@ -34,7 +34,7 @@
         layers: Layers of the model.
         part_cost: Cost of running that many layers on an engine.
         hop_cost: Cost of going from one failure domain to another.
-        origin: Failure domain that the request starts from.
+        start_cost: Cost of beginning in a failure domain.
 
     Returns:
         Parts in order of layers; no engine stands twice.
@@ -45,7 +45,7 @@
     """
     usable = list(holders)
     while True:
-        path = _shortest(usable, layers, part_cost, hop_cost, origin)
+        path = _shortest(usable, layers, part_cost, hop_cost, start_cost)
         if path is None or len(path) > MOST_PARTS:
             return None
         twice = _between_same(path)
@@ -64,14 +64,14 @@
     return None
 
 
-def _shortest(holders, layers, part_cost, hop_cost, origin):
+def _shortest(holders, layers, part_cost, hop_cost, start_cost):
     points = {0, layers}
     for holder in holders:
         points.update(holder.layers)
     order = sorted(point for point in points if 0 <= point <= layers)
     # Cheapest known way to (boundary, domain): cost, way before it, last part.
-    best = {(0, origin): (0.0, None, None)}
-    at_point: dict[int, set[str]] = {0: {origin}}
+    best = {(0, h.domain): (start_cost(h.domain), None, None) for h in holders}
+    at_point: dict[int, set[str]] = {0: {holder.domain for holder in holders}}
     for position, point in enumerate(order):
         for domain in at_point.get(point, ()):
             cost = best[point, domain][0]
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -64,11 +64,15 @@
         try:
             report = json.loads(answer[1])
             layers = report.get("layers") or {}
+            stalled = report.get("stalled") or []
             return EngineStatus(
                 orders=int(report["seq"]),
                 busy=bool(report["busy"]),
                 first_layer=int(layers.get("from", 0)),
                 end_layer=int(layers.get("to", 0)),
+                running=int(report.get("running", 0)),
+                pace=float(report.get("pace", 1.0)),
+                held_up_by=tuple(str(each["address"]) for each in stalled),
             )
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
             logger.warning("report of %s cannot be read: %s", address, exc)
--- a/wigeonscale/ports/orders.py
+++ b/wigeonscale/ports/orders.py
@@ -27,12 +27,18 @@
         busy: Whether one is in progress.
         first_layer: First layer held.
         end_layer: One more than the last layer held; equal to the first for none.
+        running: Requests that it runs.
+        pace: Factor on its usual times; over 1 it is slow.
+        held_up_by: Addresses of engines that requests it received wait for.
     """
 
     orders: int
     busy: bool
     first_layer: int
     end_layer: int
+    running: int = 0
+    pace: float = 1.0
+    held_up_by: tuple[str, ...] = ()
 
 
 class EngineOrders(Protocol):
