--- a/wigeonscale/control/joining.py
+++ b/wigeonscale/control/joining.py
@@ -30,6 +30,8 @@
 REPLACE_AFTER_S = 3.0
 # Fewer members bear no loss.
 LEAST_MEMBERS = 3
+# A single voter could admit nobody: see ``replication/admission.py``.
+LEAST_HEARD = 2
 CALL_TIMEOUT_S = 1.0
 
 logger = logging.getLogger(__name__)
@@ -68,7 +70,7 @@
         return None
     heard = sum(m.voting for m in members if m.node_id not in silent)
     staying = sum(m.voting for m in members) - 1
-    if heard <= staying // 2:
+    if heard <= staying // 2 or heard < LEAST_HEARD:
         return None
     return max(silent, key=silent.get)
 
--- /dev/null
+++ b/wigeonscale/control/tests/test_layer_keeper.py
@@ -0,0 +1,168 @@
+import asyncio
+from collections import defaultdict
+
+from wigeonscale.control import LayerKeeper
+from wigeonscale.control.tests.support import StandInReplica
+from wigeonscale.ports.orders import EngineStatus, OrderOutcome
+from wigeonscale.replication import Role
+from wigeonscale.routes import Accelerator, EngineProfile, RouteTable, Service
+from wigeonscale.state import ControlState
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+PROFILE = EngineProfile(
+    layers=10,
+    layer_mb=100.0,
+    accelerators={
+        "k": Accelerator(name="k", size_mb=1000.0, pace=1.0, read_factor=1.0)
+    },
+)
+TABLE = RouteTable(number=1, services={"m": Service(name="m", engine=PROFILE)})
+
+
+class Engines:
+    """Engines that carry out orders, unless a test says otherwise."""
+
+    def __init__(self):
+        self.held = defaultdict(lambda: (0, 0))
+        self.counts = defaultdict(int)
+        self.orders = []
+        self.asked = []
+        self.outcomes = {}
+
+    async def place(self, address, *, first, end, fence, expected_orders):
+        self.orders.append((address, first, end, fence, expected_orders))
+        outcome = self.outcomes.get(address)
+        if outcome is not None:
+            return outcome
+        if expected_orders != self.counts[address]:
+            return OrderOutcome.MISFIT
+        self.counts[address] += 1
+        self.held[address] = (first, end)
+        return OrderOutcome.BEGUN
+
+    async def status(self, address):
+        self.asked.append(address)
+        return EngineStatus(self.counts[address], False, *self.held[address])
+
+
+class KeeperCase(AsyncTestCase):
+    async def prepare(self):
+        self.clock = ManualClock()
+        self.state = ControlState()
+        self.replica = StandInReplica(state=self.state, clock=self.clock)
+        self.engines = Engines()
+        self.fresh = True
+        self.keeper = LayerKeeper(
+            state=self.state,
+            replica=self.replica,
+            clock=self.clock,
+            orders=self.engines,
+            table=lambda: TABLE,
+            is_fresh=lambda: self.fresh,
+        )
+        self.task = asyncio.create_task(self.keeper.run())
+        self.addCleanup(self.stop)
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def announce(self, name, first=0, end=0, **fields):
+        backend = wire.Backend(
+            agent_id=name,
+            incarnation=1,
+            address=name,
+            service="m",
+            domain="a",
+            accelerator="k",
+            first_layer=first,
+            last_layer=end - 1,
+            **fields,
+        )
+        announce = wire.Announce(backend=backend, replica="c1")
+        await self.replica.propose(wire.Command(announce=announce).SerializeToString())
+
+    async def announce_all(self, *names):
+        for name in names:
+            await self.announce(name, *self.engines.held[name])
+
+    def placed(self):
+        return {(name, first, end) for name, first, end, *_ in self.engines.orders}
+
+
+class FirstPlanTest(KeeperCase):
+    async def test_waits_until_the_engines_have_announced_themselves(self):
+        await self.announce("e1")
+        await self.clock.advance(0.5)
+        await self.announce("e2")
+        await self.clock.advance(0.5)
+        self.assertEqual([], self.engines.orders)
+        await self.clock.advance(0.5)
+        self.assertEqual({("e1", 0, 5), ("e2", 5, 10)}, self.placed())
+
+    async def test_ordered_once(self):
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(3.0)
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(3.0)
+        self.assertEqual(2, len(self.engines.orders))
+        self.assertEqual([], self.engines.asked)
+
+    async def test_only_the_leader_orders(self):
+        await self.announce_all("e1", "e2")
+        self.replica.role = Role.FOLLOWER
+        await self.clock.advance(5)
+        self.replica.role = Role.LEADER
+        self.fresh = False
+        await self.clock.advance(5)
+        self.assertEqual([], self.engines.orders)
+
+    async def test_fencing_numbers_grow_with_the_log(self):
+        await self.announce_all("e1", "e2", "e3")
+        await self.clock.advance(2.0)
+        before = max(order[3] for order in self.engines.orders)
+        await self.announce_all("e1", "e2", "e3")
+        self.replica.applied_term = 2
+        await self.announce("e2", 3, 7, silent=True)
+        await self.clock.advance(2.0)
+        self.assertTrue(self.engines.orders[-1][3] > before)
+
+
+class LostAnswerTest(KeeperCase):
+    async def test_asks_the_engine_before_it_orders_again(self):
+        self.engines.outcomes["e1"] = OrderOutcome.UNKNOWN
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.3)
+        self.assertEqual(2, len(self.engines.orders))
+        # Meanwhile the order that brought no answer was carried out.
+        del self.engines.outcomes["e1"]
+        self.engines.counts["e1"] = 1
+        self.engines.held["e1"] = (0, 5)
+        await self.clock.advance(5.0)
+        self.assertEqual(2, len(self.engines.orders))
+        self.assertIn("e1", self.engines.asked)
+
+    async def test_orders_again_under_the_count_that_the_engine_tells(self):
+        self.engines.outcomes["e1"] = OrderOutcome.UNKNOWN
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.3)
+        del self.engines.outcomes["e1"]
+        self.engines.counts["e1"] = 4
+        await self.clock.advance(3.0)
+        self.assertEqual(("e1", 0, 5, 4), self._last_order())
+
+    def _last_order(self):
+        name, first, end, _, expected = self.engines.orders[-1]
+        return name, first, end, expected
+
+
+class MendTest(KeeperCase):
+    async def test_neighbours_take_over_from_a_silent_engine(self):
+        await self.announce("e1", 0, 4)
+        await self.announce("e2", 4, 7, silent=True)
+        await self.announce("e3", 7, 10)
+        await self.clock.advance(1.0)
+        covered = {n for name, first, end in self.placed() for n in range(first, end)}
+        self.assertTrue(covered >= {4, 5, 6}, self.placed())
+        self.assertEqual({"e1", "e3"}, {name for name, *_ in self.placed()})
--- /dev/null
+++ b/wigeonscale/control/tests/test_registry.py
@@ -0,0 +1,139 @@
+import asyncio
+
+from wigeonscale.control import Commands, Registry
+from wigeonscale.control.tests.support import StandInReplica
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.replication import Role
+from wigeonscale.state import ControlState
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+HEARTBEAT_S = 1.0
+
+
+def backend(name="i-1", **fields):
+    fields.setdefault("address", f"{name}:80")
+    return wire.Backend(agent_id=name, incarnation=1, service="s", **fields)
+
+
+class RegistryCase(AsyncTestCase):
+    async def prepare(self):
+        self.clock = ManualClock()
+        self.state = ControlState()
+        self.replica = StandInReplica(state=self.state, clock=self.clock)
+        self.commands = Commands(
+            replica=self.replica, addresses=["127.0.0.1:1"], clock=self.clock
+        )
+        self.addCleanup(self.commands.close)
+        self.answering = set()
+        self.registry = self.new_registry("c1")
+        self.task = asyncio.create_task(self.registry.run())
+        self.addCleanup(self.stop)
+
+    def new_registry(self, node_id):
+        return Registry(
+            node_id=node_id,
+            state=self.state,
+            replica=self.replica,
+            commands=self.commands,
+            clock=self.clock,
+            heartbeat_s=HEARTBEAT_S,
+            probe=self.probe,
+        )
+
+    async def probe(self, address):
+        return address in self.answering
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def member(self, name="i-1"):
+        return self.state.members.get(name)
+
+
+class HeartbeatTest(RegistryCase):
+    async def test_the_same_word_costs_no_log_entry(self):
+        for sequence in range(1, 6):
+            await self.registry.announce(backend(), sequence)
+        self.assertEqual(1, len(self.replica.proposed))
+
+    async def test_what_changes_is_committed_before_the_acknowledgement(self):
+        await self.registry.announce(backend(), 1)
+        await self.registry.announce(backend(draining=True), 2)
+        self.assertTrue(self.member().backend.draining)
+        await self.registry.announce(
+            backend(draining=True, first_layer=2, last_layer=5), 3
+        )
+        self.assertEqual(5, self.member().backend.last_layer)
+
+    async def test_a_late_one_changes_nothing(self):
+        await self.registry.announce(backend(draining=True), 5)
+        await self.registry.announce(backend(), 4)
+        self.assertTrue(self.member().backend.draining)
+
+    async def test_a_late_one_at_another_replica_changes_nothing(self):
+        await self.registry.announce(backend(draining=True), 5)
+        await self.new_registry("c2").announce(backend(), 4)
+        self.assertTrue(self.member().backend.draining)
+
+    async def test_one_that_left_does_not_come_back(self):
+        await self.registry.announce(backend(), 1)
+        await self.registry.leave("i-1")
+        await self.registry.announce(backend(), 2)
+        self.assertIsNone(self.member())
+
+    async def test_no_acknowledgement_without_a_majority(self):
+        self.replica.fails = "planted"
+        try:
+            await self.registry.announce(backend(), 1)
+        except WigeonscaleError:
+            return
+        self.fail("it was acknowledged")
+
+
+class SilenceTest(RegistryCase):
+    async def test_silent_after_three_heartbeats_and_heard_again(self):
+        await self.registry.announce(backend(), 1)
+        await self.clock.advance(2.9)
+        self.assertFalse(self.member().backend.silent)
+        await self.clock.advance(0.6)
+        self.assertTrue(self.member().backend.silent)
+        await self.registry.announce(backend(), 2)
+        self.assertFalse(self.member().backend.silent)
+
+    async def test_another_replicas_backends_are_its_own_matter(self):
+        await self.new_registry("c2").announce(backend(), 1)
+        self.replica.silences["c2"] = 0.0
+        await self.clock.advance(30)
+        self.assertFalse(self.member().backend.silent)
+
+    async def test_the_leader_judges_those_of_a_lost_replica(self):
+        await self.new_registry("c2").announce(backend(), 1)
+        self.replica.silences["c2"] = 9.0
+        self.replica.role = Role.FOLLOWER
+        await self.clock.advance(5)
+        self.assertFalse(self.member().backend.silent)
+        self.replica.role = Role.LEADER
+        await self.clock.advance(1)
+        self.assertTrue(self.member().backend.silent)
+
+
+class SuspicionTest(RegistryCase):
+    async def test_silent_once_it_answers_no_probe(self):
+        await self.registry.announce(backend(), 1)
+        self.registry.suspect(wire.Suspect(agent_id="i-1"), came_from="entry")
+        await self.clock.advance(0.5)
+        self.assertTrue(self.member().backend.silent)
+
+    async def test_one_that_answers_is_left_alone(self):
+        await self.registry.announce(backend(), 1)
+        self.answering.add("i-1:80")
+        self.registry.suspect(wire.Suspect(agent_id="i-1"), came_from="entry")
+        await self.clock.advance(0.5)
+        self.assertFalse(self.member().backend.silent)
+
+    async def test_unknown_names_are_ignored(self):
+        self.registry.suspect(wire.Suspect(agent_id="nobody"), came_from="entry")
+        await self.clock.advance(0.5)
+        self.assertEqual([], self.replica.proposed)
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -2,6 +2,7 @@
 
 __all__ = ["run_direct_entry"]
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
@@ -42,15 +43,16 @@
     Args:
         control: Link to control.
         beliefs: Told which backend servers exist.
-        on_table: Called with each new table.
 
     Attributes:
         table: Route table in force.
+        table_known: Set once there is one.
         fleet: Backend servers.
     """
 
     def __init__(self, *, control: ControlClient, beliefs: Beliefs):
         self.table = RouteTable()
+        self.table_known = asyncio.Event()
         self.fleet = Fleet()
         self._control = control
         self._beliefs = beliefs
@@ -70,6 +72,8 @@
         except SettingsError as exc:
             # Control checks each document before it is accepted.
             logger.error("document %d not read: %s", document.number, exc.message)
+            return
+        self.table_known.set()
 
 
 async def run_direct_entry(
@@ -130,7 +134,10 @@
         stalls=stalls,
     )
     service = DirectService(
-        around=around, table=lambda: known.table, rng=random.Random()
+        around=around,
+        table=lambda: known.table,
+        table_known=known.table_known.wait,
+        rng=random.Random(),
     )
     server = CallerServer(
         address=cfg.listen,
--- a/wigeonscale/daemons/tests/test_runtime.py
+++ b/wigeonscale/daemons/tests/test_runtime.py
@@ -9,6 +9,7 @@
     StopStep,
     run_until_stopped,
 )
+from wigeonscale.errors import SettingsError
 from wigeonscale.testing import AsyncTestCase
 
 
@@ -128,3 +129,40 @@
         )
         self.assertEqual(EXIT_OK, code)
         self.assertEqual(["still running", "background ended"], self.log)
+
+
+class HangupTest(AsyncTestCase):
+    """SIGHUP, whose default action ends a process."""
+
+    async def run_through(self, reload):
+        stop = asyncio.Event()
+        handled = asyncio.Event()
+
+        def reload_and_tell():
+            handled.set()
+            reload()
+
+        async def work():
+            os.kill(os.getpid(), signal.SIGHUP)
+            await handled.wait()
+            stop.set()
+            await asyncio.get_running_loop().create_future()
+
+        return await run_until_stopped(
+            tasks={"work": work()},
+            stop_steps=[],
+            stop_timeout_s=1.0,
+            stop=stop,
+            reload=reload_and_tell,
+        )
+
+    async def test_settings_are_read_anew(self):
+        calls = []
+        code = await self.run_through(lambda: calls.append("read"))
+        self.assertEqual((EXIT_OK, ["read"]), (code, calls))
+
+    async def test_wrong_settings_are_not_taken(self):
+        def reload():
+            raise SettingsError("planted")
+
+        self.assertEqual(EXIT_OK, await self.run_through(reload))
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -35,25 +35,23 @@
             it or ever will.
     """
     tried: set[str] = set()
+    attempts = 0
     may_have_run = False
     failed: WholeAnswer | None = None
     while True:
         server = _next_server(around, job, tried)
-        if server is None:
+        if server is None or attempts >= job.route.max_attempts:
             break
-        is_first = not tried
-        if not is_first and not around.budget.try_spend(job.service.name):
+        if attempts and not around.budget.try_spend(job.service.name):
             break
         tried.add(server.backend_id)
+        attempts += 1
         try:
             answer = await _send(around, job, server)
         except ExchangeError as exc:
             _note(around, job, server, exc)
             if exc.fate is Fate.NOT_SENT:
-                # It was not sent, so it does not count as an attempt.
-                tried.discard(server.backend_id)
-                if around.clock.now() >= job.ends_at:
-                    break
+                attempts -= 1
                 continue
             may_have_run = may_have_run or exc.fate is Fate.UNKNOWN
             if may_have_run and not job.route.is_idempotent:
@@ -74,8 +72,6 @@
 def _next_server(
     around: Surroundings, job: Job, tried: set[str]
 ) -> BackendServer | None:
-    if len(tried) >= job.route.max_attempts:
-        return None
     return choose_server(
         around.fleet().by_service.get(job.service.name, ()),
         beliefs=around.beliefs,
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.job import Job, Surroundings
@@ -23,6 +23,12 @@
 # The final answer goes out this much before the caller stops waiting.
 ANSWER_MARGIN_S = 0.02
 NOT_READY_RETRY_S = 0.5
+# An entry that just started learns the configuration within a second, or, when control
+# starts too, after an election. Callers that come meanwhile are better served by a
+# short wait than by a refusal, after which many do not come again; but no longer than
+# this share of the time that they have.
+TABLE_WAIT_S = 1.5
+TABLE_WAIT_SHARE = 0.3
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +39,7 @@
     Args:
         around: What the flows share.
         table: Returns the route table in force; number 0 before any.
+        table_known: Returns once there is a table.
         rng: Source of randomness for weighted shares.
     """
 
@@ -41,10 +48,12 @@
         *,
         around: Surroundings,
         table: Callable[[], RouteTable],
+        table_known: Callable[[], Awaitable[object]],
         rng: random.Random,
     ):
         self._around = around
         self._table = table
+        self._table_known = table_known
         self._rng = rng
 
     async def serve(self, req: CallerRequest, sink: AnswerSink) -> None:
@@ -58,6 +67,8 @@
             WigeonscaleError: Its kind and run state make the answer; if the answer
                 was begun it must be cut.
         """
+        if not self._table().number:
+            await self._wait_for_table(req)
         job = self._job(req)
         around = self._around
         left_s = job.ends_at - around.clock.now()
@@ -92,14 +103,22 @@
         else:
             await sink.send(await call_plain(self._around, job))
 
-    def _job(self, req: CallerRequest) -> Job:
-        table = self._table()
-        if not table.number:
+    async def _wait_for_table(self, req: CallerRequest) -> None:
+        wait_s = TABLE_WAIT_S
+        if req.deadline_s is not None:
+            wait_s = min(wait_s, req.deadline_s * TABLE_WAIT_SHARE)
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._table_known()
+        except TimeoutError:
             raise WigeonscaleError(
                 ErrorKind.LEASE_EXPIRED,
-                "no configuration is known yet",
+                f"no configuration was known in {wait_s:.3f} s",
                 retry_after=NOT_READY_RETRY_S,
-            )
+            ) from None
+
+    def _job(self, req: CallerRequest) -> Job:
+        table = self._table()
         if not req.request_id:
             raise WigeonscaleError(ErrorKind.BAD_REQUEST, "the attempt has no id")
         route = find_route(table, req.host, req.path)
--- /dev/null
+++ b/wigeonscale/direct/tests/support.py
@@ -0,0 +1,271 @@
+"""Stand-ins around the flows of an entry: backend servers, callers and control."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from wigeonscale.direct import (
+    BackendServer,
+    Beliefs,
+    Fleet,
+    SendBudget,
+    StallWatch,
+    Surroundings,
+)
+from wigeonscale.direct.job import Job
+from wigeonscale.layers import LayerRange
+from wigeonscale.ports.exchange import (
+    AnswerHead,
+    CallerRequest,
+    ExchangeError,
+    Fate,
+    Generation,
+    StreamEvent,
+    WholeAnswer,
+)
+from wigeonscale.ports.orders import EngineStatus
+from wigeonscale.routes import (
+    Accelerator,
+    EngineProfile,
+    Repeat,
+    Route,
+    Service,
+    Share,
+)
+from wigeonscale.testing import ManualClock
+
+ENGINE = EngineProfile(
+    layers=10,
+    layer_mb=100.0,
+    token_bytes=1e6,
+    activation_bytes=1000.0,
+    pipe_mbps=1000.0,
+    slots=8,
+    step_ms=1.0,
+    sequence_ms=0.01,
+    context_ms=0.01,
+    read_tokens_per_s=100_000.0,
+    usual_prompt=100.0,
+    usual_answer=20.0,
+    accelerators={
+        "k": Accelerator(name="k", size_mb=5000.0, pace=1.0, read_factor=1.0)
+    },
+)
+
+
+def server(name, service="plain", *, domain="a", layers=None, **fields):
+    return BackendServer(
+        backend_id=name,
+        service=service,
+        address=f"{name}:80",
+        domain=domain,
+        accelerator="k" if layers else "",
+        layers=LayerRange(*(layers or (0, 0))),
+        slots=4,
+        **fields,
+    )
+
+
+def fleet(*servers):
+    by_service = {}
+    for each in servers:
+        by_service.setdefault(each.service, []).append(each)
+    return Fleet(
+        by_service={name: tuple(group) for name, group in by_service.items()},
+        by_id={each.backend_id: each for each in servers},
+        by_address={each.address: each for each in servers},
+    )
+
+
+def not_run(**fields):
+    return ExchangeError(Fate.NOT_RUN, "refused", status=503, **fields)
+
+
+def not_sent():
+    return ExchangeError(Fate.NOT_SENT, "no connection")
+
+
+def unknown():
+    return ExchangeError(Fate.UNKNOWN, "reset")
+
+
+def answer(status=200, body=b"whole"):
+    return WholeAnswer(AnswerHead(status, ()), body)
+
+
+def event(number):
+    return StreamEvent(number, b"id: %d\n\n" % number)
+
+
+class FakeExchange:
+    """Answers each call by the next of its server's script.
+
+    A step is an error to raise, a whole answer, or a list of events; an error among
+    the events breaks the stream off, ``HANG`` stops it for ever.
+    """
+
+    HANG = object()
+
+    def __init__(self):
+        self.scripts = {}
+        self.calls = []
+        self.cancelled = []
+
+    def script(self, name, *steps):
+        self.scripts.setdefault(name, []).extend(steps)
+
+    async def call(self, call):
+        async with self.open(call) as stream:
+            return WholeAnswer(stream.head, await stream.rest())
+
+    @asynccontextmanager
+    async def open(self, call):
+        self.calls.append(call)
+        step = self.scripts[call.backend_id].pop(0)
+        if step is self.HANG:
+            try:
+                await asyncio.get_running_loop().create_future()
+            finally:
+                self.cancelled.append(call.backend_id)
+        if isinstance(step, Exception):
+            raise step
+        yield FakeStream(step)
+
+    @property
+    def sent_to(self):
+        return [call.backend_id for call in self.calls]
+
+
+class FakeStream:
+    def __init__(self, step):
+        self._step = step
+        is_whole = isinstance(step, WholeAnswer)
+        self.head = step.head if is_whole else AnswerHead(200, (("Stamp", "first"),))
+
+    async def rest(self):
+        return self._step.body
+
+    async def events(self):
+        for each in self._step:
+            if each is FakeExchange.HANG:
+                await asyncio.get_running_loop().create_future()
+            if isinstance(each, Exception):
+                raise each
+            yield each
+
+
+class Sink:
+    """What a caller got."""
+
+    def __init__(self):
+        self.answer = None
+        self.head = None
+        self.data = b""
+        self.is_whole = False
+
+    async def send(self, answer):
+        self.answer = answer
+
+    async def begin(self, head):
+        self.head = head
+
+    async def write(self, data):
+        self.data += data
+
+    async def end(self):
+        self.is_whole = True
+
+    def cut(self):
+        self.is_whole = False
+
+
+class FakeOrders:
+    """Engines that report what a test says; None for no answer."""
+
+    def __init__(self):
+        self.held_up_by = {}
+        self.asked = []
+
+    async def status(self, address):
+        self.asked.append(address)
+        held_up_by = self.held_up_by.get(address, ())
+        if held_up_by is None:
+            return None
+        return EngineStatus(0, False, 0, 0, held_up_by=tuple(held_up_by))
+
+
+class Parts:
+    """An entry's flows over stand-ins."""
+
+    def __init__(self, *servers, slack=100, entries=1):
+        self.clock = ManualClock()
+        self.exchange = FakeExchange()
+        self.beliefs = Beliefs(clock=self.clock)
+        self.orders = FakeOrders()
+        self.suspected = []
+        self.fleet = fleet(*servers)
+        self.stalls = StallWatch(
+            beliefs=self.beliefs,
+            clock=self.clock,
+            orders=self.orders,
+            fleet=lambda: self.fleet,
+            suspect=self.suspected.append,
+        )
+        self.around = Surroundings(
+            exchange=self.exchange,
+            beliefs=self.beliefs,
+            budget=SendBudget(
+                clock=self.clock,
+                ratio=0.0,
+                slack=slack,
+                window_s=10.0,
+                entries=lambda: entries,
+            ),
+            clock=self.clock,
+            domain="a",
+            fleet=lambda: self.fleet,
+            entries=lambda: entries,
+            suspect=self.suspected.append,
+            stalls=self.stalls,
+        )
+
+    def job(
+        self,
+        repeat=Repeat.SAFE,
+        *,
+        max_attempts=2,
+        resumable=False,
+        left_s=1.0,
+        service=None,
+        **fields,
+    ):
+        service = service or Service(name="plain")
+        fields.setdefault("generation", Generation(prompt=10, most=20, expected=20))
+        return Job(
+            req=CallerRequest(
+                request_id="r1",
+                host="h",
+                method="POST",
+                path="/p",
+                headers=(),
+                body=b"",
+                key="",
+                arrived_at=self.clock.now(),
+                **fields,
+            ),
+            route=Route(
+                name="route",
+                host="h",
+                prefix="/",
+                repeat=repeat,
+                timeout_s=left_s,
+                shares=(Share(service.name, 1.0),),
+                max_attempts=max_attempts,
+                resumable=resumable,
+            ),
+            service=service,
+            organisation=None,
+            ends_at=self.clock.now() + left_s,
+        )
+
+
+MODEL = Service(name="model", engine=ENGINE)
--- /dev/null
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -0,0 +1,140 @@
+from wigeonscale.direct import Beliefs, SendBudget
+from wigeonscale.direct.beliefs import Run
+from wigeonscale.direct.choice import choose_path, choose_server, path_costs
+from wigeonscale.direct.tests.support import ENGINE, server
+from wigeonscale.ports.exchange import Generation
+from wigeonscale.testing import AsyncTestCase, ManualClock
+
+SIZES = Generation(prompt=100, most=40, expected=20)
+
+
+class ServerTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.beliefs = Beliefs(clock=self.clock)
+        self.servers = [server("near"), server("far", domain="b")]
+
+    def chosen(self, **fields):
+        fields.setdefault("entries", 1)
+        got = choose_server(self.servers, beliefs=self.beliefs, domain="a", **fields)
+        return got and got.backend_id
+
+    def test_own_domain_first(self):
+        self.assertEqual("near", self.chosen())
+
+    def test_spills_over_when_half_full(self):
+        for _ in range(3):
+            self.beliefs.begin(Run(("near",)))
+        self.assertEqual("far", self.chosen())
+
+    def test_load_of_the_other_entries_is_inferred(self):
+        self.beliefs.begin(Run(("near",)))
+        self.assertEqual("near", self.chosen(entries=1))
+        self.assertEqual("far", self.chosen(entries=4))
+
+    def test_one_that_fails_part_of_its_requests(self):
+        for _ in range(5):
+            self.beliefs.note_outcome("near", failed=True)
+        self.assertEqual("far", self.chosen())
+
+    def test_lost_one_only_as_the_last_resort(self):
+        self.beliefs.note_lost("near")
+        self.assertEqual("far", self.chosen())
+        self.assertEqual("near", self.chosen(tried={"far"}))
+
+    async def test_lost_one_is_tried_again_later(self):
+        self.beliefs.note_lost("near")
+        await self.clock.advance(10)
+        self.assertEqual("near", self.chosen())
+
+    def test_nobody_left(self):
+        self.assertIsNone(self.chosen(tried={"near", "far"}))
+
+
+class PathChoiceTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.beliefs = Beliefs(clock=self.clock)
+        self.servers = [
+            server(f"{domain}{i}", "model", domain=domain, layers=(5 * i, 5 * i + 5))
+            for domain in "abc"
+            for i in (0, 1)
+        ]
+
+    def chosen(self, **fields):
+        costs = path_costs(ENGINE, SIZES, beliefs=self.beliefs, entries=1)
+        path = choose_path(self.servers, ENGINE, costs, domain="a", **fields)
+        return path and [part.backend_id for part in path]
+
+    def test_stays_in_its_domain(self):
+        self.assertEqual(["a0", "a1"], self.chosen())
+
+    def test_whole_path_of_another_domain_before_one_that_crosses(self):
+        self.beliefs.note_lost("a1")
+        self.assertEqual(["b0", "b1"], self.chosen())
+
+    def test_crosses_when_no_domain_is_whole(self):
+        lost = {"a1", "b0", "c1"}
+        self.assertEqual(["a0", "b1"], self.chosen(lost=lost))
+
+    def test_full_engines_are_left_for_another_domain(self):
+        room = (5000 - 500) * 1e6 / 1e5
+        self.beliefs.begin(Run(("a0",), {"a0": room}))
+        self.assertEqual(["b0", "b1"], self.chosen())
+
+    def test_avoided_ones_when_nothing_else_is_left(self):
+        for each in self.servers:
+            self.beliefs.note_lost(each.backend_id)
+        self.assertEqual(["a0", "a1"], self.chosen())
+
+    def test_no_path(self):
+        self.assertIsNone(self.chosen(lost={"a1", "b1", "c1"}))
+
+
+class BudgetTest(AsyncTestCase):
+    def budget(self, *, ratio, slack, entries=1):
+        self.clock = ManualClock()
+        return SendBudget(
+            clock=self.clock,
+            ratio=ratio,
+            slack=slack,
+            window_s=10.0,
+            entries=lambda: entries,
+        )
+
+    async def test_all_entries_together_stay_below_ratio_and_slack(self):
+        ratio, slack, entries, requests = 0.2, 198, 4, 500
+        spent = 0
+        for _ in range(entries):
+            budget = self.budget(ratio=ratio, slack=slack, entries=entries)
+            for _ in range(requests):
+                budget.record("s")
+                while budget.try_spend("s"):
+                    spent += 1
+        self.assertTrue(spent <= ratio * requests * entries + slack, spent)
+        self.assertTrue(spent >= 0.5 * (ratio * requests * entries + slack), spent)
+
+    async def test_services_apart_and_windows_slide(self):
+        budget = self.budget(ratio=0.0, slack=2)
+        self.assertTrue(budget.try_spend("s"))
+        self.assertFalse(budget.try_spend("s"))
+        self.assertTrue(budget.try_spend("t"))
+        await self.clock.advance(9.9)
+        self.assertFalse(budget.try_spend("s"))
+        await self.clock.advance(0.2)
+        self.assertTrue(budget.try_spend("s"))
+
+
+class KeepOnlyTest(AsyncTestCase):
+    async def test_forgets_what_is_gone_and_idle(self):
+        clock = ManualClock()
+        beliefs = Beliefs(clock=clock)
+        beliefs.note_outcome("gone", failed=True)
+        run = Run(("busy",))
+        beliefs.begin(run)
+        await clock.advance(100)
+        beliefs.keep_only([])
+        self.assertEqual(0.0, beliefs.of("gone").failures)
+        self.assertEqual({run}, beliefs.of("busy").runs)
--- /dev/null
+++ b/wigeonscale/direct/tests/test_plain.py
@@ -0,0 +1,119 @@
+from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.tests.support import (
+    FakeExchange,
+    Parts,
+    answer,
+    not_run,
+    not_sent,
+    server,
+    unknown,
+)
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import AsyncTestCase
+
+
+class PlainCase(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts(server("one"), server("two", domain="b"))
+        self.exchange = self.parts.exchange
+
+    async def call(self, *args, **fields):
+        return await call_plain(self.parts.around, self.parts.job(*args, **fields))
+
+    async def refused(self, *args, **fields):
+        try:
+            got = await self.call(*args, **fields)
+        except WigeonscaleError as exc:
+            return exc
+        self.fail(f"answered {got}")
+
+
+class SafeTest(PlainCase):
+    async def test_answered_by_the_own_domain(self):
+        self.exchange.script("one", answer())
+        self.assertEqual(answer(), await self.call())
+        self.assertEqual(["one"], self.exchange.sent_to)
+
+    async def test_second_server_after_any_failure(self):
+        for failure in (unknown(), not_run(), answer(500)):
+            await self.prepare()
+            self.exchange.script("one", failure)
+            self.exchange.script("two", answer())
+            self.assertEqual(200, (await self.call()).head.status)
+            self.assertEqual(["one", "two"], self.exchange.sent_to)
+
+    async def test_a_failure_of_the_server_is_handed_on(self):
+        self.exchange.script("one", answer(500, b"why"))
+        self.exchange.script("two", unknown())
+        self.assertEqual(answer(500, b"why"), await self.call())
+
+    async def test_no_more_servers_than_attempts(self):
+        self.exchange.script("one", unknown())
+        exc = await self.refused(max_attempts=1)
+        self.assertEqual(ErrorKind.BACKEND_FAILED, exc.kind)
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(["one"], self.exchange.sent_to)
+
+    async def test_no_second_send_beyond_the_budget(self):
+        self.parts = Parts(server("one"), server("two"), slack=0)
+        self.exchange = self.parts.exchange
+        self.exchange.script("one", not_run())
+        exc = await self.refused()
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertEqual(["one"], self.exchange.sent_to)
+
+    async def test_a_server_that_hangs_leaves_time_for_another(self):
+        self.exchange.script("one", FakeExchange.HANG)
+        self.exchange.script("two", answer())
+        self.assertEqual(answer(), await self.call(left_s=0.1))
+        self.assertEqual(["one"], self.exchange.cancelled)
+
+
+class UnsafeTest(PlainCase):
+    async def refused(self, **fields):
+        return await super().refused(Repeat.UNSAFE, **fields)
+
+    async def test_never_sent_again_once_it_may_have_run(self):
+        self.exchange.script("one", unknown())
+        exc = await self.refused()
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(["one"], self.exchange.sent_to)
+
+    async def test_an_error_of_the_server_is_its_answer(self):
+        self.exchange.script("one", answer(500))
+        got = await self.call(Repeat.UNSAFE)
+        self.assertEqual(500, got.head.status)
+        self.assertEqual(["one"], self.exchange.sent_to)
+
+    async def test_sent_on_when_it_was_not_sent(self):
+        self.exchange.script("one", not_sent())
+        self.exchange.script("two", answer())
+        self.assertEqual(answer(), await self.call(Repeat.UNSAFE, max_attempts=1))
+        self.assertEqual(["one"], self.parts.suspected)
+
+    async def test_sent_on_when_the_server_says_it_did_not_run(self):
+        self.exchange.script("one", not_run())
+        self.exchange.script("two", answer())
+        self.assertEqual(answer(), await self.call(Repeat.UNSAFE))
+
+    async def test_not_run_is_said_with_word_when_to_return(self):
+        self.exchange.script("one", not_run())
+        exc = await self.refused(max_attempts=1)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertEqual(ErrorKind.NO_BACKEND, exc.kind)
+        self.assertIsNotNone(exc.retry_after)
+
+    async def test_no_server_at_all(self):
+        self.parts.fleet = Parts().fleet
+        exc = await self.refused()
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertEqual([], self.exchange.calls)
+
+    async def test_all_servers_out_of_reach(self):
+        for name in ("one", "two"):
+            self.exchange.script(name, *[not_sent()] * 50)
+        exc = await self.refused()
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertEqual({"one", "two"}, set(self.exchange.sent_to))
+        self.assertEqual(2, len(self.exchange.calls))
--- /dev/null
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -0,0 +1,221 @@
+import asyncio
+
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.support import (
+    MODEL,
+    FakeExchange,
+    Parts,
+    Sink,
+    answer,
+    event,
+    fleet,
+    not_run,
+    not_sent,
+    server,
+    unknown,
+)
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import AsyncTestCase
+
+HANG = FakeExchange.HANG
+
+
+def engine(name, first, end, **fields):
+    return server(name, "model", layers=(first, end), **fields)
+
+
+class StreamCase(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts(
+            engine("a1", 0, 5),
+            engine("a2", 5, 10),
+            engine("b1", 0, 5, domain="b"),
+            engine("b2", 5, 10, domain="b"),
+        )
+        self.exchange = self.parts.exchange
+        self.sink = Sink()
+
+    def relay(self, **fields):
+        fields.setdefault("resumable", True)
+        job = self.parts.job(Repeat.STREAM, service=MODEL, left_s=20.0, **fields)
+        return relay_stream(self.parts.around, job, self.sink)
+
+    async def refused(self, **fields):
+        try:
+            await self.relay(**fields)
+        except WigeonscaleError as exc:
+            return exc
+        self.fail("it was answered")
+
+    def got(self):
+        return [int(line[4:]) for line in self.sink.data.split(b"\n\n") if line]
+
+    async def until(self, condition):
+        for _ in range(500):
+            if condition():
+                return
+            await self.parts.clock.advance(0.01)
+        self.fail("the condition never held")
+
+
+class RelayTest(StreamCase):
+    async def test_whole_stream_on_the_own_domain(self):
+        self.exchange.script("a1", [event(1), event(2)])
+        await self.relay()
+        self.assertEqual([1, 2], self.got())
+        self.assertTrue(self.sink.is_whole)
+        call = self.exchange.calls[0]
+        self.assertEqual(("a1:80", "a2:80"), call.addresses)
+        self.assertEqual([(0, 5), (5, 10)], [tuple(p.layers) for p in call.path])
+        self.assertIsNone(call.after_event)
+
+    async def test_goes_on_after_the_last_event_elsewhere(self):
+        self.exchange.script("a1", [event(1), event(2), unknown()])
+        self.exchange.script("a1", [event(3), event(4)])
+        await self.relay()
+        self.assertEqual([1, 2, 3, 4], self.got())
+        self.assertEqual(2, self.exchange.calls[1].after_event)
+
+    async def test_events_that_the_caller_has_are_left_out(self):
+        self.exchange.script("a1", [event(1), event(2), unknown()])
+        self.exchange.script("a1", [event(2), event(3)])
+        await self.relay()
+        self.assertEqual([1, 2, 3], self.got())
+
+    async def test_a_missing_event_ends_that_run(self):
+        self.exchange.script("a1", [event(1), event(3)])
+        self.exchange.script("a1", [event(2), event(3)])
+        await self.relay()
+        self.assertEqual([1, 2, 3], self.got())
+
+    async def test_the_callers_own_last_event_is_handed_on(self):
+        self.exchange.script("a1", [event(8)])
+        await self.relay(last_event_id=7)
+        self.assertEqual(7, self.exchange.calls[0].after_event)
+        self.assertEqual([8], self.got())
+
+    async def test_error_of_the_engine_is_handed_on(self):
+        self.exchange.script("a1", answer(500, b"why"))
+        await self.relay()
+        self.assertEqual(answer(500, b"why"), self.sink.answer)
+        self.assertEqual(1, len(self.exchange.calls))
+
+    async def test_a_refused_send_tries_another_path(self):
+        self.exchange.script("a1", not_run(at_fault="a2:80"))
+        self.exchange.script("b1", [event(1)])
+        await self.relay()
+        self.assertEqual(["a1", "b1"], self.exchange.sent_to)
+
+    async def test_first_engine_out_of_reach(self):
+        self.exchange.script("a1", not_sent())
+        self.exchange.script("b1", [event(1)])
+        await self.relay(resumable=False)
+        self.assertEqual(["a1"], self.parts.suspected)
+
+
+class GivenUpTest(StreamCase):
+    async def test_not_resumable_is_never_sent_again_after_a_run(self):
+        self.exchange.script("a1", [event(1), unknown()])
+        exc = await self.refused(resumable=False)
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(["a1"], self.exchange.sent_to)
+        self.assertFalse(self.sink.is_whole)
+
+    async def test_not_resumable_unknown_before_any_event(self):
+        self.exchange.script("a1", unknown())
+        exc = await self.refused(resumable=False)
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
+    async def test_no_path_is_said_at_once(self):
+        self.parts.fleet = fleet(engine("a1", 0, 5))
+        exc = await self.refused()
+        self.assertEqual(ErrorKind.NO_BACKEND, exc.kind)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertIsNotNone(exc.retry_after)
+        self.assertEqual([], self.exchange.calls)
+
+    async def test_sends_are_bounded(self):
+        for name in ("a1", "b1"):
+            self.exchange.script(name, *[not_run()] * 20)
+        exc = await self.refused()
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertTrue(len(self.exchange.calls) <= 6)
+
+
+class StallTest(StreamCase):
+    """An engine goes dark under several streams at once."""
+
+    async def test_all_streams_leave_the_engine_that_is_named(self):
+        self.exchange.script("a1", *[[event(1), HANG] for _ in range(5)])
+        self.exchange.script("b1", *[[event(2), event(3)] for _ in range(5)])
+        self.parts.orders.held_up_by["a1:80"] = ["a2:80"] * 5
+        sinks = [Sink() for _ in range(5)]
+        tasks = []
+        for sink in sinks:
+            self.sink = sink
+            tasks.append(asyncio.create_task(self.relay()))
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.until(lambda: all(task.done() for task in tasks))
+        watch.cancel()
+        await asyncio.gather(*tasks, watch, return_exceptions=True)
+        for sink in sinks:
+            self.assertEqual(b"id: 1\n\nid: 2\n\nid: 3\n\n", sink.data)
+            self.assertTrue(sink.is_whole)
+        # One question for all of them; the engine is named to control.
+        self.assertEqual(["a1:80"], self.parts.orders.asked)
+        self.assertEqual(["a2"], self.parts.suspected)
+        waited_s = self.parts.clock.now() - 1000.0
+        self.assertTrue(waited_s < 1.0, waited_s)
+
+    async def test_first_engine_does_not_answer(self):
+        self.exchange.script("a1", [HANG])
+        self.exchange.script("b1", [event(1)])
+        self.parts.orders.held_up_by["a1:80"] = None
+        task = asyncio.create_task(self.relay())
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.until(task.done)
+        watch.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+        self.assertEqual([1], self.got())
+        self.assertEqual(["a1"], self.parts.suspected)
+
+    async def test_busy_but_sound_engines_are_waited_for(self):
+        gate = asyncio.get_running_loop().create_future()
+
+        class Slow(list):
+            def __iter__(self):
+                return iter(())
+
+        self.exchange.script("a1", [event(1), HANG])
+        self.exchange.script("a1", [event(2)])
+        task = asyncio.create_task(self.relay())
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.parts.clock.advance(1.0)
+        self.assertFalse(task.done())
+        self.assertEqual(1, len(self.exchange.calls))
+        # No caller waits longer than two seconds: then it goes on whatever it is.
+        await self.until(task.done)
+        watch.cancel()
+        gate.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+        self.assertEqual([1, 2], self.got())
+        self.assertEqual([], self.parts.suspected)
+
+    async def test_engine_that_control_calls_silent(self):
+        self.exchange.script("a1", [event(1), HANG])
+        self.exchange.script("b1", [event(2)])
+        task = asyncio.create_task(self.relay())
+        await self.parts.clock.advance(0.2)
+        self.parts.fleet = fleet(
+            engine("a1", 0, 5),
+            engine("a2", 5, 10, is_silent=True),
+            engine("b1", 0, 5, domain="b"),
+            engine("b2", 5, 10, domain="b"),
+        )
+        self.parts.stalls.check()
+        await self.until(task.done)
+        await task
+        self.assertEqual([1, 2], self.got())
+        self.assertEqual([], self.parts.orders.asked)
--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -5,8 +5,9 @@
 domain with the memory for it holds a whole set of layers of its own, split in
 proportion to memory: every engine is left with room for the same number of tokens,
 and none fills up before the others. What is lost is mended inside its domain: by an
-engine without layers, else by the neighbours in layer order. Nothing that serves is
-moved for a small gain, since a move reloads weights.
+engine without layers, else by the neighbours in layer order, else by a row of them
+that moves over. Nothing that serves is moved for a small gain, since a move reloads
+weights.
 """
 
 __all__ = ["plan_layers"]
@@ -156,7 +157,8 @@
     room_below = _best_room(below, layer_mb)
     room_above = _best_room(above, layer_mb)
     if room_below + room_above < gap.count:
-        return  # paths cross to another domain here
+        wanted.update(_shift(gap, holders, layer_mb))
+        return
     # In proportion to the room, so that both keep some for requests.
     share = round(gap.count * room_below / (room_below + room_above))
     middle = first + min(room_below, max(gap.count - room_above, share))
@@ -169,6 +171,55 @@
         wanted[holder.backend_id] = LayerRange(middle, before.end)
 
 
+def _shift(
+    gap: LayerRange, holders: Sequence[Holder], layer_mb: float
+) -> dict[str, LayerRange]:
+    """Return the ranges after a row of engines moved up, or down, over a gap.
+
+    Each takes what its neighbour gave up, until one has room to spare. Nothing is
+    lost by the layers given up meanwhile: the set of this domain is broken anyway.
+    Empty if neither row has the room.
+    """
+    rows = [_shift_up(gap, holders, layer_mb), _shift_down(gap, holders, layer_mb)]
+    return min((row for row in rows if row), key=len, default={})
+
+
+def _shift_up(
+    gap: LayerRange, holders: Sequence[Holder], layer_mb: float
+) -> dict[str, LayerRange]:
+    moved: dict[str, LayerRange] = {}
+    first, end = gap
+    while True:
+        below = [h for h in holders if h.held.count and h.held.end == first]
+        if not below:
+            return {}
+        holder = max(below, key=lambda h: _room(h, layer_mb))
+        first = holder.held.first
+        start = max(first, end - _capacity(holder, layer_mb))
+        moved[holder.backend_id] = LayerRange(start, end)
+        if start == first:
+            return moved
+        end = start
+
+
+def _shift_down(
+    gap: LayerRange, holders: Sequence[Holder], layer_mb: float
+) -> dict[str, LayerRange]:
+    moved: dict[str, LayerRange] = {}
+    first, end = gap
+    while True:
+        above = [h for h in holders if h.held.count and h.held.first == end]
+        if not above:
+            return {}
+        holder = max(above, key=lambda h: _room(h, layer_mb))
+        end = holder.held.end
+        stop = min(end, first + _capacity(holder, layer_mb))
+        moved[holder.backend_id] = LayerRange(first, stop)
+        if stop == end:
+            return moved
+        first = stop
+
+
 def _room(holder: Holder, layer_mb: float) -> int:
     return max(0, _capacity(holder, layer_mb) - holder.held.count)
 
--- /dev/null
+++ b/wigeonscale/layers/tests/test_path.py
@@ -0,0 +1,109 @@
+from dataclasses import dataclass
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonscale.layers import LayerRange, find_path
+from wigeonscale.testing import AsyncTestCase
+
+LAYERS = 10
+
+
+@dataclass(frozen=True)
+class Engine:
+    backend_id: str
+    domain: str
+    layers: LayerRange
+    cost: float = 1.0
+
+
+def engine(name, first, end, *, domain="a", cost=1.0):
+    return Engine(name, domain, LayerRange(first, end), cost)
+
+
+def path(*engines, hop=5.0, start="a"):
+    return find_path(
+        engines,
+        layers=LAYERS,
+        part_cost=lambda e, n: e.cost * n,
+        hop_cost=lambda here, there: 0.0 if here == there else hop,
+        start_cost=lambda domain: 0.0 if domain == start else hop,
+    )
+
+
+def shown(parts):
+    return [(part.backend_id, *part.layers) for part in parts]
+
+
+class PathTest(AsyncTestCase):
+    def test_one_engine_with_all_layers(self):
+        self.assertEqual([("e", 0, 10)], shown(path(engine("e", 0, 10))))
+
+    def test_two_halves(self):
+        parts = path(engine("up", 5, 10), engine("low", 0, 5))
+        self.assertEqual([("low", 0, 5), ("up", 5, 10)], shown(parts))
+
+    def test_overlap_goes_to_the_faster(self):
+        parts = path(engine("slow", 0, 8, cost=3.0), engine("fast", 4, 10))
+        self.assertEqual([("slow", 0, 4), ("fast", 4, 10)], shown(parts))
+
+    def test_missing_layer(self):
+        self.assertIsNone(path(engine("low", 0, 4), engine("up", 5, 10)))
+        self.assertIsNone(path())
+
+    def test_stays_in_its_domain(self):
+        here = engine("here", 0, 10, cost=1.2)
+        there = engine("there", 0, 10, domain="b")
+        self.assertEqual([("here", 0, 10)], shown(path(here, there)))
+
+    def test_another_domain_where_the_own_is_slow(self):
+        here = engine("here", 0, 10, cost=9.0)
+        there = engine("there", 0, 10, domain="b")
+        self.assertEqual([("there", 0, 10)], shown(path(here, there)))
+
+    def test_never_the_same_engine_twice(self):
+        outer = engine("outer", 0, 10, cost=2.0)
+        inner = engine("inner", 4, 6, cost=0.5)
+        self.assertEqual([("outer", 0, 10)], shown(path(outer, inner)))
+
+    def test_more_parts_than_engines_take(self):
+        engines = [Engine(f"e{n}", "a", LayerRange(n, n + 1)) for n in range(40)]
+        parts = find_path(
+            engines,
+            layers=40,
+            part_cost=lambda e, n: n,
+            hop_cost=lambda here, there: 0.0,
+            start_cost=lambda domain: 0.0,
+        )
+        self.assertIsNone(parts)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, LAYERS - 1),
+                st.integers(1, LAYERS),
+                st.sampled_from("abc"),
+                st.floats(0.1, 9.0),
+            ),
+            max_size=8,
+        )
+    )
+    def test_runs_each_layer_once_in_order(self, specs):
+        engines = [
+            engine(f"e{i}", first, min(LAYERS, first + n), domain=domain, cost=cost)
+            for i, (first, n, domain, cost) in enumerate(specs)
+        ]
+        parts = path(*engines)
+        held = {n for e in engines for n in range(*e.layers)}
+        if held != set(range(LAYERS)):
+            self.assertIsNone(parts)
+            return
+        self.assertEqual(
+            list(range(LAYERS)), [n for part in parts for n in range(*part.layers)]
+        )
+        by_name = {e.backend_id: e for e in engines}
+        self.assertEqual(len(parts), len({part.backend_id for part in parts}))
+        for part in parts:
+            own = by_name[part.backend_id].layers
+            self.assertTrue(own.first <= part.layers.first < part.layers.end <= own.end)
--- /dev/null
+++ b/wigeonscale/layers/tests/test_plan.py
@@ -0,0 +1,141 @@
+from dataclasses import replace
+
+from wigeonscale.layers import Holder, LayerRange, plan_layers
+from wigeonscale.testing import AsyncTestCase
+
+LAYERS = 80
+LAYER_MB = 1750.0
+SIZES = {"h100": 72_000, "a100s": 36_000, "l4": 21_600, "t4": 14_400}
+PACES = {"h100": 1.4, "a100s": 3.1, "l4": 16.0, "t4": 15.0}
+# Engines of one deployment of the users, by failure domain.
+DOMAINS = {
+    "a": {"a100s": 1, "l4": 8, "t4": 3},
+    "b": {"a100s": 2, "l4": 4, "t4": 7},
+    "c": {"h100": 1, "a100s": 1, "l4": 5, "t4": 7},
+}
+
+
+NO_LAYERS = LayerRange(0, 0)
+
+
+def holder(name, domain, kind, held=NO_LAYERS, **fields):
+    return Holder(
+        backend_id=name,
+        domain=domain,
+        size_mb=SIZES[kind],
+        pace=PACES[kind],
+        held=held,
+        **fields,
+    )
+
+
+def deployment():
+    return [
+        holder(f"{domain}-{kind}-{number}", domain, kind)
+        for domain, kinds in DOMAINS.items()
+        for kind, count in kinds.items()
+        for number in range(count)
+    ]
+
+
+def plan(holders, layers=LAYERS):
+    return plan_layers(holders, layers=layers, layer_mb=LAYER_MB)
+
+
+def carried_out(holders, wanted):
+    return [replace(h, held=wanted.get(h.backend_id, h.held)) for h in holders]
+
+
+def covered(holders):
+    return {n for h in holders if h.lasting for n in range(*h.held)}
+
+
+class SplitTest(AsyncTestCase):
+    def test_each_domain_holds_a_whole_set(self):
+        holders = carried_out(deployment(), plan(deployment()))
+        for domain in DOMAINS:
+            mine = [h for h in holders if h.domain == domain]
+            self.assertEqual(set(range(LAYERS)), covered(mine))
+            self.assertEqual(LAYERS, sum(h.held.count for h in mine))
+
+    def test_no_engine_is_overfull(self):
+        for h in carried_out(deployment(), plan(deployment())):
+            self.assertTrue(h.held.count * LAYER_MB <= 0.9 * h.size_mb, h)
+
+    def test_room_for_requests_is_even(self):
+        holders = carried_out(deployment(), plan(deployment()))
+        rooms = [
+            (h.size_mb - h.held.count * LAYER_MB) / h.held.count
+            for h in holders
+            if h.domain == "a"
+        ]
+        self.assertTrue(max(rooms) < 2.5 * min(rooms), rooms)
+
+    def test_nothing_more_is_wanted_afterwards(self):
+        self.assertEqual({}, plan(carried_out(deployment(), plan(deployment()))))
+
+    def test_domains_too_small_alone_hold_one_set_together(self):
+        holders = [holder(f"{d}{i}", d, "a100s") for d in "ab" for i in range(3)]
+        after = carried_out(holders, plan(holders))
+        self.assertEqual(set(range(LAYERS)), covered(after))
+
+    def test_too_little_memory_for_any_set(self):
+        self.assertEqual({}, plan([holder("a", "a", "h100")]))
+
+    def test_a_model_that_fits_into_one_engine(self):
+        self.assertEqual(
+            {"a": LayerRange(0, 4)}, plan([holder("a", "a", "t4")], layers=4)
+        )
+
+
+class MendTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.holders = carried_out(deployment(), plan(deployment()))
+
+    def lose(self, name):
+        return [
+            replace(h, lasting=False) if h.backend_id == name else h
+            for h in self.holders
+        ]
+
+    def test_whatever_is_lost_is_taken_over(self):
+        for lost in self.holders:
+            holders = self.lose(lost.backend_id)
+            after = carried_out(holders, plan(holders))
+            mine = [h for h in after if h.domain == lost.domain]
+            self.assertEqual(set(range(LAYERS)), covered(mine), lost)
+            for h in after:
+                self.assertTrue(h.held.count * LAYER_MB <= 0.9 * h.size_mb, h)
+            self.assertEqual({}, plan(after))
+
+    def test_two_neighbours_with_room_give_up_nothing(self):
+        for lost in self.holders:
+            if lost.held.count > 7 or lost.held.first == 0 or lost.held.end == LAYERS:
+                continue
+            holders = self.lose(lost.backend_id)
+            wanted = plan(holders)
+            self.assertTrue(len(wanted) <= 2, wanted)
+            for h in holders:
+                after = wanted.get(h.backend_id, h.held)
+                self.assertTrue(after.first <= h.held.first, (h, after))
+                self.assertTrue(after.end >= h.held.end, (h, after))
+
+    def test_an_engine_without_layers_goes_first(self):
+        lost = next(h for h in self.holders if h.domain == "a" and h.held.first > 0)
+        holders = [*self.lose(lost.backend_id), holder("new", "a", "l4")]
+        wanted = plan(holders)
+        self.assertEqual({"new"}, set(wanted))
+        self.assertEqual(lost.held, wanted["new"])
+
+    def test_an_engine_too_many_copies_a_range(self):
+        holders = [*self.holders, holder("new", "b", "l4")]
+        wanted = plan(holders)
+        self.assertEqual({"new"}, set(wanted))
+        mine = {h.held for h in self.holders if h.domain == "b"}
+        self.assertIn(wanted["new"].first, {held.first for held in mine})
+        self.assertTrue(wanted["new"].count > 0)
+
+    def test_all_but_one_domain_lost(self):
+        holders = [replace(h, lasting=h.domain == "c") for h in self.holders]
+        self.assertEqual({}, plan(holders))
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -62,7 +62,7 @@
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
         self._stopping = False
-        self._open = 0
+        self._busy: set[web.RequestHandler] = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -88,6 +88,16 @@
         self._site = web.TCPSite(self._runner, host, int(port), backlog=512)
         await self._site.start()
 
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._runner.addresses[0][1]
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._runner.server.connections)
+
     async def finish(self, settle_s: float) -> None:
         """Serve on until the balancer sends nothing more and all is answered.
 
@@ -99,25 +109,36 @@
         await self._clock.sleep(settle_s)
         if self._site is not None:
             await self._site.stop()
-        if self._runner is not None:
-            # Those that are idle now, and the others after their answer.
-            self._runner.server.pre_shutdown()
+        self._close_idle()
         await self._idle.wait()
 
+    def _close_idle(self) -> None:
+        # Not by the server's own pre_shutdown: it stops reading idle connections but
+        # leaves them open, and a request sent there would wait for nothing.
+        if self._runner is None:
+            return
+        for conn in self._runner.server.connections:
+            if conn not in self._busy:
+                conn.force_close()
+
     async def close(self) -> None:
         """Close every connection."""
         if self._runner is not None:
             await self._runner.cleanup()
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        self._open += 1
+        conn = req.protocol
+        self._busy.add(conn)
         self._idle.clear()
         sink = _HttpSink(req=req, is_stopping=lambda: self._stopping)
         try:
             await self._answer(req, sink)
         finally:
-            self._open -= 1
-            if not self._open:
+            self._busy.discard(conn)
+            if self._stopping:
+                # Also where the answer was begun before, and says nothing of it.
+                conn.close()
+            if not self._busy:
                 self._idle.set()
         return sink.response
 
--- /dev/null
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -0,0 +1,190 @@
+import asyncio
+
+import aiohttp
+
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.platform.callers import CallerServer
+from wigeonscale.ports import SystemClock
+from wigeonscale.ports.exchange import AnswerHead, WholeAnswer
+from wigeonscale.testing import AsyncTestCase
+
+WAIT_S = 30.0
+
+
+class CallerCase(AsyncTestCase):
+    """A server on loopback whose requests a test answers by ``self.serve``."""
+
+    async def prepare(self):
+        self.requests = []
+        self.cancelled = asyncio.Event()
+        self.server = CallerServer(
+            address="127.0.0.1:0",
+            serve=self._serve,
+            max_body=lambda: 1000,
+            clock=SystemClock(),
+        )
+        await self.server.start()
+        self.addCleanup(self.server.close)
+        self.port = self.server.port
+        self.session = aiohttp.ClientSession()
+        self.addCleanup(self.session.close)
+
+    async def _serve(self, req, sink):
+        self.requests.append(req)
+        try:
+            await self.serve(req, sink)
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+    async def serve(self, req, sink):
+        await sink.send(WholeAnswer(AnswerHead(200, (("Stamp", "s"),)), b"whole"))
+
+    def url(self, path="/a/b"):
+        return f"http://127.0.0.1:{self.port}{path}"
+
+    async def raw(self, data, until=b""):
+        """Send bytes on a new connection; return it once ``until`` came."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        got = await reader.readuntil(until) if until else b""
+        return reader, writer, got
+
+
+class AnswerTest(CallerCase):
+    async def test_request_as_it_was_sent(self):
+        head = b"POST /a%2Fb/../c?x=%41&y HTTP/1.1\r\nHost: h.example\r\n"
+        body = b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        _, _, got = await self.raw(head + b"Attempt-Id: id1\r\n" + body, b"whole")
+        self.assertIn(b"200 OK", got)
+        req = self.requests[0]
+        self.assertEqual("/a%2Fb/../c?x=%41&y", req.path)
+        self.assertEqual(b"abcde", req.body)
+        self.assertEqual(("id1", "h.example"), (req.request_id, req.host))
+
+    async def test_many_requests_on_one_connection(self):
+        for _ in range(3):
+            async with self.session.get(self.url()) as res:
+                self.assertEqual(b"whole", await res.read())
+        self.assertEqual(3, len(self.requests))
+
+    async def test_body_too_large(self):
+        async with self.session.post(self.url(), data=b"x" * 1001) as res:
+            self.assertEqual(413, res.status)
+        self.assertEqual([], self.requests)
+
+    async def test_refusals_say_whether_it_ran(self):
+        for run_state, status in ((RunState.NOT_RUN, 503), (RunState.UNKNOWN, 502)):
+
+            async def serve(req, sink, run_state=run_state):
+                raise WigeonscaleError(
+                    ErrorKind.NO_BACKEND, "none", run_state=run_state, retry_after=0.25
+                )
+
+            self.serve = serve
+            headers = {"Attempt-Id": "id1"}
+            async with self.session.get(self.url(), headers=headers) as res:
+                self.assertEqual(status, res.status)
+                self.assertEqual("0.25", res.headers["Retry-After"])
+                self.assertEqual("id1", res.headers["Attempt-Id"])
+
+    async def test_a_defect_is_an_error_that_promises_nothing(self):
+        async def serve(req, sink):
+            raise ValueError("planted")
+
+        self.serve = serve
+        async with self.session.get(self.url()) as res:
+            self.assertEqual(500, res.status)
+
+
+class StreamTest(CallerCase):
+    async def test_events_arrive_as_they_come(self):
+        gate = asyncio.Event()
+
+        async def serve(req, sink):
+            await sink.begin(AnswerHead(200, (("Stamp", "s"),)))
+            await sink.write(b"id: 1\n\n")
+            await gate.wait()
+            await sink.write(b"id: 2\n\n")
+            await sink.end()
+
+        self.serve = serve
+        async with self.session.get(self.url()) as res:
+            self.assertEqual("s", res.headers["Stamp"])
+            self.assertEqual(b"id: 1\n\n", await res.content.readany())
+            gate.set()
+            self.assertEqual(b"id: 2\n\n", await res.content.read())
+
+    async def test_a_stream_given_up_does_not_look_complete(self):
+        async def serve(req, sink):
+            await sink.begin(AnswerHead(200, ()))
+            await sink.write(b"id: 1\n\n")
+            raise WigeonscaleError(
+                ErrorKind.BACKEND_FAILED, "broke", run_state=RunState.UNKNOWN
+            )
+
+        self.serve = serve
+        async with self.session.get(self.url()) as res:
+            try:
+                await res.read()
+            except aiohttp.ClientPayloadError:
+                return
+        self.fail("it looked complete")
+
+    async def test_work_ends_when_the_caller_leaves(self):
+        async def serve(req, sink):
+            await sink.begin(AnswerHead(200, ()))
+            await sink.write(b"id: 1\n\n")
+            await asyncio.get_running_loop().create_future()
+
+        self.serve = serve
+        _, writer, _ = await self.raw(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", b"id: 1")
+        writer.close()
+        async with asyncio.timeout(WAIT_S):
+            await self.cancelled.wait()
+
+
+class StopTest(CallerCase):
+    async def test_idle_connections_are_closed_not_left_unread(self):
+        reader, _, _ = await self.raw(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", b"whole")
+        fresh, _, _ = await self.raw(b"")
+        # Until the server has accepted the second one, there is nothing to close.
+        async with asyncio.timeout(WAIT_S):
+            while self.server.connections < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        await self.server.finish(0.0)
+        async with asyncio.timeout(WAIT_S):
+            self.assertEqual(b"", await reader.read())
+            self.assertEqual(b"", await fresh.read())
+
+    async def test_what_is_under_way_is_finished(self):
+        gate = asyncio.Event()
+
+        async def serve(req, sink):
+            await sink.begin(AnswerHead(200, ()))
+            await sink.write(b"id: 1\n\n")
+            await gate.wait()
+            await sink.end()
+
+        self.serve = serve
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader, _, _ = await self.raw(request, b"id: 1")
+        finish = asyncio.create_task(self.server.finish(0.0))
+        await asyncio.sleep(0)
+        self.assertFalse(finish.done())
+        gate.set()
+        async with asyncio.timeout(WAIT_S):
+            await finish
+            rest = await reader.read()
+        self.assertTrue(rest.endswith(b"0\r\n\r\n"), rest)
+
+    async def test_answers_close_their_connections_while_it_stops(self):
+        finish = asyncio.create_task(self.server.finish(WAIT_S))
+        await asyncio.sleep(0)
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader, _, got = await self.raw(request, b"whole")
+        self.assertIn(b"connection: close", got.lower())
+        self.assertEqual(b"", await reader.read())
+        finish.cancel()
+        await asyncio.gather(finish, return_exceptions=True)
--- /dev/null
+++ b/wigeonscale/platform/tests/test_documents.py
@@ -0,0 +1,94 @@
+import copy
+import json
+
+from wigeonscale.errors import ErrorKind, SettingsError
+from wigeonscale.platform.documents import compress, decompress, read_table
+from wigeonscale.platform.tests.support import DOCUMENT, document
+from wigeonscale.routes import Repeat, Share, find_route
+from wigeonscale.testing import AsyncTestCase
+
+
+class ReadTest(AsyncTestCase):
+    def test_all_that_is_known_of_a_route(self):
+        route = find_route(read_table(document()), "some.example", "/gen/x")
+        self.assertEqual("r-gen", route.name)
+        self.assertEqual(Repeat.STREAM, route.repeat)
+        self.assertEqual(
+            (20.0, 0.5, 0.2), (route.timeout_s, route.target_s, route.gap_target_s)
+        )
+        self.assertEqual((Share("model", 90), Share("plain", 10)), route.shares)
+        self.assertTrue(route.resumable and route.generates and route.is_idempotent)
+
+    def test_engine(self):
+        engine = read_table(document()).services["model"].engine
+        self.assertEqual(
+            (80, 1750.0, 0.85), (engine.layers, engine.layer_mb, engine.step_ms)
+        )
+        self.assertEqual(8.2, engine.accelerators["l4"].read_factor)
+        self.assertEqual(772, engine.usual_prompt)
+
+    def test_keys_limits_and_number(self):
+        table = read_table(document())
+        self.assertEqual(7, table.number)
+        self.assertEqual({"k1", "k2"}, set(table.organisations))
+        self.assertEqual(3, table.organisations["k1"].priority)
+        self.assertEqual(1000, table.limits.body_bytes)
+
+    def test_without_organisations_no_key_is_needed(self):
+        without = copy.deepcopy(DOCUMENT)
+        del without["tenants"]
+        self.assertFalse(read_table(json.dumps(without).encode()).needs_keys)
+
+    def test_kept_as_it_was_sent(self):
+        self.assertEqual(document(), decompress(compress(document())))
+
+
+class InvalidTest(AsyncTestCase):
+    def assert_invalid(self, content):
+        exc = self.assertRaises(SettingsError, read_table, content)
+        self.assertEqual(ErrorKind.INVALID_DOCUMENT, exc.kind)
+
+    def changed_route(self, **changes):
+        routes = copy.deepcopy(DOCUMENT["routes"])
+        routes[0].update(changes)
+        return document(routes=routes)
+
+    def test_cut_short_anywhere(self):
+        content = document()
+        for length in range(0, len(content), 7):
+            self.assert_invalid(content[:length])
+
+    def test_not_a_document(self):
+        for content in (b"[]", b"null", b'"x"', b"\xff", b"{}"):
+            self.assert_invalid(content)
+
+    def test_unknown_service(self):
+        split = [{"service": "nobody", "weight": 1}]
+        self.assert_invalid(self.changed_route(split=split))
+
+    def test_same_place(self):
+        self.assert_invalid(
+            self.changed_route(host="some.example", **{"path-prefix": "/plain/"})
+        )
+
+    def test_no_weight(self):
+        split = [{"service": "model", "weight": 0}, {"service": "plain", "weight": 0}]
+        self.assert_invalid(self.changed_route(split=split))
+        self.assert_invalid(self.changed_route(split=[]))
+
+    def test_no_timeout(self):
+        self.assert_invalid(self.changed_route(**{"timeout-ms": 0}))
+
+    def test_shared_key(self):
+        tenants = [
+            {"name": "one", "api-keys": ["k"]},
+            {"name": "two", "api-keys": ["k"]},
+        ]
+        self.assert_invalid(document(tenants=tenants))
+
+    def test_number(self):
+        for version in (0, -1, "x", None, 1.5):
+            self.assert_invalid(document(version=version))
+
+    def test_unknown_kind(self):
+        self.assert_invalid(self.changed_route(kind="maybe"))
--- /dev/null
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -0,0 +1,201 @@
+import asyncio
+import socket
+import struct
+
+from wigeonscale.platform.exchange_http import HttpExchange, new_session
+from wigeonscale.ports.exchange import BackendCall, CallerRequest, ExchangeError, Fate
+from wigeonscale.testing import AsyncTestCase
+
+OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+CHUNKED = OK + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+WAIT_S = 30.0
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+END = chunk(b"")
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+class ExchangeCase(AsyncTestCase):
+    """A backend server on loopback that writes what a test says, byte for byte."""
+
+    async def prepare(self):
+        self.replies = []
+        self.requests = []
+        self.reset = False
+        self.closed = asyncio.Event()
+        self.listener = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        self.addCleanup(self._stop)
+        port = self.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.session = new_session()
+        self.addCleanup(self.session.close)
+        self.exchange = HttpExchange(session=self.session)
+
+    async def _stop(self):
+        self.listener.close()
+        await self.listener.wait_closed()
+
+    async def _answer(self, reader, writer):
+        try:
+            while self.replies:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                reply, keeps = self.replies.pop(0)
+                writer.write(reply)
+                await writer.drain()
+                if not keeps:
+                    break
+            else:
+                await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # the caller closed the connection, which some tests wait for
+        finally:
+            if self.reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            writer.close()
+            self.closed.set()
+
+    def reply(self, *replies, keeps=False):
+        self.replies.extend((reply, keeps) for reply in replies)
+
+    def backend_call(self, *, method="GET", path="/a%2Fb/../c?x=%41"):
+        req = CallerRequest(
+            request_id="id1",
+            host="h",
+            method=method,
+            path=path,
+            headers=(("Host", "h.example"), ("Attempt-Id", "id1")),
+            body=b"",
+            key="",
+            arrived_at=0.0,
+        )
+        return BackendCall(
+            req=req,
+            address=self.address,
+            backend_id="i-1",
+            organisation="one",
+            priority=None,
+            left_s=1.0,
+        )
+
+    async def call(self, **fields):
+        return await self.exchange.call(self.backend_call(**fields))
+
+    async def broken(self):
+        try:
+            got = await self.call()
+        except ExchangeError as exc:
+            return exc
+        self.fail(f"answered {got}")
+
+    async def events(self):
+        async with self.exchange.open(self.backend_call()) as stream:
+            return [(e.event_id, e.data) async for e in stream.events()]
+
+
+class CallTest(ExchangeCase):
+    async def test_path_goes_on_byte_for_byte(self):
+        self.reply(OK + b"Content-Length: 5\r\n\r\nwhole")
+        self.assertEqual(b"whole", (await self.call()).body)
+        head = self.requests[0]
+        self.assertIn(b"GET /a%2Fb/../c?x=%41 HTTP/1.1\r\n", head)
+        self.assertIn(b"Host: h.example\r\n", head)
+        self.assertNotIn(b"User-Agent", head)
+        self.assertNotIn(b"Accept-Encoding", head)
+
+    async def test_another_answer_is_not_taken_for_its_own(self):
+        self.reply(OK.replace(b"id1", b"id2") + b"Content-Length: 5\r\n\r\nwhole")
+        self.assertEqual(Fate.UNKNOWN, (await self.broken()).fate)
+
+    async def test_bytes_after_an_answer_belong_to_no_request(self):
+        answer = OK + b"Content-Length: 5\r\n\r\nwhole"
+        self.reply(answer + answer.replace(b"whole", b"extra"), answer, keeps=True)
+        self.assertEqual(b"whole", (await self.call()).body)
+        self.assertEqual(b"whole", (await self.call()).body)
+
+    async def test_a_get_on_a_kept_connection_that_breaks_is_sent_once(self):
+        self.reply(OK + b"Content-Length: 5\r\n\r\nwhole", keeps=True)
+        self.reply(b"")
+        self.assertEqual(b"whole", (await self.call()).body)
+        self.assertEqual(Fate.UNKNOWN, (await self.broken()).fate)
+        self.assertEqual(2, len(self.requests))
+
+    async def test_redirects_are_answers(self):
+        self.reply(
+            b"HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(302, (await self.call()).head.status)
+
+    async def test_cut_short(self):
+        for reply in (
+            b"",
+            b"HTTP/1.1 200",
+            b"nonsense\r\n\r\n",
+            OK + b"Content-Length: 5\r\n\r\nwh",
+            CHUNKED + chunk(b"wh"),
+        ):
+            self.reply(reply)
+            self.assertEqual(Fate.UNKNOWN, (await self.broken()).fate, reply)
+
+    async def test_without_a_length_it_ends_with_its_connection(self):
+        self.reply(OK + b"Connection: close\r\n\r\nwhole")
+        self.assertEqual(b"whole", (await self.call()).body)
+
+    async def test_without_a_length_a_reset_is_no_end(self):
+        self.reset = True
+        self.reply(OK + b"Connection: close\r\n\r\nwhole")
+        self.assertEqual(Fate.UNKNOWN, (await self.broken()).fate)
+
+    async def test_refused_and_not_run(self):
+        self.reply(
+            b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nAt-Server: x:1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        exc = await self.broken()
+        self.assertEqual(
+            (Fate.NOT_RUN, 503, "x:1"), (exc.fate, exc.status, exc.at_fault)
+        )
+
+    async def test_nobody_listens(self):
+        await self._stop()
+        self.assertEqual(Fate.NOT_SENT, (await self.broken()).fate)
+
+
+class StreamTest(ExchangeCase):
+    async def test_events_however_they_are_cut(self):
+        for size in (1, 2, 5, 100):
+            parts = [EVENTS[i : i + size] for i in range(0, len(EVENTS), size)]
+            self.reply(CHUNKED + b"".join(map(chunk, parts)) + END)
+            got = await self.events()
+            self.assertEqual([1, 2], [number for number, _ in got])
+            self.assertEqual(EVENTS, b"".join(data for _, data in got))
+
+    async def test_cut_inside_an_event(self):
+        self.reply(CHUNKED + chunk(EVENTS[:-1]) + END)
+        exc = await self.assert_breaks()
+        self.assertEqual(Fate.UNKNOWN, exc.fate)
+
+    async def test_cut_between_events(self):
+        self.reply(CHUNKED + chunk(EVENTS))
+        await self.assert_breaks()
+
+    async def assert_breaks(self):
+        try:
+            got = await self.events()
+        except ExchangeError as exc:
+            return exc
+        self.fail(f"whole: {got}")
+
+    async def test_leaving_early_closes_the_connection(self):
+        self.reply(CHUNKED + chunk(EVENTS), keeps=True)
+        async with self.exchange.open(self.backend_call()) as stream:
+            async for _ in stream.events():
+                break
+        async with asyncio.timeout(WAIT_S):
+            await self.closed.wait()
--- /dev/null
+++ b/wigeonscale/platform/tests/test_headers.py
@@ -0,0 +1,149 @@
+from multidict import CIMultiDict
+
+from wigeonscale.layers import LayerRange, Part
+from wigeonscale.platform.headers import (
+    answer_headers,
+    backend_headers,
+    event_id_of,
+    head_of,
+    is_refused_unrun,
+    is_stranger,
+    read_request_headers,
+)
+from wigeonscale.ports.exchange import BackendCall, CallerRequest, Generation
+from wigeonscale.testing import AsyncTestCase
+
+
+def headers(**values):
+    named = {name.replace("_", "-"): value for name, value in values.items()}
+    return read_request_headers(CIMultiDict(named))
+
+
+def sent(call_fields=None, **values):
+    read = headers(**values)
+    req = CallerRequest(
+        request_id=read.request_id,
+        host=read.host,
+        method="POST",
+        path="/",
+        headers=read.others,
+        body=b"",
+        key=read.key,
+        arrived_at=0.0,
+    )
+    fields = {"organisation": "one", "priority": 1} | (call_fields or {})
+    call = BackendCall(
+        req=req, address="a:1", backend_id="i-1", left_s=1.2345, **fields
+    )
+    pairs = backend_headers(call)
+    names = [name.lower() for name, _ in pairs]
+    assert len(names) == len(set(names)), names
+    return CIMultiDict(pairs)
+
+
+class RequestTest(AsyncTestCase):
+    def test_what_is_read(self):
+        read = headers(
+            attempt_id="id1",
+            host="h",
+            authorization="Bearer  k1 ",
+            request_deadline="1500",
+            token_count="1460,80",
+            last_event_id="12",
+        )
+        self.assertEqual(("id1", "h", "k1"), (read.request_id, read.host, read.key))
+        self.assertEqual(1.5, read.deadline_s)
+        self.assertEqual(12, read.last_event_id)
+        self.assertEqual(Generation(prompt=1460, most=80, expected=80), read.generation)
+
+    def test_length_hint(self):
+        read = headers(token_count="10,80", length_hint="33")
+        self.assertEqual(33, read.generation.expected)
+
+    def test_nonsense_is_no_number(self):
+        read = headers(
+            request_deadline="-1", token_count="x,", last_event_id="1e3", length_hint=""
+        )
+        self.assertIsNone(read.deadline_s)
+        self.assertIsNone(read.last_event_id)
+        self.assertEqual(Generation(), read.generation)
+
+
+class BackendHeadersTest(AsyncTestCase):
+    def test_the_callers_own_go_on(self):
+        got = sent(attempt_id="id1", model="m", prompt_prefix="a:1", x_other="v")
+        self.assertEqual("id1", got["Attempt-Id"])
+        self.assertEqual("v", got["X-Other"])
+        self.assertEqual("a:1", got["Prompt-Prefix"])
+
+    def test_own_headers_are_set_whatever_the_caller_sent(self):
+        got = sent(
+            tenant="forged",
+            authorization="Bearer k",
+            expect_instance="forged",
+            request_priority="0",
+            hop_count="forged",
+            request_deadline="999999",
+        )
+        self.assertEqual("one", got["Tenant"])
+        self.assertEqual("i-1", got["Expect-Instance"])
+        self.assertEqual("1", got["Request-Priority"])
+        self.assertEqual("1234", got["Request-Deadline"])
+        self.assertNotIn("Authorization", got)
+        self.assertNotIn("Hop-Count", got)
+
+    def test_no_organisation_named_without_one(self):
+        got = sent({"organisation": ""}, tenant="forged")
+        self.assertNotIn("Tenant", got)
+
+    def test_connection_headers_stay(self):
+        got = sent(
+            connection="keep-alive, X-Hop",
+            x_hop="1",
+            te="trailers",
+            transfer_encoding="chunked",
+            content_length="3",
+        )
+        for name in ("Connection", "X-Hop", "TE", "Transfer-Encoding"):
+            self.assertNotIn(name, got)
+        self.assertNotIn("Content-Length", got)
+
+    def test_path(self):
+        path = (Part("i-1", LayerRange(0, 20)), Part("i-2", LayerRange(20, 80)))
+        got = sent({"path": path, "addresses": ("a:1", "b:2"), "after_event": 4})
+        self.assertEqual("a:1=0-20,b:2=20-80", got["Hop-Count"])
+        self.assertEqual("4", got["Last-Event-Id"])
+
+    def test_priority_within_its_bounds(self):
+        self.assertEqual("9", sent({"priority": 40})["Request-Priority"])
+        self.assertEqual("0", sent({"priority": -1})["Request-Priority"])
+        self.assertNotIn("Request-Priority", sent({"priority": None}))
+
+
+class AnswerTest(AsyncTestCase):
+    def test_connection_headers_stay_behind(self):
+        head = head_of(
+            200, [(b"Connection", b"close"), (b"Response-Stamp", b"s"), (b"Date", b"d")]
+        )
+        self.assertEqual((("Response-Stamp", "s"),), head.headers)
+
+    def test_refusals(self):
+        self.assertTrue(is_refused_unrun(503, CIMultiDict({"not-run": "1"})))
+        self.assertTrue(is_refused_unrun(421, CIMultiDict()))
+        self.assertFalse(is_refused_unrun(503, CIMultiDict()))
+        self.assertFalse(is_refused_unrun(500, CIMultiDict()))
+
+    def test_another_engine_of_the_path_is_no_stranger(self):
+        self.assertTrue(is_stranger(421, CIMultiDict()))
+        self.assertFalse(is_stranger(421, CIMultiDict({"At-Server": "a:1"})))
+
+    def test_retry_after(self):
+        self.assertEqual(
+            {"Attempt-Id": "id1", "Retry-After": "0.30"}, answer_headers("id1", 0.3)
+        )
+        self.assertEqual({}, answer_headers("", None))
+
+    def test_event_ids(self):
+        self.assertEqual(12, event_id_of(b"weight-versions: 2\nid: 12\ndata: x"))
+        self.assertIsNone(event_id_of(b"data: id: 3"))
+        self.assertIsNone(event_id_of(b"id: x"))
