No more first engines than a route's attempts

Change: all count; once used up, a request goes back to a first engine that had it. Test: direct.tests.test_stream.GivenUpTest (failed first).

--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -102,6 +102,13 @@
 def _choose(around: Surroundings, job: Job, progress: _Progress) -> list[Part] | None:
     engine = job.service.engine
     servers = around.fleet().by_service.get(job.service.name, ())
+    if len(progress.ran_at) >= job.route.max_attempts:
+        # Of the engines that take requests in, only those that had this one before.
+        servers = [
+            server
+            for server in servers
+            if server.layers.first > 0 or server.backend_id in progress.ran_at
+        ]
     if not engine.layers:
         return _choose_whole(servers, progress)
     costs = path_costs(
@@ -279,10 +286,7 @@
     is_late = around.clock.now() >= job.ends_at
     may_repeat = job.route.is_idempotent or not may_have_run
     if may_repeat and not is_late and progress.sends < MOST_SENDS:
-        # Engines that are gone do not count, whatever ran there.
-        counted = [name for name in progress.ran_at if not _is_gone(around, name)]
-        has_attempts = len(counted) < job.route.max_attempts
-        if has_attempts and around.budget.try_spend(job.service.name):
+        if around.budget.try_spend(job.service.name):
             return
     if is_late:
         kind = ErrorKind.DEADLINE_EXCEEDED
@@ -291,8 +295,3 @@
     raise WigeonscaleError(
         kind, exc.message, run_state=run_state, retry_after=NO_PATH_RETRY_S
     )
-
-
-def _is_gone(around: Surroundings, backend_id: str) -> bool:
-    server = around.fleet().by_id.get(backend_id)
-    return server is None or server.is_silent
--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -136,6 +136,33 @@
         self.assertIsNotNone(exc.retry_after)
         self.assertEqual([], self.exchange.calls)
 
+    async def test_no_more_first_engines_than_attempts(self):
+        self.parts.fleet = fleet(
+            *self.parts.fleet.by_id.values(),
+            engine("c1", 0, 5, domain="c"),
+            engine("c2", 5, 10, domain="c"),
+        )
+        self.exchange.script("a1", [event(1), not_sent()])
+        self.exchange.script("b1", [event(2), not_sent()])
+        exc = await self.refused()
+        self.assertEqual(ErrorKind.NO_BACKEND, exc.kind)
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(["a1", "b1"], self.exchange.sent_to)
+
+    async def test_back_to_a_first_engine_that_had_it_before(self):
+        self.parts.fleet = fleet(
+            *self.parts.fleet.by_id.values(),
+            engine("c1", 0, 5, domain="c"),
+            engine("c2", 5, 10, domain="c"),
+        )
+        self.exchange.script("a1", [event(1), not_run(at_fault="a2:80")])
+        self.exchange.script("b1", [event(2), not_run(at_fault="b2:80")])
+        self.exchange.script("a1", [event(3)])
+        await self.relay()
+        self.assertEqual(["a1", "b1", "a1"], self.exchange.sent_to)
+        last = self.exchange.calls[-1]
+        self.assertEqual(["a1", "c2"], [part.backend_id for part in last.path])
+
     async def test_sends_are_bounded(self):
         for name in ("a1", "b1"):
             self.exchange.script(name, *[not_run()] * 20)
