--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -144,7 +144,10 @@
         )
         self.exchange.script("a1", [event(1), not_sent()])
         self.exchange.script("b1", [event(2), not_sent()])
-        exc = await self.refused()
+        # A caller that has part of a stream waits a little for a path.
+        task = asyncio.create_task(self.refused())
+        await self.until(task.done)
+        exc = await task
         self.assertEqual(ErrorKind.NO_BACKEND, exc.kind)
         self.assertEqual(RunState.UNKNOWN, exc.run_state)
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
