Engines of a lost replica get time to move; rows move over before engines fill up

Ruled out: slow engines (pace 1.0 in all reports). Change: silence counts from the instant the replica was lost, and a probe must fail too; layers take at most 0.8 of an engine's memory unless a gap cannot be closed otherwise.

--- a/wigeonscale/control/registry.py
+++ b/wigeonscale/control/registry.py
@@ -23,9 +23,11 @@
 # Heartbeats that may be missing; two can be lost to one broken connection.
 MISSING_HEARTBEATS = 3
 CHECKS_PER_HEARTBEAT = 4
-# A backend that an entry suspects gets this many probes before it counts as silent.
-SUSPECT_PROBES = 2
-SUSPECT_PAUSE_S = 0.2
+# A backend that an entry suspects, or whose heartbeats stay away, gets this many
+# probes before it counts as silent: the way of its heartbeats may be cut, not the
+# engine lost.
+PROBES = 2
+PROBE_PAUSE_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +75,7 @@
         self._heard: dict[str, _Heard] = {}
         self._suspected: dict[str, asyncio.Task] = {}
         self._began_at = clock.now()
+        self._lost_since: dict[str, float] = {}
 
     async def announce(self, backend: wire.Backend, sequence: int) -> None:
         """Take a heartbeat; returns once the state shows what it says.
@@ -137,9 +140,7 @@
         if member is None or member.backend.silent or req.agent_id in self._suspected:
             return
         logger.info("%s is suspected by an %s", req.agent_id, came_from)
-        task = asyncio.create_task(self._check_suspect(member))
-        self._suspected[req.agent_id] = task
-        task.add_done_callback(lambda _: self._suspected.pop(req.agent_id, None))
+        self._begin_check(member)
 
     def wake(self) -> None:
         """Do nothing: no backend hangs on a stream here."""
@@ -149,8 +150,9 @@
         try:
             while True:
                 await self._clock.sleep(self._heartbeat_s / CHECKS_PER_HEARTBEAT)
+                self._note_lost_replicas()
                 for member in self._due():
-                    await self._mark_silent(member)
+                    self._begin_check(member)
         finally:
             tasks = list(self._suspected.values())
             for task in tasks:
@@ -169,25 +171,49 @@
             member
             for member in self._state.members
             if not member.backend.silent
+            and member.backend.agent_id not in self._suspected
             and self._judges(member.replica)
-            and self._silence_s(member.backend.agent_id) > self._silent_after_s
+            and self._silence_s(member) > self._silent_after_s
         ]
 
+    def _note_lost_replicas(self) -> None:
+        """Keep since when each replica with backends has been lost to this leader."""
+        now = self._clock.now()
+        lost = {
+            name
+            for name in self._state.members.replicas()
+            if name != self._node_id
+            and self._replica.role is Role.LEADER
+            and self._replica.peer_silence(name) > self._silent_after_s
+        }
+        self._lost_since = {name: self._lost_since.get(name, now) for name in lost}
+
     def _judges(self, replica: str) -> bool:
-        if replica == self._node_id:
-            return True
-        is_lost = self._replica.peer_silence(replica) > self._silent_after_s
-        return self._replica.role is Role.LEADER and is_lost
+        return replica == self._node_id or replica in self._lost_since
 
-    def _silence_s(self, name: str) -> float:
-        heard = self._heard.get(name)
-        return self._clock.now() - (heard.at if heard else self._began_at)
+    def _silence_s(self, member: Member) -> float:
+        """Return for how long a backend had the chance to be heard here and was not.
 
-    async def _check_suspect(self, member: Member) -> None:
-        for _ in range(SUSPECT_PROBES):
+        Those of a lost replica need a heartbeat or two to find another one.
+        """
+        heard = self._heard.get(member.backend.agent_id)
+        since = self._lost_since.get(member.replica, self._began_at)
+        return self._clock.now() - max(since, heard.at if heard else since)
+
+    def _begin_check(self, member: Member) -> None:
+        name = member.backend.agent_id
+        task = asyncio.create_task(self._check(member))
+        self._suspected[name] = task
+        task.add_done_callback(lambda _: self._suspected.pop(name, None))
+
+    async def _check(self, member: Member) -> None:
+        name = member.backend.agent_id
+        for _ in range(PROBES):
             if await self._probe(member.backend.address):
+                # As good as a heartbeat, but for what that would have told.
+                self._heard[name] = _Heard(self._clock.now(), member.sequence)
                 return
-            await self._clock.sleep(SUSPECT_PAUSE_S)
+            await self._clock.sleep(PROBE_PAUSE_S)
         await self._mark_silent(member)
 
     async def _mark_silent(self, member: Member) -> None:
--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -12,15 +12,16 @@
 
 __all__ = ["plan_layers"]
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from wigeonscale.layers.model import Holder, LayerRange
 
-# Share of an engine's memory that layers may take: the rest holds at least a few
-# requests (one of 900 tokens takes a tenth of a layer's memory).
-MOST_FILL = 0.9
-# The same for an engine that shall hold a copy or mend a gap alone; above it there is
-# little room left for requests, so that two engines share a large gap.
+# Shares of an engine's memory that layers may take; the rest holds requests, of which
+# one of 900 tokens takes the eighth part of each layer's memory. The larger share is
+# for gaps that cannot be mended otherwise: with it an engine holds some 15 requests.
+MOST_FILLS = (0.8, 0.92)
+# The same for an engine that shall hold a copy or mend a gap alone, so that two share a
+# large gap.
 USUAL_FILL = 0.75
 
 
@@ -36,7 +37,7 @@
 
     Returns:
         Wanted ranges by engine; those not named keep what they hold. A wanted range
-        never needs more than ``MOST_FILL`` of the engine's memory.
+        never needs more than the larger of ``MOST_FILLS`` of the engine's memory.
 
     Notes:
         Costs engines times gaps. The same input gives the same plan.
@@ -72,10 +73,10 @@
 
 
 def _room_mb(holders: Iterable[Holder]) -> float:
-    return sum(holder.size_mb for holder in holders) * MOST_FILL
+    return sum(holder.size_mb for holder in holders) * MOST_FILLS[-1]
 
 
-def _capacity(holder: Holder, layer_mb: float, fill: float = MOST_FILL) -> int:
+def _capacity(holder: Holder, layer_mb: float, fill: float) -> int:
     return int(holder.size_mb * fill / layer_mb)
 
 
@@ -91,7 +92,7 @@
     for holder in ordered:
         seen_mb += holder.size_mb
         end = round(layers * seen_mb / total_mb)
-        end = min(end, first + _capacity(holder, layer_mb))
+        end = min(end, first + _capacity(holder, layer_mb, MOST_FILLS[-1]))
         if end > first:
             wanted[holder.backend_id] = LayerRange(first, end)
         first = max(first, end)
@@ -107,8 +108,11 @@
     wanted: dict[str, LayerRange] = {}
     for gap in _gaps(held.values(), layers):
         gap = _fill_with_empty(gap, empty, layer_mb, wanted)
-        if gap.count:
-            _fill_by_neighbours(gap, holders, held, layer_mb, wanted)
+        for fill in MOST_FILLS:
+            moved = _take_over(gap, holders, layer_mb, fill) if gap.count else {}
+            wanted |= moved
+            if moved:
+                break
     for holder in empty:
         copy = _copy_for(holder, held | wanted, holders, layer_mb)
         if copy is not None:
@@ -143,59 +147,69 @@
     return LayerRange(first, end)
 
 
-def _fill_by_neighbours(
-    gap: LayerRange,
-    holders: Sequence[Holder],
-    held: dict[str, LayerRange],
-    layer_mb: float,
-    wanted: dict[str, LayerRange],
-) -> None:
+def _take_over(
+    gap: LayerRange, holders: Sequence[Holder], layer_mb: float, fill: float
+) -> dict[str, LayerRange]:
+    """Return the ranges with which the other engines of a domain close a gap."""
+
+    def room(holder: Holder) -> int:
+        return max(0, _capacity(holder, layer_mb, fill) - holder.held.count)
+
+    extended = _extend_neighbours(gap, holders, room)
+    if extended:
+        return extended
+    # Nothing is lost by the layers that a row gives up while it moves over: the set
+    # of this domain is broken anyway.
+    rows = [
+        _shift_up(gap, holders, lambda h: _capacity(h, layer_mb, fill)),
+        _shift_down(gap, holders, lambda h: _capacity(h, layer_mb, fill)),
+    ]
+    return min((row for row in rows if row), key=len, default={})
+
+
+def _extend_neighbours(
+    gap: LayerRange, holders: Sequence[Holder], room: Callable[[Holder], int]
+) -> dict[str, LayerRange]:
     """Extend the engines at both ends of a gap, each by what it has room for."""
     first, end = gap
-    below = [h for h in holders if h.held.count and h.held.end == first]
-    above = [h for h in holders if h.held.count and h.held.first == end]
-    room_below = _best_room(below, layer_mb)
-    room_above = _best_room(above, layer_mb)
+    below = _with_most(holders, room, lambda held: held.end == first)
+    above = _with_most(holders, room, lambda held: held.first == end)
+    room_below = room(below) if below else 0
+    room_above = room(above) if above else 0
     if room_below + room_above < gap.count:
-        wanted.update(_shift(gap, holders, layer_mb))
-        return
+        return {}
     # In proportion to the room, so that both keep some for requests.
     share = round(gap.count * room_below / (room_below + room_above))
     middle = first + min(room_below, max(gap.count - room_above, share))
+    extended = {}
     if middle > first:
-        holder = max(below, key=lambda h: _room(h, layer_mb))
-        wanted[holder.backend_id] = LayerRange(holder.held.first, middle)
+        extended[below.backend_id] = LayerRange(below.held.first, middle)
     if middle < end:
-        holder = max(above, key=lambda h: _room(h, layer_mb))
-        before = wanted.get(holder.backend_id, holder.held)
-        wanted[holder.backend_id] = LayerRange(middle, before.end)
+        extended[above.backend_id] = LayerRange(middle, above.held.end)
+    return extended
 
 
-def _shift(
-    gap: LayerRange, holders: Sequence[Holder], layer_mb: float
-) -> dict[str, LayerRange]:
-    """Return the ranges after a row of engines moved up, or down, over a gap.
-
-    Each takes what its neighbour gave up, until one has room to spare. Nothing is
-    lost by the layers given up meanwhile: the set of this domain is broken anyway.
-    Empty if neither row has the room.
-    """
-    rows = [_shift_up(gap, holders, layer_mb), _shift_down(gap, holders, layer_mb)]
-    return min((row for row in rows if row), key=len, default={})
+def _with_most(
+    holders: Sequence[Holder],
+    measure: Callable[[Holder], int],
+    fits: Callable[[LayerRange], bool],
+) -> Holder | None:
+    fitting = [h for h in holders if h.held.count and fits(h.held)]
+    return max(fitting, key=measure, default=None)
 
 
 def _shift_up(
-    gap: LayerRange, holders: Sequence[Holder], layer_mb: float
+    gap: LayerRange, holders: Sequence[Holder], capacity: Callable[[Holder], int]
 ) -> dict[str, LayerRange]:
+    """Move the row below a gap up; empty if it has not the room."""
     moved: dict[str, LayerRange] = {}
     first, end = gap
     while True:
-        below = [h for h in holders if h.held.count and h.held.end == first]
-        if not below:
+        holder = _with_most(holders, capacity, lambda held, at=first: held.end == at)
+        if holder is None:
             return {}
-        holder = max(below, key=lambda h: _room(h, layer_mb))
         first = holder.held.first
-        start = max(first, end - _capacity(holder, layer_mb))
+        start = max(first, end - capacity(holder))
         moved[holder.backend_id] = LayerRange(start, end)
         if start == first:
             return moved
@@ -203,31 +217,23 @@
 
 
 def _shift_down(
-    gap: LayerRange, holders: Sequence[Holder], layer_mb: float
+    gap: LayerRange, holders: Sequence[Holder], capacity: Callable[[Holder], int]
 ) -> dict[str, LayerRange]:
+    """Move the row above a gap down; empty if it has not the room."""
     moved: dict[str, LayerRange] = {}
     first, end = gap
     while True:
-        above = [h for h in holders if h.held.count and h.held.first == end]
-        if not above:
+        holder = _with_most(holders, capacity, lambda held, at=end: held.first == at)
+        if holder is None:
             return {}
-        holder = max(above, key=lambda h: _room(h, layer_mb))
         end = holder.held.end
-        stop = min(end, first + _capacity(holder, layer_mb))
+        stop = min(end, first + capacity(holder))
         moved[holder.backend_id] = LayerRange(first, stop)
         if stop == end:
             return moved
         first = stop
 
 
-def _room(holder: Holder, layer_mb: float) -> int:
-    return max(0, _capacity(holder, layer_mb) - holder.held.count)
-
-
-def _best_room(holders: Sequence[Holder], layer_mb: float) -> int:
-    return max((_room(holder, layer_mb) for holder in holders), default=0)
-
-
 def _copy_for(
     holder: Holder,
     ranges: dict[str, LayerRange],
