--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -121,10 +121,8 @@
         retry_slack: Further sends allowed beside that share in ``retry_window_s``,
             over all entries.
         retry_window_s: Time over which requests and sends are counted, in seconds.
-        stall_s: Time after which an engine cuts off work that waits for a lost one,
-            in seconds.
-        serve_when_cut: Whether to go on serving with what was known once control is
-            out of reach.
+        serve_when_cut: Whether to go on serving with what was known once no majority
+            of control has confirmed it for ``lease_s``.
     """
 
     listen: ListenAddress
@@ -135,7 +133,6 @@
     retry_ratio: fraction(0, 1) = 0.1
     retry_slack: count(0, 100_000) = 10
     retry_window_s: seconds(1, 600) = 10.0
-    stall_s: seconds(0.1, 60) = 3.0
     serve_when_cut: YesNo = True
 
 
--- a/wigeonscale/config/tests/test_docs.py
+++ b/wigeonscale/config/tests/test_docs.py
@@ -2,7 +2,13 @@
 import pathlib
 import re
 
-from wigeonscale.config import AgentSettings, ControlSettings, EntrySettings
+from wigeonscale.config import (
+    AgentSettings,
+    ControlSettings,
+    DirectControlSettings,
+    DirectEntrySettings,
+    EntrySettings,
+)
 from wigeonscale.config.load import SHARED_KEYS
 from wigeonscale.config.settings import NodeSettings
 from wigeonscale.errors import ANSWERS
@@ -27,6 +33,8 @@
             "entry": EntrySettings,
             "agent": AgentSettings,
             "control": ControlSettings,
+            "direct-entry": DirectEntrySettings,
+            "direct-control": DirectControlSettings,
         }
         for role, model in roles.items():
             keys = {field.name for field in dataclasses.fields(model)} - NODE_KEYS
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -98,8 +98,11 @@
     known = _Known(control=control, beliefs=beliefs)
     stopping: list[bool] = []
 
+    def may_serve() -> bool:
+        return cfg.serve_when_cut or control.lease_valid()
+
     def is_ready() -> bool:
-        return bool(known.table.number) and not stopping
+        return bool(known.table.number) and may_serve() and not stopping
 
     async def show_ready(req: web.Request) -> web.Response:
         return web.Response(status=200 if is_ready() else 503)
@@ -137,6 +140,7 @@
         around=around,
         table=lambda: known.table,
         table_known=known.table_known.wait,
+        may_serve=may_serve,
         rng=random.Random(),
     )
     server = CallerServer(
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -40,6 +40,7 @@
         around: What the flows share.
         table: Returns the route table in force; number 0 before any.
         table_known: Returns once there is a table.
+        may_serve: Returns whether what is known may still be acted on.
         rng: Source of randomness for weighted shares.
     """
 
@@ -49,11 +50,13 @@
         around: Surroundings,
         table: Callable[[], RouteTable],
         table_known: Callable[[], Awaitable[object]],
+        may_serve: Callable[[], bool],
         rng: random.Random,
     ):
         self._around = around
         self._table = table
         self._table_known = table_known
+        self._may_serve = may_serve
         self._rng = rng
 
     async def serve(self, req: CallerRequest, sink: AnswerSink) -> None:
@@ -69,6 +72,12 @@
         """
         if not self._table().number:
             await self._wait_for_table(req)
+        if not self._may_serve():
+            raise WigeonscaleError(
+                ErrorKind.LEASE_EXPIRED,
+                "no majority of control confirms the configuration",
+                retry_after=NOT_READY_RETRY_S,
+            )
         job = self._job(req)
         around = self._around
         left_s = job.ends_at - around.clock.now()
