--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -34,6 +34,10 @@
 # The balancer asks once a second and takes an entry out after two misses.
 BALANCER_SETTLE_S = 3.0
 
+# After a cut an entry must know the configuration in force within seconds; all entries
+# that lose all of control at once ask each replica a few times a second at most.
+RECONNECT_CAP_S = 0.8
+
 logger = logging.getLogger(__name__)
 
 
@@ -179,6 +183,7 @@
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
+        reconnect_cap_s=RECONNECT_CAP_S,
     )
 
 
--- a/wigeonscale/membership/backoff.py
+++ b/wigeonscale/membership/backoff.py
@@ -1,6 +1,6 @@
 """Jittered exponential backoff."""
 
-__all__ = ["Backoff"]
+__all__ = ["CAP_S", "Backoff"]
 
 import random
 
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -13,6 +13,7 @@
 from wigeonscale.adapters.channels import TlsFiles
 from wigeonscale.adapters.metrics import METRICS, Metrics
 from wigeonscale.membership.announcer import Announcer
+from wigeonscale.membership.backoff import CAP_S
 from wigeonscale.membership.connection import DisconnectCause, WatchConnection
 from wigeonscale.membership.floor import ask_floor
 from wigeonscale.membership.knowledge import Change, Knowledge
@@ -52,6 +53,8 @@
         rng: Source of jitter; None for one seeded by the system.
         metrics: Where lease, revision and connections are counted.
         tls: Files for mutual TLS; None for plain TCP.
+        reconnect_cap_s: Longest wait between two attempts to reach control, in
+            seconds.
 
     Example:
         client = ControlClient(node_id="e1", role="entry", addresses=..., clock=...)
@@ -75,6 +78,7 @@
         rng: random.Random | None = None,
         metrics: Metrics = METRICS,
         tls: TlsFiles | None = None,
+        reconnect_cap_s: float = CAP_S,
     ):
         self._knowledge = Knowledge(clock=clock, lease_s=lease_s, metrics=metrics)
         self.changes: Subject[Change] = self._knowledge.changes
@@ -105,6 +109,7 @@
             open_connection=self._open_connection,
             on_attached=self._attached,
             metrics=metrics,
+            reconnect_cap_s=reconnect_cap_s,
         )
 
     @property
--- a/wigeonscale/membership/tests/test_watcher.py
+++ b/wigeonscale/membership/tests/test_watcher.py
@@ -1,6 +1,12 @@
+import asyncio
+import itertools
 import random
 
+from wigeonscale.adapters.metrics import Metrics
+from wigeonscale.membership.lease import Lease
 from wigeonscale.membership.tests.fake_control import FakeControlCase
+from wigeonscale.membership.watcher import Watcher
+from wigeonscale.testing import AsyncTestCase, ManualClock
 from wigeonscale.wire import wire_pb2 as wire
 
 HEARTBEAT_S = 0.5
@@ -149,3 +155,48 @@
             await self.clock.advance(HEARTBEAT_S / 20)
         await self.until(lambda: client._watcher.attached is not None)
         self.assertTrue(client.lease_valid())
+
+
+class ReconnectTest(AsyncTestCase):
+    """Control is out of reach for long."""
+
+    async def longest_wait(self, **fields):
+        clock = ManualClock()
+        opened = []
+
+        class Refused:
+            members = None
+            cause = None
+
+            def __init__(self, address):
+                self.address = address
+                self.opened_at = self.answered_at = clock.now()
+
+            async def run(self):
+                opened.append(clock.now())
+
+        watcher = Watcher(
+            addresses=["a", "b", "c"],
+            clock=clock,
+            rng=random.Random(1),
+            lease=Lease(clock=clock, lease_s=3.0),
+            lease_s=3.0,
+            heartbeat_s=HEARTBEAT_S,
+            open_connection=Refused,
+            on_attached=lambda conn: None,
+            metrics=Metrics(),
+            **fields,
+        )
+        task = asyncio.create_task(watcher.run())
+        for _ in range(600):
+            await clock.advance(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return max(b - a for a, b in itertools.pairwise(opened))
+
+    async def test_waits_grow_to_the_cap_that_is_asked_for(self):
+        review_s = HEARTBEAT_S / 4 + 0.1
+        self.assertLessEqual(
+            await self.longest_wait(reconnect_cap_s=0.8), 0.8 + review_s
+        )
+        self.assertGreater(await self.longest_wait(), 2.0)
--- a/wigeonscale/membership/watcher.py
+++ b/wigeonscale/membership/watcher.py
@@ -9,7 +9,7 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.adapters.metrics import Metrics
-from wigeonscale.membership.backoff import Backoff
+from wigeonscale.membership.backoff import CAP_S, Backoff
 from wigeonscale.membership.connection import DisconnectCause, WatchConnection
 from wigeonscale.membership.lease import Lease
 from wigeonscale.ports import Clock
@@ -49,6 +49,7 @@
         open_connection: Returns a new connection to an address.
         on_attached: Called with each connection that takes over.
         metrics: Where connections are counted.
+        reconnect_cap_s: Longest wait between two attempts, in seconds.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         open_connection: Callable[[str], WatchConnection],
         on_attached: Callable[[WatchConnection], None],
         metrics: Metrics,
+        reconnect_cap_s: float = CAP_S,
     ):
         self.attached: WatchConnection | None = None
         self._addresses = rng.sample(list(addresses), len(addresses))
@@ -73,7 +75,7 @@
         self._open_connection = open_connection
         self._on_attached = on_attached
         self._metrics = metrics
-        self._backoff = Backoff(rng=rng)
+        self._backoff = Backoff(rng=rng, cap_s=reconnect_cap_s)
         self._unconfirmed_s = lease_s * (
             UNCONFIRMED_SHARE + rng.uniform(0, UNCONFIRMED_JITTER)
         )
