Quicker first election; entries wait for the backend servers too when they start

Change: a replica that starts waits a quarter of the timeout (votes in advance keep a leader in place); the wait ends with both. Tests: direct.tests.test_service.StartTest.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -50,14 +50,15 @@
 
     Attributes:
         table: Route table in force.
-        table_known: Set once there is one.
+        is_complete: Set once there are both.
         fleet: Backend servers.
     """
 
     def __init__(self, *, control: ControlClient, beliefs: Beliefs):
         self.table = RouteTable()
-        self.table_known = asyncio.Event()
+        self.is_complete = asyncio.Event()
         self.fleet = Fleet()
+        self._has_members = False
         self._control = control
         self._beliefs = beliefs
         control.changes.subscribe(self._take)
@@ -66,8 +67,12 @@
         if change is Change.MEMBERS:
             self.fleet = read_fleet(self._control.members.backends.values())
             self._beliefs.keep_only(self.fleet.by_id)
+            self._has_members = True
         elif change is Change.NUMBERED:
             self._take_table()
+        # The table comes first. Without the members no backend server is known.
+        if self.table.number and self._has_members:
+            self.is_complete.set()
 
     def _take_table(self) -> None:
         document = self._control.numbered
@@ -76,8 +81,6 @@
         except SettingsError as exc:
             # Control checks each document before it is accepted.
             logger.error("document %d not read: %s", document.number, exc.message)
-            return
-        self.table_known.set()
 
 
 async def run_direct_entry(
@@ -106,7 +109,7 @@
         return cfg.serve_when_cut or control.lease_valid()
 
     def is_ready() -> bool:
-        return bool(known.table.number) and may_serve() and not stopping
+        return known.is_complete.is_set() and may_serve() and not stopping
 
     async def show_ready(req: web.Request) -> web.Response:
         return web.Response(status=200 if is_ready() else 503)
@@ -143,7 +146,7 @@
     service = DirectService(
         around=around,
         table=lambda: known.table,
-        table_known=known.table_known.wait,
+        known=known.is_complete,
         may_serve=may_serve,
         rng=random.Random(),
     )
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.job import Job, Surroundings
@@ -27,8 +27,8 @@
 # starts too, after an election. Callers that come meanwhile are better served by a
 # short wait than by a refusal, after which many do not come again; but no longer than
 # this share of the time that they have.
-TABLE_WAIT_S = 1.5
-TABLE_WAIT_SHARE = 0.3
+START_WAIT_S = 1.5
+START_WAIT_SHARE = 0.3
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +39,7 @@
     Args:
         around: What the flows share.
         table: Returns the route table in force; number 0 before any.
-        table_known: Returns once there is a table.
+        known: Set once the table and the backend servers are known.
         may_serve: Returns whether what is known may still be acted on.
         rng: Source of randomness for weighted shares.
     """
@@ -49,13 +49,13 @@
         *,
         around: Surroundings,
         table: Callable[[], RouteTable],
-        table_known: Callable[[], Awaitable[object]],
+        known: asyncio.Event,
         may_serve: Callable[[], bool],
         rng: random.Random,
     ):
         self._around = around
         self._table = table
-        self._table_known = table_known
+        self._known = known
         self._may_serve = may_serve
         self._rng = rng
 
@@ -70,8 +70,8 @@
             WigeonscaleError: Its kind and run state make the answer; if the answer
                 was begun it must be cut.
         """
-        if not self._table().number:
-            await self._wait_for_table(req)
+        if not self._known.is_set():
+            await self._wait_until_known(req)
         if not self._may_serve():
             raise WigeonscaleError(
                 ErrorKind.LEASE_EXPIRED,
@@ -112,13 +112,13 @@
         else:
             await sink.send(await call_plain(self._around, job))
 
-    async def _wait_for_table(self, req: CallerRequest) -> None:
-        wait_s = TABLE_WAIT_S
+    async def _wait_until_known(self, req: CallerRequest) -> None:
+        wait_s = START_WAIT_S
         if req.deadline_s is not None:
-            wait_s = min(wait_s, req.deadline_s * TABLE_WAIT_SHARE)
+            wait_s = min(wait_s, req.deadline_s * START_WAIT_SHARE)
         try:
             async with asyncio.timeout(wait_s):
-                await self._table_known()
+                await self._known.wait()
         except TimeoutError:
             raise WigeonscaleError(
                 ErrorKind.LEASE_EXPIRED,
--- /dev/null
+++ b/wigeonscale/direct/tests/test_service.py
@@ -0,0 +1,148 @@
+import asyncio
+import random
+
+from wigeonscale.direct import DirectService
+from wigeonscale.direct.tests.support import (
+    FakeExchange,
+    Parts,
+    Sink,
+    answer,
+    server,
+)
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports.exchange import CallerRequest
+from wigeonscale.routes import (
+    CallerLimits,
+    Organisation,
+    Repeat,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+    build_table,
+)
+from wigeonscale.testing import AsyncTestCase
+
+TABLE = build_table(
+    number=1,
+    routes=[
+        Route(
+            name="r",
+            host="h",
+            prefix="/",
+            repeat=Repeat.UNSAFE,
+            timeout_s=0.8,
+            priority=2,
+            shares=(Share("plain", 1.0),),
+        )
+    ],
+    services=[Service(name="plain")],
+    organisations=[Organisation(name="one", keys=("k",), priority=7)],
+    limits=CallerLimits(),
+)
+
+
+class ServiceCase(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts(server("one"))
+        self.exchange = self.parts.exchange
+        self.table = TABLE
+        self.known = asyncio.Event()
+        self.known.set()
+        self.confirmed = True
+        self.sink = Sink()
+        self.service = DirectService(
+            around=self.parts.around,
+            table=lambda: self.table,
+            known=self.known,
+            may_serve=lambda: self.confirmed,
+            rng=random.Random(1),
+        )
+
+    def serve(self, **fields):
+        fields = {"host": "h", "key": "k", "deadline_s": 1.5} | fields
+        req = CallerRequest(
+            request_id="r1",
+            method="POST",
+            path="/p",
+            headers=(),
+            body=b"",
+            arrived_at=self.parts.clock.now(),
+            **fields,
+        )
+        return self.service.serve(req, self.sink)
+
+    async def refused(self, **fields):
+        try:
+            await self.serve(**fields)
+        except WigeonscaleError as exc:
+            return exc
+        self.fail("it was answered")
+
+
+class ServeTest(ServiceCase):
+    async def test_answer(self):
+        self.exchange.script("one", answer())
+        await self.serve()
+        self.assertEqual(answer(), self.sink.answer)
+
+    async def test_time_handed_on_is_the_shorter_one(self):
+        for deadline_s, most_s in ((1.5, 0.8), (0.3, 0.3), (None, 0.8)):
+            self.exchange.script("one", answer())
+            await self.serve(deadline_s=deadline_s)
+            left_s = self.exchange.calls[-1].left_s
+            self.assertTrue(most_s - 0.05 < left_s <= most_s, left_s)
+
+    async def test_priority_of_the_organisation_goes_first(self):
+        self.exchange.script("one", answer())
+        await self.serve()
+        call = self.exchange.calls[0]
+        self.assertEqual((7, "one"), (call.priority, call.organisation))
+
+    async def test_final_answer_at_the_routes_timeout(self):
+        self.exchange.script("one", FakeExchange.HANG)
+        exc = await self.refused(deadline_s=0.1)
+        self.assertEqual(ErrorKind.DEADLINE_EXCEEDED, exc.kind)
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(["one"], self.exchange.cancelled)
+
+    async def test_refusals_of_the_table(self):
+        for fields, kind in (
+            ({"host": "other"}, ErrorKind.NO_MATCHING_RULE),
+            ({"key": "wrong"}, ErrorKind.UNKNOWN_KEY),
+        ):
+            exc = await self.refused(**fields)
+            self.assertEqual((kind, RunState.NOT_RUN), (exc.kind, exc.run_state))
+        self.assertEqual([], self.exchange.calls)
+
+    async def test_unconfirmed_state_where_the_settings_forbid_it(self):
+        self.confirmed = False
+        exc = await self.refused()
+        self.assertEqual(ErrorKind.LEASE_EXPIRED, exc.kind)
+        self.assertEqual([], self.exchange.calls)
+
+
+class StartTest(ServiceCase):
+    """Requests that come before control has told anything."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.known.clear()
+        self.table = RouteTable()
+
+    async def test_waits_for_table_and_backend_servers(self):
+        self.exchange.script("one", answer())
+        task = asyncio.create_task(self.serve())
+        await asyncio.sleep(0)
+        self.table = TABLE
+        await asyncio.sleep(0)
+        self.assertEqual([], self.exchange.calls)
+        self.known.set()
+        await task
+        self.assertEqual(answer(), self.sink.answer)
+
+    async def test_not_for_ever(self):
+        exc = await self.refused(deadline_s=0.1)
+        self.assertEqual(ErrorKind.LEASE_EXPIRED, exc.kind)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertIsNotNone(exc.retry_after)
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -44,6 +44,10 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 STORAGE_ID_BITS = 128
+# Share of the election timeout that a replica that just started does not wait. Where
+# all start at once nobody leads, and callers wait for an election; where others run, a
+# leader is heard or, by their answers to the vote asked for in advance, there is one.
+START_SHARE = 0.75
 
 Handler = Callable[[ReplicaState, Message], Awaitable[Message]]
 
@@ -320,7 +324,9 @@
             core.applied_index = snapshot.index
             core.applied_term = snapshot.term
         core.load_members()
-        core.timer_from = core.clock.now()
+        core.timer_from = (
+            core.clock.now() - START_SHARE * core.options.election_timeout_s
+        )
 
     async def _close(self) -> None:
         core = self._core
