Layers on the fastest engines, copies on the others

Cause: streams last 2.4 s on paths of 12 to 14 engines at the pace of the slowest, so each fault meets more of them; a lost range was closed by engines that serve (rows of up to nine engines reloaded their layers). Change: a domain's set goes on its fastest engines, each with room for the requests the model's operator names; the others hold copies and close gaps first.

--- a/wigeonscale/control/layer_keeper.py
+++ b/wigeonscale/control/layer_keeper.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.layers import Holder, LayerRange, plan_layers
+from wigeonscale.layers import Holder, LayerRange, ModelSize, plan_layers
 from wigeonscale.ports import Clock
 from wigeonscale.ports.orders import EngineOrders, OrderOutcome
 from wigeonscale.replication import Replica, Role
@@ -26,6 +26,7 @@
 UNKNOWN_AGAIN_S = 1.5
 # A fencing number is (term, index) in one number that JSON carries exactly.
 TERM_SHIFT = 32
+MEGABYTE = 1e6
 
 logger = logging.getLogger(__name__)
 
@@ -119,8 +120,7 @@
         holders = [self._holder(b, engine) for b in backends]
         wanted = plan_layers(
             [holder for holder in holders if holder is not None],
-            layers=engine.layers,
-            layer_mb=engine.layer_mb,
+            _model_size(engine),
         )
         now = self._clock.now()
         for name, order in self._given.items():
@@ -197,6 +197,15 @@
         return status.orders
 
 
+def _model_size(engine: EngineProfile) -> ModelSize:
+    return ModelSize(
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        token_mb=engine.token_bytes / engine.layers / MEGABYTE,
+        room_tokens=engine.room_tokens,
+    )
+
+
 def _held(backend: wire.Backend) -> LayerRange:
     """Return the layers that a backend announced, as first and end."""
     if backend.last_layer < backend.first_layer:
--- a/wigeonscale/control/tests/test_layer_keeper.py
+++ b/wigeonscale/control/tests/test_layer_keeper.py
@@ -13,6 +13,8 @@
 PROFILE = EngineProfile(
     layers=10,
     layer_mb=100.0,
+    token_bytes=1e7,
+    room_tokens=100.0,
     accelerators={
         "k": Accelerator(name="k", size_mb=1000.0, pace=1.0, read_factor=1.0)
     },
--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -1,43 +1,42 @@
 """Which engine shall hold which layers.
 
 Load pattern: many small engines in a few failure domains, of which one may vanish at
-any moment, while each hop between domains costs far more than one inside. So each
-domain with the memory for it holds a whole set of layers of its own, split in
-proportion to memory: every engine is left with room for the same number of tokens,
-and none fills up before the others. What is lost is mended inside its domain: by an
-engine without layers, else by the neighbours in layer order, else by a row of them
-that moves over. Nothing that serves is moved for a small gain, since a move reloads
-weights.
+any moment, while each hop between domains costs far more than one inside. A token
+passes all engines of its path one after another, so the time of a stream, the memory
+that streams take and what one lost engine breaks all grow with slow engines and with
+long paths. So each domain with the memory for it holds a whole set of layers of its
+own, on its fastest engines, each filled only so far that it still holds many requests;
+the slower ones hold copies for the case that one is lost. What is lost is mended inside
+its domain: by engines without layers, else by ones that hold copies only, else by the
+neighbours in layer order, else by a row of them that moves over. Nothing that serves is
+moved for a small gain, since a move reloads weights.
 """
 
 __all__ = ["plan_layers"]
 
 from collections.abc import Callable, Iterable, Sequence
 
-from wigeonscale.layers.model import Holder, LayerRange
+from wigeonscale.layers.model import Holder, LayerRange, ModelSize
 
-# Shares of an engine's memory that layers may take; the rest holds requests, of which
-# one of 900 tokens takes the eighth part of each layer's memory. The larger share is
-# for gaps that cannot be mended otherwise: with it an engine holds some 15 requests.
-MOST_FILLS = (0.8, 0.92)
-# The same for an engine that shall hold a copy or mend a gap alone, so that two share a
-# large gap.
-USUAL_FILL = 0.75
+# Shares of the room for requests that engines are left with; the smaller ones only
+# where a set or a gap cannot be closed otherwise. With the last one an engine of 22 GB
+# holds some seven requests of 900 tokens.
+ROOM_SHARES = (1.0, 0.75, 0.5, 0.3, 0.12)
+# One engine more on a path costs as much as this many layers more on an engine: the
+# hop of each token, and one more engine whose loss breaks the path.
+ENGINE_LAYERS = 2.0
 
 
-def plan_layers(
-    holders: Sequence[Holder], *, layers: int, layer_mb: float
-) -> dict[str, LayerRange]:
+def plan_layers(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
     """Return the layers that engines shall hold and do not hold yet.
 
     Args:
         holders: All engines of one model, with what they hold or are loading.
-        layers: Layers of the model.
-        layer_mb: Memory of one layer.
+        model: Sizes of the model.
 
     Returns:
         Wanted ranges by engine; those not named keep what they hold. A wanted range
-        never needs more than the larger of ``MOST_FILLS`` of the engine's memory.
+        never needs more than the engine's memory less a tenth of ``room_tokens``.
 
     Notes:
         Costs engines times gaps. The same input gives the same plan.
@@ -47,15 +46,15 @@
         (holder for holder in holders if holder.lasting),
         key=lambda holder: holder.backend_id,
     )
-    for group in _groups(lasting, layers * layer_mb):
+    for group in _groups(lasting, model):
         if any(holder.held.count for holder in group):
-            wanted |= _mend(group, layers, layer_mb)
+            wanted |= _mend(group, model)
         else:
-            wanted |= _split(group, layers, layer_mb)
+            wanted |= _split(group, model)
     return wanted
 
 
-def _groups(holders: Sequence[Holder], need_mb: float) -> list[list[Holder]]:
+def _groups(holders: Sequence[Holder], model: ModelSize) -> list[list[Holder]]:
     """Return the domains that hold a set of their own; the others together."""
     domains: dict[str, list[Holder]] = {}
     for holder in holders:
@@ -63,61 +62,77 @@
     groups, rest = [], []
     for _, group in sorted(domains.items()):
         holds_any = any(holder.held.count for holder in group)
-        if holds_any or _room_mb(group) >= need_mb:
+        if holds_any or _can_hold(group, model, ROOM_SHARES[-1]):
             groups.append(group)
         else:
             rest += group
-    if _room_mb(rest) >= need_mb:
+    if _can_hold(rest, model, ROOM_SHARES[-1]):
         groups.append(rest)
     return groups
 
 
-def _room_mb(holders: Iterable[Holder]) -> float:
-    return sum(holder.size_mb for holder in holders) * MOST_FILLS[-1]
+def _can_hold(holders: Iterable[Holder], model: ModelSize, room: float) -> bool:
+    return sum(model.capacity(h.size_mb, room) for h in holders) >= model.layers
 
 
-def _capacity(holder: Holder, layer_mb: float, fill: float) -> int:
-    return int(holder.size_mb * fill / layer_mb)
+def _split(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
+    """Return one whole set on the fastest engines, and copies on the others."""
+    for room in ROOM_SHARES:
+        if _can_hold(holders, model, room):
+            break
+    else:
+        return {}
 
+    def rank(holder: Holder) -> tuple[float, str]:
+        capacity = max(1, model.capacity(holder.size_mb, room))
+        return holder.pace * (1 + ENGINE_LAYERS / capacity), holder.backend_id
 
-def _split(
-    holders: Sequence[Holder], layers: int, layer_mb: float
-) -> dict[str, LayerRange]:
-    """Return one whole set, split in proportion to memory."""
-    # Like next to like, so that a range mostly has a neighbour of its own speed.
-    ordered = sorted(holders, key=lambda h: (h.pace, h.domain, h.backend_id))
-    total_mb = sum(holder.size_mb for holder in ordered)
     wanted: dict[str, LayerRange] = {}
-    first, seen_mb = 0, 0.0
-    for holder in ordered:
-        seen_mb += holder.size_mb
-        end = round(layers * seen_mb / total_mb)
-        end = min(end, first + _capacity(holder, layer_mb, MOST_FILLS[-1]))
+    ordered = sorted(holders, key=rank)
+    first = 0
+    while first < model.layers:
+        holder = ordered.pop(0)
+        end = min(model.layers, first + model.capacity(holder.size_mb, room))
         if end > first:
             wanted[holder.backend_id] = LayerRange(first, end)
         first = max(first, end)
-    return wanted if first == layers else {}
+    return wanted | _copies(ordered, wanted, model)
 
 
-def _mend(
-    holders: Sequence[Holder], layers: int, layer_mb: float
-) -> dict[str, LayerRange]:
+def _mend(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
+    """Return the ranges that close gaps, and copies on engines without layers."""
     empty = [holder for holder in holders if not holder.held.count]
     empty.sort(key=lambda h: (h.pace, h.backend_id))
     held = {h.backend_id: h.held for h in holders if h.held.count}
     wanted: dict[str, LayerRange] = {}
-    for gap in _gaps(held.values(), layers):
-        gap = _fill_with_empty(gap, empty, layer_mb, wanted)
-        for fill in MOST_FILLS:
-            moved = _take_over(gap, holders, layer_mb, fill) if gap.count else {}
-            wanted |= moved
-            if moved:
+    for gap in _gaps(held.values(), model.layers):
+        left = gap
+        while left.count:
+            holder = (
+                empty.pop(0) if empty else _redundant(holders, held | wanted, model)
+            )
+            if holder is None:
                 break
-    for holder in empty:
-        copy = _copy_for(holder, held | wanted, holders, layer_mb)
-        if copy is not None:
-            wanted[holder.backend_id] = copy
-    return wanted
+            end = left.first + max(1, model.capacity(holder.size_mb, 1.0))
+            wanted[holder.backend_id] = LayerRange(left.first, min(left.end, end))
+            left = LayerRange(wanted[holder.backend_id].end, left.end)
+        if left.count:
+            wanted |= _take_over(left, holders, model)
+    return wanted | _copies(empty, held | wanted, model)
+
+
+def _redundant(
+    holders: Sequence[Holder], held: dict[str, LayerRange], model: ModelSize
+) -> Holder | None:
+    """Return the largest engine all of whose layers others hold too, or None."""
+    counts = _counts(held.values(), model.layers)
+    found = [
+        holder
+        for holder in holders
+        if holder.held == held.get(holder.backend_id)
+        and all(counts[layer] > 1 for layer in range(*holder.held))
+    ]
+    return max(found, key=lambda h: (h.size_mb, h.backend_id), default=None)
 
 
 def _gaps(ranges: Iterable[LayerRange], layers: int) -> list[LayerRange]:
@@ -131,46 +146,38 @@
     return gaps
 
 
-def _fill_with_empty(
-    gap: LayerRange,
-    empty: list[Holder],
-    layer_mb: float,
-    wanted: dict[str, LayerRange],
-) -> LayerRange:
-    """Give a gap to engines without layers; return what is left of it."""
-    first, end = gap
-    while empty and first < end:
-        holder = empty.pop(0)
-        till = min(end, first + max(1, _capacity(holder, layer_mb, USUAL_FILL)))
-        wanted[holder.backend_id] = LayerRange(first, till)
-        first = till
-    return LayerRange(first, end)
-
-
 def _take_over(
-    gap: LayerRange, holders: Sequence[Holder], layer_mb: float, fill: float
+    gap: LayerRange, holders: Sequence[Holder], model: ModelSize
 ) -> dict[str, LayerRange]:
     """Return the ranges with which the other engines of a domain close a gap."""
-
-    def room(holder: Holder) -> int:
-        return max(0, _capacity(holder, layer_mb, fill) - holder.held.count)
-
-    extended = _extend_neighbours(gap, holders, room)
-    if extended:
-        return extended
-    # Nothing is lost by the layers that a row gives up while it moves over: the set
-    # of this domain is broken anyway.
-    rows = [
-        _shift_up(gap, holders, lambda h: _capacity(h, layer_mb, fill)),
-        _shift_down(gap, holders, lambda h: _capacity(h, layer_mb, fill)),
-    ]
-    return min((row for row in rows if row), key=len, default={})
+    for share in ROOM_SHARES:
+
+        def capacity(holder: Holder, share: float = share) -> int:
+            return model.capacity(holder.size_mb, share)
+
+        extended = _extend_neighbours(gap, holders, capacity)
+        if extended:
+            return extended
+        # Nothing is lost by the layers that a row gives up while it moves over: the
+        # set of this domain is broken anyway.
+        rows = [
+            _shift_up(gap, holders, capacity),
+            _shift_down(gap, holders, capacity),
+        ]
+        rows = [row for row in rows if row]
+        if rows:
+            return min(rows, key=len)
+    return {}
 
 
 def _extend_neighbours(
-    gap: LayerRange, holders: Sequence[Holder], room: Callable[[Holder], int]
+    gap: LayerRange, holders: Sequence[Holder], capacity: Callable[[Holder], int]
 ) -> dict[str, LayerRange]:
     """Extend the engines at both ends of a gap, each by what it has room for."""
+
+    def room(holder: Holder) -> int:
+        return max(0, capacity(holder) - holder.held.count)
+
     first, end = gap
     below = _with_most(holders, room, lambda held: held.end == first)
     above = _with_most(holders, room, lambda held: held.first == end)
@@ -234,22 +241,34 @@
         first = stop
 
 
-def _copy_for(
-    holder: Holder,
-    ranges: dict[str, LayerRange],
-    holders: Sequence[Holder],
-    layer_mb: float,
-) -> LayerRange | None:
-    """Return a range held by the fewest engines, the slowest of these first."""
-    if not ranges:
-        return None
-    paces = {each.backend_id: each.pace for each in holders}
-
-    def rank(backend_id: str) -> tuple[int, float, str]:
-        first, end = ranges[backend_id]
-        copies = sum(r.first <= first and r.end >= end for r in ranges.values())
-        return copies, -paces.get(backend_id, 0.0) * (end - first), backend_id
-
-    first, end = ranges[min(ranges, key=rank)]
-    till = min(end, first + _capacity(holder, layer_mb, USUAL_FILL))
-    return LayerRange(first, till) if till > first else None
+def _copies(
+    spare: Iterable[Holder], held: dict[str, LayerRange], model: ModelSize
+) -> dict[str, LayerRange]:
+    """Return copies of ranges, so that each layer is held by as many as possible."""
+    wanted: dict[str, LayerRange] = {}
+    counts = _counts(held.values(), model.layers)
+    starts = sorted({held_range.first for held_range in held.values()})
+    for holder in spare:
+        capacity = model.capacity(holder.size_mb, 1.0)
+        if not capacity or not starts:
+            continue
+
+        def copies(first: int, capacity: int = capacity) -> float:
+            window = counts[first : first + capacity]
+            return sum(window) / len(window)
+
+        first = min(starts, key=lambda start: (copies(start), start))
+        end = min(model.layers, first + capacity)
+        wanted[holder.backend_id] = LayerRange(first, end)
+        for layer in range(first, end):
+            counts[layer] += 1
+    return wanted
+
+
+def _counts(ranges: Iterable[LayerRange], layers: int) -> list[int]:
+    """Return how many of the ranges hold each layer."""
+    counts = [0] * layers
+    for held in ranges:
+        for layer in range(*held):
+            counts[layer] += 1
+    return counts
--- a/wigeonscale/platform/documents.py
+++ b/wigeonscale/platform/documents.py
@@ -69,6 +69,7 @@
     layers: int = 0
     layer_mb: float = 0.0
     kv_token_bytes: float = 0.0
+    kv_capacity: float = 0.0
     activation_bytes: float = 0.0
     pipe_mbps: float = 0.0
     usual: _Usual = _Usual()
@@ -192,6 +193,7 @@
         layers=engine.layers,
         layer_mb=engine.layer_mb,
         token_bytes=engine.kv_token_bytes,
+        room_tokens=engine.kv_capacity,
         activation_bytes=engine.activation_bytes,
         pipe_mbps=engine.pipe_mbps,
         slots=engine.slots,
--- a/wigeonscale/routes/model.py
+++ b/wigeonscale/routes/model.py
@@ -105,6 +105,7 @@
         layers: Layers of the model; 0 where an engine always holds all.
         layer_mb: Memory of one layer.
         token_bytes: Memory of one token in all layers.
+        room_tokens: Tokens of requests that an engine usually has room for.
         activation_bytes: What one token sends over each hop.
         pipe_mbps: Rate of the link between two failure domains.
         slots: Requests that an engine runs at once.
@@ -120,6 +121,7 @@
     layers: int = 0
     layer_mb: float = 0.0
     token_bytes: float = 0.0
+    room_tokens: float = 0.0
     activation_bytes: float = 0.0
     pipe_mbps: float = 0.0
     slots: int = 0
