A full disk makes a control replica wait, not end

Change: the write is taken back and tried again until there is room. Test: replication.tests.test_folder.FullDiskTest (failed first). FailedDiskTest used a full disk as its example of a failing one; it uses an input/output error now, and holds the same for it.

--- a/wigeonscale/replication/folder.py
+++ b/wigeonscale/replication/folder.py
@@ -4,16 +4,23 @@
 
 import asyncio
 import contextlib
+import errno
 import fcntl
+import logging
 import os
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from wigeonscale.errors import SettingsError
 
 LOCK_NAME = "lock"
 TEMPORARY_SUFFIX = ".new"
+FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+# Room comes back when somebody makes some; an attempt costs one refused write.
+FULL_RETRY_S = 0.25
+
+logger = logging.getLogger(__name__)
 
 
 class Folder(Protocol):
@@ -74,12 +81,12 @@
     async def append(self, name: str, data: bytes) -> None:
         """Add ``data`` at the end of a file and sync it."""
         with self._naming(name):
-            await asyncio.to_thread(self._append, name, data)
+            await self._until_room(self._append, name, data)
 
     async def replace(self, name: str, data: bytes) -> None:
         """Put a whole file in place by a synced temporary file and a rename."""
         with self._naming(name):
-            await asyncio.to_thread(self._replace, name, data)
+            await self._until_room(self._replace, name, data)
 
     async def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes and sync it."""
@@ -95,6 +102,30 @@
             os.close(self._lock_fd)
             self._lock_fd = -1
 
+    async def _until_room(
+        self, write: Callable[[str, bytes], None], name: str, data: bytes
+    ) -> None:
+        """Write in a thread, waiting while the disk is full.
+
+        A replica whose disk is full acknowledges nothing; that it waits, and does not
+        end, keeps what it serves from memory and its place among the members.
+        """
+        was_full = False
+        while True:
+            try:
+                await asyncio.to_thread(write, name, data)
+            except OSError as exc:
+                if exc.errno not in FULL_ERRORS:
+                    raise
+                if not was_full:
+                    logger.error("%s waits: the disk is full: %s", name, exc)
+                was_full = True
+                await asyncio.sleep(FULL_RETRY_S)
+            else:
+                if was_full:
+                    logger.warning("%s is written: the disk has room again", name)
+                return
+
     @contextlib.contextmanager
     def _naming(self, name: str) -> Iterator[None]:
         try:
@@ -105,7 +136,13 @@
 
     def _append(self, name: str, data: bytes) -> None:
         fd = self._open(name)
-        _write_all(fd, data)
+        size = os.fstat(fd).st_size
+        try:
+            _write_all(fd, data)
+        except OSError:
+            # What was written of it must not stand before the next attempt.
+            os.ftruncate(fd, size)
+            raise
         os.fsync(fd)
 
     def _replace(self, name: str, data: bytes) -> None:
