Entries tell their load with heartbeats; control tells each the sum over all

Change: loads ride on heartbeats, on the messages of the log between replicas, and on grants; soft state, old word counts for nothing. Beginning in another domain costs 300 ms. Tests: control.tests.test_load_board, direct.tests.test_choice.TotalsTest.

--- /dev/null
+++ b/wigeonscale/control/load_board.py
@@ -0,0 +1,97 @@
+"""What all entries have in progress on each backend server, shared among replicas.
+
+Load pattern: many entries, each with a few requests in progress. What one entry sees of
+its own says little of the load of an engine, and an engine's own report is old and must
+be asked for. Entries know what they have sent, so each tells it with its heartbeats;
+replicas pass sums on with the messages of the replicated log that they exchange anyway,
+and each entry gets the sum over all entries with its next grant, half a second old at
+most. Soft state: nothing here is committed, and what is old counts for nothing.
+"""
+
+__all__ = ["LoadBoard"]
+
+from collections.abc import Iterable
+
+from google.protobuf.message import DecodeError
+
+from wigeonscale.control.watcher import Watcher
+from wigeonscale.ports import Clock
+from wigeonscale.wire import wire_pb2 as wire
+
+# An entry tells its load with each heartbeat, half a second apart by default.
+FRESH_S = 2.0
+
+
+class LoadBoard:
+    """Loads of the entries attached here, and of those at other replicas.
+
+    Args:
+        watchers: Open watch streams of this replica, kept up to date.
+        clock: Clock port.
+
+    Notes:
+        A message weighs some 25 bytes for each backend server with requests.
+    """
+
+    def __init__(self, *, watchers: Iterable[Watcher], clock: Clock):
+        self._watchers = watchers
+        self._clock = clock
+        # Loads told by other replicas: all followers' to the leader, the leader's sum
+        # to a follower, by node id with their arrival.
+        self._told: dict[str, tuple[float, wire.Loads]] = {}
+
+    def own(self) -> wire.Loads:
+        """Return the sum over the entries attached here."""
+        oldest = self._clock.now() - FRESH_S
+        return _sum(
+            watcher.loads
+            for watcher in self._watchers
+            if watcher.loads is not None and watcher.heard_at >= oldest
+        )
+
+    def total(self, *, without: str = "") -> wire.Loads:
+        """Return the sum over all entries as far as known here.
+
+        Args:
+            without: Node id of a replica whose entries are left out.
+        """
+        oldest = self._clock.now() - FRESH_S
+        others = [
+            loads
+            for node_id, (told_at, loads) in self._told.items()
+            if told_at >= oldest and node_id != without
+        ]
+        return _sum([self.own(), *others])
+
+    def take(self, node_id: str, data: bytes) -> None:
+        """Take in what another replica told of entries that are not attached here.
+
+        Args:
+            node_id: The replica.
+            data: Serialised loads; what cannot be read is as if nothing came.
+        """
+        try:
+            loads = wire.Loads.FromString(data)
+        except DecodeError:
+            return
+        self._told[node_id] = self._clock.now(), loads
+
+    def forget(self, kept: Iterable[str]) -> None:
+        """Forget replicas that are no longer heard in this term.
+
+        Args:
+            kept: Node ids of those that are.
+        """
+        names = set(kept)
+        self._told = {name: told for name, told in self._told.items() if name in names}
+
+
+def _sum(all_loads: Iterable[wire.Loads]) -> wire.Loads:
+    sums: dict[str, wire.Load] = {}
+    for loads in all_loads:
+        for load in loads.loads:
+            total = sums.setdefault(load.backend_id, wire.Load())
+            total.backend_id = load.backend_id
+            total.running += load.running
+            total.token_layers += load.token_layers
+    return wire.Loads(loads=sums.values())
--- a/wigeonscale/control/service.py
+++ b/wigeonscale/control/service.py
@@ -132,6 +132,8 @@
             case "heartbeat":
                 watcher.applied_revision = req.heartbeat.applied_revision
                 watcher.unanswered = (req.heartbeat, watcher.heard_at)
+                if req.heartbeat.HasField("loads"):
+                    watcher.loads = req.heartbeat.loads
                 watcher.wake.set()
             case "announce" if req.announce.agent_id == watcher.node_id:
                 self._hub.announce(watcher, req.announce)
--- /dev/null
+++ b/wigeonscale/control/tests/test_load_board.py
@@ -0,0 +1,67 @@
+from wigeonscale.control import Watcher
+from wigeonscale.control.load_board import LoadBoard
+from wigeonscale.testing import AsyncTestCase, ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def loads(**running):
+    return wire.Loads(
+        loads=[
+            wire.Load(backend_id=name, running=count, token_layers=10 * count)
+            for name, count in running.items()
+        ]
+    )
+
+
+def shown(board_loads):
+    return {each.backend_id: each.running for each in board_loads.loads}
+
+
+class LoadBoardTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.watchers = set()
+        self.board = LoadBoard(watchers=self.watchers, clock=self.clock)
+
+    def attach(self, name, told):
+        watcher = Watcher(
+            hello=wire.Hello(node_id=name, role="entry"), clock=self.clock
+        )
+        watcher.loads = told
+        self.watchers.add(watcher)
+
+    def test_sum_over_the_entries_here(self):
+        self.attach("one", loads(a=2, b=1))
+        self.attach("two", loads(a=3))
+        self.attach("agent", None)
+        self.assertEqual({"a": 5, "b": 1}, shown(self.board.own()))
+        self.assertEqual([50, 10], [x.token_layers for x in self.board.own().loads])
+
+    def test_total_with_those_of_other_replicas(self):
+        self.attach("one", loads(a=2))
+        self.board.take("c2", loads(a=1, b=4).SerializeToString())
+        self.board.take("c3", loads(b=1).SerializeToString())
+        self.assertEqual({"a": 3, "b": 5}, shown(self.board.total()))
+        # What a replica told itself does not come back to it.
+        self.assertEqual({"a": 2, "b": 1}, shown(self.board.total(without="c2")))
+
+    async def test_what_is_old_counts_for_nothing(self):
+        self.attach("one", loads(a=2))
+        self.board.take("c2", loads(a=1).SerializeToString())
+        await self.clock.advance(3)
+        self.assertEqual({}, shown(self.board.total()))
+
+    def test_newest_word_of_a_replica_counts_once(self):
+        for count in (5, 1):
+            self.board.take("c2", loads(a=count).SerializeToString())
+        self.assertEqual({"a": 1}, shown(self.board.total()))
+
+    def test_garbled_word(self):
+        self.board.take("c2", b"\xff\xff")
+        self.assertEqual({}, shown(self.board.total()))
+
+    def test_forgotten_replicas(self):
+        self.board.take("c2", loads(a=1).SerializeToString())
+        self.board.forget([])
+        self.assertEqual({}, shown(self.board.total()))
--- a/wigeonscale/control/watcher.py
+++ b/wigeonscale/control/watcher.py
@@ -39,6 +39,8 @@
         failed_orders: Failures since the last order that was done.
         order_due_at: Instant at which an unchanged order is pushed again.
         ended: Incarnation it must be told has ended; 0 for none.
+        loads: What an entry has in progress by its newest heartbeat; None if it does
+            not tell.
         unanswered: Newest heartbeat without a lease, with its arrival, or None.
         wake: Set when there may be something to write.
         announce_wake: Set when there may be something to commit.
@@ -63,6 +65,7 @@
         self.order_due_at = 0.0
         self.failed_orders = 0
         self.ended = 0
+        self.loads: wire.Loads | None = None
         self.unanswered: tuple[wire.Heartbeat, float] | None = None
         self.wake = asyncio.Event()
         self.announce_wake = asyncio.Event()
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -35,6 +35,7 @@
     Replica,
     ReplicaOptions,
     ReplicationServicer,
+    Role,
 )
 from wigeonscale.routes import RouteTable
 from wigeonscale.state import ControlState
@@ -83,6 +84,7 @@
                 snapshot_entries=cfg.snapshot_entries,
             ),
             may_begin=cfg.first_start,
+            shared=self,
         )
         self.commands = Commands(
             replica=self.replica, addresses=seeds, clock=clock, tls=cfg.tls
@@ -149,6 +151,21 @@
             joining=self.joining,
         )
 
+    def to_peer(self, node_id: str) -> bytes:
+        """Return the loads that another replica lacks: soft state of the log."""
+        is_leader = self.replica.role is Role.LEADER
+        board = self.hub.board
+        loads = board.total(without=node_id) if is_leader else board.own()
+        return loads.SerializeToString()
+
+    def from_peer(self, node_id: str, data: bytes) -> None:
+        """Take in the loads that another replica told."""
+        board = self.hub.board
+        if self.replica.role is not Role.LEADER:
+            # The leader's sum holds those of the other followers.
+            board.forget([])
+        board.take(node_id, data)
+
     def table(self) -> RouteTable:
         """Return the route table in force here, read once a document."""
         document = self.state.document
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -30,6 +30,7 @@
 from wigeonscale.platform.heartbeats import INCARNATION
 from wigeonscale.ports import Clock, SystemClock
 from wigeonscale.routes import RouteTable
+from wigeonscale.wire import wire_pb2 as wire
 
 # The balancer asks once a second and takes an entry out after two misses.
 BALANCER_SETTLE_S = 3.0
@@ -100,8 +101,8 @@
     """
     setup_logging(cfg.log_level, cfg.name)
     clock = SystemClock()
-    control = _new_control(cfg, clock)
     beliefs = Beliefs(clock=clock)
+    control = _new_control(cfg, clock, beliefs)
     known = _Known(control=control, beliefs=beliefs)
     stopping: list[bool] = []
 
@@ -176,13 +177,36 @@
         await session.close()
 
 
-def _new_control(cfg: DirectEntrySettings, clock: Clock) -> ControlClient:
+def _new_control(
+    cfg: DirectEntrySettings, clock: Clock, beliefs: Beliefs
+) -> ControlClient:
+    def loads() -> wire.Loads:
+        told = beliefs.told_loads()
+        return wire.Loads(
+            loads=[
+                wire.Load(
+                    backend_id=name, running=running, token_layers=int(token_layers)
+                )
+                for name, (running, token_layers) in told.items()
+            ]
+        )
+
+    def take_loads(totals: wire.Loads) -> None:
+        beliefs.take_totals(
+            {
+                each.backend_id: (each.running, each.token_layers)
+                for each in totals.loads
+            }
+        )
+
     return ControlClient(
         node_id=cfg.name,
         role="entry",
         addresses=_control_addresses(cfg),
         clock=clock,
         http_address=cfg.http,
+        loads=loads,
+        on_loads=take_loads,
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
--- a/wigeonscale/direct/beliefs.py
+++ b/wigeonscale/direct/beliefs.py
@@ -3,7 +3,7 @@
 __all__ = ["Belief", "Beliefs", "Run"]
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wigeonscale.ports import Clock
@@ -16,6 +16,8 @@
 # Weight of the newest outcome in the share of failures; about ten count.
 FAILURE_WEIGHT = 0.1
 FORGET_S = 60.0
+# Control tells the load of all entries with each grant, twice a second by default.
+TOTALS_FRESH_S = 2.5
 
 
 @dataclass(slots=True, eq=False)
@@ -71,6 +73,9 @@
     def __init__(self, *, clock: Clock):
         self._clock = clock
         self._beliefs: dict[str, Belief] = {}
+        self._told: dict[str, tuple[int, float]] = {}
+        self._others: dict[str, tuple[int, float]] = {}
+        self._others_at = float("-inf")
 
     def of(self, backend_id: str) -> Belief:
         """Return what is known of a backend server."""
@@ -79,6 +84,53 @@
             belief = self._beliefs[backend_id] = Belief()
         return belief
 
+    def told_loads(self) -> dict[str, tuple[int, float]]:
+        """Return this entry's own load by backend server, and remember it as told.
+
+        Returns:
+            Sends, and tokens times layers, of each with any.
+        """
+        self._told = {
+            name: (len(belief.runs), belief.token_layers)
+            for name, belief in self._beliefs.items()
+            if belief.runs
+        }
+        return self._told
+
+    def take_totals(self, totals: Mapping[str, tuple[int, float]]) -> None:
+        """Take in what all entries have in progress, this one included.
+
+        Args:
+            totals: Sends, and tokens times layers, by backend server.
+        """
+        self._others = {}
+        for name, (running, token_layers) in totals.items():
+            own_running, own_layers = self._told.get(name, (0, 0.0))
+            self._others[name] = (
+                max(0, running - own_running),
+                max(0.0, token_layers - own_layers),
+            )
+        self._others_at = self._clock.now()
+
+    def load_of(self, backend_id: str, entries: int) -> tuple[float, float]:
+        """Return what all entries have in progress on a backend server.
+
+        Args:
+            backend_id: Name of the incarnation.
+            entries: Entries that send alike, this one included. Where control has not
+                told the others' load lately, each counts as this one.
+
+        Returns:
+            Sends, and tokens times layers.
+        """
+        belief = self._beliefs.get(backend_id)
+        running = len(belief.runs) if belief is not None else 0
+        token_layers = belief.token_layers if belief is not None else 0.0
+        if self._clock.now() - self._others_at > TOTALS_FRESH_S:
+            return running * entries, token_layers * entries
+        others = self._others.get(backend_id, (0, 0.0))
+        return running + others[0], token_layers + others[1]
+
     def is_avoided(self, backend_id: str) -> bool:
         """Return whether a backend server is left alone for now."""
         belief = self._beliefs.get(backend_id)
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -27,8 +27,8 @@
 BITS = 8
 # Where a path begins does not matter to the engines, but what the caller gets crosses
 # domains then, and all entries would crowd into the fastest domain: another one is
-# taken when the own one takes a second longer, about half as long again as usual.
-FAR_START_MS = 1000.0
+# taken when the own one takes this much longer, a sixth of a usual answer's time.
+FAR_START_MS = 300.0
 # A hop inside a path sends a prompt's activations over the link that all domains
 # share. Whole paths in another domain are free of that, so they go first.
 FAR_HOP_BASE_MS = 2000.0
@@ -60,9 +60,9 @@
     """
 
     def rank(server: BackendServer) -> tuple[float, str]:
-        belief = beliefs.of(server.backend_id)
-        load = len(belief.runs) * entries / server.slots
-        cost = load + FAILURE * belief.failures
+        running, _ = beliefs.load_of(server.backend_id, entries)
+        failures = beliefs.of(server.backend_id).failures
+        cost = running / server.slots + FAILURE * failures
         if server.domain != domain:
             cost += OTHER_DOMAIN
         if server.is_silent or beliefs.is_avoided(server.backend_id):
@@ -121,8 +121,7 @@
         kind = engine.accelerators.get(server.accelerator)
         if kind is None:
             return AVOIDED_MS
-        belief = beliefs.of(server.backend_id)
-        others = len(belief.runs) * entries
+        others, taken = beliefs.load_of(server.backend_id, entries)
         context = others * tokens / 1000.0
         step_ms = (
             engine.step_ms
@@ -135,7 +134,7 @@
         )
         cost += NEAR_HOP_MS * answer
         room = _room(engine, server, kind.size_mb)
-        if (belief.token_layers * entries + tokens * layers) > FULL_SHARE * room:
+        if taken + tokens * layers > FULL_SHARE * room:
             cost += FULL_MS
         if server.is_silent or beliefs.is_avoided(server.backend_id):
             cost += AVOIDED_MS
--- a/wigeonscale/direct/tests/test_choice.py
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -138,3 +138,31 @@
         beliefs.keep_only([])
         self.assertEqual(0.0, beliefs.of("gone").failures)
         self.assertEqual({run}, beliefs.of("busy").runs)
+
+
+class TotalsTest(AsyncTestCase):
+    """Control tells what all entries have in progress."""
+
+    async def test_own_load_as_told_is_not_counted_twice(self):
+        clock = ManualClock()
+        beliefs = Beliefs(clock=clock)
+        run = Run(("s",), {"s": 30.0})
+        beliefs.begin(run)
+        self.assertEqual({"s": (1, 30.0)}, beliefs.told_loads())
+        beliefs.begin(Run(("s",), {"s": 5.0}))
+        beliefs.take_totals({"s": (4, 100.0), "t": (2, 7.0)})
+        # Three of others, and two of its own by now.
+        self.assertEqual((5, 105.0), beliefs.load_of("s", entries=9))
+        self.assertEqual((2, 7.0), beliefs.load_of("t", entries=9))
+        self.assertEqual((0, 0.0), beliefs.load_of("u", entries=9))
+
+    async def test_without_fresh_word_each_entry_counts_as_this_one(self):
+        clock = ManualClock()
+        beliefs = Beliefs(clock=clock)
+        beliefs.begin(Run(("s",), {"s": 30.0}))
+        self.assertEqual((9, 270.0), beliefs.load_of("s", entries=9))
+        beliefs.told_loads()
+        beliefs.take_totals({"s": (1, 30.0)})
+        self.assertEqual((1, 30.0), beliefs.load_of("s", entries=9))
+        await clock.advance(5)
+        self.assertEqual((9, 270.0), beliefs.load_of("s", entries=9))
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -48,6 +48,8 @@
             entry.
         on_order: Carries out an order; None for an entry.
         on_ended: Called with the incarnation that control declared ended.
+        loads: Returns what this entry has in progress; None where it does not tell.
+        on_loads: Called with what all entries have in progress.
         lease_s: Time of the freshness lease, in seconds.
         heartbeat_s: Interval of heartbeats, in seconds.
         rng: Source of jitter; None for one seeded by the system.
@@ -73,6 +75,8 @@
         announce: Callable[[], wire.Backend] | None = None,
         on_order: Callable[[wire.Order], Awaitable[wire.OrderResult]] | None = None,
         on_ended: Callable[[int], None] | None = None,
+        loads: Callable[[], wire.Loads] | None = None,
+        on_loads: Callable[[wire.Loads], None] | None = None,
         lease_s: float = 3.0,
         heartbeat_s: float = 0.5,
         rng: random.Random | None = None,
@@ -88,6 +92,8 @@
         self._clock = clock
         self._http_address = http_address
         self._on_ended = on_ended
+        self._loads = loads
+        self._on_loads = on_loads
         self._heartbeat_s = heartbeat_s
         self._rng = rng or random.Random()
         self._tls = tls
@@ -258,6 +264,7 @@
             on_event=self._handle,
             on_config=self._take_config,
             applied_revision=lambda: self.revision,
+            loads=self._loads,
             known_members=self._members.copy() if self._members.index else None,
             tls=self._tls,
         )
@@ -327,6 +334,8 @@
         self, conn: WatchConnection, grant: wire.LeaseGrant
     ) -> DisconnectCause | None:
         conn.answered(grant.echo_us)
+        if grant.HasField("loads") and self._on_loads is not None:
+            self._on_loads(grant.loads)
         if grant.control:
             self._watcher.follow_addresses(grant.control)
             self._submitter.follow_addresses(grant.control)
--- a/wigeonscale/membership/connection.py
+++ b/wigeonscale/membership/connection.py
@@ -58,6 +58,7 @@
         on_config: Puts a configuration in force, one after another; meanwhile other
             events are taken. Returns a cause to end the connection, else None.
         applied_revision: Returns the configuration revision in force here.
+        loads: Returns what this entry has in progress; None where it does not tell.
         known_members: Own copy of the members that ``hello`` says are known.
         tls: Files for mutual TLS; None for plain TCP.
     """
@@ -76,6 +77,7 @@
             ["WatchConnection", wire.ConfigUpdate], Awaitable[DisconnectCause | None]
         ],
         applied_revision: Callable[[], int],
+        loads: Callable[[], wire.Loads] | None = None,
         known_members: MembersView | None = None,
         tls: TlsFiles | None = None,
     ):
@@ -91,6 +93,7 @@
         self._on_event = on_event
         self._on_config = on_config
         self._applied_revision = applied_revision
+        self._loads = loads
         self._tls = tls
         self._queue: asyncio.Queue[wire.WatchRequest] = asyncio.Queue(MAX_QUEUED)
         self._configs: asyncio.Queue[wire.ConfigUpdate] = asyncio.Queue(MAX_QUEUED)
@@ -183,5 +186,7 @@
             beat = wire.Heartbeat(
                 sent_us=self.last_sent_us, applied_revision=self._applied_revision()
             )
+            if self._loads is not None:
+                beat.loads.CopyFrom(self._loads())
             self.send(wire.WatchRequest(heartbeat=beat))
             await self._clock.sleep(self._heartbeat_s)
--- a/wigeonscale/replication/__init__.py
+++ b/wigeonscale/replication/__init__.py
@@ -12,6 +12,7 @@
     "ReplicaOptions",
     "ReplicationServicer",
     "Role",
+    "SharedState",
     "StateMachine",
 ]
 
@@ -27,6 +28,7 @@
     NotLeaderError,
     ReplicaOptions,
     Role,
+    SharedState,
     StateMachine,
 )
 from wigeonscale.replication.replica import Replica
--- a/wigeonscale/replication/follower.py
+++ b/wigeonscale/replication/follower.py
@@ -43,6 +43,10 @@
         await note_admission(core, caught_up=caught_up)
         _note_fresh(core, req)
         reply.needs_admission = not core.may_vote
+        if core.shared is not None:
+            if req.shared:
+                core.shared.from_peer(req.leader_id, req.shared)
+            reply.shared = core.shared.to_peer(req.leader_id)
         return reply
 
 
--- a/wigeonscale/replication/model.py
+++ b/wigeonscale/replication/model.py
@@ -6,6 +6,7 @@
     "NotLeaderError",
     "ReplicaOptions",
     "Role",
+    "SharedState",
     "StateMachine",
 ]
 
@@ -94,6 +95,19 @@
         """Replace the whole state by one that :meth:`snapshot` returned."""
 
 
+class SharedState(Protocol):
+    """Soft state that replicas pass on with the messages of the log.
+
+    Nothing of it is stored or agreed on; it may be lost, doubled or late.
+    """
+
+    def to_peer(self, node_id: str) -> bytes:
+        """Return what a peer shall know now."""
+
+    def from_peer(self, node_id: str, data: bytes) -> None:
+        """Take in what a peer told."""
+
+
 class NotLeaderError(WigeonscaleError):
     """Only the leader takes proposals.
 
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -32,6 +32,7 @@
     Member,
     ReplicaOptions,
     Role,
+    SharedState,
     StateMachine,
 )
 from wigeonscale.replication.preparation import restore_machine
@@ -67,6 +68,7 @@
         rng: Source of jitter and identities; tests pass a seeded one.
         may_begin: Whether an empty folder may be a first start. If not, it is a
             lost disk or a new replica, which waits to be admitted.
+        shared: Soft state to pass on with the messages of the log; None for none.
 
     Example:
         >>> replica = Replica(node_id="a", address="127.0.0.1:7001", ...)
@@ -97,6 +99,7 @@
         options: ReplicaOptions | None = None,
         rng: random.Random | None = None,
         may_begin: bool = True,
+        shared: SharedState | None = None,
     ):
         self._core = ReplicaState(
             node_id=node_id,
@@ -109,6 +112,7 @@
             options=options or ReplicaOptions(),
             rng=rng or random.SystemRandom(),
             may_begin=may_begin,
+            shared=shared,
         )
         self.on_applied = self._core.on_applied
         self._loaded = asyncio.Event()
--- a/wigeonscale/replication/replicate.py
+++ b/wigeonscale/replication/replicate.py
@@ -82,6 +82,8 @@
         echo_us=peer.echo_us,
         age_us=_age_us(core),
     )
+    if core.shared is not None:
+        req.shared = core.shared.to_peer(peer.member.node_id)
     peer.sent_commit = core.commit_index
     if peer.sending is None and peer.next_index <= core.storage.base_index:
         peer.sending = core.storage.snapshot
@@ -114,6 +116,8 @@
     sent_at: float,
 ) -> None:
     peer.echo_us = reply.follower_us
+    if core.shared is not None and reply.shared:
+        core.shared.from_peer(reply.node_id, reply.shared)
     if reply.storage_id != peer.storage_id:
         peer.match_index = 0  # what it acknowledged went with its disk
     peer.admitted = not reply.needs_admission
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -19,6 +19,7 @@
     Member,
     ReplicaOptions,
     Role,
+    SharedState,
     StateMachine,
 )
 from wigeonscale.replication.proposals import Proposals
@@ -86,6 +87,7 @@
         options: Times and sizes.
         rng: Source of randomness.
         may_begin: Whether an empty folder may be a first start.
+        shared: Soft state to pass on; None for none.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         options: ReplicaOptions,
         rng: random.Random,
         may_begin: bool = True,
+        shared: SharedState | None = None,
     ):
         self.node_id = node_id
         self.address = address
@@ -111,6 +114,7 @@
         self.options = options
         self.rng = rng
         self.may_begin = may_begin
+        self.shared = shared
         self.echo = EchoClock(clock=clock, rng=rng)
         self.lock = asyncio.Lock()
         self.role = Role.FOLLOWER
