A randomized fault soak of the daemons without agents

Three control replicas and two entries as real processes on loopback, backend servers as stand-ins behind relays; kills, pauses, planned stops, SIGHUP, lost disks, resets, silence, one-way cuts, delays and engines that die overlap. Checked while it runs: at most once, 'not run' is true, whole answers, every layer once in order, configurations never go back, service and configuration after the faults.

--- /dev/null
+++ b/wigeonscale/testing/soak/backends.py
@@ -0,0 +1,197 @@
+"""Stand-ins for model engines and a plain service, each behind a relay."""
+
+__all__ = ["LAYERS", "Backend", "event_data", "plain_body"]
+
+import asyncio
+import itertools
+import json
+import random
+
+import aiohttp
+from aiohttp import web
+
+from wigeonscale.testing.matrix.relay import Relay
+from wigeonscale.testing.soak.ledger import Ledger
+
+LAYERS = 8
+EVENTS = 12
+EVENT_S = 0.02
+WORK_S = 0.03
+HEARTBEAT_S = 0.3
+CALL_TIMEOUT_S = 1.0
+
+_names = itertools.count(1)
+
+
+def event_data(request_id: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+
+
+def plain_body(request_id: str) -> bytes:
+    """Return the answer of the plain service."""
+    return f"whole {request_id}".encode()
+
+
+class Backend:
+    """One backend server, that can die and come back as another incarnation.
+
+    Args:
+        service: ``model`` or ``plain``.
+        controls: HTTP addresses of control replicas.
+        ledger: Told of each run.
+        engines: All engines by address: a path fails where one is gone.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        controls: list[str],
+        ledger: Ledger,
+        engines: dict[str, "Backend"],
+        rng: random.Random,
+    ):
+        self.service = service
+        self.relay: Relay | None = None
+        self.held = (0, 0)
+        self._controls = controls
+        self._ledger = ledger
+        self._engines = engines
+        self._rng = rng
+        self._orders = 0
+        self._fence = -1
+        self._runner: web.ServerRunner | None = None
+        self._beats: asyncio.Task | None = None
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether it runs."""
+        return self._runner is not None
+
+    async def start(self) -> None:
+        """Start a new incarnation, empty, at the same address."""
+        self.name = f"i-{next(_names):06x}"
+        self.held, self._orders, self._fence = (0, 0), 0, -1
+        self._runner = web.ServerRunner(
+            web.Server(self._handle, handler_cancellation=True), shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        if self.relay is None:
+            self.relay = Relay(target=f"{host}:{port}")
+            await self.relay.start()
+            self._engines[self.relay.address] = self
+        self.relay.target = f"{host}:{port}"
+        self._beats = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """Die without a word."""
+        if self._runner is None:
+            return
+        runner, self._runner = self._runner, None
+        self._beats.cancel()
+        await asyncio.gather(self._beats, return_exceptions=True)
+        self.relay.abort()
+        await runner.cleanup()
+
+    async def close(self) -> None:
+        """Stop for good."""
+        await self.stop()
+        if self.relay is not None:
+            await self.relay.close()
+
+    async def _beat(self) -> None:
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        ) as session:
+            for sequence in itertools.count(1):
+                await self._tell(session, sequence)
+                await asyncio.sleep(HEARTBEAT_S)
+
+    async def _tell(self, session: aiohttp.ClientSession, sequence: int) -> None:
+        body = {
+            "service": self.service,
+            "address": self.relay.address,
+            "zone": "z1",
+            "slots": 8,
+            "state": "ready",
+            "seq": sequence,
+        }
+        if self.service == "model":
+            first, end = self.held
+            body |= {"models": [], "kind": "k", "layers": {"from": first, "to": end}}
+        for control in self._rng.sample(self._controls, len(self._controls)):
+            url = f"http://{control}/instances/{self.name}"
+            try:
+                async with session.put(url, json=body) as res:
+                    if res.status == 200:
+                        return
+            except (aiohttp.ClientError, TimeoutError):
+                continue  # the next replica is asked, as the platform's servers do
+
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        if req.path == "/report":
+            return web.json_response(self._report())
+        if req.path == "/order":
+            return self._order(json.loads(await req.read()))
+        request_id = req.headers["Attempt-Id"]
+        refusal = self._refusal(req, request_id)
+        if refusal is not None:
+            return refusal
+        self._ledger.ran(request_id)
+        headers = {"Attempt-Id": request_id, "Response-Stamp": f"stamp {request_id}"}
+        if self.service == "plain":
+            await asyncio.sleep(WORK_S)
+            return web.Response(body=plain_body(request_id), headers=headers)
+        return await self._stream(req, request_id, headers)
+
+    def _refusal(self, req: web.BaseRequest, request_id: str) -> web.Response | None:
+        headers = {"Attempt-Id": request_id, "Not-Run": "1"}
+        if req.headers.get("Expect-Instance") != self.name:
+            return web.Response(status=421, headers=headers)
+        if self.service == "plain":
+            return None
+        parts = [part.split("=") for part in req.headers["Hop-Count"].split(",")]
+        ranges = [tuple(map(int, each.split("-"))) for _, each in parts]
+        self._ledger.pathway(request_id, ranges, LAYERS)
+        for (address, _), (first, end) in zip(parts, ranges, strict=True):
+            engine = self._engines.get(address)
+            alive = engine is not None and engine.is_alive
+            if not alive or not (engine.held[0] <= first < end <= engine.held[1]):
+                headers["At-Server"] = address
+                return web.Response(status=503 if not alive else 421, headers=headers)
+        return None
+
+    async def _stream(self, req, request_id, headers) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(req)
+        first = int(req.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            await response.write(event_data(request_id, number))
+        await response.write_eof()
+        return response
+
+    def _report(self) -> dict:
+        first, end = self.held
+        return {
+            "busy": False,
+            "seq": self._orders,
+            "layers": {"from": first, "to": end},
+            "running": 0,
+            "pace": 1.0,
+        }
+
+    def _order(self, order: dict) -> web.Response:
+        if order["fencing-token"] < self._fence:
+            return web.Response(status=412)
+        self._fence = order["fencing-token"]
+        if order["precondition"] != self._orders:
+            return web.Response(status=409)
+        self._orders += 1
+        self.held = order["from"], order["to"]
+        return web.Response(status=202)
--- /dev/null
+++ b/wigeonscale/testing/soak/deployment.py
@@ -0,0 +1,128 @@
+"""The daemons under test: three control replicas and two entries, as processes."""
+
+__all__ = ["Deployment", "Node"]
+
+import asyncio
+import pathlib
+import shutil
+import signal
+from dataclasses import dataclass
+
+from demo.processes import Child, free_ports, start
+
+CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+ENTRIES = ("127.0.0.21", "127.0.0.22")
+DAEMON = "wigeonscale.cli.wigeond"
+STOP_S = 20.0
+
+
+@dataclass(slots=True)
+class Node:
+    """One daemon and where it listens.
+
+    Attributes:
+        name: Its name.
+        role: ``direct-control`` or ``direct-entry``.
+        ip: Its address on loopback.
+        child: Its process.
+        starts: How often it was started.
+    """
+
+    name: str
+    role: str
+    ip: str
+    child: Child | None = None
+    starts: int = 0
+
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal, if it runs. Only processes started here are ever meant."""
+        if self.child is not None and self.child.proc.returncode is None:
+            self.child.proc.send_signal(signum)
+
+
+class Deployment:
+    """Starts, signals and restarts the daemons.
+
+    Args:
+        folder: For settings, data and logs.
+    """
+
+    def __init__(self, *, folder: pathlib.Path):
+        self._folder = folder
+        self._internal, self.http, self.callers = free_ports(3)
+        self.controls = [
+            Node(f"control-{n}", "direct-control", ip)
+            for n, ip in enumerate(CONTROLS, 1)
+        ]
+        self.entries = [
+            Node(f"entry-{n}", "direct-entry", ip) for n, ip in enumerate(ENTRIES, 1)
+        ]
+
+    @property
+    def nodes(self) -> list[Node]:
+        """All daemons."""
+        return [*self.controls, *self.entries]
+
+    @property
+    def control_addresses(self) -> list[str]:
+        """HTTP addresses of the control replicas."""
+        return [f"{node.ip}:{self.http}" for node in self.controls]
+
+    def caller_address(self, node: Node) -> str:
+        """Return where an entry serves callers."""
+        return f"{node.ip}:{self.callers}"
+
+    async def start(self, node: Node) -> None:
+        """Start a daemon, with the settings of its first or a later start."""
+        config = self._folder / f"{node.name}.ini"
+        config.write_text(self._settings(node), encoding="utf-8")
+        node.starts += 1
+        log_name = f"{node.name}.{node.starts}"
+        node.child = await start(
+            log_name, self._folder, DAEMON, node.role, "--config", str(config)
+        )
+
+    async def kill(self, node: Node, signum: signal.Signals) -> int:
+        """End a daemon by a signal and return its exit code."""
+        node.send(signal.SIGCONT)
+        node.send(signum)
+        try:
+            async with asyncio.timeout(STOP_S):
+                return await node.child.proc.wait()
+        except TimeoutError:
+            node.child.proc.kill()
+            return await node.child.proc.wait()
+
+    def wipe(self, node: Node) -> None:
+        """Empty the disk of a daemon that is down."""
+        shutil.rmtree(self._data(node), ignore_errors=True)
+
+    async def close(self) -> None:
+        """End every daemon that was started here."""
+        for node in self.nodes:
+            if node.child is not None and node.child.proc.returncode is None:
+                await self.kill(node, signal.SIGKILL)
+
+    def _data(self, node: Node) -> pathlib.Path:
+        return self._folder / f"{node.name}.data"
+
+    def _settings(self, node: Node) -> str:
+        seeds = ",".join(f"{ip}:{self.http}" for ip in CONTROLS)
+        lines = [
+            "[node]",
+            f"name = {node.name}",
+            "domain = z1",
+            f"[{node.role}]",
+            f"http = {node.ip}:{self.http}",
+            f"seeds = {seeds}",
+            f"internal_port = {self._internal}",
+            "stop_timeout_s = 8",
+        ]
+        if node.role == "direct-entry":
+            lines += [f"listen = {self.caller_address(node)}", "retry_slack = 1000"]
+        else:
+            first = "no" if node.starts else "yes"
+            lines += [f"ip = {node.ip}", f"data = {self._data(node)}"]
+            lines += [f"first_start = {first}"]
+            lines += ["backend_heartbeat_s = 0.3"]
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/wigeonscale/testing/soak/faults.py
@@ -0,0 +1,122 @@
+"""Faults of one run, drawn from its seed."""
+
+__all__ = ["Fault", "draw_faults", "inject"]
+
+import asyncio
+import random
+import signal
+from dataclasses import dataclass
+
+from wigeonscale.testing.matrix.relay import Direction
+from wigeonscale.testing.soak.backends import Backend
+from wigeonscale.testing.soak.deployment import Deployment
+
+# By signals to a daemon, or at the relay before a backend server.
+NODE_KINDS = ("kill", "pause", "stop", "hangup", "wipe")
+LINK_KINDS = ("reset", "silence", "one-way", "delay", "die")
+DELAY_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at_s: When, in seconds from the start of the load.
+        kind: One of ``NODE_KINDS`` or ``LINK_KINDS``.
+        target: Index of the daemon or backend server.
+        for_s: How long it lasts, in seconds.
+    """
+
+    at_s: float
+    kind: str
+    target: int
+    for_s: float
+
+
+def draw_faults(
+    rng: random.Random, *, seconds: float, nodes: int, backends: int
+) -> list[Fault]:
+    """Return the faults of a run in the order of their time; they may overlap.
+
+    Args:
+        rng: Seeded source.
+        seconds: Length of the load.
+        nodes: How many daemons there are.
+        backends: How many backend servers.
+    """
+    faults = []
+    for _ in range(max(2, int(seconds))):
+        is_node = rng.random() < 0.5
+        faults.append(
+            Fault(
+                at_s=rng.uniform(0.0, 0.8 * seconds),
+                kind=rng.choice(NODE_KINDS if is_node else LINK_KINDS),
+                target=rng.randrange(nodes if is_node else backends),
+                for_s=rng.uniform(0.2, 2.5),
+            )
+        )
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+async def inject(
+    fault: Fault, *, dep: Deployment, backends: list[Backend], disks: asyncio.Lock
+) -> None:
+    """Make one fault and take it back.
+
+    Args:
+        fault: The fault.
+        dep: The daemons.
+        backends: The backend servers.
+        disks: Held while a control replica is down: one at a time is borne.
+    """
+    if fault.kind in LINK_KINDS:
+        await _harm_link(fault, backends[fault.target])
+        return
+    node = dep.nodes[fault.target]
+    if node.role == "direct-control" and fault.kind != "hangup":
+        async with disks:
+            await _harm_node(fault, dep, node)
+            # Until it has caught up it counts as lost.
+            await asyncio.sleep(2.0)
+    else:
+        await _harm_node(fault, dep, node)
+
+
+async def _harm_node(fault, dep, node) -> None:
+    if node.child.proc.returncode is not None:
+        return  # another fault has it down just now
+    if fault.kind == "hangup":
+        node.send(signal.SIGHUP)
+    elif fault.kind == "pause":
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        node.send(signal.SIGCONT)
+    else:
+        gentle = fault.kind == "stop"
+        await dep.kill(node, signal.SIGTERM if gentle else signal.SIGKILL)
+        await asyncio.sleep(fault.for_s / 2)
+        if fault.kind == "wipe":
+            dep.wipe(node)
+        await dep.start(node)
+
+
+async def _harm_link(fault, backend) -> None:
+    relay = backend.relay
+    if fault.kind == "reset":
+        relay.abort()
+        return
+    if fault.kind == "die":
+        await backend.stop()
+        await asyncio.sleep(fault.for_s)
+        if not backend.is_alive:
+            await backend.start()
+        return
+    if fault.kind == "delay":
+        relay.delay_s = DELAY_S
+    elif fault.kind == "silence":
+        relay.stall_standing()
+    else:
+        relay.block(Direction.DOWN, new=True)
+    await asyncio.sleep(fault.for_s)
+    relay.heal()
