--- a/wigeonscale/testing/soak/__init__.py
+++ b/wigeonscale/testing/soak/__init__.py
@@ -1,5 +1,5 @@
 """A randomized fault soak of the daemons that serve without agents.
 
-Real processes on loopback, faults from outside them, promises checked from what callers,
+Real processes on loopback, faults from outside, promises checked from what callers,
 operators and backend servers see: ``python -m wigeonscale.testing.soak --seeds 1-50``.
 """
