Lost engines are found and replaced sooner

Change: streams are asked about after 0.25 s (0.4 s before the first event), probes wait 0.3 s, and the leader asks a loading engine whether it is done. Test: control.tests.test_layer_keeper.MendTest.

--- a/wigeonscale/control/layer_keeper.py
+++ b/wigeonscale/control/layer_keeper.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.control.commands import Commands
+from wigeonscale.errors import WigeonscaleError
 from wigeonscale.layers import Holder, LayerRange, ModelSize, plan_layers
 from wigeonscale.ports import Clock
 from wigeonscale.ports.orders import EngineOrders, OrderOutcome
 from wigeonscale.replication import Replica, Role
 from wigeonscale.routes import EngineProfile, RouteTable
-from wigeonscale.state import ControlState
+from wigeonscale.state import ControlState, Member
 from wigeonscale.wire import wire_pb2 as wire
 
 INTERVAL_S = 0.2
@@ -24,6 +26,10 @@
 # engine's layers take 14 s x 20 / 80 alone, and longer where many load at once.
 ORDER_TIMEOUT_S = 12.0
 UNKNOWN_AGAIN_S = 1.5
+# An engine that loads while callers wait for its layers is asked this often whether it
+# has them: its heartbeat would tell up to 1.2 s later. The usual load takes a second.
+FOLLOW_S = 0.35
+MOST_FOLLOWS = 12
 # A fencing number is (term, index) in one number that JSON carries exactly.
 TERM_SHIFT = 32
 MEGABYTE = 1e6
@@ -52,6 +58,7 @@
         replica: This replica.
         clock: Clock port.
         orders: Port to the engines.
+        commands: Way of commands to the log.
         table: Returns the route table in force.
         is_fresh: Returns whether a majority confirmed the state lately.
     """
@@ -63,6 +70,7 @@
         replica: Replica,
         clock: Clock,
         orders: EngineOrders,
+        commands: Commands,
         table: Callable[[], RouteTable],
         is_fresh: Callable[[], bool],
     ):
@@ -70,6 +78,7 @@
         self._replica = replica
         self._clock = clock
         self._orders = orders
+        self._commands = commands
         self._table = table
         self._is_fresh = is_fresh
         self._given: dict[str, _Order] = {}
@@ -114,7 +123,8 @@
         self, service: str, engine: EngineProfile, members: dict[str, wire.Backend]
     ) -> None:
         backends = [b for b in members.values() if b.service == service]
-        is_first = not any(_held(b).count for b in backends) and not self._given
+        serves = any(_held(b).count for b in backends)
+        is_first = not serves and not self._given
         if is_first and self._clock.now() < self._settled_at:
             return
         holders = [self._holder(b, engine) for b in backends]
@@ -128,7 +138,8 @@
                 wanted.setdefault(name, order.layers)
         for name, layers in wanted.items():
             if name not in self._giving:
-                task = asyncio.create_task(self._give(members[name], layers))
+                giving = self._give(members[name], layers, follows=serves)
+                task = asyncio.create_task(giving)
                 self._giving[name] = task
                 task.add_done_callback(lambda _, name=name: self._giving.pop(name))
 
@@ -146,7 +157,9 @@
             lasting=not (backend.silent or backend.draining),
         )
 
-    async def _give(self, backend: wire.Backend, layers: LayerRange) -> None:
+    async def _give(
+        self, backend: wire.Backend, layers: LayerRange, *, follows: bool
+    ) -> None:
         name = backend.agent_id
         expected = await self._expected_orders(backend, layers)
         if expected is None:
@@ -173,6 +186,38 @@
             layers.end,
             extra=log_fields(outcome=outcome, fence=fence, expected_orders=expected),
         )
+        if follows and outcome is OrderOutcome.BEGUN:
+            await self._follow(backend, layers)
+
+    async def _follow(self, backend: wire.Backend, layers: LayerRange) -> None:
+        """Announce an engine's new layers as soon as it has them."""
+        for _ in range(MOST_FOLLOWS):
+            await self._clock.sleep(FOLLOW_S)
+            member = self._state.members.get(backend.agent_id)
+            if member is None or member.backend.silent:
+                return
+            if _held(member.backend) == layers:
+                return
+            status = await self._orders.status(backend.address)
+            if status is None or status.busy:
+                continue
+            if LayerRange(status.first_layer, status.end_layer) == layers:
+                await self._announce(member, layers)
+                return
+
+    async def _announce(self, member: Member, layers: LayerRange) -> None:
+        backend = wire.Backend()
+        backend.CopyFrom(member.backend)
+        backend.first_layer = layers.first
+        backend.last_layer = layers.end - 1
+        announce = wire.Announce(
+            backend=backend, replica=member.replica, sequence=member.sequence
+        )
+        try:
+            await self._commands.submit(wire.Command(announce=announce))
+        except WigeonscaleError as exc:
+            # Its next heartbeat tells.
+            logger.info("%s not announced: %s", backend.agent_id, exc.message)
 
     async def _expected_orders(
         self, backend: wire.Backend, layers: LayerRange
--- a/wigeonscale/control/registry.py
+++ b/wigeonscale/control/registry.py
@@ -27,7 +27,7 @@
 # probes before it counts as silent: the way of its heartbeats may be cut, not the
 # engine lost.
 PROBES = 2
-PROBE_PAUSE_S = 0.2
+PROBE_PAUSE_S = 0.1
 
 logger = logging.getLogger(__name__)
 
--- a/wigeonscale/control/tests/test_layer_keeper.py
+++ b/wigeonscale/control/tests/test_layer_keeper.py
@@ -1,7 +1,7 @@
 import asyncio
 from collections import defaultdict
 
-from wigeonscale.control import LayerKeeper
+from wigeonscale.control import Commands, LayerKeeper
 from wigeonscale.control.tests.support import StandInReplica
 from wigeonscale.ports.orders import EngineStatus, OrderOutcome
 from wigeonscale.replication import Role
@@ -54,12 +54,17 @@
         self.state = ControlState()
         self.replica = StandInReplica(state=self.state, clock=self.clock)
         self.engines = Engines()
+        self.commands = Commands(
+            replica=self.replica, addresses=["127.0.0.1:1"], clock=self.clock
+        )
+        self.addCleanup(self.commands.close)
         self.fresh = True
         self.keeper = LayerKeeper(
             state=self.state,
             replica=self.replica,
             clock=self.clock,
             orders=self.engines,
+            commands=self.commands,
             table=lambda: TABLE,
             is_fresh=lambda: self.fresh,
         )
@@ -168,3 +173,19 @@
         covered = {n for name, first, end in self.placed() for n in range(first, end)}
         self.assertTrue(covered >= {4, 5, 6}, self.placed())
         self.assertEqual({"e1", "e3"}, {name for name, *_ in self.placed()})
+
+    async def test_layers_are_announced_before_the_heartbeat_tells(self):
+        await self.announce("e1", 0, 4)
+        await self.announce("e2", 4, 7, silent=True)
+        await self.announce("e3", 7, 10)
+        await self.clock.advance(1.0)
+        held = set()
+        for name in ("e1", "e3"):
+            backend = self.state.members.get(name).backend
+            held |= set(range(backend.first_layer, backend.last_layer + 1))
+        self.assertEqual(set(range(10)), held)
+
+    async def test_the_first_plan_waits_for_heartbeats(self):
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(3.0)
+        self.assertEqual([], self.engines.asked)
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -128,6 +128,7 @@
             replica=self.replica,
             clock=clock,
             orders=orders,
+            commands=self.commands,
             table=self.table,
             is_fresh=self.hub.is_fresh,
         )
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -22,11 +22,11 @@
 CHECK_S = 0.1
 # Events come every 30 to 60 ms, and first ones within 150 ms, on a sound path with
 # usual load; a pause over 200 ms is late already.
-QUIET_S = 0.35
-QUIET_FIRST_S = 0.6
+QUIET_S = 0.25
+QUIET_FIRST_S = 0.4
 # What a report says is some hundred ms old, so an answer without a culprit is asked
 # for again after this long.
-ASK_AGAIN_S = 0.3
+ASK_AGAIN_S = 0.2
 # A wait that nothing explains is ended here: callers leave after two seconds, and
 # another path needs some tenths.
 HOPELESS_S = 1.3
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -9,8 +9,10 @@
 
 from wigeonscale.ports.orders import EngineStatus, OrderOutcome
 
-# Engines answer at once; the links take a few milliseconds.
+# Engines answer at once; the links take a few milliseconds. One lost packet costs some
+# 200 ms, for which an order is waited and a probe is sent twice.
 TIMEOUT_S = 0.7
+PROBE_TIMEOUT_S = 0.3
 
 OUTCOMES = {
     200: OrderOutcome.HOLDS_ALREADY,
@@ -80,17 +82,23 @@
 
     async def answers(self, address: str) -> bool:
         """Return whether an engine answers at all."""
-        return await self._ask("GET", address, "/report") is not None
+        answer = await self._ask("GET", address, "/report", limit_s=PROBE_TIMEOUT_S)
+        return answer is not None
 
     async def _ask(
-        self, method: str, address: str, path: str, body: dict | None = None
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: dict | None = None,
+        limit_s: float = TIMEOUT_S,
     ) -> tuple[int, bytes] | None:
         try:
             async with self._session.request(
                 method,
                 f"http://{address}{path}",
                 json=body,
-                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+                timeout=aiohttp.ClientTimeout(total=limit_s),
             ) as res:
                 return res.status, await res.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
