A request read in the last moment of a planned stop is answered

Change: reading stops first, what was read gets a few turns of the loop to begin, and only then idle ones are closed. Test: platform.tests.test_callers.StopTest (failed first).

--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -31,6 +31,8 @@
 # A status that promises that the work did not run, and the one that does not.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
+# From the last byte read to the handler: wake the connection's task, start another.
+TURNS_TO_BEGIN = 5
 
 Serve = Callable[[CallerRequest, AnswerSink], Awaitable[None]]
 
@@ -109,17 +111,29 @@
         await self._clock.sleep(settle_s)
         if self._site is not None:
             await self._site.stop()
-        self._close_idle()
+        await self._close_idle()
         await self._idle.wait()
 
-    def _close_idle(self) -> None:
+    async def _close_idle(self) -> None:
         # Not by the server's own pre_shutdown: it stops reading idle connections but
         # leaves them open, and a request sent there would wait for nothing.
         if self._runner is None:
             return
-        for conn in self._runner.server.connections:
+        idle = [
+            conn
+            for conn in self._runner.server.connections
+            if conn not in self._busy and _is_open(conn)
+        ]
+        for conn in idle:
+            conn.transport.pause_reading()
+        # A request that was read just now is begun within a few turns of the loop.
+        for _ in range(TURNS_TO_BEGIN):
+            await asyncio.sleep(0)
+        for conn in idle:
             if conn not in self._busy:
                 conn.force_close()
+            elif _is_open(conn):
+                conn.transport.resume_reading()
 
     async def close(self) -> None:
         """Close every connection."""
@@ -213,6 +227,10 @@
             logger.info("caller left", extra=log_fields(request_id=request_id))
 
 
+def _is_open(conn: web.RequestHandler) -> bool:
+    return conn.transport is not None and not conn.transport.is_closing()
+
+
 async def _read_body(req: web.BaseRequest, limit: int) -> bytes:
     chunks, size = [], 0
     async for chunk in req.content.iter_any():
--- a/wigeonscale/platform/tests/test_callers.py
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -158,6 +158,15 @@
             self.assertEqual(b"", await reader.read())
             self.assertEqual(b"", await fresh.read())
 
+    async def test_a_request_read_in_the_last_moment_is_answered(self):
+        reader, _, _ = await self.raw(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", b"whole")
+        (conn,) = self.server._runner.server.connections
+        conn.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await self.server.finish(0.0)
+        async with asyncio.timeout(WAIT_S):
+            self.assertTrue((await reader.read()).endswith(b"whole"))
+        self.assertEqual(2, len(self.requests))
+
     async def test_what_is_under_way_is_finished(self):
         gate = asyncio.Event()
 
