Turned away when no engine has room; busy engines are waited for

Ruled out: entries' processors (0.037 cores). A quiet stream is moved only if an engine is lost, or most others at its first engine move on. Paths cross domains only while none is whole. Tests: direct.tests.test_stream.FullTest and StallTest.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -142,6 +142,7 @@
         fleet=lambda: known.fleet,
         entries=lambda: control.entries,
         suspect=suspect,
+        rng=random.Random(),
         stalls=stalls,
     )
     service = DirectService(
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -30,15 +30,17 @@
 # taken when the own one takes this much longer, a sixth of a usual answer's time.
 FAR_START_MS = 300.0
 # A hop inside a path sends a prompt's activations over the link that all domains
-# share. Whole paths in another domain are free of that, so they go first.
-FAR_HOP_BASE_MS = 2000.0
+# share, 45 MB each. It is for the time in which no domain is whole; where one is, but
+# full, a request is better told to come back than sent along a path that crosses.
+FAR_HOP_BASE_MS = 100_000.0
 # Costs beside which times of work do not count, in ms: an engine without room
 # preempts or refuses; one that is avoided stalls the request for seconds.
-FULL_MS = 20_000.0
-AVOIDED_MS = 200_000.0
-# Share of an engine's memory for requests above which it counts as full. Sizes are
-# estimates, and the other entries' share is only inferred.
-FULL_SHARE = 0.9
+FULL_MS = 5_000.0
+AVOIDED_MS = 1_000_000.0
+# Share of an engine's memory for requests above which it counts as full. A request is
+# counted at its final size, a tenth more than it takes on average; the load of the
+# other entries is up to a second old.
+FULL_SHARE = 0.95
 
 
 def choose_server(
@@ -80,10 +82,13 @@
     Attributes:
         part: Cost of running so many layers on an engine.
         hop: Cost of going from one failure domain to another.
+        has_room: Whether an engine holds one more request of usual size in so many of
+            its layers.
     """
 
     part: Callable[[BackendServer, int], float]
     hop: Callable[[str, str], float]
+    has_room: Callable[[BackendServer, int], bool]
 
 
 def path_costs(
@@ -110,6 +115,9 @@
     prompt = generation.prompt or engine.usual_prompt
     answer = generation.expected or engine.usual_answer
     tokens = prompt + answer
+    # The same for every request: judged by its own size, a large one would be turned
+    # away far more often than a small one.
+    usual_tokens = engine.usual_prompt + engine.usual_answer
     read_ms = 1000.0 * prompt / engine.read_tokens_per_s
     transfer_ms = (
         1000.0 * prompt * engine.activation_bytes * BITS / (engine.pipe_mbps * MEGABIT)
@@ -121,7 +129,7 @@
         kind = engine.accelerators.get(server.accelerator)
         if kind is None:
             return AVOIDED_MS
-        others, taken = beliefs.load_of(server.backend_id, entries)
+        others, _ = beliefs.load_of(server.backend_id, entries)
         context = others * tokens / 1000.0
         step_ms = (
             engine.step_ms
@@ -133,19 +141,26 @@
             kind.pace * step_ms * answer + kind.read_factor * read_ms * (1 + others / 8)
         )
         cost += NEAR_HOP_MS * answer
-        room = _room(engine, server, kind.size_mb)
-        if taken + tokens * layers > FULL_SHARE * room:
+        if not has_room(server, layers):
             cost += FULL_MS
         if server.is_silent or beliefs.is_avoided(server.backend_id):
             cost += AVOIDED_MS
         return cost
 
+    def has_room(server: BackendServer, layers: int) -> bool:
+        kind = engine.accelerators.get(server.accelerator)
+        if kind is None:
+            return False
+        _, taken = beliefs.load_of(server.backend_id, entries)
+        room = _room(engine, server, kind.size_mb)
+        return taken + usual_tokens * layers <= FULL_SHARE * room
+
     def hop(here: str, there: str) -> float:
         if here == there:
             return 0.0
         return FAR_HOP_BASE_MS + FAR_HOP_MS * answer + transfer_ms
 
-    return PathCosts(part, hop)
+    return PathCosts(part, hop, has_room)
 
 
 def choose_path(
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Job", "Surroundings"]
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -27,6 +28,7 @@
         fleet: Returns the backend servers as of now.
         entries: Returns how many entries send alike.
         suspect: Tells control that a backend server does not answer.
+        rng: Source of randomness, to spread those that are told to come back.
         stalls: Ends the waits of generations that stand still.
     """
 
@@ -38,6 +40,7 @@
     fleet: Callable[[], Fleet]
     entries: Callable[[], int]
     suspect: Callable[[str], None]
+    rng: random.Random
     stalls: StallWatch
 
 
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -30,6 +30,10 @@
 # A wait that nothing explains is ended here: callers leave after two seconds, and
 # another path needs some tenths.
 HOPELESS_S = 1.3
+# Engines that answer and name no culprit are busy. Sending the work elsewhere would make
+# engines that are as busy read it once more: it waits, unless most others at the
+# same first engine move on, for then its connection has gone silent.
+SOUND_S = 0.6
 # Runs through an engine that control calls silent are ended once they are this quiet.
 QUIET_IF_SILENT_S = 0.15
 
@@ -63,6 +67,7 @@
         self._suspect = suspect
         self._runs: set[Run] = set()
         self._asked_at: dict[str, float] = {}
+        self._sound_at: dict[str, float] = {}
         self._asking: set[asyncio.Task] = set()
 
     def add(self, run: Run) -> None:
@@ -98,13 +103,21 @@
             quiet_s = now - run.progress_at
             if quiet_s > QUIET_IF_SILENT_S and not silent.isdisjoint(run.backend_ids):
                 run.end_wait()
-            elif quiet_s > HOPELESS_S:
+            elif quiet_s > HOPELESS_S and self._is_hopeless(run, now):
                 run.end_wait()
             elif quiet_s > (QUIET_S if run.has_begun else QUIET_FIRST_S):
                 heads.add(run.backend_ids[0])
         for head in heads:
             self._ask(head, now)
 
+    def _is_hopeless(self, run: Run, now: float) -> bool:
+        head = run.backend_ids[0]
+        if now - self._sound_at.get(head, float("-inf")) > SOUND_S:
+            return True
+        others = [r for r in self._runs if r is not run and r.backend_ids[0] == head]
+        moving = sum(now - other.progress_at < QUIET_S for other in others)
+        return 2 * moving >= len(others)
+
     def _ask(self, head: str, now: float) -> None:
         if now - self._asked_at.get(head, float("-inf")) < ASK_AGAIN_S:
             return
@@ -125,6 +138,8 @@
         else:
             named = [fleet.by_address.get(at) for at in status.held_up_by]
             culprits = [each.backend_id for each in named if each is not None]
+            if not culprits:
+                self._sound_at[head] = self._clock.now()
         logger.info(
             "quiet path",
             extra=log_fields(
