--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -30,9 +30,9 @@
 # A wait that nothing explains is ended here: callers leave after two seconds, and
 # another path needs some tenths.
 HOPELESS_S = 1.3
-# Engines that answer and name no culprit are busy. Sending the work elsewhere would make
-# engines that are as busy read it once more: it waits, unless most others at the
-# same first engine move on, for then its connection has gone silent.
+# Engines that answer and name no culprit are busy. Sent elsewhere, the work would be
+# read once more, by engines that are as busy: it waits, unless most others at the same
+# first engine move on, for then its connection has gone silent.
 SOUND_S = 0.6
 # Runs through an engine that control calls silent are ended once they are this quiet.
 QUIET_IF_SILENT_S = 0.15
--- a/wigeonscale/state/__init__.py
+++ b/wigeonscale/state/__init__.py
@@ -12,7 +12,8 @@
 ]
 
 from wigeonscale.state.chains import Chains
+from wigeonscale.state.change import Change
 from wigeonscale.state.claims import Claims
 from wigeonscale.state.configuration import Configuration, Revision
 from wigeonscale.state.members import Member, Members
-from wigeonscale.state.state import Change, ControlState
+from wigeonscale.state.state import ControlState
--- /dev/null
+++ b/wigeonscale/state/snapshots.py
@@ -0,0 +1,32 @@
+"""The format of a snapshot of the whole state."""
+
+__all__ = ["SNAPSHOT_FORMAT", "parse_snapshot"]
+
+from google.protobuf.message import DecodeError
+
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.wire import wire_pb2 as wire
+
+SNAPSHOT_FORMAT = 1
+
+
+def parse_snapshot(data: bytes) -> wire.StateSnapshot:
+    """Return a snapshot that can be read and is of the known format.
+
+    Args:
+        data: As :meth:`ControlState.snapshot` made it.
+
+    Raises:
+        WigeonscaleError: ``CORRUPT_LOG``.
+    """
+    try:
+        snapshot = wire.StateSnapshot.FromString(data)
+    except DecodeError as exc:
+        raise WigeonscaleError(
+            ErrorKind.CORRUPT_LOG, "the snapshot cannot be read"
+        ) from exc
+    if snapshot.format != SNAPSHOT_FORMAT:
+        raise WigeonscaleError(
+            ErrorKind.CORRUPT_LOG, f"snapshot format {snapshot.format} is not known"
+        )
+    return snapshot
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -1,15 +1,15 @@
 """The replicated state machine of control: commands in, results out."""
 
-__all__ = ["Change", "ControlState"]
+__all__ = ["ControlState"]
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
 from reactivex.subject import Subject
 
 from wigeonscale.errors import ErrorKind, SettingsError, WigeonscaleError
 from wigeonscale.state.chains import Chains
+from wigeonscale.state.change import Change
 from wigeonscale.state.claims import Claims
 from wigeonscale.state.configuration import HISTORY_LIMIT, Configuration
 from wigeonscale.state.entries import Entries
@@ -17,9 +17,9 @@
 from wigeonscale.state.numbered import Numbered
 from wigeonscale.state.operations import Operations, operation_digest
 from wigeonscale.state.results import done, refused
+from wigeonscale.state.snapshots import SNAPSHOT_FORMAT, parse_snapshot
 from wigeonscale.wire import wire_pb2 as wire
 
-SNAPSHOT_FORMAT = 1
 # Some hundred sections of the rules; less is read at once.
 LONG_COMMAND_BYTES = 16 * 1024
 OPERATOR_OPERATIONS_LIMIT = 50_000
@@ -30,32 +30,6 @@
 _OPERATOR_COMMANDS = frozenset({"apply_config", "drain"})
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
-    """What one command changed for those who watch the state.
-
-    Attributes:
-        index: Log index of the command.
-        backends: Agents whose backend changed, came or went.
-        chains: Chains that changed, came or went.
-        configuration: Whether there is a new revision.
-        document: Whether there is a new numbered document.
-        everything: The whole state was replaced by a snapshot.
-    """
-
-    index: int
-    backends: frozenset[str] = frozenset()
-    chains: frozenset[str] = frozenset()
-    configuration: bool = False
-    document: bool = False
-    everything: bool = False
-
-    @property
-    def is_about_members(self) -> bool:
-        """Whether backends or chains changed."""
-        return bool(self.backends or self.chains or self.everything)
-
-
 class ControlState:
     """All that control replicas agree on; a replication state machine.
 
@@ -196,7 +170,7 @@
         Raises:
             WigeonscaleError: ``CORRUPT_LOG`` if it cannot be read; nothing changed.
         """
-        snapshot = _parse_snapshot(data)
+        snapshot = parse_snapshot(data)
         configuration = self._taken_configuration(data)
         claims = Claims()
         operator_operations = _operator_operations()
@@ -238,7 +212,7 @@
         def prepare() -> None:
             configuration = Configuration(history_limit=self._history_limit)
             try:
-                configuration.load(_parse_snapshot(data))
+                configuration.load(parse_snapshot(data))
             except (SettingsError, WigeonscaleError):
                 return  # restoring tells what is wrong
             self._read_ahead = (data, configuration)
@@ -382,17 +356,3 @@
 
 def _peer_operations() -> Operations:
     return Operations(limit=PEER_OPERATIONS_LIMIT, age_ms=PEER_OPERATIONS_AGE_MS)
-
-
-def _parse_snapshot(data: bytes) -> wire.StateSnapshot:
-    try:
-        snapshot = wire.StateSnapshot.FromString(data)
-    except DecodeError as exc:
-        raise WigeonscaleError(
-            ErrorKind.CORRUPT_LOG, "the snapshot cannot be read"
-        ) from exc
-    if snapshot.format != SNAPSHOT_FORMAT:
-        raise WigeonscaleError(
-            ErrorKind.CORRUPT_LOG, f"snapshot format {snapshot.format} is not known"
-        )
-    return snapshot
