Entries take it that the others did what they did since the last word

All entries act on the same word, up to a second old. Test: direct.tests.test_choice.ManyEntriesTest (failed first).

--- a/wigeonscale/direct/beliefs.py
+++ b/wigeonscale/direct/beliefs.py
@@ -128,8 +128,16 @@
         token_layers = belief.token_layers if belief is not None else 0.0
         if self._clock.now() - self._others_at > TOTALS_FRESH_S:
             return running * entries, token_layers * entries
+        told_running, told_layers = self._told.get(backend_id, (0, 0.0))
         others = self._others.get(backend_id, (0, 0.0))
-        return running + others[0], token_layers + others[1]
+        # Word of the others is up to a second old, and all entries act on the same
+        # word: what one finds empty all fill at once, and then all leave. So each
+        # takes it that the others did since then what it did itself.
+        alike = entries - 1
+        return (
+            max(0, running + others[0] + alike * (running - told_running)),
+            max(0.0, token_layers + others[1] + alike * (token_layers - told_layers)),
+        )
 
     def is_avoided(self, backend_id: str) -> bool:
         """Return whether a backend server is left alone for now."""
--- a/wigeonscale/direct/tests/test_choice.py
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -151,8 +151,8 @@
         self.assertEqual({"s": (1, 30.0)}, beliefs.told_loads())
         beliefs.begin(Run(("s",), {"s": 5.0}))
         beliefs.take_totals({"s": (4, 100.0), "t": (2, 7.0)})
-        # Three of others, and two of its own by now.
-        self.assertEqual((5, 105.0), beliefs.load_of("s", entries=9))
+        # Three of others, two of its own by now, and one more of each other since.
+        self.assertEqual((5 + 8, 105.0 + 8 * 5.0), beliefs.load_of("s", entries=9))
         self.assertEqual((2, 7.0), beliefs.load_of("t", entries=9))
         self.assertEqual((0, 0.0), beliefs.load_of("u", entries=9))
 
