--- a/wigeonscale/direct/tests/test_choice.py
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -1,8 +1,13 @@
+import random
+import statistics
+from dataclasses import replace
+
 from wigeonscale.direct import Beliefs, SendBudget
 from wigeonscale.direct.beliefs import Run
 from wigeonscale.direct.choice import choose_path, choose_server, path_costs
 from wigeonscale.direct.tests.support import ENGINE, server
 from wigeonscale.ports.exchange import Generation
+from wigeonscale.routes import Accelerator
 from wigeonscale.testing import AsyncTestCase, ManualClock
 
 SIZES = Generation(prompt=100, most=40, expected=20)
@@ -140,6 +145,89 @@
         self.assertEqual({run}, beliefs.of("busy").runs)
 
 
+class ManyEntriesTest(AsyncTestCase):
+    """23 entries send 75 generations a second, each of which lasts 2.3 seconds.
+
+    All hear twice a second what all have in progress, each at another time. The third
+    failure domain is the fastest.
+    """
+
+    ENTRIES = 23
+    PER_SECOND = 75
+    LASTS_S = 2.3
+    TOLD_EVERY_S = 0.5
+    SIZES = Generation(prompt=700, most=300, expected=150)
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.rng = random.Random(1)
+        fast = Accelerator(name="fast", size_mb=5000.0, pace=0.6, read_factor=0.3)
+        self.engine = replace(
+            ENGINE,
+            step_ms=12.0,
+            sequence_ms=0.11,
+            context_ms=0.14,
+            accelerators={**ENGINE.accelerators, "fast": fast},
+        )
+        self.servers = [
+            replace(
+                server(
+                    f"{domain}{i}", "model", domain=domain, layers=(5 * i, 5 * i + 5)
+                ),
+                accelerator="fast" if domain == "c" else "k",
+            )
+            for domain in "abc"
+            for i in (0, 1)
+        ]
+        self.entries = [Beliefs(clock=self.clock) for _ in range(self.ENTRIES)]
+        self.due = [self.rng.random() * self.TOLD_EVERY_S for _ in self.entries]
+        self.told = [{} for _ in self.entries]
+        self.running = []
+
+    def tell(self, elapsed_s):
+        for number, beliefs in enumerate(self.entries):
+            if elapsed_s < self.due[number]:
+                continue
+            self.due[number] += self.TOLD_EVERY_S
+            self.told[number] = dict(beliefs.told_loads())
+            totals = {}
+            for told in self.told:
+                for name, (running, layers) in told.items():
+                    before = totals.get(name, (0, 0.0))
+                    totals[name] = before[0] + running, before[1] + layers
+            beliefs.take_totals(totals)
+
+    def send(self, now):
+        number = self.rng.randrange(self.ENTRIES)
+        beliefs = self.entries[number]
+        costs = path_costs(
+            self.engine, self.SIZES, beliefs=beliefs, entries=self.ENTRIES
+        )
+        path = choose_path(self.servers, self.engine, costs, domain="abc"[number % 3])
+        run = Run(tuple(part.backend_id for part in path), {})
+        beliefs.begin(run)
+        self.running.append((now + self.LASTS_S, beliefs, run))
+
+    async def test_entries_do_not_rush_from_one_domain_to_the_next(self):
+        counts = {domain: [] for domain in "abc"}
+        for step in range(20 * self.PER_SECOND):
+            now = self.clock.now()
+            while self.running and self.running[0][0] <= now:
+                _, beliefs, run = self.running.pop(0)
+                beliefs.end(run)
+            self.tell(step / self.PER_SECOND)
+            self.send(now)
+            await self.clock.advance(1.0 / self.PER_SECOND)
+            if step > 5 * self.PER_SECOND:
+                for domain, seen in counts.items():
+                    at = [run.backend_ids[0][0] for _, _, run in self.running]
+                    seen.append(at.count(domain))
+        spread = {d: statistics.pstdev(seen) for d, seen in counts.items()}
+        # 22 to 30 where each entry takes the word of the others as it is.
+        self.assertTrue(max(spread.values()) < 8, spread)
+
+
 class TotalsTest(AsyncTestCase):
     """Control tells what all entries have in progress."""
 
