--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -13,11 +13,11 @@
 from dataclasses import dataclass, field
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.admission import choose_path_for
 from wigeonscale.direct.beliefs import Run
-from wigeonscale.direct.choice import PathCosts, choose_path, path_costs
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
-from wigeonscale.layers import LayerRange, Part
+from wigeonscale.layers import Part
 from wigeonscale.ports.exchange import (
     AnswerSink,
     BackendStream,
@@ -30,9 +30,6 @@
 # Word to callers when no path is whole: a lost engine is found and its layers are
 # loaded elsewhere in one to three seconds.
 NO_PATH_RETRY_S = 1.0
-# Word to callers when the engines are full. Answers last about two seconds, so in one
-# about a third of the room becomes free.
-ROOM_RETRY_S = (0.4, 1.4)
 # A stream that was begun waits this long for a path before it is given up, in steps.
 PATH_WAIT_S = 1.0
 PATH_STEP_S = 0.1
@@ -88,7 +85,13 @@
     patience_s = PATH_WAIT_S if progress.is_begun else 0.0
     give_up_at = min(around.clock.now() + patience_s, job.ends_at)
     while True:
-        path = _choose(around, job, progress)
+        path = choose_path_for(
+            around,
+            job,
+            lost=progress.lost,
+            ran_at=progress.ran_at,
+            is_begun=progress.is_begun,
+        )
         if path is not None:
             return path
         if around.clock.now() >= give_up_at:
@@ -102,62 +105,6 @@
         await around.clock.sleep(PATH_STEP_S)
 
 
-def _choose(around: Surroundings, job: Job, progress: _Progress) -> list[Part] | None:
-    engine = job.service.engine
-    servers = around.fleet().by_service.get(job.service.name, ())
-    if len(progress.ran_at) >= job.route.max_attempts:
-        # Of the engines that take requests in, only those that had this one before.
-        servers = [
-            server
-            for server in servers
-            if server.layers.first > 0 or server.backend_id in progress.ran_at
-        ]
-    if not engine.layers:
-        return _choose_whole(servers, progress)
-    costs = path_costs(
-        engine,
-        job.req.generation,
-        beliefs=around.beliefs,
-        entries=around.entries(),
-    )
-    path = choose_path(servers, engine, costs, domain=around.domain, lost=progress.lost)
-    if path is not None and not progress.is_begun:
-        _check_room(around, job, path, costs)
-    return path
-
-
-def _check_room(
-    around: Surroundings, job: Job, path: list[Part], costs: PathCosts
-) -> None:
-    """Turn a request away whose cheapest path has an engine without room.
-
-    Load pattern: more generations than the engines have memory for. One more would not
-    wait its turn: the engines put back others in mid-stream and read them again, so
-    that all get late. What is under way is therefore finished, and who comes new is
-    told at once when to come back, whatever the size of the request.
-    """
-    fleet = around.fleet()
-    full = [
-        part.backend_id
-        for part in path
-        if not costs.has_room(fleet.by_id[part.backend_id], part.layers.count)
-    ]
-    if not full:
-        return
-    raise WigeonscaleError(
-        ErrorKind.OVERLOADED,
-        f"no room for one more at {', '.join(full)}",
-        # Spread, or all that were turned away would come back in the same instant.
-        retry_after=around.rng.uniform(*ROOM_RETRY_S),
-    )
-
-
-def _choose_whole(servers, progress) -> list[Part] | None:
-    """Return a path of one engine, where engines hold whole models."""
-    left = [s for s in servers if s.backend_id not in progress.lost]
-    return [Part(left[0].backend_id, LayerRange(0, 0))] if left else None
-
-
 async def _try_path(
     around: Surroundings,
     job: Job,
