What may have run is never said not to have, also after a later refusal

Found while reading: a generation whose first send was reset before any answer, and whose next one was refused or found no room, was answered 503. Tests failed first: direct.tests.test_stream.GivenUpTest. Engines that hold whole models are chosen by load.

--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -2,11 +2,17 @@
 
 __all__ = ["choose_path_for"]
 
-from collections.abc import Collection, Container
+from collections.abc import Collection, Container, Sequence
 
-from wigeonscale.direct.choice import PathCosts, choose_path, path_costs
+from wigeonscale.direct.choice import (
+    PathCosts,
+    choose_path,
+    choose_server,
+    path_costs,
+)
+from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import Job, Surroundings
-from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import LayerRange, Part
 
 # Word to callers when the engines are full. Answers last about two seconds, so in one
@@ -32,7 +38,7 @@
         is_begun: Whether the caller has part of the answer.
 
     Raises:
-        WigeonscaleError: ``OVERLOADED``, not run: there is a path, but no room.
+        WigeonscaleError: ``OVERLOADED``: there is a path, but no room.
     """
     engine = job.service.engine
     servers = around.fleet().by_service.get(job.service.name, ())
@@ -44,7 +50,7 @@
             if server.layers.first > 0 or server.backend_id in ran_at
         ]
     if not engine.layers:
-        return _choose_whole(servers, lost)
+        return _choose_whole(around, servers, lost)
     costs = path_costs(
         engine,
         job.req.generation,
@@ -53,12 +59,12 @@
     )
     path = choose_path(servers, engine, costs, domain=around.domain, lost=lost)
     if path is not None and not is_begun:
-        _check_room(around, job, path, costs)
+        _check_room(around, path, costs, may_have_run=bool(ran_at))
     return path
 
 
 def _check_room(
-    around: Surroundings, job: Job, path: list[Part], costs: PathCosts
+    around: Surroundings, path: list[Part], costs: PathCosts, *, may_have_run: bool
 ) -> None:
     """Turn a request away whose cheapest path has an engine without room.
 
@@ -78,12 +84,21 @@
     raise WigeonscaleError(
         ErrorKind.OVERLOADED,
         f"no room for one more at {', '.join(full)}",
+        run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
         # Spread, or all that were turned away would come back in the same instant.
         retry_after=around.rng.uniform(*ROOM_RETRY_S),
     )
 
 
-def _choose_whole(servers, lost) -> list[Part] | None:
+def _choose_whole(
+    around: Surroundings, servers: Sequence[BackendServer], lost: Container[str]
+) -> list[Part] | None:
     """Return a path of one engine, where engines hold whole models."""
-    left = [s for s in servers if s.backend_id not in lost]
-    return [Part(left[0].backend_id, LayerRange(0, 0))] if left else None
+    server = choose_server(
+        servers,
+        beliefs=around.beliefs,
+        domain=around.domain,
+        entries=around.entries(),
+        tried=lost,
+    )
+    return [Part(server.backend_id, LayerRange(0, 0))] if server else None
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -227,6 +227,9 @@
     path: list[Part],
     exc: ExchangeError,
 ) -> None:
+    if exc.fate is Fate.UNKNOWN:
+        # Also where not even the head of an answer came.
+        progress.ran_at.add(path[0].backend_id)
     blamed = _blamed(around, path, exc)
     if blamed and exc.fate is Fate.NOT_RUN and not exc.is_stranger:
         around.beliefs.note_refused(blamed)
@@ -260,7 +263,7 @@
     around: Surroundings, job: Job, progress: _Progress, exc: ExchangeError
 ) -> None:
     """Raise the final answer unless the request may be sent once more."""
-    may_have_run = bool(progress.ran_at) or exc.fate is Fate.UNKNOWN
+    may_have_run = bool(progress.ran_at)
     run_state = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
     is_late = around.clock.now() >= job.ends_at
     may_repeat = job.route.is_idempotent or not may_have_run
--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -131,6 +131,26 @@
         self.assertEqual(RunState.UNKNOWN, exc.run_state)
         self.assertEqual(["a1"], self.exchange.sent_to)
 
+    async def test_what_may_have_run_is_never_said_not_to(self):
+        # The first send was reset before any answer, the second one was refused.
+        self.exchange.script("a1", unknown(), *[not_run()] * 9)
+        self.exchange.script("b1", *[not_run()] * 9)
+        exc = await self.refused()
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+
+    async def test_nor_when_the_engines_are_full_by_then(self):
+        gate = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [gate, unknown()])
+        task = asyncio.create_task(self.refused())
+        await self.until(lambda: self.exchange.calls)
+        room = (5000 - 5 * 100) * 1e6 / 1e5
+        for name in ("a1", "b1"):
+            self.parts.beliefs.begin(Run((name,), {name: room}))
+        gate.set_result(None)
+        exc = await task
+        self.assertEqual(ErrorKind.OVERLOADED, exc.kind)
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+
     async def test_no_path_is_said_at_once(self):
         self.parts.fleet = fleet(engine("a1", 0, 5))
         exc = await self.refused()
