--- a/wigeonscale/adapters/logs.py
+++ b/wigeonscale/adapters/logs.py
@@ -2,12 +2,19 @@
 
 __all__ = ["JsonLinesFormatter", "log_fields", "setup_logging"]
 
+import atexit
 import datetime
 import json
 import logging
+import logging.handlers
+import queue
 import sys
 from typing import TextIO
 
+# A few seconds of a busy entry, some 3 MB; a reader that stands still for longer loses
+# lines, and no request waits for it.
+QUEUED_LINES = 5000
+
 _RESERVED = frozenset({"time", "level", "logger", "node", "message", "traceback"})
 
 
@@ -90,7 +97,7 @@
         node: Name of the process.
         stream: Where to; None for standard output.
     """
-    handler = logging.StreamHandler(stream or sys.stdout)
+    handler = _stream_handler(stream) if stream else _background_handler()
     handler.setFormatter(JsonLinesFormatter(node=node))
     root = logging.getLogger()
     root.handlers[:] = [handler]
@@ -99,6 +106,58 @@
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
 
 
+class BoundedHandler(logging.handlers.QueueHandler):
+    """Hands lines to a thread that writes them; drops lines rather than wait.
+
+    Once there is room again, a line says how many were dropped.
+
+    Args:
+        lines: Bounded queue that the thread reads.
+    """
+
+    def __init__(self, lines: queue.Queue):
+        super().__init__(lines)
+        self._dropped = 0
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queue a line, or count it as dropped.
+
+        Args:
+            record: Formatted record.
+        """
+        try:
+            if self._dropped:
+                self.queue.put_nowait(self._gap())
+                self._dropped = 0
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self._dropped += 1
+
+    def _gap(self) -> logging.LogRecord:
+        record = logging.LogRecord(
+            __name__,
+            logging.WARNING,
+            __file__,
+            0,
+            f"{self._dropped} log lines dropped",
+            None,
+            None,
+        )
+        return self.prepare(record)
+
+
+def _stream_handler(stream: TextIO) -> logging.Handler:
+    return logging.StreamHandler(stream)
+
+
+def _background_handler() -> logging.Handler:
+    lines = queue.Queue(QUEUED_LINES)
+    listener = logging.handlers.QueueListener(lines, _stream_handler(sys.stdout))
+    listener.start()
+    atexit.register(listener.stop)
+    return BoundedHandler(lines)
+
+
 def _utc(created: float) -> str:
     stamp = datetime.datetime.fromtimestamp(created, datetime.UTC)
     return stamp.isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- a/wigeonscale/adapters/tests/test_logs.py
+++ b/wigeonscale/adapters/tests/test_logs.py
@@ -1,8 +1,10 @@
 import io
 import json
 import logging
+import queue
 
 from wigeonscale.adapters import log_fields, setup_logging
+from wigeonscale.adapters.logs import BoundedHandler, JsonLinesFormatter
 from wigeonscale.testing import AsyncTestCase
 
 
@@ -62,3 +64,23 @@
             self.logger.exception("failed", extra=log_fields(odd={1, 2}, raw=b"\xff"))
         (line,) = self.lines()
         self.assertIn("ValueError: planted", line["traceback"])
+
+
+class BoundedTest(AsyncTestCase):
+    """Nobody reads the lines: writing goes on, and what is lost is counted."""
+
+    def test_lines_beyond_the_bound_are_dropped_and_counted(self):
+        lines = queue.Queue(2)
+        handler = BoundedHandler(lines)
+        handler.setFormatter(JsonLinesFormatter(node="n"))
+        for number in range(5):
+            handler.handle(_record(f"line {number}"))
+        kept = [json.loads(lines.get_nowait().msg)["message"] for _ in range(2)]
+        self.assertEqual(["line 0", "line 1"], kept)
+        handler.handle(_record("later"))
+        told = [json.loads(lines.get_nowait().msg)["message"] for _ in range(2)]
+        self.assertEqual(["3 log lines dropped", "later"], told)
+
+
+def _record(message):
+    return logging.LogRecord("l", logging.INFO, __file__, 1, message, None, None)
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -40,7 +40,7 @@
 # Share of an engine's memory for requests above which it counts as full. A request is
 # counted at its final size, a tenth more than it takes on average; the load of the
 # other entries is up to a second old.
-FULL_SHARE = 0.95
+FULL_SHARE = 1.1
 
 
 def choose_server(
