--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -37,10 +37,10 @@
 # preempts or refuses; one that is avoided stalls the request for seconds.
 FULL_MS = 5_000.0
 AVOIDED_MS = 1_000_000.0
-# Share of an engine's memory for requests above which it counts as full. Over 1, since a
-# request is counted at its final size, which few have at any moment, and the others are
-# taken to have sent more since their last word. Trials on grown/korrektur-net-grown
-# scale-1: 0.95 worth 0.550, 1.1 0.626, 1.25 0.657, 1.4 0.607.
+# Share of an engine's memory for requests above which it counts as full. Over 1, since
+# a request is counted at its final size, which few have at any moment, and the others
+# are taken to have sent more since their last word. Trials on the grown scale-1 of
+# korrektur-net: 0.95 worth 0.550, 1.1 0.626, 1.25 0.657, 1.4 0.607.
 FULL_SHARE = 1.2
 
 
