Streams are relayed whatever serves them; engines named by a refusal are probed

Found while reading: a streaming route whose service has no engines was answered whole at its end, not as it came. Tests: direct.tests.test_stream.WithoutLayersTest, direct.tests.test_service.StreamTest.

--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -49,7 +49,7 @@
             for server in servers
             if server.layers.first > 0 or server.backend_id in ran_at
         ]
-    if not engine.layers:
+    if engine is None or not engine.layers:
         return _choose_whole(around, servers, lost)
     costs = path_costs(
         engine,
@@ -93,7 +93,7 @@
 def _choose_whole(
     around: Surroundings, servers: Sequence[BackendServer], lost: Container[str]
 ) -> list[Part] | None:
-    """Return a path of one engine, where engines hold whole models."""
+    """Return a path of one server, where each serves alone."""
     server = choose_server(
         servers,
         beliefs=around.beliefs,
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -14,6 +14,7 @@
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import AnswerSink, CallerRequest
 from wigeonscale.routes import (
+    Repeat,
     RouteTable,
     choose_service,
     find_organisation,
@@ -107,7 +108,7 @@
         )
 
     async def _run(self, job: Job, sink: AnswerSink) -> None:
-        if job.service.engine is not None:
+        if job.route.repeat is Repeat.STREAM:
             await relay_stream(self._around, job, sink)
         else:
             await sink.send(await call_plain(self._around, job))
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -118,14 +118,13 @@
     now = around.clock.now()
     if now >= job.ends_at:
         raise ExchangeError(Fate.NOT_SENT, "no time is left")
+    is_split = path[0].layers.count > 0
     call = job.call(
         now=now,
         address=servers[0].address,
         backend_id=servers[0].backend_id,
-        path=tuple(path) if job.service.engine.layers else (),
-        addresses=tuple(s.address for s in servers)
-        if job.service.engine.layers
-        else (),
+        path=tuple(path) if is_split else (),
+        addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
     )
     tokens = job.req.generation.prompt + job.req.generation.expected
@@ -233,6 +232,9 @@
     blamed = _blamed(around, path, exc)
     if blamed and exc.fate is Fate.NOT_RUN and not exc.is_stranger:
         around.beliefs.note_refused(blamed)
+        if exc.at_fault:
+            # It may lack room, or be gone: a probe by control tells.
+            around.suspect(blamed)
     elif blamed:
         around.beliefs.note_lost(blamed)
         around.suspect(blamed)
--- a/wigeonscale/direct/tests/test_service.py
+++ b/wigeonscale/direct/tests/test_service.py
@@ -7,6 +7,7 @@
     Parts,
     Sink,
     answer,
+    event,
     server,
 )
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -122,6 +123,30 @@
         self.assertEqual([], self.exchange.calls)
 
 
+class StreamTest(ServiceCase):
+    async def test_streams_are_relayed_whatever_serves_them(self):
+        self.exchange.script("one", [event(1)])
+        self.table = build_table(
+            number=2,
+            routes=[
+                Route(
+                    name="r",
+                    host="h",
+                    prefix="/",
+                    repeat=Repeat.STREAM,
+                    timeout_s=5.0,
+                    shares=(Share("plain", 1.0),),
+                )
+            ],
+            services=[Service(name="plain")],
+            organisations=None,
+            limits=CallerLimits(),
+        )
+        await self.serve()
+        self.assertEqual(event(1).data, self.sink.data)
+        self.assertTrue(self.sink.is_whole)
+
+
 class StartTest(ServiceCase):
     """Requests that come before control has told anything."""
 
--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -19,7 +19,7 @@
 )
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import Generation
-from wigeonscale.routes import Repeat
+from wigeonscale.routes import Repeat, Service
 from wigeonscale.testing import AsyncTestCase
 
 HANG = FakeExchange.HANG
@@ -110,6 +110,7 @@
         self.exchange.script("b1", [event(1)])
         await self.relay()
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
+        self.assertEqual(["a2"], self.parts.suspected)
 
     async def test_first_engine_out_of_reach(self):
         self.exchange.script("a1", not_sent())
@@ -118,6 +119,21 @@
         self.assertEqual(["a1"], self.parts.suspected)
 
 
+class WithoutLayersTest(StreamCase):
+    """A stream whose service does not split a model over engines."""
+
+    async def test_relayed_as_it_comes_and_resumed_elsewhere(self):
+        self.parts.fleet = fleet(server("p1"), server("p2", domain="b"))
+        self.exchange.script("p1", [event(1), not_sent()])
+        self.exchange.script("p2", [event(2)])
+        job = self.parts.job(
+            Repeat.STREAM, service=Service(name="plain"), resumable=True, left_s=9.0
+        )
+        await relay_stream(self.parts.around, job, self.sink)
+        self.assertEqual([1, 2], self.got())
+        self.assertEqual([(), ()], [call.path for call in self.exchange.calls])
+
+
 class GivenUpTest(StreamCase):
     async def test_not_resumable_is_never_sent_again_after_a_run(self):
         self.exchange.script("a1", [event(1), unknown()])
