Soak: a daemon under two faults at once is started once

A fault holds the daemon while it has it down. Test: testing.soak.tests.test_soak.OverlapTest (fails without).

--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -6,7 +6,7 @@
 import pathlib
 import shutil
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from demo.processes import Child, free_ports, start
 
@@ -26,6 +26,7 @@
         ip: Its address on loopback.
         child: Its process.
         starts: How often it was started.
+        restarting: Held while a fault has it down, so that it is started once.
     """
 
     name: str
@@ -33,6 +34,7 @@
     ip: str
     child: Child | None = None
     starts: int = 0
+    restarting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def send(self, signum: signal.Signals) -> None:
         """Send a signal, if it runs. Only processes started here are ever meant."""
--- a/wigeonscale/testing/soak/faults.py
+++ b/wigeonscale/testing/soak/faults.py
@@ -93,6 +93,11 @@
         await asyncio.sleep(fault.for_s)
         node.send(signal.SIGCONT)
     else:
+        await _restart(fault, dep, node)
+
+
+async def _restart(fault, dep, node) -> None:
+    async with node.restarting:
         gentle = fault.kind == "stop"
         await dep.kill(node, signal.SIGTERM if gentle else signal.SIGKILL)
         await asyncio.sleep(fault.for_s / 2)
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -1,10 +1,19 @@
+import asyncio
 import pathlib
 import random
+from types import SimpleNamespace
 
 import fixtures
 
 from wigeonscale.testing import AsyncTestCase
-from wigeonscale.testing.soak.faults import LINK_KINDS, NODE_KINDS, draw_faults
+from wigeonscale.testing.soak.deployment import Node
+from wigeonscale.testing.soak.faults import (
+    LINK_KINDS,
+    NODE_KINDS,
+    Fault,
+    draw_faults,
+    inject,
+)
 from wigeonscale.testing.soak.ledger import Ledger
 from wigeonscale.testing.soak.run import run_soak
 
@@ -78,6 +87,36 @@
         self.assertEqual({*NODE_KINDS, *LINK_KINDS}, kinds)
 
 
+class OverlapTest(AsyncTestCase):
+    async def test_a_node_under_two_faults_is_started_once_at_a_time(self):
+        running = set()
+
+        class Dep:
+            def __init__(self):
+                self.most = 0
+                child = SimpleNamespace(proc=SimpleNamespace(returncode=None))
+                self.nodes = [Node("n", "direct-entry", "127.0.0.1", child)]
+
+            async def kill(self, node, signum):
+                running.discard(node.name)
+                await asyncio.sleep(0)
+
+            async def start(self, node):
+                self.most = max(self.most, len(running) + 1)
+                if node.name in running:
+                    raise AssertionError("started twice")
+                running.add(node.name)
+
+        dep = Dep()
+        running.add("n")
+        faults = [Fault(0.0, "kill", 0, 0.0) for _ in range(3)]
+        lock = asyncio.Lock()
+        await asyncio.gather(
+            *(inject(fault, dep=dep, backends=[], disks=lock) for fault in faults)
+        )
+        self.assertEqual(1, dep.most)
+
+
 class ShortRunTest(AsyncTestCase):
     async def test_promises_are_kept(self):
         for seed in (1, *REGRESSIONS):
