--- a/wigeonscale/replication/tests/test_links.py
+++ b/wigeonscale/replication/tests/test_links.py
@@ -13,7 +13,7 @@
     ReplicationServicer,
 )
 from wigeonscale.replication.tests.support import ListMachine
-from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing import AsyncTestCase, rpcs_ended
 from wigeonscale.wire import wire_pb2 as wire
 from wigeonscale.wire.wire_pb2_grpc import add_ReplicationServicer_to_server
 
@@ -73,6 +73,7 @@
     """Three replicas over gRPC on loopback with their logs on disk."""
 
     async def prepare(self):
+        self.addCleanup(rpcs_ended)
         temporary = tempfile.TemporaryDirectory()
         self.addCleanup(temporary.cleanup)
         self.root = temporary.name
