--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -16,6 +16,7 @@
 
 __all__ = ["plan_layers"]
 
+import itertools
 from collections.abc import Callable, Iterable, Sequence
 
 from wigeonscale.layers.model import Holder, LayerRange, ModelSize
@@ -82,30 +83,36 @@
 
 def _split(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
     """Return whole sets, the first on the fastest engines, and copies on the others."""
-    wanted: dict[str, LayerRange] = {}
-    rest = list(holders)
-    for least_share in (ROOM_SHARES[-1], SECOND_SET_SHARE):
-        wanted |= _whole_set(rest, model, least_share)
-        rest = [holder for holder in rest if holder.backend_id not in wanted]
-    return wanted | _copies(rest, wanted, model)
+    wanted = _two_sets(holders, model)
+    for room in ROOM_SHARES:
+        wanted = wanted or _whole_set(holders, model, room)
+    spare = [holder for holder in holders if holder.backend_id not in wanted]
+    return wanted | _copies(spare, wanted, model)
+
+
+def _two_sets(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
+    """Return two whole sets with the most room for requests; empty for none."""
+    shares = [share for share in ROOM_SHARES if share >= SECOND_SET_SHARE]
+    for first_share, second_share in itertools.product(shares, shares):
+        first = _whole_set(holders, model, first_share)
+        rest = [holder for holder in holders if holder.backend_id not in first]
+        second = _whole_set(rest, model, second_share)
+        if first and second:
+            return first | second
+    return {}
 
 
 def _whole_set(
-    holders: Sequence[Holder], model: ModelSize, least_share: float
+    holders: Sequence[Holder], model: ModelSize, room: float
 ) -> dict[str, LayerRange]:
     """Return one whole set on the fastest engines; empty if they cannot hold it.
 
     Args:
         holders: Engines that may hold it.
         model: Sizes of the model.
-        least_share: Share of the room for requests that each is left at least.
+        room: Share of the room for requests that each is left.
     """
-    for room in ROOM_SHARES:
-        if room < least_share:
-            return {}
-        if _can_hold(holders, model, room):
-            break
-    else:
+    if not _can_hold(holders, model, room):
         return {}
 
     def rank(holder: Holder) -> tuple[float, str]:
--- a/wigeonscale/layers/tests/test_plan.py
+++ b/wigeonscale/layers/tests/test_plan.py
@@ -151,6 +151,13 @@
             left = [replace(h, lasting=False) if h is lost else h for h in self.holders]
             self.assertEqual({}, plan_grown(left), lost)
 
+    def test_also_where_the_first_set_has_to_leave_less_room(self):
+        # With all the room for the first set, 74 layers were left for the second one.
+        holders = deployment({"c": {"h100": 1, "a100s": 1, "l4": 5, "t4": 9}})
+        for h in carried_out(holders, plan_grown(holders)):
+            left = [o for o in carried_out(holders, plan_grown(holders)) if o != h]
+            self.assertEqual(set(range(LAYERS)), covered(left), h)
+
     def test_the_memory_of_both_serves(self):
         # 25 requests a second and domain, 925 tokens each, for 2 to 3 s.
         for domain in GROWN_DOMAINS:
