A running generation changes its path; quiet paths are named to control early

Ruled out: probes by every entry (27 entries would take 5 ms of each engine, each time). Change: after 2.5 usual intervals without an event the engines of a path on which nothing of this entry moves are named to control as a hint; control probes them, one that answered not again within a second; a refused connection is enough. Then the engine's layers are taken over near it by order to the first engine (`layers.find_detour`, `direct.choose_detour`): only the new part reads the request, and no attempt, connection or retry budget is spent; where that is refused the stream is sent anew as before. First engines that break sends off unanswered are left alone, longer when it recurs. Whoever gets room lets the next one look at once. Layers are given up at once (preempt), since a domain is broken until the gap is closed.

--- a/wigeonscale/control/registry.py
+++ b/wigeonscale/control/registry.py
@@ -27,10 +27,9 @@
 # engine lost.
 PROBES = 2
 PROBE_PAUSE_S = 0.1
-# Nothing listens at its port: its process is gone, and all streams through it stand
-# still until that is known. Asked again all the same, for one listener may just be
-# replaced by the next; well within the 200 ms after which a pause is late.
-REFUSED_PAUSE_S = 0.02
+# One that answered is not asked again for a mere hint before this long: many entries
+# see the same path stand still, and a probe costs some engines 5 ms of work.
+HINT_AGAIN_S = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +76,7 @@
         self._probe = probe
         self._heard: dict[str, _Heard] = {}
         self._suspected: dict[str, asyncio.Task] = {}
+        self._answered_at: dict[str, float] = {}
         self._began_at = clock.now()
         self._lost_since: dict[str, float] = {}
 
@@ -142,9 +142,20 @@
         member = self._state.members.get(req.agent_id)
         if member is None or member.backend.silent or req.agent_id in self._suspected:
             return
-        logger.info("%s is suspected by an %s", req.agent_id, came_from)
+        if req.is_hint and self._answered_lately(req.agent_id):
+            return
+        logger.info(
+            "%s is suspected by an %s",
+            req.agent_id,
+            came_from,
+            extra=log_fields(is_hint=req.is_hint),
+        )
         self._begin_check(member)
 
+    def _answered_lately(self, name: str) -> bool:
+        answered_at = self._answered_at.get(name, float("-inf"))
+        return self._clock.now() - answered_at < HINT_AGAIN_S
+
     def wake(self) -> None:
         """Do nothing: no backend hangs on a stream here."""
 
@@ -154,6 +165,7 @@
             while True:
                 await self._clock.sleep(self._heartbeat_s / CHECKS_PER_HEARTBEAT)
                 self._note_lost_replicas()
+                self._forget_old_answers()
                 for member in self._due():
                     self._begin_check(member)
         finally:
@@ -162,6 +174,13 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _forget_old_answers(self) -> None:
+        self._answered_at = {
+            name: at
+            for name, at in self._answered_at.items()
+            if self._clock.now() - at < HINT_AGAIN_S
+        }
+
     def _shows(self, backend: wire.Backend) -> bool:
         member = self._state.members.get(backend.agent_id)
         if member is None or member.replica != self._node_id:
@@ -216,9 +235,13 @@
             if answer is ProbeAnswer.ANSWERED:
                 # As good as a heartbeat, but for what that would have told.
                 self._heard[name] = _Heard(self._clock.now(), member.sequence)
+                self._answered_at[name] = self._clock.now()
                 return
-            is_refused = answer is ProbeAnswer.REFUSED
-            await self._clock.sleep(REFUSED_PAUSE_S if is_refused else PROBE_PAUSE_S)
+            if answer is ProbeAnswer.REFUSED:
+                # Nothing listens there: this incarnation has ended, whatever follows
+                # it, and all that goes through it stands still until that is known.
+                break
+            await self._clock.sleep(PROBE_PAUSE_S)
         await self._mark_silent(member)
 
     async def _mark_silent(self, member: Member) -> None:
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -123,13 +123,16 @@
     def suspect(name: str) -> None:
         control.suspect(name, INCARNATION)
 
+    orders = HttpEngineOrders(session=session)
     stalls = StallWatch(
         beliefs=beliefs,
         clock=clock,
-        orders=HttpEngineOrders(session=session),
+        orders=orders,
         fleet=lambda: known.fleet,
         suspect=suspect,
+        hint=lambda name: control.suspect(name, INCARNATION, is_hint=True),
     )
+    control.changes.subscribe(lambda change: stalls.check())
     around = Surroundings(
         exchange=HttpExchange(session=session),
         beliefs=beliefs,
@@ -146,6 +149,7 @@
         entries=lambda: control.entries,
         suspect=suspect,
         rng=random.Random(),
+        orders=orders,
         stalls=stalls,
         waiting=RoomQueue(clock=clock),
     )
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -1,6 +1,6 @@
 """Whether a generation may begin, and on which path."""
 
-__all__ = ["PathChoice", "choose_path_for", "no_room"]
+__all__ = ["PathChoice", "choose_detour", "choose_path_for", "no_room"]
 
 import random
 from collections.abc import Collection, Container, Sequence
@@ -15,7 +15,7 @@
 from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
-from wigeonscale.layers import LayerRange, Part
+from wigeonscale.layers import LayerRange, Part, find_detour
 
 # Word to callers when the engines are full. Answers last about two seconds, so in one
 # about a third of the room becomes free.
@@ -76,6 +76,51 @@
     return PathChoice(path, _full_engines(around, path or (), costs))
 
 
+def choose_detour(
+    around: Surroundings, job: Job, path: Sequence[Part]
+) -> list[Part] | None:
+    """Return the path on which a run goes on without its lost engines.
+
+    Load pattern: an engine is lost under many streams. Where others of its failure
+    domain hold its layers, only these read the requests again, and no connection, no
+    attempt and no share of the retry budget is spent.
+
+    Args:
+        around: What the flows share.
+        job: The request.
+        path: The path with engines that are lost.
+
+    Returns:
+        The path, or None: its first engine is lost, or nobody near holds the layers.
+    """
+    fleet = around.fleet()
+    lost = {
+        part.backend_id
+        for part in path
+        if part.backend_id not in fleet.by_id
+        or fleet.by_id[part.backend_id].is_silent
+        or around.beliefs.is_avoided(part.backend_id)
+    }
+    first = path[0].backend_id
+    if not lost or first in lost:
+        return None
+    costs = path_costs(
+        job.service.engine,
+        job.req.generation,
+        beliefs=around.beliefs,
+        entries=around.entries(),
+    )
+    domain = fleet.by_id[first].domain
+    near = [
+        server
+        for server in fleet.by_service.get(job.service.name, ())
+        if server.domain == domain
+        and not server.is_silent
+        and not around.beliefs.is_avoided(server.backend_id)
+    ]
+    return find_detour(path, near, lost=lost, part_cost=costs.part)
+
+
 def no_room(reason: str, *, may_have_run: bool, rng: random.Random) -> WigeonscaleError:
     """Return the answer of a request that gets no room.
 
--- a/wigeonscale/direct/beliefs.py
+++ b/wigeonscale/direct/beliefs.py
@@ -3,7 +3,7 @@
 __all__ = ["Belief", "Beliefs", "Run"]
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wigeonscale.ports import Clock
@@ -15,6 +15,9 @@
 AVOID_REFUSED_S = 0.4
 # Weight of the newest outcome in the share of failures; about ten count.
 FAILURE_WEIGHT = 0.1
+# Above this share of failed sends a backend server is left alone for as long as a lost
+# one: two in a row, of which the second came after it had been left alone once.
+FAILING_SHARE = 0.15
 FORGET_S = 60.0
 # Control tells the load of all entries with each grant, twice a second by default.
 TOTALS_FRESH_S = 2.5
@@ -29,14 +32,51 @@
         token_layers: Memory that it takes, in tokens times layers, by backend server.
         progress_at: Instant of its last sign of progress.
         watch: Its wait, which may be ended early; None where nobody waits so.
-        has_begun: Whether anything of an answer came.
+        move: Takes it off the lost engines of its path while it goes on, and returns
+            whether that was done; None where that cannot be.
+        moving: A move under way.
+        began_at: Instant of the first sign of progress; None before it.
+        events: Signs of progress so far.
     """
 
     backend_ids: tuple[str, ...]
     token_layers: dict[str, float] = field(default_factory=dict)
     progress_at: float = 0.0
     watch: asyncio.Timeout | None = None
-    has_begun: bool = False
+    move: Callable[[], Awaitable[bool]] | None = None
+    moving: asyncio.Task | None = None
+    began_at: float | None = None
+    events: int = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether anything of an answer came."""
+        return self.events > 0
+
+    @property
+    def interval_s(self) -> float:
+        """Mean time between its events; 0 before the second."""
+        if self.events < 2:
+            return 0.0
+        return (self.progress_at - self.began_at) / (self.events - 1)
+
+    def note_progress(self, now: float) -> None:
+        """Count an event in."""
+        if self.began_at is None:
+            self.began_at = now
+        self.progress_at = now
+        self.events += 1
+
+    def leave_lost(self) -> None:
+        """Go on without engines that are lost: in its place, or else elsewhere."""
+        if self.move is None:
+            self.end_wait()
+        elif self.moving is None or self.moving.done():
+            self.moving = asyncio.create_task(self._move_or_end())
+
+    async def _move_or_end(self) -> None:
+        if not await self.move():
+            self.end_wait()
 
     def end_wait(self) -> None:
         """End its wait now, so that it goes on elsewhere."""
@@ -153,6 +193,18 @@
             belief.token_layers += run.token_layers.get(name, 0.0)
             belief.touched_at = run.progress_at
 
+    def replace(
+        self,
+        run: Run,
+        backend_ids: tuple[str, ...],
+        token_layers: dict[str, float],
+    ) -> None:
+        """Count a send out where it ran, and in where it goes on."""
+        self.end(run)
+        run.backend_ids = backend_ids
+        run.token_layers = token_layers
+        self.begin(run)
+
     def end(self, run: Run) -> None:
         """Count a send out."""
         for name in run.backend_ids:
@@ -169,11 +221,21 @@
         """Leave a backend server alone for a moment."""
         self._avoid(backend_id, AVOID_REFUSED_S)
 
+    def note_unanswered(self, backend_id: str) -> None:
+        """Leave a backend server alone that broke a send off before any answer.
+
+        Load pattern: an engine that resets what it gets has nothing to do, so that
+        every request would go there next.
+        """
+        self.note_outcome(backend_id, failed=True)
+        is_failing = self.of(backend_id).failures > FAILING_SHARE
+        self._avoid(backend_id, AVOID_LOST_S if is_failing else AVOID_REFUSED_S)
+
     def note_lost(self, backend_id: str) -> None:
-        """Leave a backend server alone, and end the waits of all that runs there."""
+        """Leave a backend server alone, and take all that runs there off it."""
         self._avoid(backend_id, AVOID_LOST_S)
-        for run in self.of(backend_id).runs:
-            run.end_wait()
+        for run in list(self.of(backend_id).runs):
+            run.leave_lost()
 
     def keep_only(self, backend_ids: Iterable[str]) -> None:
         """Forget backend servers that are gone and idle.
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -13,6 +13,7 @@
 from wigeonscale.direct.stalls import StallWatch
 from wigeonscale.ports import Clock
 from wigeonscale.ports.exchange import BackendCall, CallerRequest, Exchange
+from wigeonscale.ports.orders import EngineOrders
 from wigeonscale.routes import Organisation, Route, Service
 
 
@@ -30,6 +31,7 @@
         entries: Returns how many entries send alike.
         suspect: Tells control that a backend server does not answer.
         rng: Source of randomness, to spread those that are told to come back.
+        orders: Port to the engines' orders.
         stalls: Ends the waits of generations that stand still.
         waiting: Requests that wait for room at the engines.
     """
@@ -43,6 +45,7 @@
     entries: Callable[[], int]
     suspect: Callable[[str], None]
     rng: random.Random
+    orders: EngineOrders
     stalls: StallWatch
     waiting: RoomQueue
 
--- a/wigeonscale/direct/room_queue.py
+++ b/wigeonscale/direct/room_queue.py
@@ -10,6 +10,7 @@
 
 __all__ = ["ROOM_WAIT_S", "RoomQueue"]
 
+import asyncio
 import itertools
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -19,6 +20,9 @@
 # Longest wait. Answers shall begin within 500 or 600 ms, and take 100 to 200 ms to
 # begin once they are sent.
 ROOM_WAIT_S = 0.25
+# Room at the engines is looked for this often; of 25 answers a second in a domain one
+# ends every 40 ms.
+ROOM_STEP_S = 0.04
 # Time of a usual answer of some 160 tokens at 13 ms each.
 USUAL_ANSWER_S = 2.0
 # Bound on the queue whatever is in progress; memory, not service, would need it.
@@ -36,6 +40,8 @@
     """
 
     def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._moved = asyncio.Event()
         self._queue: FairQueue[int] = FairQueue(limit=MOST_WAITING, clock=clock)
         self._next: int | None = None
         self._places = itertools.count()
@@ -74,6 +80,19 @@
             self._next = None
         else:
             self._queue.remove(place)
+        # Where there was room for one there may be more: the next looks at once.
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    async def wait(self) -> None:
+        """Wait until it is time to look for room again."""
+        sleep = asyncio.ensure_future(self._clock.sleep(ROOM_STEP_S))
+        moved = asyncio.ensure_future(self._moved.wait())
+        try:
+            await asyncio.wait({sleep, moved}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            sleep.cancel()
+            moved.cancel()
 
     def is_next(self, place: int) -> bool:
         """Return whether the next room is for the request at a place."""
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -19,11 +19,16 @@
 from wigeonscale.ports import Clock
 from wigeonscale.ports.orders import EngineOrders
 
-CHECK_S = 0.05
+CHECK_S = 0.03
 # Events come every 30 to 60 ms, and first ones within 150 ms, on a sound path with
 # usual load; a pause over 200 ms is late already.
 QUIET_S = 0.25
 QUIET_FIRST_S = 0.4
+# A path is named to control once so many of its own intervals between events are over,
+# and this time at least: a probe, the news of it and another path take the rest of the
+# 200 or 300 ms after which a pause is late.
+HINT_INTERVALS = 2.5
+HINT_QUIET_S = 0.06
 # What a report says is some hundred ms old, so an answer without a culprit is asked
 # for again after this long.
 ASK_AGAIN_S = 0.2
@@ -35,7 +40,7 @@
 # first engine move on, for then its connection has gone silent.
 SOUND_S = 0.6
 # Runs through an engine that control calls silent are ended once they are this quiet.
-QUIET_IF_SILENT_S = 0.1
+QUIET_IF_SILENT_S = 0.06
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +54,7 @@
         orders: Asks engines how they are.
         fleet: Returns the backend servers as of now.
         suspect: Tells control of an engine.
+        hint: Tells control of an engine that may be to blame, as others may.
     """
 
     def __init__(
@@ -59,12 +65,14 @@
         orders: EngineOrders,
         fleet: Callable[[], Fleet],
         suspect: Callable[[str], None],
+        hint: Callable[[str], None],
     ):
         self._beliefs = beliefs
         self._clock = clock
         self._orders = orders
         self._fleet = fleet
         self._suspect = suspect
+        self._hint = hint
         self._runs: set[Run] = set()
         self._asked_at: dict[str, float] = {}
         self._sound_at: dict[str, float] = {}
@@ -107,13 +115,29 @@
         for run in list(self._runs):
             quiet_s = now - run.progress_at
             if quiet_s > QUIET_IF_SILENT_S and not silent.isdisjoint(run.backend_ids):
-                run.end_wait()
+                run.leave_lost()
             elif quiet_s > HOPELESS_S and self._is_hopeless(run, now):
                 run.end_wait()
             elif quiet_s > (QUIET_S if run.has_begun else QUIET_FIRST_S):
                 heads.add(run.backend_ids[0])
         for head in heads:
             self._ask(head, now)
+        for name in self._in_question(now):
+            self._hint(name)
+
+    def _in_question(self, now: float) -> set[str]:
+        """Return the engines of quiet paths on which nothing moves.
+
+        An engine that another run of this entry moves through is sound.
+        """
+        quiet, moving = set(), set()
+        for run in self._runs:
+            if not run.has_begun:
+                continue
+            usual_s = max(HINT_QUIET_S, HINT_INTERVALS * run.interval_s)
+            is_quiet = now - run.progress_at > usual_s
+            (quiet if is_quiet else moving).update(run.backend_ids)
+        return quiet - moving
 
     def _is_hopeless(self, run: Run, now: float) -> bool:
         head = run.backend_ids[0]
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -8,12 +8,19 @@
 __all__ = ["relay_stream"]
 
 import asyncio
+import functools
 import logging
+from collections.abc import Sequence
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.admission import PathChoice, choose_path_for, no_room
+from wigeonscale.direct.admission import (
+    PathChoice,
+    choose_detour,
+    choose_path_for,
+    no_room,
+)
 from wigeonscale.direct.beliefs import Run
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.room_queue import ROOM_WAIT_S
@@ -27,6 +34,7 @@
     StreamEvent,
     WholeAnswer,
 )
+from wigeonscale.ports.orders import OrderOutcome
 
 # Word to callers when no path is whole: a lost engine is found and its layers are
 # loaded elsewhere in one to three seconds.
@@ -34,9 +42,6 @@
 # A stream that was begun waits this long for a path before it is given up, in steps.
 PATH_WAIT_S = 1.0
 PATH_STEP_S = 0.1
-# Room at the engines is looked for this often; of 25 answers a second in a domain one
-# ends every 40 ms.
-ROOM_STEP_S = 0.04
 # Sends of one request in all: refusals that did not run do not count as attempts.
 MOST_SENDS = 6
 
@@ -127,7 +132,7 @@
             if around.clock.now() >= give_up_at:
                 reason = f"no room for one more at {', '.join(choice.full)}"
                 raise no_room(reason, may_have_run=may_have_run, rng=around.rng)
-            await around.clock.sleep(ROOM_STEP_S)
+            await around.waiting.wait()
     finally:
         around.waiting.leave(place)
     logger.info(
@@ -176,11 +181,9 @@
         addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
     )
-    tokens = job.req.generation.prompt + job.req.generation.expected
-    run = Run(
-        tuple(part.backend_id for part in path),
-        {part.backend_id: float(tokens * part.layers.count) for part in path},
-    )
+    run = Run(tuple(part.backend_id for part in path), _memory(job, path))
+    if is_split:
+        run.move = functools.partial(_change_path, around, job, run, path)
     logger.info(
         "generation sent",
         extra=log_fields(
@@ -192,13 +195,20 @@
         ),
     )
     around.beliefs.begin(run)
+    first = servers[0].backend_id
     try:
         # Ended by the watch over all streams, not by a time of its own.
         async with asyncio.timeout(None) as run.watch:
             around.stalls.add(run)
             async with around.exchange.open(call) as stream:
-                progress.ran_at.add(servers[0].backend_id)
-                return await _relay_events(around, job, sink, progress, run, stream)
+                progress.ran_at.add(first)
+                is_whole = await _relay_events(around, job, sink, progress, run, stream)
+        around.beliefs.note_outcome(first, failed=False)
+        return is_whole
+    except ExchangeError as exc:
+        if exc.fate is Fate.UNKNOWN and not run.has_begun:
+            around.beliefs.note_unanswered(first)
+        raise
     except TimeoutError:
         if not run.watch.expired():
             raise
@@ -208,10 +218,50 @@
         ) from None
     finally:
         run.watch = None
+        if run.moving is not None:
+            run.moving.cancel()
         around.stalls.remove(run)
         around.beliefs.end(run)
 
 
+def _memory(job: Job, path: Sequence[Part]) -> dict[str, float]:
+    """Return the tokens times layers that a run takes of each engine."""
+    tokens = job.req.generation.prompt + job.req.generation.expected
+    return {part.backend_id: float(tokens * part.layers.count) for part in path}
+
+
+async def _change_path(
+    around: Surroundings, job: Job, run: Run, path: list[Part]
+) -> bool:
+    """Take a run off its lost engines while it goes on; return whether that is done."""
+    detour = choose_detour(around, job, path)
+    if detour is None:
+        return False
+    fleet = around.fleet()
+    outcome = await around.orders.change_path(
+        fleet.by_id[path[0].backend_id].address,
+        request_id=job.req.request_id,
+        path=detour,
+        addresses=[fleet.by_id[part.backend_id].address for part in detour],
+    )
+    is_done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS_ALREADY)
+    logger.info(
+        "path of a generation changed" if is_done else "path not changed",
+        extra=log_fields(
+            request_id=job.req.request_id,
+            outcome=outcome,
+            path=",".join(part.backend_id for part in detour),
+            quiet_s=round(around.clock.now() - run.progress_at, 3),
+        ),
+    )
+    if is_done:
+        path[:] = detour
+        around.beliefs.replace(
+            run, tuple(part.backend_id for part in detour), _memory(job, detour)
+        )
+    return is_done
+
+
 async def _relay_events(
     around: Surroundings,
     job: Job,
@@ -224,8 +274,7 @@
         return await _relay_failure(sink, progress, stream)
     async with aclosing(stream.events()) as events:
         async for event in events:
-            run.progress_at = around.clock.now()
-            run.has_begun = True
+            run.note_progress(around.clock.now())
             if not _is_next(progress, event):
                 continue
             if not progress.is_begun:
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -24,7 +24,7 @@
     StreamEvent,
     WholeAnswer,
 )
-from wigeonscale.ports.orders import EngineStatus
+from wigeonscale.ports.orders import EngineStatus, OrderOutcome
 from wigeonscale.routes import (
     Accelerator,
     EngineProfile,
@@ -189,6 +189,12 @@
     def __init__(self):
         self.held_up_by = {}
         self.asked = []
+        self.moved = []
+        self.move_outcome = OrderOutcome.REFUSED
+
+    async def change_path(self, address, *, request_id, path, addresses):
+        self.moved.append((address, request_id, [part.backend_id for part in path]))
+        return self.move_outcome
 
     async def status(self, address):
         self.asked.append(address)
@@ -207,6 +213,7 @@
         self.beliefs = Beliefs(clock=self.clock)
         self.orders = FakeOrders()
         self.suspected = []
+        self.hinted = []
         self.fleet = fleet(*servers)
         self.stalls = StallWatch(
             beliefs=self.beliefs,
@@ -214,6 +221,7 @@
             orders=self.orders,
             fleet=lambda: self.fleet,
             suspect=self.suspected.append,
+            hint=self.hinted.append,
         )
         self.around = Surroundings(
             exchange=self.exchange,
@@ -231,6 +239,7 @@
             entries=lambda: entries,
             suspect=self.suspected.append,
             rng=random.Random(1),
+            orders=self.orders,
             stalls=self.stalls,
             waiting=RoomQueue(clock=self.clock),
         )
--- a/wigeonscale/direct/tests/test_room_queue.py
+++ b/wigeonscale/direct/tests/test_room_queue.py
@@ -1,9 +1,14 @@
+import asyncio
 import heapq
 import itertools
 import random
 
 from wigeonscale.direct import RoomQueue
-from wigeonscale.direct.room_queue import ROOM_WAIT_S, USUAL_ANSWER_S
+from wigeonscale.direct.room_queue import (
+    ROOM_STEP_S,
+    ROOM_WAIT_S,
+    USUAL_ANSWER_S,
+)
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.testing import AsyncTestCase, ManualClock
 
@@ -62,6 +67,32 @@
         self.assertTrue(self.queue.is_next(places[2]))
 
 
+class WaitTest(AsyncTestCase):
+    async def prepare(self):
+        self.clock = ManualClock()
+        self.queue = RoomQueue(clock=self.clock)
+        self.first, self.second = (
+            self.queue.enter(organisation="o", priority=1, running=MANY)
+            for _ in range(2)
+        )
+
+    async def test_room_is_looked_for_again_after_a_step(self):
+        waiting = asyncio.create_task(self.queue.wait())
+        await self.clock.advance(ROOM_STEP_S / 2)
+        self.assertFalse(waiting.done())
+        await self.clock.advance(ROOM_STEP_S / 2)
+        await waiting
+
+    async def test_once_one_has_room_the_next_looks_at_once(self):
+        # One look a step for one request each would serve 25 a second.
+        waiting = asyncio.create_task(self.queue.wait())
+        await self.clock.advance(0)
+        self.queue.leave(self.first)
+        await self.clock.advance(0)
+        self.assertTrue(waiting.done())
+        self.assertTrue(self.queue.is_next(self.second))
+
+
 class ReplayTest(AsyncTestCase):
     """Engines are lost for two seconds: what is in time with waiting and without.
 
--- a/wigeonscale/layers/__init__.py
+++ b/wigeonscale/layers/__init__.py
@@ -1,7 +1,15 @@
 """Layers of a model over engines: who shall hold which, and a request's path."""
 
-__all__ = ["Holder", "LayerRange", "ModelSize", "Part", "find_path", "plan_layers"]
+__all__ = [
+    "Holder",
+    "LayerRange",
+    "ModelSize",
+    "Part",
+    "find_detour",
+    "find_path",
+    "plan_layers",
+]
 
 from wigeonscale.layers.model import Holder, LayerRange, ModelSize, Part
-from wigeonscale.layers.path import find_path
+from wigeonscale.layers.path import find_detour, find_path
 from wigeonscale.layers.plan import plan_layers
--- a/wigeonscale/layers/path.py
+++ b/wigeonscale/layers/path.py
@@ -1,8 +1,9 @@
 """The path of one request: engines that run every layer once, in order."""
 
-__all__ = ["find_path"]
+__all__ = ["find_detour", "find_path"]
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from wigeonscale.layers.model import LayerRange, Part
@@ -55,6 +56,95 @@
         usable = [holder for holder in usable if holder.backend_id != twice]
 
 
+def find_detour(
+    path: Sequence[Part],
+    holders: Sequence[HoldsLayers],
+    *,
+    lost: Container[str],
+    part_cost: Callable[[HoldsLayers, int], float],
+) -> list[Part] | None:
+    """Return a path with its lost engines replaced and all other parts unchanged.
+
+    Args:
+        path: Parts in order of layers.
+        holders: Engines that may be used, all of one failure domain.
+        lost: Names of engines that must not be on it.
+        part_cost: Cost of running that many layers on an engine.
+
+    Returns:
+        Parts in order of layers, or None when others do not hold what was lost.
+
+    Notes:
+        The parts that stay keep what they have of a request in memory; only the new
+        ones have to read it again.
+    """
+    used = {part.backend_id for part in path}
+    detour: list[Part] = []
+    for part in path:
+        if part.backend_id not in lost:
+            detour.append(part)
+            continue
+        usable = [
+            holder
+            for holder in holders
+            if holder.backend_id not in used and holder.backend_id not in lost
+        ]
+        parts = _cover(part.layers, usable, part_cost)
+        if parts is None:
+            return None
+        used.update(each.backend_id for each in parts)
+        detour += parts
+    return detour if len(detour) <= MOST_PARTS else None
+
+
+@dataclass(frozen=True, slots=True)
+class _Window:
+    """What an engine holds of a range of layers, counted from the range's first."""
+
+    holder: HoldsLayers
+    layers: LayerRange
+
+    @property
+    def backend_id(self) -> str:
+        return self.holder.backend_id
+
+    @property
+    def domain(self) -> str:
+        return self.holder.domain
+
+
+def _cover(
+    layers: LayerRange,
+    holders: Sequence[HoldsLayers],
+    part_cost: Callable[[HoldsLayers, int], float],
+) -> list[Part] | None:
+    """Return the cheapest parts that run a range of layers, or None."""
+    windows = []
+    for holder in holders:
+        first = max(holder.layers.first, layers.first) - layers.first
+        end = min(holder.layers.end, layers.end) - layers.first
+        if first < end:
+            windows.append(_Window(holder, LayerRange(first, end)))
+    parts = find_path(
+        windows,
+        layers=layers.count,
+        part_cost=lambda window, count: part_cost(window.holder, count),
+        hop_cost=lambda here, there: 0.0,
+        start_cost=lambda domain: 0.0,
+    )
+    if parts is None:
+        return None
+    return [
+        Part(
+            part.backend_id,
+            LayerRange(
+                part.layers.first + layers.first, part.layers.end + layers.first
+            ),
+        )
+        for part in parts
+    ]
+
+
 def _between_same(path: Sequence[Part]) -> str | None:
     seen: dict[str, int] = {}
     for position, part in enumerate(path):
--- a/wigeonscale/layers/tests/test_path.py
+++ b/wigeonscale/layers/tests/test_path.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wigeonscale.layers import LayerRange, find_path
+from wigeonscale.layers import LayerRange, Part, find_detour, find_path
 from wigeonscale.testing import AsyncTestCase
 
 LAYERS = 10
@@ -107,3 +107,46 @@
         for part in parts:
             own = by_name[part.backend_id].layers
             self.assertTrue(own.first <= part.layers.first < part.layers.end <= own.end)
+
+
+def detour(path, *engines, lost):
+    return find_detour(
+        [Part(name, LayerRange(first, end)) for name, first, end in path],
+        engines,
+        lost=lost,
+        part_cost=lambda e, n: e.cost * n,
+    )
+
+
+class DetourTest(AsyncTestCase):
+    PATH = (("e1", 0, 3), ("e2", 3, 7), ("e3", 7, 10))
+
+    def test_only_the_lost_part_is_replaced(self):
+        parts = detour(
+            self.PATH,
+            engine("e1", 0, 3),
+            engine("slow", 2, 8, cost=5.0),
+            engine("copy", 0, 10),
+            lost={"e2"},
+        )
+        self.assertEqual([("e1", 0, 3), ("copy", 3, 7), ("e3", 7, 10)], shown(parts))
+
+    def test_several_may_take_it_over(self):
+        parts = detour(self.PATH, engine("x", 0, 5), engine("y", 4, 10), lost={"e2"})
+        self.assertEqual(["e1", "x", "y", "e3"], [part.backend_id for part in parts])
+        covered = [n for part in parts for n in range(*part.layers)]
+        self.assertEqual(list(range(LAYERS)), covered)
+
+    def test_no_engine_stands_twice(self):
+        held = engine("e3", 3, 10), engine("x", 0, 10)
+        parts = detour(self.PATH, *held, lost={"e1", "e2"})
+        self.assertIsNone(parts)
+        parts = detour(self.PATH, *held, lost={"e2"})
+        self.assertEqual(["e1", "x", "e3"], [part.backend_id for part in parts])
+
+    def test_nobody_holds_what_was_lost(self):
+        self.assertIsNone(detour(self.PATH, engine("x", 3, 6), lost={"e2"}))
+
+    def test_lost_engines_take_nothing_over(self):
+        held = engine("x", 0, 10)
+        self.assertIsNone(detour(self.PATH, held, lost={"e2", "x"}))
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -100,7 +100,7 @@
         self._members = MembersView()
         self._ready = asyncio.Event()
         self._announcer = self._new_announcer(announce)
-        self._suspected_at: dict[tuple[str, int], float] = {}
+        self._suspected_at: dict[tuple[str, int, bool], float] = {}
         self._orders = self._new_order_runner(on_order)
         self._submitter = Submitter(
             addresses=self._addresses, clock=clock, rng=self._rng, tls=tls
@@ -206,14 +206,17 @@
         if self._announcer is not None:
             self._announcer.announce()
 
-    def suspect(self, agent_id: str, incarnation: int) -> None:
+    def suspect(
+        self, agent_id: str, incarnation: int, *, is_hint: bool = False
+    ) -> None:
         """Tell control that an agent does not answer.
 
         Args:
             agent_id: The silent agent.
             incarnation: The incarnation that was asked.
+            is_hint: Whether others are to blame as likely.
         """
-        key = (agent_id, incarnation)
+        key = (agent_id, incarnation, is_hint)
         now = self._clock.now()
         # Many requests may miss one agent at once; one word a heartbeat is enough.
         if now - self._suspected_at.get(key, float("-inf")) < self._heartbeat_s:
@@ -221,7 +224,9 @@
         if len(self._suspected_at) >= MAX_SUSPICIONS:
             self._suspected_at.clear()
         self._suspected_at[key] = now
-        suspicion = wire.Suspect(agent_id=agent_id, incarnation=incarnation)
+        suspicion = wire.Suspect(
+            agent_id=agent_id, incarnation=incarnation, is_hint=is_hint
+        )
         self._send(wire.WatchRequest(suspect=suspicion))
 
     def _new_announcer(
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -4,9 +4,12 @@
 
 import json
 import logging
+from collections.abc import Sequence
 
 import aiohttp
 
+from wigeonscale.layers import Part
+from wigeonscale.platform.headers import path_text
 from wigeonscale.ports import ProbeAnswer
 from wigeonscale.ports.orders import EngineStatus, OrderOutcome
 
@@ -14,6 +17,8 @@
 # 200 ms, for which an order is waited and a probe is sent twice.
 TIMEOUT_S = 0.7
 PROBE_TIMEOUT_S = 0.3
+# A stream that stands still waits for it; sent elsewhere it would need 100 ms.
+CHANGE_TIMEOUT_S = 0.15
 
 OUTCOMES = {
     200: OrderOutcome.HOLDS_ALREADY,
@@ -44,12 +49,16 @@
         fence: int,
         expected_orders: int,
     ) -> OrderOutcome:
-        """Order an engine to hold layers ``first`` up to, without, ``end``."""
+        """Order an engine to hold layers ``first`` up to, without, ``end``.
+
+        It loads at once: with "queue" it would wait for the requests that pass through
+        layers it gives up, and a gap stay open for as long.
+        """
         order = {
             "op": "place",
             "from": first,
             "to": end,
-            "strategy": "queue",
+            "strategy": "preempt",
             "fencing-token": fence,
             # The order count, which the report calls "seq".
             "precondition": expected_orders,
@@ -59,6 +68,27 @@
             return OrderOutcome.UNKNOWN
         return OUTCOMES.get(answer[0], OrderOutcome.REFUSED)
 
+    async def change_path(
+        self,
+        address: str,
+        *,
+        request_id: str,
+        path: Sequence[Part],
+        addresses: Sequence[str],
+    ) -> OrderOutcome:
+        """Order the first engine of a running request to go on along another path."""
+        order = {
+            "op": "repath",
+            "id": request_id,
+            "path": path_text(path, addresses),
+        }
+        answer = await self._ask(
+            "POST", address, "/order", order, limit_s=CHANGE_TIMEOUT_S
+        )
+        if answer is None:
+            return OrderOutcome.UNKNOWN
+        return OUTCOMES.get(answer[0], OrderOutcome.REFUSED)
+
     async def status(self, address: str) -> EngineStatus | None:
         """Return what an engine says of itself; None without an answer."""
         answer = await self._ask("GET", address, "/report")
@@ -100,9 +130,10 @@
         address: str,
         path: str,
         body: dict | None = None,
+        limit_s: float = TIMEOUT_S,
     ) -> tuple[int, bytes] | None:
         try:
-            return await self._send(method, address, path, body)
+            return await self._send(method, address, path, body, limit_s)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             logger.info("%s %s at %s: no answer: %r", method, path, address, exc)
             return None
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -10,12 +10,14 @@
     "is_refused_unrun",
     "is_stranger",
     "names_request",
+    "path_text",
     "read_request_headers",
 ]
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from wigeonscale.layers import Part
 from wigeonscale.ports.exchange import AnswerHead, BackendCall, Generation
 
 MILLISECONDS = 1000.0
@@ -116,12 +118,21 @@
         headers.append(("Last-Event-Id", str(call.after_event)))
     if call.path:
         # Not a count: the engines of the path with the layers that each runs.
-        parts = zip(call.addresses, call.path, strict=True)
-        hops = [f"{at}={part.layers.first}-{part.layers.end}" for at, part in parts]
-        headers.append(("Hop-Count", ",".join(hops)))
+        headers.append(("Hop-Count", path_text(call.path, call.addresses)))
     return headers
 
 
+def path_text(path: Sequence[Part], addresses: Sequence[str]) -> str:
+    """Return a path as the engines read it.
+
+    Args:
+        path: Parts in order of layers.
+        addresses: Address of each engine on the path.
+    """
+    parts = zip(addresses, path, strict=True)
+    return ",".join(f"{at}={part.layers.first}-{part.layers.end}" for at, part in parts)
+
+
 def head_of(status: int, raw: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
     """Return the head of an answer as the caller shall get it.
 
--- a/wigeonscale/ports/orders.py
+++ b/wigeonscale/ports/orders.py
@@ -2,10 +2,13 @@
 
 __all__ = ["EngineOrders", "EngineStatus", "OrderOutcome"]
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
+from wigeonscale.layers import Part
+
 
 class OrderOutcome(StrEnum):
     """What an engine made of an order."""
@@ -55,5 +58,15 @@
     ) -> OrderOutcome:
         """Order an engine to hold layers ``first`` up to, without, ``end``."""
 
+    async def change_path(
+        self,
+        address: str,
+        *,
+        request_id: str,
+        path: Sequence[Part],
+        addresses: Sequence[str],
+    ) -> OrderOutcome:
+        """Order the first engine of a running request to go on along another path."""
+
     async def status(self, address: str) -> EngineStatus | None:
         """Return what an engine says of itself; None without an answer."""
