Layers are given up at once only where nothing passes any more

Where engines leave (scale-in at 10 s) they serve what they have until the end, and each engine that moved for them broke these requests off. Change: the keeper waits for requests unless an engine that is silent or gone left the domain without some layer. A first engine that does not say in 0.3 s why its streams stand still is lost (was 0.7 s, as long as an order may take).

--- a/wigeonscale/control/layer_keeper.py
+++ b/wigeonscale/control/layer_keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
@@ -138,7 +138,9 @@
                 wanted.setdefault(name, order.layers)
         for name, layers in wanted.items():
             if name not in self._giving:
-                giving = self._give(members[name], layers, follows=serves)
+                backend = members[name]
+                waits = _is_whole(backends, backend.domain, engine.layers)
+                giving = self._give(backend, layers, follows=serves, waits=waits)
                 task = asyncio.create_task(giving)
                 self._giving[name] = task
                 task.add_done_callback(lambda _, name=name: self._giving.pop(name))
@@ -158,7 +160,7 @@
         )
 
     async def _give(
-        self, backend: wire.Backend, layers: LayerRange, *, follows: bool
+        self, backend: wire.Backend, layers: LayerRange, *, follows: bool, waits: bool
     ) -> None:
         name = backend.agent_id
         expected = await self._expected_orders(backend, layers)
@@ -171,6 +173,7 @@
             end=layers.end,
             fence=fence,
             expected_orders=expected,
+            waits=waits,
         )
         now = self._clock.now()
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS_ALREADY):
@@ -184,7 +187,9 @@
             name,
             layers.first,
             layers.end,
-            extra=log_fields(outcome=outcome, fence=fence, expected_orders=expected),
+            extra=log_fields(
+                outcome=outcome, fence=fence, expected_orders=expected, waits=waits
+            ),
         )
         if follows and outcome is OrderOutcome.BEGUN:
             await self._follow(backend, layers)
@@ -251,6 +256,21 @@
     )
 
 
+def _is_whole(backends: Iterable[wire.Backend], domain: str, layers: int) -> bool:
+    """Return whether requests still pass through all layers in a failure domain.
+
+    Load pattern: an engine that leaves serves what it has until the end, and all paths
+    of its domain with it: what is moved for it lets these end first. Where one was
+    lost nothing passes any more, and nobody gains from a wait.
+    """
+    reached = 0
+    held = [_held(b) for b in backends if b.domain == domain and not b.silent]
+    for first, end in sorted(held):
+        if first <= reached:
+            reached = max(reached, end)
+    return reached >= layers
+
+
 def _held(backend: wire.Backend) -> LayerRange:
     """Return the layers that a backend announced, as first and end."""
     if backend.last_layer < backend.first_layer:
--- a/wigeonscale/control/tests/test_layer_keeper.py
+++ b/wigeonscale/control/tests/test_layer_keeper.py
@@ -31,8 +31,10 @@
         self.orders = []
         self.asked = []
         self.outcomes = {}
+        self.waits = {}
 
-    async def place(self, address, *, first, end, fence, expected_orders):
+    async def place(self, address, *, first, end, fence, expected_orders, waits):
+        self.waits[address] = waits
         self.orders.append((address, first, end, fence, expected_orders))
         outcome = self.outcomes.get(address)
         if outcome is not None:
@@ -43,7 +45,7 @@
         self.held[address] = (first, end)
         return OrderOutcome.BEGUN
 
-    async def status(self, address):
+    async def status(self, address, **_):
         self.asked.append(address)
         return EngineStatus(self.counts[address], False, *self.held[address])
 
@@ -174,6 +176,22 @@
         self.assertTrue(covered >= {4, 5, 6}, self.placed())
         self.assertEqual({"e1", "e3"}, {name for name, *_ in self.placed()})
 
+    async def test_nobody_waits_for_requests_where_an_engine_was_lost(self):
+        # Nothing passes there any more, and the gap would stay open for seconds.
+        await self.announce("e1", 0, 4)
+        await self.announce("e2", 4, 7, silent=True)
+        await self.announce("e3", 7, 10)
+        await self.clock.advance(1.0)
+        self.assertEqual({"e1": False, "e3": False}, self.engines.waits)
+
+    async def test_requests_end_first_where_an_engine_leaves(self):
+        # It serves what it has, and with it all paths through the others.
+        await self.announce("e1", 0, 4)
+        await self.announce("e2", 4, 7, draining=True)
+        await self.announce("e3", 7, 10)
+        await self.clock.advance(1.0)
+        self.assertEqual({"e1": True, "e3": True}, self.engines.waits)
+
     async def test_layers_are_announced_before_the_heartbeat_tells(self):
         await self.announce("e1", 0, 4)
         await self.announce("e2", 4, 7, silent=True)
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -32,6 +32,9 @@
 # What a report says is some hundred ms old, so an answer without a culprit is asked
 # for again after this long.
 ASK_AGAIN_S = 0.2
+# A first engine that says nothing for so long while its streams stand still is lost: a
+# lost packet costs 200 ms, and callers leave after two seconds.
+HEAD_ANSWER_S = 0.3
 # A wait that nothing explains is ended here: callers leave after two seconds, and
 # another path needs some tenths.
 HOPELESS_S = 1.3
@@ -161,7 +164,7 @@
         if server is None:
             self._beliefs.note_lost(head)
             return
-        status = await self._orders.status(server.address)
+        status = await self._orders.status(server.address, limit_s=HEAD_ANSWER_S)
         if status is None:
             culprits = [head]
         else:
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -189,6 +189,7 @@
     def __init__(self):
         self.held_up_by = {}
         self.asked = []
+        self.limits = []
         self.moved = []
         self.move_outcome = OrderOutcome.REFUSED
 
@@ -196,7 +197,8 @@
         self.moved.append((address, request_id, [part.backend_id for part in path]))
         return self.move_outcome
 
-    async def status(self, address):
+    async def status(self, address, *, limit_s):
+        self.limits.append(limit_s)
         self.asked.append(address)
         held_up_by = self.held_up_by.get(address, ())
         if held_up_by is None:
--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -435,6 +435,8 @@
         await asyncio.gather(task, watch, return_exceptions=True)
         self.assertEqual([1], self.got())
         self.assertEqual(["a1"], self.parts.suspected)
+        # With 0.7 s, as orders have, its streams stood still for 0.95 s.
+        self.assertTrue(max(self.parts.orders.limits) <= 0.3)
 
     async def test_busy_but_sound_engines_are_waited_for(self):
         """All streams stand still: another path would only read them once more."""
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -11,7 +11,11 @@
 from wigeonscale.layers import Part
 from wigeonscale.platform.headers import path_text
 from wigeonscale.ports import ProbeAnswer
-from wigeonscale.ports.orders import EngineStatus, OrderOutcome
+from wigeonscale.ports.orders import (
+    STATUS_LIMIT_S,
+    EngineStatus,
+    OrderOutcome,
+)
 
 # Engines answer at once; the links take a few milliseconds. One lost packet costs some
 # 200 ms, for which an order is waited and a probe is sent twice.
@@ -48,17 +52,14 @@
         end: int,
         fence: int,
         expected_orders: int,
+        waits: bool,
     ) -> OrderOutcome:
-        """Order an engine to hold layers ``first`` up to, without, ``end``.
-
-        It loads at once: with "queue" it would wait for the requests that pass through
-        layers it gives up, and a gap stay open for as long.
-        """
+        """Order an engine to hold layers ``first`` up to, without, ``end``."""
         order = {
             "op": "place",
             "from": first,
             "to": end,
-            "strategy": "preempt",
+            "strategy": "queue" if waits else "preempt",
             "fencing-token": fence,
             # The order count, which the report calls "seq".
             "precondition": expected_orders,
@@ -89,9 +90,11 @@
             return OrderOutcome.UNKNOWN
         return OUTCOMES.get(answer[0], OrderOutcome.REFUSED)
 
-    async def status(self, address: str) -> EngineStatus | None:
-        """Return what an engine says of itself; None without an answer."""
-        answer = await self._ask("GET", address, "/report")
+    async def status(
+        self, address: str, *, limit_s: float = STATUS_LIMIT_S
+    ) -> EngineStatus | None:
+        """Return what an engine says of itself; None without an answer in time."""
+        answer = await self._ask("GET", address, "/report", limit_s=limit_s)
         if answer is None or answer[0] != 200:
             return None
         try:
--- a/wigeonscale/platform/tests/test_engine_orders.py
+++ b/wigeonscale/platform/tests/test_engine_orders.py
@@ -85,12 +85,19 @@
         for self.status, outcome in outcomes.items():
             self.assertIs(outcome, await self.change_path())
 
-    async def test_layers_are_loaded_without_waiting_for_requests(self):
-        outcome = await self.orders.place(
-            self.address, first=20, end=31, fence=7, expected_orders=2
-        )
-        self.assertIs(OrderOutcome.BEGUN, outcome)
-        (_, _, order) = self.taken[0]
+    async def test_whether_requests_shall_end_first(self):
+        for waits in (False, True):
+            outcome = await self.orders.place(
+                self.address,
+                first=20,
+                end=31,
+                fence=7,
+                expected_orders=2,
+                waits=waits,
+            )
+            self.assertIs(OrderOutcome.BEGUN, outcome)
+        (_, _, order), (_, _, waiting) = self.taken
+        self.assertEqual("queue", waiting["strategy"])
         self.assertEqual(
             (20, 31, "preempt"), (order["from"], order["to"], order["strategy"])
         )
--- a/wigeonscale/ports/orders.py
+++ b/wigeonscale/ports/orders.py
@@ -1,6 +1,6 @@
 """The port to model engines that take orders without an agent."""
 
-__all__ = ["EngineOrders", "EngineStatus", "OrderOutcome"]
+__all__ = ["STATUS_LIMIT_S", "EngineOrders", "EngineStatus", "OrderOutcome"]
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -9,6 +9,10 @@
 
 from wigeonscale.layers import Part
 
+# Engines answer at once; the links take a few milliseconds, and one lost packet some
+# 200 ms.
+STATUS_LIMIT_S = 0.7
+
 
 class OrderOutcome(StrEnum):
     """What an engine made of an order."""
@@ -55,8 +59,19 @@
         end: int,
         fence: int,
         expected_orders: int,
+        waits: bool,
     ) -> OrderOutcome:
-        """Order an engine to hold layers ``first`` up to, without, ``end``."""
+        """Order an engine to hold layers ``first`` up to, without, ``end``.
+
+        Args:
+            address: Where it listens.
+            first: First layer that it shall hold.
+            end: One more than the last one.
+            fence: Fencing number.
+            expected_orders: How many orders it must have begun so far.
+            waits: Whether requests that pass through layers it gives up shall end
+                first; else they are broken off, and it loads at once.
+        """
 
     async def change_path(
         self,
@@ -68,5 +83,7 @@
     ) -> OrderOutcome:
         """Order the first engine of a running request to go on along another path."""
 
-    async def status(self, address: str) -> EngineStatus | None:
-        """Return what an engine says of itself; None without an answer."""
+    async def status(
+        self, address: str, *, limit_s: float = STATUS_LIMIT_S
+    ) -> EngineStatus | None:
+        """Return what an engine says of itself; None without an answer in time."""
