Generations in modules of one job each; their tests by topic

Moved as they are: `Run` to `runs`, how far a request has come to `progress`, the search for a path and the wait for room to `next_path`, changed paths to `detour`; tests of full engines to `test_full`, of stalls and detours to `test_stalls`, the fixtures to `support`. No test was changed. One behaviour with a new test: where the path breaks while a request waits for room, that is the cause named ("no room for one more at" nothing before).

--- /dev/null
+++ b/wigeonscale/direct/next_path.py
@@ -0,0 +1,122 @@
+"""The path of the next send of a generation, waited for where that is worth it."""
+
+__all__ = ["NO_PATH_RETRY_S", "next_path"]
+
+import logging
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.admission import PathChoice, choose_path_for, no_room
+from wigeonscale.direct.job import Job, Surroundings
+from wigeonscale.direct.progress import Progress
+from wigeonscale.direct.room_queue import ROOM_WAIT_S
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.layers import Part
+
+# Word to callers when no path is whole: a lost engine is found and its layers are
+# loaded elsewhere in one to three seconds.
+NO_PATH_RETRY_S = 1.0
+# A stream that was begun waits this long for a path before it is given up, in steps.
+PATH_WAIT_S = 1.0
+PATH_STEP_S = 0.1
+
+logger = logging.getLogger(__name__)
+
+
+async def next_path(around: Surroundings, job: Job, progress: Progress) -> list[Part]:
+    """Return the path of the next send.
+
+    Args:
+        around: What the flows share.
+        job: The request.
+        progress: How far it has come: what its caller has part of is finished, also
+            where engines are full.
+
+    Raises:
+        WigeonscaleError: ``NO_BACKEND``: no path is whole; ``OVERLOADED``: there is
+            one, but no room.
+    """
+    if progress.is_begun:
+        return await _find_path(around, job, progress)
+    return await _find_room(around, job, progress)
+
+
+async def _find_path(around: Surroundings, job: Job, progress: Progress) -> list[Part]:
+    """Return the path on which a stream goes on, also where engines are full."""
+    give_up_at = min(around.clock.now() + PATH_WAIT_S, job.ends_at)
+    while True:
+        choice = _choose(around, job, progress)
+        if choice.path is not None:
+            return choice.path
+        if around.clock.now() >= give_up_at:
+            raise _no_path(job, progress)
+        await around.clock.sleep(PATH_STEP_S)
+
+
+async def _find_room(around: Surroundings, job: Job, progress: Progress) -> list[Part]:
+    """Return the path of an answer that is not begun, all of it with room."""
+    choice = _choose(around, job, progress)
+    if choice.path is None:
+        raise _no_path(job, progress)
+    if not choice.full and not len(around.waiting):
+        return choice.path
+    place = _enter(around, job, progress)
+    began_at = around.clock.now()
+    give_up_at = min(began_at + ROOM_WAIT_S, job.ends_at)
+    try:
+        while True:
+            if around.waiting.is_next(place):
+                choice = _choose(around, job, progress)
+                if choice.path is not None and not choice.full:
+                    break
+            if around.clock.now() >= give_up_at:
+                raise _no_room(around, job, progress, choice)
+            await around.waiting.wait()
+    finally:
+        around.waiting.leave(place)
+    logger.info(
+        "waited for room",
+        extra=log_fields(
+            request_id=job.req.request_id,
+            outcome="room",
+            waited_s=round(around.clock.now() - began_at, 3),
+        ),
+    )
+    return choice.path
+
+
+def _enter(around: Surroundings, job: Job, progress: Progress) -> int:
+    """Return the place of a request among those that wait for room."""
+    try:
+        return around.waiting.enter(
+            organisation=job.organisation_name,
+            priority=job.priority,
+            running=around.stalls.running,
+        )
+    except WigeonscaleError as exc:
+        may_have_run = bool(progress.ran_at)
+        raise no_room(exc.message, may_have_run=may_have_run, rng=around.rng) from None
+
+
+def _choose(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
+    return choose_path_for(around, job, lost=progress.lost, ran_at=progress.ran_at)
+
+
+def _no_path(job: Job, progress: Progress) -> WigeonscaleError:
+    return WigeonscaleError(
+        ErrorKind.NO_BACKEND,
+        f"no path through all layers of {job.service.name}",
+        run_state=RunState.UNKNOWN if progress.ran_at else RunState.NOT_RUN,
+        retry_after=NO_PATH_RETRY_S,
+    )
+
+
+def _no_room(
+    around: Surroundings, job: Job, progress: Progress, choice: PathChoice
+) -> WigeonscaleError:
+    if choice.path is None:
+        return _no_path(job, progress)
+    return no_room(
+        f"no room for one more at {', '.join(choice.full)}",
+        may_have_run=bool(progress.ran_at),
+        rng=around.rng,
+    )
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -6,10 +6,10 @@
 import logging
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.beliefs import Run
 from wigeonscale.direct.choice import choose_server
 from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import Job, Surroundings
+from wigeonscale.direct.runs import Run
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import ExchangeError, Fate, WholeAnswer
 
--- /dev/null
+++ b/wigeonscale/direct/runs.py
@@ -0,0 +1,68 @@
+"""One send in progress, and the engines that it runs on."""
+
+__all__ = ["Run"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One send in progress.
+
+    Attributes:
+        backend_ids: Backend servers that it runs on; several for a path.
+        token_layers: Memory that it takes, in tokens times layers, by backend server.
+        progress_at: Instant of its last sign of progress.
+        watch: Its wait, which may be ended early; None where nobody waits so.
+        move: Takes it off the lost engines of its path while it goes on, and returns
+            whether that was done; None where that cannot be.
+        moving: A move under way.
+        began_at: Instant of the first sign of progress; None before it.
+        events: Signs of progress so far.
+    """
+
+    backend_ids: tuple[str, ...]
+    token_layers: dict[str, float] = field(default_factory=dict)
+    progress_at: float = 0.0
+    watch: asyncio.Timeout | None = None
+    move: Callable[[], Awaitable[bool]] | None = None
+    moving: asyncio.Task | None = None
+    began_at: float | None = None
+    events: int = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether anything of an answer came."""
+        return self.events > 0
+
+    @property
+    def interval_s(self) -> float:
+        """Mean time between its events; 0 before the second."""
+        if self.events < 2:
+            return 0.0
+        return (self.progress_at - self.began_at) / (self.events - 1)
+
+    def note_progress(self, now: float) -> None:
+        """Count an event in."""
+        if self.began_at is None:
+            self.began_at = now
+        self.progress_at = now
+        self.events += 1
+
+    def leave_lost(self) -> None:
+        """Go on without engines that are lost: in its place, or else elsewhere."""
+        if self.move is None:
+            self.end_wait()
+        elif self.moving is None or self.moving.done():
+            self.moving = asyncio.create_task(self._move_or_end())
+
+    async def _move_or_end(self) -> None:
+        if not await self.move():
+            self.end_wait()
+
+    def end_wait(self) -> None:
+        """End its wait now, so that it goes on elsewhere."""
+        if self.watch is not None and not self.watch.expired():
+            self.watch.reschedule(asyncio.get_running_loop().time())
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -14,8 +14,9 @@
 from collections.abc import Callable
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.beliefs import Beliefs, Run
+from wigeonscale.direct.beliefs import Beliefs
 from wigeonscale.direct.fleet import Fleet
+from wigeonscale.direct.runs import Run
 from wigeonscale.ports import Clock
 from wigeonscale.ports.orders import EngineOrders
 
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -10,20 +10,14 @@
 import asyncio
 import functools
 import logging
-from collections.abc import Sequence
 from contextlib import aclosing
-from dataclasses import dataclass, field
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.admission import (
-    PathChoice,
-    choose_detour,
-    choose_path_for,
-    no_room,
-)
-from wigeonscale.direct.beliefs import Run
+from wigeonscale.direct.detour import change_path, memory_of
 from wigeonscale.direct.job import Job, Surroundings
-from wigeonscale.direct.room_queue import ROOM_WAIT_S
+from wigeonscale.direct.next_path import NO_PATH_RETRY_S, next_path
+from wigeonscale.direct.progress import Progress
+from wigeonscale.direct.runs import Run
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import Part
 from wigeonscale.ports.exchange import (
@@ -34,39 +28,13 @@
     StreamEvent,
     WholeAnswer,
 )
-from wigeonscale.ports.orders import OrderOutcome
 
-# Word to callers when no path is whole: a lost engine is found and its layers are
-# loaded elsewhere in one to three seconds.
-NO_PATH_RETRY_S = 1.0
-# A stream that was begun waits this long for a path before it is given up, in steps.
-PATH_WAIT_S = 1.0
-PATH_STEP_S = 0.1
 # Sends of one request in all: refusals that did not run do not count as attempts.
 MOST_SENDS = 6
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class _Progress:
-    """How far a request has come.
-
-    Attributes:
-        last_id: Last event that the caller has; None before the first.
-        is_begun: Whether the caller was sent the head.
-        sends: Sends so far.
-        ran_at: First engines of the paths that may have run it.
-        lost: Engines that this request found lost.
-    """
-
-    last_id: int | None
-    is_begun: bool = False
-    sends: int = 0
-    ran_at: set[str] = field(default_factory=set)
-    lost: set[str] = field(default_factory=set)
-
-
 async def relay_stream(around: Surroundings, job: Job, sink: AnswerSink) -> None:
     """Relay a generation to its caller, whole or not at all.
 
@@ -78,12 +46,9 @@
     Raises:
         WigeonscaleError: It was given up; if the answer was begun it must be cut.
     """
-    progress = _Progress(last_id=job.req.last_event_id)
+    progress = Progress(last_id=job.req.last_event_id)
     while True:
-        if progress.is_begun:
-            path = await _find_path(around, job, progress)
-        else:
-            path = await _find_room(around, job, progress)
+        path = await next_path(around, job, progress)
         progress.sends += 1
         try:
             if await _try_path(around, job, sink, progress, path):
@@ -93,77 +58,11 @@
             _check_may_go_on(around, job, progress, exc)
 
 
-async def _find_path(around: Surroundings, job: Job, progress: _Progress) -> list[Part]:
-    """Return the path on which a stream goes on, also where engines are full."""
-    give_up_at = min(around.clock.now() + PATH_WAIT_S, job.ends_at)
-    while True:
-        choice = _choose(around, job, progress)
-        if choice.path is not None:
-            return choice.path
-        if around.clock.now() >= give_up_at:
-            raise _no_path(job, progress)
-        await around.clock.sleep(PATH_STEP_S)
-
-
-async def _find_room(around: Surroundings, job: Job, progress: _Progress) -> list[Part]:
-    """Return the path of an answer that is not begun, all of it with room."""
-    choice = _choose(around, job, progress)
-    if choice.path is not None and not choice.full and not len(around.waiting):
-        return choice.path
-    if choice.path is None:
-        raise _no_path(job, progress)
-    may_have_run = bool(progress.ran_at)
-    try:
-        place = around.waiting.enter(
-            organisation=job.organisation_name,
-            priority=job.priority,
-            running=around.stalls.running,
-        )
-    except WigeonscaleError as exc:
-        raise no_room(exc.message, may_have_run=may_have_run, rng=around.rng) from None
-    began_at = around.clock.now()
-    give_up_at = min(began_at + ROOM_WAIT_S, job.ends_at)
-    try:
-        while True:
-            if around.waiting.is_next(place):
-                choice = _choose(around, job, progress)
-                if choice.path is not None and not choice.full:
-                    break
-            if around.clock.now() >= give_up_at:
-                reason = f"no room for one more at {', '.join(choice.full)}"
-                raise no_room(reason, may_have_run=may_have_run, rng=around.rng)
-            await around.waiting.wait()
-    finally:
-        around.waiting.leave(place)
-    logger.info(
-        "waited for room",
-        extra=log_fields(
-            request_id=job.req.request_id,
-            outcome="room",
-            waited_s=round(around.clock.now() - began_at, 3),
-        ),
-    )
-    return choice.path
-
-
-def _choose(around: Surroundings, job: Job, progress: _Progress) -> PathChoice:
-    return choose_path_for(around, job, lost=progress.lost, ran_at=progress.ran_at)
-
-
-def _no_path(job: Job, progress: _Progress) -> WigeonscaleError:
-    return WigeonscaleError(
-        ErrorKind.NO_BACKEND,
-        f"no path through all layers of {job.service.name}",
-        run_state=RunState.UNKNOWN if progress.ran_at else RunState.NOT_RUN,
-        retry_after=NO_PATH_RETRY_S,
-    )
-
-
 async def _try_path(
     around: Surroundings,
     job: Job,
     sink: AnswerSink,
-    progress: _Progress,
+    progress: Progress,
     path: list[Part],
 ) -> bool:
     """Relay one run; return True once the caller has the whole answer."""
@@ -181,9 +80,9 @@
         addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
     )
-    run = Run(tuple(part.backend_id for part in path), _memory(job, path))
+    run = Run(tuple(part.backend_id for part in path), memory_of(job, path))
     if is_split:
-        run.move = functools.partial(_change_path, around, job, run, path)
+        run.move = functools.partial(change_path, around, job, run, path)
     logger.info(
         "generation sent",
         extra=log_fields(
@@ -224,49 +123,11 @@
         around.beliefs.end(run)
 
 
-def _memory(job: Job, path: Sequence[Part]) -> dict[str, float]:
-    """Return the tokens times layers that a run takes of each engine."""
-    tokens = job.req.generation.prompt + job.req.generation.expected
-    return {part.backend_id: float(tokens * part.layers.count) for part in path}
-
-
-async def _change_path(
-    around: Surroundings, job: Job, run: Run, path: list[Part]
-) -> bool:
-    """Take a run off its lost engines while it goes on; return whether that is done."""
-    detour = choose_detour(around, job, path)
-    if detour is None:
-        return False
-    fleet = around.fleet()
-    outcome = await around.orders.change_path(
-        fleet.by_id[path[0].backend_id].address,
-        request_id=job.req.request_id,
-        path=detour,
-        addresses=[fleet.by_id[part.backend_id].address for part in detour],
-    )
-    is_done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS_ALREADY)
-    logger.info(
-        "path of a generation changed" if is_done else "path not changed",
-        extra=log_fields(
-            request_id=job.req.request_id,
-            outcome=outcome,
-            path=",".join(part.backend_id for part in detour),
-            quiet_s=round(around.clock.now() - run.progress_at, 3),
-        ),
-    )
-    if is_done:
-        path[:] = detour
-        around.beliefs.replace(
-            run, tuple(part.backend_id for part in detour), _memory(job, detour)
-        )
-    return is_done
-
-
 async def _relay_events(
     around: Surroundings,
     job: Job,
     sink: AnswerSink,
-    progress: _Progress,
+    progress: Progress,
     run: Run,
     stream: BackendStream,
 ) -> bool:
@@ -291,7 +152,7 @@
 
 
 async def _relay_failure(
-    sink: AnswerSink, progress: _Progress, stream: BackendStream
+    sink: AnswerSink, progress: Progress, stream: BackendStream
 ) -> bool:
     body = await stream.rest()
     if progress.is_begun:
@@ -302,7 +163,7 @@
     return True
 
 
-def _is_next(progress: _Progress, event: StreamEvent) -> bool:
+def _is_next(progress: Progress, event: StreamEvent) -> bool:
     """Return whether the caller lacks an event.
 
     Raises:
@@ -320,7 +181,7 @@
 def _note_failure(
     around: Surroundings,
     job: Job,
-    progress: _Progress,
+    progress: Progress,
     path: list[Part],
     exc: ExchangeError,
 ) -> None:
@@ -360,7 +221,7 @@
 
 
 def _check_may_go_on(
-    around: Surroundings, job: Job, progress: _Progress, exc: ExchangeError
+    around: Surroundings, job: Job, progress: Progress, exc: ExchangeError
 ) -> None:
     """Raise the final answer unless the request may be sent once more."""
     may_have_run = bool(progress.ran_at)
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -14,6 +14,8 @@
     Surroundings,
 )
 from wigeonscale.direct.job import Job
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.errors import WigeonscaleError
 from wigeonscale.layers import LayerRange
 from wigeonscale.ports.exchange import (
     AnswerHead,
@@ -33,7 +35,7 @@
     Service,
     Share,
 )
-from wigeonscale.testing import ManualClock
+from wigeonscale.testing import AsyncTestCase, ManualClock
 
 ENGINE = EngineProfile(
     layers=10,
@@ -287,3 +289,41 @@
 
 
 MODEL = Service(name="model", engine=ENGINE)
+
+
+def engine(name, first, end, **fields):
+    return server(name, "model", layers=(first, end), **fields)
+
+
+class StreamCase(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts(
+            engine("a1", 0, 5),
+            engine("a2", 5, 10),
+            engine("b1", 0, 5, domain="b"),
+            engine("b2", 5, 10, domain="b"),
+        )
+        self.exchange = self.parts.exchange
+        self.sink = Sink()
+
+    def relay(self, **fields):
+        fields.setdefault("resumable", True)
+        job = self.parts.job(Repeat.STREAM, service=MODEL, left_s=20.0, **fields)
+        return relay_stream(self.parts.around, job, self.sink)
+
+    async def refused(self, **fields):
+        try:
+            await self.relay(**fields)
+        except WigeonscaleError as exc:
+            return exc
+        self.fail("it was answered")
+
+    def got(self):
+        return [int(line[4:]) for line in self.sink.data.split(b"\n\n") if line]
+
+    async def until(self, condition):
+        for _ in range(500):
+            if condition():
+                return
+            await self.parts.clock.advance(0.01)
+        self.fail("the condition never held")
--- a/wigeonscale/direct/tests/test_choice.py
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -3,13 +3,13 @@
 from dataclasses import replace
 
 from wigeonscale.direct import Beliefs, SendBudget
-from wigeonscale.direct.beliefs import Run
 from wigeonscale.direct.choice import (
     FULL_SHARE,
     choose_path,
     choose_server,
     path_costs,
 )
+from wigeonscale.direct.runs import Run
 from wigeonscale.direct.tests.support import ENGINE, server
 from wigeonscale.ports.exchange import Generation
 from wigeonscale.routes import Accelerator
--- /dev/null
+++ b/wigeonscale/direct/tests/test_full.py
@@ -0,0 +1,106 @@
+import asyncio
+
+from wigeonscale.direct.choice import FULL_SHARE
+from wigeonscale.direct.room_queue import ROOM_WAIT_S
+from wigeonscale.direct.runs import Run
+from wigeonscale.direct.tests.support import (
+    ENGINE,
+    StreamCase,
+    engine,
+    event,
+    fleet,
+    unknown,
+)
+from wigeonscale.errors import ErrorKind, RunState
+from wigeonscale.ports.exchange import Generation
+
+
+class FullTest(StreamCase):
+    """Engines without room for one more request."""
+
+    def fill(self, *names):
+        room = FULL_SHARE * (5000 - 5 * 100) * 1e6 / 1e5
+        runs = [Run((name,), {name: room}) for name in names]
+        for run in runs:
+            self.parts.beliefs.begin(run)
+        return runs
+
+    async def test_room_that_comes_free_in_a_moment_is_waited_for(self):
+        runs = self.fill("a1", "b2")
+        self.exchange.script("a1", [event(1)])
+        task = asyncio.create_task(self.relay())
+        await self.parts.clock.advance(0.1)
+        self.assertEqual([], self.exchange.calls)
+        self.parts.beliefs.end(runs[0])
+        await self.parts.clock.advance(0.05)
+        await task
+        self.assertEqual([1], self.got())
+        self.assertEqual(0, len(self.parts.around.waiting))
+
+    async def test_turned_away_soon_with_word_when_to_return(self):
+        self.fill("a1", "b2")
+        task = asyncio.create_task(self.refused())
+        await self.parts.clock.advance(ROOM_WAIT_S + 0.05)
+        self.assertTrue(task.done())
+        exc = await task
+        self.assertEqual(ErrorKind.OVERLOADED, exc.kind)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertTrue(0.4 <= exc.retry_after <= 1.4)
+        self.assertEqual([], self.exchange.calls)
+        self.assertEqual(0, len(self.parts.around.waiting))
+
+    async def test_turned_away_at_once_where_enough_wait_already(self):
+        self.fill("a1", "b2")
+        waiting = asyncio.create_task(self.refused())
+        await self.parts.clock.advance(0)
+        # No time passes in this one.
+        exc = await self.refused()
+        self.assertEqual(ErrorKind.OVERLOADED, exc.kind)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertTrue(0.4 <= exc.retry_after <= 1.4)
+        await self.parts.clock.advance(ROOM_WAIT_S + 0.05)
+        await waiting
+
+    async def test_a_path_that_breaks_meanwhile_is_named_as_the_cause(self):
+        self.fill("a1", "b2")
+        task = asyncio.create_task(self.refused())
+        await self.parts.clock.advance(0.1)
+        self.parts.fleet = fleet(engine("a1", 0, 5))
+        await self.parts.clock.advance(ROOM_WAIT_S)
+        exc = await task
+        self.assertEqual(ErrorKind.NO_BACKEND, exc.kind)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+
+    async def test_a_caller_that_leaves_gives_its_place_back(self):
+        self.fill("a1", "b2")
+        task = asyncio.create_task(self.relay())
+        await self.parts.clock.advance(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(0, len(self.parts.around.waiting))
+
+    async def test_another_domain_with_room_takes_it(self):
+        self.fill("a2")
+        self.exchange.script("b1", [event(1)])
+        await self.relay()
+        self.assertEqual([1], self.got())
+
+    async def test_what_was_begun_is_finished(self):
+        gate = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [event(1), gate, unknown()])
+        self.exchange.script("a1", [event(2)])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.sink.data)
+        self.fill("a1", "a2", "b1", "b2")
+        gate.set_result(None)
+        await task
+        self.assertEqual([1, 2], self.got())
+
+    async def test_large_requests_are_not_turned_away_before_small_ones(self):
+        room = FULL_SHARE * (5000 - 5 * 100) * 1e6 / 1e5
+        usual = 5 * (ENGINE.usual_prompt + ENGINE.usual_answer)
+        for name in ("a1", "b1"):
+            self.parts.beliefs.begin(Run((name,), {name: room - usual}))
+        self.exchange.script("a1", [event(1)])
+        await self.relay(generation=Generation(prompt=5000, most=900, expected=900))
+        self.assertEqual([1], self.got())
--- /dev/null
+++ b/wigeonscale/direct/tests/test_stalls.py
@@ -0,0 +1,185 @@
+import asyncio
+
+from wigeonscale.direct.runs import Run
+from wigeonscale.direct.tests.support import (
+    FakeExchange,
+    Sink,
+    StreamCase,
+    engine,
+    event,
+    fleet,
+)
+from wigeonscale.ports.orders import OrderOutcome
+
+HANG = FakeExchange.HANG
+
+
+class StallTest(StreamCase):
+    """An engine goes dark under several streams at once."""
+
+    async def test_all_streams_leave_the_engine_that_is_named(self):
+        self.exchange.script("a1", *[[event(1), HANG] for _ in range(5)])
+        self.exchange.script("b1", *[[event(2), event(3)] for _ in range(5)])
+        self.parts.orders.held_up_by["a1:80"] = ["a2:80"] * 5
+        sinks = [Sink() for _ in range(5)]
+        tasks = []
+        for sink in sinks:
+            self.sink = sink
+            tasks.append(asyncio.create_task(self.relay()))
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.until(lambda: all(task.done() for task in tasks))
+        watch.cancel()
+        await asyncio.gather(*tasks, watch, return_exceptions=True)
+        for sink in sinks:
+            self.assertEqual(b"id: 1\n\nid: 2\n\nid: 3\n\n", sink.data)
+            self.assertTrue(sink.is_whole)
+        # One question for all of them; the engine is named to control.
+        self.assertEqual(["a1:80"], self.parts.orders.asked)
+        self.assertEqual(["a2"], self.parts.suspected)
+        waited_s = self.parts.clock.now() - 1000.0
+        self.assertTrue(waited_s < 1.0, waited_s)
+
+    async def test_first_engine_does_not_answer(self):
+        self.exchange.script("a1", [HANG])
+        self.exchange.script("b1", [event(1)])
+        self.parts.orders.held_up_by["a1:80"] = None
+        task = asyncio.create_task(self.relay())
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.until(task.done)
+        watch.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+        self.assertEqual([1], self.got())
+        self.assertEqual(["a1"], self.parts.suspected)
+        # With 0.7 s, as orders have, its streams stood still for 0.95 s.
+        self.assertTrue(max(self.parts.orders.limits) <= 0.3)
+
+    async def test_busy_but_sound_engines_are_waited_for(self):
+        """All streams stand still: another path would only read them once more."""
+        self.exchange.script("a1", *[[event(1), HANG] for _ in range(3)])
+        tasks = [asyncio.create_task(self.relay()) for _ in range(3)]
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.parts.clock.advance(1.9)
+        self.assertEqual(3, len(self.exchange.calls))
+        self.assertEqual([], self.parts.suspected)
+        for task in (*tasks, watch):
+            task.cancel()
+        await asyncio.gather(*tasks, watch, return_exceptions=True)
+
+    async def test_silent_connection_while_the_others_move_on(self):
+        self.exchange.script("a1", [event(1), HANG])
+        self.exchange.script("a1", [event(2)])
+        task = asyncio.create_task(self.relay())
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.parts.clock.advance(0)
+        others = [Run(("a1",), events=1) for _ in range(2)]
+        for other in others:
+            self.parts.stalls.add(other)
+        for _ in range(200):
+            for other in others:
+                other.progress_at = self.parts.clock.now()
+            await self.parts.clock.advance(0.01)
+            if task.done():
+                break
+        watch.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+        self.assertEqual([1, 2], self.got())
+
+    async def test_engines_of_a_quiet_path_are_named_to_control_early(self):
+        # Control probes them: one that has crashed refuses, and all entries hear of it.
+        self.exchange.script("a1", [event(1), HANG])
+        task = asyncio.create_task(self.relay())
+        watch = asyncio.create_task(self.parts.stalls.run())
+        await self.parts.clock.advance(0.15)
+        self.assertEqual({"a1", "a2"}, set(self.parts.hinted))
+        self.assertEqual([], self.parts.suspected)
+        task.cancel()
+        watch.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+
+    async def test_engines_through_which_others_move_are_not_named(self):
+        self.exchange.script("a1", [event(1), HANG])
+        task = asyncio.create_task(self.relay())
+        await self.parts.clock.advance(0.15)
+        other = Run(("a1", "b2"), events=1, progress_at=self.parts.clock.now())
+        self.parts.stalls.add(other)
+        self.parts.stalls.check()
+        self.assertEqual({"a2"}, set(self.parts.hinted))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def test_engine_that_control_calls_silent(self):
+        self.exchange.script("a1", [event(1), HANG])
+        self.exchange.script("b1", [event(2)])
+        task = asyncio.create_task(self.relay())
+        await self.parts.clock.advance(0.2)
+        self.parts.fleet = fleet(
+            engine("a1", 0, 5),
+            engine("a2", 5, 10, is_silent=True),
+            engine("b1", 0, 5, domain="b"),
+            engine("b2", 5, 10, domain="b"),
+        )
+        self.parts.stalls.check()
+        await self.until(task.done)
+        await task
+        self.assertEqual([1, 2], self.got())
+        self.assertEqual([], self.parts.orders.asked)
+
+
+class DetourTest(StreamCase):
+    """An engine is lost under a stream, and another one near it holds its layers."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.parts.fleet = self.fleet_now()
+        self.gate = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        self.exchange.script("b1", [event(2)])
+
+    def fleet_now(self, *, lost=""):
+        engines = [
+            engine("a1", 0, 5, is_silent=lost == "a1"),
+            engine("a2", 5, 10, is_silent=lost == "a2"),
+            engine("b1", 0, 5, domain="b"),
+            engine("b2", 5, 10, domain="b"),
+        ]
+        if lost:
+            # Not there before, so that the first path is sure.
+            engines.append(engine("a3", 4, 10))
+        return fleet(*engines)
+
+    async def lose(self, name):
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.sink.data)
+        await self.parts.clock.advance(0.1)
+        self.parts.fleet = self.fleet_now(lost=name)
+        self.parts.stalls.check()
+        await self.parts.clock.advance(0)
+        if not self.gate.done():
+            # Its connection was kept, and the new path brings the rest.
+            self.gate.set_result(None)
+        await self.until(task.done)
+        await task
+        self.assertEqual([1, 2], self.got())
+        self.assertTrue(self.sink.is_whole)
+
+    async def test_goes_on_along_another_path_in_the_same_run(self):
+        self.parts.orders.move_outcome = OrderOutcome.BEGUN
+        await self.lose("a2")
+        self.assertEqual([("a1:80", "r1", ["a1", "a3"])], self.parts.orders.moved)
+        self.assertEqual(["a1"], self.exchange.sent_to)
+        # What it took of memory is given back where it ran at last.
+        for name in ("a1", "a2", "a3"):
+            self.assertEqual((0, 0.0), self.parts.beliefs.load_of(name, 1))
+
+    async def test_sent_anew_where_the_engine_refuses_the_order(self):
+        self.parts.orders.move_outcome = OrderOutcome.MISFIT
+        self.exchange.script("a1", [event(2)])
+        await self.lose("a2")
+        paths = [[p.backend_id for p in call.path] for call in self.exchange.calls]
+        self.assertEqual([["a1", "a2"], ["a1", "a3"]], paths)
+
+    async def test_sent_elsewhere_where_the_first_engine_is_lost(self):
+        self.parts.orders.move_outcome = OrderOutcome.BEGUN
+        await self.lose("a1")
+        self.assertEqual([], self.parts.orders.moved)
+        self.assertEqual(["a1", "b1"], self.exchange.sent_to)
