SIGHUP while a daemon starts no longer ends it

SIGHUP's default action ends a process; the handler stood only once the event loop ran, after 0.7 s of imports and longer on a busy machine. Ruled out: a fault of the restart itself (the old logs end with the kill, the new ones are empty, not cut); SIGSTOP without SIGCONT (a kill sends SIGCONT first). Change: `wigeond` ignores SIGHUP before it imports anything heavy; what it ran so far is `cli/daemon.py`. A start reads the settings anyway. The new test fails without the line. Tests changed: test_wigeond patches `_runner` where it is now.

--- /dev/null
+++ b/wigeonscale/cli/daemon.py
@@ -0,0 +1,63 @@
+"""Reads the command line and the settings of a daemon, and runs it."""
+
+__all__ = ["run_daemon"]
+
+import argparse
+import asyncio
+import functools
+import importlib
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+
+from wigeonscale import __version__
+from wigeonscale.cli.exits import ExitCode
+from wigeonscale.config import ROLES, NodeSettings, load_settings
+from wigeonscale.errors import SettingsError, WigeonscaleError
+
+EXIT_FAILED = 1
+# The others keep the settings of their start.
+RELOADING_ROLES = frozenset({"direct-entry", "direct-control"})
+
+
+def run_daemon(argv: Sequence[str] | None = None) -> int:
+    """Run a daemon and return its exit code.
+
+    Args:
+        argv: Arguments; None for those of the process.
+    """
+    args = _parser().parse_args(argv)
+    try:
+        cfg = load_settings(args.config, args.role)
+    except SettingsError as exc:
+        print(exc.message, file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    try:
+        return asyncio.run(_runner(args.role)(cfg, **_reloading(args))) or 0
+    except (OSError, WigeonscaleError) as exc:
+        print(f"wigeond {args.role} {cfg.name}: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="wigeond", description="Runs one daemon of wigeonscale until SIGTERM."
+    )
+    parser.add_argument("role", choices=list(ROLES), help="what this process does")
+    parser.add_argument(
+        "--config", required=True, metavar="F.ini", help="settings file of the role"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def _reloading(args: argparse.Namespace) -> dict[str, Callable[[], NodeSettings]]:
+    if args.role not in RELOADING_ROLES:
+        return {}
+    return {"reload": functools.partial(load_settings, args.config, args.role)}
+
+
+def _runner(role: str) -> Callable[[NodeSettings], Awaitable[int | None]]:
+    # Imported only now: the other roles' libraries would cost memory.
+    name = role.replace("-", "_")
+    module = importlib.import_module(f"wigeonscale.daemons.{name}")
+    return getattr(module, f"run_{name}")
--- a/wigeonscale/cli/tests/test_wigeond.py
+++ b/wigeonscale/cli/tests/test_wigeond.py
@@ -6,7 +6,7 @@
 
 import fixtures
 
-from wigeonscale.cli import wigeond
+from wigeonscale.cli import daemon, wigeond
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.testing import AsyncTestCase
 
@@ -32,7 +32,7 @@
         """Run the program in this process; return exit code and error output."""
         self.path.write_text(text)
         if run is not None:
-            self.useFixture(fixtures.MonkeyPatch(f"{wigeond.__name__}._runner", run))
+            self.useFixture(fixtures.MonkeyPatch(f"{daemon.__name__}._runner", run))
         errors = io.StringIO()
         with contextlib.redirect_stderr(errors):
             code = wigeond.main(["control", "--config", str(self.path)])
@@ -51,6 +51,22 @@
         self.assertIn("[control] peers = 'c2'", done.stderr)
         self.assertIn(str(self.path), done.stderr)
 
+    def test_a_hangup_while_it_starts_does_not_end_it(self):
+        # The soak's seeds 305 and 308: a restarted daemon was gone without a line.
+        program = (
+            "import os, signal, sys; from wigeonscale.cli import wigeond\n"
+            "def start(name):\n"
+            "    os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    print('goes on', name in sys.modules)\n"
+            "    raise SystemExit(0)\n"
+            "wigeond.importlib.import_module = start\n"
+            "wigeond.main()"
+        )
+        argv = [sys.executable, "-c", program]
+        done = subprocess.run(argv, capture_output=True, text=True, timeout=60)
+        # Nothing heavy was imported by then.
+        self.assertEqual((0, "goes on False\n"), (done.returncode, done.stdout))
+
     def test_exit_code_is_the_daemons(self):
         seen = []
 
--- a/wigeonscale/cli/wigeond.py
+++ b/wigeonscale/cli/wigeond.py
@@ -6,21 +6,10 @@
 
 __all__ = ["main"]
 
-import argparse
-import asyncio
-import functools
 import importlib
+import signal
 import sys
-from collections.abc import Awaitable, Callable, Sequence
-
-from wigeonscale import __version__
-from wigeonscale.cli.exits import ExitCode
-from wigeonscale.config import ROLES, NodeSettings, load_settings
-from wigeonscale.errors import SettingsError, WigeonscaleError
-
-EXIT_FAILED = 1
-# The others keep the settings of their start.
-RELOADING_ROLES = frozenset({"direct-entry", "direct-control"})
+from collections.abc import Sequence
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -29,42 +18,11 @@
     Args:
         argv: Arguments; None for those of the process.
     """
-    args = _parser().parse_args(argv)
-    try:
-        cfg = load_settings(args.config, args.role)
-    except SettingsError as exc:
-        print(exc.message, file=sys.stderr)
-        return ExitCode.BAD_INPUT
-    try:
-        return asyncio.run(_runner(args.role)(cfg, **_reloading(args))) or 0
-    except (OSError, WigeonscaleError) as exc:
-        print(f"wigeond {args.role} {cfg.name}: {exc}", file=sys.stderr)
-        return EXIT_FAILED
-
-
-def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(
-        prog="wigeond", description="Runs one daemon of wigeonscale until SIGTERM."
-    )
-    parser.add_argument("role", choices=list(ROLES), help="what this process does")
-    parser.add_argument(
-        "--config", required=True, metavar="F.ini", help="settings file of the role"
-    )
-    parser.add_argument("--version", action="version", version=__version__)
-    return parser
-
-
-def _reloading(args: argparse.Namespace) -> dict[str, Callable[[], NodeSettings]]:
-    if args.role not in RELOADING_ROLES:
-        return {}
-    return {"reload": functools.partial(load_settings, args.config, args.role)}
-
-
-def _runner(role: str) -> Callable[[NodeSettings], Awaitable[int | None]]:
-    # Imported only now: the other roles' libraries would cost memory.
-    name = role.replace("-", "_")
-    module = importlib.import_module(f"wigeonscale.daemons.{name}")
-    return getattr(module, f"run_{name}")
+    # SIGHUP asks to read the settings, which a daemon that starts does anyway; its
+    # default action would end the process. Ignored before the imports, which take
+    # half a second of a whole core, until the daemon has a handler of its own.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    return importlib.import_module("wigeonscale.cli.daemon").run_daemon(argv)
 
 
 if __name__ == "__main__":
