--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -18,7 +18,10 @@
 from wigeonscale.testing.soak.run import run_soak
 
 # Seeds that failed once, each with its cause.
-REGRESSIONS = ()
+REGRESSIONS = (
+    305,  # SIGHUP while an entry started ended it
+    308,  # the same at a control replica
+)
 SHORT_S = 3.0
 
 
