Backend servers that start again under their own name

Cause: a start was told from the one before by a new name alone. A heartbeat of such a start was dropped as late, since its number begins anew; suspicions, orders, load and streams of the former start were held against it. Ruled out: a counter of our own at the control replicas. Replicas that hear the starts in another order would disagree; born is the same everywhere. The later start wins at a name and at an address, whatever the order. An entry takes runs off a start that has been followed. A DELETE may name the start that goes. Heartbeats of other writers (fields missing or of another type, a state or service that does not exist, bytes that cannot be read) are refused with a reason and change nothing. Tests (each failed before, most for want of the field): RestartTest and StrangerTest of the registry, RestartTest of the members and of the layer keeper, test_fleet, OtherWriterTest (hypothesis), probe and report of engine orders.

--- a/wigeonscale/control/layer_keeper.py
+++ b/wigeonscale/control/layer_keeper.py
@@ -12,7 +12,7 @@
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.layers import Holder, LayerRange, ModelSize, plan_layers
 from wigeonscale.ports import Clock
-from wigeonscale.ports.orders import EngineOrders, OrderOutcome
+from wigeonscale.ports.orders import EngineOrders, EngineStatus, OrderOutcome
 from wigeonscale.replication import Replica, Role
 from wigeonscale.routes import EngineProfile, RouteTable
 from wigeonscale.state import ControlState, Member
@@ -86,6 +86,7 @@
         self._giving: dict[str, asyncio.Task] = {}
         self._known: frozenset[str] = frozenset()
         self._settled_at = clock.now()
+        self._starts: dict[str, int] = {}
 
     async def run(self) -> None:
         """Plan and give orders until cancelled."""
@@ -108,11 +109,21 @@
         if self._known != members.keys():
             self._known = frozenset(members)
             self._settled_at = self._clock.now() + SETTLE_S
+        self._drop_restarted(members)
         self._drop_done(members)
         for service in self._table().services.values():
             if service.engine is not None and service.engine.layers:
                 self._review_service(service.name, service.engine, members)
 
+    def _drop_restarted(self, members: dict[str, wire.Backend]) -> None:
+        """Forget what engines were ordered that have started again since then."""
+        starts = {name: backend.incarnation for name, backend in members.items()}
+        for name, start in starts.items():
+            if self._starts.get(name, start) != start:
+                self._given.pop(name, None)
+                self._order_counts.pop(name, None)
+        self._starts = starts
+
     def _drop_done(self, members: dict[str, wire.Backend]) -> None:
         for name, order in list(self._given.items()):
             backend = members.get(name)
@@ -206,6 +217,8 @@
             status = await self._orders.status(backend.address)
             if status is None or status.busy:
                 continue
+            if _is_other_start(status, member.backend):
+                return
             if LayerRange(status.first_layer, status.end_layer) == layers:
                 await self._announce(member, layers)
                 return
@@ -239,6 +252,19 @@
         if status is None:
             self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
             return None
+        if _is_other_start(status, backend):
+            # Its own heartbeat tells of it; no order may rest on what came before.
+            logger.info(
+                "engine %s has started again",
+                name,
+                extra=log_fields(
+                    outcome="not ordered",
+                    old_born=backend.started_ms,
+                    born=status.started_ms,
+                ),
+            )
+            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            return None
         self._order_counts[name] = status.orders
         held = LayerRange(status.first_layer, status.end_layer)
         if status.busy or held == layers:
@@ -247,6 +273,11 @@
         return status.orders
 
 
+def _is_other_start(status: EngineStatus, backend: wire.Backend) -> bool:
+    told_ms, held_ms = status.started_ms, backend.started_ms
+    return bool(told_ms and held_ms) and told_ms != held_ms
+
+
 def _model_size(engine: EngineProfile) -> ModelSize:
     return ModelSize(
         layers=engine.layers,
--- a/wigeonscale/control/registry.py
+++ b/wigeonscale/control/registry.py
@@ -9,12 +9,13 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.control.commands import Commands
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.ports import Clock, Probe, ProbeAnswer
+from wigeonscale.ports import Clock, ProbeAnswer
 from wigeonscale.replication import Replica, Role
 from wigeonscale.state import ControlState, Member
 from wigeonscale.wire import wire_pb2 as wire
@@ -36,9 +37,16 @@
 
 @dataclass(slots=True)
 class _Heard:
-    """Last heartbeat of one backend at this replica."""
+    """Last heartbeat of one backend at this replica.
+
+    Attributes:
+        at: Local instant of it.
+        started_ms: Start of the backend that sent it; 0 where it does not say.
+        sequence: Its number, which begins anew with each start.
+    """
 
     at: float
+    started_ms: int
     sequence: int
 
 
@@ -52,7 +60,10 @@
         commands: Way of commands to the log.
         clock: Clock port.
         heartbeat_s: Interval of the backends' heartbeats, in seconds.
-        probe: Asks the backend at an address whether it is there.
+        probe: Asks the backend at an address whether it is there, and whether it is
+            the one that started at that Unix millisecond.
+        has_service: Returns whether the configuration names a service; all are taken
+            for named before there is one.
     """
 
     def __init__(
@@ -64,7 +75,8 @@
         commands: Commands,
         clock: Clock,
         heartbeat_s: float,
-        probe: Probe,
+        probe: Callable[[str, int], Awaitable[ProbeAnswer]],
+        has_service: Callable[[str], bool],
     ):
         self._node_id = node_id
         self._state = state
@@ -74,6 +86,7 @@
         self._heartbeat_s = heartbeat_s
         self._silent_after_s = MISSING_HEARTBEATS * heartbeat_s
         self._probe = probe
+        self._has_service = has_service
         self._heard: dict[str, _Heard] = {}
         self._suspected: dict[str, asyncio.Task] = {}
         self._answered_at: dict[str, float] = {}
@@ -89,17 +102,29 @@
 
         Raises:
             WigeonscaleError: It could not be committed, ``NO_QUORUM``; or it is
-                wrong in itself, ``BAD_REQUEST``.
+                wrong in itself, or not of one of the backends, ``BAD_REQUEST``.
         """
-        name = backend.agent_id
+        name, started_ms = backend.agent_id, backend.started_ms
+        self._check_is_ours(backend)
         heard = self._heard.get(name)
-        if heard is not None and sequence < heard.sequence:
-            logger.info("heartbeat %d of %s is late", sequence, name)
+        if heard is not None and (started_ms, sequence) < (
+            heard.started_ms,
+            heard.sequence,
+        ):
+            logger.info(
+                "heartbeat %d of %s is late",
+                sequence,
+                name,
+                extra=log_fields(
+                    outcome="ignored", born=started_ms, newest_born=heard.started_ms
+                ),
+            )
             return
         if self._state.members.is_ended(name, backend.incarnation):
             logger.info("heartbeat %d of ended %s ignored", sequence, name)
             return
-        self._heard[name] = _Heard(self._clock.now(), sequence)
+        self._heard[name] = _Heard(self._clock.now(), started_ms, sequence)
+        self._note_restart(backend)
         if self._shows(backend):
             return
         command = wire.Announce(
@@ -117,20 +142,65 @@
             return
         _log_change(backend, sequence)
 
-    async def leave(self, backend_id: str) -> None:
+    def _check_is_ours(self, backend: wire.Backend) -> None:
+        """Refuse a new name that no backend of the configuration can have.
+
+        One that is a member is heard in any case: when it leaves, it waits for the
+        acknowledgement.
+        """
+        if self._state.members.get(backend.agent_id) is not None:
+            return
+        if not self._has_service(backend.service):
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{backend.agent_id!r} names the service {backend.service!r},"
+                " which the configuration does not have",
+            )
+        if not backend.started_ms and self._service_says_starts(backend.service):
+            raise WigeonscaleError(
+                ErrorKind.BAD_REQUEST,
+                f"{backend.agent_id!r} does not say when it started, which the others"
+                f" of {backend.service!r} do",
+            )
+
+    def _service_says_starts(self, service: str) -> bool:
+        return any(
+            member.backend.started_ms and member.backend.service == service
+            for member in self._state.members
+        )
+
+    def _note_restart(self, backend: wire.Backend) -> None:
+        member = self._state.members.get(backend.agent_id)
+        if member is None or member.backend.started_ms == backend.started_ms:
+            return
+        logger.info(
+            "backend server %s started again",
+            backend.agent_id,
+            extra=log_fields(
+                outcome="restarted",
+                old_born=member.backend.started_ms,
+                born=backend.started_ms,
+            ),
+        )
+
+    async def leave(self, backend_id: str, incarnation: int | None = None) -> None:
         """End an incarnation that says it is going; returns once that is committed.
 
         Args:
-            backend_id: Name of the incarnation; an unknown one is ended too, so
-                that a heartbeat that was delayed does not bring it back.
+            backend_id: Its name; an unknown one is ended too, so that a heartbeat
+                that was delayed does not bring it back.
+            incarnation: Its start; None for the one that is announced.
 
         Raises:
             WigeonscaleError: ``NO_QUORUM``.
         """
-        ended = wire.EndIncarnation(agent_id=backend_id, incarnation=1)
+        ended = wire.EndIncarnation(agent_id=backend_id, incarnation=incarnation or 0)
         await self._commands.submit(wire.Command(end_incarnation=ended))
-        self._heard.pop(backend_id, None)
-        logger.info("%s left", backend_id, extra=log_fields(outcome="left"))
+        if self._state.members.get(backend_id) is None:
+            self._heard.pop(backend_id, None)
+        logger.info(
+            "%s left", backend_id, extra=log_fields(outcome="left", born=incarnation)
+        )
 
     def suspect(self, req: wire.Suspect, *, came_from: str) -> None:
         """Probe a backend that does not answer an entry.
@@ -142,6 +212,15 @@
         member = self._state.members.get(req.agent_id)
         if member is None or member.backend.silent or req.agent_id in self._suspected:
             return
+        if req.incarnation not in (0, member.backend.incarnation):
+            logger.info(
+                "suspicion of a former start of %s ignored",
+                req.agent_id,
+                extra=log_fields(
+                    born=req.incarnation, newest_born=member.backend.started_ms
+                ),
+            )
+            return
         if req.is_hint and self._answered_lately(req.agent_id):
             return
         logger.info(
@@ -229,21 +308,32 @@
         task.add_done_callback(lambda _: self._suspected.pop(name, None))
 
     async def _check(self, member: Member) -> None:
-        name = member.backend.agent_id
+        name, started_ms = member.backend.agent_id, member.backend.started_ms
         for _ in range(PROBES):
-            answer = await self._probe(member.backend.address)
+            answer = await self._probe(member.backend.address, started_ms)
             if answer is ProbeAnswer.ANSWERED:
-                # As good as a heartbeat, but for what that would have told.
-                self._heard[name] = _Heard(self._clock.now(), member.sequence)
-                self._answered_at[name] = self._clock.now()
+                self._note_answer(name, started_ms, member.sequence)
                 return
-            if answer is ProbeAnswer.REFUSED:
-                # Nothing listens there: this incarnation has ended, whatever follows
-                # it, and all that goes through it stands still until that is known.
+            if answer in (ProbeAnswer.REFUSED, ProbeAnswer.REPLACED):
+                # Nothing listens there, or a later start: this incarnation has ended,
+                # and all that goes through it stands still until that is known.
                 break
             await self._clock.sleep(PROBE_PAUSE_S)
         await self._mark_silent(member)
 
+    def _note_answer(self, name: str, started_ms: int, sequence: int) -> None:
+        """Take an answer to a probe for a heartbeat, unless a later one came."""
+        now = self._clock.now()
+        self._answered_at[name] = now
+        heard = self._heard.get(name)
+        if heard is None or (heard.started_ms, heard.sequence) <= (
+            started_ms,
+            sequence,
+        ):
+            self._heard[name] = _Heard(now, started_ms, sequence)
+        elif heard.started_ms == started_ms:
+            heard.at = now
+
     async def _mark_silent(self, member: Member) -> None:
         backend = wire.Backend()
         backend.CopyFrom(member.backend)
@@ -269,6 +359,7 @@
             service=backend.service,
             sequence=sequence,
             draining=backend.draining,
+            born=backend.started_ms,
             layers=f"{backend.first_layer}-{backend.last_layer}",
         ),
     )
--- a/wigeonscale/control/tests/test_layer_keeper.py
+++ b/wigeonscale/control/tests/test_layer_keeper.py
@@ -32,6 +32,7 @@
         self.asked = []
         self.outcomes = {}
         self.waits = {}
+        self.starts = defaultdict(int)
 
     async def place(self, address, *, first, end, fence, expected_orders, waits):
         self.waits[address] = waits
@@ -47,7 +48,18 @@
 
     async def status(self, address, **_):
         self.asked.append(address)
-        return EngineStatus(self.counts[address], False, *self.held[address])
+        return EngineStatus(
+            self.counts[address],
+            False,
+            *self.held[address],
+            started_ms=self.starts[address],
+        )
+
+    def restart(self, address, started_ms):
+        """Start an engine again under its name: it holds and knows nothing."""
+        self.counts[address] = 0
+        self.held[address] = (0, 0)
+        self.starts[address] = started_ms
 
 
 class KeeperCase(AsyncTestCase):
@@ -80,7 +92,7 @@
     async def announce(self, name, first=0, end=0, **fields):
         backend = wire.Backend(
             agent_id=name,
-            incarnation=1,
+            incarnation=fields.get("started_ms", 1),
             address=name,
             service="m",
             domain="a",
@@ -207,3 +219,37 @@
         await self.announce_all("e1", "e2")
         await self.clock.advance(3.0)
         self.assertEqual([], self.engines.asked)
+
+
+class RestartTest(KeeperCase):
+    """An engine that starts again under its name holds nothing, and counts anew."""
+
+    async def serving(self):
+        for name, *held in (("e1", 0, 4), ("e2", 4, 7), ("e3", 7, 10)):
+            self.engines.restart(name, 100)
+            self.engines.held[name] = tuple(held)
+            self.engines.counts[name] = 3
+            await self.announce(name, *held, started_ms=100)
+        await self.clock.advance(1.0)
+
+    async def test_is_ordered_by_the_count_of_the_new_start(self):
+        await self.serving()
+        self.engines.restart("e2", 200)
+        await self.announce("e2", 0, 0, started_ms=200)
+        await self.clock.advance(1.0)
+        placed = [order for order in self.engines.orders if order[0] == "e2"]
+        self.assertEqual([("e2", 0)], [(order[0], order[4]) for order in placed])
+        first, end = self.engines.held["e2"]
+        self.assertTrue(first <= 4 and end >= 7, (first, end))
+
+    async def test_no_order_rests_on_the_former_start(self):
+        await self.serving()
+        await self.announce("e3", 7, 10, started_ms=100, silent=True)
+        # Its neighbours take over, and one of them started again meanwhile.
+        self.engines.restart("e2", 200)
+        await self.clock.advance(1.0)
+        self.assertNotIn("e2", {name for name, *_ in self.engines.orders})
+        await self.announce("e2", 0, 0, started_ms=200)
+        await self.clock.advance(2.0)
+        counts = [order[4] for order in self.engines.orders if order[0] == "e2"]
+        self.assertEqual([0], counts)
--- a/wigeonscale/control/tests/test_registry.py
+++ b/wigeonscale/control/tests/test_registry.py
@@ -2,7 +2,7 @@
 
 from wigeonscale.control import Commands, Registry
 from wigeonscale.control.tests.support import StandInReplica
-from wigeonscale.errors import WigeonscaleError
+from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.ports import ProbeAnswer
 from wigeonscale.replication import Role
 from wigeonscale.state import ControlState
@@ -28,7 +28,9 @@
         self.addCleanup(self.commands.close)
         self.answering = set()
         self.refusing = set()
+        self.replaced = set()
         self.probed = []
+        self.services = {"s"}
         self.registry = self.new_registry("c1")
         self.task = asyncio.create_task(self.registry.run())
         self.addCleanup(self.stop)
@@ -42,10 +44,13 @@
             clock=self.clock,
             heartbeat_s=HEARTBEAT_S,
             probe=self.probe,
+            has_service=self.services.__contains__,
         )
 
-    async def probe(self, address):
+    async def probe(self, address, started_ms):
         self.probed.append(address)
+        if (address, started_ms) in self.replaced:
+            return ProbeAnswer.REPLACED
         if address in self.refusing:
             return ProbeAnswer.REFUSED
         return (
@@ -196,3 +201,108 @@
         self.registry.suspect(wire.Suspect(agent_id="nobody"), came_from="entry")
         await self.clock.advance(0.5)
         self.assertEqual([], self.replica.proposed)
+
+
+def start(started_ms, name="i-1", **fields):
+    each = backend(name, started_ms=started_ms, **fields)
+    each.incarnation = started_ms
+    return each
+
+
+class RestartTest(RegistryCase):
+    """Backend servers that start again under the name that they had."""
+
+    async def test_a_start_that_counts_anew_is_heard(self):
+        await self.registry.announce(start(100, first_layer=2, last_layer=5), 40)
+        await self.registry.announce(start(200, last_layer=-1), 1)
+        self.assertEqual(200, self.member().backend.started_ms)
+        self.assertEqual(-1, self.member().backend.last_layer)
+
+    async def test_a_late_heartbeat_of_the_former_start_changes_nothing(self):
+        await self.registry.announce(start(100), 40)
+        await self.registry.announce(start(200), 1)
+        for replica in (self.registry, self.new_registry("c2")):
+            await replica.announce(start(100, draining=True), 41)
+            self.assertEqual(200, self.member().backend.started_ms)
+            self.assertFalse(self.member().backend.draining)
+        # Nor does it keep the new start from being heard.
+        await self.registry.announce(start(200, draining=True), 2)
+        self.assertTrue(self.member().backend.draining)
+
+    async def test_the_former_start_goes_without_the_new_one(self):
+        await self.registry.announce(start(100), 1)
+        await self.registry.announce(start(200), 1)
+        await self.registry.leave("i-1", 100)
+        self.assertEqual(200, self.member().backend.started_ms)
+        await self.registry.leave("i-1", 200)
+        self.assertIsNone(self.member())
+
+    async def test_a_start_before_one_that_left_does_not_come_back(self):
+        await self.registry.announce(start(200), 1)
+        await self.registry.leave("i-1")
+        await self.registry.announce(start(100), 9)
+        self.assertIsNone(self.member())
+        await self.registry.announce(start(300), 1)
+        self.assertEqual(300, self.member().backend.started_ms)
+
+    async def test_one_that_does_not_say_when_it_started_replaces_none_that_does(self):
+        await self.registry.announce(start(100), 1)
+        await self.registry.announce(backend(draining=True), 9)
+        self.assertEqual(100, self.member().backend.started_ms)
+        self.assertFalse(self.member().backend.draining)
+
+    async def test_a_suspicion_of_the_former_start_is_not_held_against_the_new(self):
+        await self.registry.announce(start(100), 1)
+        await self.registry.announce(start(200), 1)
+        suspicion = wire.Suspect(agent_id="i-1", incarnation=100)
+        self.registry.suspect(suspicion, came_from="entry")
+        await self.clock.advance(0.5)
+        self.assertEqual([], self.probed)
+
+    async def test_a_later_start_that_answers_the_probe_is_no_sign_of_life(self):
+        await self.registry.announce(start(100), 1)
+        self.replaced.add(("i-1:80", 100))
+        suspicion = wire.Suspect(agent_id="i-1", incarnation=100)
+        self.registry.suspect(suspicion, came_from="entry")
+        await self.clock.advance(0)
+        self.assertTrue(self.member().backend.silent)
+        await self.registry.announce(start(200), 1)
+        self.assertFalse(self.member().backend.silent)
+
+
+class StrangerTest(RegistryCase):
+    """Heartbeats of other writers name no backend server to use."""
+
+    async def refused(self, each):
+        try:
+            await self.registry.announce(each, 1)
+        except WigeonscaleError as exc:
+            return exc.kind
+        self.fail("it was acknowledged")
+
+    async def test_a_service_that_the_configuration_does_not_name(self):
+        await self.registry.announce(backend(), 1)
+        stranger = backend("i-2", address="i-1:80")
+        stranger.service = "other"
+        self.assertEqual(ErrorKind.BAD_REQUEST, await self.refused(stranger))
+        self.assertIsNone(self.member("i-2"))
+        self.assertIsNotNone(self.member("i-1"))
+
+    async def test_one_whose_service_was_dropped_is_acknowledged_that_it_leaves(self):
+        await self.registry.announce(backend(), 1)
+        self.services.clear()
+        await self.registry.announce(backend(draining=True), 2)
+        self.assertTrue(self.member().backend.draining)
+
+    async def test_a_new_name_that_does_not_say_its_start_as_the_others_do(self):
+        await self.registry.announce(start(100), 1)
+        self.assertEqual(ErrorKind.BAD_REQUEST, await self.refused(backend("i-2")))
+        self.assertIsNone(self.member("i-2"))
+
+    async def test_an_earlier_start_at_the_address_of_another(self):
+        await self.registry.announce(start(200), 1)
+        await self.registry.announce(start(100, "i-2", address="i-1:80"), 1)
+        self.assertIsNone(self.member("i-2"))
+        await self.registry.announce(start(300, "i-3", address="i-1:80"), 1)
+        self.assertIsNone(self.member("i-1"))
+        self.assertIsNotNone(self.member("i-3"))
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -106,6 +106,7 @@
             clock=clock,
             heartbeat_s=cfg.backend_heartbeat_s,
             probe=orders.probe,
+            has_service=self._has_service,
         )
         self.joining = Joining(
             node_id=address,
@@ -174,6 +175,10 @@
             self._table = read_table(decompress(document.content))
         return self._table
 
+    def _has_service(self, name: str) -> bool:
+        table = self.table()
+        return not table.number or name in table.services
+
     async def start(self) -> None:
         """Listen for replicas, entries, operators and backend servers.
 
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -3,6 +3,7 @@
 __all__ = ["run_direct_entry"]
 
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 from aiohttp import web
 
 from wigeonscale.adapters import setup_logging, start_http
+from wigeonscale.adapters.logs import log_fields
 from wigeonscale.config import DirectEntrySettings
 from wigeonscale.daemons.runtime import StopStep, run_until_stopped
 from wigeonscale.direct import (
@@ -21,6 +23,7 @@
     StallWatch,
     Surroundings,
     read_fleet,
+    replaced_starts,
 )
 from wigeonscale.errors import SettingsError
 from wigeonscale.membership import Change, ControlClient
@@ -28,7 +31,6 @@
 from wigeonscale.platform.documents import decompress, read_table
 from wigeonscale.platform.engine_orders import HttpEngineOrders
 from wigeonscale.platform.exchange_http import HttpExchange, new_session
-from wigeonscale.platform.heartbeats import INCARNATION
 from wigeonscale.ports import Clock, SystemClock
 from wigeonscale.routes import RouteTable
 from wigeonscale.wire import wire_pb2 as wire
@@ -63,21 +65,34 @@
         self.is_complete = asyncio.Event()
         self.fleet = Fleet()
         self._has_members = False
+        self._backends: list[wire.Backend] = []
         self._control = control
         self._beliefs = beliefs
         control.changes.subscribe(self._take)
 
     def _take(self, change: Change) -> None:
         if change is Change.MEMBERS:
-            self.fleet = read_fleet(self._control.members.backends.values())
-            self._beliefs.keep_only(self.fleet.by_id)
-            self._has_members = True
+            self._take_members(list(self._control.members.backends.values()))
         elif change is Change.NUMBERED:
             self._take_table()
         # The table comes first. Without the members no backend server is known.
         if self.table.number and self._has_members:
             self.is_complete.set()
 
+    def _take_members(self, backends: list[wire.Backend]) -> None:
+        ended = replaced_starts(self._backends, backends)
+        self._backends = backends
+        self.fleet = read_fleet(backends)
+        for backend_id in ended:
+            logger.info(
+                "%s has started again",
+                backend_id,
+                extra=log_fields(outcome="former start is lost"),
+            )
+            self._beliefs.note_lost(backend_id)
+        self._beliefs.keep_only(self.fleet.by_id)
+        self._has_members = True
+
     def _take_table(self) -> None:
         document = self._control.numbered
         try:
@@ -120,8 +135,10 @@
 
     session = new_session()
 
-    def suspect(name: str) -> None:
-        control.suspect(name, INCARNATION)
+    def suspect(backend_id: str, *, is_hint: bool = False) -> None:
+        server = known.fleet.find(backend_id)
+        if server is not None:
+            control.suspect(server.name, server.incarnation, is_hint=is_hint)
 
     orders = HttpEngineOrders(session=session)
     stalls = StallWatch(
@@ -130,7 +147,7 @@
         orders=orders,
         fleet=lambda: known.fleet,
         suspect=suspect,
-        hint=lambda name: control.suspect(name, INCARNATION, is_hint=True),
+        hint=functools.partial(suspect, is_hint=True),
     )
     control.changes.subscribe(lambda change: stalls.check())
     around = Surroundings(
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -10,11 +10,17 @@
     "StallWatch",
     "Surroundings",
     "read_fleet",
+    "replaced_starts",
 ]
 
 from wigeonscale.direct.beliefs import Beliefs
 from wigeonscale.direct.budget import SendBudget
-from wigeonscale.direct.fleet import BackendServer, Fleet, read_fleet
+from wigeonscale.direct.fleet import (
+    BackendServer,
+    Fleet,
+    read_fleet,
+    replaced_starts,
+)
 from wigeonscale.direct.job import Surroundings
 from wigeonscale.direct.room_queue import RoomQueue
 from wigeonscale.direct.service import DirectService
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -88,7 +88,7 @@
         Args:
             now: Local instant.
             address: Where it goes.
-            backend_id: Incarnation that must be there.
+            backend_id: Name that the backend server there must go by.
             **fields: Further fields of the call.
         """
         return BackendCall(
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -87,7 +87,7 @@
     if left_s <= 0:
         raise ExchangeError(Fate.NOT_SENT, "no time is left")
     limit_s = left_s * FIRST_TRY_SHARE if _may_try_again(job) else left_s
-    call = job.call(now=now, address=server.address, backend_id=server.backend_id)
+    call = job.call(now=now, address=server.address, backend_id=server.name)
     run = Run((server.backend_id,))
     around.beliefs.begin(run)
     try:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -75,7 +75,7 @@
     call = job.call(
         now=now,
         address=servers[0].address,
-        backend_id=servers[0].backend_id,
+        backend_id=servers[0].name,
         path=tuple(path) if is_split else (),
         addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
--- /dev/null
+++ b/wigeonscale/direct/tests/test_fleet.py
@@ -0,0 +1,64 @@
+"""Tests of what an entry makes of the members that control tells."""
+
+from wigeonscale.direct import read_fleet, replaced_starts
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def backend(name, started_ms=0, **fields):
+    fields.setdefault("address", f"{name}:80")
+    return wire.Backend(
+        agent_id=name,
+        incarnation=started_ms or 1,
+        started_ms=started_ms,
+        service="s",
+        **fields,
+    )
+
+
+class FleetTest(AsyncTestCase):
+    def test_each_start_is_another_incarnation(self):
+        first, second = (
+            read_fleet([backend("i-1", started)]).by_service["s"][0]
+            for started in (100, 200)
+        )
+        self.assertNotEqual(first.backend_id, second.backend_id)
+        self.assertEqual(("i-1", "i-1"), (first.name, second.name))
+        self.assertEqual((100, 200), (first.incarnation, second.incarnation))
+
+    def test_one_that_does_not_say_goes_by_its_name(self):
+        server = read_fleet([backend("i-1")]).by_service["s"][0]
+        self.assertEqual(("i-1", "i-1"), (server.backend_id, server.name))
+        self.assertEqual(1, server.incarnation)
+
+    def test_those_that_leave_get_no_new_work(self):
+        fleet = read_fleet([backend("i-1", draining=True), backend("i-2")])
+        self.assertEqual({"i-2"}, set(fleet.by_id))
+        self.assertEqual("i-1:80", fleet.find("i-1").address)
+        self.assertIsNone(fleet.find("i-3"))
+
+
+class ReplacedTest(AsyncTestCase):
+    def test_started_again_under_its_name(self):
+        self.assertEqual(
+            ["i-1@100"],
+            replaced_starts(
+                [backend("i-1", 100), backend("i-2", 100)],
+                [backend("i-1", 200), backend("i-2", 100)],
+            ),
+        )
+
+    def test_also_where_the_new_start_leaves_at_once(self):
+        now = [backend("i-1", 200, draining=True)]
+        self.assertEqual(["i-1@100"], replaced_starts([backend("i-1", 100)], now))
+
+    def test_another_one_at_its_address(self):
+        now = [backend("i-2", 200, address="i-1:80")]
+        self.assertEqual(["i-1@100"], replaced_starts([backend("i-1", 100)], now))
+
+    def test_one_that_is_gone_finishes_what_it_has(self):
+        self.assertEqual([], replaced_starts([backend("i-1", 100)], []))
+
+    def test_a_change_of_the_same_start_ends_nothing(self):
+        now = [backend("i-1", 100, silent=True)]
+        self.assertEqual([], replaced_starts([backend("i-1", 100)], now))
--- a/wigeonscale/platform/control_pages.py
+++ b/wigeonscale/platform/control_pages.py
@@ -10,7 +10,7 @@
 from wigeonscale.control import Registry
 from wigeonscale.errors import ANSWERS, RunState, WigeonscaleError
 from wigeonscale.platform.documents import read_table
-from wigeonscale.platform.heartbeats import read_heartbeat
+from wigeonscale.platform.heartbeats import read_farewell, read_heartbeat
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 # What calls may go wrong with the same call made again: never a plain refusal.
@@ -52,7 +52,9 @@
         return web.json_response({"heartbeat-addr": heartbeat_address})
 
     async def delete_instance(req: web.Request) -> web.Response:
-        await registry.leave(req.match_info["id"])
+        name = req.match_info["id"]
+        farewell = read_farewell(name, await req.read())
+        await registry.leave(name, farewell.incarnation)
         return web.json_response({})
 
     return [
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from wigeonscale.adapters.logs import log_fields
 from wigeonscale.layers import Part
 from wigeonscale.platform.headers import path_text
 from wigeonscale.ports import ProbeAnswer
@@ -109,15 +110,23 @@
                 running=int(report.get("running", 0)),
                 pace=float(report.get("pace", 1.0)),
                 held_up_by=tuple(str(each["address"]) for each in stalled),
+                started_ms=_started_ms(report),
             )
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
             logger.warning("report of %s cannot be read: %s", address, exc)
             return None
 
-    async def probe(self, address: str) -> ProbeAnswer:
-        """Return whether an engine is there."""
+    async def probe(self, address: str, started_ms: int) -> ProbeAnswer:
+        """Return whether an engine is there.
+
+        Args:
+            address: Where it listens.
+            started_ms: Its start, Unix milliseconds; 0 where that is not known.
+        """
         try:
-            await self._send("GET", address, "/report", limit_s=PROBE_TIMEOUT_S)
+            answer = await self._send(
+                "GET", address, "/report", limit_s=PROBE_TIMEOUT_S
+            )
         except aiohttp.ClientConnectorError as exc:
             logger.info("probe of %s: no connection: %r", address, exc.os_error)
             is_refused = isinstance(exc.os_error, ConnectionRefusedError)
@@ -125,6 +134,11 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             logger.info("probe of %s: no answer: %r", address, exc)
             return ProbeAnswer.NOTHING
+        if _is_replaced(answer, started_ms):
+            logger.info(
+                "probe of %s: another start", address, extra=log_fields(born=started_ms)
+            )
+            return ProbeAnswer.REPLACED
         return ProbeAnswer.ANSWERED
 
     async def _ask(
@@ -156,3 +170,27 @@
             timeout=aiohttp.ClientTimeout(total=limit_s),
         ) as res:
             return res.status, await res.read()
+
+
+def _started_ms(report: dict) -> int:
+    """Return when the engine of a report started; 0 where it does not say.
+
+    Raises:
+        TypeError: It says something else than a whole number.
+    """
+    born = report.get("born", 0)
+    if isinstance(born, bool) or not isinstance(born, int):
+        raise TypeError(f"born is {born!r}")
+    return born
+
+
+def _is_replaced(answer: tuple[int, bytes], started_ms: int) -> bool:
+    """Return whether a report is of a later start than the one asked for."""
+    if not started_ms or answer[0] != 200:
+        return False
+    try:
+        return _started_ms(json.loads(answer[1])) > started_ms
+    except (ValueError, TypeError, AttributeError) as exc:
+        # It answered; of what it says nothing else matters here.
+        logger.warning("report cannot be read: %s", exc)
+        return False
--- a/wigeonscale/platform/heartbeats.py
+++ b/wigeonscale/platform/heartbeats.py
@@ -1,18 +1,33 @@
 """Heartbeats of backend servers, read into the project's own announcement."""
 
-__all__ = ["Heartbeat", "read_heartbeat"]
+__all__ = ["Farewell", "Heartbeat", "read_farewell", "read_heartbeat"]
 
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    StrictStr,
+    ValidationError,
+)
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.state import UNNUMBERED
 from wigeonscale.wire import wire_pb2 as wire
 
 DRAINING = "draining"
-# Each start of a backend server has a name of its own, so that one number does.
-INCARNATION = 1
+# ip:port, as backend servers listen.
+ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+LARGEST_INT64 = 2**63 - 1
+
+# Unix millisecond of the start of the backend server, in all that it says of itself.
+Born = Annotated[StrictInt, Field(gt=0, le=LARGEST_INT64)]
+Text = Annotated[StrictStr, Field(min_length=1)]
+Count = Annotated[StrictInt, Field(ge=0, lt=2**31)]
 
 
 class _Model(BaseModel):
@@ -21,29 +36,32 @@
 
 class _Layers(_Model):
     # "from" is the first layer, "to" one more than the last.
-    first: Annotated[int, Field(alias="from", ge=0)] = 0
-    end: Annotated[int, Field(alias="to", ge=0)] = 0
-    version: int = 0
+    first: Annotated[Count, Field(alias="from")] = 0
+    end: Annotated[Count, Field(alias="to")] = 0
 
 
 class _Loaded(_Model):
-    name: str = ""
-    version: int = 0
+    name: StrictStr = ""
 
 
 class _Heartbeat(_Model):
-    service: Annotated[str, Field(min_length=1)]
-    address: Annotated[str, Field(min_length=1)]
-    zone: str = ""
-    slots: int = 0
-    state: str = ""
+    service: Text
+    address: Annotated[StrictStr, Field(pattern=ADDRESS)]
+    zone: Text
+    slots: Count
+    state: Literal["ready", "draining"]
     # Number of the heartbeat. In an engine's report the same name counts orders.
-    seq: int = 0
+    seq: Annotated[StrictInt, Field(ge=0, le=LARGEST_INT64)]
+    born: Born | None = None
     # Present on model engines only.
     models: list[_Loaded] | None = None
     layers: _Layers | None = None
     # Name of the engine's accelerator, not the kind of a route.
-    kind: str = ""
+    kind: StrictStr = ""
+
+
+class _Farewell(_Model):
+    born: Born | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +77,17 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class Farewell:
+    """What a backend server says when it goes.
+
+    Attributes:
+        incarnation: The start that goes; None where it does not say.
+    """
+
+    incarnation: int | None
+
+
 def read_heartbeat(backend_id: str, content: bytes) -> Heartbeat:
     """Return what a heartbeat says.
 
@@ -74,13 +103,15 @@
     except ValidationError as exc:
         first = exc.errors(include_url=False, include_input=False)[0]
         raise WigeonscaleError(
-            ErrorKind.BAD_REQUEST, f"heartbeat of {backend_id!r}: {first['msg']}"
+            ErrorKind.BAD_REQUEST,
+            f"heartbeat of {backend_id!r}: {_place(first)}: {first['msg']}",
         ) from exc
     is_engine = beat.models is not None
     layers = beat.layers or _Layers()
     backend = wire.Backend(
         agent_id=backend_id,
-        incarnation=INCARNATION,
+        incarnation=beat.born or UNNUMBERED,
+        started_ms=beat.born or 0,
         address=beat.address,
         domain=beat.zone,
         kind=wire.ENGINE if is_engine else wire.SERVICE,
@@ -92,3 +123,30 @@
         slots=beat.slots,
     )
     return Heartbeat(backend, beat.seq)
+
+
+def read_farewell(backend_id: str, content: bytes) -> Farewell:
+    """Return what a backend server says when it goes; most say nothing.
+
+    Args:
+        backend_id: Its name, from the path.
+        content: JSON body; empty for none.
+
+    Raises:
+        WigeonscaleError: ``BAD_REQUEST``, naming what is wrong.
+    """
+    if not content.strip():
+        return Farewell(None)
+    try:
+        return Farewell(_Farewell.model_validate_json(content).born)
+    except ValidationError as exc:
+        first = exc.errors(include_url=False, include_input=False)[0]
+        raise WigeonscaleError(
+            ErrorKind.BAD_REQUEST,
+            f"farewell of {backend_id!r}: {_place(first)}: {first['msg']}",
+        ) from exc
+
+
+def _place(error: Mapping) -> str:
+    """Return which field an error of validation is about."""
+    return ".".join(str(step) for step in error["loc"]) or "body"
--- a/wigeonscale/platform/tests/test_engine_orders.py
+++ b/wigeonscale/platform/tests/test_engine_orders.py
@@ -25,14 +25,37 @@
 
         runner, address = await serve(handle)
         self.addCleanup(runner.cleanup)
-        self.assertIs(ProbeAnswer.ANSWERED, await self.orders.probe(address))
+        self.assertIs(ProbeAnswer.ANSWERED, await self.orders.probe(address, 0))
+
+    async def test_a_later_start_is_told_from_the_one_asked_for(self):
+        for born, answer in (
+            (100, ProbeAnswer.ANSWERED),
+            (200, ProbeAnswer.REPLACED),
+            ("200", ProbeAnswer.ANSWERED),
+        ):
+            report = {"seq": 0, "busy": False, "born": born}
+
+            async def handle(req, report=report):
+                return web.json_response(report)
+
+            runner, address = await serve(handle)
+            self.addCleanup(runner.cleanup)
+            self.assertIs(answer, await self.orders.probe(address, 100))
+
+    async def test_a_report_tells_the_start(self):
+        async def handle(req):
+            return web.json_response({"seq": 3, "busy": False, "born": 200})
+
+        runner, address = await serve(handle)
+        self.addCleanup(runner.cleanup)
+        self.assertEqual(200, (await self.orders.status(address)).started_ms)
 
     async def test_an_engine_whose_port_refuses(self):
         with socket.socket() as unused:
             # Bound, so that nobody else gets the port, but not listening.
             unused.bind(("127.0.0.1", 0))
             port = unused.getsockname()[1]
-            answer = await self.orders.probe(f"127.0.0.1:{port}")
+            answer = await self.orders.probe(f"127.0.0.1:{port}", 0)
         self.assertIs(ProbeAnswer.REFUSED, answer)
 
     async def test_an_engine_that_cuts_the_connection(self):
@@ -42,7 +65,7 @@
 
         runner, address = await serve(handle)
         self.addCleanup(runner.cleanup)
-        self.assertIs(ProbeAnswer.NOTHING, await self.orders.probe(address))
+        self.assertIs(ProbeAnswer.NOTHING, await self.orders.probe(address, 0))
 
 
 class OrderTest(OrdersCase):
--- a/wigeonscale/platform/tests/test_heartbeats.py
+++ b/wigeonscale/platform/tests/test_heartbeats.py
@@ -1,7 +1,10 @@
 import json
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.platform.heartbeats import read_heartbeat
+from wigeonscale.platform.heartbeats import read_farewell, read_heartbeat
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -51,3 +54,83 @@
         for content in (b"", b"{", b"[]", b"{}", b'{"service": "s"}'):
             exc = self.assertRaises(WigeonscaleError, read_heartbeat, "i", content)
             self.assertEqual(ErrorKind.BAD_REQUEST, exc.kind)
+
+    def test_the_start(self):
+        backend = read(born=1_786_000_000_123).backend
+        self.assertEqual(1_786_000_000_123, backend.started_ms)
+        self.assertEqual(1_786_000_000_123, backend.incarnation)
+        backend = read().backend
+        self.assertEqual((0, 1), (backend.started_ms, backend.incarnation))
+
+    def test_a_start_that_is_no_whole_number(self):
+        for born in ("1", 1.5, True, -1, 0, 2**63, [1], {}):
+            exc = self.assertRaises(WigeonscaleError, read, born=born)
+            self.assertEqual(ErrorKind.BAD_REQUEST, exc.kind)
+            self.assertIn("born", exc.message)
+
+
+class FarewellTest(AsyncTestCase):
+    def test_most_say_nothing(self):
+        self.assertIsNone(read_farewell("i", b"").incarnation)
+        self.assertIsNone(read_farewell("i", b"{}").incarnation)
+
+    def test_the_start_that_goes(self):
+        self.assertEqual(7, read_farewell("i", b'{"born": 7}').incarnation)
+
+    def test_broken(self):
+        for content in (b"{", b"[]", b'{"born": "7"}', b"\xff"):
+            self.assertRaises(WigeonscaleError, read_farewell, "i", content)
+
+
+OTHER = st.none() | st.booleans() | st.floats() | st.text() | st.just([]) | st.just({})
+REQUIRED = ("service", "address", "zone", "slots", "state", "seq")
+values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+class OtherWriterTest(AsyncTestCase):
+    """Heartbeats that other writers sent are refused with a reason, and never half."""
+
+    def assert_refused(self, content):
+        exc = self.assertRaises(WigeonscaleError, read_heartbeat, "i-1", content)
+        self.assertEqual(ErrorKind.BAD_REQUEST, exc.kind)
+
+    @given(name=st.sampled_from(REQUIRED))
+    def test_a_field_is_missing(self, name):
+        beat = {key: value for key, value in BEAT.items() if key != name}
+        self.assert_refused(json.dumps(beat).encode())
+
+    @given(name=st.sampled_from(("slots", "seq")), value=OTHER)
+    def test_a_number_is_of_another_type(self, name, value):
+        self.assert_refused(json.dumps(BEAT | {name: value}).encode())
+
+    @given(name=st.sampled_from(("service", "address", "zone", "state", "kind")))
+    def test_a_text_is_of_another_type(self, name):
+        for value in (None, 3, True, [], {}):
+            self.assert_refused(json.dumps(BEAT | {name: value}).encode())
+
+    @given(state=st.text().filter(lambda text: text not in ("ready", "draining")))
+    def test_a_state_that_does_not_exist(self, state):
+        self.assert_refused(json.dumps(BEAT | {"state": state}).encode())
+
+    @given(address=st.text().filter(lambda text: ":" not in text))
+    def test_an_address_that_is_none(self, address):
+        self.assert_refused(json.dumps(BEAT | {"address": address}).encode())
+
+    @given(content=st.binary())
+    def test_bytes_that_cannot_be_read(self, content):
+        self.assert_refused(content)
+
+    @given(changes=st.dictionaries(st.sampled_from(sorted(BEAT)), values))
+    def test_whatever_the_fields_hold(self, changes):
+        content = json.dumps(BEAT | changes).encode()
+        try:
+            backend = read_heartbeat("i-1", content).backend
+        except WigeonscaleError as exc:
+            self.assertEqual(ErrorKind.BAD_REQUEST, exc.kind)
+            return
+        # What was taken for a heartbeat says all that is acted on.
+        self.assertTrue(backend.service and backend.address and backend.domain)
--- a/wigeonscale/ports/orders.py
+++ b/wigeonscale/ports/orders.py
@@ -37,6 +37,7 @@
         running: Requests that it runs.
         pace: Factor on its usual times; over 1 it is slow.
         held_up_by: Addresses of engines that requests it received wait for.
+        started_ms: Its start, Unix milliseconds; 0 where it does not say.
     """
 
     orders: int
@@ -46,6 +47,7 @@
     running: int = 0
     pace: float = 1.0
     held_up_by: tuple[str, ...] = ()
+    started_ms: int = 0
 
 
 class EngineOrders(Protocol):
--- a/wigeonscale/ports/probe.py
+++ b/wigeonscale/ports/probe.py
@@ -11,6 +11,7 @@
 
     ANSWERED = "answered"
     REFUSED = "refused"  # its VM is up, and nothing listens at its address
+    REPLACED = "replaced"  # a later start listens there
     NOTHING = "nothing"
 
 
--- a/wigeonscale/state/__init__.py
+++ b/wigeonscale/state/__init__.py
@@ -9,6 +9,7 @@
     "Member",
     "Members",
     "Revision",
+    "UNNUMBERED",
 ]
 
 from wigeonscale.state.chains import Chains
@@ -16,4 +17,4 @@
 from wigeonscale.state.claims import Claims
 from wigeonscale.state.configuration import Configuration, Revision
 from wigeonscale.state.members import Member, Members
-from wigeonscale.state.state import ControlState
+from wigeonscale.state.state import UNNUMBERED, ControlState
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -1,6 +1,6 @@
 """The replicated state machine of control: commands in, results out."""
 
-__all__ = ["ControlState"]
+__all__ = ["UNNUMBERED", "ControlState"]
 
 from collections.abc import Callable
 
@@ -27,6 +27,9 @@
 PEER_OPERATIONS_LIMIT = 20_000
 PEER_OPERATIONS_AGE_MS = 10 * 60 * 1000
 
+# Incarnation of backend servers that do not say when they started.
+UNNUMBERED = 1
+
 _OPERATOR_COMMANDS = frozenset({"apply_config", "drain"})
 
 
@@ -298,11 +301,22 @@
                 ErrorKind.REVISION_CONFLICT,
                 f"{agent_id!r} is attached to {member.replica!r} now",
             )
-        if not agent_id or self.members.is_ended(agent_id, command.incarnation):
+        incarnation = command.incarnation or self._announced(member)
+        if not agent_id or self.members.is_ended(agent_id, incarnation):
+            return None, done()
+        self._end(agent_id, incarnation)
+        if member is None:
             return None, done()
-        was_held = self.members.holds(agent_id, command.incarnation)
-        self._end(agent_id, command.incarnation)
-        return self._member_change(agent_id) if was_held else None, done()
+        held = member.backend.incarnation
+        # A later start than the one announced has ended, so that one has too.
+        if held != incarnation and 0 < member.backend.started_ms < incarnation:
+            self._end(agent_id, held)
+        is_gone = self.members.get(agent_id) is None
+        return self._member_change(agent_id) if is_gone else None, done()
+
+    def _announced(self, member):
+        """Return the incarnation meant where none is named."""
+        return member.backend.incarnation if member is not None else UNNUMBERED
 
     def _end(self, agent_id, incarnation):
         self.members.end(agent_id, incarnation)
--- a/wigeonscale/state/tests/test_members.py
+++ b/wigeonscale/state/tests/test_members.py
@@ -6,7 +6,7 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 
-class MembersTest(AsyncTestCase):
+class MembersCase(AsyncTestCase):
     def setUp(self):
         super().setUp()
         self.machine = Machine()
@@ -18,6 +18,8 @@
         )
         return self.machine.run(end_incarnation=end)
 
+
+class MembersTest(MembersCase):
     def test_ended_incarnation_cannot_announce_again(self):
         self.machine.announce("a", 1)
         self.end("a", 1)
@@ -189,3 +191,65 @@
         result = self.machine.place(chain("d", 1, ("b", 0, 3)), base=base)
         self.assertEqual(ErrorKind.REVISION_CONFLICT, result.kind)
         self.assertIsNone(self.chains.get("d"))
+
+
+class RestartTest(MembersCase):
+    """Starts that say when they were, under one name."""
+
+    def start(self, started_ms, name="a", **fields):
+        backend = wire.Backend(
+            agent_id=name, incarnation=started_ms, started_ms=started_ms, **fields
+        )
+        return self.machine.run(announce=wire.Announce(backend=backend, sequence=1))
+
+    def test_replicas_settle_on_the_later_start_whatever_the_order(self):
+        other = Machine()
+        self.start(100)
+        self.start(200)
+        first, self.machine = self.machine, other
+        self.start(200)
+        result = self.start(100)
+        self.assertEqual(ErrorKind.STALE_INCARNATION, result.kind)
+        for machine in (first, other):
+            self.assertTrue(machine.state.members.holds("a", 200))
+
+    def test_what_was_written_before_starts_were_told_is_read(self):
+        self.machine.announce("a", 1)
+        self.machine.announce("b", 1)
+        self.end("b", 1)
+        old = wire.StateSnapshot.FromString(self.machine.state.snapshot())
+        for member in old.members:
+            self.assertEqual(0, member.backend.started_ms)
+        restored = Machine()
+        restored.state.restore(old.SerializeToString())
+        self.machine = restored
+        self.members = restored.state.members
+        self.start(100)
+        self.assertTrue(self.members.holds("a", 100))
+        self.start(100, "b")
+        self.assertTrue(self.members.holds("b", 100))
+
+    def test_a_snapshot_keeps_that_a_start_ended(self):
+        self.start(200)
+        self.end("a", 200)
+        restored = Machine()
+        restored.state.restore(self.machine.state.snapshot())
+        self.machine = restored
+        self.assertEqual(ErrorKind.STALE_INCARNATION, self.start(150).kind)
+        self.assertEqual("", self.start(250).kind)
+
+    def test_no_incarnation_named_means_the_one_announced(self):
+        self.start(100)
+        self.end("a", 0)
+        self.assertIsNone(self.members.get("a"))
+
+    def test_a_later_start_that_goes_takes_the_former_one_along(self):
+        self.start(100)
+        self.end("a", 200)
+        self.assertIsNone(self.members.get("a"))
+
+    def test_an_address_is_not_taken_from_a_later_start(self):
+        self.start(200, address="x:80")
+        result = self.start(100, "b", address="x:80")
+        self.assertEqual(ErrorKind.STALE_INCARNATION, result.kind)
+        self.assertTrue(self.members.holds("a", 200))
