Two sets of layers by requests a second: fewer layers an engine, more memory for requests

Hypothesis: memory for requests grows faster with fewer layers an engine than the path gets slow; the slots of the first engine bound it. Change: the two sets are chosen by requests a second (memory or slots over the time of a token), with up to twice the usual room. Copies may end where another range ends, too.

--- a/wigeonscale/control/layer_keeper.py
+++ b/wigeonscale/control/layer_keeper.py
@@ -279,11 +279,16 @@
 
 
 def _model_size(engine: EngineProfile) -> ModelSize:
+    tokens = engine.usual_prompt + engine.usual_answer
+    longer_ms = engine.sequence_ms + engine.context_ms * tokens / 1000.0
     return ModelSize(
         layers=engine.layers,
         layer_mb=engine.layer_mb,
         token_mb=engine.token_bytes / engine.layers / MEGABYTE,
         room_tokens=engine.room_tokens,
+        request_tokens=tokens,
+        slots=engine.slots,
+        slowdown=longer_ms / engine.step_ms if engine.step_ms else 0.0,
     )
 
 
--- a/wigeonscale/layers/model.py
+++ b/wigeonscale/layers/model.py
@@ -48,12 +48,18 @@
         layer_mb: Memory of one layer.
         token_mb: Memory of one token in one layer.
         room_tokens: Tokens of requests that an engine should have room for.
+        request_tokens: Tokens of a usual request, prompt and answer; 0 if unknown.
+        slots: Requests that the first engine of a path runs at once; 0 for any.
+        slowdown: Share by which one more request lengthens each step.
     """
 
     layers: int
     layer_mb: float
     token_mb: float
     room_tokens: float
+    request_tokens: float = 0.0
+    slots: int = 0
+    slowdown: float = 0.0
 
     def capacity(self, size_mb: float, room_share: float) -> int:
         """Return how many layers an engine holds beside its requests.
@@ -72,6 +78,18 @@
         per_layer_mb = self.layer_mb + room_share * self.room_tokens * self.token_mb
         return int(size_mb / per_layer_mb)
 
+    def requests(self, size_mb: float, layers: int) -> float:
+        """Return how many usual requests an engine runs beside its layers.
+
+        Args:
+            size_mb: Memory of the engine.
+            layers: Layers that it holds, one at least.
+        """
+        free_mb = max(0.0, size_mb - layers * self.layer_mb)
+        tokens = free_mb / (layers * self.token_mb)
+        room = tokens / (self.request_tokens or self.room_tokens)
+        return min(room, self.slots) if self.slots else room
+
 
 @dataclass(frozen=True, slots=True)
 class Part:
--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -17,6 +17,7 @@
 __all__ = ["plan_layers"]
 
 import itertools
+import math
 from collections.abc import Callable, Iterable, Sequence
 
 from wigeonscale.layers.model import Holder, LayerRange, ModelSize
@@ -25,9 +26,12 @@
 # where a set or a gap cannot be closed otherwise. With the last one an engine of 22 GB
 # holds some seven requests of 900 tokens.
 ROOM_SHARES = (1.0, 0.75, 0.5, 0.3, 0.12)
-# A second set may leave its engines this share of the room, since the first one has its
-# own; with less it would hold too few requests to take over those of a lost engine.
-SECOND_SET_SHARE = 0.5
+# Shares of the room that the engines of two whole sets may be left with. With less than
+# the smallest a set would hold too few requests to take over those of the other. With
+# more than 1 a set has more engines with fewer layers each: memory for requests grows
+# faster than the path gets slow, until the slots of its first engine bound it, at some
+# 1.9 with 96 slots and requests of 1,000 tokens.
+TWO_SETS_SHARES = (2.0, 1.75, 1.5, 1.25, 1.0, 0.75, 0.5)
 # One engine more on a path costs as much as this many layers more on an engine: the
 # hop of each token, and one more engine whose loss breaks the path.
 ENGINE_LAYERS = 2.0
@@ -91,15 +95,40 @@
 
 
 def _two_sets(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
-    """Return two whole sets with the most room for requests; empty for none."""
-    shares = [share for share in ROOM_SHARES if share >= SECOND_SET_SHARE]
-    for first_share, second_share in itertools.product(shares, shares):
+    """Return the two whole sets that serve most requests a second; empty for none.
+
+    Load pattern: more requests than one set of the fastest engines has memory for,
+    while slower engines stand by with copies that no path needs.
+    """
+    best: dict[str, LayerRange] = {}
+    best_rate = 0.0
+    for first_share, second_share in itertools.product(TWO_SETS_SHARES, repeat=2):
         first = _whole_set(holders, model, first_share)
         rest = [holder for holder in holders if holder.backend_id not in first]
         second = _whole_set(rest, model, second_share)
-        if first and second:
-            return first | second
-    return {}
+        if not first or not second:
+            continue
+        rate = _rate(first, holders, model) + _rate(second, holders, model)
+        if rate > best_rate:
+            best, best_rate = first | second, rate
+    return best
+
+
+def _rate(
+    wanted: dict[str, LayerRange], holders: Iterable[Holder], model: ModelSize
+) -> float:
+    """Return the requests a second that a whole set serves, up to a constant factor.
+
+    As many as its engines have memory for, over the time that a token takes along it.
+    """
+    by_name = {holder.backend_id: holder for holder in holders}
+    most, pace, reached = math.inf, 0.0, 0
+    for name, layers in sorted(wanted.items(), key=lambda item: item[1]):
+        holder = by_name[name]
+        most = min(most, model.requests(holder.size_mb, layers.count))
+        pace += holder.pace * (layers.end - max(reached, layers.first))
+        reached = layers.end
+    return most / (pace * (1.0 + model.slowdown * most))
 
 
 def _whole_set(
@@ -307,7 +336,10 @@
 
         # Pulled back where it would reach beyond the last layer: room is not wasted.
         last = max(0, model.layers - capacity)
-        first = min((min(s, last) for s in starts), key=lambda s: (copies(s), s))
+        # It begins or ends where another range does.
+        bounds = {start - capacity for start in starts} | set(starts)
+        firsts = (min(max(0, bound), last) for bound in bounds)
+        first = min(firsts, key=lambda first: (copies(first), first))
         end = min(model.layers, first + capacity)
         wanted[holder.backend_id] = LayerRange(first, end)
         for layer in range(first, end):
