An entry that just started infers nothing of the others' load

Cause: after a final fault all entries start at once and callers come back in one instant. Change: before the first word nothing is inferred, and from the first word on only what came since.

--- a/wigeonscale/direct/beliefs.py
+++ b/wigeonscale/direct/beliefs.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Belief", "Beliefs"]
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -55,6 +56,8 @@
         self._told: dict[str, tuple[int, float]] = {}
         self._others: dict[str, tuple[int, float]] = {}
         self._others_at = float("-inf")
+        # Its own load at the instant that word of the others is of.
+        self._since: dict[str, tuple[int, float]] = {}
 
     def of(self, backend_id: str) -> Belief:
         """Return what is known of a backend server."""
@@ -69,11 +72,7 @@
         Returns:
             Sends, and tokens times layers, of each with any.
         """
-        self._told = {
-            name: (len(belief.runs), belief.token_layers)
-            for name, belief in self._beliefs.items()
-            if belief.runs
-        }
+        self._told = self._own_loads()
         return self._told
 
     def take_totals(self, totals: Mapping[str, tuple[int, float]]) -> None:
@@ -89,15 +88,27 @@
                 max(0, running - own_running),
                 max(0.0, token_layers - own_layers),
             )
+        # What came in before the first word says nothing of the others: callers that
+        # were shut out come back in one instant, unevenly.
+        is_first = math.isinf(self._others_at)
+        self._since = self._own_loads() if is_first else self._told
         self._others_at = self._clock.now()
 
+    def _own_loads(self) -> dict[str, tuple[int, float]]:
+        return {
+            name: (len(belief.runs), belief.token_layers)
+            for name, belief in self._beliefs.items()
+            if belief.runs
+        }
+
     def load_of(self, backend_id: str, entries: int) -> tuple[float, float]:
         """Return what all entries have in progress on a backend server.
 
         Args:
             backend_id: Name of the incarnation.
             entries: Entries that send alike, this one included. Where control has not
-                told the others' load lately, each counts as this one.
+                told the others' load lately, each counts as this one; before it ever
+                did, nothing is inferred.
 
         Returns:
             Sends, and tokens times layers.
@@ -105,9 +116,13 @@
         belief = self._beliefs.get(backend_id)
         running = len(belief.runs) if belief is not None else 0
         token_layers = belief.token_layers if belief is not None else 0.0
+        if math.isinf(self._others_at):
+            # Load pattern: all entries start at once while the engines are empty, and
+            # callers that could not get in come back in one instant.
+            return running, token_layers
         if self._clock.now() - self._others_at > TOTALS_FRESH_S:
             return running * entries, token_layers * entries
-        told_running, told_layers = self._told.get(backend_id, (0, 0.0))
+        told_running, told_layers = self._since.get(backend_id, (0, 0.0))
         others = self._others.get(backend_id, (0, 0.0))
         # Word of the others is up to a second old, and all entries act on the same
         # word: what one finds empty all fill at once, and then all leave. So each
--- /dev/null
+++ b/wigeonscale/direct/tests/test_start.py
@@ -0,0 +1,60 @@
+"""Replay of the instant in which entries that just started know the configuration."""
+
+import random
+
+from wigeonscale.direct.admission import choose_path_for
+from wigeonscale.direct.choice import FULL_SHARE
+from wigeonscale.direct.runs import Run
+from wigeonscale.direct.tests.support import ENGINE, MODEL, Parts, engine
+from wigeonscale.ports.exchange import Generation
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import AsyncTestCase
+
+ENTRIES = 29
+# Requests of all callers that came back within the second before, for which the engines
+# have room.
+HERD = 150
+LAYERS = 5
+SIZES = Generation(prompt=100, most=40, expected=20)
+
+
+class HerdTest(AsyncTestCase):
+    """All entries lost power, and so did what they had sent: the engines are empty.
+
+    Callers come back within a second, spread unevenly over the entries by a hash.
+    """
+
+    async def prepare(self):
+        servers = [
+            engine(f"{domain}{first}", first, first + LAYERS, domain=domain)
+            for domain in "ab"
+            for first in (0, LAYERS)
+        ]
+        self.entries = [
+            Parts(*servers, entries=ENTRIES, domain="ab"[number % 2])
+            for number in range(ENTRIES)
+        ]
+        rng = random.Random(3)
+        weights = [rng.uniform(0.2, 3.0) for _ in self.entries]
+        self.herd = rng.choices(self.entries, weights, k=HERD)
+        self.taken = {server.backend_id: 0.0 for server in servers}
+
+    def send(self, parts):
+        """Begin one request; return whether there was room for it."""
+        job = parts.job(Repeat.STREAM, service=MODEL, generation=SIZES)
+        choice = choose_path_for(parts.around, job, lost=(), ran_at=())
+        if choice.full:
+            return False
+        tokens = job.req.generation.prompt + job.req.generation.expected
+        layers = {p.backend_id: float(tokens * p.layers.count) for p in choice.path}
+        parts.beliefs.begin(Run(tuple(layers), layers))
+        for name, token_layers in layers.items():
+            self.taken[name] += token_layers
+        return True
+
+    async def test_nobody_is_turned_away_from_empty_engines(self):
+        served = sum(self.send(parts) for parts in self.herd)
+        self.assertEqual(HERD, served)
+        free_mb = ENGINE.accelerators["k"].size_mb - LAYERS * ENGINE.layer_mb
+        room = free_mb * 1e6 / (ENGINE.token_bytes / ENGINE.layers)
+        self.assertTrue(max(self.taken.values()) <= FULL_SHARE * room)
