Slow engines are found by the pace of streams, asked by control, and avoided

Ruled out: refusals and waits there (2 to 12 of 300); the layers, which did not move. Change: an entry compares the time between events with what the load of the path explains. The engines of a path that takes 3 times as long, and of none that moves as usual, are named to control as a hint. The probe that follows now reads the pace from the report; a power of two of it is committed, told with the members and counted in the costs of paths. Control asks a slow one once a second until it is as usual; a start anew forgets it. Tests: SlownessTest (registry), SlowTest (stalls), test_slow_engines_are_left_for_another_domain, test_how_slow_it_is; all fail before for want of it.

--- a/wigeonscale/control/registry.py
+++ b/wigeonscale/control/registry.py
@@ -9,13 +9,14 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.control.commands import Commands
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.ports import Clock, ProbeAnswer
+from wigeonscale.ports import Clock, EngineSign, ProbeAnswer
 from wigeonscale.replication import Replica, Role
 from wigeonscale.state import ControlState, Member
 from wigeonscale.wire import wire_pb2 as wire
@@ -31,6 +32,12 @@
 # One that answered is not asked again for a mere hint before this long: many entries
 # see the same path stand still, and a probe costs some engines 5 ms of work.
 HINT_AGAIN_S = 1.0
+# One that is slow is asked this often whether it still is.
+SLOW_AGAIN_S = 1.0
+# Factors on an engine's usual times below which it counts as usual: reports of busy but
+# sound ones say 1.
+SLOW_PACE = 1.5
+MOST_SLOWNESS = 64
 
 logger = logging.getLogger(__name__)
 
@@ -75,7 +82,7 @@
         commands: Commands,
         clock: Clock,
         heartbeat_s: float,
-        probe: Callable[[str, int], Awaitable[ProbeAnswer]],
+        probe: Callable[[str, int], Awaitable[EngineSign]],
         has_service: Callable[[str], bool],
     ):
         self._node_id = node_id
@@ -125,6 +132,7 @@
             return
         self._heard[name] = _Heard(self._clock.now(), started_ms, sequence)
         self._note_restart(backend)
+        self._keep_slowness(backend)
         if self._shows(backend):
             return
         command = wire.Announce(
@@ -169,6 +177,12 @@
             for member in self._state.members
         )
 
+    def _keep_slowness(self, backend: wire.Backend) -> None:
+        """Add to a heartbeat what probes told, which it does not say itself."""
+        member = self._state.members.get(backend.agent_id)
+        if member is not None and member.backend.incarnation == backend.incarnation:
+            backend.slowness = member.backend.slowness
+
     def _note_restart(self, backend: wire.Backend) -> None:
         member = self._state.members.get(backend.agent_id)
         if member is None or member.backend.started_ms == backend.started_ms:
@@ -274,9 +288,19 @@
             if not member.backend.silent
             and member.backend.agent_id not in self._suspected
             and self._judges(member.replica)
-            and self._silence_s(member) > self._silent_after_s
+            and (
+                self._silence_s(member) > self._silent_after_s
+                or self._is_slow_still(member)
+            )
         ]
 
+    def _is_slow_still(self, member: Member) -> bool:
+        """Return whether it is time to ask a slow backend again."""
+        if not member.backend.slowness:
+            return False
+        asked_at = self._answered_at.get(member.backend.agent_id, float("-inf"))
+        return self._clock.now() - asked_at >= SLOW_AGAIN_S
+
     def _note_lost_replicas(self) -> None:
         """Keep since when each replica with backends has been lost to this leader."""
         now = self._clock.now()
@@ -310,9 +334,11 @@
     async def _check(self, member: Member) -> None:
         name, started_ms = member.backend.agent_id, member.backend.started_ms
         for _ in range(PROBES):
-            answer = await self._probe(member.backend.address, started_ms)
+            sign = await self._probe(member.backend.address, started_ms)
+            answer = sign.answer
             if answer is ProbeAnswer.ANSWERED:
                 self._note_answer(name, started_ms, member.sequence)
+                await self._note_pace(name, started_ms, sign.pace)
                 return
             if answer in (ProbeAnswer.REFUSED, ProbeAnswer.REPLACED):
                 # Nothing listens there, or a later start: this incarnation has ended,
@@ -334,21 +360,52 @@
         elif heard.started_ms == started_ms:
             heard.at = now
 
+    async def _note_pace(self, name: str, started_ms: int, pace: float) -> None:
+        """Tell the entries where an engine has become slow, or is so no more."""
+        member = self._state.members.get(name)
+        slowness = _slowness(pace)
+        if member is None or member.backend.started_ms != started_ms:
+            return
+        if member.backend.slowness == slowness:
+            return
+        backend = wire.Backend()
+        backend.CopyFrom(member.backend)
+        backend.slowness = slowness
+        await self._commit_found(backend, member)
+
     async def _mark_silent(self, member: Member) -> None:
         backend = wire.Backend()
         backend.CopyFrom(member.backend)
         backend.silent = True
+        await self._commit_found(backend, member)
+
+    async def _commit_found(self, backend: wire.Backend, member: Member) -> None:
+        """Commit what a probe found of a backend."""
         command = wire.Announce(
             backend=backend, replica=member.replica, sequence=member.sequence
         )
         try:
             await self._commands.submit(wire.Command(announce=command))
         except WigeonscaleError as exc:
-            logger.warning("%s not marked silent: %s", backend.agent_id, exc.message)
+            logger.warning(
+                "what a probe found of %s not committed: %s",
+                backend.agent_id,
+                exc.message,
+            )
             return
         _log_change(backend, member.sequence)
 
 
+def _slowness(pace: float) -> int:
+    """Return a factor on usual times as a power of two; 0 for about as usual.
+
+    So rounded, a pace that wavers costs few log entries.
+    """
+    if pace < SLOW_PACE:
+        return 0
+    return min(MOST_SLOWNESS, 2 ** round(math.log2(pace)))
+
+
 def _log_change(backend: wire.Backend, sequence: int) -> None:
     logger.info(
         "backend server %s at %s",
@@ -360,6 +417,7 @@
             sequence=sequence,
             draining=backend.draining,
             born=backend.started_ms,
+            slowness=backend.slowness,
             layers=f"{backend.first_layer}-{backend.last_layer}",
         ),
     )
--- a/wigeonscale/control/tests/test_registry.py
+++ b/wigeonscale/control/tests/test_registry.py
@@ -3,7 +3,7 @@
 from wigeonscale.control import Commands, Registry
 from wigeonscale.control.tests.support import StandInReplica
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.ports import ProbeAnswer
+from wigeonscale.ports import EngineSign, ProbeAnswer
 from wigeonscale.replication import Role
 from wigeonscale.state import ControlState
 from wigeonscale.testing import AsyncTestCase, ManualClock
@@ -29,6 +29,7 @@
         self.answering = set()
         self.refusing = set()
         self.replaced = set()
+        self.paces = {}
         self.probed = []
         self.services = {"s"}
         self.registry = self.new_registry("c1")
@@ -50,12 +51,12 @@
     async def probe(self, address, started_ms):
         self.probed.append(address)
         if (address, started_ms) in self.replaced:
-            return ProbeAnswer.REPLACED
+            return EngineSign(ProbeAnswer.REPLACED)
         if address in self.refusing:
-            return ProbeAnswer.REFUSED
-        return (
-            ProbeAnswer.ANSWERED if address in self.answering else ProbeAnswer.NOTHING
-        )
+            return EngineSign(ProbeAnswer.REFUSED)
+        if address not in self.answering:
+            return EngineSign(ProbeAnswer.NOTHING)
+        return EngineSign(ProbeAnswer.ANSWERED, self.paces.get(address, 1.0))
 
     async def stop(self):
         self.task.cancel()
@@ -306,3 +307,57 @@
         await self.registry.announce(start(300, "i-3", address="i-1:80"), 1)
         self.assertIsNone(self.member("i-1"))
         self.assertIsNotNone(self.member("i-3"))
+
+
+class SlownessTest(RegistryCase):
+    """Engines that work many times slower than usual while their heartbeats go on."""
+
+    async def hint(self):
+        hint = wire.Suspect(agent_id="i-1", incarnation=1, is_hint=True)
+        self.registry.suspect(hint, came_from="entry")
+        await self.clock.advance(0)
+
+    async def prepare(self):
+        await super().prepare()
+        await self.registry.announce(backend(), 1)
+        self.answering.add("i-1:80")
+
+    async def test_told_with_the_first_probe_and_kept_over_heartbeats(self):
+        self.paces["i-1:80"] = 12.0
+        await self.hint()
+        self.assertEqual(16, self.member().backend.slowness)
+        self.assertFalse(self.member().backend.silent)
+        await self.registry.announce(backend(), 2)
+        self.assertEqual(16, self.member().backend.slowness)
+
+    async def test_asked_again_until_it_is_as_usual(self):
+        self.paces["i-1:80"] = 4.0
+        await self.hint()
+        await self.registry.announce(backend(), 2)
+        self.paces["i-1:80"] = 1.0
+        await self.clock.advance(1.5)
+        self.assertEqual(0, self.member().backend.slowness)
+        probes = len(self.probed)
+        for sequence in range(3, 8):
+            await self.registry.announce(backend(), sequence)
+            await self.clock.advance(1.0)
+        self.assertEqual(probes, len(self.probed))
+
+    async def test_one_that_wavers_costs_few_log_entries(self):
+        before = len(self.replica.proposed)
+        for pace in (3.7, 4.4, 3.9, 4.8, 3.3):
+            self.paces["i-1:80"] = pace
+            await self.clock.advance(1.1)
+            await self.hint()
+        self.assertEqual(1, len(self.replica.proposed) - before)
+
+    async def test_a_new_start_is_as_fast_as_any(self):
+        await self.registry.announce(start(100, "i-2"), 1)
+        self.answering.add("i-2:80")
+        self.paces["i-2:80"] = 8.0
+        hint = wire.Suspect(agent_id="i-2", incarnation=100, is_hint=True)
+        self.registry.suspect(hint, came_from="entry")
+        await self.clock.advance(0)
+        self.assertEqual(8, self.member("i-2").backend.slowness)
+        await self.registry.announce(start(200, "i-2"), 1)
+        self.assertEqual(0, self.member("i-2").backend.slowness)
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -29,10 +29,12 @@
     Attributes:
         path: Its parts; None when no path is whole.
         full: Engines of it that lack room for one more request of usual size.
+        event_s: Time between events to be expected on it; 0 where none is known.
     """
 
     path: list[Part] | None
     full: tuple[str, ...] = ()
+    event_s: float = 0.0
 
 
 def choose_path_for(
@@ -73,7 +75,16 @@
         entries=around.entries(),
     )
     path = choose_path(servers, engine, costs, domain=around.domain, lost=lost)
-    return PathChoice(path, _full_engines(around, path or (), costs))
+    fleet = around.fleet()
+    token_ms = sum(
+        costs.token(fleet.by_id[part.backend_id], part.layers.count)
+        for part in path or ()
+    )
+    return PathChoice(
+        path,
+        _full_engines(around, path or (), costs),
+        token_ms * engine.event_tokens / 1000.0,
+    )
 
 
 def choose_detour(
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -83,12 +83,14 @@
     Attributes:
         part: Cost of running so many layers on an engine.
         hop: Cost of going from one failure domain to another.
+        token: Time of one token on an engine that runs so many layers.
         has_room: Whether an engine holds one more request of usual size in so many of
             its layers.
     """
 
     part: Callable[[BackendServer, int], float]
     hop: Callable[[str, str], float]
+    token: Callable[[BackendServer, int], float]
     has_room: Callable[[BackendServer, int], bool]
 
 
@@ -131,23 +133,32 @@
         if kind is None:
             return AVOIDED_MS
         others, _ = beliefs.load_of(server.backend_id, entries)
-        context = others * tokens / 1000.0
-        step_ms = (
-            engine.step_ms
-            + engine.sequence_ms * (others + 1)
-            + engine.context_ms * context
-        )
         share = layers / engine.layers
-        cost = share * (
-            kind.pace * step_ms * answer + kind.read_factor * read_ms * (1 + others / 8)
+        cost = token(server, layers) * answer
+        # Load pattern: some engines work many times slower than usual, and the passes
+        # of all paths through them wait for them.
+        cost += server.slowness * (
+            share * kind.read_factor * read_ms * (1 + others / 8)
         )
-        cost += NEAR_HOP_MS * answer
         if not has_room(server, layers):
             cost += FULL_MS
         if server.is_silent or beliefs.is_avoided(server.backend_id):
             cost += AVOIDED_MS
         return cost
 
+    def token(server: BackendServer, layers: int) -> float:
+        kind = engine.accelerators.get(server.accelerator)
+        if kind is None:
+            return AVOIDED_MS
+        others, _ = beliefs.load_of(server.backend_id, entries)
+        step_ms = (
+            engine.step_ms
+            + engine.sequence_ms * (others + 1)
+            + engine.context_ms * others * tokens / 1000.0
+        )
+        share = layers / engine.layers
+        return server.slowness * share * kind.pace * step_ms + NEAR_HOP_MS
+
     def has_room(server: BackendServer, layers: int) -> bool:
         kind = engine.accelerators.get(server.accelerator)
         if kind is None:
@@ -161,7 +172,7 @@
             return 0.0
         return FAR_HOP_BASE_MS + FAR_HOP_MS * answer + transfer_ms
 
-    return PathCosts(part, hop, has_room)
+    return PathCosts(part, hop, token, has_room)
 
 
 def choose_path(
--- a/wigeonscale/direct/fleet.py
+++ b/wigeonscale/direct/fleet.py
@@ -24,6 +24,7 @@
         slots: Requests that it runs at once.
         is_silent: Whether control has not heard of it lately.
         started_ms: Its start, Unix milliseconds; 0 where it does not say.
+        slowness: Times as long as usual that its work takes.
     """
 
     backend_id: str
@@ -35,6 +36,7 @@
     slots: int = 1
     is_silent: bool = False
     started_ms: int = 0
+    slowness: int = 1
 
     @property
     def name(self) -> str:
@@ -104,6 +106,7 @@
         slots=max(1, backend.slots),
         is_silent=backend.silent,
         started_ms=backend.started_ms,
+        slowness=max(1, backend.slowness),
     )
 
 
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -10,7 +10,6 @@
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.room_queue import ROOM_WAIT_S
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
-from wigeonscale.layers import Part
 
 # Word to callers when no path is whole: a lost engine is found and its layers are
 # loaded elsewhere in one to three seconds.
@@ -22,8 +21,8 @@
 logger = logging.getLogger(__name__)
 
 
-async def next_path(around: Surroundings, job: Job, progress: Progress) -> list[Part]:
-    """Return the path of the next send.
+async def next_path(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
+    """Return the path of the next send; there is one.
 
     Args:
         around: What the flows share.
@@ -40,25 +39,25 @@
     return await _find_room(around, job, progress)
 
 
-async def _find_path(around: Surroundings, job: Job, progress: Progress) -> list[Part]:
+async def _find_path(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
     """Return the path on which a stream goes on, also where engines are full."""
     give_up_at = min(around.clock.now() + PATH_WAIT_S, job.ends_at)
     while True:
         choice = _choose(around, job, progress)
         if choice.path is not None:
-            return choice.path
+            return choice
         if around.clock.now() >= give_up_at:
             raise _no_path(job, progress)
         await around.clock.sleep(PATH_STEP_S)
 
 
-async def _find_room(around: Surroundings, job: Job, progress: Progress) -> list[Part]:
+async def _find_room(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
     """Return the path of an answer that is not begun, all of it with room."""
     choice = _choose(around, job, progress)
     if choice.path is None:
         raise _no_path(job, progress)
     if not choice.full and not len(around.waiting):
-        return choice.path
+        return choice
     place = _enter(around, job, progress)
     began_at = around.clock.now()
     give_up_at = min(began_at + ROOM_WAIT_S, job.ends_at)
@@ -84,7 +83,7 @@
             waited_s=round(around.clock.now() - began_at, 3),
         ),
     )
-    return choice.path
+    return choice
 
 
 def _enter(around: Surroundings, job: Job, progress: Progress) -> int:
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -6,6 +6,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+# Weight of the newest in the mean time between the latest events; about three count.
+LATELY_WEIGHT = 0.4
+
 
 @dataclass(slots=True, eq=False)
 class Run:
@@ -21,6 +24,8 @@
         moving: A move under way.
         began_at: Instant of the first sign of progress; None before it.
         events: Signs of progress so far.
+        usual_s: Time between events to be expected; 0 where none is known.
+        lately_s: Mean time between the latest events; 0 before the second.
     """
 
     backend_ids: tuple[str, ...]
@@ -31,6 +36,8 @@
     moving: asyncio.Task | None = None
     began_at: float | None = None
     events: int = 0
+    usual_s: float = 0.0
+    lately_s: float = 0.0
 
     @property
     def has_begun(self) -> bool:
@@ -48,6 +55,10 @@
         """Count an event in."""
         if self.began_at is None:
             self.began_at = now
+        else:
+            gap_s = now - self.progress_at
+            weight = LATELY_WEIGHT if self.lately_s else 1.0
+            self.lately_s += weight * (gap_s - self.lately_s)
         self.progress_at = now
         self.events += 1
 
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -30,6 +30,9 @@
 # 200 or 300 ms after which a pause is late.
 HINT_INTERVALS = 2.5
 HINT_QUIET_S = 0.06
+# A path on which events take so many times as long as its load explains has a slow
+# engine; where it does not know the load of a moment ago, an entry is wrong by less.
+SLOW_FACTOR = 3.0
 # What a report says is some hundred ms old, so an answer without a culprit is asked
 # for again after this long.
 ASK_AGAIN_S = 0.2
@@ -130,16 +133,16 @@
             self._hint(name)
 
     def _in_question(self, now: float) -> set[str]:
-        """Return the engines of quiet paths on which nothing moves.
+        """Return the engines of quiet or slow paths on which nothing moves as usual.
 
-        An engine that another run of this entry moves through is sound.
+        An engine that another run of this entry moves through as usual is sound.
         """
         quiet, moving = set(), set()
         for run in self._runs:
             if not run.has_begun:
                 continue
             usual_s = max(HINT_QUIET_S, HINT_INTERVALS * run.interval_s)
-            is_quiet = now - run.progress_at > usual_s
+            is_quiet = now - run.progress_at > usual_s or _is_slow(run)
             (quiet if is_quiet else moving).update(run.backend_ids)
         return quiet - moving
 
@@ -186,3 +189,9 @@
         for name in set(culprits):
             self._beliefs.note_lost(name)
             self._suspect(name)
+
+
+def _is_slow(run: Run) -> bool:
+    """Return whether its events take far longer than the load of its path explains."""
+    least_s = max(HINT_QUIET_S, SLOW_FACTOR * run.usual_s)
+    return run.usual_s > 0 and run.lately_s > least_s
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -13,6 +13,7 @@
 from contextlib import aclosing
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.admission import PathChoice
 from wigeonscale.direct.detour import change_path, memory_of
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.next_path import NO_PATH_RETRY_S, next_path
@@ -48,10 +49,11 @@
     """
     progress = Progress(last_id=job.req.last_event_id)
     while True:
-        path = await next_path(around, job, progress)
+        choice = await next_path(around, job, progress)
+        path = choice.path
         progress.sends += 1
         try:
-            if await _try_path(around, job, sink, progress, path):
+            if await _try_path(around, job, sink, progress, choice):
                 return
         except ExchangeError as exc:
             _note_failure(around, job, progress, path, exc)
@@ -63,9 +65,10 @@
     job: Job,
     sink: AnswerSink,
     progress: Progress,
-    path: list[Part],
+    choice: PathChoice,
 ) -> bool:
     """Relay one run; return True once the caller has the whole answer."""
+    path = choice.path
     fleet = around.fleet()
     servers = [fleet.by_id[part.backend_id] for part in path]
     now = around.clock.now()
@@ -80,7 +83,11 @@
         addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
     )
-    run = Run(tuple(part.backend_id for part in path), memory_of(job, path))
+    run = Run(
+        tuple(part.backend_id for part in path),
+        memory_of(job, path),
+        usual_s=choice.event_s,
+    )
     if is_split:
         run.move = functools.partial(change_path, around, job, run, path)
     logger.info(
--- a/wigeonscale/direct/tests/test_choice.py
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -97,6 +97,13 @@
         self.beliefs.begin(Run(("a0",), {"a0": room}))
         self.assertEqual(["b0", "b1"], self.chosen())
 
+    def test_slow_engines_are_left_for_another_domain(self):
+        # With 20 tokens of 1 ms the detour of 300 ms pays from a factor of some 30 on.
+        self.servers[1] = replace(self.servers[1], slowness=16)
+        self.assertEqual(["a0", "a1"], self.chosen())
+        self.servers[1] = replace(self.servers[1], slowness=64)
+        self.assertEqual(["b0", "b1"], self.chosen())
+
     def test_avoided_ones_when_nothing_else_is_left(self):
         for each in self.servers:
             self.beliefs.note_lost(each.backend_id)
--- a/wigeonscale/direct/tests/test_stalls.py
+++ b/wigeonscale/direct/tests/test_stalls.py
@@ -183,3 +183,37 @@
         await self.lose("a1")
         self.assertEqual([], self.parts.orders.moved)
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
+
+
+class SlowTest(StreamCase):
+    """An engine works many times slower than usual; its streams go on, but late."""
+
+    def run_on(self, *names, gap_s, usual_s=0.04):
+        run = Run(names, usual_s=usual_s)
+        self.parts.stalls.add(run)
+        now = self.parts.clock.now()
+        for number in range(5):
+            run.note_progress(now - (4 - number) * gap_s)
+        return run
+
+    async def test_named_to_control_though_events_come(self):
+        self.run_on("a1", "a2", gap_s=0.2)
+        self.parts.stalls.check()
+        self.assertEqual({"a1", "a2"}, set(self.parts.hinted))
+
+    async def test_one_that_another_path_is_as_fast_as_usual_through_is_not(self):
+        self.run_on("a1", "a2", gap_s=0.2)
+        self.run_on("a1", "b2", gap_s=0.04)
+        self.parts.stalls.check()
+        self.assertEqual({"a2"}, set(self.parts.hinted))
+
+    async def test_what_load_explains_is_not_slow(self):
+        self.run_on("a1", "a2", gap_s=0.2, usual_s=0.1)
+        self.parts.stalls.check()
+        self.assertEqual([], self.parts.hinted)
+
+    async def test_the_latest_events_count(self):
+        run = self.run_on("a1", "a2", gap_s=0.2)
+        for _ in range(6):
+            run.note_progress(run.progress_at + 0.04)
+        self.assertTrue(run.lately_s < 0.06, run.lately_s)
--- a/wigeonscale/platform/documents.py
+++ b/wigeonscale/platform/documents.py
@@ -78,6 +78,8 @@
     per_seq_ms: Annotated[float, Field(alias="per_seq_ms")] = 0.0
     context_per_k: Annotated[float, Field(alias="context_per_k")] = 0.0
     read_per_s: Annotated[float, Field(alias="read_per_s")] = 0.0
+    # Steps of a pass in which requests write; each pass makes one event.
+    stride: Annotated[float, Field(gt=0)] = 1.0
 
 
 class _Service(_Model):
@@ -198,6 +200,7 @@
         pipe_mbps=engine.pipe_mbps,
         slots=engine.slots,
         step_ms=engine.step_ms,
+        event_tokens=engine.stride,
         sequence_ms=engine.per_seq_ms,
         context_ms=engine.context_per_k,
         read_tokens_per_s=engine.read_per_s,
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 from collections.abc import Sequence
 
 import aiohttp
@@ -11,7 +12,7 @@
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.layers import Part
 from wigeonscale.platform.headers import path_text
-from wigeonscale.ports import ProbeAnswer
+from wigeonscale.ports import EngineSign, ProbeAnswer
 from wigeonscale.ports.orders import (
     STATUS_LIMIT_S,
     EngineStatus,
@@ -116,8 +117,8 @@
             logger.warning("report of %s cannot be read: %s", address, exc)
             return None
 
-    async def probe(self, address: str, started_ms: int) -> ProbeAnswer:
-        """Return whether an engine is there.
+    async def probe(self, address: str, started_ms: int) -> EngineSign:
+        """Return whether an engine is there, and how slow.
 
         Args:
             address: Where it listens.
@@ -130,16 +131,13 @@
         except aiohttp.ClientConnectorError as exc:
             logger.info("probe of %s: no connection: %r", address, exc.os_error)
             is_refused = isinstance(exc.os_error, ConnectionRefusedError)
-            return ProbeAnswer.REFUSED if is_refused else ProbeAnswer.NOTHING
+            return EngineSign(
+                ProbeAnswer.REFUSED if is_refused else ProbeAnswer.NOTHING
+            )
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             logger.info("probe of %s: no answer: %r", address, exc)
-            return ProbeAnswer.NOTHING
-        if _is_replaced(answer, started_ms):
-            logger.info(
-                "probe of %s: another start", address, extra=log_fields(born=started_ms)
-            )
-            return ProbeAnswer.REPLACED
-        return ProbeAnswer.ANSWERED
+            return EngineSign(ProbeAnswer.NOTHING)
+        return _read_sign(answer, started_ms)
 
     async def _ask(
         self,
@@ -184,13 +182,23 @@
     return born
 
 
-def _is_replaced(answer: tuple[int, bytes], started_ms: int) -> bool:
-    """Return whether a report is of a later start than the one asked for."""
-    if not started_ms or answer[0] != 200:
-        return False
+def _read_sign(answer: tuple[int, bytes], started_ms: int) -> EngineSign:
+    """Return what an engine's report says of it."""
+    status, content = answer
+    if status != 200:
+        return EngineSign(ProbeAnswer.ANSWERED)
     try:
-        return _started_ms(json.loads(answer[1])) > started_ms
+        report = json.loads(content)
+        born = _started_ms(report)
+        pace = float(report.get("pace", 1.0))
     except (ValueError, TypeError, AttributeError) as exc:
-        # It answered; of what it says nothing else matters here.
+        # It answered, which is what was asked.
         logger.warning("report cannot be read: %s", exc)
-        return False
+        return EngineSign(ProbeAnswer.ANSWERED)
+    if started_ms and born > started_ms:
+        logger.info(
+            "another start answers a probe",
+            extra=log_fields(old_born=started_ms, born=born),
+        )
+        return EngineSign(ProbeAnswer.REPLACED)
+    return EngineSign(ProbeAnswer.ANSWERED, pace if math.isfinite(pace) else 1.0)
--- a/wigeonscale/platform/tests/test_engine_orders.py
+++ b/wigeonscale/platform/tests/test_engine_orders.py
@@ -6,7 +6,7 @@
 from wigeonscale.platform.engine_orders import HttpEngineOrders
 from wigeonscale.platform.exchange_http import new_session
 from wigeonscale.platform.tests.support import serve
-from wigeonscale.ports import ProbeAnswer
+from wigeonscale.ports import EngineSign, ProbeAnswer
 from wigeonscale.ports.orders import OrderOutcome
 from wigeonscale.testing import AsyncTestCase
 
@@ -25,7 +25,8 @@
 
         runner, address = await serve(handle)
         self.addCleanup(runner.cleanup)
-        self.assertIs(ProbeAnswer.ANSWERED, await self.orders.probe(address, 0))
+        sign = await self.orders.probe(address, 0)
+        self.assertEqual(EngineSign(ProbeAnswer.ANSWERED, 1.0), sign)
 
     async def test_a_later_start_is_told_from_the_one_asked_for(self):
         for born, answer in (
@@ -40,7 +41,20 @@
 
             runner, address = await serve(handle)
             self.addCleanup(runner.cleanup)
-            self.assertIs(answer, await self.orders.probe(address, 100))
+            sign = await self.orders.probe(address, 100)
+            self.assertIs(answer, sign.answer)
+
+    async def test_how_slow_it_is(self):
+        for pace, wanted in ((12.5, 12.5), ("x", 1.0), (None, 1.0)):
+            report = {"seq": 0, "busy": False, "pace": pace}
+
+            async def handle(req, report=report):
+                return web.json_response(report)
+
+            runner, address = await serve(handle)
+            self.addCleanup(runner.cleanup)
+            sign = await self.orders.probe(address, 0)
+            self.assertEqual(EngineSign(ProbeAnswer.ANSWERED, wanted), sign)
 
     async def test_a_report_tells_the_start(self):
         async def handle(req):
@@ -55,8 +69,8 @@
             # Bound, so that nobody else gets the port, but not listening.
             unused.bind(("127.0.0.1", 0))
             port = unused.getsockname()[1]
-            answer = await self.orders.probe(f"127.0.0.1:{port}", 0)
-        self.assertIs(ProbeAnswer.REFUSED, answer)
+            sign = await self.orders.probe(f"127.0.0.1:{port}", 0)
+        self.assertIs(ProbeAnswer.REFUSED, sign.answer)
 
     async def test_an_engine_that_cuts_the_connection(self):
         async def handle(req):
@@ -65,7 +79,8 @@
 
         runner, address = await serve(handle)
         self.addCleanup(runner.cleanup)
-        self.assertIs(ProbeAnswer.NOTHING, await self.orders.probe(address, 0))
+        sign = await self.orders.probe(address, 0)
+        self.assertIs(ProbeAnswer.NOTHING, sign.answer)
 
 
 class OrderTest(OrdersCase):
--- a/wigeonscale/ports/__init__.py
+++ b/wigeonscale/ports/__init__.py
@@ -7,6 +7,7 @@
     "EngineInfo",
     "EngineLoad",
     "EngineResult",
+    "EngineSign",
     "EngineStep",
     "HttpAnswer",
     "Probe",
@@ -26,4 +27,4 @@
     Service,
 )
 from wigeonscale.ports.clock import Clock, SystemClock
-from wigeonscale.ports.probe import Probe, ProbeAnswer
+from wigeonscale.ports.probe import EngineSign, Probe, ProbeAnswer
--- a/wigeonscale/ports/probe.py
+++ b/wigeonscale/ports/probe.py
@@ -1,9 +1,10 @@
-"""The port that asks another process whether it is there."""
+"""The port to a process that is asked whether it is there."""
 
-__all__ = ["Probe", "ProbeAnswer"]
+__all__ = ["EngineSign", "Probe", "ProbeAnswer"]
 
 import enum
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 
 class ProbeAnswer(enum.Enum):
@@ -15,4 +16,17 @@
     NOTHING = "nothing"
 
 
+@dataclass(frozen=True, slots=True)
+class EngineSign:
+    """What came of asking an engine.
+
+    Attributes:
+        answer: Whether it is there.
+        pace: Factor on its usual times; over 1 it is slow.
+    """
+
+    answer: ProbeAnswer
+    pace: float = 1.0
+
+
 Probe = Callable[[str], Awaitable[ProbeAnswer]]
--- a/wigeonscale/routes/model.py
+++ b/wigeonscale/routes/model.py
@@ -110,6 +110,7 @@
         pipe_mbps: Rate of the link between two failure domains.
         slots: Requests that an engine runs at once.
         step_ms: One step.
+        event_tokens: Tokens in an event of a stream.
         sequence_ms: Further time of a step for each request that is writing.
         context_ms: Further time of a step for 1,000 tokens of context.
         read_tokens_per_s: Rate at which prompts are read.
@@ -126,6 +127,7 @@
     pipe_mbps: float = 0.0
     slots: int = 0
     step_ms: float = 0.0
+    event_tokens: float = 1.0
     sequence_ms: float = 0.0
     context_ms: float = 0.0
     read_tokens_per_s: float = 0.0
