--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -35,7 +35,9 @@
 FAR_HOP_BASE_MS = 100_000.0
 # Costs beside which times of work do not count, in ms: an engine without room
 # preempts or refuses; one that is avoided stalls the request for seconds.
-FULL_MS = 5_000.0
+# A path with slow engines costs seconds more than a sound one and is still better than
+# none; so full engines cost more than any slow ones.
+FULL_MS = 50_000.0
 AVOIDED_MS = 1_000_000.0
 # Share of an engine's memory for requests above which it counts as full. Over 1, since
 # a request is counted at its final size, which few have at any moment, and the others
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -32,7 +32,7 @@
 HINT_QUIET_S = 0.06
 # A path on which events take so many times as long as its load explains has a slow
 # engine; where it does not know the load of a moment ago, an entry is wrong by less.
-SLOW_FACTOR = 3.0
+SLOW_FACTOR = 2.0
 # What a report says is some hundred ms old, so an answer without a culprit is asked
 # for again after this long.
 ASK_AGAIN_S = 0.2
