--- a/wigeonscale/direct/fleet.py
+++ b/wigeonscale/direct/fleet.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from wigeonscale.layers import LayerRange
-from wigeonscale.state import UNNUMBERED
 from wigeonscale.wire import wire_pb2 as wire
 
 
@@ -23,6 +22,7 @@
         layers: Layers that it holds; empty for none.
         slots: Requests that it runs at once.
         is_silent: Whether control has not heard of it lately.
+        incarnation: Number of its incarnation, as control counts.
         started_ms: Its start, Unix milliseconds; 0 where it does not say.
         slowness: Times as long as usual that its work takes.
     """
@@ -35,6 +35,7 @@
     layers: LayerRange = LayerRange(0, 0)
     slots: int = 1
     is_silent: bool = False
+    incarnation: int = 1
     started_ms: int = 0
     slowness: int = 1
 
@@ -45,11 +46,6 @@
             return self.backend_id
         return self.backend_id.removesuffix(_suffix(self.started_ms))
 
-    @property
-    def incarnation(self) -> int:
-        """Number of its incarnation, as control counts."""
-        return self.started_ms or UNNUMBERED
-
 
 @dataclass(frozen=True, slots=True)
 class Fleet:
@@ -105,6 +101,7 @@
         ),
         slots=max(1, backend.slots),
         is_silent=backend.silent,
+        incarnation=backend.incarnation,
         started_ms=backend.started_ms,
         slowness=max(1, backend.slowness),
     )
