Few connections are opened to one backend server at a time

Change: hooks of the client session let four connections to an address open at a time; kept ones never wait. What waits is not yet connecting, so the limit on connecting stays as it is.

--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -166,6 +166,7 @@
             f"http://{address}{path}",
             json=body,
             timeout=aiohttp.ClientTimeout(total=limit_s),
+            trace_request_ctx=address,
         ) as res:
             return res.status, await res.read()
 
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -9,6 +9,7 @@
 import aiohttp
 from yarl import URL
 
+from wigeonscale.platform.connecting import pace_connections
 from wigeonscale.platform.headers import (
     at_fault_of,
     backend_headers,
@@ -48,6 +49,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        trace_configs=[pace_connections()],
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
     )
     # aiohttp would send a GET again by itself when a kept connection broke.
@@ -91,6 +93,7 @@
                 headers=backend_headers(call),
                 data=req.body or None,
                 allow_redirects=False,
+                trace_request_ctx=call.address,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise ExchangeError(
--- /dev/null
+++ b/wigeonscale/platform/tests/test_connecting.py
@@ -0,0 +1,82 @@
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from wigeonscale.platform.connecting import MOST_AT_ONCE
+from wigeonscale.platform.exchange_http import new_session
+from wigeonscale.platform.tests.support import serve
+from wigeonscale.testing import AsyncTestCase
+
+HERD = 50
+
+
+class OpeningTest(AsyncTestCase):
+    """All requests of a second go to one first engine in one instant."""
+
+    async def prepare(self):
+        async def handle(req):
+            return web.Response()
+
+        runner, self.address = await serve(handle)
+        self.addCleanup(runner.cleanup)
+        self.session = new_session()
+        self.addCleanup(self.session.close)
+        self.opening = 0
+        self.most = 0
+        self.expected = 0
+        self.reached = asyncio.Event()
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self._create = self.session.connector._create_connection
+        self.session.connector._create_connection = self.create
+
+    async def create(self, *args, **fields):
+        self.opening += 1
+        self.most = max(self.most, self.opening)
+        if self.opening == self.expected:
+            self.reached.set()
+        try:
+            await self.gate.wait()
+            return await self._create(*args, **fields)
+        finally:
+            self.opening -= 1
+
+    async def get(self, address=None):
+        address = address or self.address
+        async with self.session.get(
+            f"http://{address}/", trace_request_ctx=address
+        ) as res:
+            return res.status
+
+    async def test_few_connections_open_at_a_time(self):
+        statuses = await asyncio.gather(*[self.get() for _ in range(HERD)])
+        self.assertEqual([200] * HERD, statuses)
+        self.assertTrue(self.most <= MOST_AT_ONCE, self.most)
+
+    async def test_other_servers_are_not_waited_for(self):
+        self.gate.clear()
+        self.expected = MOST_AT_ONCE + 1
+        waiting = [asyncio.create_task(self.get()) for _ in range(HERD)]
+        other = asyncio.create_task(self.get("127.0.0.1:1"))
+        await self.reached.wait()
+        self.gate.set()
+        await asyncio.gather(*waiting)
+        result = (await asyncio.gather(other, return_exceptions=True))[0]
+        self.assertIsInstance(result, aiohttp.ClientConnectorError)
+
+    async def test_callers_that_leave_and_failures_give_their_turn_back(self):
+        self.gate.clear()
+        self.expected = MOST_AT_ONCE
+        leaving = [asyncio.create_task(self.get()) for _ in range(HERD)]
+        await self.reached.wait()
+        for task in leaving:
+            task.cancel()
+        await asyncio.gather(*leaving, return_exceptions=True)
+        self.gate.set()
+        for _ in range(2 * MOST_AT_ONCE):
+            results = await asyncio.gather(
+                self.get("127.0.0.1:1"), return_exceptions=True
+            )
+            self.assertIsInstance(results[0], aiohttp.ClientConnectorError)
+        self.assertEqual(200, await self.get())
--- a/wigeonscale/rules/schema.py
+++ b/wigeonscale/rules/schema.py
@@ -111,7 +111,7 @@
 class SectionModel(BaseModel):
     """Base of the keys of each kind of section; an unknown key is an error."""
 
-    # Built at the first use: a daemon that reads no rules starts 40 ms of a core sooner.
+    # Built at the first use: a daemon that reads no rules starts 40 ms sooner.
     model_config = ConfigDict(
         extra="forbid", arbitrary_types_allowed=True, defer_build=True
     )
