An entry that was behind does not hold it against the engines

Ruled out: memory (0 requests preempted), sick engines (all answered, none named). Change: a look at the runs that comes 0.1 s late or more is taken off the time that they have been quiet, and for a second connections that did not open count as refused, not as lost. Tests: BehindTest, four; they fail before for want of note_late.

--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -33,6 +33,12 @@
 # A path on which events take so many times as long as its load explains has a slow
 # engine; where it does not know the load of a moment ago, an entry is wrong by less.
 SLOW_FACTOR = 2.0
+# A look at all runs that comes this late means that this process did not get its turn;
+# what it did not read meanwhile says nothing of the engines.
+BEHIND_S = 0.1
+# For so long after that a connection that did not open in time is not held against the
+# engine either.
+BEHIND_FOR_S = 1.0
 # What a report says is some hundred ms old, so an answer without a culprit is asked
 # for again after this long.
 ASK_AGAIN_S = 0.2
@@ -84,12 +90,18 @@
         self._asked_at: dict[str, float] = {}
         self._sound_at: dict[str, float] = {}
         self._asking: set[asyncio.Task] = set()
+        self._behind_until = float("-inf")
 
     @property
     def running(self) -> int:
         """How many runs are watched."""
         return len(self._runs)
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether this process lately did not get its turn in time."""
+        return self._clock.now() < self._behind_until
+
     def add(self, run: Run) -> None:
         """Watch a run.
 
@@ -106,13 +118,35 @@
         """Look at all runs until cancelled."""
         try:
             while True:
+                asleep_at = self._clock.now()
                 await self._clock.sleep(CHECK_S)
+                self.note_late(self._clock.now() - asleep_at - CHECK_S)
                 self.check()
         finally:
             for task in self._asking:
                 task.cancel()
             await asyncio.gather(*self._asking, return_exceptions=True)
 
+    def note_late(self, late_s: float) -> None:
+        """Take a late look at the runs into account.
+
+        Load pattern: one entry is left for all callers, or its VM is slow. All its
+        streams stand still at once, and cut off, they would all be read again.
+
+        Args:
+            late_s: Time by which it is late, in seconds.
+        """
+        if late_s < BEHIND_S:
+            return
+        now = self._clock.now()
+        self._behind_until = now + BEHIND_FOR_S
+        for run in self._runs:
+            run.progress_at = min(now, run.progress_at + late_s)
+        logger.warning(
+            "the process was behind",
+            extra=log_fields(late_s=round(late_s, 3), running=len(self._runs)),
+        )
+
     def check(self) -> None:
         """Look at all runs once."""
         now = self._clock.now()
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -201,6 +201,9 @@
         if exc.at_fault:
             # It may lack room, or be gone: a probe by control tells.
             around.suspect(blamed)
+    elif blamed and exc.fate is Fate.NOT_SENT and around.stalls.is_behind:
+        # This process was too late to see the connection open.
+        around.beliefs.note_refused(blamed)
     elif blamed:
         around.beliefs.note_lost(blamed)
         around.suspect(blamed)
--- a/wigeonscale/direct/tests/test_stalls.py
+++ b/wigeonscale/direct/tests/test_stalls.py
@@ -8,6 +8,7 @@
     engine,
     event,
     fleet,
+    not_sent,
 )
 from wigeonscale.ports.orders import OrderOutcome
 
@@ -217,3 +218,53 @@
         for _ in range(6):
             run.note_progress(run.progress_at + 0.04)
         self.assertTrue(run.lately_s < 0.06, run.lately_s)
+
+
+class BehindTest(StreamCase):
+    """An entry alone with all callers gets no turn of the processor for a second."""
+
+    async def test_what_was_not_read_meanwhile_is_not_held_against_engines(self):
+        runs = [Run(("a1", "a2"), usual_s=0.04) for _ in range(3)]
+        for run in runs:
+            self.parts.beliefs.begin(run)
+            run.note_progress(self.parts.clock.now())
+            self.parts.stalls.add(run)
+        await self.parts.clock.advance(1.5)
+        self.parts.stalls.note_late(1.47)
+        self.parts.stalls.check()
+        await self.parts.clock.advance(0)
+        self.assertEqual([], self.parts.hinted)
+        self.assertEqual([], self.parts.orders.asked)
+        self.assertFalse(self.parts.beliefs.is_avoided("a1"))
+
+    async def test_quiet_engines_are_found_soon_after(self):
+        run = Run(("a1", "a2"))
+        self.parts.beliefs.begin(run)
+        run.note_progress(self.parts.clock.now())
+        self.parts.stalls.add(run)
+        await self.parts.clock.advance(1.5)
+        self.parts.stalls.note_late(1.47)
+        await self.parts.clock.advance(0.3)
+        self.parts.stalls.check()
+        await self.parts.clock.advance(0)
+        self.assertEqual(["a1:80"], self.parts.orders.asked)
+
+    async def test_a_look_in_time_changes_nothing(self):
+        run = Run(("a1", "a2"))
+        run.note_progress(self.parts.clock.now())
+        self.parts.stalls.add(run)
+        before = run.progress_at
+        await self.parts.clock.advance(0.05)
+        self.parts.stalls.note_late(0.02)
+        self.assertEqual(before, run.progress_at)
+        self.assertFalse(self.parts.stalls.is_behind)
+
+    async def test_a_connection_that_opened_too_late_to_be_seen(self):
+        self.exchange.script("a1", not_sent(), [event(1)])
+        self.exchange.script("b1", [event(1)])
+        self.parts.stalls.note_late(0.4)
+        await self.relay()
+        self.assertTrue(self.parts.beliefs.is_avoided("a1"))
+        await self.parts.clock.advance(0.5)
+        self.assertFalse(self.parts.beliefs.is_avoided("a1"))
+        self.assertEqual([], self.parts.suspected)
