Several full engines cost less than a path that crosses domains

Cause: found by reading; since full engines cost 50 s, a path with three of them cost more than one that crosses domains (100 s), and would have sent 45 MB of a prompt over the shared link. Change: 20 s, 1,000 s and 10,000 s for full, crossing and avoided; the order is that of before. Test: test_several_full_engines_before_a_path_that_crosses; it chose a0 a1 b2 b3 b4 before.

--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -31,14 +31,15 @@
 FAR_START_MS = 300.0
 # A hop inside a path sends a prompt's activations over the link that all domains
 # share, 45 MB each. It is for the time in which no domain is whole; where one is, but
-# full, a request is better told to come back than sent along a path that crosses.
-FAR_HOP_BASE_MS = 100_000.0
+# full, a request is better told to come back than sent along a path that crosses, so
+# that it costs more than the longest path of full engines.
+FAR_HOP_BASE_MS = 1_000_000.0
 # Costs beside which times of work do not count, in ms: an engine without room
 # preempts or refuses; one that is avoided stalls the request for seconds.
 # A path with slow engines costs seconds more than a sound one and is still better than
 # none; so full engines cost more than any slow ones.
-FULL_MS = 50_000.0
-AVOIDED_MS = 1_000_000.0
+FULL_MS = 20_000.0
+AVOIDED_MS = 10_000_000.0
 # Share of an engine's memory for requests above which it counts as full. Over 1, since
 # a request is counted at its final size, which few have at any moment, and the others
 # are taken to have sent more since their last word. Mean worth of a day of much load,
--- a/wigeonscale/direct/tests/test_choice.py
+++ b/wigeonscale/direct/tests/test_choice.py
@@ -97,6 +97,16 @@
         self.beliefs.begin(Run(("a0",), {"a0": room}))
         self.assertEqual(["b0", "b1"], self.chosen())
 
+    def test_several_full_engines_before_a_path_that_crosses(self):
+        self.servers = [
+            server(f"{domain}{i}", "model", domain=domain, layers=(2 * i, 2 * i + 2))
+            for domain in "ab"
+            for i in range(5)
+        ]
+        for full in ("a2", "a3", "a4", "b0", "b1"):
+            self.beliefs.begin(Run((full,), {full: 1e9}))
+        self.assertEqual([f"b{i}" for i in range(5)], self.chosen())
+
     def test_slow_engines_are_left_for_another_domain(self):
         # With 20 tokens of 1 ms the detour of 300 ms pays from a factor of some 30 on.
         self.servers[1] = replace(self.servers[1], slowness=16)
