Logs tell that two requests are the same but for their id, and how far a run had come

Ruled out: ids alone; they are new with each attempt. Change: fingerprint (caller, method, path, body) on generation sent, run lost and send failed; events and time since the first of them on run lost. No decision uses them. Conclusion: enough to write the fault as a test.

--- /dev/null
+++ b/wigeonscale/crashes/tests/test_fingerprint.py
@@ -0,0 +1,23 @@
+from wigeonscale.crashes import request_fingerprint
+from wigeonscale.testing import AsyncTestCase
+
+
+class FingerprintTest(AsyncTestCase):
+    def of(self, **fields):
+        request = {"caller": "a", "method": "POST", "path": "/p", "body": b"q"}
+        return request_fingerprint(**(request | fields))
+
+    def test_the_same_request_again(self):
+        self.assertEqual(self.of(), self.of())
+
+    def test_any_part_makes_it_another(self):
+        others = {
+            self.of(caller="b"),
+            self.of(method="GET"),
+            self.of(path="/p?x=1"),
+            self.of(body=b"r"),
+            # Nothing moves from one part into the next.
+            self.of(caller="aP", method="OST"),
+            self.of(path="/pq", body=b""),
+        }
+        self.assertEqual(6, len(others - {self.of()}))
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wigeonscale.crashes import request_fingerprint
 from wigeonscale.direct.beliefs import Beliefs
 from wigeonscale.direct.budget import SendBudget
 from wigeonscale.direct.fleet import Fleet
@@ -80,6 +81,16 @@
         """Name of the caller's organisation; empty for none."""
         return self.organisation.name if self.organisation is not None else ""
 
+    @property
+    def fingerprint(self) -> bytes:
+        """What it shares with the same request under another id."""
+        return request_fingerprint(
+            caller=self.organisation_name,
+            method=self.req.method,
+            path=self.req.path,
+            body=self.req.body,
+        )
+
     def call(
         self, *, now: float, address: str, backend_id: str, **fields
     ) -> BackendCall:
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -119,6 +119,7 @@
         exc.message,
         extra=log_fields(
             request_id=job.req.request_id,
+            fingerprint=job.fingerprint.hex(),
             backend=server.backend_id,
             outcome=exc.fate,
             status=exc.status,
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -51,6 +51,10 @@
             return 0.0
         return (self.progress_at - self.began_at) / (self.events - 1)
 
+    def begun_s(self, now: float) -> float:
+        """Return the time since the first sign of progress; 0 before it."""
+        return now - self.began_at if self.began_at is not None else 0.0
+
     def note_progress(self, now: float) -> None:
         """Count an event in."""
         if self.began_at is None:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -99,6 +99,7 @@
         "generation sent",
         extra=log_fields(
             request_id=job.req.request_id,
+            fingerprint=job.fingerprint.hex(),
             route=job.route.name,
             path=",".join(part.backend_id for part in path),
             after_event=progress.last_id,
@@ -117,12 +118,15 @@
         around.beliefs.note_outcome(first, failed=False)
         return is_whole
     except ExchangeError as exc:
-        if exc.fate is Fate.UNKNOWN and not run.has_begun:
-            around.beliefs.note_unanswered(first)
+        if exc.fate is Fate.UNKNOWN:
+            _log_lost_run(around, job, run)
+            if not run.has_begun:
+                around.beliefs.note_unanswered(first)
         raise
     except TimeoutError:
         if not run.watch.expired():
             raise
+        _log_lost_run(around, job, run)
         quiet_s = around.clock.now() - run.progress_at
         raise ExchangeError(
             Fate.UNKNOWN, f"no event from {servers[0].address} for {quiet_s:.2f} s"
@@ -135,6 +139,20 @@
         around.beliefs.end(run)
 
 
+def _log_lost_run(around: Surroundings, job: Job, run: Run) -> None:
+    """Tell how far a run had come that its first engine broke off."""
+    logger.info(
+        "run lost",
+        extra=log_fields(
+            request_id=job.req.request_id,
+            fingerprint=job.fingerprint.hex(),
+            head=run.backend_ids[0],
+            events=run.events,
+            begun_s=round(run.begun_s(around.clock.now()), 3),
+        ),
+    )
+
+
 async def _relay_events(
     around: Surroundings,
     job: Job,
