--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -1,6 +1,6 @@
 """Stand-ins for model engines and a plain service, each behind a relay."""
 
-__all__ = ["LAYERS", "Backend", "event_data", "plain_body"]
+__all__ = ["CRASHING", "LAYERS", "Backend", "event_data", "plain_body"]
 
 import asyncio
 import itertools
@@ -19,6 +19,9 @@
 WORK_S = 0.03
 HEARTBEAT_S = 0.3
 CALL_TIMEOUT_S = 1.0
+# Bodies of requests that crash the backend server that begins to run them.
+CRASHING = b"crash"
+BACK_AFTER_S = 0.3
 
 _names = itertools.count(1)
 
@@ -64,6 +67,7 @@
         self._fence = -1
         self._runner: web.ServerRunner | None = None
         self._beats: asyncio.Task | None = None
+        self._crash: asyncio.Task | None = None
 
     @property
     def is_alive(self) -> bool:
@@ -97,8 +101,17 @@
         self.relay.abort()
         await runner.cleanup()
 
+    async def _crash_and_return(self) -> None:
+        await self.stop()
+        await asyncio.sleep(BACK_AFTER_S)
+        if not self.is_alive:
+            await self.start()
+
     async def close(self) -> None:
         """Stop for good."""
+        if self._crash is not None:
+            self._crash.cancel()
+            await asyncio.gather(self._crash, return_exceptions=True)
         await self.stop()
         if self.relay is not None:
             await self.relay.close()
@@ -142,6 +155,11 @@
         if refusal is not None:
             return refusal
         self._ledger.ran(request_id)
+        body = await req.read()
+        if body.startswith(CRASHING):
+            self._ledger.crashes[body] += 1
+            self._crash = asyncio.create_task(self._crash_and_return())
+            await asyncio.get_running_loop().create_future()
         headers = {"Attempt-Id": request_id, "Response-Stamp": f"stamp {request_id}"}
         if self.service == "plain":
             await asyncio.sleep(WORK_S)
--- a/wigeonscale/testing/soak/ledger.py
+++ b/wigeonscale/testing/soak/ledger.py
@@ -18,6 +18,7 @@
         not_run: Ids that were answered as not run.
         acknowledged: Highest acknowledged number of a configuration.
         answers: Answers by status, or by what came instead.
+        crashes: Backend servers that crashed, by the body of the request.
         broken: Promises broken so far, in words.
     """
 
@@ -26,6 +27,7 @@
     not_run: set[str] = field(default_factory=set)
     acknowledged: int = 0
     answers: Counter = field(default_factory=Counter)
+    crashes: Counter = field(default_factory=Counter)
     broken: list[str] = field(default_factory=list)
 
     def ran(self, request_id: str) -> None:
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -80,7 +80,7 @@
                 await self.call(session, entry, self._rng.choice(KINDS))
                 await asyncio.sleep(self._rng.uniform(0.0, 0.05))
 
-    async def call(self, session, entry, kind: str) -> bool:
+    async def call(self, session, entry, kind: str, body: bytes = b"q") -> bool:
         """Make one request; return whether it was served."""
         request_id = f"r{next(self._ids):05d}"
         if kind == "unsafe":
@@ -95,15 +95,15 @@
         url = f"http://{self._dep.caller_address(entry)}/{kind}/x"
         try:
             async with asyncio.timeout(limit_s + 1.0):
-                async with session.post(url, headers=headers, data=b"q") as res:
-                    body = await res.read()
+                async with session.post(url, headers=headers, data=body) as res:
+                    got = await res.read()
         except (aiohttp.ClientError, OSError, TimeoutError):
             self._ledger.answers[NOTHING] += 1
             return False
         self._ledger.answered(request_id, res.status)
         if res.status != 200:
             return False
-        self._ledger.whole(request_id, body, _wanted(kind, request_id))
+        self._ledger.whole(request_id, got, _wanted(kind, request_id))
         return True
 
     async def change_for_ever(self) -> None:
