--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -204,11 +204,24 @@
         if document.number > watcher.document_number:
             watcher.document_number = document.number
             yield wire.WatchEvent(document=document.message())
+        yield from self._due_crashes(watcher)
         yield from self._due_members(watcher)
         yield from self._due_orders(watcher)
         if grant is not None:
             yield wire.WatchEvent(lease=grant)
 
+    def _due_crashes(self, watcher):
+        crashes = self._state.crashes
+        if not watcher.is_entry or crashes.index <= watcher.crashes_index:
+            return
+        update = wire.CrashUpdate(
+            index=crashes.index,
+            now_ms=self._state.now_ms,
+            records=crashes.after(watcher.crashes_index),
+        )
+        watcher.crashes_index = crashes.index
+        yield wire.WatchEvent(crashes=update)
+
     def _due_members(self, watcher):
         update = self.feed.members_after(watcher.position)
         watcher.position = self.feed.index
--- a/wigeonscale/control/watcher.py
+++ b/wigeonscale/control/watcher.py
@@ -28,6 +28,7 @@
         is_told_members: Whether it was told members on this stream.
         revision: Configuration revision it was told.
         document_number: Number of the numbered document it was told; 0 for none.
+        crashes_index: Log index of the crash records it was told; 0 for none.
         applied_revision: Revision it said it has in force.
         heard_at: Instant of its last message, in seconds of the clock port.
         incarnation: Incarnation that an agent announced here; 0 before.
@@ -54,6 +55,7 @@
         self.is_told_members = False
         self.revision = hello.known_revision
         self.document_number = hello.known_document
+        self.crashes_index = hello.known_crashes
         self.applied_revision = hello.known_revision
         self.heard_at = clock.now()
         self.incarnation = 0
--- /dev/null
+++ b/wigeonscale/crashes/book.py
@@ -0,0 +1,277 @@
+"""What one entry knows of requests under which backend servers crash."""
+
+__all__ = ["CrashBook", "CrashReport", "KnownCrashes"]
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.crashes.policy import (
+    CRASHES_TO_REFUSE,
+    MOST_REQUESTS,
+    first_to_forget,
+    hold_among,
+    hold_s,
+    kept_s,
+)
+from wigeonscale.ports import Clock
+
+# A backend server that broke off a run counts as crashed if control finds it gone
+# within this time: a refused probe says so in 0.02 to 0.3 s, two unanswered ones later.
+CONFIRM_S = 3.0
+# What was told to control is remembered here until control's word of it is back.
+TOLD_KEPT_S = 5.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KnownCrashes:
+    """Crashes under one request, as control tells them.
+
+    Attributes:
+        fingerprint: What tells the request from all others.
+        backends: Incarnations that ended under it; none where it ran well since.
+        age_s: Time since the last of them, in seconds.
+    """
+
+    fingerprint: bytes
+    backends: tuple[str, ...]
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What an entry has to tell control.
+
+    Attributes:
+        crashes: Fingerprints with an incarnation that ended under each.
+        cleared: Fingerprints of requests that ran without a crash.
+    """
+
+    crashes: tuple[tuple[bytes, str], ...]
+    cleared: tuple[bytes, ...]
+
+
+@dataclass(slots=True)
+class _Loss:
+    """An incarnation that this entry saw break off a run that had just begun.
+
+    Attributes:
+        at: Local instant of it.
+        has_ended: Whether the incarnation is known to have ended.
+        told_at: Local instant at which it was handed out to be told; None before.
+    """
+
+    at: float
+    has_ended: bool = False
+    told_at: float | None = None
+
+
+class CrashBook:
+    """Decides which requests are refused since backend servers crash under them.
+
+    Many requests run on a server that crashes. Those count that had just begun there,
+    if the server is found to have ended; one that runs well later is cleared. What
+    each entry finds goes to control, and comes back to all of them.
+
+    Args:
+        clock: Clock port.
+        is_serving: Returns whether a backend server is known and not leaving.
+        has_ended: Returns whether an incarnation is known to be gone.
+
+    Notes:
+        Bounded by :data:`~wigeonscale.crashes.MOST_REQUESTS`, and by time.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        is_serving: Callable[[str], bool],
+        has_ended: Callable[[str], bool],
+    ):
+        self._clock = clock
+        self._is_serving = is_serving
+        self._has_ended = has_ended
+        self._due = asyncio.Event()
+        # In the order of the last change: incarnations, and the instant of the last.
+        self._told: dict[bytes, tuple[frozenset[str], float]] = {}
+        self._losses: dict[bytes, dict[str, _Loss]] = {}
+        self._cleared: set[bytes] = set()
+
+    @property
+    def refused(self) -> int:
+        """How many requests are refused just now by control's word."""
+        now = self._clock.now()
+        return sum(
+            now < last_at + hold_s(len(backends))
+            for backends, last_at in self._told.values()
+        )
+
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Return whether a backend server was lost as it began to run a request."""
+        if fingerprint in self._losses:
+            self.look()
+        return fingerprint in self._told or fingerprint in self._losses
+
+    def refused_for(self, fingerprint: bytes) -> float:
+        """Return for how long a request is refused, in seconds; 0 if it is not.
+
+        Args:
+            fingerprint: The request's.
+        """
+        if not self.is_suspect(fingerprint):
+            return 0.0
+        now = self._clock.now()
+        names, last_at = self._told.get(fingerprint, (frozenset(), float("-inf")))
+        ended, lost = set(names), set(names)
+        for name, loss in self._losses.get(fingerprint, {}).items():
+            lost.add(name)
+            if loss.has_ended:
+                ended.add(name)
+                last_at = max(last_at, loss.at)
+        if len(ended) >= CRASHES_TO_REFUSE:
+            hold = hold_among(ended, self._rivals(fingerprint))
+            return max(0.0, last_at + hold - now)
+        # It is not known yet whether the last one ended or only broke off.
+        return CONFIRM_S if len(lost) >= CRASHES_TO_REFUSE else 0.0
+
+    def _rivals(self, fingerprint: bytes) -> list[frozenset[str]]:
+        return [
+            names
+            for other, (names, _) in self._told.items()
+            if other != fingerprint and len(names) >= CRASHES_TO_REFUSE
+        ]
+
+    def note_lost(self, fingerprint: bytes, backend_id: str) -> bool:
+        """Take in that a backend server broke off a run that had just begun.
+
+        Args:
+            fingerprint: The request's.
+            backend_id: The incarnation.
+
+        Returns:
+            Whether this is news of a server that may have crashed: one that is
+            leaving, or is not known any more, ends by intent.
+        """
+        losses = self._losses.get(fingerprint, {})
+        names, _ = self._told.get(fingerprint, (frozenset(), 0.0))
+        if backend_id in losses or backend_id in names:
+            return False
+        if not self._is_serving(backend_id):
+            return False
+        while len(self._losses) >= MOST_REQUESTS:
+            del self._losses[next(iter(self._losses))]
+        loss = _Loss(self._clock.now())
+        self._losses.setdefault(fingerprint, {})[backend_id] = loss
+        self.look()
+        return True
+
+    def note_ran(self, fingerprint: bytes) -> None:
+        """Take in that a request ran without a crash."""
+        if not self.is_suspect(fingerprint):
+            return
+        names, _ = self._told.pop(fingerprint, (frozenset(), 0.0))
+        losses = self._losses.pop(fingerprint, {})
+        if names or any(loss.told_at is not None for loss in losses.values()):
+            self._cleared.add(fingerprint)
+            self._due.set()
+        logger.info(
+            "request is cleared of crashes",
+            extra=log_fields(
+                fingerprint=fingerprint.hex(), backends=sorted({*names, *losses})
+            ),
+        )
+
+    def take(self, records: Iterable[KnownCrashes]) -> None:
+        """Take in what control tells.
+
+        Args:
+            records: Requests whose crashes changed, in the order of the change.
+        """
+        now = self._clock.now()
+        for record in records:
+            self._told.pop(record.fingerprint, None)
+            if not record.backends:
+                continue
+            names = frozenset(record.backends)
+            self._told[record.fingerprint] = names, now - record.age_s
+            logger.log(
+                logging.WARNING if len(names) >= CRASHES_TO_REFUSE else logging.INFO,
+                "%d backend servers ended under one request",
+                len(names),
+                extra=log_fields(
+                    fingerprint=record.fingerprint.hex(),
+                    backends=sorted(names),
+                    age_s=round(record.age_s, 3),
+                    outcome="refused" if hold_s(len(names)) else "suspected",
+                ),
+            )
+        self._forget(now)
+
+    def look(self) -> None:
+        """See which of the servers that broke runs off are known to have ended."""
+        now = self._clock.now()
+        for fingerprint, losses in list(self._losses.items()):
+            for backend_id, loss in list(losses.items()):
+                if not loss.has_ended and self._has_ended(backend_id):
+                    loss.has_ended = True
+                    self._due.set()
+                    self._log_loss(fingerprint, backend_id, "ended")
+                elif not loss.has_ended and now - loss.at > CONFIRM_S:
+                    del losses[backend_id]
+                    self._log_loss(fingerprint, backend_id, "not ended")
+                elif loss.told_at is not None and now - loss.told_at > TOLD_KEPT_S:
+                    del losses[backend_id]
+            if not losses:
+                del self._losses[fingerprint]
+
+    def _log_loss(self, fingerprint: bytes, backend_id: str, outcome: str) -> None:
+        logger.info(
+            "%s broke off a request that had just begun",
+            backend_id,
+            extra=log_fields(fingerprint=fingerprint.hex(), outcome=outcome),
+        )
+
+    async def until_due(self) -> None:
+        """Wait until there is something to tell control."""
+        await self._due.wait()
+
+    def due(self) -> CrashReport:
+        """Return what is to be told, and take it as told."""
+        self._due.clear()
+        now = self._clock.now()
+        crashes = []
+        for fingerprint, losses in self._losses.items():
+            for backend_id, loss in losses.items():
+                if loss.has_ended and loss.told_at is None:
+                    loss.told_at = now
+                    crashes.append((fingerprint, backend_id))
+        cleared, self._cleared = tuple(self._cleared), set()
+        return CrashReport(tuple(crashes), cleared)
+
+    def not_told(self, report: CrashReport) -> None:
+        """Take back that a report was told: control did not take it.
+
+        Args:
+            report: As :meth:`due` returned it.
+        """
+        for fingerprint, backend_id in report.crashes:
+            loss = self._losses.get(fingerprint, {}).get(backend_id)
+            if loss is not None:
+                loss.told_at = None
+        self._cleared.update(report.cleared)
+        self._due.set()
+
+    def _forget(self, now: float) -> None:
+        self._told = {
+            fingerprint: (names, last_at)
+            for fingerprint, (names, last_at) in self._told.items()
+            if now - last_at <= kept_s(len(names))
+        }
+        while len(self._told) > MOST_REQUESTS:
+            counts = {name: len(names) for name, (names, _) in self._told.items()}
+            del self._told[first_to_forget(counts)]
--- /dev/null
+++ b/wigeonscale/crashes/policy.py
@@ -0,0 +1,128 @@
+"""When a request is refused because backend servers crash under it.
+
+Load pattern: one request crashes each backend server that begins to run it, and comes
+again within seconds, at any entry and under another id. Each crash cuts off all that
+ran there, forty streams at a time.
+"""
+
+__all__ = [
+    "BEGINNING_S",
+    "CRASHES_REMEMBERED",
+    "CRASHES_TO_REFUSE",
+    "MOST_REQUESTS",
+    "SUSPECT_KEPT_S",
+    "first_to_forget",
+    "hold_among",
+    "hold_s",
+    "kept_s",
+]
+
+from collections.abc import Iterable, Mapping, Set
+
+# One crash may be chance and hits whatever began there just then, one to four requests;
+# the users' rule lets a request crash three servers before it must be held back.
+CRASHES_TO_REFUSE = 3
+# A refused request is tried again once its time is over, since weights or a server may
+# have been mended: by the users' rule three times at most after the third crash.
+CRASHES_REMEMBERED = 6
+# Engines are mended by people: the shortest time in which one reacts, in seconds, and
+# the factor by which each further crash prolongs it, up to three and a half days.
+FIRST_HOLD_S = 600.0
+HOLD_FACTOR = 8.0
+# Requests under which the very same servers ended are told apart by another run of
+# each, once the fate of the last runs is known, in seconds.
+TIE_HOLD_S = 5.0
+# A request that is suspected only is forgotten after this long without another crash.
+SUSPECT_KEPT_S = 600.0
+# Requests remembered. A crash adds those that had just begun at one engine, which are
+# as many as begin in some 0.15 s there, whatever the size of the fleet: one to four of
+# 27 a second over six first engines. One takes some 100 bytes in control's state and
+# 400 at an entry.
+MOST_REQUESTS = 1024
+# A run that went on for so long after its first event has not crashed its server by
+# beginning. Servers that crashed did so within 0.1 s of the run that they began last;
+# a pass of an engine under load takes as long again.
+BEGINNING_S = 0.25
+
+
+def hold_s(crashes: int) -> float:
+    """Return for how long a request is refused after its last crash, in seconds.
+
+    Args:
+        crashes: Backend servers that ended under it.
+
+    Returns:
+        0 while it is not refused.
+
+    Example:
+        >>> [hold_s(crashes) for crashes in (2, 3, 4)]
+        [0.0, 600.0, 4800.0]
+    """
+    beyond = min(crashes, CRASHES_REMEMBERED) - CRASHES_TO_REFUSE
+    return FIRST_HOLD_S * HOLD_FACTOR**beyond if beyond >= 0 else 0.0
+
+
+def hold_among(ended: Set[str], rivals: Iterable[Set[str]]) -> float:
+    """Return for how long a request is refused, given what ended under others.
+
+    Load pattern: a request that comes at the same moments as the one that crashes the
+    servers is lost with it each time. A server that ended under both was crashed by
+    the one under which more ended.
+
+    Args:
+        ended: Backend servers that ended under the request.
+        rivals: The same for each other request that may be refused.
+
+    Returns:
+        Seconds after its last crash; 0 while it is not refused.
+
+    Example:
+        >>> hold_among({"a", "b", "c"}, [{"a", "b", "c", "d"}])
+        0.0
+        >>> hold_among({"a", "b", "c"}, [{"a", "b", "c"}])
+        5.0
+        >>> hold_among({"a", "b", "c"}, [])
+        600.0
+    """
+    if len(ended) < CRASHES_TO_REFUSE:
+        return 0.0
+    unexplained, unshared = set(ended), set(ended)
+    for rival in rivals:
+        if len(rival) > len(ended):
+            unexplained -= rival
+        elif len(rival) == len(ended):
+            unshared -= rival
+    if len(unexplained) < CRASHES_TO_REFUSE:
+        return 0.0
+    if len(unexplained & unshared) < CRASHES_TO_REFUSE:
+        return TIE_HOLD_S
+    return hold_s(len(ended))
+
+
+def kept_s(crashes: int) -> float:
+    """Return for how long the crashes of a request are remembered, in seconds.
+
+    Args:
+        crashes: Backend servers that ended under it.
+    """
+    return max(SUSPECT_KEPT_S, 2 * hold_s(crashes))
+
+
+def first_to_forget(crashes: Mapping[bytes, int]) -> bytes:
+    """Return the request to forget where more are known than may be.
+
+    Args:
+        crashes: Backend servers that ended under each request, in the order of the
+            last crash; not empty.
+
+    Returns:
+        The oldest that is not refused, so that many that are suspected for once do
+        not wash out the few that are; else the oldest.
+
+    Notes:
+        Linear in the refused ones.
+    """
+    for fingerprint, count in crashes.items():
+        if count < CRASHES_TO_REFUSE:
+            return fingerprint
+    return next(iter(crashes))
--- /dev/null
+++ b/wigeonscale/crashes/tests/test_book.py
@@ -0,0 +1,169 @@
+import asyncio
+
+from wigeonscale.crashes import (
+    MOST_REQUESTS,
+    CrashBook,
+    CrashReport,
+    KnownCrashes,
+    first_to_forget,
+    hold_s,
+    report_crashes,
+)
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.testing import AsyncTestCase, ManualClock
+
+IT = b"it"
+OTHER = b"other"
+
+
+class BookCase(AsyncTestCase):
+    async def prepare(self):
+        self.clock = ManualClock()
+        self.serving = {f"s{n}" for n in range(9)}
+        self.ended = set()
+        self.book = self.new_book()
+
+    def new_book(self):
+        return CrashBook(
+            clock=self.clock,
+            is_serving=self.serving.__contains__,
+            has_ended=self.ended.__contains__,
+        )
+
+    def crash(self, *names, fingerprint=IT):
+        for name in names:
+            self.book.note_lost(fingerprint, name)
+        self.ended.update(names)
+        self.book.look()
+
+    def told(self, *names, fingerprint=IT, age_s=0.0):
+        return KnownCrashes(fingerprint=fingerprint, backends=names, age_s=age_s)
+
+
+class RefusalTest(BookCase):
+    async def test_two_crashes_make_a_suspect_and_the_third_refuses(self):
+        self.crash("s1", "s2")
+        self.assertTrue(self.book.is_suspect(IT))
+        self.assertEqual(0.0, self.book.refused_for(IT))
+        self.crash("s3")
+        self.assertEqual(hold_s(3), self.book.refused_for(IT))
+        self.assertEqual(0.0, self.book.refused_for(OTHER))
+
+    async def test_one_server_counts_once(self):
+        self.crash("s1", "s1", "s2", "s2")
+        self.book.take([self.told("s1", "s2")])
+        self.assertEqual(0.0, self.book.refused_for(IT))
+
+    async def test_what_others_saw_counts_with_what_this_entry_saw(self):
+        self.book.take([self.told("s1", "s2")])
+        self.crash("s3")
+        self.assertEqual(hold_s(3), self.book.refused_for(IT))
+
+    async def test_a_server_that_only_broke_off_does_not_count(self):
+        for name in ("s1", "s2", "s3"):
+            self.book.note_lost(IT, name)
+        # For a moment it is not known whether they ended.
+        self.assertEqual(3.0, self.book.refused_for(IT))
+        await self.clock.advance(3.1)
+        self.assertEqual(0.0, self.book.refused_for(IT))
+        self.assertFalse(self.book.is_suspect(IT))
+
+    async def test_a_server_that_leaves_ends_by_intent(self):
+        self.serving.clear()
+        self.crash("s1", "s2", "s3")
+        self.assertFalse(self.book.is_suspect(IT))
+
+    async def test_it_is_tried_again_when_its_time_is_over(self):
+        self.book.take([self.told("s1", "s2", "s3", age_s=hold_s(3) - 1.0)])
+        self.assertAlmostEqual(1.0, self.book.refused_for(IT))
+        await self.clock.advance(1.5)
+        self.assertEqual(0.0, self.book.refused_for(IT))
+        self.crash("s4")
+        self.assertEqual(hold_s(4), self.book.refused_for(IT))
+
+    async def test_a_run_that_went_well_clears(self):
+        self.book.take([self.told("s1", "s2")])
+        self.crash("s3")
+        self.book.note_ran(IT)
+        self.assertEqual(0.0, self.book.refused_for(IT))
+        self.assertEqual(CrashReport((), (IT,)), self.book.due())
+
+    async def test_cleared_by_another_entry(self):
+        self.book.take([self.told("s1", "s2", "s3")])
+        self.book.take([self.told()])
+        self.assertFalse(self.book.is_suspect(IT))
+
+
+class TieTest(BookCase):
+    """Another request came each time together with the one that crashes servers."""
+
+    async def prepare(self):
+        await super().prepare()
+        both = ("s1", "s2", "s3")
+        self.book.take([self.told(*both), self.told(*both, fingerprint=OTHER)])
+
+    async def test_both_are_held_for_a_moment_only(self):
+        for fingerprint in (IT, OTHER):
+            self.assertEqual(5.0, self.book.refused_for(fingerprint))
+        await self.clock.advance(5.0)
+        self.assertEqual(0.0, self.book.refused_for(OTHER))
+
+    async def test_the_next_crash_tells_them_apart(self):
+        self.book.take([self.told("s1", "s2", "s3", "s4")])
+        self.assertEqual(0.0, self.book.refused_for(OTHER))
+        self.assertEqual(hold_s(4), self.book.refused_for(IT))
+
+    async def test_other_crashes_count_on(self):
+        self.book.take([self.told("s1", "s2", "s3", "s4")])
+        names = ("s3", "s5", "s6", "s7")
+        self.book.take([self.told(*names, fingerprint=OTHER)])
+        self.assertEqual(hold_s(4), self.book.refused_for(OTHER))
+        self.assertEqual(hold_s(4), self.book.refused_for(IT))
+
+
+class TellingTest(BookCase):
+    async def test_ended_servers_are_told_once(self):
+        self.book.note_lost(IT, "s1")
+        self.crash("s2")
+        self.assertEqual(CrashReport(((IT, "s2"),), ()), self.book.due())
+        self.assertEqual(CrashReport((), ()), self.book.due())
+
+    async def test_what_control_did_not_take_is_told_again(self):
+        told = []
+
+        async def submit(report):
+            told.append(report)
+            if len(told) == 1:
+                raise WigeonscaleError(ErrorKind.NO_QUORUM, "nobody leads")
+
+        task = asyncio.create_task(
+            report_crashes(self.book, submit=submit, clock=self.clock)
+        )
+        self.crash("s1")
+        for _ in range(200):
+            await self.clock.advance(0.01)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual([CrashReport(((IT, "s1"),), ())] * 2, told)
+
+
+class BoundTest(BookCase):
+    async def test_many_that_are_suspected_once_do_not_wash_out_the_refused(self):
+        self.book.take([self.told("s1", "s2", "s3")])
+        many = [
+            self.told("s1", fingerprint=b"%d" % n) for n in range(2 * MOST_REQUESTS)
+        ]
+        self.book.take(many)
+        self.assertTrue(self.book.refused_for(IT) > 0)
+        known = sum(self.book.is_suspect(each.fingerprint) for each in many)
+        self.assertEqual(MOST_REQUESTS - 1, known)
+
+    async def test_own_losses_are_bounded_too(self):
+        for number in range(2 * MOST_REQUESTS):
+            self.book.note_lost(b"%d" % number, "s1")
+        known = [self.book.is_suspect(b"%d" % n) for n in range(2 * MOST_REQUESTS)]
+        self.assertEqual(MOST_REQUESTS, sum(known))
+
+    async def test_the_oldest_goes_where_all_are_refused(self):
+        self.assertEqual(b"a", first_to_forget({b"a": 3, b"b": 4}))
+        self.assertEqual(b"b", first_to_forget({b"a": 3, b"b": 2}))
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -13,6 +13,7 @@
 from wigeonscale.adapters import setup_logging, start_http
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.config import DirectEntrySettings
+from wigeonscale.crashes import CrashBook, CrashReport, report_crashes
 from wigeonscale.daemons.early_listener import EarlyListener
 from wigeonscale.daemons.runtime import StopStep, run_until_stopped
 from wigeonscale.direct import (
@@ -27,7 +28,12 @@
     replaced_starts,
 )
 from wigeonscale.errors import SettingsError
-from wigeonscale.membership import Change, ControlClient
+from wigeonscale.membership import (
+    Change,
+    ControlClient,
+    command_of,
+    known_crashes,
+)
 from wigeonscale.platform.callers import CallerServer
 from wigeonscale.platform.documents import decompress, read_table
 from wigeonscale.platform.engine_orders import HttpEngineOrders
@@ -132,8 +138,14 @@
         window_s=cfg.retry_window_s,
         entries=lambda: control.entries,
     )
-    control = _new_control(cfg, clock, beliefs, budget)
+    crashes = CrashBook(
+        clock=clock,
+        is_serving=lambda backend_id: backend_id in known.fleet.by_id,
+        has_ended=lambda backend_id: known.fleet.has_ended(backend_id),
+    )
+    control = _new_control(cfg, clock, beliefs, budget, crashes)
     known = _Known(control=control, beliefs=beliefs)
+    control.changes.subscribe(lambda change: crashes.look())
     stopping: list[bool] = []
 
     def may_serve() -> bool:
@@ -175,6 +187,7 @@
         orders=orders,
         stalls=stalls,
         waiting=RoomQueue(clock=clock),
+        crashes=crashes,
     )
     service = DirectService(
         around=around,
@@ -202,13 +215,20 @@
         ),
     )
 
+    async def submit(report: CrashReport) -> None:
+        await control.submit(command_of(report))
+
     async def finish() -> None:
         stopping.append(True)
         await server.finish(BALANCER_SETTLE_S)
 
     try:
         return await run_until_stopped(
-            tasks={"control": control.run(), "stalls": stalls.run()},
+            tasks={
+                "control": control.run(),
+                "stalls": stalls.run(),
+                "crashes": report_crashes(crashes, submit=submit, clock=clock),
+            },
             stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
             stop_timeout_s=cfg.stop_timeout_s,
             reload=lambda: control.add_addresses(_control_addresses(reload())),
@@ -219,7 +239,11 @@
 
 
 def _new_control(
-    cfg: DirectEntrySettings, clock: Clock, beliefs: Beliefs, budget: SendBudget
+    cfg: DirectEntrySettings,
+    clock: Clock,
+    beliefs: Beliefs,
+    budget: SendBudget,
+    crashes: CrashBook,
 ) -> ControlClient:
     def loads() -> wire.Loads:
         return wire.Loads(
@@ -254,6 +278,7 @@
         http_address=cfg.http,
         loads=loads,
         on_loads=take_loads,
+        on_crashes=lambda update: crashes.take(known_crashes(update)),
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
--- a/wigeonscale/direct/beliefs.py
+++ b/wigeonscale/direct/beliefs.py
@@ -3,7 +3,7 @@
 __all__ = ["Belief", "Beliefs"]
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wigeonscale.direct.runs import Run
@@ -138,6 +138,11 @@
         belief = self._beliefs.get(backend_id)
         return belief is not None and self._clock.now() < belief.avoid_until
 
+    def runs_on(self, backend_id: str) -> Collection[Run]:
+        """Return this entry's sends in progress on a backend server."""
+        belief = self._beliefs.get(backend_id)
+        return belief.runs if belief is not None else ()
+
     def begin(self, run: Run) -> None:
         """Count a send in."""
         run.progress_at = self._clock.now()
--- /dev/null
+++ b/wigeonscale/direct/crashing.py
@@ -0,0 +1,115 @@
+"""A request under which backend servers crash: refused, and until then kept apart.
+
+Load pattern: one request crashes each server that begins to run it and comes again
+under other ids; all that had just begun there is suspected with it. Sent on together,
+the suspects would reach the next server together, and none could be told from the
+other. So each of them goes on at a first engine where no other one begins.
+"""
+
+__all__ = ["check_not_crashing", "note_lost_run", "note_ran", "where_others_begin"]
+
+import logging
+from collections.abc import Iterable
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.crashes import BEGINNING_S
+from wigeonscale.direct.job import Job, Surroundings
+from wigeonscale.direct.runs import Run
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+
+logger = logging.getLogger(__name__)
+
+
+def check_not_crashing(
+    around: Surroundings, job: Job, *, may_have_run: bool = False
+) -> None:
+    """Refuse a request under which too many backend servers have ended.
+
+    Args:
+        around: What the flows share.
+        job: The request.
+        may_have_run: Whether an earlier send of it may have run.
+
+    Raises:
+        WigeonscaleError: ``CRASHES_BACKENDS``, with word when it may be tried again.
+    """
+    refused_s = around.crashes.refused_for(job.fingerprint)
+    if refused_s <= 0:
+        return
+    raise WigeonscaleError(
+        ErrorKind.CRASHES_BACKENDS,
+        f"backend servers ended under request {job.fingerprint.hex()} before",
+        run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
+        retry_after=refused_s,
+    )
+
+
+def note_lost_run(
+    around: Surroundings, job: Job, run: Run, backend_ids: Iterable[str]
+) -> bool:
+    """Take in that backend servers broke off a run, or were lost under it.
+
+    Args:
+        around: What the flows share.
+        job: Its request.
+        run: The run.
+        backend_ids: Those servers.
+
+    Returns:
+        Whether one of them may have crashed by it, and nobody said so yet.
+    """
+    if not _is_beginning(run, around.clock.now()):
+        note_ran(around, job)
+        return False
+    is_news = False
+    for backend_id in backend_ids:
+        if around.crashes.note_lost(job.fingerprint, backend_id):
+            is_news = True
+            logger.info(
+                "run lost as it began",
+                extra=log_fields(
+                    request_id=job.req.request_id,
+                    fingerprint=job.fingerprint.hex(),
+                    backend=backend_id,
+                    events=run.events,
+                    begun_s=round(run.begun_s(around.clock.now()), 3),
+                ),
+            )
+    return is_news
+
+
+def note_ran(around: Surroundings, job: Job) -> None:
+    """Take in that a run of a request went well beyond its beginning."""
+    around.crashes.note_ran(job.fingerprint)
+
+
+def where_others_begin(around: Surroundings, job: Job) -> set[str]:
+    """Return the backend servers where other suspects begin, if this is one itself.
+
+    Args:
+        around: What the flows share.
+        job: The request.
+
+    Notes:
+        Linear in the runs of this entry, for suspects only. Suspects of other entries
+        are not seen.
+    """
+    if not around.crashes.is_suspect(job.fingerprint):
+        return set()
+    now = around.clock.now()
+    servers = around.fleet().by_service.get(job.service.name, ())
+    return {
+        server.backend_id
+        for server in servers
+        if any(
+            run.backend_ids[0] == server.backend_id
+            and run.fingerprint != job.fingerprint
+            and _is_beginning(run, now)
+            and around.crashes.is_suspect(run.fingerprint)
+            for run in around.beliefs.runs_on(server.backend_id)
+        )
+    }
+
+
+def _is_beginning(run: Run, now: float) -> bool:
+    return run.begun_s(now) < BEGINNING_S
--- a/wigeonscale/direct/detour.py
+++ b/wigeonscale/direct/detour.py
@@ -7,6 +7,7 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.admission import choose_detour
+from wigeonscale.direct.crashing import note_lost_run
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.runs import Run
 from wigeonscale.layers import Part
@@ -38,6 +39,12 @@
     detour = choose_detour(around, job, path)
     if detour is None:
         return False
+    kept = {part.backend_id for part in detour}
+    lost = [part.backend_id for part in path if part.backend_id not in kept]
+    note_lost_run(around, job, run, lost)
+    if around.crashes.refused_for(job.fingerprint):
+        # Not handed to further engines; the flow refuses it.
+        return False
     fleet = around.fleet()
     outcome = await around.orders.change_path(
         fleet.by_id[path[0].backend_id].address,
--- a/wigeonscale/direct/fleet.py
+++ b/wigeonscale/direct/fleet.py
@@ -64,6 +64,13 @@
     by_address: Mapping[str, BackendServer] = field(default_factory=dict)
     leaving: Mapping[str, BackendServer] = field(default_factory=dict)
 
+    def has_ended(self, backend_id: str) -> bool:
+        """Return whether an incarnation is gone, or silent, without leaving."""
+        server = self.by_id.get(backend_id)
+        if server is not None:
+            return server.is_silent
+        return backend_id not in self.leaving
+
     def find(self, backend_id: str) -> BackendServer | None:
         """Return a backend server, also one that is leaving, or None."""
         return self.by_id.get(backend_id) or self.leaving.get(backend_id)
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wigeonscale.crashes import request_fingerprint
+from wigeonscale.crashes import CrashBook, request_fingerprint
 from wigeonscale.direct.beliefs import Beliefs
 from wigeonscale.direct.budget import SendBudget
 from wigeonscale.direct.fleet import Fleet
@@ -35,6 +35,7 @@
         orders: Port to the engines' orders.
         stalls: Ends the waits of generations that stand still.
         waiting: Requests that wait for room at the engines.
+        crashes: Which requests are refused since backend servers crash under them.
     """
 
     exchange: Exchange
@@ -49,6 +50,7 @@
     orders: EngineOrders
     stalls: StallWatch
     waiting: RoomQueue
+    crashes: CrashBook
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -6,6 +6,7 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.admission import PathChoice, choose_path_for, no_room
+from wigeonscale.direct.crashing import where_others_begin
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.room_queue import ROOM_WAIT_S
@@ -14,7 +15,8 @@
 # Word to callers when no path is whole: a lost engine is found and its layers are
 # loaded elsewhere in one to three seconds.
 NO_PATH_RETRY_S = 1.0
-# A stream that was begun waits this long for a path before it is given up, in steps.
+# A stream that was begun, or one that must be kept apart from others, waits this long
+# for a path before it is given up, in steps.
 PATH_WAIT_S = 1.0
 PATH_STEP_S = 0.1
 
@@ -40,7 +42,7 @@
 
 
 async def _find_path(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
-    """Return the path on which a stream goes on, also where engines are full."""
+    """Return a path, as soon as there is one, also where engines are full."""
     give_up_at = min(around.clock.now() + PATH_WAIT_S, job.ends_at)
     while True:
         choice = _choose(around, job, progress)
@@ -54,6 +56,8 @@
 async def _find_room(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
     """Return the path of an answer that is not begun, all of it with room."""
     choice = _choose(around, job, progress)
+    if choice.path is None and where_others_begin(around, job):
+        choice = await _find_path(around, job, progress)
     if choice.path is None:
         raise _no_path(job, progress)
     if not choice.full and not len(around.waiting):
@@ -100,7 +104,8 @@
 
 
 def _choose(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
-    return choose_path_for(around, job, lost=progress.lost, ran_at=progress.ran_at)
+    lost = progress.lost | where_others_begin(around, job)
+    return choose_path_for(around, job, lost=lost, ran_at=progress.ran_at)
 
 
 def _no_path(job: Job, progress: Progress) -> WigeonscaleError:
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -3,10 +3,17 @@
 __all__ = ["call_plain"]
 
 import asyncio
+import functools
 import logging
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.choice import choose_server
+from wigeonscale.direct.crashing import (
+    check_not_crashing,
+    note_lost_run,
+    note_ran,
+    where_others_begin,
+)
 from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.runs import Run
@@ -39,6 +46,7 @@
     may_have_run = False
     failed: WholeAnswer | None = None
     while True:
+        check_not_crashing(around, job, may_have_run=may_have_run)
         server = _next_server(around, job, tried)
         if server is None or attempts >= job.route.max_attempts:
             break
@@ -72,13 +80,15 @@
 def _next_server(
     around: Surroundings, job: Job, tried: set[str]
 ) -> BackendServer | None:
-    return choose_server(
+    choose = functools.partial(
+        choose_server,
         around.fleet().by_service.get(job.service.name, ()),
         beliefs=around.beliefs,
         domain=around.domain,
         entries=around.entries(),
-        tried=tried,
     )
+    # Few servers run a plain service: apart from other suspects only where it can be.
+    return choose(tried=tried | where_others_begin(around, job)) or choose(tried=tried)
 
 
 async def _send(around: Surroundings, job: Job, server: BackendServer) -> WholeAnswer:
@@ -88,11 +98,19 @@
         raise ExchangeError(Fate.NOT_SENT, "no time is left")
     limit_s = left_s * FIRST_TRY_SHARE if _may_try_again(job) else left_s
     call = job.call(now=now, address=server.address, backend_id=server.name)
-    run = Run((server.backend_id,))
+    run = Run((server.backend_id,), fingerprint=job.fingerprint)
     around.beliefs.begin(run)
     try:
         async with asyncio.timeout(limit_s):
-            return await around.exchange.call(call)
+            answer = await around.exchange.call(call)
+        note_ran(around, job)
+        return answer
+    except ExchangeError as exc:
+        if exc.fate is Fate.UNKNOWN:
+            if note_lost_run(around, job, run, run.backend_ids):
+                # Whether it has ended is known once control has asked it.
+                around.suspect(server.backend_id)
+        raise
     except TimeoutError:
         raise ExchangeError(
             Fate.UNKNOWN, f"{server.address} did not answer in {limit_s:.3f} s"
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -26,6 +26,7 @@
         events: Signs of progress so far.
         usual_s: Time between events to be expected; 0 where none is known.
         lately_s: Mean time between the latest events; 0 before the second.
+        fingerprint: What its request shares with the same one under another id.
     """
 
     backend_ids: tuple[str, ...]
@@ -38,6 +39,7 @@
     events: int = 0
     usual_s: float = 0.0
     lately_s: float = 0.0
+    fingerprint: bytes = b""
 
     @property
     def has_begun(self) -> bool:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -14,6 +14,7 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.admission import PathChoice
+from wigeonscale.direct.crashing import check_not_crashing, note_lost_run, note_ran
 from wigeonscale.direct.detour import change_path, memory_of
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.next_path import NO_PATH_RETRY_S, next_path
@@ -54,7 +55,10 @@
     """
     progress = Progress(last_id=job.req.last_event_id)
     while True:
+        # Before it waits for a path, and again when it has one.
+        check_not_crashing(around, job, may_have_run=bool(progress.ran_at))
         choice = await next_path(around, job, progress)
+        check_not_crashing(around, job, may_have_run=bool(progress.ran_at))
         path = choice.path
         progress.sends += 1
         try:
@@ -92,6 +96,7 @@
         tuple(part.backend_id for part in path),
         memory_of(job, path),
         usual_s=choice.event_s,
+        fingerprint=job.fingerprint,
     )
     if is_split:
         run.move = functools.partial(change_path, around, job, run, path)
@@ -116,17 +121,20 @@
                 progress.ran_at.add(first)
                 is_whole = await _relay_events(around, job, sink, progress, run, stream)
         around.beliefs.note_outcome(first, failed=False)
+        note_ran(around, job)
         return is_whole
     except ExchangeError as exc:
         if exc.fate is Fate.UNKNOWN:
-            _log_lost_run(around, job, run)
+            if note_lost_run(around, job, run, (first,)):
+                # Whether it has ended is known once control has asked it.
+                around.suspect(first)
             if not run.has_begun:
                 around.beliefs.note_unanswered(first)
         raise
     except TimeoutError:
         if not run.watch.expired():
             raise
-        _log_lost_run(around, job, run)
+        note_lost_run(around, job, run, (first,))
         quiet_s = around.clock.now() - run.progress_at
         raise ExchangeError(
             Fate.UNKNOWN, f"no event from {servers[0].address} for {quiet_s:.2f} s"
@@ -139,20 +147,6 @@
         around.beliefs.end(run)
 
 
-def _log_lost_run(around: Surroundings, job: Job, run: Run) -> None:
-    """Tell how far a run had come that its first engine broke off."""
-    logger.info(
-        "run lost",
-        extra=log_fields(
-            request_id=job.req.request_id,
-            fingerprint=job.fingerprint.hex(),
-            head=run.backend_ids[0],
-            events=run.events,
-            begun_s=round(run.begun_s(around.clock.now()), 3),
-        ),
-    )
-
-
 async def _relay_events(
     around: Surroundings,
     job: Job,
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -4,6 +4,7 @@
 import random
 from contextlib import asynccontextmanager
 
+from wigeonscale.crashes import CrashBook
 from wigeonscale.direct import (
     BackendServer,
     Beliefs,
@@ -246,6 +247,11 @@
             orders=self.orders,
             stalls=self.stalls,
             waiting=RoomQueue(clock=self.clock),
+            crashes=CrashBook(
+                clock=self.clock,
+                is_serving=lambda name: name in self.fleet.by_id,
+                has_ended=lambda name: self.fleet.has_ended(name),
+            ),
         )
 
     def job(
@@ -256,6 +262,7 @@
         resumable=False,
         left_s=1.0,
         service=None,
+        body=b"",
         **fields,
     ):
         service = service or Service(name="plain")
@@ -267,7 +274,7 @@
                 method="POST",
                 path="/p",
                 headers=(),
-                body=b"",
+                body=body,
                 key="",
                 arrived_at=self.clock.now(),
                 **fields,
--- /dev/null
+++ b/wigeonscale/direct/tests/test_crashing.py
@@ -0,0 +1,213 @@
+import asyncio
+
+from wigeonscale.crashes import BEGINNING_S, KnownCrashes, hold_s
+from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.runs import Run
+from wigeonscale.direct.tests.support import (
+    FakeExchange,
+    Parts,
+    StreamCase,
+    answer,
+    engine,
+    event,
+    server,
+    unknown,
+)
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.ports.exchange import ExchangeError, Fate
+from wigeonscale.testing import AsyncTestCase
+
+HANG = FakeExchange.HANG
+
+
+def know(parts, job, *names):
+    known = KnownCrashes(fingerprint=job.fingerprint, backends=names, age_s=0.0)
+    parts.around.crashes.take([known])
+
+
+class Ending:
+    """Marks engines as ended, as control does a moment after they crashed."""
+
+    def end(self, *names):
+        for name in names:
+            old = self.parts.fleet.by_id[name]
+            first, end = old.layers
+            gone = engine(name, first, end, domain=old.domain, is_silent=True)
+            self.parts.fleet.by_id[name] = gone
+        self.parts.around.crashes.look()
+
+
+class RefusedStreamTest(Ending, StreamCase):
+    def job(self, body=b"", **fields):
+        return self.parts.job(body=body, **fields)
+
+    async def test_refused_at_once_and_not_sent(self):
+        know(self.parts, self.job(), "x1", "x2", "x3")
+        exc = await self.refused()
+        self.assertEqual(ErrorKind.CRASHES_BACKENDS, exc.kind)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertEqual(hold_s(3), exc.retry_after)
+        self.assertEqual([], self.exchange.sent_to)
+
+    async def test_another_body_is_another_request(self):
+        know(self.parts, self.job(), "x1", "x2", "x3")
+        self.exchange.script("a1", [event(1)])
+        await self.relay(body=b"another")
+        self.assertEqual([1], self.got())
+
+    async def test_the_third_crash_is_the_last_send(self):
+        know(self.parts, self.job(), "x1", "x2")
+        self.exchange.script("a1", unknown())
+        exc = await self.refused()
+        self.assertEqual(["a1"], self.exchange.sent_to)
+        self.assertEqual(ErrorKind.CRASHES_BACKENDS, exc.kind)
+        # It may have run there, so this is no 503.
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+
+    async def test_the_engine_is_asked_for_by_control(self):
+        self.exchange.script("a1", unknown())
+        self.exchange.script("b1", [event(1)])
+        await self.relay()
+        self.assertEqual(["a1"], self.parts.suspected)
+
+    async def test_a_run_that_went_on_is_not_to_blame(self):
+        future = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [event(1), future, unknown()], [event(2)])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.got() == [1])
+        await self.parts.clock.advance(BEGINNING_S)
+        future.set_result(None)
+        await self.until(task.done)
+        await task
+        self.assertFalse(self.parts.around.crashes.is_suspect(self.job().fingerprint))
+
+    async def test_served_in_the_end_it_is_cleared(self):
+        know(self.parts, self.job(), "x1", "x2")
+        self.exchange.script("a1", [event(1)])
+        await self.relay()
+        self.assertFalse(self.parts.around.crashes.is_suspect(self.job().fingerprint))
+
+    async def test_lost_layers_of_a_path_are_not_handed_on(self):
+        """An engine behind the first one ends, and others hold its layers."""
+        self.parts.fleet.by_id["a3"] = spare = engine("a3", 5, 10)
+        self.parts.fleet.by_service["model"] += (spare,)
+        know(self.parts, self.job(), "x1", "x2")
+        self.exchange.script("a1", [HANG])
+        task = asyncio.create_task(self.refused())
+        await self.until(lambda: self.exchange.calls)
+        second = self.exchange.calls[0].path[1].backend_id
+        self.end(second)
+        self.parts.beliefs.note_lost(second)
+        await self.until(task.done)
+        exc = await task
+        self.assertEqual(ErrorKind.CRASHES_BACKENDS, exc.kind)
+        self.assertEqual([], self.parts.orders.moved)
+
+
+class KeptApartTest(Ending, StreamCase):
+    """Two requests were lost together, so that either may be the one that crashes."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.one = self.parts.job(body=b"one")
+        self.two = self.parts.job(body=b"two")
+        for job in (self.one, self.two):
+            know(self.parts, job, "x1")
+
+    async def test_they_go_on_at_different_first_engines(self):
+        self.exchange.script("a1", [HANG])
+        self.exchange.script("b1", [event(1)])
+        first = asyncio.create_task(self.relay(body=b"one"))
+        await self.until(lambda: self.exchange.calls)
+        await self.relay(body=b"two")
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        self.assertEqual(["a1", "b1"], self.exchange.sent_to)
+
+    async def test_one_waits_where_there_is_no_other(self):
+        del self.parts.fleet.by_service["model"]
+        self.parts.fleet.by_service["model"] = tuple(
+            self.parts.fleet.by_id[name] for name in ("a1", "a2")
+        )
+        begun = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [event(1), begun, event(2)], [event(1)])
+        first = asyncio.create_task(self.relay(body=b"one"))
+        await self.until(lambda: self.exchange.calls)
+        second = asyncio.create_task(self.relay(body=b"two"))
+        await self.parts.clock.advance(BEGINNING_S / 2)
+        self.assertEqual(1, len(self.exchange.calls))
+        await self.until(second.done)
+        begun.set_result(None)
+        await asyncio.gather(first, second)
+
+    async def test_others_go_where_they_like(self):
+        self.exchange.script("a1", [HANG], [event(1)])
+        first = asyncio.create_task(self.relay(body=b"one"))
+        await self.until(lambda: self.exchange.calls)
+        await self.relay(body=b"three")
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        self.assertEqual(["a1", "a1"], self.exchange.sent_to)
+
+
+class RefusedPlainTest(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts(*(server(f"s{n}") for n in range(5)))
+        self.exchange = self.parts.exchange
+
+    async def test_refused_before_it_is_sent(self):
+        job = self.parts.job()
+        know(self.parts, job, "x1", "x2", "x3")
+        exc = await self.failed(job)
+        self.assertEqual(RunState.NOT_RUN, exc.run_state)
+        self.assertEqual([], self.exchange.sent_to)
+
+    async def test_the_third_crash_is_the_last_send(self):
+        job = self.parts.job(max_attempts=5)
+        know(self.parts, job, "x1")
+        for name in self.parts.fleet.by_id:
+            self.exchange.script(name, unknown())
+        exc = await self.failed(job)
+        self.assertEqual(2, len(self.exchange.sent_to))
+        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        self.assertEqual(self.exchange.sent_to, self.parts.suspected)
+
+    async def test_what_was_not_sent_is_no_crash(self):
+        job = self.parts.job()
+        for name in self.parts.fleet.by_id:
+            self.exchange.script(name, ExchangeError(Fate.NOT_SENT, "nobody there"))
+        await self.failed(job)
+        self.assertFalse(self.parts.around.crashes.is_suspect(job.fingerprint))
+
+    async def test_suspects_go_to_different_servers(self):
+        jobs = [self.parts.job(body=body) for body in (b"one", b"two")]
+        for job in jobs:
+            know(self.parts, job, "x1")
+        for name in self.parts.fleet.by_id:
+            self.exchange.script(name, HANG)
+        # All of the others are full, so that both would go to the same one.
+        for name in ("s1", "s2", "s3", "s4"):
+            for _ in range(9):
+                self.parts.beliefs.begin(Run((name,)))
+        tasks = [asyncio.create_task(call_plain(self.parts.around, j)) for j in jobs]
+        for _ in range(10):
+            await asyncio.sleep(0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(["s0", "s1"], self.exchange.sent_to)
+
+    async def test_answered_it_is_cleared(self):
+        job = self.parts.job()
+        know(self.parts, job, "x1", "x2")
+        for name in self.parts.fleet.by_id:
+            self.exchange.script(name, answer())
+        await call_plain(self.parts.around, job)
+        self.assertFalse(self.parts.around.crashes.is_suspect(job.fingerprint))
+
+    async def failed(self, job):
+        try:
+            await call_plain(self.parts.around, job)
+        except WigeonscaleError as exc:
+            return exc
+        self.fail("it was answered")
--- a/wigeonscale/errors.py
+++ b/wigeonscale/errors.py
@@ -42,6 +42,7 @@
     NO_BACKEND = "no-backend"
     BACKEND_FAILED = "backend-failed"
     BACKEND_LEAVING = "backend-leaving"
+    CRASHES_BACKENDS = "crashes-backends"
     STALE_INCARNATION = "stale-incarnation"
     STALE_EPOCH = "stale-epoch"
     STALE_TERM = "stale-term"
@@ -100,6 +101,7 @@
     ErrorKind.NO_BACKEND: Answer(503, True),
     ErrorKind.BACKEND_FAILED: Answer(502, True),
     ErrorKind.BACKEND_LEAVING: Answer(503, True),
+    ErrorKind.CRASHES_BACKENDS: Answer(503, True),
     ErrorKind.STALE_INCARNATION: Answer(503, True),
     ErrorKind.STALE_EPOCH: Answer(503, True),
     ErrorKind.STALE_TERM: Answer(409, False),
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -50,6 +50,7 @@
         on_ended: Called with the incarnation that control declared ended.
         loads: Returns what this entry has in progress; None where it does not tell.
         on_loads: Called with what all entries have in progress.
+        on_crashes: Called with records of crashes that changed.
         lease_s: Time of the freshness lease, in seconds.
         heartbeat_s: Interval of heartbeats, in seconds.
         rng: Source of jitter; None for one seeded by the system.
@@ -77,6 +78,7 @@
         on_ended: Callable[[int], None] | None = None,
         loads: Callable[[], wire.Loads] | None = None,
         on_loads: Callable[[wire.Loads], None] | None = None,
+        on_crashes: Callable[[wire.CrashUpdate], None] | None = None,
         lease_s: float = 3.0,
         heartbeat_s: float = 0.5,
         rng: random.Random | None = None,
@@ -94,6 +96,8 @@
         self._on_ended = on_ended
         self._loads = loads
         self._on_loads = on_loads
+        self._on_crashes = on_crashes
+        self._crashes_index = 0
         self._heartbeat_s = heartbeat_s
         self._rng = rng or random.Random()
         self._tls = tls
@@ -260,6 +264,7 @@
             http_address=self._http_address,
             known_index=self._members.index,
             known_document=self._knowledge.numbered.number,
+            known_crashes=self._crashes_index,
         )
         return WatchConnection(
             address=address,
@@ -314,6 +319,8 @@
                 return self._take_grant(conn, event.lease)
             case "document":
                 self._knowledge.take_numbered(event.document)
+            case "crashes":
+                self._take_crashes(event.crashes)
             case "order" if self._orders is not None:
                 self._orders.start(event.order)
             case "ended" if self._on_ended is not None:
@@ -335,6 +342,14 @@
             self._knowledge.emit(Change.MEMBERS)
         return None
 
+    def _take_crashes(self, update: wire.CrashUpdate) -> None:
+        # Of two connections one may be behind the other.
+        if update.index <= self._crashes_index:
+            return
+        self._crashes_index = update.index
+        if self._on_crashes is not None:
+            self._on_crashes(update)
+
     def _take_grant(
         self, conn: WatchConnection, grant: wire.LeaseGrant
     ) -> DisconnectCause | None:
--- /dev/null
+++ b/wigeonscale/membership/crash_messages.py
@@ -0,0 +1,38 @@
+"""Records of crashes between the messages of control and an entry's own data."""
+
+__all__ = ["command_of", "known_crashes"]
+
+from wigeonscale.crashes import CrashReport, KnownCrashes
+from wigeonscale.wire import wire_pb2 as wire
+
+MILLISECONDS = 1000
+
+
+def known_crashes(update: wire.CrashUpdate) -> list[KnownCrashes]:
+    """Return what an update of control tells, in its order.
+
+    Args:
+        update: The update; ages are by the wall time of control's state.
+    """
+    return [
+        KnownCrashes(
+            fingerprint=record.fingerprint,
+            backends=tuple(record.backends),
+            age_s=max(0, update.now_ms - record.wall_ms) / MILLISECONDS,
+        )
+        for record in update.records
+    ]
+
+
+def command_of(report: CrashReport) -> wire.Command:
+    """Return the command that makes a report known to all entries.
+
+    Args:
+        report: What one entry found.
+    """
+    crashes = [
+        wire.Crash(fingerprint=fingerprint, backend=backend_id)
+        for fingerprint, backend_id in report.crashes
+    ]
+    found = wire.RecordCrashes(crashes=crashes, cleared=report.cleared)
+    return wire.Command(record_crashes=found)
--- a/wigeonscale/state/change.py
+++ b/wigeonscale/state/change.py
@@ -15,6 +15,7 @@
         chains: Chains that changed, came or went.
         configuration: Whether there is a new revision.
         document: Whether there is a new numbered document.
+        crashes: Whether a record of crashes changed.
         everything: The whole state was replaced by a snapshot.
     """
 
@@ -23,6 +24,7 @@
     chains: frozenset[str] = frozenset()
     configuration: bool = False
     document: bool = False
+    crashes: bool = False
     everything: bool = False
 
     @property
--- /dev/null
+++ b/wigeonscale/state/crash_records.py
@@ -0,0 +1,127 @@
+"""Requests under which backend servers ended, as control replicas agree on them."""
+
+__all__ = ["CrashRecords"]
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from wigeonscale.crashes import (
+    CRASHES_REMEMBERED,
+    MOST_REQUESTS,
+    first_to_forget,
+    kept_s,
+)
+from wigeonscale.wire import wire_pb2 as wire
+
+MILLISECONDS = 1000
+
+
+class CrashRecords:
+    """Which backend servers ended under which request.
+
+    Attributes:
+        index: Log index of the newest change; 0 before any.
+
+    Notes:
+        Forgetting depends on commands only, so that all replicas forget alike. A
+        record that was cleared is kept, empty, for watchers that do not know it yet.
+    """
+
+    def __init__(self):
+        self.index = 0
+        # In the order of their last change, the newest last.
+        self._records: OrderedDict[bytes, wire.CrashRecord] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def record(self, found: wire.RecordCrashes, *, index: int, now_ms: int) -> bool:
+        """Take in what an entry found.
+
+        Args:
+            found: Crashes, and requests that ran without one.
+            index: Log index of the command.
+            now_ms: Largest wall time of any command so far, in milliseconds.
+
+        Returns:
+            Whether anything changed.
+        """
+        has_changed = False
+        for crash in found.crashes:
+            has_changed |= self._add(crash, index, now_ms)
+        for fingerprint in found.cleared:
+            has_changed |= self._clear(fingerprint, index, now_ms)
+        if has_changed:
+            self.index = index
+            self._forget(now_ms)
+        return has_changed
+
+    def after(self, index: int) -> list[wire.CrashRecord]:
+        """Return the records that changed after a log index, the oldest first.
+
+        Args:
+            index: What a watcher holds; 0 for nothing.
+        """
+        changed = []
+        for record in reversed(self._records.values()):
+            if record.index <= index:
+                break
+            changed.append(record)
+        return changed[::-1]
+
+    def _add(self, crash: wire.Crash, index: int, now_ms: int) -> bool:
+        before = self._records.get(crash.fingerprint)
+        backends = list(before.backends) if before is not None else []
+        if not crash.fingerprint or crash.backend in backends:
+            return False
+        backends = [*backends, crash.backend][-CRASHES_REMEMBERED:]
+        self._put(crash.fingerprint, backends, index, now_ms)
+        return True
+
+    def _clear(self, fingerprint: bytes, index: int, now_ms: int) -> bool:
+        before = self._records.get(fingerprint)
+        if before is None or not before.backends:
+            return False
+        self._put(fingerprint, [], index, now_ms)
+        return True
+
+    def _put(
+        self, fingerprint: bytes, backends: list[str], index: int, now_ms: int
+    ) -> None:
+        self._records[fingerprint] = wire.CrashRecord(
+            fingerprint=fingerprint, backends=backends, wall_ms=now_ms, index=index
+        )
+        self._records.move_to_end(fingerprint)
+
+    def _forget(self, now_ms: int) -> None:
+        old = [
+            fingerprint
+            for fingerprint, record in self._records.items()
+            if now_ms - record.wall_ms > MILLISECONDS * kept_s(len(record.backends))
+        ]
+        for fingerprint in old:
+            del self._records[fingerprint]
+        while len(self._records) > MOST_REQUESTS:
+            counts = {name: len(r.backends) for name, r in self._records.items()}
+            del self._records[first_to_forget(counts)]
+
+    def save(self, snapshot: wire.StateSnapshot) -> None:
+        """Write everything into a snapshot.
+
+        Args:
+            snapshot: Message to fill in.
+        """
+        snapshot.crashes.extend(self._records.values())
+
+    def load(self, records: Iterable[wire.CrashRecord]) -> None:
+        """Replace everything by the records of a snapshot.
+
+        Args:
+            records: In the order of their last change.
+        """
+        self._records.clear()
+        for record in records:
+            kept = wire.CrashRecord()
+            kept.CopyFrom(record)
+            self._records[kept.fingerprint] = kept
+        self.index = max((r.index for r in self._records.values()), default=0)
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -12,6 +12,7 @@
 from wigeonscale.state.change import Change
 from wigeonscale.state.claims import Claims
 from wigeonscale.state.configuration import HISTORY_LIMIT, Configuration
+from wigeonscale.state.crash_records import CrashRecords
 from wigeonscale.state.entries import Entries
 from wigeonscale.state.members import Members
 from wigeonscale.state.numbered import Numbered
@@ -49,6 +50,7 @@
         claims: Claims of requests that must not run twice.
         entries: Entries attached to any replica.
         document: Document under its author's number, highest in force.
+        crashes: Requests under which backend servers ended.
         changes: Subject of :class:`Change`, one after each command that changed
             something to watch.
         index: Log index of the last command applied.
@@ -64,6 +66,7 @@
         self.claims = Claims()
         self.entries = Entries()
         self.document = Numbered()
+        self.crashes = CrashRecords()
         self.changes: Subject[Change] = Subject()
         self.index = 0
         self.now_ms = 0
@@ -82,6 +85,7 @@
             "expire": self._expire,
             "count_entries": self._count_entries,
             "put_document": self._put_document,
+            "record_crashes": self._record_crashes,
         }
 
     def apply(self, index: int, term: int, data: bytes) -> wire.CommandResult:
@@ -162,6 +166,7 @@
         self.chains.save(snapshot)
         self.entries.save(snapshot)
         self.document.save(snapshot)
+        self.crashes.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -197,6 +202,7 @@
         self.chains.load(snapshot)
         self.entries.load(snapshot)
         self.document.load(snapshot)
+        self.crashes.load(snapshot.crashes)
         self.index = snapshot.index
         self.now_ms = snapshot.now_ms
         self.placement_index = snapshot.placement_index
@@ -355,6 +361,11 @@
             return None, done()
         return Change(self.index, document=True), done()
 
+    def _record_crashes(self, found):
+        if not self.crashes.record(found, index=self.index, now_ms=self.now_ms):
+            return None, done()
+        return Change(self.index, crashes=True), done()
+
     def _member_change(self, *agent_ids):
         chains = [chain for i in agent_ids for chain in self.chains.refresh(i)]
         return Change(
--- /dev/null
+++ b/wigeonscale/state/tests/test_crash_records.py
@@ -0,0 +1,73 @@
+from wigeonscale.crashes import CRASHES_REMEMBERED, MOST_REQUESTS, kept_s
+from wigeonscale.state import ControlState
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def crash(fingerprint, backend):
+    return wire.Crash(fingerprint=fingerprint, backend=backend)
+
+
+class RecordsTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.state = ControlState()
+        self.changes = []
+        self.state.changes.subscribe(self.changes.append)
+        self.wall_ms = 1_000_000
+
+    def record(self, *crashes, cleared=()):
+        found = wire.RecordCrashes(crashes=crashes, cleared=cleared)
+        command = wire.Command(wall_ms=self.wall_ms, record_crashes=found)
+        self.state.apply(self.state.index + 1, 1, command.SerializeToString())
+
+    def known(self, index=0):
+        records = self.state.crashes.after(index)
+        return {record.fingerprint: list(record.backends) for record in records}
+
+    def test_crashes_under_one_request_add_up(self):
+        self.record(crash(b"a", "s1"), crash(b"b", "s1"))
+        self.record(crash(b"a", "s2"))
+        self.assertEqual({b"a": ["s1", "s2"], b"b": ["s1"]}, self.known())
+        # A watcher gets what changed since it was told.
+        self.assertEqual({b"a": ["s1", "s2"]}, self.known(index=1))
+        self.assertEqual([True, True], [change.crashes for change in self.changes])
+
+    def test_the_same_crash_told_by_others_changes_nothing(self):
+        self.record(crash(b"a", "s1"))
+        self.record(crash(b"a", "s1"))
+        self.assertEqual(1, self.state.crashes.index)
+        self.assertEqual(1, len(self.changes))
+
+    def test_cleared_is_told_to_those_who_know_it(self):
+        self.record(crash(b"a", "s1"))
+        self.record(cleared=[b"a", b"unknown"])
+        self.assertEqual({b"a": []}, self.known(index=1))
+        self.record(cleared=[b"a"])
+        self.assertEqual(2, self.state.crashes.index)
+
+    def test_a_snapshot_holds_them(self):
+        self.record(crash(b"a", "s1"), crash(b"b", "s2"))
+        self.record(crash(b"a", "s3"))
+        other = ControlState()
+        other.restore(self.state.snapshot())
+        self.assertEqual(self.state.snapshot(), other.snapshot())
+        self.assertEqual(2, other.crashes.index)
+        self.assertEqual([b"a"], [r.fingerprint for r in other.crashes.after(1)])
+
+    def test_forgotten_by_age(self):
+        self.record(crash(b"a", "s1"))
+        self.record(*[crash(b"c", f"s{n}") for n in range(3)])
+        self.wall_ms += int(1000 * kept_s(1)) + 1
+        self.record(crash(b"b", "s2"))
+        self.assertEqual({b"b", b"c"}, set(self.known()))
+
+    def test_bounded_in_requests_and_in_servers(self):
+        self.record(*[crash(b"c", f"s{n}") for n in range(2 * CRASHES_REMEMBERED)])
+        self.record(*[crash(b"%d" % n, "s1") for n in range(2 * MOST_REQUESTS)])
+        self.assertEqual(MOST_REQUESTS, len(self.state.crashes))
+        self.assertEqual(CRASHES_REMEMBERED, len(self.known()[b"c"]))
+
+    def test_without_a_fingerprint_nothing_is_recorded(self):
+        self.record(crash(b"", "s1"))
+        self.assertEqual(0, len(self.state.crashes))
