Suspected requests wait for a place apart for 0.6 s at most; what never reached a server is no suspect

And a suspect without a place apart waited for one as long as a begun stream does, and was then given up. Change: a run that was sent after the first break at its engine counts only if that engine itself broke it off. A suspect that finds no place apart within 0.6 s goes with others. A gauge tells how many requests are refused.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -219,6 +219,10 @@
         )
 
     def _make_control_metrics(self) -> None:
+        self.crashing_requests = self._gauge(
+            "crashing_requests",
+            "Requests refused since backend servers crash under them.",
+        )
         self.lease_valid = self._gauge("lease_valid", "1 while the lease holds.")
         self.revision = self._gauge("revision", "Configuration revision in force.")
         self.reconnects = self._counter(
--- a/wigeonscale/crashes/book.py
+++ b/wigeonscale/crashes/book.py
@@ -21,6 +21,9 @@
 # A backend server that broke off a run counts as crashed if control finds it gone
 # within this time: a refused probe says so in 0.02 to 0.3 s, two unanswered ones later.
 CONFIRM_S = 3.0
+# Breaks of one server within this time are of one event: streams of one connection each
+# end within some 10 ms.
+BREAK_S = 1.0
 # What was told to control is remembered here until control's word of it is back.
 TOLD_KEPT_S = 5.0
 
@@ -101,6 +104,8 @@
         self._told: dict[bytes, tuple[frozenset[str], float]] = {}
         self._losses: dict[bytes, dict[str, _Loss]] = {}
         self._cleared: set[bytes] = set()
+        # First break of the newest event at each server; forgotten with the event.
+        self._broken_at: dict[str, float] = {}
 
     @property
     def refused(self) -> int:
@@ -170,6 +175,19 @@
         self.look()
         return True
 
+    def note_broken(self, backend_id: str) -> None:
+        """Take in that a backend server broke off a run."""
+        now = self._clock.now()
+        self._broken_at = {
+            name: at for name, at in self._broken_at.items() if now - at <= BREAK_S
+        }
+        self._broken_at.setdefault(backend_id, now)
+
+    def was_broken(self, backend_id: str, *, before: float) -> bool:
+        """Return whether a server was breaking runs off before a local instant."""
+        broken_at = self._broken_at.get(backend_id)
+        return broken_at is not None and broken_at <= before
+
     def note_ran(self, fingerprint: bytes) -> None:
         """Take in that a request ran without a crash."""
         if not self.is_suspect(fingerprint):
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from wigeonscale.adapters import setup_logging, start_http
+from wigeonscale.adapters import METRICS, setup_logging, start_http
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.config import DirectEntrySettings
 from wigeonscale.crashes import CrashBook, CrashReport, report_crashes
@@ -270,6 +270,10 @@
             {each.service: (each.requests, each.further) for each in totals.sends}
         )
 
+    def take_crashes(update: wire.CrashUpdate) -> None:
+        crashes.take(known_crashes(update))
+        METRICS.crashing_requests.set(crashes.refused)
+
     return ControlClient(
         node_id=cfg.name,
         role="entry",
@@ -278,7 +282,7 @@
         http_address=cfg.http,
         loads=loads,
         on_loads=take_loads,
-        on_crashes=lambda update: crashes.take(known_crashes(update)),
+        on_crashes=take_crashes,
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
--- a/wigeonscale/direct/crashing.py
+++ b/wigeonscale/direct/crashing.py
@@ -6,7 +6,13 @@
 other. So each of them goes on at a first engine where no other one begins.
 """
 
-__all__ = ["check_not_crashing", "note_lost_run", "note_ran", "where_others_begin"]
+__all__ = [
+    "check_not_crashing",
+    "note_broken_run",
+    "note_given_up_run",
+    "note_ran",
+    "where_others_begin",
+]
 
 import logging
 from collections.abc import Iterable
@@ -44,38 +50,60 @@
     )
 
 
-def note_lost_run(
+def note_broken_run(around: Surroundings, job: Job, run: Run) -> None:
+    """Take in that the first backend server of a run broke it off.
+
+    Args:
+        around: What the flows share.
+        job: Its request.
+        run: The run.
+    """
+    first = run.backend_ids[0]
+    around.crashes.note_broken(first)
+    if _note_lost(around, job, run, first):
+        # Whether it has ended is known once control has asked it.
+        around.suspect(first)
+
+
+def note_given_up_run(
     around: Surroundings, job: Job, run: Run, backend_ids: Iterable[str]
-) -> bool:
-    """Take in that backend servers broke off a run, or were lost under it.
+) -> None:
+    """Take in that a run was taken off backend servers that may be lost.
+
+    Load pattern: all streams of an engine that ended are sent on at once, some of them
+    to it once more, and are taken off it while their connections are refused. These
+    were never there.
 
     Args:
         around: What the flows share.
         job: Its request.
         run: The run.
         backend_ids: Those servers.
-
-    Returns:
-        Whether one of them may have crashed by it, and nobody said so yet.
     """
-    if not _is_beginning(run, around.clock.now()):
+    for backend_id in backend_ids:
+        if not around.crashes.was_broken(backend_id, before=run.sent_at):
+            _note_lost(around, job, run, backend_id)
+
+
+def _note_lost(around: Surroundings, job: Job, run: Run, backend_id: str) -> bool:
+    """Return whether a server may have crashed by a run, and nobody said so yet."""
+    now = around.clock.now()
+    if not _is_beginning(run, now):
         note_ran(around, job)
         return False
-    is_news = False
-    for backend_id in backend_ids:
-        if around.crashes.note_lost(job.fingerprint, backend_id):
-            is_news = True
-            logger.info(
-                "run lost as it began",
-                extra=log_fields(
-                    request_id=job.req.request_id,
-                    fingerprint=job.fingerprint.hex(),
-                    backend=backend_id,
-                    events=run.events,
-                    begun_s=round(run.begun_s(around.clock.now()), 3),
-                ),
-            )
-    return is_news
+    if not around.crashes.note_lost(job.fingerprint, backend_id):
+        return False
+    logger.info(
+        "run lost as it began",
+        extra=log_fields(
+            request_id=job.req.request_id,
+            fingerprint=job.fingerprint.hex(),
+            backend=backend_id,
+            events=run.events,
+            begun_s=round(run.begun_s(now), 3),
+        ),
+    )
+    return True
 
 
 def note_ran(around: Surroundings, job: Job) -> None:
--- a/wigeonscale/direct/detour.py
+++ b/wigeonscale/direct/detour.py
@@ -7,7 +7,7 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.admission import choose_detour
-from wigeonscale.direct.crashing import note_lost_run
+from wigeonscale.direct.crashing import note_given_up_run
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.runs import Run
 from wigeonscale.layers import Part
@@ -41,7 +41,7 @@
         return False
     kept = {part.backend_id for part in detour}
     lost = [part.backend_id for part in path if part.backend_id not in kept]
-    note_lost_run(around, job, run, lost)
+    note_given_up_run(around, job, run, lost)
     if around.crashes.refused_for(job.fingerprint):
         # Not handed to further engines; the flow refuses it.
         return False
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -15,9 +15,11 @@
 # Word to callers when no path is whole: a lost engine is found and its layers are
 # loaded elsewhere in one to three seconds.
 NO_PATH_RETRY_S = 1.0
-# A stream that was begun, or one that must be kept apart from others, waits this long
-# for a path before it is given up, in steps.
+# A stream that was begun waits this long for a path before it is given up, in steps.
 PATH_WAIT_S = 1.0
+# A request that is suspected to crash engines waits this long for a first engine where
+# no other suspect begins: a run that is no cause has gone on for 0.25 s by then.
+APART_WAIT_S = 0.6
 PATH_STEP_S = 0.1
 
 logger = logging.getLogger(__name__)
@@ -36,11 +38,23 @@
         WigeonscaleError: ``NO_BACKEND``: no path is whole; ``OVERLOADED``: there is
             one, but no room.
     """
+    await _until_apart(around, job, progress)
     if progress.is_begun:
         return await _find_path(around, job, progress)
     return await _find_room(around, job, progress)
 
 
+async def _until_apart(around: Surroundings, job: Job, progress: Progress) -> None:
+    """Wait until a suspect can go on apart from others, or long enough."""
+    give_up_at = min(around.clock.now() + APART_WAIT_S, job.ends_at)
+    while (
+        where_others_begin(around, job)
+        and _choose_apart(around, job, progress) is None
+        and around.clock.now() < give_up_at
+    ):
+        await around.clock.sleep(PATH_STEP_S)
+
+
 async def _find_path(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
     """Return a path, as soon as there is one, also where engines are full."""
     give_up_at = min(around.clock.now() + PATH_WAIT_S, job.ends_at)
@@ -56,8 +70,6 @@
 async def _find_room(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
     """Return the path of an answer that is not begun, all of it with room."""
     choice = _choose(around, job, progress)
-    if choice.path is None and where_others_begin(around, job):
-        choice = await _find_path(around, job, progress)
     if choice.path is None:
         raise _no_path(job, progress)
     if not choice.full and not len(around.waiting):
@@ -104,8 +116,21 @@
 
 
 def _choose(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
-    lost = progress.lost | where_others_begin(around, job)
-    return choose_path_for(around, job, lost=lost, ran_at=progress.ran_at)
+    return _choose_apart(around, job, progress) or choose_path_for(
+        around, job, lost=progress.lost, ran_at=progress.ran_at
+    )
+
+
+def _choose_apart(
+    around: Surroundings, job: Job, progress: Progress
+) -> PathChoice | None:
+    """Return a path that begins where no other suspect does, for a suspect."""
+    others = where_others_begin(around, job)
+    if not others:
+        return None
+    lost = progress.lost | others
+    choice = choose_path_for(around, job, lost=lost, ran_at=progress.ran_at)
+    return choice if choice.path is not None else None
 
 
 def _no_path(job: Job, progress: Progress) -> WigeonscaleError:
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -10,7 +10,7 @@
 from wigeonscale.direct.choice import choose_server
 from wigeonscale.direct.crashing import (
     check_not_crashing,
-    note_lost_run,
+    note_broken_run,
     note_ran,
     where_others_begin,
 )
@@ -107,9 +107,7 @@
         return answer
     except ExchangeError as exc:
         if exc.fate is Fate.UNKNOWN:
-            if note_lost_run(around, job, run, run.backend_ids):
-                # Whether it has ended is known once control has asked it.
-                around.suspect(server.backend_id)
+            note_broken_run(around, job, run)
         raise
     except TimeoutError:
         raise ExchangeError(
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -27,6 +27,7 @@
         usual_s: Time between events to be expected; 0 where none is known.
         lately_s: Mean time between the latest events; 0 before the second.
         fingerprint: What its request shares with the same one under another id.
+        sent_at: Instant at which it was handed to the network.
     """
 
     backend_ids: tuple[str, ...]
@@ -40,6 +41,7 @@
     usual_s: float = 0.0
     lately_s: float = 0.0
     fingerprint: bytes = b""
+    sent_at: float = 0.0
 
     @property
     def has_begun(self) -> bool:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -14,7 +14,12 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.admission import PathChoice
-from wigeonscale.direct.crashing import check_not_crashing, note_lost_run, note_ran
+from wigeonscale.direct.crashing import (
+    check_not_crashing,
+    note_broken_run,
+    note_given_up_run,
+    note_ran,
+)
 from wigeonscale.direct.detour import change_path, memory_of
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.next_path import NO_PATH_RETRY_S, next_path
@@ -97,6 +102,7 @@
         memory_of(job, path),
         usual_s=choice.event_s,
         fingerprint=job.fingerprint,
+        sent_at=now,
     )
     if is_split:
         run.move = functools.partial(change_path, around, job, run, path)
@@ -125,16 +131,14 @@
         return is_whole
     except ExchangeError as exc:
         if exc.fate is Fate.UNKNOWN:
-            if note_lost_run(around, job, run, (first,)):
-                # Whether it has ended is known once control has asked it.
-                around.suspect(first)
+            note_broken_run(around, job, run)
             if not run.has_begun:
                 around.beliefs.note_unanswered(first)
         raise
     except TimeoutError:
         if not run.watch.expired():
             raise
-        note_lost_run(around, job, run, (first,))
+        note_given_up_run(around, job, run, (first,))
         quiet_s = around.clock.now() - run.progress_at
         raise ExchangeError(
             Fate.UNKNOWN, f"no event from {servers[0].address} for {quiet_s:.2f} s"
--- a/wigeonscale/direct/tests/test_crashing.py
+++ b/wigeonscale/direct/tests/test_crashing.py
@@ -81,6 +81,34 @@
         await task
         self.assertFalse(self.parts.around.crashes.is_suspect(self.job().fingerprint))
 
+    async def test_sent_to_an_engine_that_is_gone_already_it_is_not_to_blame(self):
+        """Its connection is still being refused when it is taken off the engine."""
+        self.parts.around.crashes.note_broken("a1")
+        await self.parts.clock.advance(0.01)
+        self.exchange.script("a1", [HANG])
+        self.exchange.script("b1", [event(1)])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.exchange.calls)
+        self.end("a1")
+        self.parts.beliefs.note_lost("a1")
+        await self.until(task.done)
+        await task
+        self.assertFalse(self.parts.around.crashes.is_suspect(self.job().fingerprint))
+
+    async def test_taken_off_an_engine_that_others_saw_end_it_is_suspected(self):
+        self.exchange.script("a1", [HANG])
+        self.exchange.script("b1", [HANG])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.exchange.calls)
+        await self.parts.clock.advance(0.01)
+        self.parts.around.crashes.note_broken("a1")
+        self.end("a1")
+        self.parts.beliefs.note_lost("a1")
+        await self.until(lambda: len(self.exchange.calls) == 2)
+        self.assertTrue(self.parts.around.crashes.is_suspect(self.job().fingerprint))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def test_served_in_the_end_it_is_cleared(self):
         know(self.parts, self.job(), "x1", "x2")
         self.exchange.script("a1", [event(1)])
@@ -125,7 +153,6 @@
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
 
     async def test_one_waits_where_there_is_no_other(self):
-        del self.parts.fleet.by_service["model"]
         self.parts.fleet.by_service["model"] = tuple(
             self.parts.fleet.by_id[name] for name in ("a1", "a2")
         )
@@ -140,6 +167,19 @@
         begun.set_result(None)
         await asyncio.gather(first, second)
 
+    async def test_it_does_not_wait_for_ever(self):
+        self.parts.fleet.by_service["model"] = tuple(
+            self.parts.fleet.by_id[name] for name in ("a1", "a2")
+        )
+        self.exchange.script("a1", [HANG], [event(1)])
+        first = asyncio.create_task(self.relay(body=b"one"))
+        await self.until(lambda: self.exchange.calls)
+        second = asyncio.create_task(self.relay(body=b"two"))
+        await self.until(second.done)
+        await second
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+
     async def test_others_go_where_they_like(self):
         self.exchange.script("a1", [HANG], [event(1)])
         first = asyncio.create_task(self.relay(body=b"one"))
