Test: the same request crashes backend servers behind agents too; known red

Cause: found by looking at every other place that sends to a backend server. Entries with agents also take each attempt for a new request, and an agent outlives the server beside it, so that its incarnation does not tell one crash from the next. Change: agents announce how often they found their server gone or started anew, and ask it at once when a call broke off, not only where none was made. No decision uses it.

--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -19,7 +19,7 @@
 from wigeonscale.agent.table import DispatchTable
 from wigeonscale.agent.work import start_call, start_generation
 from wigeonscale.config import AgentSettings
-from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.membership import Change, ControlClient
 from wigeonscale.pipelines.constants import ENTRY_SILENCE_S
 from wigeonscale.pipelines.head import Head
@@ -298,9 +298,8 @@
 
     def _call_failed(self, dispatch: Dispatch, exc: WigeonscaleError) -> None:
         self.dispatcher.fail(dispatch, exc)
-        if exc.run_state is RunState.NOT_RUN:
-            # No connection was made.
-            self.state.probe_soon()
+        # No connection was made, or the server may have ended under the call.
+        self.state.probe_soon()
 
     def _service_timeout_s(self) -> float:
         known = self._control.document.services.get(self._cfg.service)
--- a/wigeonscale/agent/backend.py
+++ b/wigeonscale/agent/backend.py
@@ -57,6 +57,7 @@
         self._incarnations = [new_incarnation()]
         # It counts as gone until it first answers.
         self._failures = GONE_AFTER
+        self._losses = 0
         self._probe_now = asyncio.Event()
         self._left_at: float | None = None
 
@@ -110,6 +111,7 @@
         if self._engine is not None:
             _fill_from_info(backend, self.info)
         backend.loading = self.loading
+        backend.losses = self._losses
         # An order to drain comes from control and is not echoed as our own word.
         own_word = self.info is not None and self.info.leaving
         backend.draining = self.stopping or self.gone or own_word
@@ -192,9 +194,18 @@
             if self._failures >= GONE_AFTER:
                 self.info = None
         if (self.info, self.gone) != before:
+            self._losses += self._was_lost(*before)
             self.check_leaving()
             self.on_changed()
 
+    def _was_lost(self, info: EngineInfo | None, gone: bool) -> bool:
+        """Return whether the backend server went, or started again in between."""
+        if self.gone:
+            return not gone
+        is_empty = self.info is not None and self.info.last_layer < 0
+        had_layers = info is not None and info.last_layer >= info.first_layer
+        return had_layers and is_empty and not self.loading
+
     async def watch(self) -> None:
         """Probe the backend server for ever."""
         while True:
--- a/wigeonscale/agent/tests/test_backend.py
+++ b/wigeonscale/agent/tests/test_backend.py
@@ -27,9 +27,11 @@
         control, node = await start_service(self, service)
         client = await connect(self, node)
         self.assertFalse(node.state.announcement().draining)
+        self.assertEqual(0, node.state.announcement().losses)
 
         await runner.cleanup()
         await until(lambda: node.state.announcement().draining)
+        self.assertEqual(1, node.state.announcement().losses)
         announced = control.announced
         self.assertGreaterEqual(announced, 1)
         await client.open("d1", call=wire.Call(method="GET", path="/entry/7"))
@@ -45,6 +47,7 @@
         )
         self.addCleanup(runner.cleanup)
         await until(lambda: not node.state.announcement().draining)
+        self.assertEqual(1, node.state.announcement().losses)
         self.assertGreater(control.announced, announced)
         await client.open("d2", call=wire.Call(method="GET", path="/entry/7"))
         self.assertEqual(200, (await client.end("d2")).response.status)
--- a/wigeonscale/entry/tests/support.py
+++ b/wigeonscale/entry/tests/support.py
@@ -103,6 +103,15 @@
             del self.claims[outcome.organisation, outcome.key]
         return wire.CommandResult()
 
+    def lose(self, agent: FakeAgent) -> None:
+        """Show that an agent found its backend server gone once more, and back."""
+        backend = wire.Backend()
+        backend.CopyFrom(self.members.backends[agent.agent_id])
+        backend.losses += 1
+        self.members.apply(
+            wire.MembersUpdate(index=self.members.index + 1, backends=[backend])
+        )
+
     def add(self, agent: FakeAgent, kind: int = wire.ENGINE) -> None:
         """Make an agent a member: a one-stage chain, or a plain service."""
         target = agent.target
--- /dev/null
+++ b/wigeonscale/entry/tests/test_crashing.py
@@ -0,0 +1,69 @@
+"""One request crashes the backend server behind each agent that begins to run it.
+
+Each entry took it in as a new request each time it came, since nothing but its id told
+one attempt from another: where agents stand between entry and engines as where none do.
+"""
+
+from wigeonscale.entry.tests.support import EntryCase
+from wigeonscale.errors import ErrorKind, RunState
+from wigeonscale.wire import wire_pb2 as wire
+
+ATTEMPTS = 8
+# Three crashes say what the request does; three further ones are borne.
+MOST_CRASHES = 6
+
+
+class CrashingRequestTest(EntryCase):
+    async def prepare(self):
+        await super().prepare()
+        self.crashes = 0
+        await self.start_agent("a2")
+        for agent in (self.agent, self.service):
+            self.crash_under(agent)
+
+    async def start_agent(self, agent_id, kind=wire.ENGINE):
+        agent = await super().start_agent(agent_id, kind)
+        self.crash_under(agent)
+        return agent
+
+    def crash_under(self, agent):
+        """Let the backend server of an agent crash under requests that say so."""
+        usual = type(agent).on_open
+
+        def on_open(number, opening):
+            text = opening.generate.prompt + opening.call.body
+            if b"crash" not in text:
+                usual(agent, number, opening)
+                return
+            self.crashes += 1
+            agent.opened.append(opening.dispatch_id)
+            agent.send(number, opening.dispatch_id, accepted=wire.Accepted())
+            refused = wire.Refused(
+                kind=ErrorKind.BACKEND_FAILED,
+                message="the backend server broke off",
+                run_state=RunState.UNKNOWN,
+            )
+            agent.send(number, opening.dispatch_id, refused=refused)
+            self.control.lose(agent)
+
+        agent.on_open = on_open
+
+    async def test_a_generation_is_refused_after_three_crashes(self):
+        for _ in range(ATTEMPTS):
+            async with self.complete(prompt="crash") as answer:
+                error = (await answer.json())["error"]
+            async with self.complete(prompt="hello") as answer:
+                self.assertEqual(200, answer.status)
+        self.assertTrue(self.crashes <= MOST_CRASHES, f"{self.crashes} crashed")
+        self.assertEqual(("crashes-backends", "not-run"), (error["kind"], error["run"]))
+        self.assertTrue(float(answer.headers.get("Retry-After", 1)) > 0)
+
+    async def test_a_call_is_refused_after_three_crashes(self):
+        url = f"http://{self.server.address}/lookup/x"
+        for _ in range(ATTEMPTS):
+            async with self.http.post(url, data=b"crash") as answer:
+                status, kind = answer.status, (await answer.json())["error"]["kind"]
+            async with self.http.post(url, data=b"other") as answer:
+                self.assertEqual(200, answer.status)
+        self.assertTrue(self.crashes <= MOST_CRASHES, f"{self.crashes} crashed")
+        self.assertEqual((503, "crashes-backends"), (status, kind))
