Entries with agents refuse requests under which backend servers crash, too

Cause: as at the entries that send themselves: each attempt was a new request. Change: dispatch/crashing.py asks the same book before each dispatch and tells it what broke off before its answer began; the server of one life is named by its agent, the agent's incarnation and the losses that it announces. Suspects are dispatched to different agents. Refused work under an idempotency key is first looked up under it.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -10,10 +10,11 @@
 
 from aiohttp import web
 
-from wigeonscale.adapters import METRICS, setup_logging, start_http
+from wigeonscale.adapters import setup_logging, start_http
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.config import DirectEntrySettings
-from wigeonscale.crashes import CrashBook, CrashReport, report_crashes
+from wigeonscale.crashes import CrashBook
+from wigeonscale.daemons.crashes import report_to_control, take_from_control
 from wigeonscale.daemons.early_listener import EarlyListener
 from wigeonscale.daemons.runtime import StopStep, run_until_stopped
 from wigeonscale.direct import (
@@ -28,12 +29,7 @@
     replaced_starts,
 )
 from wigeonscale.errors import SettingsError
-from wigeonscale.membership import (
-    Change,
-    ControlClient,
-    command_of,
-    known_crashes,
-)
+from wigeonscale.membership import Change, ControlClient
 from wigeonscale.platform.callers import CallerServer
 from wigeonscale.platform.documents import decompress, read_table
 from wigeonscale.platform.engine_orders import HttpEngineOrders
@@ -145,7 +141,6 @@
     )
     control = _new_control(cfg, clock, beliefs, budget, crashes)
     known = _Known(control=control, beliefs=beliefs)
-    control.changes.subscribe(lambda change: crashes.look())
     stopping: list[bool] = []
 
     def may_serve() -> bool:
@@ -215,9 +210,6 @@
         ),
     )
 
-    async def submit(report: CrashReport) -> None:
-        await control.submit(command_of(report))
-
     async def finish() -> None:
         stopping.append(True)
         await server.finish(BALANCER_SETTLE_S)
@@ -227,7 +219,7 @@
             tasks={
                 "control": control.run(),
                 "stalls": stalls.run(),
-                "crashes": report_crashes(crashes, submit=submit, clock=clock),
+                "crashes": report_to_control(crashes, control=control, clock=clock),
             },
             stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
             stop_timeout_s=cfg.stop_timeout_s,
@@ -270,10 +262,6 @@
             {each.service: (each.requests, each.further) for each in totals.sends}
         )
 
-    def take_crashes(update: wire.CrashUpdate) -> None:
-        crashes.take(known_crashes(update))
-        METRICS.crashing_requests.set(crashes.refused)
-
     return ControlClient(
         node_id=cfg.name,
         role="entry",
@@ -282,7 +270,7 @@
         http_address=cfg.http,
         loads=loads,
         on_loads=take_loads,
-        on_crashes=take_crashes,
+        on_crashes=take_from_control(crashes),
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -7,16 +7,25 @@
 
 from wigeonscale.adapters import open_channel, setup_logging, start_http
 from wigeonscale.config import EntrySettings
+from wigeonscale.crashes import CrashBook
+from wigeonscale.daemons.crashes import report_to_control, take_from_control
 from wigeonscale.daemons.runtime import StopStep, run_until_stopped
 from wigeonscale.dispatch import (
     AgentLinks,
     Carrier,
     Claims,
+    CrashGuard,
     Dispatcher,
     SilenceLimits,
     Target,
 )
-from wigeonscale.entry import CallerServer, EntryLimits, EntryService, MemberPlaces
+from wigeonscale.entry import (
+    CallerServer,
+    EntryLimits,
+    EntryService,
+    MemberPlaces,
+    ServerNames,
+)
 from wigeonscale.limits import OrganisationLimits
 from wigeonscale.membership import Change, ControlClient
 from wigeonscale.ports import Clock, SystemClock
@@ -40,6 +49,8 @@
     """
     setup_logging(cfg.log_level, cfg.name)
     clock = SystemClock()
+    names = ServerNames(members=lambda: control.members)
+    crashes = new_crash_book(names, clock=clock)
     control = ControlClient(
         node_id=cfg.name,
         role="entry",
@@ -49,8 +60,9 @@
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
         tls=cfg.tls,
+        on_crashes=take_from_control(crashes),
     )
-    entry = build_entry(cfg, control=control, clock=clock)
+    entry = build_entry(cfg, control=control, clock=clock, crashes=crashes)
     control.changes.subscribe(
         lambda change: entry.leave_lost_chains() if change is Change.MEMBERS else None
     )
@@ -58,7 +70,11 @@
     pages = await start_http(cfg.http, burn_routes(entry.recorder), entry.is_ready)
     try:
         return await run_until_stopped(
-            tasks={"control": control.run(), "callers": _serve(control, server)},
+            tasks={
+                "control": control.run(),
+                "callers": _serve(control, server),
+                "crashes": report_to_control(crashes, control=control, clock=clock),
+            },
             stop_steps=[
                 StopStep("stop accepting", server.stop_accepting),
                 StopStep("finish", server.finish, cut=server.cut),
@@ -76,6 +92,7 @@
     control: ControlClient,
     clock: Clock,
     silence: SilenceLimits | None = None,
+    crashes: CrashBook | None = None,
 ) -> EntryService:
     """Return an entry's state, wired together.
 
@@ -84,6 +101,8 @@
         control: Its link to control.
         clock: Clock port.
         silence: When a connection counts as silent; None: after the heartbeats.
+        crashes: Which requests crash backend servers; None for a book that is told
+            nothing by control.
     """
     looks = SilenceLimits(interval_s=cfg.heartbeat_s / LOOKS_PER_HEARTBEAT)
     table = LoadTable(clock=clock)
@@ -106,11 +125,15 @@
     )
     carrier = Carrier(links=links, table=table)
     claims = Claims(control=control, carrier=carrier, places=places, clock=clock)
+    names = ServerNames(members=lambda: control.members)
     dispatcher = Dispatcher(
         carrier=carrier,
         places=places,
         claims=claims,
         budget=RetryBudget(clock=clock, ratio=cfg.retry_ratio),
+        crashes=CrashGuard(
+            book=crashes or new_crash_book(names, clock=clock), servers=names.of
+        ),
         clock=clock,
         open_timeout_s=cfg.open_timeout_s,
     )
@@ -133,6 +156,18 @@
     )
 
 
+def new_crash_book(names: ServerNames, *, clock: Clock) -> CrashBook:
+    """Return a book of crashes of the servers behind agents.
+
+    Args:
+        names: Names of the servers.
+        clock: Clock port.
+    """
+    return CrashBook(
+        clock=clock, is_serving=names.is_serving, has_ended=names.has_ended
+    )
+
+
 async def _serve(control: ControlClient, server: CallerServer) -> None:
     # Nothing is served before a majority has confirmed the configuration.
     await control.ready()
--- a/wigeonscale/dispatch/__init__.py
+++ b/wigeonscale/dispatch/__init__.py
@@ -7,6 +7,7 @@
     "AnswerRecord",
     "Carrier",
     "Claims",
+    "CrashGuard",
     "DispatchStream",
     "Dispatcher",
     "Place",
@@ -21,6 +22,7 @@
 from wigeonscale.dispatch.attempts import Dispatcher
 from wigeonscale.dispatch.carrier import Carrier
 from wigeonscale.dispatch.claims import Claims, Place, Places
+from wigeonscale.dispatch.crashing import CrashGuard
 from wigeonscale.dispatch.failures import AgentGoneError
 from wigeonscale.dispatch.links import AgentLinks
 from wigeonscale.dispatch.silence import SilenceLimits
--- a/wigeonscale/dispatch/answer.py
+++ b/wigeonscale/dispatch/answer.py
@@ -26,6 +26,7 @@
         carrier: Carries the dispatches.
         work: The work; None for an answer taken up by its id.
         reopen: Dispatches the rest of the work; None when that cannot be.
+        on_whole: Called when the answer has ended as it should.
 
     Attributes:
         stream: The dispatch that gives it now.
@@ -38,8 +39,10 @@
         carrier: Carrier,
         work: Work | None = None,
         reopen: Reopen | None = None,
+        on_whole: Callable[[], None] = lambda: None,
     ):
         self.stream = stream
+        self._on_whole = on_whole
         self._moves = 0
         self._carrier = carrier
         self._work = work
@@ -68,7 +71,10 @@
         """
         while True:
             try:
-                return await self.stream.take()
+                texts = await self.stream.take()
+                if not texts:
+                    self._on_whole()
+                return texts
             except WigeonscaleError as exc:
                 await self._go_on_elsewhere(exc)
 
--- a/wigeonscale/dispatch/attempts.py
+++ b/wigeonscale/dispatch/attempts.py
@@ -3,11 +3,13 @@
 __all__ = ["Dispatcher"]
 
 import asyncio
+import functools
 
 from wigeonscale.adapters import METRICS
 from wigeonscale.dispatch.answer import Answer
 from wigeonscale.dispatch.carrier import Carrier
 from wigeonscale.dispatch.claims import Claims, Place, Places
+from wigeonscale.dispatch.crashing import CrashGuard
 from wigeonscale.dispatch.retries import (
     honest_error,
     is_sealed_by_other,
@@ -36,6 +38,7 @@
         places: Where work can go.
         claims: Claims of work that must not run twice.
         budget: Budget of retries.
+        crashes: Refuses work under which backend servers crash.
         clock: Clock port.
         open_timeout_s: Longest wait for a dispatch to be accepted, in seconds.
         repair_wait_s: Longest wait of work in progress for a place to go on, in
@@ -49,6 +52,7 @@
         places: Places,
         claims: Claims,
         budget: RetryBudget,
+        crashes: CrashGuard,
         clock: Clock,
         open_timeout_s: float = 5.0,
         repair_wait_s: float = REPAIR_WAIT_S,
@@ -57,6 +61,7 @@
         self._places = places
         self._claims = claims
         self._budget = budget
+        self._crashes = crashes
         self._clock = clock
         self._open_timeout_s = open_timeout_s
         self._repair_wait_s = repair_wait_s
@@ -75,8 +80,14 @@
         """
         self._budget.record()
         stream = await self._open(work, AnswerRecord(), frozenset())
+        if stream.response is not None:
+            self._crashes.note_ran(work)
         return Answer(
-            stream=stream, carrier=self._carrier, work=work, reopen=self._open
+            stream=stream,
+            carrier=self._carrier,
+            work=work,
+            reopen=self._open,
+            on_whole=functools.partial(self._crashes.note_ran, work),
         )
 
     async def attach(
@@ -115,7 +126,11 @@
                 if not may_retry(work, refusal, self._budget):
                     break
                 METRICS.retries.add(kind=refusal.kind)
-            place = self._places.choose(work, avoid)
+            crashing = self._crashes.refusal(work)
+            if crashing is not None:
+                refusal = crashing
+                break
+            place = self._choose(work, avoid)
             if place is None and work.repeatable and ran is not RunState.NOT_RUN:
                 place = await self._wait_for_place(work)
             if place is None:
@@ -130,9 +145,17 @@
                 if not is_sealed_by_other(exc):
                     avoid = avoid | {place[0].agent_id}
         refusal = refusal or await self._no_place(work)
+        if work.once and refusal.kind is ErrorKind.CRASHES_BACKENDS:
+            # What became of it under its key comes first.
+            await self._claims.check_free(work)
         refusal.run_state = ran
         raise honest_error(refusal, once=work.once)
 
+    def _choose(self, work: Work, avoid: frozenset[str]) -> Place | None:
+        apart = self._crashes.taken_by_others(work)
+        place = self._places.choose(work, avoid | apart) if apart else None
+        return place or self._places.choose(work, avoid)
+
     async def _wait_for_place(self, work: Work) -> Place | None:
         """Wait for the repair of what was lost under work in progress."""
         end = min(work.deadline, self._clock.now() + self._repair_wait_s)
@@ -192,7 +215,8 @@
         self._carrier.carry(stream)
         work.dispatch_ids.append(dispatch_id)
         try:
-            await self._begin(work, stream)
+            with self._crashes.beginning(work, target, chain):
+                await self._begin(work, stream)
         except asyncio.CancelledError:
             self._carrier.drop(stream, cancel=not work.once)
             raise
--- /dev/null
+++ b/wigeonscale/dispatch/crashing.py
@@ -0,0 +1,102 @@
+"""Work under which backend servers crash: refused, and until then kept apart."""
+
+__all__ = ["CrashGuard"]
+
+import logging
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+
+from wigeonscale.adapters import log_fields
+from wigeonscale.crashes import CrashBook
+from wigeonscale.dispatch.targets import Target
+from wigeonscale.dispatch.work import Work
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.wire import wire_pb2 as wire
+
+logger = logging.getLogger(__name__)
+
+
+class CrashGuard:
+    """Asks the book of crashes for the dispatcher, and tells it what it saw.
+
+    Args:
+        book: What this entry knows.
+        servers: Returns the names of the backend servers beside agents, as of now.
+    """
+
+    def __init__(
+        self,
+        *,
+        book: CrashBook,
+        servers: Callable[[Iterable[str]], tuple[str, ...]],
+    ):
+        self.book = book
+        self._servers = servers
+        # Agents at which suspects wait for their first token, by fingerprint.
+        self._beginning: dict[bytes, set[str]] = {}
+
+    def refusal(self, work: Work) -> WigeonscaleError | None:
+        """Return why work must not be dispatched, or None."""
+        refused_s = self.book.refused_for(work.fingerprint)
+        if refused_s <= 0:
+            return None
+        return WigeonscaleError(
+            ErrorKind.CRASHES_BACKENDS,
+            f"backend servers ended under request {work.fingerprint.hex()} before",
+            retry_after=refused_s,
+        )
+
+    def taken_by_others(self, work: Work) -> frozenset[str]:
+        """Return the agents where other suspects begin, if this is one itself."""
+        if not self.book.is_suspect(work.fingerprint):
+            return frozenset()
+        return frozenset(
+            agent_id
+            for fingerprint, agent_ids in self._beginning.items()
+            if fingerprint != work.fingerprint
+            for agent_id in agent_ids
+        )
+
+    @contextmanager
+    def beginning(
+        self, work: Work, target: Target, chain: wire.Chain | None
+    ) -> Iterator[None]:
+        """Watch a dispatch until its answer has begun.
+
+        Args:
+            work: The work.
+            target: The agent that it goes to.
+            chain: The chain that the agent heads; None for a call.
+        """
+        agent_ids = {target.agent_id}
+        if chain is not None:
+            agent_ids = {stage.agent_id for stage in chain.stages}
+        servers = self._servers(sorted(agent_ids))
+        is_suspect = self.book.is_suspect(work.fingerprint)
+        if is_suspect:
+            self._beginning.setdefault(work.fingerprint, set()).update(agent_ids)
+        try:
+            yield
+        except WigeonscaleError as exc:
+            if exc.kind is ErrorKind.BACKEND_FAILED:
+                self._note_lost(work, servers, exc)
+            raise
+        finally:
+            if is_suspect:
+                self._beginning.pop(work.fingerprint, None)
+
+    def note_ran(self, work: Work) -> None:
+        """Take in that work was answered whole."""
+        self.book.note_ran(work.fingerprint)
+
+    def _note_lost(
+        self, work: Work, servers: Iterable[str], exc: WigeonscaleError
+    ) -> None:
+        if exc.run_state is RunState.NOT_RUN:
+            return
+        # Those that have not ended are forgotten again.
+        lost = [name for name in servers if self.book.note_lost(work.fingerprint, name)]
+        logger.info(
+            "run lost as it began",
+            extra=log_fields(fingerprint=work.fingerprint.hex(), backends=lost),
+        )
--- a/wigeonscale/dispatch/work.py
+++ b/wigeonscale/dispatch/work.py
@@ -24,6 +24,7 @@
         once: The work must not run twice.
         key: Idempotency key of the claim; set when ``once``.
         digest: SHA-256 of method, path and body; set when ``once``.
+        fingerprint: What it shares with the same work under another id.
         priority: Larger goes first.
         deadline: Instant of the clock port at which the whole answer is due.
         attempts: Most dispatches.
@@ -38,6 +39,7 @@
     once: bool = False
     key: str = ""
     digest: bytes = b""
+    fingerprint: bytes = b""
     priority: int = 0
     deadline: float = float("inf")
     attempts: int = 3
--- a/wigeonscale/entry/flow.py
+++ b/wigeonscale/entry/flow.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 from wigeonscale.adapters import log_fields
+from wigeonscale.crashes import request_fingerprint
 from wigeonscale.dispatch import Work
 from wigeonscale.entry.answers import error_response
 from wigeonscale.entry.auth import authenticate
@@ -75,6 +76,12 @@
             once=once,
             key=self.caller.options.key,
             digest=request_digest(req.method, req.path_qs, raw) if once else b"",
+            fingerprint=request_fingerprint(
+                caller=self.caller.organisation.name,
+                method=req.method,
+                path=req.path_qs,
+                body=raw,
+            ),
             priority=self.priority,
             deadline=self.deadline,
             attempts=self.decision.attempts,
