Test: a chain is repaired again and again under a request that crashes each stage; known red

Cause: the head of a chain resumes what its chain lost on each repaired chain, for as long as the time-out lets it, also a request that never got a token.

--- a/wigeonscale/agent/tests/test_faults.py
+++ b/wigeonscale/agent/tests/test_faults.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 
 import testscenarios
 
@@ -57,8 +58,9 @@
         def repair(agent_id):
             if agent_id not in repaired:
                 repaired.add(agent_id)
-                epoch, nodes = next(epochs)
-                self.control.set_chain(make_chain(nodes, epoch=epoch))
+                # Without another spare the chain stays as it is.
+                for epoch, nodes in itertools.islice(epochs, 1):
+                    self.control.set_chain(make_chain(nodes, epoch=epoch))
 
         self.control.on_suspect = repair
 
@@ -119,6 +121,30 @@
         await self.check_whole(await self.send())
         self.assertIn("a3", self.control.suspected)
 
+    async def test_a_request_that_is_lost_with_stage_after_stage(self):
+        """Each engine that begins to run it crashes; each repair brings a spare."""
+        await self.start(spares=4, repair_timeout_s=2)
+        n0, n1, n2, *spares = self.nodes
+        self.repair_with(*([n0, spare, n2] for spare in spares))
+        lost = []
+
+        def crash_under(node):
+            async def crash():
+                lost.append(node.name)
+                await node.kill()
+
+            node.engine.break_at = 0
+            node.engine.on_break = crash
+
+        for node in (n1, *spares):
+            crash_under(node)
+        (dispatch_id,) = await self.send(1)
+        refused = (await self.client.end(dispatch_id)).refused
+        self.assertEqual(ErrorKind.BACKEND_FAILED, refused.kind)
+        self.assertEqual(RunState.RAN, refused.run_state)
+        # The entry decides by these whether it may go to another chain.
+        self.assertEqual(["a1", "a3"], lost)
+
     async def test_no_spare_ends_with_an_honest_error(self):
         await self.start(repair_timeout_s=0.3)
         lost = self.nodes[1]
