A sequence that loses two epochs of its chain before a token is given back to the entry

Cause: the head resumed it on each repaired chain, whatever ended under it. Change: the second epoch lost before the first token ends the dispatch as failed and run; the entry, which counts over attempts, decides. Sequences with a token go on as before.

--- a/wigeonscale/pipelines/generation.py
+++ b/wigeonscale/pipelines/generation.py
@@ -47,6 +47,8 @@
         self.failures = 0
         self._pieces = list(pieces)
         self._produced = produced
+        self._first = produced
+        self._lost_epochs: set[int] = set()
         self._run = 1
         self._position = 0
         self._asked = 0
@@ -59,6 +61,20 @@
         """Id of the current run on the engines."""
         return f"{self.dispatch_id}#{self._run}"
 
+    def note_lost(self, epoch: int) -> int:
+        """Take in that a chain was lost under it; returns on how many epochs.
+
+        Args:
+            epoch: Epoch of the chain.
+
+        Returns:
+            Epochs lost before its first token; 0 once it has one.
+        """
+        if self._produced > self._first:
+            return 0
+        self._lost_epochs.add(epoch)
+        return len(self._lost_epochs)
+
     @property
     def waiting_positions(self) -> int:
         """Token positions up to its next token."""
--- a/wigeonscale/pipelines/recovery.py
+++ b/wigeonscale/pipelines/recovery.py
@@ -16,6 +16,11 @@
 logger = logging.getLogger(__name__)
 
 MAX_BACKOFF_S = 2.0
+# Epochs of a chain that may be lost under a sequence before its first token. It may be
+# what crashes the engines, as may any other that begins with it; the entry, which knows
+# of other attempts, decides whether it goes on elsewhere. Without the limit five
+# engines crash under one dispatch where a chain is repaired four times.
+LOST_BEFORE_A_TOKEN = 2
 
 
 class Recovery:
@@ -24,7 +29,8 @@
     A newer ready epoch is used at once. The same epoch is tried again after a
     growing pause, since a call may fail while its engine lives on. A sequence
     fails when it got no token for the whole time-out, however often it was
-    resumed in between; so a second loss during the repair does not extend it.
+    resumed in between; so a second loss during the repair does not extend it. One
+    that never got a token fails with its second epoch.
 
     Args:
         chains: Returns the newest known chain for an id, or None.
@@ -77,6 +83,9 @@
         for stage in chain.stages:
             if stage.agent_id in unreachable:
                 self._suspect(stage.agent_id, stage.incarnation)
+        generations = self._fail_often_lost(generations, chain)
+        if not generations:
+            return
         task = asyncio.create_task(self._recover(generations, chain))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -103,6 +112,22 @@
             pause_s = retry_at - now if now < retry_at else self._backoff_s
             await wait_event(changed, self._clock, min(pause_s, left_s))
 
+    def _fail_often_lost(
+        self, generations: list[Generation], chain: wire.Chain
+    ) -> list[Generation]:
+        """Fail those that were lost too often before a token; return the others."""
+        left: list[Generation] = []
+        for generation in generations:
+            epochs = generation.note_lost(chain.epoch)
+            if epochs < LOST_BEFORE_A_TOKEN:
+                left.append(generation)
+                continue
+            _fail(
+                generation,
+                f"{epochs} epochs of chain {chain.chain_id} were lost before a token",
+            )
+        return left
+
     def _pause_s(self, waiting: list[Generation]) -> float:
         failures = min(generation.failures for generation in waiting)
         return min(self._backoff_s * 2 ** (failures - 1), MAX_BACKOFF_S)
@@ -118,12 +143,14 @@
             if generation.failing_since > oldest_allowed:
                 left.append(generation)
                 continue
-            METRICS.repairs.add(kind=ErrorKind.BACKEND_FAILED)
-            generation.fail(
-                WigeonscaleError(
-                    ErrorKind.BACKEND_FAILED,
-                    f"chain {chain.chain_id} gave no token for {self._timeout_s:g} s",
-                    run_state=RunState.RAN,
-                )
+            _fail(
+                generation,
+                f"chain {chain.chain_id} gave no token for {self._timeout_s:g} s",
             )
         return left
+
+
+def _fail(generation: Generation, message: str) -> None:
+    METRICS.repairs.add(kind=ErrorKind.BACKEND_FAILED)
+    exc = WigeonscaleError(ErrorKind.BACKEND_FAILED, message, run_state=RunState.RAN)
+    generation.fail(exc)
