--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -20,11 +20,11 @@
 from wigeonscale.membership.members import MembersView
 from wigeonscale.membership.orders import OrderRunner
 from wigeonscale.membership.submitter import Submitter
+from wigeonscale.membership.suspicions import Suspicions
 from wigeonscale.membership.watcher import Watcher
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
 
-MAX_SUSPICIONS = 1024
 # A backend that its replica does not show is announced again after this long.
 ANNOUNCE_AGAIN_HEARTBEATS = 4
 LEASE_CHECKS_PER_HEARTBEAT = 4
@@ -104,7 +104,7 @@
         self._members = MembersView()
         self._ready = asyncio.Event()
         self._announcer = self._new_announcer(announce)
-        self._suspected_at: dict[tuple[str, int, bool], float] = {}
+        self._suspicions = Suspicions(clock=clock, again_s=heartbeat_s)
         self._orders = self._new_order_runner(on_order)
         self._submitter = Submitter(
             addresses=self._addresses, clock=clock, rng=self._rng, tls=tls
@@ -220,18 +220,9 @@
             incarnation: The incarnation that was asked.
             is_hint: Whether others are to blame as likely.
         """
-        key = (agent_id, incarnation, is_hint)
-        now = self._clock.now()
-        # Many requests may miss one agent at once; one word a heartbeat is enough.
-        if now - self._suspected_at.get(key, float("-inf")) < self._heartbeat_s:
-            return
-        if len(self._suspected_at) >= MAX_SUSPICIONS:
-            self._suspected_at.clear()
-        self._suspected_at[key] = now
-        suspicion = wire.Suspect(
-            agent_id=agent_id, incarnation=incarnation, is_hint=is_hint
-        )
-        self._send(wire.WatchRequest(suspect=suspicion))
+        message = self._suspicions.message(agent_id, incarnation, is_hint=is_hint)
+        if message is not None:
+            self._send(message)
 
     def _new_announcer(
         self, announce: Callable[[], wire.Backend] | None
--- /dev/null
+++ b/wigeonscale/state/first_results.py
@@ -0,0 +1,88 @@
+"""First results of all commands, so that each takes effect once."""
+
+__all__ = ["FirstResults"]
+
+from wigeonscale.errors import ErrorKind
+from wigeonscale.state.operations import Operations, operation_digest
+from wigeonscale.state.results import refused
+from wigeonscale.wire import wire_pb2 as wire
+
+OPERATOR_OPERATIONS_LIMIT = 50_000
+OPERATOR_OPERATIONS_AGE_MS = 24 * 3600 * 1000
+PEER_OPERATIONS_LIMIT = 20_000
+PEER_OPERATIONS_AGE_MS = 10 * 60 * 1000
+
+_OPERATOR_COMMANDS = frozenset({"apply_config", "drain"})
+
+
+class FirstResults:
+    """Results by operation id; those of operators are kept for longer."""
+
+    def __init__(self):
+        self._of_operators = Operations(
+            limit=OPERATOR_OPERATIONS_LIMIT, age_ms=OPERATOR_OPERATIONS_AGE_MS
+        )
+        self._of_peers = Operations(
+            limit=PEER_OPERATIONS_LIMIT, age_ms=PEER_OPERATIONS_AGE_MS
+        )
+
+    def find(self, command: wire.Command) -> wire.CommandResult | None:
+        """Return the first result of an operation, or None if it is new.
+
+        Args:
+            command: A command with an operation id.
+
+        Returns:
+            The first result; ``IDEMPOTENCY_KEY_REUSED`` if the id was used for a
+            command that asks for something else.
+        """
+        found = self._kept_for(command).find(command.operation_id)
+        if found is None:
+            return None
+        digest, result = found
+        if digest != operation_digest(command):
+            return refused(
+                ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                f"operation id {command.operation_id!r} was used for another command",
+            )
+        return result
+
+    def add(
+        self, command: wire.Command, result: wire.CommandResult, *, now_ms: int
+    ) -> None:
+        """Remember the result of a command.
+
+        Args:
+            command: A command with an operation id.
+            result: Its result.
+            now_ms: Largest wall time of any command so far, in milliseconds.
+        """
+        self._kept_for(command).add(
+            command.operation_id, operation_digest(command), now_ms, result
+        )
+
+    def save(self, snapshot: wire.StateSnapshot) -> None:
+        """Write everything into a snapshot.
+
+        Args:
+            snapshot: Message to fill in.
+        """
+        snapshot.operator_operations.extend(self._of_operators.save())
+        snapshot.peer_operations.extend(self._of_peers.save())
+
+    def load(self, snapshot: wire.StateSnapshot) -> None:
+        """Replace everything by what a snapshot holds.
+
+        Args:
+            snapshot: Message filled by :meth:`save`.
+
+        Raises:
+            DecodeError: A record cannot be read.
+        """
+        self._of_operators.load(snapshot.operator_operations)
+        self._of_peers.load(snapshot.peer_operations)
+
+    def _kept_for(self, command: wire.Command) -> Operations:
+        if command.WhichOneof("body") in _OPERATOR_COMMANDS:
+            return self._of_operators
+        return self._of_peers
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -14,25 +14,18 @@
 from wigeonscale.state.configuration import HISTORY_LIMIT, Configuration
 from wigeonscale.state.crash_records import CrashRecords
 from wigeonscale.state.entries import Entries
+from wigeonscale.state.first_results import FirstResults
 from wigeonscale.state.members import Members
 from wigeonscale.state.numbered import Numbered
-from wigeonscale.state.operations import Operations, operation_digest
 from wigeonscale.state.results import done, refused
 from wigeonscale.state.snapshots import SNAPSHOT_FORMAT, parse_snapshot
 from wigeonscale.wire import wire_pb2 as wire
 
 # Some hundred sections of the rules; less is read at once.
 LONG_COMMAND_BYTES = 16 * 1024
-OPERATOR_OPERATIONS_LIMIT = 50_000
-OPERATOR_OPERATIONS_AGE_MS = 24 * 3600 * 1000
-PEER_OPERATIONS_LIMIT = 20_000
-PEER_OPERATIONS_AGE_MS = 10 * 60 * 1000
-
 # Incarnation of backend servers that do not say when they started.
 UNNUMBERED = 1
 
-_OPERATOR_COMMANDS = frozenset({"apply_config", "drain"})
-
 
 class ControlState:
     """All that control replicas agree on; a replication state machine.
@@ -72,8 +65,7 @@
         self.now_ms = 0
         self.placement_index = 0
         self._read_ahead: tuple[bytes, Configuration] | None = None
-        self._operator_operations = _operator_operations()
-        self._peer_operations = _peer_operations()
+        self._results = FirstResults()
         self._handlers = {
             "apply_config": self._apply_config,
             "claim": self._claim,
@@ -139,16 +131,7 @@
             The first result; ``IDEMPOTENCY_KEY_REUSED`` if the id was used for a
             command that asks for something else.
         """
-        found = self._operations_for(command).find(command.operation_id)
-        if found is None:
-            return None
-        digest, result = found
-        if digest != operation_digest(command):
-            return refused(
-                ErrorKind.IDEMPOTENCY_KEY_REUSED,
-                f"operation id {command.operation_id!r} was used for another command",
-            )
-        return result
+        return self._results.find(command)
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes, equal on equal states."""
@@ -158,9 +141,8 @@
             now_ms=self.now_ms,
             placement_index=self.placement_index,
             claims=self.claims.save(),
-            operator_operations=self._operator_operations.save(),
-            peer_operations=self._peer_operations.save(),
         )
+        self._results.save(snapshot)
         self.configuration.save(snapshot)
         self.members.save(snapshot)
         self.chains.save(snapshot)
@@ -181,23 +163,20 @@
         snapshot = parse_snapshot(data)
         configuration = self._taken_configuration(data)
         claims = Claims()
-        operator_operations = _operator_operations()
-        peer_operations = _peer_operations()
+        results = FirstResults()
         try:
             if configuration is None:
                 configuration = Configuration(history_limit=self._history_limit)
                 configuration.load(snapshot)
             claims.load(snapshot.claims)
-            operator_operations.load(snapshot.operator_operations)
-            peer_operations.load(snapshot.peer_operations)
+            results.load(snapshot)
         except (SettingsError, DecodeError) as exc:
             raise WigeonscaleError(
                 ErrorKind.CORRUPT_LOG, f"a record of the snapshot is broken: {exc}"
             ) from exc
         self.configuration = configuration
         self.claims = claims
-        self._operator_operations = operator_operations
-        self._peer_operations = peer_operations
+        self._results = results
         self.members.load(snapshot)
         self.chains.load(snapshot)
         self.entries.load(snapshot)
@@ -243,9 +222,7 @@
         result.index = self.index
         result.revision = self.configuration.revision
         if operation_id:
-            self._operations_for(command).add(
-                operation_id, operation_digest(command), self.now_ms, result
-            )
+            self._results.add(command, result, now_ms=self.now_ms)
         return change, result
 
     def _dispatch(self, command):
@@ -255,11 +232,6 @@
             return None, refused(ErrorKind.BAD_REQUEST, "unknown or garbled command")
         return handler(getattr(command, name))
 
-    def _operations_for(self, command):
-        if command.WhichOneof("body") in _OPERATOR_COMMANDS:
-            return self._operator_operations
-        return self._peer_operations
-
     def _apply_config(self, command):
         result = self.configuration.apply(command, self.now_ms)
         if result.kind:
@@ -371,13 +343,3 @@
         return Change(
             self.index, backends=frozenset(agent_ids), chains=frozenset(chains)
         )
-
-
-def _operator_operations() -> Operations:
-    return Operations(
-        limit=OPERATOR_OPERATIONS_LIMIT, age_ms=OPERATOR_OPERATIONS_AGE_MS
-    )
-
-
-def _peer_operations() -> Operations:
-    return Operations(limit=PEER_OPERATIONS_LIMIT, age_ms=PEER_OPERATIONS_AGE_MS)
