The soak plays a request that crashes backend servers, under all its other faults

A caller sends it to any entry while daemons are killed, paused, wiped and links harmed; once it has crashed three servers, more than three further crashes later than three seconds are a broken promise.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -67,7 +67,7 @@
         self._fence = -1
         self._runner: web.ServerRunner | None = None
         self._beats: asyncio.Task | None = None
-        self._crash: asyncio.Task | None = None
+        self._crashes: set[asyncio.Task] = set()
 
     @property
     def is_alive(self) -> bool:
@@ -109,9 +109,9 @@
 
     async def close(self) -> None:
         """Stop for good."""
-        if self._crash is not None:
-            self._crash.cancel()
-            await asyncio.gather(self._crash, return_exceptions=True)
+        for task in list(self._crashes):
+            task.cancel()
+        await asyncio.gather(*self._crashes, return_exceptions=True)
         await self.stop()
         if self.relay is not None:
             await self.relay.close()
@@ -157,9 +157,12 @@
         self._ledger.ran(request_id)
         body = await req.read()
         if body.startswith(CRASHING):
-            self._ledger.crashes[body] += 1
-            self._crash = asyncio.create_task(self._crash_and_return())
-            await asyncio.get_running_loop().create_future()
+            loop = asyncio.get_running_loop()
+            self._ledger.crashed(body, loop.time())
+            task = asyncio.create_task(self._crash_and_return())
+            self._crashes.add(task)
+            task.add_done_callback(self._crashes.discard)
+            await loop.create_future()
         headers = {"Attempt-Id": request_id, "Response-Stamp": f"stamp {request_id}"}
         if self.service == "plain":
             await asyncio.sleep(WORK_S)
--- a/wigeonscale/testing/soak/ledger.py
+++ b/wigeonscale/testing/soak/ledger.py
@@ -2,9 +2,14 @@
 
 __all__ = ["Ledger"]
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+# Once a request has crashed three servers every entry refuses it within three seconds.
+# By the users' rule three more crashes are borne.
+CRASHES_KNOWN = 3
+KNOWN_AFTER_S = 3.0
+CRASHES_BORNE = 3
 NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -18,7 +23,7 @@
         not_run: Ids that were answered as not run.
         acknowledged: Highest acknowledged number of a configuration.
         answers: Answers by status, or by what came instead.
-        crashes: Backend servers that crashed, by the body of the request.
+        crashed_at: Instants at which backend servers crashed, by body of the request.
         broken: Promises broken so far, in words.
     """
 
@@ -27,7 +32,9 @@
     not_run: set[str] = field(default_factory=set)
     acknowledged: int = 0
     answers: Counter = field(default_factory=Counter)
-    crashes: Counter = field(default_factory=Counter)
+    crashed_at: dict[bytes, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     broken: list[str] = field(default_factory=list)
 
     def ran(self, request_id: str) -> None:
@@ -40,6 +47,23 @@
         if request_id in self.not_run:
             self.broken.append(f"{request_id} ran after it was said not to")
 
+    def crashed(self, body: bytes, at: float) -> None:
+        """Note that a backend server crashes as it begins to run a request."""
+        self.crashed_at[body].append(at)
+
+    def check_crashes(self) -> None:
+        """Judge the crashes under each request, once no more can come."""
+        for body, instants in self.crashed_at.items():
+            if len(instants) < CRASHES_KNOWN:
+                continue
+            known_at = instants[CRASHES_KNOWN - 1] + KNOWN_AFTER_S
+            late = sum(at > known_at for at in instants)
+            if late > CRASHES_BORNE:
+                self.broken.append(
+                    f"{body!r} crashed {late} servers once it was known; "
+                    f"{len(instants)} in all"
+                )
+
     def answered(self, request_id: str, status: int) -> None:
         """Note a caller's final answer."""
         self.answers[status] += 1
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from wigeonscale.testing.soak.backends import (
+    CRASHING,
     EVENTS,
     LAYERS,
     event_data,
@@ -80,6 +81,15 @@
                 await self.call(session, entry, self._rng.choice(KINDS))
                 await asyncio.sleep(self._rng.uniform(0.0, 0.05))
 
+    async def crash_for_ever(self) -> None:
+        """Send one request that crashes its server at any entry, until cancelled."""
+        kind = self._rng.choice(KINDS)
+        async with new_session() as session:
+            while True:
+                entry = self._rng.choice(self._dep.entries)
+                await self.call(session, entry, kind, CRASHING)
+                await asyncio.sleep(self._rng.uniform(0.1, 0.6))
+
     async def call(self, session, entry, kind: str, body: bytes = b"q") -> bool:
         """Make one request; return whether it was served."""
         request_id = f"r{next(self._ids):05d}"
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -69,6 +69,7 @@
             await _under_faults(rng, load, dep, backends, seconds, ledger)
             await _until_served(load, session, dep, ledger, "after the faults")
             await _until_read(load, session, ledger)
+            ledger.check_crashes()
     finally:
         for backend in backends:
             await backend.close()
@@ -83,6 +84,7 @@
     disks = asyncio.Lock()
     loads = [asyncio.create_task(load.call_for_ever()) for _ in range(CALLERS)]
     loads.append(asyncio.create_task(load.change_for_ever()))
+    loads.append(asyncio.create_task(load.crash_for_ever()))
 
     async def later(fault) -> None:
         await asyncio.sleep(fault.at_s)
--- a/wigeonscale/testing/soak/tests/test_crashing_request.py
+++ b/wigeonscale/testing/soak/tests/test_crashing_request.py
@@ -76,14 +76,14 @@
 
     async def test_a_stream_is_refused_after_three_crashes(self):
         await self.ask_again_and_again("stream")
-        crashes = self.ledger.crashes[CRASHING]
+        crashes = len(self.ledger.crashed_at[CRASHING])
         self.assertTrue(crashes <= MOST_CRASHES, f"{crashes} engines crashed")
         await self.until_served("stream", b"beside")
         self.assertEqual([], self.ledger.broken)
 
     async def test_a_plain_request_is_refused_after_three_crashes(self):
         await self.ask_again_and_again("safe")
-        crashes = self.ledger.crashes[CRASHING]
+        crashes = len(self.ledger.crashed_at[CRASHING])
         self.assertTrue(crashes <= MOST_CRASHES, f"{crashes} servers crashed")
         await self.until_served("safe", b"beside")
         self.assertEqual([], self.ledger.broken)
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -70,6 +70,15 @@
             self.ledger.pathway("r1", wrong, 8)
         self.assertEqual(4, len(self.ledger.broken))
 
+    def test_crashes_once_a_request_is_known_for_them(self):
+        for at in (1.0, 2.0, 3.0, 5.9, 6.1, 6.2, 6.3):
+            self.ledger.crashed(b"crash", at)
+        self.ledger.check_crashes()
+        self.assertEqual([], self.ledger.broken)
+        self.ledger.crashed(b"crash", 9.0)
+        self.ledger.check_crashes()
+        self.assertEqual(1, len(self.ledger.broken))
+
     def test_whole_answers(self):
         self.ledger.whole("r1", b"ab", b"ab")
         self.assertEqual([], self.ledger.broken)
