A run has gone on by the time of its events, not by when its break was read

Cause: read in the code, not seen in a play: an entry that stands still between the first event of a run and its break would have cleared the request that crashed the engine. Change: the time from the first event to the latest one counts. Test with it, which fails without the change.

--- a/wigeonscale/crashes/policy.py
+++ b/wigeonscale/crashes/policy.py
@@ -39,9 +39,9 @@
 # 27 a second over six first engines. One takes some 100 bytes in control's state and
 # 400 at an entry.
 MOST_REQUESTS = 1024
-# A run that went on for so long after its first event has not crashed its server by
-# beginning. Servers that crashed did so within 0.1 s of the run that they began last;
-# a pass of an engine under load takes as long again.
+# A run whose events came over so long a time has not crashed its server by beginning.
+# Servers that crashed did so within 0.1 s of the run that they began last; a pass of an
+# engine under load takes as long again.
 BEGINNING_S = 0.25
 
 
--- a/wigeonscale/direct/crashing.py
+++ b/wigeonscale/direct/crashing.py
@@ -87,8 +87,7 @@
 
 def _note_lost(around: Surroundings, job: Job, run: Run, backend_id: str) -> bool:
     """Return whether a server may have crashed by a run, and nobody said so yet."""
-    now = around.clock.now()
-    if not _is_beginning(run, now):
+    if not _is_beginning(run):
         note_ran(around, job)
         return False
     if not around.crashes.note_lost(job.fingerprint, backend_id):
@@ -100,7 +99,7 @@
             fingerprint=job.fingerprint.hex(),
             backend=backend_id,
             events=run.events,
-            begun_s=round(run.begun_s(now), 3),
+            went_on_s=round(run.went_on_s, 3),
         ),
     )
     return True
@@ -124,7 +123,6 @@
     """
     if not around.crashes.is_suspect(job.fingerprint):
         return set()
-    now = around.clock.now()
     servers = around.fleet().by_service.get(job.service.name, ())
     return {
         server.backend_id
@@ -132,12 +130,12 @@
         if any(
             run.backend_ids[0] == server.backend_id
             and run.fingerprint != job.fingerprint
-            and _is_beginning(run, now)
+            and _is_beginning(run)
             and around.crashes.is_suspect(run.fingerprint)
             for run in around.beliefs.runs_on(server.backend_id)
         )
     }
 
 
-def _is_beginning(run: Run, now: float) -> bool:
-    return run.begun_s(now) < BEGINNING_S
+def _is_beginning(run: Run) -> bool:
+    return run.went_on_s < BEGINNING_S
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -23,6 +23,7 @@
             whether that was done; None where that cannot be.
         moving: A move under way.
         began_at: Instant of the first sign of progress; None before it.
+        latest_event_at: Instant of the latest event, as it was read.
         events: Signs of progress so far.
         usual_s: Time between events to be expected; 0 where none is known.
         lately_s: Mean time between the latest events; 0 before the second.
@@ -42,6 +43,7 @@
     lately_s: float = 0.0
     fingerprint: bytes = b""
     sent_at: float = 0.0
+    latest_event_at: float = 0.0
 
     @property
     def has_begun(self) -> bool:
@@ -55,9 +57,12 @@
             return 0.0
         return (self.progress_at - self.began_at) / (self.events - 1)
 
-    def begun_s(self, now: float) -> float:
-        """Return the time since the first sign of progress; 0 before it."""
-        return now - self.began_at if self.began_at is not None else 0.0
+    @property
+    def went_on_s(self) -> float:
+        """Time from its first event to its latest; 0 before the second."""
+        if self.began_at is None:
+            return 0.0
+        return self.latest_event_at - self.began_at
 
     def note_progress(self, now: float) -> None:
         """Count an event in."""
@@ -68,6 +73,7 @@
             weight = LATELY_WEIGHT if self.lately_s else 1.0
             self.lately_s += weight * (gap_s - self.lately_s)
         self.progress_at = now
+        self.latest_event_at = now
         self.events += 1
 
     def leave_lost(self) -> None:
--- a/wigeonscale/direct/tests/test_crashing.py
+++ b/wigeonscale/direct/tests/test_crashing.py
@@ -72,7 +72,7 @@
 
     async def test_a_run_that_went_on_is_not_to_blame(self):
         future = asyncio.get_running_loop().create_future()
-        self.exchange.script("a1", [event(1), future, unknown()], [event(2)])
+        self.exchange.script("a1", [event(1), future, event(2), unknown()], [event(3)])
         task = asyncio.create_task(self.relay())
         await self.until(lambda: self.got() == [1])
         await self.parts.clock.advance(BEGINNING_S)
@@ -109,6 +109,21 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+    async def test_a_break_that_is_read_late_is_one_of_a_beginning(self):
+        """This process stood still between the event and the break."""
+        future = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [event(1), future, unknown()])
+        self.exchange.script("b1", [HANG])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.got() == [1])
+        await self.parts.clock.advance(BEGINNING_S)
+        self.parts.stalls.note_late(BEGINNING_S)
+        future.set_result(None)
+        await self.until(lambda: len(self.exchange.calls) == 2)
+        self.assertTrue(self.parts.around.crashes.is_suspect(self.job().fingerprint))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def test_served_in_the_end_it_is_cleared(self):
         know(self.parts, self.job(), "x1", "x2")
         self.exchange.script("a1", [event(1)])
