--- a/wigeonscale/control/tests/test_hub.py
+++ b/wigeonscale/control/tests/test_hub.py
@@ -46,6 +46,24 @@
         self.assertFalse(members.members.full)
         self.assertEqual(["b"], [b.agent_id for b in members.members.backends])
 
+    async def test_records_of_crashes_come_before_what_may_be_served(self):
+        crash = wire.Crash(fingerprint=b"a", backend="s1")
+        await self.parts.run(record_crashes=wire.RecordCrashes(crashes=[crash]))
+        watcher = self.parts.watcher()
+        first, second = await self.due(watcher)
+        self.assertEqual([b"a"], [r.fingerprint for r in first.crashes.records])
+        self.assertTrue(second.HasField("members"))
+        self.assertEqual([], await self.due(watcher))
+        # Then only what changed, also to one that was told by another replica.
+        other = self.parts.watcher("e2", known_crashes=first.crashes.index)
+        self.assertEqual(["members"], await self.names_due(other))
+        await self.parts.run(record_crashes=wire.RecordCrashes(cleared=[b"a"]))
+        for each in (watcher, other):
+            (update,) = await self.due(each)
+            self.assertEqual([[]], [list(r.backends) for r in update.crashes.records])
+        agent = self.parts.watcher("n1", role="agent")
+        self.assertEqual(["members"], await self.names_due(agent))
+
     async def test_watcher_with_known_revision_gets_what_follows(self):
         for number in range(3):
             await self.apply(number, number)
--- a/wigeonscale/membership/tests/test_client.py
+++ b/wigeonscale/membership/tests/test_client.py
@@ -160,6 +160,21 @@
         self.assertEqual(["n1", "n3"], list(client.members.backends))
         self.assertEqual(["n1", "n2"], list(known.backends))
 
+    async def test_records_of_crashes_are_taken_once_from_any_replica(self):
+        taken = []
+        fakes = await self.start_fakes(2)
+        options = {"on_crashes": lambda update: taken.append(update.index)}
+        client, first, (other,) = await self.attached(*fakes, **options)
+        for index in (7, 7, 5):
+            update = wire.CrashUpdate(index=index)
+            await first.push(wire.WatchEvent(crashes=update))
+        await first.push(wire.WatchEvent(crashes=wire.CrashUpdate(index=8)))
+        await self.until(lambda: taken[-1:] == [8])
+        self.assertEqual([7, 8], taken)
+        first.answers = False
+        hello = await self.next_hello(client, other)
+        self.assertEqual(8, hello.known_crashes)
+
     async def test_not_attached_before_members_are_told(self):
         (fake,) = await self.start_fakes()
         fake.first_members = None
--- /dev/null
+++ b/wigeonscale/membership/tests/test_crash_messages.py
@@ -0,0 +1,24 @@
+from wigeonscale.crashes import CrashReport, KnownCrashes
+from wigeonscale.membership import command_of, known_crashes
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.wire import wire_pb2 as wire
+
+
+class CrashMessagesTest(AsyncTestCase):
+    def test_age_is_by_the_time_of_the_state(self):
+        record = wire.CrashRecord(fingerprint=b"a", backends=["s1"], wall_ms=1500)
+        later = wire.CrashRecord(fingerprint=b"b", wall_ms=9000)
+        update = wire.CrashUpdate(now_ms=4000, records=[record, later])
+        self.assertEqual(
+            [
+                KnownCrashes(fingerprint=b"a", backends=("s1",), age_s=2.5),
+                KnownCrashes(fingerprint=b"b", backends=(), age_s=0.0),
+            ],
+            known_crashes(update),
+        )
+
+    def test_report_as_a_command(self):
+        command = command_of(CrashReport(((b"a", "s1"),), (b"b",)))
+        self.assertEqual([b"b"], list(command.record_crashes.cleared))
+        (crash,) = command.record_crashes.crashes
+        self.assertEqual((b"a", "s1"), (crash.fingerprint, crash.backend))
