--- a/wigeonscale/crashes/book.py
+++ b/wigeonscale/crashes/book.py
@@ -27,6 +27,9 @@
 # What was told to control is remembered here until control's word of it is back.
 TOLD_KEPT_S = 5.0
 
+# Records of one update that get a line each; an entry that starts may be told them all.
+LOGGED_RECORDS = 16
+
 logger = logging.getLogger(__name__)
 
 
@@ -73,6 +76,23 @@
     told_at: float | None = None
 
 
+def _log_record(record: KnownCrashes) -> None:
+    crashes = len(record.backends)
+    level = logging.WARNING if crashes >= CRASHES_TO_REFUSE else logging.INFO
+    outcome = "refused" if crashes >= CRASHES_TO_REFUSE else "suspected"
+    logger.log(
+        level,
+        "%d backend servers ended under one request",
+        crashes,
+        extra=log_fields(
+            fingerprint=record.fingerprint.hex(),
+            backends=sorted(record.backends),
+            age_s=round(record.age_s, 3),
+            outcome=outcome if crashes else "cleared",
+        ),
+    )
+
+
 class CrashBook:
     """Decides which requests are refused since backend servers crash under them.
 
@@ -211,24 +231,21 @@
             records: Requests whose crashes changed, in the order of the change.
         """
         now = self._clock.now()
+        records = list(records)
         for record in records:
             self._told.pop(record.fingerprint, None)
-            if not record.backends:
-                continue
-            names = frozenset(record.backends)
-            self._told[record.fingerprint] = names, now - record.age_s
-            logger.log(
-                logging.WARNING if len(names) >= CRASHES_TO_REFUSE else logging.INFO,
-                "%d backend servers ended under one request",
-                len(names),
-                extra=log_fields(
-                    fingerprint=record.fingerprint.hex(),
-                    backends=sorted(names),
-                    age_s=round(record.age_s, 3),
-                    outcome="refused" if hold_s(len(names)) else "suspected",
-                ),
-            )
+            if record.backends:
+                names = frozenset(record.backends)
+                self._told[record.fingerprint] = names, now - record.age_s
         self._forget(now)
+        for record in records[:LOGGED_RECORDS]:
+            _log_record(record)
+        if len(records) > LOGGED_RECORDS:
+            logger.info(
+                "%d records of crashes taken in",
+                len(records),
+                extra=log_fields(outcome="known", refused=self.refused),
+            )
 
     def look(self) -> None:
         """See which of the servers that broke runs off are known to have ended."""
--- a/wigeonscale/crashes/policy.py
+++ b/wigeonscale/crashes/policy.py
@@ -36,8 +36,8 @@
 SUSPECT_KEPT_S = 600.0
 # Requests remembered. A crash adds those that had just begun at one engine, which are
 # as many as begin in some 0.15 s there, whatever the size of the fleet: one to four of
-# 27 a second over six first engines. One takes some 100 bytes in control's state and
-# 400 at an entry.
+# 27 a second over six first engines. With three servers one takes 65 bytes of control's
+# snapshot, 250 of its memory and 720 at each entry (traced allocations).
 MOST_REQUESTS = 1024
 # A run whose events came over so long a time has not crashed its server by beginning.
 # Servers that crashed did so within 0.1 s of the run that they began last; a pass of an
--- /dev/null
+++ b/wigeonscale/direct/tests/test_crashing_load.py
@@ -0,0 +1,120 @@
+"""Requests that begin together with the one that crashes engines, at one entry.
+
+All are lost together and sent on in the same instant, and all choose the same cheapest
+engine: so they would meet again at each crash, and be refused with the one that did it.
+"""
+
+import asyncio
+import dataclasses
+from contextlib import asynccontextmanager
+
+from wigeonscale.direct.runs import Run
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.support import (
+    MODEL,
+    FakeStream,
+    Parts,
+    Sink,
+    engine,
+    event,
+    unknown,
+)
+from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import AsyncTestCase
+
+EVENTS = 8
+EVENT_S = 0.1
+CRASH_S = 0.05
+CRASHING = b"crash"
+# The first is near and cheapest; of the others each is busier than the one before.
+ENGINES = [("a", "a1"), *(("b", f"b{n}") for n in range(1, 7))]
+
+
+class CrashingEngines:
+    """Engines that give an event every 0.1 s, and crash under one request.
+
+    Attributes:
+        crashed: Engines that did.
+    """
+
+    def __init__(self, parts):
+        self.crashed = []
+        self._parts = parts
+        self._ends = {name: asyncio.Event() for _, name in ENGINES}
+
+    @asynccontextmanager
+    async def open(self, call):
+        end = self._ends[call.backend_id]
+        if end.is_set():
+            raise unknown()
+        if call.req.body == CRASHING:
+            await self._parts.clock.sleep(CRASH_S)
+            self._crash(call.backend_id)
+        yield FakeStream(self._events(end))
+
+    def _events(self, end):
+        for number in range(1, EVENTS + 1):
+            yield self._pause(end)
+            yield event(number)
+
+    def _pause(self, end):
+        # The stream awaits a future; it fails when the engine ends.
+        return asyncio.ensure_future(self._until_next(end))
+
+    async def _until_next(self, end):
+        until = self._parts.clock.now() + EVENT_S
+        while self._parts.clock.now() < until:
+            if end.is_set():
+                raise unknown()
+            await self._parts.clock.sleep(EVENT_S / 10)
+
+    def _crash(self, name):
+        self.crashed.append(name)
+        self._ends[name].set()
+        old = self._parts.fleet.by_id[name]
+        gone = engine(name, 0, 10, domain=old.domain, is_silent=True)
+        self._parts.fleet.by_id[name] = gone
+        servers = self._parts.fleet.by_service
+        servers["model"] = tuple(
+            gone if each.backend_id == name else each for each in servers["model"]
+        )
+
+
+class LostTogetherTest(AsyncTestCase):
+    async def prepare(self):
+        self.parts = Parts(*(engine(name, 0, 10, domain=d) for d, name in ENGINES))
+        for busy, (_, name) in enumerate(ENGINES):
+            for _ in range(busy):
+                self.parts.beliefs.begin(Run((name,)))
+        self.engines = CrashingEngines(self.parts)
+        self.parts.around = dataclasses.replace(
+            self.parts.around, exchange=self.engines
+        )
+
+    async def ask(self, body):
+        job = self.parts.job(
+            Repeat.STREAM,
+            body=body,
+            service=MODEL,
+            left_s=20.0,
+            resumable=True,
+            max_attempts=9,
+        )
+        sink = Sink()
+        try:
+            await relay_stream(self.parts.around, job, sink)
+        except WigeonscaleError as exc:
+            return exc.kind
+        return sink.is_whole
+
+    async def test_only_the_one_that_crashes_engines_is_refused(self):
+        bodies = [CRASHING, b"one", b"two", b"three"]
+        tasks = [asyncio.create_task(self.ask(body)) for body in bodies]
+        while not all(task.done() for task in tasks):
+            await self.parts.clock.advance(0.01)
+        self.assertEqual(3, len(self.engines.crashed))
+        self.assertEqual(
+            [ErrorKind.CRASHES_BACKENDS, True, True, True],
+            [task.result() for task in tasks],
+        )
