--- a/wigeonscale/testing/soak/tests/test_crashing_request.py
+++ b/wigeonscale/testing/soak/tests/test_crashing_request.py
@@ -1,10 +1,10 @@
 """One request crashes every engine that begins to run it, and comes again and again.
 
-In seven seconds twelve engines ended, each the first of the path of a request that had
-got no event yet. Its caller, path and body were the same each time; its id was new, it
-came to any of four entries, and each line of it said `sends: 1`. No entry knew that it
-had come before, none told another, and so each took it in as new: nineteen engines
-ended under it, and forty streams were cut with some of them.
+In seven seconds twelve engines ended, each the first of a path. At each of the ten
+whose last runs the logs show there was a request without an event, and its line said
+`sends: 1`, at any of four entries. It was the same request again with a new id. No
+entry knew that it had come before, none told another, and so each took it in as new:
+nineteen engines ended under it, and forty streams were cut with one of them.
 """
 
 import asyncio
