--- a/wigeonscale/crashes/__init__.py
+++ b/wigeonscale/crashes/__init__.py
@@ -12,6 +12,7 @@
     "hold_among",
     "hold_s",
     "kept_s",
+    "refusal_of",
     "report_crashes",
     "request_fingerprint",
 ]
@@ -28,4 +29,5 @@
     hold_s,
     kept_s,
 )
+from wigeonscale.crashes.refusal import refusal_of
 from wigeonscale.crashes.reporter import report_crashes
--- a/wigeonscale/direct/crashing.py
+++ b/wigeonscale/direct/crashing.py
@@ -18,10 +18,10 @@
 from collections.abc import Iterable
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.crashes import BEGINNING_S
+from wigeonscale.crashes import BEGINNING_S, refusal_of
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.runs import Run
-from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.errors import RunState
 
 logger = logging.getLogger(__name__)
 
@@ -39,15 +39,10 @@
     Raises:
         WigeonscaleError: ``CRASHES_BACKENDS``, with word when it may be tried again.
     """
-    refused_s = around.crashes.refused_for(job.fingerprint)
-    if refused_s <= 0:
-        return
-    raise WigeonscaleError(
-        ErrorKind.CRASHES_BACKENDS,
-        f"backend servers ended under request {job.fingerprint.hex()} before",
-        run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
-        retry_after=refused_s,
-    )
+    run_state = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
+    refusal = refusal_of(around.crashes, job.fingerprint, run_state=run_state)
+    if refusal is not None:
+        raise refusal
 
 
 def note_broken_run(around: Surroundings, job: Job, run: Run) -> None:
--- a/wigeonscale/dispatch/crashing.py
+++ b/wigeonscale/dispatch/crashing.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 
 from wigeonscale.adapters import log_fields
-from wigeonscale.crashes import CrashBook
+from wigeonscale.crashes import CrashBook, refusal_of
 from wigeonscale.dispatch.targets import Target
 from wigeonscale.dispatch.work import Work
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -37,14 +37,7 @@
 
     def refusal(self, work: Work) -> WigeonscaleError | None:
         """Return why work must not be dispatched, or None."""
-        refused_s = self.book.refused_for(work.fingerprint)
-        if refused_s <= 0:
-            return None
-        return WigeonscaleError(
-            ErrorKind.CRASHES_BACKENDS,
-            f"backend servers ended under request {work.fingerprint.hex()} before",
-            retry_after=refused_s,
-        )
+        return refusal_of(self.book, work.fingerprint)
 
     def taken_by_others(self, work: Work) -> frozenset[str]:
         """Return the agents where other suspects begin, if this is one itself."""
