Three crashes within a second may have one cause: held for a moment, then tried again

Ruled out: counting only crashes that the sending entry knew of (copies of the request that does crash servers would not count, and more servers end). Change: records tell the first crash besides the last; within a second they are held like a tie, 5 s and up to 5 more by entry, so that one tries first and its word holds the others. A plain answer that is there is delivered though the request is refused meanwhile. Figures: tests, of which the one of the book fails without it (600 s for 5).

--- a/wigeonscale/crashes/book.py
+++ b/wigeonscale/crashes/book.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.crashes.policy import (
     CRASHES_TO_REFUSE,
+    DOUBT_HOLD_S,
     MOST_REQUESTS,
     first_to_forget,
     hold_among,
@@ -26,7 +28,6 @@
 BREAK_S = 1.0
 # What was told to control is remembered here until control's word of it is back.
 TOLD_KEPT_S = 5.0
-
 # Records of one update that get a line each; an entry that starts may be told them all.
 LOGGED_RECORDS = 16
 
@@ -41,11 +42,28 @@
         fingerprint: What tells the request from all others.
         backends: Incarnations that ended under it; none where it ran well since.
         age_s: Time since the last of them, in seconds.
+        span_s: Time from the first of them to the last, in seconds.
     """
 
     fingerprint: bytes
     backends: tuple[str, ...]
     age_s: float
+    span_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What control told of one request.
+
+    Attributes:
+        names: Incarnations that ended under it.
+        first_at: Local instant of the first crash.
+        last_at: Local instant of the last one.
+    """
+
+    names: frozenset[str]
+    first_at: float
+    last_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +122,8 @@
         clock: Clock port.
         is_serving: Returns whether a backend server is known and not leaving.
         has_ended: Returns whether an incarnation is known to be gone.
+        rng: Source of randomness: where a refusal is in doubt, the entries try the
+            request again one after another, and the first one's word holds the others.
 
     Notes:
         Bounded by :data:`~wigeonscale.crashes.MOST_REQUESTS`, and by time.
@@ -115,13 +135,15 @@
         clock: Clock,
         is_serving: Callable[[str], bool],
         has_ended: Callable[[str], bool],
+        rng: random.Random,
     ):
         self._clock = clock
+        self._doubt_s = DOUBT_HOLD_S * (1.0 + rng.random())
         self._is_serving = is_serving
         self._has_ended = has_ended
         self._due = asyncio.Event()
-        # In the order of the last change: incarnations, and the instant of the last.
-        self._told: dict[bytes, tuple[frozenset[str], float]] = {}
+        # In the order of the last change.
+        self._told: dict[bytes, _Told] = {}
         self._losses: dict[bytes, dict[str, _Loss]] = {}
         self._cleared: set[bytes] = set()
         # First break of the newest event at each server; forgotten with the event.
@@ -132,8 +154,7 @@
         """How many requests are refused just now by control's word."""
         now = self._clock.now()
         return sum(
-            now < last_at + hold_s(len(backends))
-            for backends, last_at in self._told.values()
+            now < told.last_at + hold_s(len(told.names)) for told in self._told.values()
         )
 
     def is_suspect(self, fingerprint: bytes) -> bool:
@@ -151,26 +172,36 @@
         if not self.is_suspect(fingerprint):
             return 0.0
         now = self._clock.now()
-        names, last_at = self._told.get(fingerprint, (frozenset(), float("-inf")))
-        ended, lost = set(names), set(names)
-        for name, loss in self._losses.get(fingerprint, {}).items():
-            lost.add(name)
-            if loss.has_ended:
-                ended.add(name)
-                last_at = max(last_at, loss.at)
-        if len(ended) >= CRASHES_TO_REFUSE:
-            hold = hold_among(ended, self._rivals(fingerprint))
-            return max(0.0, last_at + hold - now)
-        # It is not known yet whether the last one ended or only broke off.
-        return CONFIRM_S if len(lost) >= CRASHES_TO_REFUSE else 0.0
+        told = self._told.get(fingerprint)
+        losses = self._losses.get(fingerprint, {})
+        names = told.names if told is not None else frozenset()
+        new = {n: loss for n, loss in losses.items() if loss.has_ended}
+        if len(names | new.keys()) < CRASHES_TO_REFUSE:
+            # It is not known yet whether the last one ended or only broke off.
+            are_enough = len(names | losses.keys()) >= CRASHES_TO_REFUSE
+            return CONFIRM_S if are_enough else 0.0
+        instants = [loss.at for loss in new.values()]
+        if told is not None:
+            instants += [told.first_at, told.last_at]
+        hold = hold_among(
+            names | new.keys(),
+            self._rivals(fingerprint),
+            span_s=max(instants) - min(instants),
+            doubt_s=self._doubt_s,
+        )
+        return max(0.0, max(instants) + hold - now)
 
     def _rivals(self, fingerprint: bytes) -> list[frozenset[str]]:
         return [
-            names
-            for other, (names, _) in self._told.items()
-            if other != fingerprint and len(names) >= CRASHES_TO_REFUSE
+            told.names
+            for other, told in self._told.items()
+            if other != fingerprint and len(told.names) >= CRASHES_TO_REFUSE
         ]
 
+    def _names_told(self, fingerprint: bytes) -> frozenset[str]:
+        told = self._told.get(fingerprint)
+        return told.names if told is not None else frozenset()
+
     def note_lost(self, fingerprint: bytes, backend_id: str) -> bool:
         """Take in that a backend server broke off a run that had just begun.
 
@@ -183,8 +214,7 @@
             leaving, or is not known any more, ends by intent.
         """
         losses = self._losses.get(fingerprint, {})
-        names, _ = self._told.get(fingerprint, (frozenset(), 0.0))
-        if backend_id in losses or backend_id in names:
+        if backend_id in losses or backend_id in self._names_told(fingerprint):
             return False
         if not self._is_serving(backend_id):
             return False
@@ -212,7 +242,8 @@
         """Take in that a request ran without a crash."""
         if not self.is_suspect(fingerprint):
             return
-        names, _ = self._told.pop(fingerprint, (frozenset(), 0.0))
+        names = self._names_told(fingerprint)
+        self._told.pop(fingerprint, None)
         losses = self._losses.pop(fingerprint, {})
         if names or any(loss.told_at is not None for loss in losses.values()):
             self._cleared.add(fingerprint)
@@ -235,8 +266,10 @@
         for record in records:
             self._told.pop(record.fingerprint, None)
             if record.backends:
+                last_at = now - record.age_s
                 names = frozenset(record.backends)
-                self._told[record.fingerprint] = names, now - record.age_s
+                told = _Told(names, last_at - record.span_s, last_at)
+                self._told[record.fingerprint] = told
         self._forget(now)
         for record in records[:LOGGED_RECORDS]:
             _log_record(record)
@@ -303,10 +336,10 @@
 
     def _forget(self, now: float) -> None:
         self._told = {
-            fingerprint: (names, last_at)
-            for fingerprint, (names, last_at) in self._told.items()
-            if now - last_at <= kept_s(len(names))
+            fingerprint: told
+            for fingerprint, told in self._told.items()
+            if now - told.last_at <= kept_s(len(told.names))
         }
         while len(self._told) > MOST_REQUESTS:
-            counts = {name: len(names) for name, (names, _) in self._told.items()}
+            counts = {name: len(told.names) for name, told in self._told.items()}
             del self._told[first_to_forget(counts)]
--- a/wigeonscale/crashes/policy.py
+++ b/wigeonscale/crashes/policy.py
@@ -29,9 +29,12 @@
 # the factor by which each further crash prolongs it, up to three and a half days.
 FIRST_HOLD_S = 600.0
 HOLD_FACTOR = 8.0
-# Requests under which the very same servers ended are told apart by another run of
-# each, once the fate of the last runs is known, in seconds.
-TIE_HOLD_S = 5.0
+# A refusal that may hit the wrong request, in seconds: it is tried again once the fate
+# of the last runs is known, and the next crash settles it.
+DOUBT_HOLD_S = 5.0
+# Servers that end within this time may have ended by one cause, such as the power of a
+# rack, under a request that many ask for: its copies run on several at once.
+ONE_EVENT_S = 1.0
 # A request that is suspected only is forgotten after this long without another crash.
 SUSPECT_KEPT_S = 600.0
 # Requests remembered. A crash adds those that had just begun at one engine, which are
@@ -62,7 +65,13 @@
     return FIRST_HOLD_S * HOLD_FACTOR**beyond if beyond >= 0 else 0.0
 
 
-def hold_among(ended: Set[str], rivals: Iterable[Set[str]]) -> float:
+def hold_among(
+    ended: Set[str],
+    rivals: Iterable[Set[str]],
+    *,
+    span_s: float,
+    doubt_s: float = DOUBT_HOLD_S,
+) -> float:
     """Return for how long a request is refused, given what ended under others.
 
     Load pattern: a request that comes at the same moments as the one that crashes the
@@ -72,16 +81,20 @@
     Args:
         ended: Backend servers that ended under the request.
         rivals: The same for each other request that may be refused.
+        span_s: Time from the first of its crashes to the last, in seconds.
+        doubt_s: Time of a refusal that may be wrong, in seconds.
 
     Returns:
         Seconds after its last crash; 0 while it is not refused.
 
     Example:
-        >>> hold_among({"a", "b", "c"}, [{"a", "b", "c", "d"}])
+        >>> hold_among({"a", "b", "c"}, [{"a", "b", "c", "d"}], span_s=9.0)
         0.0
-        >>> hold_among({"a", "b", "c"}, [{"a", "b", "c"}])
+        >>> hold_among({"a", "b", "c"}, [{"a", "b", "c"}], span_s=9.0)
         5.0
-        >>> hold_among({"a", "b", "c"}, [])
+        >>> hold_among({"a", "b", "c"}, [], span_s=0.1)
+        5.0
+        >>> hold_among({"a", "b", "c"}, [], span_s=9.0)
         600.0
     """
     if len(ended) < CRASHES_TO_REFUSE:
@@ -94,8 +107,9 @@
             unshared -= rival
     if len(unexplained) < CRASHES_TO_REFUSE:
         return 0.0
-    if len(unexplained & unshared) < CRASHES_TO_REFUSE:
-        return TIE_HOLD_S
+    is_tied = len(unexplained & unshared) < CRASHES_TO_REFUSE
+    if is_tied or span_s < ONE_EVENT_S:
+        return doubt_s
     return hold_s(len(ended))
 
 
--- a/wigeonscale/crashes/tests/test_book.py
+++ b/wigeonscale/crashes/tests/test_book.py
@@ -1,4 +1,5 @@
 import asyncio
+from types import SimpleNamespace
 
 from wigeonscale.crashes import (
     MOST_REQUESTS,
@@ -28,6 +29,7 @@
             clock=self.clock,
             is_serving=self.serving.__contains__,
             has_ended=self.ended.__contains__,
+            rng=SimpleNamespace(random=lambda: 0.0),
         )
 
     def crash(self, *names, fingerprint=IT):
@@ -36,8 +38,10 @@
         self.ended.update(names)
         self.book.look()
 
-    def told(self, *names, fingerprint=IT, age_s=0.0):
-        return KnownCrashes(fingerprint=fingerprint, backends=names, age_s=age_s)
+    def told(self, *names, fingerprint=IT, age_s=0.0, span_s=9.0):
+        return KnownCrashes(
+            fingerprint=fingerprint, backends=names, age_s=age_s, span_s=span_s
+        )
 
 
 class RefusalTest(BookCase):
@@ -45,10 +49,24 @@
         self.crash("s1", "s2")
         self.assertTrue(self.book.is_suspect(IT))
         self.assertEqual(0.0, self.book.refused_for(IT))
+        await self.clock.advance(1.0)
         self.crash("s3")
         self.assertEqual(hold_s(3), self.book.refused_for(IT))
         self.assertEqual(0.0, self.book.refused_for(OTHER))
 
+    async def test_servers_that_end_at_once_may_have_ended_by_one_cause(self):
+        """A request that many ask for runs on all servers of a rack without power."""
+        self.crash("s1", "s2", "s3")
+        self.assertEqual(5.0, self.book.refused_for(IT))
+        await self.clock.advance(5.0)
+        self.assertEqual(0.0, self.book.refused_for(IT))
+        self.crash("s4")
+        self.assertEqual(hold_s(4), self.book.refused_for(IT))
+
+    async def test_the_same_by_word_of_control(self):
+        self.book.take([self.told("s1", "s2", "s3", span_s=0.2)])
+        self.assertEqual(5.0, self.book.refused_for(IT))
+
     async def test_one_server_counts_once(self):
         self.crash("s1", "s1", "s2", "s2")
         self.book.take([self.told("s1", "s2")])
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -138,6 +138,7 @@
         clock=clock,
         is_serving=lambda backend_id: backend_id in known.fleet.by_id,
         has_ended=lambda backend_id: known.fleet.has_ended(backend_id),
+        rng=random.Random(),
     )
     control = _new_control(cfg, clock, beliefs, budget, crashes)
     known = _Known(control=control, beliefs=beliefs)
--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -164,7 +164,10 @@
         clock: Clock port.
     """
     return CrashBook(
-        clock=clock, is_serving=names.is_serving, has_ended=names.has_ended
+        clock=clock,
+        is_serving=names.is_serving,
+        has_ended=names.has_ended,
+        rng=random.Random(),
     )
 
 
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -46,7 +46,8 @@
     may_have_run = False
     failed: WholeAnswer | None = None
     while True:
-        check_not_crashing(around, job, may_have_run=may_have_run)
+        if failed is None:
+            check_not_crashing(around, job, may_have_run=may_have_run)
         server = _next_server(around, job, tried)
         if server is None or attempts >= job.route.max_attempts:
             break
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -251,6 +251,7 @@
                 clock=self.clock,
                 is_serving=lambda name: name in self.fleet.by_id,
                 has_ended=lambda name: self.fleet.has_ended(name),
+                rng=random.Random(1),
             ),
         )
 
--- a/wigeonscale/direct/tests/test_crashing.py
+++ b/wigeonscale/direct/tests/test_crashing.py
@@ -21,7 +21,9 @@
 
 
 def know(parts, job, *names):
-    known = KnownCrashes(fingerprint=job.fingerprint, backends=names, age_s=0.0)
+    known = KnownCrashes(
+        fingerprint=job.fingerprint, backends=names, age_s=0.0, span_s=9.0
+    )
     parts.around.crashes.take([known])
 
 
@@ -227,6 +229,16 @@
         self.assertEqual(RunState.UNKNOWN, exc.run_state)
         self.assertEqual(self.exchange.sent_to, self.parts.suspected)
 
+    async def test_an_answer_that_is_there_is_delivered(self):
+        job = self.parts.job()
+        for name in self.parts.fleet.by_id:
+            self.exchange.script(name, answer(500, b"why"), unknown())
+        book = self.parts.around.crashes
+        # Control's word comes while the first server still works on it.
+        book.refused_for = lambda _: 5.0 if self.exchange.calls else 0.0
+        got = await call_plain(self.parts.around, job)
+        self.assertEqual(answer(500, b"why"), got)
+
     async def test_what_was_not_sent_is_no_crash(self):
         job = self.parts.job()
         for name in self.parts.fleet.by_id:
--- a/wigeonscale/membership/crash_messages.py
+++ b/wigeonscale/membership/crash_messages.py
@@ -19,6 +19,7 @@
             fingerprint=record.fingerprint,
             backends=tuple(record.backends),
             age_s=max(0, update.now_ms - record.wall_ms) / MILLISECONDS,
+            span_s=(record.wall_ms - record.first_ms) / MILLISECONDS,
         )
         for record in update.records
     ]
--- a/wigeonscale/membership/tests/test_crash_messages.py
+++ b/wigeonscale/membership/tests/test_crash_messages.py
@@ -6,13 +6,15 @@
 
 class CrashMessagesTest(AsyncTestCase):
     def test_age_is_by_the_time_of_the_state(self):
-        record = wire.CrashRecord(fingerprint=b"a", backends=["s1"], wall_ms=1500)
-        later = wire.CrashRecord(fingerprint=b"b", wall_ms=9000)
+        record = wire.CrashRecord(
+            fingerprint=b"a", backends=["s1"], first_ms=700, wall_ms=1500
+        )
+        later = wire.CrashRecord(fingerprint=b"b", first_ms=9000, wall_ms=9000)
         update = wire.CrashUpdate(now_ms=4000, records=[record, later])
         self.assertEqual(
             [
-                KnownCrashes(fingerprint=b"a", backends=("s1",), age_s=2.5),
-                KnownCrashes(fingerprint=b"b", backends=(), age_s=0.0),
+                KnownCrashes(fingerprint=b"a", backends=("s1",), age_s=2.5, span_s=0.8),
+                KnownCrashes(fingerprint=b"b", backends=(), age_s=0.0, span_s=0.0),
             ],
             known_crashes(update),
         )
--- a/wigeonscale/state/crash_records.py
+++ b/wigeonscale/state/crash_records.py
@@ -74,8 +74,14 @@
         backends = list(before.backends) if before is not None else []
         if not crash.fingerprint or crash.backend in backends:
             return False
-        backends = [*backends, crash.backend][-CRASHES_REMEMBERED:]
-        self._put(crash.fingerprint, backends, index, now_ms)
+        record = self._put(
+            crash.fingerprint,
+            [*backends, crash.backend][-CRASHES_REMEMBERED:],
+            index,
+            now_ms,
+        )
+        if backends:
+            record.first_ms = before.first_ms
         return True
 
     def _clear(self, fingerprint: bytes, index: int, now_ms: int) -> bool:
@@ -87,11 +93,16 @@
 
     def _put(
         self, fingerprint: bytes, backends: list[str], index: int, now_ms: int
-    ) -> None:
-        self._records[fingerprint] = wire.CrashRecord(
-            fingerprint=fingerprint, backends=backends, wall_ms=now_ms, index=index
+    ) -> wire.CrashRecord:
+        record = self._records[fingerprint] = wire.CrashRecord(
+            fingerprint=fingerprint,
+            backends=backends,
+            wall_ms=now_ms,
+            first_ms=now_ms,
+            index=index,
         )
         self._records.move_to_end(fingerprint)
+        return record
 
     def _forget(self, now_ms: int) -> None:
         old = [
--- a/wigeonscale/state/tests/test_crash_records.py
+++ b/wigeonscale/state/tests/test_crash_records.py
@@ -33,6 +33,20 @@
         self.assertEqual({b"a": ["s1", "s2"]}, self.known(index=1))
         self.assertEqual([True, True], [change.crashes for change in self.changes])
 
+    def test_instants_of_the_first_and_the_last_crash(self):
+        self.record(crash(b"a", "s1"))
+        self.wall_ms += 2500
+        self.record(crash(b"a", "s2"))
+        (record,) = self.state.crashes.after(0)
+        self.assertEqual(2500, record.wall_ms - record.first_ms)
+        self.record(cleared=[b"a"])
+        self.wall_ms += 100
+        self.record(crash(b"a", "s3"))
+        (record,) = self.state.crashes.after(0)
+        self.assertEqual(
+            (["s3"], 0), (record.backends, record.wall_ms - record.first_ms)
+        )
+
     def test_the_same_crash_told_by_others_changes_nothing(self):
         self.record(crash(b"a", "s1"))
         self.record(crash(b"a", "s1"))
