--- a/wigeonscale/agent/tests/support.py
+++ b/wigeonscale/agent/tests/support.py
@@ -6,7 +6,6 @@
     "FakeControl",
     "Node",
     "ReachableService",
-    "TcpProxy",
     "connect",
     "make_chain",
     "start_chain",
@@ -312,69 +311,3 @@
     client = EntryClient(node)
     case.addCleanup(client.close)
     return client
-
-
-class TcpProxy:
-    """Forwards connections to an address; some or all may go silent for good."""
-
-    def __init__(self, target):
-        self._target = target
-        self._muted: set[str] = set()
-        self._connections = set()
-        self._deaf = False
-        self.accepted = 0
-
-    async def start(self, case):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        case.addCleanup(self.stop)
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
-
-    def mute_open(self, direction):
-        """Swallow what goes "in" or "out" on the connections open now."""
-        for conn in self._connections:
-            conn.add(direction)
-
-    def mute_all(self):
-        """Swallow everything, on new connections too."""
-        self._deaf = True
-
-    async def stop(self):
-        self._server.close()
-        for conn in list(self._connections):
-            conn.task.cancel()
-        await asyncio.gather(
-            *(conn.task for conn in self._connections), return_exceptions=True
-        )
-
-    async def _serve(self, reader, writer):
-        conn = _Connection(asyncio.current_task())
-        self._connections.add(conn)
-        self.accepted += 1
-        host, _, port = self._target.rpartition(":")
-        try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
-            await asyncio.gather(
-                self._copy(reader, far_writer, conn, "in"),
-                self._copy(far_reader, writer, conn, "out"),
-            )
-        except OSError:
-            pass
-        finally:
-            self._connections.discard(conn)
-            writer.close()
-
-    async def _copy(self, reader, writer, conn, direction):
-        while data := await reader.read(1 << 16):
-            if not self._deaf and direction not in conn:
-                writer.write(data)
-                await writer.drain()
-        writer.close()
-
-
-class _Connection(set):
-    __hash__ = object.__hash__
-
-    def __init__(self, task):
-        super().__init__()
-        self.task = task
--- a/wigeonscale/agent/tests/test_faults.py
+++ b/wigeonscale/agent/tests/test_faults.py
@@ -5,12 +5,12 @@
 
 from wigeonscale.adapters.channels import open_channel
 from wigeonscale.agent.tests.support import (
-    TcpProxy,
     connect,
     make_chain,
     start_chain,
     until,
 )
+from wigeonscale.agent.tests.tcp_proxy import TcpProxy
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.pipelines.constants import PREFILL_FIRST
 from wigeonscale.testing import AsyncTestCase
