--- a/wigeonscale/crashes/book.py
+++ b/wigeonscale/crashes/book.py
@@ -146,6 +146,8 @@
         self._told: dict[bytes, _Told] = {}
         self._losses: dict[bytes, dict[str, _Loss]] = {}
         self._cleared: set[bytes] = set()
+        # Last send of each request that was refused before.
+        self._tried_at: dict[bytes, float] = {}
         # First break of the newest event at each server; forgotten with the event.
         self._broken_at: dict[str, float] = {}
 
@@ -176,10 +178,12 @@
         losses = self._losses.get(fingerprint, {})
         names = told.names if told is not None else frozenset()
         new = {n: loss for n, loss in losses.items() if loss.has_ended}
-        if len(names | new.keys()) < CRASHES_TO_REFUSE:
+        is_open = len(new) < len(losses)
+        if is_open and len(names | losses.keys()) >= CRASHES_TO_REFUSE:
             # It is not known yet whether the last one ended or only broke off.
-            are_enough = len(names | losses.keys()) >= CRASHES_TO_REFUSE
-            return CONFIRM_S if are_enough else 0.0
+            return CONFIRM_S
+        if len(names | new.keys()) < CRASHES_TO_REFUSE:
+            return 0.0
         instants = [loss.at for loss in new.values()]
         if told is not None:
             instants += [told.first_at, told.last_at]
@@ -189,7 +193,9 @@
             span_s=max(instants) - min(instants),
             doubt_s=self._doubt_s,
         )
-        return max(0.0, max(instants) + hold - now)
+        tried_at = self._tried_at.get(fingerprint, float("-inf"))
+        free_at = max(max(instants) + hold, tried_at + CONFIRM_S)
+        return max(0.0, free_at - now)
 
     def _rivals(self, fingerprint: bytes) -> list[frozenset[str]]:
         return [
@@ -202,6 +208,18 @@
         told = self._told.get(fingerprint)
         return told.names if told is not None else frozenset()
 
+    def note_sent(self, fingerprint: bytes) -> None:
+        """Take in that a request is sent; one that was refused goes alone.
+
+        Load pattern: the time of a refusal ends, and several copies of the request
+        come at once. The fate of one says what becomes of the others.
+
+        Args:
+            fingerprint: The request's.
+        """
+        if len(self._names_told(fingerprint)) >= CRASHES_TO_REFUSE:
+            self._tried_at[fingerprint] = self._clock.now()
+
     def note_lost(self, fingerprint: bytes, backend_id: str) -> bool:
         """Take in that a backend server broke off a run that had just begun.
 
@@ -244,6 +262,7 @@
             return
         names = self._names_told(fingerprint)
         self._told.pop(fingerprint, None)
+        self._tried_at.pop(fingerprint, None)
         losses = self._losses.pop(fingerprint, {})
         if names or any(loss.told_at is not None for loss in losses.values()):
             self._cleared.add(fingerprint)
@@ -343,3 +362,6 @@
         while len(self._told) > MOST_REQUESTS:
             counts = {name: len(told.names) for name, told in self._told.items()}
             del self._told[first_to_forget(counts)]
+        self._tried_at = {
+            name: at for name, at in self._tried_at.items() if name in self._told
+        }
--- a/wigeonscale/crashes/tests/test_book.py
+++ b/wigeonscale/crashes/tests/test_book.py
@@ -112,6 +112,36 @@
         self.assertFalse(self.book.is_suspect(IT))
 
 
+class TriedAgainTest(BookCase):
+    """The time of a refusal is over, and the request still crashes servers."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.book.take([self.told("s1", "s2", "s3", span_s=0.2, age_s=5.0)])
+        self.assertEqual(0.0, self.book.refused_for(IT))
+
+    async def test_one_send_at_a_time(self):
+        self.book.note_sent(IT)
+        self.assertEqual(3.0, self.book.refused_for(IT))
+        await self.clock.advance(3.0)
+        self.assertEqual(0.0, self.book.refused_for(IT))
+
+    async def test_not_sent_again_before_its_fate_is_known(self):
+        self.book.note_lost(IT, "s4")
+        self.assertEqual(3.0, self.book.refused_for(IT))
+        self.ended.add("s4")
+        self.assertEqual(hold_s(4), self.book.refused_for(IT))
+
+    async def test_free_once_it_ran_well(self):
+        self.book.note_sent(IT)
+        self.book.note_ran(IT)
+        self.assertEqual(0.0, self.book.refused_for(IT))
+
+    async def test_others_are_sent_as_often_as_they_like(self):
+        self.book.note_sent(OTHER)
+        self.assertEqual(0.0, self.book.refused_for(OTHER))
+
+
 class TieTest(BookCase):
     """Another request came each time together with the one that crashes servers."""
 
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -100,6 +100,7 @@
     limit_s = left_s * FIRST_TRY_SHARE if _may_try_again(job) else left_s
     call = job.call(now=now, address=server.address, backend_id=server.name)
     run = Run((server.backend_id,), fingerprint=job.fingerprint)
+    around.crashes.note_sent(job.fingerprint)
     around.beliefs.begin(run)
     try:
         async with asyncio.timeout(limit_s):
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -117,6 +117,7 @@
             sends=progress.sends,
         ),
     )
+    around.crashes.note_sent(job.fingerprint)
     around.beliefs.begin(run)
     first = servers[0].backend_id
     try:
--- a/wigeonscale/dispatch/crashing.py
+++ b/wigeonscale/dispatch/crashing.py
@@ -65,6 +65,7 @@
         if chain is not None:
             agent_ids = {stage.agent_id for stage in chain.stages}
         servers = self._servers(sorted(agent_ids))
+        self.book.note_sent(work.fingerprint)
         is_suspect = self.book.is_suspect(work.fingerprint)
         if is_suspect:
             self._beginning.setdefault(work.fingerprint, set()).update(agent_ids)
