Logs tell of each stream when it began, its longest pause and after which event

Cause: the logs told how long an answer took, not why it was late, so lost worth could not be traced to a decision. Change: the line of an answered stream has first_event_s, longest_pause_s, paused_after, sends and moves.

--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -10,6 +10,7 @@
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.stream import relay_stream
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import AnswerSink, CallerRequest
@@ -86,7 +87,7 @@
         limit = asyncio.timeout(left_s)
         try:
             async with limit:
-                await self._run(job, sink)
+                pauses = await self._run(job, sink)
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -104,14 +105,16 @@
                 service=job.service.name,
                 table=self._table().number,
                 took_s=round(around.clock.now() - req.arrived_at, 4),
+                **pauses,
             ),
         )
 
-    async def _run(self, job: Job, sink: AnswerSink) -> None:
+    async def _run(self, job: Job, sink: AnswerSink) -> dict[str, object]:
+        """Answer a request; return what the log tells of the answer."""
         if job.route.repeat is Repeat.STREAM:
-            await relay_stream(self._around, job, sink)
-        else:
-            await sink.send(await call_plain(self._around, job))
+            return _pauses(job, await relay_stream(self._around, job, sink))
+        await sink.send(await call_plain(self._around, job))
+        return {}
 
     async def _wait_until_known(self, req: CallerRequest) -> None:
         wait_s = START_WAIT_S
@@ -143,3 +146,16 @@
             organisation=organisation,
             ends_at=req.arrived_at + max(0.0, limit_s - ANSWER_MARGIN_S),
         )
+
+
+def _pauses(job: Job, progress: Progress) -> dict[str, object]:
+    """Return what makes a stream late, for the log: its start and its worst pause."""
+    if progress.first_event_at is None:
+        return {}
+    return {
+        "first_event_s": round(progress.first_event_at - job.req.arrived_at, 4),
+        "longest_pause_s": round(progress.longest_pause_s, 4),
+        "paused_after": progress.paused_after,
+        "sends": progress.sends,
+        "moves": progress.moves,
+    }
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -47,7 +47,7 @@
 logger = logging.getLogger(__name__)
 
 
-async def relay_stream(around: Surroundings, job: Job, sink: AnswerSink) -> None:
+async def relay_stream(around: Surroundings, job: Job, sink: AnswerSink) -> Progress:
     """Relay a generation to its caller, whole or not at all.
 
     Args:
@@ -55,6 +55,9 @@
         job: The request.
         sink: Where the answer goes.
 
+    Returns:
+        How it went; the caller has the whole answer.
+
     Raises:
         WigeonscaleError: It was given up; if the answer was begun it must be cut.
     """
@@ -68,7 +71,7 @@
         progress.sends += 1
         try:
             if await _try_path(around, job, sink, progress, choice):
-                return
+                return progress
         except ExchangeError as exc:
             _note_failure(around, job, progress, path, exc)
             await _wait_until_may_go_on(around, job, progress, exc)
@@ -105,7 +108,7 @@
         sent_at=now,
     )
     if is_split:
-        run.move = functools.partial(change_path, around, job, run, path)
+        run.move = functools.partial(_move, around, job, progress, run, path)
     logger.info(
         "generation sent",
         extra=log_fields(
@@ -152,6 +155,14 @@
         around.beliefs.end(run)
 
 
+async def _move(
+    around: Surroundings, job: Job, progress: Progress, run: Run, path: list[Part]
+) -> bool:
+    is_done = await change_path(around, job, run, path)
+    progress.moves += is_done
+    return is_done
+
+
 async def _relay_events(
     around: Surroundings,
     job: Job,
@@ -171,8 +182,7 @@
                 progress.is_begun = True
                 await sink.begin(stream.head)
             await sink.write(event.data)
-            if event.event_id is not None:
-                progress.last_id = event.event_id
+            progress.note_event(around.clock.now(), event.event_id)
     if not progress.is_begun:
         progress.is_begun = True
         await sink.begin(stream.head)
--- a/wigeonscale/direct/tests/test_service.py
+++ b/wigeonscale/direct/tests/test_service.py
@@ -2,6 +2,7 @@
 import random
 
 from wigeonscale.direct import DirectService
+from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.tests.support import (
     FakeExchange,
     Parts,
@@ -142,9 +143,24 @@
             organisations=None,
             limits=CallerLimits(),
         )
-        await self.serve()
+        with self.assertLogs("wigeonscale.direct.service", "INFO") as logs:
+            await self.serve()
         self.assertEqual(event(1).data, self.sink.data)
         self.assertTrue(self.sink.is_whole)
+        told = logs.records[-1].fields
+        self.assertEqual((0.0, 1, 0), (told["first_event_s"], told["sends"], 0))
+
+
+class ProgressTest(AsyncTestCase):
+    """The log tells what made a stream late: its start, or a pause and where."""
+
+    def test_the_longest_pause_and_the_event_before_it(self):
+        progress = Progress(last_id=None)
+        for now, number in ((1.0, 1), (1.1, 2), (1.6, 3), (1.8, 4)):
+            progress.note_event(now, number)
+        self.assertEqual((1.0, 4), (progress.first_event_at, progress.last_id))
+        self.assertTrue(abs(progress.longest_pause_s - 0.5) < 1e-9)
+        self.assertEqual(2, progress.paused_after)
 
 
 class StartTest(ServiceCase):
