Two neighbours that go dark are found where other streams of the entry move on

Change: nobody is blamed only where nothing at all was heard since the round began. Figures: the new test fails without it.

--- a/wigeonscale/direct/probing.py
+++ b/wigeonscale/direct/probing.py
@@ -22,7 +22,7 @@
 from wigeonscale.ports.orders import EngineOrders
 
 # A probe takes some 3 ms, its connection included. One packet lost costs it 200 ms or
-# more, so it is sent again over another connection: where one packet in ten is lost, all
+# more, so it is sent again over another connection: with one packet in ten lost, all
 # three probes of four packets each fail for one sound engine in 25 (reckoned).
 PROBE_DELAYS_S = (0.0, 0.02, 0.04)
 # From the first probe on. The path has been quiet for some 80 ms by then. With 80 ms
@@ -41,6 +41,9 @@
         orders: Asks an engine.
         clock: Clock port.
         fleet: Returns the backend servers as of now.
+        is_moving: Returns whether something moves through an engine after all, or
+            nothing may be said of it; asked once the answers are there.
+        heard_since: Returns whether any engine was heard of after an instant.
         on_lost: Called with the name of each engine that is lost.
     """
 
@@ -50,22 +53,24 @@
         orders: EngineOrders,
         clock: Clock,
         fleet: Callable[[], Fleet],
+        is_moving: Callable[[str], bool],
+        heard_since: Callable[[float], bool],
         on_lost: Callable[[str], None],
     ):
         self._orders = orders
         self._clock = clock
         self._fleet = fleet
+        self._is_moving = is_moving
+        self._heard_since = heard_since
         self._on_lost = on_lost
         self._probed_at: dict[str, float] = {}
         self._rounds: set[asyncio.Task] = set()
 
-    def ask(self, names: Collection[str], *, is_moving: Callable[[str], bool]) -> None:
+    def ask(self, names: Collection[str]) -> None:
         """Begin a round, unless all were asked lately.
 
         Args:
             names: Engines in question.
-            is_moving: Returns whether something moves through an engine after all, or
-                nothing may be said of it; asked once the answers are there.
         """
         now = self._clock.now()
         self._probed_at = {
@@ -80,7 +85,7 @@
         if not servers:
             return
         self._probed_at |= {server.backend_id: now for server in servers}
-        task = asyncio.create_task(self._round(servers, is_moving))
+        task = asyncio.create_task(self._round(servers))
         self._rounds.add(task)
         task.add_done_callback(self._rounds.discard)
 
@@ -90,18 +95,20 @@
             task.cancel()
         await asyncio.gather(*self._rounds, return_exceptions=True)
 
-    async def _round(
-        self, servers: list[BackendServer], is_moving: Callable[[str], bool]
-    ) -> None:
+    async def _round(self, servers: list[BackendServer]) -> None:
+        began_at = self._clock.now()
         answers = await asyncio.gather(*[self._answer(server) for server in servers])
         signs = dict(zip(servers, answers, strict=True))
         lost = [
             server.backend_id
             for server, answer in signs.items()
-            if answer is not ProbeAnswer.ANSWERED and not is_moving(server.backend_id)
+            if answer is not ProbeAnswer.ANSWERED
+            and not self._is_moving(server.backend_id)
         ]
         # Where nobody can be reached, the fault is as likely on this side.
-        is_cut = all(answer is ProbeAnswer.NOTHING for answer in answers)
+        is_cut = not self._heard_since(began_at) and all(
+            answer is ProbeAnswer.NOTHING for answer in answers
+        )
         logger.info(
             "engines of quiet paths probed",
             extra=log_fields(
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -96,7 +96,12 @@
         self._asking: set[asyncio.Task] = set()
         self._behind_until = float("-inf")
         self._probes = EngineProbes(
-            orders=orders, clock=clock, fleet=fleet, on_lost=self._note_lost
+            orders=orders,
+            clock=clock,
+            fleet=fleet,
+            is_moving=self._is_moving,
+            heard_since=self._heard_since,
+            on_lost=self._note_lost,
         )
 
     @property
@@ -180,7 +185,7 @@
         # An engine that another run of this entry moves through as usual is sound.
         for name in (quiet | slow) - moving:
             self._hint(name)
-        self._probes.ask(quiet - moving, is_moving=self._is_moving)
+        self._probes.ask(quiet - moving)
 
     def _is_moving(self, name: str) -> bool:
         """Return whether nothing is to be said against an engine."""
@@ -190,6 +195,9 @@
             for run in self._beliefs.runs_on(name)
         )
 
+    def _heard_since(self, instant: float) -> bool:
+        return any(run.progress_at > instant for run in self._runs if run.has_begun)
+
     def _note_lost(self, name: str) -> None:
         self._beliefs.note_lost(name)
         self._suspect(name)
--- a/wigeonscale/direct/tests/test_probing.py
+++ b/wigeonscale/direct/tests/test_probing.py
@@ -70,6 +70,17 @@
         await self.end()
         self.assertEqual([], self.parts.suspected)
 
+    async def test_neighbours_that_go_dark_together_while_other_streams_move(self):
+        dark_at = await self.stream_until_dark("a1:80", streams=1)
+        self.parts.orders.dark = {"a1:80", "a2:80"}
+        other = Run(("b1", "b2"), events=1)
+        self.parts.stalls.add(other)
+        while not self.parts.suspected and self.parts.clock.now() < dark_at + 0.2:
+            other.progress_at = self.parts.clock.now()
+            await self.parts.clock.advance(0.01)
+        await self.end()
+        self.assertEqual({"a1", "a2"}, set(self.parts.suspected))
+
     async def test_a_lost_packet_is_no_lost_engine(self):
         await self.stream_until_dark("a2:80")
         # The first probe is lost on its way, the next one is answered.
