Trial: an entry that stops listens until its streams have ended, and tells callers to come back

Hypothesis: a refusal with word when to return is better than no connection. Change: the port stays open while anything is under way; plain requests whose deadline lies before the end are served, anything else is told to come back in 1 s.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -212,8 +212,11 @@
     )
 
     async def finish() -> None:
+        ends_at = clock.now() + cfg.stop_timeout_s
         stopping.append(True)
-        await server.finish(BALANCER_SETTLE_S)
+        await server.finish(
+            BALANCER_SETTLE_S, on_settled=lambda: service.finish_by(ends_at)
+        )
 
     try:
         return await run_until_stopped(
