--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -212,11 +212,8 @@
     )
 
     async def finish() -> None:
-        ends_at = clock.now() + cfg.stop_timeout_s
         stopping.append(True)
-        await server.finish(
-            BALANCER_SETTLE_S, on_settled=lambda: service.finish_by(ends_at)
-        )
+        await server.finish(BALANCER_SETTLE_S)
 
     try:
         return await run_until_stopped(
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import random
 from collections.abc import Callable
 
@@ -26,9 +25,6 @@
 # The final answer goes out this much before the caller stops waiting.
 ANSWER_MARGIN_S = 0.02
 NOT_READY_RETRY_S = 0.5
-# Word to callers of an entry that stops. Others of its domain may stop, too; each is
-# away for half a second to a second once its streams have ended.
-STOPPING_RETRY_S = 1.0
 # An entry that just started learns the configuration within a second, or, when control
 # starts too, after an election. Callers that come meanwhile are better served by a
 # short wait than by a refusal, after which many do not come again; but no longer than
@@ -64,15 +60,6 @@
         self._known = known
         self._may_serve = may_serve
         self._rng = rng
-        self._done_by = math.inf
-
-    def finish_by(self, instant: float) -> None:
-        """Take only requests whose final answer is due by an instant, from now on.
-
-        Args:
-            instant: Local instant at which this process ends.
-        """
-        self._done_by = instant
 
     async def serve(self, req: CallerRequest, sink: AnswerSink) -> None:
         """Answer one request.
@@ -94,12 +81,6 @@
                 retry_after=NOT_READY_RETRY_S,
             )
         job = self._job(req)
-        if job.ends_at > self._done_by:
-            raise WigeonscaleError(
-                ErrorKind.STOPPING,
-                f"it may last longer than this entry, which stops: {job.route.name}",
-                retry_after=STOPPING_RETRY_S,
-            )
         around = self._around
         left_s = job.ends_at - around.clock.now()
         around.budget.record(job.service.name)
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -111,26 +111,15 @@
         """How many connections are open."""
         return len(self._runner.server.connections)
 
-    async def finish(
-        self, settle_s: float, *, on_settled: Callable[[], None] = lambda: None
-    ) -> None:
+    async def finish(self, settle_s: float) -> None:
         """Serve on until the balancer sends nothing more and all is answered.
 
-        Load pattern: so many entries of a failure domain stop in turn that the balancer
-        sends callers to all of them again. So it is listened for as long as anything
-        is under way here: what a refusal tells to come back later would meet no
-        connection, twice within milliseconds.
-
         Args:
             settle_s: Time in which the balancer notices that this entry is not
                 ready, in seconds. Each answer from now on closes its connection.
-            on_settled: Called after that time; from then on ``serve`` should take
-                only what is sure to end in time.
         """
         self._stopping = True
         await self._clock.sleep(settle_s)
-        on_settled()
-        await self._idle.wait()
         if self._site is not None:
             await self._site.stop()
         await self._close_idle()
