Requests that wait too long for room go on waiting behind the others, and are served late

The queue was as long as the room that comes free in 0.25 s, of an entry that had just begun its first requests. Change: who has waited for 0.25 s steps back behind all that can still be in time, and is given up after 1.5 s (callers leave after 2); the queue is as long as the room that comes free in that time, by the usual answer as this entry sees it in place of a constant. Ways: giving up after 0.25 s (as it stood) and after 1.5 s. Also: a line for each answer of a server that failed a request.

--- a/wigeonscale/daemons/tests/test_imports.py
+++ b/wigeonscale/daemons/tests/test_imports.py
@@ -4,7 +4,7 @@
 from wigeonscale.testing import AsyncTestCase
 
 # What an entry that speaks to backend servers itself is made of; anything more takes
-# memory in each of hundreds of processes, and time until it serves after a loss of power.
+# memory in each of hundreds of processes, and time until it serves after a power loss.
 PACKAGES = {
     "adapters",
     "cli",
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -9,7 +9,7 @@
 from wigeonscale.direct.crashing import where_others_begin
 from wigeonscale.direct.job import Job, Surroundings
 from wigeonscale.direct.progress import Progress
-from wigeonscale.direct.room_queue import ROOM_WAIT_S
+from wigeonscale.direct.room_queue import ROOM_PATIENCE_S, ROOM_WAIT_S
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 
 # Word to callers when no path is whole: a lost engine is found and its layers are
@@ -76,7 +76,8 @@
         return choice
     place = _enter(around, job, progress)
     began_at = around.clock.now()
-    give_up_at = min(began_at + ROOM_WAIT_S, job.ends_at)
+    late_at = began_at + ROOM_WAIT_S
+    give_up_at = min(began_at + ROOM_PATIENCE_S, job.ends_at)
     got_room = None
     try:
         while True:
@@ -85,9 +86,13 @@
                 if choice.path is not None and not choice.full:
                     got_room = True
                     break
-            if around.clock.now() >= give_up_at:
+            now = around.clock.now()
+            if now >= give_up_at:
                 got_room = False
                 raise _no_room(around, job, progress, choice)
+            if now >= late_at:
+                around.waiting.step_back(place)
+                late_at = give_up_at
             await around.waiting.wait()
     finally:
         around.waiting.leave(place, got_room=got_room)
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -70,6 +70,17 @@
         around.beliefs.note_outcome(server.backend_id, failed=is_failure)
         if not is_failure:
             return answer
+        logger.info(
+            "a server failed a request",
+            extra=log_fields(
+                request_id=job.req.request_id,
+                backend=server.backend_id,
+                status=answer.head.status,
+                attempts=attempts,
+                failures=round(around.beliefs.of(server.backend_id).failures, 3),
+                outcome="may go on" if job.route.is_idempotent else "handed on",
+            ),
+        )
         failed, may_have_run = answer, True
         if not job.route.is_idempotent:
             return answer
--- a/wigeonscale/direct/room_queue.py
+++ b/wigeonscale/direct/room_queue.py
@@ -6,9 +6,14 @@
 and comes once only; who waits a moment is served in time. Under lasting overload
 waiting gains nothing, so the queue is as short as the room that will come free while
 one waits, by what became of those before; everybody else is turned away at once.
+
+Load pattern: all entries lose power and start again, and the callers that were cut off
+and those of the meantime come within half a second. Most have no further try left. Who
+has waited for so long that the answer cannot begin in time any more goes on waiting,
+behind those that still can be in time, and is served late instead of never.
 """
 
-__all__ = ["ROOM_WAIT_S", "RoomQueue"]
+__all__ = ["ROOM_PATIENCE_S", "ROOM_WAIT_S", "RoomQueue"]
 
 import asyncio
 import itertools
@@ -17,14 +22,19 @@
 from wigeonscale.limits import FairQueue
 from wigeonscale.ports import Clock
 
-# Longest wait. Answers shall begin within 500 or 600 ms, and take 100 to 200 ms to
-# begin once they are sent.
+# Wait after which an answer cannot be in time. Answers shall begin within 500 or 600
+# ms, and take 100 to 200 ms to begin once they are sent.
 ROOM_WAIT_S = 0.25
+# Longest wait: callers leave after two seconds without an event.
+ROOM_PATIENCE_S = 1.5
 # Room at the engines is looked for this often; of 25 answers a second in a domain one
 # ends every 40 ms.
 ROOM_STEP_S = 0.04
-# Time of a usual answer of some 160 tokens at 13 ms each.
+# Time of a usual answer until this entry has seen some: 160 tokens at 13 ms each.
 USUAL_ANSWER_S = 2.0
+# Weight of the newest in the time of a usual answer; about ten count. Answers of one
+# deployment take twice as long as on another, and all of one as its engines fill up.
+ANSWER_WEIGHT = 0.1
 # Weight of the newest in the share of those that got room; about five count.
 GOT_ROOM_WEIGHT = 0.2
 # Where fewer than this share of those that waited got room, fewer may wait. In the
@@ -41,19 +51,23 @@
         clock: Clock port.
 
     Notes:
-        By priority, then fair over organisations, whatever the size of a request.
+        Those that can still be in time first; then by priority, then fair over
+        organisations, whatever the size of a request.
     """
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
         self._moved = asyncio.Event()
         self._got_room = 1.0
+        self._usual_answer_s = USUAL_ANSWER_S
         self._queue: FairQueue[int] = FairQueue(limit=MOST_WAITING, clock=clock)
         self._next: int | None = None
         self._places = itertools.count()
+        # Those that cannot be in time any more, in the order in which they came.
+        self._late: dict[int, None] = {}
 
     def __len__(self) -> int:
-        return len(self._queue) + (self._next is not None)
+        return len(self._queue) + (self._next is not None) + len(self._late)
 
     def enter(self, *, organisation: str, priority: int, running: int) -> int:
         """Queue a request.
@@ -72,7 +86,7 @@
         """
         share = min(1.0, self._got_room / ENOUGH_GOT_ROOM)
         # One always waits, to see whether there is room again.
-        most = 1 + int(share * running * ROOM_WAIT_S / USUAL_ANSWER_S)
+        most = 1 + int(share * running * ROOM_PATIENCE_S / self._usual_answer_s)
         if len(self) >= most:
             raise WigeonscaleError(
                 ErrorKind.OVERLOADED, f"{len(self)} requests wait for room already"
@@ -82,6 +96,23 @@
         self._queue.push(place, organisation=organisation, priority=-priority)
         return place
 
+    def note_answer(self, took_s: float) -> None:
+        """Take the time of a whole answer into account.
+
+        Args:
+            took_s: From the send to its last event, in seconds.
+        """
+        self._usual_answer_s += ANSWER_WEIGHT * (took_s - self._usual_answer_s)
+
+    def step_back(self, place: int) -> None:
+        """Let everybody who can still be in time go before a request.
+
+        Args:
+            place: As ``enter`` returned it.
+        """
+        self._take_out(place)
+        self._late[place] = None
+
     def leave(self, place: int, *, got_room: bool | None) -> None:
         """Give a place back.
 
@@ -91,10 +122,7 @@
         """
         if got_room is not None:
             self._got_room += GOT_ROOM_WEIGHT * (got_room - self._got_room)
-        if self._next == place:
-            self._next = None
-        else:
-            self._queue.remove(place)
+        self._take_out(place)
         # Where there was room for one there may be more: the next looks at once.
         self._moved.set()
         self._moved = asyncio.Event()
@@ -113,4 +141,12 @@
         """Return whether the next room is for the request at a place."""
         if self._next is None:
             self._next = self._queue.pop()
+        if self._next is None:
+            return place == next(iter(self._late), None)
         return self._next == place
+
+    def _take_out(self, place: int) -> None:
+        if self._next == place:
+            self._next = None
+        elif not self._queue.remove(place):
+            self._late.pop(place, None)
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -131,6 +131,8 @@
                 progress.ran_at.add(first)
                 is_whole = await _relay_events(around, job, sink, progress, run, stream)
         around.beliefs.note_outcome(first, failed=False)
+        if call.after_event is None:
+            around.waiting.note_answer(around.clock.now() - now)
         note_ran(around, job)
         return is_whole
     except ExchangeError as exc:
