A request whose send broke before its first event is finished like one that was begun

Cause: a suggest-fix reached an engine that crashed under it; its caller got 502 at once, with two attempts allowed and 25 s left. It counted as new in the budget of further sends and in the look for room, although its caller cannot be told to come back: it may have run. Change: it waits for the budget and goes on where engines are full, as what was begun does.

--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -31,15 +31,15 @@
     Args:
         around: What the flows share.
         job: The request.
-        progress: How far it has come: what its caller has part of is finished, also
-            where engines are full.
+        progress: How far it has come: what would be lost to its caller is finished,
+            also where engines are full.
 
     Raises:
         WigeonscaleError: ``NO_BACKEND``: no path is whole; ``OVERLOADED``: there is
             one, but no room.
     """
     await _until_apart(around, job, progress)
-    if progress.is_begun:
+    if progress.must_go_on:
         return await _find_path(around, job, progress)
     return await _find_room(around, job, progress)
 
--- a/wigeonscale/direct/progress.py
+++ b/wigeonscale/direct/progress.py
@@ -33,6 +33,14 @@
     longest_pause_s: float = 0.0
     paused_after: int | None = None
 
+    @property
+    def must_go_on(self) -> bool:
+        """Whether the request is lost to its caller if it is not finished here.
+
+        The caller has part of the answer, or cannot be told that nothing ran.
+        """
+        return self.is_begun or bool(self.ran_at)
+
     def note_event(self, now: float, event_id: int | None) -> None:
         """Count an event that the caller was sent.
 
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -270,8 +270,8 @@
     """Return once the request may be sent once more.
 
     Load pattern: a lost engine breaks more streams of this entry at once than it may
-    send again for certain. What callers have part of waits for the next word on what
-    all entries have left; a request that is not begun is told to come back at once.
+    send again for certain. What would be lost to its caller waits for the next word on
+    what all entries have left; a request that has not run is told to come back at once.
 
     Raises:
         WigeonscaleError: Its final answer: it is not to be sent again.
@@ -279,7 +279,7 @@
     began_at = around.clock.now()
     give_up_at = min(began_at + SEND_WAIT_S, job.ends_at)
     is_allowed = _may_go_on(around, job, progress)
-    waits = progress.is_begun and _may_repeat(job, progress)
+    waits = progress.must_go_on and _may_repeat(job, progress)
     while not is_allowed and waits and around.clock.now() < give_up_at:
         await around.clock.sleep(SEND_STEP_S)
         is_allowed = _may_go_on(around, job, progress)
@@ -309,7 +309,7 @@
     """Take one further send from the budget; return whether it may be made."""
     if around.clock.now() >= job.ends_at or not _may_repeat(job, progress):
         return False
-    return around.budget.try_spend(job.service.name, is_begun=progress.is_begun)
+    return around.budget.try_spend(job.service.name, is_begun=progress.must_go_on)
 
 
 def _final_answer(
--- a/wigeonscale/direct/tests/test_full.py
+++ b/wigeonscale/direct/tests/test_full.py
@@ -108,6 +108,18 @@
         await task
         self.assertEqual([1, 2], self.got())
 
+    async def test_what_may_have_run_is_finished(self):
+        gate = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [gate, unknown()], [event(1)])
+        self.exchange.script("b1", [event(1)])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.exchange.calls)
+        self.fill("a1", "a2", "b1", "b2")
+        gate.set_result(None)
+        await self.parts.clock.advance(0.1)
+        await task
+        self.assertEqual([1], self.got())
+
     async def test_large_requests_are_not_turned_away_before_small_ones(self):
         room = FULL_SHARE * (5000 - 5 * 100) * 1e6 / 1e5
         usual = 5 * (ENGINE.usual_prompt + ENGINE.usual_answer)
