--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -158,8 +158,10 @@
         # The first send was reset before any answer, the second one was refused.
         self.exchange.script("a1", unknown(), *[not_run()] * 9)
         self.exchange.script("b1", *[not_run()] * 9)
-        exc = await self.refused()
-        self.assertEqual(RunState.UNKNOWN, exc.run_state)
+        # It waits a little for a path, as one that was begun does.
+        task = asyncio.create_task(self.refused())
+        await self.until(task.done)
+        self.assertEqual(RunState.UNKNOWN, (await task).run_state)
 
     async def test_nor_when_the_engines_are_full_by_then(self):
         # It is sent to them all the same, and they have no room for it.
