--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -123,6 +123,8 @@
         retry_window_s: Time over which requests and sends are counted, in seconds.
         serve_when_cut: Whether to go on serving with what was known once no majority
             of control has confirmed it for ``lease_s``.
+        killed_after_s: Time after which a process that was told to stop is ended by
+            force, in seconds; 0 where that is not known, and ``stop_timeout_s`` holds.
     """
 
     listen: ListenAddress
@@ -134,6 +136,7 @@
     retry_slack: count(0, 100_000) = 10
     retry_window_s: seconds(1, 600) = 10.0
     serve_when_cut: YesNo = True
+    killed_after_s: seconds(0, 3600) = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -234,6 +237,8 @@
             in seconds.
         answer_s: Longest wait for a majority before an operator gets an answer, in
             seconds.
+        killed_after_s: Time after which a process that was told to stop is ended by
+            force, in seconds; 0 where that is not known, and ``stop_timeout_s`` holds.
     """
 
     ip: IpAddress
@@ -247,3 +252,4 @@
     snapshot_entries: count(1, 10_000_000) = 2000
     backend_heartbeat_s: seconds(0.01, 60) = 1.2
     answer_s: seconds(0.1, 60) = 0.9
+    killed_after_s: seconds(0, 3600) = 0.0
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -16,7 +16,7 @@
 from wigeonscale.crashes import CrashBook
 from wigeonscale.daemons.crashes import report_to_control, take_from_control
 from wigeonscale.daemons.early_listener import EarlyListener
-from wigeonscale.daemons.runtime import StopStep, run_until_stopped
+from wigeonscale.daemons.runtime import StopStep, run_until_stopped, stop_bound_s
 from wigeonscale.direct import (
     Beliefs,
     DirectService,
@@ -223,7 +223,7 @@
                 "crashes": report_to_control(crashes, control=control, clock=clock),
             },
             stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
-            stop_timeout_s=cfg.stop_timeout_s,
+            stop_timeout_s=stop_bound_s(cfg.killed_after_s, cfg.stop_timeout_s),
             reload=lambda: control.add_addresses(_control_addresses(reload())),
         )
     finally:
--- a/wigeonscale/daemons/runtime.py
+++ b/wigeonscale/daemons/runtime.py
@@ -1,6 +1,13 @@
 """Runs a daemon until it is told to stop, then stops it gracefully."""
 
-__all__ = ["EXIT_CUT", "EXIT_FAILED", "EXIT_OK", "StopStep", "run_until_stopped"]
+__all__ = [
+    "EXIT_CUT",
+    "EXIT_FAILED",
+    "EXIT_OK",
+    "StopStep",
+    "run_until_stopped",
+    "stop_bound_s",
+]
 
 import asyncio
 import logging
@@ -17,6 +24,9 @@
 
 # Each step that is left when the bound is reached still gets this long.
 CUT_GRACE_S = 2.0
+# Share of the time until it is ended by force in which a process stops by itself: 7.2
+# of 8 s. Closing its connections after that took up to 0.65 s on 0.39 of a core.
+STOP_SHARE = 0.9
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +47,22 @@
     cut: Callable[[], Awaitable[object]] | None = None
 
 
+def stop_bound_s(killed_after_s: float, stop_timeout_s: float) -> float:
+    """Return how long all stop steps of a process may take together, in seconds.
+
+    Args:
+        killed_after_s: Time after which it is ended by force; 0 where not known.
+        stop_timeout_s: Longest graceful shutdown by its settings.
+
+    Example:
+        >>> stop_bound_s(8.0, 30.0), stop_bound_s(0.0, 30.0), stop_bound_s(8.0, 5.0)
+        (7.2, 30.0, 5.0)
+    """
+    if not killed_after_s:
+        return stop_timeout_s
+    return min(stop_timeout_s, STOP_SHARE * killed_after_s)
+
+
 async def run_until_stopped(
     *,
     tasks: Mapping[str, Coroutine[object, object, object]],
