Delays between failure domains are read from the configuration

Cause: 0.62 ms stood typed, the document tells 0.42; and a probe had 50 ms whatever the way, so that on a deployment of two regions 30 ms apart each quiet path through the other one would have had all its engines there found lost. Change: delays of the document, both ways; a hop costs what is told; a probe has four delays more. Figures: no difference where paths are chosen (0.2 ms of a token beside a price of 1,000 s); the new test of an engine 30 ms away fails without it.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -43,6 +43,7 @@
 # domain are away at once when all are restarted in turn.
 BALANCER_SETTLE_S = 2.4
 
+MILLISECONDS = 1000.0
 # After a cut an entry must know the configuration in force within seconds; all entries
 # that lose all of control at once ask each replica a few times a second at most.
 RECONNECT_CAP_S = 0.8
@@ -168,6 +169,7 @@
         fleet=lambda: known.fleet,
         suspect=suspect,
         hint=functools.partial(suspect, is_hint=True),
+        delay_s=lambda domain: known.table.delay_ms(cfg.domain, domain) / MILLISECONDS,
     )
     control.changes.subscribe(lambda change: stalls.check())
     around = Surroundings(
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -21,9 +21,9 @@
 # Asked only when nobody else is left.
 LAST_RESORT = 1000.0
 
-# Delay of each token between engines of one domain, and between domains, in ms.
+# Delay of each token between engines of one domain, in ms; the one between domains is
+# told.
 NEAR_HOP_MS = 0.1
-FAR_HOP_MS = 0.62
 MEGABIT = 1e6
 BITS = 8
 # Where a path begins does not matter to the engines, but what the caller gets crosses
@@ -212,7 +212,7 @@
     def hop(here: str, there: str) -> float:
         if here == there:
             return 0.0
-        return FAR_HOP_BASE_MS + FAR_HOP_MS * answer + transfer_ms
+        return FAR_HOP_BASE_MS + engine.delay_ms(here, there) * answer + transfer_ms
 
     return PathCosts(part, hop, token, has_room, _far_start_ms(engine))
 
--- a/wigeonscale/direct/probing.py
+++ b/wigeonscale/direct/probing.py
@@ -29,6 +29,9 @@
 # here and 1.8 usual intervals of quiet 39 of those 2,000 streams are late, with 80 ms
 # and 2.5 intervals 73.
 PROBE_LIMIT_S = 0.05
+# Beside that, a connection and a question take this many times the delay to the
+# engine's failure domain, as the configuration tells it.
+DELAYS_OF_A_PROBE = 4
 # An engine that answered is not asked again before this long.
 PROBE_AGAIN_S = 0.3
 
@@ -42,6 +45,7 @@
         orders: Asks an engine.
         clock: Clock port.
         fleet: Returns the backend servers as of now.
+        delay_s: Returns the delay of one way to a failure domain, in seconds.
         is_moving: Returns whether something moves through an engine after all, or
             nothing may be said of it; asked once the answers are there.
         heard_since: Returns whether any engine was heard of after an instant.
@@ -54,6 +58,7 @@
         orders: EngineOrders,
         clock: Clock,
         fleet: Callable[[], Fleet],
+        delay_s: Callable[[str], float],
         is_moving: Callable[[str], bool],
         heard_since: Callable[[float], bool],
         on_lost: Callable[[str], None],
@@ -61,6 +66,7 @@
         self._orders = orders
         self._clock = clock
         self._fleet = fleet
+        self._delay_s = delay_s
         self._is_moving = is_moving
         self._heard_since = heard_since
         self._on_lost = on_lost
@@ -142,7 +148,8 @@
 
     async def _probe(self, server: BackendServer, delay_s: float) -> ProbeAnswer:
         await self._clock.sleep(delay_s)
+        way_s = DELAYS_OF_A_PROBE * self._delay_s(server.domain)
         sign = await self._orders.probe(
-            server.address, server.started_ms, limit_s=PROBE_LIMIT_S - delay_s
+            server.address, server.started_ms, limit_s=PROBE_LIMIT_S + way_s - delay_s
         )
         return sign.answer
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -72,6 +72,7 @@
         fleet: Returns the backend servers as of now.
         suspect: Tells control of an engine.
         hint: Tells control of an engine that may be to blame, as others may.
+        delay_s: Returns the delay of one way to a failure domain, in seconds.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         fleet: Callable[[], Fleet],
         suspect: Callable[[str], None],
         hint: Callable[[str], None],
+        delay_s: Callable[[str], float] = lambda domain: 0.0,
     ):
         self._beliefs = beliefs
         self._clock = clock
@@ -99,6 +101,7 @@
             orders=orders,
             clock=clock,
             fleet=fleet,
+            delay_s=delay_s,
             is_moving=self._is_moving,
             heard_since=self._heard_since,
             on_lost=self._note_lost,
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -193,8 +193,9 @@
     def __init__(self, clock):
         self._clock = clock
         self.held_up_by = {}
-        # Addresses that answer no probe, and what others answer.
+        # Addresses that answer no probe, and what others answer and when.
         self.dark = set()
+        self.answer_s = {}
         self.signs = {}
         self.probed = []
         self.asked = []
@@ -208,9 +209,11 @@
 
     async def probe(self, address, started_ms, *, limit_s):
         self.probed.append(address)
-        if address in self.dark:
+        takes_s = self.answer_s.get(address, 0.0)
+        if address in self.dark or takes_s > limit_s:
             await self._clock.sleep(limit_s)
             return EngineSign(ProbeAnswer.NOTHING)
+        await self._clock.sleep(takes_s)
         return self.signs.get(address, EngineSign(ProbeAnswer.ANSWERED))
 
     async def status(self, address, *, limit_s):
@@ -233,6 +236,8 @@
         self.suspected = []
         self.hinted = []
         self.fleet = fleet(*servers)
+        # One way to each failure domain, in seconds.
+        self.delays_s = {}
         self.stalls = StallWatch(
             beliefs=self.beliefs,
             clock=self.clock,
@@ -240,6 +245,7 @@
             fleet=lambda: self.fleet,
             suspect=self.suspected.append,
             hint=self.hinted.append,
+            delay_s=lambda domain: self.delays_s.get(domain, 0.0),
         )
         self.around = Surroundings(
             exchange=self.exchange,
--- a/wigeonscale/direct/tests/test_probing.py
+++ b/wigeonscale/direct/tests/test_probing.py
@@ -81,6 +81,17 @@
         await self.end()
         self.assertEqual({"a1", "a2"}, set(self.parts.suspected))
 
+    async def test_an_engine_far_away_has_longer_to_answer(self):
+        # A region 30 ms away: connection and answer take 120 ms.
+        for delay_s, blamed in ((0.03, []), (0.0, ["a2"])):
+            await self.prepare()
+            await self.stream_until_dark("nobody")
+            self.parts.orders.answer_s["a2:80"] = 0.125
+            self.parts.delays_s["a"] = delay_s
+            await self.parts.clock.advance(0.25)
+            await self.end()
+            self.assertEqual(blamed, self.parts.suspected)
+
     async def test_a_lost_packet_is_no_lost_engine(self):
         await self.stream_until_dark("a2:80")
         # The first probe is lost on its way, the next one is answered.
--- a/wigeonscale/platform/documents.py
+++ b/wigeonscale/platform/documents.py
@@ -64,6 +64,13 @@
     answer: float = 0.0
 
 
+class _Delay(_Model):
+    here: Annotated[Text, Field(alias="from")]
+    there: Annotated[Text, Field(alias="to")]
+    # One way.
+    delay_ms: Annotated[Milliseconds, Field(alias="delay_ms")]
+
+
 class _Engine(_Model):
     slots: int = 0
     layers: int = 0
@@ -74,6 +81,8 @@
     pipe_mbps: float = 0.0
     usual: _Usual = _Usual()
     kinds: list[_Accelerator] = []
+    # Between failure domains.
+    delays: list[_Delay] = []
     step_ms: Annotated[float, Field(alias="step_ms")] = 0.0
     per_seq_ms: Annotated[float, Field(alias="per_seq_ms")] = 0.0
     context_per_k: Annotated[float, Field(alias="context_per_k")] = 0.0
@@ -218,6 +227,10 @@
             )
             for kind in engine.kinds
         },
+        delays_ms={
+            (min(each.here, each.there), max(each.here, each.there)): each.delay_ms
+            for each in engine.delays
+        },
     )
 
 
--- a/wigeonscale/platform/tests/test_documents.py
+++ b/wigeonscale/platform/tests/test_documents.py
@@ -27,6 +27,18 @@
         self.assertEqual(8.2, engine.accelerators["l4"].read_factor)
         self.assertEqual(772, engine.usual_prompt)
 
+    def test_delays_between_domains_hold_both_ways(self):
+        services = copy.deepcopy(DOCUMENT["services"])
+        for service in services:
+            if "engine" in service:
+                service["engine"]["delays"] = [
+                    {"from": "b", "to": "a", "delay_ms": 0.42},
+                    {"from": "b", "to": "c", "delay_ms": 30.0},
+                ]
+        table = read_table(document(services=services))
+        delays = [table.delay_ms(*pair) for pair in ("ab", "ba", "cb", "ac", "aa")]
+        self.assertEqual([0.42, 0.42, 30.0, 0.0, 0.0], delays)
+
     def test_keys_limits_and_number(self):
         table = read_table(document())
         self.assertEqual(7, table.number)
--- a/wigeonscale/routes/model.py
+++ b/wigeonscale/routes/model.py
@@ -117,6 +117,8 @@
         usual_prompt: Mean tokens of a prompt.
         usual_answer: Mean tokens of an answer.
         accelerators: Kinds by name.
+        delays_ms: One way between two failure domains, by the pair of their names in
+            order.
     """
 
     layers: int = 0
@@ -134,6 +136,17 @@
     usual_prompt: float = 0.0
     usual_answer: float = 0.0
     accelerators: Mapping[str, Accelerator] = field(default_factory=dict)
+    delays_ms: Mapping[tuple[str, str], float] = field(default_factory=dict)
+
+    def delay_ms(self, here: str, there: str) -> float:
+        """Return the delay between two failure domains; 0 where none is told.
+
+        Example:
+            >>> EngineProfile(delays_ms={("a", "b"): 0.5}).delay_ms("b", "a")
+            0.5
+        """
+        pair = (here, there) if here < there else (there, here)
+        return self.delays_ms.get(pair, 0.0)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -200,3 +213,9 @@
     organisations: Mapping[str, Organisation] = field(default_factory=dict)
     needs_keys: bool = False
     limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def delay_ms(self, here: str, there: str) -> float:
+        """Return the longest delay that any service tells between two domains."""
+        engines = [service.engine for service in self.services.values()]
+        told = [engine.delay_ms(here, there) for engine in engines if engine]
+        return max(told, default=0.0)
