--- a/wigeonscale/crashes/__init__.py
+++ b/wigeonscale/crashes/__init__.py
@@ -17,7 +17,7 @@
     "request_fingerprint",
 ]
 
-from wigeonscale.crashes.book import CrashBook, CrashReport, KnownCrashes
+from wigeonscale.crashes.book import CrashBook
 from wigeonscale.crashes.fingerprint import request_fingerprint
 from wigeonscale.crashes.policy import (
     BEGINNING_S,
@@ -29,5 +29,6 @@
     hold_s,
     kept_s,
 )
+from wigeonscale.crashes.records import CrashReport, KnownCrashes
 from wigeonscale.crashes.refusal import refusal_of
 from wigeonscale.crashes.reporter import report_crashes
--- a/wigeonscale/crashes/book.py
+++ b/wigeonscale/crashes/book.py
@@ -1,14 +1,14 @@
 """What one entry knows of requests under which backend servers crash."""
 
-__all__ = ["CrashBook", "CrashReport", "KnownCrashes"]
+__all__ = ["CrashBook"]
 
 import asyncio
 import logging
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.crashes.breaks import Breaks
 from wigeonscale.crashes.policy import (
     CRASHES_TO_REFUSE,
     DOUBT_HOLD_S,
@@ -18,14 +18,18 @@
     hold_s,
     kept_s,
 )
+from wigeonscale.crashes.records import (
+    CrashReport,
+    KnownCrashes,
+    Loss,
+    Told,
+    log_record,
+)
 from wigeonscale.ports import Clock
 
 # A backend server that broke off a run counts as crashed if control finds it gone
 # within this time: a refused probe says so in 0.02 to 0.3 s, two unanswered ones later.
 CONFIRM_S = 3.0
-# Breaks of one server within this time are of one event: streams of one connection each
-# end within some 10 ms.
-BREAK_S = 1.0
 # What was told to control is remembered here until control's word of it is back.
 TOLD_KEPT_S = 5.0
 # Records of one update that get a line each; an entry that starts may be told them all.
@@ -34,83 +38,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class KnownCrashes:
-    """Crashes under one request, as control tells them.
-
-    Attributes:
-        fingerprint: What tells the request from all others.
-        backends: Incarnations that ended under it; none where it ran well since.
-        age_s: Time since the last of them, in seconds.
-        span_s: Time from the first of them to the last, in seconds.
-    """
-
-    fingerprint: bytes
-    backends: tuple[str, ...]
-    age_s: float
-    span_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class _Told:
-    """What control told of one request.
-
-    Attributes:
-        names: Incarnations that ended under it.
-        first_at: Local instant of the first crash.
-        last_at: Local instant of the last one.
-    """
-
-    names: frozenset[str]
-    first_at: float
-    last_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """What an entry has to tell control.
-
-    Attributes:
-        crashes: Fingerprints with an incarnation that ended under each.
-        cleared: Fingerprints of requests that ran without a crash.
-    """
-
-    crashes: tuple[tuple[bytes, str], ...]
-    cleared: tuple[bytes, ...]
-
-
-@dataclass(slots=True)
-class _Loss:
-    """An incarnation that this entry saw break off a run that had just begun.
-
-    Attributes:
-        at: Local instant of it.
-        has_ended: Whether the incarnation is known to have ended.
-        told_at: Local instant at which it was handed out to be told; None before.
-    """
-
-    at: float
-    has_ended: bool = False
-    told_at: float | None = None
-
-
-def _log_record(record: KnownCrashes) -> None:
-    crashes = len(record.backends)
-    level = logging.WARNING if crashes >= CRASHES_TO_REFUSE else logging.INFO
-    outcome = "refused" if crashes >= CRASHES_TO_REFUSE else "suspected"
-    logger.log(
-        level,
-        "%d backend servers ended under one request",
-        crashes,
-        extra=log_fields(
-            fingerprint=record.fingerprint.hex(),
-            backends=sorted(record.backends),
-            age_s=round(record.age_s, 3),
-            outcome=outcome if crashes else "cleared",
-        ),
-    )
-
-
 class CrashBook:
     """Decides which requests are refused since backend servers crash under them.
 
@@ -143,13 +70,12 @@
         self._has_ended = has_ended
         self._due = asyncio.Event()
         # In the order of the last change.
-        self._told: dict[bytes, _Told] = {}
-        self._losses: dict[bytes, dict[str, _Loss]] = {}
+        self._told: dict[bytes, Told] = {}
+        self._losses: dict[bytes, dict[str, Loss]] = {}
         self._cleared: set[bytes] = set()
         # Last send of each request that was refused before.
         self._tried_at: dict[bytes, float] = {}
-        # First break of the newest event at each server; forgotten with the event.
-        self._broken_at: dict[str, float] = {}
+        self._breaks = Breaks(clock=clock)
 
     @property
     def refused(self) -> int:
@@ -238,23 +164,18 @@
             return False
         while len(self._losses) >= MOST_REQUESTS:
             del self._losses[next(iter(self._losses))]
-        loss = _Loss(self._clock.now())
+        loss = Loss(self._clock.now())
         self._losses.setdefault(fingerprint, {})[backend_id] = loss
         self.look()
         return True
 
     def note_broken(self, backend_id: str) -> None:
         """Take in that a backend server broke off a run."""
-        now = self._clock.now()
-        self._broken_at = {
-            name: at for name, at in self._broken_at.items() if now - at <= BREAK_S
-        }
-        self._broken_at.setdefault(backend_id, now)
+        self._breaks.note(backend_id)
 
     def was_broken(self, backend_id: str, *, before: float) -> bool:
         """Return whether a server was breaking runs off before a local instant."""
-        broken_at = self._broken_at.get(backend_id)
-        return broken_at is not None and broken_at <= before
+        return self._breaks.was_broken(backend_id, before=before)
 
     def note_ran(self, fingerprint: bytes) -> None:
         """Take in that a request ran without a crash."""
@@ -287,11 +208,11 @@
             if record.backends:
                 last_at = now - record.age_s
                 names = frozenset(record.backends)
-                told = _Told(names, last_at - record.span_s, last_at)
+                told = Told(names, last_at - record.span_s, last_at)
                 self._told[record.fingerprint] = told
         self._forget(now)
         for record in records[:LOGGED_RECORDS]:
-            _log_record(record)
+            log_record(record)
         if len(records) > LOGGED_RECORDS:
             logger.info(
                 "%d records of crashes taken in",
--- /dev/null
+++ b/wigeonscale/crashes/breaks.py
@@ -0,0 +1,41 @@
+"""When backend servers began to break off what runs on them."""
+
+__all__ = ["Breaks"]
+
+from wigeonscale.ports import Clock
+
+# Breaks of one server within this time are of one event: streams of one connection each
+# end within some 10 ms.
+EVENT_S = 1.0
+
+
+class Breaks:
+    """The first break of the newest event at each server.
+
+    Args:
+        clock: Clock port.
+
+    Example:
+        >>> from wigeonscale.testing import ManualClock
+        >>> breaks = Breaks(clock=ManualClock(start=5.0))
+        >>> breaks.note("i-1")
+        >>> breaks.was_broken("i-1", before=4.0), breaks.was_broken("i-1", before=6.0)
+        (False, True)
+    """
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._began_at: dict[str, float] = {}
+
+    def note(self, backend_id: str) -> None:
+        """Take in that a backend server broke off a run."""
+        now = self._clock.now()
+        self._began_at = {
+            name: at for name, at in self._began_at.items() if now - at <= EVENT_S
+        }
+        self._began_at.setdefault(backend_id, now)
+
+    def was_broken(self, backend_id: str, *, before: float) -> bool:
+        """Return whether a server was breaking runs off before a local instant."""
+        began_at = self._began_at.get(backend_id)
+        return began_at is not None and began_at <= before
--- a/wigeonscale/crashes/reporter.py
+++ b/wigeonscale/crashes/reporter.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.crashes.book import CrashBook, CrashReport
+from wigeonscale.crashes.book import CrashBook
+from wigeonscale.crashes.records import CrashReport
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock
 
