--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from wigeonscale.dispatch.failures import AgentGoneError, refusal_error
 from wigeonscale.dispatch.targets import AnswerRecord, Target
@@ -12,9 +12,6 @@
 from wigeonscale.pipelines.constants import INITIAL_CREDIT
 from wigeonscale.wire import wire_pb2 as wire
 
-if TYPE_CHECKING:
-    from wigeonscale.dispatch.link import AgentLink
-
 # Credit goes back in steps, not token by token.
 CREDIT_STEP = INITIAL_CREDIT // 2
 # Gaps in the token index that are mended by attaching again, per dispatch.
@@ -24,6 +21,19 @@
 Sink = Callable[[list[str]], bool]
 
 
+class Carrier(Protocol):
+    """What a dispatch needs of the connection to its agent."""
+
+    def send(self, request: wire.DispatchRequest) -> None:
+        """Queue a message to the agent."""
+
+    def remove(self, stream: "DispatchStream") -> None:
+        """Carry a dispatch no more."""
+
+    def give_credit(self, dispatch_id: str, tokens: int) -> None:
+        """Allow further tokens of a dispatch."""
+
+
 class DispatchStream:
     """One dispatch: fed by a link, read by the one task that serves its caller.
 
@@ -60,7 +70,7 @@
         self.organisation = organisation
         self.record = record
         self.opening = opening
-        self.link: AgentLink | None = None
+        self.link: Carrier | None = None
         self.sent = opening is None
         self.accepted = False
         self.counted = False
