--- a/wigeonscale/direct/probing.py
+++ b/wigeonscale/direct/probing.py
@@ -5,8 +5,8 @@
 on; so an engine has to be found lost within 200 ms. Its neighbours on the path let a
 connection open within a round trip, whatever their load is; it does not.
 
-With it 11 to 22 of some 2,000 streams are late in half a minute in which three pairs of
-engines of 59 go dark, and 119 without it, when the first engine had 0.3 s for an answer
+With it 11 to 25 of some 2,000 streams are late in half a minute in which three pairs
+of engines of 59 go dark, and 119 without it, when the first engine had 0.3 s for an answer
 after 0.25 s of quiet (one play each, processor time not charged).
 """
 
@@ -31,9 +31,9 @@
 # Beside that, a connection takes this many times the delay to the engine's domain, as
 # told by the configuration.
 DELAYS_OF_A_PROBE = 2
-# Engines of one round. Load pattern: many paths are quiet at once, and an entry has 0.39
-# of a core for all probes. Those come first that most quiet runs pass through: a lost
-# one is on all that it stopped.
+# Engines of one round. Load pattern: many paths are quiet at once, and an entry has
+# 0.39 of a core for all probes. Those come first that most quiet runs pass through: a
+# lost one is on all that it stopped.
 MOST_IN_A_ROUND = 16
 # An engine is not asked again before this long. Load pattern: engines are so busy that
 # all paths are quiet, and each new connection takes them a millisecond.
