--- a/wigeonscale/direct/probing.py
+++ b/wigeonscale/direct/probing.py
@@ -5,8 +5,8 @@
 on; so an engine has to be found lost within 200 ms. Its neighbours on the path let a
 connection open within a round trip, whatever their load is; it does not.
 
-With it 11 to 25 of some 2,000 streams are late in half a minute in which three pairs
-of engines of 59 go dark, and 119 without it, when the first engine had 0.3 s for an answer
+With it 11 to 25 of some 2,000 streams are late in half a minute in which three pairs of
+59 engines go dark, and 119 without it, when the first engine had 0.3 s for an answer
 after 0.25 s of quiet (one play each, processor time not charged).
 """
 
