The usual answer has a least time, so that answers of no time cannot unbound the queue

Found in reading: the mean falls towards 0 where answers take none, as in tests, and the queue is divided by it. The new test fails without it (division by zero). No figure: answers of engines take a tenth of a second or more.

--- a/wigeonscale/direct/room_queue.py
+++ b/wigeonscale/direct/room_queue.py
@@ -35,6 +35,8 @@
 # Weight of the newest in the time of a usual answer; about ten count. Answers of one
 # deployment take twice as long as on another, and all of one as its engines fill up.
 ANSWER_WEIGHT = 0.1
+# Least time of a usual answer that is reckoned with: one of some tokens.
+LEAST_ANSWER_S = 0.1
 # Weight of the newest in the share of those that got room; about five count.
 GOT_ROOM_WEIGHT = 0.2
 # Where fewer than this share of those that waited got room, fewer may wait. In the
@@ -102,6 +104,7 @@
         Args:
             took_s: From the send to its last event, in seconds.
         """
+        took_s = max(LEAST_ANSWER_S, took_s)
         self._usual_answer_s += ANSWER_WEIGHT * (took_s - self._usual_answer_s)
 
     def step_back(self, place: int) -> None:
--- a/wigeonscale/direct/tests/test_room_queue.py
+++ b/wigeonscale/direct/tests/test_room_queue.py
@@ -92,6 +92,12 @@
         for _ in range(5):
             self.enter(running=running)
 
+    def test_answers_of_no_time_bound_the_queue_all_the_same(self):
+        for _ in range(10_000):
+            self.queue.note_answer(0.0)
+        self.enter(running=0)
+        self.assertRaises(WigeonscaleError, self.enter, running=0)
+
     def test_who_cannot_be_in_time_any_more_goes_last(self):
         late, urgent_late = self.enter(), self.enter(priority=0)
         self.assertTrue(self.queue.is_next(urgent_late))
