--- a/bench/tests/test_ways.py
+++ b/bench/tests/test_ways.py
@@ -1,7 +1,7 @@
 import argparse
 import math
 
-from bench.ways import Play, Way, differences, parse_way, read_report, set_constant
+from bench.plays import Play, Way, differences, parse_way, read_report, set_constant
 from wigeonscale.testing import AsyncTestCase
 
 
