Entries read and log what backend servers say of themselves in their answers

Cause: neither log nor metric showed that an answer named a limit, that its server leaves or asks for rest, so three hypotheses on an exceeded limit could not be told apart. Change: the adapter decodes the three into one typed notice with each answer's head and each refusal, not those of a stranger at the address or to another request; each change of it is one log line. Nothing is decided by it. Tests: headers, the exchange over a socket, both flows.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -21,6 +21,7 @@
     Beliefs,
     DirectService,
     Fleet,
+    Notices,
     RoomQueue,
     SendBudget,
     StallWatch,
@@ -58,6 +59,7 @@
     Args:
         control: Link to control.
         beliefs: Told which backend servers exist.
+        notices: Told likewise.
 
     Attributes:
         table: Route table in force.
@@ -65,7 +67,7 @@
         fleet: Backend servers.
     """
 
-    def __init__(self, *, control: ControlClient, beliefs: Beliefs):
+    def __init__(self, *, control: ControlClient, beliefs: Beliefs, notices: Notices):
         self.table = RouteTable()
         self.is_complete = asyncio.Event()
         self.fleet = Fleet()
@@ -73,6 +75,7 @@
         self._backends: list[wire.Backend] = []
         self._control = control
         self._beliefs = beliefs
+        self._notices = notices
         control.changes.subscribe(self._take)
 
     def _take(self, change: Change) -> None:
@@ -96,6 +99,7 @@
             )
             self._beliefs.note_lost(backend_id)
         self._beliefs.keep_only(self.fleet.by_id)
+        self._notices.keep_only([*self.fleet.by_id, *self.fleet.leaving])
         self._has_members = True
 
     def _take_table(self) -> None:
@@ -129,6 +133,7 @@
     setup_logging(cfg.log_level, cfg.name)
     clock = SystemClock()
     beliefs = Beliefs(clock=clock)
+    notices = Notices()
     budget = SendBudget(
         clock=clock,
         ratio=cfg.retry_ratio,
@@ -143,7 +148,7 @@
         rng=random.Random(),
     )
     control = _new_control(cfg, clock, beliefs, budget, crashes)
-    known = _Known(control=control, beliefs=beliefs)
+    known = _Known(control=control, beliefs=beliefs, notices=notices)
     stopping: list[bool] = []
 
     def may_serve() -> bool:
@@ -188,6 +193,7 @@
         stalls=stalls,
         waiting=RoomQueue(clock=clock),
         crashes=crashes,
+        notices=notices,
     )
     service = DirectService(
         around=around,
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -5,6 +5,7 @@
     "Beliefs",
     "DirectService",
     "Fleet",
+    "Notices",
     "RoomQueue",
     "SendBudget",
     "StallWatch",
@@ -22,6 +23,7 @@
     replaced_starts,
 )
 from wigeonscale.direct.job import Surroundings
+from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.room_queue import RoomQueue
 from wigeonscale.direct.service import DirectService
 from wigeonscale.direct.stalls import StallWatch
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -10,6 +10,7 @@
 from wigeonscale.direct.beliefs import Beliefs
 from wigeonscale.direct.budget import SendBudget
 from wigeonscale.direct.fleet import Fleet
+from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.room_queue import RoomQueue
 from wigeonscale.direct.stalls import StallWatch
 from wigeonscale.ports import Clock
@@ -36,6 +37,7 @@
         stalls: Ends the waits of generations that stand still.
         waiting: Requests that wait for room at the engines.
         crashes: Which requests are refused since backend servers crash under them.
+        notices: What backend servers say of themselves.
     """
 
     exchange: Exchange
@@ -51,6 +53,7 @@
     stalls: StallWatch
     waiting: RoomQueue
     crashes: CrashBook
+    notices: Notices
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -116,9 +116,15 @@
     try:
         async with asyncio.timeout(limit_s):
             answer = await around.exchange.call(call)
+        around.notices.note(
+            server.backend_id, answer.head.notice, request_id=job.req.request_id
+        )
         note_ran(around, job)
         return answer
     except ExchangeError as exc:
+        around.notices.note(
+            server.backend_id, exc.notice, request_id=job.req.request_id
+        )
         if exc.fate is Fate.UNKNOWN:
             note_broken_run(around, job, run)
         raise
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -128,6 +128,9 @@
         async with asyncio.timeout(None) as run.watch:
             around.stalls.add(run)
             async with around.exchange.open(call) as stream:
+                around.notices.note(
+                    first, stream.head.notice, request_id=job.req.request_id
+                )
                 progress.ran_at.add(first)
                 is_whole = await _relay_events(around, job, sink, progress, run, stream)
         around.beliefs.note_outcome(first, failed=False)
@@ -136,6 +139,7 @@
         note_ran(around, job)
         return is_whole
     except ExchangeError as exc:
+        around.notices.note(first, exc.notice, request_id=job.req.request_id)
         if exc.fate is Fate.UNKNOWN:
             note_broken_run(around, job, run)
             if not run.has_begun:
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -9,6 +9,7 @@
     BackendServer,
     Beliefs,
     Fleet,
+    Notices,
     RoomQueue,
     SendBudget,
     StallWatch,
@@ -280,6 +281,7 @@
                 has_ended=lambda name: self.fleet.has_ended(name),
                 rng=random.Random(1),
             ),
+            notices=Notices(),
         )
 
     def job(
--- /dev/null
+++ b/wigeonscale/direct/tests/test_notices.py
@@ -0,0 +1,60 @@
+from wigeonscale.direct import Notices
+from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.support import (
+    MODEL,
+    Parts,
+    Sink,
+    engine,
+    event,
+    not_run,
+    server,
+)
+from wigeonscale.ports.exchange import AnswerHead, ServerNotice, WholeAnswer
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import AsyncTestCase
+
+LIMITED = ServerNotice(limit_per_s=1.0)
+
+
+def answer(notice):
+    return WholeAnswer(AnswerHead(200, (), notice), b"whole")
+
+
+class NoticesTest(AsyncTestCase):
+    def test_one_line_for_each_change(self):
+        notices = Notices()
+        with self.assertLogs("wigeonscale.direct.notices") as logs:
+            for notice in (LIMITED, LIMITED, None, ServerNotice()):
+                notices.note("i-1", notice, request_id="r1")
+        self.assertEqual(2, len(logs.records))
+        self.assertEqual(ServerNotice(), notices.of("i-1"))
+
+    def test_those_that_are_gone_are_forgotten(self):
+        notices = Notices()
+        for name in ("i-1", "i-2"):
+            notices.note(name, LIMITED, request_id="r1")
+        notices.keep_only(["i-2"])
+        self.assertEqual(ServerNotice(), notices.of("i-1"))
+        self.assertEqual(LIMITED, notices.of("i-2"))
+
+
+class HeardTest(AsyncTestCase):
+    """Every answer is heard, also one that refuses."""
+
+    async def test_plain(self):
+        parts = Parts(server("p1"), server("p2"))
+        parts.exchange.script("p1", not_run(notice=ServerNotice(rest_s=2.0)))
+        parts.exchange.script("p2", answer(LIMITED))
+        await call_plain(parts.around, parts.job())
+        self.assertEqual(2.0, parts.around.notices.of("p1").rest_s)
+        self.assertEqual(LIMITED, parts.around.notices.of("p2"))
+
+    async def test_stream(self):
+        parts = Parts(engine("a", 0, 10), engine("b", 0, 10, domain="b"))
+        parts.exchange.script("a", not_run(notice=ServerNotice(is_leaving=True)))
+        parts.exchange.script("b", [event(1)])
+        job = parts.job(Repeat.STREAM, service=MODEL, resumable=True)
+        await relay_stream(parts.around, job, Sink())
+        self.assertTrue(parts.around.notices.of("a").is_leaving)
+        self.assertEqual(ServerNotice(), parts.around.notices.of("b"))
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -18,6 +18,7 @@
     is_refused_unrun,
     is_stranger,
     names_request,
+    notice_of,
 )
 from wigeonscale.ports.exchange import (
     AnswerHead,
@@ -25,6 +26,7 @@
     BackendStream,
     ExchangeError,
     Fate,
+    ServerNotice,
     StreamEvent,
     WholeAnswer,
 )
@@ -78,8 +80,8 @@
         """Open a stream; leaving the context early cancels the work."""
         res = await self._send(call)
         try:
-            _check_head(call, res)
-            yield _HttpStream(res=res, address=call.address)
+            notice = _check_head(call, res)
+            yield _HttpStream(res=res, address=call.address, notice=notice)
         finally:
             # What was not read to its end must not be taken for the next answer.
             res.close() if not res.content.at_eof() else res.release()
@@ -111,13 +113,16 @@
     Args:
         res: The response.
         address: Where it comes from.
+        notice: What the backend server says of itself in it.
 
     Attributes:
         head: Status and headers for the caller.
     """
 
-    def __init__(self, *, res: aiohttp.ClientResponse, address: str):
-        self.head: AnswerHead = head_of(res.status, res.raw_headers)
+    def __init__(
+        self, *, res: aiohttp.ClientResponse, address: str, notice: ServerNotice
+    ):
+        self.head: AnswerHead = head_of(res.status, res.raw_headers, notice)
         self._res = res
         self._address = address
         # Kept, since the response forgets it at its end.
@@ -165,17 +170,25 @@
         )
 
 
-def _check_head(call: BackendCall, res: aiohttp.ClientResponse) -> None:
-    """Refuse an answer to another request, and one that says the work never ran."""
+def _check_head(call: BackendCall, res: aiohttp.ClientResponse) -> ServerNotice:
+    """Return what the backend server says of itself.
+
+    Raises:
+        ExchangeError: The answer is to another request, or says the work never ran.
+    """
     if not names_request(res.headers, call.req.request_id):
         raise ExchangeError(
             Fate.UNKNOWN, f"{call.address} answered another request than asked"
         )
+    is_other = is_stranger(res.status, res.headers)
+    notice = None if is_other else notice_of(res.status, res.headers)
     if is_refused_unrun(res.status, res.headers):
         raise ExchangeError(
             Fate.NOT_RUN,
             f"{call.address} refused with {res.status}",
             status=res.status,
             at_fault=at_fault_of(res.headers),
-            is_stranger=is_stranger(res.status, res.headers),
+            is_stranger=is_other,
+            notice=notice,
         )
+    return notice
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -10,20 +10,31 @@
     "is_refused_unrun",
     "is_stranger",
     "names_request",
+    "notice_of",
     "path_text",
     "read_request_headers",
 ]
 
+import logging
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from wigeonscale.adapters.logs import log_fields
 from wigeonscale.layers import Part
-from wigeonscale.ports.exchange import AnswerHead, BackendCall, Generation
+from wigeonscale.ports.exchange import (
+    AnswerHead,
+    BackendCall,
+    Generation,
+    ServerNotice,
+)
 
 MILLISECONDS = 1000.0
 BEARER = "bearer "
 LEAST_PRIORITY = 9
 MISDIRECTED = 421
+OVERLOADED = 503
+TEXT_IN_LOG = 40  # characters
 
 # They concern one connection only, RFC 9110, 7.6.1; the last two are written anew.
 _CONNECTION_ONLY = frozenset(
@@ -56,6 +67,8 @@
 )
 _NOT_TO_CALLERS = frozenset({"date", "server"}) | _CONNECTION_ONLY
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestHeaders:
@@ -133,16 +146,36 @@
     return ",".join(f"{at}={part.layers.first}-{part.layers.end}" for at, part in parts)
 
 
-def head_of(status: int, raw: Sequence[tuple[bytes, bytes]]) -> AnswerHead:
+def head_of(
+    status: int,
+    raw: Sequence[tuple[bytes, bytes]],
+    notice: ServerNotice,
+) -> AnswerHead:
     """Return the head of an answer as the caller shall get it.
 
     Args:
         status: HTTP status.
         raw: Headers as they came.
+        notice: What the backend server says of itself in them.
     """
     pairs = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw]
     kept = [pair for pair in pairs if pair[0].lower() not in _NOT_TO_CALLERS]
-    return AnswerHead(status, tuple(kept))
+    return AnswerHead(status, tuple(kept), notice)
+
+
+def notice_of(status: int, headers: Mapping[str, str]) -> ServerNotice:
+    """Return what a backend server says of itself in an answer.
+
+    Args:
+        status: HTTP status.
+        headers: Headers by name, in any case; of its own answer, not of a stranger's.
+    """
+    rest_s = _amount(headers, "Retry-After") if status == OVERLOADED else None
+    return ServerNotice(
+        limit_per_s=_amount(headers, "Server-Limit"),
+        is_leaving=headers.get("Server-Leaving", "").strip() == "1",
+        rest_s=rest_s or 0.0,
+    )
 
 
 def names_request(headers: Mapping[str, str], request_id: str) -> bool:
@@ -198,6 +231,23 @@
     )
 
 
+def _amount(headers: Mapping[str, str], name: str) -> float | None:
+    """Return a decimal number of 0 or more; None where there is none."""
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        amount = float(text)
+    except ValueError:
+        amount = math.nan
+    if math.isfinite(amount) and amount >= 0.0:
+        return amount
+    logger.warning(
+        "header %s cannot be read", name, extra=log_fields(text=text[:TEXT_IN_LOG])
+    )
+    return None
+
+
 def _listed(connection: str) -> frozenset[str]:
     return frozenset(name.strip().lower() for name in connection.split(","))
 
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -162,6 +162,17 @@
             (Fate.NOT_RUN, 503, "x:1"), (exc.fate, exc.status, exc.at_fault)
         )
 
+    async def test_what_a_server_says_of_itself(self):
+        close = b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        self.reply(OK + b"Server-Limit: 2.5\r\n" + close)
+        self.assertEqual(2.5, (await self.call()).head.notice.limit_per_s)
+        refusal = b"HTTP/1.1 %d No\r\nNot-Run: 1\r\nRetry-After: 3\r\n" + close
+        self.reply(refusal % 503)
+        self.assertEqual(3.0, (await self.broken()).notice.rest_s)
+        # Another server at that address speaks of itself, not of the one asked.
+        self.reply(refusal % 421)
+        self.assertIsNone((await self.broken()).notice)
+
     async def test_nobody_listens(self):
         await self._stop()
         self.assertEqual(Fate.NOT_SENT, (await self.broken()).fate)
--- a/wigeonscale/platform/tests/test_headers.py
+++ b/wigeonscale/platform/tests/test_headers.py
@@ -8,9 +8,15 @@
     head_of,
     is_refused_unrun,
     is_stranger,
+    notice_of,
     read_request_headers,
 )
-from wigeonscale.ports.exchange import BackendCall, CallerRequest, Generation
+from wigeonscale.ports.exchange import (
+    BackendCall,
+    CallerRequest,
+    Generation,
+    ServerNotice,
+)
 from wigeonscale.testing import AsyncTestCase
 
 
@@ -123,7 +129,9 @@
 class AnswerTest(AsyncTestCase):
     def test_connection_headers_stay_behind(self):
         head = head_of(
-            200, [(b"Connection", b"close"), (b"Response-Stamp", b"s"), (b"Date", b"d")]
+            200,
+            [(b"Connection", b"close"), (b"Response-Stamp", b"s"), (b"Date", b"d")],
+            ServerNotice(),
         )
         self.assertEqual((("Response-Stamp", "s"),), head.headers)
 
@@ -147,3 +155,19 @@
         self.assertEqual(12, event_id_of(b"weight-versions: 2\nid: 12\ndata: x"))
         self.assertIsNone(event_id_of(b"data: id: 3"))
         self.assertIsNone(event_id_of(b"id: x"))
+
+    def test_what_a_server_says_of_itself(self):
+        said = notice_of(200, CIMultiDict({"server-limit": "1.5", "Retry-After": "3"}))
+        self.assertEqual(ServerNotice(limit_per_s=1.5), said)
+        said = notice_of(503, CIMultiDict({"Retry-After": "0.25"}))
+        self.assertEqual(ServerNotice(rest_s=0.25), said)
+        said = notice_of(200, CIMultiDict({"Server-Leaving": "1"}))
+        self.assertEqual(ServerNotice(is_leaving=True), said)
+        self.assertEqual(ServerNotice(), notice_of(200, CIMultiDict()))
+        said = notice_of(200, CIMultiDict({"Server-Limit": "0"}))
+        self.assertEqual(ServerNotice(limit_per_s=0.0), said)
+
+    def test_what_cannot_be_read_says_nothing(self):
+        for text in ("", "many", "-1", "nan", "inf"):
+            headers = CIMultiDict({"Server-Limit": text, "Retry-After": text})
+            self.assertEqual(ServerNotice(), notice_of(503, headers), text)
--- a/wigeonscale/ports/exchange.py
+++ b/wigeonscale/ports/exchange.py
@@ -10,6 +10,7 @@
     "ExchangeError",
     "Fate",
     "Generation",
+    "ServerNotice",
     "StreamEvent",
     "WholeAnswer",
 ]
@@ -33,6 +34,22 @@
     UNKNOWN = "unknown"  # it may have run
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerNotice:
+    """What an answer says of its backend server, beside the request.
+
+    Attributes:
+        limit_per_s: Requests a second that it takes from all entries together; None
+            where it names no limit.
+        is_leaving: Whether it is about to end.
+        rest_s: Time for which it wants nothing from this entry, in seconds; 0 for none.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    rest_s: float = 0.0
+
+
 class ExchangeError(Exception):
     """A call brought no answer of the work itself.
 
@@ -43,6 +60,7 @@
         at_fault: Address of the backend server that the answer names as the cause;
             empty for none.
         is_stranger: Whether another incarnation answers at the address.
+        notice: What its answer says of itself; None without an answer of its own.
     """
 
     def __init__(
@@ -53,6 +71,7 @@
         status: int = 0,
         at_fault: str = "",
         is_stranger: bool = False,
+        notice: ServerNotice | None = None,
     ):
         super().__init__(message)
         self.fate = fate
@@ -60,6 +79,7 @@
         self.status = status
         self.at_fault = at_fault
         self.is_stranger = is_stranger
+        self.notice = notice
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -137,10 +157,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of an answer, as the caller shall get them."""
+    """Status and headers of an answer, as the caller shall get them.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names and values.
+        notice: What the backend server says of itself in it.
+    """
 
     status: int
     headers: Headers
+    notice: ServerNotice = ServerNotice()
 
 
 @dataclass(frozen=True, slots=True)
