--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -16,6 +16,7 @@
 from wigeonscale.crashes import CrashBook
 from wigeonscale.daemons.crashes import report_to_control, take_from_control
 from wigeonscale.daemons.early_listener import EarlyListener
+from wigeonscale.daemons.load_words import take_totals, told_loads
 from wigeonscale.daemons.runtime import StopStep, run_until_stopped, stop_bound_s
 from wigeonscale.direct import (
     Beliefs,
@@ -147,7 +148,13 @@
         has_ended=lambda backend_id: known.fleet.has_ended(backend_id),
         rng=random.Random(),
     )
-    control = _new_control(cfg, clock, beliefs, budget, crashes)
+    control = _new_control(
+        cfg,
+        clock,
+        crashes,
+        loads=lambda: told_loads(around),
+        on_loads=lambda totals: take_totals(around, totals),
+    )
     known = _Known(control=control, beliefs=beliefs, notices=notices)
     stopping: list[bool] = []
 
@@ -244,35 +251,11 @@
 def _new_control(
     cfg: DirectEntrySettings,
     clock: Clock,
-    beliefs: Beliefs,
-    budget: SendBudget,
     crashes: CrashBook,
+    *,
+    loads: Callable[[], wire.Loads],
+    on_loads: Callable[[wire.Loads], None],
 ) -> ControlClient:
-    def loads() -> wire.Loads:
-        return wire.Loads(
-            loads=[
-                wire.Load(
-                    backend_id=name, running=running, token_layers=int(token_layers)
-                )
-                for name, (running, token_layers) in beliefs.told_loads().items()
-            ],
-            sends=[
-                wire.ServiceSends(service=name, requests=requests, further=further)
-                for name, (requests, further) in budget.told_sends().items()
-            ],
-        )
-
-    def take_loads(totals: wire.Loads) -> None:
-        beliefs.take_totals(
-            {
-                each.backend_id: (each.running, each.token_layers)
-                for each in totals.loads
-            }
-        )
-        budget.take_totals(
-            {each.service: (each.requests, each.further) for each in totals.sends}
-        )
-
     return ControlClient(
         node_id=cfg.name,
         role="entry",
@@ -280,7 +263,7 @@
         clock=clock,
         http_address=cfg.http,
         loads=loads,
-        on_loads=take_loads,
+        on_loads=on_loads,
         on_crashes=take_from_control(crashes),
         lease_s=cfg.lease_s,
         heartbeat_s=cfg.heartbeat_s,
--- /dev/null
+++ b/wigeonscale/daemons/load_words.py
@@ -0,0 +1,39 @@
+"""What an entry tells control of its load with each heartbeat, and hears of all."""
+
+__all__ = ["take_totals", "told_loads"]
+
+from wigeonscale.direct import Surroundings
+from wigeonscale.wire import wire_pb2 as wire
+
+
+def told_loads(around: Surroundings) -> wire.Loads:
+    """Return what this entry has in progress and has sent lately, and note it as told.
+
+    Args:
+        around: What the flows of the entry share.
+    """
+    return wire.Loads(
+        loads=[
+            wire.Load(backend_id=name, running=running, token_layers=int(token_layers))
+            for name, (running, token_layers) in around.beliefs.told_loads().items()
+        ],
+        sends=[
+            wire.ServiceSends(service=name, requests=requests, further=further)
+            for name, (requests, further) in around.budget.told_sends().items()
+        ],
+    )
+
+
+def take_totals(around: Surroundings, totals: wire.Loads) -> None:
+    """Take in what all entries told, this one included.
+
+    Args:
+        around: What the flows of the entry share.
+        totals: Sums over the entries.
+    """
+    around.beliefs.take_totals(
+        {each.backend_id: (each.running, each.token_layers) for each in totals.loads}
+    )
+    around.budget.take_totals(
+        {each.service: (each.requests, each.further) for each in totals.sends}
+    )
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -235,8 +235,8 @@
 class Parts:
     """An entry's flows over stand-ins."""
 
-    def __init__(self, *servers, slack=100, entries=1, domain="a"):
-        self.clock = ManualClock()
+    def __init__(self, *servers, slack=100, entries=1, domain="a", clock=None):
+        self.clock = clock or ManualClock()
         self.exchange = FakeExchange()
         self.beliefs = Beliefs(clock=self.clock)
         self.orders = FakeOrders()
