--- /dev/null
+++ b/wigeonscale/daemons/tests/named_limits.py
@@ -0,0 +1,175 @@
+"""Entries, control and backend servers that name limits, in simulated time."""
+
+import asyncio
+import dataclasses
+import random
+from contextlib import asynccontextmanager
+
+from wigeonscale.control import Watcher
+from wigeonscale.control.load_board import LoadBoard
+from wigeonscale.daemons.load_words import take_totals, told_loads
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.support import (
+    MODEL,
+    FakeStream,
+    Parts,
+    Sink,
+    engine,
+    event,
+)
+from wigeonscale.errors import WigeonscaleError
+from wigeonscale.ports.exchange import ServerNotice
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import ManualClock
+from wigeonscale.wire import wire_pb2 as wire
+
+WORD_S = 0.5
+ANSWER_S = 0.05
+STEP_S = 0.05
+DOMAINS = ("a", "b", "c")
+# The users' rule: from the first after a server named its limit it may get, in any
+# window, so much times the limit and so many requests more from entries that have
+# passed on such an answer for so long.
+JUDGED_AFTER_S = 3.0
+WINDOW_S = 4.0
+FACTOR = 1.5
+SLACK = 5
+TOLD_AFTER_S = 0.5
+
+
+class NamingServers:
+    """Engines that answer at once, and name the limits that a test sets.
+
+    Attributes:
+        notices: What each engine says of itself.
+        sends: Instant, entry and engine of each request that arrived.
+        told_at: Instant at which an entry first passed on an answer with a limit, by
+            entry and engine.
+    """
+
+    def __init__(self, clock):
+        self.notices = {}
+        self.sends = []
+        self.told_at = {}
+        self._clock = clock
+
+    def at(self, entry):
+        """Return the exchange of an entry."""
+        return _Exchange(self, entry, self._clock)
+
+
+class _Exchange:
+    def __init__(self, servers, entry, clock):
+        self._servers = servers
+        self._entry = entry
+        self._clock = clock
+
+    @asynccontextmanager
+    async def open(self, call):
+        key = self._entry, call.backend_id
+        self._servers.sends.append((self._clock.now(), *key))
+        await self._clock.sleep(ANSWER_S)
+        stream = FakeStream([event(1)])
+        notice = self._servers.notices.get(call.backend_id, ServerNotice())
+        stream.head = dataclasses.replace(stream.head, notice=notice)
+        if notice.limit_per_s is not None:
+            self._servers.told_at.setdefault(key, self._clock.now())
+        yield stream
+
+
+class Entries:
+    """Entries of three failure domains, each with a first engine of its own.
+
+    Args:
+        count: How many, spread evenly over the domains.
+        requests_per_s: Requests a second of each.
+    """
+
+    def __init__(self, count, requests_per_s):
+        self.clock = ManualClock()
+        self.servers = NamingServers(self.clock)
+        self.answered = 0
+        self.refusals = []
+        self._requests_per_s = requests_per_s
+        self._rng = random.Random(1)
+        self._watchers = []
+        self._board = LoadBoard(watchers=self._watchers, clock=self.clock)
+        engines = [engine(f"i-{name}", 0, 10, domain=name) for name in DOMAINS]
+        self._entries = []
+        for number in range(count):
+            parts = Parts(
+                *engines,
+                entries=count,
+                domain=DOMAINS[number % len(DOMAINS)],
+                clock=self.clock,
+            )
+            around = dataclasses.replace(
+                parts.around, exchange=self.servers.at(f"entry-{number}")
+            )
+            hello = wire.Hello(node_id=f"entry-{number}", role="entry")
+            watcher = Watcher(hello=hello, clock=self.clock)
+            self._watchers.append(watcher)
+            self._entries.append((parts, around, watcher))
+        self._asking = set()
+        self._speaking = [
+            asyncio.create_task(self._speak(around, watcher, number * WORD_S / count))
+            for number, (_, around, watcher) in enumerate(self._entries)
+        ]
+
+    async def play(self, seconds):
+        """Let callers ask for so long."""
+        until = self.clock.now() + seconds
+        while self.clock.now() < until:
+            for parts, around, _ in self._entries:
+                if self._rng.random() < self._requests_per_s * STEP_S:
+                    task = asyncio.create_task(self._ask(parts, around))
+                    self._asking.add(task)
+                    task.add_done_callback(self._asking.discard)
+            await self.clock.advance(STEP_S)
+
+    async def close(self):
+        """End all that is under way."""
+        for task in self._speaking:
+            task.cancel()
+        while self._asking:
+            await self.clock.advance(STEP_S)
+        await asyncio.gather(*self._speaking, return_exceptions=True)
+
+    def most_over_limit(self, backend_id, limit_per_s, named_at):
+        """Return by how many requests a window goes over what the users allow.
+
+        Args:
+            backend_id: The engine.
+            limit_per_s: What it names all the time.
+            named_at: Since when.
+        """
+        sends = [
+            (at, self.servers.told_at.get((entry, name), at))
+            for at, entry, name in self.servers.sends
+            if name == backend_id
+        ]
+        counts = [
+            sum(
+                end - WINDOW_S < at <= end and end - told_at >= TOLD_AFTER_S
+                for at, told_at in sends
+            )
+            for end, _ in sends
+            if end >= named_at + JUDGED_AFTER_S
+        ]
+        return max(counts, default=0) - (FACTOR * WINDOW_S * limit_per_s + SLACK)
+
+    async def _ask(self, parts, around):
+        job = parts.job(Repeat.STREAM, service=MODEL, left_s=20.0, resumable=True)
+        try:
+            await relay_stream(around, job, Sink())
+            self.answered += 1
+        except WigeonscaleError as exc:
+            self.refusals.append(exc)
+
+    async def _speak(self, around, watcher, begins_s):
+        await self.clock.sleep(begins_s)
+        while True:
+            watcher.loads = told_loads(around)
+            watcher.heard_at = self.clock.now()
+            take_totals(around, self._board.total())
+            await self.clock.sleep(WORD_S)
