Entries share the limit that a backend server in need names

Cause: no entry read the limit. Choice goes by memory, pace and domain, which are as good at an engine in need as before; and had an entry kept the limit, it knew nothing of the others, each of which may send as much. Class: a bound that holds for all processes together, with no process that knows the sum.

Ruled out: limits read but taken whole by each entry, or read too late, at an answer's end: nothing read them at all, and the rate of sends did not change when they began.

Change: entries that have work for such a server tell control with their heartbeats, with the limit and the age of the answer that named it; the newest answer of any entry counts, also that it has ended. They share it evenly, paced, with a fifth kept back for word that is late. Where more want it than it takes in four seconds, as many as that own it, the same by every entry's reckoning; the rest send elsewhere. Without word from control each takes what all entries would get. A path whose first engine holds back is not chosen, for new requests, for those that go on and for plain services; where all hold back, a request waits for room like any other and is then told that it did not run and when to come.

Why it holds: the sum over all entries is bounded by construction, whatever each of them has to send, with four entries and with 68, with all engines in need at once, and while control is away. The server gets at least half of what it takes meanwhile, and all again within seconds after it names none.

--- a/wigeonscale/control/load_board.py
+++ b/wigeonscale/control/load_board.py
@@ -20,6 +20,7 @@
 
 # An entry tells its load with each heartbeat, half a second apart by default.
 FRESH_S = 2.0
+MILLISECONDS = 1000.0
 
 
 class LoadBoard:
@@ -43,11 +44,11 @@
 
     def own(self) -> wire.Loads:
         """Return the sum over the entries attached here."""
-        oldest = self._clock.now() - FRESH_S
+        now = self._clock.now()
         return _sum(
-            watcher.loads
+            (watcher.loads, now - watcher.heard_at)
             for watcher in self._watchers
-            if watcher.loads is not None and watcher.heard_at >= oldest
+            if watcher.loads is not None and watcher.heard_at >= now - FRESH_S
         )
 
     def total(self, *, without: str = "") -> wire.Loads:
@@ -56,13 +57,13 @@
         Args:
             without: Node id of a replica whose entries are left out.
         """
-        oldest = self._clock.now() - FRESH_S
+        now = self._clock.now()
         others = [
-            loads
+            (loads, now - told_at)
             for node_id, (told_at, loads) in self._told.items()
-            if told_at >= oldest and node_id != without
+            if told_at >= now - FRESH_S and node_id != without
         ]
-        return _sum([self.own(), *others])
+        return _sum([(self.own(), 0.0), *others])
 
     def take(self, node_id: str, data: bytes) -> None:
         """Take in what another replica told of entries that are not attached here.
@@ -87,10 +88,12 @@
         self._told = {name: told for name, told in self._told.items() if name in names}
 
 
-def _sum(all_loads: Iterable[wire.Loads]) -> wire.Loads:
+def _sum(all_loads: Iterable[tuple[wire.Loads, float]]) -> wire.Loads:
+    """Return the sum of loads, each with the time since it came, in seconds."""
     loads_by_id: dict[str, wire.Load] = {}
     sends_by_name: dict[str, wire.ServiceSends] = {}
-    for loads in all_loads:
+    limits_by_id: dict[str, wire.NamedLimit] = {}
+    for loads, age_s in all_loads:
         for load in loads.loads:
             total = loads_by_id.setdefault(load.backend_id, wire.Load())
             total.backend_id = load.backend_id
@@ -101,4 +104,27 @@
             count.service = sends.service
             count.requests += sends.requests
             count.further += sends.further
-    return wire.Loads(loads=loads_by_id.values(), sends=sends_by_name.values())
+        for limit in loads.limits:
+            known = limits_by_id.setdefault(limit.backend_id, wire.NamedLimit())
+            _merge_limit(known, limit, int(age_s * MILLISECONDS))
+    return wire.Loads(
+        loads=loads_by_id.values(),
+        sends=sends_by_name.values(),
+        limits=limits_by_id.values(),
+    )
+
+
+def _merge_limit(known: wire.NamedLimit, told: wire.NamedLimit, aged_ms: int) -> None:
+    """Take in one word of a limit: the newest answer counts, whoever got it."""
+    known.backend_id = told.backend_id
+    known.wanted_by[:] = sorted({*known.wanted_by, *told.wanted_by})
+    if not told.HasField("age_ms"):
+        return
+    age_ms = told.age_ms + aged_ms
+    if known.HasField("age_ms") and known.age_ms <= age_ms:
+        return
+    known.age_ms = age_ms
+    if told.HasField("per_s"):
+        known.per_s = told.per_s
+    else:
+        known.ClearField("per_s")
--- a/wigeonscale/control/tests/test_load_board.py
+++ b/wigeonscale/control/tests/test_load_board.py
@@ -54,6 +54,22 @@
         (total,) = self.board.total().sends
         self.assertEqual(("s", 60, 9), (total.service, total.requests, total.further))
 
+    async def test_newest_answer_decides_a_limit(self):
+        told = wire.NamedLimit(backend_id="a", per_s=2, age_ms=900, wanted_by=["one"])
+        self.attach("one", wire.Loads(limits=[told]))
+        await self.clock.advance(0.5)
+        ended = wire.NamedLimit(backend_id="a", age_ms=1300, wanted_by=["two"])
+        self.board.take("c2", wire.Loads(limits=[ended]).SerializeToString())
+        (limit,) = self.board.total().limits
+        self.assertEqual(["one", "two"], limit.wanted_by)
+        self.assertEqual((False, 1300), (limit.HasField("per_s"), limit.age_ms))
+        # Told by one that had no answer itself, it is only wanted.
+        wanted = wire.NamedLimit(backend_id="a", per_s=9, wanted_by=["three"])
+        self.attach("three", wire.Loads(limits=[wanted]))
+        (limit,) = self.board.total().limits
+        self.assertEqual(["one", "three", "two"], limit.wanted_by)
+        self.assertFalse(limit.HasField("per_s"))
+
     async def test_what_is_old_counts_for_nothing(self):
         self.attach("one", loads(a=2))
         self.board.take("c2", loads(a=1).SerializeToString())
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -25,6 +25,7 @@
     Notices,
     RoomQueue,
     SendBudget,
+    SendLimits,
     StallWatch,
     Surroundings,
     read_fleet,
@@ -61,6 +62,7 @@
         control: Link to control.
         beliefs: Told which backend servers exist.
         notices: Told likewise.
+        limits: Told likewise.
 
     Attributes:
         table: Route table in force.
@@ -68,7 +70,14 @@
         fleet: Backend servers.
     """
 
-    def __init__(self, *, control: ControlClient, beliefs: Beliefs, notices: Notices):
+    def __init__(
+        self,
+        *,
+        control: ControlClient,
+        beliefs: Beliefs,
+        notices: Notices,
+        limits: SendLimits,
+    ):
         self.table = RouteTable()
         self.is_complete = asyncio.Event()
         self.fleet = Fleet()
@@ -77,6 +86,7 @@
         self._control = control
         self._beliefs = beliefs
         self._notices = notices
+        self._limits = limits
         control.changes.subscribe(self._take)
 
     def _take(self, change: Change) -> None:
@@ -100,7 +110,9 @@
             )
             self._beliefs.note_lost(backend_id)
         self._beliefs.keep_only(self.fleet.by_id)
-        self._notices.keep_only([*self.fleet.by_id, *self.fleet.leaving])
+        there = [*self.fleet.by_id, *self.fleet.leaving]
+        self._notices.keep_only(there)
+        self._limits.keep_only(there)
         self._has_members = True
 
     def _take_table(self) -> None:
@@ -134,7 +146,8 @@
     setup_logging(cfg.log_level, cfg.name)
     clock = SystemClock()
     beliefs = Beliefs(clock=clock)
-    notices = Notices()
+    limits = SendLimits(name=cfg.name, clock=clock, entries=lambda: control.entries)
+    notices = Notices(limits=limits)
     budget = SendBudget(
         clock=clock,
         ratio=cfg.retry_ratio,
@@ -155,7 +168,7 @@
         loads=lambda: told_loads(around),
         on_loads=lambda totals: take_totals(around, totals),
     )
-    known = _Known(control=control, beliefs=beliefs, notices=notices)
+    known = _Known(control=control, beliefs=beliefs, notices=notices, limits=limits)
     stopping: list[bool] = []
 
     def may_serve() -> bool:
@@ -201,6 +214,7 @@
         waiting=RoomQueue(clock=clock),
         crashes=crashes,
         notices=notices,
+        limits=limits,
     )
     service = DirectService(
         around=around,
--- a/wigeonscale/daemons/load_words.py
+++ b/wigeonscale/daemons/load_words.py
@@ -2,9 +2,11 @@
 
 __all__ = ["take_totals", "told_loads"]
 
-from wigeonscale.direct import Surroundings
+from wigeonscale.direct import NamedLimit, Surroundings
 from wigeonscale.wire import wire_pb2 as wire
 
+MILLISECONDS = 1000.0
+
 
 def told_loads(around: Surroundings) -> wire.Loads:
     """Return what this entry has in progress and has sent lately, and note it as told.
@@ -21,6 +23,15 @@
             wire.ServiceSends(service=name, requests=requests, further=further)
             for name, (requests, further) in around.budget.told_sends().items()
         ],
+        limits=[
+            wire.NamedLimit(
+                backend_id=limit.backend_id,
+                per_s=limit.per_s,
+                age_ms=None if limit.age_s is None else int(limit.age_s * MILLISECONDS),
+                wanted_by=limit.wanted_by,
+            )
+            for limit in around.limits.told()
+        ],
     )
 
 
@@ -37,3 +48,12 @@
     around.budget.take_totals(
         {each.service: (each.requests, each.further) for each in totals.sends}
     )
+    around.limits.take(
+        NamedLimit(
+            backend_id=each.backend_id,
+            per_s=each.per_s if each.HasField("per_s") else None,
+            age_s=each.age_ms / MILLISECONDS if each.HasField("age_ms") else None,
+            wanted_by=tuple(each.wanted_by),
+        )
+        for each in totals.limits
+    )
--- a/wigeonscale/daemons/tests/named_limits.py
+++ b/wigeonscale/daemons/tests/named_limits.py
@@ -90,7 +90,7 @@
         self.servers = NamingServers(self.clock)
         self.answered = 0
         self.refusals = []
-        self._requests_per_s = requests_per_s
+        self.requests_per_s = requests_per_s
         self._rng = random.Random(1)
         self._watchers = []
         self._board = LoadBoard(watchers=self._watchers, clock=self.clock)
@@ -102,6 +102,7 @@
                 entries=count,
                 domain=DOMAINS[number % len(DOMAINS)],
                 clock=self.clock,
+                name=f"entry-{number}",
             )
             around = dataclasses.replace(
                 parts.around, exchange=self.servers.at(f"entry-{number}")
@@ -121,7 +122,7 @@
         until = self.clock.now() + seconds
         while self.clock.now() < until:
             for parts, around, _ in self._entries:
-                if self._rng.random() < self._requests_per_s * STEP_S:
+                if self._rng.random() < self.requests_per_s * STEP_S:
                     task = asyncio.create_task(self._ask(parts, around))
                     self._asking.add(task)
                     task.add_done_callback(self._asking.discard)
@@ -135,6 +136,10 @@
             await self.clock.advance(STEP_S)
         await asyncio.gather(*self._speaking, return_exceptions=True)
 
+    def sent_to(self, backend_id):
+        """Return how many requests an engine got so far."""
+        return sum(name == backend_id for _, _, name in self.servers.sends)
+
     def most_over_limit(self, backend_id, limit_per_s, named_at):
         """Return by how many requests a window goes over what the users allow.
 
--- a/wigeonscale/daemons/tests/test_named_limits.py
+++ b/wigeonscale/daemons/tests/test_named_limits.py
@@ -1,12 +1,16 @@
-"""A backend server in need names how much it takes, and gets no less than before.
+"""A backend server in need names how much it takes, and got no less than before.
 
 A first engine named a limit of one request a second. In four seconds it got fifteen
 from entries that it had told, where eleven were allowed. Nothing else was wrong: it
 answered each of them, and was as near and as empty as before, so the only entry of its
-failure domain went on to begin every path there.
+failure domain went on to begin every path there: `generation sent`, its `path` led by
+that engine, at 38.65, 38.67, 38.74, 39.79, 40.90, 40.91, 41.26 and 42.51 s, and by an
+entry of another domain at 38.80 and 40.50 s. No entry read the header that names the
+limit, and none knows by itself what the others send there.
 """
 
 from wigeonscale.daemons.tests.named_limits import Entries
+from wigeonscale.errors import ErrorKind, RunState
 from wigeonscale.ports.exchange import ServerNotice
 from wigeonscale.testing import AsyncTestCase
 
@@ -25,8 +29,43 @@
         self.assertTrue(over <= 0, f"{over} requests over the limit")
         self.assertEqual([], self.entries.refusals)
 
+    async def sent_in(self, seconds):
+        before = self.entries.sent_to(NEEDY)
+        await self.entries.play(seconds)
+        return self.entries.sent_to(NEEDY) - before
+
     async def test_one_entry_of_its_domain_sends_it_all(self):
         await self.until_judged(entries=4, requests_per_s=5.0, limit_per_s=1.0)
 
+    async def test_it_still_gets_what_it_takes(self):
+        await self.until_judged(entries=4, requests_per_s=5.0, limit_per_s=2.0)
+        sent = await self.sent_in(20.0)
+        self.assertTrue(20 <= sent <= 40, f"{sent} sent, 40 taken")
+
+    async def test_when_it_names_no_limit_any_more_it_gets_all_again(self):
+        await self.until_judged(entries=68, requests_per_s=1.0, limit_per_s=1.0)
+        self.entries.servers.notices[NEEDY] = ServerNotice()
+        await self.entries.play(8.0)
+        sent = await self.sent_in(5.0)
+        self.assertTrue(sent >= 68, f"{sent} sent, some 110 asked in its domain")
+
+    async def test_all_are_in_need(self):
+        await self.until_judged(entries=4, requests_per_s=0.2, limit_per_s=1.0)
+        for name in ("i-a", "i-b", "i-c"):
+            self.entries.servers.notices[name] = ServerNotice(limit_per_s=1.0)
+        named_at = self.entries.clock.now()
+        self.entries.requests_per_s = 4.0
+        await self.entries.play(12.0)
+        for name in ("i-a", "i-b", "i-c"):
+            over = self.entries.most_over_limit(name, 1.0, named_at)
+            self.assertTrue(over <= 0, f"{over} requests over the limit of {name}")
+        # What does not get in is told at once that it was not run, and when to come.
+        self.assertTrue(self.entries.refusals)
+        for exc in self.entries.refusals:
+            self.assertEqual(
+                (ErrorKind.OVERLOADED, RunState.NOT_RUN), (exc.kind, exc.run_state)
+            )
+            self.assertTrue(exc.retry_after > 0)
+
     async def test_many_entries_send_it_a_little_each(self):
         await self.until_judged(entries=68, requests_per_s=1.0, limit_per_s=2.0)
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -5,9 +5,11 @@
     "Beliefs",
     "DirectService",
     "Fleet",
+    "NamedLimit",
     "Notices",
     "RoomQueue",
     "SendBudget",
+    "SendLimits",
     "StallWatch",
     "Surroundings",
     "read_fleet",
@@ -25,5 +27,6 @@
 from wigeonscale.direct.job import Surroundings
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.room_queue import RoomQueue
+from wigeonscale.direct.send_limits import NamedLimit, SendLimits
 from wigeonscale.direct.service import DirectService
 from wigeonscale.direct.stalls import StallWatch
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -2,6 +2,7 @@
 
 __all__ = ["PathChoice", "choose_detour", "choose_path_for", "no_room"]
 
+import dataclasses
 import random
 from collections.abc import Collection, Container, Sequence
 from dataclasses import dataclass
@@ -29,11 +30,13 @@
     Attributes:
         path: Its parts; None when no path is whole.
         full: Engines of it that lack room for one more request of usual size.
+        held: First engines of better paths whose limits hold the request back.
         event_s: Time between events to be expected on it; 0 where none is known.
     """
 
     path: list[Part] | None
     full: tuple[str, ...] = ()
+    held: tuple[str, ...] = ()
     event_s: float = 0.0
 
 
@@ -57,8 +60,31 @@
         lost: Engines that must not be on it.
         ran_at: First engines of the paths that may have run it.
     """
+    held: set[str] = set()
+    while True:
+        choice = _choose_unheld(around, job, lost=lost, held=held, ran_at=ran_at)
+        first = choice.path[0].backend_id if choice.path else ""
+        if not first or around.limits.may_send(first):
+            return dataclasses.replace(choice, held=tuple(sorted(held)))
+        around.limits.note_wanted(first)
+        held.add(first)
+
+
+def _choose_unheld(
+    around: Surroundings,
+    job: Job,
+    *,
+    lost: Container[str],
+    held: Container[str],
+    ran_at: Collection[str],
+) -> PathChoice:
+    """Return the cheapest path that begins at none of the engines that hold back."""
     engine = job.service.engine
-    servers = around.fleet().by_service.get(job.service.name, ())
+    servers = [
+        server
+        for server in around.fleet().by_service.get(job.service.name, ())
+        if server.backend_id not in held
+    ]
     if len(ran_at) >= job.route.max_attempts:
         # Of the engines that take requests in, only those that had this one before.
         servers = [
@@ -82,8 +108,8 @@
     )
     return PathChoice(
         path,
-        _full_engines(around, path or (), costs),
-        token_ms * engine.event_tokens / 1000.0,
+        full=_full_engines(around, path or (), costs),
+        event_s=token_ms * engine.event_tokens / 1000.0,
     )
 
 
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -12,6 +12,7 @@
 from wigeonscale.direct.fleet import Fleet
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.room_queue import RoomQueue
+from wigeonscale.direct.send_limits import SendLimits
 from wigeonscale.direct.stalls import StallWatch
 from wigeonscale.ports import Clock
 from wigeonscale.ports.exchange import BackendCall, CallerRequest, Exchange
@@ -38,6 +39,7 @@
         waiting: Requests that wait for room at the engines.
         crashes: Which requests are refused since backend servers crash under them.
         notices: What backend servers say of themselves.
+        limits: This entry's part of the limits that they name.
     """
 
     exchange: Exchange
@@ -54,6 +56,7 @@
     waiting: RoomQueue
     crashes: CrashBook
     notices: Notices
+    limits: SendLimits
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -70,9 +70,9 @@
 async def _find_room(around: Surroundings, job: Job, progress: Progress) -> PathChoice:
     """Return the path of an answer that is not begun, all of it with room."""
     choice = _choose(around, job, progress)
-    if choice.path is None:
+    if choice.path is None and not choice.held:
         raise _no_path(job, progress)
-    if not choice.full and not len(around.waiting):
+    if choice.path is not None and not choice.full and not len(around.waiting):
         return choice
     place = _enter(around, job, progress)
     began_at = around.clock.now()
@@ -150,10 +150,11 @@
 def _no_room(
     around: Surroundings, job: Job, progress: Progress, choice: PathChoice
 ) -> WigeonscaleError:
-    if choice.path is None:
+    if choice.path is None and not choice.held:
         return _no_path(job, progress)
+    lacking = choice.full or choice.held
     return no_room(
-        f"no room for one more at {', '.join(choice.full)}",
+        f"no room for one more at {', '.join(lacking)}",
         may_have_run=bool(progress.ran_at),
         rng=around.rng,
     )
--- a/wigeonscale/direct/notices.py
+++ b/wigeonscale/direct/notices.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.send_limits import SendLimits
 from wigeonscale.ports.exchange import ServerNotice
 
 logger = logging.getLogger(__name__)
@@ -14,14 +15,12 @@
 class Notices:
     """Newest notice of each backend server that said anything.
 
-    Example:
-        >>> notices = Notices()
-        >>> notices.note("i-1", ServerNotice(limit_per_s=2.0), request_id="r1")
-        >>> notices.of("i-1").limit_per_s
-        2.0
+    Args:
+        limits: Told of the limits that they name.
     """
 
-    def __init__(self):
+    def __init__(self, *, limits: SendLimits):
+        self._limits = limits
         self._newest: dict[str, ServerNotice] = {}
 
     def of(self, backend_id: str) -> ServerNotice:
@@ -29,7 +28,12 @@
         return self._newest.get(backend_id, ServerNotice())
 
     def note(
-        self, backend_id: str, notice: ServerNotice | None, *, request_id: str
+        self,
+        backend_id: str,
+        notice: ServerNotice | None,
+        *,
+        request_id: str,
+        sent_at: float,
     ) -> None:
         """Take in what an answer says, and log what is new of it.
 
@@ -37,8 +41,12 @@
             backend_id: Name of the incarnation that answered.
             notice: What it said; None where it did not answer itself.
             request_id: The request that it answered.
+            sent_at: Instant at which that went out.
         """
-        if notice is None or notice == self.of(backend_id):
+        if notice is None:
+            return
+        self._limits.note(backend_id, notice.limit_per_s, sent_at=sent_at)
+        if notice == self.of(backend_id):
             return
         self._newest[backend_id] = notice
         logger.info(
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -92,15 +92,22 @@
 def _next_server(
     around: Surroundings, job: Job, tried: set[str]
 ) -> BackendServer | None:
-    choose = functools.partial(
-        choose_server,
-        around.fleet().by_service.get(job.service.name, ()),
-        beliefs=around.beliefs,
-        domain=around.domain,
-        entries=around.entries(),
-    )
+    def choose(tried: set[str]) -> BackendServer | None:
+        while True:
+            server = choose_server(
+                around.fleet().by_service.get(job.service.name, ()),
+                beliefs=around.beliefs,
+                domain=around.domain,
+                entries=around.entries(),
+                tried=tried,
+            )
+            if server is None or around.limits.may_send(server.backend_id):
+                return server
+            around.limits.note_wanted(server.backend_id)
+            tried = tried | {server.backend_id}
+
     # Few servers run a plain service: apart from other suspects only where it can be.
-    return choose(tried=tried | where_others_begin(around, job)) or choose(tried=tried)
+    return choose(tried | where_others_begin(around, job)) or choose(tried)
 
 
 async def _send(around: Surroundings, job: Job, server: BackendServer) -> WholeAnswer:
@@ -113,18 +120,21 @@
     run = Run((server.backend_id,), fingerprint=job.fingerprint)
     around.crashes.note_sent(job.fingerprint)
     around.beliefs.begin(run)
+    around.limits.note_sent(server.backend_id)
+    note_notice = functools.partial(
+        around.notices.note,
+        server.backend_id,
+        request_id=job.req.request_id,
+        sent_at=now,
+    )
     try:
         async with asyncio.timeout(limit_s):
             answer = await around.exchange.call(call)
-        around.notices.note(
-            server.backend_id, answer.head.notice, request_id=job.req.request_id
-        )
+        note_notice(answer.head.notice)
         note_ran(around, job)
         return answer
     except ExchangeError as exc:
-        around.notices.note(
-            server.backend_id, exc.notice, request_id=job.req.request_id
-        )
+        note_notice(exc.notice)
         if exc.fate is Fate.UNKNOWN:
             note_broken_run(around, job, run)
         raise
--- /dev/null
+++ b/wigeonscale/direct/send_limits.py
@@ -0,0 +1,283 @@
+"""How much this entry may send to a backend server that names a limit."""
+
+__all__ = ["NamedLimit", "SendLimits"]
+
+import hashlib
+import logging
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.beliefs import TOTALS_FRESH_S
+from wigeonscale.ports import Clock
+
+# Span over which a limit must hold. Each of those that share one may have a request
+# ready at the same moment, so they are no more than it takes in this span.
+WINDOW_S = 4.0
+# Share of a limit that is used: entries hear of each other late.
+SAFETY = 0.8
+# Requests that come together may go together, up to what an entry's share allows in
+# this time; with a share of less than one they are strictly spaced.
+BURST_S = 0.5
+# An entry shares a limit for so long after it last had work for the backend server.
+WANTED_S = 5.0
+# That a limit has ended is told for so long, so that no older word of it comes back.
+ENDED_KEPT_S = 30.0
+# A backend server that takes nothing must be asked now and then whether it still does.
+LEAST_PER_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NamedLimit:
+    """Word of one limit between entries.
+
+    Attributes:
+        backend_id: Name of the incarnation.
+        per_s: Requests a second that it takes from all entries; None where its newest
+            answer names no limit.
+        age_s: Time since that answer, in seconds; None where the teller has none of
+            its own.
+        wanted_by: Names of entries that have work for it.
+    """
+
+    backend_id: str
+    per_s: float | None
+    age_s: float | None
+    wanted_by: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _Limit:
+    """What is known of one limit.
+
+    Attributes:
+        per_s: Requests a second; None where it has ended.
+        heard_at: Instant of the answer that said so.
+        is_own: Whether that answer came to this entry.
+        wanted_at: Instant at which this entry last had work for it.
+        owners: Entries that share it, by the newest word.
+        next_at: Instant from which the next request is due at an even pace.
+    """
+
+    per_s: float | None
+    heard_at: float
+    is_own: bool
+    wanted_at: float = -math.inf
+    owners: tuple[str, ...] = ()
+    next_at: float = 0.0
+
+
+class SendLimits:
+    """This entry's part of the limits that backend servers name.
+
+    Load pattern: an engine in need is as near and as empty as ever, so that all entries
+    of its failure domain go on beginning their paths there, and each that hears of the
+    limit would take the whole of it. So the entries that have work for it tell each
+    other through control, and share it evenly; where they are more than the limit has
+    requests in some seconds, a few of them own it and the others send elsewhere. An
+    entry without word from control takes what all entries would get if all sent.
+
+    Args:
+        name: Name of this entry.
+        clock: Clock port.
+        entries: Returns how many entries send alike.
+
+    Notes:
+        Costs nothing for a backend server without a limit, and a few bytes a word for
+        each with one.
+
+    Example:
+        >>> from wigeonscale.testing import ManualClock
+        >>> limits = SendLimits(name="e", clock=ManualClock(), entries=lambda: 1)
+        >>> limits.note("i-1", 1.0, sent_at=1000.0)
+        >>> limits.may_send("i-1"), limits.may_send("i-2")
+        (False, True)
+    """
+
+    def __init__(self, *, name: str, clock: Clock, entries: Callable[[], int]):
+        self._name = name
+        self._clock = clock
+        self._entries = entries
+        self._limits: dict[str, _Limit] = {}
+        self._totals_at = -math.inf
+
+    def note(self, backend_id: str, per_s: float | None, *, sent_at: float) -> None:
+        """Take in what an answer names.
+
+        Args:
+            backend_id: Name of the incarnation that answered.
+            per_s: Its limit in requests a second; None for none.
+            sent_at: Instant at which the request went out that it answered.
+        """
+        limit = self._limits.get(backend_id)
+        if limit is None:
+            if per_s is None:
+                return
+            limit = self._begin(backend_id, per_s, self._clock.now())
+        elif per_s is None and sent_at < limit.heard_at:
+            # An answer may have been under way before the limit was named.
+            return
+        limit.per_s = per_s
+        limit.heard_at = self._clock.now()
+        limit.is_own = True
+
+    def may_send(self, backend_id: str) -> bool:
+        """Return whether a request may go to a backend server now."""
+        return self.free_in_s(backend_id) <= 0.0
+
+    def free_in_s(self, backend_id: str) -> float:
+        """Return the time until a request may go there, in seconds.
+
+        Infinite where other entries have the whole limit for now.
+        """
+        limit = self._limits.get(backend_id)
+        if limit is None or limit.per_s is None:
+            return 0.0
+        interval_s = self._interval_s(limit)
+        if math.isinf(interval_s):
+            return math.inf
+        due_at = limit.next_at - max(0.0, BURST_S - interval_s)
+        if not self._is_told():
+            # Others without word begin to send in the same moment.
+            due_at = max(due_at, self._totals_at + TOTALS_FRESH_S + interval_s)
+        return max(0.0, due_at - self._clock.now())
+
+    def note_wanted(self, backend_id: str) -> None:
+        """Note that this entry has work for a backend server that names a limit."""
+        limit = self._limits.get(backend_id)
+        if limit is not None:
+            limit.wanted_at = self._clock.now()
+
+    def note_sent(self, backend_id: str) -> None:
+        """Count a request that goes out to a backend server."""
+        limit = self._limits.get(backend_id)
+        if limit is None or limit.per_s is None:
+            return
+        now = self._clock.now()
+        limit.wanted_at = now
+        interval_s = self._interval_s(limit)
+        if math.isfinite(interval_s):
+            limit.next_at = max(limit.next_at, now) + interval_s
+
+    def told(self) -> list[NamedLimit]:
+        """Return what the other entries must know of the limits."""
+        now = self._clock.now()
+        self._limits = {
+            name: limit
+            for name, limit in self._limits.items()
+            if limit.per_s is not None or now - limit.heard_at <= ENDED_KEPT_S
+        }
+        return [
+            NamedLimit(
+                backend_id=name,
+                per_s=limit.per_s,
+                age_s=now - limit.heard_at if limit.is_own else None,
+                wanted_by=(self._name,) if now - limit.wanted_at <= WANTED_S else (),
+            )
+            for name, limit in self._limits.items()
+        ]
+
+    def take(self, limits: Iterable[NamedLimit]) -> None:
+        """Take in what all entries told, this one included.
+
+        Args:
+            limits: One word for each limit.
+        """
+        self._totals_at = self._clock.now()
+        words = {each.backend_id: each for each in limits}
+        for word in words.values():
+            self._take_value(word)
+        for backend_id, limit in self._limits.items():
+            word = words.get(backend_id)
+            self._take_owners(backend_id, limit, word.wanted_by if word else ())
+
+    def keep_only(self, backend_ids: Iterable[str]) -> None:
+        """Forget the limits of backend servers that are gone.
+
+        Args:
+            backend_ids: Those that exist.
+        """
+        existing = set(backend_ids)
+        self._limits = {
+            name: limit for name, limit in self._limits.items() if name in existing
+        }
+
+    def _begin(self, backend_id: str, per_s: float, heard_at: float) -> _Limit:
+        limit = _Limit(per_s=per_s, heard_at=heard_at, is_own=False)
+        # What was sent before the limit was known counts as this entry's first.
+        limit.next_at = self._clock.now() + self._fair_interval_s(limit)
+        self._limits[backend_id] = limit
+        return limit
+
+    def _take_value(self, word: NamedLimit) -> None:
+        if word.age_s is None:
+            return
+        heard_at = self._clock.now() - word.age_s
+        limit = self._limits.get(word.backend_id)
+        if limit is not None and heard_at <= limit.heard_at:
+            return
+        if limit is None:
+            if word.per_s is None:
+                return
+            limit = self._begin(word.backend_id, word.per_s, heard_at)
+        elif limit.per_s == word.per_s:
+            # Its own word comes back as if it were newer by the way there and back.
+            return
+        limit.per_s = word.per_s
+        limit.heard_at = heard_at
+        limit.is_own = False
+        logger.info(
+            "another entry heard a limit",
+            extra=log_fields(
+                backend=word.backend_id,
+                limit_per_s=word.per_s,
+                age_s=round(word.age_s, 3),
+            ),
+        )
+
+    def _take_owners(
+        self, backend_id: str, limit: _Limit, wanted_by: tuple[str, ...]
+    ) -> None:
+        owners = _owners(backend_id, limit.per_s, wanted_by)
+        is_new = self._name in owners and self._name not in limit.owners
+        limit.owners = owners
+        if is_new and limit.per_s is not None:
+            # Those that shared it before have requests under way.
+            limit.next_at = self._clock.now() + self._interval_s(limit)
+
+    def _is_told(self) -> bool:
+        return self._clock.now() - self._totals_at <= TOTALS_FRESH_S
+
+    def _interval_s(self, limit: _Limit) -> float:
+        """Return the time between two requests of this entry at an even pace."""
+        if not self._is_told():
+            return self._fair_interval_s(limit)
+        if self._name not in limit.owners:
+            return math.inf
+        return len(limit.owners) / _used_per_s(limit.per_s)
+
+    def _fair_interval_s(self, limit: _Limit) -> float:
+        return max(1, self._entries()) / _used_per_s(limit.per_s)
+
+
+def _used_per_s(per_s: float) -> float:
+    return SAFETY * max(per_s, LEAST_PER_S)
+
+
+def _owners(
+    backend_id: str, per_s: float | None, wanted_by: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Return the entries that share a limit, the same for all that ask."""
+    if per_s is None:
+        return ()
+    most = max(1, int(per_s * WINDOW_S))
+    if len(wanted_by) <= most:
+        return wanted_by
+
+    def rank(name: str) -> bytes:
+        return hashlib.sha256(f"{backend_id} {name}".encode()).digest()
+
+    return tuple(sorted(wanted_by, key=rank)[:most])
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -118,19 +118,22 @@
             path=",".join(part.backend_id for part in path),
             after_event=progress.last_id,
             sends=progress.sends,
+            held_back=",".join(choice.held),
         ),
     )
     around.crashes.note_sent(job.fingerprint)
     around.beliefs.begin(run)
     first = servers[0].backend_id
+    around.limits.note_sent(first)
+    note_notice = functools.partial(
+        around.notices.note, first, request_id=job.req.request_id, sent_at=now
+    )
     try:
         # Ended by the watch over all streams, not by a time of its own.
         async with asyncio.timeout(None) as run.watch:
             around.stalls.add(run)
             async with around.exchange.open(call) as stream:
-                around.notices.note(
-                    first, stream.head.notice, request_id=job.req.request_id
-                )
+                note_notice(stream.head.notice)
                 progress.ran_at.add(first)
                 is_whole = await _relay_events(around, job, sink, progress, run, stream)
         around.beliefs.note_outcome(first, failed=False)
@@ -139,7 +142,7 @@
         note_ran(around, job)
         return is_whole
     except ExchangeError as exc:
-        around.notices.note(first, exc.notice, request_id=job.req.request_id)
+        note_notice(exc.notice)
         if exc.fate is Fate.UNKNOWN:
             note_broken_run(around, job, run)
             if not run.has_begun:
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -12,6 +12,7 @@
     Notices,
     RoomQueue,
     SendBudget,
+    SendLimits,
     StallWatch,
     Surroundings,
 )
@@ -235,7 +236,9 @@
 class Parts:
     """An entry's flows over stand-ins."""
 
-    def __init__(self, *servers, slack=100, entries=1, domain="a", clock=None):
+    def __init__(
+        self, *servers, slack=100, entries=1, domain="a", clock=None, name="entry"
+    ):
         self.clock = clock or ManualClock()
         self.exchange = FakeExchange()
         self.beliefs = Beliefs(clock=self.clock)
@@ -256,6 +259,7 @@
             reach=self.reach,
             delay_s=lambda domain: self.delays_s.get(domain, 0.0),
         )
+        limits = SendLimits(name=name, clock=self.clock, entries=lambda: entries)
         self.around = Surroundings(
             exchange=self.exchange,
             beliefs=self.beliefs,
@@ -281,7 +285,8 @@
                 has_ended=lambda name: self.fleet.has_ended(name),
                 rng=random.Random(1),
             ),
-            notices=Notices(),
+            notices=Notices(limits=limits),
+            limits=limits,
         )
 
     def job(
--- a/wigeonscale/direct/tests/test_notices.py
+++ b/wigeonscale/direct/tests/test_notices.py
@@ -1,4 +1,3 @@
-from wigeonscale.direct import Notices
 from wigeonscale.direct.plain import call_plain
 from wigeonscale.direct.stream import relay_stream
 from wigeonscale.direct.tests.support import (
@@ -22,18 +21,22 @@
 
 
 class NoticesTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.parts = Parts()
+
     def test_one_line_for_each_change(self):
-        notices = Notices()
+        notices = self.parts.around.notices
         with self.assertLogs("wigeonscale.direct.notices") as logs:
             for notice in (LIMITED, LIMITED, None, ServerNotice()):
-                notices.note("i-1", notice, request_id="r1")
+                notices.note("i-1", notice, request_id="r1", sent_at=0.0)
         self.assertEqual(2, len(logs.records))
         self.assertEqual(ServerNotice(), notices.of("i-1"))
 
     def test_those_that_are_gone_are_forgotten(self):
-        notices = Notices()
+        notices = self.parts.around.notices
         for name in ("i-1", "i-2"):
-            notices.note(name, LIMITED, request_id="r1")
+            notices.note(name, LIMITED, request_id="r1", sent_at=0.0)
         notices.keep_only(["i-2"])
         self.assertEqual(ServerNotice(), notices.of("i-1"))
         self.assertEqual(LIMITED, notices.of("i-2"))
--- /dev/null
+++ b/wigeonscale/direct/tests/test_send_limits.py
@@ -0,0 +1,141 @@
+from wigeonscale.direct import NamedLimit, SendLimits
+from wigeonscale.testing import AsyncTestCase, ManualClock
+
+WORD_S = 0.5
+
+
+def word(per_s, *, age_s=0.0, wanted_by=()):
+    return NamedLimit(backend_id="i", per_s=per_s, age_s=age_s, wanted_by=wanted_by)
+
+
+class SendLimitsTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.limits = self.new("one")
+
+    def new(self, name, *, entries=4):
+        return SendLimits(name=name, clock=self.clock, entries=lambda: entries)
+
+    def named(self, per_s):
+        self.limits.note("i", per_s, sent_at=self.clock.now())
+
+    async def sent_in(self, seconds, *, wanted_by=None, step_s=0.05):
+        """Return how many requests go out where there is always one."""
+        sent = 0
+        for step in range(round(seconds / step_s)):
+            if wanted_by is not None and step % round(WORD_S / step_s) == 0:
+                self.limits.take([word(None, age_s=None, wanted_by=wanted_by)])
+            if self.limits.may_send("i"):
+                self.limits.note_sent("i")
+                sent += 1
+            await self.clock.advance(step_s)
+        return sent
+
+    async def test_without_a_limit_all_goes(self):
+        self.assertTrue(self.limits.may_send("i"))
+        self.limits.note_sent("i")
+        self.assertTrue(self.limits.may_send("i"))
+        self.assertEqual([], self.limits.told())
+
+    async def test_one_that_is_alone_uses_most_of_it(self):
+        self.named(10.0)
+        sent = await self.sent_in(10.0, wanted_by=("one",))
+        self.assertTrue(70 <= sent <= 100, sent)
+
+    async def test_requests_that_come_together_go_together(self):
+        self.named(20.0)
+        await self.sent_in(1.0, wanted_by=("one",))
+        await self.clock.advance(1.0)
+        self.limits.take([word(None, age_s=None, wanted_by=("one",))])
+        for _ in range(5):
+            self.assertTrue(self.limits.may_send("i"))
+            self.limits.note_sent("i")
+
+    async def test_those_that_want_it_share_it(self):
+        self.named(10.0)
+        sent = await self.sent_in(10.0, wanted_by=("one", "two", "three", "four"))
+        self.assertTrue(15 <= sent <= 25, sent)
+
+    async def test_where_too_many_want_it_a_few_have_it(self):
+        names = tuple(f"e{number:02d}" for number in range(40))
+        owners = 0
+        for name in names:
+            limits = self.new(name)
+            limits.take([word(1.0, wanted_by=names)])
+            owners += limits.free_in_s("i") < 100.0
+        self.assertEqual(4, owners)
+
+    async def test_without_word_from_control_each_takes_an_equal_part(self):
+        self.named(2.0)
+        sent = await self.sent_in(20.0)
+        self.assertTrue(7 <= sent <= 10, sent)
+
+    async def test_control_is_lost_in_between(self):
+        # Those that do not share it now would all begin at once.
+        self.named(2.0)
+        self.limits.take([word(2.0, wanted_by=("two",))])
+        self.assertEqual(0, await self.sent_in(2.5))
+        await self.clock.advance(0.1)
+        self.assertEqual(0, await self.sent_in(2.0))
+        self.assertTrue(await self.sent_in(10.0) > 0)
+
+    async def test_who_begins_to_share_it_waits_its_turn(self):
+        self.named(1.0)
+        self.limits.take([word(1.0, wanted_by=("two", "three"))])
+        await self.clock.advance(1.0)
+        self.assertFalse(self.limits.may_send("i"))
+        self.limits.take([word(1.0, wanted_by=("one", "two", "three"))])
+        self.assertFalse(self.limits.may_send("i"))
+        self.assertTrue(3.0 <= self.limits.free_in_s("i") <= 4.0)
+
+    async def test_it_ends_with_an_answer_that_names_none(self):
+        self.named(1.0)
+        self.named(None)
+        self.assertTrue(self.limits.may_send("i"))
+        (told,) = self.limits.told()
+        self.assertIsNone(told.per_s)
+        await self.clock.advance(60.0)
+        self.assertEqual([], self.limits.told())
+
+    async def test_an_answer_from_before_does_not_end_it(self):
+        sent_at = self.clock.now()
+        await self.clock.advance(0.1)
+        self.named(1.0)
+        self.limits.note("i", None, sent_at=sent_at)
+        self.assertFalse(self.limits.may_send("i"))
+
+    async def test_others_tell_that_it_began_and_ended(self):
+        self.limits.take([word(1.0, age_s=0.3)])
+        self.assertFalse(self.limits.may_send("i"))
+        # It has heard of it, but has nothing of its own to tell.
+        self.assertIsNone(self.limits.told()[0].age_s)
+        await self.clock.advance(1.0)
+        self.limits.take([word(None, age_s=0.1)])
+        self.assertTrue(self.limits.may_send("i"))
+
+    async def test_older_word_changes_nothing(self):
+        self.named(None)
+        self.limits.take([word(None, age_s=0.1)])
+        self.named(1.0)
+        await self.clock.advance(1.0)
+        self.limits.take([word(None, age_s=5.0)])
+        self.assertFalse(self.limits.may_send("i"))
+
+    async def test_nothing_at_all_is_asked_now_and_then(self):
+        self.named(0.0)
+        sent = await self.sent_in(60.0, wanted_by=("one",))
+        self.assertTrue(1 <= sent <= 12, sent)
+
+    async def test_it_is_wanted_for_some_seconds(self):
+        self.named(1.0)
+        self.assertEqual((), self.limits.told()[0].wanted_by)
+        self.limits.note_wanted("i")
+        self.assertEqual(("one",), self.limits.told()[0].wanted_by)
+        await self.clock.advance(6.0)
+        self.assertEqual((), self.limits.told()[0].wanted_by)
+
+    async def test_those_that_are_gone_are_forgotten(self):
+        self.named(1.0)
+        self.limits.keep_only([])
+        self.assertTrue(self.limits.may_send("i"))
