--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -136,7 +136,7 @@
                 self.cancelled.append(call.backend_id)
         if isinstance(step, Exception):
             raise step
-        yield FakeStream(step)
+        yield step if isinstance(step, FakeStream) else FakeStream(step)
 
     @property
     def sent_to(self):
--- /dev/null
+++ b/wigeonscale/direct/tests/test_leaving.py
@@ -0,0 +1,66 @@
+"""A backend server says in its answers that it leaves, and goes on getting requests.
+
+Control hears that a server drains from its heartbeats, and of some never. An entry that
+was told by the server itself took no notice: `Server-Leaving` stood in each answer, and
+each further request went there again, until it ended under those it still had.
+"""
+
+from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.support import (
+    MODEL,
+    FakeStream,
+    Parts,
+    Sink,
+    engine,
+    event,
+    server,
+)
+from wigeonscale.ports.exchange import AnswerHead, ServerNotice, WholeAnswer
+from wigeonscale.routes import Repeat
+from wigeonscale.testing import AsyncTestCase
+
+LEAVES = AnswerHead(200, (), ServerNotice(is_leaving=True))
+
+
+class LeavingTest(AsyncTestCase):
+    def entry_of(self, *servers):
+        self.parts = Parts(*servers)
+        return self.parts
+
+    async def stream(self):
+        job = self.parts.job(Repeat.STREAM, service=MODEL, resumable=True, left_s=20.0)
+        await relay_stream(self.parts.around, job, Sink())
+
+    def hear(self, name):
+        self.parts.around.notices.note(
+            name, LEAVES.notice, request_id="r0", sent_at=self.parts.clock.now()
+        )
+
+    async def test_first_engine_of_the_nearest_path(self):
+        parts = self.entry_of(engine("a", 0, 10), engine("b", 0, 10, domain="b"))
+        stream = FakeStream([event(1)])
+        stream.head = LEAVES
+        parts.exchange.script("a", stream)
+        parts.exchange.script("b", [event(1)], [event(1)])
+        for _ in range(3):
+            await self.stream()
+        self.assertEqual(["a", "b", "b"], parts.exchange.sent_to)
+
+    async def test_engine_inside_a_path(self):
+        parts = self.entry_of(
+            engine("a1", 0, 5), engine("a2", 5, 10), engine("a3", 5, 10)
+        )
+        parts.exchange.script("a1", [event(1)], [event(1)])
+        self.hear("a2")
+        await self.stream()
+        (call,) = parts.exchange.calls
+        self.assertEqual(["a1", "a3"], [part.backend_id for part in call.path])
+
+    async def test_plain_server(self):
+        parts = self.entry_of(server("p1"), server("p2"))
+        parts.exchange.script("p1", WholeAnswer(LEAVES, b"whole"))
+        parts.exchange.script("p2", *[WholeAnswer(AnswerHead(200, ()), b"")] * 2)
+        for _ in range(3):
+            await call_plain(parts.around, parts.job())
+        self.assertEqual(["p1", "p2", "p2"], parts.exchange.sent_to)
