A backend server that says it leaves gets no new requests

What callers saw: a server said in each answer that it leaves, and an entry that had passed such answers on sent it each further request, until it ended under those it still had.

Cause: the header was dropped with the answer; an entry waited for control to hear of it from heartbeats, which some servers never tell. The same cause as with a rest that was asked for.

Change: what a server says of its leaving bars it for good, as first engine, inside a path, in a change of path, and for plain services. An answer from before does not take it back.

Why it holds: its own word comes before any other sign, and the bar stands where every path and every server is chosen.

--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -84,6 +84,8 @@
         server
         for server in around.fleet().by_service.get(job.service.name, ())
         if server.backend_id not in held
+        # It ends under what it gets from now on, wherever it stands on a path.
+        and not around.notices.is_leaving(server.backend_id)
     ]
     if len(ran_at) >= job.route.max_attempts:
         # Of the engines that take requests in, only those that had this one before.
@@ -154,6 +156,7 @@
         if server.domain == domain
         and not server.is_silent
         and not around.beliefs.is_avoided(server.backend_id)
+        and not around.notices.is_leaving(server.backend_id)
     ]
     return find_detour(path, near, lost=lost, part_cost=costs.part)
 
--- a/wigeonscale/direct/notices.py
+++ b/wigeonscale/direct/notices.py
@@ -31,6 +31,7 @@
         self._limits = limits
         self._newest: dict[str, ServerNotice] = {}
         self._rests_until: dict[str, float] = {}
+        self._leaving: set[str] = set()
 
     def of(self, backend_id: str) -> ServerNotice:
         """Return the newest notice of a backend server."""
@@ -56,6 +57,9 @@
             return
         self._limits.note(backend_id, notice.limit_per_s, sent_at=sent_at)
         self._note_rest(backend_id, notice.rest_s)
+        if notice.is_leaving:
+            # For good: an answer that says nothing of it was begun before.
+            self._leaving.add(backend_id)
         if notice == self.of(backend_id):
             return
         self._newest[backend_id] = notice
@@ -70,6 +74,10 @@
             ),
         )
 
+    def is_leaving(self, backend_id: str) -> bool:
+        """Return whether a backend server has said that it is about to end."""
+        return backend_id in self._leaving
+
     def may_send(self, backend_id: str) -> bool:
         """Return whether a request may go to a backend server now."""
         return self.free_in_s(backend_id) <= 0.0
@@ -79,6 +87,8 @@
 
         Infinite where that is not to be foreseen.
         """
+        if self.is_leaving(backend_id):
+            return math.inf
         rests_until = self._rests_until.get(backend_id, -math.inf)
         rest_s = max(0.0, rests_until - self._clock.now())
         return max(rest_s, self._limits.free_in_s(backend_id))
@@ -99,6 +109,7 @@
         self._newest = {
             name: notice for name, notice in self._newest.items() if name in existing
         }
+        self._leaving &= existing
         self._rests_until = {
             name: until for name, until in self._rests_until.items() if name in existing
         }
--- a/wigeonscale/direct/tests/test_leaving.py
+++ b/wigeonscale/direct/tests/test_leaving.py
@@ -16,6 +16,7 @@
     event,
     server,
 )
+from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import AnswerHead, ServerNotice, WholeAnswer
 from wigeonscale.routes import Repeat
 from wigeonscale.testing import AsyncTestCase
@@ -64,3 +65,25 @@
         for _ in range(3):
             await call_plain(parts.around, parts.job())
         self.assertEqual(["p1", "p2", "p2"], parts.exchange.sent_to)
+
+    async def test_nobody_else_is_there(self):
+        parts = self.entry_of(engine("a", 0, 10))
+        self.hear("a")
+        try:
+            await self.stream()
+        except WigeonscaleError as exc:
+            self.assertEqual(
+                (ErrorKind.NO_BACKEND, RunState.NOT_RUN), (exc.kind, exc.run_state)
+            )
+            self.assertTrue(exc.retry_after > 0)
+        self.assertEqual([], parts.exchange.sent_to)
+
+    async def test_it_still_leaves_when_an_answer_from_before_comes(self):
+        parts = self.entry_of(server("p1"), server("p2"))
+        self.hear("p1")
+        parts.around.notices.note(
+            "p1", ServerNotice(), request_id="r0", sent_at=parts.clock.now() - 1.0
+        )
+        parts.exchange.script("p2", WholeAnswer(AnswerHead(200, ()), b""))
+        await call_plain(parts.around, parts.job())
+        self.assertEqual(["p2"], parts.exchange.sent_to)
