Tests with the daemons as processes: servers that name a limit, ask for rest, or leave

The stand-ins say so in their answers. One request after another, so that the verdict hangs on no speed; the setting up of daemons and stand-ins is shared with the test of requests that crash servers.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -45,6 +45,11 @@
         ledger: Told of each run.
         engines: All engines by address: a path fails where one is gone.
         rng: Source of randomness.
+
+    Attributes:
+        says: Headers of each of its answers, in which it tells how it is.
+        rest_s: Rest that it asks of all that it turns away; None to turn none away.
+        arrived: Ids of the requests that reached it, and when by the loop.
     """
 
     def __init__(
@@ -59,6 +64,9 @@
         self.service = service
         self.relay: Relay | None = None
         self.held = (0, 0)
+        self.says: dict[str, str] = {}
+        self.rest_s: float | None = None
+        self.arrived: list[tuple[str, float]] = []
         self._controls = controls
         self._ledger = ledger
         self._engines = engines
@@ -151,6 +159,7 @@
         if req.path == "/order":
             return self._order(json.loads(await req.read()))
         request_id = req.headers["Attempt-Id"]
+        self.arrived.append((request_id, asyncio.get_running_loop().time()))
         refusal = self._refusal(req, request_id)
         if refusal is not None:
             return refusal
@@ -164,6 +173,7 @@
             task.add_done_callback(self._crashes.discard)
             await loop.create_future()
         headers = {"Attempt-Id": request_id, "Response-Stamp": f"stamp {request_id}"}
+        headers |= self.says
         if self.service == "plain":
             await asyncio.sleep(WORK_S)
             return web.Response(body=plain_body(request_id), headers=headers)
@@ -173,6 +183,10 @@
         headers = {"Attempt-Id": request_id, "Not-Run": "1"}
         if req.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421, headers=headers)
+        headers |= self.says
+        if self.rest_s is not None:
+            headers["Retry-After"] = str(self.rest_s)
+            return web.Response(status=503, headers=headers)
         if self.service == "plain":
             return None
         parts = [part.split("=") for part in req.headers["Hop-Count"].split(",")]
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -64,6 +64,9 @@
         dep: The daemons.
         ledger: Told of every answer.
         rng: Source of randomness.
+
+    Attributes:
+        sent_to: Name of the entry that each request was sent to, by its id.
     """
 
     def __init__(self, *, dep: Deployment, ledger: Ledger, rng: random.Random):
@@ -72,6 +75,7 @@
         self._rng = rng
         self._ids = itertools.count(1)
         self._numbers = itertools.count(1)
+        self.sent_to: dict[str, str] = {}
 
     async def call_for_ever(self) -> None:
         """Call one entry after another on kept connections until cancelled."""
@@ -95,6 +99,7 @@
         request_id = f"r{next(self._ids):05d}"
         if kind == "unsafe":
             self._ledger.once.add(request_id)
+        self.sent_to[request_id] = entry.name
         limit_s = DEADLINES_S[kind]
         headers = {
             "Host": HOST,
--- a/wigeonscale/testing/soak/tests/test_crashing_request.py
+++ b/wigeonscale/testing/soak/tests/test_crashing_request.py
@@ -8,61 +8,17 @@
 """
 
 import asyncio
-import pathlib
-import random
 
-import fixtures
+from wigeonscale.testing.soak.backends import CRASHING
+from wigeonscale.testing.soak.tests.support import DeploymentCase
 
-from wigeonscale.testing import AsyncTestCase
-from wigeonscale.testing.soak.backends import CRASHING, Backend
-from wigeonscale.testing.soak.deployment import Deployment
-from wigeonscale.testing.soak.ledger import Ledger
-from wigeonscale.testing.soak.load import Load, new_session
-
-ENGINES = 4
-PLAIN = 2
 ATTEMPTS = 14
 # Three crashes say what the request does; three further ones are borne while that
 # becomes known.
 MOST_CRASHES = 6
-# Far above what a busy machine needs.
-LIMIT_S = 60.0
-
-
-class CrashingRequestTest(AsyncTestCase):
-    async def prepare(self):
-        folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
-        rng = random.Random(1)
-        self.ledger = Ledger()
-        self.dep = Deployment(folder=folder)
-        self.addCleanup(self.dep.close)
-        self.load = Load(dep=self.dep, ledger=self.ledger, rng=rng)
-        engines = {}
-        backends = [
-            Backend(
-                service=service,
-                controls=self.dep.control_addresses,
-                ledger=self.ledger,
-                engines=engines,
-                rng=rng,
-            )
-            for service in ["model"] * ENGINES + ["plain"] * PLAIN
-        ]
-        self.session = new_session()
-        self.addCleanup(self.session.close)
-        for node in self.dep.nodes:
-            await self.dep.start(node)
-        for backend in backends:
-            self.addCleanup(backend.close)
-            await backend.start()
-        await self.load.change(self.session, 1)
 
-    async def until_served(self, kind, body=b"q"):
-        for entry in self.dep.entries:
-            async with asyncio.timeout(LIMIT_S):
-                while not await self.load.call(self.session, entry, kind, body):
-                    await asyncio.sleep(0.05)
 
+class CrashingRequestTest(DeploymentCase):
     async def ask_again_and_again(self, kind):
         await self.until_served(kind)
         for number in range(ATTEMPTS):
