Word of a limit names only those that share it

Cause: each word of a limit carried the names of all entries with work for its server, some 20 bytes each, to each entry twice a second: with 300 entries and ten servers in need some 60 KB a word and 36 MB a second from control (reckoned). Those that share it are known from any part of the names, so each replica cuts its sum down to them; an entry that only heard of a limit from others says nothing.

--- a/wigeonscale/control/load_board.py
+++ b/wigeonscale/control/load_board.py
@@ -15,6 +15,7 @@
 from google.protobuf.message import DecodeError
 
 from wigeonscale.control.watcher import Watcher
+from wigeonscale.limits import sharers
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -107,6 +108,8 @@
         for limit in loads.limits:
             known = limits_by_id.setdefault(limit.backend_id, wire.NamedLimit())
             _merge_limit(known, limit, int(age_s * MILLISECONDS))
+    for limit in limits_by_id.values():
+        _keep_sharers(limit)
     return wire.Loads(
         loads=loads_by_id.values(),
         sends=sends_by_name.values(),
@@ -128,3 +131,9 @@
         known.per_s = told.per_s
     else:
         known.ClearField("per_s")
+
+
+def _keep_sharers(limit: wire.NamedLimit) -> None:
+    """Leave out the names that share nothing: hundreds would be told twice a second."""
+    if limit.HasField("per_s"):
+        limit.wanted_by[:] = sharers(limit.backend_id, limit.per_s, limit.wanted_by)
--- a/wigeonscale/control/tests/test_load_board.py
+++ b/wigeonscale/control/tests/test_load_board.py
@@ -70,6 +70,15 @@
         self.assertEqual(["one", "three", "two"], limit.wanted_by)
         self.assertFalse(limit.HasField("per_s"))
 
+    def test_only_those_that_share_a_limit_are_told(self):
+        for number in range(300):
+            limit = wire.NamedLimit(
+                backend_id="a", per_s=2, age_ms=0, wanted_by=[f"entry-{number}"]
+            )
+            self.attach(f"entry-{number}", wire.Loads(limits=[limit]))
+        (total,) = self.board.total().limits
+        self.assertEqual(8, len(total.wanted_by))
+
     async def test_what_is_old_counts_for_nothing(self):
         self.attach("one", loads(a=2))
         self.board.take("c2", loads(a=1).SerializeToString())
--- a/wigeonscale/daemons/tests/test_named_limits.py
+++ b/wigeonscale/daemons/tests/test_named_limits.py
@@ -69,3 +69,6 @@
 
     async def test_many_entries_send_it_a_little_each(self):
         await self.until_judged(entries=68, requests_per_s=1.0, limit_per_s=2.0)
+
+    async def test_more_entries_than_it_takes_requests(self):
+        await self.until_judged(entries=150, requests_per_s=0.5, limit_per_s=0.5)
--- a/wigeonscale/direct/send_limits.py
+++ b/wigeonscale/direct/send_limits.py
@@ -2,7 +2,6 @@
 
 __all__ = ["NamedLimit", "SendLimits"]
 
-import hashlib
 import logging
 import math
 from collections.abc import Callable, Iterable
@@ -10,11 +9,9 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.beliefs import TOTALS_FRESH_S
+from wigeonscale.limits import sharers
 from wigeonscale.ports import Clock
 
-# Span over which a limit must hold. Each of those that share one may have a request
-# ready at the same moment, so they are no more than it takes in this span.
-WINDOW_S = 4.0
 # Share of a limit that is used: entries hear of each other late.
 SAFETY = 0.8
 # Requests that come together may go together, up to what an entry's share allows in
@@ -178,6 +175,7 @@
                 wanted_by=(self._name,) if now - limit.wanted_at <= WANTED_S else (),
             )
             for name, limit in self._limits.items()
+            if limit.is_own or now - limit.wanted_at <= WANTED_S
         ]
 
     def take(self, limits: Iterable[NamedLimit]) -> None:
@@ -241,10 +239,13 @@
     def _take_owners(
         self, backend_id: str, limit: _Limit, wanted_by: tuple[str, ...]
     ) -> None:
-        owners = _owners(backend_id, limit.per_s, wanted_by)
+        if limit.per_s is None:
+            limit.owners = ()
+            return
+        owners = tuple(sharers(backend_id, limit.per_s, wanted_by))
         is_new = self._name in owners and self._name not in limit.owners
         limit.owners = owners
-        if is_new and limit.per_s is not None:
+        if is_new:
             # Those that shared it before have requests under way.
             limit.next_at = self._clock.now() + self._interval_s(limit)
 
@@ -265,19 +266,3 @@
 
 def _used_per_s(per_s: float) -> float:
     return SAFETY * max(per_s, LEAST_PER_S)
-
-
-def _owners(
-    backend_id: str, per_s: float | None, wanted_by: tuple[str, ...]
-) -> tuple[str, ...]:
-    """Return the entries that share a limit, the same for all that ask."""
-    if per_s is None:
-        return ()
-    most = max(1, int(per_s * WINDOW_S))
-    if len(wanted_by) <= most:
-        return wanted_by
-
-    def rank(name: str) -> bytes:
-        return hashlib.sha256(f"{backend_id} {name}".encode()).digest()
-
-    return tuple(sorted(wanted_by, key=rank)[:most])
--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -7,6 +7,7 @@
     "Permit",
     "WaitEstimator",
     "check_deadline",
+    "sharers",
 ]
 
 from wigeonscale.limits.deadline import check_deadline
@@ -14,3 +15,4 @@
 from wigeonscale.limits.fair_queue import FairQueue
 from wigeonscale.limits.guard import ConcurrencyGuard
 from wigeonscale.limits.organisations import OrganisationLimits, Permit
+from wigeonscale.limits.sharing import sharers
