--- a/wigeonscale/direct/room_queue.py
+++ b/wigeonscale/direct/room_queue.py
@@ -25,8 +25,8 @@
 # Wait after which an answer cannot be in time. Answers shall begin within 500 or 600
 # ms, and take 100 to 200 ms to begin once they are sent.
 ROOM_WAIT_S = 0.25
-# Longest wait: callers leave after two seconds without an event, and most of a herd that
-# is turned away has no further try.
+# Longest wait: callers leave after two seconds without an event, and most of a herd
+# that is turned away has no further try.
 ROOM_PATIENCE_S = 1.5
 # Room at the engines is looked for this often; of 25 answers a second in a domain one
 # ends every 40 ms.
