A named limit is shared by demand

Cause: equal shares for all entries that had a request for a server of late. Where one entry has nearly all of them, as the only one of its domain, and others one now and then, most of what the server takes stood unused, and its callers were sent to other domains. Ruled out: the fifth kept back for late word. Change: entries tell how many requests they had for it in five seconds; shares follow a power of two near that, so that small changes move nothing. Those with the least have none where all together could have more ready than the limit allows in 2.5 s, so that the sum in four seconds is below one and a half times the limit whatever coincides (before: up to 1.8 times, if all had one ready). What was waited for is shortened when the share grows.

--- a/wigeonscale/control/load_board.py
+++ b/wigeonscale/control/load_board.py
@@ -120,7 +120,7 @@
 def _merge_limit(known: wire.NamedLimit, told: wire.NamedLimit, aged_ms: int) -> None:
     """Take in one word of a limit: the newest answer counts, whoever got it."""
     known.backend_id = told.backend_id
-    known.wanted_by[:] = sorted({*known.wanted_by, *told.wanted_by})
+    _set_demands(known, _demands(known) | _demands(told))
     if not told.HasField("age_ms"):
         return
     age_ms = told.age_ms + aged_ms
@@ -136,4 +136,16 @@
 def _keep_sharers(limit: wire.NamedLimit) -> None:
     """Leave out the names that share nothing: hundreds would be told twice a second."""
     if limit.HasField("per_s"):
-        limit.wanted_by[:] = sharers(limit.backend_id, limit.per_s, limit.wanted_by)
+        demands = _demands(limit)
+        kept = sharers(limit.backend_id, limit.per_s, demands)
+        _set_demands(limit, {name: demands[name] for name in kept})
+
+
+def _demands(limit: wire.NamedLimit) -> dict[str, int]:
+    return {each.entry: each.requests for each in limit.demands}
+
+
+def _set_demands(limit: wire.NamedLimit, demands: dict[str, int]) -> None:
+    del limit.demands[:]
+    for name, requests in sorted(demands.items()):
+        limit.demands.add(entry=name, requests=requests)
--- a/wigeonscale/daemons/load_words.py
+++ b/wigeonscale/daemons/load_words.py
@@ -28,7 +28,10 @@
                 backend_id=limit.backend_id,
                 per_s=limit.per_s,
                 age_ms=None if limit.age_s is None else int(limit.age_s * MILLISECONDS),
-                wanted_by=limit.wanted_by,
+                demands=[
+                    wire.Demand(entry=name, requests=requests)
+                    for name, requests in limit.demands.items()
+                ],
             )
             for limit in around.limits.told()
         ],
@@ -53,7 +56,7 @@
             backend_id=each.backend_id,
             per_s=each.per_s if each.HasField("per_s") else None,
             age_s=each.age_ms / MILLISECONDS if each.HasField("age_ms") else None,
-            wanted_by=tuple(each.wanted_by),
+            demands={demand.entry: demand.requests for demand in each.demands},
         )
         for each in totals.limits
     )
--- a/wigeonscale/daemons/tests/named_limits.py
+++ b/wigeonscale/daemons/tests/named_limits.py
@@ -128,6 +128,20 @@
                     task.add_done_callback(self._asking.discard)
             await self.clock.advance(STEP_S)
 
+    def send_now_and_then(self, backend_id, every_s):
+        """Let each entry send to an engine as if it were the cheapest for once."""
+        for _, around, _ in self._entries:
+            task = asyncio.create_task(self._send(around, backend_id, every_s))
+            self._speaking.append(task)
+
+    async def _send(self, around, backend_id, every_s):
+        while True:
+            if around.notices.may_send(backend_id):
+                around.limits.note_sent(backend_id)
+            else:
+                around.limits.note_wanted(backend_id)
+            await self.clock.sleep(every_s)
+
     async def close(self):
         """End all that is under way."""
         for task in self._speaking:
--- a/wigeonscale/daemons/tests/test_named_limits.py
+++ b/wigeonscale/daemons/tests/test_named_limits.py
@@ -42,6 +42,14 @@
         sent = await self.sent_in(20.0)
         self.assertTrue(20 <= sent <= 40, f"{sent} sent, 40 taken")
 
+    async def test_most_of_its_work_comes_from_one_entry(self):
+        # The others send it a request now and then, when their own engines are dear.
+        await self.until_judged(entries=4, requests_per_s=8.0, limit_per_s=6.0)
+        self.entries.send_now_and_then(NEEDY, every_s=2.0)
+        await self.entries.play(6.0)
+        sent = await self.sent_in(20.0)
+        self.assertTrue(60 <= sent <= 120, f"{sent} sent, 120 taken")
+
     async def test_when_it_names_no_limit_any_more_it_gets_all_again(self):
         await self.until_judged(entries=68, requests_per_s=1.0, limit_per_s=1.0)
         self.entries.servers.notices[NEEDY] = ServerNotice()
--- a/wigeonscale/direct/send_limits.py
+++ b/wigeonscale/direct/send_limits.py
@@ -4,8 +4,9 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.beliefs import TOTALS_FRESH_S
@@ -17,7 +18,7 @@
 # Requests that come together may go together, up to what an entry's share allows in
 # this time; with a share of less than one they are strictly spaced.
 BURST_S = 0.5
-# An entry shares a limit for so long after it last had work for the backend server.
+# Span over which an entry counts the requests that it has for a backend server.
 WANTED_S = 5.0
 # That a limit has ended is told for so long, so that no older word of it comes back.
 ENDED_KEPT_S = 30.0
@@ -37,13 +38,13 @@
             answer names no limit.
         age_s: Time since that answer, in seconds; None where the teller has none of
             its own.
-        wanted_by: Names of entries that have work for it.
+        demands: Requests that entries had for it lately, by the name of the entry.
     """
 
     backend_id: str
     per_s: float | None
     age_s: float | None
-    wanted_by: tuple[str, ...]
+    demands: Mapping[str, int]
 
 
 @dataclass(slots=True)
@@ -54,16 +55,16 @@
         per_s: Requests a second; None where it has ended.
         heard_at: Instant of the answer that said so.
         is_own: Whether that answer came to this entry.
-        wanted_at: Instant at which this entry last had work for it.
-        owners: Entries that share it, by the newest word.
+        wanted_at: Instants at which this entry lately had a request for it.
+        shares: Weights of the entries that share it, by the newest word.
         next_at: Instant from which the next request is due at an even pace.
     """
 
     per_s: float | None
     heard_at: float
     is_own: bool
-    wanted_at: float = -math.inf
-    owners: tuple[str, ...] = ()
+    wanted_at: deque[float] = field(default_factory=deque)
+    shares: Mapping[str, int] = field(default_factory=dict)
     next_at: float = 0.0
 
 
@@ -73,9 +74,9 @@
     Load pattern: an engine in need is as near and as empty as ever, so that all entries
     of its failure domain go on beginning their paths there, and each that hears of the
     limit would take the whole of it. So the entries that have work for it tell each
-    other through control, and share it evenly; where they are more than the limit has
-    requests in some seconds, a few of them own it and the others send elsewhere. An
-    entry without word from control takes what all entries would get if all sent.
+    other through control, and share it by what they have; where they are too many for
+    the limit, those with the most have it and the others send elsewhere. An entry
+    without word from control takes what all entries would get if all sent.
 
     Args:
         name: Name of this entry.
@@ -128,7 +129,7 @@
     def free_in_s(self, backend_id: str) -> float:
         """Return the time until a request may go there, in seconds.
 
-        Infinite where other entries have the whole limit for now.
+        Infinite where the other entries have the whole limit for now.
         """
         limit = self._limits.get(backend_id)
         if limit is None or limit.per_s is None:
@@ -146,7 +147,7 @@
         """Note that this entry has work for a backend server that names a limit."""
         limit = self._limits.get(backend_id)
         if limit is not None:
-            limit.wanted_at = self._clock.now()
+            limit.wanted_at.append(self._clock.now())
 
     def note_sent(self, backend_id: str) -> None:
         """Count a request that goes out to a backend server."""
@@ -154,7 +155,7 @@
         if limit is None or limit.per_s is None:
             return
         now = self._clock.now()
-        limit.wanted_at = now
+        limit.wanted_at.append(now)
         interval_s = self._interval_s(limit)
         if math.isfinite(interval_s):
             limit.next_at = max(limit.next_at, now) + interval_s
@@ -172,10 +173,10 @@
                 backend_id=name,
                 per_s=limit.per_s,
                 age_s=now - limit.heard_at if limit.is_own else None,
-                wanted_by=(self._name,) if now - limit.wanted_at <= WANTED_S else (),
+                demands={self._name: demand} if demand else {},
             )
             for name, limit in self._limits.items()
-            if limit.is_own or now - limit.wanted_at <= WANTED_S
+            if (demand := self._demand(limit)) or limit.is_own
         ]
 
     def take(self, limits: Iterable[NamedLimit]) -> None:
@@ -190,7 +191,7 @@
             self._take_value(word)
         for backend_id, limit in self._limits.items():
             word = words.get(backend_id)
-            self._take_owners(backend_id, limit, word.wanted_by if word else ())
+            self._take_demands(backend_id, limit, word.demands if word else {})
 
     def keep_only(self, backend_ids: Iterable[str]) -> None:
         """Forget the limits of backend servers that are gone.
@@ -236,18 +237,31 @@
             ),
         )
 
-    def _take_owners(
-        self, backend_id: str, limit: _Limit, wanted_by: tuple[str, ...]
+    def _take_demands(
+        self, backend_id: str, limit: _Limit, demands: Mapping[str, int]
     ) -> None:
         if limit.per_s is None:
-            limit.owners = ()
+            limit.shares = {}
             return
-        owners = tuple(sharers(backend_id, limit.per_s, wanted_by))
-        is_new = self._name in owners and self._name not in limit.owners
-        limit.owners = owners
-        if is_new:
+        before_s = self._interval_s(limit)
+        limit.shares = sharers(backend_id, limit.per_s, demands)
+        interval_s = self._interval_s(limit)
+        if math.isinf(interval_s):
+            return
+        now = self._clock.now()
+        if math.isinf(before_s):
             # Those that shared it before have requests under way.
-            limit.next_at = self._clock.now() + self._interval_s(limit)
+            limit.next_at = now + interval_s
+        else:
+            left_s = max(0.0, limit.next_at - now)
+            limit.next_at = now + left_s * interval_s / before_s
+
+    def _demand(self, limit: _Limit) -> int:
+        """Return how many requests this entry had for a backend server lately."""
+        oldest = self._clock.now() - WANTED_S
+        while limit.wanted_at and limit.wanted_at[0] < oldest:
+            limit.wanted_at.popleft()
+        return len(limit.wanted_at)
 
     def _is_told(self) -> bool:
         return self._clock.now() - self._totals_at <= TOTALS_FRESH_S
@@ -256,9 +270,10 @@
         """Return the time between two requests of this entry at an even pace."""
         if not self._is_told():
             return self._fair_interval_s(limit)
-        if self._name not in limit.owners:
+        weight = limit.shares.get(self._name, 0)
+        if not weight:
             return math.inf
-        return len(limit.owners) / _used_per_s(limit.per_s)
+        return sum(limit.shares.values()) / weight / _used_per_s(limit.per_s)
 
     def _fair_interval_s(self, limit: _Limit) -> float:
         return max(1, self._entries()) / _used_per_s(limit.per_s)
--- a/wigeonscale/limits/sharing.py
+++ b/wigeonscale/limits/sharing.py
@@ -1,39 +1,47 @@
-"""Which processes share a limit that holds for all of them together."""
+"""Which processes share a limit that holds for all of them together, and how."""
 
 __all__ = ["sharers"]
 
 import hashlib
-from collections.abc import Iterable
+import math
+from collections.abc import Mapping
 
-# Span over which a limit must hold, in seconds. Each that shares one may have a request
-# ready at the same moment, so they are no more than it allows requests in this span.
-WINDOW_S = 4.0
+# Each that shares a limit may have a request ready at the same moment, beside what all
+# send at their even pace. So they are no more than the limit allows in this time, which
+# with four fifths of it over four seconds stays below one and a half times the limit.
+READY_S = 2.5
 
 
-def sharers(subject: str, per_s: float, names: Iterable[str]) -> list[str]:
-    """Return those that share a limit, the same for all that ask.
+def sharers(subject: str, per_s: float, demands: Mapping[str, int]) -> dict[str, int]:
+    """Return those that share a limit with their weights, the same for all that ask.
+
+    Load pattern: one process has most of the requests, many others one now and then.
+    So shares follow demand, and where they are too many those with the least have none.
 
     Args:
-        subject: What the limit is of; each has sharers of its own.
+        subject: What the limit is of; among equals, each has sharers of its own.
         per_s: The limit, in requests a second.
-        names: Processes with requests for it.
+        demands: Requests of late, by process; one without any shares nothing.
 
     Returns:
-        All of them in order, or the few that come first by a hash. Those of a union
-        are among those of its parts, so sums over parts may be cut down to them.
+        Weights by name, in the order of the names. Those of a union are among those of
+        its parts, so sums over parts may be cut down to them.
 
     Example:
-        >>> sharers("i-1", 1.0, ["two", "one"])
-        ['one', 'two']
-        >>> len(sharers("i-1", 1.0, map(str, range(300))))
-        4
+        >>> sharers("i-1", 1.0, {"one": 3, "two": 9, "three": 1, "four": 0})
+        {'one': 4, 'two': 8}
     """
-    most = max(1, int(per_s * WINDOW_S))
-    all_names = sorted(set(names))
-    if len(all_names) <= most:
-        return all_names
+    weights = {name: _weight(count) for name, count in demands.items() if count > 0}
+    most = max(1, int(per_s * READY_S))
+
+    def rank(name: str) -> tuple[int, bytes]:
+        digest = hashlib.sha256(f"{subject} {name}".encode()).digest()
+        return -weights[name], digest
+
+    kept = sorted(weights, key=rank)[:most] if len(weights) > most else weights
+    return {name: weights[name] for name in sorted(kept)}
 
-    def rank(name: str) -> bytes:
-        return hashlib.sha256(f"{subject} {name}".encode()).digest()
 
-    return sorted(sorted(all_names, key=rank)[:most])
+def _weight(count: int) -> int:
+    """Return a power of two near a count, so that small changes move no share."""
+    return 2 ** round(math.log2(count))
