The soak lets backend servers name limits, ask for rest and leave

In each seed one of each, beside its faults. Judged by what an entry knows for certain: what a caller sends it after it has an answer that said so. Faults of older seeds stay as they were drawn.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -159,7 +159,9 @@
         if req.path == "/order":
             return self._order(json.loads(await req.read()))
         request_id = req.headers["Attempt-Id"]
-        self.arrived.append((request_id, asyncio.get_running_loop().time()))
+        now = asyncio.get_running_loop().time()
+        self.arrived.append((request_id, now))
+        self._ledger.notices.arrived(request_id, self.name, now)
         refusal = self._refusal(req, request_id)
         if refusal is not None:
             return refusal
@@ -174,11 +176,16 @@
             await loop.create_future()
         headers = {"Attempt-Id": request_id, "Response-Stamp": f"stamp {request_id}"}
         headers |= self.says
+        self._note_said(request_id, headers)
         if self.service == "plain":
             await asyncio.sleep(WORK_S)
             return web.Response(body=plain_body(request_id), headers=headers)
         return await self._stream(req, request_id, headers)
 
+    def _note_said(self, request_id: str, headers: dict[str, str]) -> None:
+        now = asyncio.get_running_loop().time()
+        self._ledger.notices.said(request_id, self.name, headers, now)
+
     def _refusal(self, req: web.BaseRequest, request_id: str) -> web.Response | None:
         headers = {"Attempt-Id": request_id, "Not-Run": "1"}
         if req.headers.get("Expect-Instance") != self.name:
@@ -186,6 +193,7 @@
         headers |= self.says
         if self.rest_s is not None:
             headers["Retry-After"] = str(self.rest_s)
+            self._note_said(request_id, headers)
             return web.Response(status=503, headers=headers)
         if self.service == "plain":
             return None
--- a/wigeonscale/testing/soak/ledger.py
+++ b/wigeonscale/testing/soak/ledger.py
@@ -5,6 +5,8 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from wigeonscale.testing.soak.notices import NoticeBook
+
 # Once a request has crashed three servers every entry refuses it within three seconds.
 # By the users' rule three more crashes are borne.
 CRASHES_KNOWN = 3
@@ -25,6 +27,7 @@
         answers: Answers by status, or by what came instead.
         crashed_at: Instants at which backend servers crashed, by body of the request.
         broken: Promises broken so far, in words.
+        notices: What backend servers said, and whether it was heeded.
     """
 
     runs: Counter = field(default_factory=Counter)
@@ -36,6 +39,7 @@
         default_factory=lambda: defaultdict(list)
     )
     broken: list[str] = field(default_factory=list)
+    notices: NoticeBook = field(default_factory=NoticeBook)
 
     def ran(self, request_id: str) -> None:
         """Note that a backend server begins to work on a request."""
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -100,6 +100,8 @@
         if kind == "unsafe":
             self._ledger.once.add(request_id)
         self.sent_to[request_id] = entry.name
+        now = asyncio.get_running_loop().time
+        self._ledger.notices.sent(request_id, f"{entry.name}.{entry.starts}", now())
         limit_s = DEADLINES_S[kind]
         headers = {
             "Host": HOST,
@@ -116,6 +118,7 @@
             self._ledger.answers[NOTHING] += 1
             return False
         self._ledger.answered(request_id, res.status)
+        self._ledger.notices.answered(request_id, now())
         if res.status != 200:
             return False
         self._ledger.whole(request_id, got, _wanted(kind, request_id))
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -12,6 +12,7 @@
 from wigeonscale.testing.soak.faults import draw_faults, inject
 from wigeonscale.testing.soak.ledger import Ledger
 from wigeonscale.testing.soak.load import KINDS, Load, new_session
+from wigeonscale.testing.soak.notices import draw_notices, say
 
 ENGINES = 4
 PLAIN = 2
@@ -66,18 +67,22 @@
         async with new_session() as session:
             await load.change(session, 1)
             await _until_served(load, session, dep, ledger, "at first")
-            await _under_faults(rng, load, dep, backends, seconds, ledger)
+            notices = draw_notices(seed, seconds=seconds, backends=len(backends))
+            await _under_faults(rng, load, dep, backends, seconds, ledger, notices)
             await _until_served(load, session, dep, ledger, "after the faults")
             await _until_read(load, session, ledger)
             ledger.check_crashes()
+            ledger.notices.check_limits()
     finally:
         for backend in backends:
             await backend.close()
         await dep.close()
-    return SoakResult(seed, dict(ledger.answers), tuple(ledger.broken))
+    return SoakResult(
+        seed, dict(ledger.answers), (*ledger.broken, *ledger.notices.broken)
+    )
 
 
-async def _under_faults(rng, load, dep, backends, seconds, ledger) -> None:
+async def _under_faults(rng, load, dep, backends, seconds, ledger, notices) -> None:
     faults = draw_faults(
         rng, seconds=seconds, nodes=len(dep.nodes), backends=len(backends)
     )
@@ -90,8 +95,15 @@
         await asyncio.sleep(fault.at_s)
         await inject(fault, dep=dep, backends=backends, disks=disks)
 
+    async def say_later(notice) -> None:
+        await asyncio.sleep(notice.at_s)
+        await say(notice, backends[notice.target], ledger.notices)
+
     try:
-        await asyncio.gather(*(later(fault) for fault in faults))
+        await asyncio.gather(
+            *(later(fault) for fault in faults),
+            *(say_later(notice) for notice in notices),
+        )
     finally:
         for task in loads:
             task.cancel()
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -15,6 +15,7 @@
     inject,
 )
 from wigeonscale.testing.soak.ledger import Ledger
+from wigeonscale.testing.soak.notices import NoticeBook, draw_notices
 from wigeonscale.testing.soak.run import run_soak
 
 # Seeds that failed once, each with its cause.
@@ -86,6 +87,56 @@
         self.assertEqual(1, len(self.ledger.broken))
 
 
+class NoticeBookTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.book = NoticeBook()
+
+    def hear(self, entry, server, header, at):
+        self.book.sent("r0", entry, at - 0.2)
+        self.book.said("r0", server, {header: "1"}, at - 0.1)
+        self.book.answered("r0", at)
+
+    def reach(self, entry, server, sent_at, at):
+        request_id = f"r{sent_at}"
+        self.book.sent(request_id, entry, sent_at)
+        self.book.arrived(request_id, server, at)
+
+    def test_one_that_leaves(self):
+        self.hear("e1", "i", "Server-Leaving", 10.0)
+        self.reach("e1", "i", 9.9, 10.5)
+        self.reach("e2", "i", 11.0, 11.1)
+        self.reach("e1", "j", 11.0, 11.1)
+        self.assertEqual([], self.book.broken)
+        self.reach("e1", "i", 10.1, 10.2)
+        self.assertEqual(1, len(self.book.broken))
+
+    def test_one_that_rests(self):
+        self.hear("e1", "i", "Retry-After", 10.0)
+        self.reach("e1", "i", 9.9, 10.5)
+        self.reach("e1", "i", 10.1, 11.5)
+        self.assertEqual([], self.book.broken)
+        self.reach("e1", "i", 10.2, 11.3)
+        self.assertEqual(1, len(self.book.broken))
+
+    def test_one_that_names_a_limit(self):
+        self.hear("e1", "i", "Server-Limit", 10.0)
+        self.book.limited["i"].append((10.0, 30.0))
+        for number in range(11):
+            self.reach("e1", "i", 14.0 + number / 10, 14.0 + number / 10)
+            self.reach("e2", "i", 14.0 + number / 10, 14.0 + number / 10)
+        self.book.check_limits()
+        self.assertEqual([], self.book.broken)
+        self.reach("e1", "i", 15.5, 15.5)
+        self.book.check_limits()
+        self.assertEqual(1, len(self.book.broken))
+
+    def test_every_kind_comes_in_each_run(self):
+        drawn = draw_notices(1, seconds=10.0, backends=6)
+        self.assertEqual({"limit", "rest", "leave"}, {each.kind for each in drawn})
+        self.assertEqual(drawn, draw_notices(1, seconds=10.0, backends=6))
+
+
 class FaultsTest(AsyncTestCase):
     def drawn(self, seed):
         return draw_faults(random.Random(seed), seconds=30.0, nodes=5, backends=6)
