--- a/wigeonscale/control/tests/test_layer_keeper.py
+++ b/wigeonscale/control/tests/test_layer_keeper.py
@@ -215,6 +215,41 @@
         self.assertTrue(len(looks) <= 1, f"{len(looks)} looks at one domain")
 
 
+class FormerLeaderTest(KeeperCase):
+    """A new leader plans before it has heard what its predecessor ordered.
+
+    Two engines had just loaded what the former leader gave them. The new one still
+    believed them empty, planned the other way round, and both refused: the orders they
+    have had do not fit. 1.6 s later they had said what they hold, a whole set, and the
+    leader gave the refused orders again under the right count: `shall hold layers
+    57-60`, `misfit` at 7.05 s and `begun` at 8.65 s. For ten seconds no path through
+    that domain was whole.
+    """
+
+    async def prepare(self):
+        await super().prepare()
+        self.engines.held |= {"e1": (5, 10), "e2": (0, 5)}
+        self.engines.counts |= {"e1": 1, "e2": 1}
+        await self.announce("e1")
+        await self.announce("e2")
+        await self.clock.advance(1.2)
+        self.assertEqual({("e1", 0, 5), ("e2", 5, 10)}, self.placed())
+
+    async def test_what_the_engines_hold_meanwhile_is_left_alone(self):
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(20.0)
+        self.assertEqual({"e1": (5, 10), "e2": (0, 5)}, dict(self.engines.held))
+
+    async def test_also_before_they_have_said_so(self):
+        await self.clock.advance(20.0)
+        self.assertEqual({"e1": (5, 10), "e2": (0, 5)}, dict(self.engines.held))
+        held = [
+            (m.backend.agent_id, m.backend.first_layer, m.backend.last_layer + 1)
+            for m in self.state.members
+        ]
+        self.assertEqual([("e1", 5, 10), ("e2", 0, 5)], held)
+
+
 class LostAnswerTest(KeeperCase):
     async def test_asks_the_engine_before_it_orders_again(self):
         self.engines.outcomes["e1"] = OrderOutcome.UNKNOWN
