An order that was refused is not given again to an engine that another leader has moved

What callers saw: all of control was killed while two engines loaded layers; for ten seconds after it was back no path through their domain was whole, and its requests were late or refused.

Cause: the new leader planned before it had heard what the engines loaded for the former one, and they refused its orders, which did not fit. It went on taking them to hold what it had planned, also once they had said what they hold, a whole set; and when it asked them for their count it gave the refused orders again, the other way round. Class: insisting on a plan that was made with a belief which has proved wrong.

Change: an order that was not begun is over as soon as its engine says it holds something else than the plan took it to hold; and an engine that answers that it does so gets no order until its heartbeat has told.

Why it holds: no order reaches an engine whose state is not the one that the plan was made with, whichever leader changed it.

--- a/wigeonscale/control/layer_keeper.py
+++ b/wigeonscale/control/layer_keeper.py
@@ -50,10 +50,14 @@
     Attributes:
         layers: What the engine shall hold.
         again_at: Instant from which it is asked how it is.
+        before: What the plan took it to hold.
+        is_begun: Whether it said that it carries the order out.
     """
 
     layers: LayerRange
     again_at: float
+    before: LayerRange
+    is_begun: bool = False
 
 
 class LayerKeeper:
@@ -136,7 +140,7 @@
     def _drop_done(self, members: dict[str, wire.Backend]) -> None:
         for name, order in list(self._given.items()):
             backend = members.get(name)
-            if backend is None or backend.silent or _held(backend) == order.layers:
+            if backend is None or backend.silent or _is_over(order, _held(backend)):
                 del self._given[name]
 
     def _review_service(
@@ -222,10 +226,12 @@
         now = self._clock.now()
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS_ALREADY):
             self._order_counts[name] = expected + (outcome is OrderOutcome.BEGUN)
-            self._given[name] = _Order(layers, now + ORDER_TIMEOUT_S)
+            self._given[name] = _Order(
+                layers, now + ORDER_TIMEOUT_S, _held(backend), is_begun=True
+            )
         else:
             self._order_counts.pop(name, None)
-            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S, _held(backend))
         logger.info(
             "engine %s shall hold layers %d-%d",
             name,
@@ -280,9 +286,9 @@
         if is_new and name not in self._order_counts:
             return 0
         status = await self._orders.status(backend.address)
-        now = self._clock.now()
+        again = _Order(layers, self._clock.now() + UNKNOWN_AGAIN_S, _held(backend))
         if status is None:
-            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            self._given[name] = again
             return None
         if _is_other_start(status, backend):
             # Its own heartbeat tells of it; no order may rest on what came before.
@@ -295,16 +301,38 @@
                     born=status.started_ms,
                 ),
             )
-            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            self._given[name] = again
             return None
         self._order_counts[name] = status.orders
         held = LayerRange(status.first_layer, status.end_layer)
         if status.busy or held == layers:
-            self._given[name] = _Order(layers, now + UNKNOWN_AGAIN_S)
+            self._given[name] = again
+            return None
+        if held != _held(backend):
+            # Another leader has ordered it, and what it holds now may be part of a
+            # whole set: its heartbeat tells, and the next plan knows.
+            logger.info(
+                "engine %s holds other layers than planned with",
+                name,
+                extra=log_fields(
+                    outcome="not ordered", holds=f"{held.first}-{held.end}"
+                ),
+            )
+            self._given[name] = again
             return None
         return status.orders
 
 
+def _is_over(order: _Order, held: LayerRange) -> bool:
+    """Return whether an order is done, or another one was carried out in its place.
+
+    Load pattern: all of control is killed, and the new leader plans before it has heard
+    what engines loaded for the former one. They refuse its orders, which do not fit;
+    given again once they fit, these would break up a set that has become whole.
+    """
+    return held == order.layers or (not order.is_begun and held != order.before)
+
+
 def _is_other_start(status: EngineStatus, backend: wire.Backend) -> bool:
     told_ms, held_ms = status.started_ms, backend.started_ms
     return bool(told_ms and held_ms) and told_ms != held_ms
