Requests that an entry has for a limited server are counted up to a bound

An entry that is cut off from control tells nobody how many it had, and kept the instants of all of them. Test: three times the bound are wanted, and told as the bound. Comment on what a choice of path does with engines that want no request.

--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -54,6 +54,9 @@
     that all get late. What is under way is therefore finished, and who comes new waits
     a moment or is told when to come back, whatever the size of the request.
 
+    First engines that want no request now are passed over, and counted as wanted: what
+    they take is shared by demand.
+
     Args:
         around: What the flows share.
         job: The request.
--- a/wigeonscale/direct/send_limits.py
+++ b/wigeonscale/direct/send_limits.py
@@ -20,6 +20,8 @@
 BURST_S = 0.5
 # Span over which an entry counts the requests that it has for a backend server.
 WANTED_S = 5.0
+# Most that it counts: what an entry asks of one server in that span, many times over.
+MOST_WANTED = 4096
 # That a limit has ended is told for so long, so that no older word of it comes back.
 ENDED_KEPT_S = 30.0
 # A backend server that takes nothing must be asked now and then whether it still does.
@@ -63,7 +65,7 @@
     per_s: float | None
     heard_at: float
     is_own: bool
-    wanted_at: deque[float] = field(default_factory=deque)
+    wanted_at: deque[float] = field(default_factory=lambda: deque(maxlen=MOST_WANTED))
     shares: Mapping[str, int] = field(default_factory=dict)
     next_at: float = 0.0
 
--- a/wigeonscale/direct/tests/test_send_limits.py
+++ b/wigeonscale/direct/tests/test_send_limits.py
@@ -1,4 +1,5 @@
 from wigeonscale.direct import NamedLimit, SendLimits
+from wigeonscale.direct.send_limits import MOST_WANTED
 from wigeonscale.testing import AsyncTestCase, ManualClock
 
 WORD_S = 0.5
@@ -155,6 +156,13 @@
         await self.clock.advance(6.0)
         self.assertEqual({}, self.limits.told()[0].demands)
 
+    def test_what_is_wanted_is_counted_up_to_a_bound(self):
+        # An entry that is cut off from control tells nobody and forgets nothing.
+        self.named(1.0)
+        for _ in range(3 * MOST_WANTED):
+            self.limits.note_wanted("i")
+        self.assertEqual({"one": MOST_WANTED}, self.limits.told()[0].demands)
+
     async def test_those_that_are_gone_are_forgotten(self):
         self.named(1.0)
         self.limits.keep_only([])
