--- a/wigeonscale/daemons/tests/named_limits.py
+++ b/wigeonscale/daemons/tests/named_limits.py
@@ -24,6 +24,7 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 WORD_S = 0.5
+PASS_ON_S = 0.1
 ANSWER_S = 0.05
 STEP_S = 0.05
 DOMAINS = ("a", "b", "c")
@@ -83,17 +84,22 @@
     Args:
         count: How many, spread evenly over the domains.
         requests_per_s: Requests a second of each.
+        replicas: Control replicas, over which the entries are spread.
+
+    Attributes:
+        has_leader: Whether the replicas pass on what their entries told.
     """
 
-    def __init__(self, count, requests_per_s):
+    def __init__(self, count, requests_per_s, replicas=1):
         self.clock = ManualClock()
         self.servers = NamingServers(self.clock)
         self.answered = 0
         self.refusals = []
         self.requests_per_s = requests_per_s
         self._rng = random.Random(1)
-        self._watchers = []
-        self._board = LoadBoard(watchers=self._watchers, clock=self.clock)
+        self.has_leader = True
+        watchers = [[] for _ in range(replicas)]
+        self._boards = [LoadBoard(watchers=w, clock=self.clock) for w in watchers]
         engines = [engine(f"i-{name}", 0, 10, domain=name) for name in DOMAINS]
         self._entries = []
         for number in range(count):
@@ -109,13 +115,21 @@
             )
             hello = wire.Hello(node_id=f"entry-{number}", role="entry")
             watcher = Watcher(hello=hello, clock=self.clock)
-            self._watchers.append(watcher)
+            watchers[number % replicas].append(watcher)
             self._entries.append((parts, around, watcher))
         self._asking = set()
         self._speaking = [
-            asyncio.create_task(self._speak(around, watcher, number * WORD_S / count))
+            asyncio.create_task(
+                self._speak(
+                    around,
+                    watcher,
+                    self._boards[number % replicas],
+                    number * WORD_S / count,
+                )
+            )
             for number, (_, around, watcher) in enumerate(self._entries)
         ]
+        self._speaking.append(asyncio.create_task(self._pass_on()))
 
     async def play(self, seconds):
         """Let callers ask for so long."""
@@ -185,10 +199,22 @@
         except WigeonscaleError as exc:
             self.refusals.append(exc)
 
-    async def _speak(self, around, watcher, begins_s):
+    async def _pass_on(self):
+        """Let the first replica lead: it hears all others, and tells them the sum."""
+        leader, *followers = self._boards
+        while True:
+            if self.has_leader:
+                for number, board in enumerate(followers):
+                    name = f"control-{number}"
+                    leader.take(name, board.own().SerializeToString())
+                    total = leader.total(without=name).SerializeToString()
+                    board.take("leader", total)
+            await self.clock.sleep(PASS_ON_S)
+
+    async def _speak(self, around, watcher, board, begins_s):
         await self.clock.sleep(begins_s)
         while True:
             watcher.loads = told_loads(around)
             watcher.heard_at = self.clock.now()
-            take_totals(around, self._board.total())
+            take_totals(around, board.total())
             await self.clock.sleep(WORD_S)
--- a/wigeonscale/daemons/tests/test_named_limits.py
+++ b/wigeonscale/daemons/tests/test_named_limits.py
@@ -18,14 +18,17 @@
 
 
 class NamedLimitTest(AsyncTestCase):
-    async def until_judged(self, *, entries, requests_per_s, limit_per_s):
-        self.entries = Entries(entries, requests_per_s)
+    async def until_judged(self, *, entries, requests_per_s, limit_per_s, replicas=1):
+        self.entries = Entries(entries, requests_per_s, replicas)
         self.addCleanup(self.entries.close)
         await self.entries.play(2.0)
         self.entries.servers.notices[NEEDY] = ServerNotice(limit_per_s=limit_per_s)
-        named_at = self.entries.clock.now()
+        self.named_at = self.entries.clock.now()
         await self.entries.play(12.0)
-        over = self.entries.most_over_limit(NEEDY, limit_per_s, named_at)
+        self.judge(limit_per_s)
+
+    def judge(self, limit_per_s):
+        over = self.entries.most_over_limit(NEEDY, limit_per_s, self.named_at)
         self.assertTrue(over <= 0, f"{over} requests over the limit")
         self.assertEqual([], self.entries.refusals)
 
@@ -37,6 +40,19 @@
     async def test_one_entry_of_its_domain_sends_it_all(self):
         await self.until_judged(entries=4, requests_per_s=5.0, limit_per_s=1.0)
 
+    async def test_no_leader_passes_on_what_the_entries_tell(self):
+        # Each replica then knows its own entries only.
+        await self.until_judged(
+            entries=66, requests_per_s=2.0, limit_per_s=4.0, replicas=11
+        )
+        self.entries.has_leader = False
+        await self.entries.play(6.0)
+        self.judge(4.0)
+        self.entries.has_leader = True
+        await self.entries.play(6.0)
+        self.judge(4.0)
+        self.assertTrue(await self.sent_in(20.0) >= 40)
+
     async def test_it_still_gets_what_it_takes(self):
         await self.until_judged(entries=4, requests_per_s=5.0, limit_per_s=2.0)
         sent = await self.sent_in(20.0)
