A limit is shared by word of nearly all entries, or not by word at all

While control had no leader, a server in need got 25 requests a second where it takes 4: up to 51 in a window beyond what it allows, with 66 entries at 11 replicas.

Cause: each replica then tells its entries the sum over its own only, and these shared the whole limit among themselves, at each replica. Class: a sum over a part that is taken for the whole.

Change: a sum tells how many entries it is of. Shares are taken from it only where these are nine tenths of the entries that control has counted; else the shares of before hold for as long as word does, and after that each takes what it would get if all sent.

Why it holds: no entry takes a larger share than the one that nearly all agree on.

--- a/wigeonscale/control/load_board.py
+++ b/wigeonscale/control/load_board.py
@@ -94,7 +94,9 @@
     loads_by_id: dict[str, wire.Load] = {}
     sends_by_name: dict[str, wire.ServiceSends] = {}
     limits_by_id: dict[str, wire.NamedLimit] = {}
+    tellers = 0
     for loads, age_s in all_loads:
+        tellers += loads.tellers
         for load in loads.loads:
             total = loads_by_id.setdefault(load.backend_id, wire.Load())
             total.backend_id = load.backend_id
@@ -114,6 +116,7 @@
         loads=loads_by_id.values(),
         sends=sends_by_name.values(),
         limits=limits_by_id.values(),
+        tellers=tellers,
     )
 
 
--- a/wigeonscale/control/tests/test_load_board.py
+++ b/wigeonscale/control/tests/test_load_board.py
@@ -58,6 +58,12 @@
         (total,) = self.board.total().sends
         self.assertEqual(("s", 60, 9), (total.service, total.requests, total.further))
 
+    def test_how_many_entries_told(self):
+        self.attach("one", wire.Loads(tellers=1))
+        self.attach("two", wire.Loads(tellers=1))
+        self.board.take("c2", wire.Loads(tellers=5).SerializeToString())
+        self.assertEqual(7, self.board.total().tellers)
+
     async def test_newest_answer_decides_a_limit(self):
         told = wire.NamedLimit(
             backend_id="a", per_s=2, age_ms=900, demands=demands(one=3)
--- a/wigeonscale/daemons/load_words.py
+++ b/wigeonscale/daemons/load_words.py
@@ -35,6 +35,7 @@
             )
             for limit in around.limits.told()
         ],
+        tellers=1,
     )
 
 
@@ -51,7 +52,7 @@
     around.budget.take_totals(
         {each.service: (each.requests, each.further) for each in totals.sends}
     )
-    around.limits.take(
+    limits = [
         NamedLimit(
             backend_id=each.backend_id,
             per_s=each.per_s if each.HasField("per_s") else None,
@@ -59,4 +60,5 @@
             demands={demand.entry: demand.requests for demand in each.demands},
         )
         for each in totals.limits
-    )
+    ]
+    around.limits.take(limits, tellers=totals.tellers)
--- a/wigeonscale/daemons/tests/named_limits.py
+++ b/wigeonscale/daemons/tests/named_limits.py
@@ -176,17 +176,15 @@
             limit_per_s: What it names all the time.
             named_at: Since when.
         """
-        sends = [
-            (at, self.servers.told_at.get((entry, name), at))
+        told = [
+            at
             for at, entry, name in self.servers.sends
             if name == backend_id
+            and at - self.servers.told_at.get((entry, name), at) >= TOLD_AFTER_S
         ]
         counts = [
-            sum(
-                end - WINDOW_S < at <= end and end - told_at >= TOLD_AFTER_S
-                for at, told_at in sends
-            )
-            for end, _ in sends
+            sum(end - WINDOW_S < at <= end for at in told)
+            for end in told
             if end >= named_at + JUDGED_AFTER_S
         ]
         return max(counts, default=0) - (FACTOR * WINDOW_S * limit_per_s + SLACK)
--- a/wigeonscale/direct/send_limits.py
+++ b/wigeonscale/direct/send_limits.py
@@ -24,6 +24,8 @@
 MOST_WANTED = 4096
 # That a limit has ended is told for so long, so that no older word of it comes back.
 ENDED_KEPT_S = 30.0
+# Share of the entries whose word is enough to share a limit by: some come and go.
+NEARLY_ALL = 0.9
 # A backend server that takes nothing must be asked now and then whether it still does.
 LEAST_PER_S = 0.2
 
@@ -102,7 +104,8 @@
         self._clock = clock
         self._entries = entries
         self._limits: dict[str, _Limit] = {}
-        self._totals_at = -math.inf
+        # When the other entries were last heard of, nearly all of them.
+        self._heard_all_at = -math.inf
 
     def note(self, backend_id: str, per_s: float | None, *, sent_at: float) -> None:
         """Take in what an answer names.
@@ -142,7 +145,7 @@
         due_at = limit.next_at - max(0.0, BURST_S - interval_s)
         if not self._is_told():
             # Others without word begin to send in the same moment.
-            due_at = max(due_at, self._totals_at + TOTALS_FRESH_S + interval_s)
+            due_at = max(due_at, self._heard_all_at + TOTALS_FRESH_S + interval_s)
         return max(0.0, due_at - self._clock.now())
 
     def note_wanted(self, backend_id: str) -> None:
@@ -181,16 +184,22 @@
             if (demand := self._demand(limit)) or limit.is_own
         ]
 
-    def take(self, limits: Iterable[NamedLimit]) -> None:
-        """Take in what all entries told, this one included.
+    def take(self, limits: Iterable[NamedLimit], *, tellers: int) -> None:
+        """Take in what the entries told, this one included.
+
+        Load pattern: control has no leader for some seconds, and each replica knows
+        its own entries only, which would share the whole limit among themselves.
 
         Args:
             limits: One word for each limit.
+            tellers: Entries whose word is in it.
         """
-        self._totals_at = self._clock.now()
         words = {each.backend_id: each for each in limits}
         for word in words.values():
             self._take_value(word)
+        if tellers < NEARLY_ALL * self._entries():
+            return
+        self._heard_all_at = self._clock.now()
         for backend_id, limit in self._limits.items():
             word = words.get(backend_id)
             self._take_demands(backend_id, limit, word.demands if word else {})
@@ -266,7 +275,7 @@
         return len(limit.wanted_at)
 
     def _is_told(self) -> bool:
-        return self._clock.now() - self._totals_at <= TOTALS_FRESH_S
+        return self._clock.now() - self._heard_all_at <= TOTALS_FRESH_S
 
     def _interval_s(self, limit: _Limit) -> float:
         """Return the time between two requests of this entry at an even pace."""
