Who shares a limit stays the same while demands differ little

Cause: where more want a server than may share its limit, those with the most requests were taken, by a count that chance moves from word to word; each newcomer waits for a whole interval, and the share of the one it replaced is lost meanwhile. Ruled out: the fifth kept back, and requests that come after their turn. Change: demands within a factor of eight are alike, and a hash decides among them; weights of shares still follow the count. Test: an entry with nearly as much as the others takes nobody's place.

--- a/wigeonscale/limits/sharing.py
+++ b/wigeonscale/limits/sharing.py
@@ -10,13 +10,17 @@
 # send at their even pace. So they are no more than the limit allows in this time, which
 # with four fifths of it over four seconds stays below one and a half times the limit.
 READY_S = 2.5
+# Demands within the same power of this are about as much.
+FAR_LESS = 8
 
 
 def sharers(subject: str, per_s: float, demands: Mapping[str, int]) -> dict[str, int]:
     """Return those that share a limit with their weights, the same for all that ask.
 
     Load pattern: one process has most of the requests, many others one now and then.
-    So shares follow demand, and where they are too many those with the least have none.
+    So shares follow demand, and where they are too many those with far less have none.
+    Among those with about as much the choice is the same from moment to moment, since
+    who begins to share must wait until those before have sent what they had ready.
 
     Args:
         subject: What the limit is of; among equals, each has sharers of its own.
@@ -36,7 +40,7 @@
 
     def rank(name: str) -> tuple[int, bytes]:
         digest = hashlib.sha256(f"{subject} {name}".encode()).digest()
-        return -weights[name], digest
+        return -int(math.log(demands[name], FAR_LESS)), digest
 
     kept = sorted(weights, key=rank)[:most] if len(weights) > most else weights
     return {name: weights[name] for name in sorted(kept)}
--- a/wigeonscale/limits/tests/test_sharing.py
+++ b/wigeonscale/limits/tests/test_sharing.py
@@ -20,6 +20,12 @@
     def test_those_with_the_most_requests(self):
         self.assertEqual({"big": 32}, sharers("i", 0.5, ALIKE | {"big": 40}))
 
+    def test_who_has_about_as_much_takes_nobodys_place(self):
+        before = sharers("i", 1.0, ALIKE)
+        for number in range(0, 300, 7):
+            after = sharers("i", 1.0, ALIKE | {f"entry-{number:03d}": 5})
+            self.assertEqual(set(before), set(after))
+
     def test_no_requests_no_share(self):
         self.assertEqual({"a": 1}, sharers("i", 2.0, {"a": 1, "b": 0}))
 
