--- a/wigeonscale/daemons/tests/named_limits.py
+++ b/wigeonscale/daemons/tests/named_limits.py
@@ -9,14 +9,8 @@
 from wigeonscale.control.load_board import LoadBoard
 from wigeonscale.daemons.load_words import take_totals, told_loads
 from wigeonscale.direct.stream import relay_stream
-from wigeonscale.direct.tests.support import (
-    MODEL,
-    FakeStream,
-    Parts,
-    Sink,
-    engine,
-    event,
-)
+from wigeonscale.direct.tests.fakes import FakeStream, Sink
+from wigeonscale.direct.tests.support import MODEL, Parts, engine, event
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports.exchange import ServerNotice
 from wigeonscale.routes import Repeat
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -1,8 +1,6 @@
 """Stand-ins around the flows of an entry: backend servers, callers and control."""
 
-import asyncio
 import random
-from contextlib import asynccontextmanager
 
 from wigeonscale.crashes import CrashBook
 from wigeonscale.direct import (
@@ -18,9 +16,9 @@
 )
 from wigeonscale.direct.job import Job
 from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.fakes import FakeExchange, FakeOrders, FakeReach, Sink
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.layers import LayerRange
-from wigeonscale.ports import ProbeAnswer
 from wigeonscale.ports.exchange import (
     AnswerHead,
     CallerRequest,
@@ -30,7 +28,6 @@
     StreamEvent,
     WholeAnswer,
 )
-from wigeonscale.ports.orders import EngineStatus, OrderOutcome
 from wigeonscale.routes import (
     Accelerator,
     EngineProfile,
@@ -104,135 +101,6 @@
     return StreamEvent(number, b"id: %d\n\n" % number)
 
 
-class FakeExchange:
-    """Answers each call by the next of its server's script.
-
-    A step is an error to raise, a whole answer, or a list of events; an error among
-    the events breaks the stream off, ``HANG`` stops it for ever, a future holds it up.
-    """
-
-    HANG = object()
-
-    def __init__(self):
-        self.scripts = {}
-        self.calls = []
-        self.cancelled = []
-
-    def script(self, name, *steps):
-        self.scripts.setdefault(name, []).extend(steps)
-
-    async def call(self, call):
-        async with self.open(call) as stream:
-            return WholeAnswer(stream.head, await stream.rest())
-
-    @asynccontextmanager
-    async def open(self, call):
-        self.calls.append(call)
-        step = self.scripts[call.backend_id].pop(0)
-        if step is self.HANG:
-            try:
-                await asyncio.get_running_loop().create_future()
-            finally:
-                self.cancelled.append(call.backend_id)
-        if isinstance(step, Exception):
-            raise step
-        yield step if isinstance(step, FakeStream) else FakeStream(step)
-
-    @property
-    def sent_to(self):
-        return [call.backend_id for call in self.calls]
-
-
-class FakeStream:
-    def __init__(self, step):
-        self._step = step
-        is_whole = isinstance(step, WholeAnswer)
-        self.head = step.head if is_whole else AnswerHead(200, (("Stamp", "first"),))
-
-    async def rest(self):
-        return self._step.body
-
-    async def events(self):
-        for each in self._step:
-            if each is FakeExchange.HANG:
-                await asyncio.get_running_loop().create_future()
-            if isinstance(each, asyncio.Future):
-                await each
-                continue
-            if isinstance(each, Exception):
-                raise each
-            yield each
-
-
-class Sink:
-    """What a caller got."""
-
-    def __init__(self):
-        self.answer = None
-        self.head = None
-        self.data = b""
-        self.is_whole = False
-
-    async def send(self, answer):
-        self.answer = answer
-
-    async def begin(self, head):
-        self.head = head
-
-    async def write(self, data):
-        self.data += data
-
-    async def end(self):
-        self.is_whole = True
-
-    def cut(self):
-        self.is_whole = False
-
-
-class FakeReach:
-    """VMs that answer as a test says."""
-
-    def __init__(self, clock):
-        self._clock = clock
-        # Addresses that do not answer, and what others answer and after how long.
-        self.dark = set()
-        self.answers = {}
-        self.answer_s = {}
-        self.probed = []
-
-    async def __call__(self, address, limit_s):
-        self.probed.append(address)
-        takes_s = self.answer_s.get(address, 0.0)
-        if address in self.dark or takes_s > limit_s:
-            await self._clock.sleep(limit_s)
-            return ProbeAnswer.NOTHING
-        await self._clock.sleep(takes_s)
-        return self.answers.get(address, ProbeAnswer.ANSWERED)
-
-
-class FakeOrders:
-    """Engines that report what a test says; None for no answer."""
-
-    def __init__(self):
-        self.held_up_by = {}
-        self.asked = []
-        self.limits = []
-        self.moved = []
-        self.move_outcome = OrderOutcome.REFUSED
-
-    async def change_path(self, address, *, request_id, path, addresses):
-        self.moved.append((address, request_id, [part.backend_id for part in path]))
-        return self.move_outcome
-
-    async def status(self, address, *, limit_s):
-        self.limits.append(limit_s)
-        self.asked.append(address)
-        held_up_by = self.held_up_by.get(address, ())
-        if held_up_by is None:
-            return None
-        return EngineStatus(0, False, 0, 0, held_up_by=tuple(held_up_by))
-
-
 class Parts:
     """An entry's flows over stand-ins."""
 
--- a/wigeonscale/direct/tests/test_crashing.py
+++ b/wigeonscale/direct/tests/test_crashing.py
@@ -3,8 +3,8 @@
 from wigeonscale.crashes import BEGINNING_S, KnownCrashes, hold_s
 from wigeonscale.direct.plain import call_plain
 from wigeonscale.direct.runs import Run
+from wigeonscale.direct.tests.fakes import FakeExchange
 from wigeonscale.direct.tests.support import (
-    FakeExchange,
     Parts,
     StreamCase,
     answer,
--- a/wigeonscale/direct/tests/test_crashing_load.py
+++ b/wigeonscale/direct/tests/test_crashing_load.py
@@ -10,15 +10,8 @@
 
 from wigeonscale.direct.runs import Run
 from wigeonscale.direct.stream import relay_stream
-from wigeonscale.direct.tests.support import (
-    MODEL,
-    FakeStream,
-    Parts,
-    Sink,
-    engine,
-    event,
-    unknown,
-)
+from wigeonscale.direct.tests.fakes import FakeStream, Sink
+from wigeonscale.direct.tests.support import MODEL, Parts, engine, event, unknown
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.routes import Repeat
 from wigeonscale.testing import AsyncTestCase
--- a/wigeonscale/direct/tests/test_leaving.py
+++ b/wigeonscale/direct/tests/test_leaving.py
@@ -7,15 +7,8 @@
 
 from wigeonscale.direct.plain import call_plain
 from wigeonscale.direct.stream import relay_stream
-from wigeonscale.direct.tests.support import (
-    MODEL,
-    FakeStream,
-    Parts,
-    Sink,
-    engine,
-    event,
-    server,
-)
+from wigeonscale.direct.tests.fakes import FakeStream, Sink
+from wigeonscale.direct.tests.support import MODEL, Parts, engine, event, server
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import AnswerHead, ServerNotice, WholeAnswer
 from wigeonscale.routes import Repeat
--- a/wigeonscale/direct/tests/test_notices.py
+++ b/wigeonscale/direct/tests/test_notices.py
@@ -1,9 +1,9 @@
 from wigeonscale.direct.plain import call_plain
 from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.fakes import Sink
 from wigeonscale.direct.tests.support import (
     MODEL,
     Parts,
-    Sink,
     engine,
     event,
     not_run,
--- a/wigeonscale/direct/tests/test_plain.py
+++ b/wigeonscale/direct/tests/test_plain.py
@@ -1,6 +1,6 @@
 from wigeonscale.direct.plain import call_plain
+from wigeonscale.direct.tests.fakes import FakeExchange
 from wigeonscale.direct.tests.support import (
-    FakeExchange,
     Parts,
     answer,
     not_run,
--- a/wigeonscale/direct/tests/test_probing.py
+++ b/wigeonscale/direct/tests/test_probing.py
@@ -2,14 +2,8 @@
 
 from wigeonscale.direct.probing import MOST_IN_A_ROUND
 from wigeonscale.direct.runs import Run
-from wigeonscale.direct.tests.support import (
-    FakeExchange,
-    Sink,
-    StreamCase,
-    engine,
-    event,
-    fleet,
-)
+from wigeonscale.direct.tests.fakes import FakeExchange, Sink
+from wigeonscale.direct.tests.support import StreamCase, engine, event, fleet
 from wigeonscale.ports import ProbeAnswer
 
 HANG = FakeExchange.HANG
--- a/wigeonscale/direct/tests/test_rests.py
+++ b/wigeonscale/direct/tests/test_rests.py
@@ -12,10 +12,10 @@
 
 from wigeonscale.direct.plain import call_plain
 from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.fakes import Sink
 from wigeonscale.direct.tests.support import (
     MODEL,
     Parts,
-    Sink,
     answer,
     engine,
     event,
--- a/wigeonscale/direct/tests/test_service.py
+++ b/wigeonscale/direct/tests/test_service.py
@@ -3,14 +3,8 @@
 
 from wigeonscale.direct import DirectService
 from wigeonscale.direct.progress import Progress
-from wigeonscale.direct.tests.support import (
-    FakeExchange,
-    Parts,
-    Sink,
-    answer,
-    event,
-    server,
-)
+from wigeonscale.direct.tests.fakes import FakeExchange, Sink
+from wigeonscale.direct.tests.support import Parts, answer, event, server
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports.exchange import CallerRequest
 from wigeonscale.routes import (
--- a/wigeonscale/direct/tests/test_stalls.py
+++ b/wigeonscale/direct/tests/test_stalls.py
@@ -1,15 +1,8 @@
 import asyncio
 
 from wigeonscale.direct.runs import Run
-from wigeonscale.direct.tests.support import (
-    FakeExchange,
-    Sink,
-    StreamCase,
-    engine,
-    event,
-    fleet,
-    not_sent,
-)
+from wigeonscale.direct.tests.fakes import FakeExchange, Sink
+from wigeonscale.direct.tests.support import StreamCase, engine, event, fleet, not_sent
 from wigeonscale.ports.orders import OrderOutcome
 
 HANG = FakeExchange.HANG
--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -3,8 +3,8 @@
 from wigeonscale.direct.choice import FULL_SHARE
 from wigeonscale.direct.runs import Run
 from wigeonscale.direct.stream import relay_stream
+from wigeonscale.direct.tests.fakes import Sink
 from wigeonscale.direct.tests.support import (
-    Sink,
     StreamCase,
     answer,
     engine,
