--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -34,6 +34,7 @@
 
 DataFolder = Annotated[str, Field(min_length=1), Allowed("the path of a folder")]
 PemFile = Annotated[str, Allowed("the path of a readable PEM file, or empty for none")]
+ClassesMode = Annotated[Literal["auto", "yes", "no"], Allowed("auto, yes or no")]
 ServiceName = Annotated[
     str,
     Field(pattern="^([A-Za-z0-9][A-Za-z0-9._-]{0,62})?$"),
@@ -125,6 +126,8 @@
             majority of control has confirmed it for ``lease_s``.
         killed_after_s: Time after which a process that was asked to stop is killed, in
             seconds; 0 if it is not known, in which case ``stop_timeout_s`` applies.
+        classes: Whether services have traffic classes: ``auto`` if their routes differ
+            in priority or target, else always or never.
     """
 
     listen: ListenAddress
@@ -137,6 +140,7 @@
     retry_window_s: seconds(1, 600) = 10.0
     serve_when_cut: YesNo = True
     killed_after_s: seconds(0, 3600) = 0.0
+    classes: ClassesMode = "auto"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -44,7 +44,7 @@
 from wigeonscale.platform.exchange_http import HttpExchange, new_session
 from wigeonscale.platform.reachability import check_reachable
 from wigeonscale.ports import Clock, SystemClock
-from wigeonscale.routes import RouteTable
+from wigeonscale.routes import RouteTable, traffic_classes
 from wigeonscale.wire import wire_pb2 as wire
 
 # The load balancer checks readiness once a second and removes an entry after two failed
@@ -69,11 +69,13 @@
         tracker: Updated when the set of backend servers changes.
         notices: Likewise.
         limits: Likewise.
+        classes: Whether services have traffic classes: ``auto``, ``yes`` or ``no``.
 
     Attributes:
         table: Current route table.
         is_complete: Set once both the table and the backend servers were received.
         fleet: Current backend servers.
+        services_with_classes: Names of the services with traffic classes.
     """
 
     def __init__(
@@ -83,8 +85,11 @@
         tracker: BackendTracker,
         notices: Notices,
         limits: BackendRateLimits,
+        classes: str,
     ):
         self.table = RouteTable()
+        self.services_with_classes: frozenset[str] = frozenset()
+        self._classes = classes
         self.is_complete = asyncio.Event()
         self.fleet = Fleet()
         self._members_received = False
@@ -132,6 +137,23 @@
                 document.number,
                 exc.message,
             )
+            return
+        self._apply_classes()
+
+    def _apply_classes(self) -> None:
+        names = self.table.services if self._classes != "no" else ()
+        found = frozenset(
+            name
+            for name in names
+            if self._classes == "yes" or traffic_classes(self.table, name)
+        )
+        if found != self.services_with_classes:
+            logger.info(
+                "services with traffic classes: %s",
+                ", ".join(sorted(found)) or "none",
+                extra=log_fields(outcome=self._classes, table=self.table.number),
+            )
+        self.services_with_classes = found
 
 
 async def run_direct_entry(
@@ -181,7 +203,11 @@
         on_loads=lambda totals: apply_load_totals(ctx, totals),
     )
     view = _ControlView(
-        control=control, tracker=tracker, notices=notices, limits=limits
+        control=control,
+        tracker=tracker,
+        notices=notices,
+        limits=limits,
+        classes=cfg.classes,
     )
     stopping: list[bool] = []
 
@@ -229,6 +255,7 @@
         crashes=crashes,
         notices=notices,
         limits=limits,
+        has_classes=lambda service: service in view.services_with_classes,
     )
     service = DirectService(
         ctx=ctx,
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -20,6 +20,11 @@
 from wigeonscale.routes import Organisation, Route, Service
 
 
+def no_classes(service: str) -> bool:
+    """Return that a service has no traffic classes."""
+    return False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntryContext:
     """Components that all requests of one entry share.
@@ -40,6 +45,7 @@
         crashes: Requests that are rejected because they crash backend servers.
         notices: Shutdown, rate limit and Retry-After notices of backend servers.
         limits: This entry's share of the rate limits of backend servers.
+        has_classes: Returns whether a service, given by name, has traffic classes.
     """
 
     exchange: Exchange
@@ -57,6 +63,7 @@
     crashes: CrashTracker
     notices: Notices
     limits: BackendRateLimits
+    has_classes: Callable[[str], bool] = no_classes
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/routes/__init__.py
+++ b/wigeonscale/routes/__init__.py
@@ -14,9 +14,11 @@
     "choose_service",
     "find_organisation",
     "find_route",
+    "traffic_classes",
 ]
 
 from wigeonscale.routes.build import build_table
+from wigeonscale.routes.classes import traffic_classes
 from wigeonscale.routes.matching import choose_service, find_organisation, find_route
 from wigeonscale.routes.model import (
     Accelerator,
