--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -1,6 +1,8 @@
 """Admission control: organisation limits, fair queueing and load shedding."""
 
 __all__ = [
+    "CLASS_WINDOW_S",
+    "ClassCount",
     "ConcurrencyGuard",
     "FairQueue",
     "OrganisationLimits",
@@ -10,6 +12,7 @@
     "share_weights",
 ]
 
+from wigeonscale.limits.class_count import CLASS_WINDOW_S, ClassCount
 from wigeonscale.limits.deadline import check_deadline
 from wigeonscale.limits.estimate import WaitEstimator
 from wigeonscale.limits.fair_queue import FairQueue
