Streams of a lost engine draw their way from shares of all entries

Load pattern: an engine through which 40 streams of 9 entries pass is lost. All of them take the detour to the same replacement, which prefills them one after another, while the other two failure domains are half used. Cause: each stream chose the way that is best for a single stream, without regard to the others that move in the same instant. Change: for services with traffic classes, an entry computes once per loss the shares of the detour and of new sends to each failure domain, and each of its streams draws its way. A stream drawn to a new send takes its retry from the budget first, and the detour if there is none. A path in the drawn domain is used only if its engines respond and have room; else the choice is as before. A stream suspected of crashing engines keeps to the detour. Replacements and paths of similar cost are chosen by the fewest streams that this entry has just moved to them. Counter recovered_streams_total by way, and one log line per loss.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -195,6 +195,12 @@
         self.retries = self._counter(
             "retries_total", "Dispatches tried again, by cause.", "kind"
         )
+        self.recovered_streams = self._counter(
+            "recovered_streams_total",
+            "Streams of lost engines moved on, by way (detour, same-domain,"
+            " other-domain); services with traffic classes only.",
+            "way",
+        )
         self.attaches = self._counter(
             "attaches_total", "Answers taken up again after a silent connection."
         )
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -1,10 +1,18 @@
 """Admission of generations and the choice of their paths."""
 
-__all__ = ["PathChoice", "choose_detour", "choose_path_for", "overloaded_error"]
+__all__ = [
+    "MoveCost",
+    "PathChoice",
+    "choose_detour",
+    "choose_path_for",
+    "lost_engines",
+    "overloaded_error",
+    "responds",
+]
 
 import dataclasses
 import random
-from collections.abc import Collection, Container, Sequence
+from collections.abc import Callable, Collection, Container, Sequence
 from dataclasses import dataclass
 
 from wigeonscale.direct.choice import (
@@ -22,6 +30,9 @@
 # seconds, so about a third of the capacity is released within one second.
 OVERLOAD_RETRY_AFTER_S = (0.4, 1.4)
 
+# Additional cost in ms of moving a stream to some layers of an engine.
+MoveCost = Callable[[BackendServer, int], float]
+
 
 @dataclass(frozen=True, slots=True)
 class PathChoice:
@@ -46,6 +57,8 @@
     *,
     lost: Container[str],
     ran_on: Collection[str],
+    domain: str = "",
+    move_cost: MoveCost | None = None,
 ) -> PathChoice:
     """Return the path of one send.
 
@@ -62,11 +75,20 @@
         job: The request.
         lost: Engines to exclude.
         ran_on: First engines of the paths that may have run the request.
+        domain: If given, the path uses only engines of this failure domain that
+            respond.
+        move_cost: If given, cost to add for each part.
     """
     throttled: set[str] = set()
     while True:
         choice = _choose_path_excluding(
-            ctx, job, lost=lost, throttled=throttled, ran_on=ran_on
+            ctx,
+            job,
+            lost=lost,
+            throttled=throttled,
+            ran_on=ran_on,
+            domain=domain,
+            move_cost=move_cost,
         )
         first = choice.path[0].backend_id if choice.path else ""
         if not first or ctx.notices.may_send(first):
@@ -82,6 +104,8 @@
     lost: Container[str],
     throttled: Container[str],
     ran_on: Collection[str],
+    domain: str,
+    move_cost: MoveCost | None,
 ) -> PathChoice:
     """Return the cheapest path that does not begin at a throttled engine."""
     engine = job.service.engine
@@ -92,6 +116,8 @@
         # An engine that shuts down would cut off the request at any position of a path.
         and not ctx.notices.is_leaving(server.backend_id)
     ]
+    if domain:
+        servers = [each for each in servers if responds(ctx, each, domain=domain)]
     if len(ran_on) >= job.route.max_attempts:
         # No attempts are left: of the first engines, keep those that had the request.
         servers = [
@@ -107,7 +133,13 @@
         tracker=ctx.tracker,
         entry_count=ctx.entry_count(),
     )
-    path = choose_path(servers, engine, costs, domain=ctx.domain, lost=lost)
+    path = choose_path(
+        servers,
+        engine,
+        _with_move_cost(costs, move_cost),
+        domain=domain or ctx.domain,
+        lost=lost,
+    )
     fleet = ctx.fleet()
     token_ms = sum(
         costs.token(fleet.by_id[part.backend_id], part.layers.count)
@@ -120,8 +152,34 @@
     )
 
 
+def lost_engines(ctx: EntryContext, path: Sequence[Part]) -> set[str]:
+    """Return the engines of a path that are gone or silent, or are avoided."""
+    fleet = ctx.fleet()
+    return {
+        part.backend_id
+        for part in path
+        if part.backend_id not in fleet.by_id
+        or fleet.by_id[part.backend_id].is_silent
+        or ctx.tracker.is_avoided(part.backend_id)
+    }
+
+
+def responds(ctx: EntryContext, server: BackendServer, *, domain: str) -> bool:
+    """Return whether an engine of a failure domain can take over streams."""
+    return (
+        server.domain == domain
+        and not server.is_silent
+        and not ctx.tracker.is_avoided(server.backend_id)
+        and not ctx.notices.is_leaving(server.backend_id)
+    )
+
+
 def choose_detour(
-    ctx: EntryContext, job: Job, path: Sequence[Part]
+    ctx: EntryContext,
+    job: Job,
+    path: Sequence[Part],
+    *,
+    move_cost: MoveCost | None = None,
 ) -> list[Part] | None:
     """Return a path that replaces the lost engines of a running generation.
 
@@ -133,19 +191,14 @@
         ctx: Context of the entry.
         job: The request.
         path: Current path, with lost engines.
+        move_cost: If given, cost to add for each replacement.
 
     Returns:
         The new path; None if no engine of the path is lost, its first engine is lost,
         or no other engine of the domain holds the layers.
     """
     fleet = ctx.fleet()
-    lost = {
-        part.backend_id
-        for part in path
-        if part.backend_id not in fleet.by_id
-        or fleet.by_id[part.backend_id].is_silent
-        or ctx.tracker.is_avoided(part.backend_id)
-    }
+    lost = lost_engines(ctx, path)
     first = path[0].backend_id
     if not lost or first in lost:
         return None
@@ -159,12 +212,21 @@
     near = [
         server
         for server in fleet.by_service.get(job.service.name, ())
-        if server.domain == domain
-        and not server.is_silent
-        and not ctx.tracker.is_avoided(server.backend_id)
-        and not ctx.notices.is_leaving(server.backend_id)
+        if responds(ctx, server, domain=domain)
     ]
-    return find_detour(path, near, lost=lost, part_cost=costs.part)
+    part_cost = _with_move_cost(costs, move_cost).part
+    return find_detour(path, near, lost=lost, part_cost=part_cost)
+
+
+def _with_move_cost(costs: PathCosts, move_cost: MoveCost | None) -> PathCosts:
+    if move_cost is None:
+        return costs
+    return dataclasses.replace(
+        costs,
+        part=lambda server, layers: (
+            costs.part(server, layers) + move_cost(server, layers)
+        ),
+    )
 
 
 def overloaded_error(
--- a/wigeonscale/direct/detour.py
+++ b/wigeonscale/direct/detour.py
@@ -6,9 +6,12 @@
 from collections.abc import Sequence
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.admission import choose_detour
+from wigeonscale.adapters.metrics import METRICS
+from wigeonscale.direct.admission import choose_detour, lost_engines
 from wigeonscale.direct.crashing import note_aborted_run
 from wigeonscale.direct.job import EntryContext, Job
+from wigeonscale.direct.progress import Progress
+from wigeonscale.direct.recovery_choice import draw_next_send, move_cost, takes_detour
 from wigeonscale.direct.runs import Run
 from wigeonscale.layers import Part
 from wigeonscale.ports.orders import OrderOutcome
@@ -22,20 +25,24 @@
     return {part.backend_id: float(tokens * part.layers.count) for part in path}
 
 
-async def change_path(ctx: EntryContext, job: Job, run: Run, path: list[Part]) -> bool:
+async def change_path(
+    ctx: EntryContext, job: Job, progress: Progress, run: Run, path: list[Part]
+) -> bool:
     """Reroute a run around its lost engines without a new send.
 
     Args:
         ctx: Context of the entry.
         job: The request.
+        progress: Its progress; updated if the request must be sent again.
         run: Its send in progress.
         path: The path of the run; updated in place.
 
     Returns:
         Whether the path was changed; if not, the request must be sent again.
     """
-    detour = choose_detour(ctx, job, path)
+    detour = choose_detour(ctx, job, path, move_cost=move_cost(ctx, job))
     if detour is None:
+        draw_next_send(ctx, job, progress, path, lost_engines(ctx, path))
         return False
     kept = {part.backend_id for part in detour}
     lost = [part.backend_id for part in path if part.backend_id not in kept]
@@ -44,6 +51,8 @@
         # The request crashes engines, so it must not start on another one; relay_stream
         # rejects it.
         return False
+    if not takes_detour(ctx, job, progress, path, detour):
+        return False
     fleet = ctx.fleet()
     outcome = await ctx.orders.change_path(
         fleet.by_id[path[0].backend_id].address,
@@ -66,4 +75,8 @@
         ctx.tracker.replace(
             run, tuple(part.backend_id for part in detour), kv_cache_demand(job, detour)
         )
+        if ctx.has_classes(job.service.name):
+            METRICS.recovered_streams.add(way="detour")
+    else:
+        draw_next_send(ctx, job, progress, path, lost)
     return is_done
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wigeonscale.crashes import CrashTracker, request_fingerprint
 from wigeonscale.direct.admission_queue import AdmissionQueue
@@ -12,6 +12,7 @@
 from wigeonscale.direct.fleet import Fleet
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.rate_limits import BackendRateLimits
+from wigeonscale.direct.recovery_plans import RecoveryPlans
 from wigeonscale.direct.retry_budget import SharedRetryBudget
 from wigeonscale.direct.stalls import StallDetector
 from wigeonscale.ports import Clock
@@ -46,6 +47,7 @@
         notices: Shutdown, rate limit and Retry-After notices of backend servers.
         limits: This entry's share of the rate limits of backend servers.
         has_classes: Returns whether a service, given by name, has traffic classes.
+        recovery: Plans for the streams of lost engines.
     """
 
     exchange: Exchange
@@ -64,6 +66,7 @@
     notices: Notices
     limits: BackendRateLimits
     has_classes: Callable[[str], bool] = no_classes
+    recovery: RecoveryPlans = field(default_factory=RecoveryPlans)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -2,6 +2,7 @@
 
 __all__ = ["NO_PATH_RETRY_AFTER_S", "next_path"]
 
+import functools
 import logging
 import math
 
@@ -11,6 +12,7 @@
 from wigeonscale.direct.crashing import backends_with_other_suspects
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.progress import Progress
+from wigeonscale.direct.recovery_choice import recovery_path
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 
 # Retry-After when no path covers all layers. A lost engine is detected, and its layers
@@ -60,8 +62,9 @@
 async def _wait_for_path(ctx: EntryContext, job: Job, progress: Progress) -> PathChoice:
     """Return a path as soon as there is one, even if its engines are full."""
     give_up_at = min(ctx.clock.now() + MAX_PATH_WAIT_S, job.deadline_at)
+    choose = functools.partial(_choose, ctx, job, progress)
     while True:
-        choice = _choose(ctx, job, progress)
+        choice = recovery_path(ctx, job, progress, otherwise=choose)
         if choice.path is not None:
             return choice
         if ctx.clock.now() >= give_up_at:
--- a/wigeonscale/direct/progress.py
+++ b/wigeonscale/direct/progress.py
@@ -1,9 +1,13 @@
 """Progress of one generation over all its sends."""
 
-__all__ = ["Progress"]
+__all__ = ["MAX_SENDS", "Progress"]
 
 from dataclasses import dataclass, field
 
+# Most sends of one request. The attempts of a route do not limit them, because refused
+# sends that did not run are no attempts.
+MAX_SENDS = 6
+
 
 @dataclass(slots=True)
 class Progress:
@@ -16,6 +20,10 @@
         ran_on: First engines of the paths that may have run the request.
         lost: Engines that failed during this request.
         reroutes: Number of path changes of running sends.
+        left_domain: Failure domain of the lost engine that the latest send left; empty
+            if there is none or the stream has resumed since.
+        next_domain: Failure domain drawn for the next send; empty for any.
+        has_retry: Whether a retry for the next send was taken from the budget already.
         first_event_at: Time of the first event to the caller; None before it.
         latest_event_at: Time of the latest event to the caller.
         longest_pause_s: Longest time between two events to the caller.
@@ -28,6 +36,9 @@
     ran_on: set[str] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
     reroutes: int = 0
+    left_domain: str = ""
+    next_domain: str = ""
+    has_retry: bool = False
     first_event_at: float | None = None
     latest_event_at: float = 0.0
     longest_pause_s: float = 0.0
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -23,7 +23,8 @@
 from wigeonscale.direct.detour import change_path, kv_cache_demand
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.next_path import NO_PATH_RETRY_AFTER_S, next_path
-from wigeonscale.direct.progress import Progress
+from wigeonscale.direct.progress import MAX_SENDS, Progress
+from wigeonscale.direct.recovery_choice import draw_next_send
 from wigeonscale.direct.runs import Run
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import Part
@@ -36,9 +37,6 @@
     StreamEvent,
 )
 
-# Most sends of one request. The attempts of a route do not limit them, because refused
-# sends that did not run are no attempts.
-MAX_SENDS = 6
 # A request that must be finished waits this long for a retry from the retry budget. The
 # totals of all entries arrive twice a second, and callers disconnect after two seconds
 # without an event.
@@ -149,6 +147,11 @@
             note_broken_run(ctx, job, run)
             if not run.has_events:
                 ctx.tracker.note_unanswered(first)
+        is_begun = exc.outcome is CallOutcome.UNKNOWN or progress.must_finish
+        if is_begun and exc.outcome is not CallOutcome.NOT_RUN:
+            # Drawn while the run still counts as a stream of the lost engine.
+            at_fault = _engine_at_fault(ctx, path, exc)
+            draw_next_send(ctx, job, progress, path, {at_fault} - {""})
         raise
     except TimeoutError:
         if not run.wait_timeout.expired():
@@ -170,7 +173,7 @@
 async def _reroute(
     ctx: EntryContext, job: Job, progress: Progress, run: Run, path: list[Part]
 ) -> bool:
-    is_done = await change_path(ctx, job, run, path)
+    is_done = await change_path(ctx, job, progress, run, path)
     progress.reroutes += is_done
     return is_done
 
@@ -320,6 +323,9 @@
     """Take one retry from the budget if the request may be retried; return whether."""
     if ctx.clock.now() >= job.deadline_at or not _may_repeat(job, progress):
         return False
+    if progress.has_retry:
+        progress.has_retry = False
+        return True
     return ctx.budget.try_spend(job.service.name, is_begun=progress.must_finish)
 
 
