--- a/wigeonscale/direct/probing.py
+++ b/wigeonscale/direct/probing.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.fleet import BackendServer, Fleet
@@ -46,8 +46,9 @@
         clock: Clock port.
         fleet: Returns the current backend servers.
         delay_s: Returns the one-way delay to a failure domain, in seconds.
-        has_progress: Returns whether runs through an engine get events; also True if
-            this process lacked processor time and cannot tell. Called after the probes.
+        has_progress: Returns whether runs through an engine get events, given its name
+            and the start of the round; also True if this process lacked processor time
+            and cannot tell. Called after the probes.
         has_event_since: Returns whether any run got an event after a given time.
         on_lost: Called with the name of each lost engine.
     """
@@ -59,7 +60,7 @@
         clock: Clock,
         fleet: Callable[[], Fleet],
         delay_s: Callable[[str], float],
-        has_progress: Callable[[str], bool],
+        has_progress: Callable[[str, float], bool],
         has_event_since: Callable[[float], bool],
         on_lost: Callable[[str], None],
     ):
@@ -73,12 +74,18 @@
         self._probed_at: dict[str, float] = {}
         self._rounds: set[asyncio.Task] = set()
 
-    def start_round(self, names: Sequence[str]) -> None:
+    def start_round(
+        self, names: Sequence[str], *, suspects: Mapping[str, int] | None = None
+    ) -> None:
         """Start a round, unless all engines were probed recently.
 
         Args:
             names: Names of engines that may be lost, the most likely ones first.
+            suspects: Number of runs that are evidence against an engine, by name. With
+                several, the engine is probed again sooner, because it may have been
+                lost just after the last probe.
         """
+        suspects = suspects or {}
         now = self._clock.now()
         self._probed_at = {
             name: at
@@ -89,7 +96,9 @@
         servers = [
             by_id[name]
             for name in names
-            if name in by_id and name not in self._probed_at
+            if name in by_id
+            and now - self._probed_at.get(name, float("-inf"))
+            >= PROBE_INTERVAL_S / max(1, suspects.get(name, 1))
         ][:MAX_PROBED_PER_ROUND]
         if not servers:
             return
@@ -114,7 +123,7 @@
             server.backend_id
             for server, result in results.items()
             if result is not ProbeResult.ANSWERED
-            and not self._has_progress(server.backend_id)
+            and not self._has_progress(server.backend_id, began_at)
         ]
         # If no engine responds, this entry may be the one that is cut off.
         is_cut_off = not self._has_event_since(began_at) and all(
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -32,6 +32,8 @@
             second event.
         fingerprint: Hash that is the same for the same request under another id.
         sent_at: Time at which the request was sent.
+        detects_early: Whether an engine that it passes is probed as soon as this run
+            is overdue, and not only when all runs through the engine are.
     """
 
     backend_ids: tuple[str, ...]
@@ -47,6 +49,7 @@
     fingerprint: bytes = b""
     sent_at: float = 0.0
     latest_event_at: float = 0.0
+    detects_early: bool = False
 
     @property
     def has_events(self) -> bool:
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -18,6 +18,7 @@
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.backend_tracker import BackendTracker
 from wigeonscale.direct.fleet import Fleet
+from wigeonscale.direct.loss_evidence import suspected_engines
 from wigeonscale.direct.probing import EngineProber
 from wigeonscale.direct.runs import Run
 from wigeonscale.ports import Clock, ReachabilityCheck
@@ -201,9 +202,12 @@
         """Hint engines of stalled and slow paths to control, and probe the former."""
         stalled: Counter[str] = Counter()
         slow, active = set(), set()
+        early = []
         for run in self._runs:
             if _is_stalled(run, now):
                 stalled.update(run.backend_ids)
+                if run.detects_early and run.has_events:
+                    early.append(run)
             elif run.has_events:
                 (slow if _is_slow(run) else active).update(run.backend_ids)
         # An engine is healthy if another run through it gets events as usual.
@@ -212,17 +216,27 @@
         # To an entry that lacks processor time, all paths seem stalled, and probes
         # would cost more of it.
         if not self.is_lagging:
+            suspects = suspected_engines(early, self._tracker.runs_on)
             self._prober.start_round(
-                [n for n, _ in stalled.most_common() if n not in active]
+                [
+                    name
+                    for name, _ in stalled.most_common()
+                    if name not in active or name in suspects
+                ],
+                suspects=suspects,
             )
 
-    def _has_progress(self, name: str) -> bool:
+    def _has_progress(self, name: str, since: float) -> bool:
         """Return whether there is no evidence that an engine is lost."""
+        if self.is_lagging:
+            return True
         now = self._clock.now()
-        return self.is_lagging or any(
-            run.has_events and not _is_stalled(run, now)
-            for run in self._tracker.runs_on(name)
-        )
+        runs = self._tracker.runs_on(name)
+        if any(run.detects_early for run in runs):
+            # Other runs may not be overdue yet, which does not show that they get
+            # events.
+            return any(run.latest_event_at > since for run in runs)
+        return any(run.has_events and not _is_stalled(run, now) for run in runs)
 
     def _has_event_since(self, instant: float) -> bool:
         return any(run.progress_at > instant for run in self._runs if run.has_events)
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -22,6 +22,7 @@
 )
 from wigeonscale.direct.detour import change_path, kv_cache_demand
 from wigeonscale.direct.job import EntryContext, Job
+from wigeonscale.direct.loss_evidence import needs_early_detection
 from wigeonscale.direct.next_path import NO_PATH_RETRY_AFTER_S, next_path
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.runs import Run
@@ -108,6 +109,7 @@
         expected_interval_s=choice.event_interval_s,
         fingerprint=job.fingerprint,
         sent_at=now,
+        detects_early=_detects_early(ctx, job),
     )
     if is_split:
         run.reroute = functools.partial(_reroute, ctx, job, progress, run, path)
@@ -175,6 +177,13 @@
     return is_done
 
 
+def _detects_early(ctx: EntryContext, job: Job) -> bool:
+    service = job.service
+    return ctx.has_classes(service.name) or needs_early_detection(
+        service.engine, job.route.gap_target_s
+    )
+
+
 async def _relay_events(
     ctx: EntryContext,
     job: Job,
