--- a/wigeonscale/direct/tests/test_probing.py
+++ b/wigeonscale/direct/tests/test_probing.py
@@ -183,3 +183,88 @@
         self.harness.stalls.check()
         await self.harness.clock.advance(0.12)
         self.assertEqual(probe_count, len(self.harness.check_reachable.probed))
+
+
+class StaggeredEventsTest(StreamCase):
+    """An engine is lost whose streams expect their next events at different times."""
+
+    INTERVAL_S = 0.08
+    STREAMS = 4
+
+    async def detect(self, *, detects_early):
+        """Return the time from the loss of an engine until it is detected."""
+        lost_at = self.harness.clock.now() + 10 * self.INTERVAL_S
+        last_event_at = [
+            lost_at - number * self.INTERVAL_S / self.STREAMS
+            for number in range(self.STREAMS)
+        ]
+        self.harness.fleet = fleet(engine("lost", 0, 10), engine("other", 0, 10))
+        self.harness.check_reachable.unreachable = {"lost:80"}
+        healthy = Run(("other",), events=1)
+        self.harness.stalls.add(healthy)
+        await self.harness.clock.advance(10 * self.INTERVAL_S)
+        for at in last_event_at:
+            run = Run(
+                ("lost",),
+                events=11,
+                first_event_at=at - 10 * self.INTERVAL_S,
+                detects_early=detects_early,
+            )
+            self.harness.tracker.begin(run)
+            run.progress_at = run.latest_event_at = at
+            self.harness.stalls.add(run)
+        while not self.harness.suspected and self.harness.clock.now() < lost_at + 1:
+            healthy.progress_at = self.harness.clock.now()
+            await self.harness.clock.advance(0.01)
+            self.harness.stalls.check()
+        return self.harness.clock.now() - lost_at
+
+    async def test_first_overdue_stream_is_enough(self):
+        late_s = await self.detect(detects_early=False)
+        await self.prepare()
+        early_s = await self.detect(detects_early=True)
+        self.assertEqual(["lost"], self.harness.suspected)
+        # The first stream is overdue 0.75 intervals before the last one.
+        self.assertTrue(early_s <= late_s - 0.7 * self.INTERVAL_S, (early_s, late_s))
+
+    async def test_engine_without_answer_but_with_events_is_kept(self):
+        """Probes are lost on the network, and one of two streams is slow."""
+        self.harness.fleet = fleet(engine("a", 0, 10))
+        self.harness.check_reachable.unreachable = {"a:80"}
+        now = self.harness.clock.now()
+        slow, busy = (
+            Run(("a",), events=9, first_event_at=now, detects_early=True)
+            for _ in range(2)
+        )
+        for run in (slow, busy):
+            self.harness.tracker.begin(run)
+            self.harness.stalls.add(run)
+        for _ in range(30):
+            busy.progress_at = busy.latest_event_at = self.harness.clock.now()
+            await self.harness.clock.advance(0.01)
+            self.harness.stalls.check()
+        self.assertEqual([], self.harness.suspected)
+
+    async def test_suspected_engine_is_probed_again_sooner(self):
+        """It was lost just after a probe, and several streams are stalled."""
+        self.harness.fleet = fleet(engine("a", 0, 10), engine("b", 0, 10))
+        now = self.harness.clock.now()
+        for _ in range(4):
+            run = Run(
+                ("a",),
+                events=9,
+                first_event_at=now,
+                detects_early=True,
+                latest_event_at=now,
+            )
+            self.harness.tracker.begin(run)
+            self.harness.stalls.add(run)
+        healthy = Run(("b",), events=1)
+        self.harness.stalls.add(healthy)
+        for number in range(50):
+            healthy.progress_at = self.harness.clock.now()
+            await self.harness.clock.advance(0.01)
+            self.harness.stalls.check()
+            if number == 10:
+                self.harness.check_reachable.unreachable = {"a:80"}
+        self.assertEqual(["a"], self.harness.suspected)
