Tracker of the demand by traffic class

Load pattern: callers of one service differ in urgency and compete for the last free KV cache; an entry sees its own requests only. ClassDemandTracker counts arrivals, first sends, rejections, waits and releases by class over 2 s, and holds the totals of all entries. With outdated totals the own demand is extrapolated to a domain. Nothing reads it yet, so no decision changes.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -27,6 +27,7 @@
     AdmissionQueue,
     BackendRateLimits,
     BackendTracker,
+    ClassDemandTracker,
     DirectService,
     EntryContext,
     Fleet,
@@ -255,6 +256,7 @@
         crashes=crashes,
         notices=notices,
         limits=limits,
+        class_demand=ClassDemandTracker(clock=clock, domain=cfg.domain),
         has_classes=lambda service: service in view.services_with_classes,
     )
     service = DirectService(
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -5,6 +5,7 @@
     "BackendRateLimits",
     "BackendServer",
     "BackendTracker",
+    "ClassDemandTracker",
     "DirectService",
     "EntryContext",
     "Fleet",
@@ -18,6 +19,7 @@
 
 from wigeonscale.direct.admission_queue import AdmissionQueue
 from wigeonscale.direct.backend_tracker import BackendTracker
+from wigeonscale.direct.class_demand import ClassDemandTracker
 from wigeonscale.direct.fleet import (
     BackendServer,
     Fleet,
--- /dev/null
+++ b/wigeonscale/direct/class_demand.py
@@ -0,0 +1,206 @@
+"""Demand by traffic class: own counts of an entry, and the totals of all entries."""
+
+__all__ = ["ClassDemandTracker"]
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from wigeonscale.limits import CLASS_WINDOW_S, ClassCount
+from wigeonscale.ports import Clock
+
+if TYPE_CHECKING:
+    # The context in this module holds the tracker.
+    from wigeonscale.direct.job import Job
+
+# Control sends the totals of all entries with each lease grant, by default twice a
+# second.
+TOTALS_MAX_AGE_S = 2.5
+
+
+@dataclass(slots=True)
+class _OwnCounts:
+    """Events of one class at this entry.
+
+    Attributes:
+        arrived: Times of arrivals in the window.
+        admitted: Times of first sends in the window.
+        rejected: Times of rejections in the window.
+        released: Times at which capacity was released, in the window.
+        returning: Heap of the times at which rejected callers may return.
+        waiting: Generations that wait for capacity now.
+    """
+
+    arrived: deque[float] = field(default_factory=deque)
+    admitted: deque[float] = field(default_factory=deque)
+    rejected: deque[float] = field(default_factory=deque)
+    released: deque[float] = field(default_factory=deque)
+    returning: list[float] = field(default_factory=list)
+    waiting: int = 0
+
+    def drop_outdated(self, now: float) -> None:
+        """Drop events that have left the window, and callers that may return."""
+        for times in (self.arrived, self.admitted, self.rejected, self.released):
+            while times and times[0] < now - CLASS_WINDOW_S:
+                times.popleft()
+        while self.returning and self.returning[0] <= now:
+            heapq.heappop(self.returning)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is counted."""
+        return not (
+            self.arrived
+            or self.admitted
+            or self.rejected
+            or self.released
+            or self.returning
+            or self.waiting
+        )
+
+
+class ClassDemandTracker:
+    """Counts the generations of one entry by class, and holds the totals of all.
+
+    Only generations of services with traffic classes are counted.
+
+    Args:
+        clock: Clock port.
+        domain: The entry's own failure domain.
+
+    Notes:
+        Linear in the events of the last 2 s in memory, about 40 bytes for each.
+    """
+
+    def __init__(self, *, clock: Clock, domain: str):
+        self._clock = clock
+        self._domain = domain
+        self._own: dict[tuple[str, int], _OwnCounts] = {}
+        self._totals: dict[tuple[str, str], list[ClassCount]] = {}
+        self._totals_at = float("-inf")
+        # Failure domains of entries that any totals named. The own domain is one of
+        # them even while it has no demand.
+        self._domains = {domain}
+
+    def note_arrived(self, job: "Job") -> None:
+        """Count a generation that arrived at this entry."""
+        self._counts(job).arrived.append(self._clock.now())
+
+    def note_admitted(self, job: "Job") -> None:
+        """Count the first send of a generation."""
+        self._counts(job).admitted.append(self._clock.now())
+
+    def note_waiting(self, job: "Job", change: int) -> None:
+        """Change the number of generations that wait for capacity.
+
+        Args:
+            job: The request.
+            change: +1 when it begins to wait, -1 when it no longer waits.
+        """
+        counts = self._counts(job)
+        counts.waiting = max(0, counts.waiting + change)
+
+    def note_rejected(self, job: "Job", retry_after_s: float) -> None:
+        """Count a generation that was rejected for lack of capacity.
+
+        Args:
+            job: The request.
+            retry_after_s: Time after which its caller may return, in seconds.
+        """
+        counts = self._counts(job)
+        now = self._clock.now()
+        counts.rejected.append(now)
+        heapq.heappush(counts.returning, now + retry_after_s)
+
+    def note_released(self, job: "Job") -> None:
+        """Count a generation that ended and released its capacity."""
+        self._counts(job).released.append(self._clock.now())
+
+    def report(self) -> list[ClassCount]:
+        """Return the own counts by service and priority, for the heartbeat."""
+        now = self._clock.now()
+        for key, counts in list(self._own.items()):
+            counts.drop_outdated(now)
+            if counts.is_empty:
+                del self._own[key]
+        return [
+            ClassCount(
+                service=service,
+                priority=priority,
+                domain=self._domain,
+                arrived=len(counts.arrived),
+                admitted=len(counts.admitted),
+                rejected=len(counts.rejected),
+                waiting=counts.waiting,
+                released=len(counts.released),
+                returning=len(counts.returning),
+            )
+            for (service, priority), counts in sorted(self._own.items())
+        ]
+
+    def apply_totals(self, counts: Iterable[ClassCount]) -> None:
+        """Apply the totals over all entries, this one included.
+
+        Args:
+            counts: Sums by service, priority and failure domain.
+        """
+        totals: dict[tuple[str, str], list[ClassCount]] = {}
+        for count in sorted(counts, key=lambda count: count.priority):
+            totals.setdefault((count.service, count.domain), []).append(count)
+            self._domains.add(count.domain)
+        self._totals = totals
+        self._totals_at = self._clock.now()
+
+    @property
+    def totals_age_s(self) -> float:
+        """Age of the totals in seconds; infinite before the first."""
+        return self._clock.now() - self._totals_at
+
+    def demand(self, service: str, domain: str, entry_count: int) -> list[ClassCount]:
+        """Return the current demand of all entries of a failure domain.
+
+        Args:
+            service: Name of the service.
+            domain: The failure domain.
+            entry_count: Number of entries with similar traffic, this one included. If
+                the totals are outdated, every entry of the domain, ``entry_count`` /
+                domains, is assumed to have the same demand as this one.
+
+        Returns:
+            Counts by priority, highest (0) first; empty before any totals.
+        """
+        if math.isinf(self._totals_at):
+            return []
+        if self.totals_age_s <= TOTALS_MAX_AGE_S:
+            return self._totals.get((service, domain), [])
+        factor = max(1.0, entry_count / len(self._domains))
+        return [
+            _scaled(count, factor, domain)
+            for count in self.report()
+            if count.service == service
+        ]
+
+    def _counts(self, job: "Job") -> _OwnCounts:
+        key = job.service.name, job.priority
+        counts = self._own.get(key)
+        if counts is None:
+            counts = self._own[key] = _OwnCounts()
+        counts.drop_outdated(self._clock.now())
+        return counts
+
+
+def _scaled(count: ClassCount, factor: float, domain: str) -> ClassCount:
+    """Return the demand of a whole domain, extrapolated from one entry."""
+    return replace(
+        count,
+        domain=domain,
+        arrived=round(factor * count.arrived),
+        admitted=round(factor * count.admitted),
+        rejected=round(factor * count.rejected),
+        waiting=round(factor * count.waiting),
+        released=round(factor * count.released),
+        returning=round(factor * count.returning),
+    )
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -9,6 +9,7 @@
 from wigeonscale.crashes import CrashTracker, request_fingerprint
 from wigeonscale.direct.admission_queue import AdmissionQueue
 from wigeonscale.direct.backend_tracker import BackendTracker
+from wigeonscale.direct.class_demand import ClassDemandTracker
 from wigeonscale.direct.fleet import Fleet
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.rate_limits import BackendRateLimits
@@ -45,6 +46,7 @@
         crashes: Requests that are rejected because they crash backend servers.
         notices: Shutdown, rate limit and Retry-After notices of backend servers.
         limits: This entry's share of the rate limits of backend servers.
+        class_demand: Demand by traffic class, of this entry and of all.
         has_classes: Returns whether a service, given by name, has traffic classes.
     """
 
@@ -63,6 +65,7 @@
     crashes: CrashTracker
     notices: Notices
     limits: BackendRateLimits
+    class_demand: ClassDemandTracker
     has_classes: Callable[[str], bool] = no_classes
 
 
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -8,6 +8,7 @@
     BackendRateLimits,
     BackendServer,
     BackendTracker,
+    ClassDemandTracker,
     EntryContext,
     Fleet,
     Notices,
@@ -162,6 +163,7 @@
             ),
             notices=Notices(clock=self.clock, limits=limits),
             limits=limits,
+            class_demand=ClassDemandTracker(clock=self.clock, domain=domain),
         )
 
     def job(
