Admission control by class over all entries

Load pattern: classes of generations compete for the last free KV cache and slots of the engines. Cause: these go to whichever request asks first, so in a burst of the most urgent class its responses were in time less often than those of the least urgent one.

A new generation of a service with traffic classes leaves free what the more urgent classes bring in within a second, by failure domain of the engine, while one of them waits or was rejected. A request that is held back waits in the queue without blocking others and without counting for the bound of the queue. Generations that have begun, detours and services without classes ignore the reserve. Metrics: wigeonscale_class_reserve and wigeonscale_class_admissions_total by priority; a line for each change of the reserve.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -1,6 +1,14 @@
 """Definitions of the metrics of all daemons, with a fixed set of labels each."""
 
-__all__ = ["METRICS", "OK", "Counter", "Gauge", "Histogram", "Metrics"]
+__all__ = [
+    "METRICS",
+    "OK",
+    "Counter",
+    "Gauge",
+    "Histogram",
+    "Metrics",
+    "priority_label",
+]
 
 import aioprometheus
 from aioprometheus.metricdict import MetricDict
@@ -12,6 +20,8 @@
 OK = "ok"
 OTHER_KIND = "other"
 _KINDS = frozenset({OK, *ErrorKind})
+# Priorities from this one on have one common label.
+MAX_PRIORITY_LABEL = 9
 
 # Seconds. The burn report selects its objectives from these bounds.
 LATENCY_BUCKETS_S = (
@@ -82,6 +92,16 @@
     return str(kind) if kind in _KINDS else OTHER_KIND
 
 
+def priority_label(priority: int) -> str:
+    """Return the label of a priority, one of ten.
+
+    Example:
+        >>> priority_label(2), priority_label(300)
+        ('2', '9')
+    """
+    return str(min(max(priority, 0), MAX_PRIORITY_LABEL))
+
+
 class Counter(_Metric):
     """Monotonically increasing count."""
 
@@ -171,6 +191,7 @@
         self._make_caller_metrics()
         self._make_agent_metrics()
         self._make_control_metrics()
+        self._make_class_metrics()
 
     def _make_caller_metrics(self) -> None:
         self.requests = self._counter(
@@ -242,6 +263,16 @@
             "incarnations_ended_total", "Agents declared gone, by cause.", "cause"
         )
 
+    def _make_class_metrics(self) -> None:
+        self.class_reserve = self._gauge(
+            "class_reserve",
+            "Share of the own domain's capacity left to more urgent classes.",
+            "priority",
+        )
+        self.class_admissions = self._counter(
+            "class_admissions_total", "Generations sent for the first time.", "priority"
+        )
+
     def _counter(self, name: str, doc: str, *labels: str) -> Counter:
         return Counter(name=name, doc=doc, labels=labels, registry=self.registry)
 
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -3,6 +3,7 @@
 __all__ = ["PathChoice", "choose_detour", "choose_path_for", "overloaded_error"]
 
 import dataclasses
+import functools
 import random
 from collections.abc import Collection, Container, Sequence
 from dataclasses import dataclass
@@ -32,12 +33,14 @@
         full: Its engines without capacity for one more request of mean size.
         throttled: First engines of cheaper paths that accept no request now.
         event_interval_s: Expected time between events in seconds; 0 if unknown.
+        has_reserve: Whether capacity was left free for more urgent classes.
     """
 
     path: list[Part] | None
     full: tuple[str, ...] = ()
     throttled: tuple[str, ...] = ()
     event_interval_s: float = 0.0
+    has_reserve: bool = False
 
 
 def choose_path_for(
@@ -101,11 +104,14 @@
         ]
     if engine is None or not engine.layers:
         return PathChoice(_choose_single_server(ctx, servers, lost))
+    # A request that has begun is finished, so it ignores the reserve.
+    reserves = {} if ran_on else _class_reserves(ctx, job)
     costs = path_costs(
         engine,
         job.req.generation,
         tracker=ctx.tracker,
         entry_count=ctx.entry_count(),
+        reserves=reserves,
     )
     path = choose_path(servers, engine, costs, domain=ctx.domain, lost=lost)
     fleet = ctx.fleet()
@@ -117,9 +123,40 @@
         path,
         full=_full_engines(ctx, path or (), costs),
         event_interval_s=token_ms * engine.event_tokens / 1000.0,
+        has_reserve=any(reserves.values()),
     )
 
 
+def _class_reserves(ctx: EntryContext, job: Job) -> dict[str, float]:
+    """Return the capacity that a new request leaves free, by failure domain."""
+    service = job.service.name
+    if not ctx.has_classes(service):
+        return {}
+    servers = ctx.fleet().by_service.get(service, ())
+    entry_count = ctx.entry_count()
+    running: dict[str, float] = {}
+
+    def running_in(domain: str) -> float:
+        if not running:
+            # Each generation passes through one engine that holds layer 0.
+            for server in servers:
+                if server.layers.first == 0 and server.layers.count:
+                    load = ctx.tracker.load_of(server.backend_id, entry_count)[0]
+                    running[server.domain] = running.get(server.domain, 0.0) + load
+        return running.get(domain, 0.0)
+
+    return {
+        domain: ctx.class_demand.reserve(
+            service,
+            domain,
+            job.priority,
+            entry_count=entry_count,
+            running=functools.partial(running_in, domain),
+        )
+        for domain in {server.domain for server in servers}
+    }
+
+
 def choose_detour(
     ctx: EntryContext, job: Job, path: Sequence[Part]
 ) -> list[Part] | None:
--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -68,9 +68,46 @@
         self._tickets = itertools.count()
         # Tickets of requests that are too late for a timely response, in order.
         self._late: dict[int, None] = {}
+        # Tickets of requests that leave free capacity to more urgent classes, by
+        # priority, in the order in which they were held back.
+        self._held: dict[int, dict[int, None]] = {}
 
     def __len__(self) -> int:
-        return len(self._queue) + (self._next is not None) + len(self._late)
+        return (
+            len(self._queue)
+            + (self._next is not None)
+            + len(self._late)
+            + self._held_count
+        )
+
+    @property
+    def _held_count(self) -> int:
+        return sum(map(len, self._held.values()))
+
+    def is_clear_for(self, priority: int) -> bool:
+        """Return whether a new request may use free capacity without queueing.
+
+        Requests that are held back for more urgent classes do not block these.
+
+        Args:
+            priority: Its priority; 0 is the highest.
+        """
+        return len(self) == self._held_count and not any(
+            held <= priority for held in self._held
+        )
+
+    def hold(self, ticket: int, priority: int) -> None:
+        """Let other requests go before one that leaves capacity to more urgent classes.
+
+        It is next again once only such requests wait, in their order within its class.
+
+        Args:
+            ticket: Its ticket; may be held already.
+            priority: Its priority; 0 is the highest.
+        """
+        if ticket not in self._held.get(priority, ()):
+            self._remove(ticket)
+            self._held.setdefault(priority, {})[ticket] = None
 
     def enqueue(self, *, organisation: str, priority: int, running: int) -> int:
         """Queue a request.
@@ -92,10 +129,12 @@
         max_waiting = 1 + int(
             share * running * MAX_QUEUE_WAIT_S / self._mean_response_time_s
         )
-        if len(self) >= max_waiting:
+        # Those that are held back wait for no capacity that this one could use.
+        waiting = len(self) - self._held_count
+        if waiting >= max_waiting:
             raise WigeonscaleError(
                 ErrorKind.OVERLOADED,
-                f"admission queue is full with {len(self)} requests",
+                f"admission queue is full with {waiting} requests",
             )
         ticket = next(self._tickets)
         # The queue takes larger priorities first.
@@ -150,6 +189,10 @@
 
     def is_next(self, ticket: int) -> bool:
         """Return whether a request is the next one to be admitted."""
+        for tickets in self._held.values():
+            if ticket in tickets:
+                is_first = next(iter(tickets)) == ticket
+                return is_first and len(self) == self._held_count
         if self._next is None:
             self._next = self._queue.pop()
         if self._next is None:
@@ -157,6 +200,12 @@
         return self._next == ticket
 
     def _remove(self, ticket: int) -> None:
+        for priority, tickets in self._held.items():
+            if ticket in tickets:
+                del tickets[ticket]
+                if not tickets:
+                    del self._held[priority]
+                return
         if self._next == ticket:
             self._next = None
         elif not self._queue.remove(ticket):
--- a/wigeonscale/direct/choice.py
+++ b/wigeonscale/direct/choice.py
@@ -9,8 +9,9 @@
 ]
 
 import math
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from wigeonscale.direct.backend_tracker import BackendTracker
 from wigeonscale.direct.fleet import BackendServer
@@ -56,6 +57,7 @@
 # request is counted at its final size, which few have reached at any time; not higher,
 # because engines would refuse more sends.
 FULL_SHARE = 1.1
+NO_RESERVES: Mapping[str, float] = MappingProxyType({})
 
 
 def choose_server(
@@ -134,6 +136,7 @@
     *,
     tracker: BackendTracker,
     entry_count: int,
+    reserves: Mapping[str, float] = NO_RESERVES,
 ) -> PathCosts:
     """Return the cost functions of one generation.
 
@@ -143,6 +146,8 @@
         tracker: Load and health of the engines.
         entry_count: Number of entries with similar traffic; see
             :meth:`BackendTracker.load_of`.
+        reserves: Shares of the capacity of engines that the request must leave free for
+            more urgent classes, by failure domain; 0 if missing.
 
     Notes:
         A token passes all engines one after another, so the times of the parts add
@@ -191,10 +196,16 @@
         token_ms = server.slowness * kind.pace * step_ms / engine.layers
         loaded_prefill_ms = kind.read_factor * prefill_ms * (1 + others / 8)
         is_avoided = server.is_silent or tracker.is_avoided(server.backend_id)
-        free = FULL_SHARE * kv_cache_capacity(engine, server, kind.size_mb) - used
+        usable = 1.0 - reserves.get(server.domain, 0.0)
+        capacity = FULL_SHARE * kv_cache_capacity(engine, server, kind.size_mb)
+        free = usable * capacity - used
         # All requests of a domain pass through a few first engines, which run as many
         # as they have slots and queue the others, even if they have free memory.
-        if server.layers.first == 0 and engine.slots and others >= engine.slots:
+        if (
+            server.layers.first == 0
+            and engine.slots
+            and others >= usable * engine.slots
+        ):
             free = -1.0
         return _EngineCosts(
             token_ms,
--- a/wigeonscale/direct/class_demand.py
+++ b/wigeonscale/direct/class_demand.py
@@ -1,15 +1,27 @@
-"""Demand by traffic class: own counts of an entry, and the totals of all entries."""
+"""Demand by traffic class, and the capacity to leave free for more urgent classes."""
 
 __all__ = ["ClassDemandTracker"]
 
 import heapq
+import logging
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from wigeonscale.limits import CLASS_WINDOW_S, ClassCount
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.metrics import METRICS, priority_label
+from wigeonscale.limits import (
+    CLASS_WINDOW_S,
+    NO_RESERVE,
+    ClassCount,
+    ReserveLevel,
+    class_reserve,
+    is_below_floor,
+    is_short,
+    next_level,
+)
 from wigeonscale.ports import Clock
 
 if TYPE_CHECKING:
@@ -19,6 +31,11 @@
 # Control sends the totals of all entries with each lease grant, by default twice a
 # second.
 TOTALS_MAX_AGE_S = 2.5
+# A reserve is computed again with new totals, and at least this often, since it falls
+# by steps over time and outdated totals are replaced by the own demand.
+RESERVE_UPDATE_S = 0.5
+
+logger = logging.getLogger(__name__)
 
 
 @dataclass(slots=True)
@@ -62,6 +79,23 @@
         )
 
 
+@dataclass(slots=True)
+class _Reserve:
+    """Reserve that a class leaves free in one failure domain.
+
+    Attributes:
+        level: Its steps.
+        share: Share of the capacity; 0 while the class is below its floor.
+        totals_number: Number of the totals from which it was computed.
+        updated_at: Time of the computation.
+    """
+
+    level: ReserveLevel
+    share: float
+    totals_number: int
+    updated_at: float
+
+
 class ClassDemandTracker:
     """Counts the generations of one entry by class, and holds the totals of all.
 
@@ -81,9 +115,12 @@
         self._own: dict[tuple[str, int], _OwnCounts] = {}
         self._totals: dict[tuple[str, str], list[ClassCount]] = {}
         self._totals_at = float("-inf")
+        self._totals_number = 0
         # Failure domains of entries that any totals named. The own domain is one of
         # them even while it has no demand.
         self._domains = {domain}
+        # By service, failure domain and priority.
+        self._reserves: dict[tuple[str, str, int], _Reserve] = {}
 
     def note_arrived(self, job: "Job") -> None:
         """Count a generation that arrived at this entry."""
@@ -92,6 +129,7 @@
     def note_admitted(self, job: "Job") -> None:
         """Count the first send of a generation."""
         self._counts(job).admitted.append(self._clock.now())
+        METRICS.class_admissions.add(priority=priority_label(job.priority))
 
     def note_waiting(self, job: "Job", change: int) -> None:
         """Change the number of generations that wait for capacity.
@@ -153,6 +191,7 @@
             self._domains.add(count.domain)
         self._totals = totals
         self._totals_at = self._clock.now()
+        self._totals_number += 1
 
     @property
     def totals_age_s(self) -> float:
@@ -176,13 +215,98 @@
             return []
         if self.totals_age_s <= TOTALS_MAX_AGE_S:
             return self._totals.get((service, domain), [])
-        factor = max(1.0, entry_count / len(self._domains))
+        factor = self.entries_per_domain(entry_count)
         return [
             _scaled(count, factor, domain)
             for count in self.report()
             if count.service == service
         ]
 
+    def entries_per_domain(self, entry_count: int) -> float:
+        """Return the mean number of entries in a failure domain, at least one.
+
+        Args:
+            entry_count: Number of entries in all domains.
+        """
+        return max(1.0, entry_count / len(self._domains))
+
+    def reserve(
+        self,
+        service: str,
+        domain: str,
+        priority: int,
+        *,
+        entry_count: int,
+        running: Callable[[], float],
+    ) -> float:
+        """Return the share of capacity that a new generation must leave free.
+
+        Args:
+            service: Name of the service.
+            domain: Failure domain of the engines.
+            priority: Priority of the generation.
+            entry_count: Number of entries with similar traffic; see :meth:`demand`.
+            running: Returns the number of generations that run in the failure domain;
+                called only while a more urgent class is short.
+
+        Notes:
+            Computed once for each update of the totals; other calls are a look-up.
+        """
+        key = service, domain, priority
+        now = self._clock.now()
+        reserve = self._reserves.get(key)
+        if (
+            reserve is None
+            or reserve.totals_number != self._totals_number
+            or now - reserve.updated_at >= RESERVE_UPDATE_S
+        ):
+            level = reserve.level if reserve is not None else NO_RESERVE
+            reserve = self._update_reserve(key, level, now, entry_count, running)
+        return reserve.share
+
+    def _update_reserve(
+        self,
+        key: tuple[str, str, int],
+        before: ReserveLevel,
+        now: float,
+        entry_count: int,
+        running: Callable[[], float],
+    ) -> _Reserve:
+        service, domain, priority = key
+        demand = self.demand(service, domain, entry_count)
+        wanted = places = 0.0
+        if is_short(priority, demand):
+            places = running() + sum([count.waiting for count in demand])
+            wanted = class_reserve(priority, demand, places=places)
+        level = next_level(before, wanted, now)
+        share = level.share
+        if share and is_below_floor(priority, demand):
+            share = 0.0
+        if level.steps != before.steps:
+            more_urgent = [count for count in demand if count.priority < priority]
+            logger.info(
+                "reserve for more urgent classes changed",
+                extra=log_fields(
+                    service=service,
+                    domain=domain,
+                    priority=priority,
+                    reserve=round(level.share, 2),
+                    wanted=round(wanted, 3),
+                    places=round(places, 1),
+                    arrived=sum(count.arrived for count in more_urgent),
+                    waiting=sum(count.waiting for count in more_urgent),
+                    rejected=sum(count.rejected for count in more_urgent),
+                    below_floor=level.steps > 0 and not share,
+                    totals_age_s=round(self.totals_age_s, 2),
+                ),
+            )
+        former = self._reserves.get(key)
+        if domain == self._domain and (former is None or former.share != share):
+            METRICS.class_reserve.set(share, priority=priority_label(priority))
+        reserve = _Reserve(level, share, self._totals_number, now)
+        self._reserves[key] = reserve
+        return reserve
+
     def _counts(self, job: "Job") -> _OwnCounts:
         key = job.service.name, job.priority
         counts = self._own.get(key)
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -76,9 +76,13 @@
     choice = _choose(ctx, job, progress)
     if choice.path is None and _throttled_for_s(ctx, choice) > MAX_QUEUE_WAIT_S:
         raise _no_capacity_error(ctx, job, progress, choice)
-    if choice.path is not None and not choice.full and not len(ctx.admission_queue):
+    is_clear = ctx.admission_queue.is_clear_for(job.priority)
+    if choice.path is not None and not choice.full and is_clear:
         return choice
     ticket = _enqueue(ctx, job, progress)
+    counts_wait = ctx.has_classes(job.service.name)
+    if counts_wait:
+        ctx.class_demand.note_waiting(job, +1)
     began_at = ctx.clock.now()
     demote_at = began_at + ON_TIME_WAIT_S
     give_up_at = min(began_at + MAX_QUEUE_WAIT_S, job.deadline_at)
@@ -90,6 +94,8 @@
                 if choice.path is not None and not choice.full:
                     admitted = True
                     break
+                if choice.has_reserve:
+                    ctx.admission_queue.hold(ticket, job.priority)
             now = ctx.clock.now()
             if now >= give_up_at:
                 admitted = False
@@ -100,6 +106,8 @@
             await ctx.admission_queue.wait()
     finally:
         ctx.admission_queue.release(ticket, admitted=admitted)
+        if counts_wait:
+            ctx.class_demand.note_waiting(job, -1)
     logger.info(
         "waited for engine capacity",
         extra=log_fields(
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -111,6 +111,8 @@
     async def _run(self, job: Job, sink: ResponseSink) -> dict[str, object]:
         """Handle a request; return log fields about its response."""
         if job.route.repeat is Repeat.STREAM:
+            if self._ctx.has_classes(job.service.name):
+                self._ctx.class_demand.note_arrived(job)
             return _pause_fields(job, await relay_stream(self._ctx, job, sink))
         await sink.send(await call_plain(self._ctx, job))
         return {}
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -64,6 +64,22 @@
             must be cut.
     """
     progress = Progress(last_id=job.req.last_event_id)
+    try:
+        return await _relay_sends(ctx, job, sink, progress)
+    finally:
+        # A request that no engine ran held no capacity.
+        if progress.ran_on and ctx.has_classes(job.service.name):
+            ctx.class_demand.note_released(job)
+
+
+async def _relay_sends(
+    ctx: EntryContext, job: Job, sink: ResponseSink, progress: Progress
+) -> Progress:
+    """Send a request until its caller has the complete response; return its progress.
+
+    Raises:
+        WigeonscaleError: The request failed.
+    """
     while True:
         # Checked again after the wait for a path.
         raise_if_crashing(ctx, job, may_have_run=bool(progress.ran_on))
@@ -71,6 +87,8 @@
         raise_if_crashing(ctx, job, may_have_run=bool(progress.ran_on))
         path = choice.path
         progress.sends += 1
+        if progress.sends == 1 and ctx.has_classes(job.service.name):
+            ctx.class_demand.note_admitted(job)
         try:
             if await _send_once(ctx, job, sink, progress, choice):
                 return progress
--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -2,8 +2,8 @@
 
 __all__ = [
     "CLASS_WINDOW_S",
-    "ClassCount",
     "NO_RESERVE",
+    "ClassCount",
     "ConcurrencyGuard",
     "FairQueue",
     "OrganisationLimits",
@@ -13,6 +13,7 @@
     "check_deadline",
     "class_reserve",
     "is_below_floor",
+    "is_short",
     "next_level",
     "share_weights",
 ]
@@ -23,6 +24,7 @@
     ReserveLevel,
     class_reserve,
     is_below_floor,
+    is_short,
     next_level,
 )
 from wigeonscale.limits.deadline import check_deadline
--- a/wigeonscale/limits/class_reserve.py
+++ b/wigeonscale/limits/class_reserve.py
@@ -11,6 +11,7 @@
     "ReserveLevel",
     "class_reserve",
     "is_below_floor",
+    "is_short",
     "next_level",
 ]
 
@@ -79,16 +80,25 @@
         >>> class_reserve(1, [urgent], places=100), class_reserve(0, [urgent], places=9)
         (0.2, 0.0)
     """
-    more_urgent = [count for count in demand if count.priority < priority]
-    if places <= 0 or not any(_is_short(count) for count in more_urgent):
+    if places <= 0 or not is_short(priority, demand):
         return 0.0
-    arrived = sum(count.arrived for count in more_urgent)
+    arrived = sum([count.arrived for count in demand if count.priority < priority])
     share = arrived / CLASS_WINDOW_S * HORIZON_S / places
     return min(MAX_SHARE, share)
 
 
-def _is_short(count: ClassCount) -> bool:
-    return count.waiting > 0 or count.rejected > 0
+def is_short(priority: int, demand: Sequence[ClassCount]) -> bool:
+    """Return whether a class more urgent than this one is short of capacity.
+
+    Example:
+        >>> waiting = ClassCount(service="s", priority=1, domain="a", waiting=1)
+        >>> is_short(2, [waiting]), is_short(1, [waiting])
+        (True, False)
+    """
+    for count in demand:
+        if count.priority < priority and (count.waiting or count.rejected):
+            return True
+    return False
 
 
 def is_below_floor(priority: int, demand: Sequence[ClassCount]) -> bool:
@@ -104,9 +114,13 @@
         >>> is_below_floor(2, [count])
         True
     """
-    own = [count for count in demand if count.priority == priority]
-    wanted = sum(count.arrived for count in own) or sum(count.waiting for count in own)
-    return sum(count.admitted for count in own) < MIN_ADMITTED_SHARE * wanted
+    arrived = admitted = waiting = 0
+    for count in demand:
+        if count.priority == priority:
+            arrived += count.arrived
+            admitted += count.admitted
+            waiting += count.waiting
+    return admitted < MIN_ADMITTED_SHARE * (arrived or waiting)
 
 
 def next_level(level: ReserveLevel, share: float, now: float) -> ReserveLevel:
@@ -123,7 +137,7 @@
         [0.3, 0.2]
     """
     # Rounded up, so that the reserve covers the arrivals.
-    steps = min(MAX_STEPS, math.ceil(round(share / STEP_SHARE, 6)))
+    steps = min(MAX_STEPS, math.ceil(round(share / STEP_SHARE, 6))) if share else 0
     if steps >= level.steps:
         return ReserveLevel(steps, now)
     down = min(level.steps - steps, int((now - level.since) / STEP_DOWN_S))
