Retry-After from the release rate of a class

Load pattern: 28 entries reject 120 callers of three classes within half a second while 25 places per second are released. Cause: all callers were given 0.4 to 1.4 s at random, whatever was released and whatever their class. Change: retry_after_s() returns (waiting + returning + 1) / release rate of the own and more urgent classes, with jitter. The totals lack the rejections of the last half second, so an entry takes its own rejections as a sample of those of all entries. ClassDemandTracker.entries_per_domain() gives their number.

--- a/wigeonscale/direct/class_demand.py
+++ b/wigeonscale/direct/class_demand.py
@@ -176,13 +176,21 @@
             return []
         if self.totals_age_s <= TOTALS_MAX_AGE_S:
             return self._totals.get((service, domain), [])
-        factor = max(1.0, entry_count / len(self._domains))
+        factor = self.entries_per_domain(entry_count)
         return [
             _scaled(count, factor, domain)
             for count in self.report()
             if count.service == service
         ]
 
+    def entries_per_domain(self, entry_count: int) -> float:
+        """Return the mean number of entries in a failure domain, at least one.
+
+        Args:
+            entry_count: Number of entries in all domains.
+        """
+        return max(1.0, entry_count / len(self._domains))
+
     def _counts(self, job: "Job") -> _OwnCounts:
         key = job.service.name, job.priority
         counts = self._own.get(key)
--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "CLASS_WINDOW_S",
+    "DEFAULT_RETRY_AFTER_S",
     "ClassCount",
     "ConcurrencyGuard",
     "FairQueue",
@@ -9,6 +10,7 @@
     "Permit",
     "WaitEstimator",
     "check_deadline",
+    "retry_after_s",
     "share_weights",
 ]
 
@@ -18,4 +20,5 @@
 from wigeonscale.limits.fair_queue import FairQueue
 from wigeonscale.limits.guard import ConcurrencyGuard
 from wigeonscale.limits.organisations import OrganisationLimits, Permit
+from wigeonscale.limits.retry_after import DEFAULT_RETRY_AFTER_S, retry_after_s
 from wigeonscale.limits.sharing import share_weights
