Rejections for lack of capacity use the Retry-After by class

Load pattern: generations that engines refused were rejected with exactly 1.0 s, and those that waited in vain with 0.4 to 1.4 s, for all classes. Change: overloaded_error() and the final error of a refused generation that has not run use retry_after_s() if the service has traffic classes, and count the rejection in ClassDemandTracker and in capacity_rejections_total. Lack of a path keeps its 1 s, run states are unchanged, and without classes every value is as before.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -195,6 +195,11 @@
         self.retries = self._counter(
             "retries_total", "Dispatches tried again, by cause.", "kind"
         )
+        self.capacity_rejections = self._counter(
+            "capacity_rejections_total",
+            "Generations rejected for lack of capacity, by priority.",
+            "priority",
+        )
         self.attaches = self._counter(
             "attaches_total", "Answers taken up again after a silent connection."
         )
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -1,12 +1,18 @@
 """Admission of generations and the choice of their paths."""
 
-__all__ = ["PathChoice", "choose_detour", "choose_path_for", "overloaded_error"]
+__all__ = [
+    "PathChoice",
+    "capacity_retry_after_s",
+    "choose_detour",
+    "choose_path_for",
+    "overloaded_error",
+]
 
 import dataclasses
-import random
 from collections.abc import Collection, Container, Sequence
 from dataclasses import dataclass
 
+from wigeonscale.adapters.metrics import METRICS
 from wigeonscale.direct.choice import (
     PathCosts,
     choose_path,
@@ -17,10 +23,7 @@
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import LayerRange, Part, find_detour
-
-# Range of the Retry-After sent while the engines are full. Responses last about two
-# seconds, so about a third of the capacity is released within one second.
-OVERLOAD_RETRY_AFTER_S = (0.4, 1.4)
+from wigeonscale.limits import DEFAULT_RETRY_AFTER_S, retry_after_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,26 +171,64 @@
 
 
 def overloaded_error(
+    ctx: EntryContext,
+    job: Job,
     reason: str,
     *,
     may_have_run: bool,
-    rng: random.Random,
     min_wait_s: float = 0.0,
 ) -> WigeonscaleError:
-    """Return the error for a request that is rejected for lack of capacity.
+    """Return the error for a request rejected for lack of capacity, and record it.
 
     Args:
+        ctx: Context of the entry.
+        job: The request.
         reason: The missing capacity.
         may_have_run: Whether an earlier send may have run.
-        rng: Adds jitter to the Retry-After, so that callers do not all retry at once.
         min_wait_s: Time until capacity may be free, in seconds.
     """
     return WigeonscaleError(
         ErrorKind.OVERLOADED,
         reason,
         run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
-        retry_after=min_wait_s + rng.uniform(*OVERLOAD_RETRY_AFTER_S),
+        retry_after=capacity_retry_after_s(ctx, job, min_wait_s=min_wait_s),
+    )
+
+
+def capacity_retry_after_s(
+    ctx: EntryContext,
+    job: Job,
+    *,
+    min_wait_s: float = 0.0,
+    default_s: float | None = None,
+) -> float:
+    """Return the Retry-After of a rejection for lack of capacity, and record it.
+
+    Call it once for each rejection.
+
+    Args:
+        ctx: Context of the entry.
+        job: The request.
+        min_wait_s: Time until capacity may be free, in seconds.
+        default_s: Value for a service without traffic classes; None for a random one.
+    """
+    METRICS.capacity_rejections.add(priority=str(job.priority))
+    service = job.service.name
+    if not ctx.has_classes(service):
+        if default_s is None:
+            default_s = ctx.rng.uniform(*DEFAULT_RETRY_AFTER_S)
+        return min_wait_s + default_s
+    tracker = ctx.class_demand
+    entry_count = ctx.entry_count()
+    wait_s = min_wait_s + retry_after_s(
+        job.priority,
+        tracker.demand(service, ctx.domain, entry_count),
+        ctx.rng,
+        own=[count for count in tracker.report() if count.service == service],
+        entries=tracker.entries_per_domain(entry_count),
     )
+    tracker.note_rejected(job, wait_s)
+    return wait_s
 
 
 def _full_engines(
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -122,7 +122,7 @@
     except WigeonscaleError as exc:
         may_have_run = bool(progress.ran_on)
         raise overloaded_error(
-            exc.message, may_have_run=may_have_run, rng=ctx.rng
+            ctx, job, exc.message, may_have_run=may_have_run
         ) from None
 
 
@@ -163,9 +163,10 @@
         return _no_path_error(job, progress)
     throttled_for_s = _throttled_for_s(ctx, choice)
     return overloaded_error(
+        ctx,
+        job,
         f"no capacity for a request at {', '.join(choice.full or choice.throttled)}",
         may_have_run=bool(progress.ran_on),
-        rng=ctx.rng,
         min_wait_s=throttled_for_s if math.isfinite(throttled_for_s) else 0.0,
     )
 
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -13,7 +13,7 @@
 from contextlib import aclosing
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.admission import PathChoice
+from wigeonscale.direct.admission import PathChoice, capacity_retry_after_s
 from wigeonscale.direct.crashing import (
     clear_suspect,
     note_aborted_run,
@@ -44,6 +44,8 @@
 # without an event.
 MAX_RETRY_BUDGET_WAIT_S = 1.0
 RETRY_BUDGET_POLL_INTERVAL_S = 0.1
+# Status with which an engine refuses a generation for lack of capacity.
+REFUSED_STATUS = 503
 
 logger = logging.getLogger(__name__)
 
@@ -331,9 +333,13 @@
         kind = ErrorKind.DEADLINE_EXCEEDED
     else:
         kind = ErrorKind.BACKEND_FAILED if may_have_run else ErrorKind.NO_BACKEND
+    wait_s = NO_PATH_RETRY_AFTER_S
+    is_refused = exc.outcome is CallOutcome.NOT_RUN and exc.status == REFUSED_STATUS
+    if kind is ErrorKind.NO_BACKEND and is_refused:
+        wait_s = capacity_retry_after_s(ctx, job, default_s=NO_PATH_RETRY_AFTER_S)
     return WigeonscaleError(
         kind,
         exc.message,
         run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
-        retry_after=NO_PATH_RETRY_AFTER_S,
+        retry_after=wait_s,
     )
