--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -1,11 +1,12 @@
 """Callers and an operator that continue during all faults."""
 
-__all__ = ["KINDS", "Load", "document", "new_session"]
+__all__ = ["BATCH", "Load", "document", "new_session"]
 
 import asyncio
 import itertools
 import json
 import random
+from collections.abc import Sequence
 
 import aiohttp
 
@@ -21,26 +22,44 @@
 
 HOST = "soak.example"
 KINDS = ("stream", "unsafe", "safe")
-DEADLINES_S = {"stream": 6.0, "unsafe": 2.0, "safe": 2.0}
+# A second generation route, for runs with traffic classes.
+BATCH = "batch"
+# Route fields of the generations with traffic classes.
+CLASSES = {
+    "stream": {"priority": 0, "target-latency-ms": 500, "gap-target-ms": 300},
+    BATCH: {"priority": 2, "target-latency-ms": 1200, "gap-target-ms": 300},
+}
+DEADLINES_S = {"stream": 6.0, BATCH: 6.0, "unsafe": 2.0, "safe": 2.0}
+# More than the engines' slots, so that a burst also waits and is rejected.
+BURST_REQUESTS = 60
 OPERATOR_TIMEOUT_S = 2.0
 NO_RESPONSE = "nothing"
 
 
-def document(number: int) -> dict:
-    """Return a configuration document in the format of the platform."""
+def document(number: int, kinds: Sequence[str] = KINDS) -> dict:
+    """Return a configuration document in the format of the platform.
+
+    Args:
+        number: Its number.
+        kinds: Routes; with ``BATCH``, the generations have traffic classes.
+    """
     routes = [
         {
             "name": kind,
             "host": HOST,
             "path-prefix": f"/{kind}/",
-            "kind": "streaming" if kind == "stream" else kind,
+            "kind": "streaming" if kind in CLASSES else kind,
             "timeout-ms": DEADLINES_S[kind] * 1000,
-            "service": "model" if kind == "stream" else "plain",
+            "service": "model" if kind in CLASSES else "plain",
             "max-attempts": 1 if kind == "unsafe" else 2,
-            "resumable": kind == "stream",
+            "resumable": kind in CLASSES,
         }
-        for kind in KINDS
+        for kind in kinds
     ]
+    if BATCH in kinds:
+        for route in routes:
+            if route["name"] in CLASSES:
+                route |= CLASSES[route["name"]] | {"sticky": True}
     engine = {
         "layers": LAYERS,
         "layer-mb": 100.0,
@@ -64,14 +83,22 @@
         dep: The daemons.
         checker: Notified of every answer.
         rng: Source of randomness.
+        has_classes: Whether the generations have traffic classes.
 
     Attributes:
+        kinds: Kinds of requests, which are the routes.
         sent_to: Name of the entry to which a request was sent, by request id.
     """
 
     def __init__(
-        self, *, dep: Deployment, checker: InvariantChecker, rng: random.Random
+        self,
+        *,
+        dep: Deployment,
+        checker: InvariantChecker,
+        rng: random.Random,
+        has_classes: bool = False,
     ):
+        self.kinds = (*KINDS, BATCH) if has_classes else KINDS
         self._dep = dep
         self._checker = checker
         self._rng = rng
@@ -84,18 +111,28 @@
         async with new_session() as session:
             while True:
                 entry = self._rng.choice(self._dep.entries)
-                await self.call(session, entry, self._rng.choice(KINDS))
+                await self.call(session, entry, self._rng.choice(self.kinds))
                 await asyncio.sleep(self._rng.uniform(0.0, 0.05))
 
     async def run_crashing_caller(self) -> None:
         """Send a request that crashes its server to random entries until cancelled."""
-        kind = self._rng.choice(KINDS)
+        kind = self._rng.choice(self.kinds)
         async with new_session() as session:
             while True:
                 entry = self._rng.choice(self._dep.entries)
                 await self.call(session, entry, kind, CRASHING_BODY)
                 await asyncio.sleep(self._rng.uniform(0.1, 0.6))
 
+    async def run_bursts(self) -> None:
+        """Send bursts of the less urgent class to random entries until cancelled."""
+        async with new_session() as session:
+            while True:
+                await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+                async with asyncio.TaskGroup() as group:
+                    for _ in range(BURST_REQUESTS):
+                        entry = self._rng.choice(self._dep.entries)
+                        group.create_task(self.call(session, entry, BATCH))
+
     async def call(self, session, entry, kind: str, body: bytes = b"q") -> bool:
         """Send one request and return whether it was served."""
         request_id = f"r{next(self._ids):05d}"
@@ -140,7 +177,7 @@
 
     async def change(self, session, number: int) -> None:
         """Send one configuration to random replicas until it is acknowledged."""
-        body = json.dumps(document(number)).encode()
+        body = json.dumps(document(number, self.kinds)).encode()
         while True:
             control = self._rng.choice(self._dep.control_addresses)
             status, _ = await _request_config(session, "PUT", control, body)
@@ -186,6 +223,6 @@
 
 
 def _expected_body(kind: str, request_id: str) -> bytes:
-    if kind != "stream":
+    if kind not in CLASSES:
         return plain_body(request_id)
     return b"".join(event_data(request_id, n) for n in range(1, EVENT_COUNT + 1))
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -11,12 +11,15 @@
 from wigeonscale.testing.soak.deployment import Deployment
 from wigeonscale.testing.soak.faults import draw_faults, inject
 from wigeonscale.testing.soak.invariants import InvariantChecker
-from wigeonscale.testing.soak.load import KINDS, Load, new_session
+from wigeonscale.testing.soak.load import BATCH, Load, new_session
 from wigeonscale.testing.soak.notices import apply_notice, draw_notices
 
 ENGINES = 4
 PLAIN_SERVERS = 2
 CALLERS = 6
+# Every third seed has traffic classes. None of REGRESSION_SEEDS has: they failed
+# without.
+SEEDS_PER_CLASSES = 3
 # Far more than a busy machine needs; reaching it is a violation.
 TIMEOUT_S = 60.0
 
@@ -36,14 +39,20 @@
     violations: tuple[str, ...]
 
 
-async def run_soak(seed: int, *, seconds: float, folder: pathlib.Path) -> SoakResult:
+async def run_soak(
+    seed: int, *, seconds: float, folder: pathlib.Path, has_classes: bool | None = None
+) -> SoakResult:
     """Run one seed.
 
     Args:
         seed: Determines faults, targets and load, but not their exact timing.
         seconds: Duration of the load under faults.
         folder: Empty folder for settings, data and logs, which are kept.
+        has_classes: Whether the generations have traffic classes, and bursts of the
+            less urgent class are sent; None to derive it from the seed.
     """
+    if has_classes is None:
+        has_classes = seed % SEEDS_PER_CLASSES == 0
     rng = random.Random(seed)
     checker = InvariantChecker()
     dep = Deployment(folder=folder)
@@ -58,7 +67,7 @@
         )
         for service in ["model"] * ENGINES + ["plain"] * PLAIN_SERVERS
     ]
-    load = Load(dep=dep, checker=checker, rng=rng)
+    load = Load(dep=dep, checker=checker, rng=rng, has_classes=has_classes)
     try:
         for node in dep.nodes:
             await dep.start(node)
@@ -94,6 +103,8 @@
     loads = [asyncio.create_task(load.run_callers()) for _ in range(CALLERS)]
     loads.append(asyncio.create_task(load.run_operator()))
     loads.append(asyncio.create_task(load.run_crashing_caller()))
+    if BATCH in load.kinds:
+        loads.append(asyncio.create_task(load.run_bursts()))
 
     async def inject_later(fault) -> None:
         await asyncio.sleep(fault.start_s)
@@ -119,7 +130,7 @@
 async def _wait_until_served(load, session, dep, checker, when) -> None:
     """Wait until each entry serves each kind of request; a timeout is a violation."""
     for entry in dep.entries:
-        for kind in KINDS:
+        for kind in load.kinds:
             try:
                 async with asyncio.timeout(TIMEOUT_S):
                     while not await load.call(session, entry, kind):
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -185,7 +185,8 @@
 
 class ShortRunTest(AsyncTestCase):
     async def test_seeds_have_no_violations(self):
-        for seed in (1, *REGRESSION_SEEDS):
+        # Seed 3 has traffic classes.
+        for seed in (1, 3, *REGRESSION_SEEDS):
             folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
             result = await run_soak(seed, seconds=LOAD_S, folder=folder)
             self.assertEqual((), result.violations, seed)
