--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -200,6 +200,12 @@
             "Generations rejected for lack of capacity, by priority.",
             "priority",
         )
+        self.recovered_streams = self._counter(
+            "recovered_streams_total",
+            "Streams of lost engines moved on, by way (detour, same-domain,"
+            " other-domain); services with traffic classes only.",
+            "way",
+        )
         self.attaches = self._counter(
             "attaches_total", "Answers taken up again after a silent connection."
         )
