Basis of the Retry-After in the counter of rejections

An operator could not tell a Retry-After from the release rate from one of the default range, because rejections have no other line. The counter has a second label with two values.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -197,8 +197,10 @@
         )
         self.capacity_rejections = self._counter(
             "capacity_rejections_total",
-            "Generations rejected for lack of capacity, by priority.",
+            "Generations rejected for lack of capacity, by priority and basis of the"
+            " Retry-After (release-rate, default).",
             "priority",
+            "basis",
         )
         self.recovered_streams = self._counter(
             "recovered_streams_total",
--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -269,17 +269,22 @@
         min_wait_s: Time until capacity may be free, in seconds.
         default_s: Value for a service without traffic classes; None for a random one.
     """
-    METRICS.capacity_rejections.add(priority=str(job.priority))
     service = job.service.name
-    if not ctx.has_classes(service):
+    has_classes = ctx.has_classes(service)
+    entry_count = ctx.entry_count()
+    tracker = ctx.class_demand
+    demand = tracker.demand(service, ctx.domain, entry_count) if has_classes else []
+    is_known = any(count.released for count in demand)
+    METRICS.capacity_rejections.add(
+        priority=str(job.priority), basis="release-rate" if is_known else "default"
+    )
+    if not has_classes:
         if default_s is None:
             default_s = ctx.rng.uniform(*DEFAULT_RETRY_AFTER_S)
         return min_wait_s + default_s
-    tracker = ctx.class_demand
-    entry_count = ctx.entry_count()
     wait_s = min_wait_s + retry_after_s(
         job.priority,
-        tracker.demand(service, ctx.domain, entry_count),
+        demand,
         ctx.rng,
         own=[count for count in tracker.report() if count.service == service],
         entries=tracker.entries_per_domain(entry_count),
--- a/wigeonscale/direct/tests/test_capacity_rejections.py
+++ b/wigeonscale/direct/tests/test_capacity_rejections.py
@@ -78,15 +78,13 @@
 
     async def test_rejection_is_recorded(self):
         # Fails if the callers of the next rejections do not wait for this one.
-        priority = str(self.job().priority)
-        before = METRICS.capacity_rejections.value(priority=priority)
+        labels = {"priority": str(self.job().priority), "basis": "release-rate"}
+        before = METRICS.capacity_rejections.value(**labels)
         self.apply_totals()
         exc = self.rejected()
         (own,) = self.tracker.report()
         self.assertEqual((1, 1), (own.rejected, own.returning))
-        self.assertEqual(
-            before + 1, METRICS.capacity_rejections.value(priority=priority)
-        )
+        self.assertEqual(before + 1, METRICS.capacity_rejections.value(**labels))
         await self.harness.clock.advance(exc.retry_after + 0.01)
         (own,) = self.tracker.report()
         self.assertEqual((1, 0), (own.rejected, own.returning))
