--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -3,8 +3,8 @@
 __all__ = [
     "CLASS_WINDOW_S",
     "DEFAULT_RETRY_AFTER_S",
-    "ClassCount",
     "NO_RESERVE",
+    "ClassCount",
     "ConcurrencyGuard",
     "FairQueue",
     "OrganisationLimits",
@@ -14,6 +14,7 @@
     "check_deadline",
     "class_reserve",
     "is_below_floor",
+    "is_short",
     "next_level",
     "retry_after_s",
     "share_weights",
@@ -25,6 +26,7 @@
     ReserveLevel,
     class_reserve,
     is_below_floor,
+    is_short,
     next_level,
 )
 from wigeonscale.limits.deadline import check_deadline
