--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -216,13 +216,6 @@
         self.retries = self._counter(
             "retries_total", "Dispatches tried again, by cause.", "kind"
         )
-        self.capacity_rejections = self._counter(
-            "capacity_rejections_total",
-            "Generations rejected for lack of capacity, by priority and basis of the"
-            " Retry-After (release-rate, default).",
-            "priority",
-            "basis",
-        )
         self.recovered_streams = self._counter(
             "recovered_streams_total",
             "Streams of lost engines moved on, by way (detour, same-domain,"
@@ -285,6 +278,13 @@
         self.class_admissions = self._counter(
             "class_admissions_total", "Generations sent for the first time.", "priority"
         )
+        self.capacity_rejections = self._counter(
+            "capacity_rejections_total",
+            "Generations rejected for lack of capacity, by priority and basis of the"
+            " Retry-After (release-rate, default).",
+            "priority",
+            "basis",
+        )
 
     def _counter(self, name: str, doc: str, *labels: str) -> Counter:
         return Counter(name=name, doc=doc, labels=labels, registry=self.registry)
