--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wigeonscale.crashes import CrashTracker, request_fingerprint
 from wigeonscale.direct.admission_queue import AdmissionQueue
@@ -13,6 +13,7 @@
 from wigeonscale.direct.fleet import Fleet
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.rate_limits import BackendRateLimits
+from wigeonscale.direct.recovery_plans import RecoveryPlans
 from wigeonscale.direct.retry_budget import SharedRetryBudget
 from wigeonscale.direct.stalls import StallDetector
 from wigeonscale.ports import Clock
@@ -48,6 +49,7 @@
         limits: This entry's share of the rate limits of backend servers.
         class_demand: Demand by traffic class, of this entry and of all.
         has_classes: Returns whether a service, given by name, has traffic classes.
+        recovery: Plans for the streams of lost engines.
     """
 
     exchange: Exchange
@@ -67,6 +69,7 @@
     limits: BackendRateLimits
     class_demand: ClassDemandTracker
     has_classes: Callable[[str], bool] = no_classes
+    recovery: RecoveryPlans = field(default_factory=RecoveryPlans)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
