--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -157,28 +157,6 @@
     )
 
 
-def lost_engines(ctx: EntryContext, path: Sequence[Part]) -> set[str]:
-    """Return the engines of a path that are gone or silent, or are avoided."""
-    fleet = ctx.fleet()
-    return {
-        part.backend_id
-        for part in path
-        if part.backend_id not in fleet.by_id
-        or fleet.by_id[part.backend_id].is_silent
-        or ctx.tracker.is_avoided(part.backend_id)
-    }
-
-
-def responds(ctx: EntryContext, server: BackendServer, *, domain: str) -> bool:
-    """Return whether an engine of a failure domain can take over streams."""
-    return (
-        server.domain == domain
-        and not server.is_silent
-        and not ctx.tracker.is_avoided(server.backend_id)
-        and not ctx.notices.is_leaving(server.backend_id)
-    )
-
-
 def _class_reserves(ctx: EntryContext, job: Job) -> dict[str, float]:
     """Return the capacity that a new request leaves free, by failure domain."""
     service = job.service.name
@@ -209,6 +187,28 @@
     }
 
 
+def lost_engines(ctx: EntryContext, path: Sequence[Part]) -> set[str]:
+    """Return the engines of a path that are gone or silent, or are avoided."""
+    fleet = ctx.fleet()
+    return {
+        part.backend_id
+        for part in path
+        if part.backend_id not in fleet.by_id
+        or fleet.by_id[part.backend_id].is_silent
+        or ctx.tracker.is_avoided(part.backend_id)
+    }
+
+
+def responds(ctx: EntryContext, server: BackendServer, *, domain: str) -> bool:
+    """Return whether an engine of a failure domain can take over streams."""
+    return (
+        server.domain == domain
+        and not server.is_silent
+        and not ctx.tracker.is_avoided(server.backend_id)
+        and not ctx.notices.is_leaving(server.backend_id)
+    )
+
+
 def choose_detour(
     ctx: EntryContext,
     job: Job,
