Mark an engine silent as soon as two entries found it unreachable

Load pattern: an engine goes dark under many streams. Cause: reports of entries only started control's own probes. Change: a report says whether the entry's own probes got no answer. Two entries within 0.5 s, one of them in the engine's domain, are enough for services with early detection; an answer to control's probe takes it back. Other services as before.

--- a/wigeonscale/control/backend_health.py
+++ b/wigeonscale/control/backend_health.py
@@ -10,6 +10,7 @@
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.last_heartbeat import LastHeartbeat, log_backend_change
+from wigeonscale.control.loss_witnesses import LossWitnesses
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock, EngineProbeResult, ProbeResult
 from wigeonscale.replication import Replica, Role
@@ -50,6 +51,8 @@
         probe: Probes the backend at an address, given the start time in Unix
             milliseconds that identifies its incarnation.
         last_heartbeats: Last heartbeats by name; the answer to a probe counts as one.
+        trusts_witnesses: Returns whether backends of a service, given by name, count as
+            silent as soon as several entries found them unreachable.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         heartbeat_s: float,
         probe: Callable[[str, int], Awaitable[EngineProbeResult]],
         last_heartbeats: dict[str, LastHeartbeat],
+        trusts_witnesses: Callable[[str], bool],
     ):
         self._node_id = node_id
         self._state = state
@@ -73,6 +77,9 @@
         self._silent_after_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._probe = probe
         self._last_heartbeats = last_heartbeats
+        self._trusts_witnesses = trusts_witnesses
+        self._witnesses = LossWitnesses(clock=clock)
+        self._witness_commits: set[asyncio.Task] = set()
         self._running_checks: dict[str, asyncio.Task] = {}
         self._last_answer_at: dict[str, float] = {}
         self._started_at = clock.now()
@@ -86,11 +93,11 @@
             source_role: Role of the process that reports it.
         """
         member = self._state.members.get(req.agent_id)
-        if (
-            member is None
-            or member.backend.silent
-            or req.agent_id in self._running_checks
-        ):
+        if member is None or member.backend.silent:
+            return
+        if self._is_confirmed(member, req):
+            self._commit_loss(member, req)
+        if req.agent_id in self._running_checks:
             return
         if req.incarnation not in (0, member.backend.incarnation):
             logger.info(
@@ -111,6 +118,29 @@
         )
         self._start_check(member)
 
+    def _is_confirmed(self, member: Member, req: wire.Suspect) -> bool:
+        """Return whether several entries found a backend unreachable."""
+        return (
+            req.incarnation == member.backend.incarnation
+            and self._trusts_witnesses(member.backend.service)
+            and self._witnesses.confirms(req, domain=member.backend.domain)
+        )
+
+    def _commit_loss(self, member: Member, req: wire.Suspect) -> None:
+        logger.info(
+            "backend server %s is unreachable for several entries",
+            req.agent_id,
+            extra=log_fields(
+                outcome="silent",
+                witness=req.witness,
+                domain=member.backend.domain,
+                born=member.backend.started_ms,
+            ),
+        )
+        task = asyncio.create_task(self._mark_silent(member))
+        self._witness_commits.add(task)
+        task.add_done_callback(self._witness_commits.discard)
+
     def _answered_recently(self, name: str) -> bool:
         answered_at = self._last_answer_at.get(name, float("-inf"))
         return self._clock.now() - answered_at < HINT_PROBE_INTERVAL_S
@@ -125,7 +155,7 @@
                 for member in self._members_to_check():
                     self._start_check(member)
         finally:
-            tasks = list(self._running_checks.values())
+            tasks = [*self._running_checks.values(), *self._witness_commits]
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -199,6 +229,7 @@
             answer = probe_result.result
             if answer is ProbeResult.ANSWERED:
                 self._record_answer(name, started_ms, member.sequence)
+                await self._unmark_silent(name, started_ms)
                 await self._update_slowness(name, started_ms, probe_result.pace)
                 return
             if answer in (ProbeResult.REFUSED, ProbeResult.REPLACED):
@@ -237,6 +268,23 @@
         backend.silent = True
         await self._commit_backend(backend, member)
 
+    async def _unmark_silent(self, name: str, started_ms: int) -> None:
+        """Take back that a backend is silent if it has answered since.
+
+        Entries may have been wrong together, for example after lost packets.
+        """
+        member = self._state.members.get(name)
+        if (
+            member is None
+            or not member.backend.silent
+            or member.backend.started_ms != started_ms
+        ):
+            return
+        backend = wire.Backend()
+        backend.CopyFrom(member.backend)
+        backend.silent = False
+        await self._commit_backend(backend, member)
+
     async def _commit_backend(self, backend: wire.Backend, member: Member) -> None:
         """Commit the state of a backend that a probe found."""
         command = wire.Announce(
--- a/wigeonscale/control/registry.py
+++ b/wigeonscale/control/registry.py
@@ -37,6 +37,7 @@
             milliseconds that identifies its incarnation.
         has_service: Returns whether the configuration has a service; true for all
             services while there is no configuration.
+        trusts_witnesses: See :class:`BackendHealthChecker`.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         heartbeat_s: float,
         probe: Callable[[str, int], Awaitable[EngineProbeResult]],
         has_service: Callable[[str], bool],
+        trusts_witnesses: Callable[[str], bool] = lambda service: False,
     ):
         self._node_id = node_id
         self._state = state
@@ -66,6 +68,7 @@
             heartbeat_s=heartbeat_s,
             probe=probe,
             last_heartbeats=self._last_heartbeats,
+            trusts_witnesses=trusts_witnesses,
         )
 
     async def announce(self, backend: wire.Backend, sequence: int) -> None:
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -42,7 +42,7 @@
     ReplicationServicer,
     Role,
 )
-from wigeonscale.routes import RouteTable
+from wigeonscale.routes import RouteTable, detects_early
 from wigeonscale.state import ControlState
 from wigeonscale.wire import wire_pb2_grpc
 
@@ -72,6 +72,9 @@
         self._server = None
         self._http_runner = None
         self._table = RouteTable()
+        # Services whose lost engines entries detect early, by the route table.
+        self._early_services: frozenset[str] = frozenset()
+        self._detection_table = self._table
         address = f"{cfg.ip}:{cfg.internal_port}"
         seeds = [internal_address(seed, cfg.internal_port) for seed in cfg.seeds]
         self.state = ControlState()
@@ -114,6 +117,7 @@
             heartbeat_s=cfg.backend_heartbeat_s,
             probe=orders.probe,
             has_service=self._has_service,
+            trusts_witnesses=self._trusts_witnesses,
         )
         self.membership = ReplicaMembership(
             node_id=address,
@@ -188,6 +192,16 @@
             self._table = read_route_table(decompress(document.content))
         return self._table
 
+    def _trusts_witnesses(self, service: str) -> bool:
+        """Return whether entries detect lost engines of a service early."""
+        table = self.table()
+        if table is not self._detection_table:
+            self._detection_table = table
+            self._early_services = frozenset(
+                name for name in table.services if detects_early(table, name)
+            )
+        return service in self._early_services
+
     def _has_service(self, name: str) -> bool:
         table = self.table()
         return not table.number or name in table.services
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -223,10 +223,17 @@
 
     session = new_session()
 
-    def suspect(backend_id: str, *, is_hint: bool = False) -> None:
+    def suspect(
+        backend_id: str, *, is_hint: bool = False, is_witness: bool = False
+    ) -> None:
         server = view.fleet.find(backend_id)
         if server is not None:
-            control.suspect(server.name, server.incarnation, is_hint=is_hint)
+            control.suspect(
+                server.name,
+                server.incarnation,
+                is_hint=is_hint,
+                witness_domain=cfg.domain if is_witness else "",
+            )
 
     orders = HttpEngineOrders(session=session)
     stalls = StallDetector(
@@ -234,7 +241,7 @@
         clock=clock,
         orders=orders,
         fleet=lambda: view.fleet,
-        suspect=suspect,
+        suspect=functools.partial(suspect, is_witness=True),
         hint=functools.partial(suspect, is_hint=True),
         check_reachable=check_reachable,
         delay_s=lambda domain: view.table.delay_ms(cfg.domain, domain) / MS_PER_S,
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -22,7 +22,6 @@
 )
 from wigeonscale.direct.detour import change_path, kv_cache_demand
 from wigeonscale.direct.job import EntryContext, Job
-from wigeonscale.direct.loss_evidence import needs_early_detection
 from wigeonscale.direct.next_path import NO_PATH_RETRY_AFTER_S, next_path
 from wigeonscale.direct.progress import MAX_SENDS, Progress
 from wigeonscale.direct.recovery_choice import draw_next_send
@@ -37,6 +36,7 @@
     ResponseSink,
     StreamEvent,
 )
+from wigeonscale.routes import needs_early_detection
 
 # A request that must be finished waits this long for a retry from the retry budget. The
 # totals of all entries arrive twice a second, and callers disconnect after two seconds
--- a/wigeonscale/direct/tests/test_loss_evidence.py
+++ b/wigeonscale/direct/tests/test_loss_evidence.py
@@ -1,6 +1,6 @@
-from wigeonscale.direct.loss_evidence import needs_early_detection, suspected_engines
+from wigeonscale.direct.loss_evidence import suspected_engines
 from wigeonscale.direct.runs import Run
-from wigeonscale.routes import Accelerator, EngineProfile
+from wigeonscale.routes import Accelerator, EngineProfile, needs_early_detection
 from wigeonscale.testing import AsyncTestCase
 
 INTERVAL_S = 0.08
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -215,7 +215,12 @@
             self._announcer.announce()
 
     def suspect(
-        self, agent_id: str, incarnation: int, *, is_hint: bool = False
+        self,
+        agent_id: str,
+        incarnation: int,
+        *,
+        is_hint: bool = False,
+        witness_domain: str = "",
     ) -> None:
         """Report to control that an agent does not answer.
 
@@ -223,9 +228,15 @@
             agent_id: The silent agent.
             incarnation: The incarnation that was called.
             is_hint: Whether other processes are equally likely to be at fault.
+            witness_domain: Failure domain of this process if its own probes of the
+                agent got no answer, else empty.
         """
         message = self._suspicion_throttle.message(
-            agent_id, incarnation, is_hint=is_hint
+            agent_id,
+            incarnation,
+            is_hint=is_hint,
+            witness=self._node_id if witness_domain else "",
+            witness_domain=witness_domain,
         )
         if message is not None:
             self._send(message)
--- a/wigeonscale/membership/suspicion_throttle.py
+++ b/wigeonscale/membership/suspicion_throttle.py
@@ -19,10 +19,16 @@
     def __init__(self, *, clock: Clock, min_interval_s: float):
         self._clock = clock
         self._min_interval_s = min_interval_s
-        self._sent_at: dict[tuple[str, int, bool], float] = {}
+        self._sent_at: dict[tuple[str, int, bool, str], float] = {}
 
     def message(
-        self, agent_id: str, incarnation: int, *, is_hint: bool
+        self,
+        agent_id: str,
+        incarnation: int,
+        *,
+        is_hint: bool,
+        witness: str = "",
+        witness_domain: str = "",
     ) -> wire.WatchRequest | None:
         """Return the message to send, or None if it was sent recently.
 
@@ -30,8 +36,10 @@
             agent_id: The silent agent.
             incarnation: The incarnation that was called.
             is_hint: Whether other processes are equally likely to be at fault.
+            witness: Name of this process if its own probes got no answer, else empty.
+            witness_domain: Failure domain of the witness.
         """
-        key = (agent_id, incarnation, is_hint)
+        key = (agent_id, incarnation, is_hint, witness)
         now = self._clock.now()
         # Many requests may fail on one agent at the same time; one report per interval
         # is enough.
@@ -42,6 +50,10 @@
         self._sent_at[key] = now
         return wire.WatchRequest(
             suspect=wire.Suspect(
-                agent_id=agent_id, incarnation=incarnation, is_hint=is_hint
+                agent_id=agent_id,
+                incarnation=incarnation,
+                is_hint=is_hint,
+                witness=witness,
+                witness_domain=witness_domain,
             )
         )
--- a/wigeonscale/routes/classes.py
+++ b/wigeonscale/routes/classes.py
@@ -1,6 +1,6 @@
 """Traffic classes: services whose callers differ in urgency."""
 
-__all__ = ["traffic_classes"]
+__all__ = ["routes_of", "traffic_classes"]
 
 from wigeonscale.routes.model import Route, RouteTable
 
@@ -30,7 +30,7 @@
         >>> traffic_classes(RouteTable(), "llm")
         ()
     """
-    routes = [route for route in _routes_of(table, service) if route.generates]
+    routes = [route for route in routes_of(table, service) if route.generates]
     priorities = sorted({route.priority for route in routes})
     targets_s = [route.target_s for route in routes if route.target_s > 0]
     differ = len(priorities) > 1 or (
@@ -39,7 +39,8 @@
     return tuple(priorities) if differ else ()
 
 
-def _routes_of(table: RouteTable, service: str) -> list[Route]:
+def routes_of(table: RouteTable, service: str) -> list[Route]:
+    """Return the routes with a share for a service."""
     return [
         route
         for by_prefix in table.routes.values()
--- a/wigeonscale/routes/tests/test_classes.py
+++ b/wigeonscale/routes/tests/test_classes.py
@@ -1,4 +1,11 @@
-from wigeonscale.routes import Repeat, Route, RouteTable, Share, traffic_classes
+from wigeonscale.routes import (
+    Repeat,
+    Route,
+    RouteTable,
+    Share,
+    detects_early,
+    traffic_classes,
+)
 from wigeonscale.testing import AsyncTestCase
 
 
@@ -44,3 +51,16 @@
         mixed = table((1, 0.5, "llm"), (0, 0.5, "other"), (2, 0.1, "plain"))
         self.assertEqual(traffic_classes(mixed, "llm"), ())
         self.assertEqual(traffic_classes(mixed, "plain"), ())
+
+
+class DetectsEarlyTest(AsyncTestCase):
+    """Control and entries must agree on the services with early detection."""
+
+    def test_services_with_classes(self):
+        mixed = table((2, 1.2, "llm"), (0, 0.5, "llm"))
+        self.assertTrue(detects_early(mixed, "llm"))
+
+    def test_others_without_a_pause_target(self):
+        equal = table((1, 0.5, "llm"), (1, 0.5, "llm"))
+        self.assertFalse(detects_early(equal, "llm"))
+        self.assertFalse(detects_early(equal, "unknown"))
