Service level of a route: on-time wait and patience from its targets

Load pattern: generations due in 1,203 ms wait for capacity beside some due in 500 ms. Cause: the waits are hard-coded for a target of 500 ms. Change: derive_service_level computes both waits from the targets of a route; targets of 500 and 200 ms give the present constants. Nothing uses it yet.

--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -7,8 +7,10 @@
     "FairQueue",
     "OrganisationLimits",
     "Permit",
+    "ServiceLevel",
     "WaitEstimator",
     "check_deadline",
+    "derive_service_level",
     "share_weights",
 ]
 
@@ -18,4 +20,5 @@
 from wigeonscale.limits.fair_queue import FairQueue
 from wigeonscale.limits.guard import ConcurrencyGuard
 from wigeonscale.limits.organisations import OrganisationLimits, Permit
+from wigeonscale.limits.service_level import ServiceLevel, derive_service_level
 from wigeonscale.limits.sharing import share_weights
