AdmissionQueue: service level and lane for each traffic class

Load pattern: a burst of 20 generations due in 1.2 s at an entry with 10 generations in progress, beside an urgent one every 0.2 s; a place is released every 0.1 s. Cause: bound and order of the queue assume one patience of 1.5 s for all. With longer waits, relaxed requests would use up the bound, the 32 places and the admitted rate of urgent ones, and one that is next would hold them up. Change: with a service level, a request waits in the lane of its priority, with a bound from its own patience that counts only requests at least as urgent. Late requests follow in the order in which they give up. Without one, every decision is as before.

--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -12,15 +12,26 @@
 half a second, and most of them have no retry left. A request that has waited too long
 for a timely response is moved behind those that can still be in time, and is served
 late rather than never.
+
+Requests of a service with traffic classes have the waits of their own route, so many of
+a less urgent class may wait for long. They must not reject or delay more urgent ones:
+each priority has its own lane, and its own bound and estimate of the outcome.
 """
 
-__all__ = ["MAX_QUEUE_WAIT_S", "ON_TIME_WAIT_S", "AdmissionQueue"]
+__all__ = [
+    "DEFAULT_SERVICE_LEVEL",
+    "MAX_QUEUE_WAIT_S",
+    "ON_TIME_WAIT_S",
+    "AdmissionQueue",
+]
 
 import asyncio
+import bisect
 import itertools
+from dataclasses import dataclass
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
-from wigeonscale.limits import FairQueue
+from wigeonscale.limits import FairQueue, ServiceLevel
 from wigeonscale.ports import Clock
 
 # Longest wait after which a response can still be in time. Responses are due to begin
@@ -29,6 +40,10 @@
 # Longest wait. Callers disconnect after two seconds without an event, and most callers
 # of a burst have no retry left after a rejection.
 MAX_QUEUE_WAIT_S = 1.5
+# Service level of all requests of services without traffic classes.
+DEFAULT_SERVICE_LEVEL = ServiceLevel(
+    on_time_wait_s=ON_TIME_WAIT_S, patience_s=MAX_QUEUE_WAIT_S
+)
 # With 25 responses a second in a domain, one ends every 40 ms.
 QUEUE_POLL_INTERVAL_S = 0.04
 # Mean response time before any response was observed: 160 tokens at 13 ms each.
@@ -43,10 +58,57 @@
 # Below this share of admitted requests the queue gets shorter, so that under sustained
 # overload requests do not wait only to be rejected.
 MIN_ADMITTED_RATE = 0.5
-# Most requests in the queue, whatever is in progress; it only bounds memory.
+# Most requests in a lane that can be in time, whatever is in progress; it only bounds
+# memory.
 MAX_WAITING = 32
 
 
+class _Lane:
+    """Requests that can still be in time and share one bound.
+
+    Attributes:
+        queue: Requests that are not the next one of the lane.
+        next: Ticket of the next one; None if it is still in the queue.
+    """
+
+    __slots__ = ("next", "queue")
+
+    def __init__(self, *, clock: Clock):
+        self.queue: FairQueue[int] = FairQueue(limit=MAX_WAITING, clock=clock)
+        self.next: int | None = None
+
+    def __len__(self) -> int:
+        return len(self.queue) + (self.next is not None)
+
+    def head(self) -> int | None:
+        """Return the ticket of the next request; None if the lane is empty."""
+        if self.next is None:
+            self.next = self.queue.pop()
+        return self.next
+
+    def remove(self, ticket: int) -> bool:
+        """Remove a request; return whether it was in the lane."""
+        if self.next == ticket:
+            self.next = None
+            return True
+        return self.queue.remove(ticket)
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A request in the queue.
+
+    Attributes:
+        priority: Its priority; 0 is the highest.
+        lane: Key of its lane: its priority, or None without traffic classes.
+        late_s: Time for which it waits on after it was demoted, in seconds.
+    """
+
+    priority: int
+    lane: int | None
+    late_s: float
+
+
 class AdmissionQueue:
     """Queue in which this entry's requests wait for engine capacity.
 
@@ -55,24 +117,38 @@
 
     Notes:
         Requests that can still be in time come first, by priority and then fairly over
-        organisations, whatever their size. Late ones follow in order of arrival.
+        organisations, whatever their size. Late ones follow in the order in which they
+        give up, which without traffic classes is the order in which they became late.
+        ``is_next`` is linear in the lanes; ``enqueue`` with a service level and
+        ``release`` are linear in the requests that wait.
     """
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
         self._released = asyncio.Event()
-        self._admitted_rate = 1.0
+        # By lane; 1 if missing.
+        self._admitted_rates: dict[int | None, float] = {}
         self._mean_response_time_s = INITIAL_RESPONSE_TIME_S
-        self._queue: FairQueue[int] = FairQueue(limit=MAX_WAITING, clock=clock)
-        self._next: int | None = None
+        self._waiting: dict[int, _Waiting] = {}
+        # Lanes with requests.
+        self._lanes: dict[int | None, _Lane] = {}
         self._tickets = itertools.count()
-        # Tickets of requests that are too late for a timely response, in order.
-        self._late: dict[int, None] = {}
+        # Requests that are too late for a timely response: when each gives up, the
+        # order in which they became late, and the ticket.
+        self._late: list[tuple[float, int, int]] = []
+        self._demotions = itertools.count()
 
     def __len__(self) -> int:
-        return len(self._queue) + (self._next is not None) + len(self._late)
+        return len(self._waiting)
 
-    def enqueue(self, *, organisation: str, priority: int, running: int) -> int:
+    def enqueue(
+        self,
+        *,
+        organisation: str,
+        priority: int,
+        running: int,
+        level: ServiceLevel | None = None,
+    ) -> int:
         """Queue a request.
 
         Args:
@@ -80,6 +156,8 @@
             priority: Its priority; 0 is the highest.
             running: Generations of this entry in progress, some of which end during the
                 wait.
+            level: Its service level; None if its service has no traffic classes. With
+                one, only requests of the same or a higher priority count for the bound.
 
         Returns:
             A ticket, to be passed to ``release``.
@@ -87,19 +165,30 @@
         Raises:
             WigeonscaleError: ``OVERLOADED`` if the queue is full.
         """
-        share = min(1.0, self._admitted_rate / MIN_ADMITTED_RATE)
-        # One request may always wait, to detect free capacity.
+        if level is None:
+            key, level = None, DEFAULT_SERVICE_LEVEL
+            ahead = len(self)
+        else:
+            key = priority
+            ahead = self._ahead_of(priority)
+        share = min(1.0, self._admitted_rates.get(key, 1.0) / MIN_ADMITTED_RATE)
+        # One request, and one of each class, may always wait, to detect free capacity.
         max_waiting = 1 + int(
-            share * running * MAX_QUEUE_WAIT_S / self._mean_response_time_s
+            share * running * level.patience_s / self._mean_response_time_s
         )
-        if len(self) >= max_waiting:
+        if ahead >= max_waiting:
             raise WigeonscaleError(
                 ErrorKind.OVERLOADED,
-                f"admission queue is full with {len(self)} requests",
+                f"admission queue is full with {ahead} requests",
             )
         ticket = next(self._tickets)
+        lane = self._lanes.get(key) or _Lane(clock=self._clock)
         # The queue takes larger priorities first.
-        self._queue.push(ticket, organisation=organisation, priority=-priority)
+        lane.queue.push(ticket, organisation=organisation, priority=-priority)
+        self._lanes[key] = lane
+        self._waiting[ticket] = _Waiting(
+            priority, key, level.patience_s - level.on_time_wait_s
+        )
         return ticket
 
     def note_response_time(self, took_s: float) -> None:
@@ -120,7 +209,8 @@
             ticket: Its ticket.
         """
         self._remove(ticket)
-        self._late[ticket] = None
+        give_up_at = self._clock.now() + self._waiting[ticket].late_s
+        bisect.insort(self._late, (give_up_at, next(self._demotions), ticket))
 
     def release(self, ticket: int, *, admitted: bool | None) -> None:
         """Remove a request from the queue.
@@ -129,11 +219,13 @@
             ticket: Its ticket.
             admitted: Whether it got capacity; None if its caller disconnected.
         """
+        self._remove(ticket)
+        key = self._waiting.pop(ticket).lane
         if admitted is not None:
-            self._admitted_rate += ADMITTED_RATE_EWMA_WEIGHT * (
-                admitted - self._admitted_rate
+            rate = self._admitted_rates.get(key, 1.0)
+            self._admitted_rates[key] = rate + ADMITTED_RATE_EWMA_WEIGHT * (
+                admitted - rate
             )
-        self._remove(ticket)
         # There may be capacity for more than one, so the next request checks at once.
         self._released.set()
         self._released = asyncio.Event()
@@ -150,14 +242,29 @@
 
     def is_next(self, ticket: int) -> bool:
         """Return whether a request is the next one to be admitted."""
-        if self._next is None:
-            self._next = self._queue.pop()
-        if self._next is None:
-            return ticket == next(iter(self._late), None)
-        return self._next == ticket
+        if not self._lanes:
+            return bool(self._late) and self._late[0][-1] == ticket
+        heads = [lane.head() for lane in self._lanes.values()]
+        return ticket == min(
+            heads, key=lambda head: (self._waiting[head].priority, head)
+        )
+
+    def _ahead_of(self, priority: int) -> int:
+        """Return how many requests count for the bound of a class.
+
+        These are all of the same or a higher priority; none if none of the class waits.
+        """
+        waiting = self._waiting.values()
+        if all(each.lane != priority for each in waiting):
+            return 0
+        return sum(each.priority <= priority for each in waiting)
 
     def _remove(self, ticket: int) -> None:
-        if self._next == ticket:
-            self._next = None
-        elif not self._queue.remove(ticket):
-            self._late.pop(ticket, None)
+        """Remove a request from its lane, or from the late ones."""
+        key = self._waiting[ticket].lane
+        lane = self._lanes.get(key)
+        if lane is not None and lane.remove(ticket):
+            if not len(lane):
+                del self._lanes[key]
+        else:
+            self._late = [each for each in self._late if each[-1] != ticket]
--- a/wigeonscale/direct/tests/test_admission_queue.py
+++ b/wigeonscale/direct/tests/test_admission_queue.py
@@ -5,15 +5,19 @@
 
 from wigeonscale.direct import AdmissionQueue
 from wigeonscale.direct.admission_queue import (
+    DEFAULT_SERVICE_LEVEL,
     INITIAL_RESPONSE_TIME_S,
     MAX_QUEUE_WAIT_S,
     ON_TIME_WAIT_S,
     QUEUE_POLL_INTERVAL_S,
 )
 from wigeonscale.errors import ErrorKind, WigeonscaleError
+from wigeonscale.limits import derive_service_level
 from wigeonscale.testing import AsyncTestCase, ManualClock
 
 MANY = 1000
+URGENT = derive_service_level(0.5, 0.2)
+RELAXED = derive_service_level(1.2, 0.3)
 
 
 class OrderTest(AsyncTestCase):
@@ -144,6 +148,241 @@
         self.assertTrue(self.queue.is_next(tickets[2]))
 
 
+class ClassOrderTest(AsyncTestCase):
+    """Requests of services with traffic classes, in one queue."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.queue = AdmissionQueue(clock=self.clock)
+
+    def enqueue(self, level, *, priority, organisation="o", running=MANY):
+        return self.queue.enqueue(
+            organisation=organisation, priority=priority, running=running, level=level
+        )
+
+    def next_of(self, tickets):
+        return [ticket for ticket in tickets if self.queue.is_next(ticket)]
+
+    def test_urgent_request_overtakes_the_next_one(self):
+        # Guards against an urgent request that waits behind a relaxed one until that is
+        # demoted, because the relaxed one was asked for capacity first.
+        relaxed = self.enqueue(RELAXED, priority=2)
+        self.assertTrue(self.queue.is_next(relaxed))
+        urgent = self.enqueue(URGENT, priority=0)
+        self.assertEqual([urgent], self.next_of([relaxed, urgent]))
+        self.queue.release(urgent, admitted=True)
+        self.assertTrue(self.queue.is_next(relaxed))
+
+    def test_overtaken_request_keeps_its_place_in_its_class(self):
+        # Guards against an overtaken request that is queued again behind its class.
+        first, second = (self.enqueue(RELAXED, priority=2) for _ in range(2))
+        self.assertTrue(self.queue.is_next(first))
+        urgent = self.enqueue(URGENT, priority=0)
+        self.queue.release(urgent, admitted=True)
+        self.assertEqual([first], self.next_of([first, second]))
+
+    def test_waiting_relaxed_requests_do_not_reject_an_urgent_one(self):
+        # Guards against a bound that counts 20 requests behind the urgent one, whose
+        # patience allows 8 only.
+        for _ in range(20):
+            self.enqueue(RELAXED, priority=2, running=10)
+        urgent = [self.enqueue(URGENT, priority=0, running=10) for _ in range(8)]
+        self.assertRaises(
+            WigeonscaleError, self.enqueue, URGENT, priority=0, running=10
+        )
+        self.assertTrue(self.queue.is_next(urgent[0]))
+
+    def test_full_lane_does_not_reject_an_urgent_request(self):
+        # Guards against a bound of memory that one class uses up for all.
+        try:
+            while True:
+                self.enqueue(RELAXED, priority=2)
+        except WigeonscaleError:
+            pass
+        self.assertTrue(self.queue.is_next(self.enqueue(URGENT, priority=0)))
+
+    def test_waiting_urgent_requests_count_for_a_relaxed_one(self):
+        # Guards against a relaxed request that waits behind more urgent ones than
+        # capacity is released for.
+        self.enqueue(RELAXED, priority=2, running=10)
+        for number in range(21):
+            organisation = f"o{number}"
+            self.enqueue(URGENT, priority=0, organisation=organisation)
+        self.assertRaises(
+            WigeonscaleError, self.enqueue, RELAXED, priority=2, running=10
+        )
+
+    def test_one_request_of_each_class_may_wait(self):
+        # Guards against a class that is rejected at once while urgent requests wait,
+        # so that it never detects free capacity.
+        for _ in range(8):
+            self.enqueue(URGENT, priority=0, running=10)
+        self.enqueue(RELAXED, priority=2, running=0)
+        self.assertRaises(
+            WigeonscaleError, self.enqueue, RELAXED, priority=2, running=0
+        )
+
+    def test_failed_waits_of_a_class_do_not_shorten_the_bound_of_another(self):
+        # Guards against urgent requests being rejected at once because relaxed ones
+        # waited in vain.
+        for _ in range(20):
+            ticket = self.enqueue(RELAXED, priority=2)
+            self.queue.release(ticket, admitted=False)
+        for _ in range(8):
+            self.enqueue(URGENT, priority=0, running=10)
+        self.enqueue(RELAXED, priority=2, running=10)
+        self.assertRaises(
+            WigeonscaleError, self.enqueue, RELAXED, priority=2, running=10
+        )
+
+    async def test_late_requests_in_the_order_in_which_they_give_up(self):
+        # Guards against a late urgent request that gives up behind a relaxed one which
+        # could have waited for two seconds longer.
+        relaxed = self.enqueue(RELAXED, priority=2)
+        self.queue.demote(relaxed)
+        await self.clock.advance(1.0)
+        urgent = self.enqueue(URGENT, priority=0)
+        self.queue.demote(urgent)
+        later = self.enqueue(RELAXED, priority=0)
+        self.queue.demote(later)
+        order = []
+        for _ in range(3):
+            (ticket,) = self.next_of([relaxed, urgent, later])
+            order.append(ticket)
+            self.queue.release(ticket, admitted=True)
+        self.assertEqual([urgent, relaxed, later], order)
+
+    def test_fair_between_organisations_of_a_class(self):
+        # Guards against a lane that serves in order of arrival only.
+        large = [
+            self.enqueue(RELAXED, priority=2, organisation="large") for _ in range(10)
+        ]
+        small = self.enqueue(RELAXED, priority=2, organisation="small")
+        for _ in range(3):
+            (ticket,) = self.next_of([*large, small])
+            if ticket == small:
+                break
+            large.remove(ticket)
+            self.queue.release(ticket, admitted=True)
+        self.assertEqual(small, ticket)
+
+    def test_released_requests_leave_nothing_behind(self):
+        # Guards against a lane of a class that stays and blocks the late requests.
+        tickets = [
+            self.enqueue(level, priority=priority)
+            for level, priority in ((URGENT, 0), (RELAXED, 2), (None, 1))
+        ]
+        late = self.enqueue(RELAXED, priority=2)
+        self.queue.demote(late)
+        for ticket in tickets:
+            self.next_of([*tickets[tickets.index(ticket) :], late])
+            self.queue.release(ticket, admitted=None)
+        self.assertTrue(self.queue.is_next(late))
+        self.queue.release(late, admitted=None)
+        self.assertEqual(0, len(self.queue))
+
+
+class ClassReplayTest(AsyncTestCase):
+    """A burst of a class with a target of 1.2 s beside one with a target of 0.5 s.
+
+    20 requests of the first class arrive at once at an entry with 10 generations in
+    progress, and one urgent request every 0.2 s. One place is released every 0.1 s.
+    """
+
+    STEP_S = 0.02
+    BURST = 20
+    RELEASED_EVERY_STEPS = 5
+    URGENT_EVERY_STEPS = 10
+    LENGTH_STEPS = 250
+
+    async def play(self, levels):
+        """Return each request as (class, organisation, waited, whether demoted)."""
+        clock = ManualClock()
+        queue = AdmissionQueue(clock=clock)
+        waiting, admitted, rejected = {}, [], []
+        free = 0
+
+        def arrive(priority, organisation):
+            level = levels[priority]
+            try:
+                ticket = queue.enqueue(
+                    organisation=organisation,
+                    priority=priority,
+                    running=10,
+                    level=level,
+                )
+            except WigeonscaleError:
+                rejected.append((priority, organisation, 0.0, False))
+                return
+            waiting[ticket] = (priority, organisation, clock.now(), [])
+
+        def leave(ticket, ended, is_admitted):
+            priority, organisation, arrived_at, demoted = waiting.pop(ticket)
+            queue.release(ticket, admitted=is_admitted)
+            waited_s = clock.now() - arrived_at
+            ended.append((priority, organisation, waited_s, bool(demoted)))
+
+        for number in range(self.BURST):
+            arrive(2, "large" if number < self.BURST - 2 else "small")
+        for step in range(1, self.LENGTH_STEPS):
+            await clock.advance(self.STEP_S)
+            # Between two releases, so that each urgent request has to wait.
+            is_due = step % self.URGENT_EVERY_STEPS == 6
+            if is_due and step < self.LENGTH_STEPS / 2:
+                arrive(0, "large")
+            free += step % self.RELEASED_EVERY_STEPS == 0
+            for ticket in list(waiting):
+                # Waiting requests ask before there is capacity, too.
+                if queue.is_next(ticket) and free:
+                    free -= 1
+                    leave(ticket, admitted, True)
+            for ticket, (priority, _, arrived_at, demoted) in list(waiting.items()):
+                waited_s = clock.now() - arrived_at
+                level = levels[priority] or DEFAULT_SERVICE_LEVEL
+                if waited_s >= level.patience_s:
+                    leave(ticket, rejected, False)
+                elif waited_s >= level.on_time_wait_s and not demoted:
+                    demoted.append(waited_s)
+                    queue.demote(ticket)
+        self.assertEqual({}, waiting)
+        return admitted, rejected
+
+    async def test_each_class_has_its_own_times(self):
+        # Guards against a generation due in 1.2 s that is demoted after 0.25 s or
+        # rejected after 1.5 s, and against an urgent one delayed by the burst.
+        admitted, rejected = await self.play({0: URGENT, 2: RELAXED})
+        self.assertEqual([], rejected)
+        relaxed = [each for each in admitted if each[0] == 2]
+        urgent = [each for each in admitted if each[0] == 0]
+        self.assertEqual(self.BURST, len(relaxed))
+        for _, _, waited_s, is_demoted in relaxed:
+            self.assertTrue(waited_s < RELAXED.patience_s, waited_s)
+            in_time = waited_s < RELAXED.on_time_wait_s
+            self.assertEqual(not in_time, is_demoted, waited_s)
+        self.assertTrue(max(waited_s for _, _, waited_s, _ in relaxed) > 1.5)
+        for _, _, waited_s, is_demoted in urgent:
+            # The next place is released within 0.1 s.
+            self.assertTrue(waited_s <= 0.1 + self.STEP_S, waited_s)
+            self.assertFalse(is_demoted)
+
+    async def test_fair_over_organisations_within_the_class(self):
+        # Guards against two requests of a small organisation behind 18 of a large one.
+        admitted, _ = await self.play({0: URGENT, 2: RELAXED})
+        relaxed = [each[1] for each in admitted if each[0] == 2]
+        self.assertTrue("small" in relaxed[:2], relaxed)
+        self.assertEqual(2, relaxed[:4].count("small"), relaxed)
+
+    async def test_without_classes_the_waits_are_as_before(self):
+        # Guards against other waits for services without traffic classes: of the
+        # burst, 1 + 10 x 1.5 / 2.0 requests wait, and none for longer than 1.5 s.
+        admitted, rejected = await self.play({0: None, 2: None})
+        at_once = [each for each in rejected if each[0] == 2 and each[2] == 0.0]
+        self.assertEqual(self.BURST - 8, len(at_once))
+        longest_s = max(each[2] for each in admitted + rejected)
+        self.assertTrue(longest_s <= MAX_QUEUE_WAIT_S + self.STEP_S, longest_s)
+
+
 class WaitTest(AsyncTestCase):
     async def prepare(self):
         self.clock = ManualClock()
