Waits for capacity and retries by the service level of a route

Cause: the waits are hard-coded for a target of 500 ms, and a refused generation never waits for the retry budget, although the next totals may bring a retry. Change: for services with traffic classes, both waits follow the targets of the route and count from the arrival of the request. A refused generation waits for a retry until it can no longer be in time; it is rejected at once if the deadline is earlier or the send limit is reached. capacity_waits_total counts waits by priority and outcome. Not measured on a deployment.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -198,6 +198,14 @@
         self.attaches = self._counter(
             "attaches_total", "Answers taken up again after a silent connection."
         )
+        # Priorities are those of the routes and organisations of the configuration.
+        self.capacity_waits = self._counter(
+            "capacity_waits_total",
+            "Generations that waited for capacity, by priority and outcome"
+            " ('admitted', 'rejected', or 'cancelled' if the caller left).",
+            "priority",
+            "outcome",
+        )
 
     def _make_agent_metrics(self) -> None:
         self.dispatches = self._counter(
--- a/wigeonscale/adapters/tests/test_metrics.py
+++ b/wigeonscale/adapters/tests/test_metrics.py
@@ -35,6 +35,18 @@
         ]
         self.assertEqual([1, 2, 2], counts)
 
+    def test_capacity_waits_have_no_organisation(self):
+        # Guards against a series for each caller: routes have few priorities.
+        add = self.metrics.capacity_waits.add
+        add(priority="0", outcome="admitted")
+        self.assertRaises(ValueError, add, priority="0")
+        self.assertRaises(
+            ValueError, add, priority="0", outcome="admitted", organisation="o"
+        )
+        value = self.metrics.capacity_waits.value
+        self.assertEqual(1, value(priority="0", outcome="admitted"))
+        self.assertEqual(0, value(priority="2", outcome="admitted"))
+
     def test_values(self):
         self.metrics.tokens.add(5, organisation="o")
         self.metrics.tokens.add(organisation="o")
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -1,17 +1,20 @@
 """Choice of the path for the next send of a generation, with bounded waits."""
 
-__all__ = ["NO_PATH_RETRY_AFTER_S", "next_path"]
+__all__ = ["NO_PATH_RETRY_AFTER_S", "next_path", "service_level_of"]
 
+import dataclasses
 import logging
 import math
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.metrics import METRICS
 from wigeonscale.direct.admission import PathChoice, choose_path_for, overloaded_error
-from wigeonscale.direct.admission_queue import MAX_QUEUE_WAIT_S, ON_TIME_WAIT_S
+from wigeonscale.direct.admission_queue import DEFAULT_SERVICE_LEVEL
 from wigeonscale.direct.crashing import backends_with_other_suspects
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.progress import Progress
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
+from wigeonscale.limits import ServiceLevel, derive_service_level
 
 # Retry-After when no path covers all layers. A lost engine is detected, and its layers
 # are loaded elsewhere, in one to three seconds.
@@ -46,6 +49,18 @@
     return await _wait_for_capacity(ctx, job, progress)
 
 
+def service_level_of(ctx: EntryContext, job: Job) -> ServiceLevel | None:
+    """Return the service level of a request; its waits count from its arrival.
+
+    Returns None if its service has no traffic classes.
+    """
+    if not ctx.has_classes(job.service.name):
+        return None
+    level = derive_service_level(job.route.target_s, job.route.gap_target_s)
+    limit_s = job.deadline_at - job.req.arrived_at
+    return dataclasses.replace(level, patience_s=min(level.patience_s, limit_s))
+
+
 async def _wait_until_isolated(ctx: EntryContext, job: Job, progress: Progress) -> None:
     """Wait until a suspect can be isolated from others, or the wait times out."""
     give_up_at = min(ctx.clock.now() + MAX_ISOLATION_WAIT_S, job.deadline_at)
@@ -74,32 +89,44 @@
 ) -> PathChoice:
     """Return a path on which all engines have capacity for a new request."""
     choice = _choose(ctx, job, progress)
-    if choice.path is None and _throttled_for_s(ctx, choice) > MAX_QUEUE_WAIT_S:
+    began_at = ctx.clock.now()
+    level = service_level_of(ctx, job)
+    waits_from = began_at if level is None else job.req.arrived_at
+    waits = level or DEFAULT_SERVICE_LEVEL
+    patience_s = waits.patience_s - (began_at - waits_from)
+    if choice.path is None and _throttled_for_s(ctx, choice) > patience_s:
         raise _no_capacity_error(ctx, job, progress, choice)
     if choice.path is not None and not choice.full and not len(ctx.admission_queue):
         return choice
-    ticket = _enqueue(ctx, job, progress)
-    began_at = ctx.clock.now()
-    demote_at = began_at + ON_TIME_WAIT_S
-    give_up_at = min(began_at + MAX_QUEUE_WAIT_S, job.deadline_at)
+    ticket = _enqueue(ctx, job, progress, level)
+    demote_at = waits_from + waits.on_time_wait_s
+    give_up_at = min(waits_from + waits.patience_s, job.deadline_at)
     admitted = None
+    outcome = "cancelled"
+    has_waited = False
     try:
         while True:
             if ctx.admission_queue.is_next(ticket):
                 choice = _choose(ctx, job, progress)
                 if choice.path is not None and not choice.full:
                     admitted = True
+                    outcome = "admitted"
                     break
             now = ctx.clock.now()
             if now >= give_up_at:
-                admitted = False
+                # A request that came too late to wait says nothing about the waits.
+                admitted = False if level is None or has_waited else None
+                outcome = "rejected"
                 raise _no_capacity_error(ctx, job, progress, choice)
             if now >= demote_at:
                 ctx.admission_queue.demote(ticket)
                 demote_at = give_up_at
+            has_waited = True
             await ctx.admission_queue.wait()
     finally:
         ctx.admission_queue.release(ticket, admitted=admitted)
+        if level is not None and has_waited:
+            METRICS.capacity_waits.add(priority=str(job.priority), outcome=outcome)
     logger.info(
         "waited for engine capacity",
         extra=log_fields(
@@ -111,13 +138,16 @@
     return choice
 
 
-def _enqueue(ctx: EntryContext, job: Job, progress: Progress) -> int:
+def _enqueue(
+    ctx: EntryContext, job: Job, progress: Progress, level: ServiceLevel | None
+) -> int:
     """Add a request to the admission queue and return its ticket."""
     try:
         return ctx.admission_queue.enqueue(
             organisation=job.organisation_name,
             priority=job.priority,
             running=ctx.stalls.running,
+            level=level,
         )
     except WigeonscaleError as exc:
         may_have_run = bool(progress.ran_on)
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -22,7 +22,11 @@
 )
 from wigeonscale.direct.detour import change_path, kv_cache_demand
 from wigeonscale.direct.job import EntryContext, Job
-from wigeonscale.direct.next_path import NO_PATH_RETRY_AFTER_S, next_path
+from wigeonscale.direct.next_path import (
+    NO_PATH_RETRY_AFTER_S,
+    next_path,
+    service_level_of,
+)
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.runs import Run
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -282,17 +286,21 @@
 
     A lost engine may break more streams of this entry at once than its guaranteed
     retries cover. A request that must be finished waits for the next totals of the
-    retry budget. A request that has not run is rejected at once.
+    retry budget. A request that has not run is rejected at once, or, with traffic
+    classes, once a response can no longer be in time.
 
     Raises:
         WigeonscaleError: The request may not be retried.
     """
     began_at = ctx.clock.now()
-    give_up_at = min(began_at + MAX_RETRY_BUDGET_WAIT_S, job.deadline_at)
+    give_up_at = _retry_wait_ends_at(ctx, job, progress)
     is_allowed = _try_acquire_retry(ctx, job, progress)
-    waits = progress.must_finish and _may_repeat(job, progress)
-    while not is_allowed and waits and ctx.clock.now() < give_up_at:
-        await ctx.clock.sleep(RETRY_BUDGET_POLL_INTERVAL_S)
+    while not is_allowed and (now := ctx.clock.now()) < give_up_at:
+        wait_s = RETRY_BUDGET_POLL_INTERVAL_S
+        if not progress.must_finish:
+            # The last check is due while the response can still be in time.
+            wait_s = min(wait_s, give_up_at - now)
+        await ctx.clock.sleep(wait_s)
         is_allowed = _try_acquire_retry(ctx, job, progress)
     waited_s = ctx.clock.now() - began_at
     if waited_s > 0 or not is_allowed:
@@ -310,6 +318,24 @@
         raise _final_error(ctx, job, progress, exc)
 
 
+def _retry_wait_ends_at(ctx: EntryContext, job: Job, progress: Progress) -> float:
+    """Return the local time until which a request may wait for the retry budget.
+
+    It is the current time if waiting cannot help.
+    """
+    now = ctx.clock.now()
+    if not _may_repeat(job, progress):
+        return now
+    if progress.must_finish:
+        return min(now + MAX_RETRY_BUDGET_WAIT_S, job.deadline_at)
+    level = service_level_of(ctx, job)
+    if level is None:
+        return now
+    on_time_until = job.req.arrived_at + level.on_time_wait_s
+    # With an earlier deadline, a response after the wait would be cut off.
+    return on_time_until if on_time_until < job.deadline_at else now
+
+
 def _may_repeat(job: Job, progress: Progress) -> bool:
     if progress.sends >= MAX_SENDS:
         return False
