--- a/wigeonscale/direct/tests/test_class_admission.py
+++ b/wigeonscale/direct/tests/test_class_admission.py
@@ -16,7 +16,7 @@
     unknown,
 )
 from wigeonscale.errors import WigeonscaleError
-from wigeonscale.limits import ClassCount
+from wigeonscale.limits import ClassCount, derive_service_level
 from wigeonscale.ports.exchange import GenerationSize
 from wigeonscale.routes import Repeat, RouteTable
 from wigeonscale.testing import AsyncTestCase, ManualClock
@@ -361,3 +361,38 @@
             self.queue.hold(self.enqueue(2), 2)
         self.assertEqual(30, len(self.queue))
         self.enqueue(0)
+
+    def enqueue_class(self, priority, *, running):
+        return self.queue.enqueue(
+            organisation="",
+            priority=priority,
+            running=running,
+            level=derive_service_level(0.5, 0.2),
+        )
+
+    def test_held_requests_use_up_the_bound_of_their_own_class_only(self):
+        """Guards against an urgent class rejected for held requests of another.
+
+        A class whose held requests are not bounded would wait to be rejected.
+        """
+        for _ in range(8):
+            self.queue.hold(self.enqueue_class(2, running=10), 2)
+        self.assertRaises(WigeonscaleError, self.enqueue_class, 2, running=10)
+        urgent = [self.enqueue_class(0, running=10) for _ in range(8)]
+        self.assertEqual([urgent[0]], self.next_of(*urgent))
+
+    def test_held_and_late_requests_of_several_lanes(self):
+        """Guards against a lane that is blocked by a held request of its class."""
+        held, second = (self.enqueue_class(2, running=10) for _ in range(2))
+        self.queue.hold(held, 2)
+        urgent = self.enqueue_class(0, running=10)
+        self.assertEqual([urgent], self.next_of(held, second, urgent))
+        self.queue.demote(urgent)
+        self.assertEqual([second], self.next_of(held, second, urgent))
+        self.queue.hold(second, 2)
+        self.assertEqual([urgent], self.next_of(held, second, urgent))
+        self.queue.release(urgent, admitted=None)
+        self.assertEqual([held], self.next_of(held, second))
+        for ticket in (held, second):
+            self.queue.release(ticket, admitted=True)
+        self.assertEqual(0, len(self.queue))
