--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -10,9 +10,11 @@
     "OrganisationLimits",
     "Permit",
     "ReserveLevel",
+    "ServiceLevel",
     "WaitEstimator",
     "check_deadline",
     "class_reserve",
+    "derive_service_level",
     "is_below_floor",
     "is_short",
     "next_level",
@@ -35,4 +37,5 @@
 from wigeonscale.limits.guard import ConcurrencyGuard
 from wigeonscale.limits.organisations import OrganisationLimits, Permit
 from wigeonscale.limits.retry_after import DEFAULT_RETRY_AFTER_S, retry_after_s
+from wigeonscale.limits.service_level import ServiceLevel, derive_service_level
 from wigeonscale.limits.sharing import share_weights
