Order of held requests: the more urgent class first, unless below the floor

Cause: two classes with the largest reserve leave the same capacity free, and both polled for the rest, so the class that can wait longer got more of it in time. Held requests of a less urgent class now wait for more urgent ones that are held, except while their class is below its floor.

--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -5,6 +5,7 @@
     "PathChoice",
     "choose_detour",
     "choose_path_for",
+    "is_class_below_floor",
     "lost_engines",
     "overloaded_error",
     "responds",
@@ -26,6 +27,7 @@
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import LayerRange, Part, find_detour
+from wigeonscale.limits import is_below_floor
 
 # Range of the Retry-After sent while the engines are full. Responses last about two
 # seconds, so about a third of the capacity is released within one second.
@@ -159,6 +161,14 @@
     )
 
 
+def is_class_below_floor(ctx: EntryContext, job: Job) -> bool:
+    """Return whether too few generations of the class of a request are admitted."""
+    service = job.service.name
+    return ctx.has_classes(service) and is_below_floor(
+        job.priority, ctx.class_demand.demand(service, ctx.domain, ctx.entry_count())
+    )
+
+
 def _class_reserves(ctx: EntryContext, job: Job) -> dict[str, float]:
     """Return the capacity that a new request leaves free, by failure domain."""
     service = job.service.name
--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -99,7 +99,7 @@
     def hold(self, ticket: int, priority: int) -> None:
         """Let other requests go before one that leaves capacity to more urgent classes.
 
-        It is next again once only such requests wait, in their order within its class.
+        It is next again once only such requests wait, the more urgent ones first.
 
         Args:
             ticket: Its ticket; may be held already.
@@ -187,12 +187,19 @@
             sleep.cancel()
             released.cancel()
 
-    def is_next(self, ticket: int) -> bool:
-        """Return whether a request is the next one to be admitted."""
-        for tickets in self._held.values():
+    def is_next(self, ticket: int, *, is_below_floor: bool = False) -> bool:
+        """Return whether a request is the next one to be admitted.
+
+        Args:
+            ticket: Its ticket.
+            is_below_floor: Whether too few requests of its class are admitted. If it is
+                held, it does not wait for more urgent requests that are held as well.
+        """
+        for priority, tickets in self._held.items():
             if ticket in tickets:
                 is_first = next(iter(tickets)) == ticket
-                return is_first and len(self) == self._held_count
+                goes_first = is_below_floor or priority == min(self._held)
+                return is_first and goes_first and len(self) == self._held_count
         if self._next is None:
             self._next = self._queue.pop()
         if self._next is None:
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -7,7 +7,12 @@
 import math
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.admission import PathChoice, choose_path_for, overloaded_error
+from wigeonscale.direct.admission import (
+    PathChoice,
+    choose_path_for,
+    is_class_below_floor,
+    overloaded_error,
+)
 from wigeonscale.direct.admission_queue import MAX_QUEUE_WAIT_S, ON_TIME_WAIT_S
 from wigeonscale.direct.crashing import backends_with_other_suspects
 from wigeonscale.direct.job import EntryContext, Job
@@ -92,7 +97,8 @@
     admitted = None
     try:
         while True:
-            if ctx.admission_queue.is_next(ticket):
+            is_below_floor = is_class_below_floor(ctx, job)
+            if ctx.admission_queue.is_next(ticket, is_below_floor=is_below_floor):
                 choice = _choose(ctx, job, progress)
                 if choice.path is not None and not choice.full:
                     admitted = True
--- a/wigeonscale/direct/tests/test_class_admission.py
+++ b/wigeonscale/direct/tests/test_class_admission.py
@@ -190,6 +190,18 @@
         self.assertFalse(held.done())
         await self.end(held)
 
+    async def test_held_request_below_the_floor(self):
+        """Guards against a class that gets nothing behind another that is held back."""
+        held = [self.start(1), self.start(2)]
+        await self.clock.advance(0.1)
+        totals = [short()[0], count(1, arrived=8, admitted=8), count(2, arrived=8)]
+        self.ctx.class_demand.apply_totals(totals)
+        self.exchange.script("a1", [event(1)])
+        await self.clock.advance(0.1)
+        self.assertEqual([False, True], [task.done() for task in held])
+        self.assertEqual(["a1"], self.exchange.sent_to)
+        await self.end(*held)
+
     async def test_begun_stream_ignores_the_reserve(self):
         """Guards against moving a stream away from the engines that can finish it."""
         self.ctx.class_demand.apply_totals([])
@@ -309,8 +321,8 @@
     def enqueue(self, priority):
         return self.queue.enqueue(organisation="", priority=priority, running=50)
 
-    def next_of(self, *tickets):
-        return [ticket for ticket in tickets if self.queue.is_next(ticket)]
+    def next_of(self, *tickets, **fields):
+        return [each for each in tickets if self.queue.is_next(each, **fields)]
 
     def test_others_go_first(self):
         """Guards against a held request at the head of the queue."""
@@ -323,16 +335,26 @@
         self.assertEqual(0, len(self.queue))
         self.assertTrue(self.queue.is_clear_for(9))
 
-    def test_order_within_a_class(self):
-        """Guards against held requests overtaking others of their class."""
+    def test_order_of_held_requests(self):
+        """Guards against held requests overtaking their class or a more urgent one.
+
+        Two classes may leave the same capacity free, and without an order the one that
+        can wait longer gets more of the rest.
+        """
         tickets = [self.enqueue(2) for _ in range(3)]
         other = self.enqueue(1)
         for ticket in (*tickets, tickets[0]):
             self.queue.hold(ticket, 2)
         self.queue.hold(other, 1)
-        self.assertEqual([tickets[0], other], self.next_of(*tickets, other))
+        self.assertEqual([other], self.next_of(*tickets, other))
+        self.assertEqual(
+            [tickets[0], other],
+            self.next_of(*tickets, other, is_below_floor=True),
+        )
+        self.queue.release(other, admitted=True)
+        self.assertEqual([tickets[0]], self.next_of(*tickets))
         self.queue.release(tickets[0], admitted=True)
-        self.assertEqual([tickets[1], other], self.next_of(*tickets, other))
+        self.assertEqual([tickets[1]], self.next_of(*tickets))
 
     def test_new_requests_do_not_overtake_their_class(self):
         """Guards against held requests that wait for ever behind new ones."""
