--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -3,6 +3,7 @@
 __all__ = [
     "MoveCost",
     "PathChoice",
+    "capacity_retry_after_s",
     "choose_detour",
     "choose_path_for",
     "is_class_below_floor",
@@ -13,10 +14,10 @@
 
 import dataclasses
 import functools
-import random
 from collections.abc import Callable, Collection, Container, Sequence
 from dataclasses import dataclass
 
+from wigeonscale.adapters.metrics import METRICS, priority_label
 from wigeonscale.direct.choice import (
     PathCosts,
     choose_path,
@@ -27,11 +28,7 @@
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import LayerRange, Part, find_detour
-from wigeonscale.limits import is_below_floor
-
-# Range of the Retry-After sent while the engines are full. Responses last about two
-# seconds, so about a third of the capacity is released within one second.
-OVERLOAD_RETRY_AFTER_S = (0.4, 1.4)
+from wigeonscale.limits import DEFAULT_RETRY_AFTER_S, is_below_floor, retry_after_s
 
 # Additional cost in ms of moving a stream to some layers of an engine.
 MoveCost = Callable[[BackendServer, int], float]
@@ -161,6 +158,28 @@
     )
 
 
+def lost_engines(ctx: EntryContext, path: Sequence[Part]) -> set[str]:
+    """Return the engines of a path that are gone or silent, or are avoided."""
+    fleet = ctx.fleet()
+    return {
+        part.backend_id
+        for part in path
+        if part.backend_id not in fleet.by_id
+        or fleet.by_id[part.backend_id].is_silent
+        or ctx.tracker.is_avoided(part.backend_id)
+    }
+
+
+def responds(ctx: EntryContext, server: BackendServer, *, domain: str) -> bool:
+    """Return whether an engine of a failure domain can take over streams."""
+    return (
+        server.domain == domain
+        and not server.is_silent
+        and not ctx.tracker.is_avoided(server.backend_id)
+        and not ctx.notices.is_leaving(server.backend_id)
+    )
+
+
 def is_class_below_floor(ctx: EntryContext, job: Job) -> bool:
     """Return whether too few generations of the class of a request are admitted."""
     service = job.service.name
@@ -199,28 +218,6 @@
     }
 
 
-def lost_engines(ctx: EntryContext, path: Sequence[Part]) -> set[str]:
-    """Return the engines of a path that are gone or silent, or are avoided."""
-    fleet = ctx.fleet()
-    return {
-        part.backend_id
-        for part in path
-        if part.backend_id not in fleet.by_id
-        or fleet.by_id[part.backend_id].is_silent
-        or ctx.tracker.is_avoided(part.backend_id)
-    }
-
-
-def responds(ctx: EntryContext, server: BackendServer, *, domain: str) -> bool:
-    """Return whether an engine of a failure domain can take over streams."""
-    return (
-        server.domain == domain
-        and not server.is_silent
-        and not ctx.tracker.is_avoided(server.backend_id)
-        and not ctx.notices.is_leaving(server.backend_id)
-    )
-
-
 def choose_detour(
     ctx: EntryContext,
     job: Job,
@@ -277,26 +274,70 @@
 
 
 def overloaded_error(
+    ctx: EntryContext,
+    job: Job,
     reason: str,
     *,
     may_have_run: bool,
-    rng: random.Random,
     min_wait_s: float = 0.0,
 ) -> WigeonscaleError:
-    """Return the error for a request that is rejected for lack of capacity.
+    """Return the error for a request rejected for lack of capacity, and record it.
 
     Args:
+        ctx: Context of the entry.
+        job: The request.
         reason: The missing capacity.
         may_have_run: Whether an earlier send may have run.
-        rng: Adds jitter to the Retry-After, so that callers do not all retry at once.
         min_wait_s: Time until capacity may be free, in seconds.
     """
     return WigeonscaleError(
         ErrorKind.OVERLOADED,
         reason,
         run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
-        retry_after=min_wait_s + rng.uniform(*OVERLOAD_RETRY_AFTER_S),
+        retry_after=capacity_retry_after_s(ctx, job, min_wait_s=min_wait_s),
+    )
+
+
+def capacity_retry_after_s(
+    ctx: EntryContext,
+    job: Job,
+    *,
+    min_wait_s: float = 0.0,
+    default_s: float | None = None,
+) -> float:
+    """Return the Retry-After of a rejection for lack of capacity, and record it.
+
+    Call it once for each rejection.
+
+    Args:
+        ctx: Context of the entry.
+        job: The request.
+        min_wait_s: Time until capacity may be free, in seconds.
+        default_s: Value for a service without traffic classes; None for a random one.
+    """
+    service = job.service.name
+    has_classes = ctx.has_classes(service)
+    entry_count = ctx.entry_count()
+    tracker = ctx.class_demand
+    demand = tracker.demand(service, ctx.domain, entry_count) if has_classes else []
+    is_known = any(count.released for count in demand)
+    METRICS.capacity_rejections.add(
+        priority=priority_label(job.priority),
+        basis="release-rate" if is_known else "default",
+    )
+    if not has_classes:
+        if default_s is None:
+            default_s = ctx.rng.uniform(*DEFAULT_RETRY_AFTER_S)
+        return min_wait_s + default_s
+    wait_s = min_wait_s + retry_after_s(
+        job.priority,
+        demand,
+        ctx.rng,
+        own=[count for count in tracker.report() if count.service == service],
+        entries=tracker.entries_per_domain(entry_count),
     )
+    tracker.note_rejected(job, wait_s)
+    return wait_s
 
 
 def _full_engines(
