--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -9,7 +9,12 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.adapters.metrics import METRICS, priority_label
-from wigeonscale.direct.admission import PathChoice, choose_path_for, overloaded_error
+from wigeonscale.direct.admission import (
+    PathChoice,
+    choose_path_for,
+    is_class_below_floor,
+    overloaded_error,
+)
 from wigeonscale.direct.admission_queue import DEFAULT_SERVICE_LEVEL
 from wigeonscale.direct.crashing import backends_with_other_suspects
 from wigeonscale.direct.job import EntryContext, Job
@@ -112,7 +117,8 @@
     has_waited = False
     try:
         while True:
-            if ctx.admission_queue.is_next(ticket):
+            is_below_floor = is_class_below_floor(ctx, job)
+            if ctx.admission_queue.is_next(ticket, is_below_floor=is_below_floor):
                 choice = _choose(ctx, job, progress)
                 if choice.path is not None and not choice.full:
                     admitted = True
