--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -6,6 +6,7 @@
     "capacity_retry_after_s",
     "choose_detour",
     "choose_path_for",
+    "is_class_below_floor",
     "lost_engines",
     "overloaded_error",
     "responds",
@@ -27,7 +28,7 @@
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import LayerRange, Part, find_detour
-from wigeonscale.limits import DEFAULT_RETRY_AFTER_S, retry_after_s
+from wigeonscale.limits import DEFAULT_RETRY_AFTER_S, is_below_floor, retry_after_s
 
 # Additional cost in ms of moving a stream to some layers of an engine.
 MoveCost = Callable[[BackendServer, int], float]
@@ -179,6 +180,14 @@
     )
 
 
+def is_class_below_floor(ctx: EntryContext, job: Job) -> bool:
+    """Return whether too few generations of the class of a request are admitted."""
+    service = job.service.name
+    return ctx.has_classes(service) and is_below_floor(
+        job.priority, ctx.class_demand.demand(service, ctx.domain, ctx.entry_count())
+    )
+
+
 def _class_reserves(ctx: EntryContext, job: Job) -> dict[str, float]:
     """Return the capacity that a new request leaves free, by failure domain."""
     service = job.service.name
