--- a/wigeonscale/control/load_aggregator.py
+++ b/wigeonscale/control/load_aggregator.py
@@ -110,6 +110,7 @@
             count.service = sends.service
             count.requests += sends.requests
             count.further += sends.further
+            count.wanting += sends.wanting
         for limit in loads.limits:
             merged = limits_by_id.setdefault(limit.backend_id, wire.NamedLimit())
             _merge_limit(merged, limit, int(age_s * MS_PER_S))
--- a/wigeonscale/control/tests/test_load_aggregator.py
+++ b/wigeonscale/control/tests/test_load_aggregator.py
@@ -55,14 +55,18 @@
         )
 
     def test_sends_of_all_entries_add_up_by_service(self):
-        sends = wire.ServiceSends(service="s", requests=20, further=3)
+        # Guards against totals that lack the entries that want retries; a report of an
+        # older version has no such field.
+        sends = wire.ServiceSends(service="s", requests=20, further=3, wanting=1)
+        old = wire.ServiceSends(service="s", requests=20, further=3)
         self.attach("one", wire.Loads(sends=[sends]))
-        self.attach("two", wire.Loads(sends=[sends]))
+        self.attach("two", wire.Loads(sends=[old]))
         self.load_aggregator.receive(
             "c2", wire.Loads(sends=[sends]).SerializeToString()
         )
         (total,) = self.load_aggregator.total().sends
         self.assertEqual(("s", 60, 9), (total.service, total.requests, total.further))
+        self.assertEqual(2, total.wanting)
 
     def test_reporting_entries_are_counted(self):
         self.attach("one", wire.Loads(tellers=1))
