Retry budget shared by demand for services with traffic classes

Load pattern: 28 entries; a loss affects one third of them, each with several interrupted streams at once. Every entry got the same part, and new parts were taken from totals that are late, so that parts of two rounds could add up to more than the budget.

Change: for services with traffic classes, three quarters of the budget are divided by claims. An entry reports a claim (in the field for its retries) and uses it when totals that contain it fit into the budget. Entries lend most of their claim while others report that they want retries. The other quarter is divided equally and needs no contact. A new entry makes no retries for one window and 2 s, and uses its own part after 60 s. Without traffic classes nothing changes. Counter budget_retries_total, by outcome.

Retries are not taken back when requests decline: a window that ends later, without new retries, can contain more retries than its requests allow, as before.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -195,6 +195,11 @@
         self.retries = self._counter(
             "retries_total", "Dispatches tried again, by cause.", "kind"
         )
+        self.budget_retries = self._counter(
+            "budget_retries_total",
+            "Retries asked of the shared retry budget, by outcome (allowed, denied).",
+            "outcome",
+        )
         self.attaches = self._counter(
             "attaches_total", "Answers taken up again after a silent connection."
         )
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -188,6 +188,7 @@
         slack=cfg.retry_slack,
         window_s=cfg.retry_window_s,
         entry_count=lambda: control.entries,
+        has_classes=lambda service: service in view.services_with_classes,
     )
     crashes = CrashTracker(
         clock=clock,
--- a/wigeonscale/daemons/load_exchange.py
+++ b/wigeonscale/daemons/load_exchange.py
@@ -24,7 +24,12 @@
             for name, (running, token_layers) in ctx.tracker.report_loads().items()
         ],
         sends=[
-            wire.ServiceSends(service=name, requests=requests, further=further)
+            wire.ServiceSends(
+                service=name,
+                requests=requests,
+                further=further,
+                wanting=int(ctx.budget.is_wanting(name)),
+            )
             for name, (requests, further) in ctx.budget.report_sends().items()
         ],
         limits=[
@@ -54,7 +59,9 @@
         {each.backend_id: (each.running, each.token_layers) for each in totals.loads}
     )
     ctx.budget.apply_totals(
-        {each.service: (each.requests, each.further) for each in totals.sends}
+        {each.service: (each.requests, each.further) for each in totals.sends},
+        wanting={each.service: each.wanting for each in totals.sends},
+        reporting_entries=totals.tellers,
     )
     limits = [
         NamedLimit(
