Interrupted streams wait for a path with room

Load pattern: engines of one failure domain are lost while all others are nearly full. In a trial 126 streams met room for 8, some needed up to six sends, and pauses of 1.3 to 1.6 s hit streams that were not affected.

Cause: a stream that must be finished was sent at once, also to full engines, which refuse it or preempt others; new requests took the capacity that was released meanwhile.

Change, for services with traffic classes: such a stream waits for room, in the order of the last events, ahead of all new requests of its entry, until the patience of its service level has passed since its last event. It counts as a class above priority 0 in the totals, so the reserve on all entries leaves it the released capacity. At the deadline it ends without a send, so no engine is blamed. Retry-After counts these streams as waiting only.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -22,6 +22,7 @@
 _KINDS = frozenset({OK, *ErrorKind})
 # Priorities from this one on have one common label.
 MAX_PRIORITY_LABEL = 9
+INTERRUPTED_LABEL = "interrupted"
 
 # Seconds. The burn report selects its objectives from these bounds.
 LATENCY_BUCKETS_S = (
@@ -93,13 +94,15 @@
 
 
 def priority_label(priority: int) -> str:
-    """Return the label of a priority, one of ten.
+    """Return the label of a priority, one of ten; of interrupted streams an eleventh.
 
     Example:
-        >>> priority_label(2), priority_label(300)
-        ('2', '9')
+        >>> priority_label(2), priority_label(300), priority_label(-1)
+        ('2', '9', 'interrupted')
     """
-    return str(min(max(priority, 0), MAX_PRIORITY_LABEL))
+    if priority < 0:
+        return INTERRUPTED_LABEL
+    return str(min(priority, MAX_PRIORITY_LABEL))
 
 
 class Counter(_Metric):
@@ -229,7 +232,9 @@
         self.capacity_waits = self._counter(
             "capacity_waits_total",
             "Generations that waited for capacity, by priority and outcome"
-            " ('admitted', 'rejected', or 'cancelled' if the caller left).",
+            " ('admitted', 'rejected', 'cancelled' if the caller left). Interrupted"
+            " streams are a priority of their own; 'full' if they were sent without"
+            " room, 'no-path' if all paths were lost.",
             "priority",
             "outcome",
         )
@@ -284,7 +289,10 @@
             "priority",
         )
         self.class_admissions = self._counter(
-            "class_admissions_total", "Generations sent for the first time.", "priority"
+            "class_admissions_total",
+            "Generations sent for the first time, and interrupted streams that waited"
+            " and got room.",
+            "priority",
         )
         self.capacity_rejections = self._counter(
             "capacity_rejections_total",
--- a/wigeonscale/adapters/tests/test_metrics.py
+++ b/wigeonscale/adapters/tests/test_metrics.py
@@ -4,7 +4,7 @@
 import aiohttp
 
 from wigeonscale.adapters import Metrics, bound_address, start_http
-from wigeonscale.adapters.metrics import Histogram
+from wigeonscale.adapters.metrics import Histogram, priority_label
 from wigeonscale.errors import ErrorKind
 from wigeonscale.testing import AsyncTestCase
 
@@ -47,6 +47,11 @@
         self.assertEqual(1, value(priority="0", outcome="admitted"))
         self.assertEqual(0, value(priority="2", outcome="admitted"))
 
+    def test_priority_labels_are_a_fixed_set(self):
+        # Guards against a series for each priority that a configuration names.
+        labels = {priority_label(priority) for priority in range(-5, 300)}
+        self.assertEqual({"interrupted", *"0123456789"}, labels)
+
     def test_values(self):
         self.metrics.tokens.add(5, organisation="o")
         self.metrics.tokens.add(organisation="o")
--- a/wigeonscale/daemons/tests/test_class_exchange.py
+++ b/wigeonscale/daemons/tests/test_class_exchange.py
@@ -90,3 +90,57 @@
             "model", "a", 2, entry_count=3, running=lambda: 9.0
         )
         self.assertEqual(0.0, share)
+
+    def note_interrupted(self):
+        """Let five streams of the first entry, in domain a, wait for room."""
+        tracker = self.entries[0].ctx.class_demand
+        for _ in range(5):
+            tracker.note_arrived(self.job(self.entries[0], 2), is_interrupted=True)
+            tracker.note_waiting(self.job(self.entries[0], 2), +1, is_interrupted=True)
+        tracker.note_admitted(self.job(self.entries[0], 2), is_interrupted=True)
+        # Totals name a failure domain once one of its entries has demand.
+        self.entries[2].ctx.class_demand.note_arrived(self.job(self.entries[2], 0))
+        self.entries[2].ctx.class_demand.note_admitted(self.job(self.entries[2], 0))
+
+    def reserve(self, entry, domain, priority=0):
+        return self.entries[entry].ctx.class_demand.reserve(
+            "model", domain, priority, entry_count=3, running=lambda: 9.0
+        )
+
+    def test_interrupted_streams(self):
+        """Guards against a negative priority that is lost on the way.
+
+        All entries leave room to the streams, in all failure domains, also for new
+        requests of the most urgent class.
+        """
+        self.note_interrupted()
+        report = build_load_report(self.entries[0].ctx)
+        (sent,) = report.classes
+        fields = (sent.priority, sent.domain, sent.arrived, sent.waiting, sent.admitted)
+        self.assertEqual((-1, "a", 5, 5, 1), fields)
+        self.exchange()
+        for entry in range(3):
+            for domain in "ab":
+                demand = self.entries[entry].ctx.class_demand.demand("model", domain, 3)
+                count = demand[0]
+                self.assertEqual((-1, domain), (count.priority, count.domain))
+                self.assertEqual(
+                    (3, 1, 3), (count.arrived, count.admitted, count.waiting)
+                )
+                self.assertEqual(0.15, self.reserve(entry, domain))
+
+    def test_interrupted_streams_with_control_of_an_old_version(self):
+        """Guards against a reserve, or a failure, without totals by class."""
+        self.note_interrupted()
+        self.exchange(without_classes={"control"})
+        self.assertEqual({}, self.arrived("a"))
+        self.assertEqual(0.0, self.reserve(0, "a"))
+        self.assertEqual(0.0, self.reserve(2, "b"))
+
+    async def test_interrupted_streams_with_outdated_totals(self):
+        """Guards against an entry that is cut off and forgets its own streams."""
+        self.exchange()
+        await self.clock.advance(3.0)
+        self.note_interrupted()
+        self.assertTrue(self.reserve(0, "a") > 0.0)
+        self.assertEqual(0.0, self.reserve(1, "a"))
--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -28,6 +28,7 @@
 import asyncio
 import bisect
 import itertools
+import math
 from dataclasses import dataclass
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -260,12 +261,21 @@
                 admitted - rate
             )
         # There may be capacity for more than one, so the next request checks at once.
+        self.notify()
+
+    def notify(self) -> None:
+        """Let all that wait check again whether there is capacity for them."""
         self._released.set()
         self._released = asyncio.Event()
 
-    async def wait(self) -> None:
-        """Wait until capacity should be checked again."""
-        sleep = asyncio.ensure_future(self._clock.sleep(QUEUE_POLL_INTERVAL_S))
+    async def wait(self, *, until: float = math.inf) -> None:
+        """Wait until capacity should be checked again.
+
+        Args:
+            until: Local time at which the wait ends at the latest.
+        """
+        wait_s = min(QUEUE_POLL_INTERVAL_S, until - self._clock.now())
+        sleep = asyncio.ensure_future(self._clock.sleep(wait_s))
         released = asyncio.ensure_future(self._released.wait())
         try:
             await asyncio.wait({sleep, released}, return_when=asyncio.FIRST_COMPLETED)
--- a/wigeonscale/direct/class_demand.py
+++ b/wigeonscale/direct/class_demand.py
@@ -14,6 +14,7 @@
 from wigeonscale.adapters.metrics import METRICS, priority_label
 from wigeonscale.limits import (
     CLASS_WINDOW_S,
+    INTERRUPTED_PRIORITY,
     NO_RESERVE,
     ClassCount,
     ReserveLevel,
@@ -21,6 +22,7 @@
     is_below_floor,
     is_short,
     next_level,
+    spread_interrupted,
 )
 from wigeonscale.ports import Clock
 
@@ -122,23 +124,29 @@
         # By service, failure domain and priority.
         self._reserves: dict[tuple[str, str, int], _Reserve] = {}
 
-    def note_arrived(self, job: "Job") -> None:
-        """Count a generation that arrived at this entry."""
-        self._counts(job).arrived.append(self._clock.now())
-
-    def note_admitted(self, job: "Job") -> None:
-        """Count the first send of a generation."""
-        self._counts(job).admitted.append(self._clock.now())
-        METRICS.class_admissions.add(priority=priority_label(job.priority))
-
-    def note_waiting(self, job: "Job", change: int) -> None:
+    def note_arrived(self, job: "Job", *, is_interrupted: bool = False) -> None:
+        """Count a generation that arrived, or a stream that begins to wait for room."""
+        counts = self._counts(job, is_interrupted=is_interrupted)
+        counts.arrived.append(self._clock.now())
+
+    def note_admitted(self, job: "Job", *, is_interrupted: bool = False) -> None:
+        """Count the first send of a generation, or a stream that got room."""
+        counts = self._counts(job, is_interrupted=is_interrupted)
+        counts.admitted.append(self._clock.now())
+        priority = INTERRUPTED_PRIORITY if is_interrupted else job.priority
+        METRICS.class_admissions.add(priority=priority_label(priority))
+
+    def note_waiting(
+        self, job: "Job", change: int, *, is_interrupted: bool = False
+    ) -> None:
         """Change the number of generations that wait for capacity.
 
         Args:
             job: The request.
             change: +1 when it begins to wait, -1 when it no longer waits.
+            is_interrupted: Whether it is counted in the class of interrupted streams.
         """
-        counts = self._counts(job)
+        counts = self._counts(job, is_interrupted=is_interrupted)
         counts.waiting = max(0, counts.waiting + change)
 
     def note_rejected(self, job: "Job", retry_after_s: float) -> None:
@@ -186,9 +194,11 @@
             counts: Sums by service, priority and failure domain.
         """
         totals: dict[tuple[str, str], list[ClassCount]] = {}
+        counts = list(counts)
+        self._domains.update([count.domain for count in counts])
+        counts = spread_interrupted(counts, self._domains)
         for count in sorted(counts, key=lambda count: count.priority):
             totals.setdefault((count.service, count.domain), []).append(count)
-            self._domains.add(count.domain)
         self._totals = totals
         self._totals_at = self._clock.now()
         self._totals_number += 1
@@ -307,8 +317,9 @@
         self._reserves[key] = reserve
         return reserve
 
-    def _counts(self, job: "Job") -> _OwnCounts:
-        key = job.service.name, job.priority
+    def _counts(self, job: "Job", *, is_interrupted: bool = False) -> _OwnCounts:
+        priority = INTERRUPTED_PRIORITY if is_interrupted else job.priority
+        key = job.service.name, priority
         counts = self._own.get(key)
         if counts is None:
             counts = self._own[key] = _OwnCounts()
--- a/wigeonscale/direct/job.py
+++ b/wigeonscale/direct/job.py
@@ -11,6 +11,7 @@
 from wigeonscale.direct.backend_tracker import BackendTracker
 from wigeonscale.direct.class_demand import ClassDemandTracker
 from wigeonscale.direct.fleet import Fleet
+from wigeonscale.direct.interrupted import InterruptedStreams
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.rate_limits import BackendRateLimits
 from wigeonscale.direct.recovery_plans import RecoveryPlans
@@ -50,6 +51,7 @@
         class_demand: Demand by traffic class, of this entry and of all.
         has_classes: Returns whether a service, given by name, has traffic classes.
         recovery: Plans for the streams of lost engines.
+        interrupted: Interrupted streams that wait for room.
     """
 
     exchange: Exchange
@@ -70,6 +72,7 @@
     class_demand: ClassDemandTracker
     has_classes: Callable[[str], bool] = no_classes
     recovery: RecoveryPlans = field(default_factory=RecoveryPlans)
+    interrupted: InterruptedStreams = field(default_factory=InterruptedStreams)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -12,9 +12,10 @@
 from wigeonscale.direct.admission import PathChoice, choose_path_for, overloaded_error
 from wigeonscale.direct.admission_queue import DEFAULT_SERVICE_LEVEL
 from wigeonscale.direct.crashing import backends_with_other_suspects
+from wigeonscale.direct.interrupted import wait_for_room
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.progress import Progress
-from wigeonscale.direct.recovery_choice import recovery_path
+from wigeonscale.direct.recovery_choice import note_resumed, recovery_path
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.limits import ServiceLevel, derive_service_level
 
@@ -75,12 +76,34 @@
 
 
 async def _wait_for_path(ctx: EntryContext, job: Job, progress: Progress) -> PathChoice:
-    """Return a path as soon as there is one, even if its engines are full."""
+    """Return a path as soon as there is one, even if its engines are full.
+
+    With traffic classes, it waits for engines with room as long as its caller can.
+    """
     give_up_at = min(ctx.clock.now() + MAX_PATH_WAIT_S, job.deadline_at)
-    choose = functools.partial(_choose, ctx, job, progress)
+    choose = functools.partial(
+        recovery_path,
+        ctx,
+        job,
+        progress,
+        otherwise=functools.partial(_choose, ctx, job, progress),
+    )
+    level = service_level_of(ctx, job)
     while True:
-        choice = recovery_path(ctx, job, progress, otherwise=choose)
+        if level is None:
+            choice = choose()
+        else:
+            room_by = min(progress.waits_since + level.patience_s, job.deadline_at)
+            began_at = ctx.clock.now()
+            choice = await wait_for_room(
+                ctx, job, progress, choose=choose, give_up_at=room_by
+            )
+            give_up_at += ctx.clock.now() - began_at
+            give_up_at = min(give_up_at, job.deadline_at)
+            if ctx.clock.now() >= job.deadline_at:
+                raise _deadline_error(job)
         if choice.path is not None:
+            note_resumed(ctx, progress, choice.path)
             return choice
         if ctx.clock.now() >= give_up_at:
             raise _no_path_error(job, progress)
@@ -99,7 +122,10 @@
     patience_s = waits.patience_s - (began_at - waits_from)
     if choice.path is None and _throttled_for_s(ctx, choice) > patience_s:
         raise _no_capacity_error(ctx, job, progress, choice)
-    is_clear = ctx.admission_queue.is_clear_for(job.priority)
+    service = job.service.name
+    is_clear = ctx.admission_queue.is_clear_for(
+        job.priority
+    ) and not ctx.interrupted.is_waiting_for(service)
     if choice.path is not None and not choice.full and is_clear:
         return choice
     ticket = _enqueue(ctx, job, progress, level)
@@ -112,7 +138,8 @@
     has_waited = False
     try:
         while True:
-            if ctx.admission_queue.is_next(ticket):
+            is_next = ctx.admission_queue.is_next(ticket)
+            if is_next and not ctx.interrupted.is_waiting_for(service):
                 choice = _choose(ctx, job, progress)
                 if choice.path is not None and not choice.full:
                     admitted = True
@@ -198,16 +225,26 @@
     )
 
 
+def _deadline_error(job: Job) -> WigeonscaleError:
+    return WigeonscaleError(
+        ErrorKind.DEADLINE_EXCEEDED,
+        f"deadline passed before {job.service.name} had room for the stream",
+        run_state=RunState.UNKNOWN,
+    )
+
+
 def _no_capacity_error(
     ctx: EntryContext, job: Job, progress: Progress, choice: PathChoice
 ) -> WigeonscaleError:
     if choice.path is None and not choice.throttled:
         return _no_path_error(job, progress)
     throttled_for_s = _throttled_for_s(ctx, choice)
+    # Neither, if the path has capacity but other requests go first.
+    names = choice.full or choice.throttled or (job.service.name,)
     return overloaded_error(
         ctx,
         job,
-        f"no capacity for a request at {', '.join(choice.full or choice.throttled)}",
+        f"no capacity for a request at {', '.join(names)}",
         may_have_run=bool(progress.ran_on),
         min_wait_s=throttled_for_s if math.isfinite(throttled_for_s) else 0.0,
     )
--- a/wigeonscale/direct/progress.py
+++ b/wigeonscale/direct/progress.py
@@ -17,6 +17,7 @@
         last_id: Id of the last event that the caller has; None before the first.
         is_begun: Whether the response head was sent to the caller.
         sends: Number of sends.
+        first_sent_at: Time of the first send; 0 before it.
         ran_on: First engines of the paths that may have run the request.
         lost: Engines that failed during this request.
         reroutes: Number of path changes of running sends.
@@ -33,6 +34,7 @@
     last_id: int | None
     is_begun: bool = False
     sends: int = 0
+    first_sent_at: float = 0.0
     ran_on: set[str] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
     reroutes: int = 0
@@ -53,6 +55,23 @@
         """
         return self.is_begun or bool(self.ran_on)
 
+    @property
+    def waits_since(self) -> float:
+        """Time since which the caller of a sent request has been without an event."""
+        if self.first_event_at is None:
+            return self.first_sent_at
+        return self.latest_event_at
+
+    def note_send(self, now: float) -> None:
+        """Record a send.
+
+        Args:
+            now: Local time.
+        """
+        self.sends += 1
+        if self.sends == 1:
+            self.first_sent_at = now
+
     def note_event(self, now: float, event_id: int | None) -> None:
         """Record an event that was sent to the caller.
 
--- a/wigeonscale/direct/recovery_choice.py
+++ b/wigeonscale/direct/recovery_choice.py
@@ -5,7 +5,13 @@
 next event of a stream is due 0.1 to 0.2 s after its engine is known to be lost.
 """
 
-__all__ = ["draw_next_send", "move_cost", "recovery_path", "takes_detour"]
+__all__ = [
+    "draw_next_send",
+    "move_cost",
+    "note_resumed",
+    "recovery_path",
+    "takes_detour",
+]
 
 from collections.abc import Callable, Collection, Sequence
 
@@ -125,15 +131,25 @@
         )
     if choice is None or choice.path is None or choice.full:
         choice = otherwise()
-    if choice.path is None or not progress.left_domain:
-        return choice
-    names = [part.backend_id for part in choice.path]
+    return choice
+
+
+def note_resumed(ctx: EntryContext, progress: Progress, path: Sequence[Part]) -> None:
+    """Record the path by which a request that must be finished is sent again.
+
+    Args:
+        ctx: Context of the entry.
+        progress: Its progress; updated.
+        path: Its path.
+    """
+    if not progress.left_domain:
+        return
+    names = [part.backend_id for part in path]
     ctx.recovery.note_moved(names, now=ctx.clock.now())
     first = ctx.fleet().by_id[names[0]]
     is_same = first.domain == progress.left_domain
     METRICS.recovered_streams.add(way="same-domain" if is_same else "other-domain")
     progress.left_domain = progress.next_domain = ""
-    return choice
 
 
 def move_cost(ctx: EntryContext, job: Job) -> MoveCost | None:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -91,7 +91,7 @@
         choice = await next_path(ctx, job, progress)
         raise_if_crashing(ctx, job, may_have_run=bool(progress.ran_on))
         path = choice.path
-        progress.sends += 1
+        progress.note_send(ctx.clock.now())
         if progress.sends == 1 and ctx.has_classes(job.service.name):
             ctx.class_demand.note_admitted(job)
         try:
--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -3,6 +3,7 @@
 __all__ = [
     "CLASS_WINDOW_S",
     "DEFAULT_RETRY_AFTER_S",
+    "INTERRUPTED_PRIORITY",
     "NO_RESERVE",
     "ClassCount",
     "ConcurrencyGuard",
@@ -20,9 +21,15 @@
     "next_level",
     "retry_after_s",
     "share_weights",
+    "spread_interrupted",
 ]
 
-from wigeonscale.limits.class_count import CLASS_WINDOW_S, ClassCount
+from wigeonscale.limits.class_count import (
+    CLASS_WINDOW_S,
+    INTERRUPTED_PRIORITY,
+    ClassCount,
+    spread_interrupted,
+)
 from wigeonscale.limits.class_reserve import (
     NO_RESERVE,
     ReserveLevel,
--- a/wigeonscale/limits/retry_after.py
+++ b/wigeonscale/limits/retry_after.py
@@ -5,7 +5,11 @@
 import random
 from collections.abc import Sequence
 
-from wigeonscale.limits.class_count import CLASS_WINDOW_S, ClassCount
+from wigeonscale.limits.class_count import (
+    CLASS_WINDOW_S,
+    INTERRUPTED_PRIORITY,
+    ClassCount,
+)
 
 # Range of the Retry-After while the release rate is unknown. Responses last about two
 # seconds, so about a third of the capacity is released within one second.
@@ -91,7 +95,10 @@
     ahead += same.waiting if same else 0
     arrived = max(1, same.arrived if same else 0)
     for count in demand:
-        if count.priority < priority:
+        if count.priority == INTERRUPTED_PRIORITY:
+            # They are not rejected, so none of them returns.
+            ahead += count.waiting
+        elif count.priority < priority:
             share = min(1.0, count.arrived / arrived)
             ahead += count.waiting + max(
                 count.returning,
--- a/wigeonscale/limits/tests/test_retry_after.py
+++ b/wigeonscale/limits/tests/test_retry_after.py
@@ -56,6 +56,17 @@
             self.assertTrue(max(drawn) <= MAX_RETRY_AFTER_S)
             self.assertTrue(max(drawn) > 1.5 * min(drawn))
 
+    def test_interrupted_streams_wait_but_do_not_return(self):
+        # Fails if an entry expects that as many interrupted streams as own callers are
+        # rejected: they go first, but none of them is rejected.
+        own = [count(0, returning=4)]
+        quiet = [count(0, arrived=20, released=40)]
+        busy = [count(-1, arrived=60, waiting=10), *quiet]
+        expected_s = mean_s(0, quiet, own=own, entries=2.0) + 10 / 20.0
+        self.assertAlmostEqual(
+            expected_s, mean_s(0, busy, own=own, entries=2.0), delta=0.05
+        )
+
     def test_default_range_without_totals_or_releases(self):
         # Fails if a missing total is taken for free capacity, or divides by zero.
         low, high = DEFAULT_RETRY_AFTER_S
