--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -12,7 +12,6 @@
 ]
 
 import dataclasses
-import functools
 from collections.abc import Callable, Collection, Container, Sequence
 from dataclasses import dataclass
 
@@ -23,6 +22,7 @@
     choose_server,
     path_costs,
 )
+from wigeonscale.direct.class_reserves import class_reserves
 from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -129,7 +129,7 @@
     if engine is None or not engine.layers:
         return PathChoice(_choose_single_server(ctx, servers, lost))
     # A request that has begun is finished, so it ignores the reserve.
-    reserves = {} if ran_on else _class_reserves(ctx, job)
+    reserves = {} if ran_on else class_reserves(ctx, job)
     costs = path_costs(
         engine,
         job.req.generation,
@@ -179,36 +179,6 @@
     )
 
 
-def _class_reserves(ctx: EntryContext, job: Job) -> dict[str, float]:
-    """Return the capacity that a new request leaves free, by failure domain."""
-    service = job.service.name
-    if not ctx.has_classes(service):
-        return {}
-    servers = ctx.fleet().by_service.get(service, ())
-    entry_count = ctx.entry_count()
-    running: dict[str, float] = {}
-
-    def running_in(domain: str) -> float:
-        if not running:
-            # Each generation passes through one engine that holds layer 0.
-            for server in servers:
-                if server.layers.first == 0 and server.layers.count:
-                    load = ctx.tracker.load_of(server.backend_id, entry_count)[0]
-                    running[server.domain] = running.get(server.domain, 0.0) + load
-        return running.get(domain, 0.0)
-
-    return {
-        domain: ctx.class_demand.reserve(
-            service,
-            domain,
-            job.priority,
-            entry_count=entry_count,
-            running=functools.partial(running_in, domain),
-        )
-        for domain in {server.domain for server in servers}
-    }
-
-
 def choose_detour(
     ctx: EntryContext,
     job: Job,
--- a/wigeonscale/direct/loss_evidence.py
+++ b/wigeonscale/direct/loss_evidence.py
@@ -24,12 +24,15 @@
 MS_PER_S = 1000.0
 
 
-def needs_early_detection(engine: EngineProfile | None, gap_target_s: float) -> bool:
+def needs_early_detection(
+    engine: EngineProfile | None, gap_target_s: float, *, has_classes: bool = False
+) -> bool:
     """Return whether a lost engine must be detected from the first overdue run.
 
     Args:
         engine: Profile of the engines; None for a plain service.
         gap_target_s: Longest pause between two events that is on time; 0 for none.
+        has_classes: Whether the service has traffic classes; these always need it.
 
     Returns:
         Whether a pause would miss its target if detection waited until all runs of an
@@ -44,6 +47,8 @@
         >>> needs_early_detection(engine, 0.24), needs_early_detection(engine, 0.3)
         (True, False)
     """
+    if has_classes:
+        return True
     if engine is None or not gap_target_s or not engine.accelerators:
         return False
     paces = [kind.pace for kind in engine.accelerators.values()]
--- a/wigeonscale/direct/tests/test_service_levels.py
+++ b/wigeonscale/direct/tests/test_service_levels.py
@@ -5,8 +5,9 @@
 
 from wigeonscale.adapters.metrics import METRICS
 from wigeonscale.direct.choice import FULL_SHARE
+from wigeonscale.direct.progress import MAX_SENDS
 from wigeonscale.direct.runs import Run
-from wigeonscale.direct.stream import MAX_SENDS, relay_stream
+from wigeonscale.direct.stream import relay_stream
 from wigeonscale.direct.tests.fakes import FakeSink
 from wigeonscale.direct.tests.support import (
     MODEL,
--- a/wigeonscale/lab/simulation.py
+++ b/wigeonscale/lab/simulation.py
@@ -20,8 +20,8 @@
     QUEUE_POLL_INTERVAL_S,
 )
 from wigeonscale.direct.choice import choose_path, path_costs
+from wigeonscale.direct.progress import MAX_SENDS
 from wigeonscale.direct.runs import Run
-from wigeonscale.direct.stream import MAX_SENDS
 from wigeonscale.lab.engines import SimulatedEngine, SimulatedRun, advance, start, stop
 from wigeonscale.lab.fleet import plan_engines
 from wigeonscale.lab.load_exchange import LoadExchange
