--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -6,14 +6,12 @@
     "capacity_retry_after_s",
     "choose_detour",
     "choose_path_for",
-    "is_class_below_floor",
     "lost_engines",
     "overloaded_error",
     "responds",
 ]
 
 import dataclasses
-import functools
 from collections.abc import Callable, Collection, Container, Sequence
 from dataclasses import dataclass
 
@@ -24,11 +22,12 @@
     choose_server,
     path_costs,
 )
+from wigeonscale.direct.class_reserves import class_reserves
 from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.layers import LayerRange, Part, find_detour
-from wigeonscale.limits import DEFAULT_RETRY_AFTER_S, is_below_floor, retry_after_s
+from wigeonscale.limits import DEFAULT_RETRY_AFTER_S, retry_after_s
 
 # Additional cost in ms of moving a stream to some layers of an engine.
 MoveCost = Callable[[BackendServer, int], float]
@@ -130,7 +129,7 @@
     if engine is None or not engine.layers:
         return PathChoice(_choose_single_server(ctx, servers, lost))
     # A request that has begun is finished, so it ignores the reserve.
-    reserves = {} if ran_on else _class_reserves(ctx, job)
+    reserves = {} if ran_on else class_reserves(ctx, job)
     costs = path_costs(
         engine,
         job.req.generation,
@@ -180,44 +179,6 @@
     )
 
 
-def is_class_below_floor(ctx: EntryContext, job: Job) -> bool:
-    """Return whether too few generations of the class of a request are admitted."""
-    service = job.service.name
-    return ctx.has_classes(service) and is_below_floor(
-        job.priority, ctx.class_demand.demand(service, ctx.domain, ctx.entry_count())
-    )
-
-
-def _class_reserves(ctx: EntryContext, job: Job) -> dict[str, float]:
-    """Return the capacity that a new request leaves free, by failure domain."""
-    service = job.service.name
-    if not ctx.has_classes(service):
-        return {}
-    servers = ctx.fleet().by_service.get(service, ())
-    entry_count = ctx.entry_count()
-    running: dict[str, float] = {}
-
-    def running_in(domain: str) -> float:
-        if not running:
-            # Each generation passes through one engine that holds layer 0.
-            for server in servers:
-                if server.layers.first == 0 and server.layers.count:
-                    load = ctx.tracker.load_of(server.backend_id, entry_count)[0]
-                    running[server.domain] = running.get(server.domain, 0.0) + load
-        return running.get(domain, 0.0)
-
-    return {
-        domain: ctx.class_demand.reserve(
-            service,
-            domain,
-            job.priority,
-            entry_count=entry_count,
-            running=functools.partial(running_in, domain),
-        )
-        for domain in {server.domain for server in servers}
-    }
-
-
 def choose_detour(
     ctx: EntryContext,
     job: Job,
