Reject negative priorities in configuration documents

Interrupted streams that wait for room are counted with the priority -1, so a route or organisation with that priority was counted as one of them: new requests of all classes left capacity to it, and it left none itself. A document with a negative priority is now invalid, with the location in the message. A stored document that has one cannot be read any more.

--- a/wigeonscale/platform/documents.py
+++ b/wigeonscale/platform/documents.py
@@ -19,6 +19,8 @@
 }
 Milliseconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Weight = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+# Priorities below 0 are reserved; see INTERRUPTED_PRIORITY in limits/class_count.py.
+Priority = Annotated[int, Field(ge=0)]
 Text = Annotated[str, Field(min_length=1)]
 
 
@@ -42,7 +44,7 @@
     timeout_ms: Milliseconds
     target_latency_ms: Milliseconds = 0
     gap_target_ms: Milliseconds = 0
-    priority: int = 5
+    priority: Priority = 5
     service: str | None = None
     split: list[_Share] | None = None
     max_attempts: Annotated[int, Field(ge=1)] = 1
@@ -100,7 +102,7 @@
 class _Tenant(_Model):
     name: Text
     api_keys: list[Text]
-    priority: int | None = None
+    priority: Priority | None = None
 
 
 class _Limits(_Model):
--- a/wigeonscale/platform/tests/test_documents.py
+++ b/wigeonscale/platform/tests/test_documents.py
@@ -102,5 +102,17 @@
         for version in (0, -1, "x", None, 1.5):
             self.assert_invalid(document(version=version))
 
+    def test_negative_priority(self):
+        # Guards against a class of requests that is taken for interrupted streams.
+        tenants = [{"name": "one", "api-keys": ["k"], "priority": -1}]
+        cases = [
+            ("routes.0.priority", self.changed_route(priority=-1)),
+            ("tenants.0.priority", document(tenants=tenants)),
+        ]
+        for location, content in cases:
+            exc = self.assertRaises(SettingsError, read_route_table, content)
+            self.assertEqual(ErrorKind.INVALID_DOCUMENT, exc.kind)
+            self.assertIn(location, exc.message)
+
     def test_unknown_kind(self):
         self.assert_invalid(self.changed_route(kind="maybe"))
