Lower bound of the time between probes of a suspected engine

With early detection, the time between two probes of an engine is 1 s over the number of runs that are evidence against it, so with 50 or more it was probed in every check of the stall detector, in rounds that overlap: 47 probes of one engine in 1 s with 70 stalled runs. Engines that are merely busy stall as many runs. Now at least 0.1 s pass between two probes.

--- a/wigeonscale/direct/probing.py
+++ b/wigeonscale/direct/probing.py
@@ -34,6 +34,10 @@
 # Least time between two probes of an engine. When engines are so busy that all paths
 # stall, each new connection costs them another millisecond.
 PROBE_INTERVAL_S = 1.0
+# The same for an engine that many runs are evidence against. Without this bound, 50
+# stalled runs would have all engines of their paths probed in each check of the stall
+# detector, in rounds that overlap.
+MIN_PROBE_INTERVAL_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -98,7 +102,7 @@
             for name in names
             if name in by_id
             and now - self._probed_at.get(name, float("-inf"))
-            >= PROBE_INTERVAL_S / max(1, suspects.get(name, 1))
+            >= _probe_interval_s(suspects.get(name, 1))
         ][:MAX_PROBED_PER_ROUND]
         if not servers:
             return
@@ -169,3 +173,12 @@
         return await self._check_reachable(
             server.address, PROBE_TIMEOUT_S + round_trip_s - delay_s
         )
+
+
+def _probe_interval_s(evidence: int) -> float:
+    """Return the least time between two probes of an engine.
+
+    Args:
+        evidence: Number of runs that are evidence against it.
+    """
+    return max(MIN_PROBE_INTERVAL_S, PROBE_INTERVAL_S / max(1, evidence))
--- a/wigeonscale/direct/tests/test_probing.py
+++ b/wigeonscale/direct/tests/test_probing.py
@@ -268,3 +268,19 @@
             if number == 10:
                 self.harness.check_reachable.unreachable = {"a:80"}
         self.assertEqual(["a"], self.harness.suspected)
+
+    async def test_probes_of_an_engine_with_many_stalled_streams_are_bounded(self):
+        # Guards against a probe in each check, which takes the processor time that the
+        # streams need, and costs a busy engine a connection each.
+        self.harness.fleet = fleet(engine("a", 0, 10))
+        now = self.harness.clock.now()
+        for _ in range(70):
+            run = Run(("a",), events=9, first_event_at=now, detects_early=True)
+            self.harness.tracker.begin(run)
+            self.harness.stalls.add(run)
+        for _ in range(50):
+            await self.harness.clock.advance(0.02)
+            self.harness.stalls.check()
+        await self.harness.clock.advance(0.1)
+        probe_count = len(self.harness.check_reachable.probed)
+        self.assertTrue(2 <= probe_count <= 11, probe_count)
