Only own probes of an entry make it a witness of a loss

The stall detector reported as a witness also for an engine that the first engine of a path had named in its status. Two entries that ask the same first engine get the same answer, so one engine with a broken link to another one was enough to commit that one as silent, and all entries left it. Such engines are still reported as suspects, which control probes.

--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -80,6 +80,7 @@
         orders: Queries the status of engines.
         fleet: Returns the current backend servers.
         suspect: Reports an engine to control as lost.
+        witness: The same for an engine that did not answer the probes of this entry.
         hint: Reports an engine to control as one of several possible causes of a stall.
         check_reachable: Checks whether the VM of an engine responds.
         delay_s: Returns the one-way delay to a failure domain, in seconds.
@@ -93,6 +94,7 @@
         orders: EngineOrders,
         fleet: Callable[[], Fleet],
         suspect: Callable[[str], None],
+        witness: Callable[[str], None],
         hint: Callable[[str], None],
         check_reachable: ReachabilityCheck,
         delay_s: Callable[[str], float] = lambda domain: 0.0,
@@ -102,6 +104,7 @@
         self._orders = orders
         self._fleet = fleet
         self._suspect = suspect
+        self._witness = witness
         self._hint = hint
         self._runs: set[Run] = set()
         self._queried_at: dict[str, float] = {}
@@ -115,7 +118,7 @@
             delay_s=delay_s,
             has_progress=self._has_progress,
             has_event_since=self._has_event_since,
-            on_lost=self._note_lost,
+            on_lost=self._note_unreachable,
         )
 
     @property
@@ -241,9 +244,9 @@
     def _has_event_since(self, instant: float) -> bool:
         return any(run.progress_at > instant for run in self._runs if run.has_events)
 
-    def _note_lost(self, name: str) -> None:
+    def _note_unreachable(self, name: str) -> None:
         self._tracker.note_lost(name)
-        self._suspect(name)
+        self._witness(name)
 
     def _should_abort(self, run: Run, now: float) -> bool:
         head = run.backend_ids[0]
@@ -287,8 +290,11 @@
                 pace=None if status is None else status.pace,
             ),
         )
+        # The status of the first engine is no finding of this entry: two entries may
+        # have it from the same engine.
         for name in set(culprits):
-            self._note_lost(name)
+            self._tracker.note_lost(name)
+            self._suspect(name)
 
 
 def _is_stalled(run: Run, now: float) -> bool:
--- a/wigeonscale/direct/tests/support.py
+++ b/wigeonscale/direct/tests/support.py
@@ -119,6 +119,8 @@
         self.orders = FakeOrders()
         self.check_reachable = FakeReachabilityCheck(self.clock)
         self.suspected = []
+        # Those of the suspected engines that did not answer own probes.
+        self.witnessed = []
         self.hinted = []
         self.fleet = fleet(*servers)
         # One-way delay to each failure domain, in seconds.
@@ -129,6 +131,7 @@
             orders=self.orders,
             fleet=lambda: self.fleet,
             suspect=self.suspected.append,
+            witness=self.note_witnessed,
             hint=self.hinted.append,
             check_reachable=self.check_reachable,
             delay_s=lambda domain: self.delays_s.get(domain, 0.0),
@@ -166,6 +169,10 @@
             class_demand=ClassDemandTracker(clock=self.clock, domain=domain),
         )
 
+    def note_witnessed(self, name):
+        self.suspected.append(name)
+        self.witnessed.append(name)
+
     def job(
         self,
         repeat=Repeat.SAFE,
--- a/wigeonscale/direct/tests/test_probing.py
+++ b/wigeonscale/direct/tests/test_probing.py
@@ -53,6 +53,7 @@
             await self.end()
             self.assertTrue(waited_s <= MAX_DETECTION_S, (name, waited_s))
             self.assertEqual([name], self.harness.suspected)
+            self.assertEqual([name], self.harness.witnessed)
             self.assertTrue(all(sink.is_whole for sink in self.sinks))
 
     async def test_responding_engines_keep_their_streams(self):
--- a/wigeonscale/direct/tests/test_stalls.py
+++ b/wigeonscale/direct/tests/test_stalls.py
@@ -33,6 +33,20 @@
         waited_s = self.harness.clock.now() - 1000.0
         self.assertTrue(waited_s < 1.0, waited_s)
 
+    async def test_engine_named_by_another_one_is_no_own_finding(self):
+        # Guards against two entries that count as witnesses of a loss because the same
+        # first engine told both of them.
+        self.exchange.script("a1", [event(1), HANG])
+        self.exchange.script("b1", [event(2)])
+        self.harness.orders.held_up_by["a1:80"] = ["a2:80"]
+        task = asyncio.create_task(self.relay())
+        watch = asyncio.create_task(self.harness.stalls.run())
+        await self.until(task.done)
+        watch.cancel()
+        await asyncio.gather(task, watch, return_exceptions=True)
+        self.assertEqual(["a2"], self.harness.suspected)
+        self.assertEqual([], self.harness.witnessed)
+
     async def test_first_engine_does_not_respond(self):
         self.exchange.script("a1", [HANG])
         self.exchange.script("b1", [event(1)])
