An answer to a probe of control refutes earlier reports of a loss

Reports of witnesses counted for 0.5 s, also after the engine had answered control: it became silent again with the next report of one entry. If it answered while the commit of the reports was in progress, it stayed silent until its next heartbeat, and each further report until then added a log entry, one for each entry that probes. Now an answer drops the reports before it and is followed by a pending commit, and a loss is committed once.

--- a/wigeonscale/control/backend_health.py
+++ b/wigeonscale/control/backend_health.py
@@ -79,7 +79,7 @@
         self._last_heartbeats = last_heartbeats
         self._trusts_witnesses = trusts_witnesses
         self._witnesses = LossWitnesses(clock=clock)
-        self._witness_commits: set[asyncio.Task] = set()
+        self._witness_commits: dict[str, asyncio.Task] = {}
         self._running_checks: dict[str, asyncio.Task] = {}
         self._last_answer_at: dict[str, float] = {}
         self._started_at = clock.now()
@@ -127,6 +127,8 @@
         )
 
     def _commit_loss(self, member: Member, req: wire.Suspect) -> None:
+        if req.agent_id in self._witness_commits:
+            return
         logger.info(
             "backend server %s is unreachable for several entries",
             req.agent_id,
@@ -137,9 +139,10 @@
                 born=member.backend.started_ms,
             ),
         )
+        name = req.agent_id
         task = asyncio.create_task(self._mark_silent(member))
-        self._witness_commits.add(task)
-        task.add_done_callback(self._witness_commits.discard)
+        self._witness_commits[name] = task
+        task.add_done_callback(lambda _: self._witness_commits.pop(name, None))
 
     def _answered_recently(self, name: str) -> bool:
         answered_at = self._last_answer_at.get(name, float("-inf"))
@@ -155,7 +158,7 @@
                 for member in self._members_to_check():
                     self._start_check(member)
         finally:
-            tasks = [*self._running_checks.values(), *self._witness_commits]
+            tasks = [*self._running_checks.values(), *self._witness_commits.values()]
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -229,6 +232,10 @@
             answer = probe_result.result
             if answer is ProbeResult.ANSWERED:
                 self._record_answer(name, started_ms, member.sequence)
+                self._witnesses.forget(name, member.backend.incarnation)
+                if name in self._witness_commits:
+                    # It would be committed after the answer.
+                    await asyncio.wait({self._witness_commits[name]})
                 await self._unmark_silent(name, started_ms)
                 await self._update_slowness(name, started_ms, probe_result.pace)
                 return
--- a/wigeonscale/control/loss_witnesses.py
+++ b/wigeonscale/control/loss_witnesses.py
@@ -64,3 +64,12 @@
         return len(recent) >= MIN_WITNESSES and any(
             report.domain == domain for report in recent.values()
         )
+
+    def forget(self, agent_id: str, incarnation: int) -> None:
+        """Drop the reports of a backend server that has answered a probe since.
+
+        Args:
+            agent_id: Its name.
+            incarnation: Its incarnation.
+        """
+        self._reports.pop((agent_id, incarnation), None)
--- a/wigeonscale/control/tests/test_registry.py
+++ b/wigeonscale/control/tests/test_registry.py
@@ -434,6 +434,45 @@
         await self.clock.advance(0.02)
         self.assertFalse(self.member().backend.silent)
 
+    async def test_reports_before_an_answer_do_not_count(self):
+        # Guards against an engine that is silent again with each report of one entry,
+        # after it answered control.
+        self.answering.add("i-1:80")
+        self.report("e1")
+        await self.clock.advance(0.02)
+        self.assertEqual(["i-1:80"], self.probed)
+        self.report("e2")
+        await self.clock.advance(0)
+        self.assertFalse(self.member().backend.silent)
+        self.assertEqual(1, len(self.replica.proposed))
+
+    async def test_loss_is_committed_once(self):
+        # Guards against a log entry for each of many entries that report the loss.
+        for number in range(10):
+            self.report(f"e{number}")
+        await self.clock.advance(0.02)
+        self.assertTrue(self.member().backend.silent)
+        self.assertEqual(2, len(self.replica.proposed))
+
+    async def test_answer_while_the_loss_is_being_committed(self):
+        # Guards against an engine that stays silent because it answered just before the
+        # commit of the reports.
+        propose = self.replica.propose
+        gate = asyncio.get_running_loop().create_future()
+
+        async def propose_later(data):
+            await gate
+            return await propose(data)
+
+        self.answering.add("i-1:80")
+        self.replica.propose = propose_later
+        self.report("e1")
+        self.report("e2")
+        await self.clock.advance(0.02)
+        gate.set_result(None)
+        await self.clock.advance(0.02)
+        self.assertFalse(self.member().backend.silent)
+
     async def test_answer_takes_a_wrong_report_back(self):
         """Packets to several entries were lost, and the engine is alive."""
         gate = asyncio.get_running_loop().create_future()
