Look up the floor of a class only for held requests that it lets go first

Each waiting request looked up whether its class is below its floor in each check, every 40 ms and after each release, although only the first held request of a class uses the answer. The decisions are the same.

--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -29,6 +29,7 @@
 import bisect
 import itertools
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wigeonscale.errors import ErrorKind, WigeonscaleError
@@ -283,19 +284,23 @@
             sleep.cancel()
             released.cancel()
 
-    def is_next(self, ticket: int, *, is_below_floor: bool = False) -> bool:
+    def is_next(
+        self, ticket: int, *, is_below_floor: Callable[[], bool] = lambda: False
+    ) -> bool:
         """Return whether a request is the next one to be admitted.
 
         Args:
             ticket: Its ticket.
-            is_below_floor: Whether too few requests of its class are admitted. If it is
-                held, it does not wait for more urgent requests that are held as well.
+            is_below_floor: Returns whether too few requests of its class are admitted.
+                If it is held, it does not wait for more urgent requests that are held
+                as well. Called only if the result depends on it.
         """
         for priority, tickets in self._held.items():
             if ticket in tickets:
                 is_first = next(iter(tickets)) == ticket
-                goes_first = is_below_floor or priority == min(self._held)
-                return is_first and goes_first and len(self) == self._held_count
+                if not is_first or len(self) != self._held_count:
+                    return False
+                return priority == min(self._held) or is_below_floor()
         if not self._lanes:
             return bool(self._late) and self._late[0][-1] == ticket
         heads = [lane.head() for lane in self._lanes.values()]
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -140,7 +140,8 @@
     try:
         while True:
             is_next = ctx.admission_queue.is_next(
-                ticket, is_below_floor=is_class_below_floor(ctx, job)
+                ticket,
+                is_below_floor=functools.partial(is_class_below_floor, ctx, job),
             )
             if is_next and not ctx.interrupted.is_waiting_for(service):
                 choice = _choose(ctx, job, progress)
--- a/wigeonscale/direct/tests/test_held_requests.py
+++ b/wigeonscale/direct/tests/test_held_requests.py
@@ -42,13 +42,28 @@
         self.assertEqual([other], self.next_of(*tickets, other))
         self.assertEqual(
             [tickets[0], other],
-            self.next_of(*tickets, other, is_below_floor=True),
+            self.next_of(*tickets, other, is_below_floor=lambda: True),
         )
         self.queue.release(other, admitted=True)
         self.assertEqual([tickets[0]], self.next_of(*tickets))
         self.queue.release(tickets[0], admitted=True)
         self.assertEqual([tickets[1]], self.next_of(*tickets))
 
+    def test_floor_is_looked_up_only_if_it_matters(self):
+        # Guards against a look-up for each request in each check. With outdated totals,
+        # it counts the own demand again.
+        tickets = [self.enqueue(2) for _ in range(3)]
+        urgent = self.enqueue(0)
+        asked = []
+        for held in ([], tickets[:1], tickets, [urgent]):
+            for ticket in held:
+                self.queue.hold(ticket, 0 if ticket == urgent else 2)
+            for ticket in (*tickets, urgent):
+                self.queue.is_next(
+                    ticket, is_below_floor=lambda each=ticket: asked.append(each)
+                )
+        self.assertEqual([tickets[0]], asked)
+
     def test_new_requests_do_not_overtake_their_class(self):
         """Guards against held requests that wait for ever behind new ones."""
         self.queue.hold(self.enqueue(1), 1)
