Plan a detour for streams of a loss that also broke a connection

The plan of a loss is made for the first stream that asks, and kept for 0.3 s. If that was a stream whose connection broke, the plan had no detour, and all streams that could have taken one drew a new send with a retry from the budget. Such a plan is now replaced by one with the detour.

Recent moves of streams were kept for ever for engines that were gone or not asked about again; they are dropped with the next move.

--- a/wigeonscale/direct/recovery_choice.py
+++ b/wigeonscale/direct/recovery_choice.py
@@ -222,6 +222,7 @@
     return ctx.recovery.plan(
         job.service.name,
         lost,
+        has_detour=detour is not None,
         now=ctx.clock.now(),
         make=lambda: make_plan(ctx, job, path, lost, detour),
     )
--- a/wigeonscale/direct/recovery_plans.py
+++ b/wigeonscale/direct/recovery_plans.py
@@ -26,6 +26,7 @@
         ways: The ways, with the detour first if there is one.
         shares: Share of each way.
         send_shares: Share of each way for streams without a detour; 0 for the detour.
+        has_detour: Whether one of the ways is a detour.
     """
 
     made_at: float
@@ -33,6 +34,7 @@
     ways: tuple[RecoveryWay, ...]
     shares: tuple[float, ...]
     send_shares: tuple[float, ...]
+    has_detour: bool
 
 
 class RecoveryPlans:
@@ -51,6 +53,7 @@
         service: str,
         lost: frozenset[str],
         *,
+        has_detour: bool,
         now: float,
         make: Callable[[], RecoveryPlan],
     ) -> RecoveryPlan:
@@ -59,11 +62,17 @@
         Args:
             service: Name of the service.
             lost: Names of the lost engines.
+            has_detour: Whether the stream has a detour. The plan then contains one; a
+                plan made for a broken stream, which cannot take it, is replaced.
             now: Local time.
             make: Returns a new plan.
         """
         found = self._plans.get((service, lost))
-        if found is None or now - found.made_at > PLAN_TTL_S:
+        if (
+            found is None
+            or now - found.made_at > PLAN_TTL_S
+            or (has_detour and not found.has_detour)
+        ):
             self._plans = {
                 key: plan
                 for key, plan in self._plans.items()
@@ -79,6 +88,11 @@
             backend_ids: Names of the engines.
             now: Local time.
         """
+        outdated = [
+            name for name, moves in self._moves.items() if now - moves[-1] > MOVE_TTL_S
+        ]
+        for name in outdated:
+            del self._moves[name]
         for name in backend_ids:
             self._moves.setdefault(name, deque()).append(now)
 
--- a/wigeonscale/direct/recovery_ways.py
+++ b/wigeonscale/direct/recovery_ways.py
@@ -92,6 +92,7 @@
         ways=tuple(ways),
         shares=shares,
         send_shares=(0.0,) * (len(ways) - len(sends)) + send_shares,
+        has_detour=detour is not None,
     )
 
 
--- a/wigeonscale/direct/tests/test_recovery.py
+++ b/wigeonscale/direct/tests/test_recovery.py
@@ -6,7 +6,12 @@
 from wigeonscale.adapters.metrics import METRICS
 from wigeonscale.crashes import START_CRASH_WINDOW_S
 from wigeonscale.direct.choice import FULL_SHARE
-from wigeonscale.direct.recovery_plans import MOVE_TTL_S, PLAN_TTL_S, RecoveryPlans
+from wigeonscale.direct.recovery_plans import (
+    MOVE_TTL_S,
+    PLAN_TTL_S,
+    RecoveryPlan,
+    RecoveryPlans,
+)
 from wigeonscale.direct.runs import Run
 from wigeonscale.direct.tests.fakes import FakeSink
 from wigeonscale.direct.tests.support import (
@@ -33,7 +38,7 @@
         self._domain = domain
         self.made = 0
 
-    def plan(self, service, lost, *, now, make):
+    def plan(self, service, lost, *, make, **fields):
         def make_fixed():
             self.made += 1
             plan = make()
@@ -46,7 +51,7 @@
                 plan, shares=shares if self._detour else sends, send_shares=sends
             )
 
-        return super().plan(service, lost, now=now, make=make_fixed)
+        return super().plan(service, lost, make=make_fixed, **fields)
 
 
 class LostEngineCase(StreamCase):
@@ -416,14 +421,58 @@
         plans = RecoveryPlans()
         made = []
 
-        def make_at(now):
-            made.append(now)
-            return dataclasses.make_dataclass("Plan", ["made_at"])(now)
-
         for now in (0.0, 0.1, PLAN_TTL_S, PLAN_TTL_S + 0.01):
-            plans.plan("s", frozenset({"a"}), now=now, make=lambda n=now: make_at(n))
+            self.ask(plans, made, now=now, has_detour=True)
         self.assertEqual([0.0, PLAN_TTL_S + 0.01], made)
 
+    def ask(self, plans, made, *, now, has_detour):
+        """Ask for the plan of a loss, and note the time if it is made."""
+
+        def make():
+            made.append(now)
+            return RecoveryPlan(
+                made_at=now,
+                domain="a",
+                ways=(),
+                shares=(),
+                send_shares=(),
+                has_detour=has_detour,
+            )
+
+        return plans.plan(
+            "s", frozenset({"a"}), has_detour=has_detour, now=now, make=make
+        )
+
+    def test_plan_without_a_detour_is_replaced(self):
+        # Guards against streams that all take a new send and a retry, because the plan
+        # was made for a stream whose connection broke.
+        plans = RecoveryPlans()
+        made = []
+        for now, has_detour in ((0.0, False), (0.1, True), (0.2, False), (0.25, True)):
+            self.ask(plans, made, now=now, has_detour=has_detour)
+        self.assertEqual([0.0, 0.1], made)
+
+    async def test_detour_after_a_broken_stream(self):
+        """The first engine reports one stream as broken before others are rerouted."""
+        exc = unknown()
+        exc.failed_address = "a2:80"
+        await self.start(3)
+        self.exchange.script("a1", [event(0), exc])
+        for name in ("a1", "b1", "c1"):
+            self.exchange.script(name, *[[event(1), event(2)] for _ in range(3)])
+        self.sink = FakeSink()
+        await self.relay()
+        await self.lose("a2", engine("a3", 5, 10))
+        await self.finish()
+        self.assertTrue(self.harness.orders.rerouted)
+
+    def test_moves_to_engines_that_are_gone_are_dropped(self):
+        # Guards against memory that grows with each engine that streams moved to.
+        plans = RecoveryPlans()
+        for number in range(100):
+            plans.note_moved([f"e{number}"], now=float(number))
+        self.assertEqual(1, len(plans._moves))
+
     def test_moves_are_forgotten(self):
         """Guards against engines that are shunned long after a loss."""
         plans = RecoveryPlans()
