Wording of the modules for traffic classes

Some comments and names had to be guessed: 'place' meant a unit of capacity in one module and a position in a queue in another, and the order of the words in the docstrings of groups and shares was misleading. No change of behaviour.

--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -103,7 +103,7 @@
     Attributes:
         priority: Its priority; 0 is the highest.
         lane: Key of its lane: its priority, or None without traffic classes.
-        late_s: Time for which it waits on after it was demoted, in seconds.
+        late_s: Time from its demotion until it gives up, in seconds.
     """
 
     priority: int
--- a/wigeonscale/direct/interrupted.py
+++ b/wigeonscale/direct/interrupted.py
@@ -42,7 +42,7 @@
         since: Time of the last event to its caller, or of its first send.
         ticket: Its ticket.
         service: Name of its service.
-        group: Equal for streams that the same paths can take.
+        group: Equal for streams that can take the same paths.
         has_room: Returns whether there is a path with room for it now.
     """
 
@@ -58,7 +58,7 @@
 
     Those that have been without an event for longest go first. A stream that cannot use
     the released capacity, because it has left the engines concerned, blocks only
-    streams that the same paths can take.
+    streams that can take the same paths.
 
     Notes:
         Linear in the streams that wait, at most some tens. Only the first of each group
@@ -100,7 +100,7 @@
         Args:
             service: Name of its service.
             since: Time of the last event to its caller, or of its first send.
-            group: Equal for streams that the same paths can take.
+            group: Equal for streams that can take the same paths.
             has_room: Returns whether there is a path with room for it now.
         """
         ticket = next(self._tickets)
@@ -202,6 +202,7 @@
                         outcome = "admitted"
                         ctx.class_demand.note_admitted(job, is_interrupted=True)
                         break
+                    # The earlier stream may not have looked since the release.
                     queue.notify()
             if clock.now() >= give_up_at:
                 outcome = "full" if clock.now() < job.deadline_at else "rejected"
@@ -233,7 +234,7 @@
 
 
 def _group(ctx: "EntryContext", job: "Job", progress: "Progress") -> Hashable:
-    """Return a key that is equal for streams that the same paths can take."""
+    """Return a key that is equal for streams that can take the same paths."""
     no_attempts = len(progress.ran_on) >= job.route.max_attempts
     is_suspect = ctx.crashes.is_suspect(job.fingerprint)
     return (
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -99,6 +99,7 @@
             choice = await wait_for_room(
                 ctx, job, progress, choose=choose, give_up_at=room_by
             )
+            # The wait for room is not part of the wait for any path at all.
             give_up_at += ctx.clock.now() - began_at
             give_up_at = min(give_up_at, job.deadline_at)
             if ctx.clock.now() >= job.deadline_at:
--- a/wigeonscale/direct/recovery.py
+++ b/wigeonscale/direct/recovery.py
@@ -54,10 +54,10 @@
 def recovery_shares(ways: Sequence[RecoveryWay], streams: float) -> tuple[float, ...]:
     """Return the share of the streams that takes each way.
 
-    The shares minimise the time of the last stream by water-filling: it finds the
-    others distributed so that all used ways are equally fast for it, and unused ways
-    are slower. No way gets more streams than it has room for while another one has room
-    left. A way without any room gets streams only if no way has room.
+    The shares minimise the time until the last stream resumes (water-filling): once all
+    other streams have their ways, those in use are equally fast for the last one, and
+    all others are slower. No way gets more streams than it has room for while another
+    one has room left. A way without any room gets streams only if no way has room.
 
     Args:
         ways: The ways.
@@ -79,6 +79,7 @@
     if not ways:
         return ()
     has_room = any(way.room > 0 for way in ways)
+    # The last stream may take any of the ways in use, so only the others are divided.
     others = streams - 1.0
     if others <= 0:
         return _fastest_share(ways, has_room)
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -205,6 +205,7 @@
         """Hint engines of stalled and slow paths to control, and probe the former."""
         stalled: Counter[str] = Counter()
         slow, active = set(), set()
+        # Overdue runs that are evidence even if others through their engines are not.
         early = []
         for run in self._runs:
             if _is_stalled(run, now):
--- a/wigeonscale/limits/retry_after.py
+++ b/wigeonscale/limits/retry_after.py
@@ -40,7 +40,7 @@
     The totals lack what the entries rejected since they were exchanged, up to a second
     ago. After the loss of engines, most rejections fall into that time, and all callers
     would return together. So an entry takes its own rejections as a sample of those of
-    all entries, draws the place of this caller among those that the others reject at
+    all entries, draws the position of this caller among those that the others reject at
     the same time, and expects that they reject as many callers of each more urgent
     class, as far as its share of the arrivals allows.
 
@@ -67,11 +67,11 @@
     released_per_s = sum(count.released for count in demand) / CLASS_WINDOW_S
     if released_per_s <= 0.0:
         return rng.uniform(*DEFAULT_RETRY_AFTER_S)
-    place = 1.0 + _callers_ahead(priority, demand, rng, own, entries)
+    position = 1.0 + _callers_ahead(priority, demand, rng, own, entries)
     # The bounds apply to the middle of the jitter, so that callers beyond a bound do
     # not all return at the same time.
     low, high = JITTER
-    middle_s = place / released_per_s
+    middle_s = position / released_per_s
     middle_s = min(max(middle_s, MIN_RETRY_AFTER_S / low), MAX_RETRY_AFTER_S / high)
     return middle_s * rng.uniform(low, high)
 
