Interrupted streams that are late do not hold up new requests; reserve by setting

Load pattern: a failure domain loses all its paths while all others are nearly full, in a burst of the most urgent class. Cause: interrupted streams that were late anyway went before all new requests for up to 1.9 s, and new requests left up to 0.3 of the capacity free for them for 3 s more. Change: an interrupted stream goes first only while its next event can be on time. Not measured yet.

--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -128,6 +128,8 @@
             seconds; 0 if it is not known, in which case ``stop_timeout_s`` applies.
         classes: Whether services have traffic classes: ``auto`` if their routes differ
             in priority or target, else always or never.
+        class_reserve: Largest share of the capacity of engines that a class leaves free
+            for more urgent ones while these are short of it; 0 for none.
     """
 
     listen: ListenAddress
@@ -141,6 +143,7 @@
     serve_when_cut: YesNo = True
     killed_after_s: seconds(0, 3600) = 0.0
     classes: ClassesMode = "auto"
+    class_reserve: fraction(0, 0.3) = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -264,7 +264,9 @@
         crashes=crashes,
         notices=notices,
         limits=limits,
-        class_demand=ClassDemandTracker(clock=clock, domain=cfg.domain),
+        class_demand=ClassDemandTracker(
+            clock=clock, domain=cfg.domain, max_reserve=cfg.class_reserve
+        ),
         has_classes=lambda service: service in view.services_with_classes,
     )
     service = DirectService(
--- a/wigeonscale/direct/class_demand.py
+++ b/wigeonscale/direct/class_demand.py
@@ -24,6 +24,7 @@
     next_level,
     spread_interrupted,
 )
+from wigeonscale.limits.class_reserve import MAX_SHARE
 from wigeonscale.ports import Clock
 
 if TYPE_CHECKING:
@@ -106,14 +107,16 @@
     Args:
         clock: Clock port.
         domain: The entry's own failure domain.
+        max_reserve: Largest share of capacity that a class leaves free; 0 for none.
 
     Notes:
         Linear in the events of the last 2 s in memory, about 40 bytes for each.
     """
 
-    def __init__(self, *, clock: Clock, domain: str):
+    def __init__(self, *, clock: Clock, domain: str, max_reserve: float = MAX_SHARE):
         self._clock = clock
         self._domain = domain
+        self._max_reserve = max_reserve
         self._own: dict[tuple[str, int], _OwnCounts] = {}
         self._totals: dict[tuple[str, str], list[ClassCount]] = {}
         self._totals_at = float("-inf")
@@ -262,6 +265,8 @@
         Notes:
             Computed once for each update of the totals; other calls are a look-up.
         """
+        if not self._max_reserve:
+            return 0.0
         key = service, domain, priority
         now = self._clock.now()
         reserve = self._reserves.get(key)
@@ -289,7 +294,7 @@
             places = running() + sum([count.waiting for count in demand])
             wanted = class_reserve(priority, demand, places=places)
         level = next_level(before, wanted, now)
-        share = level.share
+        share = min(self._max_reserve, level.share)
         if share and is_below_floor(priority, demand):
             share = 0.0
         if level.steps != before.steps:
--- a/wigeonscale/direct/interrupted.py
+++ b/wigeonscale/direct/interrupted.py
@@ -41,6 +41,7 @@
     Attributes:
         since: Time of the last event to its caller, or of its first send.
         ticket: Its ticket.
+        on_time_until: Time until which its next event is on time.
         service: Name of its service.
         group: Equal for streams that can take the same paths.
         has_room: Returns whether there is a path with room for it now.
@@ -48,6 +49,7 @@
 
     since: float
     ticket: int
+    on_time_until: float = field(compare=False)
     service: str = field(compare=False)
     group: Hashable = field(compare=False)
     has_room: Callable[[], bool] = field(compare=False)
@@ -80,13 +82,28 @@
         return len(self._streams)
 
     def is_waiting_for(self, service: str) -> bool:
-        """Return whether a stream of a service waits; new requests wait then, too.
+        """Return whether a stream of a service waits.
 
         Args:
             service: Name of the service.
         """
         return any(stream.service == service for stream in self._streams)
 
+    def goes_first(self, service: str, *, now: float) -> bool:
+        """Return whether a stream of a service waits that can still be on time.
+
+        New requests leave released capacity to it. A stream that is late already does
+        not make new requests late as well.
+
+        Args:
+            service: Name of the service.
+            now: Local time.
+        """
+        return any(
+            stream.service == service and now < stream.on_time_until
+            for stream in self._streams
+        )
+
     def add(
         self,
         service: str,
@@ -94,6 +111,7 @@
         since: float,
         group: Hashable,
         has_room: Callable[[], bool],
+        on_time_until: float = float("-inf"),
     ) -> int:
         """Add a stream and return its ticket, to be passed to :meth:`remove`.
 
@@ -102,9 +120,10 @@
             since: Time of the last event to its caller, or of its first send.
             group: Equal for streams that can take the same paths.
             has_room: Returns whether there is a path with room for it now.
+            on_time_until: Time until which its next event is on time.
         """
         ticket = next(self._tickets)
-        stream = _WaitingStream(since, ticket, service, group, has_room)
+        stream = _WaitingStream(since, ticket, on_time_until, service, group, has_room)
         bisect.insort(self._streams, stream)
         return ticket
 
@@ -162,8 +181,9 @@
 ) -> "PathChoice":
     """Return the path of an interrupted stream once its engines have room.
 
-    While it waits, new requests of this entry take no capacity of its service, and
-    those of all entries leave it free by the reserve for more urgent classes.
+    While its next event can still be on time, new requests of this entry take no
+    capacity of its service. If the deployment has a reserve for more urgent classes,
+    those of all entries leave it free.
 
     Args:
         ctx: Context of the entry.
@@ -185,6 +205,7 @@
         service,
         since=progress.waits_since,
         group=_group(ctx, job, progress),
+        on_time_until=progress.waits_since + job.route.gap_target_s,
         has_room=lambda: _has_room(choose()),
     )
     ctx.class_demand.note_arrived(job, is_interrupted=True)
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -127,7 +127,7 @@
     service = job.service.name
     is_clear = ctx.admission_queue.is_clear_for(
         job.priority
-    ) and not ctx.interrupted.is_waiting_for(service)
+    ) and not ctx.interrupted.goes_first(service, now=began_at)
     if choice.path is not None and not choice.full and is_clear:
         return choice
     ticket = _enqueue(ctx, job, progress, level)
@@ -144,7 +144,8 @@
                 ticket,
                 is_below_floor=functools.partial(is_class_below_floor, ctx, job),
             )
-            if is_next and not ctx.interrupted.is_waiting_for(service):
+            goes_first = ctx.interrupted.goes_first(service, now=ctx.clock.now())
+            if is_next and not goes_first:
                 choice = _choose(ctx, job, progress)
                 if choice.path is not None and not choice.full:
                     admitted = True
