Responses without an id on reused connections are not accepted; no reuse with unread data

Cause by reading: a second response that arrives on an idle pooled connection is read as the response to the next request (the HTTP client checks for unread data only when a connection returns to the pool), and a response without an id counted as a match. Change: a connection with unread data is not reused, and a response on a reused connection must carry the id of its request. Both tests fail without the change.

--- a/wigeonscale/platform/connection_limiter.py
+++ b/wigeonscale/platform/connection_limiter.py
@@ -6,10 +6,11 @@
 only after a second or more, and the waiting requests count the engine as failed.
 """
 
-__all__ = ["limit_concurrent_connects"]
+__all__ = ["ConnectionContext", "limit_concurrent_connects"]
 
 import asyncio
 from collections import defaultdict
+from dataclasses import dataclass
 from types import SimpleNamespace
 
 import aiohttp
@@ -18,16 +19,29 @@
 MAX_CONCURRENT_CONNECTS = 4
 
 
+@dataclass(slots=True)
+class ConnectionContext:
+    """Context of one request for the hooks of a client session.
+
+    Attributes:
+        address: ``ip:port`` of the server.
+        is_reused: Whether the connection has carried other requests.
+    """
+
+    address: str
+    is_reused: bool = False
+
+
 def limit_concurrent_connects() -> aiohttp.TraceConfig:
     """Return client session hooks that limit concurrent connects per address.
 
-    The context of each request (``trace_request_ctx``) is the address. A request that
+    Each request has a :class:`ConnectionContext` as ``trace_request_ctx``. One that
     reuses a pooled connection never waits.
     """
     semaphores = defaultdict(lambda: asyncio.Semaphore(MAX_CONCURRENT_CONNECTS))
 
     async def acquire_slot(_, ctx: SimpleNamespace, params) -> None:
-        semaphore = semaphores[ctx.trace_request_ctx]
+        semaphore = semaphores[ctx.trace_request_ctx.address]
         await semaphore.acquire()
         ctx.semaphore = semaphore
 
@@ -37,7 +51,11 @@
             ctx.semaphore = None
             semaphore.release()
 
+    async def note_reuse(_, ctx: SimpleNamespace, params) -> None:
+        ctx.trace_request_ctx.is_reused = True
+
     trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(note_reuse)
     trace.on_connection_create_start.append(acquire_slot)
     trace.on_connection_create_end.append(release_slot)
     # Also release the slot if the connection fails or the request is cancelled.
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -11,6 +11,7 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.layers import Part
+from wigeonscale.platform.connection_limiter import ConnectionContext
 from wigeonscale.platform.headers import format_path
 from wigeonscale.ports import EngineProbeResult, ProbeResult
 from wigeonscale.ports.orders import (
@@ -172,7 +173,7 @@
             f"http://{address}{path}",
             json=body,
             timeout=aiohttp.ClientTimeout(total=timeout_s),
-            trace_request_ctx=address,
+            trace_request_ctx=ConnectionContext(address),
         ) as res:
             return res.status, await res.read()
 
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -9,7 +9,10 @@
 import aiohttp
 from yarl import URL
 
-from wigeonscale.platform.connection_limiter import limit_concurrent_connects
+from wigeonscale.platform.connection_limiter import (
+    ConnectionContext,
+    limit_concurrent_connects,
+)
 from wigeonscale.platform.headers import (
     backend_headers,
     is_not_run,
@@ -42,10 +45,25 @@
 logger = logging.getLogger(__name__)
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Connector that does not reuse a connection with unread data.
+
+    Data after a complete response is no response to the next request. The base class
+    notices it only if it arrives before the connection returns to the pool.
+    """
+
+    async def _get(self, key, traces):
+        while True:
+            conn = await super()._get(key, traces)
+            if conn is None or not conn.protocol.should_close:
+                return conn
+            conn.close()
+
+
 def new_session() -> aiohttp.ClientSession:
     """Return a client session that sends each request once and unmodified."""
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=_Connector(
             limit=0, keepalive_timeout=IDLE_TIMEOUT_S, enable_cleanup_closed=False
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -81,15 +99,18 @@
 
         Leaving the context before the end of the response cancels the work.
         """
-        res = await self._send(call)
+        ctx = ConnectionContext(call.address)
+        res = await self._send(call, ctx)
         try:
-            notice = _check_head(call, res)
+            notice = _check_head(call, res, is_reused=ctx.is_reused)
             yield _HttpStream(res=res, address=call.address, notice=notice)
         finally:
             # The rest of an unread response must not be read as the next response.
             res.close() if not res.content.at_eof() else res.release()
 
-    async def _send(self, call: BackendCall) -> aiohttp.ClientResponse:
+    async def _send(
+        self, call: BackendCall, ctx: ConnectionContext
+    ) -> aiohttp.ClientResponse:
         req = call.req
         try:
             return await self._session.request(
@@ -98,7 +119,7 @@
                 headers=backend_headers(call),
                 data=req.body or None,
                 allow_redirects=False,
-                trace_request_ctx=call.address,
+                trace_request_ctx=ctx,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise ExchangeError(
@@ -178,14 +199,16 @@
         )
 
 
-def _check_head(call: BackendCall, res: aiohttp.ClientResponse) -> ServerNotice:
+def _check_head(
+    call: BackendCall, res: aiohttp.ClientResponse, *, is_reused: bool
+) -> ServerNotice:
     """Return the notice in the headers of a response.
 
     Raises:
         ExchangeError: If the response belongs to another request, or states that the
             work did not run.
     """
-    if not matches_request(res.headers, call.req.request_id):
+    if not matches_request(res.headers, call.req.request_id, is_reused=is_reused):
         raise ExchangeError(
             CallOutcome.UNKNOWN, f"{call.address} responded to a different request"
         )
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -193,12 +193,20 @@
     )
 
 
-def matches_request(headers: Mapping[str, str], request_id: str) -> bool:
+def matches_request(
+    headers: Mapping[str, str], request_id: str, *, is_reused: bool = False
+) -> bool:
     """Return whether a response belongs to a request.
 
-    A response without an id is taken to belong to it.
+    Args:
+        headers: Headers of the response.
+        request_id: Id of the request.
+        is_reused: Whether the connection has carried other requests. A response
+            without an id may then be a second one to an earlier request; the first
+            response on a connection is taken to belong to its request.
     """
-    return headers.get("Attempt-Id", request_id) == request_id
+    missing_id = "" if is_reused else request_id
+    return headers.get("Attempt-Id", missing_id) == request_id
 
 
 def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
--- a/wigeonscale/platform/tests/test_connection_limiter.py
+++ b/wigeonscale/platform/tests/test_connection_limiter.py
@@ -3,7 +3,10 @@
 import aiohttp
 from aiohttp import web
 
-from wigeonscale.platform.connection_limiter import MAX_CONCURRENT_CONNECTS
+from wigeonscale.platform.connection_limiter import (
+    MAX_CONCURRENT_CONNECTS,
+    ConnectionContext,
+)
 from wigeonscale.platform.exchange_http import new_session
 from wigeonscale.platform.tests.support import serve
 from wigeonscale.testing import AsyncTestCase
@@ -49,7 +52,7 @@
     async def get(self, address=None):
         address = address or self.address
         async with self.session.get(
-            f"http://{address}/", trace_request_ctx=address
+            f"http://{address}/", trace_request_ctx=ConnectionContext(address)
         ) as res:
             return res.status
 
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -1,6 +1,9 @@
 import asyncio
 import socket
 import struct
+from unittest import mock
+
+from aiohttp.client_proto import ResponseHandler
 
 from wigeonscale.platform.exchange_http import HttpExchange, new_session
 from wigeonscale.ports.exchange import (
@@ -31,6 +34,7 @@
     async def prepare(self):
         self.replies = []
         self.requests = []
+        self.writers = []
         self.reset = False
         self.closed = asyncio.Event()
         self.listener = await asyncio.start_server(self._send_replies, "127.0.0.1", 0)
@@ -46,6 +50,7 @@
         await self.listener.wait_closed()
 
     async def _send_replies(self, reader, writer):
+        self.writers.append(writer)
         try:
             while self.replies:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -220,3 +225,37 @@
                 break
         async with asyncio.timeout(WAIT_S):
             await self.closed.wait()
+
+
+class SecondResponseTest(ExchangeCase):
+    """A server sends a second response, which is no response to the next request."""
+
+    FIRST = OK + b"Content-Length: 3\r\n\r\none"
+    SECOND = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"
+
+    async def test_second_response_on_an_idle_connection(self):
+        """Guards against its body as the answer to the next request."""
+        self.reply(self.FIRST, keep_open=True)
+        self.assertEqual(b"one", (await self.call()).body)
+        received = asyncio.Event()
+        read = ResponseHandler.data_received
+
+        def data_received(protocol, data):
+            read(protocol, data)
+            received.set()
+
+        with mock.patch.object(ResponseHandler, "data_received", data_received):
+            self.writers[0].write(self.SECOND)
+            async with asyncio.timeout(WAIT_S):
+                await received.wait()
+            self.reply(self.FIRST, keep_open=True)
+            self.assertEqual(b"one", (await self.call()).body)
+        self.assertEqual(2, len(self.writers))
+
+    async def test_response_without_an_id_on_a_reused_connection(self):
+        """Guards against a second response that crosses the next request."""
+        self.reply(self.FIRST, self.SECOND, keep_open=True)
+        await self.call()
+        exc = await self.call_error()
+        self.assertIs(CallOutcome.UNKNOWN, exc.outcome)
+        self.assertEqual(1, len(self.writers))
