--- a/wigeonscale/control/liveness.py
+++ b/wigeonscale/control/liveness.py
@@ -145,7 +145,7 @@
         now = self._clock.now()
         if now - self._checked_at > PAUSE_INTERVALS * self._interval_s:
             logger.warning(
-                "liveness checks were paused for %.3f s", now - self._checked_at
+                "health checks were paused for %.3f s", now - self._checked_at
             )
             self._suspended_until = now + self._grace_s
         self._checked_at = now
--- a/wigeonscale/daemons/control.py
+++ b/wigeonscale/daemons/control.py
@@ -184,7 +184,7 @@
             self._liveness_task = group.create_task(self._liveness.run())
 
     async def stop(self) -> None:
-        """Transfer leadership, then stop the liveness checks and the servers.
+        """Transfer leadership, then stop the health checks and the servers.
 
         Watchers reconnect to other replicas.
         """
