--- a/wigeonscale/membership/tests/fake_control.py
+++ b/wigeonscale/membership/tests/fake_control.py
@@ -174,7 +174,9 @@
 
     async def next_hello(self, client, fake):
         """Advance the clock until a connection opens, and return its Hello."""
-        while client._watcher._candidate is None:
+        # A connection that opens and is attached within one step is no candidate any
+        # more, but its Hello has been received by then.
+        while client._watcher._candidate is None and fake.hellos.empty():
             await self.clock.advance(0.025)
             await asyncio.sleep(0)
         return await self.within_limit(fake.hellos.get())
--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -239,6 +239,9 @@
         }
 
     def _order(self, order: dict) -> web.Response:
+        if order["op"] == "repath":
+            # Streams of this stand-in do not change their path; they are sent again.
+            return web.Response(status=404)
         if order["fencing-token"] < self._fencing_token:
             return web.Response(status=412)
         self._fencing_token = order["fencing-token"]
