Retry budget accounts for retries that late totals lack

Cause: at each arrival of totals an entry took its equal part of what they left over. They lacked what all entries had taken since the reports in them, so the same remainder was divided several times.

Change: totals carry the ages of the reports in them. An entry assumes for each own retry that every entry with an older report has made one too. Entries without a report keep their guaranteed part. 0.91 of the budget is used instead of 0.7.

--- a/wigeonscale/control/load_aggregator.py
+++ b/wigeonscale/control/load_aggregator.py
@@ -16,7 +16,7 @@
 from google.protobuf.message import DecodeError
 
 from wigeonscale.control.watcher import Watcher
-from wigeonscale.limits import share_weights
+from wigeonscale.limits import add_ages, older_by, share_weights
 from wigeonscale.ports import Clock
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -99,9 +99,11 @@
     sends_by_name: dict[str, wire.ServiceSends] = {}
     limits_by_id: dict[str, wire.NamedLimit] = {}
     classes_by_key: dict[tuple[str, int, str], wire.ClassDemand] = {}
+    report_ages: list[int] = []
     tellers = 0
     for loads, age_s in all_loads:
         tellers += loads.tellers
+        report_ages = add_ages(report_ages, older_by(loads.report_ages, age_s))
         for load in loads.loads:
             total = loads_by_id.setdefault(load.backend_id, wire.Load())
             total.backend_id = load.backend_id
@@ -126,6 +128,7 @@
         limits=limits_by_id.values(),
         tellers=tellers,
         classes=classes_by_key.values(),
+        report_ages=report_ages,
     )
 
 
--- a/wigeonscale/control/tests/test_load_aggregator.py
+++ b/wigeonscale/control/tests/test_load_aggregator.py
@@ -64,6 +64,19 @@
         (total,) = self.load_aggregator.total().sends
         self.assertEqual(("s", 60, 9), (total.service, total.requests, total.further))
 
+    async def test_ages_of_reports_grow_on_their_way(self):
+        self.attach("one", wire.Loads(tellers=1, report_ages=[1]))
+        # An entry of an older version does not send the ages.
+        self.attach("two", wire.Loads(tellers=1))
+        await self.clock.advance(0.3)
+        self.load_aggregator.receive(
+            "c2", wire.Loads(tellers=2, report_ages=[0, 2]).SerializeToString()
+        )
+        await self.clock.advance(0.2)
+        total = self.load_aggregator.total()
+        self.assertEqual(4, total.tellers)
+        self.assertEqual([0, 0, 0, 2, 0, 1], list(total.report_ages))
+
     def test_reporting_entries_are_counted(self):
         self.attach("one", wire.Loads(tellers=1))
         self.attach("two", wire.Loads(tellers=1))
--- a/wigeonscale/daemons/load_exchange.py
+++ b/wigeonscale/daemons/load_exchange.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from wigeonscale.direct import EntryContext, NamedLimit
-from wigeonscale.limits import ClassCount
+from wigeonscale.limits import NEW_REPORT, ClassCount
 from wigeonscale.wire import wire_pb2 as wire
 
 MS_PER_S = 1000.0
@@ -45,6 +45,7 @@
             for limit in ctx.limits.report()
         ],
         tellers=1,
+        report_ages=NEW_REPORT,
         classes=[
             wire.ClassDemand(**{name: getattr(count, name) for name in CLASS_FIELDS})
             for count in ctx.class_demand.report()
@@ -63,7 +64,8 @@
         {each.backend_id: (each.running, each.token_layers) for each in totals.loads}
     )
     ctx.budget.apply_totals(
-        {each.service: (each.requests, each.further) for each in totals.sends}
+        {each.service: (each.requests, each.further) for each in totals.sends},
+        report_ages=tuple(totals.report_ages),
     )
     limits = [
         NamedLimit(
--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -3,33 +3,82 @@
 __all__ = ["SharedRetryBudget"]
 
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
+from wigeonscale.direct.totals_coverage import TotalsCoverage
 from wigeonscale.ports import Clock
 
-# Fraction of the budget that is used. The rest covers retries that entries make before
-# they see each other's counts.
-USABLE_FRACTION = 0.7
-# Fraction of an entry's equal share that it may use whatever the other entries do.
-GUARANTEED_FRACTION = 0.45
-# Totals are half a second old, and each entry may take its part again in that time. So
-# an entry takes its equal part of half of what is left at a time.
-POOL_ROUNDS = 2.0
+# Fraction of the budget that all entries use together. The rest covers entries that
+# want retries at different times while the totals are late.
+USABLE_FRACTION = 0.91
+# The same fraction while control does not say how late the totals are.
+USABLE_FRACTION_WITHOUT_AGES = 0.87
+# Fraction of an entry's equal share that it may use without recent totals.
+GUARANTEED_FRACTION = 0.7
 # Control sends the totals of all entries with each lease grant, by default twice a
 # second.
 TOTALS_MAX_AGE_S = 2.5
+# Entries that were denied a retry make it at their next totals, which arrive at each of
+# them at another time within this interval.
+REPORT_INTERVAL_S = 0.5
+# A retry this long after the last denial, or after the last retry, begins a new burst.
+PAUSE_S = 2.5
+# Totals without ages of the reports contain all retries that are older than this.
+MAX_UNSEEN_S = 6.0
 # Fraction of the allowance that is reserved for streams that have begun. A new request
 # can be rejected with a Retry-After; a broken stream is lost to its caller.
 RESERVED_FRACTION = 0.3
 
 
-@dataclass(slots=True)
-class _Counts:
-    """Counts of all other entries in the window."""
+class _Retry(NamedTuple):
+    """A retry of this entry.
 
-    requests: int = 0
-    retries: int = 0
+    Attributes:
+        at: Local time, in seconds.
+        matched_at: Time by which the other entries have made a retry for the same
+            cause, in seconds.
+    """
+
+    at: float
+    matched_at: float
+
+
+class _Totals(NamedTuple):
+    """Counts of all entries at a local time."""
+
+    at: float
+    requests: int
+    retries: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _ServiceCounts:
+    """Counts of one service in the window.
+
+    Attributes:
+        requests: Times of this entry's requests.
+        retries: This entry's retries.
+        reported_requests: Requests in this entry's last report.
+        totals: Recent totals of all entries, oldest first.
+        coverage: Which retries the totals contain.
+        denied_at: When a retry was last denied.
+    """
+
+    requests: deque[float] = field(default_factory=deque)
+    retries: deque[_Retry] = field(default_factory=deque)
+    reported_requests: int = 0
+    totals: deque[_Totals] = field(default_factory=deque)
+    coverage: TotalsCoverage = field(default_factory=TotalsCoverage)
+    denied_at: float = float("-inf")
+
+    def drop_before(self, oldest: float) -> None:
+        """Drop requests and retries that have left the window."""
+        while self.requests and self.requests[0] < oldest:
+            self.requests.popleft()
+        while self.retries and self.retries[0].at < oldest:
+            self.retries.popleft()
 
 
 class SharedRetryBudget:
@@ -38,9 +87,12 @@
     All entries together may make ``ratio`` times their requests plus ``slack`` retries.
 
     A lost or full engine often affects the streams of a few entries only. With hundreds
-    of entries, the equal share of each is a few retries. So only a part of this share
-    is guaranteed to an entry; the rest is a pool, which entries use according to the
-    totals that control sends.
+    of entries, the equal share of each is a few retries. So an entry uses its equal
+    share at once, and then its equal part of what the totals from control leave.
+
+    The totals are late, and all entries may want retries at once. So an entry assumes
+    for each of its own retries that every entry whose report in the totals is older has
+    made one as well.
 
     Args:
         clock: Clock port.
@@ -76,17 +128,12 @@
         self._slack = slack
         self._window_s = window_s
         self._entry_count = entry_count
-        self._requests: dict[str, deque[float]] = {}
-        self._retries: dict[str, deque[float]] = {}
-        self._reported: dict[str, tuple[int, int]] = {}
-        self._others: dict[str, _Counts] = {}
+        self._services: dict[str, _ServiceCounts] = {}
         self._totals_at = float("-inf")
-        # Retries of this entry in the window when the last totals arrived.
-        self._retries_at_totals: dict[str, int] = {}
 
     def record(self, service: str) -> None:
         """Count a request."""
-        self._recent(self._requests, service).append(self._clock.now())
+        self._recent(service).requests.append(self._clock.now())
 
     def report_sends(self) -> dict[str, tuple[int, int]]:
         """Return this entry's counts, and record them as reported to control.
@@ -94,31 +141,36 @@
         Returns:
             Requests and retries in the window, by service.
         """
-        self._reported = {
-            service: (
-                len(self._recent(self._requests, service)),
-                len(self._recent(self._retries, service)),
-            )
-            for service in self._requests
-        }
-        return self._reported
-
-    def apply_totals(self, totals: Mapping[str, tuple[int, int]]) -> None:
+        reports = {}
+        for service in self._services:
+            counts = self._recent(service)
+            counts.reported_requests = len(counts.requests)
+            if counts.requests or counts.retries:
+                reports[service] = len(counts.requests), len(counts.retries)
+        return reports
+
+    def apply_totals(
+        self,
+        totals: Mapping[str, tuple[int, int]],
+        *,
+        report_ages: Sequence[int] = (),
+    ) -> None:
         """Apply the total counts of all entries, this one included.
 
         Args:
             totals: Requests and retries in the window, by service.
+            report_ages: Reports in the totals by age, as in
+                ``wigeonscale.limits.report_ages``; empty if unknown.
         """
-        self._others = {}
-        for service, (requests, retries) in totals.items():
-            own_requests, own_retries = self._reported.get(service, (0, 0))
-            self._others[service] = _Counts(
-                max(0, requests - own_requests), max(0, retries - own_retries)
-            )
-        self._totals_at = self._clock.now()
-        self._retries_at_totals = {
-            service: len(self._recent(self._retries, service)) for service in totals
-        }
+        now = self._clock.now()
+        self._totals_at = now
+        for service in self._services.keys() | totals.keys():
+            requests, retries = totals.get(service, (0, 0))
+            counts = self._recent(service)
+            counts.totals.append(_Totals(now, requests, retries))
+            while counts.totals[0].at < now - TOTALS_MAX_AGE_S:
+                counts.totals.popleft()
+            counts.coverage.update(now, retries=retries, ages=report_ages)
 
     def try_spend(self, service: str, *, is_begun: bool = True) -> bool:
         """Take one retry from the budget; return whether it is allowed.
@@ -128,41 +180,54 @@
             is_begun: Whether the caller has a part of the response or cannot be told to
                 retry. Other requests may not use the reserved fraction.
         """
-        limit = self._limit(service)
+        now = self._clock.now()
+        counts = self._recent(service)
+        limit = self._limit(counts)
         if not is_begun:
             limit *= 1.0 - RESERVED_FRACTION
-        retries = self._recent(self._retries, service)
-        if len(retries) + 1 > limit:
+        if len(counts.retries) + 1 > limit:
+            counts.denied_at = now
             return False
-        retries.append(self._clock.now())
+        was_denied = now - counts.denied_at <= PAUSE_S
+        is_first = not counts.retries or now - counts.retries[-1].at > PAUSE_S
+        if is_first and not was_denied:
+            counts.coverage.note_first_retry(now)
+        matched_at = now + REPORT_INTERVAL_S if was_denied else now
+        counts.retries.append(_Retry(now, matched_at))
         return True
 
-    def _limit(self, service: str) -> float:
+    def _limit(self, counts: _ServiceCounts) -> float:
         """Return the maximum number of retries of this entry in the window."""
-        if self._clock.now() - self._totals_at > TOTALS_MAX_AGE_S:
-            return self._guaranteed(service, 1.0)
-        own_share = self._guaranteed(service, GUARANTEED_FRACTION)
-        return max(
-            own_share, self._retries_at_totals.get(service, 0)
-        ) + self._pool_share(service)
-
-    def _guaranteed(self, service: str, part: float) -> float:
-        """Return this entry's equal share of the retries, times a fraction."""
-        requests = len(self._recent(self._requests, service))
-        slack = self._slack / max(1, self._entry_count())
-        return USABLE_FRACTION * part * (self._ratio * requests + slack)
-
-    def _pool_share(self, service: str) -> float:
-        """Return the retries that this entry may take from the pool for now."""
-        others = self._others.get(service, _Counts())
-        requests = others.requests + len(self._recent(self._requests, service))
-        spent = others.retries + self._retries_at_totals.get(service, 0)
-        left = USABLE_FRACTION * (self._ratio * requests + self._slack) - spent
-        return max(0.0, left) / max(1, self._entry_count()) / POOL_ROUNDS
-
-    def _recent(self, counts: dict[str, deque[float]], service: str) -> deque[float]:
-        recent = counts.setdefault(service, deque())
-        oldest = self._clock.now() - self._window_s
-        while recent and recent[0] < oldest:
-            recent.popleft()
-        return recent
+        entries = max(1, self._entry_count())
+        if not counts.totals or self._clock.now() - self._totals_at > TOTALS_MAX_AGE_S:
+            own = self._ratio * len(counts.requests) + self._slack / entries
+            return GUARANTEED_FRACTION * own
+        requests = max(0, counts.totals[-1].requests - counts.reported_requests)
+        budget = self._ratio * (requests + len(counts.requests)) + self._slack
+        missing = counts.coverage.missing_reports(entries)
+        usable = (
+            USABLE_FRACTION
+            if counts.coverage.has_ages
+            else USABLE_FRACTION_WITHOUT_AGES
+        )
+        # Entries without contact to control use their guaranteed part.
+        usable -= GUARANTEED_FRACTION * missing / entries
+        left = usable * budget - self._likely_retries(counts, entries)
+        return len(counts.retries) + max(0.0, left) / entries
+
+    def _likely_retries(self, counts: _ServiceCounts, entries: int) -> float:
+        """Return the retries of all entries, those that the totals lack included."""
+        unseen = 0.0
+        for retry in reversed(counts.retries):
+            if retry.at < self._clock.now() - MAX_UNSEEN_S:
+                break
+            unseen += 1.0 - counts.coverage.fraction_after(
+                retry.matched_at, entry_count=entries
+            )
+        # Totals may pass each other on the way.
+        return max(each.retries for each in counts.totals) + entries * unseen
+
+    def _recent(self, service: str) -> _ServiceCounts:
+        counts = self._services.setdefault(service, _ServiceCounts())
+        counts.drop_before(self._clock.now() - self._window_s)
+        return counts
--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -1,9 +1,11 @@
 """Admission control: organisation limits, fair queueing and load shedding."""
 
 __all__ = [
+    "AGE_STEP_S",
     "CLASS_WINDOW_S",
     "DEFAULT_RETRY_AFTER_S",
     "INTERRUPTED_PRIORITY",
+    "NEW_REPORT",
     "NO_RESERVE",
     "ClassCount",
     "ConcurrencyGuard",
@@ -13,12 +15,15 @@
     "ReserveLevel",
     "ServiceLevel",
     "WaitEstimator",
+    "add_ages",
     "check_deadline",
     "class_reserve",
+    "count_newer",
     "derive_service_level",
     "is_below_floor",
     "is_short",
     "next_level",
+    "older_by",
     "retry_after_s",
     "share_weights",
     "spread_interrupted",
@@ -43,6 +48,13 @@
 from wigeonscale.limits.fair_queue import FairQueue
 from wigeonscale.limits.guard import ConcurrencyGuard
 from wigeonscale.limits.organisations import OrganisationLimits, Permit
+from wigeonscale.limits.report_ages import (
+    AGE_STEP_S,
+    NEW_REPORT,
+    add_ages,
+    count_newer,
+    older_by,
+)
 from wigeonscale.limits.retry_after import DEFAULT_RETRY_AFTER_S, retry_after_s
 from wigeonscale.limits.service_level import ServiceLevel, derive_service_level
 from wigeonscale.limits.sharing import share_weights
