Retry budget uses the newest totals

What callers saw (tests of streams that wait for the next totals): a stream whose retry was denied waited up to 2.5 s for retries that had left the window, since the highest of the recent totals counted.

Cause: the highest total of 2.5 s was kept against totals that pass each other. The ages of the reports cover that case.

--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -46,9 +46,8 @@
 
 
 class _Totals(NamedTuple):
-    """Counts of all entries at a local time."""
+    """Counts of all entries in the window."""
 
-    at: float
     requests: int
     retries: int
 
@@ -61,7 +60,7 @@
         requests: Times of this entry's requests.
         retries: This entry's retries.
         reported_requests: Requests in this entry's last report.
-        totals: Recent totals of all entries, oldest first.
+        totals: Last totals of all entries; None before the first.
         coverage: Which retries the totals contain.
         denied_at: When a retry was last denied.
     """
@@ -69,7 +68,7 @@
     requests: deque[float] = field(default_factory=deque)
     retries: deque[_Retry] = field(default_factory=deque)
     reported_requests: int = 0
-    totals: deque[_Totals] = field(default_factory=deque)
+    totals: _Totals | None = None
     coverage: TotalsCoverage = field(default_factory=TotalsCoverage)
     denied_at: float = float("-inf")
 
@@ -167,9 +166,7 @@
         for service in self._services.keys() | totals.keys():
             requests, retries = totals.get(service, (0, 0))
             counts = self._recent(service)
-            counts.totals.append(_Totals(now, requests, retries))
-            while counts.totals[0].at < now - TOTALS_MAX_AGE_S:
-                counts.totals.popleft()
+            counts.totals = _Totals(requests, retries)
             counts.coverage.update(now, retries=retries, ages=report_ages)
 
     def try_spend(self, service: str, *, is_begun: bool = True) -> bool:
@@ -199,10 +196,11 @@
     def _limit(self, counts: _ServiceCounts) -> float:
         """Return the maximum number of retries of this entry in the window."""
         entries = max(1, self._entry_count())
-        if not counts.totals or self._clock.now() - self._totals_at > TOTALS_MAX_AGE_S:
+        totals_age_s = self._clock.now() - self._totals_at
+        if counts.totals is None or totals_age_s > TOTALS_MAX_AGE_S:
             own = self._ratio * len(counts.requests) + self._slack / entries
             return GUARANTEED_FRACTION * own
-        requests = max(0, counts.totals[-1].requests - counts.reported_requests)
+        requests = max(0, counts.totals.requests - counts.reported_requests)
         budget = self._ratio * (requests + len(counts.requests)) + self._slack
         missing = counts.coverage.missing_reports(entries)
         usable = (
@@ -224,8 +222,7 @@
             unseen += 1.0 - counts.coverage.fraction_after(
                 retry.matched_at, entry_count=entries
             )
-        # Totals may pass each other on the way.
-        return max(each.retries for each in counts.totals) + entries * unseen
+        return counts.totals.retries + entries * unseen
 
     def _recent(self, service: str) -> _ServiceCounts:
         counts = self._services.setdefault(service, _ServiceCounts())
