Soak counts a replica as back once it has caught up

Cause: inject counted a control replica as back two seconds after its process was started. On a busy machine the start alone takes longer, so the next fault took a second disk of three while the first replica was not admitted. No majority survives that.

Change: the next fault on control waits until the replica answers a read from its own address, which it does only as a member with a confirmed state. If it does not within 45 s, the run reports it. After the faults, entries and kinds are waited for at the same time, each as long as before.

Test: the next fault waits; a replica that does not catch up is reported.

--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -8,12 +8,18 @@
 import signal
 from dataclasses import dataclass, field
 
+import aiohttp
+
 from demo.processes import Child, free_ports, start
 
 CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 ENTRIES = ("127.0.0.21", "127.0.0.22")
 DAEMON = "wigeonscale.cli.wigeond"
 STOP_TIMEOUT_S = 20.0
+# Far more than a busy machine needs to start a replica and to admit it.
+CATCH_UP_TIMEOUT_S = 45.0
+CATCH_UP_POLL_INTERVAL_S = 0.1
+READ_TIMEOUT_S = 2.0
 
 
 @dataclass(slots=True)
@@ -103,6 +109,30 @@
         """Remove the data of a stopped daemon."""
         shutil.rmtree(self._data(node), ignore_errors=True)
 
+    async def wait_until_caught_up(self, node: Node) -> None:
+        """Wait until a control replica answers reads.
+
+        It does so only if it is a member of the group and a majority has confirmed its
+        state.
+
+        Raises:
+            TimeoutError: It did not within ``CATCH_UP_TIMEOUT_S``.
+        """
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        async with (
+            asyncio.timeout(CATCH_UP_TIMEOUT_S),
+            aiohttp.ClientSession(timeout=timeout) as session,
+        ):
+            while not await self._answers_reads(session, node):
+                await asyncio.sleep(CATCH_UP_POLL_INTERVAL_S)
+
+    async def _answers_reads(self, session, node) -> bool:
+        try:
+            async with session.get(f"http://{node.ip}:{self.http}/config") as res:
+                return res.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     async def close(self) -> None:
         """Kill every running daemon."""
         for node in self.nodes:
--- a/wigeonscale/testing/soak/faults.py
+++ b/wigeonscale/testing/soak/faults.py
@@ -68,7 +68,7 @@
     dep: Deployment,
     backends: list[Backend],
     control_lock: asyncio.Lock,
-) -> None:
+) -> str | None:
     """Inject one fault and heal it.
 
     Args:
@@ -77,18 +77,25 @@
         backends: The backend servers.
         control_lock: Held while a control replica is down, because the deployment
             tolerates the loss of one at a time.
+
+    Returns:
+        A description if a control replica has not caught up afterwards, else None.
     """
     if fault.kind in LINK_KINDS:
         await _inject_link_fault(fault, backends[fault.target])
-        return
+        return None
     node = dep.nodes[fault.target]
     if node.role == "direct-control" and fault.kind != "hangup":
         async with control_lock:
             await _inject_node_fault(fault, dep, node)
-            # The replica counts as lost until it has caught up.
-            await asyncio.sleep(2.0)
+            # The replica counts as lost until then.
+            try:
+                await dep.wait_until_caught_up(node)
+            except TimeoutError:
+                return f"{node.name} has not caught up after a {fault.kind}"
     else:
         await _inject_node_fault(fault, dep, node)
+    return None
 
 
 async def _inject_node_fault(fault, dep, node) -> None:
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -108,7 +108,11 @@
 
     async def inject_later(fault) -> None:
         await asyncio.sleep(fault.start_s)
-        await inject(fault, dep=dep, backends=backends, control_lock=control_lock)
+        violation = await inject(
+            fault, dep=dep, backends=backends, control_lock=control_lock
+        )
+        if violation is not None:
+            checker.violations.append(violation)
 
     async def apply_later(notice) -> None:
         await asyncio.sleep(notice.start_s)
@@ -129,14 +133,18 @@
 
 async def _wait_until_served(load, session, dep, checker, when) -> None:
     """Wait until each entry serves each kind of request; a timeout is a violation."""
-    for entry in dep.entries:
-        for kind in load.kinds:
-            try:
-                async with asyncio.timeout(TIMEOUT_S):
-                    while not await load.call(session, entry, kind):
-                        await asyncio.sleep(0.1)
-            except TimeoutError:
-                checker.violations.append(f"{entry.name} serves no {kind} {when}")
+
+    async def wait(entry, kind) -> None:
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                while not await load.call(session, entry, kind):
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            checker.violations.append(f"{entry.name} serves no {kind} {when}")
+
+    await asyncio.gather(
+        *(wait(entry, kind) for entry in dep.entries for kind in load.kinds)
+    )
 
 
 async def _wait_until_read(load, session, checker) -> None:
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -183,6 +183,59 @@
         self.assertEqual(1, dep.most)
 
 
+class CatchUpTest(AsyncTestCase):
+    """Guards against the loss of a second replica while the first one starts slowly."""
+
+    class Dep:
+        def __init__(self, *, catches_up=True):
+            child = SimpleNamespace(proc=SimpleNamespace(returncode=None))
+            self.nodes = [
+                Node(name, "direct-control", "127.0.0.1", child) for name in "ab"
+            ]
+            self.down = []
+            self.events = []
+            self.catches_up = catches_up
+
+        async def kill(self, node, signum):
+            self.down.append(node.name)
+            self.events.append(tuple(self.down))
+
+        async def start(self, node):
+            await asyncio.sleep(0)
+
+        async def wait_until_caught_up(self, node):
+            for _ in range(5):
+                await asyncio.sleep(0)
+            if not self.catches_up:
+                raise TimeoutError
+            self.down.remove(node.name)
+
+    async def inject_kills(self, dep):
+        lock = asyncio.Lock()
+        return await asyncio.gather(
+            *(
+                inject(
+                    Fault(0.0, "kill", n, 0.0),
+                    dep=dep,
+                    backends=[],
+                    control_lock=lock,
+                )
+                for n in range(2)
+            )
+        )
+
+    async def test_next_fault_waits_until_the_replica_has_caught_up(self):
+        dep = self.Dep()
+        self.assertEqual([None, None], await self.inject_kills(dep))
+        self.assertEqual([("a",), ("b",)], dep.events)
+
+    async def test_replica_that_does_not_catch_up_is_reported(self):
+        violations = await self.inject_kills(self.Dep(catches_up=False))
+        self.assertEqual(
+            [f"{name} has not caught up after a kill" for name in "ab"], violations
+        )
+
+
 class ShortRunTest(AsyncTestCase):
     async def test_seeds_have_no_violations(self):
         # Seed 3 has traffic classes.
