Agents do not reuse a connection with unread data of a service

Cause: aiohttp looks for unread data only when a connection returns to the pool. The session of the agents' plain services used the pool as it is, and these responses have no id.

Evidence: in the new test a second response arrives on an idle connection and is returned as the body of the next call (b'two' instead of b'one') without the change.

Change: the connector of the platform's exchange moves to adapters and serves both.

--- a/wigeonscale/adapters/service_http.py
+++ b/wigeonscale/adapters/service_http.py
@@ -8,6 +8,7 @@
 import aiohttp
 import yarl
 
+from wigeonscale.adapters.http_connector import CleanConnector
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.ports import HttpResponse
 
@@ -42,7 +43,9 @@
         test client sets the same private attribute.
     """
     session = aiohttp.ClientSession(
-        auto_decompress=False, skip_auto_headers=AUTO_HEADERS
+        connector=CleanConnector(),
+        auto_decompress=False,
+        skip_auto_headers=AUTO_HEADERS,
     )
     session._retry_connection = False
     return session
--- a/wigeonscale/adapters/tests/test_service_http.py
+++ b/wigeonscale/adapters/tests/test_service_http.py
@@ -1,10 +1,15 @@
 import asyncio
+from unittest import mock
+
+from aiohttp.client_proto import ResponseHandler
 
 from wigeonscale.adapters.service_http import HttpService, single_attempt_session
 from wigeonscale.errors import RunState, WigeonscaleError
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.testing.fake_service import serve_service
 
+WAIT_S = 10.0
+
 
 class HttpServiceTest(AsyncTestCase):
     async def prepare(self):
@@ -50,3 +55,39 @@
                 await service.call(method, "/note", [], b"")
             self.assertEqual(RunState.UNKNOWN, caught.exception.run_state)
         self.assertEqual(3, len(requests))
+
+    async def test_second_response_on_an_idle_connection(self):
+        """Guards against its body as the answer to the next request."""
+        writers = []
+
+        async def respond(reader, writer):
+            writers.append(writer)
+            while await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(_response(b"one"))
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        service = HttpService(url=f"http://127.0.0.1:{port}", session=self.session)
+        received = asyncio.Event()
+        read = ResponseHandler.data_received
+
+        def data_received(protocol, data):
+            read(protocol, data)
+            received.set()
+
+        self.assertEqual(b"one", (await service.call("GET", "/", [], b"")).body)
+        with mock.patch.object(ResponseHandler, "data_received", data_received):
+            writers[0].write(_response(b"two"))
+            async with asyncio.timeout(WAIT_S):
+                await received.wait()
+        self.assertEqual(b"one", (await service.call("GET", "/", [], b"")).body)
+        self.assertEqual(2, len(writers))
+        for writer in writers:
+            writer.close()
+
+
+def _response(body):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -9,6 +9,7 @@
 import aiohttp
 from yarl import URL
 
+from wigeonscale.adapters.http_connector import CleanConnector
 from wigeonscale.platform.connection_limiter import (
     ConnectionContext,
     limit_concurrent_connects,
@@ -45,25 +46,10 @@
 logger = logging.getLogger(__name__)
 
 
-class _Connector(aiohttp.TCPConnector):
-    """Connector that does not reuse a connection with unread data.
-
-    Data after a complete response is no response to the next request. The base class
-    notices it only if it arrives before the connection returns to the pool.
-    """
-
-    async def _get(self, key, traces):
-        while True:
-            conn = await super()._get(key, traces)
-            if conn is None or not conn.protocol.should_close:
-                return conn
-            conn.close()
-
-
 def new_session() -> aiohttp.ClientSession:
     """Return a client session that sends each request once and unmodified."""
     session = aiohttp.ClientSession(
-        connector=_Connector(
+        connector=CleanConnector(
             limit=0, keepalive_timeout=IDLE_TIMEOUT_S, enable_cleanup_closed=False
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
