More late requests may wait than were admitted before

With as many late requests as were admitted late before, the number could only fall: from 13 to 21 s, 659 requests got capacity after a wait, 800 before the limit.

Change: half as many again may wait.

--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -11,8 +11,8 @@
 After a power failure of all entries, interrupted callers and new ones arrive within
 half a second, and most of them have no retry left. A request that has waited too long
 for a timely response is moved behind those that can still be in time, and is served
-late rather than never. While such requests give up in vain, only as many stay as were
-admitted late in the same time before, and all others are rejected at once.
+late rather than never. While such requests give up in vain, only a few more stay than
+were admitted late in the same time before, and all others are rejected at once.
 
 Requests of a service with traffic classes have the waits of their own route, so many of
 a less urgent class may wait for long. They must not reject or delay more urgent ones:
@@ -62,6 +62,9 @@
 # Below this share of admitted requests the queue gets shorter, so that under sustained
 # overload requests do not wait only to be rejected.
 MIN_ADMITTED_RATE = 0.5
+# Late requests that may wait, relative to those that were admitted in the same time.
+# Only those that wait are admitted, so without a surplus the number could only fall.
+LATE_HEADROOM = 1.5
 # Late requests that were admitted or rejected count for this time.
 LATE_OUTCOMES_WINDOW_S = 2.0
 # Most requests in a lane that can be in time, whatever is in progress; it only bounds
@@ -345,7 +348,7 @@
             return math.inf
         self._drop_old_admissions()
         admitted_per_s = len(self._late_admissions) / LATE_OUTCOMES_WINDOW_S
-        max_late = math.floor(admitted_per_s * late_s)
+        max_late = math.ceil(LATE_HEADROOM * admitted_per_s * late_s)
         if max_late == 0 and self._gave_up_at < since:
             # One waits from time to time, to detect free capacity.
             return 1
