--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -30,10 +30,10 @@
 import bisect
 import itertools
 import math
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wigeonscale.direct.late_outcomes import LateOutcomes
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.limits import FairQueue, ServiceLevel
 from wigeonscale.ports import Clock
@@ -62,11 +62,6 @@
 # Below this share of admitted requests the queue gets shorter, so that under sustained
 # overload requests do not wait only to be rejected.
 MIN_ADMITTED_RATE = 0.5
-# Late requests that may wait, relative to those that were admitted in the same time.
-# Only those that wait are admitted, so without a surplus the number could only fall.
-LATE_HEADROOM = 1.5
-# Late requests that were admitted or rejected count for this time.
-LATE_OUTCOMES_WINDOW_S = 2.0
 # Most requests in a lane that can be in time, whatever is in progress; it only bounds
 # memory.
 MAX_WAITING = 32
@@ -149,11 +144,7 @@
         # order in which they became late, and the ticket.
         self._late: list[tuple[float, int, int]] = []
         self._demotions = itertools.count()
-        # When late requests were admitted, when the last one was rejected, and when the
-        # last one gave up after its wait.
-        self._late_admissions: deque[float] = deque()
-        self._late_rejection_at = float("-inf")
-        self._gave_up_at = float("-inf")
+        self._late_outcomes = LateOutcomes(clock=clock)
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -170,8 +161,7 @@
     @property
     def late_admitted_count(self) -> int:
         """Number of late requests that were admitted recently."""
-        self._drop_old_admissions()
-        return len(self._late_admissions)
+        return self._late_outcomes.admitted_count
 
     def is_clear_for(self, priority: int) -> bool:
         """Return whether a new request may use free capacity without queueing.
@@ -270,11 +260,12 @@
             Whether it may wait on. False if it would probably give up without capacity;
             it is to be released then.
         """
-        if len(self._late) >= self._max_late(self._waiting[ticket].late_s):
-            self._late_rejection_at = self._clock.now()
+        late_s = self._waiting[ticket].late_s
+        if len(self._late) >= self._late_outcomes.max_waiting(late_s):
+            self._late_outcomes.note_rejected()
             return False
         self._remove(ticket)
-        give_up_at = self._clock.now() + self._waiting[ticket].late_s
+        give_up_at = self._clock.now() + late_s
         bisect.insort(self._late, (give_up_at, next(self._demotions), ticket))
         return True
 
@@ -285,8 +276,10 @@
             ticket: Its ticket.
             admitted: Whether it got capacity; None if its caller disconnected.
         """
-        if any(each[-1] == ticket for each in self._late):
-            self._note_late_outcome(admitted)
+        is_late = any(each[-1] == ticket for each in self._late)
+        if is_late and admitted is not None:
+            outcomes = self._late_outcomes
+            outcomes.note_admitted() if admitted else outcomes.note_gave_up()
         self._remove(ticket)
         key = self._waiting.pop(ticket).lane
         if admitted is not None:
@@ -341,31 +334,6 @@
             heads, key=lambda head: (self._waiting[head].priority, head)
         )
 
-    def _max_late(self, late_s: float) -> float:
-        """Return how many late requests can be admitted before one of them gives up."""
-        since = self._clock.now() - LATE_OUTCOMES_WINDOW_S
-        if self._late_rejection_at < since:
-            return math.inf
-        self._drop_old_admissions()
-        admitted_per_s = len(self._late_admissions) / LATE_OUTCOMES_WINDOW_S
-        max_late = math.ceil(LATE_HEADROOM * admitted_per_s * late_s)
-        if max_late == 0 and self._gave_up_at < since:
-            # One waits from time to time, to detect free capacity.
-            return 1
-        return max_late
-
-    def _drop_old_admissions(self) -> None:
-        since = self._clock.now() - LATE_OUTCOMES_WINDOW_S
-        while self._late_admissions and self._late_admissions[0] < since:
-            self._late_admissions.popleft()
-
-    def _note_late_outcome(self, admitted: bool | None) -> None:
-        if admitted:
-            self._drop_old_admissions()
-            self._late_admissions.append(self._clock.now())
-        elif admitted is not None:
-            self._late_rejection_at = self._gave_up_at = self._clock.now()
-
     def _ahead_of(self, priority: int) -> int:
         """Return how many requests count for the bound of a class.
 
