Requests of services with traffic classes wait as long as their service level says

What callers would see: a request of a traffic class rejected at its on-time wait while interrupted streams go first, although its route allows it to wait for longer.

Cause: the bound of late requests also held for services with traffic classes.

Change: the bound holds only for requests without traffic classes.

--- a/wigeonscale/direct/admission_queue.py
+++ b/wigeonscale/direct/admission_queue.py
@@ -11,8 +11,9 @@
 After a power failure of all entries, interrupted callers and new ones arrive within
 half a second, and most of them have no retry left. A request that has waited too long
 for a timely response is moved behind those that can still be in time, and is served
-late rather than never. While such requests give up in vain, only a few more stay than
-were admitted late in the same time before, and all others are rejected at once.
+late rather than never. Without traffic classes, while such requests give up in vain,
+only a few more stay than were admitted late in the same time before, and all others are
+rejected at once.
 
 Requests of a service with traffic classes have the waits of their own route, so many of
 a less urgent class may wait for long. They must not reject or delay more urgent ones:
@@ -260,8 +261,11 @@
             Whether it may wait on. False if it would probably give up without capacity;
             it is to be released then.
         """
-        late_s = self._waiting[ticket].late_s
-        if len(self._late) >= self._late_outcomes.max_waiting(late_s):
+        waiting = self._waiting[ticket]
+        late_s = waiting.late_s
+        # With traffic classes, each waits as long as its own service level says.
+        is_bounded = waiting.lane is None
+        if is_bounded and len(self._late) >= self._late_outcomes.max_waiting(late_s):
             self._late_outcomes.note_rejected()
             return False
         self._remove(ticket)
