--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -25,7 +25,7 @@
 REPORT_INTERVAL_S = 0.5
 # A retry this long after the last denial, or after the last retry, begins a new burst.
 PAUSE_S = 2.5
-# Totals without ages of the reports contain all retries that are older than this.
+# Totals contain all retries that are older than this.
 MAX_UNSEEN_S = 6.0
 # Fraction of the allowance that is reserved for streams that have begun. A new request
 # can be rejected with a Retry-After; a broken stream is lost to its caller.
