A control replica is ready only once it may vote

What operators would see: after one disk was replaced, its replica was ready, the next one was stopped, and control had no majority any more.

Cause: a replica with an empty disk gets the log and the leader's confirmation before it is admitted as a voter; readiness looked at the confirmation only.

Change: readiness also asks whether the replica may vote, in both control daemons. The soak waits for it instead of for a read.

--- a/wigeonscale/daemons/control.py
+++ b/wigeonscale/daemons/control.py
@@ -140,8 +140,12 @@
         )
 
     def is_ready(self) -> bool:
-        """Return whether this replica is current with a majority and not stopping."""
-        return not self._stopping and self.hub.is_fresh()
+        """Return whether this replica counts towards a majority and is up to date.
+
+        A replica with an empty disk reads the log before it may vote. Until then, the
+        loss of another replica could take the majority away.
+        """
+        return not self._stopping and self.replica.may_vote and self.hub.is_fresh()
 
     async def run(self) -> None:
         """Run the replica and its services until cancelled."""
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -254,8 +254,12 @@
         await self.commands.close()
 
     def is_ready(self) -> bool:
-        """Return whether this replica is current with a majority and not stopping."""
-        return not self._stopping and self.hub.is_fresh()
+        """Return whether this replica counts towards a majority and is up to date.
+
+        A replica with an empty disk reads the log before it may vote. Until then, the
+        loss of another replica could take the majority away.
+        """
+        return not self._stopping and self.replica.may_vote and self.hub.is_fresh()
 
     async def _serve_http(self) -> None:
         async def put_document(number: int, content: bytes) -> None:
--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -110,10 +110,9 @@
         shutil.rmtree(self._data(node), ignore_errors=True)
 
     async def wait_until_caught_up(self, node: Node) -> None:
-        """Wait until a control replica answers reads.
+        """Wait until a control replica is ready.
 
-        It does so only if it is a member of the group and a majority has confirmed its
-        state.
+        It is ready once it may vote and a majority has confirmed its state.
 
         Raises:
             TimeoutError: It did not within ``CATCH_UP_TIMEOUT_S``.
@@ -123,12 +122,12 @@
             asyncio.timeout(CATCH_UP_TIMEOUT_S),
             aiohttp.ClientSession(timeout=timeout) as session,
         ):
-            while not await self._answers_reads(session, node):
+            while not await self._is_ready(session, node):
                 await asyncio.sleep(CATCH_UP_POLL_INTERVAL_S)
 
-    async def _answers_reads(self, session, node) -> bool:
+    async def _is_ready(self, session, node) -> bool:
         try:
-            async with session.get(f"http://{node.ip}:{self.http}/config") as res:
+            async with session.get(f"http://{node.ip}:{self.http}/readyz") as res:
                 return res.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -22,6 +22,7 @@
 REGRESSION_SEEDS = (
     305,  # SIGHUP during start-up terminated an entry
     308,  # SIGHUP during start-up terminated a control replica
+    7,  # an empty control replica was ready before it might vote
 )
 LOAD_S = 3.0
 
