Settings accept every number that the platform may send

Callers saw nothing served: six deployments did not start. Entries ended with exit code 2 and were started again and again.

Cause: retry_slack was an integer in the settings, while the platform renders a real number into it (budget-slack scaled with the deployment).

Same fault elsewhere, found by rendering both templates with absent values, fractions, exponents and zero: - an absent number rendered "key = ", which no numeric key accepts; an empty value now means the default; - heartbeat-ms was followed by "e-3", which breaks for a value with an exponent; durations accept the unit ms instead; - heartbeat-ms = 0 and budget-window-s = 0 were out of range; 0 now means the default; - retry_ratio above 1 and windows under 1 s or above 600 s were out of range; - an absent region was an invalid name.

--- a/wigeonscale/config/keys.py
+++ b/wigeonscale/config/keys.py
@@ -16,7 +16,9 @@
     "byte_count",
     "count",
     "fraction",
+    "number",
     "seconds",
+    "seconds_or_default",
 ]
 
 import ipaddress
@@ -55,15 +57,44 @@
 
 def allowed_text(annotation: object) -> str:
     """Return the description of the allowed values of an annotated key."""
-    for extra in typing.get_args(annotation)[1:]:
+    # The outermost annotation is the last one.
+    for extra in reversed(typing.get_args(annotation)[1:]):
         if isinstance(extra, Allowed):
             return extra.text
     return str(annotation)
 
 
 def seconds(low: float, high: float) -> object:
-    """Return the type of a duration in seconds within a range."""
+    """Return the type of a duration within a range, in seconds.
+
+    A value with the unit ``ms`` is converted.
+    """
     allowed = Allowed(f"seconds from {low:g} to {high:g}")
+    return Annotated[
+        float,
+        BeforeValidator(_convert_milliseconds),
+        Field(ge=low, le=high, allow_inf_nan=False),
+        allowed,
+    ]
+
+
+def seconds_or_default(low: float, high: float, *, default: float) -> object:
+    """Return the type of a duration within a range, in seconds; 0 for a default."""
+
+    def check(value: float) -> float:
+        if value == 0:
+            return default
+        if value < low:
+            raise ValueError("too short")
+        return value
+
+    text = f"seconds from {low:g} to {high:g}, or 0 for {default:g}"
+    return Annotated[seconds(0, high), AfterValidator(check), Allowed(text)]
+
+
+def number(low: float, high: float) -> object:
+    """Return the type of a real number within a range."""
+    allowed = Allowed(f"a number from {low:g} to {high:g}")
     return Annotated[float, Field(ge=low, le=high, allow_inf_nan=False), allowed]
 
 
@@ -85,6 +116,12 @@
     return Annotated[float, Field(ge=low, le=high, allow_inf_nan=False), allowed]
 
 
+def _convert_milliseconds(value: object) -> object:
+    if isinstance(value, str) and value.endswith("ms"):
+        return float(value.removesuffix("ms")) / 1000
+    return value
+
+
 def _ip_address(value: str) -> str:
     return str(ipaddress.ip_address(value))
 
--- a/wigeonscale/config/load.py
+++ b/wigeonscale/config/load.py
@@ -50,6 +50,8 @@
 ) -> EntrySettings | AgentSettings | ControlSettings:
     """Load and validate the settings of one role.
 
+    A key with an empty value has its default.
+
     Args:
         path: Path of the INI file.
         role: One of :data:`ROLES`.
@@ -132,10 +134,16 @@
     problems: list[str],
 ) -> NodeSettings | None:
     attributes = _attributes_by_key(cls, role)
+    has_default = {
+        field.name
+        for field in dataclasses.fields(cls)
+        if field.default is not dataclasses.MISSING
+    }
     given = {
         name: values[section][key]
         for (section, key), name in attributes.items()
         if key in values.get(section, {})
+        and (values[section][key] or name not in has_default)
     }
     try:
         return _adapter(cls).validate_python(given)
--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -29,7 +29,9 @@
     byte_count,
     count,
     fraction,
+    number,
     seconds,
+    seconds_or_default,
 )
 
 DataFolder = Annotated[str, Field(min_length=1), Allowed("the path of a folder")]
@@ -121,7 +123,7 @@
         retry_slack: Allowed retries in addition to that fraction within
             ``retry_window_s``, over all entries.
         retry_window_s: Time window over which requests and retries are counted, in
-            seconds.
+            seconds; 0 for the default.
         serve_when_cut: Whether to continue serving with the last known state after no
             majority of control has confirmed it for ``lease_s``.
         killed_after_s: Time after which a process that was asked to stop is killed, in
@@ -137,9 +139,9 @@
     internal_port: count(1, 65535)
     lease_s: seconds(0.1, 60) = 3.0
     heartbeat_s: seconds(0.01, 20) = 0.5
-    retry_ratio: fraction(0, 1) = 0.1
-    retry_slack: count(0, 100_000) = 10
-    retry_window_s: seconds(1, 600) = 10.0
+    retry_ratio: fraction(0, 100) = 0.1
+    retry_slack: number(0, 100_000) = 10.0
+    retry_window_s: seconds_or_default(0.1, 3600, default=10) = 10.0
     serve_when_cut: YesNo = True
     killed_after_s: seconds(0, 3600) = 0.0
     classes: ClassesMode = "auto"
@@ -245,7 +247,8 @@
         heartbeat_s: Interval of the leader's heartbeats, in seconds.
         lease_s: Age at which the state of a replica is considered stale, in seconds.
         snapshot_entries: Number of log entries between two snapshots.
-        backend_heartbeat_s: Interval of the heartbeats of backend servers, in seconds.
+        backend_heartbeat_s: Interval of the heartbeats of backend servers, in seconds;
+            0 for the default.
         answer_s: Maximum wait for a majority before an operator gets a response, in
             seconds.
         killed_after_s: Time after which a process that was asked to stop is killed, in
@@ -261,6 +264,6 @@
     heartbeat_s: seconds(0.01, 20) = 0.15
     lease_s: seconds(0.1, 60) = 1.5
     snapshot_entries: count(1, 10_000_000) = 2000
-    backend_heartbeat_s: seconds(0.01, 60) = 1.2
+    backend_heartbeat_s: seconds_or_default(0.01, 60, default=1.2) = 1.2
     answer_s: seconds(0.1, 60) = 0.9
     killed_after_s: seconds(0, 3600) = 0.0
