Entries hold back retries until totals confirm that others made none

Load pattern: half of 28 entries want every retry, the other half one second later (the listed test SecondHalfTest). Backend servers got up to 1.074 of the budget with totals 0.7 to 1.5 s late and 1.011 with totals 0.3 to 0.7 s late.

Cause: an entry of the second half divided the whole usable budget at its first retry, by totals that did not contain the retries of the first half yet.

Evidence: the excess grows with the lateness of the totals; with totals 0 to 0.1 s late the same demand stays within the budget.

Change: at the beginning of a burst an entry divides 0.7 of the usable budget, and the rest in the proportion of entries whose reports in the totals are newer than 1.1 s before the burst. With prompt totals that is the next update, within half a second; later totals take longer. Since less is divided twice, 0.93 instead of 0.91 of the budget is usable.

--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -12,11 +12,16 @@
 
 # Fraction of the budget that all entries use together. The rest covers entries that
 # want retries at different times while the totals are late.
-USABLE_FRACTION = 0.91
+USABLE_FRACTION = 0.93
 # The same fraction while control does not say how late the totals are.
 USABLE_FRACTION_WITHOUT_AGES = 0.87
 # Fraction of an entry's equal share that it may use without recent totals.
 GUARANTEED_FRACTION = 0.7
+# Fraction of the usable budget that an entry divides before the totals contain reports
+# from just before its burst of retries. Others may have begun to retry since then.
+UNCONFIRMED_FRACTION = 0.7
+# Age of such reports at the beginning of the burst.
+MAX_CONFIRMING_AGE_S = 1.1
 # Control sends the totals of all entries with each lease grant, by default twice a
 # second.
 TOTALS_MAX_AGE_S = 2.5
@@ -63,6 +68,8 @@
         totals: Last totals of all entries; None before the first.
         coverage: Which retries the totals contain.
         denied_at: When a retry was last denied.
+        wanted_at: When a retry was last wanted.
+        burst_at: When the first retry of the current burst was wanted.
     """
 
     requests: deque[float] = field(default_factory=deque)
@@ -71,6 +78,14 @@
     totals: _Totals | None = None
     coverage: TotalsCoverage = field(default_factory=TotalsCoverage)
     denied_at: float = float("-inf")
+    wanted_at: float = float("-inf")
+    burst_at: float = float("-inf")
+
+    def note_wanted(self, now: float) -> None:
+        """Record that a retry is wanted."""
+        if now - self.wanted_at > PAUSE_S:
+            self.burst_at = now
+        self.wanted_at = now
 
     def drop_before(self, oldest: float) -> None:
         """Drop requests and retries that have left the window."""
@@ -179,6 +194,7 @@
         """
         now = self._clock.now()
         counts = self._recent(service)
+        counts.note_wanted(now)
         limit = self._limit(counts)
         if not is_begun:
             limit *= 1.0 - RESERVED_FRACTION
@@ -210,9 +226,23 @@
         )
         # Entries without contact to control use their guaranteed part.
         usable -= GUARANTEED_FRACTION * missing / entries
+        usable *= self._confirmed_fraction(counts, entries)
         left = usable * budget - self._likely_retries(counts, entries)
         return len(counts.retries) + max(0.0, left) / entries
 
+    def _confirmed_fraction(self, counts: _ServiceCounts, entries: int) -> float:
+        """Return the part of the usable budget that may be divided.
+
+        Entries that begin to retry later than others, before they see the retries of
+        these in the totals, would otherwise divide the same budget again.
+        """
+        if not counts.coverage.has_ages:
+            return 1.0
+        confirmed = counts.coverage.fraction_after(
+            counts.burst_at - MAX_CONFIRMING_AGE_S, entry_count=entries
+        )
+        return UNCONFIRMED_FRACTION + (1.0 - UNCONFIRMED_FRACTION) * confirmed
+
     def _likely_retries(self, counts: _ServiceCounts, entries: int) -> float:
         """Return the retries of all entries, those that the totals lack included."""
         unseen = 0.0
