Entries reserve retries at control beyond a guaranteed part

Load pattern: entries of one failure domain want retries after a loss, and others begin to want them later.

Cause: entries divided what late totals left of the budget, so what others had taken unseen was divided again. A rule on late totals alone has to set that aside for every entry, which leaves a single failure domain with too few retries.

Change: 0.6 of an entry's equal share needs no contact. What is above that, 0.38 of the budget, is reserved at control before use. The entry sends ReserveRetries over its command stream to the leader, which commits it; a reservation that would get nothing is answered without a commit. Reservations expire by log index, named by the leader from its monotonic clock, so that neither a new leader nor a jump of a wall clock frees them early. An entry whose control knows no reservations follows the totals as before.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -219,6 +219,10 @@
         self.retries = self._counter(
             "retries_total", "Dispatches tried again, by cause.", "kind"
         )
+        self.reserved_retries = self._counter(
+            "reserved_retries_total",
+            "Retries that control reserved for this entry.",
+        )
         self.recovered_streams = self._counter(
             "recovered_streams_total",
             "Streams of lost engines moved on, by way (detour, same-domain,"
--- a/wigeonscale/control/__init__.py
+++ b/wigeonscale/control/__init__.py
@@ -12,6 +12,7 @@
     "PlacementLoop",
     "Registry",
     "ReplicaMembership",
+    "RetryLedger",
     "Watcher",
     "forward_suspicion",
     "probe_agent",
@@ -30,6 +31,7 @@
 from wigeonscale.control.probe import probe_agent
 from wigeonscale.control.registry import Registry
 from wigeonscale.control.replica_membership import ReplicaMembership
+from wigeonscale.control.retry_ledger import RetryLedger
 from wigeonscale.control.service import ControlServicer
 from wigeonscale.control.suspicion import forward_suspicion
 from wigeonscale.control.watcher import Watcher
--- a/wigeonscale/control/commands.py
+++ b/wigeonscale/control/commands.py
@@ -7,10 +7,11 @@
 
 from wigeonscale.adapters.channels import TlsFiles
 from wigeonscale.adapters.metrics import METRICS, OK, Metrics
+from wigeonscale.control.retry_ledger import RetryLedger
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.membership.submitter import Submitter
 from wigeonscale.ports import Clock
-from wigeonscale.replication import NotLeaderError, Replica
+from wigeonscale.replication import NotLeaderError, Replica, Role
 from wigeonscale.wire import wire_pb2 as wire
 
 MS_PER_S = 1000
@@ -27,6 +28,8 @@
         rng: Source of jitter; None for one seeded by the operating system.
         metrics: Counts commands.
         tls: Files for mutual TLS, or None for plain TCP.
+        retry_ledger: Completes commands that reserve retries; None if entries reserve
+            none.
     """
 
     def __init__(
@@ -38,8 +41,10 @@
         rng: random.Random | None = None,
         metrics: Metrics = METRICS,
         tls: TlsFiles | None = None,
+        retry_ledger: RetryLedger | None = None,
     ):
         self._replica = replica
+        self._retry_ledger = retry_ledger
         self._clock = clock
         self._metrics = metrics
         self._submitter = Submitter(
@@ -75,6 +80,10 @@
         stamped = wire.Command()
         stamped.CopyFrom(command)
         stamped.wall_ms = int(self._clock.wall() * MS_PER_S)
+        if self._retry_ledger is not None and self._replica.role is Role.LEADER:
+            result = self._retry_ledger.prepare(stamped)
+            if result is not None:
+                return result
         began = self._clock.now()
         try:
             result = await self._replica.propose(stamped.SerializeToString())
--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -21,6 +21,7 @@
     LayerAssigner,
     Registry,
     ReplicaMembership,
+    RetryLedger,
 )
 from wigeonscale.control.numbered_documents import NumberedDocuments
 from wigeonscale.daemons.runtime import (
@@ -96,8 +97,15 @@
             allow_bootstrap=cfg.first_start,
             shared=self,
         )
+        self._retry_ledger = RetryLedger(
+            state=self.state, replica=self.replica, clock=clock
+        )
         self.commands = Commands(
-            replica=self.replica, addresses=seeds, clock=clock, tls=cfg.tls
+            replica=self.replica,
+            addresses=seeds,
+            clock=clock,
+            tls=cfg.tls,
+            retry_ledger=self._retry_ledger,
         )
         self.hub = Hub(
             node_id=address,
@@ -224,6 +232,7 @@
         """Run the replica and its services until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
+            group.create_task(self._retry_ledger.run())
             group.create_task(self._entry_counter.run())
             group.create_task(self.registry.run())
             group.create_task(self.membership.run())
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -17,6 +17,7 @@
 from wigeonscale.daemons.crashes import crash_update_handler, report_crashes_to_control
 from wigeonscale.daemons.early_listener import EarlyListener
 from wigeonscale.daemons.load_exchange import apply_load_totals, build_load_report
+from wigeonscale.daemons.retry_reservations import retry_reserver
 from wigeonscale.daemons.runtime import (
     StopStep,
     late_step_timeout_s,
@@ -32,6 +33,7 @@
     EntryContext,
     Fleet,
     Notices,
+    ReservedRetries,
     SharedRetryBudget,
     StallDetector,
     read_fleet,
@@ -183,12 +185,17 @@
         name=cfg.name, clock=clock, entry_count=lambda: control.entries
     )
     notices = Notices(clock=clock, limits=limits)
+    reserved = ReservedRetries(
+        clock=clock,
+        reserve=retry_reserver(lambda: control, window_s=cfg.retry_window_s),
+    )
     budget = SharedRetryBudget(
         clock=clock,
         ratio=cfg.retry_ratio,
         slack=cfg.retry_slack,
         window_s=cfg.retry_window_s,
         entry_count=lambda: control.entries,
+        reserved=reserved,
     )
     crashes = CrashTracker(
         clock=clock,
@@ -314,6 +321,7 @@
             reload=lambda: control.add_addresses(_control_addresses(reload())),
         )
     finally:
+        await reserved.close()
         await http_runner.cleanup()
         await session.close()
 
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -9,8 +9,11 @@
     "DirectService",
     "EntryContext",
     "Fleet",
+    "MAX_UNUSED_RESERVATION_S",
     "NamedLimit",
     "Notices",
+    "ReserveRetries",
+    "ReservedRetries",
     "SharedRetryBudget",
     "StallDetector",
     "read_fleet",
@@ -29,6 +32,11 @@
 from wigeonscale.direct.job import EntryContext
 from wigeonscale.direct.notices import Notices
 from wigeonscale.direct.rate_limits import BackendRateLimits, NamedLimit
+from wigeonscale.direct.reserved_retries import (
+    MAX_UNUSED_RESERVATION_S,
+    ReservedRetries,
+    ReserveRetries,
+)
 from wigeonscale.direct.retry_budget import SharedRetryBudget
 from wigeonscale.direct.service import DirectService
 from wigeonscale.direct.stalls import StallDetector
--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -52,7 +52,7 @@
         server = _next_server(ctx, job, tried)
         if server is None or attempts >= job.route.max_attempts:
             break
-        if attempts and not ctx.budget.try_spend(job.service.name):
+        if attempts and not await ctx.budget.acquire(job.service.name):
             break
         tried.add(server.backend_id)
         attempts += 1
--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -2,11 +2,13 @@
 
 __all__ = ["SharedRetryBudget"]
 
+import math
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from wigeonscale.direct.reserved_retries import ReservedRetries
 from wigeonscale.direct.totals_coverage import TotalsCoverage
 from wigeonscale.ports import Clock
 
@@ -22,6 +24,11 @@
 UNCONFIRMED_FRACTION = 0.7
 # Age of such reports at the beginning of the burst.
 MAX_CONFIRMING_AGE_S = 1.1
+# With reservations: fraction of its equal share that an entry uses without contact, and
+# fraction of the budget that control reserves. The rest covers requests that leave the
+# window before the totals say so.
+OWN_FRACTION = 0.6
+RESERVABLE_FRACTION = 0.38
 # Control sends the totals of all entries with each lease grant, by default twice a
 # second.
 TOTALS_MAX_AGE_S = 2.5
@@ -64,6 +71,7 @@
     Attributes:
         requests: Times of this entry's requests.
         retries: This entry's retries.
+        reserved_retries: Times of the retries that control had reserved.
         reported_requests: Requests in this entry's last report.
         totals: Last totals of all entries; None before the first.
         coverage: Which retries the totals contain.
@@ -74,6 +82,7 @@
 
     requests: deque[float] = field(default_factory=deque)
     retries: deque[_Retry] = field(default_factory=deque)
+    reserved_retries: deque[float] = field(default_factory=deque)
     reported_requests: int = 0
     totals: _Totals | None = None
     coverage: TotalsCoverage = field(default_factory=TotalsCoverage)
@@ -93,6 +102,8 @@
             self.requests.popleft()
         while self.retries and self.retries[0].at < oldest:
             self.retries.popleft()
+        while self.reserved_retries and self.reserved_retries[0] < oldest:
+            self.reserved_retries.popleft()
 
 
 class SharedRetryBudget:
@@ -101,11 +112,15 @@
     All entries together may make ``ratio`` times their requests plus ``slack`` retries.
 
     A lost or full engine often affects the streams of a few entries only. With hundreds
-    of entries, the equal share of each is a few retries. So an entry uses its equal
-    share at once, and then its equal part of what the totals from control leave.
+    of entries, the equal share of each is a few retries. So an entry uses a fraction of
+    its equal share without contact, and reserves more at control, which divides the
+    rest of the budget before it is used. The bound holds however late the totals are.
 
-    The totals are late, and all entries may want retries at once. So an entry assumes
-    for each of its own retries that every entry whose report in the totals is older has
+    Control of an older version knows no reservations. An entry then uses its equal
+    share at once, and after that its equal part of what the totals from control leave.
+
+    These are late, and all entries may want retries at once. So an entry assumes for
+    each of its own retries that every entry whose report in the totals is older has
     made one as well.
 
     Args:
@@ -114,6 +129,7 @@
         slack: Additional retries of all entries together.
         window_s: Length of the window, in seconds.
         entry_count: Returns the number of entries that share the slack.
+        reserved: Reserves retries at control; None for a budget by totals alone.
 
     Example:
         >>> from wigeonscale.testing import ManualClock
@@ -136,12 +152,14 @@
         slack: float,
         window_s: float,
         entry_count: Callable[[], int],
+        reserved: ReservedRetries | None = None,
     ):
         self._clock = clock
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._entry_count = entry_count
+        self._reserved = reserved
         self._services: dict[str, _ServiceCounts] = {}
         self._totals_at = float("-inf")
 
@@ -159,8 +177,9 @@
         for service in self._services:
             counts = self._recent(service)
             counts.reported_requests = len(counts.requests)
-            if counts.requests or counts.retries:
-                reports[service] = len(counts.requests), len(counts.retries)
+            retries = len(counts.retries) + len(counts.reserved_retries)
+            if counts.requests or retries:
+                reports[service] = len(counts.requests), retries
         return reports
 
     def apply_totals(
@@ -192,8 +211,48 @@
             is_begun: Whether the caller has a part of the response or cannot be told to
                 retry. Other requests may not use the reserved fraction.
         """
-        now = self._clock.now()
         counts = self._recent(service)
+        if self._reserved is not None and self._reserved.is_supported:
+            return self._try_spend_reserved(service, counts, is_begun=is_begun)
+        return self._try_spend_by_totals(counts, is_begun=is_begun)
+
+    async def acquire(self, service: str, *, is_begun: bool = True) -> bool:
+        """Take one retry, after the answer of control if one is expected soon.
+
+        Args:
+            service: Service of the request.
+            is_begun: As for :meth:`try_spend`.
+
+        Returns:
+            Whether the retry is allowed.
+        """
+        if self.try_spend(service, is_begun=is_begun):
+            return True
+        if self._reserved is None or not await self._reserved.wait(service):
+            return False
+        return self.try_spend(service, is_begun=is_begun)
+
+    def _try_spend_reserved(
+        self, service: str, counts: _ServiceCounts, *, is_begun: bool
+    ) -> bool:
+        now = self._clock.now()
+        entries = max(1, self._entry_count())
+        share = self._ratio * len(counts.requests) + self._slack / entries
+        usable = 1.0 if is_begun else 1.0 - RESERVED_FRACTION
+        if len(counts.retries) + 1 <= usable * OWN_FRACTION * share:
+            counts.retries.append(_Retry(now, now))
+            return True
+        if self._reserved.take(service):
+            counts.reserved_retries.append(now)
+            return True
+        reservable = RESERVABLE_FRACTION * self._budget(counts)
+        self._reserved.ask(
+            service, limit=int(usable * reservable), max_count=math.ceil(share)
+        )
+        return False
+
+    def _try_spend_by_totals(self, counts: _ServiceCounts, *, is_begun: bool) -> bool:
+        now = self._clock.now()
         counts.note_wanted(now)
         limit = self._limit(counts)
         if not is_begun:
@@ -212,12 +271,10 @@
     def _limit(self, counts: _ServiceCounts) -> float:
         """Return the maximum number of retries of this entry in the window."""
         entries = max(1, self._entry_count())
-        totals_age_s = self._clock.now() - self._totals_at
-        if counts.totals is None or totals_age_s > TOTALS_MAX_AGE_S:
+        if not self._has_recent_totals(counts):
             own = self._ratio * len(counts.requests) + self._slack / entries
             return GUARANTEED_FRACTION * own
-        requests = max(0, counts.totals.requests - counts.reported_requests)
-        budget = self._ratio * (requests + len(counts.requests)) + self._slack
+        budget = self._budget(counts)
         missing = counts.coverage.missing_reports(entries)
         usable = (
             USABLE_FRACTION
@@ -230,6 +287,17 @@
         left = usable * budget - self._likely_retries(counts, entries)
         return len(counts.retries) + max(0.0, left) / entries
 
+    def _budget(self, counts: _ServiceCounts) -> float:
+        """Return the budget of all entries, by this entry's requests if no others."""
+        requests = len(counts.requests)
+        if self._has_recent_totals(counts):
+            requests += max(0, counts.totals.requests - counts.reported_requests)
+        return self._ratio * requests + self._slack
+
+    def _has_recent_totals(self, counts: _ServiceCounts) -> bool:
+        totals_age_s = self._clock.now() - self._totals_at
+        return counts.totals is not None and totals_age_s <= TOTALS_MAX_AGE_S
+
     def _confirmed_fraction(self, counts: _ServiceCounts, entries: int) -> float:
         """Return the part of the usable budget that may be divided.
 
--- a/wigeonscale/direct/retry_wait.py
+++ b/wigeonscale/direct/retry_wait.py
@@ -31,7 +31,8 @@
     A lost engine may break more streams of this entry at once than its guaranteed
     retries cover. A request that must be finished waits for the next totals of the
     retry budget. A request that has not run is rejected at once, or, with traffic
-    classes, once a response can no longer be in time.
+    classes, once a response can no longer be in time. Both wait for control if it has
+    been asked to reserve retries.
 
     Args:
         ctx: Context of the entry.
@@ -44,14 +45,14 @@
     """
     began_at = ctx.clock.now()
     give_up_at = _retry_wait_ends_at(ctx, job, progress)
-    is_allowed = _try_acquire_retry(ctx, job, progress)
+    is_allowed = await _acquire_retry(ctx, job, progress)
     while not is_allowed and (now := ctx.clock.now()) < give_up_at:
         wait_s = RETRY_BUDGET_POLL_INTERVAL_S
         if not progress.must_finish:
             # The last check is due while the response can still be in time.
             wait_s = min(wait_s, give_up_at - now)
         await ctx.clock.sleep(wait_s)
-        is_allowed = _try_acquire_retry(ctx, job, progress)
+        is_allowed = await _acquire_retry(ctx, job, progress)
     waited_s = ctx.clock.now() - began_at
     if waited_s > 0 or not is_allowed:
         logger.info(
@@ -92,14 +93,14 @@
     return job.route.is_idempotent or not progress.ran_on
 
 
-def _try_acquire_retry(ctx: EntryContext, job: Job, progress: Progress) -> bool:
+async def _acquire_retry(ctx: EntryContext, job: Job, progress: Progress) -> bool:
     """Take one retry from the budget if the request may be retried; return whether."""
     if ctx.clock.now() >= job.deadline_at or not _may_repeat(job, progress):
         return False
     if progress.has_retry:
         progress.has_retry = False
         return True
-    return ctx.budget.try_spend(job.service.name, is_begun=progress.must_finish)
+    return await ctx.budget.acquire(job.service.name, is_begun=progress.must_finish)
 
 
 def _final_error(
--- a/wigeonscale/state/result_cache.py
+++ b/wigeonscale/state/result_cache.py
@@ -102,6 +102,7 @@
     body = wire.Command()
     body.CopyFrom(command)
     body.ClearField("wall_ms")
+    body.ClearField("expired_index")
     body.ClearField("operation_id")
     if body.WhichOneof("body") == "apply_config":
         body.apply_config.ClearField("base_revision")
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -18,6 +18,7 @@
 from wigeonscale.state.numbered_document import LatestNumberedDocument
 from wigeonscale.state.operation_results import OperationResults
 from wigeonscale.state.results import done, refused
+from wigeonscale.state.retry_reservations import RetryReservations
 from wigeonscale.state.snapshots import SNAPSHOT_FORMAT, parse_snapshot
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -45,6 +46,7 @@
         entries: Entries attached to any replica.
         document: Numbered document with the highest number.
         crashes: Records of requests under which backend servers crashed.
+        retry_reservations: Retries that entries reserved.
         changes: Subject of :class:`Change`; emits after each command that changed
             anything that watchers are sent.
         index: Log index of the last command applied.
@@ -61,6 +63,7 @@
         self.entries = Entries()
         self.document = LatestNumberedDocument()
         self.crashes = CrashRecords()
+        self.retry_reservations = RetryReservations()
         self.changes: Subject[Change] = Subject()
         self.index = 0
         self.now_ms = 0
@@ -150,6 +153,7 @@
         self.entries.save(snapshot)
         self.document.save(snapshot)
         self.crashes.save(snapshot)
+        self.retry_reservations.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -183,6 +187,7 @@
         self.entries.load(snapshot)
         self.document.load(snapshot)
         self.crashes.load(snapshot.crashes)
+        self.retry_reservations.load(snapshot.retry_reservations)
         self.index = snapshot.index
         self.now_ms = snapshot.now_ms
         self.placement_index = snapshot.placement_index
@@ -228,6 +233,8 @@
 
     def _dispatch(self, command):
         name = command.WhichOneof("body")
+        if name == "reserve_retries":
+            return None, self._reserve_retries(command)
         handler = self._handlers.get(name)
         if handler is None:
             return None, refused(ErrorKind.BAD_REQUEST, "unknown or garbled command")
@@ -343,6 +350,16 @@
             return None, done()
         return Change(self.index, crashes=True), done()
 
+    def _reserve_retries(self, command):
+        # No change is emitted: only the entry that reserved them needs to know.
+        result = done()
+        result.reserved = self.retry_reservations.reserve(
+            command.reserve_retries,
+            index=self.index,
+            expired_index=command.expired_index,
+        )
+        return result
+
     def _member_change(self, *agent_ids):
         chains = [chain for i in agent_ids for chain in self.chains.refresh(i)]
         return Change(
