SIGHUP while a daemon ends does not terminate it

An operator who reloads all daemons while one stops saw it end by signal 1 instead of with its exit code, as if it had failed.

Cause: after the stop steps the handler was removed, which restores the default action, while the process still cleans up.

Change: SIGHUP is ignored from then on; it is blocked during the switch. The new test fails without it: the disposition was SIG_DFL.

--- a/wigeonscale/daemons/runtime.py
+++ b/wigeonscale/daemons/runtime.py
@@ -130,12 +130,21 @@
         for signum in signals:
             loop.remove_signal_handler(signum)
         if signals:
-            loop.remove_signal_handler(signal.SIGHUP)
+            _ignore_sighup(loop)
     code = EXIT_FAILED if failed else EXIT_STOP_TIMEOUT if timed_out else EXIT_OK
     logger.info("stopped", extra=log_fields(outcome="stopped", exit_code=code))
     return code
 
 
+def _ignore_sighup(loop: asyncio.AbstractEventLoop) -> None:
+    """Replace the handler of SIGHUP, so that the exit code is the daemon's own."""
+    # Without a handler the default action applies, which would terminate the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+
+
 def _handle_sighup(reload: Callable[[], None] | None) -> None:
     if reload is None:
         logger.info("SIGHUP ignored: this daemon reads its settings only at start")
--- a/wigeonscale/daemons/tests/test_runtime.py
+++ b/wigeonscale/daemons/tests/test_runtime.py
@@ -134,6 +134,10 @@
 class SighupTest(AsyncTestCase):
     """Tests of SIGHUP, whose default action would terminate the process."""
 
+    def setUp(self):
+        super().setUp()
+        self.addCleanup(signal.signal, signal.SIGHUP, signal.getsignal(signal.SIGHUP))
+
     async def run_through(self, reload):
         stop = asyncio.Event()
         handled = asyncio.Event()
@@ -166,3 +170,9 @@
             raise SettingsError("planted")
 
         self.assertEqual(EXIT_OK, await self.run_through(reload))
+
+    async def test_sighup_after_the_end_does_not_terminate_the_process(self):
+        # Guards against an exit by signal 1 of a daemon that has stopped gracefully.
+        await self.run_through(lambda: None)
+        self.assertEqual(signal.SIG_IGN, signal.getsignal(signal.SIGHUP))
+        os.kill(os.getpid(), signal.SIGHUP)
