Log responses that do not name their request

Change: the entry logs each response without the id of its request: the id found, both ends of the connection, whether it was reused, the first 256 header bytes, and whether the response was taken or rejected. Nothing else changes.

--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from wigeonscale.adapters.http_connector import CleanConnector
+from wigeonscale.adapters.logs import log_fields
 from wigeonscale.platform.connection_limiter import (
     ConnectionContext,
     limit_concurrent_connects,
@@ -22,6 +23,7 @@
     parse_event_id,
     read_failed_address,
     read_notice,
+    read_request_id,
     read_response_head,
 )
 from wigeonscale.ports.exchange import (
@@ -42,6 +44,7 @@
 IDLE_TIMEOUT_S = 1.5
 MAX_EVENT_BYTES = 1 << 20
 EVENT_END = b"\n\n"
+MAX_LOGGED_HEAD_BYTES = 256
 
 logger = logging.getLogger(__name__)
 
@@ -194,7 +197,11 @@
         ExchangeError: If the response belongs to another request, or states that the
             work did not run.
     """
-    if not matches_request(res.headers, call.req.request_id, is_reused=is_reused):
+    is_match = matches_request(res.headers, call.req.request_id, is_reused=is_reused)
+    response_id = read_request_id(res.headers)
+    if response_id != call.req.request_id:
+        _log_other_id(call, res, response_id, is_reused=is_reused, is_match=is_match)
+    if not is_match:
         raise ExchangeError(
             CallOutcome.UNKNOWN, f"{call.address} responded to a different request"
         )
@@ -210,3 +217,31 @@
             notice=notice,
         )
     return notice
+
+
+def _log_other_id(
+    call: BackendCall,
+    res: aiohttp.ClientResponse,
+    response_id: str,
+    *,
+    is_reused: bool,
+    is_match: bool,
+) -> None:
+    """Log which connection and which bytes a response without its id came from."""
+    # The public property is unset once a short body has been received.
+    transport = res._protocol.transport
+    head = b"\r\n".join(b": ".join(header) for header in res.raw_headers)
+    logger.warning(
+        "response without the id of its request",
+        extra=log_fields(
+            request_id=call.req.request_id,
+            response_id=response_id,
+            backend=call.backend_id,
+            address=call.address,
+            local_address=transport.get_extra_info("sockname") if transport else None,
+            is_reused=is_reused,
+            status=res.status,
+            head=head[:MAX_LOGGED_HEAD_BYTES].decode("latin-1"),
+            outcome="taken" if is_match else "rejected",
+        ),
+    )
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -209,6 +209,11 @@
     return headers.get("Attempt-Id", missing_id) == request_id
 
 
+def read_request_id(headers: Mapping[str, str]) -> str:
+    """Return the id of the request that a response names; empty for none."""
+    return headers.get("Attempt-Id", "")
+
+
 def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether a response states that the work did not run and never will."""
     return status == MISDIRECTED or "Not-Run" in headers
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -259,3 +259,22 @@
         exc = await self.call_error()
         self.assertIs(CallOutcome.UNKNOWN, exc.outcome)
         self.assertEqual(1, len(self.writers))
+
+    async def test_response_without_an_id_is_logged(self):
+        """Guards against an answer of another request that leaves no trace."""
+        self.reply(self.FIRST, self.SECOND, keep_open=True)
+        await self.call()
+        with self.assertLogs("wigeonscale.platform.exchange_http") as logs:
+            await self.call_error()
+        fields = logs.records[0].fields
+        local_address = self.writers[0].get_extra_info("peername")
+        self.assertEqual(
+            (True, "rejected", "", local_address, "Content-Length: 3"),
+            (
+                fields["is_reused"],
+                fields["outcome"],
+                fields.get("response_id", ""),
+                fields["local_address"],
+                fields["head"],
+            ),
+        )
