Soak records daemons that end without being told to

Change: the soak reports such an end, and a graceful shutdown with another status than 0 or 3, as a violation with status, age, and the signals sent with the age at each. It starts the daemon again, as a supervisor does.

--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -3,9 +3,11 @@
 __all__ = ["Deployment", "Node"]
 
 import asyncio
+import contextlib
 import pathlib
 import shutil
 import signal
+import time
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -20,6 +22,31 @@
 CATCH_UP_TIMEOUT_S = 45.0
 CATCH_UP_POLL_INTERVAL_S = 0.1
 READ_TIMEOUT_S = 2.0
+# Exit statuses after SIGTERM: stopped, shutdown timed out, and terminated by the signal
+# before the daemon handled it.
+STOPPED_STATUSES = frozenset({0, 3, -signal.SIGTERM})
+
+
+@dataclass(slots=True, kw_only=True)
+class Start:
+    """One start of a daemon.
+
+    Attributes:
+        number: Number of the start, from 1.
+        started_at: Monotonic time, in seconds.
+        signals: Signals sent to the process, with its age.
+        is_stopped: Whether the process was told to end.
+    """
+
+    number: int
+    started_at: float = field(default_factory=time.monotonic)
+    signals: list[str] = field(default_factory=list)
+    is_stopped: bool = False
+
+    @property
+    def age_s(self) -> float:
+        """Time since the start, in seconds."""
+        return time.monotonic() - self.started_at
 
 
 @dataclass(slots=True)
@@ -34,6 +61,7 @@
         starts: Number of starts.
         restart_lock: Held while a fault has stopped the daemon, so that overlapping
             faults do not start it twice.
+        last_start: Its last start; None before the first.
     """
 
     name: str
@@ -42,10 +70,13 @@
     child: Child | None = None
     starts: int = 0
     restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    last_start: Start | None = None
 
     def send_signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process that this node started, if it is running."""
         if self.child is not None and self.child.proc.returncode is None:
+            age_s = self.last_start.age_s
+            self.last_start.signals.append(f"{signum.name} at {age_s:.3f} s")
             self.child.proc.send_signal(signum)
 
 
@@ -54,10 +85,17 @@
 
     Args:
         folder: Folder for settings, data and logs.
+
+    Attributes:
+        unexpected_exits: Descriptions of daemons that ended without being told to, or
+            with a status that a graceful shutdown does not have.
     """
 
     def __init__(self, *, folder: pathlib.Path):
         self._folder = folder
+        self.unexpected_exits: list[str] = []
+        self._is_closing = False
+        self._exit_watchers: set[asyncio.Task] = set()
         self._internal, self.http, self.callers = free_ports(3)
         self.controls = [
             Node(f"control-{n}", "direct-control", ip)
@@ -87,23 +125,35 @@
         config.write_text(self._settings(node), encoding="utf-8")
         node.starts += 1
         log_name = f"{node.name}.{node.starts}"
+        node.last_start = Start(number=node.starts)
         node.child = await start(
             log_name, self._folder, DAEMON, node.role, "--config", str(config)
         )
+        watcher = asyncio.create_task(
+            self._watch_exit(node, node.child, node.last_start)
+        )
+        self._exit_watchers.add(watcher)
+        watcher.add_done_callback(self._exit_watchers.discard)
 
     async def kill(self, node: Node, signum: signal.Signals) -> int:
         """Stop a daemon by a signal and return its exit code.
 
         A process that is still running after ``STOP_TIMEOUT_S`` is killed.
         """
+        if node.child.proc.returncode is not None:
+            return node.child.proc.returncode
+        node.last_start.is_stopped = True
         node.send_signal(signal.SIGCONT)
         node.send_signal(signum)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
-                return await node.child.proc.wait()
+                status = await node.child.proc.wait()
         except TimeoutError:
             node.child.proc.kill()
-            return await node.child.proc.wait()
+            status = await node.child.proc.wait()
+        if signum is signal.SIGTERM and status not in STOPPED_STATUSES:
+            self._note_unexpected_exit(node, node.last_start, status)
+        return status
 
     def wipe(self, node: Node) -> None:
         """Remove the data of a stopped daemon."""
@@ -134,9 +184,30 @@
 
     async def close(self) -> None:
         """Kill every running daemon."""
+        self._is_closing = True
         for node in self.nodes:
             if node.child is not None and node.child.proc.returncode is None:
                 await self.kill(node, signal.SIGKILL)
+        for watcher in list(self._exit_watchers):
+            watcher.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watcher
+
+    async def _watch_exit(self, node: Node, child: Child, last: Start) -> None:
+        status = await child.proc.wait()
+        if last.is_stopped:
+            return
+        self._note_unexpected_exit(node, last, status)
+        # As a process supervisor does; the rest of the run needs the daemon.
+        async with node.restart_lock:
+            if node.child is child and not self._is_closing:
+                await self.start(node)
+
+    def _note_unexpected_exit(self, node: Node, last: Start, status: int) -> None:
+        self.unexpected_exits.append(
+            f"{node.name} ended with status {status} {last.age_s:.3f} s after start"
+            f" {last.number}; signals: {', '.join(last.signals) or 'none'}"
+        )
 
     def _data(self, node: Node) -> pathlib.Path:
         return self._folder / f"{node.name}.data"
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -88,9 +88,12 @@
         for backend in backends:
             await backend.close()
         await dep.close()
-    return SoakResult(
-        seed, dict(checker.answers), (*checker.violations, *checker.notices.violations)
+    violations = (
+        *checker.violations,
+        *checker.notices.violations,
+        *dep.unexpected_exits,
     )
+    return SoakResult(seed, dict(checker.answers), violations)
 
 
 async def _run_load_with_faults(
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -1,12 +1,14 @@
 import asyncio
+import os
 import pathlib
 import random
+import signal
 from types import SimpleNamespace
 
 import fixtures
 
 from wigeonscale.testing import AsyncTestCase
-from wigeonscale.testing.soak.deployment import Node
+from wigeonscale.testing.soak.deployment import Deployment, Node
 from wigeonscale.testing.soak.faults import (
     LINK_KINDS,
     NODE_KINDS,
@@ -245,3 +247,31 @@
             result = await run_soak(seed, seconds=LOAD_S, folder=folder)
             self.assertEqual((), result.violations, seed)
             self.assertTrue(result.answers[200] > 0, result.answers)
+
+
+class UnexpectedExitTest(AsyncTestCase):
+    """Guards against a daemon that is gone and of which nothing is recorded."""
+
+    async def prepare(self):
+        folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
+        self.dep = Deployment(folder=folder)
+        self.addCleanup(self.dep.close)
+        self.node = self.dep.entries[0]
+
+    async def test_daemon_that_ends_by_itself_is_recorded_and_started_again(self):
+        await self.dep.start(self.node)
+        first = self.node.child
+        self.node.send_signal(signal.SIGCONT)
+        os.kill(first.proc.pid, signal.SIGKILL)
+        await first.proc.wait()
+        while self.node.child is first:
+            await asyncio.sleep(0)
+        (line,) = self.dep.unexpected_exits
+        self.assertIn("entry-1 ended with status -9", line)
+        self.assertIn("after start 1; signals: SIGCONT at ", line)
+
+    async def test_daemon_that_was_killed_is_not_recorded(self):
+        await self.dep.start(self.node)
+        await self.dep.kill(self.node, signal.SIGKILL)
+        await self.dep.kill(self.node, signal.SIGTERM)
+        self.assertEqual([], self.dep.unexpected_exits)
