Faults of a soak seed do not depend on timing

Faults were drawn from the generator that heartbeats of backend servers had drawn from before, so the same seed had other faults on a slower machine, and a violation could not be repeated by its seed.

Change: faults are drawn first; heartbeats and callers have generators of their own. Listed seeds have other faults than before.

--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -1,6 +1,6 @@
 """The daemons under test: three control replica and two entry processes."""
 
-__all__ = ["Deployment", "Node"]
+__all__ = ["CONTROLS", "Deployment", "ENTRIES", "Node"]
 
 import asyncio
 import contextlib
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from wigeonscale.testing.soak.backends import Backend
-from wigeonscale.testing.soak.deployment import Deployment
+from wigeonscale.testing.soak.deployment import CONTROLS, ENTRIES, Deployment
 from wigeonscale.testing.soak.faults import draw_faults, inject
 from wigeonscale.testing.soak.invariants import InvariantChecker
 from wigeonscale.testing.soak.load import BATCH, Load, new_session
@@ -16,6 +16,7 @@
 
 ENGINES = 4
 PLAIN_SERVERS = 2
+DAEMONS = len(CONTROLS) + len(ENTRIES)
 CALLERS = 6
 # Every third seed has traffic classes. None of REGRESSION_SEEDS has: they failed
 # without.
@@ -45,7 +46,7 @@
     """Run one seed.
 
     Args:
-        seed: Determines faults, targets and load, but not their exact timing.
+        seed: Determines faults and targets, but not their exact timing.
         seconds: Duration of the load under faults.
         folder: Empty folder for settings, data and logs, which are kept.
         has_classes: Whether the generations have traffic classes, and bursts of the
@@ -54,6 +55,10 @@
     if has_classes is None:
         has_classes = seed % SEEDS_PER_CLASSES == 0
     rng = random.Random(seed)
+    # Heartbeats and callers draw when they run, so they have generators of their own.
+    faults = draw_faults(
+        rng, seconds=seconds, nodes=DAEMONS, backends=ENGINES + PLAIN_SERVERS
+    )
     checker = InvariantChecker()
     dep = Deployment(folder=folder)
     engines: dict[str, Backend] = {}
@@ -63,11 +68,16 @@
             controls=dep.control_addresses,
             checker=checker,
             engines=engines,
-            rng=rng,
+            rng=random.Random(rng.random()),
         )
         for service in ["model"] * ENGINES + ["plain"] * PLAIN_SERVERS
     ]
-    load = Load(dep=dep, checker=checker, rng=rng, has_classes=has_classes)
+    load = Load(
+        dep=dep,
+        checker=checker,
+        rng=random.Random(rng.random()),
+        has_classes=has_classes,
+    )
     try:
         for node in dep.nodes:
             await dep.start(node)
@@ -77,9 +87,7 @@
             await load.change(session, 1)
             await _wait_until_served(load, session, dep, checker, "at first")
             notices = draw_notices(seed, seconds=seconds, backends=len(backends))
-            await _run_load_with_faults(
-                rng, load, dep, backends, seconds, checker, notices
-            )
+            await _run_load_with_faults(faults, load, dep, backends, checker, notices)
             await _wait_until_served(load, session, dep, checker, "after the faults")
             await _wait_until_read(load, session, checker)
             checker.check_crashes()
@@ -96,12 +104,7 @@
     return SoakResult(seed, dict(checker.answers), violations)
 
 
-async def _run_load_with_faults(
-    rng, load, dep, backends, seconds, checker, notices
-) -> None:
-    faults = draw_faults(
-        rng, seconds=seconds, nodes=len(dep.nodes), backends=len(backends)
-    )
+async def _run_load_with_faults(faults, load, dep, backends, checker, notices) -> None:
     control_lock = asyncio.Lock()
     loads = [asyncio.create_task(load.run_callers()) for _ in range(CALLERS)]
     loads.append(asyncio.create_task(load.run_operator()))
