Daemons are to be started with SIGHUP ignored

Operators saw a daemon that was reloaded just after its start gone, with an empty log.

Cause: until the first lines of wigeond run, SIGHUP has its default action.

Change: no code of ours runs before that, but a signal that is ignored when a process is started stays ignored until the process handles it. OPERATING.md says so, and the soak starts its daemons so; it still sends SIGHUP at any moment.

--- a/wigeonscale/cli/tests/test_wigeond.py
+++ b/wigeonscale/cli/tests/test_wigeond.py
@@ -1,6 +1,7 @@
 import contextlib
 import io
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -70,6 +71,18 @@
         # The handler is installed before the large imports.
         self.assertEqual((0, "goes on False\n"), (done.returncode, done.stdout))
 
+    def test_sighup_before_the_start_if_ignored_by_the_starter(self):
+        # Guards against a reload that terminates a daemon whose interpreter still
+        # starts, as in the soak run with seed 9.
+        argv = [sys.executable, "-m", "wigeonscale.cli.wigeond", "--version"]
+        before = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        try:
+            proc = subprocess.Popen(argv, stdout=subprocess.DEVNULL)
+        finally:
+            signal.signal(signal.SIGHUP, before)
+        proc.send_signal(signal.SIGHUP)
+        self.assertEqual(0, proc.wait(timeout=60))
+
     def test_exit_code_is_the_daemons(self):
         seen = []
 
--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -95,6 +95,7 @@
         self._folder = folder
         self.unexpected_exits: list[str] = []
         self._is_closing = False
+        self._start_lock = asyncio.Lock()
         self._exit_watchers: set[asyncio.Task] = set()
         self._internal, self.http, self.callers = free_ports(3)
         self.controls = [
@@ -126,9 +127,10 @@
         node.starts += 1
         log_name = f"{node.name}.{node.starts}"
         node.last_start = Start(number=node.starts)
-        node.child = await start(
-            log_name, self._folder, DAEMON, node.role, "--config", str(config)
-        )
+        async with self._ignored_sighup():
+            node.child = await start(
+                log_name, self._folder, DAEMON, node.role, "--config", str(config)
+            )
         watcher = asyncio.create_task(
             self._watch_exit(node, node.child, node.last_start)
         )
@@ -193,6 +195,17 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await watcher
 
+    @contextlib.asynccontextmanager
+    async def _ignored_sighup(self):
+        # As OPERATING.md says: a signal that is ignored at the start stays ignored
+        # until the daemon handles it.
+        async with self._start_lock:
+            previous = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+            try:
+                yield
+            finally:
+                signal.signal(signal.SIGHUP, previous)
+
     async def _watch_exit(self, node: Node, child: Child, last: Start) -> None:
         status = await child.proc.wait()
         if last.is_stopped:
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -275,3 +275,10 @@
         await self.dep.kill(self.node, signal.SIGKILL)
         await self.dep.kill(self.node, signal.SIGTERM)
         self.assertEqual([], self.dep.unexpected_exits)
+
+    async def test_hangup_at_once_after_the_start(self):
+        for _ in range(5):
+            await self.dep.start(self.node)
+            self.node.send_signal(signal.SIGHUP)
+            await self.dep.kill(self.node, signal.SIGKILL)
+        self.assertEqual([], self.dep.unexpected_exits)
