--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -12,23 +12,27 @@
 from wigeonscale.direct.totals_coverage import TotalsCoverage
 from wigeonscale.ports import Clock
 
-# Fraction of the budget that all entries use together. The rest covers entries that
-# want retries at different times while the totals are late.
+# Fraction of its equal share that an entry uses without contact, and fraction of the
+# budget that control reserves. The rest covers requests that leave the window before
+# the totals say so.
+GUARANTEED_FRACTION = 0.6
+RESERVABLE_FRACTION = 0.38
+# Fraction of the allowance for streams that have begun only. A new request can be
+# rejected with a Retry-After; a broken stream is lost to its caller.
+FRACTION_FOR_BEGUN = 0.3
+
+# By totals alone: fraction of the budget that all entries use together. The rest covers
+# entries that want retries at different times while the totals are late.
 USABLE_FRACTION = 0.93
 # The same fraction while control does not say how late the totals are.
 USABLE_FRACTION_WITHOUT_AGES = 0.87
 # Fraction of an entry's equal share that it may use without recent totals.
-GUARANTEED_FRACTION = 0.7
+GUARANTEED_FRACTION_BY_TOTALS = 0.7
 # Fraction of the usable budget that an entry divides before the totals contain reports
 # from just before its burst of retries. Others may have begun to retry since then.
 UNCONFIRMED_FRACTION = 0.7
 # Age of such reports at the beginning of the burst.
 MAX_CONFIRMING_AGE_S = 1.1
-# With reservations: fraction of its equal share that an entry uses without contact, and
-# fraction of the budget that control reserves. The rest covers requests that leave the
-# window before the totals say so.
-OWN_FRACTION = 0.6
-RESERVABLE_FRACTION = 0.38
 # Control sends the totals of all entries with each lease grant, by default twice a
 # second.
 TOTALS_MAX_AGE_S = 2.5
@@ -39,9 +43,6 @@
 PAUSE_S = 2.5
 # Totals contain all retries that are older than this.
 MAX_UNSEEN_S = 6.0
-# Fraction of the allowance that is reserved for streams that have begun. A new request
-# can be rejected with a Retry-After; a broken stream is lost to its caller.
-RESERVED_FRACTION = 0.3
 
 
 class _Retry(NamedTuple):
@@ -209,7 +210,7 @@
         Args:
             service: Service of the request.
             is_begun: Whether the caller has a part of the response or cannot be told to
-                retry. Other requests may not use the reserved fraction.
+                retry. Other requests leave ``FRACTION_FOR_BEGUN`` unused.
         """
         counts = self._recent(service)
         if self._reserved is not None and self._reserved.is_supported:
@@ -236,10 +237,9 @@
         self, service: str, counts: _ServiceCounts, *, is_begun: bool
     ) -> bool:
         now = self._clock.now()
-        entries = max(1, self._entry_count())
-        share = self._ratio * len(counts.requests) + self._slack / entries
-        usable = 1.0 if is_begun else 1.0 - RESERVED_FRACTION
-        if len(counts.retries) + 1 <= usable * OWN_FRACTION * share:
+        share = self._equal_share(counts)
+        usable = 1.0 if is_begun else 1.0 - FRACTION_FOR_BEGUN
+        if len(counts.retries) + 1 <= usable * GUARANTEED_FRACTION * share:
             counts.retries.append(_Retry(now, now))
             return True
         if self._reserved.take(service):
@@ -256,7 +256,7 @@
         counts.note_wanted(now)
         limit = self._limit(counts)
         if not is_begun:
-            limit *= 1.0 - RESERVED_FRACTION
+            limit *= 1.0 - FRACTION_FOR_BEGUN
         if len(counts.retries) + 1 > limit:
             counts.denied_at = now
             return False
@@ -270,10 +270,9 @@
 
     def _limit(self, counts: _ServiceCounts) -> float:
         """Return the maximum number of retries of this entry in the window."""
-        entries = max(1, self._entry_count())
         if not self._has_recent_totals(counts):
-            own = self._ratio * len(counts.requests) + self._slack / entries
-            return GUARANTEED_FRACTION * own
+            return GUARANTEED_FRACTION_BY_TOTALS * self._equal_share(counts)
+        entries = max(1, self._entry_count())
         budget = self._budget(counts)
         missing = counts.coverage.missing_reports(entries)
         usable = (
@@ -282,11 +281,16 @@
             else USABLE_FRACTION_WITHOUT_AGES
         )
         # Entries without contact to control use their guaranteed part.
-        usable -= GUARANTEED_FRACTION * missing / entries
+        usable -= GUARANTEED_FRACTION_BY_TOTALS * missing / entries
         usable *= self._confirmed_fraction(counts, entries)
         left = usable * budget - self._likely_retries(counts, entries)
         return len(counts.retries) + max(0.0, left) / entries
 
+    def _equal_share(self, counts: _ServiceCounts) -> float:
+        """Return the part of the budget for this entry's requests, in retries."""
+        entries = max(1, self._entry_count())
+        return self._ratio * len(counts.requests) + self._slack / entries
+
     def _budget(self, counts: _ServiceCounts) -> float:
         """Return the budget of all entries, by this entry's requests if no others."""
         requests = len(counts.requests)
