An entry that has just started reserves every retry

Load pattern: 9 of 28 entries restart 3 s after all began to want retries.

Cause: an entry that restarts does not know what its former process used without contact, and used its guaranteed part again.

Change: for one window after its start an entry has no guaranteed part and reserves each retry at control.

--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -115,7 +115,8 @@
     A lost or full engine often affects the streams of a few entries only. With hundreds
     of entries, the equal share of each is a few retries. So an entry uses a fraction of
     its equal share without contact, and reserves more at control, which divides the
-    rest of the budget before it is used. The bound holds however late the totals are.
+    rest of the budget before it is used. An entry that has just started reserves every
+    retry. The bound holds however late the totals are.
 
     Control of an older version knows no reservations. An entry then uses its equal
     share at once, and after that its equal part of what the totals from control leave.
@@ -162,6 +163,7 @@
         self._entry_count = entry_count
         self._reserved = reserved
         self._services: dict[str, _ServiceCounts] = {}
+        self._started_at = clock.now()
         self._totals_at = float("-inf")
 
     def record(self, service: str) -> None:
@@ -239,7 +241,10 @@
         now = self._clock.now()
         share = self._equal_share(counts)
         usable = 1.0 if is_begun else 1.0 - FRACTION_FOR_BEGUN
-        if len(counts.retries) + 1 <= usable * GUARANTEED_FRACTION * share:
+        # Before a restart, the entry may have used its part of the current window.
+        is_new = now - self._started_at < self._window_s
+        guaranteed = 0.0 if is_new else usable * GUARANTEED_FRACTION * share
+        if len(counts.retries) + 1 <= guaranteed:
             counts.retries.append(_Retry(now, now))
             return True
         if self._reserved.take(service):
