--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of clients, engines and the platform for the review cases."""
