--- a/review/standins/streams.py
+++ b/review/standins/streams.py
@@ -7,6 +7,7 @@
 HOST = "streams.example"
 LAYERS = 8
 DEADLINE_MS = 20_000
+READ_BYTES = 4096  # what a client that reads slowly takes at once
 
 
 def desired_state(*, target_latency_ms=500, resumable=True, version=1, layers=LAYERS):
@@ -137,7 +138,13 @@
 
 
 async def read_stream(
-    address, request_id, *, record, stall=None, receive_bytes=None, segment_bytes=None
+    address,
+    request_id,
+    *,
+    record,
+    bytes_per_s=None,
+    receive_bytes=None,
+    segment_bytes=None,
 ):
     """Send one request and return what came back.
 
@@ -145,8 +152,7 @@
         address: Address of the entry.
         request_id: Id of the client attempt.
         record: Log of the case.
-        stall: Number of events after which the client's link stands still, and for how
-            many seconds; None for never.
+        bytes_per_s: How fast the client reads; None for as fast as it can.
         receive_bytes: Receive buffer of the client; None for the default.
         segment_bytes: Largest segment of the client's link; None for the default.
     """
@@ -170,16 +176,15 @@
             f"Request-Deadline: {DEADLINE_MS}\r\nAuthorization: Bearer key-of-t1\r\n"
             "Content-Length: 4\r\n\r\nbody".encode(),
         )
+        began_at = loop.time()
         while not raw.endswith(b"\r\n0\r\n\r\n"):
-            data = await loop.sock_recv(sock, 65_536)
+            data = await loop.sock_recv(sock, READ_BYTES if bytes_per_s else 65_536)
             if not data:
                 break
             raw += data
-            if stall is not None and raw.count(b"\nid: ") > stall[0]:
-                record.add(f"the link of the caller of {request_id} stands still")
-                await asyncio.sleep(stall[1])
-                record.add(f"the link of the caller of {request_id} works again")
-                stall = None
+            if bytes_per_s:
+                due_at = began_at + len(raw) / bytes_per_s
+                await asyncio.sleep(max(0.0, due_at - loop.time()))
     except OSError as exc:
         record.add(f"the channel of {request_id} broke: {exc!r}")
     finally:
