Tidy the stand-ins of the review cases

Cause: the cluster still had what only a dropped case used, and the bounds were passed as a dictionary.

Change: named constants; the entries stand in three failure domains.

--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -18,6 +18,7 @@
 LOG_FLAGS = os.O_CREAT | os.O_APPEND | os.O_WRONLY
 # Also when a stand-in hangs, all processes are ended within two minutes.
 CASE_TIMEOUT_S = 110.0
+GRACE_S = 8  # from SIGTERM to SIGKILL
 
 
 class Record:
@@ -109,25 +110,21 @@
     sheet of korrektur-net.
     """
 
-    def __init__(self, *, record, entries=2, bounds=None):
+    def __init__(self, *, record, entries=2):
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._temporary.name)
         self.record = record
         net = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}"
         ips = [f"{net}.{n}" for n in range(11, 14 + entries)]
-        self._spare_ip = f"{net}.{14 + entries}"
-        internal, http, ready, front = free_ports([*ips, self._spare_ip], 4)
+        internal, http, ready, front = free_ports(ips, 4)
         self._internal, self._http = internal, http
         self.controls = [f"{ip}:{http}" for ip in ips[:3]]
         self.fronts = [f"{ip}:{front}" for ip in ips[3:]]
         self.ready = [f"{ip}:{ready}" for ip in ips[3:]]
         self.engine_net = net
         seeds = ",".join(self.controls)
-        bounds = {"ratio": 0.2, "slack": 198, "window": 10, "grace": 8} | (bounds or {})
-        self._grace_s = bounds["grace"]
         self.control_processes = [
-            self._new_control(n, ip, seeds, first_start="yes")
-            for n, ip in enumerate(ips[:3], 1)
+            self._new_control(n, ip, seeds) for n, ip in enumerate(ips[:3], 1)
         ]
         self.entry_processes = [
             Process(
@@ -139,18 +136,18 @@
                     [
                         "[node]",
                         f"name = entry-{n}",
-                        f"domain = z{n}",
+                        f"domain = z{1 + (n - 1) % 3}",
                         "region = r",
                         "[direct-entry]",
                         f"listen = {ip}:{front}",
                         f"http = {ip}:{ready}",
                         f"seeds = {seeds}",
                         f"internal_port = {internal}",
-                        f"retry_ratio = {bounds['ratio']}",
-                        f"retry_slack = {bounds['slack']}",
-                        f"retry_window_s = {bounds['window']}",
+                        "retry_ratio = 0.2",
+                        "retry_slack = 198",
+                        "retry_window_s = 10",
                         "serve_when_cut = yes",
-                        f"killed_after_s = {bounds['grace']}",
+                        f"killed_after_s = {GRACE_S}",
                         "",
                     ]
                 ),
@@ -158,7 +155,7 @@
             for n, ip in enumerate(ips[3:], 1)
         ]
 
-    def _new_control(self, number, ip, seeds, *, first_start):
+    def _new_control(self, number, ip, seeds):
         return Process(
             name=f"control-{number}",
             role="control",
@@ -176,27 +173,15 @@
                     f"data = {self.folder}/data-{number}",
                     f"seeds = {seeds}",
                     f"internal_port = {self._internal}",
-                    f"first_start = {first_start}",
+                    "first_start = yes",
                     "stop_timeout_s = 5",
-                    f"killed_after_s = {self._grace_s}",
+                    f"killed_after_s = {GRACE_S}",
                     "backend_heartbeat_s = 1200 ms",
                     "",
                 ]
             ),
         )
 
-    async def replace_control(self, number):
-        """Start an empty control replica at another address for one that is gone."""
-        gone = self.controls[number]
-        address = f"{self._spare_ip}:{self._http}"
-        self.controls[number] = address
-        self.record.add(f"{gone} is gone for good, {address} takes its place")
-        process = self._new_control(
-            4, self._spare_ip, ",".join(self.controls), first_start="no"
-        )
-        self.control_processes.append(process)
-        await process.start()
-
     @property
     def processes(self):
         """All daemons."""
