--- a/review/standins/engines.py
+++ b/review/standins/engines.py
@@ -37,9 +37,9 @@
         self._beats = None
         self._channels = set()
 
-    async def start(self, ip):
-        """Listen on a free port of an address and register."""
-        self._server = await asyncio.start_server(self._serve, ip, 0)
+    async def start(self, ip, port=0):
+        """Listen on a port of an address, by default a free one, and register."""
+        self._server = await asyncio.start_server(self._serve, ip, port)
         self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
         self._beats = asyncio.create_task(self._register())
 
