Log streams that are not completed, and by whom their last run was ended

The log could not tell a stream whose engine broke its connection from one that the entry itself gave up while the connection was open, nor whether the configuration had changed meanwhile. 'response not completed' says why a begun response has no end, 'generation broke' whether the entry gave the run up and whether it lacked processor time, 'request failed' which configuration was in force at arrival and at the failure. The counter incomplete_responses_total has the causes.

--- a/wigeonscale/adapters/metrics.py
+++ b/wigeonscale/adapters/metrics.py
@@ -229,6 +229,13 @@
             " other-domain); services with traffic classes only.",
             "way",
         )
+        self.incomplete_responses = self._counter(
+            "incomplete_responses_total",
+            "Streams that ended without their end after the caller had a part, by cause"
+            " ('given-up': this entry ended the last run; 'broken': it broke;"
+            " 'deadline', 'caller-left', 'internal').",
+            "cause",
+        )
         self.attaches = self._counter(
             "attaches_total", "Answers taken up again after a silent connection."
         )
--- a/wigeonscale/direct/progress.py
+++ b/wigeonscale/direct/progress.py
@@ -30,6 +30,8 @@
         longest_pause_s: Longest time between two events to the caller.
         paused_after: Id of the event before that pause; None if events have no ids.
         has_gone_on: Whether a run went well past its start.
+        was_given_up: Whether this entry ended the latest run itself, for want of
+            events, while its connection was open.
     """
 
     last_id: int | None
@@ -47,6 +49,7 @@
     longest_pause_s: float = 0.0
     paused_after: int | None = None
     has_gone_on: bool = False
+    was_given_up: bool = False
 
     @property
     def must_finish(self) -> bool:
--- a/wigeonscale/direct/service.py
+++ b/wigeonscale/direct/service.py
@@ -81,15 +81,21 @@
             )
         job = self._job(req)
         ctx = self._ctx
+        table_number = self._table().number
         left_s = job.deadline_at - ctx.clock.now()
         ctx.budget.record(job.service.name)
         limit = asyncio.timeout(left_s)
         try:
             async with limit:
                 pause_fields = await self._run(job, sink)
+        except WigeonscaleError as exc:
+            if exc.run_state is RunState.UNKNOWN:
+                self._log_failure(job, table_number, exc.kind)
+            raise
         except TimeoutError:
             if not limit.expired():
                 raise
+            self._log_failure(job, table_number, ErrorKind.DEADLINE_EXCEEDED)
             raise WigeonscaleError(
                 ErrorKind.DEADLINE_EXCEEDED,
                 f"no response within {left_s:.3f} s",
@@ -108,6 +114,21 @@
             ),
         )
 
+    def _log_failure(self, job: Job, table_number: int, kind: ErrorKind) -> None:
+        """Log a failure after which the work may have run, and changes meanwhile."""
+        logger.info(
+            "request failed",
+            extra=log_fields(
+                request_id=job.req.request_id,
+                kind=kind,
+                route=job.route.name,
+                service=job.service.name,
+                table=table_number,
+                newest_table=self._table().number,
+                took_s=round(self._ctx.clock.now() - job.req.arrived_at, 4),
+            ),
+        )
+
     async def _run(self, job: Job, sink: ResponseSink) -> dict[str, object]:
         """Handle a request; return log fields about its response."""
         if job.route.repeat is Repeat.STREAM:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -13,6 +13,7 @@
 from contextlib import aclosing
 
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.metrics import METRICS
 from wigeonscale.direct.admission import PathChoice
 from wigeonscale.direct.crashing import (
     clear_suspect,
@@ -29,6 +30,7 @@
 from wigeonscale.direct.recovery_choice import draw_next_send
 from wigeonscale.direct.retry_wait import wait_for_retry
 from wigeonscale.direct.runs import Run
+from wigeonscale.errors import WigeonscaleError
 from wigeonscale.layers import Part
 from wigeonscale.ports.exchange import (
     BackendStream,
@@ -61,6 +63,10 @@
     progress = Progress(last_id=job.req.last_event_id)
     try:
         return await _relay_sends(ctx, job, sink, progress)
+    except BaseException as exc:
+        if progress.is_begun:
+            _log_incomplete(ctx, job, progress, exc)
+        raise
     finally:
         # A request that no engine ran held no capacity.
         if progress.ran_on and ctx.has_classes(job.service.name):
@@ -116,6 +122,7 @@
         addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
     )
+    progress.was_given_up = False
     run = Run(
         tuple(part.backend_id for part in path),
         kv_cache_demand(job, path),
@@ -180,6 +187,7 @@
     except TimeoutError:
         if not run.wait_timeout.expired():
             raise
+        progress.was_given_up = True
         note_aborted_run(ctx, job, run, (first,))
         pause_s = ctx.clock.now() - run.progress_at
         raise ExchangeError(
@@ -293,6 +301,37 @@
             status=exc.status,
             last_event=progress.last_id,
             blamed=at_fault,
+            given_up=progress.was_given_up,
+            lagging=ctx.stalls.is_lagging,
+        ),
+    )
+
+
+def _log_incomplete(
+    ctx: EntryContext, job: Job, progress: Progress, exc: BaseException
+) -> None:
+    """Log why a response that its caller has in part is not completed."""
+    if isinstance(exc, WigeonscaleError):
+        cause = "given-up" if progress.was_given_up else "broken"
+    elif isinstance(exc, asyncio.CancelledError):
+        is_late = ctx.clock.now() >= job.deadline_at
+        cause = "deadline" if is_late else "caller-left"
+    elif isinstance(exc, ConnectionError):
+        cause = "caller-left"
+    else:
+        cause = "internal"
+    METRICS.incomplete_responses.add(cause=cause)
+    logger.info(
+        "response not completed",
+        extra=log_fields(
+            request_id=job.req.request_id,
+            kind=exc.kind if isinstance(exc, WigeonscaleError) else "",
+            outcome=cause,
+            last_event=progress.last_id,
+            pause_s=round(ctx.clock.now() - progress.waits_since, 3),
+            sends=progress.sends,
+            ran_on=",".join(sorted(progress.ran_on)),
+            may_repeat=job.route.is_idempotent,
         ),
     )
 
