--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -60,6 +60,7 @@
         notice_headers: Headers added to each response, with notices to entries.
         retry_after_s: Retry delay with which it refuses every request; None to
             accept requests.
+        event_interval_s: Time between two events of a stream, in seconds.
         arrivals: Ids of received requests, each with its arrival time by the event
             loop.
     """
@@ -78,6 +79,7 @@
         self.layer_range = (0, 0)
         self.notice_headers: dict[str, str] = {}
         self.retry_after_s: float | None = None
+        self.event_interval_s = EVENT_INTERVAL_S
         self.arrivals: list[tuple[str, float]] = []
         self._controls = controls
         self.checker = checker
@@ -242,7 +244,7 @@
         await response.prepare(req)
         first = int(req.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, EVENT_COUNT + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
             await response.write(event_data(request_id, number))
         await response.write_eof()
         return response
--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -22,6 +22,8 @@
 CATCH_UP_TIMEOUT_S = 45.0
 CATCH_UP_POLL_INTERVAL_S = 0.1
 READ_TIMEOUT_S = 2.0
+# Random faults break far more requests than a deployment would have retried.
+RETRY_SLACK = 1000
 # Exit statuses after SIGTERM: stopped, shutdown timed out, and terminated by the signal
 # before the daemon handled it.
 STOPPED_STATUSES = frozenset({0, 3, -signal.SIGTERM})
@@ -85,14 +87,16 @@
 
     Args:
         folder: Folder for settings, data and logs.
+        retry_slack: Slack of the retry budget of the entries, in retries.
 
     Attributes:
         unexpected_exits: Descriptions of daemons that ended without being told to, or
             with a status that a graceful shutdown does not have.
     """
 
-    def __init__(self, *, folder: pathlib.Path):
+    def __init__(self, *, folder: pathlib.Path, retry_slack: int = RETRY_SLACK):
         self._folder = folder
+        self._retry_slack = retry_slack
         self.unexpected_exits: list[str] = []
         self._is_closing = False
         self._start_lock = asyncio.Lock()
@@ -238,7 +242,10 @@
             "stop_timeout_s = 8",
         ]
         if node.role == "direct-entry":
-            lines += [f"listen = {self.caller_address(node)}", "retry_slack = 1000"]
+            lines += [
+                f"listen = {self.caller_address(node)}",
+                f"retry_slack = {self._retry_slack}",
+            ]
         else:
             first = "no" if node.starts else "yes"
             lines += [f"ip = {node.ip}", f"data = {self._data(node)}"]
--- a/wigeonscale/testing/soak/tests/support.py
+++ b/wigeonscale/testing/soak/tests/support.py
@@ -8,7 +8,7 @@
 
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.testing.soak.backends import Backend
-from wigeonscale.testing.soak.deployment import Deployment
+from wigeonscale.testing.soak.deployment import RETRY_SLACK, Deployment
 from wigeonscale.testing.soak.invariants import InvariantChecker
 from wigeonscale.testing.soak.load import Load, new_session
 
@@ -21,11 +21,13 @@
 class DeploymentCase(AsyncTestCase):
     """Three control replicas, two entries, four engines and two plain servers."""
 
+    retry_slack = RETRY_SLACK
+
     async def prepare(self):
         folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
         rng = random.Random(1)
         self.checker = InvariantChecker()
-        self.dep = Deployment(folder=folder)
+        self.dep = Deployment(folder=folder, retry_slack=self.retry_slack)
         self.addCleanup(self.dep.close)
         self.load = Load(dep=self.dep, checker=self.checker, rng=rng)
         engines = {}
