A silent engine ends no stream that cannot be sent again

Cause: the stall detector ended a run after 0.06 to 1.3 s without an event, and only then the entry checked whether the request may be sent again at all, has sends left, finds a retry in the budget and a path. Where one of these failed, the response was cut.

Evidence: the entry's log of a stream that may be resumed, given up at 0.56 s, sent again, given up at 0.17 s, 'not sent again' 1.03 s later, cut at 1.80 s after its last event; its engines had gone on at 1.3 s.

Change: a run that may go on leaves its engines only once its request can be sent again and a retry is taken for it; until then it is rerouted if that becomes possible, or waits for events. An incarnation that was replaced still ends its runs at once. After the entry has ended a run itself, only the caller or the deadline end the response: the waits for a retry and for a path last as long, engines that could not be reached are tried again, and sends beyond the usual maximum are delayed instead of refused.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -124,7 +124,7 @@
                 backend_id,
                 extra=log_fields(outcome="former start is lost"),
             )
-            self._tracker.note_lost(backend_id)
+            self._tracker.note_ended(backend_id)
         self._tracker.keep_only(self.fleet.by_id)
         present = [*self.fleet.by_id, *self.fleet.draining]
         self._notices.keep_only(present)
--- a/wigeonscale/direct/backend_tracker.py
+++ b/wigeonscale/direct/backend_tracker.py
@@ -243,10 +243,17 @@
         self._avoid(backend_id, AVOID_LOST_S if is_failing else AVOID_REFUSED_S)
 
     def note_lost(self, backend_id: str) -> None:
-        """Avoid a lost backend server, and reroute or abort its sends."""
+        """Avoid a backend server that may be lost; its sends leave it if they can."""
         self._avoid(backend_id, AVOID_LOST_S)
         for run in list(self.lookup(backend_id).runs):
-            run.reroute_or_abort()
+            run.leave_engines()
+
+    def note_ended(self, backend_id: str) -> None:
+        """Avoid an incarnation that has ended, and abort the sends that it received."""
+        self.note_lost(backend_id)
+        for run in list(self.lookup(backend_id).runs):
+            if run.backend_ids[0] == backend_id:
+                run.abort_wait()
 
     def keep_only(self, backend_ids: Iterable[str]) -> None:
         """Drop the state of backend servers that are gone and idle.
--- /dev/null
+++ b/wigeonscale/direct/leaving.py
@@ -0,0 +1,87 @@
+"""When a running generation leaves engines that may be lost.
+
+A silent engine may be lost, or it may go on after a second. So a run that may go on
+ends only once its request can be sent again: it may run again, and the retry budget has
+a retry for it. Until then the run is rerouted if that becomes possible, or waits.
+"""
+
+__all__ = ["leave_engines"]
+
+import logging
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.direct.admission import lost_engines
+from wigeonscale.direct.crashing import is_crashing
+from wigeonscale.direct.detour import change_path
+from wigeonscale.direct.job import EntryContext, Job
+from wigeonscale.direct.progress import Progress
+from wigeonscale.direct.retry_wait import may_send_again
+from wigeonscale.direct.runs import Run
+from wigeonscale.layers import Part
+
+# Retries are released by other requests, and reserved at control within tens of
+# milliseconds.
+POLL_INTERVAL_S = 0.1
+
+logger = logging.getLogger(__name__)
+
+
+async def leave_engines(
+    ctx: EntryContext,
+    job: Job,
+    progress: Progress,
+    run: Run,
+    path: list[Part],
+) -> bool:
+    """Wait until a run can leave its engines, or gets an event again.
+
+    Args:
+        ctx: Context of the entry.
+        job: The request.
+        progress: Its progress; updated if a retry was taken from the budget.
+        run: Its send in progress.
+        path: The path of the run; updated in place if it was rerouted.
+
+    Returns:
+        Whether the wait of the run for events is to be aborted, because its request can
+        be sent again.
+    """
+    events = run.events
+    began_at = ctx.clock.now()
+    lost: set[str] = set()
+    outcome = "went-on"
+    while run.events == events:
+        newly_lost = lost_engines(ctx, path)
+        if run.is_split and newly_lost and newly_lost != lost:
+            lost = newly_lost
+            if await change_path(ctx, job, progress, run, path):
+                progress.reroutes += 1
+                return False
+        if await _take_retry(ctx, job, progress):
+            outcome = "sent-again"
+            break
+        await ctx.clock.sleep(POLL_INTERVAL_S)
+    waited_s = ctx.clock.now() - began_at
+    if waited_s > 0:
+        logger.info(
+            "silent run waited to be sent again",
+            extra=log_fields(
+                request_id=job.req.request_id,
+                outcome=outcome,
+                waited_s=round(waited_s, 3),
+                last_event=progress.last_id,
+            ),
+        )
+    return outcome == "sent-again"
+
+
+async def _take_retry(ctx: EntryContext, job: Job, progress: Progress) -> bool:
+    if is_crashing(ctx, job):
+        # It is rejected instead of being sent again, which would cut a begun response.
+        return not progress.is_begun
+    # A run that is in progress may have done work, whatever its caller has of it.
+    if not job.route.is_idempotent or not may_send_again(job, progress):
+        return False
+    if not progress.has_retry:
+        progress.has_retry = await ctx.budget.acquire(job.service.name, is_begun=True)
+    return progress.has_retry
--- a/wigeonscale/direct/next_path.py
+++ b/wigeonscale/direct/next_path.py
@@ -81,7 +81,9 @@
 
     With traffic classes, it waits for engines with room as long as its caller can.
     """
-    give_up_at = min(ctx.clock.now() + MAX_PATH_WAIT_S, job.deadline_at)
+    give_up_at = job.deadline_at
+    if not progress.is_held_by_caller:
+        give_up_at = min(give_up_at, ctx.clock.now() + MAX_PATH_WAIT_S)
     choose = functools.partial(
         recovery_path,
         ctx,
@@ -219,9 +221,13 @@
 
 
 def _choose(ctx: EntryContext, job: Job, progress: Progress) -> PathChoice:
-    return _choose_isolated(ctx, job, progress) or choose_path_for(
+    choice = _choose_isolated(ctx, job, progress) or choose_path_for(
         ctx, job, lost=progress.lost, ran_on=progress.ran_on
     )
+    if choice.path is None and progress.lost and progress.is_held_by_caller:
+        # An engine that could not be reached may only have been silent.
+        choice = choose_path_for(ctx, job, lost=(), ran_on=progress.ran_on)
+    return choice
 
 
 def _choose_isolated(
--- a/wigeonscale/direct/progress.py
+++ b/wigeonscale/direct/progress.py
@@ -30,8 +30,8 @@
         longest_pause_s: Longest time between two events to the caller.
         paused_after: Id of the event before that pause; None if events have no ids.
         has_gone_on: Whether a run went well past its start.
-        was_given_up: Whether this entry ended the latest run itself, for want of
-            events, while its connection was open.
+        has_given_up: Whether this entry ended a run itself, for want of events, while
+            its connection was open.
     """
 
     last_id: int | None
@@ -49,7 +49,7 @@
     longest_pause_s: float = 0.0
     paused_after: int | None = None
     has_gone_on: bool = False
-    was_given_up: bool = False
+    has_given_up: bool = False
 
     @property
     def must_finish(self) -> bool:
@@ -60,6 +60,15 @@
         """
         return self.is_begun or bool(self.ran_on)
 
+    @property
+    def is_held_by_caller(self) -> bool:
+        """Whether only the caller or the deadline may end the request.
+
+        The caller has a part of the response, and this entry ended a run that might
+        have gone on.
+        """
+        return self.is_begun and self.has_given_up
+
     @property
     def waits_since(self) -> float:
         """Time since which the caller of a sent request has been without an event."""
--- a/wigeonscale/direct/retry_wait.py
+++ b/wigeonscale/direct/retry_wait.py
@@ -1,6 +1,6 @@
 """Wait of a generation for a retry from the retry budget."""
 
-__all__ = ["wait_for_retry"]
+__all__ = ["may_send_again", "wait_for_retry"]
 
 import logging
 
@@ -17,6 +17,9 @@
 # without an event.
 MAX_RETRY_BUDGET_WAIT_S = 1.0
 RETRY_BUDGET_POLL_INTERVAL_S = 0.1
+# Delay before a send beyond the usual maximum; doubled for each further one.
+RESEND_DELAY_S = 0.1
+MAX_RESEND_DELAY_S = 1.0
 # Status with which an engine refuses a generation for lack of capacity.
 REFUSED_STATUS = 503
 
@@ -44,6 +47,8 @@
         WigeonscaleError: The request may not be retried.
     """
     began_at = ctx.clock.now()
+    if progress.sends >= MAX_SENDS and progress.is_held_by_caller:
+        await ctx.clock.sleep(_resend_delay_s(progress.sends))
     give_up_at = _retry_wait_ends_at(ctx, job, progress)
     is_allowed = await _acquire_retry(ctx, job, progress)
     while not is_allowed and (now := ctx.clock.now()) < give_up_at:
@@ -60,7 +65,7 @@
             extra=log_fields(
                 request_id=job.req.request_id,
                 outcome="allowed" if is_allowed else "not sent again",
-                may_repeat=_may_repeat(job, progress),
+                may_repeat=may_send_again(job, progress),
                 sends=progress.sends,
                 waited_s=round(waited_s, 3),
             ),
@@ -75,8 +80,10 @@
     It is the current time if waiting cannot help.
     """
     now = ctx.clock.now()
-    if not _may_repeat(job, progress):
+    if not may_send_again(job, progress):
         return now
+    if progress.is_held_by_caller:
+        return job.deadline_at
     if progress.must_finish:
         return min(now + MAX_RETRY_BUDGET_WAIT_S, job.deadline_at)
     level = service_level_of(ctx, job)
@@ -87,15 +94,26 @@
     return on_time_until if on_time_until < job.deadline_at else now
 
 
-def _may_repeat(job: Job, progress: Progress) -> bool:
-    if progress.sends >= MAX_SENDS:
+def _resend_delay_s(sends: int) -> float:
+    """Return the delay before the next send of a request with many sends."""
+    return min(MAX_RESEND_DELAY_S, RESEND_DELAY_S * 2 ** (sends - MAX_SENDS))
+
+
+def may_send_again(job: Job, progress: Progress) -> bool:
+    """Return whether a request may be sent again, whatever the retry budget has.
+
+    Args:
+        job: The request.
+        progress: Its progress.
+    """
+    if progress.sends >= MAX_SENDS and not progress.is_held_by_caller:
         return False
     return job.route.is_idempotent or not progress.ran_on
 
 
 async def _acquire_retry(ctx: EntryContext, job: Job, progress: Progress) -> bool:
     """Take one retry from the budget if the request may be retried; return whether."""
-    if ctx.clock.now() >= job.deadline_at or not _may_repeat(job, progress):
+    if ctx.clock.now() >= job.deadline_at or not may_send_again(job, progress):
         return False
     if progress.has_retry:
         progress.has_retry = False
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -21,9 +21,11 @@
             is moved forward by any time in which this process did not read events.
         wait_timeout: Timeout of the wait for events, which may be rescheduled to abort
             the wait; None if there is no such wait.
-        reroute: Reroutes the run around its lost engines and returns whether it did;
-            None if the run cannot be rerouted.
-        reroute_task: Task of the latest reroute.
+        leave: Waits until the run can leave its engines, and returns whether its wait
+            for events is to be aborted; None to abort it at once.
+        leave_task: Task of the latest such wait.
+        is_split: Whether several engines run the layers, so that some of them can be
+            replaced.
         first_event_at: Time of the first event; None before it.
         latest_event_at: Time at which the latest event was read.
         events: Number of events.
@@ -42,8 +44,9 @@
     token_layers: dict[str, float] = field(default_factory=dict)
     progress_at: float = 0.0
     wait_timeout: asyncio.Timeout | None = None
-    reroute: Callable[[], Awaitable[bool]] | None = None
-    reroute_task: asyncio.Task | None = None
+    leave: Callable[[], Awaitable[bool]] | None = None
+    leave_task: asyncio.Task | None = None
+    is_split: bool = False
     first_event_at: float | None = None
     events: int = 0
     expected_interval_s: float = 0.0
@@ -85,15 +88,15 @@
         self.latest_event_at = now
         self.events += 1
 
-    def reroute_or_abort(self) -> None:
-        """Reroute the run around its lost engines, or else abort its wait."""
-        if self.reroute is None:
+    def leave_engines(self) -> None:
+        """Let the run leave engines that may be lost, as soon as it can go on."""
+        if self.leave is None:
             self.abort_wait()
-        elif self.reroute_task is None or self.reroute_task.done():
-            self.reroute_task = asyncio.create_task(self._reroute_or_abort())
+        elif self.leave_task is None or self.leave_task.done():
+            self.leave_task = asyncio.create_task(self._leave_engines())
 
-    async def _reroute_or_abort(self) -> None:
-        if not await self.reroute():
+    async def _leave_engines(self) -> None:
+        if await self.leave():
             self.abort_wait()
 
     def abort_wait(self) -> None:
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -195,9 +195,9 @@
             if pause_s > SILENT_ENGINE_STALL_S and not silent.isdisjoint(
                 run.backend_ids
             ):
-                run.reroute_or_abort()
+                run.leave_engines()
             elif pause_s > ABORT_STALL_S and self._should_abort(run, now):
-                run.abort_wait()
+                run.leave_engines()
             elif pause_s > (
                 STALL_TIMEOUT_S if run.has_events else FIRST_EVENT_STALL_TIMEOUT_S
             ):
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -23,8 +23,9 @@
     raise_if_crashing,
     wait_for_crash_trial,
 )
-from wigeonscale.direct.detour import change_path, kv_cache_demand
+from wigeonscale.direct.detour import kv_cache_demand
 from wigeonscale.direct.job import EntryContext, Job
+from wigeonscale.direct.leaving import leave_engines
 from wigeonscale.direct.next_path import next_path
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.recovery_choice import draw_next_send
@@ -45,6 +46,10 @@
 logger = logging.getLogger(__name__)
 
 
+class _GivenUpError(ExchangeError):
+    """This entry ended a run for want of events."""
+
+
 async def relay_stream(ctx: EntryContext, job: Job, sink: ResponseSink) -> Progress:
     """Relay a generation to its caller, completely or with an error.
 
@@ -122,13 +127,13 @@
         addresses=tuple(server.address for server in servers) if is_split else (),
         after_event=progress.last_id,
     )
-    progress.was_given_up = False
     run = Run(
         tuple(part.backend_id for part in path),
         kv_cache_demand(job, path),
         expected_interval_s=choice.event_interval_s,
         fingerprint=job.fingerprint,
         has_gone_on=progress.has_gone_on,
+        is_split=is_split,
         sent_at=now,
         detects_early=needs_early_detection(
             job.service.engine,
@@ -136,8 +141,7 @@
             has_classes=ctx.has_classes(job.service.name),
         ),
     )
-    if is_split:
-        run.reroute = functools.partial(_reroute, ctx, job, progress, run, path)
+    run.leave = functools.partial(leave_engines, ctx, job, progress, run, path)
     logger.info(
         "generation sent",
         extra=log_fields(
@@ -187,30 +191,22 @@
     except TimeoutError:
         if not run.wait_timeout.expired():
             raise
-        progress.was_given_up = True
+        progress.has_given_up = True
         note_aborted_run(ctx, job, run, (first,))
         pause_s = ctx.clock.now() - run.progress_at
-        raise ExchangeError(
+        raise _GivenUpError(
             CallOutcome.UNKNOWN,
             f"no event from {servers[0].address} for {pause_s:.2f} s",
         ) from None
     finally:
         run.wait_timeout = None
-        if run.reroute_task is not None:
-            run.reroute_task.cancel()
+        if run.leave_task is not None:
+            run.leave_task.cancel()
         progress.has_gone_on = run.has_gone_on
         ctx.stalls.remove(run)
         ctx.tracker.end(run)
 
 
-async def _reroute(
-    ctx: EntryContext, job: Job, progress: Progress, run: Run, path: list[Part]
-) -> bool:
-    is_done = await change_path(ctx, job, progress, run, path)
-    progress.reroutes += is_done
-    return is_done
-
-
 async def _relay_events(
     ctx: EntryContext,
     job: Job,
@@ -301,7 +297,7 @@
             status=exc.status,
             last_event=progress.last_id,
             blamed=at_fault,
-            given_up=progress.was_given_up,
+            given_up=isinstance(exc, _GivenUpError),
             lagging=ctx.stalls.is_lagging,
         ),
     )
@@ -312,7 +308,7 @@
 ) -> None:
     """Log why a response that its caller has in part is not completed."""
     if isinstance(exc, WigeonscaleError):
-        cause = "given-up" if progress.was_given_up else "broken"
+        cause = "given-up" if progress.has_given_up else "broken"
     elif isinstance(exc, asyncio.CancelledError):
         is_late = ctx.clock.now() >= job.deadline_at
         cause = "deadline" if is_late else "caller-left"
