The write to a slow caller is no silence of the engine, and is not aborted

Cause: the timeout by which the stall detector ends a run also covered the write to the caller. No event is read during a write, so the engine seemed silent; the abort hit the write, after the event had been passed on and before it was recorded, and the next run began with that event. Class of fault: a timeout that covers more than the wait that it was made for.

Change: a run whose caller is being written to is not checked for stalls, and an abort that becomes due takes effect after the write. The time of the write is no pause of the engines.

--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -24,6 +24,10 @@
         leave: Waits until the run can leave its engines, and returns whether its wait
             for events is to be aborted; None to abort it at once.
         leave_task: Task of the latest such wait.
+        is_writing: Whether the caller is being sent a part of the response. Meanwhile
+            no events are read, and the run is not aborted: the caller may have that
+            part already.
+        must_abort: Whether the run is to be aborted once that part was sent.
         is_split: Whether several engines run the layers, so that some of them can be
             replaced.
         first_event_at: Time of the first event; None before it.
@@ -46,6 +50,8 @@
     wait_timeout: asyncio.Timeout | None = None
     leave: Callable[[], Awaitable[bool]] | None = None
     leave_task: asyncio.Task | None = None
+    is_writing: bool = False
+    must_abort: bool = False
     is_split: bool = False
     first_event_at: float | None = None
     events: int = 0
@@ -99,7 +105,20 @@
         if await self.leave():
             self.abort_wait()
 
+    def begin_write(self) -> None:
+        """Record that a part of the response is being sent to the caller."""
+        self.is_writing = True
+
+    def end_write(self, now: float) -> None:
+        """Record that it was sent; the time that it took is no pause of the engines."""
+        self.is_writing = False
+        self.progress_at = now
+        if self.must_abort:
+            self.abort_wait()
+
     def abort_wait(self) -> None:
         """Abort the wait for events, so that the request is sent again."""
-        if self.wait_timeout is not None and not self.wait_timeout.expired():
+        if self.is_writing:
+            self.must_abort = True
+        elif self.wait_timeout is not None and not self.wait_timeout.expired():
             self.wait_timeout.reschedule(asyncio.get_running_loop().time())
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -191,6 +191,8 @@
         silent = {s.backend_id for s in fleet.by_id.values() if s.is_silent}
         heads = set()
         for run in list(self._runs):
+            if run.is_writing:
+                continue
             pause_s = now - run.progress_at
             if pause_s > SILENT_ENGINE_STALL_S and not silent.isdisjoint(
                 run.backend_ids
@@ -305,6 +307,8 @@
 
 def _is_stalled(run: Run, now: float) -> bool:
     """Return whether the pause of a run is longer than its usual event intervals."""
+    if run.is_writing:
+        return False
     expected_interval_s = FIRST_EVENT_HINT_S
     if run.has_events:
         expected_interval_s = max(
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -10,7 +10,8 @@
 import asyncio
 import functools
 import logging
-from contextlib import aclosing
+from collections.abc import Iterator
+from contextlib import aclosing, contextmanager
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.adapters.metrics import METRICS
@@ -216,35 +217,51 @@
     stream: BackendStream,
 ) -> bool:
     if not 200 <= stream.head.status < 300:
-        return await _relay_error_response(sink, progress, stream)
+        return await _relay_error_response(ctx, run, sink, progress, stream)
     async with aclosing(stream.events()) as events:
         async for event in events:
             run.note_progress(ctx.clock.now())
             note_event(ctx, job, run)
             if not _is_next(progress, event):
                 continue
-            if not progress.is_begun:
-                progress.is_begun = True
-                await sink.begin(stream.head)
-            await sink.write(event.data)
-            progress.note_event(ctx.clock.now(), event.event_id)
-    if not progress.is_begun:
-        progress.is_begun = True
-        await sink.begin(stream.head)
+            with _writing(ctx, run):
+                if not progress.is_begun:
+                    progress.is_begun = True
+                    await sink.begin(stream.head)
+                await sink.write(event.data)
+                progress.note_event(ctx.clock.now(), event.event_id)
     clear_suspect(ctx, job)
-    await sink.end()
+    with _writing(ctx, run):
+        if not progress.is_begun:
+            progress.is_begun = True
+            await sink.begin(stream.head)
+        await sink.end()
     return True
 
 
+@contextmanager
+def _writing(ctx: EntryContext, run: Run) -> Iterator[None]:
+    run.begin_write()
+    try:
+        yield
+    finally:
+        run.end_write(ctx.clock.now())
+
+
 async def _relay_error_response(
-    sink: ResponseSink, progress: Progress, stream: BackendStream
+    ctx: EntryContext,
+    run: Run,
+    sink: ResponseSink,
+    progress: Progress,
+    stream: BackendStream,
 ) -> bool:
     body = await stream.read_body()
     if progress.is_begun:
         raise ExchangeError(
             CallOutcome.UNKNOWN, f"status {stream.head.status} for a resumed stream"
         )
-    await sink.send(FullResponse(stream.head, body))
+    with _writing(ctx, run):
+        await sink.send(FullResponse(stream.head, body))
     return True
 
 
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -1,8 +1,9 @@
-"""Sound engines fall silent for more than a second and go on."""
+"""Engines fall silent for more than a second and go on, or seem to, and are sound."""
 
 import asyncio
 
 from wigeonscale.direct.progress import MAX_SENDS
+from wigeonscale.direct.tests.fakes import FakeSink
 from wigeonscale.direct.tests.support import (
     StreamCase,
     engine,
@@ -161,3 +162,51 @@
         self.exchange.script("a1", [event(2)])
         self.exchange.script("b1", [event(2)])
         await self.finish(task)
+
+
+class SlowSink(FakeSink):
+    """Passes data on at once, and waits for its caller at one event."""
+
+    def __init__(self, *, data):
+        super().__init__()
+        self._slow_data = data
+        self.gate = asyncio.get_running_loop().create_future()
+
+    async def write(self, data):
+        await super().write(data)
+        if data == self._slow_data:
+            await self.gate
+
+
+class SlowCallerTest(SilentEngineCase):
+    """Guards against a caller that reads slowly and gets an event twice, or a cut."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.sink = SlowSink(data=event(1).data)
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        self.task = self.start()
+        await self.until(lambda: self.got() == [1])
+
+    async def check_whole(self):
+        self.assertFalse(self.task.done())
+        self.sink.gate.set_result(None)
+        await self.until(self.task.done)
+        await self.task
+        self.assertEqual([1, 2], self.got())
+        self.assertTrue(self.sink.is_whole)
+
+    async def test_engine_is_not_blamed(self):
+        self.gate.set_result(None)
+        await self.harness.clock.advance(3.0)
+        await self.check_whole()
+        self.assertEqual(["a1"], self.exchange.sent_to)
+        self.assertEqual([], self.harness.orders.queried)
+        self.assertEqual([], self.harness.hinted + self.harness.suspected)
+
+    async def test_engine_ends_meanwhile(self):
+        self.exchange.script("b1", [event(2)])
+        self.harness.tracker.note_ended("a1")
+        await self.harness.clock.advance(0.1)
+        await self.check_whole()
+        self.assertEqual(["a1", "b1"], self.exchange.sent_to)
