The check after an update from control accounts for the time of reading it

Load pattern: a large configuration stops the event loop of an entry for some 0.1 s or more. The check that follows each update from control ran before the detector had accounted for its own delay, so that all streams seemed silent for that time: their engines were queried, and those that control marks silent left.

Cause: only the periodic check compared its time with the time at which it was due. Change: both do; the delay is reported once, by the periodic check.

test_check_after_a_change_that_took_long_to_read failed before (with the former name of the method: the first engine was queried at once).

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -271,7 +271,7 @@
         delay_s=lambda domain: view.table.delay_ms(cfg.domain, domain) / MS_PER_S,
         on_lag=overload.note_lag,
     )
-    control.changes.subscribe(lambda change: stalls.check())
+    control.changes.subscribe(lambda change: stalls.check_after_change())
     ctx = EntryContext(
         exchange=HttpExchange(session=session),
         tracker=tracker,
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -114,6 +114,9 @@
         self._healthy_at: dict[str, float] = {}
         self._queries: set[asyncio.Task] = set()
         self._lagging_until = float("-inf")
+        self._check_due_at = float("inf")
+        # Delay of the next check that was accounted for before it.
+        self._late_s = 0.0
         self._prober = EngineProber(
             check_reachable=check_reachable,
             clock=clock,
@@ -150,10 +153,10 @@
         """Check all runs periodically until cancelled."""
         try:
             while True:
-                asleep_at = self._clock.now()
+                self._check_due_at = self._clock.now() + CHECK_INTERVAL_S
                 await self._clock.sleep(CHECK_INTERVAL_S)
-                late_s = self._clock.now() - asleep_at - CHECK_INTERVAL_S
-                self.note_lag(late_s)
+                self._account_for_lag()
+                late_s, self._late_s = self._late_s, 0.0
                 self._on_lag(late_s)
                 self.check()
         finally:
@@ -162,6 +165,19 @@
             await asyncio.gather(*self._queries, return_exceptions=True)
             await self._prober.close()
 
+    def check_after_change(self) -> None:
+        """Check all runs after an update from control, whose reading takes time."""
+        self._account_for_lag()
+        self.check()
+
+    def _account_for_lag(self) -> None:
+        now = self._clock.now()
+        late_s = now - self._check_due_at
+        if late_s > 0:
+            self._check_due_at = now
+            self._late_s += late_s
+            self.note_lag(late_s)
+
     def note_lag(self, late_s: float) -> None:
         """Account for a check that came late.
 
--- a/wigeonscale/direct/tests/test_stalls.py
+++ b/wigeonscale/direct/tests/test_stalls.py
@@ -293,3 +293,20 @@
         await self.harness.clock.advance(0.5)
         self.assertFalse(self.harness.tracker.is_avoided("a1"))
         self.assertEqual([], self.harness.suspected)
+
+    async def test_check_after_a_change_that_took_long_to_read(self):
+        """Guards against sound engines that are blamed at each large configuration."""
+        watch = asyncio.create_task(self.harness.stalls.run())
+        run = Run(("a1", "a2"))
+        self.harness.tracker.begin(run)
+        run.note_progress(self.harness.clock.now())
+        self.harness.stalls.add(run)
+        await self.harness.clock.advance(0.05)
+        self.harness.clock._now += 0.4
+        self.harness.stalls.check_after_change()
+        await self.harness.clock.advance(0.1)
+        self.assertEqual([], self.harness.orders.queried)
+        await self.harness.clock.advance(0.3)
+        self.assertEqual(["a1:80"], self.harness.orders.queried)
+        watch.cancel()
+        await asyncio.gather(watch, return_exceptions=True)
