An attempt at a plain server ends only if another one can begin

Callers of idempotent requests got 502 while their server was only slow or silent: each attempt, the last one too, ended after 0.45 of the time that was left, whether or not there was another server, an attempt or a retry.

Change: after that time the attempt ends once another one can begin, and goes on otherwise. If a server has returned an error before, the last attempt leaves time to pass that on.

--- a/wigeonscale/direct/plain.py
+++ b/wigeonscale/direct/plain.py
@@ -6,6 +6,7 @@
 import functools
 import logging
 import math
+from collections.abc import Awaitable, Callable
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.direct.choice import choose_server
@@ -19,11 +20,21 @@
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.runs import Run
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
-from wigeonscale.ports.exchange import CallOutcome, ExchangeError, FullResponse
+from wigeonscale.ports.exchange import (
+    BackendCall,
+    CallOutcome,
+    ExchangeError,
+    FullResponse,
+)
 
-# Fraction of the remaining time that an attempt of an idempotent request gets, so that
-# a hanging server leaves time for another attempt.
+# Fraction of the remaining time after which an attempt ends if another one can begin,
+# so that a hanging server leaves time for it.
 ATTEMPT_TIME_FRACTION = 0.45
+# The same for the last attempt if another server has returned an error, which must
+# reach the caller before its deadline.
+LAST_ATTEMPT_TIME_FRACTION = 0.9
+# Time after which it is checked again whether another attempt can begin.
+POLL_INTERVAL_S = 0.1
 # Lowest status of a server that failed. It does not show that a request can run.
 INTERNAL_ERROR = 500
 # Retry-After when no server accepted the request. A server that refuses is avoided for
@@ -48,18 +59,38 @@
     attempts = 0
     may_have_run = False
     failed: FullResponse | None = None
+    has_retry = False
+
+    async def may_begin_another() -> bool:
+        nonlocal has_retry
+        if not _may_retry(job) or attempts >= job.route.max_attempts:
+            return False
+        if _next_server(ctx, job, tried) is None:
+            return False
+        has_retry = has_retry or await ctx.budget.acquire(job.service.name)
+        return has_retry
+
     while True:
         if failed is None:
             raise_if_crashing(ctx, job, may_have_run=may_have_run)
         server = _next_server(ctx, job, tried)
         if server is None or attempts >= job.route.max_attempts:
             break
-        if attempts and not await ctx.budget.acquire(job.service.name):
-            break
+        if attempts and not has_retry:
+            has_retry = await ctx.budget.acquire(job.service.name)
+            if not has_retry:
+                break
+        has_retry = False
         tried.add(server.backend_id)
         attempts += 1
         try:
-            response = await _send(ctx, job, server)
+            response = await _send(
+                ctx,
+                job,
+                server,
+                may_begin_another=may_begin_another,
+                has_response=failed is not None,
+            )
         except ExchangeError as exc:
             _note_failure(ctx, job, server, exc)
             if exc.outcome is CallOutcome.NOT_SENT:
@@ -111,12 +142,19 @@
     return choose(tried | backends_with_other_suspects(ctx, job)) or choose(tried)
 
 
-async def _send(ctx: EntryContext, job: Job, server: BackendServer) -> FullResponse:
+async def _send(
+    ctx: EntryContext,
+    job: Job,
+    server: BackendServer,
+    *,
+    may_begin_another: Callable[[], Awaitable[bool]],
+    has_response: bool,
+) -> FullResponse:
     now = ctx.clock.now()
     left_s = job.deadline_at - now
     if left_s <= 0:
         raise ExchangeError(CallOutcome.NOT_SENT, "deadline passed before the send")
-    limit_s = left_s * ATTEMPT_TIME_FRACTION if _may_retry(job) else left_s
+    limit_s = left_s * LAST_ATTEMPT_TIME_FRACTION if has_response else left_s
     call = job.call(now=now, address=server.address, backend_id=server.name)
     run = Run((server.backend_id,), fingerprint=job.fingerprint)
     ctx.crashes.note_sent(job.fingerprint)
@@ -130,7 +168,12 @@
     )
     try:
         async with asyncio.timeout(limit_s):
-            response = await ctx.exchange.call(call)
+            response = await _call(
+                ctx,
+                call,
+                patience_s=left_s * ATTEMPT_TIME_FRACTION,
+                may_begin_another=may_begin_another,
+            )
         note_notice(response.head.notice)
         if response.head.status < INTERNAL_ERROR:
             clear_suspect(ctx, job)
@@ -149,6 +192,36 @@
         ctx.tracker.end(run)
 
 
+async def _call(
+    ctx: EntryContext,
+    call: BackendCall,
+    *,
+    patience_s: float,
+    may_begin_another: Callable[[], Awaitable[bool]],
+) -> FullResponse:
+    """Return the response to one attempt, unless another attempt can begin.
+
+    Raises:
+        ExchangeError: The call failed, or there is no response after some time and
+            another attempt can begin.
+    """
+    responding = asyncio.ensure_future(ctx.exchange.call(call))
+    try:
+        await asyncio.wait({responding}, timeout=patience_s)
+        while not responding.done():
+            if await may_begin_another() and not responding.done():
+                raise ExchangeError(
+                    CallOutcome.UNKNOWN,
+                    f"{call.address} did not respond within {patience_s:.3f} s",
+                )
+            await asyncio.wait({responding}, timeout=POLL_INTERVAL_S)
+        return await responding
+    finally:
+        if not responding.done():
+            responding.cancel()
+            await asyncio.gather(responding, return_exceptions=True)
+
+
 def _may_retry(job: Job) -> bool:
     return job.route.is_idempotent and job.route.max_attempts > 1
 
--- a/wigeonscale/direct/tests/fakes.py
+++ b/wigeonscale/direct/tests/fakes.py
@@ -11,9 +11,9 @@
 class FakeExchange:
     """Answers each call with the next step of its server's script.
 
-    A step is an error to raise, a whole answer, or a list of events. In such a list, an
-    error breaks the stream, ``HANG`` stalls it forever, and a future stalls it until it
-    is set.
+    A step is an error to raise, a whole answer, a future with one, or a list of events.
+    In such a list, an error breaks the stream, ``HANG`` stalls it forever, and a future
+    stalls it until it is set.
     """
 
     HANG = object()
@@ -39,6 +39,8 @@
                 await asyncio.get_running_loop().create_future()
             finally:
                 self.cancelled.append(call.backend_id)
+        if isinstance(step, asyncio.Future):
+            step = await step
         if isinstance(step, Exception):
             raise step
         yield step if isinstance(step, FakeStream) else FakeStream(step)
--- a/wigeonscale/direct/tests/test_plain.py
+++ b/wigeonscale/direct/tests/test_plain.py
@@ -1,8 +1,13 @@
+import asyncio
+from unittest import mock
+
+from wigeonscale.direct import plain
 from wigeonscale.direct.plain import call_plain
 from wigeonscale.direct.tests.fakes import FakeExchange
 from wigeonscale.direct.tests.support import (
     EntryHarness,
     answer,
+    fleet,
     not_run,
     not_sent,
     server,
@@ -69,6 +74,35 @@
         self.assertEqual(answer(), await self.call(left_s=0.1))
         self.assertEqual(["one"], self.exchange.cancelled)
 
+    async def test_a_server_is_waited_for_without_a_retry(self):
+        """Guards against an answer that is given up and cannot be asked for again."""
+        self.harness.ctx.budget.report_sends()
+        while self.harness.ctx.budget.try_spend("plain"):
+            pass
+        await self.check_is_waited_for(attempts=2)
+
+    async def test_the_last_server_is_waited_for(self):
+        """Guards against a last attempt that ends long before its deadline."""
+        self.exchange.script("one", unknown())
+        await self.check_is_waited_for("two", attempts=2)
+
+    async def test_the_only_server_is_waited_for(self):
+        self.harness.fleet = fleet(server("one"))
+        await self.check_is_waited_for(attempts=2)
+
+    async def check_is_waited_for(self, name="one", *, attempts):
+        gate = asyncio.get_running_loop().create_future()
+        self.exchange.script(name, gate)
+        calling = asyncio.create_task(self.call(max_attempts=attempts, left_s=60.0))
+        with mock.patch.object(plain, "ATTEMPT_TIME_FRACTION", 0.0):
+            for _ in range(50):
+                await asyncio.sleep(0)
+        self.assertFalse(calling.done())
+        self.assertEqual(name, self.exchange.sent_to[-1])
+        gate.set_result(answer())
+        self.assertEqual(answer(), await calling)
+        self.assertEqual([], self.exchange.cancelled)
+
 
 class UnsafeTest(PlainCase):
     async def refused(self, **fields):
