A late status is no evidence against an engine whose streams have events

Load pattern: the first engine of a path has one stalled stream and many others, and does not answer a query of its status within 0.3 s, by a lost packet or since it is busy. All of its streams left it and were prefilled elsewhere.

Cause: the missing status alone counted as a loss. Change: not if a run through the engine had an event since the query; the engine then counts as busy.

LateStatusTest failed before.

--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -294,16 +294,20 @@
         if server is None:
             self._tracker.note_lost(head)
             return
+        asked_at = self._clock.now()
         status = await self._orders.status(
             server.address, timeout_s=HEAD_STATUS_TIMEOUT_S
         )
         if status is None:
-            culprits = [head]
+            # Events since then show that only its status is late.
+            runs = self._tracker.runs_on(head)
+            is_active = any(run.latest_event_at > asked_at for run in runs)
+            culprits = [] if is_active else [head]
         else:
             named = [fleet.by_address.get(at) for at in status.held_up_by]
             culprits = [each.backend_id for each in named if each is not None]
-            if not culprits:
-                self._healthy_at[head] = self._clock.now()
+        if not culprits:
+            self._healthy_at[head] = self._clock.now()
         logger.info(
             "first engine of a stalled path queried",
             extra=log_fields(
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from wigeonscale.direct.progress import MAX_SENDS
+from wigeonscale.direct.runs import Run
 from wigeonscale.direct.tests.fakes import FakeSink
 from wigeonscale.direct.tests.support import (
     StreamCase,
@@ -58,6 +59,26 @@
         self.budget.apply_totals({"model": (0, 45)})
 
 
+class LateStatusTest(SilentEngineCase):
+    """Guards against streams that leave an engine which sends their events in time."""
+
+    async def test_engine_whose_streams_have_events_is_not_lost(self):
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        status = asyncio.get_running_loop().create_future()
+        self.harness.orders.status = lambda address, timeout_s: status
+        task = self.start(resumable=False)
+        await self.until(lambda: self.got() == [1])
+        await self.harness.clock.advance(0.4)
+        other = Run(("a1", "a2"))
+        self.harness.tracker.begin(other)
+        other.note_progress(self.harness.clock.now())
+        status.set_result(None)
+        await self.harness.clock.advance(0)
+        self.assertFalse(self.harness.tracker.is_avoided("a1"))
+        self.assertEqual([], self.harness.suspected)
+        await self.go_on(task)
+
+
 class RunningStreamTest(SilentEngineCase):
     """Guards against a begun stream that is cut, since it cannot be sent again."""
 
