An engine that went on after a silence is used again at once

Load pattern: an engine is silent for a second. Entries avoided it for four seconds from the last sign of the silence on, so that its capacity was missing and new requests went to other engines or were rejected.

Cause: nothing ended the time for which a possibly lost engine is avoided. Change: the next event of a stream that was waiting to leave an engine ends it; refusals and failures of that engine count as before.

test_engine_that_went_on_is_used_again failed before.

--- a/wigeonscale/direct/backend_tracker.py
+++ b/wigeonscale/direct/backend_tracker.py
@@ -41,6 +41,7 @@
         runs: Sends in progress.
         token_layers: Their KV cache demand, in tokens times layers.
         avoid_until: Time until which the server is used only as a last resort.
+        lost_until: The same, because it may be lost.
         failure_rate: Moving average of the share of failed sends.
         last_used_at: Time of the last send.
     """
@@ -48,6 +49,7 @@
     runs: set[Run] = field(default_factory=set)
     token_layers: float = 0.0
     avoid_until: float = float("-inf")
+    lost_until: float = float("-inf")
     failure_rate: float = 0.0
     last_used_at: float = 0.0
 
@@ -186,7 +188,9 @@
     def is_avoided(self, backend_id: str) -> bool:
         """Return whether a backend server is avoided now."""
         state = self._states.get(backend_id)
-        return state is not None and self._clock.now() < state.avoid_until
+        if state is None:
+            return False
+        return self._clock.now() < max(state.avoid_until, state.lost_until)
 
     def runs_on(self, backend_id: str) -> Collection[Run]:
         """Return this entry's sends in progress on a backend server."""
@@ -244,10 +248,16 @@
 
     def note_lost(self, backend_id: str) -> None:
         """Avoid a backend server that may be lost; its sends leave it if they can."""
-        self._avoid(backend_id, AVOID_LOST_S)
-        for run in list(self.lookup(backend_id).runs):
+        state = self.lookup(backend_id)
+        state.lost_until = self._clock.now() + AVOID_LOST_S
+        for run in list(state.runs):
             run.leave_engines()
 
+    def note_went_on(self, backend_ids: Iterable[str]) -> None:
+        """Use backend servers again that were silent and went on."""
+        for name in backend_ids:
+            self.lookup(name).lost_until = float("-inf")
+
     def note_ended(self, backend_id: str) -> None:
         """Avoid an incarnation that has ended, and abort the sends that it received."""
         self.note_lost(backend_id)
--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -57,7 +57,7 @@
             if await change_path(ctx, job, progress, run, path):
                 progress.reroutes += 1
                 return False
-        if await _take_retry(ctx, job, progress):
+        if await _take_retry(ctx, job, progress) and run.events == events:
             outcome = "sent-again"
             break
         await ctx.clock.sleep(POLL_INTERVAL_S)
--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -94,11 +94,16 @@
         self.latest_event_at = now
         self.events += 1
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the run waits to leave engines that may be lost."""
+        return self.leave_task is not None and not self.leave_task.done()
+
     def leave_engines(self) -> None:
         """Let the run leave engines that may be lost, as soon as it can go on."""
         if self.leave is None:
             self.abort_wait()
-        elif self.leave_task is None or self.leave_task.done():
+        elif not self.is_leaving:
             self.leave_task = asyncio.create_task(self._leave_engines())
 
     async def _leave_engines(self) -> None:
--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -221,6 +221,8 @@
     async with aclosing(stream.events()) as events:
         async for event in events:
             run.note_progress(ctx.clock.now())
+            if run.is_leaving:
+                ctx.tracker.note_went_on(run.backend_ids)
             note_event(ctx, job, run)
             if not _is_next(progress, event):
                 continue
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -88,6 +88,13 @@
         await self.go_on(task)
         self.assertEqual(["a1"], self.exchange.sent_to)
 
+    async def test_engine_that_went_on_is_used_again(self):
+        """Guards against engines that stay idle for seconds after a short silence."""
+        self.exchange.script("a1", [event(1), self.gate, event(2)], [event(1)])
+        await self.go_on(self.start(resumable=False))
+        await self.relay()
+        self.assertEqual(["a1", "a1"], self.exchange.sent_to)
+
     async def test_silent_before_the_first_event(self):
         self.exchange.script("a1", [self.gate, event(1), event(2)])
         task = self.start(resumable=False)
