--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -23,6 +23,7 @@
     async def prepare(self):
         await super().prepare()
         self.gate = asyncio.get_running_loop().create_future()
+        self.second_gate = asyncio.get_running_loop().create_future()
         # The first engine of the path does not respond to status queries either.
         self.harness.orders.held_up_by["a1:80"] = None
         watch = asyncio.create_task(self.harness.stalls.run())
@@ -132,6 +133,22 @@
         self.assertEqual([1, 2], self.got())
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
 
+    async def test_event_while_a_retry_is_reserved(self):
+        """Guards against a run that is ended although it has gone on."""
+        self.exchange.script("a1", [event(1), self.gate, event(2), self.second_gate])
+        reserved = asyncio.get_running_loop().create_future()
+        self.harness.ctx.budget.acquire = lambda service, *, is_begun: reserved
+        task = self.start()
+        await self.harness.clock.advance(SILENCE_S)
+        self.gate.set_result(None)
+        await self.until(lambda: self.got() == [1, 2])
+        reserved.set_result(True)
+        await self.harness.clock.advance(0.2)
+        self.second_gate.set_result(None)
+        await self.until(task.done)
+        await task
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
     async def test_engine_that_ended(self):
         """It will not go on, so the caller is not left waiting."""
         self.exchange.script("a1", [event(1), self.gate])
