Plan engines with layers that the model lacks as engines without layers

Cause: copy_counts and the relief index lists of the model's layers by the ranges that engines announce. The IndexError ends LayerAssigner.run and with it the process; the range is in the replicated state, so each next leader ends too.

Change: plan_layers treats a range that is not within the model as no layers, so that the engine is ordered anew. This covers ranges from heartbeats and those of orders in progress, which are planned as held. Entries are unchanged: their paths were already limited to the layers of the model.

Tests, run before the fix: two of test_plan.OtherModelTest raised IndexError; three of test_layer_assigner.OtherModelTest placed no order, as the task had ended (beyond the model, fewer layers, order in progress for more layers). "more layers" passed before too.

--- a/wigeonscale/control/tests/layer_assigner_case.py
+++ b/wigeonscale/control/tests/layer_assigner_case.py
@@ -74,13 +74,14 @@
         )
         self.addCleanup(self.commands.close)
         self.fresh = True
+        self.table = TABLE
         self.assigner = LayerAssigner(
             state=self.state,
             replica=self.replica,
             clock=self.clock,
             orders=self.engines,
             commands=self.commands,
-            table=lambda: TABLE,
+            table=lambda: self.table,
             is_fresh=lambda: self.fresh,
         )
         self.task = asyncio.create_task(self.assigner.run())
--- a/wigeonscale/control/tests/test_layer_assigner.py
+++ b/wigeonscale/control/tests/test_layer_assigner.py
@@ -1,6 +1,12 @@
-from wigeonscale.control.tests.layer_assigner_case import LayerAssignerCase
+from dataclasses import replace
+
+from wigeonscale.control.tests.layer_assigner_case import (
+    PROFILE,
+    LayerAssignerCase,
+)
 from wigeonscale.ports.orders import OrderOutcome
 from wigeonscale.replication import Role
+from wigeonscale.routes import RouteTable, Service
 
 
 class FirstPlanTest(LayerAssignerCase):
@@ -144,3 +150,65 @@
         await self.clock.advance(2.0)
         counts = [order[4] for order in self.engines.orders if order[0] == "e2"]
         self.assertEqual([0], counts)
+
+
+class OtherModelTest(LayerAssignerCase):
+    """Engines hold or load layers that the configured model does not have.
+
+    Guards against a leader that ends, on each replica in turn, as soon as it plans.
+    """
+
+    def configure(self, number, **engine):
+        self.table = RouteTable(
+            number=number,
+            services={"m": Service(name="m", engine=replace(PROFILE, **engine))},
+        )
+
+    def assert_complete(self, layers):
+        held = {
+            layer
+            for first, end in self.engines.held.values()
+            if end <= layers
+            for layer in range(first, end)
+        }
+        self.assertEqual(set(range(layers)), held)
+
+    async def test_engine_with_layers_beyond_the_model_is_ordered_anew(self):
+        await self.announce("e1", 0, 5)
+        await self.announce("e2", 7, 12)
+        await self.clock.advance(2.0)
+        self.assertEqual({("e2", 5, 10)}, self.placed())
+
+    async def test_model_with_fewer_layers(self):
+        await self.announce("e1", 0, 5)
+        await self.announce("e2", 5, 10)
+        await self.clock.advance(1.0)
+        self.configure(2, layers=6)
+        await self.clock.advance(2.0)
+        self.assertEqual({"e2"}, {name for name, *_ in self.placed()})
+        self.assert_complete(6)
+
+    async def test_model_with_more_layers(self):
+        await self.announce("e1", 0, 5)
+        await self.announce("e2", 5, 10)
+        await self.announce("e3")
+        await self.clock.advance(2.0)
+        self.configure(2, layers=14)
+        await self.announce_all("e1", "e2", "e3")
+        await self.clock.advance(3.0)
+        self.assert_complete(14)
+
+    async def test_order_in_progress_for_more_layers_than_the_model_has(self):
+        # An order without an answer is sent again until the engine reports its layers.
+        self.engines.outcomes |= dict.fromkeys(("e1", "e2"), OrderOutcome.UNKNOWN)
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.2)
+        self.assertEqual({("e1", 0, 5), ("e2", 5, 10)}, self.placed())
+        self.configure(2, layers=6)
+        self.engines.orders.clear()
+        self.engines.outcomes.clear()
+        await self.clock.advance(4.0)
+        self.assertTrue(self.engines.orders)
+        ends = {end for _, _, end in self.placed()}
+        self.assertTrue(max(ends) <= 6, self.placed())
+        self.assert_complete(6)
--- a/wigeonscale/layers/model.py
+++ b/wigeonscale/layers/model.py
@@ -65,6 +65,14 @@
     slots: int = 0
     slowdown: float = 0.0
 
+    def contains(self, layers: LayerRange) -> bool:
+        """Return whether a range is not empty and the model has all its layers.
+
+        Args:
+            layers: Any range, for example one that an engine reports.
+        """
+        return 0 <= layers.first < layers.end <= self.layers
+
     def capacity(self, size_mb: float, room_share: float) -> int:
         """Return how many layers fit on an engine beside the memory for requests.
 
--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -23,6 +23,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 
 from wigeonscale.layers.model import Holder, LayerRange, ModelSize, set_throughput
 from wigeonscale.layers.relief import copy_counts, relief
@@ -41,12 +42,16 @@
 # engine whose loss breaks the path.
 ENGINE_COST_LAYERS = 2.0
 
+NO_LAYERS = LayerRange(0, 0)
+
 
 def plan_layers(holders: Sequence[Holder], model: ModelSize) -> dict[str, LayerRange]:
     """Return the layers that engines should load.
 
     Args:
-        holders: All engines of one model, with the layers that they hold or load.
+        holders: All engines of one model, with the layers that they hold or load. One
+            with layers that the model does not have, for example of an older model,
+            is planned like an engine without layers.
         model: Sizes of the model.
 
     Returns:
@@ -59,7 +64,7 @@
     """
     wanted: dict[str, LayerRange] = {}
     available = sorted(
-        (holder for holder in holders if holder.is_available),
+        (_known_layers(holder, model) for holder in holders if holder.is_available),
         key=lambda holder: holder.backend_id,
     )
     for group in _groups(available, model):
@@ -70,6 +75,13 @@
     return wanted
 
 
+def _known_layers(holder: Holder, model: ModelSize) -> Holder:
+    """Return the engine, without its layers if the model does not have all of them."""
+    if model.contains(holder.held) or holder.held == NO_LAYERS:
+        return holder
+    return replace(holder, held=NO_LAYERS)
+
+
 def _groups(holders: Sequence[Holder], model: ModelSize) -> list[list[Holder]]:
     """Return one group per domain that can hold a set, and one of all others."""
     domains: dict[str, list[Holder]] = {}
--- a/wigeonscale/layers/tests/test_plan.py
+++ b/wigeonscale/layers/tests/test_plan.py
@@ -340,3 +340,42 @@
     def test_all_but_one_domain_lost(self):
         holders = [replace(h, is_available=h.domain == "c") for h in self.holders]
         self.assertEqual({}, plan(holders))
+
+
+class OtherModelTest(AsyncTestCase):
+    """Engines hold ranges that the model does not have, such as those of a larger one.
+
+    Guards against an IndexError that ends the control replica that plans.
+    """
+
+    RANGES = (
+        LayerRange(60, 90),
+        LayerRange(80, 100),
+        LayerRange(0, LAYERS + 1),
+        LayerRange(2**31 - 2, 2**31 - 1),
+        LayerRange(-5, 3),
+        LayerRange(40, 20),
+    )
+
+    def test_they_are_planned_like_engines_without_layers(self):
+        empty = deployment()
+        whole = apply_plan(empty, plan(empty))
+        for held in self.RANGES:
+            for others in (empty, whole):
+                without = [replace(others[0], held=NO_LAYERS), *others[1:]]
+                foreign = [replace(others[0], held=held), *others[1:]]
+                self.assertEqual(plan(without), plan(foreign), held)
+
+    def test_fewer_layers_than_engines_hold(self):
+        holders = apply_plan(deployment(), plan(deployment()))
+        for layers in (79, 60, 31, 5):
+            now = holders
+            for _ in range(40):
+                wanted = plan(now, layers)
+                if not wanted:
+                    break
+                now = apply_plan(now, wanted)
+            self.assertEqual({}, wanted)
+            for domain in DOMAINS:
+                mine = [h for h in now if h.domain == domain]
+                self.assertEqual(set(range(layers)), covered(mine), layers)
