Drop orders that a new configuration no longer allows

Load pattern: orders to load layers are in progress or wait for their turn while the operator changes the model, its sizes or the kinds of accelerators.

Cause: an order without effect was sent again with the layers that were planned under the former configuration, and an order that waited was sent unchanged. An engine would be ordered to hold more than its memory, which crashes it, or layers that the model does not have. Found while reading the code for ranges that do not fit the configuration; not seen in a run of the daemons.

Change: LayerAssigner checks each order in progress, and each order before it is sent, against the model and the accelerator in force, and drops it if it does not fit; the next plan orders the engine anew.

Tests, run before the change: three of OtherModelTest failed. Layers 0-5 and 5-10 were ordered where memory suffices for three or the model has five, and an engine of a dropped kind got its order three more times in 5 s. The one with a dropped service passed before. After it: 25 of 25 of test_layer_assigner and test_layer_assigner_load.

--- a/wigeonscale/control/layer_assigner.py
+++ b/wigeonscale/control/layer_assigner.py
@@ -145,9 +145,26 @@
                 backend is None
                 or backend.silent
                 or _is_finished(order, _announced_layers(backend))
+                or not self._is_allowed(order.layers, backend)
             ):
                 del self._issued_orders[name]
 
+    def _is_allowed(self, layers: LayerRange, backend: wire.Backend) -> bool:
+        """Return whether an engine may hold layers under the current configuration.
+
+        The model, its sizes and the kinds of accelerators may have changed since an
+        order was planned.
+        """
+        service = self._table().services.get(backend.service)
+        engine = service.engine if service is not None else None
+        if engine is None or layers.end > engine.layers:
+            return False
+        accelerator = engine.accelerators.get(backend.accelerator)
+        return (
+            accelerator is not None
+            and layers.count * engine.layer_mb <= accelerator.size_mb
+        )
+
     def _reconcile_service(
         self, service: str, engine: EngineProfile, members: dict[str, wire.Backend]
     ) -> None:
@@ -220,6 +237,9 @@
         expected = await self._expected_orders(backend, layers)
         if expected is None:
             return None
+        if not self._is_allowed(layers, backend):
+            # The configuration changed while the order waited.
+            return None
         fencing_token = (
             self._replica.applied_term << TERM_SHIFT
         ) + self._replica.applied_index
--- a/wigeonscale/control/tests/test_layer_assigner.py
+++ b/wigeonscale/control/tests/test_layer_assigner.py
@@ -1,7 +1,9 @@
+import asyncio
 from dataclasses import replace
 
 from wigeonscale.control.tests.layer_assigner_case import (
     PROFILE,
+    TABLE,
     LayerAssignerCase,
 )
 from wigeonscale.ports.orders import OrderOutcome
@@ -212,3 +214,59 @@
         ends = {end for _, _, end in self.placed()}
         self.assertTrue(max(ends) <= 6, self.placed())
         self.assert_complete(6)
+
+    async def test_order_in_progress_for_more_memory_than_its_layers_may_take(self):
+        self.engines.outcomes |= dict.fromkeys(("e1", "e2"), OrderOutcome.UNKNOWN)
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.2)
+        self.configure(2, layer_mb=300.0)
+        self.engines.orders.clear()
+        self.engines.outcomes.clear()
+        await self.announce_all("e1", "e2", "e3", "e4")
+        await self.clock.advance(4.0)
+        sizes = {end - first for _, first, end in self.placed()}
+        self.assertTrue(sizes and max(sizes) <= 3, self.placed())
+        self.assert_complete(10)
+
+    async def test_order_in_progress_at_an_engine_whose_kind_is_dropped(self):
+        self.engines.outcomes["e1"] = OrderOutcome.UNKNOWN
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.2)
+        self.configure(2, accelerators={})
+        self.engines.orders.clear()
+        await self.clock.advance(5.0)
+        self.assertEqual([], self.engines.orders)
+        self.table = replace(TABLE, number=3)
+        await self.clock.advance(3.0)
+        self.assertTrue(self.engines.orders)
+
+    async def test_order_that_waits_while_the_configuration_changes(self):
+        # Only some orders are sent at a time; the others wait.
+        async def wait_for_change(address, **order):
+            changed.set()
+            await self.clock.sleep(0.5)
+            return await place(address, **order)
+
+        changed, place = asyncio.Event(), self.engines.place
+        self.engines.place = wait_for_change
+        self.assigner._order_slots = asyncio.Semaphore(1)
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.2)
+        await changed.wait()
+        self.configure(2, layers=5)
+        await self.clock.advance(4.0)
+        ends = {end for _, _, end in self.placed()}
+        self.assertTrue(max(ends) <= 5, self.placed())
+        self.assert_complete(5)
+
+    async def test_order_in_progress_at_an_engine_whose_service_is_dropped(self):
+        self.engines.outcomes["e1"] = OrderOutcome.UNKNOWN
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(1.2)
+        self.table = RouteTable(number=2)
+        self.engines.orders.clear()
+        await self.clock.advance(5.0)
+        self.assertEqual([], self.engines.orders)
+        self.table = replace(TABLE, number=3)
+        await self.clock.advance(3.0)
+        self.assertTrue(self.engines.orders)
