Plan layers only with amounts that are plausible

Cause: the sizes of a model and of its accelerators come from the operator's document unchecked. A document without kv-token-bytes, or with a layer or accelerator of 0 MB, infinity or NaN, ends LayerAssigner.run and the process with ZeroDivisionError, OverflowError or ValueError, on each replica and again after each start, as the document is in the replicated state. A model of 2^31 layers takes gigabytes and minutes for one plan.

Change: control/model_sizes.py says which profile can be planned (1 to 4096 layers of a known size) and takes amounts that are missing, negative, not finite or over 1e15 as unknown. A service without a plannable model is logged once for each configuration and left alone, the others are planned; accelerators of unknown size or pace count like unknown kinds. The documents are accepted as before: refusing one now could end replicas that have it in their log.

Tests, run before the change: both of ImplausibleProfileTest failed (the task had ended with a layer of 0 MB and no room for requests; no complete set without the memory of a token).

--- a/wigeonscale/control/layer_assigner.py
+++ b/wigeonscale/control/layer_assigner.py
@@ -1,6 +1,6 @@
 """Assigns layers to engines without an agent and sends them orders to load."""
 
-__all__ = ["LayerAssigner", "model_size"]
+__all__ = ["LayerAssigner"]
 
 import asyncio
 import functools
@@ -10,12 +10,17 @@
 
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.control.commands import Commands
+from wigeonscale.control.model_sizes import (
+    model_size,
+    planning_obstacle,
+    usable_accelerator,
+)
 from wigeonscale.errors import WigeonscaleError
-from wigeonscale.layers import Holder, LayerRange, ModelSize, plan_layers
+from wigeonscale.layers import Holder, LayerRange, plan_layers
 from wigeonscale.ports import Clock
 from wigeonscale.ports.orders import EngineOrders, EngineStatus, OrderOutcome
 from wigeonscale.replication import Replica, Role
-from wigeonscale.routes import EngineProfile, RouteTable
+from wigeonscale.routes import EngineProfile, RouteTable, Service
 from wigeonscale.state import ControlState, Member
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -39,7 +44,6 @@
 MAX_CONCURRENT_ORDERS = 100
 # Packs (term, index) into one fencing token that JSON represents exactly.
 TERM_SHIFT = 32
-BYTES_PER_MB = 1e6
 
 logger = logging.getLogger(__name__)
 
@@ -101,6 +105,8 @@
         self._known_engines: frozenset[str] = frozenset()
         self._settled_at = clock.now()
         self._incarnations: dict[str, int] = {}
+        self._seen_table: RouteTable | None = None
+        self._services: list[Service] = []
 
     async def run(self) -> None:
         """Plan and send orders until cancelled."""
@@ -125,9 +131,26 @@
             self._settled_at = self._clock.now() + SETTLE_S
         self._drop_restarted(members)
         self._drop_finished(members)
-        for service in self._table().services.values():
-            if service.engine is not None and service.engine.layers:
-                self._reconcile_service(service.name, service.engine, members)
+        for service in self._plannable_services():
+            self._reconcile_service(service.name, service.engine, members)
+
+    def _plannable_services(self) -> list[Service]:
+        """Return the services whose engines hold layers that can be planned."""
+        table = self._table()
+        if table is not self._seen_table:
+            self._seen_table = table
+            self._services = []
+            for service in table.services.values():
+                if service.engine is None or not service.engine.layers:
+                    continue
+                obstacle = planning_obstacle(service.engine)
+                if not obstacle:
+                    self._services.append(service)
+                    continue
+                logger.warning(
+                    "cannot plan layers of service %s: %s", service.name, obstacle
+                )
+        return self._services
 
     def _drop_restarted(self, members: dict[str, wire.Backend]) -> None:
         """Drop the orders of engines that have restarted since the last call."""
@@ -159,7 +182,7 @@
         engine = service.engine if service is not None else None
         if engine is None or layers.end > engine.layers:
             return False
-        accelerator = engine.accelerators.get(backend.accelerator)
+        accelerator = usable_accelerator(engine, backend.accelerator)
         return (
             accelerator is not None
             and layers.count * engine.layer_mb <= accelerator.size_mb
@@ -201,7 +224,7 @@
         self._queued_layers.pop(name, None)
 
     def _holder(self, backend: wire.Backend, engine: EngineProfile) -> Holder | None:
-        accelerator = engine.accelerators.get(backend.accelerator)
+        accelerator = usable_accelerator(engine, backend.accelerator)
         if accelerator is None:
             return None
         issued = self._issued_orders.get(backend.agent_id)
@@ -387,25 +410,6 @@
     return bool(status_ms and announced_ms) and status_ms != announced_ms
 
 
-def model_size(engine: EngineProfile) -> ModelSize:
-    """Return the model's sizes that layer planning uses.
-
-    Args:
-        engine: Profile of the model's engines.
-    """
-    tokens = engine.usual_prompt + engine.usual_answer
-    longer_ms = engine.sequence_ms + engine.context_ms * tokens / 1000.0
-    return ModelSize(
-        layers=engine.layers,
-        layer_mb=engine.layer_mb,
-        token_mb=engine.token_bytes / engine.layers / BYTES_PER_MB,
-        room_tokens=engine.room_tokens,
-        request_tokens=tokens,
-        slots=engine.slots,
-        slowdown=longer_ms / engine.step_ms if engine.step_ms else 0.0,
-    )
-
-
 def _has_all_layers(backends: Iterable[wire.Backend], domain: str, layers: int) -> bool:
     """Return whether requests can still pass through all layers in a failure domain.
 
--- a/wigeonscale/control/tests/layer_assigner_case.py
+++ b/wigeonscale/control/tests/layer_assigner_case.py
@@ -65,6 +65,10 @@
 
 class LayerAssignerCase(AsyncTestCase):
     async def prepare(self):
+        self.start()
+        self.addCleanup(self.stop)
+
+    def start(self):
         self.clock = ManualClock()
         self.state = ControlState()
         self.replica = FakeReplica(state=self.state, clock=self.clock)
@@ -72,7 +76,6 @@
         self.commands = Commands(
             replica=self.replica, addresses=["127.0.0.1:1"], clock=self.clock
         )
-        self.addCleanup(self.commands.close)
         self.fresh = True
         self.table = TABLE
         self.assigner = LayerAssigner(
@@ -85,11 +88,11 @@
             is_fresh=lambda: self.fresh,
         )
         self.task = asyncio.create_task(self.assigner.run())
-        self.addCleanup(self.stop)
 
     async def stop(self):
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
+        await self.commands.close()
 
     async def announce(self, name, first=0, end=0, **fields):
         if name not in self.engines.held:
--- a/wigeonscale/control/tests/test_layer_assigner.py
+++ b/wigeonscale/control/tests/test_layer_assigner.py
@@ -154,12 +154,7 @@
         self.assertEqual([0], counts)
 
 
-class OtherModelTest(LayerAssignerCase):
-    """Engines hold or load layers that the configured model does not have.
-
-    Guards against a leader that ends, on each replica in turn, as soon as it plans.
-    """
-
+class ConfiguredTest(LayerAssignerCase):
     def configure(self, number, **engine):
         self.table = RouteTable(
             number=number,
@@ -175,6 +170,13 @@
         }
         self.assertEqual(set(range(layers)), held)
 
+
+class OtherModelTest(ConfiguredTest):
+    """Engines hold or load layers that the configured model does not have.
+
+    Guards against a leader that ends, on each replica in turn, as soon as it plans.
+    """
+
     async def test_engine_with_layers_beyond_the_model_is_ordered_anew(self):
         await self.announce("e1", 0, 5)
         await self.announce("e2", 7, 12)
@@ -270,3 +272,59 @@
         self.table = replace(TABLE, number=3)
         await self.clock.advance(3.0)
         self.assertTrue(self.engines.orders)
+
+
+class ImplausibleProfileTest(ConfiguredTest):
+    """A valid document has amounts with which no layers can be planned.
+
+    Guards against a leader that ends, on each replica in turn, as soon as it plans.
+    """
+
+    def accelerators(self, **fields):
+        kind = replace(PROFILE.accelerators["k"], **fields)
+        return {"accelerators": {"k": kind}}
+
+    async def test_unknown_amounts_do_not_keep_layers_from_being_planned(self):
+        for number, engine in enumerate(
+            (
+                {"token_bytes": 0.0},
+                {"token_bytes": -1.0},
+                {"token_bytes": 0.0, "room_tokens": 0.0, "slots": 0},
+                {"room_tokens": float("nan")},
+                {"room_tokens": float("inf"), "token_bytes": 0.0},
+                {"usual_prompt": float("inf"), "step_ms": 1e-320},
+                {"slots": 10**400, "token_bytes": 1e-320, "sequence_ms": 1.0},
+                {"slots": -1, "sequence_ms": 1.0, "step_ms": 1.0},
+            ),
+            start=2,
+        ):
+            await self.stop()
+            self.start()
+            self.configure(number, **engine)
+            await self.announce_all("e1", "e2")
+            await self.clock.advance(3.0)
+            self.assert_complete(10)
+
+    async def test_impossible_amounts_do_not_end_the_assigner(self):
+        nan, inf = float("nan"), float("inf")
+        for number, engine in enumerate(
+            (
+                {"layers": -80},
+                {"layer_mb": 0.0, "room_tokens": 0.0},
+                {"layer_mb": -1.0},
+                {"layer_mb": nan},
+                self.accelerators(size_mb=inf),
+                self.accelerators(size_mb=nan),
+                self.accelerators(size_mb=-1.0),
+                self.accelerators(pace=0.0),
+            ),
+            start=2,
+        ):
+            self.configure(number, **engine)
+            await self.announce_all("e1", "e2")
+            await self.clock.advance(1.5)
+            self.assertFalse(self.task.done(), engine)
+            self.assertEqual([], self.engines.orders, engine)
+        self.configure(99)
+        await self.clock.advance(1.5)
+        self.assert_complete(10)
--- a/wigeonscale/lab/fleet.py
+++ b/wigeonscale/lab/fleet.py
@@ -2,7 +2,7 @@
 
 __all__ = ["plan_engines"]
 
-from wigeonscale.control.layer_assigner import model_size
+from wigeonscale.control.model_sizes import model_size
 from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.lab.engines import SimulatedEngine
 from wigeonscale.lab.scenario import Scenario
--- a/wigeonscale/layers/model.py
+++ b/wigeonscale/layers/model.py
@@ -1,12 +1,22 @@
 """Data types for the layers of a model and the engines that hold them."""
 
-__all__ = ["Holder", "LayerRange", "ModelSize", "Part", "set_throughput"]
+__all__ = [
+    "MAX_MODEL_LAYERS",
+    "Holder",
+    "LayerRange",
+    "ModelSize",
+    "Part",
+    "set_throughput",
+]
 
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
 
+# Bounds the memory and time that a plan takes.
+MAX_MODEL_LAYERS = 4096
+
 
 class LayerRange(NamedTuple):
     """A half-open range of layers, from ``first`` up to but excluding ``end``."""
@@ -48,9 +58,9 @@
     """Memory that a model and its requests need.
 
     Attributes:
-        layers: Number of layers of the model.
-        layer_mb: Memory of one layer, in MB.
-        token_mb: Memory of one token in one layer, in MB.
+        layers: Number of layers of the model, at most ``MAX_MODEL_LAYERS``.
+        layer_mb: Memory of one layer, in MB; more than 0.
+        token_mb: Memory of one token in one layer, in MB; 0 if unknown.
         room_tokens: Tokens of requests that an engine should have memory for.
         request_tokens: Tokens of a typical request, prompt and answer; 0 if unknown.
         slots: Maximum concurrent requests of a path's first engine; 0 for no limit.
@@ -88,7 +98,22 @@
             (8, 10)
         """
         per_layer_mb = self.layer_mb + room_share * self.room_tokens * self.token_mb
-        return int(size_mb / per_layer_mb)
+        return int(min(size_mb / per_layer_mb, MAX_MODEL_LAYERS))
+
+    def tokens(self, size_mb: float, layers: int) -> float:
+        """Return for how many tokens of requests an engine has memory.
+
+        Args:
+            size_mb: Memory of the engine, in MB.
+            layers: Number of layers that it holds, at least one.
+
+        Returns:
+            Tokens beside the layers; ``room_tokens`` if their memory is unknown.
+        """
+        if not self.token_mb:
+            return self.room_tokens
+        free_mb = max(0.0, size_mb - layers * self.layer_mb)
+        return free_mb / (layers * self.token_mb)
 
     def requests(self, size_mb: float, layers: int) -> float:
         """Return how many typical requests fit on an engine beside its layers.
@@ -97,9 +122,8 @@
             size_mb: Memory of the engine, in MB.
             layers: Number of layers that it holds, at least one.
         """
-        free_mb = max(0.0, size_mb - layers * self.layer_mb)
-        tokens = free_mb / (layers * self.token_mb)
-        room = tokens / (self.request_tokens or self.room_tokens)
+        request_tokens = self.request_tokens or self.room_tokens or 1.0
+        room = self.tokens(size_mb, layers) / request_tokens
         return min(room, self.slots) if self.slots else room
 
 
--- a/wigeonscale/layers/relief.py
+++ b/wigeonscale/layers/relief.py
@@ -102,8 +102,7 @@
     """Return for how many tokens of requests an engine has memory beside layers."""
     if not layers.count:
         return 0.0
-    free_mb = max(0.0, holder.size_mb - layers.count * model.layer_mb)
-    return free_mb / (layers.count * model.token_mb)
+    return model.tokens(holder.size_mb, layers.count)
 
 
 def _without_surplus(
