A silent run ends only if engines that respond can take its request

Load pattern: several engines are silent for a second. A stream that could be sent again was given up and sent to another silent engine, or to the same one, up to four times within 1.5 s (trial with real processes, from an entry's log: five sends to one first engine, then refused, then without a retry until its deadline). Each send took a retry from the budget.

Cause: the next path was chosen only after the run had ended, and avoided engines are taken as a last resort. Change: a run is given up only if engines that are neither silent nor avoided cover all layers and may begin the path. A status that the first engine returns ends the time for which it is avoided as lost, so that a stream whose connection alone is silent goes back to it.

Three tests of test_silence failed before.

--- a/wigeonscale/direct/admission.py
+++ b/wigeonscale/direct/admission.py
@@ -169,10 +169,16 @@
     }
 
 
-def responds(ctx: EntryContext, server: BackendServer, *, domain: str) -> bool:
-    """Return whether an engine of a failure domain can take over streams."""
+def responds(ctx: EntryContext, server: BackendServer, *, domain: str = "") -> bool:
+    """Return whether an engine can take over streams.
+
+    Args:
+        ctx: Context of the entry.
+        server: The engine.
+        domain: If given, it must be in this failure domain.
+    """
     return (
-        server.domain == domain
+        (not domain or server.domain == domain)
         and not server.is_silent
         and not ctx.tracker.is_avoided(server.backend_id)
         and not ctx.notices.is_leaving(server.backend_id)
--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -1,8 +1,9 @@
 """When a running generation leaves engines that may be lost.
 
 A silent engine may be lost, or it may go on after a second. So a run that may go on
-ends only once its request can be sent again: it may run again, and the retry budget has
-a retry for it. Until then the run is rerouted if that becomes possible, or waits.
+ends only once its request can be sent again: it may run again, other engines respond,
+and the retry budget has a retry for it. Until then the run is rerouted if that becomes
+possible, or waits.
 """
 
 __all__ = ["leave_engines"]
@@ -10,7 +11,7 @@
 import logging
 
 from wigeonscale.adapters.logs import log_fields
-from wigeonscale.direct.admission import lost_engines
+from wigeonscale.direct.admission import lost_engines, responds
 from wigeonscale.direct.crashing import is_crashing
 from wigeonscale.direct.detour import change_path
 from wigeonscale.direct.job import EntryContext, Job
@@ -57,7 +58,7 @@
             if await change_path(ctx, job, progress, run, path):
                 progress.reroutes += 1
                 return False
-        if await _take_retry(ctx, job, progress) and run.events == events:
+        if await _take_retry(ctx, job, progress, run) and run.events == events:
             outcome = "sent-again"
             break
         await ctx.clock.sleep(POLL_INTERVAL_S)
@@ -75,13 +76,49 @@
     return outcome == "sent-again"
 
 
-async def _take_retry(ctx: EntryContext, job: Job, progress: Progress) -> bool:
+async def _take_retry(
+    ctx: EntryContext, job: Job, progress: Progress, run: Run
+) -> bool:
     if is_crashing(ctx, job):
         # It is rejected instead of being sent again, which would cut a begun response.
         return not progress.is_begun
     # A run that is in progress may have done work, whatever its caller has of it.
     if not job.route.is_idempotent or not may_send_again(job, progress):
         return False
+    if not _has_responding_path(ctx, job, progress, run):
+        return False
     if not progress.has_retry:
         progress.has_retry = await ctx.budget.acquire(job.service.name, is_begun=True)
     return progress.has_retry
+
+
+def _has_responding_path(
+    ctx: EntryContext, job: Job, progress: Progress, run: Run
+) -> bool:
+    """Return whether engines that respond hold all layers of a next path.
+
+    Notes:
+        Linear in the engines of the service. It does not look for the path itself,
+        which takes milliseconds, and which the next send does.
+    """
+    servers = [
+        server
+        for server in ctx.fleet().by_service.get(job.service.name, ())
+        if responds(ctx, server)
+    ]
+    ran_on = progress.ran_on | {run.backend_ids[0]}
+    first = [
+        server
+        for server in servers
+        if server.layers.first == 0
+        and (len(ran_on) < job.route.max_attempts or server.backend_id in ran_on)
+    ]
+    if not first:
+        return False
+    layers = job.service.engine.layers if run.is_split else 0
+    end = max(server.layers.end for server in first)
+    for server in sorted(servers, key=lambda server: server.layers.first):
+        if server.layers.first > end:
+            break
+        end = max(end, server.layers.end)
+    return end >= layers
--- a/wigeonscale/direct/stalls.py
+++ b/wigeonscale/direct/stalls.py
@@ -304,6 +304,7 @@
             is_active = any(run.latest_event_at > asked_at for run in runs)
             culprits = [] if is_active else [head]
         else:
+            self._tracker.note_went_on([head])
             named = [fleet.by_address.get(at) for at in status.held_up_by]
             culprits = [each.backend_id for each in named if each is not None]
         if not culprits:
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -120,6 +120,33 @@
         await self.go_on(task)
         self.assertEqual(MAX_SENDS, len(self.exchange.calls))
 
+    async def test_no_other_engine_responds(self):
+        """Guards against retries that are spent on engines that are silent as well."""
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        task = self.start()
+        await self.until(lambda: self.got() == [1])
+        for name in ("b1", "b2"):
+            self.harness.tracker.note_lost(name)
+        await self.go_on(task)
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
+    async def test_no_attempt_is_left(self):
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        await self.go_on(self.start(max_attempts=1))
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
+    async def test_only_its_connection_is_silent(self):
+        """The engine responds to a later query, on a new connection."""
+        self.exchange.script("a1", [event(1), self.gate], [event(2)])
+        task = self.start(max_attempts=1)
+        await self.harness.clock.advance(SILENCE_S)
+        self.assertFalse(task.done())
+        del self.harness.orders.held_up_by["a1:80"]
+        await self.until(task.done)
+        await task
+        self.assertEqual([1, 2], self.got())
+        self.assertEqual(["a1", "a1"], self.exchange.sent_to)
+
     async def test_sent_again_once_the_budget_has_a_retry(self):
         self.use_up_budget()
         self.exchange.script("a1", [event(1), self.gate, event(2)])
