Close gaps only with engines that have memory for a layer

Load pattern: a kind of accelerator is too small for one layer of the model, for example after a change of the model.

Cause: the repair of a gap gives an engine at least one layer, whatever its memory, and a row of engines is shifted through one without memory. The engine would be ordered to hold more than its memory, which crashes it; since orders are checked before they are sent, the gap stayed open instead while a larger engine was free.

Change: a gap is closed with one layer at least only if that layer fits.

Test: test_plan_fuzz with 600 derandomised fleets; before the change it found an engine of 50 MB planned with a layer of 100 MB. After it: passes.

--- a/wigeonscale/layers/plan.py
+++ b/wigeonscale/layers/plan.py
@@ -170,7 +170,11 @@
 
     If there are neither, return a step that relieves an engine with little memory.
     """
-    empty = [holder for holder in holders if not holder.held.count]
+    empty = [
+        holder
+        for holder in holders
+        if not holder.held.count and _layers_to_load(holder, model)
+    ]
     empty.sort(key=lambda h: (h.pace, h.backend_id))
     held = {h.backend_id: h.held for h in holders if h.held.count}
     wanted: dict[str, LayerRange] = {}
@@ -182,7 +186,7 @@
             )
             if holder is None:
                 break
-            end = remaining.first + max(1, model.capacity(holder.size_mb, 1.0))
+            end = remaining.first + _layers_to_load(holder, model)
             wanted[holder.backend_id] = LayerRange(
                 remaining.first, min(remaining.end, end)
             )
@@ -193,6 +197,15 @@
     return wanted or relief(holders, model)
 
 
+def _layers_to_load(holder: Holder, model: ModelSize) -> int:
+    """Return how many layers an engine should load to close a gap.
+
+    At least one if its memory suffices, even without room for requests.
+    """
+    count = model.capacity(holder.size_mb, 1.0)
+    return count or min(1, model.capacity(holder.size_mb, 0.0))
+
+
 def _redundant(
     holders: Sequence[Holder], held: dict[str, LayerRange], model: ModelSize
 ) -> Holder | None:
@@ -213,6 +226,7 @@
         if holder.held.count
         and holder.held == held.get(holder.backend_id)
         and copies(holder) > 1
+        and _layers_to_load(holder, model)
     ]
     return max(
         found,
@@ -302,7 +316,7 @@
     first, end = gap
     while True:
         holder = _largest_by(holders, capacity, lambda held, at=first: held.end == at)
-        if holder is None:
+        if holder is None or not capacity(holder):
             return {}
         first = holder.held.first
         start = max(first, end - capacity(holder))
@@ -320,7 +334,7 @@
     first, end = gap
     while True:
         holder = _largest_by(holders, capacity, lambda held, at=end: held.first == at)
-        if holder is None:
+        if holder is None or not capacity(holder):
             return {}
         end = holder.held.end
         stop = min(end, first + capacity(holder))
