Send responses to their last byte before a server stops

Cause: a request counted as ended when its handler had passed the last bytes to the transport, whose buffer may hold up to 64 KiB of them. The drain then ended and the process exited. Connections closed by a drain as idle, by Connection: close and by the abort of a begun response were lost in the same way, as were pages of the servers for health, metrics and control, and answers of the entry for agents, whose request ended before its response was written at all. Besides, a connection that is closed with unread data is reset, which discards what the caller hasn't received: a 413 or 400 that is sent while the caller still sends its body.

Change: one connection class (adapters/http_server.py) for all HTTP servers. The drain waits until each connection is closed with nothing left to send; its timeout is that of the shutdown, as before. A connection that closes after a response, or because one was aborted, ends its own side first and discards what still comes for 1 s or until the caller closes. An error before the body was read now says Connection: close. cleanup() of the servers for health and control waits for the same within its old timeout.

--- a/wigeonscale/adapters/health.py
+++ b/wigeonscale/adapters/health.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from wigeonscale.adapters.channels import TlsFiles, server_tls_context
+from wigeonscale.adapters.http_server import DrainingRunner
 from wigeonscale.adapters.metrics import METRICS, Metrics
 
 SHUTDOWN_TIMEOUT_S = 2.0
@@ -23,7 +24,7 @@
     tls: TlsFiles | None = None,
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
     max_body_bytes: int = MAX_BODY_BYTES,
-) -> web.AppRunner:
+) -> DrainingRunner:
     """Serve ``/healthz``, ``/readyz``, ``/metrics`` and further routes.
 
     Args:
@@ -33,8 +34,8 @@
         metrics: Metrics served at ``/metrics``.
         tls: Files for mutual TLS; None for plain HTTP.
         max_body_bytes: Maximum size of a request body, in bytes.
-        shutdown_timeout_s: Time that ``cleanup`` waits for requests in progress, in
-            seconds.
+        shutdown_timeout_s: Time that ``cleanup`` waits for requests in progress and for
+            their responses to be sent, in seconds.
 
     Returns:
         A started runner; stop it with ``await runner.cleanup()``.
@@ -45,9 +46,7 @@
     app = web.Application(client_max_size=max_body_bytes)
     app.add_routes(_health_routes(ready, metrics))
     app.add_routes(routes)
-    runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=shutdown_timeout_s, handle_signals=False
-    )
+    runner = DrainingRunner(app, shutdown_timeout=shutdown_timeout_s)
     await runner.setup()
     host, _, port = address.rpartition(":")
     context = server_tls_context(tls) if tls else None
--- a/wigeonscale/dispatch/tests/fake_agent.py
+++ b/wigeonscale/dispatch/tests/fake_agent.py
@@ -46,6 +46,7 @@
         self.streams = 0
         self.once_effects: list[str] = []
         self.words = WORDS
+        self.call_answer: bytes | None = None
         self.changed = asyncio.Condition()
         self._outboxes: dict[int, asyncio.Queue] = {}
         self._answers: dict[str, list[asyncio.Task]] = {}
@@ -175,7 +176,7 @@
         dispatch_id = opening.dispatch_id
         if opening.WhichOneof("work") == "call":
             await self._hold_at(0)
-            body = b"did " + opening.call.path.encode()
+            body = self.call_answer or b"did " + opening.call.path.encode()
             self.send(
                 number, dispatch_id, response=wire.Response(status=200, body=body)
             )
--- a/wigeonscale/entry/app.py
+++ b/wigeonscale/entry/app.py
@@ -51,8 +51,6 @@
         # then stops or detaches the work.
         self._runner = CallerRunner(
             _application(self._entry),
-            access_log=None,
-            handle_signals=False,
             handler_cancellation=True,
             shutdown_timeout=ABORT_GRACE_S,
         )
@@ -67,12 +65,17 @@
         Open connections are still served; each is closed after its next response.
         """
         self._entry.draining = True
+        if self._runner is not None:
+            self._runner.open_conns.is_draining = True
         await self._entry.clock.sleep(UNREADY_GRACE_S)
-        await self._site.stop()
+        if self._site is not None:
+            await self._site.stop()
 
     async def finish(self) -> None:
-        """Wait until the answers in progress are complete."""
+        """Wait until the answers in progress are complete and sent."""
         await self._entry.wait_until_idle()
+        if self._runner is not None:
+            await self._runner.open_conns.drain()
 
     async def abort(self) -> None:
         """Abort the answers still in progress with an error event."""
--- a/wigeonscale/entry/malformed_http.py
+++ b/wigeonscale/entry/malformed_http.py
@@ -2,37 +2,17 @@
 
 __all__ = ["CallerRunner"]
 
-import asyncio
-
 from aiohttp import web
 
 from wigeonscale.adapters import METRICS
+from wigeonscale.adapters.http_server import Connection, DrainingRunner
 from wigeonscale.entry.error_responses import error_response
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 
 MAX_MESSAGE_LENGTH = 200
 
 
-class CallerRunner(web.AppRunner):
-    """Runs an application that answers malformed HTTP with its own error format."""
-
-    @property
-    def server(self) -> "_ConnectionFactory | None":
-        """Factory that sites call for each connection."""
-        server = super().server
-        return None if server is None else _ConnectionFactory(server=server)
-
-
-class _ConnectionFactory:
-    def __init__(self, *, server: web.Server):
-        self._server = server
-
-    def __call__(self) -> web.RequestHandler:
-        loop = asyncio.get_running_loop()
-        return _Connection(self._server, loop=loop, access_log=None)
-
-
-class _Connection(web.RequestHandler):
+class _Connection(Connection):
     __slots__ = ()
 
     def handle_error(
@@ -54,6 +34,12 @@
         return resp
 
 
+class CallerRunner(DrainingRunner):
+    """Runs an application that answers malformed HTTP with its own error format."""
+
+    connection_class = _Connection
+
+
 def _error_for_status(status: int, message: str) -> WigeonscaleError:
     if status >= web.HTTPInternalServerError.status_code:
         return WigeonscaleError(
--- a/wigeonscale/entry/tests/test_failures.py
+++ b/wigeonscale/entry/tests/test_failures.py
@@ -6,7 +6,7 @@
 
 from wigeonscale.dispatch.tests.fake_agent import WORDS
 from wigeonscale.entry.service import EntryLimits
-from wigeonscale.entry.tests.support import EntryCase, read_events, texts_of
+from wigeonscale.entry.tests.support import KEY, EntryCase, read_events, texts_of
 from wigeonscale.errors import ErrorKind
 from wigeonscale.pipelines.constants import INITIAL_CREDIT_TOKENS
 from wigeonscale.wire import wire_pb2 as wire
@@ -212,3 +212,33 @@
         self.assertEqual(ErrorKind.STOPPING, error["kind"])
         self.assertIn(answer.headers["Wigeonscale-Request"], error["message"])
         self.assertNotIn("cancel", self.agent.names())
+
+
+class SlowCallerTest(EntryCase):
+    """The process exits after the shutdown, with whatever its transports still hold."""
+
+    async def test_end_of_an_answer_is_sent_before_the_shutdown_ends(self):
+        """Guards against answers that count as sent when they are only buffered."""
+        self.service.call_answer = b"x" * 8_000_000
+        host, _, port = self.server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=4096)
+        self.addCleanup(writer.close)
+        head = f"GET /lookup/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {KEY}\r\n"
+        writer.write(f"{head}Connection: close\r\n\r\n".encode())
+        async with asyncio.timeout(30):
+            await reader.readuntil(b"\r\n\r\n")
+        (conn,) = self.server._runner._server.connections
+        transport = conn.transport
+
+        async def finish():
+            await self.server.finish()
+            return transport.get_write_buffer_size()
+
+        finishing = asyncio.create_task(finish())
+        for _ in range(50):
+            await asyncio.sleep(0)
+        async with asyncio.timeout(30):
+            answer = await reader.read()
+            writer.close()
+            self.assertEqual(0, await finishing, "bytes lost by the exit")
+        self.assertEqual(len(self.service.call_answer), len(answer))
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import BadHttpMessage
 
+from wigeonscale.adapters.http_server import Connection, OpenConnections
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.errors import (
     ERROR_RESPONSES,
@@ -37,9 +38,6 @@
 # may have run is sent as BAD_GATEWAY instead.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
-# Event loop iterations from the last byte read to the start of the handler: the task of
-# the connection wakes up and starts another task.
-LOOP_ITERATIONS_TO_HANDLER = 5
 
 Handler = Callable[[CallerRequest, ResponseSink], Awaitable[None]]
 
@@ -77,10 +75,7 @@
         self._runner: web.ServerRunner | None = None
         self._sock = sock
         self._site: web.BaseSite | None = None
-        self._stopping = False
-        self._active_conns: set[web.RequestHandler] = set()
-        self._no_active_conns = asyncio.Event()
-        self._no_active_conns.set()
+        self._open_conns = OpenConnections()
 
     async def start(self) -> None:
         """Start listening.
@@ -88,10 +83,10 @@
         Raises:
             OSError: If the address cannot be bound.
         """
-        server = _RefusingServer(
+        server = _CallerConnections(
             self._handle,
             refuse_connection=self._refuse_connection,
-            handler_cancellation=True,
+            open_conns=self._open_conns,
             keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,
             auto_decompress=False,
@@ -125,39 +120,18 @@
     async def drain(self, settle_s: float) -> None:
         """Stop accepting connections and wait for the requests in progress.
 
-        From now on each response closes its connection.
+        From now on each response closes its connection. A request has ended when its
+        response was sent, or when the caller has closed the connection.
 
         Args:
             settle_s: Time to keep accepting connections until the load balancer
                 notices that this entry is not ready, in seconds.
         """
-        self._stopping = True
+        self._open_conns.is_draining = True
         await self._clock.sleep(settle_s)
         if self._site is not None:
             await self._site.stop()
-        await self._close_idle()
-        await self._no_active_conns.wait()
-
-    async def _close_idle(self) -> None:
-        # aiohttp's pre_shutdown is not used: it stops reading from idle connections but
-        # leaves them open, so that a request sent on one would never be answered.
-        if self._runner is None:
-            return
-        idle = [
-            conn
-            for conn in self._runner.server.connections
-            if conn not in self._active_conns and _is_open(conn)
-        ]
-        for conn in idle:
-            conn.transport.pause_reading()
-        # A request that was just read reaches its handler within a few iterations.
-        for _ in range(LOOP_ITERATIONS_TO_HANDLER):
-            await asyncio.sleep(0)
-        for conn in idle:
-            if conn not in self._active_conns:
-                conn.force_close()
-            elif _is_open(conn):
-                conn.transport.resume_reading()
+        await self._open_conns.drain()
 
     async def close(self) -> None:
         """Close all connections and cancel the requests in progress."""
@@ -165,19 +139,8 @@
             await self._runner.cleanup()
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        conn = req.protocol
-        self._active_conns.add(conn)
-        self._no_active_conns.clear()
-        sink = _HttpSink(req=req, is_stopping=lambda: self._stopping)
-        try:
-            await self._respond(req, sink)
-        finally:
-            self._active_conns.discard(conn)
-            if self._stopping:
-                # A response that started before the drain lacks Connection: close.
-                conn.close()
-            if not self._active_conns:
-                self._no_active_conns.set()
+        sink = _HttpSink(req=req, open_conns=self._open_conns)
+        await self._respond(req, sink)
         return sink.response
 
     async def _respond(self, req: web.BaseRequest, sink: "_HttpSink") -> None:
@@ -261,10 +224,6 @@
             )
 
 
-def _is_open(conn: web.RequestHandler) -> bool:
-    return conn.transport is not None and not conn.transport.is_closing()
-
-
 async def _read_body(req: web.BaseRequest, limit: int) -> bytes:
     chunks, size = [], 0
     async for chunk in req.content.iter_any():
@@ -277,22 +236,36 @@
     return b"".join(chunks)
 
 
-class _RefusingServer(web.Server):
+class _CallerConnections(web.Server):
     """HTTP server that can refuse connections before it reads from them.
 
     Args:
-        handler: Handles one request.
+        handler: Handles one request; cancelled when its connection breaks.
         refuse_connection: Returns whether a new connection is refused.
-        **options: Options of :class:`aiohttp.web.Server`.
+        open_conns: Receives the connections.
+        **options: Options of :class:`aiohttp.web.RequestHandler`.
     """
 
-    def __init__(self, handler, *, refuse_connection: Callable[[], bool], **options):
-        super().__init__(handler, **options)
+    def __init__(
+        self,
+        handler,
+        *,
+        refuse_connection: Callable[[], bool],
+        open_conns: OpenConnections,
+        **options: object,
+    ):
+        super().__init__(handler, handler_cancellation=True)
         self._refuse_connection = refuse_connection
+        self._open_conns = open_conns
+        self._options = options
 
     def __call__(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
-        return _RefusedConnection() if self._refuse_connection() else super().__call__()
+        if self._refuse_connection():
+            return _RefusedConnection()
+        return Connection(
+            self, open_conns=self._open_conns, loop=self._loop, **self._options
+        )
 
 
 class _RefusedConnection(asyncio.Protocol):
@@ -307,17 +280,17 @@
 
     Args:
         req: The request.
-        is_stopping: Returns whether connections close after their response.
+        open_conns: Connections of the server.
 
     Attributes:
         response: The response in progress; a 502 response before it has started.
         has_started: Whether the head of the response was sent.
     """
 
-    def __init__(self, *, req: web.BaseRequest, is_stopping: Callable[[], bool]):
+    def __init__(self, *, req: web.BaseRequest, open_conns: OpenConnections):
         self.response: web.StreamResponse = web.Response(status=BAD_GATEWAY)
         self._req = req
-        self._is_stopping = is_stopping
+        self._open_conns = open_conns
         self.has_started = False
 
     async def send(self, response: FullResponse) -> None:
@@ -349,11 +322,10 @@
 
         The caller can thus tell that the response is incomplete.
         """
-        if self._req.transport is not None:
-            self._req.transport.close()
+        self._req.protocol.half_close()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._is_stopping():
+        if self._open_conns.is_draining or not self._req.content.is_eof():
             response.force_close()
         self.response = response
         self.has_started = True
--- a/wigeonscale/platform/tests/test_callers.py
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 import aiohttp
 
@@ -9,6 +10,11 @@
 from wigeonscale.testing import AsyncTestCase
 
 WAIT_S = 30.0
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+RECEIVE_BYTES = 4096
+CHUNK = b"x" * 16384
+# Enough for any callback that is already due.
+LOOP_ITERATIONS = 50
 
 
 class CallerCase(AsyncTestCase):
@@ -246,3 +252,126 @@
         self.assertEqual(b"", await reader.read())
         finish.cancel()
         await asyncio.gather(finish, return_exceptions=True)
+
+
+class SlowCallerTest(CallerCase):
+    """The process exits after the drain, with whatever its transports still hold."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.transport = None
+        self.is_full = asyncio.Event()
+        self.proceed = asyncio.Event()
+
+    async def send(self, data):
+        """Send bytes on a new connection that is not read before :meth:`read_rest`."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=RECEIVE_BYTES)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader
+
+    async def fill(self, sink):
+        """Write until the kernel takes no more and the transport holds the rest."""
+        await sink.begin(ResponseHead(200, ()))
+        self.transport = sink._req.transport
+        while not self.transport.get_write_buffer_size():
+            await sink.write(CHUNK)
+        self.is_full.set()
+
+    async def serve(self, req, sink):
+        await self.fill(sink)
+        await self.proceed.wait()
+        await sink.end()
+
+    async def stop(self):
+        """Drain; return how many bytes the process would lose by its exit."""
+        await self.server.drain(0.0)
+        return self.transport.get_write_buffer_size()
+
+    async def stop_and_read(self, reader):
+        """Drain while the caller begins to read; return what it has received."""
+        stop = asyncio.create_task(self.stop())
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        self.proceed.set()
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        async with asyncio.timeout(WAIT_S):
+            data = await reader.read()
+            reader._transport.close()
+            self.assertEqual(0, await stop, "bytes lost by the exit")
+        return data
+
+    async def test_end_of_a_response_is_sent_before_the_drain_ends(self):
+        """Guards against responses that count as sent when they are only buffered."""
+        reader = await self.send(REQUEST)
+        await self.is_full.wait()
+        data = await self.stop_and_read(reader)
+        self.assertTrue(data.endswith(b"x\r\n0\r\n\r\n"), data[-30:])
+
+    async def test_end_of_a_response_that_closes_its_connection(self):
+        """Guards against the same loss after ``Connection: close``."""
+        close = b"Connection: close\r\n\r\n"
+        reader = await self.send(REQUEST.removesuffix(b"\r\n") + close)
+        await self.is_full.wait()
+        data = await self.stop_and_read(reader)
+        self.assertTrue(data.endswith(b"x\r\n0\r\n\r\n"), data[-30:])
+
+    async def test_end_of_a_response_on_a_connection_that_is_idle(self):
+        """Guards against the same loss when the drain closes idle connections."""
+        self.proceed.set()
+        reader = await self.send(REQUEST)
+        await self.is_full.wait()
+        data = await self.stop_and_read(reader)
+        self.assertTrue(data.endswith(b"x\r\n0\r\n\r\n"), data[-30:])
+
+    async def test_events_before_an_abort_are_sent(self):
+        """Guards against the loss of events that were written before an abort."""
+
+        async def serve(req, sink):
+            await self.fill(sink)
+            await sink.write(b"id: 9\n\n")
+            await self.proceed.wait()
+            sink.abort()
+
+        self.serve = serve
+        reader = await self.send(REQUEST)
+        await self.is_full.wait()
+        data = await self.stop_and_read(reader)
+        self.assertTrue(data.endswith(b"id: 9\n\n\r\n"), data[-30:])
+
+    async def test_drain_does_not_wait_for_a_caller_that_is_gone(self):
+        reader = await self.send(REQUEST)
+        await self.is_full.wait()
+        stop = asyncio.create_task(self.stop())
+        reader._transport.abort()
+        async with asyncio.timeout(WAIT_S):
+            await stop
+
+
+class UnreadBodyTest(CallerCase):
+    """A response sent before the request was read must not be lost by a reset."""
+
+    REST = b"y" * 4_000_000
+
+    async def send_all(self, head):
+        """Send a request and read the response only when all of it was sent."""
+        reader, writer, _ = await self.raw(head)
+        writer.write(self.REST)
+        async with asyncio.timeout(WAIT_S):
+            await writer.drain()
+            return await reader.read()
+
+    async def test_caller_that_sends_a_too_large_body_gets_the_response(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        data = await self.send_all(head % len(self.REST))
+        self.assertIn(b"413", data)
+        self.assertIn(b"connection: close", data.lower())
+
+    async def test_caller_that_sends_a_malformed_head_gets_the_response(self):
+        data = await self.send_all(b"GET / HTTP/1.1\r\nHost : h\r\n\r\n")
+        self.assertIn(b"400", data)
