Answer requests that have arrived when a drain closes their connection

Seen with real sockets: a request read behind one in progress, when the drain begins, is dropped without a response, and so is one behind a stream whose head was sent before the drain, without Connection: close. A request that arrives on an idle connection at the moment at which the drain closes it meets a reset.

Cause: the drain marked the connection to be closed after the response in progress, whatever was read behind it, and it stopped reading from idle connections for five iterations of the event loop before it closed them.

Change: a response announces and causes the close only if no further request was read, and before a connection is closed the kernel is asked whether it has data of it. What arrives later crosses the close.

Tests: three that failed before (one response instead of two, twice; ConnectionResetError) and four that held: a body that is still being read when the drain begins, data behind a response that closes, a caller that closes its side and gets what was written, and one whose request is cancelled by that. The last is left as it was on purpose: a caller that gave up looks the same, and its work has to stop (GONE).

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -8,6 +8,8 @@
 __all__ = ["Connection", "DrainingRunner", "OpenConnections"]
 
 import asyncio
+import select
+from collections.abc import Iterable
 
 from aiohttp import web
 
@@ -52,9 +54,14 @@
         """
         self.is_draining = True
         for _ in range(LOOP_ITERATIONS_TO_HANDLER):
+            idle = [conn for conn in self._conns if conn.is_idle]
+            unread = _with_unread_data(idle)
+            for conn in idle:
+                if conn not in unread:
+                    conn.force_close()
             await asyncio.sleep(0)
-            for conn in [conn for conn in self._conns if conn.is_idle]:
-                conn.force_close()
+        for conn in [conn for conn in self._conns if conn.is_idle]:
+            conn.force_close()
         await self._none_open.wait()
 
 
@@ -84,6 +91,11 @@
         is_waiting = self._waiter is not None and not self._waiter.done()
         return is_open and is_waiting and not self._messages
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether another request was read behind the one in progress."""
+        return bool(self._messages)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve a new connection."""
         super().connection_made(transport)
@@ -103,15 +115,24 @@
         if self._is_half_closed:
             return resp, True
         is_draining = self._open_conns.is_draining
-        if is_draining and not resp.prepared:
+        if is_draining and not resp.prepared and not self.has_next_request:
             resp.force_close()
         resp, reset = await super().finish_response(request, resp, start_time)
         if self._open_conns.is_draining:
-            self.close()
+            await self._close_unless_requested()
         if not reset and (self._close or not resp.keep_alive):
             self.half_close()
         return resp, reset
 
+    async def _close_unless_requested(self) -> None:
+        # The head may have been sent before the drain, so that the caller doesn't know
+        # that its next request will not be read.
+        if _with_unread_data([self]):
+            for _ in range(2):
+                await asyncio.sleep(0)
+        if not self.has_next_request:
+            self.close()
+
     def half_close(self) -> None:
         """Send what was written and the end of the data, and close soon after.
 
@@ -209,3 +230,16 @@
             loop=asyncio.get_running_loop(),
             access_log=None,
         )
+
+
+def _with_unread_data(conns: Iterable[Connection]) -> set[Connection]:
+    """Return the connections whose data the kernel has, but not yet this process."""
+    by_fd = {}
+    poll = select.poll()
+    for conn in conns:
+        if conn.transport is None or conn.transport.is_closing():
+            continue
+        fd = conn.transport.get_extra_info("socket").fileno()
+        by_fd[fd] = conn
+        poll.register(fd, select.POLLIN)
+    return {by_fd[fd] for fd, _ in poll.poll(0)} if by_fd else set()
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -325,7 +325,10 @@
         self._req.protocol.half_close()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._open_conns.is_draining or not self._req.content.is_eof():
+        is_last = (
+            self._open_conns.is_draining and not self._req.protocol.has_next_request
+        )
+        if is_last or not self._req.content.is_eof():
             response.force_close()
         self.response = response
         self.has_started = True
--- /dev/null
+++ b/wigeonscale/platform/tests/test_kept_connections.py
@@ -0,0 +1,147 @@
+"""Requests on kept connections around the drain, the idle timeout and a close."""
+
+import asyncio
+from unittest import mock
+
+from aiohttp import web
+
+from wigeonscale.platform.tests.test_callers import REQUEST, WAIT_S, CallerCase
+from wigeonscale.ports.exchange import FullResponse, ResponseHead
+
+LOOP_ITERATIONS = 50
+RESPONSE_END = b"whole"
+
+
+class KeptConnectionCase(CallerCase):
+    async def prepare(self):
+        await super().prepare()
+        self.proceed = asyncio.Event()
+        self.started = asyncio.Event()
+
+    async def serve_after(self, req, sink):
+        """Handle the first request only after ``proceed``."""
+        if len(self.requests) == 1:
+            self.started.set()
+            await self.proceed.wait()
+        await sink.send(FullResponse(ResponseHead(200, ()), RESPONSE_END))
+
+    async def read_all(self, reader):
+        async with asyncio.timeout(WAIT_S):
+            return await reader.read()
+
+    async def begin_drain(self):
+        """Start to drain; return the task once idle connections are closed."""
+        finish = asyncio.create_task(self.server.drain(0.0))
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        return finish
+
+
+class DrainTest(KeptConnectionCase):
+    async def test_request_that_arrives_as_the_drain_closes_idle_connections(self):
+        """Guards against a reset of a connection whose request is in the kernel."""
+        reader, writer, _ = await self.raw(REQUEST, RESPONSE_END)
+        stop = web.TCPSite.stop
+
+        async def stop_and_send(site):
+            await stop(site)
+            # Written to the socket at once; the server has not read it.
+            writer.write(REQUEST)
+
+        with mock.patch.object(web.TCPSite, "stop", stop_and_send):
+            finish = await self.begin_drain()
+        self.assertTrue((await self.read_all(reader)).endswith(RESPONSE_END))
+        writer.close()
+        await finish
+        self.assertEqual(2, len(self.requests))
+
+    async def test_request_whose_body_is_read_during_the_drain(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
+        reader, writer, _ = await self.raw(head + b"12345")
+        async with asyncio.timeout(WAIT_S):
+            while self.server.connections < 1:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        finish = await self.begin_drain()
+        self.assertFalse(finish.done())
+        writer.write(b"67890")
+        got = await self.read_all(reader)
+        writer.close()
+        await finish
+        self.assertIn(b"connection: close", got.lower())
+        self.assertTrue(got.endswith(RESPONSE_END))
+        self.assertEqual(b"1234567890", self.requests[0].body)
+
+    async def test_request_behind_another_when_the_drain_begins(self):
+        """Guards against a request that was read whole and is never answered."""
+        self.serve = self.serve_after
+        reader, writer, _ = await self.raw(REQUEST + REQUEST)
+        await self.started.wait()
+        finish = await self.begin_drain()
+        self.proceed.set()
+        got = await self.read_all(reader)
+        writer.close()
+        await finish
+        self.assertEqual(2, got.count(RESPONSE_END))
+        self.assertEqual(1, got.lower().count(b"connection: close"))
+
+    async def test_request_behind_a_stream_that_began_before_the_drain(self):
+        """Guards against the same loss behind a head without ``Connection: close``."""
+
+        async def serve(req, sink):
+            await sink.begin(ResponseHead(200, ()))
+            await sink.write(b"id: 1\n\n")
+            if len(self.requests) == 1:
+                await self.proceed.wait()
+            await sink.end()
+
+        self.serve = serve
+        reader, writer, _ = await self.raw(REQUEST, b"id: 1\n\n")
+        finish = await self.begin_drain()
+        writer.write(REQUEST)
+        self.proceed.set()
+        got = await self.read_all(reader)
+        writer.close()
+        await finish
+        self.assertEqual(2, got.count(b"\r\n0\r\n\r\n"))
+        self.assertEqual(1, got.lower().count(b"connection: close"))
+
+
+class CloseTest(KeptConnectionCase):
+    async def test_response_before_data_that_is_not_read(self):
+        """Guards against a reset that discards the response that closes."""
+        self.serve = self.serve_after
+        closing = REQUEST.removesuffix(b"\r\n") + b"Connection: close\r\n\r\n"
+        reader, writer, _ = await self.raw(closing)
+        await self.started.wait()
+        writer.write(REQUEST)
+        self.proceed.set()
+        async with asyncio.timeout(WAIT_S):
+            got = await reader.readuntil(RESPONSE_END)
+            writer.write(REQUEST * 10_000)
+            await writer.drain()
+            self.assertEqual(b"", await reader.read())
+        self.assertIn(b"connection: close", got.lower())
+        self.assertEqual(1, len(self.requests))
+
+    async def test_caller_that_closes_its_side_gets_what_was_written(self):
+        body = b"x" * 8_000_000
+
+        async def serve(req, sink):
+            await sink.send(FullResponse(ResponseHead(200, ()), body))
+
+        self.serve = serve
+        reader, writer, _ = await self.raw(REQUEST, b"\r\n\r\n")
+        writer.write_eof()
+        self.assertEqual(len(body), len(await self.read_all(reader)))
+
+    async def test_caller_that_closes_its_side_has_its_request_cancelled(self):
+        """Guards against work for callers that are gone; their close looks the same."""
+        self.serve = self.serve_after
+        reader, writer, _ = await self.raw(REQUEST)
+        await self.started.wait()
+        writer.write_eof()
+        async with asyncio.timeout(WAIT_S):
+            await self.cancelled.wait()
+        self.assertEqual(b"", await self.read_all(reader))
