Keep idle connections as long as the configuration lets callers use them

Seen by a test with real sockets: with an idle-timeout-ms above 75 s, the entry closes connections that the configuration allows callers to use, so that their next request meets the close.

Cause: the server closed idle connections after a constant of 75 s; idle-timeout-ms was read into the limits of the route table and never used.

Change: a connection is idle for 75 s at least and for the idle timeout that is in force when it is checked, also if that has changed since the last request.

Tests: the longer timeout and one that grows while the connection is idle failed before (IncompleteReadError, the connection was closed); the close after the timeout held.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import select
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from aiohttp import web
 
@@ -71,16 +71,24 @@
     Args:
         manager: The server.
         open_conns: Contains this connection as long as it is open.
+        idle_s: Returns how long the connection stays open without a request, in
+            seconds, if that is longer than the option ``keepalive_timeout``.
         **options: Options of :class:`aiohttp.web.RequestHandler`.
     """
 
-    __slots__ = ("_is_half_closed", "_linger_timer", "_open_conns")
+    __slots__ = ("_idle_s", "_is_half_closed", "_linger_timer", "_open_conns")
 
     def __init__(
-        self, manager: web.Server, *, open_conns: OpenConnections, **options: object
+        self,
+        manager: web.Server,
+        *,
+        open_conns: OpenConnections,
+        idle_s: Callable[[], float] = lambda: 0.0,
+        **options: object,
     ):
         super().__init__(manager, **options)
         self._open_conns = open_conns
+        self._idle_s = idle_s
         self._is_half_closed = False
         self._linger_timer: asyncio.TimerHandle | None = None
 
@@ -108,6 +116,16 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
 
+    def _process_keepalive(self) -> None:
+        extra_s = max(0.0, self._idle_s() - self._keepalive_timeout)
+        close_at = self._next_keepalive_close_time + extra_s
+        if self._loop.time() < close_at and not self._force_close:
+            self._keepalive_handle = self._loop.call_at(
+                close_at, self._process_keepalive
+            )
+        else:
+            super()._process_keepalive()
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time
     ) -> tuple[web.StreamResponse, bool]:
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -305,6 +305,7 @@
         serve=service.serve,
         max_body=lambda: view.table.limits.body_bytes,
         clock=clock,
+        idle_s=lambda: view.table.limits.idle_s,
         sock=early.sock if early is not None else None,
         refuse_connection=refuse_connection,
     )
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -27,7 +27,8 @@
     ResponseSink,
 )
 
-# Callers close idle connections sooner; see the limits of the configuration document.
+# Lower bound of the idle timeout. The limits of the configuration document, which tell
+# callers how long they may keep a connection idle, extend it.
 IDLE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
 # Requests still in progress when the server closes are cancelled after this time.
@@ -52,6 +53,7 @@
         serve: Handles one request and writes the response to the sink.
         max_body: Returns the maximum size of a request body, in bytes.
         clock: Clock port.
+        idle_s: Returns how long callers may keep a connection idle, in seconds.
         sock: Socket already listening on the address; None to open one.
         refuse_connection: Called for each new connection; if it returns True, the
             connection is reset without a request being read.
@@ -64,6 +66,7 @@
         serve: Handler,
         max_body: Callable[[], int],
         clock: Clock,
+        idle_s: Callable[[], float] = lambda: 0.0,
         sock: socket.socket | None = None,
         refuse_connection: Callable[[], bool] = lambda: False,
     ):
@@ -72,6 +75,7 @@
         self._serve = serve
         self._max_body = max_body
         self._clock = clock
+        self._idle_s = idle_s
         self._runner: web.ServerRunner | None = None
         self._sock = sock
         self._site: web.BaseSite | None = None
@@ -87,6 +91,7 @@
             self._handle,
             refuse_connection=self._refuse_connection,
             open_conns=self._open_conns,
+            idle_s=self._idle_s,
             keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,
             auto_decompress=False,
@@ -243,7 +248,7 @@
         handler: Handles one request; cancelled when its connection breaks.
         refuse_connection: Returns whether a new connection is refused.
         open_conns: Receives the connections.
-        **options: Options of :class:`aiohttp.web.RequestHandler`.
+        **options: Options of the connections.
     """
 
     def __init__(
--- a/wigeonscale/platform/tests/test_callers.py
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -20,6 +20,8 @@
 class CallerCase(AsyncTestCase):
     """A server on loopback that passes requests to ``self.serve`` of the test."""
 
+    idle_s = 15.0
+
     async def prepare(self):
         self.requests = []
         self.cancelled = asyncio.Event()
@@ -28,6 +30,7 @@
             serve=self._serve,
             max_body=lambda: 1000,
             clock=SystemClock(),
+            idle_s=lambda: self.idle_s,
             refuse_connection=self.refuse_connection,
         )
         await self.server.start()
--- a/wigeonscale/platform/tests/test_kept_connections.py
+++ b/wigeonscale/platform/tests/test_kept_connections.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from wigeonscale.adapters.http_server import Connection
+from wigeonscale.platform import callers
 from wigeonscale.platform.tests.test_callers import REQUEST, WAIT_S, CallerCase
 from wigeonscale.ports.exchange import FullResponse, ResponseHead
 
@@ -145,3 +147,49 @@
         async with asyncio.timeout(WAIT_S):
             await self.cancelled.wait()
         self.assertEqual(b"", await self.read_all(reader))
+
+
+class IdleTimeoutTest(KeptConnectionCase):
+    """The configuration tells callers how long they may keep a connection idle."""
+
+    MIN_IDLE_S = 0.02
+
+    async def prepare(self):
+        self.idle_s = 3600.0
+        self.enterContext(mock.patch.object(callers, "IDLE_TIMEOUT_S", self.MIN_IDLE_S))
+        self.checked = asyncio.Event()
+        check = Connection._process_keepalive
+
+        def process_keepalive(conn):
+            check(conn)
+            self.checked.set()
+
+        self.enterContext(
+            mock.patch.object(Connection, "_process_keepalive", process_keepalive)
+        )
+        await super().prepare()
+
+    async def test_idle_connection_is_kept_as_long_as_the_configuration_says(self):
+        """Guards against a close of connections that callers may still use."""
+        reader, writer, _ = await self.raw(REQUEST, RESPONSE_END)
+        async with asyncio.timeout(WAIT_S):
+            await self.checked.wait()
+        writer.write(REQUEST)
+        async with asyncio.timeout(WAIT_S):
+            await reader.readuntil(RESPONSE_END)
+
+    async def test_timeout_that_grows_while_a_connection_is_idle(self):
+        """Guards against the timeout of the configuration at the last request."""
+        self.idle_s = 0.0
+        reader, writer, _ = await self.raw(REQUEST, RESPONSE_END)
+        self.idle_s = 3600.0
+        async with asyncio.timeout(WAIT_S):
+            await self.checked.wait()
+        writer.write(REQUEST)
+        async with asyncio.timeout(WAIT_S):
+            await reader.readuntil(RESPONSE_END)
+
+    async def test_idle_connection_is_closed_after_the_timeout(self):
+        self.idle_s = 2 * self.MIN_IDLE_S
+        reader, _, _ = await self.raw(REQUEST, RESPONSE_END)
+        self.assertEqual(b"", await self.read_all(reader))
