Reject successes of backend servers without a response stamp

Cause: the first response on a connection is taken for the answer to its request if it has no id, and no one asked for the stamp.

Change: a 2xx without a stamp is a failure after which the work may have run, also if it has the id. Failures without a stamp are handed on as before, and a first response without an id but with a stamp is still taken.

Tests: the one for the missing stamp failed before (it returned the 200 and 204); the other two held.

--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -19,6 +19,7 @@
     backend_headers,
     is_not_run,
     is_other_incarnation,
+    is_unstamped_success,
     matches_request,
     parse_event_id,
     read_failed_address,
@@ -181,8 +182,8 @@
     """Return the notice in the headers of a response.
 
     Raises:
-        ExchangeError: If the response belongs to another request, or states that the
-            work did not run.
+        ExchangeError: If the response belongs to another request, states that the work
+            did not run, or is a success without the stamp of a backend server.
     """
     is_match = matches_request(res.headers, call.req.request_id, is_reused=is_reused)
     response_id = read_request_id(res.headers)
@@ -203,6 +204,13 @@
             is_other_incarnation=is_other,
             notice=notice,
         )
+    if is_unstamped_success(res.status, res.headers):
+        raise ExchangeError(
+            CallOutcome.UNKNOWN,
+            f"{call.address} responded with status {res.status} without a stamp",
+            status=res.status,
+            notice=notice,
+        )
     return notice
 
 
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -10,6 +10,7 @@
     "format_path",
     "is_not_run",
     "is_other_incarnation",
+    "is_unstamped_success",
     "matches_request",
     "parse_event_id",
     "read_failed_address",
@@ -222,6 +223,16 @@
     return status == MISDIRECTED or "Not-Run" in headers
 
 
+def is_unstamped_success(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether a success lacks the stamp that proves that a server ran the work.
+
+    Args:
+        status: HTTP status.
+        headers: Case-insensitive mapping.
+    """
+    return 200 <= status < 300 and not headers.get("Response-Stamp")
+
+
 def is_other_incarnation(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether an incarnation other than the expected one responded."""
     return status == MISDIRECTED and "At-Server" not in headers
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -14,7 +14,7 @@
 )
 from wigeonscale.testing import AsyncTestCase
 
-OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n"
+OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\nResponse-Stamp: s1\r\n"
 CHUNKED = OK + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 WAIT_S = 30.0
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
@@ -123,6 +123,28 @@
         self.reply(OK.replace(b"id1", b"id2") + b"Content-Length: 5\r\n\r\nwhole")
         self.assertEqual(CallOutcome.UNKNOWN, (await self.call_error()).outcome)
 
+    async def test_success_without_a_stamp_is_rejected(self):
+        """Guards against bytes that no engine made, handed on as a success."""
+        for head in (
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\n",
+            b"HTTP/1.1 204 No Content\r\nAttempt-Id: id1\r\nResponse-Stamp: \r\n",
+        ):
+            self.reply(head + b"Connection: close\r\nContent-Length: 0\r\n\r\n")
+            self.assertEqual(CallOutcome.UNKNOWN, (await self.call_error()).outcome)
+            self.reply(head + b"Connection: close\r\n\r\n" + EVENTS)
+            with self.assertRaises(ExchangeError):
+                await self.events()
+
+    async def test_first_response_without_an_id_is_taken_by_its_stamp(self):
+        head = b"HTTP/1.1 200 OK\r\nResponse-Stamp: s1\r\nContent-Length: 5\r\n\r\n"
+        self.reply(head + b"whole")
+        self.assertEqual(b"whole", (await self.call()).body)
+
+    async def test_failure_without_a_stamp_is_handed_on(self):
+        self.reply(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(500, (await self.call()).head.status)
+
     async def test_surplus_bytes_after_a_response_are_discarded(self):
         response = OK + b"Content-Length: 5\r\n\r\nwhole"
         self.reply(
