Let stopped backend servers of the soak refuse connections

Load pattern: the soak crashes and stops backend servers while entries send to them.

Cause: the relay before a stopped server accepted each connection and reset it, as no ended process does. Entries took the reset for a request that may have run: it used up sends and was counted as one more run that a crash had aborted.

Change: the relay closes its listening socket while its server is down, and opens it at the same port when the server starts again. The port lies below the ephemeral range, so that no outgoing connection takes it meanwhile.

--- a/wigeonscale/testing/matrix/relay.py
+++ b/wigeonscale/testing/matrix/relay.py
@@ -54,6 +54,7 @@
 
     Args:
         target: ``ip:port`` to which connections are forwarded.
+        port: Port to listen on; 0 for any.
 
     Attributes:
         delay_s: Delay of data in each direction, in seconds.
@@ -61,8 +62,9 @@
         accepted: Connections accepted so far.
     """
 
-    def __init__(self, *, target: str):
+    def __init__(self, *, target: str, port: int = 0):
         self.target = target
+        self._port = port
         self.delay_s = 0.0
         self.refusing = False
         self.accepted = 0
@@ -74,12 +76,16 @@
     @property
     def address(self) -> str:
         """``ip:port`` to connect to."""
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        return f"127.0.0.1:{self._port}"
 
     async def start(self) -> None:
-        """Start listening."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        """Start listening, also after :meth:`stop_listening`."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    def stop_listening(self) -> None:
+        """Refuse new connections, as the address of a process that has ended."""
+        self._server.close()
 
     def block(self, directions: Direction, *, new: bool) -> None:
         """Block directions of existing connections and pass all others.
--- a/wigeonscale/testing/matrix/tests/test_relay.py
+++ b/wigeonscale/testing/matrix/tests/test_relay.py
@@ -92,3 +92,13 @@
         writer.write(b"2")
         async with asyncio.timeout(WAIT_TIMEOUT_S):
             self.assertEqual(b"12", await reader.readexactly(2))
+
+    async def test_address_that_does_not_listen_for_a_while(self):
+        relay = self.net.between("a", "b")
+        relay.stop_listening()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        address = relay.address
+        await relay.start()
+        self.assertEqual(address, relay.address)
+        self.assertEqual(b"x", await self.exchange(*await self.connect()))
--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -17,6 +17,7 @@
 import aiohttp
 from aiohttp import web
 
+from demo.processes import free_ports
 from wigeonscale.testing.matrix.relay import Relay
 from wigeonscale.testing.soak.invariants import InvariantChecker
 
@@ -107,10 +108,10 @@
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         host, port = self._runner.addresses[0][:2]
         if self.relay is None:
-            self.relay = Relay(target=f"{host}:{port}")
-            await self.relay.start()
+            self.relay = Relay(target=f"{host}:{port}", port=free_ports(1)[0])
             self._engines[self.relay.address] = self
         self.relay.target = f"{host}:{port}"
+        await self.relay.start()
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     async def stop(self) -> None:
@@ -120,6 +121,7 @@
         runner, self._runner = self._runner, None
         self._heartbeat_task.cancel()
         await asyncio.gather(self._heartbeat_task, return_exceptions=True)
+        self.relay.stop_listening()
         self.relay.abort()
         await runner.cleanup()
 
