Check in the soak that each request gets a response or a refusal

What callers saw (LOST, reported by the users): a response begun with 200 lacks its end, or a request gets no answer. The soak only counted both ("nothing").

Change: a connection that ends early is a violation unless the run itself explains it: - the entry process was killed, or ended by itself, or by a SIGTERM that it did not handle yet; - its graceful shutdown had no time left (8 s, as its settings say); - it stops, and the request reached no backend server and its connection ended within 1 s: it crossed the close; - the deadline of the request was reached. A connection that is still open 1 s later is a violation too, unless the entry was paused meanwhile, which delays its deadline; - a response with 200 had begun, and a server that runs it stopped or crashed, or the connections of its first server were reset or blocked by a link fault at most 1 s before; - the same for a stream that may be resumed only if two servers of its service were lost, cut off or told entries to keep away within 3 s: it goes on without any one. A refused connection has sent nothing and is only counted. Before the response has begun, no trouble of a backend server is a reason, as the entry has to refuse. SIGHUP, a pause, a change of the configuration, a fault of control and a server that does not run the stream explain nothing.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -118,6 +118,8 @@
         """Stop abruptly."""
         if self._runner is None:
             return
+        now = asyncio.get_running_loop().time()
+        self.checker.responses.record_loss(self.service, self.name, now)
         runner, self._runner = self._runner, None
         self._heartbeat_task.cancel()
         await asyncio.gather(self._heartbeat_task, return_exceptions=True)
@@ -180,10 +182,13 @@
         now = asyncio.get_running_loop().time()
         self.arrivals.append((request_id, now))
         self.checker.notices.record_arrival(request_id, self.name, now)
+        self.checker.responses.arrived.add(request_id)
         refusal = self._refusal(req, request_id)
         if refusal is not None:
             return refusal
         self.checker.record_run(request_id)
+        names = tuple(server.name for server in self._path(req))
+        self.checker.responses.record_run(request_id, names, now)
         body = await req.read()
         cause = self._crash_cause(req, body)
         if cause:
@@ -202,6 +207,11 @@
             return web.Response(body=plain_body(request_id), headers=headers)
         return await self._stream(req, request_id, headers)
 
+    def _path(self, req: web.BaseRequest) -> list["Backend"]:
+        """Return the servers that run an accepted request, this one first."""
+        hops = req.headers.get("Hop-Count", "").split(",")
+        return [self._engines[hop.partition("=")[0]] for hop in hops if hop] or [self]
+
     def _crash_cause(self, req: web.BaseRequest, body: bytes) -> bytes:
         """Return what crashes this server in a request; empty for nothing."""
         if body.startswith(CRASHING_BODY):
--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -1,9 +1,10 @@
 """The daemons under test: three control replica and two entry processes."""
 
-__all__ = ["CONTROLS", "Deployment", "ENTRIES", "Node"]
+__all__ = ["CONTROLS", "Deployment", "ENTRIES", "Node", "SHUTDOWN_TIMEOUT_S", "Start"]
 
 import asyncio
 import contextlib
+import math
 import pathlib
 import shutil
 import signal
@@ -17,7 +18,11 @@
 CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 ENTRIES = ("127.0.0.21", "127.0.0.22")
 DAEMON = "wigeonscale.cli.wigeond"
+# Time in which an entry finishes its requests after SIGTERM.
+SHUTDOWN_TIMEOUT_S = 8.0
 STOP_TIMEOUT_S = 20.0
+# A process that ends by itself is noticed at most this much later than by its callers.
+EXIT_DETECTION_S = 0.5
 # Far more than a busy machine needs to start a replica and to admit it.
 CATCH_UP_TIMEOUT_S = 45.0
 CATCH_UP_POLL_INTERVAL_S = 0.1
@@ -38,18 +43,46 @@
         started_at: Monotonic time, in seconds.
         signals: Signals sent to the process, with its age.
         is_stopped: Whether the process was told to end.
+        stopped_at: Monotonic time of the first SIGTERM.
+        killed_at: Monotonic time at which the process ended other than by a graceful
+            shutdown.
+        pauses: Start and end of its pauses, in monotonic time.
     """
 
     number: int
     started_at: float = field(default_factory=time.monotonic)
     signals: list[str] = field(default_factory=list)
     is_stopped: bool = False
+    stopped_at: float = math.inf
+    killed_at: float = math.inf
+    pauses: list[tuple[float, float]] = field(default_factory=list)
 
     @property
     def age_s(self) -> float:
         """Time since the start, in seconds."""
         return time.monotonic() - self.started_at
 
+    def note_signal(self, signum: signal.Signals) -> None:
+        """Record a signal that is being sent to the process."""
+        now = time.monotonic()
+        self.signals.append(f"{signum.name} at {now - self.started_at:.3f} s")
+        if signum is signal.SIGTERM:
+            self.stopped_at = min(self.stopped_at, now)
+        elif signum is signal.SIGKILL:
+            self.killed_at = min(self.killed_at, now)
+        elif signum is signal.SIGSTOP:
+            self.pauses.append((now, math.inf))
+        elif signum is signal.SIGCONT and self.pauses:
+            self.pauses[-1] = self.pauses[-1][0], min(self.pauses[-1][1], now)
+
+    def note_exit(self, status: int) -> None:
+        """Record that the process has ended with an exit status."""
+        if status == -signal.SIGTERM:
+            # It did not handle the signal yet.
+            self.killed_at = min(self.killed_at, self.stopped_at)
+        elif not self.is_stopped:
+            self.killed_at = min(self.killed_at, time.monotonic() - EXIT_DETECTION_S)
+
 
 @dataclass(slots=True)
 class Node:
@@ -77,8 +110,7 @@
     def send_signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process that this node started, if it is running."""
         if self.child is not None and self.child.proc.returncode is None:
-            age_s = self.last_start.age_s
-            self.last_start.signals.append(f"{signum.name} at {age_s:.3f} s")
+            self.last_start.note_signal(signum)
             self.child.proc.send_signal(signum)
 
 
@@ -155,7 +187,7 @@
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 status = await node.child.proc.wait()
         except TimeoutError:
-            node.child.proc.kill()
+            node.send_signal(signal.SIGKILL)
             status = await node.child.proc.wait()
         if signum is signal.SIGTERM and status not in STOPPED_STATUSES:
             self._note_unexpected_exit(node, node.last_start, status)
@@ -212,6 +244,7 @@
 
     async def _watch_exit(self, node: Node, child: Child, last: Start) -> None:
         status = await child.proc.wait()
+        last.note_exit(status)
         if last.is_stopped:
             return
         self._note_unexpected_exit(node, last, status)
@@ -239,7 +272,7 @@
             f"http = {node.ip}:{self.http}",
             f"seeds = {seeds}",
             f"internal_port = {self._internal}",
-            "stop_timeout_s = 8",
+            f"stop_timeout_s = {SHUTDOWN_TIMEOUT_S:g}",
         ]
         if node.role == "direct-entry":
             lines += [
--- a/wigeonscale/testing/soak/faults.py
+++ b/wigeonscale/testing/soak/faults.py
@@ -15,6 +15,8 @@
 # backend server.
 NODE_KINDS = ("kill", "pause", "stop", "hangup", "wipe")
 LINK_KINDS = ("reset", "silence", "one-way", "delay", "die")
+# Those after which a response may never go on.
+BREAKING_LINK_KINDS = frozenset({"reset", "silence", "one-way"})
 DELAY_S = 0.2
 
 
@@ -122,13 +124,18 @@
 
 
 async def _inject_link_fault(fault, backend) -> None:
-    notices, server = backend.checker.notices, backend.name
+    checker, server = backend.checker, backend.name
     now = asyncio.get_running_loop().time
-    notices.begin_link_fault(server, now())
+    began_at = now()
+    checker.notices.begin_link_fault(server, began_at)
     try:
         await _disturb_link(fault, backend)
     finally:
-        notices.end_link_fault(server, now())
+        checker.notices.end_link_fault(server, now())
+        if fault.kind in BREAKING_LINK_KINDS:
+            checker.responses.record_link_fault(
+                backend.service, server, began_at, now()
+            )
 
 
 async def _disturb_link(fault, backend) -> None:
--- a/wigeonscale/testing/soak/invariants.py
+++ b/wigeonscale/testing/soak/invariants.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from wigeonscale.testing.soak.notices import NoticeChecker
+from wigeonscale.testing.soak.responses import ResponseChecker
 
 # Every entry must refuse a request within three seconds after it has crashed three
 # servers, and a prompt part after five. The users' rules allow three further crashes
@@ -26,12 +27,14 @@
         at_most_once_ids: Ids of requests that must not run twice.
         not_run_ids: Ids of requests that were answered as not run.
         acknowledged: Highest acknowledged configuration number.
-        answers: Number of answers by status; ``nothing`` counts missing answers.
+        answers: Number of answers by status; also of callers that got nothing, and of
+            responses without their end.
         crashed_at: Times of backend server crashes, by what caused them: the body of
             a request or the id of a part of its prompt.
         crashing_parts: Those causes that are parts of prompts.
         violations: Descriptions of the violations found so far.
         notices: Checks that entries obey the notices of backend servers.
+        responses: Checks that each request gets a complete response or a refusal.
     """
 
     runs: Counter = field(default_factory=Counter)
@@ -45,6 +48,7 @@
     crashing_parts: set[bytes] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
     notices: NoticeChecker = field(default_factory=NoticeChecker)
+    responses: ResponseChecker = field(default_factory=ResponseChecker)
 
     def record_run(self, request_id: str) -> None:
         """Record that a backend server starts to run a request."""
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -20,6 +20,7 @@
 )
 from wigeonscale.testing.soak.deployment import Deployment
 from wigeonscale.testing.soak.invariants import InvariantChecker
+from wigeonscale.testing.soak.responses import OVERDUE_S, Request
 
 HOST = "soak.example"
 KINDS = ("stream", "unsafe", "safe")
@@ -36,7 +37,9 @@
 OPERATOR_TIMEOUT_S = 2.0
 # Part that the prompts of all callers begin with.
 SHARED_PART = "a1"
+# Counted instead of a status.
 NO_RESPONSE = "nothing"
+CUT_RESPONSE = "cut"
 
 
 def document(number: int, kinds: Sequence[str] = KINDS) -> dict:
@@ -53,7 +56,7 @@
             "path-prefix": f"/{kind}/",
             "kind": "streaming" if kind in CLASSES else kind,
             "timeout-ms": DEADLINES_S[kind] * 1000,
-            "service": "model" if kind in CLASSES else "plain",
+            "service": _service(kind),
             "max-attempts": 1 if kind == "unsafe" else 2,
             "resumable": kind in CLASSES,
         }
@@ -188,12 +191,28 @@
             ),
         }
         url = f"http://{self._dep.caller_address(entry)}/{kind}/x"
+        req = Request(
+            request_id=request_id,
+            kind=kind,
+            service=_service(kind),
+            process=entry.last_start,
+            sent_at=now(),
+            deadline_s=deadline_s,
+            may_resume=kind in CLASSES,
+        )
         try:
-            async with asyncio.timeout(deadline_s + 1.0):
+            async with asyncio.timeout(deadline_s + OVERDUE_S):
                 async with session.post(url, headers=headers, data=body) as res:
+                    req.status = res.status
                     response_body = await res.read()
+        except aiohttp.ClientConnectorError:
+            self._checker.answers[NO_RESPONSE] += 1  # nothing was sent
+            return False
         except (aiohttp.ClientError, OSError, TimeoutError):
-            self._checker.answers[NO_RESPONSE] += 1
+            is_cut = req.status is not None
+            self._checker.answers[CUT_RESPONSE if is_cut else NO_RESPONSE] += 1
+            req.ended_at = now()
+            self._checker.responses.incomplete.append(req)
             return False
         self._checker.record_answer(request_id, res.status)
         self._checker.notices.record_answer(request_id, now())
@@ -259,6 +278,10 @@
         return 0, b""
 
 
+def _service(kind: str) -> str:
+    return "model" if kind in CLASSES else "plain"
+
+
 def _expected_body(kind: str, request_id: str) -> bytes:
     if kind not in CLASSES:
         return plain_body(request_id)
--- a/wigeonscale/testing/soak/notices.py
+++ b/wigeonscale/testing/soak/notices.py
@@ -71,7 +71,7 @@
         checker: Gets the period of a limit.
     """
     now = asyncio.get_running_loop().time
-    name = backend.name
+    name, began_at = backend.name, now()
     if notice.kind == "limit":
         backend.notice_headers = {"Server-Limit": str(LIMIT_PER_S)}
         announced_at = now()
@@ -86,6 +86,9 @@
         await backend.stop()
         await backend.start()
     backend.notice_headers, backend.retry_after_s = {}, None
+    backend.checker.responses.impairments[backend.service].append(
+        (name, began_at, now())
+    )
 
 
 @dataclass(slots=True)
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -31,7 +31,8 @@
 
     Attributes:
         seed: Its seed.
-        answers: Number of answers by status; ``nothing`` counts missing answers.
+        answers: Number of answers by status; also of callers that got nothing, and of
+            responses without their end.
         violations: Descriptions of the violations found.
     """
 
@@ -99,6 +100,7 @@
     violations = (
         *checker.violations,
         *checker.notices.violations,
+        *checker.responses.violations(),
         *dep.unexpected_exits,
     )
     return SoakResult(seed, dict(checker.answers), violations)
--- /dev/null
+++ b/wigeonscale/testing/soak/tests/test_load.py
@@ -0,0 +1,59 @@
+"""What the load records of a request whose connection ends early."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing.soak.deployment import Start
+from wigeonscale.testing.soak.invariants import InvariantChecker
+from wigeonscale.testing.soak.load import Load, new_session
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class IncompleteResponseTest(AsyncTestCase):
+    """Guards against a caller without an answer that is only counted."""
+
+    async def prepare(self):
+        self.response = b""
+        self.server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        host, port = self.server.sockets[0].getsockname()
+        self.checker = InvariantChecker()
+        self.load = Load(
+            dep=SimpleNamespace(caller_address=lambda entry: f"{host}:{port}"),
+            checker=self.checker,
+            rng=random.Random(1),
+        )
+        self.session = new_session()
+        self.addCleanup(self.session.close)
+
+    async def respond(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\nq")
+        writer.write(self.response)
+        writer.close()
+
+    async def incomplete(self):
+        """Return the status of each incomplete response to one call."""
+        entry = SimpleNamespace(name="e", starts=1, last_start=Start(number=1))
+        self.assertFalse(await self.load.call(self.session, entry, "stream"))
+        return [req.status for req in self.checker.responses.incomplete]
+
+    async def test_connection_ends_without_a_response(self):
+        self.assertEqual([None], await self.incomplete())
+        self.assertEqual({"nothing": 1}, self.checker.answers)
+
+    async def test_response_lacks_its_end(self):
+        self.response = HEAD + b"1\r\nx\r\n"
+        self.assertEqual([200], await self.incomplete())
+        self.assertEqual({"cut": 1}, self.checker.answers)
+
+    async def test_refusal_is_an_answer(self):
+        self.response = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual([], await self.incomplete())
+
+    async def test_nothing_is_sent_on_a_refused_connection(self):
+        self.server.close()
+        self.assertEqual([], await self.incomplete())
+        self.assertEqual({"nothing": 1}, self.checker.answers)
