Add streams that may not be resumed, long streams and idle callers to the soak

Load pattern: all streams of the soak may be resumed and last a quarter of a second, so a fault rarely fell into one that only its own connection can finish; callers never left a connection idle.

Change: a route "once" with streams that must not run twice, like unsafe requests; a fifth of the requests ask for 60 events in 1.2 s instead of 12; before one call in twenty a caller keeps its connections idle for 1 to 3 s. Eight callers instead of six, as each sends less.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -4,9 +4,10 @@
     "CRASHING_BODY",
     "CRASHING_PART",
     "LAYERS",
+    "LONG_BODY",
     "Backend",
-    "event_data",
     "plain_body",
+    "stream_events",
 ]
 
 import asyncio
@@ -22,7 +23,10 @@
 from wigeonscale.testing.soak.invariants import InvariantChecker
 
 LAYERS = 8
+# Number of events of a stream, and that of a request with the body of long streams.
 EVENT_COUNT = 12
+LONG_EVENT_COUNT = 60
+LONG_BODY = b"long"
 EVENT_INTERVAL_S = 0.02
 PLAIN_DELAY_S = 0.03
 HEARTBEAT_INTERVAL_S = 0.3
@@ -36,9 +40,13 @@
 _names = itertools.count(1)
 
 
-def event_data(request_id: str, number: int) -> bytes:
-    """Return one event of the stream of a request."""
-    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+def stream_events(request_id: str, body: bytes) -> list[bytes]:
+    """Return the events of the stream of a request with a body."""
+    count = LONG_EVENT_COUNT if body == LONG_BODY else EVENT_COUNT
+    return [
+        f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+        for number in range(1, count + 1)
+    ]
 
 
 def plain_body(request_id: str) -> bytes:
@@ -205,7 +213,8 @@
         if self.service == "plain":
             await asyncio.sleep(PLAIN_DELAY_S)
             return web.Response(body=plain_body(request_id), headers=headers)
-        return await self._stream(req, request_id, headers)
+        events = stream_events(request_id, body)
+        return await self._stream(req, events, headers)
 
     def _path(self, req: web.BaseRequest) -> list["Backend"]:
         """Return the servers that run an accepted request, this one first."""
@@ -250,14 +259,13 @@
                 )
         return None
 
-    async def _stream(self, req, request_id, headers) -> web.StreamResponse:
+    async def _stream(self, req, events, headers) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(req)
-        first = int(req.headers.get("Last-Event-Id", 0)) + 1
-        for number in range(first, EVENT_COUNT + 1):
+        for event in events[int(req.headers.get("Last-Event-Id", 0)) :]:
             await asyncio.sleep(self.event_interval_s)
-            await response.write(event_data(request_id, number))
+            await response.write(event)
         await response.write_eof()
         return response
 
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -13,25 +13,34 @@
 from wigeonscale.testing.soak.backends import (
     CRASHING_BODY,
     CRASHING_PART,
-    EVENT_COUNT,
     LAYERS,
-    event_data,
+    LONG_BODY,
     plain_body,
+    stream_events,
 )
 from wigeonscale.testing.soak.deployment import Deployment
 from wigeonscale.testing.soak.invariants import InvariantChecker
 from wigeonscale.testing.soak.responses import OVERDUE_S, Request
 
 HOST = "soak.example"
-KINDS = ("stream", "unsafe", "safe")
-# A second generation route, for runs with traffic classes.
+# Generations that may be resumed, and others that may not.
+STREAM, ONCE = "stream", "once"
+KINDS = (STREAM, ONCE, "unsafe", "safe")
+AT_MOST_ONCE_KINDS = frozenset({ONCE, "unsafe"})
+# A further generation route, for runs with traffic classes.
 BATCH = "batch"
 # Route fields of the generations with traffic classes.
 CLASSES = {
-    "stream": {"priority": 0, "target-latency-ms": 500, "gap-target-ms": 300},
+    STREAM: {"priority": 0, "target-latency-ms": 500, "gap-target-ms": 300},
+    ONCE: {"priority": 0, "target-latency-ms": 500, "gap-target-ms": 300},
     BATCH: {"priority": 2, "target-latency-ms": 1200, "gap-target-ms": 300},
 }
-DEADLINES_S = {"stream": 6.0, BATCH: 6.0, "unsafe": 2.0, "safe": 2.0}
+DEADLINES_S = {STREAM: 6.0, ONCE: 6.0, BATCH: 6.0, "unsafe": 2.0, "safe": 2.0}
+# Share of the generations that take long, and of the calls before which a caller leaves
+# its connections idle for some time.
+LONG_SHARE = 0.2
+IDLE_SHARE = 0.05
+IDLE_S = (1.0, 3.0)
 # More than the engines' slots, so that a burst also waits and is rejected.
 BURST_REQUESTS = 60
 OPERATOR_TIMEOUT_S = 2.0
@@ -58,7 +67,7 @@
             "timeout-ms": DEADLINES_S[kind] * 1000,
             "service": _service(kind),
             "max-attempts": 1 if kind == "unsafe" else 2,
-            "resumable": kind in CLASSES,
+            "resumable": kind in CLASSES and kind not in AT_MOST_ONCE_KINDS,
         }
         for kind in kinds
     ]
@@ -117,8 +126,12 @@
         async with new_session() as session:
             while True:
                 entry = self._rng.choice(self._dep.entries)
-                await self.call(session, entry, self._rng.choice(self.kinds))
-                await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+                is_long = self._rng.random() < LONG_SHARE
+                body = LONG_BODY if is_long else b"q"
+                await self.call(session, entry, self._rng.choice(self.kinds), body)
+                is_idle = self._rng.random() < IDLE_SHARE
+                pause_s = self._rng.uniform(*(IDLE_S if is_idle else (0.0, 0.05)))
+                await asyncio.sleep(pause_s)
 
     async def run_crashing_caller(self) -> None:
         """Send a request that crashes its server to random entries until cancelled."""
@@ -138,7 +151,7 @@
                 await self.call(
                     session,
                     entry,
-                    "stream",
+                    STREAM,
                     body,
                     shared_parts=(SHARED_PART, CRASHING_PART),
                 )
@@ -173,7 +186,7 @@
             shared_parts: Parts of its prompt before the part of its own.
         """
         request_id = f"r{next(self._ids):05d}"
-        if kind == "unsafe":
+        if kind in AT_MOST_ONCE_KINDS:
             self._checker.at_most_once_ids.add(request_id)
         self.sent_to[request_id] = entry.name
         now = asyncio.get_running_loop().time
@@ -198,7 +211,7 @@
             process=entry.last_start,
             sent_at=now(),
             deadline_s=deadline_s,
-            may_resume=kind in CLASSES,
+            may_resume=kind in CLASSES and kind not in AT_MOST_ONCE_KINDS,
         )
         try:
             async with asyncio.timeout(deadline_s + OVERDUE_S):
@@ -219,7 +232,7 @@
         if res.status != 200:
             return False
         self._checker.record_success(
-            request_id, response_body, _expected_body(kind, request_id)
+            request_id, response_body, _expected_body(kind, request_id, body)
         )
         return True
 
@@ -282,7 +295,7 @@
     return "model" if kind in CLASSES else "plain"
 
 
-def _expected_body(kind: str, request_id: str) -> bytes:
+def _expected_body(kind: str, request_id: str, body: bytes) -> bytes:
     if kind not in CLASSES:
         return plain_body(request_id)
-    return b"".join(event_data(request_id, n) for n in range(1, EVENT_COUNT + 1))
+    return b"".join(stream_events(request_id, body))
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -17,7 +17,7 @@
 ENGINES = 4
 PLAIN_SERVERS = 2
 DAEMONS = len(CONTROLS) + len(ENTRIES)
-CALLERS = 6
+CALLERS = 8
 # Every third seed has traffic classes. None of REGRESSION_SEEDS has: they failed
 # without.
 SEEDS_PER_CLASSES = 3
--- a/wigeonscale/testing/soak/tests/test_load.py
+++ b/wigeonscale/testing/soak/tests/test_load.py
@@ -7,7 +7,7 @@
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.testing.soak.deployment import Start
 from wigeonscale.testing.soak.invariants import InvariantChecker
-from wigeonscale.testing.soak.load import Load, new_session
+from wigeonscale.testing.soak.load import BATCH, KINDS, Load, document, new_session
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -57,3 +57,14 @@
         self.server.close()
         self.assertEqual([], await self.incomplete())
         self.assertEqual({"nothing": 1}, self.checker.answers)
+
+
+class DocumentTest(AsyncTestCase):
+    def test_some_generations_must_not_be_resumed(self):
+        routes = {
+            route["name"]: route for route in document(1, (*KINDS, BATCH))["routes"]
+        }
+        streams = {n for n, route in routes.items() if route["kind"] == "streaming"}
+        self.assertEqual({"stream", "once", "batch"}, streams)
+        resumable = {name for name, route in routes.items() if route["resumable"]}
+        self.assertEqual({"stream", "batch"}, resumable)
