Let backend servers of the soak stand still for a moment

A frozen server neither takes requests nor answers status queries and orders, writes events or the rest of a plain body, nor sends heartbeats, and then goes on with all of them. A stream also stands still with any server of its path. A request whose sender gives up meanwhile counts as run: the server has received it. A freeze excuses no lost response.

--- a/wigeonscale/testing/matrix/relay.py
+++ b/wigeonscale/testing/matrix/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from enum import Flag, auto
 
 CHUNK_BYTES = 64 * 1024
@@ -72,6 +73,8 @@
         self._conns: set[_Conn] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
+        self._sock: socket.socket | None = None
+        self._is_paused = False
 
     @property
     def address(self) -> str:
@@ -80,13 +83,32 @@
 
     async def start(self) -> None:
         """Start listening, also after :meth:`stop_listening`."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
+        self._sock = socket.create_server(("127.0.0.1", self._port))
+        self._sock.setblocking(False)
+        self._port = self._sock.getsockname()[1]
+        self._server = await asyncio.start_server(self._accept, sock=self._sock)
 
     def stop_listening(self) -> None:
         """Refuse new connections, as the address of a process that has ended."""
+        self._is_paused = False
         self._server.close()
 
+    def pause_accepting(self) -> None:
+        """Let attempts to connect time out, as with a full accept queue."""
+        self._is_paused = True
+        asyncio.get_running_loop().remove_reader(self._sock)
+        self._sock.listen(0)
+        # Such a queue still has room for one connection.
+        with socket.socket() as filler:
+            filler.setblocking(False)
+            filler.connect_ex(self._sock.getsockname())
+
+    async def resume_accepting(self) -> None:
+        """Accept connections after :meth:`pause_accepting`, unless it was stopped."""
+        if self._is_paused:
+            self._is_paused = False
+            self._server = await asyncio.start_server(self._accept, sock=self._sock)
+
     def block(self, directions: Direction, *, new: bool) -> None:
         """Block directions of existing connections and pass all others.
 
--- a/wigeonscale/testing/matrix/tests/test_relay.py
+++ b/wigeonscale/testing/matrix/tests/test_relay.py
@@ -102,3 +102,16 @@
         await relay.start()
         self.assertEqual(address, relay.address)
         self.assertEqual(b"x", await self.exchange(*await self.connect()))
+
+    async def test_address_that_accepts_nothing_for_a_while(self):
+        relay = self.net.between("a", "b")
+        old = await self.connect()
+        relay.pause_accepting()
+        self.assertEqual(b"x", await self.exchange(*old))
+        waiting = asyncio.create_task(self.connect())
+        done, _ = await asyncio.wait([waiting], timeout=0.05)
+        self.assertEqual(set(), done)
+        await relay.resume_accepting()
+        self.assertEqual(b"x", await self.exchange(*await self.connect()))
+        # The kernel tries again after a second.
+        self.assertEqual(b"x", await self.exchange(*await waiting))
--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -99,6 +99,9 @@
         self._runner: web.ServerRunner | None = None
         self._heartbeat_task: asyncio.Task | None = None
         self._crashes: set[asyncio.Task] = set()
+        self._freezes = 0
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
 
     @property
     def is_running(self) -> bool:
@@ -135,6 +138,30 @@
         self.relay.abort()
         await runner.cleanup()
 
+    async def freeze(self, duration_s: float, *, accepts: bool) -> None:
+        """Stand still for a moment and go on.
+
+        Args:
+            duration_s: Duration, in seconds.
+            accepts: Whether the address accepts connections meanwhile.
+        """
+        now = asyncio.get_running_loop().time
+        name = self.name
+        # Its responses may not arrive in time.
+        self.checker.notices.begin_link_fault(name, now())
+        self._freezes += 1
+        self._goes_on.clear()
+        if not accepts and self.is_running:
+            self.relay.pause_accepting()
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            self._freezes -= 1
+            if not self._freezes:
+                self._goes_on.set()
+                await self.relay.resume_accepting()
+            self.checker.notices.end_link_fault(name, now())
+
     async def _crash_and_restart(self) -> None:
         await self.stop()
         await asyncio.sleep(RESTART_DELAY_S)
@@ -155,6 +182,7 @@
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         ) as session:
             for sequence in itertools.count(1):
+                await self._goes_on.wait()
                 await self._send_heartbeat(session, sequence)
                 await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
@@ -182,6 +210,11 @@
                 continue  # try the next replica, as the servers of the platform do
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        try:
+            await self._goes_on.wait()
+        except asyncio.CancelledError:
+            self._record_abandoned(req)
+            raise
         if req.path == "/report":
             return web.json_response(self._report())
         if req.path == "/order":
@@ -211,11 +244,19 @@
         headers |= self.notice_headers
         self._record_notice(request_id, headers)
         if self.service == "plain":
-            await asyncio.sleep(PLAIN_DELAY_S)
-            return web.Response(body=plain_body(request_id), headers=headers)
+            return await self._respond_whole(req, plain_body(request_id), headers)
         events = stream_events(request_id, body)
         return await self._stream(req, events, headers)
 
+    def _record_abandoned(self, req: web.BaseRequest) -> None:
+        """Record a request whose sender does not wait until this server goes on.
+
+        It has been received, so a server of the platform will run it.
+        """
+        request_id = req.headers.get("Attempt-Id")
+        if request_id is not None and self._refusal(req, request_id) is None:
+            self.checker.record_run(request_id)
+
     def _path(self, req: web.BaseRequest) -> list["Backend"]:
         """Return the servers that run an accepted request, this one first."""
         hops = req.headers.get("Hop-Count", "").split(",")
@@ -259,12 +300,29 @@
                 )
         return None
 
+    async def _respond_whole(self, req, body, headers) -> web.StreamResponse:
+        """Send a response in two parts, so that a freeze may fall between them."""
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(body)
+        half = len(body) // 2
+        for part in (body[:half], body[half:]):
+            await asyncio.sleep(PLAIN_DELAY_S / 2)
+            await self._goes_on.wait()
+            if not response.prepared:
+                await response.prepare(req)
+            await response.write(part)
+        return response
+
     async def _stream(self, req, events, headers) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
+        path = self._path(req)
+        await self._goes_on.wait()
         await response.prepare(req)
         for event in events[int(req.headers.get("Last-Event-Id", 0)) :]:
             await asyncio.sleep(self.event_interval_s)
+            for server in path:
+                await server._goes_on.wait()
             await response.write(event)
         await response.write_eof()
         return response
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -10,12 +10,15 @@
 from wigeonscale.testing.soak.backends import Backend
 from wigeonscale.testing.soak.deployment import CONTROLS, ENTRIES, Deployment
 from wigeonscale.testing.soak.faults import draw_faults, inject
+from wigeonscale.testing.soak.freezes import apply_freeze, draw_freezes
 from wigeonscale.testing.soak.invariants import InvariantChecker
 from wigeonscale.testing.soak.load import BATCH, Load, new_session
 from wigeonscale.testing.soak.notices import apply_notice, draw_notices
 
 ENGINES = 4
 PLAIN_SERVERS = 2
+# Indices of the backend servers of each service.
+SERVICES = (range(ENGINES), range(ENGINES, ENGINES + PLAIN_SERVERS))
 DAEMONS = len(CONTROLS) + len(ENTRIES)
 CALLERS = 8
 # Every third seed has traffic classes. None of REGRESSION_SEEDS has: they failed
@@ -88,7 +91,10 @@
             await load.change(session, 1)
             await _wait_until_served(load, session, dep, checker, "at first")
             notices = draw_notices(seed, seconds=seconds, backends=len(backends))
-            await _run_load_with_faults(faults, load, dep, backends, checker, notices)
+            freezes = draw_freezes(seed, seconds=seconds, services=SERVICES)
+            await _run_load_with_faults(
+                faults, load, dep, backends, checker, notices, freezes
+            )
             await _wait_until_served(load, session, dep, checker, "after the faults")
             await _wait_until_read(load, session, checker)
             checker.check_crashes()
@@ -106,7 +112,9 @@
     return SoakResult(seed, dict(checker.answers), violations)
 
 
-async def _run_load_with_faults(faults, load, dep, backends, checker, notices) -> None:
+async def _run_load_with_faults(
+    faults, load, dep, backends, checker, notices, freezes
+) -> None:
     control_lock = asyncio.Lock()
     loads = [asyncio.create_task(load.run_callers()) for _ in range(CALLERS)]
     loads.append(asyncio.create_task(load.run_operator()))
@@ -127,10 +135,15 @@
         await asyncio.sleep(notice.start_s)
         await apply_notice(notice, backends[notice.target], checker.notices)
 
+    async def freeze_later(freeze) -> None:
+        await asyncio.sleep(freeze.start_s)
+        await apply_freeze(freeze, backends)
+
     try:
         await asyncio.gather(
             *(inject_later(fault) for fault in faults),
             *(apply_later(notice) for notice in notices),
+            *(freeze_later(freeze) for freeze in freezes),
         )
     finally:
         for task in loads:
