Add a caller on a slow line to the soak

Load pattern: all callers read as fast as entries write, so that no entry ever waits for one, neither while an engine is lost nor while it shuts down.

Change: one caller reads streams of 40 events of 16 KiB at 400 kB/s, with the receive buffer and the segments of a slow line, as loopback would take them whole. Its streams may be resumed or not.

Tests: an entry's writes to it do not fit into the buffers of the socket.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -3,6 +3,7 @@
 __all__ = [
     "CRASHING_BODY",
     "CRASHING_PART",
+    "LARGE_BODY",
     "LAYERS",
     "LONG_BODY",
     "Backend",
@@ -23,10 +24,11 @@
 from wigeonscale.testing.soak.invariants import InvariantChecker
 
 LAYERS = 8
-# Number of events of a stream, and that of a request with the body of long streams.
-EVENT_COUNT = 12
-LONG_EVENT_COUNT = 60
+# Number of events of a stream and bytes of padding in each, also by the request's body.
+EVENTS = (12, 0)
 LONG_BODY = b"long"
+LARGE_BODY = b"large"
+EVENTS_BY_BODY = {LONG_BODY: (60, 0), LARGE_BODY: (40, 16 * 1024)}
 EVENT_INTERVAL_S = 0.02
 PLAIN_DELAY_S = 0.03
 HEARTBEAT_INTERVAL_S = 0.3
@@ -42,9 +44,9 @@
 
 def stream_events(request_id: str, body: bytes) -> list[bytes]:
     """Return the events of the stream of a request with a body."""
-    count = LONG_EVENT_COUNT if body == LONG_BODY else EVENT_COUNT
+    count, padding = EVENTS_BY_BODY.get(body, EVENTS)
     return [
-        f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+        f"id: {number}\ndata: {request_id}/{number}{'x' * padding}\n\n".encode()
         for number in range(1, count + 1)
     ]
 
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import random
+import socket
 from collections.abc import Sequence
 
 import aiohttp
@@ -13,6 +14,7 @@
 from wigeonscale.testing.soak.backends import (
     CRASHING_BODY,
     CRASHING_PART,
+    LARGE_BODY,
     LAYERS,
     LONG_BODY,
     plain_body,
@@ -41,6 +43,10 @@
 LONG_SHARE = 0.2
 IDLE_SHARE = 0.05
 IDLE_S = (1.0, 3.0)
+# A caller on a slow line: its speed, and its buffers, which on loopback are far larger.
+SLOW_BYTES_PER_S = 400_000
+SLOW_BUFFER_BYTES = 4096
+SLOW_SEGMENT_BYTES = 1448
 # More than the engines' slots, so that a burst also waits and is rejected.
 BURST_REQUESTS = 60
 OPERATOR_TIMEOUT_S = 2.0
@@ -133,6 +139,17 @@
                 pause_s = self._rng.uniform(*(IDLE_S if is_idle else (0.0, 0.05)))
                 await asyncio.sleep(pause_s)
 
+    async def run_slow_caller(self) -> None:
+        """Read large streams slowly until cancelled."""
+        async with new_session(is_slow=True) as session:
+            while True:
+                entry = self._rng.choice(self._dep.entries)
+                kind = self._rng.choice((STREAM, ONCE))
+                await self.call(
+                    session, entry, kind, LARGE_BODY, bytes_per_s=SLOW_BYTES_PER_S
+                )
+                await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+
     async def run_crashing_caller(self) -> None:
         """Send a request that crashes its server to random entries until cancelled."""
         kind = self._rng.choice(self.kinds)
@@ -175,6 +192,7 @@
         body: bytes = b"q",
         *,
         shared_parts: Sequence[str] = (SHARED_PART,),
+        bytes_per_s: float | None = None,
     ) -> bool:
         """Send one request and return whether it was served.
 
@@ -184,6 +202,7 @@
             kind: Its route.
             body: Its body.
             shared_parts: Parts of its prompt before the part of its own.
+            bytes_per_s: How fast its caller reads; None for as fast as it can.
         """
         request_id = f"r{next(self._ids):05d}"
         if kind in AT_MOST_ONCE_KINDS:
@@ -217,7 +236,7 @@
             async with asyncio.timeout(deadline_s + OVERDUE_S):
                 async with session.post(url, headers=headers, data=body) as res:
                     req.status = res.status
-                    response_body = await res.read()
+                    response_body = await _read(res, bytes_per_s)
         except aiohttp.ClientConnectorError:
             self._checker.answers[NO_RESPONSE] += 1  # nothing was sent
             return False
@@ -271,11 +290,36 @@
         return number
 
 
-def new_session() -> aiohttp.ClientSession:
-    """Return an HTTP client with persistent connections."""
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+def new_session(*, is_slow: bool = False) -> aiohttp.ClientSession:
+    """Return an HTTP client with persistent connections.
+
+    Args:
+        is_slow: Whether its buffers are small, so that its server has to wait for it.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, socket_factory=_slow_socket if is_slow else None
     )
+    options = {"read_bufsize": SLOW_BUFFER_BYTES} if is_slow else {}
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False, **options)
+
+
+def _slow_socket(address_info) -> socket.socket:
+    family, kind, proto, *_ = address_info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SLOW_SEGMENT_BYTES)
+    return sock
+
+
+async def _read(res: aiohttp.ClientResponse, bytes_per_s: float | None) -> bytes:
+    if bytes_per_s is None:
+        return await res.read()
+    now = asyncio.get_running_loop().time
+    began_at, body = now(), bytearray()
+    async for part in res.content.iter_chunked(SLOW_BUFFER_BYTES):
+        body += part
+        await asyncio.sleep(began_at + len(body) / bytes_per_s - now())
+    return bytes(body)
 
 
 async def _request_config(session, method, control, body=None) -> tuple[int, bytes]:
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -118,6 +118,7 @@
     control_lock = asyncio.Lock()
     loads = [asyncio.create_task(load.run_callers()) for _ in range(CALLERS)]
     loads.append(asyncio.create_task(load.run_operator()))
+    loads.append(asyncio.create_task(load.run_slow_caller()))
     loads.append(asyncio.create_task(load.run_crashing_caller()))
     loads.append(asyncio.create_task(load.run_crashing_part_caller()))
     if BATCH in load.kinds:
--- a/wigeonscale/testing/soak/tests/test_load.py
+++ b/wigeonscale/testing/soak/tests/test_load.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+import re
 from types import SimpleNamespace
 
 from wigeonscale.testing import AsyncTestCase
+from wigeonscale.testing.soak.backends import LARGE_BODY, stream_events
 from wigeonscale.testing.soak.deployment import Start
 from wigeonscale.testing.soak.invariants import InvariantChecker
 from wigeonscale.testing.soak.load import BATCH, KINDS, Load, document, new_session
@@ -12,8 +14,8 @@
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class IncompleteResponseTest(AsyncTestCase):
-    """Guards against a caller without an answer that is only counted."""
+class ResponseCase(AsyncTestCase):
+    """A fake entry with one response for all requests."""
 
     async def prepare(self):
         self.response = b""
@@ -30,14 +32,38 @@
         self.addCleanup(self.session.close)
 
     async def respond(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\nq")
+        head = await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(int(re.search(rb"Content-Length: (\d+)", head)[1]))
         writer.write(self.response)
+        self.unsent_bytes = writer.transport.get_write_buffer_size()
         writer.close()
 
+    async def call(self, *args, **options):
+        entry = SimpleNamespace(name="e", starts=1, last_start=Start(number=1))
+        return await self.load.call(self.session, entry, "stream", *args, **options)
+
+
+class SlowCallerTest(ResponseCase):
+    """Guards against slow callers whose responses fit into the buffers of a socket."""
+
+    async def test_entry_has_to_wait_for_a_slow_caller(self):
+        await self.session.close()
+        self.session = new_session(is_slow=True)
+        self.addCleanup(self.session.close)
+        body = b"".join(stream_events("r00001", LARGE_BODY))
+        head = HEAD.replace(b"Transfer-Encoding: chunked", b"Content-Length: %d")
+        self.response = head % len(body) + body
+        self.assertTrue(await self.call(LARGE_BODY, bytes_per_s=1e9))
+        self.assertEqual([], self.checker.violations)
+        self.assertTrue(self.unsent_bytes > len(body) / 2, self.unsent_bytes)
+
+
+class IncompleteResponseTest(ResponseCase):
+    """Guards against a caller without an answer that is only counted."""
+
     async def incomplete(self):
         """Return the status of each incomplete response to one call."""
-        entry = SimpleNamespace(name="e", starts=1, last_start=Start(number=1))
-        self.assertFalse(await self.load.call(self.session, entry, "stream"))
+        self.assertFalse(await self.call())
         return [req.status for req in self.checker.responses.incomplete]
 
     async def test_connection_ends_without_a_response(self):
