--- a/wigeonscale/testing/soak/tests/test_silent_engines.py
+++ b/wigeonscale/testing/soak/tests/test_silent_engines.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from wigeonscale.testing.matrix.relay import Direction
-from wigeonscale.testing.soak.backends import EVENT_COUNT, event_data
+from wigeonscale.testing.soak.backends import stream_events
 from wigeonscale.testing.soak.load import HOST, document
 from wigeonscale.testing.soak.tests.support import DeploymentCase
 
@@ -20,6 +20,7 @@
 SILENCE_S = 1.3
 SILENCES = 3
 DEADLINE_S = 6.0
+BODY = b"q"
 
 
 class SilentEnginesTest(DeploymentCase):
@@ -62,7 +63,7 @@
         }
         url = f"http://{self.dep.caller_address(entry)}/stream/x"
         got = b""
-        async with self.session.post(url, headers=headers, data=b"q") as res:
+        async with self.session.post(url, headers=headers, data=BODY) as res:
             try:
                 async for chunk in res.content.iter_any():
                     got += chunk
@@ -71,8 +72,8 @@
                 return f"cut after {got[-40:]!r}: {exc!r}"
             finally:
                 has_events.set()
-        events = [event_data(request_id, n) for n in range(1, EVENT_COUNT + 1)]
-        return "whole" if got == b"".join(events) else f"{res.status}: {got!r}"
+        is_whole = got == b"".join(stream_events(request_id, BODY))
+        return "whole" if is_whole else f"{res.status}: {got!r}"
 
     async def be_silent(self):
         for engine in self.engines:
