Send request targets to backend servers exactly as callers sent them

Seen: a target that ends with ? reaches the backend server without it, and one with # is cut there.

Cause: the target was parsed into a URL, whose request line is put together from path and query; an empty query and a fragment are not kept.

Change: the URL is built with the whole target as its path.

Tests: 19 targets that the server for callers accepts, both ways; /a? failed before. Bytes above 0x7f and control characters are refused with 400 by the HTTP parser, as before.

--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -105,7 +105,7 @@
         try:
             return await self._session.request(
                 req.method,
-                URL(f"http://{call.address}{req.path}", encoded=True),
+                _target_url(call.address, req.path),
                 headers=backend_headers(call),
                 data=req.body or None,
                 allow_redirects=False,
@@ -121,6 +121,18 @@
             ) from exc
 
 
+def _target_url(address: str, target: str) -> URL:
+    """Return the URL whose request has the target exactly as the caller sent it.
+
+    The target is not split into path and query, as an empty query or a fragment would
+    be lost in that.
+    """
+    host, _, port = address.rpartition(":")
+    return URL.build(
+        scheme="http", host=host, port=int(port), path=target, encoded=True
+    )
+
+
 class _HttpStream:
     """A response whose body is being read.
 
--- a/wigeonscale/platform/tests/test_callers.py
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -5,6 +5,7 @@
 
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.platform.callers import CallerServer
+from wigeonscale.platform.tests.test_exchange_http import TARGETS
 from wigeonscale.ports import SystemClock
 from wigeonscale.ports.exchange import FullResponse, ResponseHead
 from wigeonscale.testing import AsyncTestCase
@@ -121,6 +122,21 @@
         self.assertEqual(b"abcde", req.body)
         self.assertEqual(("id1", "h.example"), (req.request_id, req.host))
 
+    async def test_targets_are_passed_on_as_they_were_sent(self):
+        for target in TARGETS:
+            await self.raw(
+                f"GET {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode(), b"whole"
+            )
+            self.assertEqual(target, self.requests[-1].path)
+
+    async def test_target_with_other_bytes_is_rejected(self):
+        for target in (b"/\xe4", b"/\xc3\xa4", b"/a?b=\xff", b"/a\tb"):
+            _, _, got = await self.raw(
+                b"GET " + target + b" HTTP/1.1\r\nHost: h\r\n\r\n", b"\r\n\r\n"
+            )
+            self.assertIn(b"400", got)
+        self.assertEqual([], self.requests)
+
     async def test_many_requests_on_one_connection(self):
         for _ in range(3):
             async with self.session.get(self.url()) as res:
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -16,6 +16,28 @@
 
 OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: id1\r\nResponse-Stamp: s1\r\n"
 CHUNKED = OK + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+# As the server for callers accepts them.
+TARGETS = (
+    "/a?",
+    "/a??",
+    "/?",
+    "/a?b=",
+    "/a?=&&b=&c",
+    "/a?q=a?b",
+    "/a?q=/../",
+    "//a//b",
+    "//h.example/x",
+    "/./a/.",
+    "/a/../../b",
+    "/%2f%2F%41%7e%zz%",
+    "/a;b=c;d",
+    "/a:b@c'()*!$&,",
+    '/a?x=[1]{2}|\\^`"<>+%20',
+    "/a#b",
+    "/a?b#c",
+    "/a#?b",
+    "/a#",
+)
 WAIT_S = 30.0
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
@@ -119,6 +141,14 @@
         self.assertNotIn(b"User-Agent", head)
         self.assertNotIn(b"Accept-Encoding", head)
 
+    async def test_targets_are_sent_unmodified(self):
+        """Guards against targets that the HTTP library normalises."""
+        for target in TARGETS:
+            self.reply(OK + b"Connection: close\r\nContent-Length: 0\r\n\r\n")
+            await self.call(path=target)
+            line = self.requests[-1].partition(b"\r\n")[0]
+            self.assertEqual(f"GET {target} HTTP/1.1".encode(), line)
+
     async def test_response_to_another_request_is_rejected(self):
         self.reply(OK.replace(b"id1", b"id2") + b"Content-Length: 5\r\n\r\nwhole")
         self.assertEqual(CallOutcome.UNKNOWN, (await self.call_error()).outcome)
