Find events of streams whose lines end with CR LF or CR

Cause: events were split at two LF, ids read from lines split at LF.

Change: an event ends with an empty line whose lines end with LF, CR LF or CR, also mixed, and is forwarded byte for byte as soon as it is complete. A line end that follows the last event is forwarded as well. A cut within an event is found as before.

Tests: nine mixtures of line ends in pieces of 1 to 100 bytes failed before ("the stream ended within an event"), as did the forwarding of an event before the next (TimeoutError). A cut within an event held.

--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -3,6 +3,7 @@
 __all__ = ["HttpExchange", "new_session"]
 
 import logging
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -44,7 +45,10 @@
 # server closes the connection may or may not have run, so the client closes first.
 IDLE_TIMEOUT_S = 1.5
 MAX_EVENT_BYTES = 1 << 20
-EVENT_END = b"\n\n"
+# Lines end with LF, CR LF or CR. A CR behind LF or CR LF may be half of a CR LF,
+# so that the event ends only with the byte behind it.
+EVENT_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r")
+MAX_EVENT_END_BYTES = 4
 MAX_LOGGED_HEAD_BYTES = 256
 
 logger = logging.getLogger(__name__)
@@ -159,14 +163,20 @@
         """Yield the events of the stream."""
         pending = b""
         async for chunk in self._chunks():
+            searched = max(0, len(pending) - MAX_EVENT_END_BYTES)
             pending += chunk
-            while EVENT_END in pending:
-                data, _, pending = pending.partition(EVENT_END)
-                yield StreamEvent(parse_event_id(data), data + EVENT_END)
+            while (end := EVENT_END.search(pending, searched)) is not None:
+                data, pending = pending[: end.end()], pending[end.end() :]
+                searched = 0
+                yield StreamEvent(parse_event_id(data), data)
             if len(pending) > MAX_EVENT_BYTES:
                 raise self._incomplete_error("an event exceeds the size limit")
-        if pending:
+        if pending.endswith(b"\n\r"):
+            yield StreamEvent(parse_event_id(pending), pending)
+        elif pending.strip(b"\r\n"):
             raise self._incomplete_error("the stream ended within an event")
+        elif pending:
+            yield StreamEvent(None, pending)
 
     async def read_body(self) -> bytes:
         """Return the complete body of a response that is not an event stream."""
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -258,7 +258,7 @@
 
 def parse_event_id(data: bytes) -> int | None:
     """Return the id of a server-sent event; None if it has none."""
-    for line in data.split(b"\n"):
+    for line in data.splitlines():
         if line.startswith(b"id:"):
             number = _parse_digits(line[3:].decode("latin-1"))
             return None if number is None else int(number)
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -254,6 +254,46 @@
             self.assertEqual([1, 2], [number for number, _ in got])
             self.assertEqual(EVENTS, b"".join(data for _, data in got))
 
+    async def test_events_with_other_line_ends(self):
+        """Guards against events that are not found, or not forwarded as they are."""
+        for events in (
+            EVENTS.replace(b"\n", b"\r\n"),
+            EVENTS.replace(b"\n", b"\r"),
+            EVENTS.replace(b"\n\n", b"\n\r\n"),
+            EVENTS.replace(b"\n\n", b"\r\n\n"),
+            EVENTS.replace(b"\n\n", b"\n\r"),
+            EVENTS.replace(b"\n\n", b"\r\n\r"),
+            EVENTS.replace(b"\n\n", b"\r\r\n"),
+            EVENTS.replace(b"data", b"a:\rdata"),
+            EVENTS + b"\n",
+        ):
+            for size in (1, 2, 3, 5, 100):
+                parts = [events[i : i + size] for i in range(0, len(events), size)]
+                self.reply(CHUNKED + b"".join(map(chunk, parts)) + END)
+                got = await self.events()
+                self.assertEqual([1, 2], [number for number, _ in got if number])
+                self.assertEqual(events, b"".join(data for _, data in got))
+
+    async def test_event_with_other_line_ends_is_passed_on_when_it_is_complete(self):
+        """Guards against an event that waits for the first byte of the next one."""
+        for line_end in (b"\r\n", b"\r"):
+            event = b"id: 1\ndata: a\n\n".replace(b"\n", line_end)
+            self.reply(CHUNKED + chunk(event), keep_open=True)
+            async with (
+                asyncio.timeout(WAIT_S),
+                self.exchange.open(self.backend_call()) as stream,
+            ):
+                async for got in stream.events():
+                    self.assertEqual(event, got.data)
+                    break
+
+    async def test_stream_with_other_line_ends_ends_within_an_event(self):
+        for line_end in (b"\r\n", b"\r"):
+            events = EVENTS.replace(b"\n", line_end)
+            for size in (1, len(events) // 2 + 3, len(events) - len(line_end) - 1):
+                self.reply(CHUNKED + chunk(events[:size]) + END)
+                await self.assert_breaks()
+
     async def test_stream_ends_within_an_event(self):
         self.reply(CHUNKED + chunk(EVENTS[:-1]) + END)
         exc = await self.assert_breaks()
