Answer requests that end by a connection error or cancellation not their own

A request ended without any response if its handling raised a ConnectionError of another connection, which was taken for the caller's, or if a task or future that it awaited was cancelled. No such path was found by reading: all sends to backend servers turn OSError into ExchangeError, and reservations at control and orders to engines run in tasks of their own. A change in any of these modules would open one.

Change: a ConnectionError is the caller's only if its connection is closed, and a CancelledError ends the request only if the request itself was cancelled. Otherwise the caller gets a 500, or a begun response is cut.

Tests: planted errors of both kinds, which got no response before; the cut of a begun response and a caller that closes held.

--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -154,22 +154,23 @@
         try:
             caller_req = await self._read_request(req, arrived_at)
             await self._serve(caller_req, sink)
+            return
         except WigeonscaleError as exc:
-            await self._send_error(request_id, exc, sink)
-        except ConnectionError:
-            logger.info(
-                "caller closed the connection", extra=log_fields(request_id=request_id)
-            )
-            sink.abort()
-        except Exception:
-            logger.exception(
-                "unhandled exception in a request",
-                extra=log_fields(request_id=request_id),
-            )
-            error = WigeonscaleError(
-                ErrorKind.INTERNAL, "internal error", run_state=RunState.UNKNOWN
-            )
-            await self._send_error(request_id, error, sink)
+            error = exc
+        except asyncio.CancelledError as exc:
+            if asyncio.current_task().cancelling():
+                raise
+            # Something that the request awaited was cancelled, not the request.
+            error = _internal_error(request_id, exc)
+        except Exception as exc:
+            if isinstance(exc, ConnectionError) and not sink.is_open:
+                logger.info(
+                    "caller closed the connection",
+                    extra=log_fields(request_id=request_id),
+                )
+                return
+            error = _internal_error(request_id, exc)
+        await self._send_error(request_id, error, sink)
 
     async def _read_request(
         self, req: web.BaseRequest, arrived_at: float
@@ -229,6 +230,17 @@
             )
 
 
+def _internal_error(request_id: str, exc: BaseException) -> WigeonscaleError:
+    logger.error(
+        "unhandled exception in a request",
+        exc_info=exc,
+        extra=log_fields(request_id=request_id),
+    )
+    return WigeonscaleError(
+        ErrorKind.INTERNAL, "internal error", run_state=RunState.UNKNOWN
+    )
+
+
 async def _read_body(req: web.BaseRequest, limit: int) -> bytes:
     chunks, size = [], 0
     async for chunk in req.content.iter_any():
@@ -298,6 +310,12 @@
         self._open_conns = open_conns
         self.has_started = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller has not closed the connection."""
+        transport = self._req.transport
+        return transport is not None and not transport.is_closing()
+
     async def send(self, response: FullResponse) -> None:
         """Send a complete response."""
         res = web.Response(
--- /dev/null
+++ b/wigeonscale/platform/tests/test_request_exits.py
@@ -0,0 +1,77 @@
+"""Each request that was read in full ends with a response, or visibly cut."""
+
+import asyncio
+
+from wigeonscale.platform.tests.test_callers import WAIT_S, CallerCase
+from wigeonscale.ports.exchange import ResponseHead
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+class ExitCase(CallerCase):
+    async def answer_to(self, data):
+        """Send bytes on a new connection; return all that is received."""
+        reader, writer, _ = await self.raw(data)
+        async with asyncio.timeout(WAIT_S):
+            got = await reader.read()
+        writer.close()
+        return got
+
+
+class ForeignErrorTest(ExitCase):
+    """Errors of other connections and tasks must not pass for the caller's close."""
+
+    async def cancel_inner(self):
+        fut = asyncio.get_running_loop().create_future()
+        fut.cancel()
+        await fut
+
+    async def reset_inner(self):
+        raise ConnectionResetError("planted")
+
+    async def test_response_after_a_foreign_error(self):
+        for fail in (self.cancel_inner, self.reset_inner):
+
+            async def serve(req, sink, fail=fail):
+                await fail()
+
+            self.serve = serve
+            self.assertIn(b"500 Internal Server Error", await self.answer_to(REQUEST))
+
+    async def test_begun_response_is_cut_after_a_foreign_error(self):
+        for fail in (self.cancel_inner, self.reset_inner):
+
+            async def serve(req, sink, fail=fail):
+                await sink.begin(ResponseHead(200, ()))
+                await sink.write(b"id: 1\n\n")
+                await fail()
+
+            self.serve = serve
+            got = await self.answer_to(REQUEST)
+            self.assertIn(b"id: 1\n\n", got)
+            self.assertNotIn(b"\r\n0\r\n", got)
+
+    async def test_no_response_after_a_close_of_the_caller(self):
+        written = asyncio.Event()
+        errors = []
+
+        async def serve(req, sink):
+            await sink.begin(ResponseHead(200, ()))
+            try:
+                while True:
+                    await sink.write(b"x" * 16384)
+                    written.set()
+                    await asyncio.sleep(0)
+            except BaseException as exc:
+                errors.append(exc)
+                raise
+
+        self.serve = serve
+        _, writer, _ = await self.raw(REQUEST)
+        await written.wait()
+        with self.assertNoLogs("wigeonscale.platform.callers", "ERROR"):
+            writer.transport.abort()
+            async with asyncio.timeout(WAIT_S):
+                while not errors:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+                await self.server.drain(0.0)
