Answer requests whose response has a head that cannot be written

Seen in a trial with real sockets: a response of a backend server with a control character (0x01 or 0x7f) in a header closes the caller's connection without a response, though the request may have been served. A response with status 101 is handed on as if it were final.

Cause: the HTTP library reads such headers and refuses to write them; the sink had noted the response as begun, so that the error cut the connection although nothing was sent.

Change: a response counts as begun when its head was accepted for writing; the error response then gets a framing of its own. Responses of backend servers with control characters or a status below 200 are failures after which the work may have run.

Tests: planted heads (no response before), the same from a server and 101 (handed on before). Control characters in requests were refused with 400 before, which held.

--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -353,6 +353,12 @@
         )
         if is_last or not self._req.content.is_eof():
             response.force_close()
+        try:
+            await response.prepare(self._req)
+        except ValueError:
+            # The head cannot be written. Another response, which may be framed in
+            # another way, takes its place.
+            self._req.writer.chunked, self._req.writer.length = False, None
+            raise
         self.response = response
         self.has_started = True
-        await response.prepare(self._req)
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -21,6 +21,7 @@
     is_not_run,
     is_other_incarnation,
     is_unstamped_success,
+    is_valid_value,
     matches_request,
     parse_event_id,
     read_failed_address,
@@ -50,6 +51,8 @@
 EVENT_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r")
 MAX_EVENT_END_BYTES = 4
 MAX_LOGGED_HEAD_BYTES = 256
+# A lower status announces that another response follows.
+MIN_FINAL_STATUS = 200
 
 logger = logging.getLogger(__name__)
 
@@ -205,7 +208,8 @@
 
     Raises:
         ExchangeError: If the response belongs to another request, states that the work
-            did not run, or is a success without the stamp of a backend server.
+            did not run, cannot be forwarded, or is a success without the stamp of a
+            backend server.
     """
     is_match = matches_request(res.headers, call.req.request_id, is_reused=is_reused)
     response_id = read_request_id(res.headers)
@@ -226,6 +230,15 @@
             is_other_incarnation=is_other,
             notice=notice,
         )
+    if res.status < MIN_FINAL_STATUS or not all(
+        map(is_valid_value, res.headers.values())
+    ):
+        raise ExchangeError(
+            CallOutcome.UNKNOWN,
+            f"{call.address} sent no valid final response, but status {res.status}",
+            status=res.status,
+            notice=notice,
+        )
     if is_unstamped_success(res.status, res.headers):
         raise ExchangeError(
             CallOutcome.UNKNOWN,
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -11,6 +11,7 @@
     "is_not_run",
     "is_other_incarnation",
     "is_unstamped_success",
+    "is_valid_value",
     "matches_request",
     "parse_event_id",
     "read_failed_address",
@@ -22,6 +23,7 @@
 
 import logging
 import math
+import re
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -71,6 +73,7 @@
         "last-event-id",
     }
 )
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _DROPPED_RESPONSE_HEADERS = frozenset({"date", "server"}) | _HOP_BY_HOP_HEADERS
 
 logger = logging.getLogger(__name__)
@@ -233,6 +236,11 @@
     return 200 <= status < 300 and not headers.get("Response-Stamp")
 
 
+def is_valid_value(value: str) -> bool:
+    """Return whether a header value can be sent (RFC 9110, section 5.5)."""
+    return _CONTROL_CHARACTER.search(value) is None
+
+
 def is_other_incarnation(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether an incarnation other than the expected one responded."""
     return status == MISDIRECTED and "At-Server" not in headers
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -175,6 +175,17 @@
         self.reply(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual(500, (await self.call()).head.status)
 
+    async def test_response_that_cannot_be_forwarded_is_rejected(self):
+        """Guards against heads after which the caller would get no response."""
+        end = b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        for reply in (
+            OK + b"X: a\x01b\r\n" + end,
+            OK + b"X: \x7f\r\n" + end,
+            OK.replace(b"200 OK", b"101 Switching Protocols") + end,
+        ):
+            self.reply(reply)
+            self.assertEqual(CallOutcome.UNKNOWN, (await self.call_error()).outcome)
+
     async def test_surplus_bytes_after_a_response_are_discarded(self):
         response = OK + b"Content-Length: 5\r\n\r\nwhole"
         self.reply(
--- a/wigeonscale/platform/tests/test_request_exits.py
+++ b/wigeonscale/platform/tests/test_request_exits.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from wigeonscale.platform.tests.test_callers import WAIT_S, CallerCase
-from wigeonscale.ports.exchange import ResponseHead
+from wigeonscale.ports.exchange import FullResponse, ResponseHead
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
@@ -75,3 +75,33 @@
                 while not errors:  # noqa: ASYNC110
                     await asyncio.sleep(0)
                 await self.server.drain(0.0)
+
+
+class UnwritableHeadTest(ExitCase):
+    """A head that cannot be written must not close the connection unanswered."""
+
+    BAD_VALUES = ("\x01", "\x7f", "a\nb")
+
+    async def test_response_after_a_head_that_cannot_be_written(self):
+        for value in self.BAD_VALUES:
+            head = ResponseHead(200, (("X", value),))
+
+            async def send(req, sink, head=head):
+                await sink.send(FullResponse(head, b"whole"))
+
+            async def stream(req, sink, head=head):
+                await sink.begin(head)
+                await sink.end()
+
+            for serve in (send, stream):
+                self.serve = serve
+                got = await self.answer_to(REQUEST)
+                self.assertTrue(got.startswith(b"HTTP/1.1 500 "), got)
+                self.assertTrue(got.endswith(b"\r\n\r\ninternal\n"), got)
+
+    async def test_request_with_control_characters_in_a_header_is_rejected(self):
+        for name in (b"X", b"Attempt-Id"):
+            head = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            got = await self.answer_to(head + name + b": a\x01b\r\n\r\n")
+            self.assertIn(b" 400 Bad Request\r\n", got)
+        self.assertEqual([], self.requests)
