Reject requests whose body breaks while it is read

Seen in a trial with real sockets: a chunked body that breaks after its head was read leaves the request without a response and its connection open, until the caller gives up.

Cause: the parser's error was queued as the next message behind the request, which went on to wait for its body.

Change: the error also ends the wait for the body, so that the request gets its 400. In the entry for agents, which has the same connections, it is the error that it expects for unreadable bodies.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -11,7 +11,8 @@
 import select
 from collections.abc import Callable, Iterable
 
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
 
 # Time for the peer to close its side of a connection that was closed here.
 LINGER_S = 1.0
@@ -76,7 +77,13 @@
         **options: Options of :class:`aiohttp.web.RequestHandler`.
     """
 
-    __slots__ = ("_idle_s", "_is_half_closed", "_linger_timer", "_open_conns")
+    __slots__ = (
+        "_idle_s",
+        "_is_half_closed",
+        "_latest_body",
+        "_linger_timer",
+        "_open_conns",
+    )
 
     def __init__(
         self,
@@ -90,6 +97,7 @@
         self._open_conns = open_conns
         self._idle_s = idle_s
         self._is_half_closed = False
+        self._latest_body: StreamReader | None = None
         self._linger_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -116,6 +124,18 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
 
+    def data_received(self, data: bytes) -> None:
+        """Parse data of the peer."""
+        super().data_received(data)
+        if not self._messages:
+            return
+        message, body = self._messages[-1]
+        if isinstance(message, RawRequestMessage):
+            self._latest_body = body
+        elif self._latest_body is not None and not self._latest_body.is_eof():
+            # The parser has failed within a body, whose reader would wait for ever.
+            self._latest_body.set_exception(web.RequestPayloadError(message.message))
+
     def _process_keepalive(self) -> None:
         extra_s = max(0.0, self._idle_s() - self._keepalive_timeout)
         close_at = self._next_keepalive_close_time + extra_s
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -180,7 +180,7 @@
         if req.body_exists:
             try:
                 body = await _read_body(req, limit)
-            except (BadHttpMessage, ValueError) as exc:
+            except (BadHttpMessage, web.RequestPayloadError, ValueError) as exc:
                 raise WigeonscaleError(ErrorKind.BAD_REQUEST, str(exc)) from exc
         headers = read_request_headers(req.headers)
         return CallerRequest(
--- a/wigeonscale/platform/tests/test_request_exits.py
+++ b/wigeonscale/platform/tests/test_request_exits.py
@@ -105,3 +105,59 @@
             got = await self.answer_to(head + name + b": a\x01b\r\n\r\n")
             self.assertIn(b" 400 Bad Request\r\n", got)
         self.assertEqual([], self.requests)
+
+
+class MalformedBodyTest(ExitCase):
+    """Guards against requests that wait for the rest of a broken body for ever."""
+
+    HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    BROKEN = b"zz\r\n"
+
+    async def connect(self, data):
+        """Send bytes on a new connection; return it and the server's side of it."""
+        reader, writer, _ = await self.raw(data)
+        async with asyncio.timeout(WAIT_S):
+            while self.server.connections < 1:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        (conn,) = self.server._runner.server.connections
+        return reader, writer, conn
+
+    async def assert_rejected(self, reader):
+        async with asyncio.timeout(WAIT_S):
+            got = await reader.read()
+        self.assertEqual(1, got.count(b" 400 Bad Request\r\n"), got)
+        self.assertEqual([], self.requests)
+
+    async def test_body_that_breaks_while_it_is_read(self):
+        reader, writer, conn = await self.connect(self.HEAD)
+        async with asyncio.timeout(WAIT_S):
+            while conn._current_request is None:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        writer.write(self.BROKEN)
+        await self.assert_rejected(reader)
+
+    async def test_body_that_breaks_before_it_is_read(self):
+        reader, _, conn = await self.connect(b"")
+        conn.data_received(self.HEAD)
+        conn.data_received(self.BROKEN)
+        await self.assert_rejected(reader)
+
+    async def test_request_before_malformed_data_is_answered(self):
+        """Guards against an error for a request whose body was read to its end."""
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+        started, proceed = asyncio.Event(), asyncio.Event()
+
+        async def serve(req, sink):
+            started.set()
+            await proceed.wait()
+            await sink.send(FullResponse(ResponseHead(200, ()), b"whole"))
+
+        self.serve = serve
+        reader, writer, _ = await self.raw(head + b"abc")
+        await started.wait()
+        writer.write(b"nonsense\r\n\r\n")
+        proceed.set()
+        async with asyncio.timeout(WAIT_S):
+            got = await reader.read()
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 "), got)
+        self.assertIn(b"whole", got)
