Read numbers in headers and event ids exactly, and ignore absurd ones

Ids above 2**53 are rounded, so that events seem to be missing or to come twice.

Cause: digits were parsed to a float and then made an int.

Change: they are parsed to an int; more than 18 digits count as a missing header.

--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -42,6 +42,8 @@
 MISDIRECTED = 421
 OVERLOADED = 503
 MAX_LOGGED_CHARS = 40
+# Longer numbers exceed any count, id or time.
+MAX_DIGITS = 18
 
 # Headers for a single connection (RFC 9110, section 7.6.1); the last two are written
 # anew for each connection.
@@ -119,14 +121,13 @@
         | _connection_options(headers.get("Connection", ""))
     )
     deadline_ms = _parse_digits(headers.get("Request-Deadline", ""))
-    last_event_id = _parse_digits(headers.get("Last-Event-Id", ""))
     return RequestHeaders(
         request_id=headers.get("Attempt-Id", ""),
         host=headers.get("Host", ""),
         key=_bearer_token(headers.get("Authorization", "")),
         deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
         generation=_read_generation_size(headers),
-        last_event_id=None if last_event_id is None else int(last_event_id),
+        last_event_id=_parse_digits(headers.get("Last-Event-Id", "")),
         prompt_parts=_read_prompt_parts(headers.get("Prompt-Prefix", "")),
         forwarded=tuple(
             (name, value)
@@ -268,19 +269,18 @@
     """Return the id of a server-sent event; None if it has none."""
     for line in data.splitlines():
         if line.startswith(b"id:"):
-            number = _parse_digits(line[3:].decode("latin-1"))
-            return None if number is None else int(number)
+            return _parse_digits(line[3:].decode("latin-1"))
     return None
 
 
 def _read_generation_size(headers: Mapping[str, str]) -> GenerationSize:
     # "Token-Count" holds two numbers: prompt tokens and maximum response tokens.
     prompt, _, most = headers.get("Token-Count", "").partition(",")
-    limit = int(_parse_digits(most) or 0)
+    limit = _parse_digits(most) or 0
     return GenerationSize(
-        prompt_tokens=int(_parse_digits(prompt) or 0),
+        prompt_tokens=_parse_digits(prompt) or 0,
         max_tokens=limit,
-        expected_tokens=int(_parse_digits(headers.get("Length-Hint", "")) or limit),
+        expected_tokens=_parse_digits(headers.get("Length-Hint", "")) or limit,
     )
 
 
@@ -317,6 +317,7 @@
     return authorization[len(BEARER_PREFIX) :].strip()
 
 
-def _parse_digits(text: str) -> float | None:
+def _parse_digits(text: str) -> int | None:
     text = text.strip()
-    return float(text) if text.isascii() and text.isdigit() else None
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
--- a/wigeonscale/platform/tests/test_headers.py
+++ b/wigeonscale/platform/tests/test_headers.py
@@ -86,6 +86,26 @@
         self.assertIsNone(read.last_event_id)
         self.assertEqual(GenerationSize(), read.generation)
 
+    def test_numbers_beyond_any_range_are_ignored(self):
+        """Guards against an internal error for a number that no float can hold."""
+        huge = "9" * 400
+        read = headers(
+            request_deadline=huge,
+            token_count=f"{huge},{huge}",
+            last_event_id=huge,
+            length_hint=huge,
+        )
+        self.assertIsNone(read.deadline_s)
+        self.assertIsNone(read.last_event_id)
+        self.assertEqual(GenerationSize(), read.generation)
+        self.assertIsNone(parse_event_id(f"id: {huge}\ndata: x".encode()))
+
+    def test_ids_of_events_are_exact(self):
+        """Guards against ids that are rounded, so that events seem to be missing."""
+        number = 2**53 + 1
+        self.assertEqual(number, headers(last_event_id=str(number)).last_event_id)
+        self.assertEqual(number, parse_event_id(f"id: {number}\ndata: x".encode()))
+
 
 class BackendHeadersTest(AsyncTestCase):
     def test_headers_of_the_caller_are_forwarded(self):
