Send 100 Continue to callers that wait for it with their body

Cause: the low-level HTTP server has no handling of the header, unlike that of the entry for agents.

Change: the interim response is sent before the body is read, to HTTP/1.1 callers of whose body nothing has come.

Tests: a caller that waits (TimeoutError after 3 s before); callers that don't wait, and HTTP/1.0, get none, which held.

--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import BadHttpMessage
 
 from wigeonscale.adapters.http_server import Connection, OpenConnections
@@ -39,6 +39,7 @@
 # may have run is sent as BAD_GATEWAY instead.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[CallerRequest, ResponseSink], Awaitable[None]]
 
@@ -179,6 +180,7 @@
         body = b""
         if req.body_exists:
             try:
+                _send_continue(req)
                 body = await _read_body(req, limit)
             except (BadHttpMessage, web.RequestPayloadError, ValueError) as exc:
                 raise WigeonscaleError(ErrorKind.BAD_REQUEST, str(exc)) from exc
@@ -241,6 +243,14 @@
     )
 
 
+def _send_continue(req: web.BaseRequest) -> None:
+    """Send the interim response for which a caller waits with its body, if it does."""
+    expects = req.headers.get("Expect", "").strip().lower() == "100-continue"
+    has_come = req.content.total_bytes or req.content.is_eof()
+    if expects and not has_come and req.version >= HttpVersion11 and req.transport:
+        req.transport.write(CONTINUE)
+
+
 async def _read_body(req: web.BaseRequest, limit: int) -> bytes:
     chunks, size = [], 0
     async for chunk in req.content.iter_any():
--- a/wigeonscale/platform/tests/test_request_exits.py
+++ b/wigeonscale/platform/tests/test_request_exits.py
@@ -161,3 +161,26 @@
             got = await reader.read()
         self.assertTrue(got.startswith(b"HTTP/1.1 200 "), got)
         self.assertIn(b"whole", got)
+
+
+class ContinueTest(ExitCase):
+    HEAD = (
+        b"POST / HTTP/%s\r\nHost: h\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 3\r\n\r\n"
+    )
+    CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+    async def test_caller_that_waits_with_its_body(self):
+        """Guards against a request that waits for a body that waits for it."""
+        async with asyncio.timeout(WAIT_S):
+            reader, writer, got = await self.raw(self.HEAD % b"1.1", b"\r\n\r\n")
+            self.assertEqual(self.CONTINUE, got)
+            writer.write(b"abc")
+            self.assertIn(b"200 OK", await reader.readuntil(b"whole"))
+        self.assertEqual(b"abc", self.requests[0].body)
+
+    async def test_caller_that_does_not_wait(self):
+        for version in (b"1.0", b"1.1"):
+            head = self.HEAD % version
+            _, _, got = await self.raw(head + b"abc", b"whole")
+            self.assertNotIn(self.CONTINUE, got)
