Answer the requests that are left when the time for a shutdown has passed

Seen in a test with real sockets: at the end of the shutdown timeout, a request that is still in progress, at a backend server or in a queue, ends with a closed connection and no response.

Cause: the server cancelled its handlers.

Change: the requests that are left get an error within 0.2 s: 502 once they were read, as they may have run, else 503 with Retry-After. Begun responses are cut as before.

--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -31,8 +31,12 @@
 # callers how long they may keep a connection idle, extend it.
 IDLE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
-# Requests still in progress when the server closes are cancelled after this time.
-SHUTDOWN_TIMEOUT_S = 0.05
+# When the server closes, the requests in progress get an error within this time. Those
+# that are left are cancelled; each of two steps of that takes the second time at most.
+ABORT_TIMEOUT_S = 0.2
+CANCEL_TIMEOUT_S = 0.05
+# A caller of a server that stops is sent to another one at once.
+STOPPING_RETRY_AFTER_S = 0.1
 # Room for the connections that arrive within a few seconds.
 LISTEN_BACKLOG = 512
 # Statuses that tell the caller that the work did not run. An error after which the work
@@ -81,6 +85,7 @@
         self._sock = sock
         self._site: web.BaseSite | None = None
         self._open_conns = OpenConnections()
+        self._timeouts: set[asyncio.Timeout] = set()
 
     async def start(self) -> None:
         """Start listening.
@@ -101,7 +106,7 @@
             lingering_time=0.0,
         )
         self._runner = web.ServerRunner(
-            server, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            server, handle_signals=False, shutdown_timeout=CANCEL_TIMEOUT_S
         )
         await self._runner.setup()
         self._site = self._new_site()
@@ -140,9 +145,21 @@
         await self._open_conns.drain()
 
     async def close(self) -> None:
-        """Close all connections and cancel the requests in progress."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Answer the requests in progress with an error, and close all connections."""
+        if self._runner is None:
+            return
+        for site in self._runner.sites:
+            await site.stop()
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+        try:
+            async with asyncio.timeout(ABORT_TIMEOUT_S):
+                await self._open_conns.drain()
+        except TimeoutError:
+            pass
+        await self._runner.cleanup()
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         sink = _HttpSink(req=req, open_conns=self._open_conns)
@@ -152,10 +169,14 @@
     async def _respond(self, req: web.BaseRequest, sink: "_HttpSink") -> None:
         arrived_at = self._clock.now()
         request_id = req.headers.get("Attempt-Id", "")
+        caller_req = None
+        timeout = asyncio.timeout(None)
         try:
-            caller_req = await self._read_request(req, arrived_at)
-            await self._serve(caller_req, sink)
-            return
+            async with timeout:
+                self._timeouts.add(timeout)
+                caller_req = await self._read_request(req, arrived_at)
+                await self._serve(caller_req, sink)
+                return
         except WigeonscaleError as exc:
             error = exc
         except asyncio.CancelledError as exc:
@@ -170,7 +191,13 @@
                     extra=log_fields(request_id=request_id),
                 )
                 return
-            error = _internal_error(request_id, exc)
+            error = (
+                _stopping_error(is_read=caller_req is not None)
+                if timeout.expired()
+                else _internal_error(request_id, exc)
+            )
+        finally:
+            self._timeouts.discard(timeout)
         await self._send_error(request_id, error, sink)
 
     async def _read_request(
@@ -251,6 +278,15 @@
         req.transport.write(CONTINUE)
 
 
+def _stopping_error(*, is_read: bool) -> WigeonscaleError:
+    return WigeonscaleError(
+        ErrorKind.STOPPING,
+        "this entry stops",
+        run_state=RunState.UNKNOWN if is_read else RunState.NOT_RUN,
+        retry_after=STOPPING_RETRY_AFTER_S,
+    )
+
+
 async def _read_body(req: web.BaseRequest, limit: int) -> bytes:
     chunks, size = [], 0
     async for chunk in req.content.iter_any():
--- a/wigeonscale/platform/tests/test_request_exits.py
+++ b/wigeonscale/platform/tests/test_request_exits.py
@@ -184,3 +184,43 @@
             head = self.HEAD % version
             _, _, got = await self.raw(head + b"abc", b"whole")
             self.assertNotIn(self.CONTINUE, got)
+
+
+class CloseTest(ExitCase):
+    """The server closes when the time for its shutdown has passed."""
+
+    async def answer_at_close(self, data):
+        """Close the server while it handles a request; return what is received."""
+        started = asyncio.Event()
+        respond = self.server._respond
+
+        async def respond_and_tell(req, sink):
+            started.set()
+            await respond(req, sink)
+
+        self.server._respond = respond_and_tell
+        reader, writer, _ = await self.raw(data)
+        async with asyncio.timeout(WAIT_S):
+            await started.wait()
+            reading = asyncio.create_task(reader.read())
+            reading.add_done_callback(lambda _: writer.close())
+            await self.server.close()
+            return await reading
+
+    async def test_request_that_may_have_run(self):
+        """Guards against a closed connection instead of an answer."""
+
+        async def serve(req, sink):
+            await asyncio.get_running_loop().create_future()
+
+        self.serve = serve
+        got = await self.answer_at_close(REQUEST)
+        self.assertTrue(got.startswith(b"HTTP/1.1 502 "), got)
+        self.assertTrue(got.endswith(b"\r\n\r\nstopping\n"), got)
+
+    async def test_request_whose_body_has_not_come(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na"
+        got = await self.answer_at_close(head)
+        self.assertTrue(got.startswith(b"HTTP/1.1 503 "), got)
+        self.assertIn(b"\r\nRetry-After: ", got)
+        self.assertEqual([], self.requests)
