Bound the sums of loads that replicas exchange

Load pattern: entries report loads whose sum over all entries is larger than the field of the message, or an engine reports a rate limit of 1e308 a second.

Cause: the sum raises ValueError or OverflowError in LoadAggregator. It is sent with each append request and each reply, so both would fail for as long as such reports come, and no leader could be followed. Found while reading what heartbeats and reports can put out of range; not seen in a run of the daemons.

Change: sums stop at the largest value of their field, a rate that is not finite counts as none, and share_weights takes any finite rate.

--- a/wigeonscale/control/load_aggregator.py
+++ b/wigeonscale/control/load_aggregator.py
@@ -11,6 +11,7 @@
 
 __all__ = ["LoadAggregator"]
 
+import math
 from collections.abc import Iterable
 
 from google.protobuf.message import DecodeError
@@ -23,6 +24,9 @@
 # Entries report their load with each heartbeat, every half second by default.
 MAX_LOAD_AGE_S = 2.0
 MS_PER_S = 1000.0
+# A sum that a field of a message cannot hold would end the exchange with all peers.
+MAX_INT32 = 2**31 - 1
+MAX_INT64 = 2**63 - 1
 CLASS_COUNTS = ("arrived", "admitted", "rejected", "waiting", "released", "returning")
 
 
@@ -102,18 +106,21 @@
     report_ages: list[int] = []
     tellers = 0
     for loads, age_s in all_loads:
-        tellers += loads.tellers
-        report_ages = add_ages(report_ages, older_by(loads.report_ages, age_s))
+        tellers = _add(tellers, loads.tellers)
+        ages = add_ages(report_ages, older_by(loads.report_ages, age_s))
+        report_ages = [_add(count, 0) for count in ages]
         for load in loads.loads:
             total = loads_by_id.setdefault(load.backend_id, wire.Load())
             total.backend_id = load.backend_id
-            total.running += load.running
-            total.token_layers += load.token_layers
+            total.running = _add(total.running, load.running)
+            total.token_layers = _add(
+                total.token_layers, load.token_layers, limit=MAX_INT64
+            )
         for sends in loads.sends:
             count = sends_by_name.setdefault(sends.service, wire.ServiceSends())
             count.service = sends.service
-            count.requests += sends.requests
-            count.further += sends.further
+            count.requests = _add(count.requests, sends.requests)
+            count.further = _add(count.further, sends.further)
         for limit in loads.limits:
             merged = limits_by_id.setdefault(limit.backend_id, wire.NamedLimit())
             _merge_limit(merged, limit, int(age_s * MS_PER_S))
@@ -137,7 +144,12 @@
     total.priority = demand.priority
     total.domain = demand.domain
     for name in CLASS_COUNTS:
-        setattr(total, name, getattr(total, name) + getattr(demand, name))
+        setattr(total, name, _add(getattr(total, name), getattr(demand, name)))
+
+
+def _add(first: int, second: int, *, limit: int = MAX_INT32) -> int:
+    """Return a sum, bounded to what a field of a message can hold."""
+    return max(-limit, min(limit, first + second))
 
 
 def _merge_limit(
@@ -151,11 +163,11 @@
     _set_demands(merged, _demands(merged) | _demands(update))
     if not update.HasField("age_ms"):
         return
-    age_ms = update.age_ms + elapsed_ms
+    age_ms = _add(update.age_ms, elapsed_ms, limit=MAX_INT64)
     if merged.HasField("age_ms") and merged.age_ms <= age_ms:
         return
     merged.age_ms = age_ms
-    if update.HasField("per_s"):
+    if update.HasField("per_s") and math.isfinite(update.per_s):
         merged.per_s = update.per_s
     else:
         merged.ClearField("per_s")
--- a/wigeonscale/control/tests/test_load_aggregator.py
+++ b/wigeonscale/control/tests/test_load_aggregator.py
@@ -1,3 +1,6 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from wigeonscale.control import Watcher
 from wigeonscale.control.load_aggregator import CLASS_COUNTS, LoadAggregator
 from wigeonscale.testing import AsyncTestCase, ManualClock
@@ -188,3 +191,75 @@
         total = self.load_aggregator.total()
         self.assertEqual(9, len(total.classes))
         self.assertTrue(total.ByteSize() < 2000, total.ByteSize())
+
+
+INT32 = st.one_of(st.sampled_from((-(2**31), -1, 0, 2**31 - 1)), st.integers(0, 50))
+INT64 = st.one_of(INT32, st.sampled_from((-(2**63), 2**63 - 1)))
+NAMES = st.sampled_from(("a", "b"))
+NAMED_LIMITS = st.builds(
+    wire.NamedLimit,
+    backend_id=NAMES,
+    per_s=st.one_of(
+        st.none(),
+        st.sampled_from((0.0, -1.0, 3.0, 1e308, float("inf"), float("nan"))),
+    ),
+    age_ms=st.one_of(st.none(), INT64),
+    demands=st.lists(st.builds(wire.Demand, entry=NAMES, requests=INT32), max_size=1),
+)
+LOADS = st.builds(
+    wire.Loads,
+    loads=st.lists(
+        st.builds(wire.Load, backend_id=NAMES, running=INT32, token_layers=INT64),
+        max_size=1,
+    ),
+    sends=st.lists(
+        st.builds(wire.ServiceSends, service=NAMES, requests=INT32, further=INT32),
+        max_size=1,
+    ),
+    limits=st.lists(NAMED_LIMITS, max_size=1),
+    tellers=INT32,
+    classes=st.lists(
+        st.builds(
+            wire.ClassDemand,
+            service=NAMES,
+            priority=INT32,
+            domain=NAMES,
+            **dict.fromkeys(CLASS_COUNTS, INT32),
+        ),
+        max_size=1,
+    ),
+    report_ages=st.lists(INT32, max_size=2),
+)
+
+
+class ExtremeLoadsTest(AsyncTestCase):
+    """Reports with the largest and smallest values.
+
+    Guards against a sum that no message can hold: it would fail each append request and
+    reply, so that no leader could be followed.
+    """
+
+    @settings(derandomize=True, deadline=None, max_examples=50, database=None)
+    @given(st.lists(LOADS, min_size=1, max_size=2), st.lists(LOADS, max_size=2))
+    def test_sums_of_any_reports_can_be_sent(self, attached, received):
+        clock = ManualClock()
+        watchers = [
+            Watcher(hello=wire.Hello(node_id=str(number)), clock=clock)
+            for number in range(len(attached))
+        ]
+        for watcher, reported in zip(watchers, attached, strict=True):
+            watcher.loads = reported
+        aggregator = LoadAggregator(watchers=watchers, clock=clock)
+        for number, reported in enumerate(received):
+            aggregator.receive(f"c{number}", reported.SerializeToString())
+        wire.Loads.FromString(aggregator.local_total().SerializeToString())
+        wire.Loads.FromString(aggregator.total().SerializeToString())
+
+    def test_a_sum_stops_at_the_largest_value(self):
+        clock = ManualClock()
+        aggregator = LoadAggregator(watchers=[], clock=clock)
+        most = wire.Load(backend_id="a", running=2**31 - 1, token_layers=2**63 - 1)
+        for name in ("c2", "c3"):
+            loads = wire.Loads(loads=[most])
+            aggregator.receive(name, loads.SerializeToString())
+        self.assertEqual([most], list(aggregator.total().loads))
--- a/wigeonscale/limits/sharing.py
+++ b/wigeonscale/limits/sharing.py
@@ -49,7 +49,7 @@
         for name, count in demands.items()
         if count > 0
     }
-    max_sharers = max(1, int(per_s * SHARERS_PER_RATE_S))
+    max_sharers = max(1, int(min(per_s * SHARERS_PER_RATE_S, len(weights))))
 
     def rank(name: str) -> tuple[int, bytes]:
         digest = hashlib.sha256(f"{limit_id} {name}".encode()).digest()
