Take engine reports with numbers out of range as unreadable

Cause: a report with a number that is infinite as a float (1e999) or nested too deeply raised OverflowError or RecursionError out of HttpEngineOrders.status and probe. The check of that engine ended without a result each time, so that it never counted as silent, and its order was never sent again. Found while reading what reports can put out of range; not seen in a run of the daemons.

Change: such reports count like others that cannot be parsed.

Test: test_report_out_of_range, OverflowError before the change; 10 of 10 of its module after it.

--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -29,6 +29,16 @@
 # take 100 ms.
 PATH_CHANGE_TIMEOUT_S = 0.15
 
+# Raised for a report that is no JSON, has other types or numbers out of range, or is
+# nested too deeply.
+REPORT_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 OUTCOME_BY_STATUS = {
     200: OrderOutcome.UNCHANGED,
     202: OrderOutcome.STARTED,
@@ -116,7 +126,7 @@
                 held_up_by=tuple(str(each["address"]) for each in stalled),
                 started_ms=_started_ms(report),
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        except REPORT_ERRORS as exc:
             logger.warning("cannot parse the report of %s: %s", address, exc)
             return None
 
@@ -201,7 +211,7 @@
         report = json.loads(content)
         born = _started_ms(report)
         pace = float(report.get("pace", 1.0))
-    except (ValueError, TypeError, AttributeError) as exc:
+    except REPORT_ERRORS as exc:
         # The engine responded, which is all that the probe needs.
         logger.warning("cannot parse the report of a probed engine: %s", exc)
         return EngineProbeResult(ProbeResult.ANSWERED)
--- a/wigeonscale/platform/tests/test_engine_orders.py
+++ b/wigeonscale/platform/tests/test_engine_orders.py
@@ -58,6 +58,29 @@
                 EngineProbeResult(ProbeResult.ANSWERED, expected_pace), probe_result
             )
 
+    async def test_report_out_of_range(self):
+        # Guards against a probe or query without a result: the engine would neither
+        # count as silent nor get another order.
+        for fields in (
+            b'"seq": 1e999, "pace": 1' + b"0" * 400,
+            b'"seq": "x"',
+            b'"seq": 1, "layers": {"from": 0, "to": -1e999}',
+            b'"seq": 1, "running": 1e999',
+            b'"seq": 1, "layers": [3]',
+            b'"seq": 1, "stalled": [1]',
+            b'"seq": ' + b"[" * 100_000 + b"]" * 100_000,
+        ):
+            body = b'{"busy": false, ' + fields + b"}"
+
+            async def handle(req, body=body):
+                return web.Response(body=body, content_type="application/json")
+
+            runner, address = await serve(handle)
+            self.addCleanup(runner.cleanup)
+            self.assertIsNone(await self.orders.status(address))
+            probe_result = await self.orders.probe(address, 0)
+            self.assertEqual(EngineProbeResult(ProbeResult.ANSWERED, 1.0), probe_result)
+
     async def test_status_includes_the_start_time(self):
         async def handle(req):
             return web.json_response({"seq": 3, "busy": False, "born": 200})
