Bound the retry budget while entries are cut off from control

Cause: each entry used 0.6 of the slack divided by the number of attached entries. Control counts an entry that it has not heard for some six seconds no longer, so the others take a larger part, while the entry that is cut off goes on with its own. The same sum fails when entries come back while few are counted and when entries are added while others are cut off.

Change: control records in the replicated log which part of the slack each entry holds, at most the whole together. The part counts until the entry has lowered it, or can use it no more: an entry stops using its part 30 s after its last confirmation, and the leader drops it 45 s after no replica hears the entry, 15 s after a notice that it stops. Only commands of the entry's own process lower a part, one window after the entry uses less. A restarted entry finds its part; an added one gets its part when the others have lowered theirs, after a window.

Ruled out: counting silent entries for longer (fails when entries are added, unless these wait as long); parts sent with lease grants (a replica that lags behind may send an older, larger one).

--- a/wigeonscale/control/entry_counter.py
+++ b/wigeonscale/control/entry_counter.py
@@ -1,4 +1,4 @@
-"""Maintains the replicated record of attached entries."""
+"""Maintains the replicated record of attached entries and of their retry shares."""
 
 __all__ = ["EntryCounter"]
 
@@ -6,6 +6,7 @@
 import weakref
 from collections.abc import Iterator
 
+from wigeonscale.adapters.logs import log_fields
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.hub import Hub
 from wigeonscale.control.watcher import Watcher
@@ -15,6 +16,7 @@
 from wigeonscale.state import ControlState
 from wigeonscale.wire import wire_pb2 as wire
 
+MS_PER_S = 1000
 # All entries that attach or detach within one interval share one command.
 UPDATE_INTERVAL_S = 0.5
 
@@ -24,6 +26,8 @@
 class EntryCounter:
     """Records the entries of this replica and, as leader, drops those of lost ones.
 
+    As leader, it also drops the retry shares of entries that nobody hears any more.
+
     Args:
         node_id: Node id of this replica.
         state: Replicated state.
@@ -62,6 +66,10 @@
         self._replica_timeout_s = replica_timeout_s
         self._recorded: weakref.WeakSet[Watcher] = weakref.WeakSet()
         self._absent_since: dict[str, float] = {}
+        # Since when the entries of shares are attached to no replica, as this replica
+        # has seen it as the leader of one term.
+        self._unattached_since: dict[str, float] = {}
+        self._term = 0
 
     async def run(self) -> None:
         """Update the record periodically until cancelled."""
@@ -72,9 +80,11 @@
 
     async def _update(self):
         streams = self._live_streams()
-        for count in [*self._local_changes(streams), *self._lost_replica_changes()]:
+        counts = [*self._local_changes(streams), *self._lost_replica_changes()]
+        commands = [wire.Command(count_entries=count) for count in counts]
+        for command in [*commands, *self._released_shares()]:
             try:
-                await self._commands.submit(wire.Command(count_entries=count))
+                await self._commands.submit(command)
             except WigeonscaleError as exc:
                 logger.warning("could not record attached entries: %s", exc.message)
                 return
@@ -132,3 +142,35 @@
             if replica != self._node_id and is_lost:
                 gone = sorted(self._state.entries.attached_to(replica))
                 yield wire.CountEntries(replica=replica, gone=gone)
+
+    def _released_shares(self) -> Iterator[wire.Command]:
+        """Yield a command that drops the shares of entries that are gone.
+
+        The times are this replica's own, so a new leader counts them from its election.
+        """
+        if self._replica.term != self._term:
+            self._term = self._replica.term
+            self._unattached_since.clear()
+        if self._replica.role is not Role.LEADER:
+            return
+        now = self._clock.now()
+        unattached = {
+            share.entry: share
+            for share in self._state.retry_shares
+            if self._state.entries.replica_of(share.entry) is None
+        }
+        self._unattached_since = {
+            name: self._unattached_since.get(name, now) for name in unattached
+        }
+        released = [
+            wire.RetryShare(entry=name, process=share.process, sequence=share.sequence)
+            for name, share in unattached.items()
+            if now - self._unattached_since[name] >= share.release_ms / MS_PER_S
+        ]
+        if released:
+            logger.info(
+                "retry shares released",
+                extra=log_fields(entries=[share.entry for share in released]),
+            )
+            dropped = wire.DropRetryShares(shares=released)
+            yield wire.Command(drop_retry_shares=dropped)
--- a/wigeonscale/control/hub.py
+++ b/wigeonscale/control/hub.py
@@ -245,6 +245,7 @@
         )
         if watcher.is_entry:
             grant.entries = len(self._state.entries)
+            grant.share_holders = self._state.share_holders()
         if watcher.loads is not None:
             grant.loads.CopyFrom(self.load_aggregator.total())
         grant.control.extend(member.address for member in self._replica.members())
--- a/wigeonscale/control/retry_ledger.py
+++ b/wigeonscale/control/retry_ledger.py
@@ -1,4 +1,4 @@
-"""The leader's part in reservations of retries."""
+"""The leader's part in reservations and shares of retries."""
 
 __all__ = ["RetryLedger"]
 
@@ -59,15 +59,32 @@
             A result if the command is not to be proposed because it would reserve
             nothing, else None.
         """
-        if command.WhichOneof("body") != "reserve_retries":
-            return None
+        match command.WhichOneof("body"):
+            case "reserve_retries":
+                can_succeed = self._prepare_reservation(command)
+            case "hold_retry_share":
+                can_succeed = self._may_change(command.hold_retry_share)
+            case _:
+                return None
+        # Spares the log of a command from each entry in each interval of an overload.
+        return None if can_succeed else wire.CommandResult()
+
+    def _prepare_reservation(self, command: wire.Command) -> bool:
         req = command.reserve_retries
         expired_index = self._index_before(req.window_ms / MS_PER_S)
         command.expired_index = expired_index
-        if self._state.retry_reservations.left(req, expired_index=expired_index):
-            return None
-        # Spares the log of a command from each entry in each interval of an overload.
-        return wire.CommandResult()
+        left = self._state.retry_reservations.left(req, expired_index=expired_index)
+        return left > 0
+
+    def _may_change(self, req: wire.RetryShare) -> bool:
+        """Return whether a command on a share may be more than a refused increase."""
+        shares = self._state.retry_shares
+        if shares.free > 0:
+            return True
+        share = shares.get(req.entry)
+        if share is None:
+            return False
+        return share.process != req.process or req.parts <= share.parts
 
     def _index_before(self, age_s: float) -> int:
         """Return the newest log index that was applied at least this long ago."""
--- a/wigeonscale/control/tests/test_entry_counter.py
+++ b/wigeonscale/control/tests/test_entry_counter.py
@@ -4,6 +4,7 @@
 
 from wigeonscale.control import EntryCounter
 from wigeonscale.control.tests.support import DOWN_AFTER_S, LEASE_S, ControlFixture
+from wigeonscale.replication import Role
 from wigeonscale.state import ControlState
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
@@ -11,7 +12,7 @@
 GRACE_S = DOWN_AFTER_S + LEASE_S
 
 
-class EntryCounterTest(AsyncTestCase):
+class EntryCounterCase(AsyncTestCase):
     async def prepare(self):
         self.fixture = ControlFixture()
         self.addCleanup(self.fixture.hub.close)
@@ -57,6 +58,8 @@
         ]
         return grant.entries
 
+
+class EntryCounterTest(EntryCounterCase):
     async def test_lease_grants_report_the_count_over_all_replicas(self):
         await self.attach_elsewhere("e8", "e9")
         watcher = self.fixture.watcher("e1")
@@ -123,3 +126,61 @@
         restored = ControlState()
         restored.restore(self.fixture.state.snapshot())
         self.assertEqual({"e1", "e2"}, restored.entries.attached_to("c2"))
+
+
+class ReleasedSharesTest(EntryCounterCase):
+    """Guards against the release of a share that its entry may still use."""
+
+    RELEASE_S = 20
+
+    async def hold(self, name, sequence=1):
+        share = wire.RetryShare(
+            entry=name,
+            process=1,
+            sequence=sequence,
+            parts=100,
+            release_ms=self.RELEASE_S * 1000,
+        )
+        await self.fixture.run(hold_retry_share=share)
+
+    def holders(self):
+        return {share.entry for share in self.fixture.state.retry_shares}
+
+    async def test_share_is_released_after_the_time_without_contact(self):
+        lost, present = self.fixture.watcher("e1"), self.fixture.watcher("e2")
+        await self.pass_time(1, lost, present)
+        await self.hold("e1")
+        await self.hold("e2")
+        await self.pass_time(2 * self.RELEASE_S, lost, present)
+        self.fixture.hub.remove(lost)
+        await self.pass_time(self.RELEASE_S, present)
+        self.assertEqual({"e1", "e2"}, self.holders())
+        await self.pass_time(DOWN_AFTER_S + 1, present)
+        self.assertEqual({"e2"}, self.holders())
+
+    async def test_entry_that_comes_back_keeps_its_share(self):
+        watcher = self.fixture.watcher("e1")
+        await self.pass_time(1, watcher)
+        await self.hold("e1")
+        self.fixture.hub.remove(watcher)
+        await self.pass_time(self.RELEASE_S - 1)
+        again = self.fixture.watcher("e1")
+        await self.pass_time(1, again)
+        self.fixture.hub.remove(again)
+        await self.pass_time(self.RELEASE_S - 1)
+        self.assertEqual({"e1"}, self.holders())
+
+    async def test_new_leader_counts_the_time_from_its_election(self):
+        await self.hold("e1")
+        await self.pass_time(self.RELEASE_S - 1)
+        self.fixture.replica.term += 1
+        await self.pass_time(self.RELEASE_S - 1)
+        self.assertEqual({"e1"}, self.holders())
+        await self.pass_time(2)
+        self.assertEqual(set(), self.holders())
+
+    async def test_follower_releases_nothing(self):
+        await self.hold("e1")
+        self.fixture.replica.role = Role.FOLLOWER
+        await self.pass_time(2 * self.RELEASE_S)
+        self.assertEqual({"e1"}, self.holders())
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -18,7 +18,10 @@
 from wigeonscale.daemons.descriptors import max_caller_connections
 from wigeonscale.daemons.early_listener import EarlyListener
 from wigeonscale.daemons.load_exchange import apply_load_totals, build_load_report
-from wigeonscale.daemons.retry_reservations import retry_reserver
+from wigeonscale.daemons.retry_reservations import (
+    retry_reserver,
+    retry_share_holder,
+)
 from wigeonscale.daemons.runtime import (
     StopStep,
     late_step_timeout_s,
@@ -36,6 +39,7 @@
     Notices,
     OverloadDetector,
     ReservedRetries,
+    RetryShare,
     SharedRetryBudget,
     StallDetector,
     read_fleet,
@@ -191,6 +195,16 @@
         clock=clock,
         reserve=retry_reserver(lambda: control, window_s=cfg.retry_window_s),
     )
+    share = RetryShare(
+        clock=clock,
+        hold=retry_share_holder(
+            lambda: control, name=cfg.name, rng=random.SystemRandom()
+        ),
+        holders=lambda: control.share_holders,
+        confirmed_at=lambda: control.confirmed_at,
+        window_s=cfg.retry_window_s,
+        rng=random.Random(),
+    )
     budget = SharedRetryBudget(
         clock=clock,
         ratio=cfg.retry_ratio,
@@ -198,6 +212,7 @@
         window_s=cfg.retry_window_s,
         entry_count=lambda: control.entries,
         reserved=reserved,
+        share=share,
     )
     crashes = CrashTracker(
         clock=clock,
@@ -330,11 +345,16 @@
             tasks={
                 "control": control.run(),
                 "stalls": stalls.run(),
+                "retry share": share.run(),
                 "crashes": report_crashes_to_control(
                     crashes, control=control, clock=clock
                 ),
             },
-            stop_steps=[StopStep("finish", finish), StopStep("close", server.close)],
+            stop_steps=[
+                StopStep("finish", finish),
+                StopStep("close", server.close),
+                StopStep("give up retry share", share.end),
+            ],
             stop_timeout_s=shutdown_timeout_s(cfg.killed_after_s, cfg.stop_timeout_s),
             late_step_timeout_s=late_step_timeout_s(cfg.killed_after_s),
             reload=lambda: control.add_addresses(_control_addresses(reload())),
--- a/wigeonscale/direct/__init__.py
+++ b/wigeonscale/direct/__init__.py
@@ -9,12 +9,14 @@
     "DirectService",
     "EntryContext",
     "Fleet",
+    "HoldRetryShare",
     "MAX_UNUSED_RESERVATION_S",
     "NamedLimit",
     "Notices",
     "OverloadDetector",
     "ReserveRetries",
     "ReservedRetries",
+    "RetryShare",
     "SharedRetryBudget",
     "StallDetector",
     "read_fleet",
@@ -40,5 +42,6 @@
     ReserveRetries,
 )
 from wigeonscale.direct.retry_budget import SharedRetryBudget
+from wigeonscale.direct.retry_share import HoldRetryShare, RetryShare
 from wigeonscale.direct.service import DirectService
 from wigeonscale.direct.stalls import StallDetector
--- a/wigeonscale/direct/retry_budget.py
+++ b/wigeonscale/direct/retry_budget.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from wigeonscale.direct.reserved_retries import ReservedRetries
+from wigeonscale.direct.retry_share import RetryShare
 from wigeonscale.direct.totals_coverage import TotalsCoverage
 from wigeonscale.ports import Clock
 
@@ -116,7 +117,7 @@
     of entries, the equal share of each is a few retries. So an entry uses a fraction of
     its equal share without contact, and reserves more at control, which divides the
     rest of the budget before it is used. An entry that has just started reserves every
-    retry. The bound holds however late the totals are.
+    retry. The bound holds however late the totals are, and while entries are cut off.
 
     Control of an older version knows no reservations. An entry then uses its equal
     share at once, and after that its equal part of what the totals from control leave.
@@ -132,6 +133,8 @@
         window_s: Length of the window, in seconds.
         entry_count: Returns the number of entries that share the slack.
         reserved: Reserves retries at control; None for a budget by totals alone.
+        share: This entry's share of the slack; None for an equal share of the counted
+            entries.
 
     Example:
         >>> from wigeonscale.testing import ManualClock
@@ -155,6 +158,7 @@
         window_s: float,
         entry_count: Callable[[], int],
         reserved: ReservedRetries | None = None,
+        share: RetryShare | None = None,
     ):
         self._clock = clock
         self._ratio = ratio
@@ -162,6 +166,7 @@
         self._window_s = window_s
         self._entry_count = entry_count
         self._reserved = reserved
+        self._share = share
         self._services: dict[str, _ServiceCounts] = {}
         self._started_at = clock.now()
         self._totals_at = float("-inf")
@@ -239,7 +244,7 @@
         self, service: str, counts: _ServiceCounts, *, is_begun: bool
     ) -> bool:
         now = self._clock.now()
-        share = self._equal_share(counts)
+        share = self._own_share(counts)
         usable = 1.0 if is_begun else 1.0 - FRACTION_FOR_BEGUN
         # Before a restart, the entry may have used its part of the current window.
         is_new = now - self._started_at < self._window_s
@@ -251,9 +256,8 @@
             counts.reserved_retries.append(now)
             return True
         reservable = RESERVABLE_FRACTION * self._budget(counts)
-        self._reserved.ask(
-            service, limit=int(usable * reservable), max_count=math.ceil(share)
-        )
+        max_count = math.ceil(self._equal_share(counts))
+        self._reserved.ask(service, limit=int(usable * reservable), max_count=max_count)
         return False
 
     def _try_spend_by_totals(self, counts: _ServiceCounts, *, is_begun: bool) -> bool:
@@ -276,7 +280,7 @@
     def _limit(self, counts: _ServiceCounts) -> float:
         """Return the maximum number of retries of this entry in the window."""
         if not self._has_recent_totals(counts):
-            return GUARANTEED_FRACTION_BY_TOTALS * self._equal_share(counts)
+            return GUARANTEED_FRACTION_BY_TOTALS * self._own_share(counts)
         entries = max(1, self._entry_count())
         budget = self._budget(counts)
         missing = counts.coverage.missing_reports(entries)
@@ -291,6 +295,13 @@
         left = usable * budget - self._likely_retries(counts, entries)
         return len(counts.retries) + max(0.0, left) / entries
 
+    def _own_share(self, counts: _ServiceCounts) -> float:
+        """Return the part of the budget that this entry may use without contact."""
+        fraction = self._share.fraction() if self._share is not None else None
+        if fraction is None:
+            return self._equal_share(counts)
+        return self._ratio * len(counts.requests) + self._slack * fraction
+
     def _equal_share(self, counts: _ServiceCounts) -> float:
         """Return the part of the budget for this entry's requests, in retries."""
         entries = max(1, self._entry_count())
--- a/wigeonscale/limits/__init__.py
+++ b/wigeonscale/limits/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "AGE_STEP_S",
+    "ALL_SHARE_PARTS",
     "CLASS_WINDOW_S",
     "DEFAULT_RETRY_AFTER_S",
     "INTERRUPTED_PRIORITY",
@@ -57,4 +58,5 @@
 )
 from wigeonscale.limits.retry_after import DEFAULT_RETRY_AFTER_S, retry_after_s
 from wigeonscale.limits.service_level import ServiceLevel, derive_service_level
+from wigeonscale.limits.share_parts import ALL_SHARE_PARTS
 from wigeonscale.limits.sharing import share_weights
--- a/wigeonscale/membership/__init__.py
+++ b/wigeonscale/membership/__init__.py
@@ -5,6 +5,7 @@
     "Change",
     "ControlClient",
     "MembersView",
+    "hold_retry_share_command",
     "known_crashes",
     "record_crashes_command",
     "reserve_retries_command",
@@ -15,6 +16,9 @@
 from wigeonscale.membership.client import ControlClient
 from wigeonscale.membership.crash_messages import known_crashes, record_crashes_command
 from wigeonscale.membership.members import MembersView
-from wigeonscale.membership.retry_messages import reserve_retries_command
+from wigeonscale.membership.retry_messages import (
+    hold_retry_share_command,
+    reserve_retries_command,
+)
 from wigeonscale.membership.timeouts import with_timeout
 from wigeonscale.membership.watch_state import Change
--- a/wigeonscale/membership/client.py
+++ b/wigeonscale/membership/client.py
@@ -159,6 +159,16 @@
         """Number of entries attached to control, at least 1; 1 until reported."""
         return max(1, self._state.entries)
 
+    @property
+    def share_holders(self) -> int | None:
+        """Number of entries that are attached or hold a retry share, if reported."""
+        return self._state.share_holders
+
+    @property
+    def confirmed_at(self) -> float | None:
+        """Latest local time at which the state was confirmed current, or None."""
+        return self._state.lease.confirmed_at
+
     def add_addresses(self, addresses: Sequence[str]) -> None:
         """Add replicas to those that are tried.
 
--- a/wigeonscale/membership/watch_state.py
+++ b/wigeonscale/membership/watch_state.py
@@ -35,6 +35,8 @@
         configuration: The applied configuration.
         lease: Freshness lease; the state may be acted on while it is valid.
         entries: Last reported number of entries attached to control; 0 before.
+        share_holders: Last reported number of entries that are attached or hold a
+            retry share; None before, and if control is of an older version.
         numbered_document: Document with the highest number received so far.
 
     Args:
@@ -48,6 +50,7 @@
         self.configuration = Configuration()
         self.lease = Lease(clock=clock, lease_s=lease_s)
         self.entries = 0
+        self.share_holders: int | None = None
         self.numbered_document = wire.NumberedDocument()
         self._metrics = metrics
         self._config_lock = asyncio.Lock()
@@ -103,6 +106,8 @@
         if grant.revision < revision:
             return DisconnectCause.OLDER_REVISION
         self.entries = grant.entries or self.entries
+        if grant.HasField("share_holders"):
+            self.share_holders = grant.share_holders
         self.lease.add_grant(
             grant, last_sent_us=last_sent_us, applied_revision=revision
         )
--- a/wigeonscale/state/state.py
+++ b/wigeonscale/state/state.py
@@ -19,6 +19,7 @@
 from wigeonscale.state.operation_results import OperationResults
 from wigeonscale.state.results import done, refused
 from wigeonscale.state.retry_reservations import RetryReservations
+from wigeonscale.state.retry_shares import RetryShares
 from wigeonscale.state.snapshots import SNAPSHOT_FORMAT, parse_snapshot
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -47,6 +48,7 @@
         document: Numbered document with the highest number.
         crashes: Records of requests under which backend servers crashed.
         retry_reservations: Retries that entries reserved.
+        retry_shares: Shares of the retry budget that entries hold.
         changes: Subject of :class:`Change`; emits after each command that changed
             anything that watchers are sent.
         index: Log index of the last command applied.
@@ -64,11 +66,13 @@
         self.document = LatestNumberedDocument()
         self.crashes = CrashRecords()
         self.retry_reservations = RetryReservations()
+        self.retry_shares = RetryShares()
         self.changes: Subject[Change] = Subject()
         self.index = 0
         self.now_ms = 0
         self.placement_index = 0
         self._prepared_restore: tuple[bytes, Configuration] | None = None
+        self._share_holders: int | None = None
         self._results = OperationResults()
         self._handlers = {
             "apply_config": self._apply_config,
@@ -82,6 +86,8 @@
             "count_entries": self._count_entries,
             "put_document": self._put_document,
             "record_crashes": self._record_crashes,
+            "hold_retry_share": self._hold_retry_share,
+            "drop_retry_shares": self._drop_retry_shares,
         }
 
     def apply(self, index: int, term: int, data: bytes) -> wire.CommandResult:
@@ -106,6 +112,20 @@
             self.changes.on_next(change)
         return result
 
+    def share_holders(self) -> int:
+        """Return the number of entries that are attached or hold a retry share.
+
+        Takes time linear in the shares after a change of either, else constant time.
+        """
+        if self._share_holders is None:
+            unattached = [
+                share
+                for share in self.retry_shares
+                if self.entries.replica_of(share.entry) is None
+            ]
+            self._share_holders = len(self.entries) + len(unattached)
+        return self._share_holders
+
     def preparation(self, data: bytes) -> Callable[[], None] | None:
         """Return a function for a worker thread that shortens applying a command.
 
@@ -154,6 +174,7 @@
         self.document.save(snapshot)
         self.crashes.save(snapshot)
         self.retry_reservations.save(snapshot)
+        self.retry_shares.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -188,6 +209,8 @@
         self.document.load(snapshot)
         self.crashes.load(snapshot.crashes)
         self.retry_reservations.load(snapshot.retry_reservations)
+        self.retry_shares.load(snapshot.retry_shares)
+        self._share_holders = None
         self.index = snapshot.index
         self.now_ms = snapshot.now_ms
         self.placement_index = snapshot.placement_index
@@ -338,6 +361,7 @@
 
     def _count_entries(self, command):
         self.entries.apply(command)
+        self._share_holders = None
         # No change is emitted: each lease grant carries the count to the watchers.
         return None, done()
 
@@ -361,6 +385,19 @@
         )
         return result
 
+    def _hold_retry_share(self, share):
+        result = done()
+        result.share_parts = self.retry_shares.hold(share)
+        self._share_holders = None
+        return None, result
+
+    def _drop_retry_shares(self, command):
+        for share in command.shares:
+            if self.entries.replica_of(share.entry) is None:
+                self.retry_shares.drop(share)
+        self._share_holders = None
+        return None, done()
+
     def _member_change(self, *agent_ids):
         chains = [chain for i in agent_ids for chain in self.chains.refresh(i)]
         return Change(
