The silence of an engine is not counted as its crash

Cause: control marks an engine silent by two probes without an answer, or by the reports of two entries, and to the crash records a silent engine had ended. An entry that gave a run up at its start then accused the request, and the parts of its prompt, of a crash; unconfirmed ones counted as well. Class of fault: suspicion taken for a fact.

Change: control says with each silent backend server whether anything but the silence shows that it has ended (its port refuses connections, or a later incarnation answers). To the crash records only these have ended, and one that is gone from the fleet. A run that the entry gave up itself counts only if the end of the server is confirmed. A begun stream of a request that is a suspect is not given up, as it might be refused. Control of an older version names no such servers, so that its silent ones count as before; an older entry ignores the new field.

Tests, before the change: test_silence_is_no_crash and test_begun_stream_of_a_suspect_is_not_given_up failed; the tests of control and of the fleet check the new field.

--- a/wigeonscale/control/backend_health.py
+++ b/wigeonscale/control/backend_health.py
@@ -140,7 +140,7 @@
             ),
         )
         name = req.agent_id
-        task = asyncio.create_task(self._mark_silent(member))
+        task = asyncio.create_task(self._mark_silent(member, may_go_on=True))
         self._witness_commits[name] = task
         task.add_done_callback(lambda _: self._witness_commits.pop(name, None))
 
@@ -242,9 +242,10 @@
             if answer in (ProbeResult.REFUSED, ProbeResult.REPLACED):
                 # The port refuses, or a later incarnation answers. This one has ended,
                 # and streams through it stall until entries are notified.
-                break
+                await self._mark_silent(member, may_go_on=False)
+                return
             await self._clock.sleep(PROBE_RETRY_S)
-        await self._mark_silent(member)
+        await self._mark_silent(member, may_go_on=True)
 
     def _record_answer(self, name: str, started_ms: int, sequence: int) -> None:
         """Count the answer to a probe as a heartbeat unless a later one arrived."""
@@ -269,10 +270,11 @@
         backend.slowness = slowness
         await self._commit_backend(backend, member)
 
-    async def _mark_silent(self, member: Member) -> None:
+    async def _mark_silent(self, member: Member, *, may_go_on: bool) -> None:
         backend = wire.Backend()
         backend.CopyFrom(member.backend)
         backend.silent = True
+        backend.may_go_on = may_go_on
         await self._commit_backend(backend, member)
 
     async def _unmark_silent(self, name: str, started_ms: int) -> None:
@@ -289,7 +291,7 @@
             return
         backend = wire.Backend()
         backend.CopyFrom(member.backend)
-        backend.silent = False
+        backend.silent = backend.may_go_on = False
         await self._commit_backend(backend, member)
 
     async def _commit_backend(self, backend: wire.Backend, member: Member) -> None:
--- a/wigeonscale/control/tests/test_loss_witnesses.py
+++ b/wigeonscale/control/tests/test_loss_witnesses.py
@@ -28,6 +28,7 @@
         self.report("e2")
         await self.clock.advance(0.02)
         self.assertTrue(self.member().backend.silent)
+        self.assertTrue(self.member().backend.may_go_on)
 
     async def test_one_entry_is_not_enough(self):
         """It may be cut off itself and repeat its report."""
--- a/wigeonscale/control/tests/test_registry.py
+++ b/wigeonscale/control/tests/test_registry.py
@@ -174,6 +174,18 @@
         await self.clock.advance(0)
         self.assertTrue(self.member().backend.silent)
 
+    async def test_backend_without_a_sign_of_its_end_may_go_on(self):
+        """Guards against a sound backend that is taken for a crashed one."""
+        for name in ("i-1", "i-2"):
+            await self.registry.announce(backend(name), 1)
+        self.refusing.add("i-2:80")
+        await self.clock.advance(4.0)
+        self.assertTrue(self.member("i-1").backend.may_go_on)
+        self.assertTrue(self.member("i-2").backend.silent)
+        self.assertFalse(self.member("i-2").backend.may_go_on)
+        await self.registry.announce(backend("i-1"), 2)
+        self.assertFalse(self.member("i-1").backend.may_go_on)
+
     async def test_hints_about_a_healthy_backend_cost_few_probes(self):
         # 23 entries see the same path stall while its engines are busy.
         await self.registry.announce(backend(), 1)
--- a/wigeonscale/crashes/aborted_starts.py
+++ b/wigeonscale/crashes/aborted_starts.py
@@ -57,12 +57,14 @@
         """Return the aborted starts of a request or part by backend server."""
         return self._aborts.get(key, {})
 
-    def add(self, key: bytes, backend_id: str) -> None:
+    def add(self, key: bytes, backend_id: str, *, is_broken: bool = True) -> None:
         """Record an aborted start; the oldest key is dropped if there are too many."""
         while len(self._aborts) >= MAX_TRACKED_REQUESTS:
             del self._aborts[next(iter(self._aborts))]
         aborts = self._aborts.setdefault(key, {})
-        aborts.setdefault(backend_id, AbortedStart(self._clock.now()))
+        aborts.setdefault(
+            backend_id, AbortedStart(self._clock.now(), is_broken=is_broken)
+        )
 
     def pop(self, key: bytes) -> dict[str, AbortedStart]:
         """Remove and return the aborted starts of a request or part."""
--- a/wigeonscale/crashes/records.py
+++ b/wigeonscale/crashes/records.py
@@ -90,11 +90,14 @@
 
     Attributes:
         at: Local instant of the abort.
+        is_broken: Whether the server broke the run off. If not, its silence ended the
+            run, and only its confirmed end counts as a crash.
         has_ended: Whether the incarnation is known to have ended.
         reported_at: Local instant at which it was put into a report; None before.
     """
 
     at: float
+    is_broken: bool = True
     has_ended: bool = False
     reported_at: float | None = None
 
--- a/wigeonscale/crashes/tracker.py
+++ b/wigeonscale/crashes/tracker.py
@@ -131,8 +131,9 @@
         aborts = self._aborted_starts.of(key)
         crashed = self._crashed_backends(key)
         is_proven = key in self._proven_parts
-        is_unconfirmed = not is_proven and not aborts.keys() <= crashed
-        if is_unconfirmed and len(crashed | aborts.keys()) >= CRASHES_TO_REFUSE:
+        broken = {name for name, abort in aborts.items() if abort.is_broken}
+        is_unconfirmed = not is_proven and not broken <= crashed
+        if is_unconfirmed and len(crashed | broken) >= CRASHES_TO_REFUSE:
             # It is not known yet whether the last server crashed or only aborted a run.
             return self._clock.now() + CONFIRMATION_TIMEOUT_S
         if len(crashed) < CRASHES_TO_REFUSE:
@@ -221,14 +222,21 @@
             self._trials.note_not_run(key)
 
     def note_aborted_start(
-        self, fingerprint: bytes, backend_id: str, parts: Iterable[bytes] = ()
+        self,
+        fingerprint: bytes,
+        backend_id: str,
+        parts: Iterable[bytes] = (),
+        *,
+        is_broken: bool = True,
     ) -> bool:
-        """Record that a backend server aborted a run that had just started.
+        """Record that a run that had just started was aborted.
 
         Args:
             fingerprint: Fingerprint of the request.
             backend_id: Incarnation of the backend server.
             parts: Keys of the parts of its prompt.
+            is_broken: Whether the server broke it off; if not, its silence ended the
+                run, and it may go on.
 
         Returns:
             True if this is a new suspicion of a crash. False if it was recorded before,
@@ -239,7 +247,7 @@
         keys = (fingerprint, *parts)
         new = [key for key in keys if not self._is_recorded(key, backend_id)]
         for key in new:
-            self._aborted_starts.add(key, backend_id)
+            self._aborted_starts.add(key, backend_id, is_broken=is_broken)
         self.confirm_crashes()
         return fingerprint in new
 
--- a/wigeonscale/direct/crashing.py
+++ b/wigeonscale/direct/crashing.py
@@ -89,7 +89,7 @@
     """
     first = run.backend_ids[0]
     ctx.crashes.note_abort(first)
-    if _note_aborted_start(ctx, job, run, first):
+    if _note_aborted_start(ctx, job, run, first, is_broken=True):
         # Control probes the server and finds out whether it has crashed.
         ctx.suspect(first)
 
@@ -111,15 +111,19 @@
     """
     for backend_id in backend_ids:
         if not ctx.crashes.was_aborting(backend_id, before=run.sent_at):
-            _note_aborted_start(ctx, job, run, backend_id)
+            _note_aborted_start(ctx, job, run, backend_id, is_broken=False)
 
 
-def _note_aborted_start(ctx: EntryContext, job: Job, run: Run, backend_id: str) -> bool:
+def _note_aborted_start(
+    ctx: EntryContext, job: Job, run: Run, backend_id: str, *, is_broken: bool
+) -> bool:
     """Record the abort of a run; return whether it is a new suspicion of a crash."""
     if run.has_gone_on or not _is_starting(run):
         # Cleared when it went on; an earlier run says nothing about a crash of now.
         return False
-    if not ctx.crashes.note_aborted_start(job.fingerprint, backend_id, job.part_keys):
+    if not ctx.crashes.note_aborted_start(
+        job.fingerprint, backend_id, job.part_keys, is_broken=is_broken
+    ):
         return False
     logger.info(
         "backend server aborted a run that had just started",
--- a/wigeonscale/direct/fleet.py
+++ b/wigeonscale/direct/fleet.py
@@ -22,6 +22,7 @@
         layers: Layers that it holds; empty for none.
         slots: Number of requests that it runs concurrently.
         is_silent: Whether control has received no recent heartbeat from it.
+        may_go_on: Whether nothing but its silence suggests that it has ended.
         incarnation: Number of its incarnation, as counted by control.
         started_ms: Its start time in Unix milliseconds; 0 if unknown.
         slowness: Factor by which it is slower than usual.
@@ -35,6 +36,7 @@
     layers: LayerRange = LayerRange(0, 0)
     slots: int = 1
     is_silent: bool = False
+    may_go_on: bool = False
     incarnation: int = 1
     started_ms: int = 0
     slowness: int = 1
@@ -65,10 +67,14 @@
     draining: Mapping[str, BackendServer] = field(default_factory=dict)
 
     def has_ended(self, backend_id: str) -> bool:
-        """Return whether an incarnation is silent, or is gone and not draining."""
+        """Return whether an incarnation has ended, or is gone and not draining.
+
+        One that is only silent may go on. Control of an older version does not tell
+        them apart; its silent ones count as ended.
+        """
         server = self.by_id.get(backend_id)
         if server is not None:
-            return server.is_silent
+            return server.is_silent and not server.may_go_on
         return backend_id not in self.draining
 
     def find(self, backend_id: str) -> BackendServer | None:
@@ -108,6 +114,7 @@
         ),
         slots=max(1, backend.slots),
         is_silent=backend.silent,
+        may_go_on=backend.may_go_on,
         incarnation=backend.incarnation,
         started_ms=backend.started_ms,
         slowness=max(1, backend.slowness),
--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -79,8 +79,10 @@
 async def _take_retry(
     ctx: EntryContext, job: Job, progress: Progress, run: Run
 ) -> bool:
+    if progress.is_begun and ctx.crashes.is_suspect(job.fingerprint):
+        # It may be rejected instead of being sent again, which would cut its response.
+        return False
     if is_crashing(ctx, job):
-        # It is rejected instead of being sent again, which would cut a begun response.
         return not progress.is_begun
     # A run that is in progress may have done work, whatever its caller has of it.
     if not job.route.is_idempotent or not may_send_again(job, progress):
--- a/wigeonscale/direct/tests/test_crashing.py
+++ b/wigeonscale/direct/tests/test_crashing.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 from wigeonscale.crashes import START_CRASH_WINDOW_S, KnownCrashes, refusal_s
 from wigeonscale.direct.plain import call_plain
@@ -11,6 +12,7 @@
     answer,
     engine,
     event,
+    fleet,
     server,
     unknown,
 )
@@ -31,12 +33,12 @@
 class EndEnginesMixin:
     """Marks engines as silent, as control does shortly after a crash."""
 
-    def end(self, *names):
+    def end(self, *names, may_go_on=False):
         for name in names:
             old = self.harness.fleet.by_id[name]
-            first, end = old.layers
-            gone = engine(name, first, end, domain=old.domain, is_silent=True)
-            self.harness.fleet.by_id[name] = gone
+            self.harness.fleet.by_id[name] = dataclasses.replace(
+                old, is_silent=True, may_go_on=may_go_on
+            )
         self.harness.ctx.crashes.confirm_crashes()
 
 
@@ -133,6 +135,41 @@
         await self.relay()
         self.assertFalse(self.harness.ctx.crashes.is_suspect(self.job().fingerprint))
 
+    async def test_silence_is_no_crash(self):
+        """Guards against sound requests that are refused after engines were silent."""
+        names = [f"a{number}" for number in range(1, 6)]
+        self.harness.fleet = fleet(*(engine(name, 0, 10) for name in names))
+        steps = [[HANG]] * 4 + [[event(1)]]
+        for name in names:
+            self.exchange.scripts[name] = steps
+        task = asyncio.create_task(self.relay(max_attempts=5))
+        for sends in range(1, 5):
+            await self.until(lambda sends=sends: len(self.exchange.calls) == sends)
+            name = self.exchange.sent_to[-1]
+            self.end(name, may_go_on=True)
+            self.harness.tracker.note_lost(name)
+            await self.harness.clock.advance(0.01)
+            self.harness.ctx.crashes.confirm_crashes()
+        await self.until(task.done)
+        await task
+        self.assertEqual([1], self.got())
+
+    async def test_begun_stream_of_a_suspect_is_not_given_up(self):
+        """Guards against a stream that is cut because it might crash a third engine."""
+        note_crashes(self.harness, self.job(), "x1", "x2")
+        gate = asyncio.get_running_loop().create_future()
+        self.exchange.script("a1", [event(1), gate, event(2)])
+        task = asyncio.create_task(self.relay())
+        await self.until(lambda: self.got() == [1])
+        self.end("a1", may_go_on=True)
+        self.harness.tracker.note_lost("a1")
+        await self.harness.clock.advance(1.0)
+        gate.set_result(None)
+        await self.until(task.done)
+        await task
+        self.assertEqual([1, 2], self.got())
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
     async def test_crashing_request_is_not_rerouted(self):
         """An engine after the first one crashes, and another one holds its layers."""
         self.harness.fleet.by_id["a3"] = spare = engine("a3", 5, 10)
--- a/wigeonscale/direct/tests/test_fleet.py
+++ b/wigeonscale/direct/tests/test_fleet.py
@@ -37,6 +37,14 @@
         self.assertEqual("i-1:80", fleet.find("i-1").address)
         self.assertIsNone(fleet.find("i-3"))
 
+    def test_silent_server_that_may_go_on_has_not_ended(self):
+        fleet = read_fleet(
+            [backend("i-1", silent=True, may_go_on=True), backend("i-2", silent=True)]
+        )
+        self.assertFalse(fleet.has_ended("i-1"))
+        self.assertTrue(fleet.has_ended("i-2"))
+        self.assertTrue(fleet.by_id["i-1"].is_silent)
+
 
 class ReplacedTest(AsyncTestCase):
     def test_restart_under_the_same_name(self):
