An entry that stops accepts the connections that wait before it stops listening

Callers whose connection waited to be accepted when a stopped entry closed its listening socket got a reset, with their request sent.

Cause: the kernel accepts connections for the process, and resets them when the listening socket is closed. Change: before it, the drain lets the event loop accept what waits.

test_connections_that_wait_to_be_accepted failed before.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -5,10 +5,11 @@
 resets the connection, which discards what the peer has not received.
 """
 
-__all__ = ["Connection", "DrainingRunner", "OpenConnections"]
+__all__ = ["Connection", "DrainingRunner", "OpenConnections", "accept_waiting"]
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable, Iterable
 
 from aiohttp import StreamReader, web
@@ -22,6 +23,11 @@
 # Event loop iterations from the last byte read to the start of the handler: the task of
 # the connection wakes up and starts another task.
 LOOP_ITERATIONS_TO_HANDLER = 5
+# Iterations from an accepted socket to its connection: the task that makes the
+# transport, and the call of the protocol.
+LOOP_ITERATIONS_TO_CONNECTION = 3
+# Bound of the wait if connections arrive all the time.
+MAX_ACCEPT_ITERATIONS = 100
 
 
 class OpenConnections:
@@ -270,6 +276,26 @@
         )
 
 
+async def accept_waiting(socks: Iterable[socket.socket]) -> None:
+    """Wait until the event loop has accepted the connections that wait for it.
+
+    When a listening socket is closed, those that wait are reset, with their requests.
+
+    Args:
+        socks: Listening sockets of the event loop.
+    """
+    poll = select.poll()
+    for sock in socks:
+        poll.register(sock.fileno(), select.POLLIN)
+    for _ in range(MAX_ACCEPT_ITERATIONS):
+        if not poll.poll(0):
+            break
+        await asyncio.sleep(0)
+    # The last ones accepted are not connections of the server yet.
+    for _ in range(LOOP_ITERATIONS_TO_CONNECTION):
+        await asyncio.sleep(0)
+
+
 def _with_unread_data(conns: Iterable[Connection]) -> set[Connection]:
     """Return the connections whose data the kernel has, but not yet this process."""
     by_fd = {}
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -5,12 +5,16 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import BadHttpMessage
 
-from wigeonscale.adapters.http_server import Connection, OpenConnections
+from wigeonscale.adapters.http_server import (
+    Connection,
+    OpenConnections,
+    accept_waiting,
+)
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.errors import (
     ERROR_RESPONSES,
@@ -84,6 +88,7 @@
         self._runner: web.ServerRunner | None = None
         self._sock = sock
         self._site: web.BaseSite | None = None
+        self._listening: Sequence[socket.socket] = ()
         self._open_conns = OpenConnections()
         self._timeouts: set[asyncio.Timeout] = set()
 
@@ -111,6 +116,7 @@
         await self._runner.setup()
         self._site = self._new_site()
         await self._site.start()
+        self._listening = self._site._server.sockets
 
     def _new_site(self) -> web.BaseSite:
         if self._sock is not None:
@@ -141,6 +147,7 @@
         self._open_conns.is_draining = True
         await self._clock.sleep(settle_s)
         if self._site is not None:
+            await accept_waiting(self._listening)
             await self._site.stop()
         await self._open_conns.drain()
 
--- a/wigeonscale/platform/tests/test_kept_connections.py
+++ b/wigeonscale/platform/tests/test_kept_connections.py
@@ -1,6 +1,7 @@
 """Requests on kept connections around the drain, the idle timeout and a close."""
 
 import asyncio
+import socket
 from unittest import mock
 
 from aiohttp import web
@@ -11,6 +12,8 @@
 from wigeonscale.ports.exchange import FullResponse, ResponseHead
 
 LOOP_ITERATIONS = 50
+WAITING_CONNECTIONS = 5
+MAX_RESPONSE_BYTES = 4096
 RESPONSE_END = b"whole"
 
 
@@ -57,6 +60,25 @@
         await finish
         self.assertEqual(2, len(self.requests))
 
+    async def test_connections_that_wait_to_be_accepted(self):
+        """Guards against their reset when the entry stops listening."""
+        self.proceed.set()
+        loop = asyncio.get_running_loop()
+        socks = []
+        for _ in range(WAITING_CONNECTIONS):
+            sock = socket.create_connection(("127.0.0.1", self.server.port))
+            self.addCleanup(sock.close)
+            sock.sendall(REQUEST)
+            sock.setblocking(False)
+            socks.append(sock)
+        finish = asyncio.create_task(self.server.drain(0.0))
+        async with asyncio.timeout(WAIT_S):
+            for sock in socks:
+                data = await loop.sock_recv(sock, MAX_RESPONSE_BYTES)
+                self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+                sock.close()
+            await finish
+
     async def test_request_whose_body_is_read_during_the_drain(self):
         head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
         reader, writer, _ = await self.raw(head + b"12345")
