A pause of the entry is no wait for a retry

Load pattern: an engine crashes, and the entry is paused for two seconds before it has a retry for the streams of that engine.

Cause: a begun stream waits 1 s for a retry, and the pause counted as that wait, although neither control's answer nor a release could be seen meanwhile. Change: the time by which a check comes late extends the wait.

test_pause_of_the_process_is_no_wait failed before.

--- a/wigeonscale/direct/retry_wait.py
+++ b/wigeonscale/direct/retry_wait.py
@@ -57,6 +57,9 @@
             # The last check is due while the response can still be in time.
             wait_s = min(wait_s, give_up_at - now)
         await ctx.clock.sleep(wait_s)
+        # Time in which this process did not run is no wait for control.
+        late_s = ctx.clock.now() - now - wait_s
+        give_up_at = min(give_up_at + max(0.0, late_s), job.deadline_at)
         is_allowed = await _acquire_retry(ctx, job, progress)
     waited_s = ctx.clock.now() - began_at
     if waited_s > 0 or not is_allowed:
--- a/wigeonscale/direct/tests/test_stream.py
+++ b/wigeonscale/direct/tests/test_stream.py
@@ -106,6 +106,20 @@
         self.assertTrue(self.harness.clock.now() - began_at < 1.3)
         self.assertEqual(RunState.UNKNOWN, (await relaying).run_state)
 
+    async def test_pause_of_the_process_is_no_wait(self):
+        """Guards against a stream that is cut as soon as a paused entry goes on."""
+        self.exchange.script("a1", [event(1), unknown()], [event(2)])
+        relaying = asyncio.create_task(self.relay())
+        await self.until(lambda: self.got() == [1])
+        await self.harness.clock.jump(1.5)
+        await self.harness.clock.advance(0.2)
+        self.assertFalse(relaying.done())
+        self.budget.report_sends()
+        self.budget.apply_totals({"model": (0, 45)})
+        await self.until(relaying.done)
+        await relaying
+        self.assertEqual([1, 2], self.got())
+
     async def test_request_that_may_have_run_waits_too(self):
         # It may have run, so it cannot be rejected with a Retry-After.
         self.exchange.script("a1", unknown(), [event(1)])
