--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -58,7 +58,7 @@
             if await change_path(ctx, job, progress, run, path):
                 progress.reroutes += 1
                 return False
-        if await _take_retry(ctx, job, progress, run) and run.events == events:
+        if await _may_end_run(ctx, job, progress, run) and run.events == events:
             outcome = "sent-again"
             break
         await ctx.clock.sleep(POLL_INTERVAL_S)
@@ -76,9 +76,10 @@
     return outcome == "sent-again"
 
 
-async def _take_retry(
+async def _may_end_run(
     ctx: EntryContext, job: Job, progress: Progress, run: Run
 ) -> bool:
+    """Return whether a run may end, with a retry for its request if it has one."""
     if progress.is_begun and ctx.crashes.is_suspect(job.fingerprint):
         # It may be rejected instead of being sent again, which would cut its response.
         return False
