Accept as many and as long headers as the configuration lets callers send

Seen by tests with real sockets: a request with 1,000 short headers, 11 kB of the 16 kB that the default limits allow, is refused with 400, as is a header of 90 kB where max-header-bytes is 100,000.

Cause: the HTTP library takes 128 headers by default, and the limit of a header was a constant of 32 KiB; max-header-bytes was read and never used.

Change: a new connection takes headers of 32 KiB or of max-header-bytes, whichever is more, and as many as fit in. Connections that are open when the limit grows keep theirs.

--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -319,6 +319,7 @@
         address=cfg.listen,
         serve=service.serve,
         max_body=lambda: view.table.limits.body_bytes,
+        max_header=lambda: view.table.limits.header_bytes,
         clock=clock,
         idle_s=lambda: view.table.limits.idle_s,
         sock=early.sock if early is not None else None,
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -34,7 +34,11 @@
 # Lower bound of the idle timeout. The limits of the configuration document, which tell
 # callers how long they may keep a connection idle, extend it.
 IDLE_TIMEOUT_S = 75.0
+# Lower bound of the limit of a header. The configuration document can extend it, for
+# connections that are opened after that.
 MAX_HEADER_BYTES = 32 * 1024
+# Name, colon and the end of the line.
+MIN_HEADER_BYTES = 4
 # When the server closes, the requests in progress get an error within this time. Those
 # that are left are cancelled; each of two steps of that takes the second time at most.
 ABORT_TIMEOUT_S = 0.2
@@ -61,6 +65,7 @@
         address: ``ip:port`` to listen on.
         serve: Handles one request and writes the response to the sink.
         max_body: Returns the maximum size of a request body, in bytes.
+        max_header: Returns the maximum size of all headers of a request, in bytes.
         clock: Clock port.
         idle_s: Returns how long callers may keep a connection idle, in seconds.
         sock: Socket already listening on the address; None to open one.
@@ -75,6 +80,7 @@
         serve: Handler,
         max_body: Callable[[], int],
         clock: Clock,
+        max_header: Callable[[], int] = lambda: MAX_HEADER_BYTES,
         idle_s: Callable[[], float] = lambda: 0.0,
         sock: socket.socket | None = None,
         refuse_connection: Callable[[], bool] = lambda: False,
@@ -83,6 +89,7 @@
         self._address = address
         self._serve = serve
         self._max_body = max_body
+        self._max_header = max_header
         self._clock = clock
         self._idle_s = idle_s
         self._runner: web.ServerRunner | None = None
@@ -102,12 +109,11 @@
             self._handle,
             refuse_connection=self._refuse_connection,
             open_conns=self._open_conns,
+            max_header=self._max_header,
             idle_s=self._idle_s,
             keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,
             auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
             lingering_time=0.0,
         )
         self._runner = web.ServerRunner(
@@ -313,6 +319,7 @@
         handler: Handles one request; cancelled when its connection breaks.
         refuse_connection: Returns whether a new connection is refused.
         open_conns: Receives the connections.
+        max_header: Returns the maximum size of all headers of a request, in bytes.
         **options: Options of the connections.
     """
 
@@ -322,19 +329,28 @@
         *,
         refuse_connection: Callable[[], bool],
         open_conns: OpenConnections,
+        max_header: Callable[[], int],
         **options: object,
     ):
         super().__init__(handler, handler_cancellation=True)
         self._refuse_connection = refuse_connection
         self._open_conns = open_conns
+        self._max_header = max_header
         self._options = options
 
     def __call__(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
         if self._refuse_connection():
             return _RefusedConnection()
+        size = max(MAX_HEADER_BYTES, self._max_header())
         return Connection(
-            self, open_conns=self._open_conns, loop=self._loop, **self._options
+            self,
+            open_conns=self._open_conns,
+            loop=self._loop,
+            max_line_size=size,
+            max_field_size=size,
+            max_headers=size // MIN_HEADER_BYTES,
+            **self._options,
         )
 
 
--- a/wigeonscale/platform/tests/test_callers.py
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -22,6 +22,7 @@
     """A server on loopback that passes requests to ``self.serve`` of the test."""
 
     idle_s = 15.0
+    max_header = 16_384
 
     async def prepare(self):
         self.requests = []
@@ -32,6 +33,7 @@
             max_body=lambda: 1000,
             clock=SystemClock(),
             idle_s=lambda: self.idle_s,
+            max_header=lambda: self.max_header,
             refuse_connection=self.refuse_connection,
         )
         await self.server.start()
@@ -143,6 +145,23 @@
                 self.assertEqual(b"whole", await res.read())
         self.assertEqual(3, len(self.requests))
 
+    async def test_request_with_many_headers(self):
+        """Guards against a limit of their number, which callers are not told of."""
+        lines = b"".join(b"x%d: y\r\n" % number for number in range(1000))
+        head = REQUEST.removesuffix(b"\r\n") + lines + b"\r\n"
+        self.assertTrue(len(head) < self.max_header)
+        _, _, got = await self.raw(head, b"\r\n\r\n")
+        self.assertIn(b"200 OK", got)
+        self.assertEqual(1001, len(self.requests[0].headers))
+
+    async def test_header_as_long_as_the_configuration_allows(self):
+        self.max_header = 100_000
+        value = b"y" * 90_000
+        head = REQUEST.removesuffix(b"\r\n") + b"x: " + value + b"\r\n\r\n"
+        _, _, got = await self.raw(head, b"\r\n\r\n")
+        self.assertIn(b"200 OK", got)
+        self.assertIn(("x", value.decode()), self.requests[0].headers)
+
     async def test_too_large_body_is_rejected(self):
         async with self.session.post(self.url(), data=b"x" * 1001) as res:
             self.assertEqual(413, res.status)
