Count an agent's answer as delivered only when its message was sent

An agent that stops waits until entries have the answers of ended work. An answer counted as delivered, and its reader as gone, as soon as its end was put into the next message to the entry; the drain could end, and the process with it, while that message waited for an entry that reads slowly, or after the stream had broken with the message unsent.

Found by reading, as the same fault as that of the callers' connections; shown in a unit test, not with processes.

Test: with a message that isn't sent yet, the table named no undelivered answer before.

--- a/wigeonscale/agent/answers.py
+++ b/wigeonscale/agent/answers.py
@@ -57,7 +57,6 @@
             )
         if self._end_is_due:
             self.ended = True
-            dispatch.was_delivered = True
             items.append(dispatch.end)
         return items
 
--- a/wigeonscale/agent/stream.py
+++ b/wigeonscale/agent/stream.py
@@ -115,15 +115,20 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            event = self._next_event()
+            event, ended = self._next_event()
             await send(event)
+            for reader in ended:
+                reader.dispatch.was_delivered = True
+                self._dirty.pop(reader, None)
+                self._remove(reader)
 
     def close(self) -> None:
         """Stop reading all answers."""
         for dispatch_id in list(self._readers):
             self.detach(dispatch_id)
 
-    def _next_event(self) -> wire.DispatchEvent:
+    def _next_event(self) -> tuple[wire.DispatchEvent, list[Reader]]:
+        """Return the next message, and the readers whose answers end with it."""
         event = wire.DispatchEvent(load=self._load(), pong_us=self._pong_us)
         self._pong_us = 0
         prefixes = self._prefixes.pop_pending() if self._prefixes is not None else None
@@ -131,14 +136,15 @@
             event.prefixes.CopyFrom(prefixes)
         event.items.extend(self._items)
         self._items.clear()
+        ended = []
         dirty, self._dirty = self._dirty, {}
         for reader in dirty:
             event.items.extend(reader.pop_pending())
             if reader.has_more:
                 self._mark_dirty(reader)
             if reader.ended:
-                self._remove(reader)
-        return event
+                ended.append(reader)
+        return event, ended
 
     def _remove(self, reader: Reader) -> None:
         reader.dispatch.readers.discard(reader)
--- a/wigeonscale/agent/tests/test_dispatch.py
+++ b/wigeonscale/agent/tests/test_dispatch.py
@@ -2,6 +2,9 @@
 
 import testscenarios
 
+from wigeonscale.agent.answers import Dispatch
+from wigeonscale.agent.stream import EntryStream
+from wigeonscale.agent.table import DELIVERY_GRACE_S, DispatchTable
 from wigeonscale.agent.tests.support import connect, start_chain, until
 from wigeonscale.errors import ErrorKind, RunState
 from wigeonscale.pipelines.constants import INITIAL_CREDIT_TOKENS
@@ -338,3 +341,31 @@
         self.assertEqual(
             (ErrorKind.STALE_INCARNATION, RunState.UNKNOWN), await self.refusal("d")
         )
+
+
+class DeliveryTest(AsyncTestCase):
+    async def test_answer_is_delivered_only_when_its_message_was_sent(self):
+        """Guards against a drain that ends before the entry has the whole answer."""
+        clock = ManualClock()
+        table = DispatchTable(clock=clock, keep_bytes=1000, keep_s=100.0)
+        dispatch = Dispatch(open=wire.Open(dispatch_id="d"))
+        table.add(dispatch)
+        stream = EntryStream(
+            load=wire.LoadWord, clock=clock, entry_timeout_s=10 * DELIVERY_GRACE_S
+        )
+        stream.attach(dispatch, 0)
+        began, proceed = asyncio.Event(), asyncio.Event()
+
+        async def send(event):
+            began.set()
+            await proceed.wait()
+
+        writer = asyncio.create_task(stream.write(send))
+        table.end(dispatch, wire.DispatchItem(done=wire.Done()))
+        await began.wait()
+        await clock.advance(2 * DELIVERY_GRACE_S)
+        self.assertEqual([dispatch], table.undelivered())
+        proceed.set()
+        await until(lambda: not table.undelivered())
+        writer.cancel()
+        await asyncio.gather(writer, return_exceptions=True)
