Leave engines with implausible rates out of placement

Placement then failed with OverflowError, for all pipelines, as long as the engine was announced; a trial with announcements drawn at random found it.

Change: engine_spec leaves out engines with rates outside of 1e-6 to 1e12.

--- a/wigeonscale/control/planning.py
+++ b/wigeonscale/control/planning.py
@@ -26,6 +26,11 @@
 from wigeonscale.state import ControlState
 from wigeonscale.wire import wire_pb2 as wire
 
+# Rates outside of these bounds, in layers or steps per second, are not plausible and
+# could overflow in the planner.
+MIN_RATE = 1e-6
+MAX_RATE = 1e12
+
 
 def plan_placement(
     *,
@@ -138,14 +143,15 @@
 
     Returns:
         The spec, marked as draining if the agent or an operator drains the engine. None
-        if the name is unknown or not an engine, and for an engine that does not answer
-        its agent: its rate is 0, and it counts as lost.
+        if the name is unknown or not an engine, and for an engine whose rates are not
+        plausible, which counts as lost: one that does not answer its agent has rate 0.
     """
     member = state.members.get(agent_id)
     if member is None:
         return None
     backend = member.backend
-    can_work = backend.layer_rate > 0 and backend.link_rate > 0
+    rates = backend.layer_rate, backend.link_rate
+    can_work = all(MIN_RATE <= rate <= MAX_RATE for rate in rates)
     if backend.kind != wire.ENGINE or not can_work:
         return None
     drained = state.members.is_drained(agent_id)
--- a/wigeonscale/control/tests/test_planning.py
+++ b/wigeonscale/control/tests/test_planning.py
@@ -6,7 +6,7 @@
 from wigeonscale.control.tests.support import ControlFixture
 from wigeonscale.errors import ErrorKind
 from wigeonscale.replication import Role
-from wigeonscale.state.tests.support import DOCUMENT, chain
+from wigeonscale.state.tests.support import DOCUMENT, chain, engine
 from wigeonscale.testing import AsyncTestCase
 from wigeonscale.wire import wire_pb2 as wire
 
@@ -80,6 +80,15 @@
         await self.apply("")
         await self.until(lambda: not self.planned())
 
+    async def test_engine_with_an_implausible_rate_does_not_stop_planning(self):
+        await self.apply()
+        backend = engine("b")
+        backend.layer_rate, backend.link_rate = 1e300, 1e-300
+        await self.fixture.run(announce=wire.Announce(backend=backend, replica="c1"))
+        await self.fixture.announce("a")
+        await self.until(lambda: len(self.planned()) == 1)
+        self.assertEqual(["a"], self.stages())
+
     async def test_engines_that_join_later_form_a_second_replica(self):
         wanted = "layers = 12\nreplicas = {}"
         await self.apply(DOCUMENT.replace("layers = 4", wanted.format(1)))
