Keep control running when a step of a background task fails

Placement went on, but wrote a traceback for each attempt.

The layer assignment guards each service by itself, so that the others are planned and orders in progress are sent again. Exceptions of order and probe tasks, which nobody awaited, are logged too. Replication is not guarded: a failed disk still ends the process.

Errors are not hidden from tests: AsyncTestCase fails a test in which a step failed, unless the test takes the failure; the fuzz of configurations and heartbeats asks after each step.

--- a/wigeonscale/control/backend_health.py
+++ b/wigeonscale/control/backend_health.py
@@ -3,6 +3,7 @@
 __all__ = ["BackendHealthChecker"]
 
 import asyncio
+import functools
 import logging
 import math
 from collections.abc import Awaitable, Callable
@@ -11,6 +12,7 @@
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.last_heartbeat import LastHeartbeat, log_backend_change
 from wigeonscale.control.loss_witnesses import LossWitnesses
+from wigeonscale.control.step_guard import StepGuard
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock, EngineProbeResult, ProbeResult
 from wigeonscale.replication import Replica, Role
@@ -79,6 +81,7 @@
         self._last_heartbeats = last_heartbeats
         self._trusts_witnesses = trusts_witnesses
         self._witnesses = LossWitnesses(clock=clock)
+        self._guard = StepGuard(task="health checks", clock=clock)
         self._witness_commits: dict[str, asyncio.Task] = {}
         self._running_checks: dict[str, asyncio.Task] = {}
         self._last_answer_at: dict[str, float] = {}
@@ -142,7 +145,11 @@
         name = req.agent_id
         task = asyncio.create_task(self._mark_silent(member, may_go_on=True))
         self._witness_commits[name] = task
-        task.add_done_callback(lambda _: self._witness_commits.pop(name, None))
+        task.add_done_callback(functools.partial(self._forget_witnesses, name))
+
+    def _forget_witnesses(self, name: str, task: asyncio.Task) -> None:
+        self._witness_commits.pop(name, None)
+        self._report_failure(name, task)
 
     def _answered_recently(self, name: str) -> bool:
         answered_at = self._last_answer_at.get(name, float("-inf"))
@@ -153,10 +160,11 @@
         try:
             while True:
                 await self._clock.sleep(self._heartbeat_s / CHECKS_PER_HEARTBEAT)
-                self._update_lost_replicas()
-                self._expire_answers()
-                for member in self._members_to_check():
-                    self._start_check(member)
+                with self._guard.step():
+                    self._update_lost_replicas()
+                    self._expire_answers()
+                    for member in self._members_to_check():
+                        self._start_check(member)
         finally:
             tasks = [*self._running_checks.values(), *self._witness_commits.values()]
             for task in tasks:
@@ -223,7 +231,16 @@
         name = member.backend.agent_id
         task = asyncio.create_task(self._check(member))
         self._running_checks[name] = task
-        task.add_done_callback(lambda _: self._running_checks.pop(name, None))
+        task.add_done_callback(functools.partial(self._forget_check, name))
+
+    def _forget_check(self, name: str, task: asyncio.Task) -> None:
+        self._running_checks.pop(name, None)
+        self._report_failure(name, task)
+
+    def _report_failure(self, name: str, task: asyncio.Task) -> None:
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self._guard.report(exc, backend=name)
 
     async def _check(self, member: Member) -> None:
         name, started_ms = member.backend.agent_id, member.backend.started_ms
--- a/wigeonscale/control/entry_counter.py
+++ b/wigeonscale/control/entry_counter.py
@@ -9,6 +9,7 @@
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.hub import Hub
+from wigeonscale.control.step_guard import StepGuard
 from wigeonscale.control.watcher import Watcher
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock
@@ -64,6 +65,7 @@
         self._clock = clock
         self._entry_timeout_s = entry_timeout_s
         self._replica_timeout_s = replica_timeout_s
+        self._guard = StepGuard(task="entry count", clock=clock)
         self._recorded: weakref.WeakSet[Watcher] = weakref.WeakSet()
         self._absent_since: dict[str, float] = {}
         # Since when the entries of shares are attached to no replica, as this replica
@@ -75,8 +77,9 @@
         """Update the record periodically until cancelled."""
         while True:
             await self._clock.sleep(UPDATE_INTERVAL_S)
-            if self._hub.is_fresh():
-                await self._update()
+            with self._guard.step():
+                if self._hub.is_fresh():
+                    await self._update()
 
     async def _update(self):
         streams = self._live_streams()
--- a/wigeonscale/control/layer_assigner.py
+++ b/wigeonscale/control/layer_assigner.py
@@ -15,6 +15,7 @@
     planning_obstacle,
     usable_accelerator,
 )
+from wigeonscale.control.step_guard import StepGuard
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.layers import Holder, LayerRange, plan_layers
 from wigeonscale.ports import Clock
@@ -102,6 +103,7 @@
         # Planned layers of engines whose orders have not been sent yet.
         self._queued_layers: dict[str, LayerRange] = {}
         self._order_slots = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._guard = StepGuard(task="layer assignment", clock=clock)
         self._known_engines: frozenset[str] = frozenset()
         self._settled_at = clock.now()
         self._incarnations: dict[str, int] = {}
@@ -114,7 +116,8 @@
             while True:
                 await self._clock.sleep(PLAN_INTERVAL_S)
                 if self._replica.role is Role.LEADER and self._is_fresh():
-                    self._reconcile()
+                    with self._guard.step():
+                        self._reconcile()
                 else:
                     self._issued_orders.clear()
                     self._order_counts.clear()
@@ -132,7 +135,8 @@
         self._drop_restarted(members)
         self._drop_finished(members)
         for service in self._plannable_services():
-            self._reconcile_service(service.name, service.engine, members)
+            with self._guard.step(service=service):
+                self._reconcile_service(service.name, service.engine, members)
 
     def _plannable_services(self) -> list[Service]:
         """Return the services whose engines hold layers that can be planned."""
@@ -197,10 +201,11 @@
         if is_first and self._clock.now() < self._settled_at:
             return
         holders = [self._holder(b, engine) for b in backends]
-        wanted = plan_layers(
-            [holder for holder in holders if holder is not None],
-            model_size(engine),
-        )
+        known = [holder for holder in holders if holder is not None]
+        wanted: dict[str, LayerRange] = {}
+        # Orders in progress are sent again in any case.
+        with self._guard.step(service=service, engines=known):
+            wanted = plan_layers(known, model_size(engine))
         now = self._clock.now()
         for name, order in self._issued_orders.items():
             if now >= order.retry_at and members[name].service == service:
@@ -219,9 +224,12 @@
                 self._queued_layers[name] = layers
                 task.add_done_callback(functools.partial(self._forget_task, name))
 
-    def _forget_task(self, name: str, _: asyncio.Task) -> None:
+    def _forget_task(self, name: str, task: asyncio.Task) -> None:
         del self._order_tasks[name]
-        self._queued_layers.pop(name, None)
+        layers = self._queued_layers.pop(name, None)
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self._guard.report(exc, engine=name, layers=layers)
 
     def _holder(self, backend: wire.Backend, engine: EngineProfile) -> Holder | None:
         accelerator = usable_accelerator(engine, backend.accelerator)
--- a/wigeonscale/control/liveness.py
+++ b/wigeonscale/control/liveness.py
@@ -10,6 +10,7 @@
 from wigeonscale.control.commands import Commands
 from wigeonscale.control.hub import Hub
 from wigeonscale.control.probe import ProbeCache
+from wigeonscale.control.step_guard import StepGuard
 from wigeonscale.control.watcher import Watcher
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock, Probe, ProbeResult
@@ -82,6 +83,7 @@
         self._suspect_silence_s = lease_s * SUSPECT_SILENCE_LEASE_SHARE
         self._send_suspicion = forward_suspicion
         self._probe = probe
+        self._guard = StepGuard(task="liveness", clock=clock)
         self._probes = ProbeCache(probe=probe, clock=clock, on_answer=self.wake)
         self._metrics = metrics
         # No agent is ended before this time.
@@ -127,7 +129,8 @@
                 while True:
                     await self._wake.wait()
                     self._wake.clear()
-                    self._check()
+                    with self._guard.step():
+                        self._check()
         finally:
             tasks = list(self._tasks)
             for task in tasks:
--- a/wigeonscale/control/placement_loop.py
+++ b/wigeonscale/control/placement_loop.py
@@ -16,6 +16,7 @@
     without_engines,
 )
 from wigeonscale.control.settle_timer import SettleTimer
+from wigeonscale.control.step_guard import StepGuard
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.replication import Replica, Role
@@ -80,6 +81,7 @@
         self._chain_changes = 0
         self._observed_engine_changes = -1
         self._wake = asyncio.Event()
+        self._guard = StepGuard(task="placement", clock=clock)
 
     async def run(self) -> None:
         """Plan after each relevant change until cancelled."""
@@ -93,8 +95,8 @@
                     await self._plan_once()
                 except WigeonscaleError as exc:
                     await self._handle_refusal(exc)
-                except Exception:
-                    logger.exception("placement failed")
+                except Exception as exc:
+                    self._guard.report(exc)
                     await self._clock.sleep(RETRY_DELAY_S)
         finally:
             subscription.dispose()
--- a/wigeonscale/control/replica_membership.py
+++ b/wigeonscale/control/replica_membership.py
@@ -16,6 +16,7 @@
 
 from wigeonscale.adapters.channels import TlsFiles, open_channel
 from wigeonscale.control.commands import Commands
+from wigeonscale.control.step_guard import StepGuard
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.ports import Clock
 from wigeonscale.replication import Member, Replica, Role
@@ -113,18 +114,23 @@
         self._reported_addresses: tuple[str, ...] = ()
         self._tracked_since: dict[str, float] = {}
         self._change_lock = asyncio.Lock()
+        self._guard = StepGuard(task="replica membership", clock=clock)
 
     async def run(self) -> None:
         """Join the group and maintain its members until cancelled."""
         while True:
             await self._clock.sleep(CHECK_INTERVAL_S)
-            self._commands.set_addresses(self._addresses())
-            if self._replica.role is Role.LEADER:
-                await self._review_members()
-                continue
-            self._tracked_since.clear()
-            if self._has_no_leader():
-                await self._ask_to_join()
+            with self._guard.step():
+                await self._maintain()
+
+    async def _maintain(self) -> None:
+        self._commands.set_addresses(self._addresses())
+        if self._replica.role is Role.LEADER:
+            await self._review_members()
+            return
+        self._tracked_since.clear()
+        if self._has_no_leader():
+            await self._ask_to_join()
 
     def follow_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the seeds.
--- a/wigeonscale/control/tests/layer_assigner_case.py
+++ b/wigeonscale/control/tests/layer_assigner_case.py
@@ -94,14 +94,14 @@
         await asyncio.gather(self.task, return_exceptions=True)
         await self.commands.close()
 
-    async def announce(self, name, first=0, end=0, **fields):
+    async def announce(self, name, first=0, end=0, service="m", **fields):
         if name not in self.engines.held:
             self.engines.held[name] = (first, end)
         backend = wire.Backend(
             agent_id=name,
             incarnation=fields.get("started_ms", 1),
             address=name,
-            service="m",
+            service=service,
             domain="a",
             accelerator="k",
             first_layer=first,
--- a/wigeonscale/control/tests/test_layer_assigner.py
+++ b/wigeonscale/control/tests/test_layer_assigner.py
@@ -1,6 +1,7 @@
 import asyncio
 from dataclasses import replace
 
+from wigeonscale.control import layer_assigner
 from wigeonscale.control.tests.layer_assigner_case import (
     PROFILE,
     TABLE,
@@ -328,3 +329,52 @@
         self.configure(99)
         await self.clock.advance(1.5)
         self.assert_complete(10)
+
+
+class FailedPlanTest(ConfiguredTest):
+    """The plan of one service fails."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.plan_layers = layer_assigner.plan_layers
+        layer_assigner.plan_layers = self.fail_for_ten_layers
+        self.addCleanup(setattr, layer_assigner, "plan_layers", self.plan_layers)
+
+    def fail_for_ten_layers(self, holders, model):
+        if model.layers == 10:
+            raise RuntimeError("no plan")
+        return self.plan_layers(holders, model)
+
+    async def test_other_services_are_planned_and_it_is_tried_again(self):
+        other = replace(PROFILE, layers=4)
+        services = {"m": Service(name="m", engine=PROFILE)}
+        services["n"] = Service(name="n", engine=other)
+        self.table = RouteTable(number=1, services=services)
+        await self.announce("e1")
+        await self.announce("e2", service="n")
+        await self.announce("e3")
+        await self.clock.advance(5.0)
+        self.assertEqual({("e2", 0, 4)}, self.placed())
+        # One line for all the attempts of five seconds, with the input.
+        (record,) = self.take_step_failures()
+        self.assertIn("no plan", record.getMessage())
+        self.assertIn("e1", record.fields["engines"])
+        layer_assigner.plan_layers = self.plan_layers
+        await self.clock.advance(2.0)
+        self.assert_complete(10)
+
+    async def test_failed_order_is_reported_and_sent_again(self):
+        layer_assigner.plan_layers = self.plan_layers
+        status, place = self.engines.status, self.engines.place
+
+        async def fail(address, **_):
+            raise RuntimeError("no exchange")
+
+        self.engines.place = fail
+        await self.announce_all("e1", "e2")
+        await self.clock.advance(2.0)
+        (record,) = self.take_step_failures()
+        self.assertIn("no exchange", record.getMessage())
+        self.engines.place, self.engines.status = place, status
+        await self.clock.advance(5.0)
+        self.assert_complete(10)
--- a/wigeonscale/platform/tests/test_layer_fuzz.py
+++ b/wigeonscale/platform/tests/test_layer_fuzz.py
@@ -160,6 +160,7 @@
         if self.task.done():
             self.task.result()
             raise AssertionError("the assigner has ended")
+        self.assertEqual([], self.take_step_failures())
 
     def check_orders(self):
         """Check that engines were ordered layers that the model has and they hold."""
--- a/wigeonscale/testing/case.py
+++ b/wigeonscale/testing/case.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import inspect
+import logging
 
 import testtools
 
 TEST_TIMEOUT_S = 120.0
+# Reports failures that a background task of control survives.
+STEP_FAILURE_LOGGER = "wigeonscale.control.step_guard"
 
 
 class AsyncRunTest(testtools.RunTest):
@@ -48,15 +51,47 @@
         return await coro
 
 
+class _RecordCollector(logging.Handler):
+    """Keeps the records of a logger."""
+
+    def __init__(self):
+        super().__init__()
+        self.records: list[logging.LogRecord] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a record."""
+        self.records.append(record)
+
+
 class AsyncTestCase(testtools.TestCase):
     """A test case whose test methods and cleanups may be coroutine functions.
 
     ``prepare`` is awaited before each coroutine test. ``addCleanup`` accepts
-    coroutine functions. Synchronous tests work unchanged.
+    coroutine functions. Synchronous tests work unchanged. A test fails if a background
+    task survived the failure of a step, unless it calls :meth:`take_step_failures`.
     """
 
     run_tests_with = AsyncRunTest
 
+    def setUp(self):
+        """Collect the step failures of the test."""
+        super().setUp()
+        self._step_failures = _RecordCollector()
+        step_logger = logging.getLogger(STEP_FAILURE_LOGGER)
+        step_logger.addHandler(self._step_failures)
+        self.addCleanup(self._check_no_step_failures)
+        self.addCleanup(step_logger.removeHandler, self._step_failures)
+
+    def take_step_failures(self) -> list[logging.LogRecord]:
+        """Return the failures of steps so far, which the test expects."""
+        taken, self._step_failures.records = self._step_failures.records, []
+        return taken
+
+    def _check_no_step_failures(self):
+        failures = [record.getMessage() for record in self.take_step_failures()]
+        if failures:
+            raise AssertionError(f"steps of background tasks failed: {failures}")
+
     async def prepare(self) -> None:
         """Set up fixtures that need the event loop; does nothing by default."""
 
