Keep answers that only a silent agent has until it goes on

Callers of work that no other agent may do (calls to plain services, and generations of rules with repeat = never) lost their answers when the VM of its agent stood still for some 1.3 s: a call with a key ended with 409 outcome-unknown, one without with 502, a begun stream without its rest and its end. The agent would have completed each of them a moment later.

Cause: four checks without an event (1 s) and two on a new connection (0.5 s) make an agent unreachable, and then every dispatch on its link failed. For a generation that another agent can continue that is right; for the others nothing is gained by the early failure.

Change: a silent agent still fails at once what another agent can do, what was not sent, and what waits for a seal; it is suspected and avoided as before. The other dispatches stay on the link, which opens up to six new connections, 4 s of silence in all. A connection that is refused still ends them at once, as the agent's process has ended.

--- a/wigeonscale/dispatch/keepalive.py
+++ b/wigeonscale/dispatch/keepalive.py
@@ -23,12 +23,15 @@
             keeps sending, so that the agent knows that this entry is alive.
         reconnect_checks: Checks without an event on a new connection after which the
             agent itself counts as unreachable.
+        max_silent_connections: Consecutive new connections without an event after
+            which work fails that no other agent may do.
     """
 
     interval_s: float = 0.25
     max_missed_pings: int = 3
     max_checks_without_ping: int = 4
     reconnect_checks: int = 2
+    max_silent_connections: int = 6
 
 
 async def wait_unresponsive(
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -32,7 +32,8 @@
         clock: Clock port.
         on_load: Called with the agent id and each load report.
         on_prefixes: Called with the agent id and prefix cache events.
-        on_gone: Called with the target when an agent cannot be reached any more.
+        on_gone: Called with the target when an agent cannot be reached, and again when
+            dispatches that waited for it have failed.
         limits: Limits after which a connection counts as unresponsive.
         dial: Opens a channel with its own connection to an address.
     """
@@ -121,7 +122,23 @@
             supervisors.remove(supervisor)
         if not supervisors:
             self._supervisors.pop(target, None)
-        streams = list(supervisor.link.streams.values())
+        self._fail(list(supervisor.link.streams.values()), target)
+
+    def fail_replaceable(self, link: AgentLink) -> None:
+        """Fail the dispatches on a silent link that other agents can do.
+
+        Args:
+            link: Link to an agent that may only be paused. It keeps the other
+                dispatches, whose answers nobody else has.
+        """
+        replaceable = [each for each in link.streams.values() if each.is_replaceable]
+        for stream in replaceable:
+            link.remove(stream)
+        self._fail(replaceable, link.target)
+        if link.streams and not replaceable:
+            self._on_gone(link.target)
+
+    def _fail(self, streams: list[DispatchStream], target: Target) -> None:
         for stream in streams:
             state = RunState.UNKNOWN if stream.sent else RunState.NOT_RUN
             stream.fail(
@@ -157,7 +174,7 @@
         try:
             await self._wait_lost()
             while self.link.streams and not self._is_flapping():
-                if not await self._reconnect():
+                if not await self._reconnect_repeatedly():
                     return
                 await self._wait_lost()
         finally:
@@ -180,6 +197,22 @@
         )
         await self._wait_reader_or(unresponsive)
 
+    async def _reconnect_repeatedly(self) -> bool:
+        """Return whether the agent has answered on a new connection.
+
+        An agent that is silent may be paused and complete its work later. One that
+        refuses connections has ended.
+        """
+        for left in reversed(range(self._limits.max_silent_connections)):
+            if await self._reconnect():
+                return True
+            if self._reader.done() or not left:
+                return False
+            self._links.fail_replaceable(self.link)
+            if not self.link.streams:
+                return False
+        return False
+
     async def _reconnect(self) -> bool:
         old, old_reader = self.link, self._reader
         self.link = self._links.new_link(old.target)
--- a/wigeonscale/dispatch/stream.py
+++ b/wigeonscale/dispatch/stream.py
@@ -93,6 +93,21 @@
             return ""
         return self.opening.generate.chain.chain_id
 
+    @property
+    def is_replaceable(self) -> bool:
+        """Whether this entry gains from an early failure while the agent is silent.
+
+        Another agent can do the work, or the time for its start has passed.
+        """
+        if not self.sent or self._seal_pending:
+            return True
+        opening = self.opening
+        return (
+            opening is not None
+            and not opening.once
+            and opening.WhichOneof("work") == "generate"
+        )
+
     @property
     def ended(self) -> bool:
         """Whether the dispatch has ended."""
