Tell an agent that refuses connections from one that is slow to answer

Cause: gRPC gives up a connection attempt after 0.1 s without a handshake, its shortest reconnect interval. The kernel of a VM whose agent stands still accepts the connection, the agent does not answer; the entry took the failed attempt for a refused connection.

Change: after a failed attempt the entry opens a plain TCP connection. Only if that is refused, the agent has ended; else the entry goes on trying as for a silent connection.

The tests of silent agents are run a second time with checks that are slower than gRPC's attempts.

--- a/wigeonscale/daemons/entry.py
+++ b/wigeonscale/daemons/entry.py
@@ -28,6 +28,7 @@
 )
 from wigeonscale.limits import OrganisationLimits
 from wigeonscale.membership import Change, ControlClient
+from wigeonscale.platform.reachability import check_reachable
 from wigeonscale.ports import Clock, SystemClock
 from wigeonscale.reports import BurnRecorder, burn_routes
 from wigeonscale.routing import Chooser, LoadTable, PrefixView, RetryBudget
@@ -133,6 +134,7 @@
         on_gone=on_gone,
         limits=keepalive or default_keepalive,
         dial=functools.partial(open_channel, tls=cfg.tls),
+        check_reachable=check_reachable,
     )
     transport = DispatchTransport(links=links, table=table)
     claims = Claims(
--- a/wigeonscale/dispatch/keepalive.py
+++ b/wigeonscale/dispatch/keepalive.py
@@ -33,6 +33,11 @@
     reconnect_checks: int = 2
     max_silent_connections: int = 6
 
+    @property
+    def reconnect_s(self) -> float:
+        """Time for the first event on a new connection, in seconds."""
+        return self.interval_s * self.reconnect_checks
+
 
 async def wait_unresponsive(
     link: "AgentLink", *, clock: Clock, limits: KeepaliveLimits
--- a/wigeonscale/dispatch/links.py
+++ b/wigeonscale/dispatch/links.py
@@ -13,7 +13,7 @@
 from wigeonscale.dispatch.stream import DispatchStream
 from wigeonscale.dispatch.targets import Target
 from wigeonscale.errors import RunState
-from wigeonscale.ports import Clock
+from wigeonscale.ports import Clock, ProbeResult, ReachabilityCheck
 
 logger = logging.getLogger(__name__)
 
@@ -24,6 +24,10 @@
 OnGone = Callable[[Target], None]
 
 
+async def _assume_refused(address: str, timeout_s: float) -> ProbeResult:
+    return ProbeResult.REFUSED
+
+
 class AgentLinks:
     """All connections of an entry to agents.
 
@@ -36,6 +40,8 @@
             dispatches that waited for it have failed.
         limits: Limits after which a connection counts as unresponsive.
         dial: Opens a channel with its own connection to an address.
+        check_reachable: Tells whether an agent to which no channel could be opened
+            refuses connections.
     """
 
     def __init__(
@@ -48,6 +54,7 @@
         on_gone: OnGone = lambda target: None,
         limits: KeepaliveLimits | None = None,
         dial: Dial = open_channel,
+        check_reachable: ReachabilityCheck = _assume_refused,
     ):
         self._entry_id = entry_id
         self._clock = clock
@@ -56,6 +63,7 @@
         self._on_gone = on_gone
         self._dial = dial
         self._limits = limits or KeepaliveLimits()
+        self._check_reachable = check_reachable
         self._supervisors: dict[Target, list[_LinkSupervisor]] = {}
         self._tasks: set[asyncio.Task] = set()
         self._closing = False
@@ -124,6 +132,16 @@
             self._supervisors.pop(target, None)
         self._fail(list(supervisor.link.streams.values()), target)
 
+    async def is_refused(self, target: Target) -> bool:
+        """Return whether an agent refuses connections, so that its process has ended.
+
+        Args:
+            target: Agent to which no channel could be opened.
+        """
+        timeout_s = self._limits.reconnect_s
+        result = await self._check_reachable(target.address, timeout_s)
+        return result is ProbeResult.REFUSED
+
     def fail_replaceable(self, link: AgentLink) -> None:
         """Fail the dispatches on a silent link that other agents can do.
 
@@ -206,11 +224,17 @@
         for left in reversed(range(self._limits.max_silent_connections)):
             if await self._reconnect():
                 return True
-            if self._reader.done() or not left:
+            has_failed = self._reader.done()
+            if has_failed and await self._links.is_refused(self.link.target):
+                return False
+            if not left:
                 return False
             self._links.fail_replaceable(self.link)
             if not self.link.streams:
                 return False
+            if has_failed:
+                # gRPC gives up a handshake earlier than a paused agent goes on.
+                await self._clock.sleep(self._limits.reconnect_s)
         return False
 
     async def _reconnect(self) -> bool:
--- a/wigeonscale/entry/tests/test_silent_agents.py
+++ b/wigeonscale/entry/tests/test_silent_agents.py
@@ -12,10 +12,14 @@
 class SilentAgentTest(EntryCase):
     """Guards against answers that end because their agent is silent for a while."""
 
+    reconnect_checks = 3
+
     async def prepare(self):
         await super().prepare()
         self.entry._links._limits = KeepaliveLimits(
-            interval_s=0.02, reconnect_checks=3, max_silent_connections=500
+            interval_s=0.02,
+            reconnect_checks=self.reconnect_checks,
+            max_silent_connections=500,
         )
 
     async def start_behind_proxy(self, agent_id, kind):
@@ -99,3 +103,10 @@
         await self.be_silent(agent, proxy, rest)
         self.assertEqual(list(WORDS[3:]), texts_of(await rest))
         self.assertEqual(1, len(agent.opened))
+
+
+class SlowHandshakeTest(SilentAgentTest):
+    """Guards against a handshake that times out and counts as a refused connection."""
+
+    # The connection attempts of gRPC time out before these checks.
+    reconnect_checks = 15
