Blame only the unreachable agent for a start that it aborted

Real daemons, chains of four stages, the head stopped (SIGSTOP) for 1.5 s before the first token: 6 of 6 generations that may be repeated ended with 503 crashes-backends, run unknown, though another agent could serve them.

Cause: when an agent could not be reached, the entry recorded an aborted start at the backend server of every stage of its chain. Three servers make a request one that crashes servers until control has confirmed or refuted it, up to 3 s later, so the request was refused in place of being dispatched again. A chain of three stages suffices, and the agent may have ended as well.

Change: an unreachable agent is recorded alone. A backend server that failed a run, as reported by the head, still counts with all stages.

The new test holds back all data of the head of a chain of four stages before its first token while another chain is free. Before the change it got 503 crashes-backends.

--- a/wigeonscale/dispatch/crashing.py
+++ b/wigeonscale/dispatch/crashing.py
@@ -12,6 +12,7 @@
 
 from wigeonscale.adapters import log_fields
 from wigeonscale.crashes import CrashTracker, crash_refusal, wait_for_trial
+from wigeonscale.dispatch.failures import AgentGoneError
 from wigeonscale.dispatch.targets import Target
 from wigeonscale.dispatch.work import Work
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
@@ -74,6 +75,7 @@
         if chain is not None:
             agent_ids = {stage.agent_id for stage in chain.stages}
         servers = self._servers(sorted(agent_ids))
+        target_servers = self._servers([target.agent_id])
         self.tracker.note_sent(work.fingerprint, work.part_keys)
         is_suspect = self.tracker.is_suspect(work.fingerprint)
         if is_suspect:
@@ -82,7 +84,9 @@
             yield
         except WigeonscaleError as exc:
             if exc.kind is ErrorKind.BACKEND_FAILED:
-                self._note_lost(work, servers, exc)
+                # An unreachable agent says nothing about the other stages.
+                is_gone = isinstance(exc, AgentGoneError)
+                self._note_lost(work, target_servers if is_gone else servers, exc)
             raise
         finally:
             if is_suspect:
--- a/wigeonscale/entry/tests/test_silent_agents.py
+++ b/wigeonscale/entry/tests/test_silent_agents.py
@@ -93,6 +93,37 @@
         self.assertEqual(list(WORDS[3:]), texts_of(await read_events(answer)))
         self.assertEqual(1, len(other.opened))
 
+    async def test_stream_of_a_long_chain_that_has_not_begun(self):
+        """The other stages are not blamed for the silence of the head."""
+        agent, proxy = await self.start_behind_proxy("a1", wire.ENGINE)
+        self.add_stages("a1", "a3", "a4", "a5")
+        agent.hold = 0
+        request = asyncio.create_task(self.complete_text())
+        await agent.until(lambda agent: agent.opened)
+        await self.start_agent("a2")
+        proxy.pause()
+        self.assertEqual((200, "".join(WORDS)), await request)
+
+    def add_stages(self, head, *others):
+        """Add stages to the chain of an agent, as members that nobody calls."""
+        members = self.control.members
+        chain = wire.Chain()
+        chain.CopyFrom(members.chains[f"chain-{head}"])
+        backends = [wire.Backend(agent_id=name, incarnation=1) for name in others]
+        for name in others:
+            chain.stages.add(agent_id=name, incarnation=1)
+        update = wire.MembersUpdate(
+            index=members.index + 1, backends=backends, chains=[chain]
+        )
+        members.apply(update)
+
+    async def complete_text(self):
+        async with self.complete() as answer:
+            document = await answer.json()
+            if answer.status != 200:
+                return answer.status, document["error"]["kind"]
+            return answer.status, document["choices"][0]["text"]
+
     async def test_begun_stream_that_may_not_be_repeated(self):
         agent, proxy = await self.start_behind_proxy("a1", wire.ENGINE)
         agent.hold = 3
