Keep good runs of prompt parts in control's records

Cause: crashes with several suspects are attributed to one that has never run well. Only the entry that saw a run knew of it, until it ended, while crashes are kept at control. New entries knew only the blame of the shared part, which is in every crash.

Change: a record keeps the time of the last good run through later crashes (ran_ms). Entries also report the parts that a twentieth of their runs and four of them share, before any crash; control keeps the first 256 of them, until 600 s after the last report. After a report all entries wait for 1 s and a random time up to 10 s, so that the load does not grow with their number. Control and entries of an older version ignore the new fields.

Not fixed here: parts that no entry had reported before the restart.

--- a/wigeonscale/crashes/__init__.py
+++ b/wigeonscale/crashes/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "CRASHES_TO_REFUSE",
+    "MAX_COMMON_PARTS",
     "MAX_CRASHES_PER_REQUEST",
     "MAX_TRACKED_REQUESTS",
     "START_CRASH_WINDOW_S",
@@ -20,6 +21,7 @@
     "wait_for_trial",
 ]
 
+from wigeonscale.crashes.common_parts import MAX_COMMON_PARTS
 from wigeonscale.crashes.fingerprint import (
     is_part_key,
     prompt_part_key,
--- a/wigeonscale/crashes/confirmed.py
+++ b/wigeonscale/crashes/confirmed.py
@@ -62,7 +62,12 @@
             updates: Records that changed, in the order of the changes.
         """
         now = self._clock.now()
-        updates = list(updates)
+        # Records of parts that only ran change nothing here.
+        updates = [
+            update
+            for update in updates
+            if update.backends or update.fingerprint in self._records
+        ]
         for update in updates:
             self._records.pop(update.fingerprint, None)
             if update.backends:
--- a/wigeonscale/crashes/proven.py
+++ b/wigeonscale/crashes/proven.py
@@ -1,4 +1,4 @@
-"""Prompt parts that have run without a crash, as seen by one entry."""
+"""Prompt parts that have run without a crash, as known to one entry."""
 
 __all__ = ["ProvenParts"]
 
@@ -37,9 +37,17 @@
         ran_at = self._ran_at.get(key)
         return ran_at is not None and self._clock.now() - ran_at <= PROVEN_RETENTION_S
 
-    def note(self, key: bytes) -> None:
-        """Record that a run with a part went well past its start."""
+    def note(self, key: bytes, *, age_s: float = 0.0) -> None:
+        """Record that a run with a part went well past its start.
+
+        Args:
+            key: Key of the part.
+            age_s: Time since then, in seconds.
+        """
+        ran_at = self._clock.now() - age_s
+        if ran_at < self._ran_at.get(key, float("-inf")):
+            return
         self._ran_at.pop(key, None)
-        self._ran_at[key] = self._clock.now()
+        self._ran_at[key] = ran_at
         if len(self._ran_at) > MAX_PROVEN_PARTS:
             del self._ran_at[next(iter(self._ran_at))]
--- a/wigeonscale/crashes/records.py
+++ b/wigeonscale/crashes/records.py
@@ -32,6 +32,8 @@
         trial: Id of the entry that may send one request with the part after its refusal
             has expired; empty for none.
         trial_age_s: Time since the trial was granted, in seconds.
+        ran_age_s: Time since the last good run known to control, in seconds; None if
+            none is known.
     """
 
     fingerprint: bytes
@@ -40,6 +42,7 @@
     span_s: float
     trial: str = ""
     trial_age_s: float = 0.0
+    ran_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,17 +74,19 @@
         cleared: Keys of requests and parts that have run without a crash.
         trials: Keys of refused parts of which the entry asks to send one request.
         trial_id: Id of the entry in trials.
+        ran: Keys of parts that many good runs share.
     """
 
     crashes: tuple[tuple[bytes, str], ...]
     cleared: tuple[bytes, ...]
     trials: tuple[bytes, ...] = ()
     trial_id: str = ""
+    ran: tuple[bytes, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to report."""
-        return not (self.crashes or self.cleared or self.trials)
+        return not (self.crashes or self.cleared or self.trials or self.ran)
 
 
 @dataclass(slots=True)
--- a/wigeonscale/crashes/tests/test_parts.py
+++ b/wigeonscale/crashes/tests/test_parts.py
@@ -13,7 +13,12 @@
     report_crashes,
     wait_for_trial,
 )
-from wigeonscale.crashes.proven import MAX_PROVEN_PARTS, ProvenParts
+from wigeonscale.crashes.common_parts import MIN_DELAY_S, MIN_RUNS
+from wigeonscale.crashes.proven import (
+    MAX_PROVEN_PARTS,
+    PROVEN_RETENTION_S,
+    ProvenParts,
+)
 from wigeonscale.crashes.tests.test_tracker import CrashTrackerCase
 from wigeonscale.errors import ErrorKind, RunState
 
@@ -120,6 +125,47 @@
         self.assertTrue(known[-1])
 
 
+class RestartedEntryTest(PartCase):
+    """An entry knows the runs of before its start from control only."""
+
+    def know_crashes(self, **fields):
+        both = ("s1", "s2", "s3")
+        shared = KnownCrashes(
+            fingerprint=SHARED, backends=both, age_s=0.0, span_s=9.0, **fields
+        )
+        self.tracker.apply_records(
+            [shared, self.known_crashes(*both, fingerprint=PART)]
+        )
+
+    async def test_part_that_ran_before_the_start_is_not_refused(self):
+        self.know_crashes(ran_age_s=30.0)
+        self.assertEqual(0.0, self.refused_s(SHARED))
+        self.assertEqual(refusal_s(3), self.refused_s(PART))
+
+    async def test_run_of_long_ago_proves_nothing(self):
+        self.know_crashes(ran_age_s=PROVEN_RETENTION_S + 1.0)
+        self.assertTrue(self.refused_s(SHARED) > 0)
+
+    async def test_common_part_is_known_before_its_first_crash(self):
+        record = KnownCrashes(
+            fingerprint=SHARED, backends=(), age_s=30.0, span_s=0.0, ran_age_s=30.0
+        )
+        self.tracker.apply_records([record])
+        self.know_crashes()
+        self.assertEqual(0.0, self.refused_s(SHARED))
+
+    async def test_common_part_is_reported_to_control(self):
+        for _ in range(MIN_RUNS):
+            self.tracker.clear_suspect(b"sound", [SHARED])
+            await self.clock.advance(1.0)
+        await self.tracker.wait_for_report()
+        report = self.tracker.take_report()
+        self.assertEqual(CrashReport((), (), ran=(SHARED,)), report)
+        self.tracker.restore_report(report)
+        await self.clock.advance(MIN_DELAY_S)
+        self.assertEqual((SHARED,), self.tracker.take_report().ran)
+
+
 class ControlUnreachableTest(PartCase):
     """Control cannot confirm that servers have ended."""
 
--- a/wigeonscale/crashes/tracker.py
+++ b/wigeonscale/crashes/tracker.py
@@ -11,6 +11,7 @@
 from wigeonscale.crashes.aborted_starts import CONFIRMATION_TIMEOUT_S, AbortedStarts
 from wigeonscale.crashes.aborts import AbortTimes
 from wigeonscale.crashes.attribution import Suspect, refusal_s_among
+from wigeonscale.crashes.common_parts import CommonParts
 from wigeonscale.crashes.confirmed import ConfirmedRecords
 from wigeonscale.crashes.fingerprint import is_part_key
 from wigeonscale.crashes.policy import (
@@ -49,9 +50,9 @@
         clock: Clock port.
         is_serving: Returns whether a backend server is known and not leaving.
         has_ended: Returns whether an incarnation is known to have ended.
-        rng: Source of randomness for the length of uncertain refusals. It lets the
-            entries retry such a request one after another, so that the result of the
-            first retry reaches the others in time.
+        rng: Source of randomness for the length of uncertain refusals and the times
+            of reports. It lets the entries retry a refused request one after another,
+            so that the result of the first retry reaches the others in time.
         is_connected: Returns whether control can be reached.
 
     Notes:
@@ -79,6 +80,7 @@
             clock=clock, has_ended=has_ended, is_connected=is_connected
         )
         self._proven_parts = ProvenParts(clock=clock)
+        self._common_parts = CommonParts(clock=clock, rng=rng)
         self._trials = Trials(clock=clock)
         self._cleared: set[bytes] = set()
         # Last send of each request that has been refused before.
@@ -270,10 +272,14 @@
             fingerprint: Fingerprint of the request.
             parts: Keys of the parts of its prompt.
         """
+        parts = tuple(parts)
         self._clear(fingerprint)
         for key in parts:
             self._proven_parts.note(key)
             self._clear(key)
+        self._common_parts.note_run(parts)
+        if self._common_parts.is_due():
+            self._report_ready.set()
 
     def _clear(self, key: bytes) -> None:
         if not self.is_suspect(key):
@@ -305,14 +311,26 @@
         self._records_changed = asyncio.Event()
         for record in records:
             self._trials.restart_wait(record.fingerprint)
-            if is_part_key(record.fingerprint) and not record.backends:
-                # It has run without a crash at another entry.
-                self._proven_parts.note(record.fingerprint)
+            if is_part_key(record.fingerprint):
+                self._note_ran_elsewhere(record)
         self._trials.retain({*self._confirmed, *self._aborted_starts})
         self._retried_at = {
             key: at for key, at in self._retried_at.items() if key in self._confirmed
         }
 
+    def _note_ran_elsewhere(self, record: KnownCrashes) -> None:
+        ran_age_s = record.ran_age_s
+        if ran_age_s is not None:
+            ran_at = self._clock.now() - ran_age_s
+            self._common_parts.note_reported(
+                record.fingerprint, ran_at, is_new=not record.backends
+            )
+        elif not record.backends:
+            # Control of an older version tells only that the crashes were cleared.
+            ran_age_s = record.age_s
+        if ran_age_s is not None:
+            self._proven_parts.note(record.fingerprint, age_s=ran_age_s)
+
     def confirm_crashes(self) -> None:
         """Check which servers that aborted runs have ended, and drop old records."""
         if self._aborted_starts.confirm():
@@ -340,7 +358,8 @@
         cleared, self._cleared = tuple(self._cleared), set()
         trials = self._trials.take_unreported()
         trial_id = self._trials.id if trials else ""
-        return CrashReport(tuple(crashes), cleared, trials, trial_id)
+        ran = self._common_parts.take() if self._common_parts.is_due() else ()
+        return CrashReport(tuple(crashes), cleared, trials, trial_id, ran)
 
     def restore_report(self, report: CrashReport) -> None:
         """Schedule a report again that could not be submitted to control.
@@ -354,4 +373,5 @@
                 abort.reported_at = None
         self._cleared.update(report.cleared)
         self._trials.restore(report.trials)
+        self._common_parts.restore(report.ran)
         self._report_ready.set()
--- a/wigeonscale/membership/crash_messages.py
+++ b/wigeonscale/membership/crash_messages.py
@@ -26,6 +26,11 @@
                 if record.trial
                 else 0.0
             ),
+            ran_age_s=(
+                max(0, update.now_ms - record.ran_ms) / MS_PER_S
+                if record.ran_ms
+                else None
+            ),
         )
         for record in update.records
     ]
@@ -46,5 +51,6 @@
         cleared=report.cleared,
         trials=report.trials,
         trial_id=report.trial_id,
+        ran=report.ran,
     )
     return wire.Command(record_crashes=found)
--- a/wigeonscale/membership/tests/test_crash_messages.py
+++ b/wigeonscale/membership/tests/test_crash_messages.py
@@ -19,6 +19,16 @@
             known_crashes(update),
         )
 
+    def test_last_good_run(self):
+        record = wire.CrashRecord(fingerprint=b"a", wall_ms=1500, ran_ms=1500)
+        update = wire.CrashUpdate(now_ms=4000, records=[record])
+        (known,) = known_crashes(update)
+        self.assertEqual(2.5, known.ran_age_s)
+
+    def test_common_parts_are_reported(self):
+        command = record_crashes_command(CrashReport((), (), ran=(b"a",)))
+        self.assertEqual([b"a"], list(command.record_crashes.ran))
+
     def test_report_is_converted_to_a_command(self):
         command = record_crashes_command(CrashReport(((b"a", "s1"),), (b"b",)))
         self.assertEqual([b"b"], list(command.record_crashes.cleared))
--- a/wigeonscale/state/crash_records.py
+++ b/wigeonscale/state/crash_records.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 
 from wigeonscale.crashes import (
+    CRASHES_TO_REFUSE,
+    MAX_COMMON_PARTS,
     MAX_CRASHES_PER_REQUEST,
     MAX_TRACKED_REQUESTS,
     TRIAL_INTERVAL_S,
@@ -26,7 +28,9 @@
     Notes:
         Eviction depends on commands only, so that it is the same on all replicas. A
         cleared record is kept with no backends until it expires, so that watchers
-        are notified that it was cleared.
+        are notified that it was cleared. The record of a part that many good runs
+        share is kept without any crash, so that an entry that starts knows it before
+        it may be suspected.
     """
 
     def __init__(self):
@@ -41,8 +45,8 @@
         """Apply the findings of an entry.
 
         Args:
-            found: New crashes, keys of requests and parts that ran without one, and
-                trials that the entry asks for.
+            found: New crashes, keys of requests and parts that ran without one,
+                trials that the entry asks for, and parts that many runs share.
             index: Log index of the command.
             now_ms: Largest wall time of any command so far, in milliseconds.
 
@@ -56,6 +60,8 @@
             has_changed |= self._clear(fingerprint, index, now_ms)
         for key in found.trials:
             has_changed |= self._grant_trial(key, found.trial_id, index, now_ms)
+        for key in found.ran:
+            has_changed |= self._note_common(key, index, now_ms)
         if has_changed:
             self.index = index
             self._evict(now_ms)
@@ -87,15 +93,34 @@
         )
         if backends:
             record.first_ms = before.first_ms
+        if before is not None:
+            record.ran_ms, record.is_common = before.ran_ms, before.is_common
         return True
 
     def _clear(self, fingerprint: bytes, index: int, now_ms: int) -> bool:
         before = self._records.get(fingerprint)
         if before is None or not before.backends:
             return False
-        self._put(fingerprint, [], index, now_ms)
+        record = self._put(fingerprint, [], index, now_ms)
+        record.ran_ms, record.is_common = now_ms, before.is_common
         return True
 
+    def _note_common(self, key: bytes, index: int, now_ms: int) -> bool:
+        """Keep a good run of a part, if there is room for another one."""
+        record = self._records.get(key)
+        if not key or (record is None and self._count_common() >= MAX_COMMON_PARTS):
+            return False
+        if record is None or not record.backends:
+            record = self._put(key, [], index, now_ms)
+        else:
+            record.index = index
+            self._records.move_to_end(key)
+        record.ran_ms, record.is_common = now_ms, True
+        return True
+
+    def _count_common(self) -> int:
+        return sum(record.is_common for record in self._records.values())
+
     def _grant_trial(self, key: bytes, trial_id: str, index: int, now_ms: int) -> bool:
         record = self._records.get(key)
         if record is None or not record.backends or not trial_id:
@@ -128,7 +153,11 @@
         for fingerprint in expired:
             del self._records[fingerprint]
         while len(self._records) > MAX_TRACKED_REQUESTS:
-            counts = {name: len(r.backends) for name, r in self._records.items()}
+            counts = {
+                name: len(r.backends)
+                for name, r in self._records.items()
+                if len(r.backends) >= CRASHES_TO_REFUSE or not r.is_common
+            }
             del self._records[next_to_evict(counts)]
 
     def save(self, snapshot: wire.StateSnapshot) -> None:
--- a/wigeonscale/state/tests/test_crash_records.py
+++ b/wigeonscale/state/tests/test_crash_records.py
@@ -1,4 +1,5 @@
 from wigeonscale.crashes import (
+    MAX_COMMON_PARTS,
     MAX_CRASHES_PER_REQUEST,
     MAX_TRACKED_REQUESTS,
     TRIAL_INTERVAL_S,
@@ -110,6 +111,62 @@
         self.assertEqual(self.state.snapshot(), other.snapshot())
         self.assertEqual([b"a"], [r.fingerprint for r in other.crashes.after(1)])
 
+    def ran_ms(self, key=b"a"):
+        (record,) = [r for r in self.state.crashes.after(0) if r.fingerprint == key]
+        return record.ran_ms
+
+    def test_good_run_is_kept_through_later_crashes(self):
+        """An entry that starts knows then that it is not the cause."""
+        self.record(crash(b"a", "s1"))
+        self.assertEqual(0, self.ran_ms())
+        self.record(cleared=[b"a"])
+        cleared_ms = self.wall_ms
+        self.wall_ms += 1000
+        self.record(crash(b"a", "s2"), crash(b"a", "s3"))
+        self.assertEqual({b"a": ["s2", "s3"]}, self.known())
+        self.assertEqual(cleared_ms, self.ran_ms())
+
+    def test_common_part_is_kept_without_a_crash(self):
+        self.record(ran=[b"a", b""])
+        self.assertEqual({b"a": []}, self.known())
+        self.assertEqual(self.wall_ms, self.ran_ms())
+        ran_ms = self.wall_ms
+        self.wall_ms += 1000
+        self.record(crash(b"a", "s1"))
+        self.assertEqual(ran_ms, self.ran_ms())
+
+    def test_report_of_a_common_part_keeps_its_crashes(self):
+        """The runs may have been before the crashes."""
+        self.record(crash(b"a", "s1"))
+        self.record(ran=[b"a"])
+        self.assertEqual({b"a": ["s1"]}, self.known(index=1))
+        self.assertEqual(self.wall_ms, self.ran_ms())
+
+    def test_common_parts_are_bounded(self):
+        parts = [b"%d" % number for number in range(2 * MAX_COMMON_PARTS)]
+        self.record(ran=parts)
+        self.assertEqual(set(parts[:MAX_COMMON_PARTS]), set(self.known()))
+        # There is room again once they have expired.
+        self.wall_ms += int(1000 * retention_s(0)) + 1
+        self.record(crash(b"c", "s1"))
+        self.record(ran=[parts[-1]])
+        self.assertEqual({b"c", parts[-1]}, set(self.known()))
+
+    def test_many_suspects_do_not_displace_a_common_part(self):
+        self.record(ran=[b"a"])
+        self.record(*[crash(b"%d" % n, "s1") for n in range(2 * MAX_TRACKED_REQUESTS)])
+        self.assertEqual(MAX_TRACKED_REQUESTS, len(self.state.crashes))
+        self.assertIn(b"a", self.known())
+
+    def test_snapshot_keeps_the_good_runs(self):
+        self.record(crash(b"a", "s1"))
+        self.record(cleared=[b"a"], ran=[b"b"])
+        other = ControlState()
+        other.restore(self.state.snapshot())
+        self.assertEqual(self.state.snapshot(), other.snapshot())
+        runs = {r.fingerprint: r.ran_ms for r in other.crashes.after(0)}
+        self.assertEqual(dict.fromkeys((b"a", b"b"), self.wall_ms), runs)
+
     def test_records_expire_by_age(self):
         self.record(crash(b"a", "s1"))
         self.record(*[crash(b"c", f"s{n}") for n in range(3)])
