Try a refused prompt part soon after its last crash

On a site with few engines a part that had run before was refused for 4, 16 and 64 s, by the number of crashes of others.

Cause: with no run known the part in every crash has the most crashes, and nothing with it runs any more that could clear it.

Change: a refused part is tried 1, 4 and 16 s after its last crash, one request at a time over all entries (control grants it, as after a refusal), first with requests in which nothing else is suspected. Crashes during a trial are counted in the record (failed_trials) until the part has run well. Where the request also has a part that has run, the refused one is not the one that all share; it is tried after 16 and 64 s, and once only if it had five crashes before. A run that went well elsewhere also removes an entry's own, reported crashes of before. Control of an older version does not set failed_trials, and then nothing is tried early.

--- a/wigeonscale/crashes/aborted_starts.py
+++ b/wigeonscale/crashes/aborted_starts.py
@@ -70,6 +70,15 @@
         """Remove and return the aborted starts of a request or part."""
         return self._aborts.pop(key, {})
 
+    def discard_reported(self, key: bytes) -> None:
+        """Remove the reported starts of a request or part, which ran well since."""
+        aborts = self._aborts.get(key, {})
+        kept = {name: abort for name, abort in aborts.items() if not abort.reported_at}
+        if kept:
+            self._aborts[key] = kept
+        else:
+            self._aborts.pop(key, None)
+
     def confirm(self) -> bool:
         """Check which servers have ended, and drop old aborted starts.
 
--- a/wigeonscale/crashes/confirmed.py
+++ b/wigeonscale/crashes/confirmed.py
@@ -78,6 +78,7 @@
                     last_at,
                     trial=update.trial,
                     trial_at=now - update.trial_age_s,
+                    failed_trials=update.failed_trials,
                 )
         self._evict(now)
         for update in updates[:MAX_LOGGED_RECORDS]:
--- a/wigeonscale/crashes/records.py
+++ b/wigeonscale/crashes/records.py
@@ -34,6 +34,8 @@
         trial_age_s: Time since the trial was granted, in seconds.
         ran_age_s: Time since the last good run known to control, in seconds; None if
             none is known.
+        failed_trials: Trials that ended with a crash since then; None if control is of
+            an older version.
     """
 
     fingerprint: bytes
@@ -43,6 +45,7 @@
     trial: str = ""
     trial_age_s: float = 0.0
     ran_age_s: float | None = None
+    failed_trials: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +58,8 @@
         last_at: Local instant of the last crash.
         trial: Id of the entry that may send one request with the part; empty for none.
         trial_at: Local instant at which that was granted.
+        failed_trials: Trials that ended with a crash; None if control does not count
+            them.
     """
 
     backends: frozenset[str]
@@ -62,6 +67,7 @@
     last_at: float
     trial: str = ""
     trial_at: float = float("-inf")
+    failed_trials: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +138,7 @@
             backends=sorted(record.backends),
             age_s=round(record.age_s, 3),
             trial=record.trial or None,
+            failed_trials=record.failed_trials,
             outcome=outcome if crashes else "cleared",
         ),
     )
--- a/wigeonscale/crashes/refusal.py
+++ b/wigeonscale/crashes/refusal.py
@@ -31,7 +31,7 @@
     Returns:
         An error with ``retry_after``, or None.
     """
-    refused = refused_keys(tracker, fingerprint, parts)
+    refused = tracker.refused_keys((fingerprint, *parts))
     if not refused:
         return None
     key = max(refused, key=refused.get)
@@ -44,22 +44,6 @@
     )
 
 
-def refused_keys(
-    tracker: CrashTracker, fingerprint: bytes, parts: Iterable[bytes] = ()
-) -> dict[bytes, float]:
-    """Return what is refused in a request, and for how long, in seconds.
-
-    Args:
-        tracker: Crash records of this entry.
-        fingerprint: Fingerprint of the request.
-        parts: Keys of the parts of its prompt.
-    """
-    remaining_s = {
-        key: tracker.refusal_remaining_s(key) for key in (fingerprint, *parts)
-    }
-    return {key: wait_s for key, wait_s in remaining_s.items() if wait_s > 0}
-
-
 async def wait_for_trial(
     tracker: CrashTracker, fingerprint: bytes, parts: Collection[bytes]
 ) -> None:
@@ -70,10 +54,11 @@
         fingerprint: Fingerprint of the request.
         parts: Keys of the parts of its prompt.
     """
-    refused = refused_keys(tracker, fingerprint, parts)
-    if not refused or not tracker.ask_for_trials(refused):
+    keys = (fingerprint, *parts)
+    refused = tracker.refused_keys(keys)
+    if not refused or not tracker.ask_for_trials(refused, keys=keys):
         return
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(MAX_GRANT_WAIT_S):
-            while refused_keys(tracker, fingerprint, parts):
+            while tracker.refused_keys(keys):
                 await tracker.wait_for_records()
--- a/wigeonscale/crashes/tests/fleet_model.py
+++ b/wigeonscale/crashes/tests/fleet_model.py
@@ -13,7 +13,6 @@
     prompt_part_key,
     report_crashes,
 )
-from wigeonscale.crashes.refusal import refused_keys
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.membership import known_crashes, record_crashes_command
 from wigeonscale.state.crash_records import CrashRecords
@@ -220,9 +219,9 @@
         if run.entry not in self._known:
             return
         if crash_refusal(run.entry, run.fingerprint, parts=run.parts) is not None:
-            if may_wait and run.entry.ask_for_trials(
-                refused_keys(run.entry, run.fingerprint, run.parts)
-            ):
+            keys = (run.fingerprint, *run.parts)
+            refused = run.entry.refused_keys(keys)
+            if may_wait and run.entry.ask_for_trials(refused, keys=keys):
                 self._later(GRANT_S, self._send, run, False)
             return
         if not self._runs:
--- a/wigeonscale/crashes/tests/test_fleet_restarts.py
+++ b/wigeonscale/crashes/tests/test_fleet_restarts.py
@@ -83,3 +83,62 @@
             entry_restarts=((4.0, 1.0), (9.0, 0.6)),
             control_restarts=(3.5, 6.0, 9.0),
         )
+
+
+class UnknownPartTest(FleetCase):
+    """No entry has reported the part that all sound requests share."""
+
+    async def test_start_of_everything(self):
+        await self.check(
+            seeds=(2, 3),
+            entries=28,
+            engines=3,
+            deadly_requests=("repeated",),
+            deadly_rate=6.0,
+            sound_rate=20.0,
+        )
+
+    async def test_several_parts_and_requests_after_a_restart(self):
+        await self.check(
+            seeds=(1, 3),
+            entries=28,
+            engines=6,
+            deadly=("one", "two", "three"),
+            deadly_requests=("first", "second"),
+            deadly_rate=8.0,
+            deadly_from_s=4.0,
+            entry_restarts=((4.0, 1.0),),
+        )
+
+    async def test_loss_of_power_of_everything(self):
+        await self.check(
+            seeds=(1, 2),
+            entries=28,
+            engines=3,
+            deadly_requests=("repeated",),
+            deadly_rate=6.0,
+            sound_rate=20.0,
+            deadly_from_s=4.0,
+            power_losses=(5.0, 15.0),
+        )
+
+    async def test_hundreds_of_entries(self):
+        await self.check(
+            seeds=(1,),
+            entries=300,
+            engines=6,
+            deadly_requests=("repeated",),
+            deadly_rate=6.0,
+            deadly_from_s=5.0,
+            power_losses=(7.0,),
+        )
+
+    async def test_engines_that_end_for_other_reasons_after_a_restart(self):
+        await self.check(
+            seeds=(1, 2, 3),
+            entries=28,
+            engines=8,
+            deadly_from_s=4.0,
+            entry_restarts=((4.0, 1.0),),
+            racks=(4.6, 5.3, 6.0, 7.0, 9.0),
+        )
--- a/wigeonscale/crashes/tests/test_parts.py
+++ b/wigeonscale/crashes/tests/test_parts.py
@@ -20,6 +20,12 @@
     ProvenParts,
 )
 from wigeonscale.crashes.tests.test_tracker import CrashTrackerCase
+from wigeonscale.crashes.tracker import CLEAN_TRIAL_S
+from wigeonscale.crashes.trials import (
+    ACCOMPANIED_EARLY_TRIAL_DELAY_S,
+    EARLY_TRIAL_DELAY_S,
+    MAX_EARLY_TRIALS,
+)
 from wigeonscale.errors import ErrorKind, RunState
 
 SHARED = prompt_part_key("model", "shared")
@@ -248,6 +254,124 @@
         self.assertEqual([((b"request at s1", "s1"),), ((SHARED, "s1"),)], crashes)
 
 
+class EarlyTrialTest(PartCase):
+    """A part that has never run may be the one that all requests share."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.apply_crashes()
+
+    def apply_crashes(self, *, crashes=3, failed_trials=0, age_s=0.0, **fields):
+        record = KnownCrashes(
+            fingerprint=SHARED,
+            backends=tuple(f"s{number}" for number in range(crashes)),
+            age_s=age_s,
+            span_s=9.0,
+            failed_trials=failed_trials,
+            **fields,
+        )
+        self.tracker.apply_records([record])
+
+    def ask(self, *others):
+        keys = (b"one", SHARED, *others)
+        refused = self.tracker.refused_keys(keys)
+        self.assertIn(SHARED, refused)
+        self.tracker.ask_for_trials(refused, keys=keys)
+        return self.tracker.take_report()
+
+    def is_accepted(self, *others):
+        return not self.tracker.refused_keys((b"one", SHARED, *others))
+
+    async def test_tried_long_before_the_refusal_expires(self):
+        self.assertEqual((), self.ask().trials)
+        refusal = crash_refusal(self.tracker, b"one", parts=[SHARED])
+        self.assertEqual(EARLY_TRIAL_DELAY_S, refusal.retry_after)
+        await self.clock.advance(EARLY_TRIAL_DELAY_S)
+        report = self.ask()
+        self.assertEqual((SHARED,), report.trials)
+        self.assertFalse(self.is_accepted())
+        self.apply_crashes(age_s=EARLY_TRIAL_DELAY_S, trial=report.trial_id)
+        self.assertTrue(self.is_accepted())
+        self.tracker.note_sent(b"one", [SHARED])
+        self.assertFalse(self.is_accepted())
+
+    async def test_good_trial_ends_the_refusal(self):
+        self.tracker.clear_suspect(b"one", [SHARED])
+        self.assertTrue(self.is_accepted())
+        self.assertEqual((SHARED,), self.tracker.take_report().cleared)
+
+    async def test_trial_is_not_sent_twice(self):
+        """An update that arrives later may say that the grant is younger."""
+        await self.clock.advance(EARLY_TRIAL_DELAY_S)
+        trial_id = self.ask().trial_id
+        self.apply_crashes(age_s=EARLY_TRIAL_DELAY_S, trial=trial_id)
+        self.tracker.note_sent(b"one", [SHARED])
+        await self.clock.advance(0.5)
+        self.apply_crashes(age_s=EARLY_TRIAL_DELAY_S, trial=trial_id)
+        self.assertFalse(self.is_accepted())
+
+    async def test_request_with_another_suspect_is_tried_later(self):
+        """Its crash would look like one under the shared part."""
+        self.tracker.apply_records([self.known_crashes("s1", fingerprint=PART)])
+        await self.clock.advance(EARLY_TRIAL_DELAY_S)
+        self.assertEqual((), self.ask(PART).trials)
+        report = self.ask()
+        self.assertEqual((SHARED,), report.trials)
+        self.apply_crashes(age_s=EARLY_TRIAL_DELAY_S, trial=report.trial_id)
+        self.assertFalse(self.is_accepted(PART))
+        self.assertTrue(self.is_accepted())
+        await self.clock.advance(CLEAN_TRIAL_S)
+        self.assertTrue(self.is_accepted(PART))
+
+    async def test_next_trial_is_later_and_their_number_is_limited(self):
+        for failed in range(MAX_EARLY_TRIALS):
+            delay_s = EARLY_TRIAL_DELAY_S * 4.0**failed
+            self.apply_crashes(failed_trials=failed)
+            await self.clock.advance(delay_s - 0.1)
+            self.assertEqual((), self.ask().trials)
+            await self.clock.advance(0.1)
+            self.assertEqual((SHARED,), self.ask().trials)
+        self.apply_crashes(failed_trials=MAX_EARLY_TRIALS)
+        self.assertEqual(refusal_s(3), self.refused_s(SHARED))
+        await self.clock.advance(100.0)
+        self.assertEqual((), self.ask().trials)
+
+    async def test_fewer_trials_beside_a_part_that_has_run(self):
+        """The refused part is then not the one that all requests share."""
+        self.tracker.clear_suspect(b"sound", [PART])
+        for crashes, failed, is_asked in ((4, 1, True), (5, 2, False), (6, 1, False)):
+            self.apply_crashes(crashes=crashes, failed_trials=failed, age_s=300.0)
+            self.assertEqual(is_asked, bool(self.ask(PART).trials))
+
+    async def test_later_trial_beside_a_part_that_has_run(self):
+        """Each crash may interrupt all requests of a small site for seconds."""
+        self.tracker.clear_suspect(b"sound", [PART])
+        await self.clock.advance(ACCOMPANIED_EARLY_TRIAL_DELAY_S - 0.1)
+        self.assertEqual((), self.ask(PART).trials)
+        await self.clock.advance(0.1)
+        self.assertEqual((SHARED,), self.ask(PART).trials)
+
+    async def test_asked_again_after_a_crash_under_another_entry(self):
+        await self.clock.advance(EARLY_TRIAL_DELAY_S)
+        self.assertEqual((SHARED,), self.ask().trials)
+        self.apply_crashes(crashes=4)
+        await self.clock.advance(EARLY_TRIAL_DELAY_S)
+        self.assertEqual((SHARED,), self.ask().trials)
+
+    async def test_control_of_an_older_version_grants_none(self):
+        self.apply_crashes(failed_trials=None, age_s=20.0)
+        self.assertEqual((), self.ask().trials)
+        self.assertEqual(refusal_s(3) - 20.0, self.refused_s(SHARED))
+
+    async def test_own_crashes_of_before_a_good_run_elsewhere_are_dropped(self):
+        for name in ("s4", "s5", "s6"):
+            self.crash_with_parts(name, SHARED)
+        self.tracker.take_report()
+        self.tracker.apply_records([self.known_crashes(fingerprint=SHARED)])
+        self.assertTrue(self.is_accepted())
+        self.assertFalse(self.tracker.is_suspect(SHARED))
+
+
 class TrialTest(PartCase):
     """The refusal of a part has expired."""
 
--- a/wigeonscale/crashes/tracker.py
+++ b/wigeonscale/crashes/tracker.py
@@ -21,12 +21,20 @@
 )
 from wigeonscale.crashes.proven import ProvenParts
 from wigeonscale.crashes.records import CrashReport, KnownCrashes, key_fields
-from wigeonscale.crashes.trials import TRIAL_INTERVAL_S, Trials
+from wigeonscale.crashes.trials import (
+    TRIAL_INTERVAL_S,
+    TRIAL_RETRY_AFTER_S,
+    Trials,
+    early_trial_at,
+)
 from wigeonscale.ports import Clock
 
 # The crash of a part that has run before is reported after this delay, and not at all
 # if a run with the part goes well meanwhile. Popular parts occur in almost all crashes.
 PROVEN_REPORT_DELAY_S = 1.0
+# An early trial is left for this long to requests in which nothing else is suspected. A
+# crash under another suspect would look like one under the part.
+CLEAN_TRIAL_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -113,7 +121,7 @@
             key: Fingerprint of the request, or key of the part.
 
         Returns:
-            The duration; 0 if it is not refused.
+            The duration; 0 if it is not refused. An early trial is not considered.
         """
         now = self._clock.now()
         refused_until = self._refused_until(key)
@@ -125,6 +133,51 @@
         record = self._confirmed.get(key)
         return self._trials.wait_s(key, record, is_proven=is_proven)
 
+    def refused_keys(self, keys: Collection[bytes]) -> dict[bytes, float]:
+        """Return what is refused in a request, and for how long, in seconds.
+
+        Args:
+            keys: All that may be refused in the request.
+        """
+        remaining_s = {key: self._remaining_with_trial_s(key, keys) for key in keys}
+        return {key: wait_s for key, wait_s in remaining_s.items() if wait_s > 0}
+
+    def _remaining_with_trial_s(self, key: bytes, keys: Collection[bytes]) -> float:
+        """Return how much longer a key is refused if it may be tried early."""
+        remaining_s = self.refusal_remaining_s(key)
+        early_at = self._early_trial_at(key, keys)
+        refused_until = None if early_at is None else self._refused_until(key)
+        if refused_until is None:
+            return remaining_s
+        now = self._clock.now()
+        if self._trials.is_granted(key, self._confirmed.get(key)):
+            is_reserved = now < min(early_at, refused_until) + CLEAN_TRIAL_S
+            is_left = is_reserved and not self._is_only_suspect(key, keys)
+            return TRIAL_RETRY_AFTER_S if is_left else 0.0
+        return min(remaining_s, max(early_at - now, TRIAL_RETRY_AFTER_S))
+
+    def _early_trial_at(self, key: bytes, keys: Collection[bytes]) -> float | None:
+        """Return when a refused part may be tried early; None if it may not.
+
+        Args:
+            key: Key of the part.
+            keys: All that may be refused in the request.
+        """
+        record = self._confirmed.get(key)
+        if record is None or not is_part_key(key):
+            return None
+        aborts = self._aborted_starts.of(key).values()
+        crashed_at = [abort.at for abort in aborts if abort.has_ended]
+        return early_trial_at(
+            record,
+            max([record.last_at, *crashed_at]),
+            is_accompanied=key not in self._proven_parts
+            and any(other in self._proven_parts for other in keys),
+        )
+
+    def _is_only_suspect(self, key: bytes, keys: Collection[bytes]) -> bool:
+        return not any(other != key and self.is_suspect(other) for other in keys)
+
     def _refused_until(self, key: bytes) -> float | None:
         """Return until when a request or part is refused; None if it is not."""
         if not self.is_suspect(key):
@@ -155,31 +208,45 @@
         retried_at = self._retried_at.get(key, float("-inf"))
         return max(refused_until, retried_at + CONFIRMATION_TIMEOUT_S)
 
-    def ask_for_trials(self, keys: Collection[bytes]) -> bool:
+    def ask_for_trials(
+        self, refused: Collection[bytes], *, keys: Collection[bytes] = ()
+    ) -> bool:
         """Ask control for trials of the refused parts of one request.
 
         If several of them are refused, other requests with only one of them may show
         which is the cause, so these ask first.
 
         Args:
-            keys: What is refused in the request.
+            refused: What is refused in the request.
+            keys: All that may be refused in the request.
 
         Returns:
             Whether the request may be sent if control grants what was asked now.
         """
         now = self._clock.now()
-        delay_s = TRIAL_INTERVAL_S if len(keys) > 1 else 0.0
+        keys = {*keys, *refused}
         asked = [
             key
-            for key in keys
+            for key in refused
             if key in self._confirmed
             and is_part_key(key)
-            and now >= (self._refused_until(key) or now) + delay_s
+            and now >= self._trial_due_at(key, refused, keys)
             and self._trials.ask(key, self._confirmed.get(key))
         ]
         if asked:
             self._report_ready.set()
-        return len(asked) == len(keys)
+        return len(asked) == len(refused)
+
+    def _trial_due_at(
+        self, key: bytes, refused: Collection[bytes], keys: Collection[bytes]
+    ) -> float:
+        """Return when a request may ask for the trial of a part."""
+        refused_until = self._refused_until(key) or self._clock.now()
+        early_at = self._early_trial_at(key, keys)
+        if early_at is None:
+            return refused_until + (TRIAL_INTERVAL_S if len(refused) > 1 else 0.0)
+        delay_s = 0.0 if self._is_only_suspect(key, keys) else CLEAN_TRIAL_S
+        return min(early_at, refused_until) + delay_s
 
     async def wait_for_records(self) -> None:
         """Wait for the next update from control."""
@@ -311,6 +378,10 @@
         self._records_changed = asyncio.Event()
         for record in records:
             self._trials.restart_wait(record.fingerprint)
+            if not record.trial:
+                self._trials.note_crash(record.fingerprint)
+            if not record.backends:
+                self._aborted_starts.discard_reported(record.fingerprint)
             if is_part_key(record.fingerprint):
                 self._note_ran_elsewhere(record)
         self._trials.retain({*self._confirmed, *self._aborted_starts})
--- a/wigeonscale/crashes/trials.py
+++ b/wigeonscale/crashes/trials.py
@@ -1,11 +1,16 @@
 """Trials of refused prompt parts, one at a time over all entries.
 
+A part is refused for long if it has never run without a crash, but that may only mean
+that no run with it has had the time: the servers crash under another part, or under
+certain requests, that arrive more often than a run takes to go on. So a part is tried
+soon after its last crash, before its refusal has expired, a few times.
+
 Requests with a part arrive at all entries. If each entry sent one of them as soon as
 the refusal has expired, a part that still crashes servers would crash as many as there
 are entries. So an entry asks control, which grants one trial at a time.
 """
 
-__all__ = ["TRIAL_INTERVAL_S", "Trials"]
+__all__ = ["TRIAL_INTERVAL_S", "Trials", "early_trial_at"]
 
 import secrets
 from collections.abc import Container
@@ -24,6 +29,54 @@
 # control may have no majority, or an older version that grants no trials.
 GRANT_TIMEOUT_S = 2.0
 ID_BYTES = 6
+# Early trials that end with a crash, after which a part stays refused. By the users'
+# rule a part may crash three servers after the fifth.
+MAX_EARLY_TRIALS = 3
+# The same if the request also has a part that has run without a crash: the refused one
+# is then not the one that all requests share. The limit is lower for a part that had
+# crashed five servers before any trial.
+MAX_ACCOMPANIED_EARLY_TRIALS = 2
+MAX_LATE_EARLY_TRIALS = 1
+LATE_CRASHES = 5
+# The first early trial is this long after the last crash, so that runs with the part
+# that have started before are over.
+EARLY_TRIAL_DELAY_S = 1.0
+# The same if the request also has a part that has run. Its crash may interrupt all
+# requests of a small site for seconds, so the site recovers first.
+ACCOMPANIED_EARLY_TRIAL_DELAY_S = 16.0
+# Each failed trial multiplies that delay by this.
+EARLY_TRIAL_GROWTH_FACTOR = 4.0
+
+
+def early_trial_at(
+    record: ConfirmedCrashes, last_crash_at: float, *, is_accompanied: bool = False
+) -> float | None:
+    """Return when a part may be tried though its refusal has not expired.
+
+    Args:
+        record: Crashes of the part as control knows them.
+        last_crash_at: Local instant of its last crash.
+        is_accompanied: Whether the request also has a part that has run before.
+
+    Returns:
+        A local instant; None if it must not be tried early.
+
+    Example:
+        >>> from wigeonscale.crashes.records import ConfirmedCrashes
+        >>> record = ConfirmedCrashes(frozenset("abc"), 0.0, 9.0, failed_trials=1)
+        >>> early_trial_at(record, 9.0)
+        13.0
+    """
+    if record.failed_trials is None:
+        return None
+    limit, delay_s = MAX_EARLY_TRIALS, EARLY_TRIAL_DELAY_S
+    if is_accompanied:
+        delay_s = ACCOMPANIED_EARLY_TRIAL_DELAY_S
+        is_late = len(record.backends) - record.failed_trials >= LATE_CRASHES
+        limit = MAX_LATE_EARLY_TRIALS if is_late else MAX_ACCOMPANIED_EARLY_TRIALS
+    if record.failed_trials >= limit:
+        return None
+    return last_crash_at + delay_s * EARLY_TRIAL_GROWTH_FACTOR**record.failed_trials
 
 
 class Trials:
@@ -55,22 +108,39 @@
             is_proven: Whether it has run without a crash before.
         """
         now = self._clock.now()
-        sent_at = self._sent_at.get(key, float("-inf"))
-        if now - sent_at < TRIAL_INTERVAL_S:
-            return TRIAL_INTERVAL_S - (now - sent_at)
-        if record is not None and record.trial == self.id:
-            granted_at = record.trial_at
-            if sent_at < granted_at and now - granted_at <= TRIAL_GRANT_S:
-                return 0.0
+        since_sent_s = now - self._sent_at.get(key, float("-inf"))
+        if since_sent_s < TRIAL_INTERVAL_S:
+            return TRIAL_INTERVAL_S - since_sent_s
+        if self.is_granted(key, record):
+            return 0.0
         waits_since = self._waits_since.setdefault(key, now)
         if is_proven and now - waits_since > GRANT_TIMEOUT_S:
             return 0.0
         return TRIAL_RETRY_AFTER_S
 
+    def is_granted(self, key: bytes, record: ConfirmedCrashes | None) -> bool:
+        """Return whether this entry has a trial that it has not sent yet.
+
+        Args:
+            key: Key of a refused part.
+            record: Its crashes as control knows them; None before it does.
+        """
+        if record is None or record.trial != self.id:
+            return False
+        now = self._clock.now()
+        sent_at = self._sent_at.get(key, float("-inf"))
+        if sent_at >= record.trial_at or now - sent_at < TRIAL_INTERVAL_S:
+            return False
+        return now - record.trial_at <= TRIAL_GRANT_S
+
     def restart_wait(self, key: bytes) -> None:
         """Wait for a grant anew, as control has changed the record of a part."""
         self._waits_since.pop(key, None)
 
+    def note_crash(self, key: bytes) -> None:
+        """Record that a part has crashed a server, which ends its trials."""
+        self._asked_at.pop(key, None)
+
     def ask(self, key: bytes, record: ConfirmedCrashes) -> bool:
         """Ask control for a trial, unless another entry has one.
 
--- a/wigeonscale/membership/crash_messages.py
+++ b/wigeonscale/membership/crash_messages.py
@@ -31,6 +31,9 @@
                 if record.ran_ms
                 else None
             ),
+            failed_trials=(
+                record.failed_trials if record.HasField("failed_trials") else None
+            ),
         )
         for record in update.records
     ]
--- a/wigeonscale/membership/tests/test_crash_messages.py
+++ b/wigeonscale/membership/tests/test_crash_messages.py
@@ -25,6 +25,14 @@
         (known,) = known_crashes(update)
         self.assertEqual(2.5, known.ran_age_s)
 
+    def test_failed_trials_are_unknown_from_an_older_control(self):
+        records = [
+            wire.CrashRecord(fingerprint=b"a", backends=["s1"]),
+            wire.CrashRecord(fingerprint=b"b", backends=["s1"], failed_trials=0),
+        ]
+        known = known_crashes(wire.CrashUpdate(records=records))
+        self.assertEqual([None, 0], [each.failed_trials for each in known])
+
     def test_common_parts_are_reported(self):
         command = record_crashes_command(CrashReport((), (), ran=(b"a",)))
         self.assertEqual([b"a"], list(command.record_crashes.ran))
--- a/wigeonscale/state/crash_records.py
+++ b/wigeonscale/state/crash_records.py
@@ -94,6 +94,7 @@
         if backends:
             record.first_ms = before.first_ms
         if before is not None:
+            record.failed_trials = before.failed_trials + _is_on_trial(before, now_ms)
             record.ran_ms, record.is_common = before.ran_ms, before.is_common
         return True
 
@@ -125,7 +126,7 @@
         record = self._records.get(key)
         if record is None or not record.backends or not trial_id:
             return False
-        if record.trial and now_ms - record.trial_ms < MS_PER_S * TRIAL_INTERVAL_S:
+        if _is_on_trial(record, now_ms):
             return False
         record.trial, record.trial_ms, record.index = trial_id, now_ms, index
         self._records.move_to_end(key)
@@ -140,6 +141,7 @@
             wall_ms=now_ms,
             first_ms=now_ms,
             index=index,
+            failed_trials=0,
         )
         self._records.move_to_end(fingerprint)
         return record
@@ -180,3 +182,8 @@
             kept.CopyFrom(record)
             self._records[kept.fingerprint] = kept
         self.index = max((r.index for r in self._records.values()), default=0)
+
+
+def _is_on_trial(record: wire.CrashRecord, now_ms: int) -> bool:
+    age_ms = now_ms - record.trial_ms
+    return bool(record.trial) and age_ms < MS_PER_S * TRIAL_INTERVAL_S
--- a/wigeonscale/state/tests/test_crash_records.py
+++ b/wigeonscale/state/tests/test_crash_records.py
@@ -96,6 +96,39 @@
         self.record(crash(b"a", "s2"))
         self.assertEqual("", self.trial())
 
+    def failed_trials(self, key=b"a"):
+        (record,) = [r for r in self.state.crashes.after(0) if r.fingerprint == key]
+        return record.failed_trials
+
+    def test_crash_during_a_trial_is_counted_until_the_next_good_run(self):
+        self.record(crash(b"a", "s1"))
+        self.assertEqual(0, self.failed_trials())
+        self.record(trials=[b"a"], trial_id="e1")
+        self.record(crash(b"a", "s2"))
+        self.assertEqual(1, self.failed_trials())
+        # The first crash has ended the trial.
+        self.record(crash(b"a", "s3"))
+        self.assertEqual(1, self.failed_trials())
+        self.record(cleared=[b"a"])
+        self.record(crash(b"a", "s4"))
+        self.assertEqual(0, self.failed_trials())
+
+    def test_crash_after_a_trial_is_not_counted(self):
+        self.record(crash(b"a", "s1"))
+        self.record(trials=[b"a"], trial_id="e1")
+        self.wall_ms += int(1000 * TRIAL_INTERVAL_S)
+        self.record(crash(b"a", "s2"))
+        self.assertEqual(0, self.failed_trials())
+
+    def test_snapshot_keeps_the_failed_trials(self):
+        self.record(crash(b"a", "s1"))
+        self.record(trials=[b"a"], trial_id="e1")
+        self.record(crash(b"a", "s2"))
+        other = ControlState()
+        other.restore(self.state.snapshot())
+        (record,) = other.crashes.after(0)
+        self.assertEqual(1, record.failed_trials)
+
     def test_trial_of_an_unknown_or_cleared_part_is_not_granted(self):
         self.record(crash(b"a", "s1"))
         self.record(cleared=[b"a"])
