Give each run of the soak loopback addresses of its own

Cause: all runs used 127.0.0.11 to 127.0.0.22, and free_ports tries ports on 127.0.0.1 only, before the daemons listen.

Change: the addresses depend on the id of the process, and differ for any two ids that are less than 62,500 apart.

--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -1,10 +1,19 @@
 """The daemons under test: three control replica and two entry processes."""
 
-__all__ = ["CONTROLS", "Deployment", "ENTRIES", "Node", "SHUTDOWN_TIMEOUT_S", "Start"]
+__all__ = [
+    "CONTROLS",
+    "Deployment",
+    "ENTRIES",
+    "Node",
+    "SHUTDOWN_TIMEOUT_S",
+    "Start",
+    "loopback_ip",
+]
 
 import asyncio
 import contextlib
 import math
+import os
 import pathlib
 import shutil
 import signal
@@ -15,8 +24,18 @@
 
 from demo.processes import Child, free_ports, start
 
-CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
-ENTRIES = ("127.0.0.21", "127.0.0.22")
+
+def loopback_ip(pid: int, host: int) -> str:
+    """Return a loopback address for the daemons that one process starts.
+
+    Processes with close ids get different addresses, so that parallel runs cannot share
+    a port: gRPC servers of two runs could listen on one, as they set SO_REUSEPORT.
+    """
+    return f"127.{1 + pid // 250 % 250}.{1 + pid % 250}.{host}"
+
+
+CONTROLS = tuple(loopback_ip(os.getpid(), host) for host in (11, 12, 13))
+ENTRIES = tuple(loopback_ip(os.getpid(), host) for host in (21, 22))
 DAEMON = "wigeonscale.cli.wigeond"
 # Time in which an entry finishes its requests after SIGTERM.
 SHUTDOWN_TIMEOUT_S = 8.0
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -1,4 +1,5 @@
 import asyncio
+import ipaddress
 import os
 import pathlib
 import random
@@ -8,7 +9,7 @@
 import fixtures
 
 from wigeonscale.testing import AsyncTestCase
-from wigeonscale.testing.soak.deployment import Deployment, Node
+from wigeonscale.testing.soak.deployment import Deployment, Node, loopback_ip
 from wigeonscale.testing.soak.faults import (
     LINK_KINDS,
     NODE_KINDS,
@@ -278,6 +279,19 @@
             self.assertTrue(result.answers[200] > 0, result.answers)
 
 
+class AddressesTest(AsyncTestCase):
+    """Guards against parallel runs whose daemons talk to each other."""
+
+    def test_processes_have_addresses_of_their_own(self):
+        ips = {loopback_ip(pid, host) for pid in range(60000) for host in (11, 21)}
+        self.assertEqual(120000, len(ips))
+
+    def test_addresses_are_loopback_hosts(self):
+        for pid in (1, 249, 250, 62499, 62500, 4194304):
+            address = ipaddress.ip_address(loopback_ip(pid, 11))
+            self.assertTrue(address.is_loopback)
+
+
 class UnexpectedExitTest(AsyncTestCase):
     """Guards against a daemon that is gone and of which nothing is recorded."""
 
