Keep two causes that share crashes from releasing each other

Load pattern: one part and one whole request crash engines, and arrive together while a site has one engine, so that both are in its first crashes.

Cause: crashes shared by two suspects go to the one with more of them. With three each, any further crash of one released the other in full, until it had as many again: both went up to six crashes, and each release sent all waiting requests at once.

Change: a suspect that has never run, with three crashes and at least one that no likelier or equal suspect shares, is refused for the short time of an uncertain refusal instead of not at all. After it, it is tried singly.

--- a/wigeonscale/crashes/attribution.py
+++ b/wigeonscale/crashes/attribution.py
@@ -61,7 +61,9 @@
     """Return how long a suspect is refused, considering the other suspects.
 
     A crash with several suspects is attributed to one that has never run without a
-    crash, and among those to the one with the most crashes.
+    crash, and among those to the one with the most crashes. Two that crash servers may
+    have had their first crashes in common. Neither is released by further crashes of
+    the other if it had one alone: it is refused for a short time again.
 
     Args:
         suspect: The request or part.
@@ -78,6 +80,9 @@
         0.0
         >>> refusal_s_among(three, [three], span_s=9.0)
         5.0
+        >>> alone = Suspect({"a", "b", "c", "e"})
+        >>> refusal_s_among(alone, [Suspect({"a", "b", "c", "d", "f"})], span_s=9.0)
+        5.0
         >>> refusal_s_among(three, [], span_s=0.1)
         5.0
         >>> refusal_s_among(three, [], span_s=9.0)
@@ -98,7 +103,8 @@
         elif other.is_as_likely_as(suspect):
             unshared -= other.backends
     if len(unexplained) < CRASHES_TO_REFUSE:
-        return 0.0
+        has_crash_alone = bool(unexplained & unshared)
+        return uncertain_s if has_crash_alone and not suspect.is_proven else 0.0
     if suspect.is_proven:
         beyond = crashes - CRASHES_TO_REFUSE
         return PROVEN_REFUSAL_S * PROVEN_REFUSAL_GROWTH_FACTOR**beyond
--- a/wigeonscale/crashes/tests/test_attribution.py
+++ b/wigeonscale/crashes/tests/test_attribution.py
@@ -18,6 +18,14 @@
     def test_tied_suspects_are_refused_for_a_short_time(self):
         self.assertEqual(5.0, self.refusal_s(THREE, Suspect(frozenset("abc"))))
 
+    def test_suspect_with_a_crash_alone_is_not_released_by_another(self):
+        """Two deadly suspects may have had their first crashes in common."""
+        one, other = Suspect(frozenset("abcd")), Suspect(frozenset("abcef"))
+        self.assertEqual(5.0, self.refusal_s(one, other))
+        self.assertEqual(refusal_s(5), self.refusal_s(other, one))
+        proven = Suspect(frozenset("abcd"), is_proven=True)
+        self.assertEqual(0.0, self.refusal_s(proven, other))
+
     def test_a_suspect_that_has_never_run_is_likelier_than_a_proven_one(self):
         """A popular part occurs in all crashes of a part that crashes servers."""
         self.assertEqual(0.0, self.refusal_s(PROVEN, THREE, Suspect(frozenset("cde"))))
--- a/wigeonscale/crashes/tests/test_fleet_restarts.py
+++ b/wigeonscale/crashes/tests/test_fleet_restarts.py
@@ -142,3 +142,19 @@
             entry_restarts=((4.0, 1.0),),
             racks=(4.6, 5.3, 6.0, 7.0, 9.0),
         )
+
+
+class TwoCausesTest(FleetCase):
+    """A part and a request had their first crashes in common, on the only engine."""
+
+    async def test_crashes_of_one_do_not_release_the_other(self):
+        await self.check(
+            seeds=(7, 8),
+            entries=2,
+            engines=1,
+            deadly_requests=("repeated",),
+            deadly_rate=6.0,
+            sound_rate=20.0,
+            deadly_from_s=4.0,
+            entry_restarts=((4.0, 1.0),),
+        )
