Do not lose the exit status of a daemon that a signal has just ended

The SIGTERM came before the daemon handled signals and ended it with -15.

Cause: Popen.send_signal() polls first. For the SIGHUP it collected the status of the ended process, so that asyncio's watcher found none and reported 255.

Change: the harness signals the process by its id, as long as asyncio has not reported its end.

Tests: the new one failed before, as sending a signal polled the process.

--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -130,7 +130,10 @@
         """Send a signal to the process that this node started, if it is running."""
         if self.child is not None and self.child.proc.returncode is None:
             self.last_start.note_signal(signum)
-            self.child.proc.send_signal(signum)
+            # Popen.send_signal() would collect the status of a process that has just
+            # ended, and asyncio would report 255 instead.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.proc.pid, signum)
 
 
 class Deployment:
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -4,7 +4,9 @@
 import pathlib
 import random
 import signal
+import subprocess
 from types import SimpleNamespace
+from unittest import mock
 
 import fixtures
 
@@ -319,6 +321,14 @@
         await self.dep.kill(self.node, signal.SIGTERM)
         self.assertEqual([], self.dep.unexpected_exits)
 
+    async def test_signal_does_not_collect_the_status_of_a_process(self):
+        await self.dep.start(self.node)
+        self.node.last_start.is_stopped = True
+        with mock.patch.object(subprocess.Popen, "poll", side_effect=AssertionError):
+            for signum in (signal.SIGKILL, signal.SIGHUP):
+                self.node.send_signal(signum)
+        self.assertEqual(-signal.SIGKILL, await self.node.child.proc.wait())
+
     async def test_hangup_at_once_after_the_start(self):
         for _ in range(5):
             await self.dep.start(self.node)
