Add signals around freezes and connections kept in use to the soak

Freezes met a SIGHUP or a restart only by chance, all changes of the configuration had the same content, and few connections to an entry were open when it closed them.

Change: around each freeze two daemons get a SIGHUP, and around two of five an entry is stopped gracefully and started again, overlapping, from a generator of their own. A route comes and goes with the number of the configuration, and the attempts of the others alternate. 24 connections send plain requests to one entry each, with pauses of up to 1.5 s, until the entry closes them.

Tests: signals lie around their freezes; the content changes with the number.

--- a/wigeonscale/testing/soak/freezes.py
+++ b/wigeonscale/testing/soak/freezes.py
@@ -4,18 +4,24 @@
 with all of it where it was. No response may be lost by that.
 """
 
-__all__ = ["Freeze", "apply_freeze", "draw_freezes"]
+__all__ = ["Freeze", "apply_freeze", "draw_freezes", "draw_planned_work"]
 
 import asyncio
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from wigeonscale.testing.soak.faults import Fault
+
 MIN_FREEZE_S = 0.6
 MAX_FREEZE_S = 1.5
 SCOPES = ("one", "several", "all")
 # Time of the load for one freeze of each scope.
 SECONDS_PER_ROUND = 4.0
+# Planned work starts at most this long before a freeze, or during it.
+PLANNED_LEAD_S = 0.5
+RESTART_SHARE = 0.4
+RESTART_DELAY_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +67,34 @@
     ]
 
 
+def draw_planned_work(
+    seed: int, freezes: Sequence[Freeze], *, entries: Sequence[int], nodes: int
+) -> list[Fault]:
+    """Return the signals around the freezes of a run, from a generator of their own.
+
+    Two daemons get a SIGHUP around each freeze, and an entry is stopped gracefully and
+    started again around some.
+
+    Args:
+        seed: Seed of the run.
+        freezes: Its freezes.
+        entries: Indices of the entries among the daemons.
+        nodes: Number of daemons.
+    """
+    rng = random.Random(f"planned work {seed}")
+    work = []
+    for freeze in freezes:
+        span_s = freeze.start_s - PLANNED_LEAD_S, freeze.start_s + freeze.duration_s
+        targets = [("hangup", rng.randrange(nodes)) for _ in range(2)]
+        if rng.random() < RESTART_SHARE:
+            targets.append(("stop", rng.choice(entries)))
+        work += [
+            Fault(max(0.0, rng.uniform(*span_s)), kind, target, RESTART_DELAY_S)
+            for kind, target in targets
+        ]
+    return work
+
+
 def _draw_targets(rng, scope, indices) -> tuple[int, ...]:
     counts = {"one": 1, "several": rng.randint(2, len(indices)), "all": len(indices)}
     return tuple(rng.sample(indices, counts[scope]))
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -43,6 +43,7 @@
 LONG_SHARE = 0.2
 IDLE_SHARE = 0.05
 IDLE_S = (1.0, 3.0)
+KEPT_IDLE_S = (0.2, 1.5)
 # A caller on a slow line: its speed, and its buffers, which on loopback are far larger.
 SLOW_BYTES_PER_S = 400_000
 SLOW_BUFFER_BYTES = 4096
@@ -62,7 +63,8 @@
 
     Args:
         number: Its number.
-        kinds: Routes; with ``BATCH``, the generations have traffic classes.
+        kinds: Routes; with ``BATCH``, the generations have traffic classes. A further
+            route and the attempts change with the number.
     """
     routes = [
         {
@@ -72,11 +74,14 @@
             "kind": "streaming" if kind in CLASSES else kind,
             "timeout-ms": DEADLINES_S[kind] * 1000,
             "service": _service(kind),
-            "max-attempts": 1 if kind == "unsafe" else 2,
+            "max-attempts": 1 if kind == "unsafe" else 2 + number % 2,
             "resumable": kind in CLASSES and kind not in AT_MOST_ONCE_KINDS,
         }
         for kind in kinds
     ]
+    if number % 2:
+        safe = next(route for route in routes if route["name"] == "safe")
+        routes.append(safe | {"name": "spare", "path-prefix": "/spare/"})
     if BATCH in kinds:
         for route in routes:
             if route["name"] in CLASSES:
@@ -139,6 +144,16 @@
                 pause_s = self._rng.uniform(*(IDLE_S if is_idle else (0.0, 0.05)))
                 await asyncio.sleep(pause_s)
 
+    async def run_kept_connection(self, entry) -> None:
+        """Send plain requests to one entry on one connection until cancelled.
+
+        A new connection is opened only when the entry has closed the last one.
+        """
+        async with new_session() as session:
+            while True:
+                await self.call(session, entry, self._rng.choice(("unsafe", "safe")))
+                await asyncio.sleep(self._rng.uniform(*KEPT_IDLE_S))
+
     async def run_slow_caller(self) -> None:
         """Read large streams slowly until cancelled."""
         async with new_session(is_slow=True) as session:
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -10,7 +10,11 @@
 from wigeonscale.testing.soak.backends import Backend
 from wigeonscale.testing.soak.deployment import CONTROLS, ENTRIES, Deployment
 from wigeonscale.testing.soak.faults import draw_faults, inject
-from wigeonscale.testing.soak.freezes import apply_freeze, draw_freezes
+from wigeonscale.testing.soak.freezes import (
+    apply_freeze,
+    draw_freezes,
+    draw_planned_work,
+)
 from wigeonscale.testing.soak.invariants import InvariantChecker
 from wigeonscale.testing.soak.load import BATCH, Load, new_session
 from wigeonscale.testing.soak.notices import apply_notice, draw_notices
@@ -21,6 +25,8 @@
 SERVICES = (range(ENGINES), range(ENGINES, ENGINES + PLAIN_SERVERS))
 DAEMONS = len(CONTROLS) + len(ENTRIES)
 CALLERS = 8
+# Connections to entries that stay open and are used until the entry closes them.
+KEPT_CONNECTIONS = 24
 # Every third seed has traffic classes. None of REGRESSION_SEEDS has: they failed
 # without.
 SEEDS_PER_CLASSES = 3
@@ -92,8 +98,14 @@
             await _wait_until_served(load, session, dep, checker, "at first")
             notices = draw_notices(seed, seconds=seconds, backends=len(backends))
             freezes = draw_freezes(seed, seconds=seconds, services=SERVICES)
+            planned = draw_planned_work(
+                seed,
+                freezes,
+                entries=range(len(CONTROLS), DAEMONS),
+                nodes=DAEMONS,
+            )
             await _run_load_with_faults(
-                faults, load, dep, backends, checker, notices, freezes
+                [*faults, *planned], load, dep, backends, checker, notices, freezes
             )
             await _wait_until_served(load, session, dep, checker, "after the faults")
             await _wait_until_read(load, session, checker)
@@ -117,6 +129,9 @@
 ) -> None:
     control_lock = asyncio.Lock()
     loads = [asyncio.create_task(load.run_callers()) for _ in range(CALLERS)]
+    for number in range(KEPT_CONNECTIONS):
+        entry = dep.entries[number % len(dep.entries)]
+        loads.append(asyncio.create_task(load.run_kept_connection(entry)))
     loads.append(asyncio.create_task(load.run_operator()))
     loads.append(asyncio.create_task(load.run_slow_caller()))
     loads.append(asyncio.create_task(load.run_crashing_caller()))
--- a/wigeonscale/testing/soak/tests/test_backends.py
+++ b/wigeonscale/testing/soak/tests/test_backends.py
@@ -14,6 +14,7 @@
     Freeze,
     apply_freeze,
     draw_freezes,
+    draw_planned_work,
 )
 from wigeonscale.testing.soak.invariants import InvariantChecker
 
@@ -149,6 +150,26 @@
         self.assertTrue(MIN_FREEZE_S <= min(durations_s) < 0.7)
         self.assertTrue(1.4 < max(durations_s) <= MAX_FREEZE_S)
 
+    def test_signals_around_each_freeze(self):
+        stops = 0
+        for seed in range(20):
+            freezes = self.drawn(seed)
+            work = draw_planned_work(seed, freezes, entries=range(3, 5), nodes=5)
+            hangups = [fault for fault in work if fault.kind == "hangup"]
+            self.assertEqual(2 * len(freezes), len(hangups))
+            for fault in work:
+                self.assertTrue(
+                    any(
+                        max(0.0, freeze.start_s - 0.5)
+                        <= fault.start_s
+                        <= freeze.start_s + freeze.duration_s
+                        for freeze in freezes
+                    )
+                )
+                self.assertIn(fault.target, range(3 if fault.kind == "stop" else 0, 5))
+            stops += len(work) - len(hangups)
+        self.assertTrue(10 < stops < 50, stops)
+
     async def test_targets_freeze_at_once(self):
         frozen = []
 
--- a/wigeonscale/testing/soak/tests/test_load.py
+++ b/wigeonscale/testing/soak/tests/test_load.py
@@ -94,3 +94,12 @@
         self.assertEqual({"stream", "once", "batch"}, streams)
         resumable = {name for name, route in routes.items() if route["resumable"]}
         self.assertEqual({"stream", "batch"}, resumable)
+
+    def test_content_changes_with_the_number(self):
+        routes = [document(number)["routes"] for number in (1, 2)]
+        self.assertEqual(
+            [["spare"], []], [[r["name"] for r in each[4:]] for each in routes]
+        )
+        attempts = [{r["name"]: r["max-attempts"] for r in each} for each in routes]
+        self.assertNotEqual(attempts[0]["stream"], attempts[1]["stream"])
+        self.assertEqual([1, 1], [each["unsafe"] for each in attempts])
