Do not prolong a freeze by the next one

Change: a server that stands still is not frozen again.

Tests: the new one failed before, as the second freeze of 600 s went on.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -101,7 +101,6 @@
         self._runner: web.ServerRunner | None = None
         self._heartbeat_task: asyncio.Task | None = None
         self._crashes: set[asyncio.Task] = set()
-        self._freezes = 0
         self._goes_on = asyncio.Event()
         self._goes_on.set()
 
@@ -141,27 +140,26 @@
         await runner.cleanup()
 
     async def freeze(self, duration_s: float, *, accepts: bool) -> None:
-        """Stand still for a moment and go on.
+        """Stand still for a moment and go on; a frozen server is not frozen for longer.
 
         Args:
             duration_s: Duration, in seconds.
             accepts: Whether the address accepts connections meanwhile.
         """
+        if not self._goes_on.is_set():
+            return
         now = asyncio.get_running_loop().time
         name = self.name
         # Its responses may not arrive in time.
         self.checker.notices.begin_link_fault(name, now())
-        self._freezes += 1
         self._goes_on.clear()
         if not accepts and self.is_running:
             self.relay.pause_accepting()
         try:
             await asyncio.sleep(duration_s)
         finally:
-            self._freezes -= 1
-            if not self._freezes:
-                self._goes_on.set()
-                await self.relay.resume_accepting()
+            self._goes_on.set()
+            await self.relay.resume_accepting()
             self.checker.notices.end_link_fault(name, now())
 
     async def _crash_and_restart(self) -> None:
--- a/wigeonscale/testing/soak/tests/test_backends.py
+++ b/wigeonscale/testing/soak/tests/test_backends.py
@@ -106,6 +106,14 @@
         await self.end(freeze)
         self.assertEqual(200, await self.report())
 
+    async def test_frozen_server_is_not_frozen_for_longer(self):
+        freeze = self.freeze(accepts=True)
+        await asyncio.sleep(0)
+        await self.backend.freeze(LONG_FREEZE_S, accepts=False)
+        self.assertFalse(freeze.done())
+        await freeze
+        self.assertEqual(200, await self.report())
+
     async def test_frozen_server_runs_an_abandoned_request(self):
         """The sender must not say that such a request did not run."""
         freeze = self.freeze(LONG_FREEZE_S, accepts=True)
