Soak: excuses follow servers over restarts, and pauses of the entry

Restarts of a backend server change its name, so that its loss no longer excused a stream that it ran; addresses stay. A stream that may be resumed waits for another server before it ends; an unread request at a stopping entry may cross the close later if the entry was paused. A loss before the run excuses nothing any more.

--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -131,7 +131,7 @@
         if self._runner is None:
             return
         now = asyncio.get_running_loop().time()
-        self.checker.responses.record_loss(self.service, self.name, now)
+        self.checker.responses.record_loss(self.service, self.relay.address, now)
         runner, self._runner = self._runner, None
         self._heartbeat_task.cancel()
         await asyncio.gather(self._heartbeat_task, return_exceptions=True)
@@ -228,8 +228,8 @@
         if refusal is not None:
             return refusal
         self.checker.record_run(request_id)
-        names = tuple(server.name for server in self._path(req))
-        self.checker.responses.record_run(request_id, names, now)
+        path = tuple(server.relay.address for server in self._path(req))
+        self.checker.responses.record_run(request_id, path, now)
         body = await req.read()
         cause = self._crash_cause(req, body)
         if cause:
--- a/wigeonscale/testing/soak/faults.py
+++ b/wigeonscale/testing/soak/faults.py
@@ -134,7 +134,7 @@
         checker.notices.end_link_fault(server, now())
         if fault.kind in BREAKING_LINK_KINDS:
             checker.responses.record_link_fault(
-                backend.service, server, began_at, now()
+                backend.service, backend.relay.address, began_at, now()
             )
 
 
--- a/wigeonscale/testing/soak/notices.py
+++ b/wigeonscale/testing/soak/notices.py
@@ -87,7 +87,7 @@
         await backend.start()
     backend.notice_headers, backend.retry_after_s = {}, None
     backend.checker.responses.impairments[backend.service].append(
-        (name, began_at, now())
+        (backend.relay.address, began_at, now())
     )
 
 
--- a/wigeonscale/testing/soak/responses.py
+++ b/wigeonscale/testing/soak/responses.py
@@ -19,7 +19,7 @@
 OVERDUE_S = 1.0
 # The users' rules allow 0.2 s from the last byte of a request that nobody reads to the
 # end of its connection; a busy machine takes longer.
-CROSSING_S = 1.0
+CROSSING_S = 2.0
 # A stream ends at most this much later than the fault that broke its connection.
 BREAK_DETECTION_S = 1.0
 # Time after a loss of a server in which its service has no spare servers; by the users'
@@ -58,19 +58,29 @@
         """Time of its deadline, by the event loop."""
         return self.sent_at + self.deadline_s
 
+    @property
+    def paused_s(self) -> float:
+        """Time for which its entry was paused meanwhile, in seconds."""
+        return sum(
+            max(0.0, min(end, self.ended_at) - max(start, self.sent_at))
+            for start, end in self.process.pauses
+        )
+
 
 @dataclass(slots=True)
 class ResponseChecker:
     """Records the requests without a complete response, and what may explain it.
 
+    Servers are identified by their addresses, which restarts do not change.
+
     Attributes:
         incomplete: Requests whose connection ended without a complete response.
         arrived: Ids of the requests that reached a backend server.
-        runs: First server of each run and all servers of its path, with its start, by
+        runs: The servers of each run, the first of which responds, and its start, by
             request id.
-        lost_at: Time at which a server stopped or crashed, by its name.
+        lost_at: Times at which a server stopped or crashed.
         link_faults: Start and end of the times in which the connections of a server
-            were reset or blocked, by its name.
+            were reset or blocked.
         impairments: Server, start and end of the times in which a server could not
             take requests, by service. A server that stands still is not among them.
     """
@@ -80,18 +90,17 @@
     runs: dict[str, list[tuple[tuple[str, ...], float]]] = field(
         default_factory=lambda: defaultdict(list)
     )
-    lost_at: dict[str, float] = field(default_factory=dict)
+    lost_at: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     link_faults: dict[str, list[tuple[float, float]]] = field(
         default_factory=lambda: defaultdict(list)
     )
-
     impairments: dict[str, list[tuple[str, float, float]]] = field(
         default_factory=lambda: defaultdict(list)
     )
 
     def record_loss(self, service: str, server: str, at: float) -> None:
         """Record that a server stops or crashes."""
-        self.lost_at[server] = at
+        self.lost_at[server].append(at)
         self.impairments[service].append((server, at, at))
 
     def record_link_fault(
@@ -122,10 +131,12 @@
     def _crossed_shutdown(self, req: Request) -> bool:
         """Return whether a stopping entry closed the connection of an unread request.
 
-        Such a request has reached no server and ends soon after it was sent.
+        Such a request has reached no server and ends soon after it was sent, or after a
+        pause of the entry.
         """
         return (
-            req.process.stopped_at <= req.ended_at <= req.sent_at + CROSSING_S
+            req.process.stopped_at <= req.ended_at
+            and req.ended_at <= req.sent_at + CROSSING_S + req.paused_s
             and req.status is None
             and req.request_id not in self.arrived
         )
@@ -137,8 +148,10 @@
         """
         if req.status != 200 or (req.may_resume and not self._lacks_servers(req)):
             return False
+        # A stream that may be resumed waits for another server before it ends.
+        within_s = RECOVERY_S if req.may_resume else BREAK_DETECTION_S
         return any(
-            self._run_broke(servers, began_at, req.ended_at)
+            self._run_broke(servers, began_at, req.ended_at, within_s)
             for servers, began_at in self.runs[req.request_id]
         )
 
@@ -155,12 +168,16 @@
         }
         return len(impaired) > 1
 
-    def _run_broke(self, servers, began_at: float, ended_at: float) -> bool:
+    def _run_broke(self, servers, began_at, ended_at, within_s) -> bool:
         """Return whether a server of a run was lost or the response got blocked."""
-        if any(self.lost_at.get(name, ended_at) < ended_at for name in servers):
+        if any(
+            began_at <= at < ended_at
+            for server in servers
+            for at in self.lost_at[server]
+        ):
             return True
         return any(
-            began_at <= end and start <= ended_at <= end + BREAK_DETECTION_S
+            began_at <= end and start <= ended_at <= end + within_s
             for start, end in self.link_faults[servers[0]]
         )
 
@@ -173,11 +190,7 @@
     """
     if req.ended_at < req.deadline_at + OVERDUE_S:
         return req.ended_at >= req.deadline_at - DEADLINE_MARGIN_S
-    paused_s = sum(
-        max(0.0, min(end, req.ended_at) - max(start, req.sent_at))
-        for start, end in req.process.pauses
-    )
-    return req.ended_at < req.deadline_at + OVERDUE_S + paused_s
+    return req.ended_at < req.deadline_at + OVERDUE_S + req.paused_s
 
 
 def _was_killed(req: Request) -> bool:
