--- a/wigeonscale/testing/soak/backends.py
+++ b/wigeonscale/testing/soak/backends.py
@@ -133,8 +133,10 @@
         now = asyncio.get_running_loop().time()
         self.checker.responses.record_loss(self.service, self.relay.address, now)
         runner, self._runner = self._runner, None
-        self._heartbeat_task.cancel()
-        await asyncio.gather(self._heartbeat_task, return_exceptions=True)
+        # A cancellation may be lost to the timeout of a call that ends just then.
+        while not self._heartbeat_task.done():
+            self._heartbeat_task.cancel()
+            await asyncio.wait({self._heartbeat_task}, timeout=CALL_TIMEOUT_S)
         self.relay.stop_listening()
         self.relay.abort()
         await runner.cleanup()
--- a/wigeonscale/testing/soak/deployment.py
+++ b/wigeonscale/testing/soak/deployment.py
@@ -235,9 +235,16 @@
             while not await self._is_ready(session, node):
                 await asyncio.sleep(CATCH_UP_POLL_INTERVAL_S)
 
-    async def _is_ready(self, session, node) -> bool:
+    async def wait_until_ready(self, entry: Node) -> None:
+        """Wait until an entry is ready, as a load balancer does."""
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while not await self._is_ready(session, entry, "ready"):
+                await asyncio.sleep(CATCH_UP_POLL_INTERVAL_S)
+
+    async def _is_ready(self, session, node, page: str = "readyz") -> bool:
         try:
-            async with session.get(f"http://{node.ip}:{self.http}/readyz") as res:
+            async with session.get(f"http://{node.ip}:{self.http}/{page}") as res:
                 return res.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -175,6 +175,7 @@
     async def wait(entry, kind) -> None:
         try:
             async with asyncio.timeout(TIMEOUT_S):
+                await dep.wait_until_ready(entry)
                 while not await load.call(session, entry, kind):
                     await asyncio.sleep(0.1)
         except TimeoutError:
