Retry a command whose stream another command has closed

With real daemons one transfer note of some 480 requests, sent just after a change of the leader, ended with a closed channel and no answer (client: "Server disconnected"; the entry's record: cancelled after 0.03 s, no dispatch).

Cause, by reading and by the run below: an entry sends all commands on one stream. The command that learns of a new leader, or of a silent one, closes it; in another one that is just being written, gRPC then raises CancelledError. It goes up through submit() as if the caller had left, so the entry cuts the caller's request while its key is being claimed. The same error ends any loop that submits commands.

Evidence: four commands of 20 MB on one stream of real gRPC that is cancelled during the first write: one cancelled and three answered before, four answered after the change. A small command meets this only if its write has to wait, so the new test blocks the write and fails it as gRPC does; before the change its submit() was cancelled.

Change: if the task itself is not being cancelled, the stream is lost, and the command is repeated under its operation id, as after other losses.

--- a/wigeonscale/membership/submitter.py
+++ b/wigeonscale/membership/submitter.py
@@ -81,6 +81,11 @@
             reply = await fut
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
             raise _StreamLostError from exc
+        except asyncio.CancelledError as exc:
+            if asyncio.current_task().cancelling():
+                raise
+            # gRPC raises it in a write when another command has closed the stream.
+            raise _StreamLostError from exc
         finally:
             self._pending.pop(req.call_id, None)
         if reply is None:
--- a/wigeonscale/membership/tests/test_submitter.py
+++ b/wigeonscale/membership/tests/test_submitter.py
@@ -28,6 +28,22 @@
     return reply
 
 
+class BlockedCall:
+    """A call whose writes last until it is cancelled, and then fail as in gRPC."""
+
+    def __init__(self):
+        self.is_writing = asyncio.Event()
+        self._is_cancelled = asyncio.Event()
+
+    async def write(self, req):
+        self.is_writing.set()
+        await self._is_cancelled.wait()
+        raise asyncio.CancelledError
+
+    def cancel(self):
+        self._is_cancelled.set()
+
+
 class SubmitterTest(FakeControlCase):
     def new_submitter(self, *addresses):
         submitter = Submitter(
@@ -96,6 +112,34 @@
         self.assertEqual(1, len(set(sent)))
         self.assertNotEqual("", sent[0])
 
+    async def test_stream_closed_during_a_write_cancels_no_command(self):
+        """Guards against callers that are cut off when the leader changes."""
+        (fake,) = await self.start_fakes()
+        fake.on_command = reply_with(index=8)
+        submitter = self.new_submitter(fake.address)
+        await self.result_of(submitter)
+        stream = submitter._stream
+        stream._call.cancel()
+        stream._call = BlockedCall()
+        with mock.patch.object(type(stream), "is_open", True):
+            task = asyncio.create_task(submitter.submit(wire.Command()))
+            await stream._call.is_writing.wait()
+        # As after an answer to another command that names the new leader.
+        await submitter._switch_to(stream, fake.address)
+        await self.advance_until(task.done)
+        self.assertFalse(task.cancelled())
+        self.assertEqual(8, task.result().index)
+
+    async def test_cancelled_command_stays_cancelled(self):
+        (fake,) = await self.start_fakes()
+        fake.on_command = lambda req: None
+        submitter = self.new_submitter(fake.address)
+        task = asyncio.create_task(submitter.submit(wire.Command()))
+        await self.until(lambda: fake.commands)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertTrue(task.cancelled())
+
     async def test_silent_stream_is_replaced_by_the_next_replica(self):
         silent, other = await self.start_fakes(2)
         silent.on_command = lambda req: None
