Record an unchanged share of the retry budget again from time to time

By reading; not seen.

Change: an entry records its unchanged share again every 150 to 300 s (3 to 6 commands a second with 900 entries), and uses no more than the answer says. The new test, in which control has lost the record, kept 0.25 before and goes down to 0.1.

--- a/wigeonscale/direct/retry_share.py
+++ b/wigeonscale/direct/retry_share.py
@@ -23,6 +23,9 @@
 # Pause after a failed command or one that left the share unchanged.
 RETRY_INTERVAL_S = 2.0
 UNSUPPORTED_PAUSE_S = 30.0
+# Replicas of an older version do not record shares, and may be upgraded one by one. So
+# an unchanged share is held again after at most this time.
+REFRESH_INTERVAL_S = 300.0
 # Upper bound on the commands of all entries when their number changes.
 MAX_COMMANDS_PER_S = 200
 # Shares are computed for a number of entries that is rounded up to this many bits, so
@@ -77,6 +80,8 @@
         self._usable_parts = 0
         # Parts recorded at control; None if unknown.
         self._recorded_parts: int | None = 0
+        self._recorded_at = -math.inf
+        self._refresh_s = REFRESH_INTERVAL_S * rng.uniform(0.5, 1.0)
         # Parts used before the share was last lowered; retries that they allowed count
         # until they leave the window.
         self._former_parts = 0
@@ -180,8 +185,10 @@
         target = self._target_parts()
         if self._usable_parts < target:
             return max(target, counted)
-        has_unused = counted == self._usable_parts
-        return counted if has_unused and counted != self._recorded_parts else None
+        if counted != self._usable_parts:
+            return None
+        is_old = now - self._recorded_at >= self._refresh_s
+        return counted if is_old or counted != self._recorded_parts else None
 
     async def _submit(self, wanted: int) -> bool:
         """Submit a share; return whether this entry may now use its whole target."""
@@ -218,6 +225,8 @@
         self._recorded_parts = recorded
         if recorded is None or self._has_ended:
             return
+        self._recorded_at = self._clock.now()
+        self._lower(recorded)
         usable = min(wanted, recorded, self._target_parts())
         self._usable_parts = max(self._usable_parts, usable)
 
--- a/wigeonscale/direct/tests/test_retry_share.py
+++ b/wigeonscale/direct/tests/test_retry_share.py
@@ -2,7 +2,7 @@
 import random
 
 from wigeonscale.direct import RetryShare
-from wigeonscale.direct.retry_share import UNCONFIRMED_USE_S
+from wigeonscale.direct.retry_share import REFRESH_INTERVAL_S, UNCONFIRMED_USE_S
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.limits import ALL_SHARE_PARTS
 from wigeonscale.testing import AsyncTestCase, ManualClock
@@ -151,6 +151,13 @@
             (before, 1), (self.share.fraction(), len(self.asked)), self.asked
         )
 
+    async def test_replicas_that_have_lost_the_record(self):
+        """Replicas of an older version do not keep it."""
+        await self.hold_share()
+        self.max_parts = 100_000
+        await self.pass_time(REFRESH_INTERVAL_S)
+        self.assertEqual(0.1, self.share.fraction())
+
     async def test_stopped_entry_gives_up_its_share(self):
         await self.hold_share()
         await self.share.end()
