Add runs of the soak with planned work and freezes only

Load pattern: LOST counts around planned work. In the usual runs crashes and link faults excuse many cut streams, and restarts of servers hide what a freeze does.

One such run is in the tests.

--- a/wigeonscale/testing/soak/__main__.py
+++ b/wigeonscale/testing/soak/__main__.py
@@ -1,7 +1,8 @@
 """Runs seeds of the soak test; the exit code is 1 if an invariant was violated.
 
 Usage: ``python -m wigeonscale.testing.soak [--seeds 1-50] [--seconds 10]
-[--classes yes]``. Every third seed has traffic classes unless ``--classes`` is given.
+[--classes yes] [--planned]``. Every third seed has traffic classes unless ``--classes``
+is given.
 """
 
 __all__ = ["main"]
@@ -21,6 +22,9 @@
     parser.add_argument("--seeds", default="1-3", help="one seed, or FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=10.0, help="load of each")
     parser.add_argument("--classes", choices=("yes", "no"), help="else by the seed")
+    parser.add_argument(
+        "--planned", action="store_true", help="planned work and freezes only"
+    )
     parser.add_argument("--keep", help="folder for logs; else those of broken runs")
     args = parser.parse_args(argv)
     first, _, last = args.seeds.partition("-")
@@ -29,7 +33,13 @@
     for seed in range(int(first), int(last or first) + 1):
         folder = _folder(args.keep, seed)
         result = asyncio.run(
-            run_soak(seed, seconds=args.seconds, folder=folder, has_classes=has_classes)
+            run_soak(
+                seed,
+                seconds=args.seconds,
+                folder=folder,
+                has_classes=has_classes,
+                is_planned=args.planned,
+            )
         )
         verdict = "broken" if result.violations else "kept"
         print(f"seed {seed}: {verdict} {result.answers}", flush=True)
--- a/wigeonscale/testing/soak/load.py
+++ b/wigeonscale/testing/soak/load.py
@@ -110,6 +110,8 @@
         checker: Notified of every answer.
         rng: Source of randomness.
         has_classes: Whether the generations have traffic classes.
+        has_crashes: Whether some requests crash the servers that run them; also an
+            attribute.
 
     Attributes:
         kinds: Kinds of requests, which are the routes.
@@ -123,8 +125,10 @@
         checker: InvariantChecker,
         rng: random.Random,
         has_classes: bool = False,
+        has_crashes: bool = True,
     ):
         self.kinds = (*KINDS, BATCH) if has_classes else KINDS
+        self.has_crashes = has_crashes
         self._dep = dep
         self._checker = checker
         self._rng = rng
--- a/wigeonscale/testing/soak/run.py
+++ b/wigeonscale/testing/soak/run.py
@@ -51,7 +51,12 @@
 
 
 async def run_soak(
-    seed: int, *, seconds: float, folder: pathlib.Path, has_classes: bool | None = None
+    seed: int,
+    *,
+    seconds: float,
+    folder: pathlib.Path,
+    has_classes: bool | None = None,
+    is_planned: bool = False,
 ) -> SoakResult:
     """Run one seed.
 
@@ -61,6 +66,8 @@
         folder: Empty folder for settings, data and logs, which are kept.
         has_classes: Whether the generations have traffic classes, and bursts of the
             less urgent class are sent; None to derive it from the seed.
+        is_planned: Whether there is only planned work, with freezes and notices of
+            backend servers. Few lost responses are excused then.
     """
     if has_classes is None:
         has_classes = seed % SEEDS_PER_CLASSES == 0
@@ -87,6 +94,7 @@
         checker=checker,
         rng=random.Random(rng.random()),
         has_classes=has_classes,
+        has_crashes=not is_planned,
     )
     try:
         for node in dep.nodes:
@@ -104,6 +112,8 @@
                 entries=range(len(CONTROLS), DAEMONS),
                 nodes=DAEMONS,
             )
+            if is_planned:
+                faults = []
             await _run_load_with_faults(
                 [*faults, *planned], load, dep, backends, checker, notices, freezes
             )
@@ -134,8 +144,9 @@
         loads.append(asyncio.create_task(load.run_kept_connection(entry)))
     loads.append(asyncio.create_task(load.run_operator()))
     loads.append(asyncio.create_task(load.run_slow_caller()))
-    loads.append(asyncio.create_task(load.run_crashing_caller()))
-    loads.append(asyncio.create_task(load.run_crashing_part_caller()))
+    if load.has_crashes:
+        loads.append(asyncio.create_task(load.run_crashing_caller()))
+        loads.append(asyncio.create_task(load.run_crashing_part_caller()))
     if BATCH in load.kinds:
         loads.append(asyncio.create_task(load.run_bursts()))
 
--- a/wigeonscale/testing/soak/tests/test_soak.py
+++ b/wigeonscale/testing/soak/tests/test_soak.py
@@ -280,6 +280,12 @@
             self.assertEqual((), result.violations, seed)
             self.assertTrue(result.answers[200] > 0, result.answers)
 
+    async def test_planned_work_loses_no_response(self):
+        folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
+        result = await run_soak(2, seconds=LOAD_S, folder=folder, is_planned=True)
+        self.assertEqual((), result.violations)
+        self.assertTrue(result.answers[200] > 0, result.answers)
+
 
 class AddressesTest(AsyncTestCase):
     """Guards against parallel runs whose daemons talk to each other."""
