Pass on headers of responses in UTF-8 as they were received

A header value in UTF-8 reached the caller encoded twice, as its bytes were read as Latin-1 and written as UTF-8. Values that are no UTF-8 are read as Latin-1 as before.

Test: a header with letters beyond ASCII, from the bytes of the backend server to those at the caller; it failed before.

--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -178,7 +178,7 @@
         raw: Headers as received.
         notice: Status of the backend server, read from the headers.
     """
-    pairs = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw]
+    pairs = [(name.decode("latin-1"), _decode(value)) for name, value in raw]
     kept = [pair for pair in pairs if pair[0].lower() not in _DROPPED_RESPONSE_HEADERS]
     return ResponseHead(status, tuple(kept), notice)
 
@@ -307,6 +307,14 @@
     return None
 
 
+def _decode(value: bytes) -> str:
+    """Return a header value as text; headers are sent in UTF-8."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def _connection_options(connection: str) -> frozenset[str]:
     return frozenset(name.strip().lower() for name in connection.split(","))
 
--- a/wigeonscale/platform/tests/test_callers.py
+++ b/wigeonscale/platform/tests/test_callers.py
@@ -5,9 +5,10 @@
 
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 from wigeonscale.platform.callers import CallerServer
+from wigeonscale.platform.headers import read_response_head
 from wigeonscale.platform.tests.test_exchange_http import TARGETS
 from wigeonscale.ports import SystemClock
-from wigeonscale.ports.exchange import FullResponse, ResponseHead
+from wigeonscale.ports.exchange import FullResponse, ResponseHead, ServerNotice
 from wigeonscale.testing import AsyncTestCase
 
 WAIT_S = 30.0
@@ -139,6 +140,18 @@
             self.assertIn(b"400", got)
         self.assertEqual([], self.requests)
 
+    async def test_header_of_a_response_is_passed_on_as_it_was_received(self):
+        """Guards against UTF-8 that is read as another encoding."""
+        raw = ((b"X", "\u017elu\u0165ou\u010dk\u00fd".encode()),)
+
+        async def serve(req, sink):
+            head = read_response_head(200, raw, ServerNotice())
+            await sink.send(FullResponse(head, b"whole"))
+
+        self.serve = serve
+        _, _, got = await self.raw(REQUEST, b"whole")
+        self.assertIn(b"X: " + raw[0][1] + b"\r\n", got)
+
     async def test_many_requests_on_one_connection(self):
         for _ in range(3):
             async with self.session.get(self.url()) as res:
