Let a majority of the first seeds start the first time

Cause: an empty folder became a voter only after every other seed had replied and none had lost a log. A replacement at another address is no seed, so the lost one was waited for. One that came back at its own address no longer had first_start, took its folder for a lost one, and the others concluded from it that a log was lost and waited for a leader as well.

Change: under first_start an empty folder is marked as one of the first start. Its replica votes once all other seeds replied, or a majority after 1 s; the mark stays over a restart until it votes. A peer whose log has commands or changes of members (new field has_changes of VoteReply) leaves the admission to its leader, unless all seeds reply and there is still no leader. Replicas without first_start, and the agents' control daemon, keep the former rule.

--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -95,6 +95,7 @@
                 snapshot_entries=cfg.snapshot_entries,
             ),
             allow_bootstrap=cfg.first_start,
+            is_first_start=cfg.first_start,
             shared=self,
         )
         self._retry_ledger = RetryLedger(
--- a/wigeonscale/replication/admission.py
+++ b/wigeonscale/replication/admission.py
@@ -6,6 +6,11 @@
 lost their disks while the third is unreachable would start an empty log and lose the
 accepted configuration.
 
+At the first start of the cluster, as stated by its settings, an empty folder has never
+voted nor acknowledged anything, so it is a follower like any other. A majority of the
+initial members suffices then, and the cluster can be bootstrapped although one of them
+was lost before it was up.
+
 A replica that lost its disk, or found its files damaged, has a new storage id and may
 not vote until it has caught up and the leader has committed a change of members that
 contains that storage id. The replica does not count towards that commit.
@@ -35,17 +40,25 @@
 from wigeonscale.replication.waiting import with_timeout
 from wigeonscale.wire import wire_pb2 as wire
 
+# Time for which the first start of a cluster waits for all initial members.
+FIRST_START_WAIT_S = 1.0
+
 logger = logging.getLogger(__name__)
 
 
 async def run_bootstrap(state: ReplicaState) -> None:
     """Determine whether an empty folder means bootstrap or a lost disk."""
-    while state.storage.vote.admission is Admission.NEW:
+    majority_suffices_at = state.clock.now() + FIRST_START_WAIT_S
+    while state.storage.vote.admission in (Admission.NEW, Admission.FIRST_START):
         replies = await asyncio.gather(
             *(_query_log_history(state, peer) for peer in state.peers.values())
         )
         async with state.lock:
-            await _decide_admission(state, replies)
+            if state.storage.vote.admission is Admission.FIRST_START:
+                waits = state.clock.now() < majority_suffices_at
+                await _decide_first_start(state, replies, waits_for_all=waits)
+            else:
+                await _decide_admission(state, replies)
         await state.clock.sleep(state.options.heartbeat_s)
 
 
@@ -64,7 +77,7 @@
             committed. If not, the change that added it may be an older one.
     """
     vote = state.storage.vote
-    if vote.admission is not Admission.AWAITING:
+    if vote.admission not in (Admission.AWAITING, Admission.FIRST_START):
         return
     names_this_disk = any(
         member.node_id == state.node_id and _is_admitted(member, vote.storage_id)
@@ -212,11 +225,7 @@
     is_voter = any(member.node_id == state.node_id for member in state.members)
     had_log = any(reply is not None and reply.had_log for reply in replies)
     if had_log or not is_voter or not state.allow_bootstrap:
-        logger.warning(
-            "replica %s has an empty data folder and may not vote until admitted",
-            state.node_id,
-        )
-        await state.storage.save_vote(replace(vote, admission=Admission.AWAITING))
+        await _await_admission(state)
         return
     if any(reply is None for reply in replies):
         return
@@ -230,3 +239,55 @@
             admission=Admission.ADMITTED,
         )
     )
+
+
+async def _decide_first_start(
+    state: ReplicaState,
+    replies: Sequence[wire.VoteReply | None],
+    *,
+    waits_for_all: bool,
+) -> None:
+    """Admit a replica of the first start once enough initial members replied.
+
+    Logs with changes show that a majority has started before. Its leader admits this
+    replica, which also serves one whose settings wrongly state the first start. Only if
+    there is no leader although all initial members reply, the others are no majority.
+
+    Args:
+        state: State of the replica.
+        replies: Reply of each other initial member; None for no reply.
+        waits_for_all: Whether a majority of the initial members does not suffice yet.
+    """
+    if all(member.node_id != state.node_id for member in state.members):
+        await _await_admission(state)
+        return
+    received = [reply for reply in replies if reply is not None]
+    is_complete = len(received) == len(replies)
+    has_changes = state.storage.has_changes or any(
+        reply.has_changes for reply in received
+    )
+    if has_changes:
+        is_leaderless = not waits_for_all and not state.has_recent_leader_contact
+        if not is_complete or not is_leaderless:
+            return
+    elif not is_complete:
+        if waits_for_all or 1 + len(received) < quorum_size(state.members):
+            return
+    logger.info(
+        "replica %s bootstraps a new cluster, %d of %d other members replied",
+        state.node_id,
+        len(received),
+        len(replies),
+    )
+    # The term is kept: this folder has never voted.
+    vote = replace(state.storage.vote, admission=Admission.ADMITTED)
+    await state.storage.save_vote(vote)
+
+
+async def _await_admission(state: ReplicaState) -> None:
+    logger.warning(
+        "replica %s has an empty data folder and may not vote until admitted",
+        state.node_id,
+    )
+    vote = replace(state.storage.vote, admission=Admission.AWAITING)
+    await state.storage.save_vote(vote)
--- a/wigeonscale/replication/election.py
+++ b/wigeonscale/replication/election.py
@@ -113,6 +113,7 @@
             term=state.term,
             granted=granted,
             had_log=_had_log(state),
+            has_changes=state.storage.has_changes,
         )
 
 
--- a/wigeonscale/replication/files.py
+++ b/wigeonscale/replication/files.py
@@ -10,6 +10,7 @@
     "VoteState",
     "encode_snapshot",
     "encode_vote",
+    "initial_admission",
     "load_files",
 ]
 
@@ -40,6 +41,7 @@
     """Whether a replica may vote."""
 
     NEW = "new"  # empty folder: either bootstrap or a lost disk, not yet known
+    FIRST_START = "first-start"  # empty folder that has never voted; see admission.py
     AWAITING = "awaiting"  # lost what it acknowledged; may not vote until admitted
     ADMITTED = "admitted"
 
@@ -131,7 +133,7 @@
     loaded = LoadedFiles(vote=_decode_vote(vote_file))
     if loaded.vote is None:
         loaded.add_damage(f"{VOTE_NAME}: {_describe_damage(vote_file)}")
-    elif loaded.vote.admission is Admission.NEW:
+    elif loaded.vote.admission in (Admission.NEW, Admission.FIRST_START):
         return None
     if snapshot_file is not None:
         _load_snapshot(loaded, snapshot_file)
@@ -140,6 +142,20 @@
     return loaded
 
 
+def initial_admission(folder: Folder, *, is_first_start: bool) -> Admission:
+    """Return the admission of a replica from whose folder nothing was acknowledged.
+
+    Args:
+        folder: Data folder port.
+        is_first_start: Whether the cluster starts for the first time. A folder that was
+            created then remains one of the first start until it is admitted.
+    """
+    vote = _decode_vote(folder.read(VOTE_NAME))
+    was_first_start = vote is not None and vote.admission is Admission.FIRST_START
+    is_first_start = is_first_start or was_first_start
+    return Admission.FIRST_START if is_first_start else Admission.NEW
+
+
 def _load_snapshot(loaded: LoadedFiles, data: bytes) -> None:
     snapshot = _decode_snapshot(data)
     if snapshot is None:
--- a/wigeonscale/replication/replica.py
+++ b/wigeonscale/replication/replica.py
@@ -71,6 +71,9 @@
         allow_bootstrap: Whether an empty folder may bootstrap a new cluster. If
             not, it belongs to a new replica or one that lost its disk, which waits
             to be admitted.
+        is_first_start: Whether the cluster starts for the first time: all replicas
+            start with empty folders, and none has lost one. Then a majority of them
+            suffices to bootstrap. Must not be set for any later start.
         shared: Soft state to piggyback on replication messages, or None.
 
     Example:
@@ -102,6 +105,7 @@
         options: ReplicaOptions | None = None,
         rng: random.Random | None = None,
         allow_bootstrap: bool = True,
+        is_first_start: bool = False,
         shared: SharedState | None = None,
     ):
         self._state = ReplicaState(
@@ -115,6 +119,7 @@
             options=options or ReplicaOptions(),
             rng=rng or random.SystemRandom(),
             allow_bootstrap=allow_bootstrap,
+            is_first_start=is_first_start,
             shared=shared,
         )
         self.on_applied = self._state.on_applied
@@ -327,7 +332,10 @@
 
     async def _load(self) -> None:
         state = self._state
-        await state.storage.load(f"{state.rng.getrandbits(STORAGE_ID_BITS):032x}")
+        await state.storage.load(
+            f"{state.rng.getrandbits(STORAGE_ID_BITS):032x}",
+            is_first_start=state.is_first_start,
+        )
         snapshot = state.storage.snapshot
         if snapshot is not None:
             await restore_machine(state, snapshot.data)
--- a/wigeonscale/replication/state.py
+++ b/wigeonscale/replication/state.py
@@ -89,6 +89,7 @@
         options: Timeouts and batch sizes.
         rng: Source of randomness.
         allow_bootstrap: Whether an empty folder may bootstrap a new cluster.
+        is_first_start: Whether the cluster starts for the first time.
         shared: Soft state to piggyback on replication messages, or None.
     """
 
@@ -105,6 +106,7 @@
         options: ReplicaOptions,
         rng: random.Random,
         allow_bootstrap: bool = True,
+        is_first_start: bool = False,
         shared: SharedState | None = None,
     ):
         self.node_id = node_id
@@ -116,6 +118,7 @@
         self.options = options
         self.rng = rng
         self.allow_bootstrap = allow_bootstrap
+        self.is_first_start = is_first_start
         self.shared = shared
         self.echo = EchoClock(clock=clock, rng=rng)
         self.lock = asyncio.Lock()
--- a/wigeonscale/replication/storage.py
+++ b/wigeonscale/replication/storage.py
@@ -25,6 +25,7 @@
     VoteState,
     encode_snapshot,
     encode_vote,
+    initial_admission,
     load_files,
 )
 from wigeonscale.replication.folder import Folder
@@ -69,7 +70,7 @@
         self.synced_index = 0
         self.syncs = 0
 
-    async def load(self, new_storage_id: str) -> str:
+    async def load(self, new_storage_id: str, *, is_first_start: bool = False) -> str:
         """Read the folder, drop a torn tail and back up damaged files.
 
         A damaged file does not stop the replica: it keeps the valid part, takes a new
@@ -78,6 +79,8 @@
 
         Args:
             new_storage_id: Storage id to take if the folder is empty or damaged.
+            is_first_start: Whether the cluster starts for the first time, so that an
+                empty folder has lost nothing.
 
         Returns:
             Description of the damage; empty if there is none.
@@ -85,7 +88,10 @@
         with self._recording_failure():
             loaded = load_files(self._folder)
         if loaded is None:
-            await self.save_vote(VoteState(storage_id=new_storage_id))
+            admission = initial_admission(self._folder, is_first_start=is_first_start)
+            await self.save_vote(
+                VoteState(storage_id=new_storage_id, admission=admission)
+            )
             await self._run_write(self._rewrite())
             return ""
         self._entries = loaded.entries
@@ -115,6 +121,13 @@
         """Term of the last entry."""
         return self._entries[-1].term if self._entries else self.base_term
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether the log contains commands or changes of members, durable or not."""
+        return self.base_index > 0 or any(
+            entry.kind != EntryKind.NO_OP for entry in self._entries
+        )
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, or None if it is not in memory."""
         if index == self.base_index:
--- a/wigeonscale/replication/tests/support.py
+++ b/wigeonscale/replication/tests/support.py
@@ -50,7 +50,7 @@
         self.tasks = {}
         self._rng = random.Random(seed)
 
-    def start(self, *names, members=None):
+    def start(self, *names, members=None, **options):
         for name in names or self.folders:
             self.folders[name] = self.folders[name].crash()
             self.machines[name] = ListMachine()
@@ -64,6 +64,7 @@
                 clock=self.clock,
                 options=self.options,
                 rng=random.Random(self._rng.random()),
+                **options,
             )
             self.replicas[name] = replica
             self.network.replicas[name] = replica
