Ignore SIGHUP before the imports of wigeond

Cause: wigeond ignored SIGHUP in main(), after its own imports; signal alone imports enum.

Change: run as a program, its first statement ignores SIGHUP through the built-in module _signal. Importing it changes no signal.

Tests: test_sighup_is_ignored_before_any_other_import checks the order of the first steps without timing; before the change the first ones were the imports of gc and importlib. test_import_of_the_program_changes_no_signal passed before.

--- a/wigeonscale/cli/tests/test_wigeond.py
+++ b/wigeonscale/cli/tests/test_wigeond.py
@@ -71,6 +71,41 @@
         # The handler is installed before the large imports.
         self.assertEqual((0, "goes on False\n"), (done.returncode, done.stdout))
 
+    def test_sighup_is_ignored_before_any_other_import(self):
+        # Guards against imports of the program itself during which a SIGHUP terminates
+        # the process.
+        program = (
+            "import _signal, builtins, runpy, sys\n"
+            "steps, load = [], builtins.__import__\n"
+            "def record_import(name, names=None, *args, **kwargs):\n"
+            "    if names and names.get('__name__') == '__main__':\n"
+            "        steps.append(name)\n"
+            "    return load(name, names, *args, **kwargs)\n"
+            "def record_signal(signum, action):\n"
+            "    steps.append(f'{signum:d} {action:d}')\n"
+            "_signal.signal = record_signal\n"
+            "sys.argv = ['wigeond', '--version']\n"
+            "builtins.__import__ = record_import\n"
+            "try:\n"
+            "    runpy.run_module('wigeonscale.cli.wigeond', run_name='__main__')\n"
+            "finally:\n"
+            "    print(steps[:2])\n"
+        )
+        argv = [sys.executable, "-c", program]
+        done = subprocess.run(argv, capture_output=True, text=True, timeout=60)
+        expected = ["_signal", f"{signal.SIGHUP:d} {signal.SIG_IGN:d}"]
+        self.assertEqual(str(expected), done.stdout.splitlines()[-1], done.stderr)
+
+    def test_import_of_the_program_changes_no_signal(self):
+        program = (
+            "import signal; before = signal.getsignal(signal.SIGHUP)\n"
+            "import wigeonscale.cli.wigeond\n"
+            "print(signal.getsignal(signal.SIGHUP) is before)"
+        )
+        argv = [sys.executable, "-c", program]
+        done = subprocess.run(argv, capture_output=True, text=True, timeout=60)
+        self.assertEqual("True\n", done.stdout, done.stderr)
+
     def test_sighup_before_the_start_if_ignored_by_the_starter(self):
         # Guards against a reload that terminates a daemon whose interpreter still
         # starts, as in the soak run with seed 9.
--- a/wigeonscale/cli/wigeond.py
+++ b/wigeonscale/cli/wigeond.py
@@ -6,11 +6,28 @@
 
 __all__ = ["main"]
 
+# Built into the interpreter; the imports of ``signal`` take milliseconds.
+import _signal
+
+
+def _ignore_sighup() -> None:
+    """Ignore SIGHUP until the daemon installs a handler.
+
+    SIGHUP requests a reload of the settings, which a starting daemon reads anyway, but
+    its default action would terminate the process.
+    """
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+
+if __name__ == "__main__":
+    # Before the other imports, since SIGHUP terminates the process until then.
+    _ignore_sighup()
+
+# ruff: noqa: E402
 import gc
 import importlib
 import importlib.util
 import os
-import signal
 import struct
 import sys
 from collections.abc import Sequence
@@ -27,11 +44,8 @@
     Args:
         argv: Command-line arguments; None for those of the process.
     """
-    # SIGHUP requests a reload of the settings, which a starting daemon reads anyway,
-    # but its default action would terminate the process. It is ignored until the
-    # daemon installs a handler, which is after the imports; these take half a second of
-    # a whole core.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # The imports of the daemon take half a second of a whole core.
+    _ignore_sighup()
     use_precompiled(os.environ.get(PRECOMPILED_ENV, ""))
     # Also before the imports, because it covers the time that they take.
     early = importlib.import_module("wigeonscale.daemons.early_listener").listen_early(
