--- a/wigeonscale/control/tests/test_planning.py
+++ b/wigeonscale/control/tests/test_planning.py
@@ -1,8 +1,10 @@
 """Tests of placement by the leader: planning, draining, upgrades, races."""
 
 import asyncio
+import threading
+from unittest import mock
 
-from wigeonscale.control import PlacementLoop
+from wigeonscale.control import PlacementLoop, placement_loop
 from wigeonscale.control.tests.support import ControlFixture
 from wigeonscale.errors import ErrorKind
 from wigeonscale.replication import Role
@@ -80,6 +82,30 @@
         await self.apply("")
         await self.until(lambda: not self.planned())
 
+    async def test_pipeline_that_is_dropped_while_its_plan_is_computed(self):
+        planning, proceed = threading.Event(), threading.Event()
+        plan_placement = placement_loop.plan_placement
+
+        def wait_for_change(**inputs):
+            if inputs["pipelines"]:
+                planning.set()
+                proceed.wait(LIMIT_S)
+            return plan_placement(**inputs)
+
+        patch = mock.patch.object(placement_loop, "plan_placement", wait_for_change)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.addCleanup(proceed.set)
+        await self.apply()
+        await self.fixture.announce("a")
+        await self.until(planning.is_set)
+        await self.apply("")
+        proceed.set()
+        await self.settle()
+        self.assertEqual([], self.planned())
+        await self.apply()
+        await self.until(lambda: len(self.planned()) == 1)
+
     async def test_engine_with_an_implausible_rate_does_not_stop_planning(self):
         await self.apply()
         backend = engine("b")
