Test crash records with silent engines and an older control

The model of many entries lets all engines fall silent for 1.5 to 2.5 s, has a sound request that is repeated, and a control that keeps neither good runs nor failed trials.

--- a/wigeonscale/crashes/tests/fleet_model.py
+++ b/wigeonscale/crashes/tests/fleet_model.py
@@ -27,6 +27,8 @@
 CONTROL_RESTART_S = 2.0
 # Without an engine, requests wait for this long.
 MAX_WAIT_S = 5.0
+SILENCE_S = (1.5, 2.5)
+POPULAR = b"popular"
 DETECTION_S = (0.02, 0.3)
 UPDATE_S = (0.01, 0.1)
 GRANT_S = (0.2, 0.3)
@@ -58,7 +60,10 @@
         sound_rate: Other requests per second.
         rare_parts: Number of rare parts that sound requests share.
         deadly_requests: Names of requests that crash engines and are repeated.
+        popular_share: Share of the sound requests that are the same request.
         racks: Times at which a quarter of the engines ends for another reason.
+        silences: Times at which all engines fall silent for some seconds.
+        is_control_old: Whether control has no records of good runs and failed trials.
         entry_restarts: Pairs of a time and the share of the entries that restart then.
         control_restarts: Times at which all replicas of control restart.
         power_losses: Times at which all engines, entries and replicas end.
@@ -75,7 +80,10 @@
     engines: int = 12
     rare_parts: int = 0
     deadly_requests: tuple[str, ...] = ()
+    popular_share: float = 0.0
     racks: tuple[float, ...] = ()
+    silences: tuple[float, ...] = ()
+    is_control_old: bool = False
     entry_restarts: tuple[tuple[float, float], ...] = ()
     control_restarts: tuple[float, ...] = ()
     power_losses: tuple[float, ...] = ()
@@ -96,7 +104,9 @@
         self._records = CrashRecords()
         self._log_index = 0
         self._out_until = float("-inf")
+        # Engines that count as ended for control, and those that do not answer.
         self._ended = set()
+        self._silent = set()
         self._runs = {}
         self._waiting = []
         for _ in range(self.engines):
@@ -164,6 +174,8 @@
             self._start_entry()
         for at in self.racks:
             self._at(at, self._end_rack)
+        for at in self.silences:
+            self._at(at, self._silence_engines)
         for at, share in self.entry_restarts:
             self._at(at, self._restart_entries, share)
         for at in self.control_restarts:
@@ -189,6 +201,9 @@
 
     def _start_engine(self):
         self._runs[f"e{next(self._names)}"] = set()
+        self._send_waiting()
+
+    def _send_waiting(self):
         waiting, self._waiting = self._waiting, []
         for since, run in waiting:
             if self.clock.now() - since < MAX_WAIT_S:
@@ -210,6 +225,9 @@
             parts = (SHARED, *rare, *([deadly] if deadly in self._deadly else []))
             entry = self.rng.choice(self.trackers)
             fingerprint = deadly if is_whole_request else b"request %d" % number
+            is_popular = self.popular_share and self.rng.random() < self.popular_share
+            if not is_deadly and is_popular:
+                fingerprint = POPULAR
             run = ModelRun(entry, fingerprint, parts, deadly, number)
             self._send(run)
             if not is_deadly:
@@ -224,10 +242,11 @@
             if may_wait and run.entry.ask_for_trials(refused, keys=keys):
                 self._later(GRANT_S, self._send, run, False)
             return
-        if not self._runs:
+        engines = [name for name in self._runs if name not in self._silent]
+        if not engines:
             self._waiting.append((self.clock.now(), run))
             return
-        run.engine = self.rng.choice(list(self._runs))
+        run.engine = self.rng.choice(engines)
         run.entry.note_sent(run.fingerprint, run.parts)
         run.sends += 1
         self._runs[run.engine].add(run)
@@ -259,9 +278,27 @@
             self._end(engine)
 
     def _end(self, engine):
-        runs = self._runs.pop(engine)
         self._later((RESTART_S, RESTART_S), self._start_engine)
         self._later(self.detection_s, self._detect, engine)
+        self._abort(self._runs.pop(engine), engine)
+
+    def _silence_engines(self):
+        for engine in sorted(self._runs):
+            self._silent.add(engine)
+            self._later(self.detection_s, self._detect, engine)
+            self._later(SILENCE_S, self._answer_again, engine)
+            runs, self._runs[engine] = self._runs[engine], set()
+            self._abort(runs, engine)
+
+    def _answer_again(self, engine):
+        self._silent.discard(engine)
+        if engine in self._runs:
+            self._ended.discard(engine)
+        for tracker in self.trackers:
+            tracker.confirm_crashes()
+        self._send_waiting()
+
+    def _abort(self, runs, engine):
         for run in sorted(runs, key=lambda run: (run.fingerprint, run.number)):
             if not run.has_gone_on:
                 run.entry.note_aborted_start(run.fingerprint, engine, run.parts)
@@ -282,6 +319,9 @@
             raise WigeonscaleError(ErrorKind.NO_QUORUM, "nobody leads")
         self._log_index += 1
         found = record_crashes_command(report).record_crashes
+        if self.is_control_old:
+            found.ClearField("ran")
+            found.ClearField("withdrawn")
         now_ms = int(self.clock.now() * 1000)
         self._records.record(found, index=self._log_index, now_ms=now_ms)
         for tracker in self.trackers:
@@ -296,6 +336,10 @@
             records=self._records.after(self._known[tracker]),
         )
         self._known[tracker] = update.index
+        if self.is_control_old:
+            for record in update.records:
+                for name in ("ran_ms", "is_common", "failed_trials"):
+                    record.ClearField(name)
         if update.records:
             tracker.apply_records(known_crashes(update))
 
@@ -312,7 +356,11 @@
             return 0
         return sum(at > crashes[4] + contact_s for at in self.sends[key])
 
-    def accepted_share(self, first, end):
+    def accepted_share(self, first, end, *, fingerprint=None):
         """Return the share of the sound requests of a time that reached an engine."""
-        accepted = [run.sends > 0 for at, run in self.sound if first <= at < end]
+        accepted = [
+            run.sends > 0
+            for at, run in self.sound
+            if first <= at < end and fingerprint in (None, run.fingerprint)
+        ]
         return sum(accepted) / len(accepted)
--- a/wigeonscale/crashes/tests/test_fleet.py
+++ b/wigeonscale/crashes/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from wigeonscale.crashes.tests.fleet_model import FleetModel
+from wigeonscale.crashes.tests.fleet_model import POPULAR, FleetModel
 from wigeonscale.testing import AsyncTestCase
 
 # By the users' rules: requests with the part that reach engines 3 s after its fifth
@@ -67,5 +67,24 @@
             entries=5, engines=3, deadly_rate=5.0, sound_rate=1.0, seconds=60.0
         )
 
+    async def test_control_of_an_older_version(self):
+        await self.check(entries=28, is_control_old=True)
+
+    async def test_repeated_request_at_engines_that_fall_silent(self):
+        """Aborted starts are no crashes if the engines answer again."""
+        for seed in SEEDS:
+            model = FleetModel(
+                seed=seed,
+                entries=5,
+                deadly_from_s=60.0,
+                sound_rate=60.0,
+                popular_share=0.5,
+                silences=(4.0,),
+            )
+            await model.play(20.0)
+            # They have answered again for 1.5 s at least.
+            share = model.accepted_share(8.0, 10.0, fingerprint=POPULAR)
+            self.assertTrue(share >= MIN_ACCEPTED_SHARE, f"seed {seed}: {share:.2f}")
+
     async def test_control_without_a_majority(self):
         await self.check(entries=5, outage=(2.0, 10.0))
