Withdraw crashes of servers that were only silent

Load pattern: a sound engine pauses for a second or two. Entries abort the runs that had just started there, and control marks the engine as silent after two unanswered probes or the reports of several entries.

Cause: an entry takes a silent incarnation for ended (Fleet.has_ended), so each such pause counted as a crash of the requests and parts that had just started there. Nothing took it back when the engine answered again: three pauses made a refusal of 600 s.

Change: an incarnation that answers again does not count at the entry. Control of an older version ignores the new field.

--- a/wigeonscale/crashes/aborted_starts.py
+++ b/wigeonscale/crashes/aborted_starts.py
@@ -91,9 +91,14 @@
         has_confirmed = False
         for key, aborts in list(self._aborts.items()):
             for backend_id, abort in list(aborts.items()):
-                if not abort.has_ended and self._has_ended(backend_id):
+                has_ended = self._has_ended(backend_id)
+                if not abort.has_ended and has_ended:
                     abort.has_ended = has_confirmed = True
                     _log_outcome(key, backend_id, "ended")
+                elif abort.has_ended and not has_ended:
+                    # It was silent, and answers again.
+                    abort.has_ended = False
+                    _log_outcome(key, backend_id, "back")
                 elif self._is_unconfirmed(abort, now):
                     del aborts[backend_id]
                     _log_outcome(key, backend_id, "not ended")
--- a/wigeonscale/crashes/records.py
+++ b/wigeonscale/crashes/records.py
@@ -81,6 +81,7 @@
         trials: Keys of refused parts of which the entry asks to send one request.
         trial_id: Id of the entry in trials.
         ran: Keys of parts that many good runs share.
+        withdrawn: Incarnations reported before that have not crashed.
     """
 
     crashes: tuple[tuple[bytes, str], ...]
@@ -88,11 +89,13 @@
     trials: tuple[bytes, ...] = ()
     trial_id: str = ""
     ran: tuple[bytes, ...] = ()
+    withdrawn: tuple[str, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to report."""
-        return not (self.crashes or self.cleared or self.trials or self.ran)
+        found = self.crashes or self.cleared or self.trials or self.ran
+        return not (found or self.withdrawn)
 
 
 @dataclass(slots=True)
--- a/wigeonscale/crashes/tests/test_tracker.py
+++ b/wigeonscale/crashes/tests/test_tracker.py
@@ -7,9 +7,11 @@
     CrashTracker,
     KnownCrashes,
     next_to_evict,
+    prompt_part_key,
     refusal_s,
     report_crashes,
 )
+from wigeonscale.crashes.withdrawals import BACK_FOR_S
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.testing import AsyncTestCase, ManualClock
 
@@ -204,6 +206,74 @@
         self.assertEqual([CrashReport(((FINGERPRINT, "s1"),), ())] * 2, submitted)
 
 
+class WithdrawalTest(CrashTrackerCase):
+    """A server falls silent for some seconds, which is no crash."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.crash("s1", "s2", "s3")
+
+    def return_all(self):
+        self.ended.clear()
+        self.tracker.confirm_crashes()
+
+    async def test_returned_servers_refuse_nothing(self):
+        self.assertTrue(self.tracker.refusal_remaining_s(FINGERPRINT) > 0)
+        self.return_all()
+        await self.clock.advance(3.1)
+        self.assertEqual(0.0, self.tracker.refusal_remaining_s(FINGERPRINT))
+        self.assertTrue(self.tracker.take_report().is_empty)
+
+    async def test_reported_crashes_are_withdrawn_at_control(self):
+        self.tracker.take_report()
+        self.return_all()
+        await self.clock.advance(BACK_FOR_S)
+        report = self.tracker.take_report()
+        self.assertEqual({"s1", "s2", "s3"}, set(report.withdrawn))
+        self.tracker.restore_report(report)
+        self.tracker.take_report()
+        await self.clock.advance(BACK_FOR_S)
+        self.assertEqual(3, len(self.tracker.take_report().withdrawn))
+        self.assertTrue(self.tracker.take_report().is_empty)
+
+    async def test_late_heartbeat_of_an_ended_server_withdraws_nothing(self):
+        self.tracker.take_report()
+        self.return_all()
+        await self.clock.advance(BACK_FOR_S / 2)
+        self.ended.update(("s1", "s2", "s3"))
+        self.tracker.confirm_crashes()
+        self.return_all()
+        await self.clock.advance(BACK_FOR_S / 2)
+        self.assertEqual((), self.tracker.take_report().withdrawn)
+
+    async def test_record_without_crashes_is_no_good_run(self):
+        part = prompt_part_key("model", "part")
+        withdrawn = KnownCrashes(
+            fingerprint=part, backends=(), age_s=0.0, span_s=0.0, failed_trials=0
+        )
+        self.tracker.apply_records([withdrawn])
+        others = ("s4", "s5", "s6")
+        self.tracker.apply_records([self.known_crashes(*others, fingerprint=part)])
+        self.assertEqual(refusal_s(3), self.tracker.refusal_remaining_s(part))
+
+    async def test_withdrawal_is_reported_without_another_event(self):
+        reports = []
+
+        async def submit(report):
+            reports.append(report)
+
+        task = asyncio.create_task(
+            report_crashes(self.tracker, submit=submit, clock=self.clock)
+        )
+        await self.clock.advance(0.1)
+        self.return_all()
+        for _ in range(30):
+            await self.clock.advance(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual([0, 3], [len(report.withdrawn) for report in reports])
+
+
 class BoundTest(CrashTrackerCase):
     async def test_many_suspects_do_not_displace_refused_requests(self):
         self.tracker.apply_records([self.known_crashes("s1", "s2", "s3")])
--- a/wigeonscale/crashes/tracker.py
+++ b/wigeonscale/crashes/tracker.py
@@ -27,6 +27,7 @@
     Trials,
     early_trial_at,
 )
+from wigeonscale.crashes.withdrawals import Withdrawals
 from wigeonscale.ports import Clock
 
 # The crash of a part that has run before is reported after this delay, and not at all
@@ -51,8 +52,9 @@
 
     Many requests run on a server when it crashes. Only those that had just started
     there become suspects, with the parts of their prompts, and only if the server is
-    confirmed to have ended. A suspect that later runs without a crash is cleared. Each
-    entry reports its findings to control, which distributes them to all entries.
+    confirmed to have ended; one that answers again has not. A suspect that later runs
+    without a crash is cleared. Each entry reports its findings to control, which
+    distributes them to all entries.
 
     Args:
         clock: Clock port.
@@ -87,6 +89,7 @@
         self._aborted_starts = AbortedStarts(
             clock=clock, has_ended=has_ended, is_connected=is_connected
         )
+        self._withdrawals = Withdrawals(clock=clock, has_ended=has_ended)
         self._proven_parts = ProvenParts(clock=clock)
         self._common_parts = CommonParts(clock=clock, rng=rng)
         self._trials = Trials(clock=clock)
@@ -396,7 +399,7 @@
             self._common_parts.note_reported(
                 record.fingerprint, ran_at, is_new=not record.backends
             )
-        elif not record.backends:
+        elif not record.backends and record.failed_trials is None:
             # Control of an older version tells only that the crashes were cleared.
             ran_age_s = record.age_s
         if ran_age_s is not None:
@@ -404,7 +407,8 @@
 
     def confirm_crashes(self) -> None:
         """Check which servers that aborted runs have ended, and drop old records."""
-        if self._aborted_starts.confirm():
+        has_confirmed = self._aborted_starts.confirm()
+        if self._withdrawals.check() or has_confirmed:
             self._report_ready.set()
 
     async def wait_for_report(self) -> None:
@@ -425,12 +429,16 @@
                 self._report_ready.set()
                 continue
             abort.reported_at = now
+            self._withdrawals.note_reported(backend_id)
             crashes.append((key, backend_id))
         cleared, self._cleared = tuple(self._cleared), set()
         trials = self._trials.take_unreported()
         trial_id = self._trials.id if trials else ""
         ran = self._common_parts.take() if self._common_parts.is_due() else ()
-        return CrashReport(tuple(crashes), cleared, trials, trial_id, ran)
+        withdrawn = self._withdrawals.take()
+        if self._withdrawals.check():
+            self._report_ready.set()
+        return CrashReport(tuple(crashes), cleared, trials, trial_id, ran, withdrawn)
 
     def restore_report(self, report: CrashReport) -> None:
         """Schedule a report again that could not be submitted to control.
@@ -445,4 +453,5 @@
         self._cleared.update(report.cleared)
         self._trials.restore(report.trials)
         self._common_parts.restore(report.ran)
+        self._withdrawals.restore(report.withdrawn)
         self._report_ready.set()
--- a/wigeonscale/membership/crash_messages.py
+++ b/wigeonscale/membership/crash_messages.py
@@ -55,5 +55,6 @@
         trials=report.trials,
         trial_id=report.trial_id,
         ran=report.ran,
+        withdrawn=report.withdrawn,
     )
     return wire.Command(record_crashes=found)
--- a/wigeonscale/membership/tests/test_crash_messages.py
+++ b/wigeonscale/membership/tests/test_crash_messages.py
@@ -37,6 +37,10 @@
         command = record_crashes_command(CrashReport((), (), ran=(b"a",)))
         self.assertEqual([b"a"], list(command.record_crashes.ran))
 
+    def test_withdrawn_crashes_are_reported(self):
+        command = record_crashes_command(CrashReport((), (), withdrawn=("s1",)))
+        self.assertEqual(["s1"], list(command.record_crashes.withdrawn))
+
     def test_report_is_converted_to_a_command(self):
         command = record_crashes_command(CrashReport(((b"a", "s1"),), (b"b",)))
         self.assertEqual([b"b"], list(command.record_crashes.cleared))
--- a/wigeonscale/state/crash_records.py
+++ b/wigeonscale/state/crash_records.py
@@ -46,7 +46,8 @@
 
         Args:
             found: New crashes, keys of requests and parts that ran without one,
-                trials that the entry asks for, and parts that many runs share.
+                trials that the entry asks for, parts that many runs share, and servers
+                that were reported before and have not crashed.
             index: Log index of the command.
             now_ms: Largest wall time of any command so far, in milliseconds.
 
@@ -62,6 +63,8 @@
             has_changed |= self._grant_trial(key, found.trial_id, index, now_ms)
         for key in found.ran:
             has_changed |= self._note_common(key, index, now_ms)
+        for backend in found.withdrawn:
+            has_changed |= self._withdraw(backend, index)
         if has_changed:
             self.index = index
             self._evict(now_ms)
@@ -119,6 +122,17 @@
         record.ran_ms, record.is_common = now_ms, True
         return True
 
+    def _withdraw(self, backend: str, index: int) -> bool:
+        """Remove a server that has not crashed from all records."""
+        blamed = [
+            record for record in self._records.values() if backend in record.backends
+        ]
+        for record in blamed:
+            record.backends.remove(backend)
+            record.index = index
+            self._records.move_to_end(record.fingerprint)
+        return bool(blamed)
+
     def _count_common(self) -> int:
         return sum(record.is_common for record in self._records.values())
 
--- a/wigeonscale/state/tests/test_crash_records.py
+++ b/wigeonscale/state/tests/test_crash_records.py
@@ -200,6 +200,15 @@
         runs = {r.fingerprint: r.ran_ms for r in other.crashes.after(0)}
         self.assertEqual(dict.fromkeys((b"a", b"b"), self.wall_ms), runs)
 
+    def test_server_that_has_not_crashed_is_removed_from_all_records(self):
+        self.record(crash(b"a", "s1"), crash(b"b", "s1"), crash(b"b", "s2"))
+        self.record(withdrawn=["s1", "unknown"])
+        self.assertEqual({b"a": [], b"b": ["s2"]}, self.known(index=1))
+        # It has not run well, either.
+        self.assertEqual(0, self.ran_ms())
+        self.record(withdrawn=["s1"])
+        self.assertEqual(2, self.state.crashes.index)
+
     def test_records_expire_by_age(self):
         self.record(crash(b"a", "s1"))
         self.record(*[crash(b"c", f"s{n}") for n in range(3)])
