An abort that is due does not hit the next write to a slow caller

What callers saw (unit test): an event twice in a stream that was sent again, or data behind the end of a response.

Cause: an abort that comes while a part of the response is being written waits for the end of that write. It then takes effect one iteration of the event loop later. If the next event has been received already, its write has begun by then, and is cancelled after its data was passed to the transport and before the event is recorded. Needs a caller that reads slowly, so that writes wait, and an engine that is marked lost during one of them.

Change: the begin of a write takes an abort back that is due but has not taken effect, and it comes after that write.

Evidence: NextWriteToSlowCallerTest on the code before: 2 of 2 tests failed, the caller got events [1, 2, 2] instead of [1, 2], and [1, 2] instead of [1] after the end of the response. Both pass now. SlowSink of test_silence waits at several writes instead of one; SlowCallerTest is unchanged otherwise.

--- a/wigeonscale/direct/runs.py
+++ b/wigeonscale/direct/runs.py
@@ -111,8 +111,17 @@
             self.abort_wait()
 
     def begin_write(self) -> None:
-        """Record that a part of the response is being sent to the caller."""
+        """Record that a part of the response is being sent to the caller.
+
+        An abort that is due but has not reached the wait for events waits as well.
+        """
         self.is_writing = True
+        timeout = self.wait_timeout
+        if timeout is None or timeout.expired():
+            return
+        if timeout.when() is not None:
+            timeout.reschedule(None)
+            self.must_abort = True
 
     def end_write(self, now: float) -> None:
         """Record that it was sent; the time that it took is no pause of the engines."""
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -237,17 +237,25 @@
 
 
 class SlowSink(FakeSink):
-    """Passes data on at once, and waits for its caller at one event."""
+    """Passes data on at once, and waits for its caller at some events or at the end.
 
-    def __init__(self, *, data):
+    Attributes:
+        gates: Events that it waits for, by the data that it was sent; empty at the end.
+    """
+
+    def __init__(self, *data):
         super().__init__()
-        self._slow_data = data
-        self.gate = asyncio.get_running_loop().create_future()
+        self.gates = {each: asyncio.Event() for each in data}
 
     async def write(self, data):
         await super().write(data)
-        if data == self._slow_data:
-            await self.gate
+        if data in self.gates:
+            await self.gates[data].wait()
+
+    async def end(self):
+        await super().end()
+        if b"" in self.gates:
+            await self.gates[b""].wait()
 
 
 class SlowCallerTest(SilentEngineCase):
@@ -255,14 +263,14 @@
 
     async def prepare(self):
         await super().prepare()
-        self.sink = SlowSink(data=event(1).data)
+        self.sink = SlowSink(event(1).data)
         self.exchange.script("a1", [event(1), self.gate, event(2)])
         self.task = self.start()
         await self.until(lambda: self.got() == [1])
 
     async def check_whole(self):
         self.assertFalse(self.task.done())
-        self.sink.gate.set_result(None)
+        self.sink.gates[event(1).data].set()
         await self.until(self.task.done)
         await self.task
         self.assertEqual([1, 2], self.got())
@@ -282,3 +290,30 @@
         await self.harness.clock.advance(0.1)
         await self.check_whole()
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
+
+
+class NextWriteToSlowCallerTest(SilentEngineCase):
+    """Guards against an abort that hits the write after the one that it waited for."""
+
+    async def play(self, sink, *events):
+        """Relay events that are all there, of an engine that is lost at the first."""
+        self.sink = sink
+        self.exchange.script("a1", list(events))
+        self.exchange.script("b1", [event(2)])
+        task = self.start()
+        await self.until(lambda: self.got() == [1])
+        self.harness.tracker.note_lost("a1")
+        for gate in sink.gates.values():
+            await self.harness.clock.advance(0.2)
+            gate.set()
+        await self.until(task.done)
+        await task
+        self.assertEqual([each.event_id for each in events], self.got())
+        self.assertTrue(self.sink.is_whole)
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
+    async def test_next_event(self):
+        await self.play(SlowSink(event(1).data, event(2).data), event(1), event(2))
+
+    async def test_end_of_the_response(self):
+        await self.play(SlowSink(event(1).data, b""), event(1))
