A begun stream may leave engines of its own run after its start

What callers see: a stream that has just begun, and whose path loses an engine, is not sent again although other engines, an attempt and a retry are there, if its first engine refuses the detour or (with traffic classes) a new send is drawn for it. It waits until its connection breaks.

Change: only suspicions about engines that are not part of the run keep it from being sent again.

--- a/wigeonscale/crashes/tracker.py
+++ b/wigeonscale/crashes/tracker.py
@@ -117,6 +117,18 @@
             self.confirm_crashes()
         return key in self._confirmed or key in self._aborted_starts
 
+    def is_suspect_elsewhere(self, key: bytes, backend_ids: Collection[str]) -> bool:
+        """Return whether a request or part may have crashed any other server.
+
+        Args:
+            key: Fingerprint of the request, or key of the part.
+            backend_ids: Servers whose crashes do not count.
+        """
+        if not self.is_suspect(key):
+            return False
+        suspected = {*self._confirmed.backends(key), *self._aborted_starts.of(key)}
+        return not suspected <= set(backend_ids)
+
     def refusal_remaining_s(self, key: bytes) -> float:
         """Return how much longer a request or part is refused, in seconds.
 
--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -80,8 +80,11 @@
     ctx: EntryContext, job: Job, progress: Progress, run: Run
 ) -> bool:
     """Return whether a run may end, with a retry for its request if it has one."""
-    if progress.is_begun and ctx.crashes.is_suspect(job.fingerprint):
+    if progress.is_begun and ctx.crashes.is_suspect_elsewhere(
+        job.fingerprint, run.backend_ids
+    ):
         # It may be rejected instead of being sent again, which would cut its response.
+        # That it left engines of this run after its start is no crash that adds up.
         return False
     if is_crashing(ctx, job):
         return not progress.is_begun
