A silent run ends only if an engine accepts its next send now

What callers would see: a 502 though the engine would have gone on, or a stream that is sent to its silent engine again and again, each time with a retry of the budget.

Cause: before a run ends it is checked that engines which respond hold all layers, but not that one of them accepts requests. The choice of the path skips a first engine during its Retry-After, or while this entry has no share of its rate limit. What is left is the silent engine, or no path.

Change: the check counts only first engines that accept requests now, and records the demand for the others, by which entries share rate limits.

Evidence: NextSendTest on the code before: 2 of 2 tests failed. With one engine silent and the other in its Retry-After of 60 s, a request without an event was sent to the silent engine again and ended with NO_BACKEND (a 502) 1.45 s after its arrival; a stream that had begun was sent there eight times within 0.6 s. Both wait for their engine now.

--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -14,6 +14,7 @@
 from wigeonscale.direct.admission import lost_engines, responds
 from wigeonscale.direct.crashing import is_crashing
 from wigeonscale.direct.detour import change_path
+from wigeonscale.direct.fleet import BackendServer
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.retry_wait import may_send_again
@@ -103,6 +104,8 @@
 ) -> bool:
     """Return whether engines that respond hold all layers of a next path.
 
+    Its first engine must accept requests now.
+
     Notes:
         Linear in the engines of the service. It does not look for the path itself,
         which takes milliseconds, and which the next send does.
@@ -118,6 +121,7 @@
         for server in servers
         if server.layers.first == 0
         and (len(ran_on) < job.route.max_attempts or server.backend_id in ran_on)
+        and _may_begin_at(ctx, server)
     ]
     if not first:
         return False
@@ -128,3 +132,14 @@
             break
         end = max(end, server.layers.end)
     return end >= layers
+
+
+def _may_begin_at(ctx: EntryContext, server: BackendServer) -> bool:
+    """Return whether a path may begin at an engine now, and record the demand if not.
+
+    Entries share the rate limit of an engine by demand.
+    """
+    if ctx.notices.may_send(server.backend_id):
+        return True
+    ctx.limits.note_demand(server.backend_id)
+    return False
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -15,6 +15,7 @@
     unknown,
 )
 from wigeonscale.errors import RunState
+from wigeonscale.ports.exchange import ServerNotice
 
 SILENCE_S = 1.5
 
@@ -317,3 +318,21 @@
 
     async def test_end_of_the_response(self):
         await self.play(SlowSink(event(1).data, b""), event(1))
+
+
+class NextSendTest(SilentEngineCase):
+    """Guards against a run that is ended although its next send cannot begin."""
+
+    async def prepare(self):
+        await super().prepare()
+        notice = ServerNotice(retry_after_s=60.0)
+        now = self.harness.clock.now()
+        self.harness.ctx.notices.note("b1", notice, request_id="r0", sent_at=now)
+
+    async def test_other_engine_accepts_no_request_now(self):
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        await self.go_on(self.start())
+
+    async def test_other_engine_accepts_no_request_before_the_first_event(self):
+        self.exchange.script("a1", [self.gate, event(1), event(2)])
+        await self.go_on(self.start())
