A stream that leaves a silent engine may go to one that refused it before

What callers see: a stream that an engine refused or did not connect to at first, and whose later engine falls silent, is sent to the silent engine again, with another retry of the budget.

Cause: an engine that failed during a request stays excluded for as long as the request lasts, while the check before a run ends counts it as soon as it responds. So the run ended, and the only engine left was the one it had left.

Change: when the entry ends a run itself, the engines that failed before are no longer excluded. Those that still do not respond are avoided by the tracker, as for new requests.

Evidence: test_engine_that_refused_it_before_responds_again on the code before: sent to [a1, b1, b1] instead of [a1, b1, a1]; passes now.

--- a/wigeonscale/direct/stream.py
+++ b/wigeonscale/direct/stream.py
@@ -193,6 +193,9 @@
         if not run.wait_timeout.expired():
             raise
         progress.has_given_up = True
+        # The run has ended since other engines respond, some of which may have failed
+        # before; those that do not respond are avoided anyway.
+        progress.lost.clear()
         note_aborted_run(ctx, job, run, (first,))
         pause_s = ctx.clock.now() - run.progress_at
         raise _GivenUpError(
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -224,6 +224,14 @@
         await self.finish(self.start())
         self.assertTrue(len(self.exchange.calls) > MAX_SENDS)
 
+    async def test_engine_that_refused_it_before_responds_again(self):
+        """Guards against a stream that is sent to its silent engine again."""
+        self.exchange.scripts["a1"] = [not_run(), [event(2)]]
+        self.exchange.script("b1", [event(1), self.gate], [event(2)])
+        self.harness.orders.held_up_by = {"b1:80": None}
+        await self.finish(self.start())
+        self.assertEqual(["a1", "b1", "a1"], self.exchange.sent_to)
+
     async def test_layers_are_missing_for_seconds(self):
         task = self.start()
         await self.until(lambda: self.got() == [1])
