Use a retry from the budget soon after it was taken, or not at all

Load pattern: many streams of a silent engine wait for retries that control reserves, the engine goes on meanwhile, and an engine fails seconds later. Or: a caller reads slowly while its engine is silent.

Cause: a retry that was taken for a run which then went on, or whose caller was being sent a part of the response, stayed with the stream for good. It counts in the budget when it is taken, and the arrival comes in any later window, on top of the whole budget of that one.

Change: a held retry can be used for 0.5 s, and none is taken while a part of the response is being written, as the events behind it are not read yet.

Evidence: on the code before, test_retry_that_was_reserved_long_ago failed (a stream with a retry taken 10 s earlier left its engine although the budget of the window was used up), and test_no_retry_is_taken_meanwhile (one retry counted, none expected). Both pass now.

--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -81,6 +81,9 @@
     ctx: EntryContext, job: Job, progress: Progress, run: Run
 ) -> bool:
     """Return whether a run may end, with a retry for its request if it has one."""
+    if run.is_writing:
+        # The caller reads slowly, and events may have arrived meanwhile.
+        return False
     if progress.is_begun and ctx.crashes.is_suspect_elsewhere(
         job.fingerprint, run.backend_ids
     ):
@@ -94,9 +97,12 @@
         return False
     if not _has_responding_path(ctx, job, progress, run):
         return False
-    if not progress.has_retry:
-        progress.has_retry = await ctx.budget.acquire(job.service.name, is_begun=True)
-    return progress.has_retry
+    if progress.holds_retry(ctx.clock.now()):
+        return True
+    if not await ctx.budget.acquire(job.service.name, is_begun=True):
+        return False
+    progress.hold_retry(ctx.clock.now())
+    return True
 
 
 def _has_responding_path(
--- a/wigeonscale/direct/progress.py
+++ b/wigeonscale/direct/progress.py
@@ -7,6 +7,9 @@
 # Most sends of one request. The attempts of a route do not limit them, because refused
 # sends that did not run are no attempts.
 MAX_SENDS = 6
+# A retry that was taken for the next send is used within this time, or not at all, as
+# it counts in the budget from when it was taken.
+MAX_HELD_RETRY_S = 0.5
 
 
 @dataclass(slots=True)
@@ -24,7 +27,8 @@
         left_domain: Failure domain of the lost engine that the latest send left; empty
             if there is none or the stream has resumed since.
         next_domain: Failure domain drawn for the next send; empty for any.
-        has_retry: Whether a retry for the next send was taken from the budget already.
+        retry_held_until: Time until which the next send may use a retry that was taken
+            from the budget for it; in the past if there is none.
         first_event_at: Time of the first event to the caller; None before it.
         latest_event_at: Time of the latest event to the caller.
         longest_pause_s: Longest time between two events to the caller.
@@ -43,7 +47,7 @@
     reroutes: int = 0
     left_domain: str = ""
     next_domain: str = ""
-    has_retry: bool = False
+    retry_held_until: float = float("-inf")
     first_event_at: float | None = None
     latest_event_at: float = 0.0
     longest_pause_s: float = 0.0
@@ -76,6 +80,32 @@
             return self.first_sent_at
         return self.latest_event_at
 
+    def hold_retry(self, now: float) -> None:
+        """Record that a retry was taken from the budget for the next send.
+
+        Args:
+            now: Local time.
+        """
+        self.retry_held_until = now + MAX_HELD_RETRY_S
+
+    def holds_retry(self, now: float) -> bool:
+        """Return whether the next send may use a retry that was taken for it.
+
+        Args:
+            now: Local time.
+        """
+        return now < self.retry_held_until
+
+    def use_retry(self, now: float) -> bool:
+        """Use the retry that was taken for the next send; return whether there is one.
+
+        Args:
+            now: Local time.
+        """
+        is_held = self.holds_retry(now)
+        self.retry_held_until = float("-inf")
+        return is_held
+
     def note_send(self, now: float) -> None:
         """Record a send.
 
--- a/wigeonscale/direct/recovery_choice.py
+++ b/wigeonscale/direct/recovery_choice.py
@@ -53,7 +53,7 @@
     """
     if not ctx.has_classes(job.service.name):
         return True
-    if progress.has_retry:
+    if progress.holds_retry(ctx.clock.now()):
         return False  # drawn before; its wait for events is being aborted
     if ctx.crashes.is_suspect(job.fingerprint):
         # It may have crashed the lost engine, and must not spread to other domains.
@@ -68,7 +68,7 @@
         and _may_send_to(ctx, job, progress, path[0].backend_id, way.domain)
         and ctx.budget.try_spend(job.service.name, is_begun=True)
     ):
-        progress.has_retry = True
+        progress.hold_retry(ctx.clock.now())
         progress.left_domain, progress.next_domain = plan.domain, way.domain
         return False
     old = {part.backend_id for part in path}
--- a/wigeonscale/direct/retry_wait.py
+++ b/wigeonscale/direct/retry_wait.py
@@ -118,8 +118,7 @@
     """Take one retry from the budget if the request may be retried; return whether."""
     if ctx.clock.now() >= job.deadline_at or not may_send_again(job, progress):
         return False
-    if progress.has_retry:
-        progress.has_retry = False
+    if progress.use_retry(ctx.clock.now()):
         return True
     return await ctx.budget.acquire(job.service.name, is_begun=progress.must_finish)
 
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -18,6 +18,9 @@
 from wigeonscale.ports.exchange import ServerNotice
 
 SILENCE_S = 1.5
+# Window of the retry budget of the harness, in which a stream has this many events.
+WINDOW_S = 10.0
+TICKS = 100
 
 
 class SilentEngineCase(StreamCase):
@@ -177,6 +180,33 @@
         await task
         self.assertEqual(["a1"], self.exchange.sent_to)
 
+    async def test_retry_that_was_reserved_long_ago(self):
+        """Guards against retries that count in one window and are used in a later."""
+        loop = asyncio.get_running_loop()
+        ticks = [loop.create_future() for _ in range(TICKS)]
+        events = [event(1), self.gate, event(2)]
+        for number, tick in enumerate(ticks, start=3):
+            events += [tick, event(number)]
+        self.exchange.script("a1", [*events, self.second_gate])
+        acquire = self.harness.ctx.budget.acquire
+        reserved = loop.create_future()
+        self.harness.ctx.budget.acquire = lambda service, *, is_begun: reserved
+        task = self.start()
+        await self.harness.clock.advance(SILENCE_S)
+        self.gate.set_result(None)
+        await self.until(lambda: self.got() == [1, 2])
+        reserved.set_result(True)
+        self.harness.ctx.budget.acquire = acquire
+        for tick in ticks:
+            await self.harness.clock.advance(WINDOW_S / TICKS)
+            tick.set_result(None)
+        self.use_up_budget()
+        await self.harness.clock.advance(SILENCE_S)
+        self.second_gate.set_result(None)
+        await self.until(task.done)
+        await task
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
     async def test_engine_that_ended(self):
         """It will not go on, so the caller is not left waiting."""
         self.exchange.script("a1", [event(1), self.gate])
@@ -293,6 +323,15 @@
         self.assertEqual([], self.harness.orders.queried)
         self.assertEqual([], self.harness.hinted + self.harness.suspected)
 
+    async def test_no_retry_is_taken_meanwhile(self):
+        """Guards against retries that count long before they are used."""
+        self.harness.tracker.note_lost("a1")
+        await self.harness.clock.advance(3.0)
+        self.assertEqual({}, self.harness.ctx.budget.report_sends())
+        self.gate.set_result(None)
+        await self.check_whole()
+        self.assertEqual(["a1"], self.exchange.sent_to)
+
     async def test_engine_ends_meanwhile(self):
         self.exchange.script("b1", [event(2)])
         self.harness.tracker.note_ended("a1")
@@ -305,13 +344,13 @@
     """Guards against an abort that hits the write after the one that it waited for."""
 
     async def play(self, sink, *events):
-        """Relay events that are all there, of an engine that is lost at the first."""
+        """Relay events that are all there, of an engine that ends at the first."""
         self.sink = sink
         self.exchange.script("a1", list(events))
         self.exchange.script("b1", [event(2)])
         task = self.start()
         await self.until(lambda: self.got() == [1])
-        self.harness.tracker.note_lost("a1")
+        self.harness.tracker.note_ended("a1")
         for gate in sink.gates.values():
             await self.harness.clock.advance(0.2)
             gate.set()
