Look for a detour again when the engines change while a run waits

What callers see: a stream that must not run twice loses an engine behind the first one, and is cut by its first engine after some seconds, although another engine has loaded or kept the layers meanwhile.

Cause: while a run waits to leave its engines, a detour was looked for once, and again only if another engine of its path was lost.

Change: it is also looked for when control's view of the engines has changed.

Evidence: test_rerouted_once_another_engine_has_the_layers failed before (no reroute was ordered), and passes now.

--- a/wigeonscale/direct/leaving.py
+++ b/wigeonscale/direct/leaving.py
@@ -14,7 +14,7 @@
 from wigeonscale.direct.admission import lost_engines, responds
 from wigeonscale.direct.crashing import is_crashing
 from wigeonscale.direct.detour import change_path
-from wigeonscale.direct.fleet import BackendServer
+from wigeonscale.direct.fleet import BackendServer, Fleet
 from wigeonscale.direct.job import EntryContext, Job
 from wigeonscale.direct.progress import Progress
 from wigeonscale.direct.retry_wait import may_send_again
@@ -50,12 +50,13 @@
     """
     events = run.events
     began_at = ctx.clock.now()
-    lost: set[str] = set()
+    tried: tuple[set[str], Fleet] | None = None
     outcome = "went-on"
     while run.events == events:
-        newly_lost = lost_engines(ctx, path)
-        if run.is_split and newly_lost and newly_lost != lost:
-            lost = newly_lost
+        lost, fleet = lost_engines(ctx, path), ctx.fleet()
+        is_new = tried is None or lost != tried[0] or fleet is not tried[1]
+        if run.is_split and lost and is_new:
+            tried = lost, fleet
             if await change_path(ctx, job, progress, run, path):
                 progress.reroutes += 1
                 return False
--- a/wigeonscale/direct/tests/test_silence.py
+++ b/wigeonscale/direct/tests/test_silence.py
@@ -16,6 +16,7 @@
 )
 from wigeonscale.errors import RunState
 from wigeonscale.ports.exchange import ServerNotice
+from wigeonscale.ports.orders import OrderOutcome
 
 SILENCE_S = 1.5
 # Window of the retry budget of the harness, in which a stream has this many events.
@@ -164,6 +165,21 @@
         self.assertEqual([1, 2], self.got())
         self.assertEqual(["a1", "b1"], self.exchange.sent_to)
 
+    async def test_rerouted_once_another_engine_has_the_layers(self):
+        """Guards against a stream that breaks though its engine was replaced."""
+        self.harness.orders.held_up_by = {"a1:80": ["a2:80"]}
+        self.harness.orders.reroute_outcome = OrderOutcome.STARTED
+        self.exchange.script("a1", [event(1), self.gate, event(2)])
+        task = self.start(resumable=False)
+        await self.until(lambda: self.got() == [1])
+        self.harness.tracker.note_lost("a2")
+        await self.harness.clock.advance(0.5)
+        self.assertEqual([], self.harness.orders.rerouted)
+        servers = self.harness.fleet.by_id.values()
+        self.harness.fleet = fleet(*servers, engine("a3", 5, 10))
+        await self.go_on(task)
+        self.assertEqual([("a1:80", "r1", ["a1", "a3"])], self.harness.orders.rerouted)
+
     async def test_event_while_a_retry_is_reserved(self):
         """Guards against a run that is ended although it has gone on."""
         self.exchange.script("a1", [event(1), self.gate, event(2), self.second_gate])
