Try a refused whole request by one entry at a time

Load pattern: a request that crashes engines is refused for 5 to 10 s only, since it shares its crashes with another suspect or they came together. It comes at all entries, and each tried it by itself when its own random time was over, some before the crash of another one's trial was known.

Change: control grants the trial of a whole request as it does for parts. An entry that gets no answer for 2 s tries it alone, as before; so does one whose control is of an older version.

--- a/wigeonscale/crashes/tests/test_fleet_restarts.py
+++ b/wigeonscale/crashes/tests/test_fleet_restarts.py
@@ -158,3 +158,20 @@
             deadly_from_s=4.0,
             entry_restarts=((4.0, 1.0),),
         )
+
+
+class RepeatedRequestTest(FleetCase):
+    """Several entries have the same request when its refusal expires."""
+
+    async def test_one_entry_tries_it(self):
+        await self.check(
+            seeds=(28,),
+            entries=5,
+            engines=3,
+            deadly_requests=("repeated",),
+            deadly_rate=6.0,
+            sound_rate=20.0,
+            deadly_from_s=3.0,
+            entry_restarts=((4.0, 1.0), (9.0, 0.6)),
+            control_restarts=(3.5, 6.0, 9.0),
+        )
--- a/wigeonscale/crashes/tests/test_tracker.py
+++ b/wigeonscale/crashes/tests/test_tracker.py
@@ -11,6 +11,7 @@
     refusal_s,
     report_crashes,
 )
+from wigeonscale.crashes.trials import GRANT_TIMEOUT_S
 from wigeonscale.crashes.withdrawals import BACK_FOR_S
 from wigeonscale.errors import ErrorKind, WigeonscaleError
 from wigeonscale.testing import AsyncTestCase, ManualClock
@@ -149,6 +150,50 @@
         self.assertEqual(0.0, self.tracker.refusal_remaining_s(OTHER))
 
 
+class RequestTrialTest(CrashTrackerCase):
+    """Many entries have the request when its refusal expires."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.apply_crashes()
+
+    def apply_crashes(self, **fields):
+        record = KnownCrashes(
+            fingerprint=FINGERPRINT,
+            backends=("s1", "s2", "s3"),
+            age_s=5.0,
+            span_s=0.2,
+            failed_trials=0,
+            **fields,
+        )
+        self.tracker.apply_records([record])
+
+    def is_refused(self):
+        return self.tracker.refusal_remaining_s(FINGERPRINT) > 0
+
+    async def test_one_entry_tries_it(self):
+        self.assertTrue(self.is_refused())
+        self.assertTrue(self.tracker.ask_for_trials([FINGERPRINT]))
+        report = self.tracker.take_report()
+        self.assertEqual((FINGERPRINT,), report.trials)
+        self.apply_crashes(trial=report.trial_id)
+        self.assertFalse(self.is_refused())
+        self.tracker.note_sent(FINGERPRINT)
+        self.assertTrue(self.is_refused())
+
+    async def test_trial_of_another_entry_is_awaited(self):
+        self.apply_crashes(trial="other entry")
+        self.assertTrue(self.is_refused())
+        self.assertFalse(self.tracker.ask_for_trials([FINGERPRINT]))
+
+    async def test_tried_alone_if_control_does_not_answer(self):
+        self.assertTrue(self.is_refused())
+        await self.clock.advance(GRANT_TIMEOUT_S + 0.1)
+        self.assertFalse(self.is_refused())
+        self.tracker.note_sent(FINGERPRINT)
+        self.assertTrue(self.is_refused())
+
+
 class TieTest(CrashTrackerCase):
     """Another request was sent each time together with the one that crashes servers."""
 
--- a/wigeonscale/crashes/tracker.py
+++ b/wigeonscale/crashes/tracker.py
@@ -142,11 +142,18 @@
         refused_until = self._refused_until(key)
         if refused_until is None:
             return 0.0
-        if now < refused_until or not is_part_key(key):
+        if now < refused_until or not self._needs_trial(key):
             return max(0.0, refused_until - now)
-        is_proven = key in self._proven_parts
+        # A whole request is tried without a grant if control gives no answer.
+        is_tried_alone = key in self._proven_parts or not is_part_key(key)
+        record = self._confirmed.get(key)
+        return self._trials.wait_s(key, record, is_tried_alone=is_tried_alone)
+
+    def _needs_trial(self, key: bytes) -> bool:
+        """Return whether control grants the tries of a key after its refusal."""
         record = self._confirmed.get(key)
-        return self._trials.wait_s(key, record, is_proven=is_proven)
+        grants_all = record is not None and record.failed_trials is not None
+        return is_part_key(key) or grants_all
 
     def refused_keys(self, keys: Collection[bytes]) -> dict[bytes, float]:
         """Return what is refused in a request, and for how long, in seconds.
@@ -244,7 +251,7 @@
             key
             for key in refused
             if key in self._confirmed
-            and is_part_key(key)
+            and self._needs_trial(key)
             and now >= self._trial_due_at(key, refused, keys)
             and self._trials.ask(key, self._confirmed.get(key))
         ]
@@ -292,7 +299,7 @@
         """
         if len(self._confirmed.backends(fingerprint)) >= CRASHES_TO_REFUSE:
             self._retried_at[fingerprint] = self._clock.now()
-        for key in parts:
+        for key in (fingerprint, *parts):
             if len(self._crashed_backends(key)) >= CRASHES_TO_REFUSE:
                 self._trials.note_sent(key)
 
--- a/wigeonscale/crashes/trials.py
+++ b/wigeonscale/crashes/trials.py
@@ -1,4 +1,4 @@
-"""Trials of refused prompt parts, one at a time over all entries.
+"""Trials of refused prompt parts and requests, one at a time over all entries.
 
 A part is refused for long if it has never run without a crash, but that may only mean
 that no run with it has had the time: the servers crash under another part, or under
@@ -7,7 +7,8 @@
 
 Requests with a part arrive at all entries. If each entry sent one of them as soon as
 the refusal has expired, a part that still crashes servers would crash as many as there
-are entries. So an entry asks control, which grants one trial at a time.
+are entries. So an entry asks control, which grants one trial at a time. Whole requests
+are tried in the same way, but never early.
 """
 
 __all__ = ["TRIAL_INTERVAL_S", "Trials", "early_trial_at"]
@@ -25,8 +26,9 @@
 TRIAL_INTERVAL_S = 6.0
 # Retry-After of a request that is refused while its entry asks for the trial.
 TRIAL_RETRY_AFTER_S = 0.3
-# After this long without a grant, an entry tries a part that has run before on its own:
-# control may have no majority, or an older version that grants no trials.
+# After this long without a grant, an entry tries a request, or a part that has run
+# before, on its own: control may have no majority, or an older version that grants no
+# trials.
 GRANT_TIMEOUT_S = 2.0
 ID_BYTES = 6
 # Early trials that end with a crash, after which a part stays refused. By the users'
@@ -98,14 +100,14 @@
         self._unreported: set[bytes] = set()
 
     def wait_s(
-        self, key: bytes, record: ConfirmedCrashes | None, *, is_proven: bool
+        self, key: bytes, record: ConfirmedCrashes | None, *, is_tried_alone: bool
     ) -> float:
         """Return how long a request must wait for a trial; 0 if it may be sent.
 
         Args:
             key: Key of a refused part whose refusal has expired.
             record: Its crashes as control knows them; None before it does.
-            is_proven: Whether it has run without a crash before.
+            is_tried_alone: Whether it is tried if control does not answer.
         """
         now = self._clock.now()
         since_sent_s = now - self._sent_at.get(key, float("-inf"))
@@ -114,7 +116,7 @@
         if self.is_granted(key, record):
             return 0.0
         waits_since = self._waits_since.setdefault(key, now)
-        if is_proven and now - waits_since > GRANT_TIMEOUT_S:
+        if is_tried_alone and now - waits_since > GRANT_TIMEOUT_S:
             return 0.0
         return TRIAL_RETRY_AFTER_S
 
