Continue generations of a removed chain on another with the same head

Cause: control ended the silent agent's incarnation and, without a spare, removed the chain; the agent came back and control planned a chain with another id and the same head (by the log). The head waited for a newer epoch of the removed id until its time-out. Entries move only generations that may be repeated.

Change: once its chain is removed, a sequence in recovery continues on a ready chain of the same pipeline that its agent heads. As ids may differ now, lost epochs are counted by chain id and epoch, so the limit on crashes before the first token stays.

The new test removes the chain when its stage is lost and adds one with another id and the same head.

--- a/wigeonscale/agent/agent.py
+++ b/wigeonscale/agent/agent.py
@@ -196,6 +196,7 @@
             stage=self.stage,
             links=self.links,
             chains=lambda chain_id: self._control.members.chains.get(chain_id),
+            replacement=self._replacement_chain,
             suspect=self._control.suspect,
             clock=self._clock,
             repair_timeout_s=self._cfg.repair_timeout_s,
@@ -209,6 +210,19 @@
                 self.stage.advance_epoch(chain.chain_id, chain.epoch)
         self.head.members_changed()
 
+    def _replacement_chain(self, removed: wire.Chain) -> wire.Chain | None:
+        """Return a ready chain of the same pipeline that this agent heads, or None.
+
+        Its generations would otherwise end with a chain that control could not repair,
+        also those that no other agent may continue.
+        """
+        for chain in self._control.members.chains.values():
+            is_head = chain.stages[0].agent_id == self._cfg.name
+            is_usable = chain.ready and not chain.retiring
+            if is_head and is_usable and chain.pipeline == removed.pipeline:
+                return chain
+        return None
+
     def _share(self, organisation: str) -> float:
         known = self._control.document.organisations.get(organisation)
         return known.share if known else 1.0
--- a/wigeonscale/agent/tests/test_faults.py
+++ b/wigeonscale/agent/tests/test_faults.py
@@ -150,6 +150,22 @@
         # another chain.
         self.assertEqual(["a1", "a3"], lost)
 
+    async def test_chain_is_removed_and_another_has_the_same_head(self):
+        """Control removes a chain that it can't repair, and may plan another."""
+        await self.start(spares=1, repair_timeout_s=5)
+        n0, n1, n2, spare = self.nodes
+        new_chain = make_chain([n0, spare, n2], epoch=1)
+        new_chain.chain_id = "new"
+
+        def replace(agent_id):
+            self.control.members.chains.clear()
+            self.control.set_chain(new_chain)
+
+        self.control.on_suspect = replace
+        n1.engine.fault_position = PIECES + 3
+        n1.engine.on_fault = n1.kill
+        await self.check_complete(await self.send())
+
     async def test_lost_stage_without_spare_ends_with_error(self):
         await self.start(repair_timeout_s=0.3)
         lost = self.nodes[1]
--- a/wigeonscale/pipelines/generation.py
+++ b/wigeonscale/pipelines/generation.py
@@ -48,7 +48,7 @@
         self._pieces = list(pieces)
         self._produced = produced
         self._initial_count = produced
-        self._lost_epochs: set[int] = set()
+        self._lost_epochs: set[tuple[str, int]] = set()
         self._run = 1
         self._position = 0
         self._step_end = 0
@@ -61,18 +61,20 @@
         """Sequence id of the current run on the engines."""
         return f"{self.dispatch_id}#{self._run}"
 
-    def record_chain_loss(self, epoch: int) -> int:
+    def record_chain_loss(self, chain_id: str, epoch: int) -> int:
         """Record that the chain of this generation was lost.
 
         Args:
-            epoch: Epoch of the lost chain.
+            chain_id: Id of the lost chain.
+            epoch: Its epoch.
 
         Returns:
-            Number of epochs lost before the first new token; 0 once there is one.
+            Number of epochs lost before the first new token, of all chains; 0 once
+            there is one.
         """
         if self._produced > self._initial_count:
             return 0
-        self._lost_epochs.add(epoch)
+        self._lost_epochs.add((chain_id, epoch))
         return len(self._lost_epochs)
 
     @property
--- a/wigeonscale/pipelines/head.py
+++ b/wigeonscale/pipelines/head.py
@@ -36,6 +36,8 @@
         stage: Stage of this agent; called directly if it is the first of the chain.
         links: Connections to other stages.
         chains: Returns the newest known chain with an id, or None.
+        replacement: Returns a ready chain that this agent heads in place of a removed
+            one, or None.
         suspect: Reports an unreachable agent by its id and incarnation.
         clock: Clock port.
         repair_timeout_s: Seconds without a token before a generation fails.
@@ -49,6 +51,7 @@
         stage: StageRunner,
         links: StepLinks,
         chains: Callable[[str], wire.Chain | None],
+        replacement: Callable[[wire.Chain], wire.Chain | None] = lambda chain: None,
         suspect: Callable[[str, int], None],
         clock: Clock,
         repair_timeout_s: float,
@@ -62,6 +65,7 @@
         self._drivers: dict[tuple[str, int], _ChainDriver] = {}
         self._recovery = Recovery(
             chains=chains,
+            replacement=replacement,
             resume=self._resume,
             suspect=suspect,
             clock=clock,
--- a/wigeonscale/pipelines/recovery.py
+++ b/wigeonscale/pipelines/recovery.py
@@ -27,14 +27,17 @@
 class Recovery:
     """Waits for a usable chain and resumes failed sequences on it.
 
-    A newer ready epoch is used at once. The same epoch is retried with exponential
-    backoff, since a call may fail although its engine is alive. A sequence fails
+    A newer ready epoch is used at once, and so is another chain with the same head once
+    the chain is removed. The same epoch is retried with exponential backoff, since a
+    call may fail although its engine is alive. A sequence fails
     after the timeout without a token, however often it was resumed in between, so
     that a second loss during the repair does not extend the timeout. A sequence
     without any token fails when it loses its second epoch.
 
     Args:
         chains: Returns the newest known chain with an id, or None.
+        replacement: Returns a ready chain that this agent heads in place of a removed
+            one, or None.
         resume: Starts sequences on a chain, from position 0.
         suspect: Reports an unreachable agent by its id and incarnation.
         clock: Clock port.
@@ -46,6 +49,7 @@
         self,
         *,
         chains: Callable[[str], wire.Chain | None],
+        replacement: Callable[[wire.Chain], wire.Chain | None],
         resume: Callable[[list[Generation], wire.Chain], None],
         suspect: Callable[[str, int], None],
         clock: Clock,
@@ -53,6 +57,7 @@
         backoff_s: float,
     ):
         self._chains = chains
+        self._replacement = replacement
         self._resume = resume
         self._suspect = suspect
         self._clock = clock
@@ -101,25 +106,33 @@
         retry_at = self._clock.now() + self._next_backoff_s(waiting)
         while waiting := self._fail_overdue(waiting, chain):
             changed = self._changed
-            newest = self._chains(chain.chain_id)
             now = self._clock.now()
-            if newest is not None and newest.ready:
-                if newest.epoch > chain.epoch or now >= retry_at:
-                    METRICS.repairs.add(len(waiting), kind=OK)
-                    self._resume(waiting, newest)
-                    return
+            usable = self._usable_chain(chain, may_repeat_epoch=now >= retry_at)
+            if usable is not None:
+                METRICS.repairs.add(len(waiting), kind=OK)
+                self._resume(waiting, usable)
+                return
             oldest = min(generation.failing_since for generation in waiting)
             remaining_s = oldest + self._timeout_s - now
             pause_s = retry_at - now if now < retry_at else self._backoff_s
             await wait_event(changed, self._clock, min(pause_s, remaining_s))
 
+    def _usable_chain(
+        self, chain: wire.Chain, *, may_repeat_epoch: bool
+    ) -> wire.Chain | None:
+        newest = self._chains(chain.chain_id)
+        if newest is None:
+            return self._replacement(chain)
+        is_usable = newest.epoch > chain.epoch or may_repeat_epoch
+        return newest if newest.ready and is_usable else None
+
     def _fail_after_lost_epochs(
         self, generations: list[Generation], chain: wire.Chain
     ) -> list[Generation]:
         """Fail generations that lost too many epochs; return the others."""
         remaining: list[Generation] = []
         for generation in generations:
-            epochs = generation.record_chain_loss(chain.epoch)
+            epochs = generation.record_chain_loss(chain.chain_id, chain.epoch)
             if epochs < MAX_LOST_EPOCHS_BEFORE_TOKEN:
                 remaining.append(generation)
                 continue
