--- a/review/standins2/engines.py
+++ b/review/standins2/engines.py
@@ -56,6 +56,9 @@
         heartbeat_s: Interval of its heartbeats.
         port: Port to listen on; 0 for a free one.
         first_heartbeat_after_s: Delay of its first heartbeat.
+        name: Its id; None for a new one.
+        born: Unix millisecond of its start, which it then reports; None if engines of
+            this deployment don't.
 
     Attributes:
         layers: First layer that it holds and the layer after the last one.
@@ -79,8 +82,11 @@
         zone: str = "zone-a",
         events: int = 4,
         event_interval_s: float = 0.005,
+        name: str | None = None,
+        born: int | None = None,
     ):
-        self.name = f"i-{next(_numbers):08x}"
+        self.name = name or f"i-{next(_numbers):08x}"
+        self.born = born
         self.service = service
         self.kind = kind
         self.layers = (0, 0)
@@ -140,6 +146,8 @@
             "cold-remaining-ms": 0,
             "seq": next(self._sequence),
         }
+        if self.born is not None:
+            body["born"] = self.born
         if self.kind:
             first, end = self.layers
             body |= {
@@ -162,6 +170,15 @@
                 return True
         return False
 
+    async def leave(self) -> bool:
+        """Say that it is gone; return whether that was acknowledged."""
+        body = None if self.born is None else {"born": self.born}
+        for control in self._controls:
+            reply = await call("DELETE", control, f"/instances/{self.name}", body)
+            if reply.status == 200:
+                return True
+        return False
+
     async def _send_heartbeats(self) -> None:
         await asyncio.sleep(self._first_after_s)
         while True:
@@ -211,6 +228,8 @@
             "pace": 1.0,
             "stalled": [],
         }
+        if self.born is not None:
+            report["born"] = self.born
         headers = {"Content-Type": "application/json"}
         return reply_bytes(200, headers, json.dumps(report).encode())
 
