--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -29,6 +29,7 @@
     script: str,
     entries: int = 1,
     heartbeat_ms: int = 1200,
+    waits: bool = True,
 ) -> None:
     """Run a case and exit with its status.
 
@@ -37,10 +38,11 @@
         script: Path of the script; the record is written beside it.
         entries: Number of entries.
         heartbeat_ms: Interval of heartbeats of backend servers.
+        waits: Whether the case begins once control is ready.
     """
     record = Record()
     try:
-        status = asyncio.run(_run(check, record, entries, heartbeat_ms))
+        status = asyncio.run(_run(check, record, entries, heartbeat_ms, waits))
     except (Exception, asyncio.CancelledError):
         record.add(f"the case could not run: {traceback.format_exc()}")
         traceback.print_exc()
@@ -50,7 +52,9 @@
     sys.exit(status)
 
 
-async def _run(check, record: Record, entries: int, heartbeat_ms: int) -> int:
+async def _run(
+    check, record: Record, entries: int, heartbeat_ms: int, waits: bool
+) -> int:
     task = asyncio.current_task()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
@@ -62,7 +66,8 @@
         try:
             async with asyncio.timeout(LIMIT_S):
                 await deployment.start_all()
-                await deployment.wait_until_ready()
+                if waits:
+                    await deployment.wait_until_ready()
                 return await check(deployment, record)
         finally:
             kept = os.environ.get("KEEP_LOGS")
