--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -1,9 +1,8 @@
 """Starts the daemons as the deploy file does, on loopback addresses."""
 
-__all__ = ["CONTROL_COUNT", "Deployment", "Node", "wait_until"]
+__all__ = ["Deployment", "Node", "wait_until"]
 
 import asyncio
-import json
 import os
 import pathlib
 import signal
@@ -19,7 +18,6 @@
 CONTROL_COUNT = 3
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
-RESTART_DELAY_S = 0.3
 
 
 @dataclass(slots=True)
@@ -153,17 +151,6 @@
                 self.send_signal(node, signal.SIGKILL)
                 await node.proc.wait()
 
-    def log_lines(self, node: Node) -> list[dict]:
-        """Return the lines of a daemon's log that are JSON."""
-        lines = []
-        text = (self._folder / f"{node.name}.log").read_text(encoding="utf-8")
-        for line in text.splitlines():
-            try:
-                lines.append(json.loads(line))
-            except ValueError:
-                continue
-        return lines
-
     async def _is_ready(self, node: Node, path: str) -> bool:
         return (await call("GET", f"{node.ip}:{self.http}", path)).status == 200
 
--- a/review/standins2/engines.py
+++ b/review/standins2/engines.py
@@ -56,6 +56,9 @@
         heartbeat_s: Interval of its heartbeats.
         port: Port to listen on; 0 for a free one.
         first_heartbeat_after_s: Delay of its first heartbeat.
+        zone: Failure domain that it reports.
+        events: Events of a stream.
+        event_interval_s: Time between two of them.
         name: Its id; None for a new one.
         born: Unix millisecond of its start, which it then reports; None if engines of
             this deployment don't.
