Send a request at most once over a connection to a backend server

Cause: an engine that rejects a send with 503 and Not-Run may send this response a second time, where the next response on the connection is expected. The entry sends the request again, often over the same connection. Responses are identified by the id of the request, which is the same for each send, so the second copy was taken for the response to the second send, which ran.

Change: the connector keeps the ids of the requests that a connection has carried and uses another connection for a repeated one. A new connection that replaces a discarded one no longer counts as reused.

Why it works: whatever a connection still delivers for an earlier send of a request, no later send of that request reads from it; for other requests the id differs.

Two tests of SecondResponseTest sent the same id twice over one connection, which no longer happens; their second request now has another id. They check the same response as before.

--- a/wigeonscale/platform/connection_limiter.py
+++ b/wigeonscale/platform/connection_limiter.py
@@ -54,8 +54,13 @@
     async def note_reuse(_, ctx: SimpleNamespace, params) -> None:
         ctx.trace_request_ctx.is_reused = True
 
+    async def note_new(_, ctx: SimpleNamespace, params) -> None:
+        # The connector may have discarded a pooled connection before.
+        ctx.trace_request_ctx.is_reused = False
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(note_reuse)
+    trace.on_connection_create_end.append(note_new)
     trace.on_connection_create_start.append(acquire_slot)
     trace.on_connection_create_end.append(release_slot)
     # Also release the slot if the connection fails or the request is cancelled.
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -17,6 +17,7 @@
     limit_concurrent_connects,
 )
 from wigeonscale.platform.headers import (
+    REQUEST_ID_HEADER,
     backend_headers,
     is_not_run,
     is_other_incarnation,
@@ -61,7 +62,10 @@
     """Return a client session that sends each request once and unmodified."""
     session = aiohttp.ClientSession(
         connector=CleanConnector(
-            limit=0, keepalive_timeout=IDLE_TIMEOUT_S, enable_cleanup_closed=False
+            id_header=REQUEST_ID_HEADER,
+            limit=0,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            enable_cleanup_closed=False,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "REQUEST_ID_HEADER",
     "RequestHeaders",
     "backend_headers",
     "format_path",
@@ -36,6 +37,7 @@
     ServerNotice,
 )
 
+REQUEST_ID_HEADER = "Attempt-Id"
 MS_PER_S = 1000.0
 BEARER_PREFIX = "bearer "
 LOWEST_PRIORITY = 9
@@ -122,7 +124,7 @@
     )
     deadline_ms = _parse_digits(headers.get("Request-Deadline", ""))
     return RequestHeaders(
-        request_id=headers.get("Attempt-Id", ""),
+        request_id=headers.get(REQUEST_ID_HEADER, ""),
         host=headers.get("Host", ""),
         key=_bearer_token(headers.get("Authorization", "")),
         deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
@@ -214,12 +216,12 @@
             response on a connection is taken to belong to its request.
     """
     missing_id = "" if is_reused else request_id
-    return headers.get("Attempt-Id", missing_id) == request_id
+    return headers.get(REQUEST_ID_HEADER, missing_id) == request_id
 
 
 def read_request_id(headers: Mapping[str, str]) -> str:
     """Return the id of the request that a response names; empty for none."""
-    return headers.get("Attempt-Id", "")
+    return headers.get(REQUEST_ID_HEADER, "")
 
 
 def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
@@ -259,7 +261,7 @@
         request_id: The caller's id of the attempt; empty for none.
         retry_after_s: Value of ``Retry-After``, in seconds; None to omit it.
     """
-    headers = {"Attempt-Id": request_id} if request_id else {}
+    headers = {REQUEST_ID_HEADER: request_id} if request_id else {}
     if retry_after_s is not None:
         headers["Retry-After"] = f"{retry_after_s:.2f}"
     return headers
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -1,4 +1,5 @@
 import asyncio
+import re
 import socket
 import struct
 from unittest import mock
@@ -96,13 +97,13 @@
     def reply(self, *replies, keep_open=False):
         self.replies.extend((reply, keep_open) for reply in replies)
 
-    def backend_call(self, *, method="GET", path="/a%2Fb/../c?x=%41"):
+    def backend_call(self, *, method="GET", path="/a%2Fb/../c?x=%41", request_id="id1"):
         req = CallerRequest(
-            request_id="id1",
+            request_id=request_id,
             host="h",
             method=method,
             path=path,
-            headers=(("Host", "h.example"), ("Attempt-Id", "id1")),
+            headers=(("Host", "h.example"), ("Attempt-Id", request_id)),
             body=b"",
             key="",
             arrived_at=0.0,
@@ -119,9 +120,9 @@
     async def call(self, **fields):
         return await self.exchange.call(self.backend_call(**fields))
 
-    async def call_error(self):
+    async def call_error(self, **fields):
         try:
-            got = await self.call()
+            got = await self.call(**fields)
         except ExchangeError as exc:
             return exc
         self.fail(f"answered {got}")
@@ -391,6 +392,58 @@
         self.fail(f"whole: {got}")
 
 
+class LateRejectionTest(ExchangeCase):
+    """A server sends a rejection again where the next response is expected."""
+
+    REJECTION = (
+        b"HTTP/1.1 503 Busy\r\nAttempt-Id: id1\r\nNot-Run: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    RESPONSE = OK + b"Content-Length: 5\r\n\r\nwhole"
+
+    async def _send_replies(self, reader, writer):
+        """Reject the first send of id1, and answer all others."""
+        self.writers.append(writer)
+        late = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = re.search(rb"Attempt-Id: (\S+)", head)[1]
+                self.requests.append(request_id)
+                if request_id != b"id1":
+                    writer.write(self.RESPONSE.replace(b"id1", request_id))
+                elif self.requests.count(b"id1") == 1:
+                    writer.write(self.REJECTION)
+                    late = self.REJECTION
+                else:
+                    writer.write(late + self.RESPONSE)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # the client closed the connection
+        finally:
+            writer.close()
+
+    async def test_late_rejection_does_not_answer_the_next_send(self):
+        """Guards against a request that runs, and is sent again or refused."""
+        self.assertIs(CallOutcome.NOT_RUN, (await self.call_error()).outcome)
+        self.assertEqual(b"whole", (await self.call()).body)
+        self.assertEqual([b"id1", b"id1"], self.requests)
+
+    async def test_late_rejection_after_another_request(self):
+        """Guards against the same with another request between the two sends."""
+        await self.call_error()
+        self.assertEqual(b"whole", (await self.call(request_id="id2")).body)
+        self.assertEqual(1, len(self.writers))
+        self.assertEqual(b"whole", (await self.call()).body)
+
+    async def test_connection_carries_a_limited_number_of_requests(self):
+        """Guards against ids that are kept as long as a connection is used."""
+        limit = "wigeonscale.adapters.http_connector.MAX_REQUESTS_PER_CONNECTION"
+        with mock.patch(limit, 3):
+            for request_id in ("id2", "id3", "id4", "id5", "id6", "id7", "id8"):
+                await self.call(request_id=request_id)
+        self.assertEqual(3, len(self.writers))
+
+
 class SecondResponseTest(ExchangeCase):
     """A server sends a second response, which is no response to the next request."""
 
@@ -420,7 +473,7 @@
         """Guards against a second response that crosses the next request."""
         self.reply(self.FIRST, self.SECOND, keep_open=True)
         await self.call()
-        exc = await self.call_error()
+        exc = await self.call_error(request_id="id2")
         self.assertIs(CallOutcome.UNKNOWN, exc.outcome)
         self.assertEqual(1, len(self.writers))
 
@@ -429,7 +482,7 @@
         self.reply(self.FIRST, self.SECOND, keep_open=True)
         await self.call()
         with self.assertLogs("wigeonscale.platform.exchange_http") as logs:
-            await self.call_error()
+            await self.call_error(request_id="id2")
         fields = logs.records[0].fields
         local_address = self.writers[0].get_extra_info("peername")
         self.assertEqual(
