Close a connection after a response of another request

Cause: aiohttp returns the connection of a short response to its pool before the head is read. When the head showed the id of another request, the connection stayed in the pool though the response to the request was still due, so each later request on it failed with the response to the request before.

Change: a response that is neither valid nor a rejection closes its connection, also one that is in the pool.

Result: test_connection_is_closed_after_a_response_to_another_request fails without the change (the third request gets no response on the first connection until the test times out) and passes with it.

--- a/wigeonscale/adapters/http_connector.py
+++ b/wigeonscale/adapters/http_connector.py
@@ -1,6 +1,6 @@
 """Connections of an HTTP client whose responses must be whole and belong together."""
 
-__all__ = ["CleanConnector", "ResetCheck"]
+__all__ = ["CleanConnector", "ResetCheck", "discard_connection"]
 
 from collections.abc import Mapping
 from weakref import WeakKeyDictionary
@@ -84,3 +84,16 @@
         """
         exc = self._protocol.exception() if self._protocol is not None else None
         return None if isinstance(exc, aiohttp.ServerDisconnectedError) else exc
+
+
+def discard_connection(res: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response.
+
+    The connection of a short response has returned to the pool by the time that its
+    head is read, and :meth:`aiohttp.ClientResponse.close` does not close it any more.
+
+    Args:
+        res: A response that may not belong to its request.
+    """
+    res.close()
+    res._protocol.close()
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -10,7 +10,11 @@
 import aiohttp
 from yarl import URL
 
-from wigeonscale.adapters.http_connector import CleanConnector, ResetCheck
+from wigeonscale.adapters.http_connector import (
+    CleanConnector,
+    ResetCheck,
+    discard_connection,
+)
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.platform.connection_limiter import (
     ConnectionContext,
@@ -103,7 +107,7 @@
         ctx = ConnectionContext(call.address)
         res = await self._send(call, ctx)
         try:
-            notice = _check_head(call, res, is_reused=ctx.is_reused)
+            notice = _accept_head(call, res, is_reused=ctx.is_reused)
             yield _HttpStream(res=res, address=call.address, notice=notice)
         finally:
             # The rest of an unread response must not be read as the next response.
@@ -205,6 +209,24 @@
         )
 
 
+def _accept_head(
+    call: BackendCall, res: aiohttp.ClientResponse, *, is_reused: bool
+) -> ServerNotice:
+    """Check the head of a response; close its connection if it is no valid response.
+
+    The response to the request may still follow, and must not be read as the next one.
+
+    Raises:
+        ExchangeError: As :func:`_check_head`.
+    """
+    try:
+        return _check_head(call, res, is_reused=is_reused)
+    except ExchangeError as exc:
+        if exc.outcome is not CallOutcome.NOT_RUN:
+            discard_connection(res)
+        raise
+
+
 def _check_head(
     call: BackendCall, res: aiohttp.ClientResponse, *, is_reused: bool
 ) -> ServerNotice:
--- a/wigeonscale/platform/tests/test_exchange_http.py
+++ b/wigeonscale/platform/tests/test_exchange_http.py
@@ -477,6 +477,15 @@
         self.assertIs(CallOutcome.UNKNOWN, exc.outcome)
         self.assertEqual(1, len(self.writers))
 
+    async def test_connection_is_closed_after_a_response_to_another_request(self):
+        """Guards against responses that all belong to the request before."""
+        self.reply(self.FIRST, self.FIRST, keep_open=True)
+        await self.call()
+        await self.call_error(request_id="id2")
+        self.reply(self.FIRST.replace(b"id1", b"id3"))
+        self.assertEqual(b"one", (await self.call(request_id="id3")).body)
+        self.assertEqual(2, len(self.writers))
+
     async def test_response_without_an_id_is_logged(self):
         """Guards against an answer of another request that leaves no trace."""
         self.reply(self.FIRST, self.SECOND, keep_open=True)
