Send each order to an engine over a connection of its own

An order or a change of path could count as begun though the engine refused it.

Cause: an engine may send a response a second time, where the next one is expected. Responses to orders bear no id. Orders, reports and, in entries, requests of callers shared kept connections, so that the second copy of a 202, of a report (200) or of a caller's response passed for the response to the next order. Control besides used the plain connector, which also takes data that has already arrived on an idle connection.

Change: orders use a session that closes each connection after its response; a response with the id of a request is no report; control uses the connector that discards connections with unread data. A report may still be answered by the second copy of an earlier report: orders carry the expected number of orders, which an engine checks.

--- a/wigeonscale/daemons/direct_control.py
+++ b/wigeonscale/daemons/direct_control.py
@@ -11,6 +11,7 @@
 
 from wigeonscale.adapters.channels import new_server, open_channel
 from wigeonscale.adapters.health import start_http
+from wigeonscale.adapters.http_connector import CleanConnector
 from wigeonscale.adapters.logs import setup_logging
 from wigeonscale.config import DirectControlSettings
 from wigeonscale.control import (
@@ -33,6 +34,7 @@
 from wigeonscale.platform.control_http import MAX_DOCUMENT_BYTES, control_routes
 from wigeonscale.platform.documents import compress, decompress, read_route_table
 from wigeonscale.platform.engine_orders import HttpEngineOrders
+from wigeonscale.platform.exchange_http import new_session
 from wigeonscale.ports import Clock, SystemClock
 from wigeonscale.replication import (
     DiskFolder,
@@ -59,6 +61,8 @@
         cfg: Settings.
         clock: Clock port.
         session: HTTP client of the process.
+        order_session: HTTP client for orders to engines, which uses each connection
+            once.
     """
 
     def __init__(
@@ -67,6 +71,7 @@
         cfg: DirectControlSettings,
         clock: Clock,
         session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
     ):
         self._cfg = cfg
         self._stopping = False
@@ -116,7 +121,7 @@
             lease_s=cfg.lease_s,
             loads=1,
         )
-        orders = HttpEngineOrders(session=session)
+        orders = HttpEngineOrders(session=session, order_session=order_session)
         self.registry = Registry(
             node_id=address,
             state=self.state,
@@ -308,8 +313,16 @@
         Exit code of the process.
     """
     setup_logging(cfg.log_level, cfg.name)
-    async with aiohttp.ClientSession() as session:
-        daemon = DirectControl(cfg=cfg, clock=SystemClock(), session=session)
+    async with (
+        aiohttp.ClientSession(connector=CleanConnector()) as session,
+        new_session(keeps_connections=False) as order_session,
+    ):
+        daemon = DirectControl(
+            cfg=cfg,
+            clock=SystemClock(),
+            session=session,
+            order_session=order_session,
+        )
         await daemon.start()
         logger.info("control replica %s listens on %s", cfg.name, cfg.http)
         return await run_until_stopped(
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -247,6 +247,7 @@
         return web.Response(status=200 if is_ready() else 503)
 
     session = new_session()
+    order_session = new_session(keeps_connections=False)
 
     def suspect(
         backend_id: str, *, is_hint: bool = False, is_witness: bool = False
@@ -273,7 +274,7 @@
             METRICS.refused_connections.add()
         return refuses
 
-    orders = HttpEngineOrders(session=session)
+    orders = HttpEngineOrders(session=session, order_session=order_session)
     stalls = StallDetector(
         tracker=tracker,
         clock=clock,
@@ -364,6 +365,7 @@
         await reserved.close()
         await http_runner.cleanup()
         await session.close()
+        await order_session.close()
 
 
 def _new_control(
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -9,10 +9,11 @@
 
 import aiohttp
 
+from wigeonscale.adapters.http_connector import discard_connection
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.layers import Part
 from wigeonscale.platform.connection_limiter import ConnectionContext
-from wigeonscale.platform.headers import format_path
+from wigeonscale.platform.headers import format_path, read_request_id
 from wigeonscale.ports import EngineProbeResult, ProbeResult
 from wigeonscale.ports.orders import (
     STATUS_TIMEOUT_S,
@@ -53,11 +54,17 @@
     """Implements the engine orders port over HTTP.
 
     Args:
-        session: Client session used for orders, reports and probes.
+        session: Client session used for reports and probes.
+        order_session: Client session that uses each connection once. Responses to
+            orders bear no id, so that a late second response on a kept connection
+            would pass for the response to the next order.
     """
 
-    def __init__(self, *, session: aiohttp.ClientSession):
+    def __init__(
+        self, *, session: aiohttp.ClientSession, order_session: aiohttp.ClientSession
+    ):
         self._session = session
+        self._order_session = order_session
 
     async def place(
         self,
@@ -79,7 +86,7 @@
             # The number of started orders, which the report calls "seq".
             "precondition": expected_orders,
         }
-        response = await self._try_send("POST", address, "/order", order)
+        response = await self._try_order(address, order, ORDER_TIMEOUT_S)
         if response is None:
             return OrderOutcome.UNKNOWN
         return OUTCOME_BY_STATUS.get(response[0], OrderOutcome.REFUSED)
@@ -98,9 +105,7 @@
             "id": request_id,
             "path": format_path(path, addresses),
         }
-        response = await self._try_send(
-            "POST", address, "/order", order, timeout_s=PATH_CHANGE_TIMEOUT_S
-        )
+        response = await self._try_order(address, order, PATH_CHANGE_TIMEOUT_S)
         if response is None:
             return OrderOutcome.UNKNOWN
         return OUTCOME_BY_STATUS.get(response[0], OrderOutcome.REFUSED)
@@ -109,7 +114,7 @@
         self, address: str, *, timeout_s: float = STATUS_TIMEOUT_S
     ) -> EngineStatus | None:
         """Return the status of an engine; None if it does not respond in time."""
-        response = await self._try_send("GET", address, "/report", timeout_s=timeout_s)
+        response = await self._try_report(address, timeout_s)
         if response is None or response[0] != 200:
             return None
         try:
@@ -142,8 +147,8 @@
             The result; ``REPLACED`` if a later incarnation responds.
         """
         try:
-            response = await self._send(
-                "GET", address, "/report", timeout_s=PROBE_TIMEOUT_S
+            response = await _send(
+                self._session, "GET", address, "/report", timeout_s=PROBE_TIMEOUT_S
             )
         except aiohttp.ClientConnectorError as exc:
             logger.info("probe of %s: cannot connect: %r", address, exc.os_error)
@@ -156,36 +161,65 @@
             return EngineProbeResult(ProbeResult.NO_ANSWER)
         return _parse_probe_result(response, started_ms)
 
-    async def _try_send(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: dict | None = None,
-        timeout_s: float = ORDER_TIMEOUT_S,
+    async def _try_order(
+        self, address: str, order: dict, timeout_s: float
     ) -> tuple[int, bytes] | None:
-        try:
-            return await self._send(method, address, path, body, timeout_s)
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            logger.info("%s %s at %s: no response: %r", method, path, address, exc)
-            return None
+        return await _try_send(
+            self._order_session, "POST", address, "/order", order, timeout_s=timeout_s
+        )
 
-    async def _send(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: dict | None = None,
-        timeout_s: float = ORDER_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
-        async with self._session.request(
-            method,
-            f"http://{address}{path}",
-            json=body,
-            timeout=aiohttp.ClientTimeout(total=timeout_s),
-            trace_request_ctx=ConnectionContext(address),
-        ) as res:
-            return res.status, await res.read()
+    async def _try_report(
+        self, address: str, timeout_s: float
+    ) -> tuple[int, bytes] | None:
+        return await _try_send(
+            self._session, "GET", address, "/report", timeout_s=timeout_s
+        )
+
+
+async def _try_send(
+    session: aiohttp.ClientSession,
+    method: str,
+    address: str,
+    path: str,
+    body: dict | None = None,
+    *,
+    timeout_s: float,
+) -> tuple[int, bytes] | None:
+    """Return the response as :func:`_send` does; None without a response."""
+    try:
+        return await _send(session, method, address, path, body, timeout_s=timeout_s)
+    except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+        logger.info("%s %s at %s: no response: %r", method, path, address, exc)
+        return None
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    method: str,
+    address: str,
+    path: str,
+    body: dict | None = None,
+    *,
+    timeout_s: float,
+) -> tuple[int, bytes]:
+    """Return status and body of the response.
+
+    Raises:
+        aiohttp.ClientError: No response, or one to a request of a caller.
+        TimeoutError: No response in time.
+        OSError: The connection broke.
+    """
+    async with session.request(
+        method,
+        f"http://{address}{path}",
+        json=body,
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
+        trace_request_ctx=ConnectionContext(address),
+    ) as res:
+        if read_request_id(res.headers):
+            discard_connection(res)
+            raise aiohttp.ClientPayloadError("response to another request")
+        return res.status, await res.read()
 
 
 def _started_ms(report: dict) -> int:
--- a/wigeonscale/platform/exchange_http.py
+++ b/wigeonscale/platform/exchange_http.py
@@ -62,14 +62,25 @@
 logger = logging.getLogger(__name__)
 
 
-def new_session() -> aiohttp.ClientSession:
-    """Return a client session that sends each request once and unmodified."""
+def new_session(*, keeps_connections: bool = True) -> aiohttp.ClientSession:
+    """Return a client session that sends each request once and unmodified.
+
+    Args:
+        keeps_connections: Whether a connection carries several requests. A late second
+            response can be told from the response to the next request only if it bears
+            the id of its request.
+    """
+    options = (
+        {"keepalive_timeout": IDLE_TIMEOUT_S}
+        if keeps_connections
+        else {"force_close": True}
+    )
     session = aiohttp.ClientSession(
         connector=CleanConnector(
             id_header=REQUEST_ID_HEADER,
             limit=0,
-            keepalive_timeout=IDLE_TIMEOUT_S,
             enable_cleanup_closed=False,
+            **options,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
--- a/wigeonscale/platform/tests/test_engine_orders.py
+++ b/wigeonscale/platform/tests/test_engine_orders.py
@@ -1,3 +1,5 @@
+import asyncio
+import re
 import socket
 
 from aiohttp import web
@@ -15,7 +17,9 @@
     async def prepare(self):
         session = new_session()
         self.addCleanup(session.close)
-        self.orders = HttpEngineOrders(session=session)
+        order_session = new_session(keeps_connections=False)
+        self.addCleanup(order_session.close)
+        self.orders = HttpEngineOrders(session=session, order_session=order_session)
 
 
 class ProbeTest(OrdersCase):
@@ -165,3 +169,65 @@
             (20, 31, "preempt"), (order["from"], order["to"], order["strategy"])
         )
         self.assertEqual((7, 2), (order["fencing-token"], order["precondition"]))
+
+
+class LateResponseTest(OrdersCase):
+    """An engine sends a response again where the next one is expected."""
+
+    async def prepare(self):
+        await super().prepare()
+        self.replies = []
+        self.connections = 0
+        server = await asyncio.start_server(self.handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def handle(self, reader, writer):
+        self.connections += 1
+        late = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"Content-Length: (\d+)", head)
+                await reader.readexactly(int(length[1]) if length else 0)
+                reply = self.replies.pop(0)
+                writer.write(late + reply)
+                late = reply
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # the client closed the connection
+        finally:
+            writer.close()
+
+    async def place(self):
+        return await self.orders.place(
+            self.address, first=0, end=9, fence=1, expected_orders=0, waits=False
+        )
+
+    async def test_late_response_does_not_answer_the_next_order(self):
+        """Guards against an order that counts as begun though it was refused."""
+        self.replies = [
+            b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+            for status in (202, 409)
+        ]
+        self.assertIs(OrderOutcome.STARTED, await self.place())
+        self.assertIs(OrderOutcome.CONFLICT, await self.place())
+
+    async def test_late_report_does_not_answer_an_order(self):
+        """Guards against an order that counts as done since a report has status 200."""
+        self.replies = [
+            b'HTTP/1.1 200 X\r\nContent-Length: 24\r\n\r\n{"seq":0,"busy": false }',
+            b"HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n",
+        ]
+        self.assertIsNotNone(await self.orders.status(self.address))
+        self.assertIs(OrderOutcome.CONFLICT, await self.place())
+
+    async def test_response_to_a_request_does_not_answer_a_report(self):
+        """Guards against a report from the body of another response."""
+        self.replies = [
+            b"HTTP/1.1 200 X\r\nAttempt-Id: id1\r\nContent-Length: 24\r\n\r\n"
+            b'{"seq":0,"busy": false }',
+            b'HTTP/1.1 200 X\r\nContent-Length: 24\r\n\r\n{"seq":1,"busy": false }',
+        ]
+        self.assertIsNone(await self.orders.status(self.address))
+        status = await self.orders.status(self.address)
+        self.assertEqual((1, 2), (status.orders, self.connections))
