Parse requests only when their heads are complete, and one ahead

What callers saw: nothing was served any more once a few hundred callers had sent legal heads of short lines, heads or trailers without end, or requests ahead whose answers they did not read; the entry's memory went far beyond its machine's.

Cause: all bytes of a connection went to the HTTP parser as they came. The parser builds objects from each line, some 36 times the memory of a short one; its limits count lines, so that a head had no limit in bytes, and trailers had none at all. Up to 32 requests and 256 kB behind them were taken from a connection while its first request was in progress.

Change: a connection keeps the bytes of a head until it is complete (32 kB, or max-header-bytes if that is more, and 8 kB for the request line; else 431), and hands a request to the parser only when the one before is in progress. Until then it is not read. 32 kB are read at once, and the kernel keeps 64 kB. The parser remains the authority on what the bytes mean. All servers of the daemons use this.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -1,19 +1,40 @@
-"""Connections of an HTTP server that deliver their responses before they close.
+"""Connections of an HTTP server that bound what they read and deliver what they write.
 
 When a handler has finished, the end of its response may still wait in the buffer of the
 transport, and is lost if the process exits. Besides, closing a socket with unread data
 resets the connection, which discards what the peer has not received.
+
+A head reaches the parser only when it is complete, and the next request only when the
+one before is in progress.
 """
 
-__all__ = ["Connection", "DrainingRunner", "OpenConnections", "accept_waiting"]
+__all__ = [
+    "Connection",
+    "DrainingRunner",
+    "OpenConnections",
+    "RequestLimits",
+    "accept_waiting",
+]
 
 import asyncio
+import enum
+import logging
 import select
 import socket
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import _ErrInfo
+
+from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.request_framing import (
+    ChunkScanner,
+    FramingError,
+    find_head_end,
+)
 
 # Time for the peer to close its side of a connection that was closed here.
 LINGER_S = 1.0
@@ -28,6 +49,14 @@
 LOOP_ITERATIONS_TO_CONNECTION = 3
 # Bound of the wait if connections arrive all the time.
 MAX_ACCEPT_ITERATIONS = 100
+# Bytes read at once, which a connection may hold besides its requests.
+READ_BYTES = 32 * 1024
+# Data that waits in the kernel while a connection is not read.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 32 * 1024
+LINE_ENDS = b"\r\n"
+
+logger = logging.getLogger(__name__)
 
 
 class OpenConnections:
@@ -72,6 +101,26 @@
         await self._none_open.wait()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestLimits:
+    """Limits of the requests of one server.
+
+    Attributes:
+        head_bytes: Returns the maximum size of a head, with empty lines before it.
+    """
+
+    head_bytes: Callable[[], int] = lambda: MAX_HEAD_BYTES
+
+
+class _Reading(enum.Enum):
+    """What a connection reads next."""
+
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    CHUNKS = enum.auto()
+    NOTHING = enum.auto()  # a request was refused, so that the connection closes
+
+
 class Connection(web.RequestHandler):
     """Connection of an HTTP server, closed only when its responses were sent.
 
@@ -80,15 +129,23 @@
         open_conns: Contains this connection as long as it is open.
         idle_s: Returns how long the connection stays open without a request, in
             seconds, if that is longer than the option ``keepalive_timeout``.
+        limits: Limits of the requests.
         **options: Options of :class:`aiohttp.web.RequestHandler`.
     """
 
     __slots__ = (
+        "_body_left",
+        "_chunks",
         "_idle_s",
         "_is_half_closed",
         "_latest_body",
+        "_limits",
         "_linger_timer",
         "_open_conns",
+        "_reading",
+        "_skipped_bytes",
+        "_unread",
+        "_unsearched_from",
     )
 
     def __init__(
@@ -96,15 +153,25 @@
         manager: web.Server,
         *,
         open_conns: OpenConnections,
+        limits: RequestLimits,
         idle_s: Callable[[], float] = lambda: 0.0,
         **options: object,
     ):
         super().__init__(manager, **options)
+        # Reading continues as soon as no parsed request waits.
+        self._msg_queue_resume_size = 0
         self._open_conns = open_conns
         self._idle_s = idle_s
+        self._limits = limits
         self._is_half_closed = False
-        self._latest_body: StreamReader | None = None
+        self._latest_body: StreamReader = EMPTY_PAYLOAD
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._reading = _Reading.HEAD
+        self._unread = bytearray()
+        self._unsearched_from = 0
+        self._skipped_bytes = 0
+        self._body_left = 0
+        self._chunks: ChunkScanner | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -122,6 +189,9 @@
         """Start to serve a new connection."""
         super().connection_made(transport)
         self._open_conns.add(self)
+        transport.max_size = READ_BYTES
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release a connection that is closed or broken."""
@@ -129,18 +199,157 @@
         self._open_conns.discard(self)
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._stop_reading()
 
     def data_received(self, data: bytes) -> None:
-        """Parse data of the peer."""
-        super().data_received(data)
-        if not self._messages:
+        """Parse data of the peer, as far as it may be read now.
+
+        Args:
+            data: The data; empty to parse what the parser holds of a body.
+        """
+        if self._reading is _Reading.NOTHING or self._force_close or self._close:
             return
+        if not data:
+            self._parse(data)
+        self._unread += data
+        self._parse_unread()
+
+    def _resume_reading_if_drained(self) -> None:
+        self.data_received(b"")
+        if not self._is_behind:
+            self._resume_reading_for_buffer()
+
+    @property
+    def _is_behind(self) -> bool:
+        """Whether the next request must wait until the one before is in progress."""
+        return self._reading is _Reading.HEAD and bool(self._messages or self._upgraded)
+
+    def _parse_unread(self) -> None:
+        """Hand to the parser what is complete, up to the end of the next request."""
+        parsers = {
+            _Reading.HEAD: self._parse_head,
+            _Reading.BODY: self._parse_body,
+            _Reading.CHUNKS: self._parse_chunks,
+        }
+        while self._unread and not self._reading_paused:
+            if self._is_behind:
+                if not self._buffer_paused:
+                    self._pause_reading_for_buffer()
+                return
+            parse = parsers.get(self._reading)
+            if parse is None or not parse():
+                return
+
+    def _parse_head(self) -> bool:
+        """Parse the next head; return False if it is not complete."""
+        size = len(self._unread)
+        if self._unread[0] in LINE_ENDS:
+            self._unread = self._unread.lstrip(LINE_ENDS)
+            self._skipped_bytes += size - len(self._unread)
+        end = find_head_end(self._unread, self._unsearched_from)
+        self._unsearched_from = len(self._unread)
+        head_bytes = end if end > 0 else len(self._unread)
+        if self._skipped_bytes + head_bytes > self._limits.head_bytes():
+            self._refuse(web.HTTPRequestHeaderFieldsTooLarge())
+            return False
+        if end < 0:
+            return False
+        head = bytes(self._unread[:end])
+        del self._unread[:end]
+        self._unsearched_from = self._skipped_bytes = 0
+        self._parse(head)
+        return self._begin_body()
+
+    def _begin_body(self) -> bool:
+        """Read the body of the request just parsed; return False if it is invalid."""
+        if not self._messages:
+            self._refuse(web.HTTPBadRequest(text="invalid head"))
+            return False
         message, body = self._messages[-1]
-        if isinstance(message, RawRequestMessage):
-            self._latest_body = body
-        elif self._latest_body is not None and not self._latest_body.is_eof():
-            # The parser has failed within a body, whose reader would wait for ever.
-            self._latest_body.set_exception(web.RequestPayloadError(message.message))
+        if not isinstance(message, RawRequestMessage):
+            self._stop_reading()
+            return False
+        self._latest_body = body
+        if body.is_eof():
+            return True
+        if message.chunked:
+            self._reading = _Reading.CHUNKS
+            self._chunks = ChunkScanner(max_trailer_bytes=self._limits.head_bytes())
+        else:
+            self._reading = _Reading.BODY
+            self._body_left = int(message.headers.get("Content-Length", 0))
+            if not self._body_left:
+                self._refuse(web.HTTPBadRequest(text="body without a length"))
+                return False
+        return True
+
+    def _parse_body(self) -> bool:
+        part = bytes(self._unread[: self._body_left])
+        del self._unread[: len(part)]
+        self._body_left -= len(part)
+        return self._parse_part(part, is_complete=not self._body_left)
+
+    def _parse_chunks(self) -> bool:
+        try:
+            part = self._chunks.feed(self._unread)
+        except FramingError as exc:
+            self._refuse(web.HTTPBadRequest(text=str(exc)))
+            return False
+        if not part:
+            return False
+        return self._parse_part(part, is_complete=self._chunks.is_complete)
+
+    def _parse_part(self, part: bytes, *, is_complete: bool) -> bool:
+        """Parse a part of a body; return False if the parser has failed."""
+        if is_complete:
+            self._reading = _Reading.HEAD
+        self._parse(part)
+        if self._messages and not isinstance(self._messages[-1][0], RawRequestMessage):
+            # The parser has failed within the body, whose reader would wait for ever.
+            error = web.RequestPayloadError(self._messages[-1][0].message)
+            self._latest_body.set_exception(error)
+            self._stop_reading()
+            return False
+        return True
+
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+
+    def _refuse(self, exc: web.HTTPException) -> None:
+        """Refuse the request that is being read; the connection closes behind it.
+
+        Its handler gets the exception if it reads the body. If there is no handler yet,
+        the exception is the response, after those to the requests before.
+        """
+        is_in_body = self._reading in (_Reading.BODY, _Reading.CHUNKS)
+        self._stop_reading()
+        if is_in_body:
+            self._latest_body.set_exception(exc)
+        else:
+            error = _ErrInfo(status=exc.status, exc=exc, message=exc.text)
+            self._messages.append((error, EMPTY_PAYLOAD))
+            if self._waiter is not None and not self._waiter.done():
+                self._waiter.set_result(None)
+
+    def _stop_reading(self) -> None:
+        self._reading = _Reading.NOTHING
+        self._unread.clear()
+        self._skipped_bytes = 0
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that reached no handler, and close."""
+        if not isinstance(exc, web.HTTPException):
+            return super().handle_error(request, status, exc, message)
+        logger.info("request refused", extra=log_fields(status=status, reason=message))
+        resp = web.Response(status=status, text=message)
+        resp.force_close()
+        return resp
 
     def _process_keepalive(self) -> None:
         extra_s = max(0.0, self._idle_s() - self._keepalive_timeout)
@@ -185,6 +394,7 @@
         transport = self.transport
         if transport is None or transport.is_closing() or self._is_half_closed:
             return
+        self._stop_reading()
         # The base class then neither reads requests nor closes the connection.
         self._force_close = True
         self._is_half_closed = True
@@ -218,6 +428,7 @@
             their responses to be sent, in seconds.
         handler_cancellation: Whether a handler is cancelled when its caller closes the
             connection.
+        limits: Limits of the requests.
 
     Attributes:
         open_conns: The open connections.
@@ -231,6 +442,7 @@
         *,
         shutdown_timeout: float,
         handler_cancellation: bool = False,
+        limits: RequestLimits | None = None,
     ):
         super().__init__(
             app,
@@ -240,6 +452,7 @@
             shutdown_timeout=CANCEL_TIMEOUT_S,
         )
         self.open_conns = OpenConnections()
+        self.limits = limits or RequestLimits()
         self._drain_timeout_s = shutdown_timeout
 
     @property
@@ -271,6 +484,7 @@
         return self._runner.connection_class(
             self._server,
             open_conns=self._runner.open_conns,
+            limits=self._runner.limits,
             loop=asyncio.get_running_loop(),
             access_log=None,
         )
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -13,6 +13,7 @@
 from wigeonscale.adapters.http_server import (
     Connection,
     OpenConnections,
+    RequestLimits,
     accept_waiting,
 )
 from wigeonscale.adapters.logs import log_fields
@@ -37,6 +38,8 @@
 # Lower bound of the limit of a header. The configuration document can extend it, for
 # connections that are opened after that.
 MAX_HEADER_BYTES = 32 * 1024
+# Room for the request line, which the limit of the header does not include.
+REQUEST_LINE_BYTES = 8 * 1024
 # Name, colon and the end of the line.
 MIN_HEADER_BYTES = 4
 # When the server closes, the requests in progress get an error within this time. Those
@@ -90,6 +93,9 @@
         self._serve = serve
         self._max_body = max_body
         self._max_header = max_header
+        self._limits = RequestLimits(
+            head_bytes=lambda: _max_header_bytes(max_header) + REQUEST_LINE_BYTES,
+        )
         self._clock = clock
         self._idle_s = idle_s
         self._runner: web.ServerRunner | None = None
@@ -110,6 +116,7 @@
             refuse_connection=self._refuse_connection,
             open_conns=self._open_conns,
             max_header=self._max_header,
+            limits=self._limits,
             idle_s=self._idle_s,
             keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,
@@ -224,6 +231,8 @@
                 body = await _read_body(req, limit)
             except (BadHttpMessage, web.RequestPayloadError, ValueError) as exc:
                 raise WigeonscaleError(ErrorKind.BAD_REQUEST, str(exc)) from exc
+            except web.HTTPException as exc:
+                raise WigeonscaleError(ErrorKind.BAD_REQUEST, exc.text) from exc
         headers = read_request_headers(req.headers)
         return CallerRequest(
             request_id=headers.request_id,
@@ -312,6 +321,10 @@
     return b"".join(chunks)
 
 
+def _max_header_bytes(configured: Callable[[], int]) -> int:
+    return max(MAX_HEADER_BYTES, configured())
+
+
 class _CallerConnections(web.Server):
     """HTTP server that can refuse connections before it reads from them.
 
@@ -342,7 +355,7 @@
         """Return the protocol of a new connection."""
         if self._refuse_connection():
             return _RefusedConnection()
-        size = max(MAX_HEADER_BYTES, self._max_header())
+        size = _max_header_bytes(self._max_header)
         return Connection(
             self,
             open_conns=self._open_conns,
--- a/wigeonscale/testing/soak/tests/test_caller_crowds.py
+++ b/wigeonscale/testing/soak/tests/test_caller_crowds.py
@@ -97,10 +97,18 @@
             line = next(line for line in status if line.startswith("VmHWM:"))
         return int(line.split()[1])
 
+    async def test_heads_of_short_lines(self):
+        """Guards against heads whose lines cost far more memory than their bytes."""
+        await self.check(SHORT_LINES, connections=300)
+
     async def test_heads_of_folded_lines(self):
         """Guards against the same with one header folded into many lines."""
         await self.check(FOLDED_LINES, connections=300)
 
+    async def test_heads_without_end(self):
+        """Guards against heads that are read beyond their limit."""
+        await self.check(START + SHORT_LINE * (FLOOD_BYTES // 4), connections=100)
+
     async def test_header_line_without_end(self):
         """Guards against the same with a single line."""
         await self.check(START + b"a: " + b"b" * FLOOD_BYTES, connections=100)
@@ -109,6 +117,10 @@
         """Guards against callers whose empty lines take all of the processor."""
         await self.check(b"\r\n" * (FLOOD_BYTES // 2), connections=100)
 
+    async def test_requests_ahead(self):
+        """Guards against requests that are read before those ahead are answered."""
+        await self.check((SHORT_LINES + b"\r\n") * 1000, connections=20)
+
     async def test_small_requests_ahead(self):
         """Guards against the same with small requests."""
         await self.check((START + b"\r\n") * 20_000, connections=20)
@@ -120,3 +132,8 @@
     async def test_chunk_size_without_end(self):
         """Guards against a chunk size that is read without a limit."""
         await self.check(CHUNKED + b"0" * FLOOD_BYTES, connections=100)
+
+    async def test_trailers_without_end(self):
+        """Guards against trailers that are read without a limit."""
+        data = CHUNKED + b"0\r\n" + SHORT_LINE * (FLOOD_BYTES // 4)
+        await self.check(data, connections=100)
