Bound the memory of what callers have sent

What callers saw: nothing was served any more once some dozens of callers had sent large bodies without their last byte, or a few hundred had sent whole requests of legal size with very many short header lines: the entry's memory went beyond its machine's.

Cause: each connection keeps to the limits by itself, but nothing bounds what all of them hold together.

Change: one account for the requests of all connections of a server, from the first byte until the answer: a fifth of the machine's memory (`[direct-entry] memory_mb`, set by the template), or 32 MiB. When it is used up, the connection that holds most for an incomplete request is refused with 503 and Retry-After, else the new request; neither has run. Requests of common size may use all of the account, larger ones three quarters of it, unless the others hold no more than a quarter, so that a single request within the limits is always served.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -21,8 +21,9 @@
 import logging
 import select
 import socket
+from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage
@@ -35,6 +36,7 @@
     FramingError,
     find_head_end,
 )
+from wigeonscale.adapters.request_memory import RequestMemory
 
 # Time for the peer to close its side of a connection that was closed here.
 LINGER_S = 1.0
@@ -54,6 +56,13 @@
 # Data that waits in the kernel while a connection is not read.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 32 * 1024
+# Memory of a request: its objects, those of each header line, and the copies of its
+# head and of its body.
+REQUEST_BYTES = 2048
+LINE_BYTES = 320
+HEAD_COPIES = 4
+BODY_COPIES = 2
+OVERLOADED_RETRY_AFTER_S = 1
 LINE_ENDS = b"\r\n"
 
 logger = logging.getLogger(__name__)
@@ -107,9 +116,11 @@
 
     Attributes:
         head_bytes: Returns the maximum size of a head, with empty lines before it.
+        memory: Memory that the requests of all connections may hold.
     """
 
     head_bytes: Callable[[], int] = lambda: MAX_HEAD_BYTES
+    memory: RequestMemory = field(default_factory=RequestMemory)
 
 
 class _Reading(enum.Enum):
@@ -136,6 +147,7 @@
     __slots__ = (
         "_body_left",
         "_chunks",
+        "_costs",
         "_idle_s",
         "_is_half_closed",
         "_latest_body",
@@ -172,6 +184,8 @@
         self._skipped_bytes = 0
         self._body_left = 0
         self._chunks: ChunkScanner | None = None
+        # Memory of each request that was parsed and has not ended, in order.
+        self._costs: deque[int] = deque()
 
     @property
     def is_idle(self) -> bool:
@@ -200,6 +214,8 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._stop_reading()
+        self._costs.clear()
+        self._update_memory()
 
     def data_received(self, data: bytes) -> None:
         """Parse data of the peer, as far as it may be read now.
@@ -213,6 +229,8 @@
             self._parse(data)
         self._unread += data
         self._parse_unread()
+        if not self._update_memory():
+            self._refuse(_overloaded())
 
     def _resume_reading_if_drained(self) -> None:
         self.data_received(b"")
@@ -257,6 +275,12 @@
         head = bytes(self._unread[:end])
         del self._unread[:end]
         self._unsearched_from = self._skipped_bytes = 0
+        lines = head.count(b"\n")
+        self._costs.append(REQUEST_BYTES + LINE_BYTES * lines + HEAD_COPIES * end)
+        if not self._update_memory():
+            self._costs.pop()
+            self._refuse(_overloaded())
+            return False
         self._parse(head)
         return self._begin_body()
 
@@ -287,9 +311,10 @@
         part = bytes(self._unread[: self._body_left])
         del self._unread[: len(part)]
         self._body_left -= len(part)
-        return self._parse_part(part, is_complete=not self._body_left)
+        return self._parse_part(part, size=len(part), is_complete=not self._body_left)
 
     def _parse_chunks(self) -> bool:
+        size = self._chunks.body_bytes
         try:
             part = self._chunks.feed(self._unread)
         except FramingError as exc:
@@ -297,10 +322,20 @@
             return False
         if not part:
             return False
-        return self._parse_part(part, is_complete=self._chunks.is_complete)
+        return self._parse_part(
+            part,
+            size=self._chunks.body_bytes - size,
+            is_complete=self._chunks.is_complete,
+        )
 
-    def _parse_part(self, part: bytes, *, is_complete: bool) -> bool:
-        """Parse a part of a body; return False if the parser has failed."""
+    def _parse_part(self, part: bytes, *, size: int, is_complete: bool) -> bool:
+        """Parse a part of a body; return False if the request was refused."""
+        if self._costs:
+            # The request may have been answered before its body was received.
+            self._costs[-1] += BODY_COPIES * size
+        if not self._update_memory():
+            self._refuse(_overloaded())
+            return False
         if is_complete:
             self._reading = _Reading.HEAD
         self._parse(part)
@@ -330,12 +365,36 @@
             self._messages.append((error, EMPTY_PAYLOAD))
             if self._waiter is not None and not self._waiter.done():
                 self._waiter.set_result(None)
+        self._update_memory()
 
     def _stop_reading(self) -> None:
         self._reading = _Reading.NOTHING
         self._unread.clear()
         self._skipped_bytes = 0
 
+    def _update_memory(self) -> bool:
+        """Hold the memory of this connection; return False if there is not enough."""
+        size = sum(self._costs) + self._waiting_bytes
+        return self._limits.memory.hold(self, size)
+
+    @property
+    def _waiting_bytes(self) -> int:
+        """Data that no request in progress needs."""
+        return len(self._unread) + RECEIVE_BUFFER_BYTES * self._buffer_paused
+
+    @property
+    def evictable_bytes(self) -> int:
+        """Memory that :meth:`evict` frees."""
+        if self._reading in (_Reading.BODY, _Reading.CHUNKS) and self._costs:
+            return self._costs[-1] + self._waiting_bytes
+        return self._waiting_bytes
+
+    def evict(self) -> None:
+        """Refuse what the caller has sent in part, and free its memory."""
+        if self._reading in (_Reading.BODY, _Reading.CHUNKS) and self._costs:
+            self._costs[-1] = 0
+        self._refuse(_overloaded())
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -348,6 +407,8 @@
             return super().handle_error(request, status, exc, message)
         logger.info("request refused", extra=log_fields(status=status, reason=message))
         resp = web.Response(status=status, text=message)
+        if "Retry-After" in exc.headers:
+            resp.headers["Retry-After"] = exc.headers["Retry-After"]
         resp.force_close()
         return resp
 
@@ -371,6 +432,9 @@
         if is_draining and not resp.prepared and not self.has_next_request:
             resp.force_close()
         resp, reset = await super().finish_response(request, resp, start_time)
+        if self._costs:
+            self._costs.popleft()
+        self._update_memory()
         if self._open_conns.is_draining:
             await self._close_unless_requested()
         if not reset and (self._close or not resp.keep_alive):
@@ -490,6 +554,11 @@
         )
 
 
+def _overloaded() -> web.HTTPException:
+    headers = {"Retry-After": str(OVERLOADED_RETRY_AFTER_S)}
+    return web.HTTPServiceUnavailable(headers=headers)
+
+
 async def accept_waiting(socks: Iterable[socket.socket]) -> None:
     """Wait until the event loop has accepted the connections that wait for it.
 
--- a/wigeonscale/config/settings.py
+++ b/wigeonscale/config/settings.py
@@ -132,6 +132,8 @@
             in priority or target, else always or never.
         class_reserve: Largest share of the capacity of engines that a class leaves free
             for more urgent ones while these are short of it; 0 for none.
+        memory_mb: Memory of the machine, in MB, a part of which the requests of callers
+            may hold; 0 if it is not known.
     """
 
     listen: ListenAddress
@@ -146,6 +148,7 @@
     killed_after_s: seconds(0, 3600) = 0.0
     classes: ClassesMode = "auto"
     class_reserve: fraction(0, 0.3) = 0.0
+    memory_mb: number(0, 10_000_000) = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/wigeonscale/config/tests/test_deploy_templates.py
+++ b/wigeonscale/config/tests/test_deploy_templates.py
@@ -30,6 +30,7 @@
     "bounds.budget-window-s": "10",
     "bounds.budget-slack": "198",
     "bounds.fail-closed": "false",
+    "limits.memory-mb": "300",
 }
 NUMBERS = (
     "heartbeat-ms",
@@ -37,6 +38,7 @@
     "bounds.retry-budget-ratio",
     "bounds.budget-window-s",
     "bounds.budget-slack",
+    "limits.memory-mb",
 )
 SECTION = re.compile(r"\{\{([#^])([\w.-]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 VALUE = re.compile(r"\{\{([\w.-]+)\}\}")
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -12,6 +12,7 @@
 
 from wigeonscale.adapters import METRICS, setup_logging, start_http
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.request_memory import RequestMemory, request_memory_bytes
 from wigeonscale.config import DirectEntrySettings
 from wigeonscale.crashes import CrashTracker
 from wigeonscale.daemons.crashes import crash_update_handler, report_crashes_to_control
@@ -321,6 +322,7 @@
         serve=service.serve,
         max_body=lambda: view.table.limits.body_bytes,
         max_header=lambda: view.table.limits.header_bytes,
+        memory=RequestMemory(limit_bytes=request_memory_bytes(cfg.memory_mb)),
         clock=clock,
         idle_s=lambda: view.table.limits.idle_s,
         sock=early.sock if early is not None else None,
--- a/wigeonscale/entry/malformed_http.py
+++ b/wigeonscale/entry/malformed_http.py
@@ -10,6 +10,8 @@
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 
 MAX_MESSAGE_LENGTH = 200
+REFUSAL_KINDS = {503: ErrorKind.OVERLOADED}
+REFUSED_RETRY_AFTER_S = 1.0
 
 
 class _Connection(Connection):
@@ -25,7 +27,7 @@
         """Return the response to a request that reached no handler, and close."""
         error = _error_for_status(status, message or "")
         METRICS.requests.add(organisation="", kind=error.kind)
-        if status >= web.HTTPInternalServerError.status_code:
+        if error.kind is ErrorKind.INTERNAL:
             self.log_exception("request outside any handler failed", exc_info=exc)
         if request.writer.output_size > 0:
             raise ConnectionError("another response has already been partly written")
@@ -41,6 +43,10 @@
 
 
 def _error_for_status(status: int, message: str) -> WigeonscaleError:
+    if status in REFUSAL_KINDS:
+        return WigeonscaleError(
+            REFUSAL_KINDS[status], message, retry_after=REFUSED_RETRY_AFTER_S
+        )
     if status >= web.HTTPInternalServerError.status_code:
         return WigeonscaleError(
             ErrorKind.INTERNAL,
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -17,6 +17,7 @@
     accept_waiting,
 )
 from wigeonscale.adapters.logs import log_fields
+from wigeonscale.adapters.request_memory import RequestMemory
 from wigeonscale.errors import (
     ERROR_RESPONSES,
     ErrorKind,
@@ -54,6 +55,7 @@
 # may have run is sent as BAD_GATEWAY instead.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
+REFUSAL_KINDS = {503: ErrorKind.OVERLOADED}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[CallerRequest, ResponseSink], Awaitable[None]]
@@ -69,6 +71,7 @@
         serve: Handles one request and writes the response to the sink.
         max_body: Returns the maximum size of a request body, in bytes.
         max_header: Returns the maximum size of all headers of a request, in bytes.
+        memory: Memory that requests may hold.
         clock: Clock port.
         idle_s: Returns how long callers may keep a connection idle, in seconds.
         sock: Socket already listening on the address; None to open one.
@@ -84,6 +87,7 @@
         max_body: Callable[[], int],
         clock: Clock,
         max_header: Callable[[], int] = lambda: MAX_HEADER_BYTES,
+        memory: RequestMemory | None = None,
         idle_s: Callable[[], float] = lambda: 0.0,
         sock: socket.socket | None = None,
         refuse_connection: Callable[[], bool] = lambda: False,
@@ -95,6 +99,7 @@
         self._max_header = max_header
         self._limits = RequestLimits(
             head_bytes=lambda: _max_header_bytes(max_header) + REQUEST_LINE_BYTES,
+            memory=memory or RequestMemory(),
         )
         self._clock = clock
         self._idle_s = idle_s
@@ -232,7 +237,7 @@
             except (BadHttpMessage, web.RequestPayloadError, ValueError) as exc:
                 raise WigeonscaleError(ErrorKind.BAD_REQUEST, str(exc)) from exc
             except web.HTTPException as exc:
-                raise WigeonscaleError(ErrorKind.BAD_REQUEST, exc.text) from exc
+                raise _refusal(exc) from exc
         headers = read_request_headers(req.headers)
         return CallerRequest(
             request_id=headers.request_id,
@@ -292,6 +297,17 @@
     )
 
 
+def _refusal(exc: web.HTTPException) -> WigeonscaleError:
+    """Return the error for a request that was refused before its body was read."""
+    kind = REFUSAL_KINDS.get(exc.status, ErrorKind.BAD_REQUEST)
+    retry_after = exc.headers.get("Retry-After")
+    return WigeonscaleError(
+        kind,
+        f"request refused: {exc.reason}",
+        retry_after=float(retry_after) if retry_after else None,
+    )
+
+
 def _send_continue(req: web.BaseRequest) -> None:
     """Send the interim response for which a caller waits with its body, if it does."""
     expects = req.headers.get("Expect", "").strip().lower() == "100-continue"
--- a/wigeonscale/platform/tests/test_request_limits.py
+++ b/wigeonscale/platform/tests/test_request_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+from wigeonscale.adapters.request_memory import RequestMemory
 from wigeonscale.platform import callers
 from wigeonscale.platform.callers import CallerServer
 from wigeonscale.platform.tests.test_callers import WAIT_S, CallerCase
@@ -11,8 +12,11 @@
 
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
 MAX_BODY = 200_000
+MEMORY = 300_000
 POLLS = 3000
 STATUS = rb"HTTP/1\.\d (\d+) "
+# Too much memory for two of them, and for one beside other requests.
+LARGE_BODY = 120_000
 
 
 def post(body, *, number=0):
@@ -37,11 +41,13 @@
     async def prepare(self):
         await super().prepare()
         await self.server.close()
+        self.memory = RequestMemory(limit_bytes=MEMORY)
         self.server = CallerServer(
             address="127.0.0.1:0",
             serve=self._serve,
             max_body=lambda: MAX_BODY,
             clock=SystemClock(),
+            memory=self.memory,
         )
         await self.server.start()
         self.addCleanup(self.server.close)
@@ -112,6 +118,7 @@
         await self.started.wait()
         (conn,) = self.server._runner.server.connections
         self.assertEqual(1, len(conn._messages))
+        self.assertLess(self.memory.used_bytes, MEMORY)
         self.proceed.set()
         await self.until(lambda: len(self.requests) == 5000)
 
@@ -128,3 +135,47 @@
         start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
         for data in (b"0" * 5000, b"x\r\n", b"0\r\n" + b"a:\r\n" * 20_000):
             await self.assert_refused(start + data, 400)
+
+
+class MemoryTest(RequestLimitsCase):
+    async def test_incomplete_body_gives_way_to_another_request(self):
+        """Guards against callers that do not go on and keep out the others."""
+        self.serve = self.echo
+        reader, _, _ = await self.raw(post(b"x" * LARGE_BODY)[:-1])
+        await self.until(lambda: self.memory.used_bytes > LARGE_BODY)
+        other, _, _ = await self.raw(post(b"y" * LARGE_BODY))
+        got = await self.read_all(reader)
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got[:100])
+        self.assertIn(b"Retry-After", got)
+        async with asyncio.timeout(WAIT_S):
+            got = await other.readuntil(b"y" * LARGE_BODY)
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"), got[:100])
+
+    async def test_large_requests_in_progress_leave_memory_to_common_ones(self):
+        self.serve = self.serve_after
+        first, _, _ = await self.raw(post(b"x" * LARGE_BODY))
+        await self.started.wait()
+        other, _, _ = await self.raw(post(b"y" * LARGE_BODY))
+        got = await self.read_all(other)
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"), got[:100])
+        common, _, _ = await self.raw(post(b"z"))
+        await self.until(lambda: len(self.requests) == 2)
+        self.proceed.set()
+        for reader in (first, common):
+            async with asyncio.timeout(WAIT_S):
+                got = await reader.readuntil(b"whole")
+            self.assertTrue(got.startswith(b"HTTP/1.1 200"), got)
+
+    async def test_answered_requests_hold_no_memory(self):
+        self.serve = self.echo
+        for data in (post(b"x" * 5000) * 20, post_chunked(b"x" * 5000) * 20):
+            reader, writer, _ = await self.raw(data)
+            async with asyncio.timeout(WAIT_S):
+                for _ in range(20):
+                    await reader.readuntil(b"x" * 5000)
+            await self.until(lambda: not self.memory.used_bytes)
+            writer.close()
+        reader, writer, _ = await self.raw(post(b"x" * 5000)[:-1])
+        await self.until(lambda: self.memory.used_bytes)
+        writer.close()
+        await self.until(lambda: not self.memory.used_bytes)
--- a/wigeonscale/testing/soak/tests/test_caller_crowds.py
+++ b/wigeonscale/testing/soak/tests/test_caller_crowds.py
@@ -121,10 +121,19 @@
         """Guards against requests that are read before those ahead are answered."""
         await self.check((SHORT_LINES + b"\r\n") * 1000, connections=20)
 
+    async def test_requests_of_short_lines(self):
+        """Guards against whole requests that together exceed the memory."""
+        await self.check(SHORT_LINES + b"\r\n", connections=300)
+
     async def test_small_requests_ahead(self):
         """Guards against the same with small requests."""
         await self.check((START + b"\r\n") * 20_000, connections=20)
 
+    async def test_bodies_without_their_last_byte(self):
+        """Guards against bodies that together exceed the memory."""
+        head = START + f"Content-Length: {BODY_BYTES}\r\n\r\n".encode()
+        await self.check(head + b"x" * (BODY_BYTES - 1), connections=60)
+
     async def test_chunks_of_one_byte(self):
         """Guards against chunks that cost far more memory than their bytes."""
         await self.check(CHUNKED + b"1\r\nx\r\n" * 300_000, connections=60)
