End requests whose callers do not go on

What callers saw: none reported; a caller could keep a connection, one of a bounded number, for any time with an incomplete head or body.

Cause: `header-timeout-ms` of the configuration document was read nowhere, and nothing bounded the time of a body that does not go on.

Change: a head that is not complete in time, and a body without any data for the idle timeout (75 s at least), end with 408, which promises that the request has not run. The error kind `request-timeout` is new.

Result: TimeoutTest of test_request_limits.py, three tests; without the timeouts the first two get no response.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -56,6 +56,9 @@
 # Data that waits in the kernel while a connection is not read.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 32 * 1024
+HEAD_TIMEOUT_S = 30.0
+# Longest time without any data in the middle of a body.
+BODY_TIMEOUT_S = 75.0
 # Memory of a request: its objects, those of each header line, and the copies of its
 # head and of its body.
 REQUEST_BYTES = 2048
@@ -116,10 +119,15 @@
 
     Attributes:
         head_bytes: Returns the maximum size of a head, with empty lines before it.
+        head_timeout_s: Returns the longest time from the first byte of a head to its
+            end, in seconds.
+        body_timeout_s: Returns the longest time without data within a body, in seconds.
         memory: Memory that the requests of all connections may hold.
     """
 
     head_bytes: Callable[[], int] = lambda: MAX_HEAD_BYTES
+    head_timeout_s: Callable[[], float] = lambda: HEAD_TIMEOUT_S
+    body_timeout_s: Callable[[], float] = lambda: BODY_TIMEOUT_S
     memory: RequestMemory = field(default_factory=RequestMemory)
 
 
@@ -154,6 +162,7 @@
         "_limits",
         "_linger_timer",
         "_open_conns",
+        "_progress_timer",
         "_reading",
         "_skipped_bytes",
         "_unread",
@@ -178,6 +187,7 @@
         self._is_half_closed = False
         self._latest_body: StreamReader = EMPTY_PAYLOAD
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._progress_timer: asyncio.TimerHandle | None = None
         self._reading = _Reading.HEAD
         self._unread = bytearray()
         self._unsearched_from = 0
@@ -229,6 +239,7 @@
             self._parse(data)
         self._unread += data
         self._parse_unread()
+        self._set_progress_timer(has_progress=bool(data))
         if not self._update_memory():
             self._refuse(_overloaded())
 
@@ -275,6 +286,7 @@
         head = bytes(self._unread[:end])
         del self._unread[:end]
         self._unsearched_from = self._skipped_bytes = 0
+        self._stop_progress_timer()
         lines = head.count(b"\n")
         self._costs.append(REQUEST_BYTES + LINE_BYTES * lines + HEAD_COPIES * end)
         if not self._update_memory():
@@ -371,6 +383,34 @@
         self._reading = _Reading.NOTHING
         self._unread.clear()
         self._skipped_bytes = 0
+        self._stop_progress_timer()
+
+    def _stop_progress_timer(self) -> None:
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+            self._progress_timer = None
+
+    def _set_progress_timer(self, *, has_progress: bool) -> None:
+        """Bound the time in which the caller has to continue.
+
+        A head has to be complete in time, however it arrives.
+        """
+        in_head = self._reading is _Reading.HEAD
+        waits = not (self._is_behind or self._reading_paused) and (
+            bool(self._unread or self._skipped_bytes)
+            if in_head
+            else self._reading is not _Reading.NOTHING
+        )
+        if not waits or (has_progress and not in_head):
+            self._stop_progress_timer()
+        if waits and self._progress_timer is None:
+            limits = self._limits
+            timeout_s = limits.head_timeout_s if in_head else limits.body_timeout_s
+            self._progress_timer = self._loop.call_later(timeout_s(), self._end_wait)
+
+    def _end_wait(self) -> None:
+        self._progress_timer = None
+        self._refuse(web.HTTPRequestTimeout())
 
     def _update_memory(self) -> bool:
         """Hold the memory of this connection; return False if there is not enough."""
--- a/wigeonscale/daemons/direct_entry.py
+++ b/wigeonscale/daemons/direct_entry.py
@@ -322,6 +322,7 @@
         serve=service.serve,
         max_body=lambda: view.table.limits.body_bytes,
         max_header=lambda: view.table.limits.header_bytes,
+        header_timeout_s=lambda: view.table.limits.header_timeout_s,
         memory=RequestMemory(limit_bytes=request_memory_bytes(cfg.memory_mb)),
         clock=clock,
         idle_s=lambda: view.table.limits.idle_s,
--- a/wigeonscale/entry/malformed_http.py
+++ b/wigeonscale/entry/malformed_http.py
@@ -10,7 +10,7 @@
 from wigeonscale.errors import ErrorKind, RunState, WigeonscaleError
 
 MAX_MESSAGE_LENGTH = 200
-REFUSAL_KINDS = {503: ErrorKind.OVERLOADED}
+REFUSAL_KINDS = {408: ErrorKind.REQUEST_TIMEOUT, 503: ErrorKind.OVERLOADED}
 REFUSED_RETRY_AFTER_S = 1.0
 
 
--- a/wigeonscale/errors.py
+++ b/wigeonscale/errors.py
@@ -37,6 +37,7 @@
     ANSWER_EXPIRED = "answer-expired"
     LIMIT_EXCEEDED = "limit-exceeded"
     OVERLOADED = "overloaded"
+    REQUEST_TIMEOUT = "request-timeout"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
     NO_BACKEND = "no-backend"
@@ -96,6 +97,7 @@
     ErrorKind.ANSWER_EXPIRED: ErrorResponse(410, False),
     ErrorKind.LIMIT_EXCEEDED: ErrorResponse(429, True),
     ErrorKind.OVERLOADED: ErrorResponse(503, True),
+    ErrorKind.REQUEST_TIMEOUT: ErrorResponse(408, True),
     ErrorKind.DEADLINE_EXCEEDED: ErrorResponse(504, True),
     ErrorKind.CANCELLED: ErrorResponse(499, False),
     ErrorKind.NO_BACKEND: ErrorResponse(503, True),
--- a/wigeonscale/platform/callers.py
+++ b/wigeonscale/platform/callers.py
@@ -11,6 +11,7 @@
 from aiohttp.http_exceptions import BadHttpMessage
 
 from wigeonscale.adapters.http_server import (
+    HEAD_TIMEOUT_S,
     Connection,
     OpenConnections,
     RequestLimits,
@@ -43,6 +44,8 @@
 REQUEST_LINE_BYTES = 8 * 1024
 # Name, colon and the end of the line.
 MIN_HEADER_BYTES = 4
+# A retransmission may delay the rest of a head that was sent in time.
+HEAD_TIMEOUT_SLACK_S = 2.0
 # When the server closes, the requests in progress get an error within this time. Those
 # that are left are cancelled; each of two steps of that takes the second time at most.
 ABORT_TIMEOUT_S = 0.2
@@ -55,7 +58,7 @@
 # may have run is sent as BAD_GATEWAY instead.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
-REFUSAL_KINDS = {503: ErrorKind.OVERLOADED}
+REFUSAL_KINDS = {408: ErrorKind.REQUEST_TIMEOUT, 503: ErrorKind.OVERLOADED}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[CallerRequest, ResponseSink], Awaitable[None]]
@@ -71,6 +74,8 @@
         serve: Handles one request and writes the response to the sink.
         max_body: Returns the maximum size of a request body, in bytes.
         max_header: Returns the maximum size of all headers of a request, in bytes.
+        header_timeout_s: Returns the longest time in which a caller sends a head, in
+            seconds.
         memory: Memory that requests may hold.
         clock: Clock port.
         idle_s: Returns how long callers may keep a connection idle, in seconds.
@@ -87,6 +92,7 @@
         max_body: Callable[[], int],
         clock: Clock,
         max_header: Callable[[], int] = lambda: MAX_HEADER_BYTES,
+        header_timeout_s: Callable[[], float] = lambda: HEAD_TIMEOUT_S,
         memory: RequestMemory | None = None,
         idle_s: Callable[[], float] = lambda: 0.0,
         sock: socket.socket | None = None,
@@ -99,6 +105,8 @@
         self._max_header = max_header
         self._limits = RequestLimits(
             head_bytes=lambda: _max_header_bytes(max_header) + REQUEST_LINE_BYTES,
+            head_timeout_s=lambda: header_timeout_s() + HEAD_TIMEOUT_SLACK_S,
+            body_timeout_s=lambda: max(IDLE_TIMEOUT_S, idle_s()),
             memory=memory or RequestMemory(),
         )
         self._clock = clock
--- a/wigeonscale/platform/documents.py
+++ b/wigeonscale/platform/documents.py
@@ -108,6 +108,7 @@
 class _Limits(_Model):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: Milliseconds = 3_000
     idle_timeout_ms: Milliseconds = 15_000
 
 
@@ -172,6 +173,7 @@
         limits=routes.CallerLimits(
             header_bytes=document.limits.max_header_bytes,
             body_bytes=document.limits.max_body_bytes,
+            header_timeout_s=document.limits.header_timeout_ms / MS_PER_S,
             idle_s=document.limits.idle_timeout_ms / MS_PER_S,
         ),
     )
--- a/wigeonscale/platform/tests/test_request_limits.py
+++ b/wigeonscale/platform/tests/test_request_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from unittest import mock
 
 from wigeonscale.adapters.request_memory import RequestMemory
 from wigeonscale.platform import callers
@@ -38,6 +39,8 @@
 
 
 class RequestLimitsCase(CallerCase):
+    header_timeout_s = 60.0
+
     async def prepare(self):
         await super().prepare()
         await self.server.close()
@@ -47,6 +50,7 @@
             serve=self._serve,
             max_body=lambda: MAX_BODY,
             clock=SystemClock(),
+            header_timeout_s=lambda: self.header_timeout_s,
             memory=self.memory,
         )
         await self.server.start()
@@ -137,6 +141,43 @@
             await self.assert_refused(start + data, 400)
 
 
+class TimeoutTest(RequestLimitsCase):
+    header_timeout_s = 0.0
+
+    async def prepare(self):
+        patch = mock.patch.object(callers, "HEAD_TIMEOUT_SLACK_S", 0.05)
+        patch.start()
+        self.addCleanup(patch.stop)
+        patch = mock.patch.object(callers, "IDLE_TIMEOUT_S", 0.1)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().prepare()
+
+    async def test_head_that_does_not_go_on(self):
+        """Guards against a head that is waited for without end."""
+        await self.assert_refused(HEAD, 408)
+        await self.assert_refused(b"\r\n\r\n", 408)
+
+    async def test_body_that_does_not_go_on(self):
+        """Guards against a body that is waited for without end."""
+        await self.assert_refused(post(b"whole")[:-1], 408)
+        await self.assert_refused(post_chunked(b"whole")[:-2], 408)
+
+    async def test_request_in_progress_is_not_refused(self):
+        """Guards against a timeout of the next head that hits the request before."""
+        self.serve = self.serve_after
+        reader, _, _ = await self.raw(post(b"whole") + HEAD)
+        await self.started.wait()
+        await self.until(lambda: not self.memory.used_bytes or self.is_refused())
+        self.proceed.set()
+        got = await self.read_all(reader)
+        self.assertEqual([b"200", b"408"], re.findall(STATUS, got))
+
+    def is_refused(self):
+        (conn,) = self.server._runner.server.connections
+        return bool(conn._messages)
+
+
 class MemoryTest(RequestLimitsCase):
     async def test_incomplete_body_gives_way_to_another_request(self):
         """Guards against callers that do not go on and keep out the others."""
--- a/wigeonscale/routes/model.py
+++ b/wigeonscale/routes/model.py
@@ -187,11 +187,13 @@
     Attributes:
         header_bytes: Maximum size of the headers.
         body_bytes: Maximum size of a body.
+        header_timeout_s: Longest time in which a caller sends the head of a request.
         idle_s: Longest idle time between two requests on a connection.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
     idle_s: float = 15.0
 
 
