Reset the connection of a caller that does not read the end of a response

What callers saw: none reported; a caller that never reads kept its connection, one of a bounded number, for any time.

Cause: a connection that closes waits until its peer has taken what is left in the transport's buffer, without a limit.

Change: after 75 s the connection is reset.

Result: test_caller_that_does_not_read_the_end_of_a_response; without the change its drain does not end.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -40,6 +40,8 @@
 
 # Time for the peer to close its side of a connection that was closed here.
 LINGER_S = 1.0
+# Time for the peer to read the rest of a response before its connection is reset.
+MAX_LINGER_S = 75.0
 # Requests still in progress after the timeout of a shutdown are cancelled. Each of two
 # steps of the cancellation takes this time at most.
 CANCEL_TIMEOUT_S = 0.05
@@ -161,6 +163,7 @@
         "_latest_body",
         "_limits",
         "_linger_timer",
+        "_linger_until",
         "_open_conns",
         "_progress_timer",
         "_reading",
@@ -187,6 +190,7 @@
         self._is_half_closed = False
         self._latest_body: StreamReader = EMPTY_PAYLOAD
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._linger_until = 0.0
         self._progress_timer: asyncio.TimerHandle | None = None
         self._reading = _Reading.HEAD
         self._unread = bytearray()
@@ -502,6 +506,7 @@
         # The base class then neither reads requests nor closes the connection.
         self._force_close = True
         self._is_half_closed = True
+        self._linger_until = self._loop.time() + MAX_LINGER_S
         if not transport.can_write_eof():
             transport.close()
             return
@@ -517,10 +522,13 @@
         transport = self.transport
         if transport is None:
             return
-        if transport.get_write_buffer_size():
+        if not transport.get_write_buffer_size():
+            transport.close()
+        elif self._loop.time() < self._linger_until:
             self._linger_timer = self._loop.call_later(LINGER_S, self._end_linger)
         else:
-            transport.close()
+            # The peer does not read.
+            transport.abort()
 
 
 class DrainingRunner(web.AppRunner):
--- a/wigeonscale/platform/tests/test_kept_connections.py
+++ b/wigeonscale/platform/tests/test_kept_connections.py
@@ -1,11 +1,13 @@
 """Requests on kept connections around the drain, the idle timeout and a close."""
 
 import asyncio
+import contextlib
 import socket
 from unittest import mock
 
 from aiohttp import web
 
+from wigeonscale.adapters import http_server
 from wigeonscale.adapters.http_server import Connection
 from wigeonscale.platform import callers
 from wigeonscale.platform.tests.test_callers import REQUEST, WAIT_S, CallerCase
@@ -149,6 +151,31 @@
         self.assertIn(b"connection: close", got.lower())
         self.assertEqual(1, len(self.requests))
 
+    async def test_caller_that_does_not_read_the_end_of_a_response(self):
+        """Guards against a connection that stays open without end."""
+        self.started = asyncio.Event()
+
+        async def serve(req, sink):
+            await sink.begin(ResponseHead(200, ()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0):
+                    while True:
+                        await sink.write(b"x" * 65_536)
+            sink.abort()
+            self.started.set()
+
+        self.serve = serve
+        with (
+            mock.patch.object(http_server, "LINGER_S", 0.01),
+            mock.patch.object(http_server, "MAX_LINGER_S", 0.05),
+        ):
+            _, writer, _ = await self.raw(REQUEST)
+            writer.transport.pause_reading()
+            async with asyncio.timeout(WAIT_S):
+                await self.started.wait()
+                await self.server.drain(0.0)
+        self.assertEqual(0, self.server.connections)
+
     async def test_caller_that_closes_its_side_gets_what_was_written(self):
         body = b"x" * 8_000_000
 
