Name the engine in each order

Cause: an order names an address only, and its precondition, no orders so far, fits any engine that has just started.

Change: orders and changes of a path carry Expect-Instance, so that another engine responds with 421 and does nothing.

--- a/wigeonscale/control/layer_assigner.py
+++ b/wigeonscale/control/layer_assigner.py
@@ -276,6 +276,7 @@
         ) + self._replica.applied_index
         outcome = await self._orders.place(
             backend.address,
+            backend_id=name,
             first=layers.first,
             end=layers.end,
             fence=fencing_token,
--- a/wigeonscale/control/tests/layer_assigner_case.py
+++ b/wigeonscale/control/tests/layer_assigner_case.py
@@ -35,7 +35,9 @@
         self.waits = {}
         self.starts = defaultdict(int)
 
-    async def place(self, address, *, first, end, fence, expected_orders, waits):
+    async def place(
+        self, address, *, backend_id, first, end, fence, expected_orders, waits
+    ):
         self.waits[address] = waits
         self.orders.append((address, first, end, fence, expected_orders))
         outcome = self.outcomes.get(address)
--- a/wigeonscale/direct/detour.py
+++ b/wigeonscale/direct/detour.py
@@ -56,6 +56,7 @@
     fleet = ctx.fleet()
     outcome = await ctx.orders.change_path(
         fleet.by_id[path[0].backend_id].address,
+        backend_id=fleet.by_id[path[0].backend_id].name,
         request_id=job.req.request_id,
         path=detour,
         addresses=[fleet.by_id[part.backend_id].address for part in detour],
--- a/wigeonscale/direct/tests/fakes.py
+++ b/wigeonscale/direct/tests/fakes.py
@@ -127,7 +127,7 @@
         self.rerouted = []
         self.reroute_outcome = OrderOutcome.REFUSED
 
-    async def change_path(self, address, *, request_id, path, addresses):
+    async def change_path(self, address, *, backend_id, request_id, path, addresses):
         self.rerouted.append((address, request_id, [part.backend_id for part in path]))
         return self.reroute_outcome
 
--- a/wigeonscale/platform/engine_orders.py
+++ b/wigeonscale/platform/engine_orders.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import aiohttp
 
@@ -13,7 +13,11 @@
 from wigeonscale.adapters.logs import log_fields
 from wigeonscale.layers import Part
 from wigeonscale.platform.connection_limiter import ConnectionContext
-from wigeonscale.platform.headers import format_path, read_request_id
+from wigeonscale.platform.headers import (
+    EXPECTED_BACKEND_HEADER,
+    format_path,
+    read_request_id,
+)
 from wigeonscale.ports import EngineProbeResult, ProbeResult
 from wigeonscale.ports.orders import (
     STATUS_TIMEOUT_S,
@@ -70,6 +74,7 @@
         self,
         address: str,
         *,
+        backend_id: str,
         first: int,
         end: int,
         fence: int,
@@ -86,7 +91,7 @@
             # The number of started orders, which the report calls "seq".
             "precondition": expected_orders,
         }
-        response = await self._try_order(address, order, ORDER_TIMEOUT_S)
+        response = await self._try_order(address, backend_id, order, ORDER_TIMEOUT_S)
         if response is None:
             return OrderOutcome.UNKNOWN
         return OUTCOME_BY_STATUS.get(response[0], OrderOutcome.REFUSED)
@@ -95,6 +100,7 @@
         self,
         address: str,
         *,
+        backend_id: str,
         request_id: str,
         path: Sequence[Part],
         addresses: Sequence[str],
@@ -105,7 +111,9 @@
             "id": request_id,
             "path": format_path(path, addresses),
         }
-        response = await self._try_order(address, order, PATH_CHANGE_TIMEOUT_S)
+        response = await self._try_order(
+            address, backend_id, order, PATH_CHANGE_TIMEOUT_S
+        )
         if response is None:
             return OrderOutcome.UNKNOWN
         return OUTCOME_BY_STATUS.get(response[0], OrderOutcome.REFUSED)
@@ -162,10 +170,16 @@
         return _parse_probe_result(response, started_ms)
 
     async def _try_order(
-        self, address: str, order: dict, timeout_s: float
+        self, address: str, backend_id: str, order: dict, timeout_s: float
     ) -> tuple[int, bytes] | None:
         return await _try_send(
-            self._order_session, "POST", address, "/order", order, timeout_s=timeout_s
+            self._order_session,
+            "POST",
+            address,
+            "/order",
+            order,
+            headers={EXPECTED_BACKEND_HEADER: backend_id},
+            timeout_s=timeout_s,
         )
 
     async def _try_report(
@@ -183,11 +197,14 @@
     path: str,
     body: dict | None = None,
     *,
+    headers: Mapping[str, str] | None = None,
     timeout_s: float,
 ) -> tuple[int, bytes] | None:
     """Return the response as :func:`_send` does; None without a response."""
     try:
-        return await _send(session, method, address, path, body, timeout_s=timeout_s)
+        return await _send(
+            session, method, address, path, body, headers=headers, timeout_s=timeout_s
+        )
     except (TimeoutError, aiohttp.ClientError, OSError) as exc:
         logger.info("%s %s at %s: no response: %r", method, path, address, exc)
         return None
@@ -200,6 +217,7 @@
     path: str,
     body: dict | None = None,
     *,
+    headers: Mapping[str, str] | None = None,
     timeout_s: float,
 ) -> tuple[int, bytes]:
     """Return status and body of the response.
@@ -213,6 +231,7 @@
         method,
         f"http://{address}{path}",
         json=body,
+        headers=headers,
         timeout=aiohttp.ClientTimeout(total=timeout_s),
         trace_request_ctx=ConnectionContext(address),
     ) as res:
--- a/wigeonscale/platform/headers.py
+++ b/wigeonscale/platform/headers.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "EXPECTED_BACKEND_HEADER",
     "REQUEST_ID_HEADER",
     "RequestHeaders",
     "backend_headers",
@@ -38,6 +39,8 @@
 )
 
 REQUEST_ID_HEADER = "Attempt-Id"
+# Another backend server responds with 421 and does nothing.
+EXPECTED_BACKEND_HEADER = "Expect-Instance"
 MS_PER_S = 1000.0
 BEARER_PREFIX = "bearer "
 LOWEST_PRIORITY = 9
@@ -142,7 +145,7 @@
 def backend_headers(call: BackendCall) -> list[tuple[str, str]]:
     """Return the headers of one request to a backend server."""
     headers = list(call.req.headers)
-    headers.append(("Expect-Instance", call.backend_id))
+    headers.append((EXPECTED_BACKEND_HEADER, call.backend_id))
     headers.append(("Request-Deadline", str(max(1, int(call.left_s * MS_PER_S)))))
     if call.organisation:
         headers.append(("Tenant", call.organisation))
--- a/wigeonscale/platform/tests/test_engine_orders.py
+++ b/wigeonscale/platform/tests/test_engine_orders.py
@@ -116,9 +116,12 @@
     async def prepare(self):
         await super().prepare()
         self.status = 202
+        self.name = "e1"
         self.received = []
 
         async def handle(req):
+            if req.headers.get("Expect-Instance") != self.name:
+                return web.Response(status=421)
             self.received.append((req.method, req.path, await req.json()))
             return web.Response(status=self.status)
 
@@ -128,6 +131,7 @@
     def change_path(self):
         return self.orders.change_path(
             self.address,
+            backend_id="e1",
             request_id="r1",
             path=[Part("e1", LayerRange(0, 20)), Part("e2", LayerRange(20, 80))],
             addresses=["10.1.0.1:80", "10.2.0.1:80"],
@@ -142,6 +146,22 @@
         }
         self.assertEqual([("POST", "/order", order)], self.received)
 
+    async def test_another_engine_at_the_address_gets_no_order(self):
+        """Guards against an order to the next user of an address."""
+        self.name = "e2"
+        self.assertIs(OrderOutcome.REFUSED, await self.change_path())
+        outcome = await self.orders.place(
+            self.address,
+            backend_id="e1",
+            first=0,
+            end=9,
+            fence=1,
+            expected_orders=0,
+            waits=False,
+        )
+        self.assertIs(OrderOutcome.REFUSED, outcome)
+        self.assertEqual([], self.received)
+
     async def test_outcome_follows_the_status(self):
         outcomes = {
             200: OrderOutcome.UNCHANGED,
@@ -156,6 +176,7 @@
         for waits in (False, True):
             outcome = await self.orders.place(
                 self.address,
+                backend_id="e1",
                 first=20,
                 end=31,
                 fence=7,
@@ -200,7 +221,13 @@
 
     async def place(self):
         return await self.orders.place(
-            self.address, first=0, end=9, fence=1, expected_orders=0, waits=False
+            self.address,
+            backend_id="e1",
+            first=0,
+            end=9,
+            fence=1,
+            expected_orders=0,
+            waits=False,
         )
 
     async def test_late_response_does_not_answer_the_next_order(self):
--- a/wigeonscale/ports/orders.py
+++ b/wigeonscale/ports/orders.py
@@ -57,6 +57,7 @@
         self,
         address: str,
         *,
+        backend_id: str,
         first: int,
         end: int,
         fence: int,
@@ -67,6 +68,7 @@
 
         Args:
             address: ``ip:port`` of the engine.
+            backend_id: Id of the engine. Another one at the address refuses the order.
             first: First layer to hold.
             end: One more than the last layer to hold.
             fence: Fencing token.
@@ -79,6 +81,7 @@
         self,
         address: str,
         *,
+        backend_id: str,
         request_id: str,
         path: Sequence[Part],
         addresses: Sequence[str],
@@ -87,6 +90,8 @@
 
         Args:
             address: ``ip:port`` of the first engine.
+            backend_id: Id of the first engine. Another one at the address refuses the
+                order.
             request_id: Id of the running request.
             path: New path: parts in order of layers.
             addresses: Address of each engine on the path.
