Mark the data folder of a first start before the imports

Cause: a folder remembers that it is one of the first start by its first vote state, which is written after the imports. Before that it is empty, like a lost disk, and its replica waits for a leader to admit it; so do the others.

Change: control marks an empty folder at a first start before the imports. A marked folder that has no vote state has never voted, so it counts as one of the first start, as after a later kill. The reader of settings before the imports is shared with the early listener.

--- a/wigeonscale/cli/wigeond.py
+++ b/wigeonscale/cli/wigeond.py
@@ -47,9 +47,11 @@
     # The imports of the daemon take half a second of a whole core.
     _ignore_sighup()
     use_precompiled(os.environ.get(PRECOMPILED_ENV, ""))
-    # Also before the imports, because it covers the time that they take.
+    # Also before the imports, because they cover the time that these take.
+    args = sys.argv[1:] if argv is None else argv
+    importlib.import_module("wigeonscale.daemons.early_marker").mark_first_start(args)
     early = importlib.import_module("wigeonscale.daemons.early_listener").listen_early(
-        sys.argv[1:] if argv is None else argv
+        args
     )
     # Imported objects stay alive, so garbage collection during the imports would free
     # nothing and would delay the start.
--- a/wigeonscale/daemons/early_listener.py
+++ b/wigeonscale/daemons/early_listener.py
@@ -20,8 +20,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from wigeonscale.daemons.early_settings import read_early_settings
+
 ROLE = "direct-entry"
-CONFIG_OPTION = "--config"
 # Connecting to a replica takes about 2 ms; a VM without power never responds.
 CONTROL_CONNECT_TIMEOUT_S = 0.05
 # Same as in the server that takes over the socket.
@@ -57,7 +58,7 @@
     if not argv or argv[0] != ROLE:
         return EarlyListener(None, "not an entry")
     try:
-        settings = _read_section(_config_path(argv))
+        settings = read_early_settings(argv)
         host, _, port = settings["listen"].rpartition(":")
         internal_port = int(settings["internal_port"])
         seeds = [
@@ -70,17 +71,6 @@
         return EarlyListener(None, f"the settings cannot be used: {exc!r}")
 
 
-def _config_path(argv: Sequence[str]) -> str:
-    return argv[list(argv).index(CONFIG_OPTION) + 1] if CONFIG_OPTION in argv else ""
-
-
-def _read_section(path: str) -> configparser.SectionProxy:
-    parser = configparser.ConfigParser(interpolation=None, delimiters=("=",))
-    with open(path, encoding="utf-8") as stream:
-        parser.read_file(stream)
-    return parser[ROLE]
-
-
 def _any_accepts(hosts: Sequence[str], port: int) -> bool:
     """Return whether any host accepts a connection.
 
--- a/wigeonscale/replication/files.py
+++ b/wigeonscale/replication/files.py
@@ -1,6 +1,7 @@
 """Content, encoding and loading of the files of a replica."""
 
 __all__ = [
+    "FIRST_START_NAME",
     "LOG_NAME",
     "SNAPSHOT_NAME",
     "VOTE_NAME",
@@ -33,6 +34,9 @@
 from wigeonscale.wire import wire_pb2 as wire
 
 VOTE_NAME = "vote"
+# Marks a folder of the first start in which no vote was saved yet; see
+# ``wigeonscale.daemons.early_marker``.
+FIRST_START_NAME = "first-start"
 LOG_NAME = "log"
 SNAPSHOT_NAME = "snapshot"
 
@@ -152,7 +156,8 @@
     """
     vote = _decode_vote(folder.read(VOTE_NAME))
     was_first_start = vote is not None and vote.admission is Admission.FIRST_START
-    is_first_start = is_first_start or was_first_start
+    is_marked = vote is None and folder.read(FIRST_START_NAME) is not None
+    is_first_start = is_first_start or was_first_start or is_marked
     return Admission.FIRST_START if is_first_start else Admission.NEW
 
 
--- a/wigeonscale/replication/tests/test_first_start.py
+++ b/wigeonscale/replication/tests/test_first_start.py
@@ -12,6 +12,7 @@
 
 from wigeonscale.errors import WigeonscaleError
 from wigeonscale.replication import Member
+from wigeonscale.replication.files import FIRST_START_NAME
 from wigeonscale.replication.tests.memory_folder import MemoryFolder
 from wigeonscale.replication.tests.support import Cluster
 from wigeonscale.testing import AsyncTestCase
@@ -139,6 +140,13 @@
         self.cluster.start("b", **FIRST_START)
         await self.cluster.finish()
 
+    async def test_all_killed_before_their_first_vote_was_saved(self):
+        """Guards against a first start that never ends, with no leader."""
+        for name in NAMES:
+            self.cluster.folders[name].durable[FIRST_START_NAME] = b""
+        self.cluster.start(**LATER_START)
+        await self.cluster.finish()
+
     async def test_wrong_statement_while_others_lead(self):
         """The settings still state the first start after a disk was lost."""
         self.cluster.start(**FIRST_START)
