--- a/wigeonscale/adapters/tests/test_http_server.py
+++ b/wigeonscale/adapters/tests/test_http_server.py
@@ -70,3 +70,23 @@
             reader._transport.close()
             self.assertEqual(0, await stop, "bytes lost by the exit")
         self.assertTrue(data.endswith(b"x\r\n0\r\n\r\n"), data[-30:])
+
+
+class PageLimitsTest(AsyncTestCase):
+    """The pages of every daemon read requests within the same limits."""
+
+    async def prepare(self):
+        self.runner = await start_http("127.0.0.1:0", [], lambda: True)
+        self.addCleanup(self.runner.cleanup)
+
+    async def test_heads_and_empty_lines_without_end(self):
+        """Guards against a page that reads without a limit."""
+        start = b"GET /healthz HTTP/1.1\r\nHost: h\r\n"
+        for data in (start + b"a:\r\n" * 100_000, b"\r\n" * 100_000):
+            reader, writer = await asyncio.open_connection(*self.runner.addresses[0])
+            self.addCleanup(writer.close)
+            writer.write(data)
+            async with asyncio.timeout(WAIT_S):
+                status = await reader.readline()
+            self.assertRegex(status, rb"HTTP/1\.\d 4\d\d ")
+            self.assertEqual(0, self.runner.limits.memory.used_bytes)
--- a/wigeonscale/entry/tests/test_bad_input.py
+++ b/wigeonscale/entry/tests/test_bad_input.py
@@ -97,6 +97,8 @@
         for raw in (
             b"\x16\x03\x01\x00\xff\r\n\r\n",
             head + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n",
+            head + b"a:\r\n" * 20_000,
+            b"\r\n" * 20_000,
             head + b"Content-Length: -1\r\n\r\n",
             head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
         ):
