Leave processor time to others beside bodies of tiny chunks

Connections that send more than 256 chunks in one read share half of the processor; they are read later.

--- a/wigeonscale/adapters/http_server.py
+++ b/wigeonscale/adapters/http_server.py
@@ -72,6 +72,11 @@
 HEAD_COPIES = 4
 BODY_COPIES = 2
 REFUSED_RETRY_AFTER_S = 1.0
+# Processor time for a chunk, and the share of the processor for bodies with more chunks
+# in one read than a caller needs.
+CHUNK_S = 3e-6
+CHUNK_SHARE = 0.5
+MAX_UNTHROTTLED_CHUNKS = 256
 # Kinds of the errors for requests that are refused before they are complete.
 REFUSAL_KINDS = {408: ErrorKind.REQUEST_TIMEOUT, 503: ErrorKind.OVERLOADED}
 LINE_ENDS = b"\r\n"
@@ -131,12 +136,33 @@
             end, in seconds.
         body_timeout_s: Returns the longest time without data within a body, in seconds.
         memory: Memory that the requests of all connections may hold.
+        throttle: Bounds the processor time for bodies of tiny chunks.
     """
 
     head_bytes: Callable[[], int] = lambda: MAX_HEAD_BYTES
     head_timeout_s: Callable[[], float] = lambda: HEAD_TIMEOUT_S
     body_timeout_s: Callable[[], float] = lambda: BODY_TIMEOUT_S
     memory: RequestMemory = field(default_factory=RequestMemory)
+    throttle: "ReadThrottle" = field(default_factory=lambda: ReadThrottle())
+
+
+class ReadThrottle:
+    """Leaves a part of the processor to other work than bodies of tiny chunks."""
+
+    def __init__(self):
+        self._free_at = 0.0
+
+    def delay_s(self, chunks: int, now: float) -> float:
+        """Return how long a connection is not read after chunks that it sent at once.
+
+        Args:
+            chunks: Number of chunks.
+            now: Time of the event loop.
+        """
+        if chunks <= MAX_UNTHROTTLED_CHUNKS:
+            return 0.0
+        self._free_at = max(self._free_at, now) + chunks * CHUNK_S / CHUNK_SHARE
+        return self._free_at - now
 
 
 class _Reading(enum.Enum):
@@ -254,6 +280,8 @@
             self._refuse(_overloaded())
 
     def _resume_reading_if_drained(self) -> None:
+        if self.transport is None:
+            return
         self.data_received(b"")
         if not self._is_behind:
             self._resume_reading_for_buffer()
@@ -336,12 +364,13 @@
         return self._parse_part(part, size=len(part), is_complete=not self._body_left)
 
     def _parse_chunks(self) -> bool:
-        size = self._chunks.body_bytes
+        size, chunks = self._chunks.body_bytes, self._chunks.chunks
         try:
             part = self._chunks.feed(self._unread)
         except FramingError as exc:
             self._refuse(web.HTTPBadRequest(text=str(exc)))
             return False
+        self._throttle(self._chunks.chunks - chunks)
         if not part:
             return False
         return self._parse_part(
@@ -350,6 +379,12 @@
             is_complete=self._chunks.is_complete,
         )
 
+    def _throttle(self, chunks: int) -> None:
+        delay_s = self._limits.throttle.delay_s(chunks, self._loop.time())
+        if delay_s > 0.0 and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+            self._loop.call_later(delay_s, self._resume_reading_if_drained)
+
     def _parse_part(self, part: bytes, *, size: int, is_complete: bool) -> bool:
         """Parse a part of a body; return False if the request was refused."""
         if self._costs:
--- a/wigeonscale/adapters/tests/test_request_framing.py
+++ b/wigeonscale/adapters/tests/test_request_framing.py
@@ -24,6 +24,22 @@
             position += size
 
 
+def decode(data):
+    """Return the body of a complete sequence of chunks without extensions."""
+    body = b""
+    while True:
+        line, _, data = data.partition(b"\r\n")
+        size = int(line, 16)
+        body += data[:size]
+        if data[size : size + 2] != b"\r\n":
+            raise AssertionError(f"chunk without its line end: {data[size:]}")
+        data = data[size + 2 :]
+        if not size:
+            if data:
+                raise AssertionError(f"data behind the end: {data}")
+            return body
+
+
 class HeadEndTest(AsyncTestCase):
     @given(SPLITS)
     def test_end_is_found_however_the_head_arrives(self, sizes):
@@ -48,8 +64,9 @@
             data += piece
             kept += scanner.feed(data)
         self.assertTrue(scanner.is_complete)
-        self.assertEqual(body + b"0\r\n\r\n", kept)
+        self.assertEqual(b"".join(chunks), decode(kept))
         self.assertEqual(sum(map(len, chunks)), scanner.body_bytes)
+        self.assertEqual(len(chunks), scanner.chunks)
         self.assertEqual(NEXT, data)
 
     def test_invalid_sizes(self):
@@ -58,6 +75,15 @@
             with self.assertRaises(FramingError, msg=line):
                 scanner.feed(bytearray(line + b"\r\n"))
 
+    def test_chunk_without_its_line_end(self):
+        for body in (b"1\r\nxy\r\n", b"1\r\nx\n0\r\n", b"1\r\nx\ry"):
+            for size in (1, 2, 100):
+                scanner, data = ChunkScanner(max_trailer_bytes=100), bytearray()
+                with self.assertRaisesRegex(FramingError, "line end"):
+                    for piece in pieces(body, [size]):
+                        data += piece
+                        scanner.feed(data)
+
     def test_size_without_end(self):
         with self.assertRaisesRegex(FramingError, re.escape("without end")):
             ChunkScanner(max_trailer_bytes=100).feed(bytearray(b"0" * 5000))
--- a/wigeonscale/platform/tests/test_request_limits.py
+++ b/wigeonscale/platform/tests/test_request_limits.py
@@ -4,6 +4,8 @@
 import re
 from unittest import mock
 
+from wigeonscale.adapters import http_server
+from wigeonscale.adapters.http_server import ReadThrottle
 from wigeonscale.adapters.request_memory import RequestMemory
 from wigeonscale.platform import callers
 from wigeonscale.platform.callers import CallerServer
@@ -141,6 +143,26 @@
             await self.assert_refused(start + data, 400)
 
 
+class ThrottleTest(RequestLimitsCase):
+    async def test_body_of_tiny_chunks_is_served(self):
+        self.serve = self.echo
+        body = b"1\r\nx\r\n" * 20_000
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body + b"0\r\n\r\n"
+        reader, _, _ = await self.raw(data)
+        async with asyncio.timeout(WAIT_S):
+            got = await reader.readuntil(b"x" * 20_000)
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"), got[:100])
+
+    def test_share_of_the_processor(self):
+        """Guards against bodies of tiny chunks that leave no time for others."""
+        throttle = ReadThrottle()
+        self.assertEqual(0.0, throttle.delay_s(256, 10.0))
+        delays_s = [throttle.delay_s(1000, 10.0) for _ in range(3)]
+        work_s = 3 * 1000 * http_server.CHUNK_S
+        self.assertAlmostEqual(work_s / http_server.CHUNK_SHARE, delays_s[-1])
+        self.assertEqual(sorted(delays_s), delays_s)
+
+
 class TimeoutTest(RequestLimitsCase):
     header_timeout_s = 0.0
 
