Let each notice of a soak server withdraw only itself

Cause, from its logs: a limit and a rest of the same server overlapped.

Change: each notice removes only what it has set, so that the limit stays in force as long as the checker holds entries to it. The check and its bounds are as they were.

--- a/wigeonscale/testing/soak/notices.py
+++ b/wigeonscale/testing/soak/notices.py
@@ -72,20 +72,23 @@
     """
     now = asyncio.get_running_loop().time
     name, began_at = backend.name, now()
+    # Notices of one server may overlap, so each withdraws only what it has set.
     if notice.kind == "limit":
-        backend.notice_headers = {"Server-Limit": str(LIMIT_PER_S)}
+        backend.notice_headers["Server-Limit"] = str(LIMIT_PER_S)
         announced_at = now()
         await asyncio.sleep(notice.duration_s)
         checker.limit_periods[name].append((announced_at, now()))
+        del backend.notice_headers["Server-Limit"]
     elif notice.kind == "rest":
         backend.retry_after_s = RETRY_AFTER_S
         await asyncio.sleep(notice.duration_s)
+        backend.retry_after_s = None
     else:
-        backend.notice_headers = {"Server-Leaving": "1"}
+        backend.notice_headers["Server-Leaving"] = "1"
         await asyncio.sleep(notice.duration_s)
         await backend.stop()
         await backend.start()
-    backend.notice_headers, backend.retry_after_s = {}, None
+        del backend.notice_headers["Server-Leaving"]
     backend.checker.responses.impairments[backend.service].append(
         (backend.relay.address, began_at, now())
     )
