A relay of the soak that does not listen cannot pause accepting

Cause: a freeze of a server that refuses connections meanwhile reached the relay between the end of the server's listening socket and its next start.

Change: such a relay refuses connections already, so the pause does nothing.

Result: test_pause_of_a_relay_that_does_not_listen fails with this error without the change.

--- a/wigeonscale/testing/matrix/relay.py
+++ b/wigeonscale/testing/matrix/relay.py
@@ -94,7 +94,12 @@
         self._server.close()
 
     def pause_accepting(self) -> None:
-        """Let attempts to connect time out, as with a full accept queue."""
+        """Let attempts to connect time out, as with a full accept queue.
+
+        A relay that does not listen goes on to refuse them.
+        """
+        if self._sock.fileno() < 0:
+            return
         self._is_paused = True
         asyncio.get_running_loop().remove_reader(self._sock)
         self._sock.listen(0)
--- a/wigeonscale/testing/matrix/tests/test_relay.py
+++ b/wigeonscale/testing/matrix/tests/test_relay.py
@@ -115,3 +115,13 @@
         self.assertEqual(b"x", await self.exchange(*await self.connect()))
         # The kernel tries again after a second.
         self.assertEqual(b"x", await self.exchange(*await waiting))
+
+    async def test_pause_of_a_relay_that_does_not_listen(self):
+        """Guards against a freeze that ends the soak while its server restarts."""
+        relay = self.net.between("a", "b")
+        relay.stop_listening()
+        await asyncio.sleep(0)
+        relay.pause_accepting()
+        await relay.resume_accepting()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
