--- a/wigeonscale/testing/soak/responses.py
+++ b/wigeonscale/testing/soak/responses.py
@@ -22,8 +22,7 @@
 CROSSING_S = 2.0
 # A stream ends at most this much later than the fault that broke its connection.
 BREAK_DETECTION_S = 1.0
-# Time after a loss of a server in which its service has no spare servers; by the users'
-# rules, a disturbance counts for this long.
+# Time for which a service counts as short of servers after the loss of one.
 RECOVERY_S = 3.0
 
 
